--- /dev/null
+++ b/halldoor/__init__.py
@@ -0,0 +1,25 @@
+"""halldoor: global traffic steering for operators.
+
+Operators label services, regions, halls and targets and write selectors and
+capped shifts; entry hosts carry each request to a healthy target with room.
+"""
+
+from __future__ import annotations
+
+from halldoor.core.configuration import Configuration
+from halldoor.core.decision import Decision, explain
+from halldoor.core.errors import HalldoorError, Reason, Refusal
+from halldoor.core.selector import Selector
+from halldoor.core.settings import AdminSettings, EntrySettings
+
+__all__ = [
+    "AdminSettings",
+    "Configuration",
+    "Decision",
+    "EntrySettings",
+    "HalldoorError",
+    "Reason",
+    "Refusal",
+    "Selector",
+    "explain",
+]
--- /dev/null
+++ b/halldoor/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The programs, one module each."""
--- /dev/null
+++ b/halldoor/cli/entry.py
@@ -0,0 +1,48 @@
+"""``halldoor-entry``: one a host, all alike."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import threading
+from pathlib import Path
+
+import defopt
+
+from halldoor.core.errors import HalldoorError
+from halldoor.core.settings import EntrySettings
+from halldoor.entry.process import EntryProcess
+from halldoor.files import load_settings
+from halldoor.logs import configure_logs
+
+
+def run(settings: Path) -> None:
+    """Run an entry until SIGTERM, which stops it without cutting off a request.
+
+    Parameters
+    ----------
+    settings : Path
+        YAML file with the settings; docs/reference.md lists them.
+    """
+    try:
+        checked = load_settings(settings, EntrySettings)
+        configure_logs(checked.log_format)
+        process = EntryProcess.from_config(checked)
+    except (HalldoorError, OSError) as exc:
+        sys.exit(f"halldoor-entry: {exc}")
+    should_stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: should_stop.set())
+    process.start()
+    while not should_stop.wait(0.5):
+        pass
+    process.stop()
+
+
+def main() -> None:
+    """Start the program."""
+    defopt.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/halldoor/cli/standin.py
@@ -0,0 +1,88 @@
+"""``halldoor-standin``: stand-ins for the platform and for targets."""
+
+from __future__ import annotations
+
+import signal
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import defopt
+
+from halldoor.core.settings import Address
+from halldoor.logs import configure_logs
+from halldoor.server import HttpServer
+from halldoor.standins.platform import PlatformStandin
+from halldoor.standins.target import Behaviour, TargetStandin
+
+
+def platform(*, port: int, ip: str = "127.0.0.1") -> None:
+    """Run a stand-in for the platform.
+
+    Parameters
+    ----------
+    port : int
+        Port to listen on.
+    ip : str
+        Address to listen on.
+    """
+    _serve(Address(ip, port), PlatformStandin(), threads=200)
+
+
+def target(
+    *,
+    ports: list[int],
+    ip: str = "127.0.0.1",
+    slots: int = 6,
+    latency_s: float = 0.01,
+    cold_s: float = 0.0,
+) -> None:
+    """Run stand-ins for targets, one on each port.
+
+    Parameters
+    ----------
+    ports : list[int]
+        Ports to listen on.
+    ip : str
+        Address to listen on.
+    slots : int
+        Requests that each runs at once.
+    latency_s : float
+        Time that a request takes.
+    cold_s : float
+        Time after the start in which requests take four times as long.
+    """
+    servers = []
+    for port in ports:
+        behaviour = Behaviour(latency_s=latency_s, slots=slots, cold_s=cold_s)
+        standin = TargetStandin(behaviour)
+        servers.append(HttpServer(Address(ip, port), standin, threads=slots * 3 + 4))
+    _run_all(servers)
+
+
+def _serve(address: Address, app: Callable[..., Any], *, threads: int) -> None:
+    """Serve one application until SIGTERM."""
+    _run_all([HttpServer(address, app, threads=threads)])
+
+
+def _run_all(servers: list[HttpServer]) -> None:
+    """Run servers until SIGTERM."""
+    configure_logs("console")
+    should_stop = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: should_stop.set())
+    signal.signal(signal.SIGINT, lambda *_: should_stop.set())
+    for server in servers:
+        threading.Thread(target=server.safe_start, daemon=True).start()
+    while not should_stop.wait(0.5):
+        pass
+    for server in servers:
+        server.stop()
+
+
+def main() -> None:
+    """Start the program."""
+    defopt.run([platform, target])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/halldoor/core/configuration.py
@@ -0,0 +1,279 @@
+"""The operators' configuration: what they label, select, shift and limit."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+from halldoor.core.block import pack_blocks
+from halldoor.core.errors import SettingsError
+from halldoor.core.selector import Selector
+from halldoor.core.settings import Address, parse
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Positive = Annotated[float, msgspec.Meta(gt=0.0)]
+
+
+class _Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Base of all parts of the configuration."""
+
+
+class Region(_Model, frozen=True, kw_only=True):
+    """A region and its labels."""
+
+    name: Name
+    labels: dict[str, str] = {}
+
+
+class EntryHost(_Model, frozen=True, kw_only=True):
+    """One entry host of a hall."""
+
+    name: Name
+    http: Address
+    wire: Address
+
+
+class Hall(_Model, frozen=True, kw_only=True):
+    """A hall with its entry hosts.
+
+    ``previous_entries`` and ``roster_revision`` are written by the administration
+    API when the roster changes: a slot moves only after its last home is known to
+    have adopted that revision.
+    """
+
+    name: Name
+    region: Name
+    entries: list[EntryHost]
+    labels: dict[str, str] = {}
+    previous_entries: list[str] = []
+    roster_revision: int = 0
+
+
+class Target(_Model, frozen=True, kw_only=True):
+    """A target: its address, slots and labels."""
+
+    name: Name
+    hall: Name
+    address: Address
+    slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+    labels: dict[str, str] = {}
+    leaving: bool = False
+
+
+class Operation(_Model, frozen=True, kw_only=True):
+    """A kind of request of a service.
+
+    Attributes
+    ----------
+    repeatable : bool
+        False for what must run at most once.
+    deadline_s : float
+        Longest time it may take; callers may ask for less.
+    """
+
+    name: Name
+    methods: list[str]
+    path: str = "/"
+    repeatable: bool = False
+    deadline_s: Positive = 5.0
+
+
+class Service(_Model, frozen=True, kw_only=True):
+    """A service, its operations and where its requests may go.
+
+    Attributes
+    ----------
+    selector : str
+        Targets that serve it when no shift applies.
+    failover : str
+        More targets that may serve it when those have no room; may be empty.
+    failover_cap : float
+        Greatest share of requests that failover may move.
+    """
+
+    name: Name
+    team: Name
+    operations: list[Operation]
+    selector: str
+    failover: str = ""
+    failover_cap: Share = 1.0
+
+
+class Shift(_Model, frozen=True, kw_only=True):
+    """A planned move of a share of a service's requests.
+
+    Attributes
+    ----------
+    to : str
+        Selector of the targets that receive them.
+    cap : float
+        Greatest share of requests that may move; never exceeded.
+    position : float
+        Share of client blocks chosen so far; moved by ``halldoor shift step``.
+    """
+
+    name: Name
+    service: Name
+    to: str
+    cap: Share
+    position: Share = 0.0
+    state: Literal["planned", "running", "paused"] = "planned"
+
+
+class Link(_Model, frozen=True, kw_only=True):
+    """Limits of the link from one hall to another, and its latency one way."""
+
+    origin: Name
+    destination: Name
+    latency_ms: Annotated[float, msgspec.Meta(ge=0.0)]
+    requests: Annotated[int, msgspec.Meta(ge=0)] = 1000
+    bytes: Annotated[int, msgspec.Meta(ge=0)] = 100_000_000
+
+
+class ClientBlocks(_Model, frozen=True, kw_only=True):
+    """Client networks that are nearest to a hall."""
+
+    hall: Name
+    networks: list[str]
+
+
+class Team(_Model, frozen=True, kw_only=True):
+    """A team; its tokens may change only its own services."""
+
+    name: Name
+    token_sha256: list[Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]] = []
+    administrator: bool = False
+
+
+class Configuration(_Model, frozen=True, kw_only=True):
+    """Everything the operators set, as one value under one revision."""
+
+    regions: list[Region]
+    halls: list[Hall]
+    targets: list[Target]
+    services: list[Service]
+    teams: list[Team]
+    shifts: list[Shift] = []
+    links: list[Link] = []
+    client_blocks: list[ClientBlocks] = []
+
+    @classmethod
+    def from_data(cls, data: Any, *, origin: str = "configuration") -> Configuration:
+        """Check plain data and build the configuration.
+
+        Raises
+        ------
+        SettingsError
+            Names where, what was given, what is wanted and the remedy.
+        """
+        configuration = parse(data, cls, origin=origin)
+        check_configuration(configuration, origin=origin)
+        return configuration
+
+    def find_service(self, name: str) -> Service | None:
+        """Find a service by name."""
+        return next((s for s in self.services if s.name == name), None)
+
+    def find_hall(self, name: str) -> Hall | None:
+        """Find a hall by name."""
+        return next((h for h in self.halls if h.name == name), None)
+
+    def list_labels(self, target: Target) -> dict[str, str]:
+        """Give a target's labels with those of its hall and region."""
+        hall = self.find_hall(target.hall)
+        region = next((r for r in self.regions if hall and r.name == hall.region), None)
+        labels = {"target": target.name, "hall": target.hall}
+        if region is not None:
+            labels |= {"region": region.name, **region.labels}
+        if hall is not None:
+            labels |= hall.labels
+        return labels | target.labels
+
+
+def check_configuration(configuration: Configuration, *, origin: str) -> None:
+    """Check what a schema can't: names that must exist, once, and fit together."""
+    for problem, remedy in _list_problems(configuration):
+        raise SettingsError(f"{origin}: {problem}.", remedy=remedy)
+
+
+def _list_problems(c: Configuration) -> Iterator[tuple[str, str]]:
+    """Yield each problem with its remedy."""
+    yield from _list_repeats(c)
+    halls = {h.name for h in c.halls}
+    regions = {r.name for r in c.regions}
+    services = {s.name for s in c.services}
+    teams = {t.name for t in c.teams}
+    references = [
+        *(("halls", h.name, "region", h.region, regions) for h in c.halls),
+        *(("targets", t.name, "hall", t.hall, halls) for t in c.targets),
+        *(("services", s.name, "team", s.team, teams) for s in c.services),
+        *(("shifts", s.name, "service", s.service, services) for s in c.shifts),
+        *(("links", k.origin, "origin", k.origin, halls) for k in c.links),
+        *(("links", k.origin, "destination", k.destination, halls) for k in c.links),
+        *(("client_blocks", b.hall, "hall", b.hall, halls) for b in c.client_blocks),
+    ]
+    for kind, name, field, given, known in references:
+        if given not in known:
+            wanted = ", ".join(sorted(known)[:8]) or "none yet"
+            yield (
+                f"{kind}.{name}.{field} is {given!r}, which is not defined",
+                f"Use one of: {wanted}; or add it.",
+            )
+    yield from _list_selector_problems(c)
+    yield from _list_shift_problems(c)
+    pack_blocks((n, 0) for b in c.client_blocks for n in b.networks)
+
+
+def _list_repeats(c: Configuration) -> Iterator[tuple[str, str]]:
+    """Yield names that stand twice."""
+    groups = {
+        "regions": [r.name for r in c.regions],
+        "halls": [h.name for h in c.halls],
+        "entries": [e.name for h in c.halls for e in h.entries],
+        "targets": [t.name for t in c.targets],
+        "services": [s.name for s in c.services],
+        "shifts": [s.name for s in c.shifts],
+        "teams": [t.name for t in c.teams],
+        "links": [f"{k.origin}->{k.destination}" for k in c.links],
+    }
+    for kind, names in groups.items():
+        for name, count in Counter(names).items():
+            if count > 1:
+                yield f"{kind} has {name!r} {count} times", "Give each its own name."
+
+
+def _list_selector_problems(c: Configuration) -> Iterator[tuple[str, str]]:
+    """Yield selectors that can't be read or select nothing."""
+    texts = [
+        *((f"services.{s.name}.selector", s.selector) for s in c.services),
+        *((f"services.{s.name}.failover", s.failover) for s in c.services if s.failover),
+        *((f"shifts.{s.name}.to", s.to) for s in c.shifts),
+    ]
+    labels = [c.list_labels(t) for t in c.targets]
+    for path, text in texts:
+        try:
+            selector = Selector.from_text(text)
+        except SettingsError as exc:
+            yield f"{path}: {exc.message.rstrip('.')}", exc.remedy
+            continue
+        if not any(selector.matches(values) for values in labels):
+            yield f"{path} {text!r} selects no target", "Check the labels of the targets."
+
+
+def _list_shift_problems(c: Configuration) -> Iterator[tuple[str, str]]:
+    """Yield shifts past their cap."""
+    for shift in c.shifts:
+        if shift.position > shift.cap:
+            yield (
+                f"shifts.{shift.name}.position {shift.position} is past its cap {shift.cap}",
+                "Lower the position or raise the cap.",
+            )
+
+
+def to_data(configuration: Configuration) -> Any:
+    """Turn the configuration into plain data, for YAML and JSON."""
+    return msgspec.to_builtins(configuration)
--- /dev/null
+++ b/halldoor/core/decision.py
@@ -0,0 +1,128 @@
+"""Records of routing decisions, and plain sentences about them."""
+
+from __future__ import annotations
+
+import hmac
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from collections import OrderedDict
+from hashlib import sha256
+
+import msgspec
+
+from halldoor.core.errors import HalldoorError
+
+_MAC_BYTES = 12
+_PASSED_OVER_LIMIT = 12
+
+
+class DecisionError(HalldoorError):
+    """A decision record is forged or can't be read."""
+
+
+class PassedOver(msgspec.Struct, frozen=True, array_like=True):
+    """A candidate that was not chosen, and why."""
+
+    name: str
+    why: str
+
+
+class Decision(msgspec.Struct, frozen=True, array_like=True):
+    """Why a request went where it did.
+
+    Attributes
+    ----------
+    id : str
+        Decision id, as in the answer's header and the logs.
+    selector : str
+        Selector that applied.
+    because : str
+        ``default``, ``shift NAME`` or ``failover``.
+    cap : str
+        What the caps did, in words.
+    outcome : str
+        ``served``, or the reason of the refusal.
+    """
+
+    id: str
+    entry: str
+    revision: int
+    service: str
+    operation: str
+    client: str
+    selector: str
+    because: str
+    cap: str
+    hall: str
+    target: str
+    outcome: str
+    attempts: int
+    passed_over: list[PassedOver]
+
+
+def sign_decision(decision: Decision, key: bytes) -> str:
+    """Write a decision as signed text, small enough for a header."""
+    short = msgspec.structs.replace(decision, passed_over=decision.passed_over[:_PASSED_OVER_LIMIT])
+    payload = msgspec.msgpack.encode(short)
+    mac = hmac.new(key, payload, sha256).digest()[:_MAC_BYTES]
+    return urlsafe_b64encode(mac + payload).decode().rstrip("=")
+
+
+def read_decision(text: str, key: bytes) -> Decision:
+    """Read a signed decision; any host with the key can.
+
+    Raises
+    ------
+    DecisionError
+        Where the text was not signed with this key.
+    """
+    try:
+        raw = urlsafe_b64decode(text.encode() + b"=" * (-len(text) % 4))
+    except ValueError as exc:
+        raise DecisionError(
+            "This is no decision record.", remedy="Copy the whole Halldoor-Decision-Record header."
+        ) from exc
+    wanted = hmac.new(key, raw[_MAC_BYTES:], sha256).digest()[:_MAC_BYTES]
+    if not hmac.compare_digest(wanted, raw[:_MAC_BYTES]):
+        raise DecisionError(
+            "The decision record's signature is wrong.",
+            remedy="Copy the whole header, and ask a host with the same decision_key.",
+        )
+    return msgspec.msgpack.decode(raw[_MAC_BYTES:], type=Decision)
+
+
+class DecisionLog:
+    """The last decisions of one entry, bounded."""
+
+    def __init__(self, capacity: int = 2_000) -> None:
+        self._capacity = capacity
+        self._decisions: OrderedDict[str, Decision] = OrderedDict()
+
+    def add(self, decision: Decision) -> None:
+        """Keep a decision and drop the oldest past the capacity."""
+        self._decisions[decision.id] = decision
+        if len(self._decisions) > self._capacity:
+            self._decisions.popitem(last=False)
+
+    def find(self, decision_id: str) -> Decision | None:
+        """Find a decision by id."""
+        return self._decisions.get(decision_id)
+
+
+def explain(decision: Decision) -> list[str]:
+    """Say in plain sentences why a request went where it did."""
+    d = decision
+    lines = [
+        f"Request {d.id} asked for operation '{d.operation}' of service '{d.service}' "
+        f"from client block {d.client}, at entry {d.entry}.",
+        f"Revision {d.revision} was in force; selector '{d.selector}' applied ({d.because}).",
+    ]
+    if d.outcome == "served":
+        lines.append(
+            f"It went to target {d.target} in hall {d.hall} after {d.attempts} attempt(s)."
+        )
+    else:
+        where = f" (last tried: {d.target} in {d.hall})" if d.target else ""
+        lines.append(f"It was refused: {d.outcome}{where}.")
+    lines.append(f"Caps: {d.cap or 'no shift or failover cap played a part'}.")
+    lines += [f"Not {p.name}: {p.why}." for p in d.passed_over]
+    return lines
--- /dev/null
+++ b/halldoor/core/placement.py
@@ -0,0 +1,26 @@
+"""Rendezvous hashing: who is home to what, without messages."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+_SPACE = float(1 << 64)
+
+
+def hash_key(*parts: str) -> int:
+    """Hash strings to 64 bits, alike on every host."""
+    return int.from_bytes(blake2b("\0".join(parts).encode(), digest_size=8).digest(), "big")
+
+
+def rank(key: str, members: Iterable[str]) -> list[str]:
+    """Order members by rendezvous hash for a key, best first.
+
+    A member that leaves moves only its own keys; the order of the others stays.
+    """
+    return sorted(members, key=lambda m: (hash_key(key, m), m), reverse=True)
+
+
+def to_unit(key: str) -> float:
+    """Map a key to a stable number in [0, 1)."""
+    return hash_key(key) / _SPACE
--- /dev/null
+++ b/halldoor/core/routing.py
@@ -0,0 +1,107 @@
+"""Where a request may go, in order, and which caps each step is charged to."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from halldoor.core.shift import ShiftMeter, is_chosen
+from halldoor.core.snapshot import Destination, ServiceView
+
+FAILOVER = "failover"
+
+
+class Step(NamedTuple):
+    """One hall to try, and why.
+
+    Attributes
+    ----------
+    charges : tuple of str
+        Names of the meters that must allow the move; empty where it is no move.
+    """
+
+    hall: str
+    targets: tuple[str, ...]
+    selector: str
+    because: str
+    charges: tuple[str, ...]
+
+
+def list_steps(view: ServiceView, client: str) -> Iterator[Step]:
+    """List the halls to try for a request of a client block, best first.
+
+    A chosen shift comes first, then the halls of the home region, then the other
+    halls of the default selector and of the failover selector.  The last two are
+    moves too: they are charged to the failover cap and to every shift that leads
+    to the same targets, so that all causes together stay below each cap.
+    """
+    for item in view.shifts:
+        if is_chosen(item.shift.name, client, item.shift.position):
+            because = f"shift {item.shift.name}"
+            yield from _list_moves(view, item.to, because, (item.shift.name,))
+            break
+    default = view.default
+    for hall, targets in default.halls.items():
+        if hall in view.home_halls:
+            yield Step(hall, targets, default.selector, "default", ())
+    away = {h: t for h, t in default.halls.items() if h not in view.home_halls}
+    yield from _list_moves(view, default._replace(halls=away), FAILOVER, (FAILOVER,))
+    yield from _list_moves(view, view.failover, FAILOVER, (FAILOVER,))
+
+
+def _list_moves(
+    view: ServiceView, to: Destination, because: str, charges: tuple[str, ...]
+) -> Iterator[Step]:
+    """List the steps of one move with all the caps that it counts against."""
+    for hall, targets in to.halls.items():
+        touched = tuple(
+            s.shift.name
+            for s in view.shifts
+            if s.shift.name not in charges and not s.to.names.isdisjoint(targets)
+        )
+        yield Step(hall, targets, to.selector, because, charges + touched)
+
+
+class ServiceMeters:
+    """The counts of one service at this entry against all its caps."""
+
+    def __init__(self) -> None:
+        self.meters: dict[str, ShiftMeter] = {FAILOVER: ShiftMeter(1.0)}
+
+    def set_caps(self, view: ServiceView) -> None:
+        """Adopt the caps of a revision; meters of shifts that ended are dropped."""
+        self.meters[FAILOVER].set_cap(view.service.failover_cap)
+        names = {item.shift.name for item in view.shifts}
+        for name in [n for n in self.meters if n != FAILOVER and n not in names]:
+            del self.meters[name]
+        for item in view.shifts:
+            self.meters.setdefault(item.shift.name, ShiftMeter(item.shift.cap)).set_cap(
+                item.shift.cap
+            )
+
+    def add_request(self) -> None:
+        """Count one request for every cap of the service."""
+        for meter in self.meters.values():
+            meter.add_request()
+
+    def take_move(self, charges: tuple[str, ...]) -> str:
+        """Charge a move to all its meters, or to none.
+
+        Returns
+        -------
+        str
+            Empty where the move is allowed, else the name of the cap that forbids it.
+        """
+        for name in charges:
+            meter = self.meters.get(name)
+            if meter is not None and not meter.can_move():
+                meter.add_denial()
+                return name
+        for name in charges:
+            if name in self.meters:
+                self.meters[name].add_move()
+        return ""
+
+    def is_within_caps(self) -> bool:
+        """Tell whether every cap holds at this entry."""
+        return all(meter.is_within_cap() for meter in self.meters.values())
--- /dev/null
+++ b/halldoor/core/settings.py
@@ -0,0 +1,116 @@
+"""Settings of a process: addresses, hall, platform and timings."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+import msgspec
+
+from halldoor.core.errors import SettingsError
+
+T = TypeVar("T")
+
+
+class Address(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An IP number and a port; port 0 lets the kernel choose one."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
+
+
+class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Settings of ``halldoor-entry``.
+
+    Attributes
+    ----------
+    name : str
+        Name of this entry in the hall's roster.
+    hall : str
+        Hall it stands in.
+    http, wire : Address
+        Where it serves callers, and other entries.
+    platform : str
+        URL of the platform's key-value service.
+    decision_key : str
+        Shared secret that signs decision records, 16 characters or more.
+    peers : list of Address
+        Wire addresses of entries to learn from when the platform is down.
+    """
+
+    name: str
+    hall: str
+    http: Address
+    wire: Address
+    platform: str
+    decision_key: str
+    peers: list[Address] = []
+    workers: int = 48
+    lookup_max_age_s: float = 3.0
+    ticket_lifetime_s: float = 60.0
+    gossip_period_s: float = 0.4
+    probe_period_s: float = 0.8
+    max_body_bytes: int = 268_435_456
+    caller_timeout_s: float = 10.0
+    policy: str = "two-choices"
+    strict_invariants: bool = False
+    rest_at_start: bool = True
+    log_format: str = "json"
+
+
+class AdminSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Settings of ``halldoor-admin``."""
+
+    http: Address
+    platform: str
+    decision_key: str
+    bootstrap_token_sha256: str = ""
+    log_format: str = "json"
+
+
+def parse(data: Any, kind: type[T], *, origin: str) -> T:
+    """Check plain data against a schema.
+
+    Parameters
+    ----------
+    data : object
+        What YAML or JSON gave.
+    kind : type
+        The schema.
+    origin : str
+        File name for messages.
+
+    Raises
+    ------
+    SettingsError
+        Names the file, the path in it, what was given and what is wanted.
+    """
+    try:
+        return msgspec.convert(data, type=kind)
+    except msgspec.ValidationError as exc:
+        raise SettingsError(f"{origin}: {exc}.", remedy=_name_remedy(str(exc), data)) from exc
+
+
+def _name_remedy(problem: str, data: Any) -> str:
+    """Say what to do about a schema error, with the value that was given."""
+    _, found, path = problem.partition(" - at `$")
+    given = _follow(data, path.rstrip("`")) if found else data
+    if "unknown field" in problem:
+        return "Remove the field or check its spelling in docs/reference.md."
+    if "missing required field" in problem:
+        return "Add the field; docs/reference.md lists them."
+    return f"Given: {str(given)[:80]!r}. Change it to the type that is wanted."
+
+
+def _follow(data: Any, path: str) -> Any:
+    """Follow a path such as ``.halls[0].name`` into plain data."""
+    for step in path.replace("[", ".").replace("]", "").split("."):
+        if not step:
+            continue
+        try:
+            data = data[int(step)] if isinstance(data, list) else data[step]
+        except (LookupError, ValueError, TypeError):
+            return data
+    return data
--- /dev/null
+++ b/halldoor/core/snapshot.py
@@ -0,0 +1,171 @@
+"""What one entry derives from a configuration, once per revision."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from halldoor.core.block import BlockTable
+from halldoor.core.configuration import Configuration, Hall, Link, Operation, Service, Shift, Target
+from halldoor.core.link import LinkLimit
+from halldoor.core.selector import Selector
+
+FAR_MS = 50.0
+"""Latency assumed between halls without a link in the configuration."""
+
+
+class Destination(NamedTuple):
+    """Targets that a selector chooses, by hall.
+
+    Attributes
+    ----------
+    selector : str
+        The selector's text.
+    halls : dict of str to tuple of str
+        Target names by hall, halls nearest first.
+    names : frozenset of str
+        All target names.
+    """
+
+    selector: str
+    halls: dict[str, tuple[str, ...]]
+    names: frozenset[str]
+
+
+class ShiftView(NamedTuple):
+    """A running shift and where it leads."""
+
+    shift: Shift
+    to: Destination
+
+
+class ServiceView(NamedTuple):
+    """A service with its destinations."""
+
+    service: Service
+    default: Destination
+    failover: Destination
+    shifts: tuple[ShiftView, ...]
+    home_halls: frozenset[str]
+
+    def find_operation(self, method: str, path: str) -> Operation | None:
+        """Find the operation of a request: the longest path that fits, then by method."""
+        fits = [
+            op
+            for op in self.service.operations
+            if method in op.methods and _is_below(path, op.path)
+        ]
+        return max(fits, key=lambda op: len(op.path), default=None)
+
+
+class Snapshot(NamedTuple):
+    """Everything an entry routes by, under one revision."""
+
+    revision: int
+    configuration: Configuration
+    hall: Hall
+    services: dict[str, ServiceView]
+    targets: dict[str, Target]
+    hall_targets: dict[str, Target]
+    hall_order: tuple[str, ...]
+    links: dict[str, LinkLimit]
+    rest_s: dict[str, float]
+    blocks: BlockTable
+    hall_by_entry: dict[str, str]
+
+    @classmethod
+    def from_configuration(
+        cls, configuration: Configuration, *, revision: int, hall: str, blocks: BlockTable
+    ) -> Snapshot:
+        """Derive the snapshot of an entry that stands in ``hall``."""
+        mine = configuration.find_hall(hall) or Hall(name=hall, region="none", entries=[])
+        order = order_halls(configuration, hall)
+        services = {
+            s.name: _view_service(configuration, s, mine, order) for s in configuration.services
+        }
+        hall_targets = {t.name: t for t in configuration.targets if t.hall == hall}
+        return cls(
+            revision=revision,
+            configuration=configuration,
+            hall=mine,
+            services=services,
+            targets={t.name: t for t in configuration.targets},
+            hall_targets=hall_targets,
+            hall_order=order,
+            links={
+                k.destination: LinkLimit(k.requests, k.bytes)
+                for k in configuration.links
+                if k.origin == hall
+            },
+            rest_s={name: _find_rest(services, name) for name in hall_targets},
+            blocks=blocks,
+            hall_by_entry={e.name: h.name for h in configuration.halls for e in h.entries},
+        )
+
+
+def order_halls(configuration: Configuration, hall: str) -> tuple[str, ...]:
+    """Order all halls by latency from one of them, itself first."""
+    latency = {k.destination: k.latency_ms for k in configuration.links if k.origin == hall}
+    latency[hall] = -1.0
+    names = [h.name for h in configuration.halls]
+    return tuple(sorted(names, key=lambda n: (latency.get(n, FAR_MS), n)))
+
+
+def find_link(configuration: Configuration, origin: str, destination: str) -> Link | None:
+    """Find the link between two halls."""
+    return next(
+        (k for k in configuration.links if (k.origin, k.destination) == (origin, destination)), None
+    )
+
+
+def _view_service(
+    configuration: Configuration, service: Service, hall: Hall, order: tuple[str, ...]
+) -> ServiceView:
+    """Resolve the selectors of one service."""
+    default = select(configuration, service.selector, order)
+    regions = {h.name: h.region for h in configuration.halls}
+    # Home is the entry's own region, or else the nearest one with targets of the service.
+    home = hall.region
+    if default.halls and not any(regions[h] == home for h in default.halls):
+        home = regions[next(iter(default.halls))]
+    return ServiceView(
+        service=service,
+        default=default,
+        failover=select(configuration, service.failover, order)
+        if service.failover
+        else Destination("", {}, frozenset()),
+        shifts=tuple(
+            ShiftView(s, select(configuration, s.to, order))
+            for s in sorted(configuration.shifts, key=lambda s: s.name)
+            if s.service == service.name and s.state == "running"
+        ),
+        home_halls=frozenset(h for h, region in regions.items() if region == home),
+    )
+
+
+def select(configuration: Configuration, text: str, order: tuple[str, ...]) -> Destination:
+    """Resolve a selector to targets by hall, halls in the given order."""
+    selector = Selector.from_text(text)
+    found: dict[str, list[str]] = {}
+    for target in configuration.targets:
+        if selector.matches(configuration.list_labels(target)):
+            found.setdefault(target.hall, []).append(target.name)
+    halls = {h: tuple(found[h]) for h in order if h in found}
+    return Destination(text, halls, frozenset(t for names in halls.values() for t in names))
+
+
+def _find_rest(services: dict[str, ServiceView], target: str) -> float:
+    """Give the longest time that a request to a target can last."""
+    deadlines = [
+        op.deadline_s
+        for view in services.values()
+        if any(
+            target in d.names for d in (view.default, view.failover, *(s.to for s in view.shifts))
+        )
+        for op in view.service.operations
+    ]
+    return max(deadlines, default=0.0)
+
+
+def _is_below(path: str, prefix: str) -> bool:
+    """Tell whether a path lies under a prefix, at a slash."""
+    return path == prefix or path.startswith(prefix.rstrip("/") + "/")
--- /dev/null
+++ b/halldoor/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of the entry process: look-ups, requests, targets, membership, configuration."""
--- /dev/null
+++ b/halldoor/entry/configuration.py
@@ -0,0 +1,283 @@
+"""A task that keeps the newest configuration in force.
+
+A few relays per hall watch the platform and announce; the others fetch from them.
+Gossip carries revisions, so whoever missed an announcement catches up from any
+peer that is ahead, in its own hall or another.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from halldoor.core.block import BlockTable
+from halldoor.core.errors import HalldoorError, PeerError, PlatformError
+from halldoor.core.invariant import Invariants
+from halldoor.core.revision import (
+    HEAD_KEY,
+    PART_PREFIX,
+    Head,
+    digest,
+    is_newer,
+    join_configuration,
+    list_missing,
+    read_block_index,
+)
+from halldoor.core.settings import Address
+from halldoor.core.snapshot import Snapshot
+from halldoor.entry.gossip import GossipTask, find_entry
+from halldoor.entry.task import Task
+from halldoor.platform.base import Platform
+from halldoor.wire.client import PeerPool
+from halldoor.wire.protocol import idl
+
+WATCH_S = 15.0
+RETRY_S = 0.5
+CHECK_S = 0.25
+
+
+class Newer(NamedTuple):
+    """A peer has a higher revision."""
+
+    revision: int
+    address: Address
+
+
+class ConfigurationTask(Task[Newer]):
+    """Owns the head, the parts and the table of client blocks.
+
+    Parameters
+    ----------
+    hall : str
+        Hall of this entry.
+    platform : Platform
+        The key-value service.
+    peers : PeerPool
+        Connections.
+    gossip : GossipTask
+        Membership, for the choice of relays.
+    invariants : Invariants
+        Counters of broken promises.
+    on_snapshot : callable
+        Called with each new snapshot, in order.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        hall: str,
+        *,
+        platform: Platform,
+        peers: PeerPool,
+        gossip: GossipTask,
+        invariants: Invariants,
+        on_snapshot: Callable[[Snapshot], None],
+    ) -> None:
+        super().__init__("configuration", period_s=CHECK_S)
+        self._me = me
+        self._hall = hall
+        self._platform = platform
+        self._peers = peers
+        self._gossip = gossip
+        self._invariants = invariants
+        self._on_snapshot = on_snapshot
+        self._lock = threading.Lock()
+        self._head: Head | None = None
+        self._head_version = 0
+        self._parts: dict[str, bytes] = {}
+        self._blocks = BlockTable()
+        self._snapshot: Snapshot | None = None
+        self._watcher = threading.Thread(target=self._watch, name="watch", daemon=True)
+        self._random = random.Random(me)
+        self.adopted_at = 0.0
+        self.platform_calls = 0
+
+    def start(self) -> None:
+        """Start the task and its watch on the platform."""
+        super().start()
+        self._watcher.start()
+
+    @property
+    def revision(self) -> int:
+        """The revision in force; 0 before the first."""
+        head = self._head
+        return head.revision if head is not None else 0
+
+    # Watching the platform
+
+    def _watch(self) -> None:
+        """Watch the platform while this entry is a relay."""
+        while not self.is_stopping:
+            if not self._is_relay():
+                time.sleep(CHECK_S)
+                continue
+            try:
+                self.platform_calls += 1
+                value = self._platform.watch(HEAD_KEY, after=self._head_version, timeout_s=WATCH_S)
+                self._gossip.set_flags(sees_platform=True)
+                if value is not None:
+                    head = msgspec.msgpack.decode(value.data, type=Head)
+                    is_new = self._adopt(head, self._fetch_from_platform)
+                    self._head_version = max(self._head_version, value.version)
+                    if is_new:
+                        self._announce(head)
+                elif self._head is None:
+                    time.sleep(RETRY_S)
+            except (PlatformError, msgspec.MsgspecError) as exc:
+                self._gossip.set_flags(sees_platform=False)
+                self.log.info("Platform not seen.", error=str(exc)[:200])
+                time.sleep(RETRY_S * self._random.uniform(0.5, 1.5))
+            except HalldoorError as exc:
+                self.log.warning("Revision not taken.", error=str(exc)[:300])
+                time.sleep(RETRY_S)
+
+    def _is_relay(self) -> bool:
+        """Tell whether this entry is to watch; one that knows nothing always is."""
+        return self._head is None or self._me in self._gossip.choose_relays(self.revision)
+
+    def _fetch_from_platform(self, wanted: str) -> bytes:
+        """Fetch a part by digest from the platform."""
+        self.platform_calls += 1
+        value = self._platform.get(PART_PREFIX + wanted)
+        return value.data if value is not None else b""
+
+    # Learning from peers
+
+    def hear(self, revision: int, sender: str) -> int:
+        """Take a peer's announcement; the answer is the revision in force here."""
+        snapshot = self._snapshot
+        entry = find_entry(snapshot, sender) if snapshot is not None else None
+        if revision > self.revision and entry is not None:
+            self.tell(Newer(revision, entry.wire))
+        return self.revision
+
+    def hear_gossip(self, revision: int, address: Address) -> None:
+        """Take a revision that came with a heartbeat."""
+        if revision > self.revision:
+            self.tell(Newer(revision, address))
+
+    def handle(self, messages: list[Newer]) -> None:
+        """Catch up from the peers that are ahead."""
+        for message in sorted(messages, key=lambda m: -m.revision):
+            if message.revision > self.revision:
+                self._catch_up(message.address)
+
+    def _catch_up(self, address: Address) -> None:
+        """Fetch a peer's head and the parts that are missing here."""
+        try:
+            with self._peers.use(address) as connection:
+                message = connection.call("get_head", timeout_s=1.0)
+                if not message.data:
+                    return
+                head = msgspec.msgpack.decode(message.data, type=Head)
+
+                def fetch(wanted: str) -> bytes:
+                    data: bytes = connection.call("get_part", timeout_s=2.0, digest=wanted)
+                    return data or self._fetch_from_platform(wanted)
+
+                self._adopt(head, fetch)
+                self._head_version = max(self._head_version, message.platform_version)
+        except (PeerError, PlatformError, msgspec.MsgspecError) as exc:
+            self.log.info("Could not catch up.", peer=str(address), error=str(exc)[:200])
+        except HalldoorError as exc:
+            self.log.warning("Revision not taken.", error=str(exc)[:300])
+
+    # Adopting
+
+    def _adopt(self, head: Head, fetch: Callable[[str], bytes]) -> bool:
+        """Put a head in force if it is newer; whole, or not at all."""
+        with self._lock:
+            current = self._head
+            if not is_newer(head, current):
+                return False
+            for wanted in list_missing(head, self._parts):
+                self._parts[wanted] = _check(fetch(wanted), wanted)
+            self._fetch_blocks(head, fetch)
+            configuration = join_configuration(head, self._parts)
+            snapshot = Snapshot.from_configuration(
+                configuration, revision=head.revision, hall=self._hall, blocks=self._blocks
+            )
+            self._head = head
+            self._snapshot = snapshot
+            self._drop_unused(head)
+            before = current.revision if current else 0
+            self._invariants.check(
+                head.revision > before, "revision-rises", f"{before} to {head.revision}"
+            )
+            self.adopted_at = time.time()
+            self._on_snapshot(snapshot)
+        self.log.info("Revision in force.", revision=head.revision, change=head.change_id)
+        return True
+
+    def _fetch_blocks(self, head: Head, fetch: Callable[[str], bytes]) -> None:
+        """Replace changed chunks one by one, so that the table is never there twice.
+
+        Look-ups see a mixture meanwhile, which only makes a hall less near.
+        """
+        index = read_block_index(head, self._parts)
+        wanted = set(index.values())
+        for name, part in index.items():
+            if part not in self._parts:
+                data = _check(fetch(part), part)
+                self._parts[part] = data
+                self._blocks.replace(name, data)
+                self._drop_chunks(name, wanted)
+        self._blocks.keep_only(index)
+
+    def _drop_chunks(self, name: str, wanted: set[str]) -> None:
+        """Drop the bytes of the chunk that was replaced under the same name."""
+        head = self._head
+        if head is None:
+            return
+        old = read_block_index(head, self._parts).get(name, "")
+        if old not in wanted:
+            self._parts.pop(old, None)
+
+    def _drop_unused(self, head: Head) -> None:
+        """Drop parts that the head does not name."""
+        used = {*head.parts.values(), *read_block_index(head, self._parts).values()}
+        for unused in set(self._parts) - used:
+            del self._parts[unused]
+
+    def _announce(self, head: Head) -> None:
+        """Tell the hall's other entries; whoever misses it learns by gossip."""
+        snapshot = self._snapshot
+        assert snapshot is not None
+        message = idl.Head(revision=head.revision, data=b"", platform_version=0)
+        for entry in snapshot.hall.entries:
+            if entry.name == self._me or self._gossip.is_avoided(entry.name):
+                continue
+            try:
+                self._peers.call(
+                    entry.wire, "announce", timeout_s=0.3, head=message, sender=self._me
+                )
+            except PeerError:
+                continue  # gossip will tell it
+
+    # Serving peers
+
+    def get_head_message(self) -> Any:
+        """Give the head in force as a message."""
+        head = self._head
+        if head is None:
+            return idl.Head(revision=0, data=b"", platform_version=0)
+        data = msgspec.msgpack.encode(head)
+        return idl.Head(revision=head.revision, data=data, platform_version=self._head_version)
+
+    def get_part(self, wanted: str) -> bytes:
+        """Give a part by digest; empty where it is not held."""
+        return self._parts.get(wanted, b"")
+
+
+def _check(data: bytes, wanted: str) -> bytes:
+    """Check fetched bytes against their digest."""
+    if digest(data) != wanted:
+        raise PeerError(
+            f"Part {wanted} is missing or damaged there.", remedy="It is fetched elsewhere next."
+        )
+    return data
--- /dev/null
+++ b/halldoor/entry/dispatch.py
@@ -0,0 +1,267 @@
+"""Carry a request through the steps that routing gives, and record the decision."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from halldoor.core.configuration import EntryHost
+from halldoor.core.decision import Decision, PassedOver
+from halldoor.core.errors import Ran, Reason, Refusal, refuse
+from halldoor.core.invariant import Invariants
+from halldoor.core.link import LinkShare
+from halldoor.core.placement import rank
+from halldoor.core.routing import ServiceMeters, Step, list_steps
+from halldoor.core.snapshot import ServiceView, Snapshot
+from halldoor.entry.local import LocalHall
+from halldoor.entry.outcome import HallRefusal
+from halldoor.entry.remote import TO_TARGET, RemoteEntry, is_final
+from halldoor.entry.request import Answer, Body, Request
+
+REMOTE_HALLS = 3
+"""Other halls asked for one request at most."""
+STREAM_RESERVE = 1_000_000
+"""Link bytes reserved for a body of unknown length."""
+
+
+class Served(NamedTuple):
+    """An answer with the decision that led to it."""
+
+    answer: Answer
+    decision: Decision
+
+
+class Refused(NamedTuple):
+    """A refusal with the decision that led to it."""
+
+    refusal: Refusal
+    decision: Decision
+
+
+class _Trail:
+    """What happened so far to one request."""
+
+    def __init__(self) -> None:
+        self.passed_over: list[PassedOver] = []
+        self.refusal = refuse(Reason.NO_TARGET, "No hall has a target for this request.")
+        self.step: Step | None = None
+        self.target = ""
+        self.attempts = 0
+        self.cap = ""
+        self.remote_halls = 0
+        self.paid: set[tuple[str, ...]] = set()
+
+    def add_failure(self, step: Step, failure: HallRefusal) -> None:
+        """Remember why a step failed."""
+        self.step = step
+        self.passed_over += failure.passed_over
+        self.passed_over.append(PassedOver(f"hall {step.hall}", failure.refusal.message))
+        self.attempts += failure.attempts
+        self.target = failure.target or self.target
+        # A refusal that says more than "no target here" is worth more to the caller.
+        if failure.refusal.reason != Reason.NO_TARGET or self.refusal.reason == Reason.NO_TARGET:
+            self.refusal = failure.refusal
+
+
+class Dispatcher:
+    """Routes requests for one entry.
+
+    Parameters
+    ----------
+    me : str
+        Name of this entry.
+    local : LocalHall
+        The own hall.
+    remote : RemoteEntry
+        The way to other halls.
+    invariants : Invariants
+        Counters of broken promises.
+    is_avoided : callable
+        Tells by name whether an entry is known to be leaving or dead.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        *,
+        local: LocalHall,
+        remote: RemoteEntry,
+        invariants: Invariants,
+        is_avoided: Callable[[str], bool],
+    ) -> None:
+        self._me = me
+        self._local = local
+        self._remote = remote
+        self._invariants = invariants
+        self._is_avoided = is_avoided
+        self._lock = threading.Lock()
+        self._meters: dict[str, ServiceMeters] = {}
+        self._links: dict[str, LinkShare] = {}
+        self.snapshot: Snapshot | None = None
+
+    def adopt(self, snapshot: Snapshot) -> None:
+        """Take over a new revision."""
+        roster = [e.name for e in snapshot.hall.entries]
+        index = roster.index(self._me) if self._me in roster else len(roster)
+        with self._lock:
+            for name, view in snapshot.services.items():
+                self._meters.setdefault(name, ServiceMeters()).set_caps(view)
+            for hall, limit in snapshot.links.items():
+                share = LinkShare(limit, entries=len(roster), index=index)
+                old = self._links.get(hall)
+                if old is not None:
+                    share.requests, share.bytes = old.requests, old.bytes
+                    old.requests_limit, old.bytes_limit = share.requests_limit, share.bytes_limit
+                else:
+                    self._links[hall] = share
+            self.snapshot = snapshot
+
+    def serve(self, request: Request, body: Body) -> Result[Served, Refused]:
+        """Serve a request, or refuse it with its final answer."""
+        snapshot = self.snapshot
+        assert snapshot is not None
+        trail = _Trail()
+        view = snapshot.services.get(request.service)
+        if view is None:
+            # It was there when the request was read; a newer revision has removed it.
+            refusal = refuse(Reason.UNKNOWN_SERVICE, "The service was just removed.")
+            decision = self._decide(request, trail, snapshot, refusal.reason.value)
+            return Failure(Refused(refusal, decision))
+        with self._lock:
+            meters = self._meters[request.service]
+            meters.add_request()
+        for step in list_steps(view, request.client):
+            if not self._may_take(step, trail, meters, snapshot):
+                continue
+            result = self._try(step, request, body, snapshot, view)
+            if isinstance(result, Success):
+                answer = result.unwrap()
+                trail.step, trail.target = step, answer.target
+                trail.passed_over += answer.passed_over
+                trail.attempts += answer.attempts
+                return Success(Served(answer, self._decide(request, trail, snapshot, "served")))
+            failure = result.failure()
+            trail.add_failure(step, failure)
+            if not _may_go_on(failure.refusal, request, body):
+                break
+        refusal = trail.refusal
+        return Failure(
+            Refused(refusal, self._decide(request, trail, snapshot, refusal.reason.value))
+        )
+
+    def _may_take(
+        self, step: Step, trail: _Trail, meters: ServiceMeters, snapshot: Snapshot
+    ) -> bool:
+        """Tell whether caps and bounds allow a step; the caps are charged before the move."""
+        is_remote = step.hall != snapshot.hall.name
+        if is_remote and trail.remote_halls >= REMOTE_HALLS:
+            return False
+        if step.charges and step.charges not in trail.paid:
+            with self._lock:
+                denied = meters.take_move(step.charges)
+                self._invariants.check(meters.is_within_caps(), "moved-within-cap", denied)
+            if denied:
+                trail.cap = f"the cap of '{denied}' forbade a move to hall {step.hall}"
+                trail.passed_over.append(PassedOver(f"hall {step.hall}", f"cap of '{denied}'"))
+                if trail.step is None or trail.refusal.ran == Ran.NOT_RUN:
+                    trail.refusal = _refuse_by_cap(denied)
+                return False
+            trail.paid.add(step.charges)
+            trail.cap = f"the move was counted against {', '.join(step.charges)}"
+        trail.remote_halls += is_remote
+        return True
+
+    def _try(
+        self, step: Step, request: Request, body: Body, snapshot: Snapshot, view: ServiceView
+    ) -> Result[Answer, HallRefusal]:
+        """Try one hall."""
+        is_spill = step.hall not in view.home_halls
+        if step.hall == snapshot.hall.name:
+            return self._local.serve(step.targets, request, body, is_spill=is_spill)
+        size = len(body.data) if body.is_whole else max(request.length, STREAM_RESERVE)
+        share = self._links.get(step.hall)
+        if share is not None:
+            with self._lock:
+                if not share.reserve(size):
+                    message = f"The link to hall {step.hall} is full. Come back in a second."
+                    return Failure(HallRefusal(refuse(Reason.LINK_FULL, message), []))
+        try:
+            result = self._remote.send(
+                self._list_entries(step.hall, request, snapshot),
+                request,
+                body,
+                kind=TO_TARGET,
+                selector=step.selector,
+                is_spill=is_spill,
+            )
+        except BaseException:
+            self._release(share, size)
+            raise
+        if isinstance(result, Success):
+            result.unwrap().add_end(lambda _: self._release(share, size))
+        else:
+            self._release(share, size)
+        return result
+
+    def _release(self, share: LinkShare | None, size: int) -> None:
+        """Give link room back."""
+        if share is None:
+            return
+        with self._lock:
+            share.release(size)
+
+    def _list_entries(self, hall: str, request: Request, snapshot: Snapshot) -> list[EntryHost]:
+        """List the entries of a hall, spread by request, avoided ones last."""
+        known = snapshot.configuration.find_hall(hall)
+        entries = {e.name: e for e in known.entries} if known else {}
+        names = sorted(rank(request.id, entries), key=self._is_avoided)
+        return [entries[name] for name in names]
+
+    def _decide(
+        self, request: Request, trail: _Trail, snapshot: Snapshot, outcome: str
+    ) -> Decision:
+        """Build the record of a decision."""
+        step = trail.step
+        return Decision(
+            id=request.id,
+            entry=self._me,
+            revision=snapshot.revision,
+            service=request.service,
+            operation=request.operation,
+            client=request.client,
+            selector=step.selector if step else "",
+            because=step.because if step else "no hall was tried",
+            cap=trail.cap,
+            hall=step.hall if step else "",
+            target=trail.target,
+            outcome=outcome,
+            attempts=trail.attempts,
+            passed_over=trail.passed_over,
+        )
+
+    def count_moves(self) -> dict[tuple[str, str], tuple[int, int, float]]:
+        """Count total and moved requests, and the cap, by service and meter."""
+        with self._lock:
+            return {
+                (service, name): (meter.count.total, meter.count.moved, meter.cap)
+                for service, meters in self._meters.items()
+                for name, meter in meters.meters.items()
+            }
+
+
+def _may_go_on(refusal: Refusal, request: Request, body: Body) -> bool:
+    """Tell whether the next step may be tried."""
+    if is_final(refusal, request) or not body.can_repeat:
+        return False
+    return request.get_remaining_s() > 0 and not request.cancellation.is_cancelled
+
+
+def _refuse_by_cap(cap: str) -> Refusal:
+    """Refuse what may not move."""
+    return refuse(
+        Reason.SHIFT_CAP,
+        f"No room at home, and the cap of '{cap}' allows no move now. Come back in a second.",
+    )
--- /dev/null
+++ b/halldoor/entry/gossip.py
@@ -0,0 +1,219 @@
+"""A task that exchanges heartbeats and target reports with other entries."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from halldoor.core.configuration import EntryHost
+from halldoor.core.errors import PeerError
+from halldoor.core.membership import Member, Membership, TargetReport
+from halldoor.core.settings import Address
+from halldoor.core.snapshot import Snapshot
+from halldoor.entry.task import Task
+from halldoor.wire.client import PeerPool
+from halldoor.wire.convert import from_member, to_member
+from halldoor.wire.protocol import idl
+
+FANOUT = 2
+"""Peers of the own hall that are asked in one period."""
+REMOTE_EVERY = 3
+"""Periods between two exchanges with an entry of another hall."""
+LARGE_HALL = 8
+"""Entries above which a hall's period grows, so that traffic per entry stays bounded."""
+TIMEOUT_S = 0.4
+
+
+class GossipTask(Task[None]):
+    """Owns the membership of the hall.
+
+    Parameters
+    ----------
+    membership : Membership
+        What this entry knows of its peers.
+    peers : PeerPool
+        Connections.
+    seeds : list of Address
+        Wire addresses to ask while the configuration is unknown.
+    period_s : float
+        Time between exchanges.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        *,
+        peers: PeerPool,
+        seeds: list[Address],
+        period_s: float,
+    ) -> None:
+        super().__init__("gossip", period_s=period_s)
+        self._membership = membership
+        self._lock = threading.Lock()
+        self._peers = peers
+        self._seeds = seeds
+        self._random = random.Random(membership.me.incarnation)
+        self._turn = 0
+        self._snapshot: Snapshot | None = None
+        self.get_reports: Callable[[], tuple[TargetReport, ...]] = lambda: ()
+        self.on_reports: Callable[[Member], None] = lambda member: None
+        self.on_revision: Callable[[int, Address], None] = lambda revision, address: None
+        self.on_change: Callable[[], None] = lambda: None
+        self._seen: tuple[Any, ...] = ()
+        self.messages = 0
+
+    def adopt(self, snapshot: Snapshot) -> None:
+        """Take over a new revision."""
+        self._snapshot = snapshot
+        with self._lock:
+            self._membership.beat(revision=snapshot.revision)
+
+    def set_flags(self, **flags: bool) -> None:
+        """Change what this entry says of itself."""
+        with self._lock:
+            self._membership.beat(**flags)
+
+    def get_pause_s(self) -> float:
+        """Give the time to the next exchange; large halls exchange less often."""
+        entries = len(self._snapshot.hall.entries) if self._snapshot else 1
+        scale = max(1.0, entries / LARGE_HALL)
+        return self._period_s * scale * self._random.uniform(0.8, 1.2)
+
+    def handle(self, messages: list[None]) -> None:
+        """Nothing is sent to this task but the end."""
+
+    def tick(self) -> None:
+        """Beat, and exchange with some peers."""
+        self._turn += 1
+        with self._lock:
+            self._membership.beat(reports=self.get_reports())
+        for name, address in self._choose():
+            self._exchange(name, address)
+        # Records come with their reports only when these change, but hold until the next.
+        for member in self.list_alive():
+            self.on_reports(member)
+        self._notice_change()
+
+    def _choose(self) -> list[tuple[str, Address]]:
+        """Choose the peers of this period."""
+        snapshot = self._snapshot
+        if snapshot is None:
+            return [(str(a), a) for a in self._random.sample(self._seeds, min(2, len(self._seeds)))]
+        me = self._membership.me.name
+        near = [e for e in snapshot.hall.entries if e.name != me]
+        chosen = self._random.sample(near, min(FANOUT, len(near)))
+        if self._turn % REMOTE_EVERY == 0:
+            far = [
+                e
+                for h in snapshot.configuration.halls
+                if h.name != snapshot.hall.name
+                for e in h.entries
+            ]
+            chosen += self._random.sample(far, min(1, len(far)))
+        return [(e.name, e.wire) for e in chosen]
+
+    def _exchange(self, name: str, address: Address) -> None:
+        """Exchange with one peer."""
+        message = self._build(name)
+        self.messages += 1
+        try:
+            reply = self._peers.call(address, "exchange", timeout_s=TIMEOUT_S, gossip=message)
+        except PeerError:
+            with self._lock:
+                self._membership.forget_sent(name)
+            return
+        self._take(reply, address)
+
+    def _build(self, peer: str) -> Any:
+        """Build the message for a peer: all of the hall, or oneself to another hall."""
+        with self._lock:
+            me = self._membership.me
+            is_near = self._find_hall(peer) == me.hall
+            news = self._membership.list_news(peer) if is_near else [me._replace(reports=())]
+        return idl.Gossip(
+            sender=me.name,
+            hall=me.hall,
+            revision=me.revision,
+            members=[to_member(m) for m in news],
+        )
+
+    def _find_hall(self, name: str) -> str:
+        """Find the hall of an entry."""
+        return self._snapshot.hall_by_entry.get(name, "") if self._snapshot else ""
+
+    def answer(self, gossip: Any) -> Any:
+        """Answer a peer's exchange."""
+        entry = self._find_entry(gossip.sender)
+        self._take(gossip, entry.wire if entry else None)
+        return self._build(gossip.sender)
+
+    def _find_entry(self, name: str) -> EntryHost | None:
+        """Find an entry's addresses."""
+        snapshot = self._snapshot
+        if snapshot is None:
+            return None
+        return find_entry(snapshot, name)
+
+    def _take(self, gossip: Any, address: Address | None) -> None:
+        """Take what a peer sent."""
+        members = [from_member(m) for m in gossip.members or []]
+        with self._lock:
+            me = self._membership.me
+            mine = [m for m in members if m.hall == me.hall]
+            self._membership.adopt(members, now=time.monotonic())
+        for member in mine:
+            if member.reports and member.name != me.name:
+                self.on_reports(member)
+        if gossip.revision > me.revision and address is not None:
+            self.on_revision(gossip.revision, address)
+
+    def _notice_change(self) -> None:
+        """Tell when somebody came, went or is leaving."""
+        now = time.monotonic()
+        with self._lock:
+            members = self._membership.list_alive(now)
+        seen = tuple(sorted((m.name, m.is_leaving) for m in members))
+        if seen != self._seen:
+            self._seen = seen
+            self.log.info("Members changed.", members=[n for n, _ in seen])
+            self.on_change()
+
+    def list_alive(self) -> list[Member]:
+        """List the peers of this hall that were heard of lately."""
+        with self._lock:
+            me = self._membership.me
+            return [m for m in self._membership.list_alive(time.monotonic()) if m.hall == me.hall]
+
+    def is_avoided(self, name: str) -> bool:
+        """Tell whether look-ups and forwards should avoid an entry."""
+        now = time.monotonic()
+        with self._lock:
+            member = self._membership.find(name)
+            if name == self._membership.me.name:
+                return self._membership.me.is_leaving
+            if member is None:
+                return False
+            if member.is_leaving:
+                return True
+            # Entries of other halls are heard of too seldom to judge their silence.
+            is_near = member.hall == self._membership.me.hall
+            return is_near and not self._membership.is_alive(name, now)
+
+    def choose_relays(self, revision: int) -> list[str]:
+        """Choose the entries that watch the platform for this hall."""
+        with self._lock:
+            return self._membership.choose_relays(revision, now=time.monotonic())
+
+    def list_members(self) -> list[Member]:
+        """List all that is known, this entry first."""
+        with self._lock:
+            return [self._membership.me, *self._membership.list_alive(time.monotonic())]
+
+
+def find_entry(snapshot: Snapshot, name: str) -> EntryHost | None:
+    """Find an entry of the configuration by name."""
+    hall = snapshot.configuration.find_hall(snapshot.hall_by_entry.get(name, ""))
+    return next((e for e in hall.entries if e.name == name), None) if hall else None
--- /dev/null
+++ b/halldoor/entry/loans.py
@@ -0,0 +1,120 @@
+"""Borrow idle slots from the hall's other entries, and return them."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from halldoor.core.configuration import EntryHost
+from halldoor.core.errors import PeerError
+from halldoor.core.membership import Member
+from halldoor.core.slots import Hold
+from halldoor.entry.hall import to_hold
+from halldoor.entry.task import Task
+from halldoor.wire.client import PeerPool
+from halldoor.wire.protocol import idl
+
+LENDERS_ASKED = 3
+BORROW_TIMEOUT_S = 0.15
+
+
+class Return(NamedTuple):
+    """A borrowed slot on its way back."""
+
+    hold: Hold
+    rest_until: float
+
+
+class Loans(Task[Return]):
+    """Borrows at once, and returns in the background.
+
+    Parameters
+    ----------
+    me : str
+        Name of this entry.
+    peers : PeerPool
+        Connections.
+    list_lenders : callable
+        Lists the hall's other live entries with what they last said of their slots.
+    find_entry : callable
+        Finds an entry's addresses by name.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        *,
+        peers: PeerPool,
+        list_lenders: Callable[[], list[Member]],
+        find_entry: Callable[[str], EntryHost | None],
+    ) -> None:
+        super().__init__("loans", period_s=1.0)
+        self._me = me
+        self._peers = peers
+        self._list_lenders = list_lenders
+        self._find_entry = find_entry
+        self._random = random.Random(me)
+        self.asked = 0
+        self.borrowed = 0
+
+    def borrow(self, targets: Sequence[str], until: float) -> Hold | None:
+        """Borrow a slot of the first target that a peer has one of.
+
+        The loan is counted from before the question, so it ends here before it ends
+        at the lender, whatever the answer's delay.
+        """
+        for lender in self._order_lenders(targets)[:LENDERS_ASKED]:
+            entry = self._find_entry(lender)
+            now = time.monotonic()
+            if entry is None or now >= until:
+                continue
+            request = idl.LoanRequest(
+                targets=list(targets),
+                borrower=self._me,
+                duration_ms=int((until - now) * 1000) + 1,
+            )
+            self.asked += 1
+            try:
+                loan = self._peers.call(
+                    entry.wire, "borrow", timeout_s=BORROW_TIMEOUT_S, request=request
+                )
+            except PeerError:
+                continue
+            if loan.number:
+                self.borrowed += 1
+                return to_hold(loan.target, loan.index, lender, loan.number, until)
+        return None
+
+    def _order_lenders(self, targets: Sequence[str]) -> list[str]:
+        """Order the peers by the idle slots they last reported, in random order where equal."""
+        wanted = set(targets)
+        lenders = self._list_lenders()
+        self._random.shuffle(lenders)
+        free = {m.name: sum(r.free for r in m.reports if r.target in wanted) for m in lenders}
+        return sorted(free, key=lambda name: -free[name])
+
+    def give_back(self, hold: Hold, rest_until: float) -> None:
+        """Return a borrowed slot; if the message is lost the loan lapses by itself."""
+        self.tell(Return(hold, rest_until))
+
+    def handle(self, messages: list[Return]) -> None:
+        """Return the slots that requests have finished with."""
+        for message in messages:
+            entry = self._find_entry(message.hold.lender)
+            if entry is None:
+                continue
+            rest_s = max(0.0, message.rest_until - time.monotonic())
+            try:
+                self._peers.call(
+                    entry.wire,
+                    "give_back",
+                    timeout_s=0.5,
+                    target=message.hold.key.target,
+                    number=message.hold.loan,
+                    borrower=self._me,
+                    rest_ms=int(rest_s * 1000),
+                )
+            except PeerError as exc:
+                self.log.info("Loan not returned; it lapses.", error=exc.message)
--- /dev/null
+++ b/halldoor/entry/local.py
@@ -0,0 +1,156 @@
+"""Serve a request at the targets of this entry's own hall."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Sequence
+
+from returns.result import Failure, Result, Success
+
+from halldoor.core.decision import PassedOver
+from halldoor.core.errors import Ran, Reason, Refusal, refuse, refuse_unknown
+from halldoor.core.retry import RetryBudget
+from halldoor.entry.hall import Admission, HallRoom
+from halldoor.entry.outcome import HallRefusal
+from halldoor.entry.request import Answer, Body, Request, RequestError
+from halldoor.entry.targets import Fault, TargetClient, TargetFault
+
+ATTEMPTS = 3
+PREFETCH = 131_072
+"""Bytes of a repeatable answer read before it is passed on, so that a break can be retried."""
+
+
+class LocalHall:
+    """Admits requests to the hall's targets and carries them there.
+
+    Parameters
+    ----------
+    room : HallRoom
+        Slots, health and policy.
+    client : TargetClient
+        Connections to targets.
+    """
+
+    def __init__(self, room: HallRoom, client: TargetClient) -> None:
+        self._room = room
+        self._client = client
+        self._budget = RetryBudget()
+        self._budget_lock = threading.Lock()
+
+    def serve(
+        self, targets: Sequence[str], request: Request, body: Body, *, is_spill: bool
+    ) -> Result[Answer, HallRefusal]:
+        """Try targets until one answers, none is left, or the outcome is unknown."""
+        with self._budget_lock:
+            self._budget.add_request()
+        admitted = self.admit(targets, request, is_spill=is_spill)
+        if isinstance(admitted, Failure):
+            return admitted
+        return self.carry(admitted.unwrap(), targets, request, body, is_spill=is_spill)
+
+    def admit(
+        self, targets: Sequence[str], request: Request, *, is_spill: bool
+    ) -> Result[Admission, HallRefusal]:
+        """Reserve room before any of the body crosses a link."""
+        result = self._room.admit(targets, until=request.deadline, is_spill=is_spill)
+        return result.alt(lambda no: HallRefusal(no.refusal, no.passed_over))
+
+    def carry(
+        self,
+        admission: Admission,
+        targets: Sequence[str],
+        request: Request,
+        body: Body,
+        *,
+        is_spill: bool,
+    ) -> Result[Answer, HallRefusal]:
+        """Send an admitted request, and send it elsewhere where that is safe."""
+        passed_over: list[PassedOver] = []
+        tried: set[str] = set()
+        for attempt in range(1, ATTEMPTS + 1):
+            name = admission.target.name
+            try:
+                answer = self._send(admission, request, body)
+                answer.attempts, answer.passed_over = attempt, passed_over
+                return Success(answer)
+            except RequestError as exc:
+                refusal = exc.refusal
+            tried.add(name)
+            passed_over.append(PassedOver(name, refusal.message))
+            if attempt == ATTEMPTS or not self._may_retry(request, body, refusal):
+                return Failure(HallRefusal(refusal, passed_over, name, attempt))
+            result = self._room.admit(
+                targets, until=request.deadline, excluded=frozenset(tried), is_spill=is_spill
+            )
+            if isinstance(result, Failure):
+                passed_over += result.failure().passed_over
+                return Failure(HallRefusal(refusal, passed_over, name, attempt))
+            admission = result.unwrap()
+        raise AssertionError("unreachable")
+
+    def _may_retry(self, request: Request, body: Body, refusal: Refusal) -> bool:
+        """Tell whether another attempt is safe, affordable and in time."""
+        is_safe = request.is_repeatable or refusal.ran == Ran.NOT_RUN
+        is_worth_it = body.can_repeat and request.get_remaining_s() > 0.005
+        if not is_safe or not is_worth_it or request.cancellation.is_cancelled:
+            return False
+        with self._budget_lock:
+            return self._budget.take_retry()
+
+    def _send(self, admission: Admission, request: Request, body: Body) -> Answer:
+        """Send to one target and account for what comes of it."""
+        name = admission.target.name
+        room = self._room
+        try:
+            answer, latency_s = self._client.send(
+                admission.target, request, body, may_send=lambda: room.may_send(admission)
+            )
+        except TargetFault as exc:
+            is_finished = exc.fault is not Fault.MAYBE_RAN
+            room.release(admission, is_finished=is_finished)
+            self._learn(name, exc.fault, request)
+            raise RequestError(_to_refusal(exc, request)) from exc
+        except BaseException:
+            room.release(admission, is_finished=False)
+            raise
+        answer.add_end(lambda is_whole: room.release(admission, is_finished=is_whole))
+        if request.is_repeatable:
+            self._prefetch(name, answer, request)
+        room.add_result(name, is_good=answer.status < 500, latency_s=latency_s)
+        return answer
+
+    def _prefetch(self, name: str, answer: Answer, request: Request) -> None:
+        """Read the start of an answer while a retry is still possible."""
+        try:
+            answer.prefetch(PREFETCH)
+        except RequestError:
+            self._learn(name, Fault.MAYBE_RAN, request)
+            raise
+
+    def _learn(self, name: str, fault: Fault, request: Request) -> None:
+        """Tell health about a fault that was the target's."""
+        if fault is Fault.SHED:
+            self._room.add_shed(name)
+        elif not request.cancellation.is_cancelled:
+            self._room.add_result(name, is_good=False)
+
+
+def _to_refusal(fault: TargetFault, request: Request) -> Refusal:
+    """Say what a target's fault means for the caller."""
+    if fault.fault is Fault.SHED:
+        return refuse(Reason.SHED, "The target is full and did not run it. Come back in a second.")
+    if fault.fault is Fault.NOT_SENT:
+        return refuse(Reason.BROKEN, f"Not sent: {fault}. Come back in a second.")
+    if request.cancellation.is_cancelled:
+        return refuse_unknown(Reason.CANCELLED, "The caller went away.")
+    if request.get_remaining_s() <= 0:
+        return refuse_unknown(
+            Reason.DEADLINE,
+            "The target did not answer in time. Allow more time with Halldoor-Deadline-Ms.",
+            retry_after_s=1.0 if request.is_repeatable else 0.0,
+        )
+    return refuse_unknown(
+        Reason.BROKEN,
+        f"The target broke off: {fault}.",
+        retry_after_s=1.0 if request.is_repeatable else 0.0,
+    )
--- /dev/null
+++ b/halldoor/entry/metrics.py
@@ -0,0 +1,97 @@
+"""Metrics of the entry process, as Prometheus text."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from aioprometheus import REGISTRY, Counter, Gauge, Histogram, Registry, render
+
+from halldoor.core.invariant import Invariants
+from halldoor.entry.configuration import ConfigurationTask
+from halldoor.entry.dispatch import Dispatcher
+from halldoor.entry.hall import HallRoom
+
+BUCKETS = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0]
+
+
+class Metrics:
+    """Counters that requests add to, and gauges read when asked.
+
+    Parameters
+    ----------
+    read_gauges : callable
+        Sets the gauges just before they are written out.
+    """
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        # The library's own collectors register themselves globally; halldoor keeps its own.
+        REGISTRY.clear()
+        self._requests = Counter("halldoor_requests", "Requests by service, outcome and reason.")
+        self._latency = Histogram(
+            "halldoor_request_seconds", "Time to the head of the answer.", buckets=BUCKETS
+        )
+        self._lookups = Counter("halldoor_lookups", "Look-ups by service.")
+        self._gauges = {
+            name: Gauge(f"halldoor_{name}", text)
+            for name, text in {
+                "slots": "Own slots by target and state.",
+                "in_flight": "Requests of this entry on a target.",
+                "moved_share": "Moved requests over all requests, by service and cap.",
+                "shift_cap": "The cap itself.",
+                "revision": "Revision in force.",
+                "revision_age_seconds": "Time since it came into force.",
+                "draining_in_flight": "Requests that a leaving target still has from here.",
+                "invariant_violations": "Broken promises by name; must be none.",
+            }.items()
+        }
+        for collector in [self._requests, self._latency, self._lookups, *self._gauges.values()]:
+            self.registry.register(collector)
+        self.read_gauges: Callable[[], None] = lambda: None
+
+    def add_request(self, service: str, outcome: str, latency_s: float) -> None:
+        """Count a request and its time."""
+        self._requests.inc({"service": service, "outcome": outcome})
+        self._latency.observe({"service": service}, latency_s)
+
+    def add_lookup(self, service: str) -> None:
+        """Count a look-up."""
+        self._lookups.inc({"service": service})
+
+    def set(self, name: str, labels: dict[str, str], value: float) -> None:
+        """Set a gauge."""
+        self._gauges[name].set(labels, value)
+
+    def render(self) -> bytes:
+        """Write all of it as text."""
+        self.read_gauges()
+        content, _ = render(self.registry, ["text/plain"])
+        return content
+
+
+def read_gauges(
+    metrics: Metrics,
+    *,
+    room: HallRoom,
+    dispatcher: Dispatcher,
+    configuration: ConfigurationTask,
+    invariants: Invariants,
+) -> None:
+    """Set every gauge from the parts of the process."""
+    for target, count in room.count().items():
+        for state, value in (("free", count.free), ("busy", count.busy), ("lent", count.lent)):
+            metrics.set("slots", {"target": target, "state": state}, value)
+        metrics.set("in_flight", {"target": target}, count.in_flight)
+        if room.is_leaving(target):
+            metrics.set("draining_in_flight", {"target": target}, count.in_flight)
+    for (service, cap), (total, moved, limit) in dispatcher.count_moves().items():
+        labels = {"service": service, "cap": cap}
+        metrics.set("moved_share", labels, moved / total if total else 0.0)
+        metrics.set("shift_cap", labels, limit)
+    metrics.set("revision", {}, configuration.revision)
+    if configuration.adopted_at:
+        metrics.set("revision_age_seconds", {}, time.time() - configuration.adopted_at)
+    metrics.set("invariant_violations", {"name": "any"}, sum(invariants.violations.values()))
+    for name, count_ in invariants.violations.items():
+        metrics.set("invariant_violations", {"name": name}, count_)
--- /dev/null
+++ b/halldoor/entry/orders.py
@@ -0,0 +1,436 @@
+"""Orders: requests that run at most once, by ticket or by the caller's own id."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+
+from returns.result import Failure, Result, Success
+
+from halldoor.core.claim import Claim, parse_time_ms
+from halldoor.core.configuration import EntryHost
+from halldoor.core.errors import (
+    PeerError,
+    Ran,
+    Reason,
+    Refusal,
+    refuse,
+    refuse_unknown,
+)
+from halldoor.core.invariant import Invariants
+from halldoor.core.ticket import Answer as KeptAnswer
+from halldoor.core.ticket import Entry, Ledger, State, Ticket, decode_ticket
+from halldoor.entry.claims import Claims
+from halldoor.entry.dispatch import Refused, Served
+from halldoor.entry.outcome import HallRefusal
+from halldoor.entry.remote import TO_ISSUER, RemoteEntry
+from halldoor.entry.request import Answer, Body, Request, RequestError
+from halldoor.wire.client import PeerPool
+from halldoor.wire.convert import from_refusal
+
+KEPT_BODY = 65_536
+
+Serve = Callable[[Request, Body], Result[Served, Refused]]
+FindEntry = Callable[[str], EntryHost | None]
+Outcome = Result[Served | Answer, Refused | Refusal]
+
+
+class Orders:
+    """Issues tickets and runs orders, each at most once.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        Tickets of this process.
+    claims : Claims
+        The claims task.
+    serve : callable
+        Routes a request.
+    remote : RemoteEntry
+        The way to the issuers of other tickets.
+    peers : PeerPool
+        Connections for calls to issuers.
+    find_entry : callable
+        Finds an entry of the configuration by name.
+    invariants : Invariants
+        Counters of broken promises.
+    """
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        *,
+        claims: Claims,
+        serve: Serve,
+        remote: RemoteEntry,
+        peers: PeerPool,
+        find_entry: FindEntry,
+        invariants: Invariants,
+    ) -> None:
+        self._ledger = ledger
+        self._lock = threading.Lock()
+        self._claims = claims
+        self._serve = serve
+        self._remote = remote
+        self._peers = peers
+        self._find_entry = find_entry
+        self._invariants = invariants
+        self._sent: set[int] = set()
+        claims.on_new = self._open_line
+
+    # Tickets
+
+    def _open_line(self, operation: str) -> None:
+        """Issue the ticket of an id that this process has just claimed."""
+        with self._lock:
+            self._ledger.issue(operation, now=time.monotonic())
+
+    def get_ticket(self, operation: str) -> Result[str, Refusal]:
+        """Issue a ticket; with a caller's own id it is the one ticket of that id.
+
+        Without an id no platform is needed, so this works in a hall that is cut off.
+        """
+        if not operation:
+            return self._issue("")
+        held = self._find_holder(operation, is_order=False)
+        if isinstance(held, Failure):
+            return held
+        holder = held.unwrap()
+        if self.is_me(holder):
+            return self._issue(operation)
+        return self._ask_ticket(holder, operation)
+
+    def is_me(self, holder: Claim) -> bool:
+        """Tell whether a claim is this process's."""
+        return holder == Claim(self._ledger.issuer, self._ledger.incarnation)
+
+    def issue_claimed(self, operation: str, incarnation: str) -> Result[str, Refusal]:
+        """Issue the ticket of an id that a peer found claimed by this process."""
+        if incarnation != self._ledger.incarnation:
+            return Failure(_refuse_gone())
+        return self._issue(operation)
+
+    def _issue(self, operation: str) -> Result[str, Refusal]:
+        """Issue a ticket from the own ledger; of an own id, the one issued when it was claimed."""
+        if operation and not self._has_line(operation):
+            return Failure(_refuse_forgotten())
+        with self._lock:
+            text = self._ledger.issue(operation, now=time.monotonic())
+        if text is None:
+            message = "Too many tickets are open at this entry. Ask another entry, or come back."
+            return Failure(refuse(Reason.NO_ROOM, message))
+        return Success(text)
+
+    def _has_line(self, operation: str) -> bool:
+        """Tell whether the ledger knows an id that this process has claimed.
+
+        The claim is visible to others an instant before its line is; the claims
+        task takes requests in turn, so asking it again waits for that.
+        """
+        if self._ledger.find(operation) is None:
+            self._claims.ask(operation)
+        return self._ledger.find(operation) is not None
+
+    def _ask_ticket(self, holder: Claim, operation: str) -> Result[str, Refusal]:
+        """Get the ticket of an id from the process that holds its claim."""
+        entry = self._find_entry(holder.issuer)
+        if entry is None:
+            return Failure(_refuse_gone())
+        try:
+            reply = self._peers.call(
+                entry.wire,
+                "get_ticket",
+                timeout_s=1.0,
+                operation_id=operation,
+                incarnation=holder.incarnation,
+            )
+        except PeerError:
+            return Failure(_refuse_unreachable(holder.issuer))
+        if reply.refusal is not None:
+            return Failure(from_refusal(reply.refusal))
+        return Success(reply.ticket)
+
+    def _find_holder(self, operation: str, *, is_order: bool) -> Result[Claim, Refusal]:
+        """Claim an id, or learn who holds it."""
+        if parse_time_ms(operation) is None:
+            message = (
+                f"Operation-Id {operation[:60]!r} is no version 7 UUID in lower case. "
+                "Make one per operation, such as 01890a5d-ac96-774b-bcce-b302099a8057."
+            )
+            return Failure(refuse(Reason.BAD_REQUEST, message, retry_after_s=0.0))
+        claimed = self._claims.ask(operation)
+        if isinstance(claimed, Failure):
+            return Failure(_refuse_platform_down(is_order=is_order))
+        holder = claimed.unwrap()
+        if holder is None:
+            message = "This operation id is older than what is remembered. Look up whether it ran."
+            return Failure(refuse_unknown(Reason.TICKET_USED, message))
+        return Success(holder)
+
+    # Orders
+
+    def run(self, request: Request, body: Body, ticket: str) -> Outcome:
+        """Run an order that a caller sent to this entry.
+
+        Parameters
+        ----------
+        request : Request
+            The order; `Request.operation_id` is the caller's own id or empty.
+        body : Body
+            Its body.
+        ticket : str
+            The ticket's text, or empty.
+        """
+        if ticket:
+            return self._run_with_ticket(request, body, ticket)
+        if not request.operation_id:
+            message = (
+                "This operation must not repeat. Get a ticket by POST /v1/tickets and send it as "
+                "Halldoor-Ticket, or send your own Operation-Id."
+            )
+            return Failure(refuse(Reason.BAD_REQUEST, message, retry_after_s=0.0))
+        held = self._find_holder(request.operation_id, is_order=True)
+        if isinstance(held, Failure):
+            return held
+        holder = held.unwrap()
+        if self.is_me(holder):
+            return self.run_claimed(request, body)
+        return self._forward_claimed(holder, request, body)
+
+    def _forward_claimed(self, holder: Claim, request: Request, body: Body) -> Outcome:
+        """Pass an order by own id to the process that holds its claim."""
+        entry = self._find_entry(holder.issuer)
+        if entry is None:
+            return Failure(_refuse_gone())
+        # The incarnation goes in the ticket's place, so that a restarted entry refuses.
+        return self._forward(entry, request, body, f"{_CLAIM_PREFIX}{holder.incarnation}")
+
+    def _run_with_ticket(self, request: Request, body: Body, text: str) -> Outcome:
+        """Run an order by its ticket, here or at its issuer."""
+        read = decode_ticket(text)
+        if read is None:
+            return Failure(_refuse_ticket("It can't be read."))
+        ticket, payload, mac = read
+        if request.operation_id and request.operation_id != ticket.operation:
+            return Failure(_refuse_ticket("It was issued for another Operation-Id."))
+        if ticket.issuer != self._ledger.issuer:
+            entry = self._find_entry(ticket.issuer)
+            if entry is None:
+                return Failure(_refuse_gone())
+            return self._forward(entry, request, body, text)
+        if ticket.incarnation != self._ledger.incarnation:
+            return Failure(_refuse_gone())
+        if not self._ledger.is_genuine(ticket, payload, mac):
+            return Failure(_refuse_ticket("It is not genuine."))
+        return self._take_and_run(ticket, request, body)
+
+    def run_forwarded(self, request: Request, body: Body, text: str) -> Outcome:
+        """Run an order that another entry passed on to this issuer; it goes no further."""
+        if text.startswith(_CLAIM_PREFIX):
+            if text[len(_CLAIM_PREFIX) :] != self._ledger.incarnation:
+                return Failure(_refuse_gone())
+            return self.run_claimed(request, body)
+        read = decode_ticket(text)
+        if read is None or read[0].issuer != self._ledger.issuer:
+            return Failure(_refuse_ticket("It was passed to the wrong entry."))
+        return self._run_with_ticket(request, body, text)
+
+    def run_claimed(self, request: Request, body: Body) -> Outcome:
+        """Run an order without a ticket whose id this process holds the claim of.
+
+        Only the first attempt runs this way.  After a refusal as not run, the next
+        attempt needs the fresh ticket that came with it: a late copy of the first
+        call must not run once its caller was told no.
+        """
+        operation = request.operation_id
+        if not self._has_line(operation):
+            return Failure(_refuse_forgotten())
+        with self._lock:
+            line = self._ledger.find(operation)
+            if line is None:
+                return Failure(_refuse_forgotten())
+            is_later = line.state == State.ISSUED and line.attempt > 1
+            if is_later or line.state == State.NOT_RUN:
+                fresh = self._ledger.issue(operation, now=time.monotonic())
+                return Failure(_refuse_with_ticket(fresh or ""))
+        return self._take_and_run(line.ticket, request, body)
+
+    def _forward(self, entry: EntryHost, request: Request, body: Body, ticket: str) -> Outcome:
+        """Pass an order to its issuer."""
+        result = self._remote.send([entry], request, body, kind=TO_ISSUER, ticket=ticket)
+        if isinstance(result, Success):
+            return Success(result.unwrap())
+        failure: HallRefusal = result.failure()
+        refusal = failure.refusal
+        if refusal.reason == Reason.BROKEN and refusal.ran == Ran.NOT_RUN:
+            # This call reached nobody, but an earlier one with the ticket may have.
+            return Failure(_refuse_unreachable(entry.name))
+        return Failure(refusal)
+
+    def _take_and_run(self, ticket: Ticket, request: Request, body: Body) -> Outcome:
+        """Take the ticket and run the order, or give its first outcome again."""
+        with self._lock:
+            taken = self._ledger.take(ticket, now=time.monotonic())
+            if isinstance(taken, Refusal):
+                return Failure(self._add_ticket(ticket, taken))
+            if taken.state == State.SENT:
+                self._invariants.check(
+                    ticket.sequence not in self._sent, "sent-once", ticket.operation
+                )
+                self._sent.add(ticket.sequence)
+        if taken.state != State.SENT:
+            return Success(_to_answer(taken))
+        is_settled = False
+        try:
+            outcome = self._send(ticket, request._replace(operation_id=ticket.operation), body)
+            is_settled = True
+            return outcome
+        finally:
+            if not is_settled:
+                message = "The entry failed while the order was under way. Look up its result."
+                self._settle(ticket, refuse_unknown(Reason.BROKEN, message))
+
+    def _send(self, ticket: Ticket, request: Request, body: Body) -> Outcome:
+        """Route the order and record its outcome."""
+        result = self._serve(request, body)
+        if isinstance(result, Failure):
+            refused = result.failure()
+            refusal = self._settle(ticket, refused.refusal)
+            return Failure(Refused(refusal, refused.decision))
+        served = result.unwrap()
+        return Success(Served(self._keep(ticket, served.answer), served.decision))
+
+    def _settle(self, ticket: Ticket, refusal: Refusal) -> Refusal:
+        """Record a refusal as the ticket's outcome."""
+        with self._lock:
+            self._sent.discard(ticket.sequence)
+            if refusal.ran == Ran.NOT_RUN:
+                self._ledger.settle_not_run(ticket, refusal)
+                return self._add_ticket(ticket, refusal)
+            return self._ledger.settle_unknown(ticket, refusal)
+
+    def _add_ticket(self, ticket: Ticket, refusal: Refusal) -> Refusal:
+        """Add a fresh ticket to a refusal after which trying again makes sense."""
+        if refusal.ran != Ran.NOT_RUN:
+            return refusal
+        fresh = self._ledger.renew(ticket.operation, now=time.monotonic())
+        return refusal._replace(ticket=fresh)
+
+    def _keep(self, ticket: Ticket, answer: Answer) -> Answer:
+        """Pass the answer on and keep it, if small, for repeats of the call."""
+        parts: list[bytes] = []
+
+        def copy() -> Iterator[bytes]:
+            size = 0
+            try:
+                for piece in answer:
+                    size += len(piece)
+                    if size <= KEPT_BODY:
+                        parts.append(piece)
+                    else:
+                        parts.clear()
+                    yield piece
+            finally:
+                answer.close()
+
+        def end(is_whole: bool) -> None:
+            answer.close()
+            body = b"".join(parts)
+            is_kept = is_whole and (bool(body) or _has_no_body(answer))
+            kept = KeptAnswer(answer.status, answer.headers, body) if is_kept else None
+            with self._lock:
+                self._sent.discard(ticket.sequence)
+                self._ledger.settle_done(ticket, kept)
+
+        copied = Answer(answer.status, answer.headers, copy(), target=answer.target, on_end=end)
+        copied.attempts, copied.passed_over = answer.attempts, answer.passed_over
+        # Read a small answer now: then a caller that goes away can't spoil the kept one.
+        try:
+            copied.prefetch(KEPT_BODY)
+        except RequestError as exc:
+            raise RequestError(
+                refuse_unknown(
+                    Reason.BROKEN, "It ran, but its answer broke off. Look up its result."
+                )
+            ) from exc
+        return copied
+
+    def count_running(self) -> int:
+        """Count the orders that are under way."""
+        with self._lock:
+            return self._ledger.count_running()
+
+
+_CLAIM_PREFIX = "claim:"
+
+
+def _has_no_body(answer: Answer) -> bool:
+    """Tell whether the answer says that it has no body."""
+    lengths = [v for k, v in answer.headers if k.lower() == "content-length"]
+    return answer.status == 204 or lengths == ["0"]
+
+
+def _to_answer(line: Entry) -> Answer:
+    """Give the kept answer again."""
+    kept = line.answer
+    assert kept is not None
+    headers = (*kept.headers, ("Halldoor-Repeated", "yes"))
+    return Answer(kept.status, headers, iter([kept.body]), target="", on_end=lambda _: None)
+
+
+def _refuse_ticket(why: str) -> Refusal:
+    """Refuse a ticket that never was one."""
+    return refuse(
+        Reason.BAD_TICKET, f"The ticket is not valid. {why} Get a new one.", retry_after_s=0.0
+    )
+
+
+def _refuse_gone() -> Refusal:
+    """Refuse a ticket whose issuing process ended: it took the outcome with it."""
+    return refuse_unknown(
+        Reason.ISSUER_GONE,
+        "The entry process that issued this ticket ended. Look up whether the operation ran.",
+    )
+
+
+def _refuse_forgotten() -> Refusal:
+    """Refuse an id that was claimed here so long ago that its outcome is forgotten."""
+    return refuse_unknown(
+        Reason.TICKET_USED,
+        "This operation id was used before and its outcome is forgotten. Look up whether it ran.",
+    )
+
+
+def _refuse_unreachable(issuer: str) -> Refusal:
+    """Refuse a ticket whose issuer can't be reached from here just now."""
+    return refuse_unknown(
+        Reason.ISSUER_GONE,
+        f"Entry {issuer}, which issued the ticket, can't be reached. Repeat the same call.",
+        retry_after_s=2.0,
+    )
+
+
+def _refuse_platform_down(*, is_order: bool) -> Refusal:
+    """Refuse an own id that can't be checked."""
+    if is_order:
+        # This call was sent nowhere, but whether an earlier one with the id was can't be known.
+        return refuse_unknown(
+            Reason.PLATFORM_DOWN,
+            "The platform can't be asked whether this id ran before; this call was sent nowhere. "
+            "Repeat the same id, or for a new operation get a ticket without an id.",
+            retry_after_s=2.0,
+        )
+    message = "The platform can't be asked about this id. Come back, or ask without an id."
+    return refuse(Reason.PLATFORM_DOWN, message, retry_after_s=2.0)
+
+
+def _refuse_with_ticket(ticket: str) -> Refusal:
+    """Refuse a repeat by id after an attempt that did not run."""
+    return Refusal(
+        Reason.TICKET_USED,
+        Ran.NOT_RUN,
+        "The first attempt did not run. Send the ticket in Halldoor-Ticket to try again.",
+        0.5,
+        ticket,
+    )
--- /dev/null
+++ b/halldoor/entry/process.py
@@ -0,0 +1,352 @@
+"""The entry process: its parts, their wiring, and how it stops."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import time
+from typing import Any
+
+import cherrypy
+import msgspec
+import structlog
+from cherrypy.process.servers import ServerAdapter
+
+from halldoor.core.claim import Claim
+from halldoor.core.configuration import EntryHost
+from halldoor.core.decision import Decision, DecisionLog
+from halldoor.core.errors import PeerError
+from halldoor.core.invariant import Invariants
+from halldoor.core.membership import Member, Membership
+from halldoor.core.policy import Policy
+from halldoor.core.settings import EntrySettings
+from halldoor.core.snapshot import Snapshot
+from halldoor.core.ticket import Ledger
+from halldoor.entry.cancel import CallerWatcher
+from halldoor.entry.claims import Claims
+from halldoor.entry.configuration import ConfigurationTask
+from halldoor.entry.dispatch import Dispatcher
+from halldoor.entry.gossip import GossipTask, find_entry
+from halldoor.entry.hall import HallRoom
+from halldoor.entry.loans import Loans
+from halldoor.entry.local import LocalHall
+from halldoor.entry.lookups import LookupTable
+from halldoor.entry.metrics import Metrics, read_gauges
+from halldoor.entry.orders import Orders
+from halldoor.entry.probe import ProbeTask
+from halldoor.entry.remote import RemoteEntry
+from halldoor.entry.sessions import Services, Session
+from halldoor.entry.targets import TargetClient
+from halldoor.entry.web import Parts, WebApp
+from halldoor.platform.base import Platform
+from halldoor.platform.client import HttpPlatform
+from halldoor.server import HttpServer
+from halldoor.wire.client import PeerPool
+from halldoor.wire.server import WireServer
+
+log = structlog.get_logger(part="entry")
+
+STOP_LIMIT_S = 60.0
+QUIET_S = 0.5
+"""Time without any request after which a stopping entry ends."""
+
+
+class EntryProcess:
+    """One ``halldoor-entry``.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    platform : Platform
+        The key-value service.
+    """
+
+    def __init__(self, settings: EntrySettings, platform: Platform) -> None:
+        self.settings = settings
+        self.incarnation = secrets.token_hex(8)
+        self.invariants = Invariants(strict=settings.strict_invariants, on_violation=_log_violation)
+        self.snapshot: Snapshot | None = None
+        self._lookups: LookupTable | None = None
+        self._is_leaving = False
+        self._is_stopping = False
+        self.peers = PeerPool()
+        self.watcher = CallerWatcher()
+        self.decisions = DecisionLog()
+        self.metrics = Metrics()
+        self._build_control(platform)
+        self._build_requests(platform)
+        self._wire_up()
+
+    @classmethod
+    def from_config(cls, settings: EntrySettings) -> EntryProcess:
+        """Build the process from its settings."""
+        return cls(settings, HttpPlatform(settings.platform))
+
+    def _build_control(self, platform: Platform) -> None:
+        """Build membership, configuration, loans and probes."""
+        s = self.settings
+        generation = int(time.time() * 1000)
+        me = Member(s.name, s.hall, self.incarnation, generation, 0, 0, 0, False)
+        self.gossip = GossipTask(
+            Membership(me), peers=self.peers, seeds=s.peers, period_s=s.gossip_period_s
+        )
+        self.configuration = ConfigurationTask(
+            s.name,
+            s.hall,
+            platform=platform,
+            peers=self.peers,
+            gossip=self.gossip,
+            invariants=self.invariants,
+            on_snapshot=self._adopt,
+        )
+        self.loans = Loans(
+            s.name,
+            peers=self.peers,
+            list_lenders=self.gossip.list_alive,
+            find_entry=self.find_entry,
+        )
+        self.room = HallRoom(
+            s.name,
+            policy=Policy.from_name(s.policy, random.Random(self.incarnation)),
+            invariants=self.invariants,
+            borrow=self.loans.borrow,
+            give_back=self.loans.give_back,
+            rest_at_start=s.rest_at_start,
+        )
+        self.probe = ProbeTask(
+            s.name,
+            self.room,
+            platform=platform,
+            list_alive=self.gossip.list_alive,
+            is_relay=lambda: s.name in self.gossip.choose_relays(self.configuration.revision),
+            period_s=s.probe_period_s,
+        )
+
+    def _build_requests(self, platform: Platform) -> None:
+        """Build what requests go through."""
+        s = self.settings
+        self.targets = TargetClient()
+        self.local = LocalHall(self.room, self.targets)
+        remote = RemoteEntry(self.peers)
+        self.dispatcher = Dispatcher(
+            s.name,
+            local=self.local,
+            remote=remote,
+            invariants=self.invariants,
+            is_avoided=self.gossip.is_avoided,
+        )
+        self.claims = Claims(platform, Claim(s.name, self.incarnation))
+        self.orders = Orders(
+            Ledger(
+                s.name,
+                self.incarnation,
+                secrets.token_bytes(32),
+                lifetime_s=s.ticket_lifetime_s,
+            ),
+            claims=self.claims,
+            serve=self.dispatcher.serve,
+            remote=remote,
+            peers=self.peers,
+            find_entry=self.find_entry,
+            invariants=self.invariants,
+        )
+
+    def _wire_up(self) -> None:
+        """Connect the parts, and open the ports."""
+        s = self.settings
+        self.gossip.get_reports = self.probe.build_reports
+        self.gossip.on_reports = self.probe.hear
+        self.gossip.on_revision = self.configuration.hear_gossip
+        self.gossip.on_change = self._refresh_lookups
+        self.metrics.read_gauges = lambda: read_gauges(
+            self.metrics,
+            room=self.room,
+            dispatcher=self.dispatcher,
+            configuration=self.configuration,
+            invariants=self.invariants,
+        )
+        services = Services(
+            room=self.room,
+            local=self.local,
+            orders=self.orders,
+            gossip=self.gossip,
+            configuration=self.configuration,
+            decisions=self.decisions,
+            watcher=self.watcher,
+            get_snapshot=lambda: self.snapshot,
+        )
+        self.wire = WireServer(s.wire, lambda sock: Session(services, sock))
+        app = WebApp(
+            Parts(
+                dispatcher=self.dispatcher,
+                orders=self.orders,
+                decisions=self.decisions,
+                metrics=self.metrics,
+                watcher=self.watcher,
+                get_lookups=lambda: self._lookups,
+                get_status=self.get_status,
+                find_decision=self.find_decision,
+                decision_key=s.decision_key.encode(),
+            )
+        )
+        cherrypy.tree.graft(app, "")
+        self.http = HttpServer(
+            s.http,
+            cherrypy.tree,
+            threads=s.workers,
+            body_limit=s.max_body_bytes,
+            timeout_s=s.caller_timeout_s,
+        )
+
+    def _adopt(self, snapshot: Snapshot) -> None:
+        """Put a snapshot in force everywhere in this process."""
+        self.room.adopt(snapshot)
+        self.dispatcher.adopt(snapshot)
+        self.gossip.adopt(snapshot)
+        self.probe.adopt(snapshot)
+        self.snapshot = snapshot
+        self._refresh_lookups()
+
+    def _refresh_lookups(self) -> None:
+        """Make the table of look-up answers anew."""
+        if self.snapshot is not None:
+            self._lookups = LookupTable(
+                self.snapshot,
+                is_avoided=self.gossip.is_avoided,
+                max_age_s=self.settings.lookup_max_age_s,
+            )
+
+    def find_entry(self, name: str) -> EntryHost | None:
+        """Find an entry's addresses by name."""
+        return find_entry(self.snapshot, name) if self.snapshot is not None else None
+
+    def find_decision(self, decision_id: str) -> Decision | None:
+        """Find a decision here or at any entry that can be reached."""
+        found = self.decisions.find(decision_id)
+        if found is not None or self.snapshot is None:
+            return found
+        for hall in self.snapshot.configuration.halls:
+            for entry in hall.entries:
+                if entry.name == self.settings.name:
+                    continue
+                try:
+                    data = self.peers.call(
+                        entry.wire, "find_decision", timeout_s=0.5, decision_id=decision_id
+                    )
+                except PeerError:
+                    continue
+                if data:
+                    return msgspec.msgpack.decode(data, type=Decision)
+        return None
+
+    # Life
+
+    def start(self) -> None:
+        """Start every task and open the ports to callers."""
+        for task in (self.gossip, self.configuration, self.loans, self.probe, self.claims):
+            task.start()
+        self.watcher.start()
+        self.wire.start()
+        cherrypy.engine.autoreload.unsubscribe()
+        # CherryPy's own default server would take port 8080.
+        cherrypy.server.unsubscribe()
+        cherrypy.log.screen = False
+        bound = (self.settings.http.ip, self.settings.http.port)
+        ServerAdapter(cherrypy.engine, self.http, bound).subscribe()
+        cherrypy.engine.start()
+        log.info(
+            "Started.",
+            name=self.settings.name,
+            hall=self.settings.hall,
+            incarnation=self.incarnation,
+        )
+
+    def stop(self) -> None:
+        """Stop without cutting off a request.
+
+        First the entry leaves look-ups and tells its peers, and serves on until the
+        answers that callers have cached have run out.  Then it waits for the last
+        request, and ends.
+        """
+        if self._is_leaving:
+            return
+        self._is_leaving = True
+        log.info("Stopping; still serving callers with cached answers.")
+        self.gossip.set_flags(is_leaving=True)
+        self._refresh_lookups()
+        self.gossip.tick()
+        ends = time.monotonic() + self.settings.lookup_max_age_s + 2 * self.settings.gossip_period_s
+        limit = time.monotonic() + STOP_LIMIT_S
+        while time.monotonic() < ends:
+            time.sleep(0.05)
+        self._is_stopping = True
+        quiet_since = time.monotonic()
+        while time.monotonic() < limit and time.monotonic() - quiet_since < QUIET_S:
+            if self._count_running():
+                quiet_since = time.monotonic()
+            time.sleep(0.02)
+        self._end()
+
+    def _count_running(self) -> int:
+        """Count the requests that this process still works on."""
+        busy = self.http.requests.qsize if hasattr(self.http, "requests") else 0
+        return self.room.count_in_flight() + self.orders.count_running() + busy
+
+    def _end(self) -> None:
+        """Close the ports and end the tasks."""
+        cherrypy.engine.exit()
+        for task in (self.probe, self.claims, self.loans, self.gossip, self.configuration):
+            task.stop()
+        self.loans.join(1.0)
+        self.wire.stop()
+        self.watcher.stop()
+        self.peers.close()
+        self.targets.close()
+        log.info("Stopped.")
+
+    @property
+    def state(self) -> str:
+        """``starting``, ``serving`` or ``leaving``."""
+        if self._is_leaving:
+            return "leaving"
+        return "serving" if self.snapshot is not None else "starting"
+
+    def get_status(self) -> dict[str, Any]:
+        """Say what this entry is doing, for operators."""
+        counts = self.room.count()
+        return {
+            "name": self.settings.name,
+            "hall": self.settings.hall,
+            "state": self.state,
+            "incarnation": self.incarnation,
+            "revision": self.configuration.revision,
+            "adopted_at": self.configuration.adopted_at,
+            "members": [
+                {"name": m.name, "revision": m.revision, "leaving": m.is_leaving}
+                for m in self.gossip.list_members()
+            ],
+            "relays": self.gossip.choose_relays(self.configuration.revision),
+            "targets": {
+                name: {**count._asdict(), "leaving": self.room.is_leaving(name)}
+                for name, count in counts.items()
+            },
+            "moves": [
+                {"service": s, "cap_of": name, "total": t, "moved": m, "cap": cap}
+                for (s, name), (t, m, cap) in self.dispatcher.count_moves().items()
+            ],
+            "orders_running": self.orders.count_running(),
+            "loans": {"asked": self.loans.asked, "borrowed": self.loans.borrowed},
+            "claims": {"claimed": self.claims.claimed, "writes": self.claims.writes},
+            "control": {
+                "gossip_messages": self.gossip.messages,
+                "probes": self.probe.probes,
+                "platform_calls": self.configuration.platform_calls,
+            },
+            "violations": dict(self.invariants.violations),
+        }
+
+
+def _log_violation(name: str, detail: str) -> None:
+    """Log a broken promise."""
+    log.error("Invariant broken.", invariant=name, detail=detail)
--- /dev/null
+++ b/halldoor/entry/remote.py
@@ -0,0 +1,232 @@
+"""Carry a request through an entry of another hall."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from halldoor.core.configuration import EntryHost
+from halldoor.core.errors import PeerError, Ran, Reason, Refusal, refuse, refuse_unknown
+from halldoor.entry.outcome import HallRefusal
+from halldoor.entry.request import (
+    Answer,
+    Body,
+    Request,
+    RequestError,
+    break_off,
+    keep_end_to_end,
+)
+from halldoor.wire.client import PeerConnection, PeerPool
+from halldoor.wire.convert import from_headers, from_passed_over, from_refusal, to_headers
+from halldoor.wire.protocol import CHUNK_BYTES, idl
+
+TO_TARGET, TO_ISSUER = 0, 1
+"""Kinds of forwarded request: for a target of the hall, for the issuer of its ticket."""
+AVOID_S = 2.0
+"""Time for which an entry that could not be reached is tried last."""
+CLOCK_ALLOWANCE_S = 0.3
+"""Time past the deadline in which the other entry's own refusal may still arrive."""
+
+
+class RemoteEntry:
+    """Forwards requests to other entries, once each.
+
+    Parameters
+    ----------
+    peers : PeerPool
+        Connections.
+    """
+
+    def __init__(self, peers: PeerPool) -> None:
+        self._peers = peers
+        self._lock = threading.Lock()
+        self._avoid: dict[str, float] = {}
+
+    def order(self, entries: list[EntryHost]) -> list[EntryHost]:
+        """Put the entries that could not be reached lately last."""
+        now = time.monotonic()
+        with self._lock:
+            return sorted(entries, key=lambda e: self._avoid.get(e.name, 0.0) > now)
+
+    def send(
+        self,
+        entries: list[EntryHost],
+        request: Request,
+        body: Body,
+        *,
+        kind: int,
+        selector: str = "",
+        ticket: str = "",
+        is_spill: bool = False,
+    ) -> Result[Answer, HallRefusal]:
+        """Forward a request to the first of the entries that takes the call.
+
+        Parameters
+        ----------
+        entries : list of EntryHost
+            Candidates; the next is tried only while nothing was sent.
+        request : Request
+            What to forward.
+        body : Body
+            Its body.
+        kind : int
+            `TO_TARGET` or `TO_ISSUER`.
+        selector : str, optional
+            Targets that are allowed.
+        ticket : str, optional
+            The order's ticket.
+        is_spill : bool, optional
+            Whether the request comes from another region.
+        """
+        head = _build_head(request, kind=kind, selector=selector, ticket=ticket, is_spill=is_spill)
+        refusal = refuse(Reason.BROKEN, "No entry of the hall can be reached. Come back later.")
+        for entry in self.order(entries):
+            try:
+                connection = self._peers.open(entry.wire)
+            except PeerError as exc:
+                self._note_unreachable(entry)
+                refusal = refuse(Reason.BROKEN, exc.message + " Come back in a second.")
+                continue
+            return self._exchange(entry, connection, head, request, body)
+        return Failure(HallRefusal(refusal, []))
+
+    def _note_unreachable(self, entry: EntryHost) -> None:
+        """Try an entry last for a while."""
+        with self._lock:
+            self._avoid[entry.name] = time.monotonic() + AVOID_S
+
+    def _exchange(
+        self,
+        entry: EntryHost,
+        connection: PeerConnection,
+        head: Any,
+        request: Request,
+        body: Body,
+    ) -> Result[Answer, HallRefusal]:
+        """Send one request over one connection and read the start of its answer."""
+        request.cancellation.attach(connection.close)
+        is_kept = False
+        try:
+            started = connection.call(
+                "start",
+                timeout_s=request.get_remaining_s() + CLOCK_ALLOWANCE_S,
+                head=head,
+                body=body.data if body.is_whole else b"",
+                whole=body.is_whole,
+            )
+            if started.admitted and not body.is_whole:
+                started = self._send_body(connection, request, body)
+            if started.refusal is not None:
+                refusal = from_refusal(started.refusal)
+                passed_over = from_passed_over(started.passed_over)
+                self._peers.keep(entry.wire, connection)
+                is_kept = True
+                return Failure(HallRefusal(refusal, passed_over, started.target or "", 0))
+            is_kept = True
+            return Success(self._to_answer(entry, connection, started, request))
+        except PeerError as exc:
+            if not request.cancellation.is_cancelled:
+                self._note_unreachable(entry)
+            return Failure(HallRefusal(_to_refusal(exc, request), []))
+        finally:
+            request.cancellation.detach(connection.close)
+            if not is_kept:
+                connection.close()
+
+    def _send_body(self, connection: PeerConnection, request: Request, body: Body) -> Any:
+        """Send a streamed body in chunks, then wait for the answer."""
+        index = 0
+        for piece in body.read():
+            for start in range(0, len(piece), CHUNK_BYTES):
+                chunk = idl.Chunk(index=index, data=piece[start : start + CHUNK_BYTES], last=False)
+                connection.call("write", timeout_s=request.get_remaining_s(), chunk=chunk)
+                index += 1
+        return connection.call(
+            "finish", timeout_s=request.get_remaining_s() + CLOCK_ALLOWANCE_S, count=index
+        )
+
+    def _to_answer(
+        self, entry: EntryHost, connection: PeerConnection, started: Any, request: Request
+    ) -> Answer:
+        """Wrap the peer's answer."""
+        head = started.answer
+        pieces = _read_pieces(connection, head, request)
+
+        def end(is_whole: bool) -> None:
+            if is_whole:
+                self._peers.keep(entry.wire, connection)
+            else:
+                connection.close()
+
+        answer = Answer(
+            head.status, from_headers(head.headers), pieces, target=head.target or "", on_end=end
+        )
+        answer.passed_over = from_passed_over(started.passed_over)
+        answer.attempts = head.attempts or 1
+        return answer
+
+
+def _build_head(request: Request, *, kind: int, selector: str, ticket: str, is_spill: bool) -> Any:
+    """Build the message that opens a forwarded request."""
+    return idl.RequestHead(
+        kind=kind,
+        decision_id=request.id,
+        service_name=request.service,
+        operation=request.operation,
+        method=request.method,
+        path=request.path,
+        headers=to_headers(keep_end_to_end(request.headers)),
+        deadline_ms=max(1, int(request.get_remaining_s() * 1000)),
+        length=request.length,
+        client=request.client,
+        selector=selector,
+        ticket=ticket,
+        operation_id=request.operation_id,
+        is_spill=is_spill,
+    )
+
+
+def _read_pieces(connection: PeerConnection, head: Any, request: Request) -> Iterator[bytes]:
+    """Read the body of a forwarded answer; chunks must come in order and to the last."""
+    index, data, is_last = head.index or 0, head.data or b"", head.last
+    while True:
+        if data:
+            yield data
+        if is_last:
+            return
+        index += 1
+        try:
+            chunk = connection.call(
+                "read", timeout_s=request.get_remaining_s() + CLOCK_ALLOWANCE_S, index=index
+            )
+        except PeerError as exc:
+            raise break_off(f"The answer broke off between halls: {exc.message}") from exc
+        if chunk.refusal is not None:
+            raise RequestError(from_refusal(chunk.refusal))
+        if chunk.index != index:
+            raise break_off("A chunk of another answer came; this one is given up.")
+        data, is_last = chunk.data or b"", chunk.last
+
+
+def _to_refusal(exc: PeerError, request: Request) -> Refusal:
+    """Say what a peer's fault means; the peer may have had the request sent already."""
+    retry_after_s = 1.0 if request.is_repeatable else 0.0
+    if request.cancellation.is_cancelled:
+        return refuse_unknown(Reason.CANCELLED, "The caller went away.")
+    if request.get_remaining_s() <= 0:
+        message = "The other hall did not answer in time. Allow more time for it."
+        return refuse_unknown(Reason.DEADLINE, message, retry_after_s=retry_after_s)
+    message = f"The other hall broke off: {exc.message}"
+    return refuse_unknown(Reason.BROKEN, message, retry_after_s=retry_after_s)
+
+
+def is_final(refusal: Refusal, request: Request) -> bool:
+    """Tell whether a refusal ends the request, since another try might run it twice."""
+    return refusal.ran == Ran.UNKNOWN and not request.is_repeatable
+
+
+GetEntries = Callable[[str], list[EntryHost]]
--- /dev/null
+++ b/halldoor/entry/sessions.py
@@ -0,0 +1,318 @@
+"""Calls of other entries: forwarded requests, loans, gossip, configuration."""
+
+from __future__ import annotations
+
+import queue
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+
+from msgspec import msgpack
+from returns.result import Failure, Success
+
+from halldoor.core.decision import DecisionLog
+from halldoor.core.errors import Reason, Refusal, refuse
+from halldoor.core.selector import Selector
+from halldoor.core.snapshot import Snapshot
+from halldoor.entry.cancel import CallerWatcher
+from halldoor.entry.configuration import ConfigurationTask
+from halldoor.entry.dispatch import Refused, Served
+from halldoor.entry.gossip import GossipTask
+from halldoor.entry.hall import HallRoom
+from halldoor.entry.local import LocalHall
+from halldoor.entry.orders import Orders
+from halldoor.entry.outcome import HallRefusal
+from halldoor.entry.remote import TO_ISSUER
+from halldoor.entry.request import Answer, Body, Cancellation, Request, RequestError
+from halldoor.wire.convert import (
+    from_headers,
+    to_headers,
+    to_passed_over,
+    to_refusal,
+)
+from halldoor.wire.protocol import CHUNK_BYTES, idl
+from halldoor.wire.server import ConnectionHandler
+
+QUEUED_CHUNKS = 4
+"""Chunks of a forwarded body kept in memory while the target takes them."""
+
+
+class Services(NamedTuple):
+    """What the calls of other entries are answered by."""
+
+    room: HallRoom
+    local: LocalHall
+    orders: Orders
+    gossip: GossipTask
+    configuration: ConfigurationTask
+    decisions: DecisionLog
+    watcher: CallerWatcher
+    get_snapshot: Callable[[], Snapshot | None]
+
+
+class Session(ConnectionHandler):
+    """Handles one connection of another entry; its methods are those of the IDL.
+
+    Parameters
+    ----------
+    services : Services
+        The parts of this process.
+    sock : socket.socket
+        The connection, watched so that work for a caller that left is cancelled.
+    """
+
+    def __init__(self, services: Services, sock: socket.socket) -> None:
+        self._services = services
+        self._sock = sock
+        self._cancellation = Cancellation()
+        self._answer: Answer | None = None
+        self._pieces: Iterator[bytes] = iter(())
+        self._body_index = 0
+        self._answer_index = 0
+        self._chunks: queue.Queue[bytes | None] | None = None
+        self._result: queue.SimpleQueue[Any] = queue.SimpleQueue()
+
+    # Forwarded requests
+
+    def start(self, head: Any, body: bytes, whole: bool) -> Any:
+        """Admit a request; with its whole body, also run it."""
+        if self._services.get_snapshot() is None:
+            return _start_refused(refuse(Reason.STARTING, "This entry is starting. Come back."))
+        self._cancellation = Cancellation()
+        request = _to_request(head, self._cancellation)
+        run = self._prepare(head, request)
+        if isinstance(run, Failure):
+            return _start_refusal(run.failure())
+        if whole:
+            with self._services.watcher.watch(self._sock, self._cancellation.cancel):
+                return self._run(run.unwrap(), Body(body))
+        self._body_index = 0
+        self._chunks = queue.Queue(QUEUED_CHUNKS)
+        streamed = Body(rest=self._read_chunks(self._chunks, request))
+        threading.Thread(
+            target=lambda: self._result.put(self._run(run.unwrap(), streamed)),
+            name="forwarded",
+            daemon=True,
+        ).start()
+        return idl.Started(admitted=True, passed_over=[])
+
+    def _prepare(self, head: Any, request: Request) -> Any:
+        """Reserve what the request needs, and give the function that runs it."""
+        services = self._services
+        if head.kind == TO_ISSUER:
+            ticket = head.ticket or ""
+            return Success(lambda body: services.orders.run_forwarded(request, body, ticket))
+        targets = self._select(head.selector or "")
+        is_spill = bool(head.is_spill)
+        admitted = services.local.admit(targets, request, is_spill=is_spill)
+        if isinstance(admitted, Failure):
+            return admitted
+        admission = admitted.unwrap()
+        return Success(
+            lambda body: services.local.carry(admission, targets, request, body, is_spill=is_spill)
+        )
+
+    def _select(self, selector: str) -> list[str]:
+        """List the hall's targets that a selector chooses."""
+        snapshot = self._services.get_snapshot()
+        assert snapshot is not None
+        wanted = Selector.from_text(selector)
+        configuration = snapshot.configuration
+        return [
+            name
+            for name, target in snapshot.hall_targets.items()
+            if wanted.matches(configuration.list_labels(target))
+        ]
+
+    def _run(self, run: Callable[[Body], Any], body: Body) -> Any:
+        """Run a request and build the reply."""
+        try:
+            result = run(body)
+            if isinstance(result, Failure):
+                return _start_refusal(result.failure())
+            return self._start_answer(result.unwrap())
+        except RequestError as exc:
+            return _start_refused(exc.refusal)
+
+    def _start_answer(self, value: Served | Answer) -> Any:
+        """Build the reply that carries an answer's start."""
+        answer = value.answer if isinstance(value, Served) else value
+        self._answer = answer
+        self._pieces = iter(answer)
+        data, is_last = self._gather()
+        self._answer_index = 1
+        head = idl.AnswerHead(
+            status=answer.status,
+            headers=to_headers(answer.headers),
+            target=answer.target,
+            index=0,
+            data=data,
+            last=is_last,
+            attempts=answer.attempts,
+        )
+        return idl.Started(
+            admitted=True, answer=head, passed_over=to_passed_over(answer.passed_over)
+        )
+
+    def _gather(self) -> tuple[bytes, bool]:
+        """Collect pieces up to a chunk; True with the last one."""
+        parts: list[bytes] = []
+        size = 0
+        while size < CHUNK_BYTES:
+            piece = next(self._pieces, None)
+            if piece is None:
+                return b"".join(parts), True
+            parts.append(piece)
+            size += len(piece)
+        return b"".join(parts), False
+
+    def _read_chunks(self, chunks: queue.Queue[bytes | None], request: Request) -> Iterator[bytes]:
+        """Give the chunks of a streamed body as they come."""
+        while True:
+            try:
+                data = chunks.get(timeout=max(0.001, request.get_remaining_s()))
+            except queue.Empty:
+                raise TimeoutError("the body did not come in time") from None
+            if request.cancellation.is_cancelled:
+                raise ConnectionAbortedError("the caller went away")
+            if data is None:
+                return
+            yield data
+
+    def write(self, chunk: Any) -> None:
+        """Take a chunk of a streamed body."""
+        if self._chunks is None or chunk.index != self._body_index:
+            raise ValueError("chunk out of order")
+        self._body_index += 1
+        # Blocks while the target is slow, which slows the sender in turn.  Once the
+        # request has ended the rest of the body is dropped.
+        while self._result.empty():
+            try:
+                self._chunks.put(chunk.data, timeout=0.05)
+                return
+            except queue.Full:
+                continue
+
+    def finish(self, count: int) -> Any:
+        """End a streamed body and wait for the answer."""
+        if self._chunks is None or count != self._body_index:
+            raise ValueError("chunks are missing")
+        while self._result.empty():
+            try:
+                self._chunks.put(None, timeout=0.05)
+                break
+            except queue.Full:
+                continue
+        self._chunks = None
+        with self._services.watcher.watch(self._sock, self._cancellation.cancel):
+            return self._result.get()
+
+    def read(self, index: int) -> Any:
+        """Give the next chunk of an answer."""
+        if self._answer is None or index != self._answer_index:
+            raise ValueError("chunk out of order")
+        self._answer_index += 1
+        try:
+            data, is_last = self._gather()
+        except RequestError as exc:
+            return idl.Chunk(index=index, data=b"", last=True, refusal=to_refusal(exc.refusal))
+        return idl.Chunk(index=index, data=data, last=is_last)
+
+    def close(self) -> None:
+        """Cancel what is under way, since the connection ended."""
+        self._cancellation.cancel()
+        if self._chunks is not None:
+            # Wake the thread that waits for more of the body; it sees the cancellation.
+            self._drain()
+        if self._answer is not None:
+            self._answer.close()
+
+    def _drain(self) -> None:
+        """Make room in the queue and put the end marker."""
+        chunks = self._chunks
+        while chunks is not None:
+            try:
+                chunks.put_nowait(None)
+                return
+            except queue.Full:
+                try:
+                    chunks.get_nowait()
+                except queue.Empty:
+                    continue
+
+    # Control
+
+    def exchange(self, gossip: Any) -> Any:
+        """Swap membership records."""
+        return self._services.gossip.answer(gossip)
+
+    def borrow(self, request: Any) -> Any:
+        """Lend a slot."""
+        duration_s = request.duration_ms / 1000
+        loan = self._services.room.lend(request.targets, request.borrower, duration_s)
+        if loan is None:
+            return idl.Loan(number=0, index=0, target="")
+        return idl.Loan(number=loan.number, index=loan.key.number, target=loan.key.target)
+
+    def give_back(self, target: str, number: int, borrower: str, rest_ms: int) -> None:
+        """Take a lent slot back."""
+        self._services.room.end_loan(number, borrower, rest_ms / 1000)
+
+    def announce(self, head: Any, sender: str) -> int:
+        """Learn of a revision."""
+        return self._services.configuration.hear(head.revision, sender)
+
+    def get_head(self) -> Any:
+        """Give the head in force."""
+        return self._services.configuration.get_head_message()
+
+    def get_part(self, digest: str) -> bytes:
+        """Give a part of the configuration; empty where it is not held."""
+        return self._services.configuration.get_part(digest)
+
+    def get_ticket(self, operation_id: str, incarnation: str) -> Any:
+        """Issue the ticket of an id that this process holds the claim of."""
+        issued = self._services.orders.issue_claimed(operation_id, incarnation)
+        if isinstance(issued, Failure):
+            return idl.TicketReply(ticket="", refusal=to_refusal(issued.failure()))
+        return idl.TicketReply(ticket=issued.unwrap())
+
+    def find_decision(self, decision_id: str) -> bytes:
+        """Give a kept decision record; empty where there is none."""
+        found = self._services.decisions.find(decision_id)
+        return msgpack.encode(found) if found is not None else b""
+
+
+def _to_request(head: Any, cancellation: Cancellation) -> Request:
+    """Build the request from its message."""
+    return Request(
+        id=head.decision_id,
+        service=head.service_name,
+        operation=head.operation,
+        method=head.method,
+        path=head.path,
+        headers=from_headers(head.headers),
+        deadline=time.monotonic() + head.deadline_ms / 1000,
+        length=head.length,
+        client=head.client,
+        is_repeatable=head.kind != TO_ISSUER and not head.operation_id,
+        operation_id=head.operation_id or "",
+        cancellation=cancellation,
+    )
+
+
+def _start_refusal(failure: HallRefusal | Refused | Refusal) -> Any:
+    """Build the reply that refuses, from whatever layer refused."""
+    if isinstance(failure, HallRefusal):
+        reply = _start_refused(failure.refusal)
+        reply.passed_over = to_passed_over(failure.passed_over)
+        reply.target = failure.target
+        return reply
+    return _start_refused(failure.refusal if isinstance(failure, Refused) else failure)
+
+
+def _start_refused(refusal: Refusal) -> Any:
+    """Build the reply that refuses."""
+    return idl.Started(admitted=False, refusal=to_refusal(refusal), passed_over=[])
--- /dev/null
+++ b/halldoor/entry/targets.py
@@ -0,0 +1,266 @@
+"""Connections to targets: what was sent, and what came back whole."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from enum import Enum
+from http.client import HTTPException
+from typing import Any
+
+import urllib3
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from halldoor.core.configuration import Target
+from halldoor.entry.request import Answer, Body, Request, RequestError, break_off, keep_end_to_end
+
+PIECE = 65_536
+CONNECT_TIMEOUT_S = 0.5
+SHED_HEADER = "Target-Shed"
+SHED_MARKER = "not-run"
+IDLE_LIMIT_S = 4.0
+"""Idle connections older than this are closed: targets close theirs soon after."""
+
+_FAULTS = (HTTPError, HTTPException, OSError, ValueError)
+
+
+class Fault(Enum):
+    """What is known when a target gave no answer."""
+
+    NOT_SENT = "not sent"
+    SHED = "shed"
+    MAYBE_RAN = "maybe ran"
+
+
+class TargetFault(Exception):
+    """A target gave no answer to a request."""
+
+    def __init__(self, fault: Fault, message: str) -> None:
+        super().__init__(message)
+        self.fault = fault
+
+
+class TargetClient:
+    """Sends requests to targets; never twice, never by redirect.
+
+    A connection is reused only after a whole answer, so that a late one can't
+    cross into another request.  What must not repeat goes on a fresh connection:
+    on an idle one that the target closes just then, nobody could tell whether it ran.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._idle: dict[str, list[tuple[HTTPConnection, float]]] = {}
+
+    def send(
+        self, target: Target, request: Request, body: Body, *, may_send: Callable[[], bool]
+    ) -> tuple[Answer, float]:
+        """Send a request and wait for the head of its answer.
+
+        Parameters
+        ----------
+        target : Target
+            Where to.
+        request : Request
+            What.
+        body : Body
+            Its body.
+        may_send : callable
+            Asked once the connection stands, just before the first byte goes.
+
+        Returns
+        -------
+        tuple of Answer and float
+            The answer, and the seconds until its head came.
+
+        Raises
+        ------
+        TargetFault
+            Where no answer came.
+        """
+        connection = self._open(target, request)
+        try:
+            if not may_send():
+                raise TargetFault(Fault.NOT_SENT, "the right to send had lapsed")
+            started = time.monotonic()
+            # The library lets go of its socket with an answer that closes the connection.
+            sock = connection.sock
+            response = self._exchange(connection, sock, request, body)
+        except BaseException:
+            connection.close()
+            raise
+        answer = self._to_answer(target, connection, sock, response, request)
+        return answer, time.monotonic() - started
+
+    def _open(self, target: Target, request: Request) -> HTTPConnection:
+        """Give a connected connection."""
+        if request.is_repeatable:
+            connection = self._take_idle(target)
+            if connection is not None:
+                return connection
+        connection = HTTPConnection(
+            target.address.ip,
+            target.address.port,
+            timeout=max(0.001, min(CONNECT_TIMEOUT_S, request.get_remaining_s())),
+        )
+        try:
+            connection.connect()
+        except (ConnectTimeoutError, NewConnectionError, OSError) as exc:
+            connection.close()
+            raise TargetFault(Fault.NOT_SENT, f"can't connect: {type(exc).__name__}") from exc
+        return connection
+
+    def _take_idle(self, target: Target) -> HTTPConnection | None:
+        """Take an idle connection that the target has not closed."""
+        now = time.monotonic()
+        while True:
+            with self._lock:
+                idle = self._idle.get(target.name)
+                if not idle:
+                    return None
+                connection, since = idle.pop()
+            is_same = (connection.host, connection.port) == (target.address.ip, target.address.port)
+            if is_same and now - since < IDLE_LIMIT_S and connection.is_connected:
+                return connection
+            connection.close()
+
+    def _exchange(self, connection: HTTPConnection, sock: Any, request: Request, body: Body) -> Any:
+        """Send everything and read the head of the answer."""
+
+        def cancel() -> None:
+            # Closing alone would not wake the thread that waits on it.
+            sock.shutdown(socket.SHUT_RDWR)
+
+        request.cancellation.attach(cancel)
+        try:
+            sock.settimeout(max(0.001, request.get_remaining_s()))
+            connection.request(
+                request.method,
+                request.path,
+                body=_guard(body, request, connection),
+                headers=_build_headers(request, body),
+                preload_content=False,
+                decode_content=False,
+            )
+            sock.settimeout(max(0.001, request.get_remaining_s()))
+            return connection.getresponse()
+        except _FAULTS as exc:
+            # Nothing tells how much of it arrived, so it may have run.
+            raise TargetFault(Fault.MAYBE_RAN, f"no answer: {type(exc).__name__}") from exc
+        finally:
+            request.cancellation.detach(cancel)
+
+    def _to_answer(
+        self,
+        target: Target,
+        connection: HTTPConnection,
+        sock: Any,
+        response: urllib3.BaseHTTPResponse,
+        request: Request,
+    ) -> Answer:
+        """Wrap the response; shed requests become faults."""
+        is_shed = response.status == 503 and response.headers.get(SHED_HEADER) == SHED_MARKER
+        if is_shed:
+            connection.close()
+            raise TargetFault(Fault.SHED, "the target shed it")
+        pieces = _read_pieces(response, sock, request)
+
+        def end(is_whole: bool) -> None:
+            if is_whole and request.is_repeatable and connection.sock is not None:
+                self._keep(target, connection)
+            else:
+                with contextlib.suppress(*_FAULTS):
+                    response.close()
+                connection.close()
+
+        return Answer(
+            response.status,
+            keep_answer_headers(response),
+            pieces,
+            target=target.name,
+            on_end=end,
+        )
+
+    def _keep(self, target: Target, connection: HTTPConnection) -> None:
+        """Keep a connection for the next request."""
+        with self._lock:
+            idle = self._idle.setdefault(target.name, [])
+            if len(idle) < target.slots:
+                idle.append((connection, time.monotonic()))
+                return
+        connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            idle = [c for connections in self._idle.values() for c, _ in connections]
+            self._idle.clear()
+        for connection in idle:
+            connection.close()
+
+
+def keep_answer_headers(response: urllib3.BaseHTTPResponse) -> tuple[tuple[str, str], ...]:
+    """Keep the end-to-end headers of an answer, with its length where it is known."""
+    headers = keep_end_to_end(response.headers.items())
+    length = response.headers.get("Content-Length")
+    return headers if length is None else (*headers, ("Content-Length", length))
+
+
+def _build_headers(request: Request, body: Body) -> dict[str, str]:
+    """Build the headers for the target."""
+    headers = dict(request.headers)
+    headers["Halldoor-Decision"] = request.id
+    # The target is to stop a little before the slot is given to another.
+    headers["Halldoor-Deadline-Ms"] = str(max(1, int(request.get_remaining_s() * 1000)))
+    if request.operation_id:
+        headers["Operation-Id"] = request.operation_id
+    if body.is_whole and (body.data or request.method not in ("GET", "HEAD")):
+        headers["Content-Length"] = str(len(body.data))
+    elif request.length >= 0 and not body.is_whole:
+        headers["Content-Length"] = str(request.length)
+    if not request.is_repeatable:
+        headers["Connection"] = "close"
+    return headers
+
+
+def _guard(body: Body, request: Request, connection: HTTPConnection) -> Any:
+    """Give the body in a form that the library sends once and within the deadline."""
+    if body.is_whole:
+        return body.data or None
+    return _guard_pieces(body, request, connection)
+
+
+def _guard_pieces(body: Body, request: Request, connection: HTTPConnection) -> Iterator[bytes]:
+    """Give the pieces of a streamed body until the deadline."""
+    for piece in body.read():
+        remaining_s = request.get_remaining_s()
+        if remaining_s <= 0 or connection.sock is None:
+            raise TimeoutError("deadline passed while the body was sent")
+        connection.sock.settimeout(remaining_s)
+        yield piece
+
+
+def _read_pieces(response: Any, sock: Any, request: Request) -> Iterator[bytes]:
+    """Read the body piece by piece; a short one is an error, never an end."""
+    while True:
+        if request.cancellation.is_cancelled:
+            raise break_off("The caller went away while the answer was on its way.")
+        # The library closes its socket once the last byte has been read.
+        with contextlib.suppress(OSError):
+            sock.settimeout(max(0.001, request.get_remaining_s()))
+        try:
+            piece = response.read1(PIECE, decode_content=False)
+        except _FAULTS as exc:
+            raise break_off(
+                f"The target's answer broke off ({type(exc).__name__}). Ask for it again."
+            ) from exc
+        if not piece:
+            return
+        yield piece
+
+
+__all__ = ["Fault", "RequestError", "TargetClient", "TargetFault"]
--- /dev/null
+++ b/halldoor/entry/web.py
@@ -0,0 +1,446 @@
+"""The HTTP interface of an entry: look-ups, tickets, requests, explanations, status."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs
+from uuid import uuid4
+
+import msgspec
+import structlog
+from returns.result import Failure
+
+from halldoor.core.block import parse_address
+from halldoor.core.configuration import Operation
+from halldoor.core.decision import (
+    Decision,
+    DecisionError,
+    DecisionLog,
+    explain,
+    read_decision,
+    sign_decision,
+)
+from halldoor.core.errors import Reason, Refusal, refuse, refuse_unknown
+from halldoor.core.snapshot import ServiceView, Snapshot
+from halldoor.entry.cancel import CallerWatcher
+from halldoor.entry.dispatch import Dispatcher, Refused, Served
+from halldoor.entry.lookups import LookupTable
+from halldoor.entry.metrics import Metrics
+from halldoor.entry.orders import Orders
+from halldoor.entry.request import (
+    SMALL_BODY,
+    Answer,
+    Body,
+    Cancellation,
+    Request,
+    RequestError,
+    find_header,
+    keep_end_to_end,
+)
+
+log = structlog.get_logger(part="web")
+
+PIECE = 65_536
+RECORD_LIMIT = 8_000
+"""Longest decision record put into a header; longer ones are cut to fit elsewhere."""
+
+
+class Parts(NamedTuple):
+    """What the HTTP interface is built on."""
+
+    dispatcher: Dispatcher
+    orders: Orders
+    decisions: DecisionLog
+    metrics: Metrics
+    watcher: CallerWatcher
+    get_lookups: Callable[[], LookupTable | None]
+    get_status: Callable[[], dict[str, Any]]
+    find_decision: Callable[[str], Decision | None]
+    decision_key: bytes
+
+
+class Reply(NamedTuple):
+    """A short answer of the entry itself."""
+
+    status: int
+    body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+    content_type: str = "application/json"
+
+
+class WebApp:
+    """The WSGI application."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """Serve one HTTP request."""
+        path: str = environ["PATH_INFO"]
+        try:
+            if path.startswith("/s/"):
+                return self._serve(environ, start_response)
+            is_lookup = path == "/v1/lookup"
+            reply = self._look_up(environ) if is_lookup else self._control(path, environ)
+        except Exception:
+            log.exception("Request failed inside the entry.", path=path[:200])
+            message = "The entry failed. Ask another entry; its log says more."
+            reply = to_reply(refuse_unknown(Reason.BROKEN, message))
+        return _send(start_response, reply)
+
+    def _look_up(self, environ: dict[str, Any]) -> Reply:
+        """Answer a look-up from the ready table."""
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        service = query.get("service", [""])[0]
+        table = self._parts.get_lookups()
+        if table is None:
+            return to_reply(refuse(Reason.STARTING, "This entry is starting. Come back."))
+        client = query.get("client", [environ.get("REMOTE_ADDR", "")])[0]
+        body = table.find(service, client)
+        if body is None:
+            return to_reply(_refuse_service(service))
+        self._parts.metrics.add_lookup(service)
+        return Reply(200, body)
+
+    def _control(self, path: str, environ: dict[str, Any]) -> Reply:
+        """Answer everything but look-ups and requests."""
+        query = {k: v[0] for k, v in parse_qs(environ.get("QUERY_STRING", "")).items()}
+        if path == "/v1/tickets":
+            return self._get_ticket(environ, query)
+        if path == "/metrics":
+            return Reply(
+                200, self._parts.metrics.render(), content_type="text/plain; version=0.0.4"
+            )
+        if path == "/v1/status":
+            return Reply(200, msgspec.json.encode(self._parts.get_status()))
+        if path == "/v1/explain":
+            return self._explain(query)
+        if path == "/health":
+            state = self._parts.get_status()["state"]
+            return Reply(200 if state == "serving" else 503, msgspec.json.encode({"state": state}))
+        return to_reply(
+            refuse(
+                Reason.UNKNOWN_SERVICE,
+                f"There is nothing at {path[:100]}. See docs/http.md for what there is.",
+                retry_after_s=0.0,
+            )
+        )
+
+    def _get_ticket(self, environ: dict[str, Any], query: dict[str, str]) -> Reply:
+        """Issue a ticket; never from a cache."""
+        if environ["REQUEST_METHOD"] != "POST":
+            message = "Tickets are issued by POST, so that no cache keeps one."
+            return to_reply(refuse(Reason.BAD_REQUEST, message, retry_after_s=0.0))
+        issued = self._parts.orders.get_ticket(query.get("operation_id", ""))
+        if isinstance(issued, Failure):
+            return to_reply(issued.failure())
+        body = msgspec.json.encode({"ticket": issued.unwrap()})
+        return Reply(200, body, (("Cache-Control", "no-store"),))
+
+    def _explain(self, query: dict[str, str]) -> Reply:
+        """Explain a decision by its record, or by its id where it is still kept."""
+        try:
+            if "record" in query:
+                found: Decision | None = read_decision(query["record"], self._parts.decision_key)
+            else:
+                found = self._parts.find_decision(query.get("id", ""))
+        except DecisionError as exc:
+            return to_reply(refuse(Reason.BAD_REQUEST, str(exc), retry_after_s=0.0))
+        if found is None:
+            message = (
+                "No entry that can be reached keeps this decision. "
+                "Ask with the Halldoor-Decision-Record header instead."
+            )
+            return to_reply(refuse(Reason.UNKNOWN_SERVICE, message, retry_after_s=0.0))
+        body = {"decision": msgspec.to_builtins(_name_fields(found)), "sentences": explain(found)}
+        return Reply(200, msgspec.json.encode(body))
+
+    # Requests
+
+    def _serve(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        """Serve a request for a service."""
+        started = time.monotonic()
+        read = self._read(environ)
+        if isinstance(read, Refusal):
+            return _send(start, to_reply(read, close=True))
+        request, body = read
+        ticket = find_header(request.headers, "halldoor-ticket")
+        request = request._replace(headers=_drop_own(request.headers))
+        with self._parts.watcher.watch(environ.get("halldoor.socket"), request.cancellation.cancel):
+            outcome = self._run(request, body, ticket)
+        latency_s = time.monotonic() - started
+        return self._reply(outcome, request, body, start, latency_s)
+
+    def _run(
+        self, request: Request, body: Body, ticket: str
+    ) -> Served | Answer | Refused | Refusal:
+        """Run a request as an order or as a read."""
+        try:
+            if request.is_repeatable:
+                result: Any = self._parts.dispatcher.serve(request, body)
+            else:
+                result = self._parts.orders.run(request, body, ticket)
+        except RequestError as exc:
+            return exc.refusal
+        value: Served | Answer | Refused | Refusal
+        value = result.failure() if isinstance(result, Failure) else result.unwrap()
+        return value
+
+    def _reply(
+        self,
+        outcome: Served | Answer | Refused | Refusal,
+        request: Request,
+        body: Body,
+        start: Any,
+        latency_s: float,
+    ) -> Iterable[bytes]:
+        """Turn an outcome into the HTTP answer."""
+        extra = self._record(outcome, request)
+        if isinstance(outcome, Served | Answer):
+            answer = outcome.answer if isinstance(outcome, Served) else outcome
+            self._parts.metrics.add_request(request.service, "served", latency_s)
+            headers = [*answer.headers, *extra, ("Halldoor-Ran", "ran")]
+            start(f"{answer.status} {_get_phrase(answer.status)}", headers)
+            return _Stream(answer, request)
+        refusal = outcome.refusal if isinstance(outcome, Refused) else outcome
+        self._parts.metrics.add_request(request.service, refusal.reason.value, latency_s)
+        log.info(
+            "Request refused.",
+            decision=request.id,
+            reason=refusal.reason.value,
+            ran=refusal.ran.value,
+            detail=refusal.message,
+        )
+        reply = to_reply(refusal, decision=request.id, close=not body.is_whole)
+        return _send(start, reply._replace(headers=(*reply.headers, *extra)))
+
+    def _record(
+        self, outcome: Served | Answer | Refused | Refusal, request: Request
+    ) -> list[tuple[str, str]]:
+        """Keep the decision and give the headers that carry it."""
+        headers = [("Halldoor-Decision", request.id)]
+        if isinstance(outcome, Served | Refused):
+            self._parts.decisions.add(outcome.decision)
+            record = sign_decision(outcome.decision, self._parts.decision_key)
+            if len(record) <= RECORD_LIMIT:
+                headers.append(("Halldoor-Decision-Record", record))
+        return headers
+
+    def _read(self, environ: dict[str, Any]) -> tuple[Request, Body] | Refusal:
+        """Read a request's head, and its body where that is small."""
+        snapshot = self._parts.dispatcher.snapshot
+        if snapshot is None:
+            return refuse(Reason.STARTING, "This entry is starting. Ask another, or come back.")
+        _, _, service, *rest = environ["PATH_INFO"].split("/", 3)
+        path = "/" + (rest[0] if rest else "")
+        view = snapshot.services.get(service)
+        if view is None:
+            return _refuse_service(service)
+        method = environ["REQUEST_METHOD"]
+        operation = view.find_operation(method, path)
+        if operation is None:
+            return _refuse_operation(view, method, path)
+        headers = _read_headers(environ)
+        deadline_s = _read_deadline(headers, operation)
+        length = _read_length(environ)
+        if deadline_s is None or length is None:
+            message = "Halldoor-Deadline-Ms and Content-Length take whole numbers above 0."
+            return refuse(Reason.BAD_REQUEST, message, retry_after_s=0.0)
+        query = environ.get("QUERY_STRING", "")
+        request = Request(
+            id=uuid4().hex[:20],
+            service=service,
+            operation=operation.name,
+            method=method,
+            path=path + (f"?{query}" if query else ""),
+            headers=headers,
+            deadline=time.monotonic() + deadline_s,
+            length=length,
+            client=_find_client(environ, headers, snapshot),
+            is_repeatable=operation.repeatable,
+            operation_id="" if operation.repeatable else find_header(headers, "operation-id"),
+            cancellation=Cancellation(),
+        )
+        return _read_body(environ["wsgi.input"], request)
+
+
+class _Stream:
+    """The answer's body on its way to the caller.
+
+    Where it breaks off, the error reaches the server, which closes the connection
+    without the end that HTTP needs: the caller sees that the answer is cut short.
+    """
+
+    def __init__(self, answer: Answer, request: Request) -> None:
+        self._answer = answer
+        self._request = request
+
+    def __iter__(self) -> Iterator[bytes]:
+        try:
+            yield from self._answer
+        except RequestError as exc:
+            log.warning("Answer cut short.", decision=self._request.id, error=str(exc))
+            raise
+
+    def close(self) -> None:
+        """Give up the rest where the caller has gone."""
+        self._answer.close()
+
+
+def to_reply(refusal: Refusal, *, decision: str = "", close: bool = False) -> Reply:
+    """Write a refusal as an HTTP answer."""
+    headers = [("Halldoor-Ran", refusal.ran.value), ("Cache-Control", "no-store")]
+    if refusal.retry_after_s > 0:
+        headers.append(("Retry-After", str(max(1, round(refusal.retry_after_s)))))
+    if refusal.ticket:
+        headers.append(("Halldoor-Ticket", refusal.ticket))
+    if close:
+        headers.append(("Connection", "close"))
+    body = {
+        "refused": refusal.reason.value,
+        "ran": refusal.ran.value,
+        "message": refusal.message,
+        "retry_after_s": refusal.retry_after_s,
+        "decision": decision,
+    }
+    return Reply(refusal.status, msgspec.json.encode(body), tuple(headers))
+
+
+def _send(start: Any, reply: Reply) -> Iterable[bytes]:
+    """Send a short answer."""
+    headers = [
+        ("Content-Type", reply.content_type),
+        ("Content-Length", str(len(reply.body))),
+        *reply.headers,
+    ]
+    start(f"{reply.status} {_get_phrase(reply.status)}", headers)
+    return [reply.body]
+
+
+_PHRASES = {200: "OK", 201: "Created", 204: "No Content", 400: "Bad Request", 404: "Not Found"}
+
+
+def _get_phrase(status: int) -> str:
+    """Give a reason phrase."""
+    return _PHRASES.get(status, "Answer" if status < 400 else "Refused")
+
+
+def _refuse_service(service: str) -> Refusal:
+    """Refuse an unknown service."""
+    message = f"There is no service {service[:60]!r}. Check the name, or ask its operators."
+    return refuse(Reason.UNKNOWN_SERVICE, message, retry_after_s=0.0)
+
+
+def _refuse_operation(view: ServiceView, method: str, path: str) -> Refusal:
+    """Refuse a request that no operation of the service takes."""
+    known = ", ".join(f"{'|'.join(o.methods)} {o.path}" for o in view.service.operations)
+    message = f"No operation takes {method} {path[:60]}. There are: {known}."
+    return refuse(Reason.BAD_REQUEST, message, retry_after_s=0.0)
+
+
+def _read_headers(environ: dict[str, Any]) -> tuple[tuple[str, str], ...]:
+    """Collect the end-to-end headers."""
+    found = [
+        (key[5:].replace("_", "-").title(), value)
+        for key, value in environ.items()
+        if key.startswith("HTTP_")
+    ]
+    if environ.get("CONTENT_TYPE"):
+        found.append(("Content-Type", environ["CONTENT_TYPE"]))
+    return keep_end_to_end(found)
+
+
+_OWN_HEADERS = frozenset({"halldoor-ticket", "halldoor-deadline-ms", "halldoor-client"})
+
+
+def _drop_own(headers: tuple[tuple[str, str], ...]) -> tuple[tuple[str, str], ...]:
+    """Drop the headers that are for halldoor only; targets never see a ticket."""
+    return tuple((k, v) for k, v in headers if k.lower() not in _OWN_HEADERS)
+
+
+def _read_deadline(headers: tuple[tuple[str, str], ...], operation: Operation) -> float | None:
+    """Give the time allowed; None where the header is wrong."""
+    text = find_header(headers, "halldoor-deadline-ms")
+    if not text:
+        return operation.deadline_s
+    if not text.isascii() or not text.isdigit() or int(text) == 0:
+        return None
+    return min(operation.deadline_s, int(text) / 1000)
+
+
+def _read_length(environ: dict[str, Any]) -> int | None:
+    """Give the body's length; -1 for chunks, None where the header is wrong."""
+    if "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower():
+        return -1
+    text = environ.get("CONTENT_LENGTH") or "0"
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
+def _find_client(
+    environ: dict[str, Any], headers: tuple[tuple[str, str], ...], snapshot: Snapshot
+) -> str:
+    """Find the client block of a caller; without one, its /24 network."""
+    text = find_header(headers, "halldoor-client") or environ.get("REMOTE_ADDR", "")
+    address = parse_address(text)
+    if address is None:
+        return text[:64]
+    match = snapshot.blocks.find(address)
+    return f"block {match.start:08x}" if match else f"net {address >> 8:06x}"
+
+
+def _read_body(source: Any, request: Request) -> tuple[Request, Body] | Refusal:
+    """Read a small body whole; a larger one is streamed."""
+    if request.length == 0:
+        return request, Body()
+    wanted = SMALL_BODY if request.length < 0 else min(request.length, SMALL_BODY)
+    try:
+        first = _read_exactly(source, wanted)
+    except (OSError, ValueError) as exc:
+        return _refuse_cut(type(exc).__name__)
+    is_short = len(first) < wanted
+    if request.length < 0 and is_short:
+        return request._replace(length=len(first)), Body(first)
+    if is_short:
+        return _refuse_cut("it ended early")
+    if request.length == len(first):
+        return request, Body(first)
+    return request, Body(first, _read_rest(source, request.length - len(first), request.length < 0))
+
+
+def _refuse_cut(why: str) -> Refusal:
+    """Refuse a body that did not come whole; nothing of it was sent on."""
+    message = f"The request's body did not arrive: {why}. Send it again."
+    return refuse(Reason.BAD_REQUEST, message)
+
+
+def _read_exactly(source: Any, size: int) -> bytes:
+    """Read up to ``size`` bytes, less only at the end."""
+    parts, missing = [], size
+    while missing:
+        part = source.read(missing)
+        if not part:
+            break
+        parts.append(part)
+        missing -= len(part)
+    return b"".join(parts)
+
+
+def _read_rest(source: Any, missing: int, is_chunked: bool) -> Iterator[bytes]:
+    """Read the rest of a streamed body; raises where the caller breaks off."""
+    while missing > 0 or is_chunked:
+        piece = source.read(PIECE if is_chunked else min(PIECE, missing))
+        if not piece:
+            if is_chunked:
+                return
+            raise ConnectionAbortedError("the caller's body ended early")
+        missing -= len(piece)
+        yield piece
+
+
+def _name_fields(decision: Decision) -> dict[str, Any]:
+    """View a decision as named fields."""
+    fields = {name: getattr(decision, name) for name in decision.__struct_fields__}
+    fields["passed_over"] = [{"name": p.name, "why": p.why} for p in decision.passed_over]
+    return fields
--- /dev/null
+++ b/halldoor/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service and host list."""
--- /dev/null
+++ b/halldoor/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for targets: for the demo, tests and benchmarks only."""
--- /dev/null
+++ b/halldoor/standins/fleet.py
@@ -0,0 +1,327 @@
+"""Start and stop a whole installation as separate processes, for demo, tests and benchmarks."""
+
+from __future__ import annotations
+
+import contextlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import urllib3
+import yaml
+
+from halldoor.core.configuration import Configuration
+from halldoor.platform.client import HttpPlatform
+from halldoor.platform.store import Change, ConfigurationStore
+
+IP = "127.0.0.1"
+DECISION_KEY = "fleet-decision-key-0123"
+TOKEN = "fleet-operator-token"
+
+
+def find_ports(count: int) -> list[int]:
+    """Let the kernel choose free ports."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.create_server((IP, 0))) for _ in range(count)]
+        return [s.getsockname()[1] for s in socks]
+
+
+def wait_until(holds: Callable[[], bool], *, what: str, limit_s: float = 20.0) -> float:
+    """Wait until something holds, and give the seconds it took.
+
+    Raises
+    ------
+    TimeoutError
+        Names what did not come about.
+    """
+    started = time.monotonic()
+    while time.monotonic() - started < limit_s:
+        if holds():
+            return time.monotonic() - started
+        time.sleep(0.02)
+    raise TimeoutError(f"{what}: not within {limit_s} s")
+
+
+class Fleet:
+    """Processes of one installation.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs go.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.http = urllib3.PoolManager(num_pools=200, maxsize=16, retries=False, timeout=15.0)
+        self.platform_port = find_ports(1)[0]
+        self.settings: dict[str, Path] = {}
+        self.configuration: dict[str, Any] = {}
+
+    @classmethod
+    @contextlib.contextmanager
+    def open(cls) -> Iterator[Fleet]:
+        """Open a fleet in a folder of its own, and stop all of it at the end."""
+        with tempfile.TemporaryDirectory(prefix="halldoor-") as folder:
+            fleet = cls(Path(folder))
+            try:
+                yield fleet
+            finally:
+                fleet.stop_all()
+
+    # Processes
+
+    def spawn(self, name: str, module: str, *arguments: str) -> None:
+        """Start a program; its log goes to a file named after it."""
+        with (self.folder / f"{name}.log").open("ab") as out:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", f"halldoor.cli.{module}", *arguments],
+                stdout=out,
+                stderr=out,
+            )
+
+    def start_platform(self) -> None:
+        """Start the platform's stand-in."""
+        self.spawn("platform", "standin", "platform", "--port", str(self.platform_port))
+        wait_until(lambda: self.can_connect(self.platform_port), what="platform")
+
+    def start_targets(self, name: str, ports: list[int], *options: str) -> None:
+        """Start targets' stand-ins, all in one process."""
+        texts = [str(p) for p in ports]
+        self.spawn(name, "standin", "target", "--ports", *texts, *options)
+        for port in ports:
+            wait_until(lambda port=port: self.can_connect(port), what="target")  # type: ignore[misc]
+
+    def start_entry(self, name: str, **changes: object) -> None:
+        """Start an entry that the configuration names."""
+        hall, host = next(
+            (h["name"], e)
+            for h in self.configuration["halls"]
+            for e in h["entries"]
+            if e["name"] == name
+        )
+        peers = [
+            e["wire"]
+            for h in self.configuration["halls"]
+            for e in h["entries"]
+            if e["name"] != name
+        ]
+        settings = {
+            "name": name,
+            "hall": hall,
+            "http": host["http"],
+            "wire": host["wire"],
+            "platform": self.platform_url,
+            "decision_key": DECISION_KEY,
+            "peers": peers,
+            "strict_invariants": True,
+            "rest_at_start": False,
+            "log_format": "console",
+        } | changes
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        self.settings[name] = path
+        self.restart_entry(name)
+
+    def restart_entry(self, name: str) -> None:
+        """Start an entry with the settings it had."""
+        self.spawn(name, "entry", str(self.settings[name]))
+
+    def wait_ready(self, *names: str, revision: int = 1) -> None:
+        """Wait until entries have a revision in force."""
+        for name in names:
+            wait_until(
+                lambda name=name: self.get_revision(name) >= revision,  # type: ignore[misc]
+                what=f"{name} at revision {revision}",
+            )
+
+    def kill(self, name: str) -> None:
+        """Kill a process without warning."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self.processes[name].send_signal(number)
+
+    def stop(self, name: str, *, limit_s: float = 30.0) -> float:
+        """Stop a process in the planned way and give the seconds it took."""
+        started = time.monotonic()
+        self.processes[name].terminate()
+        self.processes[name].wait(limit_s)
+        return time.monotonic() - started
+
+    def stop_all(self) -> None:
+        """End everything that was started here."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        self.http.clear()
+
+    def read_log(self, name: str) -> str:
+        """Read a process's log."""
+        return (self.folder / f"{name}.log").read_text(errors="replace")
+
+    # Talking to them
+
+    @property
+    def platform_url(self) -> str:
+        """URL of the platform's stand-in."""
+        return f"http://{IP}:{self.platform_port}"
+
+    def can_connect(self, port: int) -> bool:
+        """Tell whether something listens on a port."""
+        with contextlib.suppress(OSError), socket.create_connection((IP, port), 0.2):
+            return True
+        return False
+
+    def find_port(self, name: str) -> int:
+        """Give the HTTP port of an entry or a target."""
+        for hall in self.configuration["halls"]:
+            for entry in hall["entries"]:
+                if entry["name"] == name:
+                    return int(entry["http"]["port"])
+        target = next(t for t in self.configuration["targets"] if t["name"] == name)
+        return int(target["address"]["port"])
+
+    def call(
+        self,
+        name: str,
+        path: str,
+        *,
+        method: str = "GET",
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send an HTTP request to an entry or a target."""
+        url = f"http://{IP}:{self.find_port(name)}{path}"
+        return self.http.request(method, url, body=body, headers=headers, redirect=False)
+
+    def get_json(self, name: str, path: str) -> Any:
+        """Get JSON from an entry or a target."""
+        return msgspec.json.decode(self.call(name, path).data)
+
+    def get_revision(self, name: str) -> int:
+        """Give the revision in force at an entry; 0 where it does not answer."""
+        try:
+            return int(self.get_json(name, "/v1/status")["revision"])
+        except (urllib3.exceptions.HTTPError, OSError, msgspec.DecodeError):
+            return 0
+
+    def get_ticket(self, name: str, operation_id: str = "") -> str:
+        """Get a ticket from an entry."""
+        query = f"?operation_id={operation_id}" if operation_id else ""
+        response = self.call(name, f"/v1/tickets{query}", method="POST")
+        return str(msgspec.json.decode(response.data).get("ticket", ""))
+
+    def control(self, target: str, **behaviour: object) -> None:
+        """Change how a target's stand-in behaves."""
+        self.call(target, "/control", method="POST", body=msgspec.json.encode(behaviour))
+
+    def set_faults(self, **faults: object) -> None:
+        """Set what goes wrong at the platform."""
+        self.http.request("POST", f"{self.platform_url}/faults", body=msgspec.json.encode(faults))
+
+    def apply(self, configuration: dict[str, Any], *, change_id: str = "first") -> int:
+        """Commit a configuration without the administration API."""
+        self.configuration = configuration
+        wanted = Configuration.from_data(configuration)
+        store = ConfigurationStore(HttpPlatform(self.platform_url))
+        return store.commit(lambda _: wanted, Change(change_id, "fleet", "apply")).revision
+
+
+def make_configuration(
+    *, halls: dict[str, int], targets: int = 2, slots: int = 6, deadline_s: float = 3.0
+) -> dict[str, Any]:
+    """Make a configuration with one service for reads, orders and uploads.
+
+    Parameters
+    ----------
+    halls : dict of str to int
+        Number of entries by hall; a hall ``a2`` stands in region ``a``.
+    targets : int, optional
+        Targets in each hall.
+    slots : int, optional
+        Slots of each target.
+    deadline_s : float, optional
+        Deadline of every operation.
+    """
+    ports = iter(find_ports(sum(halls.values()) * 2 + len(halls) * targets))
+
+    def address() -> dict[str, Any]:
+        return {"ip": IP, "port": next(ports)}
+
+    regions = sorted({name[0] for name in halls})
+    rows = [
+        {
+            "name": name,
+            "region": name[0],
+            "entries": [
+                {"name": f"{name}-e{i}", "http": address(), "wire": address()}
+                for i in range(1, count + 1)
+            ],
+        }
+        for name, count in halls.items()
+    ]
+    operations = [
+        {
+            "name": "read",
+            "methods": ["GET"],
+            "path": "/read",
+            "repeatable": True,
+            "deadline_s": deadline_s,
+        },
+        {
+            "name": "order",
+            "methods": ["POST"],
+            "path": "/order",
+            "repeatable": False,
+            "deadline_s": deadline_s,
+        },
+        {
+            "name": "upload",
+            "methods": ["PUT"],
+            "path": "/upload",
+            "repeatable": True,
+            "deadline_s": deadline_s,
+        },
+    ]
+    return {
+        "regions": [{"name": r} for r in regions],
+        "halls": rows,
+        "targets": [
+            {
+                "name": f"{hall}-t{i}",
+                "hall": hall,
+                "address": address(),
+                "slots": slots,
+                "labels": {"service": "decks"},
+            }
+            for hall in halls
+            for i in range(1, targets + 1)
+        ],
+        "services": [
+            {
+                "name": "decks",
+                "team": "cards",
+                "operations": operations,
+                "selector": "service=decks",
+            }
+        ],
+        "teams": [{"name": "cards"}],
+        "links": [
+            {"origin": a, "destination": b, "latency_ms": 1 if a[0] == b[0] else 12}
+            for a in halls
+            for b in halls
+            if a != b
+        ],
+    }
--- /dev/null
+++ b/halldoor/standins/target.py
@@ -0,0 +1,281 @@
+"""A stand-in for a target: slots, latency, drains, cold start, shedding, lies and counts."""
+
+from __future__ import annotations
+
+import select
+import threading
+import time
+from collections import Counter, deque
+from collections.abc import Iterable, Iterator
+from hashlib import sha256
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+PIECE = 65_536
+
+
+class Behaviour(msgspec.Struct):
+    """How the target behaves, set by ``POST /control``.
+
+    Attributes
+    ----------
+    latency_s : float
+        Time that a request takes.
+    slots : int
+        Requests run at once; one more is shed.
+    leaving, healthy : bool
+        What the health endpoint says; a leaving target sheds new work.
+    cold_s : float
+        Time after start in which requests take four times as long.
+    shed_share : float
+        Share of requests shed although there is room.
+    fail_after_run : int
+        Requests that run and are then answered 503 without the shed marker.
+    cut_after_run : int
+        Requests that run and then lose their connection.
+    truncate : int
+        Answers that are cut in half.
+    close_idle : bool
+        Close each connection as soon as its next request comes, unread.
+    report_lag_s : float
+        Age of the load that the load endpoint reports.
+    report_load : float
+        Load to report instead of the true one; below 0 for the true one.
+    ignore_limit : bool
+        Run what exceeds the slots, and count it, instead of shedding.
+    """
+
+    latency_s: float = 0.01
+    slots: int = 6
+    leaving: bool = False
+    healthy: bool = True
+    cold_s: float = 0.0
+    shed_share: float = 0.0
+    fail_after_run: int = 0
+    cut_after_run: int = 0
+    truncate: int = 0
+    close_idle: bool = False
+    report_lag_s: float = 0.0
+    report_load: float = -1.0
+    ignore_limit: bool = True
+
+
+class TargetStandin:
+    """The state and the WSGI application of the stand-in.
+
+    Parameters
+    ----------
+    behaviour : Behaviour
+        How it behaves at first.
+    """
+
+    def __init__(self, behaviour: Behaviour) -> None:
+        self.behaviour = behaviour
+        self._lock = threading.Lock()
+        self._started = time.monotonic()
+        self._in_flight = 0
+        self._shed_turn = 0.0
+        self.greatest = 0
+        self.runs: Counter[str] = Counter()
+        self.outcomes: Counter[str] = Counter()
+        self.arrivals_leaving = 0
+        self._loads: deque[tuple[float, float]] = deque(maxlen=5_000)
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """Serve one request."""
+        path = environ["PATH_INFO"]
+        if path == "/control":
+            return self._control(environ, start_response)
+        if path == "/health":
+            return _send_json(start_response, 200, self._get_health())
+        if path == "/load":
+            return _send_json(start_response, 200, {"load": self._get_reported_load()})
+        if path == "/stats":
+            return _send_json(start_response, 200, self._get_stats())
+        return self._run(environ, start_response)
+
+    def _control(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        """Change some of the behaviour."""
+        changes = msgspec.json.decode(environ["wsgi.input"].read(int(environ["CONTENT_LENGTH"])))
+        merged = msgspec.to_builtins(self.behaviour) | changes
+        self.behaviour = msgspec.convert(merged, type=Behaviour)
+        return _send_json(start, 200, merged)
+
+    def _get_health(self) -> dict[str, Any]:
+        """Build the health answer."""
+        b = self.behaviour
+        state = "leaving" if b.leaving else "ok" if b.healthy else "failing"
+        age_s = time.monotonic() - self._started
+        return {"state": state, "age_s": age_s, "slots": b.slots, "load": self._get_reported_load()}
+
+    def _get_reported_load(self) -> float:
+        """Give the load, as old or as wrong as the behaviour says."""
+        if self.behaviour.report_load >= 0:
+            return self.behaviour.report_load
+        wanted = time.monotonic() - self.behaviour.report_lag_s
+        load = 0.0
+        for at, value in self._loads:
+            if at > wanted:
+                break
+            load = value
+        return load
+
+    def _get_stats(self) -> dict[str, Any]:
+        """Build the counts for the judge."""
+        with self._lock:
+            return {
+                "in_flight": self._in_flight,
+                "greatest": self.greatest,
+                "slots": self.behaviour.slots,
+                "runs": dict(self.runs),
+                "outcomes": dict(self.outcomes),
+                "arrivals_leaving": self.arrivals_leaving,
+            }
+
+    def _run(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        """Run one request, or shed it."""
+        if self.behaviour.close_idle:
+            raise ConnectionAbortedError("closed on demand")
+        if not self._enter():
+            return _send_shed(start)
+        try:
+            size, digest = _digest_body(environ)
+            if not self._work(environ):
+                raise ConnectionAbortedError("cancelled or past its deadline")
+            operation = environ.get("HTTP_OPERATION_ID", "")
+            with self._lock:
+                self.runs[operation or "(none)"] += 1
+            return self._answer(environ, start, size, digest)
+        finally:
+            self._leave()
+
+    def _enter(self) -> bool:
+        """Take a slot; False where the request is shed."""
+        with self._lock:
+            b = self.behaviour
+            self._shed_turn += b.shed_share
+            if self._shed_turn >= 1.0:
+                self._shed_turn -= 1.0
+                self.outcomes["shed"] += 1
+                return False
+            if b.leaving:
+                self.arrivals_leaving += 1
+                self.outcomes["shed"] += 1
+                return False
+            if self._in_flight >= b.slots and not b.ignore_limit:
+                self.outcomes["shed"] += 1
+                return False
+            self._in_flight += 1
+            self.greatest = max(self.greatest, self._in_flight)
+            self._loads.append((time.monotonic(), self._in_flight / b.slots))
+            return True
+
+    def _leave(self) -> None:
+        """Give the slot back."""
+        with self._lock:
+            self._in_flight -= 1
+            self._loads.append((time.monotonic(), self._in_flight / self.behaviour.slots))
+
+    def _work(self, environ: dict[str, Any]) -> bool:
+        """Take the time that the request takes; False where it is cancelled on the way."""
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        b = self.behaviour
+        takes_s = float(query.get("work_s", [str(b.latency_s)])[0])
+        if time.monotonic() - self._started < b.cold_s:
+            takes_s *= 4
+        ends = time.monotonic() + takes_s
+        deadline = time.monotonic() + float(environ.get("HTTP_HALLDOOR_DEADLINE_MS", 1e9)) / 1000
+        sock = environ.get("halldoor.socket")
+        while (rest_s := ends - time.monotonic()) > 0:
+            if time.monotonic() >= deadline:
+                self.outcomes["deadline"] += 1
+                return False
+            if sock is not None and _is_closed(
+                sock, min(rest_s, deadline - time.monotonic(), 0.05)
+            ):
+                self.outcomes["cancelled"] += 1
+                return False
+            if sock is None:
+                time.sleep(min(rest_s, 0.05))
+        return True
+
+    def _answer(
+        self, environ: dict[str, Any], start: Any, size: int, digest: str
+    ) -> Iterable[bytes]:
+        """Answer a request that ran, or fail to."""
+        with self._lock:
+            b = self.behaviour
+            has_cut, b.cut_after_run = b.cut_after_run > 0, max(0, b.cut_after_run - 1)
+            has_failed, b.fail_after_run = b.fail_after_run > 0, max(0, b.fail_after_run - 1)
+            is_cut_short, b.truncate = b.truncate > 0, max(0, b.truncate - 1)
+        if has_cut:
+            raise ConnectionAbortedError("cut after the run on demand")
+        if has_failed:
+            return _send_json(start, 503, {"error": "failed after running"})
+        self.outcomes["answered"] += 1
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        length = int(query.get("size", ["0"])[0])
+        if length:
+            seed = query.get("seed", [""])[0]
+            start("200 OK", [("Content-Length", str(length)), ("Answer-For", seed)])
+            return _make_body(seed, length // 2 if is_cut_short else length)
+        text = {"path": environ["PATH_INFO"], "size": size, "sha256": digest}
+        return _send_json(start, 200, text, is_cut_short=is_cut_short)
+
+
+def _is_closed(sock: Any, wait_s: float) -> bool:
+    """Wait a while and tell whether the caller closed its connection."""
+    poller = select.poll()
+    poller.register(sock, select.POLLRDHUP)
+    return bool(poller.poll(max(0.0, wait_s) * 1000))
+
+
+def _digest_body(environ: dict[str, Any]) -> tuple[int, str]:
+    """Read the body without keeping it."""
+    digest, size = sha256(), 0
+    source = environ["wsgi.input"]
+    missing = int(environ.get("CONTENT_LENGTH") or -1)
+    while missing != 0:
+        piece = source.read(PIECE if missing < 0 else min(PIECE, missing))
+        if not piece:
+            if missing > 0:
+                raise ConnectionAbortedError("body cut short")
+            break
+        digest.update(piece)
+        size += len(piece)
+        missing -= len(piece) if missing > 0 else 0
+    return size, digest.hexdigest()
+
+
+def make_bytes(seed: str, length: int) -> bytes:
+    """Make the body that a seed stands for."""
+    block = sha256(seed.encode()).digest()
+    return (block * (length // len(block) + 1))[:length]
+
+
+def _make_body(seed: str, length: int) -> Iterator[bytes]:
+    """Make a body in pieces."""
+    whole = make_bytes(seed, min(length, PIECE))
+    while length > 0:
+        yield whole[: min(length, PIECE)]
+        length -= PIECE
+
+
+def _send_json(
+    start: Any, status: int, value: object, *, is_cut_short: bool = False
+) -> Iterable[bytes]:
+    """Answer with JSON."""
+    body = msgspec.json.encode(value)
+    start(
+        f"{status} {'OK' if status == 200 else 'Unavailable'}",
+        [("Content-Type", "application/json"), ("Content-Length", str(len(body)))],
+    )
+    return [body[: len(body) // 2] if is_cut_short else body]
+
+
+def _send_shed(start: Any) -> Iterable[bytes]:
+    """Refuse with the marker that says the request did not run."""
+    start("503 Unavailable", [("Target-Shed", "not-run"), ("Content-Length", "0")])
+    return []
--- /dev/null
+++ b/halldoor/tests/conftest.py
@@ -0,0 +1,25 @@
+import pytest
+from hypothesis import settings
+
+from halldoor.standins.fleet import Fleet, make_configuration
+
+settings.register_profile("ci", derandomize=True, deadline=None, max_examples=60)
+settings.load_profile("ci")
+
+
+@pytest.fixture(scope="module")
+def two_halls():
+    """Two halls in two regions with two entries each, everything up."""
+    with Fleet.open() as fleet:
+        start_all(fleet, make_configuration(halls={"a1": 2, "b1": 2}))
+        yield fleet
+
+
+def start_all(fleet, configuration, **changes):
+    fleet.start_platform()
+    fleet.apply(configuration)
+    fleet.start_targets("targets", [t["address"]["port"] for t in configuration["targets"]])
+    names = [e["name"] for h in configuration["halls"] for e in h["entries"]]
+    for name in names:
+        fleet.start_entry(name, **changes)
+    fleet.wait_ready(*names)
--- /dev/null
+++ b/halldoor/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift between entries: the committed IDL, a server and a client."""
--- /dev/null
+++ b/halldoor/wire/convert.py
@@ -0,0 +1,107 @@
+"""Conversion between the core's data and thrift messages."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from halldoor.core.decision import PassedOver
+from halldoor.core.errors import Ran, Reason, Refusal
+from halldoor.core.membership import Member, TargetReport
+from halldoor.wire.protocol import idl
+
+_HEALTHY, _LEAVING, _PROBED = 1, 2, 4
+
+
+def to_refusal(refusal: Refusal) -> Any:
+    """Turn a refusal into its message."""
+    return idl.Refusal(
+        reason=refusal.reason.value,
+        ran=refusal.ran.value,
+        message=refusal.message,
+        retry_after_s=refusal.retry_after_s,
+        ticket=refusal.ticket,
+    )
+
+
+def from_refusal(message: Any) -> Refusal:
+    """Read a refusal; words that are not known here count as the worst case."""
+    ran = Ran.NOT_RUN if message.ran == Ran.NOT_RUN.value else Ran.UNKNOWN
+    try:
+        reason = Reason(message.reason)
+    except ValueError:
+        reason = Reason.BROKEN
+    return Refusal(
+        reason, ran, message.message or "", message.retry_after_s or 0.0, message.ticket or ""
+    )
+
+
+def to_headers(headers: tuple[tuple[str, str], ...]) -> list[Any]:
+    """Turn headers into their messages."""
+    return [idl.Header(name=k, value=v) for k, v in headers]
+
+
+def from_headers(messages: list[Any] | None) -> tuple[tuple[str, str], ...]:
+    """Read headers."""
+    return tuple((m.name, m.value) for m in messages or [])
+
+
+def to_passed_over(items: list[PassedOver]) -> list[Any]:
+    """Turn passed-over candidates into their messages."""
+    return [idl.PassedOver(name=p.name, why=p.why) for p in items]
+
+
+def from_passed_over(messages: list[Any] | None) -> list[PassedOver]:
+    """Read passed-over candidates."""
+    return [PassedOver(m.name, m.why) for m in messages or []]
+
+
+def to_member(member: Member) -> Any:
+    """Turn a membership record into its message."""
+    return idl.Member(
+        name=member.name,
+        hall=member.hall,
+        incarnation=member.incarnation,
+        generation=member.generation,
+        heartbeat=member.heartbeat,
+        version=member.version,
+        revision=member.revision,
+        is_leaving=member.is_leaving,
+        sees_platform=member.sees_platform,
+        reports=[
+            idl.TargetReport(target=r.target, free=r.free, flags=_to_flags(r))
+            for r in member.reports
+        ],
+    )
+
+
+def from_member(message: Any) -> Member:
+    """Read a membership record."""
+    return Member(
+        message.name,
+        message.hall,
+        message.incarnation,
+        message.generation,
+        message.heartbeat,
+        message.version,
+        message.revision,
+        message.is_leaving,
+        message.sees_platform,
+        tuple(_from_report(r) for r in message.reports or []),
+    )
+
+
+def _to_flags(report: TargetReport) -> int:
+    """Pack the yes-or-no parts of a report."""
+    return _HEALTHY * report.is_healthy + _LEAVING * report.is_leaving + _PROBED * report.is_probed
+
+
+def _from_report(message: Any) -> TargetReport:
+    """Read a report of a target."""
+    flags = message.flags
+    return TargetReport(
+        message.target,
+        message.free,
+        bool(flags & _HEALTHY),
+        bool(flags & _LEAVING),
+        bool(flags & _PROBED),
+    )
--- /dev/null
+++ b/halldoor/wire/server.py
@@ -0,0 +1,101 @@
+"""Serve calls of other entries: a thread and a handler for each connection."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+import structlog
+
+from halldoor.core.errors import PeerError
+from halldoor.core.settings import Address
+from halldoor.wire.protocol import FrameSocket, answer_call
+
+log = structlog.get_logger(part="wire")
+
+CONNECTION_LIMIT = 512
+IDLE_TIMEOUT_S = 120.0
+
+
+class ConnectionHandler(ABC):
+    """Handles the calls of one connection; the methods are those of the IDL."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Cancel what is under way, since the connection ended."""
+
+
+class WireServer:
+    """Accept connections from entries.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen.
+    make_handler : callable
+        Builds the handler of a new connection from its socket.
+    """
+
+    def __init__(
+        self, address: Address, make_handler: Callable[[socket.socket], ConnectionHandler]
+    ) -> None:
+        self._make_handler = make_handler
+        self._listener = socket.create_server((address.ip, address.port), backlog=256)
+        self.port: int = self._listener.getsockname()[1]
+        self._lock = threading.Lock()
+        self._open: set[FrameSocket] = set()
+        self._thread = threading.Thread(target=self._accept, name="wire", daemon=True)
+
+    def start(self) -> None:
+        """Start accepting."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop accepting and close every connection."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        with self._lock:
+            frames = list(self._open)
+        for frame in frames:
+            frame.close()
+
+    def _accept(self) -> None:
+        """Accept until the listener is closed."""
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            with self._lock:
+                is_full = len(self._open) >= CONNECTION_LIMIT
+            if is_full:
+                log.warning("Connection refused: too many are open.", limit=CONNECTION_LIMIT)
+                sock.close()
+                continue
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        """Answer the calls of one connection until it ends."""
+        frames = FrameSocket(sock)
+        frames.set_timeout(IDLE_TIMEOUT_S)
+        handler = self._make_handler(sock)
+        with self._lock:
+            self._open.add(frames)
+        try:
+            while True:
+                frames.send(answer_call(handler, frames.receive()))
+        except (EOFError, OSError):
+            pass
+        except PeerError as exc:
+            log.warning("Connection closed.", error=str(exc))
+        except Exception:
+            log.exception("Call failed; connection closed.")
+        finally:
+            with self._lock:
+                self._open.discard(frames)
+            handler.close()
+            frames.close()
