--- /dev/null
+++ b/halldoor/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API."""
--- /dev/null
+++ b/halldoor/admin/api.py
@@ -0,0 +1,207 @@
+"""The administration API over HTTP, by CherryPy's dispatcher."""
+
+from __future__ import annotations
+
+import signal
+import threading
+from collections.abc import Callable
+from typing import Any
+from uuid import uuid4
+
+import cherrypy
+import msgspec
+import structlog
+from cherrypy.process.servers import ServerAdapter
+
+from halldoor.admin.service import Administration
+from halldoor.core.configuration import Configuration, Team
+from halldoor.core.errors import (
+    ConflictError,
+    HalldoorError,
+    PermissionDeniedError,
+    PlatformError,
+    SettingsError,
+)
+from halldoor.core.settings import AdminSettings
+from halldoor.platform.client import HttpPlatform
+from halldoor.platform.store import ConfigurationStore
+from halldoor.server import HttpServer
+
+log = structlog.get_logger(part="admin")
+
+BODY_LIMIT = 16_000_000
+_STATUS: list[tuple[type[HalldoorError], int]] = [
+    (PermissionDeniedError, 403),
+    (ConflictError, 409),
+    (SettingsError, 422),
+    (PlatformError, 503),
+]
+
+
+class ApplyBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /v1/apply`` and ``/v1/plan``."""
+
+    configuration: dict[str, Any]
+    base: int | None = None
+    change_id: str = ""
+
+
+class ShiftBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /v1/shift``."""
+
+    name: str
+    verb: str
+    position: float | None = None
+    change_id: str = ""
+
+
+class DrainBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /v1/drain``."""
+
+    target: str
+    leaving: bool = True
+    change_id: str = ""
+
+
+def _answer(method: Callable[..., Any]) -> Any:
+    """Expose a method; its value goes out as JSON, its errors with status and remedy."""
+
+    def wrapped(self: AdminApi, *args: Any, **kwargs: Any) -> bytes:
+        cherrypy.response.headers["Content-Type"] = "application/json"
+        try:
+            value = method(self, *args, **kwargs)
+        except (HalldoorError, msgspec.MsgspecError, TypeError) as exc:
+            value = _to_error(exc)
+        return value if isinstance(value, bytes) else msgspec.json.encode(value)
+
+    wrapped.__doc__ = method.__doc__
+    return cherrypy.expose(wrapped)
+
+
+def _to_error(exc: Exception) -> dict[str, str]:
+    """Set the status that fits an error, and name the remedy."""
+    if not isinstance(exc, HalldoorError):
+        cherrypy.response.status = 400
+        return {
+            "error": f"The request can't be read: {exc}.",
+            "remedy": "See docs/http.md for the fields.",
+            "kind": "bad request",
+        }
+    cherrypy.response.status = next((s for k, s in _STATUS if isinstance(exc, k)), 500)
+    return {"error": exc.message, "remedy": exc.remedy, "kind": type(exc).__name__}
+
+
+class AdminApi:
+    """Handlers under ``/v1``.
+
+    Parameters
+    ----------
+    administration : Administration
+        What they hand on to.
+    """
+
+    def __init__(self, administration: Administration) -> None:
+        self._administration = administration
+
+    @_answer
+    def configuration(self) -> dict[str, Any]:
+        """Give the accepted configuration."""
+        self._authenticate()
+        return self._administration.read()
+
+    @_answer
+    def plan(self) -> dict[str, Any]:
+        """Show what applying would change."""
+        self._authenticate()
+        body = _read_body(ApplyBody)
+        return self._administration.plan(Configuration.from_data(body.configuration))
+
+    @_answer
+    def apply(self) -> Any:
+        """Commit a configuration."""
+        team = self._authenticate()
+        body = _read_body(ApplyBody)
+        wanted = Configuration.from_data(body.configuration)
+        change_id = body.change_id or uuid4().hex
+        outcome = self._administration.apply(team, wanted, base=body.base, change_id=change_id)
+        return outcome._asdict() | {"change_id": change_id}
+
+    @_answer
+    def shift(self) -> Any:
+        """Start, step, pause or take back a shift."""
+        team = self._authenticate()
+        body = _read_body(ShiftBody)
+        change_id = body.change_id or uuid4().hex
+        outcome = self._administration.shift(
+            team, body.name, body.verb, position=body.position, change_id=change_id
+        )
+        return outcome._asdict() | {"change_id": change_id}
+
+    @_answer
+    def drain(self) -> Any:
+        """Mark a target as leaving, or take that back."""
+        team = self._authenticate()
+        body = _read_body(DrainBody)
+        change_id = body.change_id or uuid4().hex
+        outcome = self._administration.drain(
+            team, body.target, is_leaving=body.leaving, change_id=change_id
+        )
+        return outcome._asdict() | {"change_id": change_id}
+
+    @_answer
+    def audit(self, limit: str = "50") -> Any:
+        """List changes, newest first."""
+        self._authenticate()
+        if not limit.isdigit():
+            raise SettingsError(f"limit is {limit!r}.", remedy="Give a whole number.")
+        return [msgspec.to_builtins(r) for r in self._administration.list_audit(limit=int(limit))]
+
+    @_answer
+    def status(self) -> dict[str, Any]:
+        """Sum up what the entries are doing."""
+        self._authenticate()
+        return self._administration.get_status()
+
+    @_answer
+    def explain(self, **query: str) -> bytes:
+        """Explain a decision."""
+        self._authenticate()
+        status, body = self._administration.explain(cherrypy.request.query_string)
+        cherrypy.response.status = status
+        return body
+
+    def _authenticate(self) -> Team:
+        """Find the team of the caller's token."""
+        header = cherrypy.request.headers.get("Authorization", "")
+        scheme, _, token = header.partition(" ")
+        return self._administration.find_team(token if scheme == "Bearer" else "")
+
+
+def _read_body(kind: type[Any]) -> Any:
+    """Read the JSON body of the request."""
+    if cherrypy.request.method != "POST":
+        raise SettingsError("This is a change.", remedy="Send it by POST.")
+    # The server bounds the body; CherryPy's own reader is for forms.
+    return msgspec.json.decode(cherrypy.request.rfile.read(), type=kind)
+
+
+def serve(settings: AdminSettings) -> None:
+    """Serve the administration API until SIGTERM."""
+    store = ConfigurationStore(HttpPlatform(settings.platform))
+    administration = Administration(store, bootstrap_sha256=settings.bootstrap_token_sha256)
+    root_config = {"/": {"request.process_request_body": False, "tools.json_in.on": False}}
+    cherrypy.tree.mount(AdminApi(administration), "/v1", root_config)
+    cherrypy.config.update({"environment": "embedded", "log.screen": False})
+    http = HttpServer(settings.http, cherrypy.tree, threads=8, body_limit=BODY_LIMIT)
+    cherrypy.engine.autoreload.unsubscribe()
+    cherrypy.server.unsubscribe()
+    bound = (settings.http.ip, settings.http.port)
+    ServerAdapter(cherrypy.engine, http, bound).subscribe()
+    should_stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: should_stop.set())
+    cherrypy.engine.start()
+    log.info("Started.", http=str(settings.http))
+    while not should_stop.wait(0.5):
+        pass
+    cherrypy.engine.exit()
--- /dev/null
+++ b/halldoor/admin/service.py
@@ -0,0 +1,200 @@
+"""What the administration API does, apart from HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+import structlog
+import urllib3
+
+from halldoor.core.audit import AuditRecord, Difference, compare
+from halldoor.core.configuration import Configuration, EntryHost, Team, to_shown_data
+from halldoor.core.errors import HalldoorError, PlatformError
+from halldoor.core.operation import edit_drain, edit_shift
+from halldoor.core.permission import check_permission, find_team
+from halldoor.platform.store import Change, ConfigurationStore, Stored
+
+log = structlog.get_logger(part="admin")
+
+STATUS_TIMEOUT_S = 1.0
+
+
+class Outcome(NamedTuple):
+    """An accepted change."""
+
+    revision: int
+    differences: list[str]
+
+
+class Administration:
+    """Validates changes, checks permissions and commits them.
+
+    Parameters
+    ----------
+    store : ConfigurationStore
+        The configuration in the platform.
+    bootstrap_sha256 : str
+        Hash of the first administrator's token.
+    """
+
+    def __init__(self, store: ConfigurationStore, *, bootstrap_sha256: str) -> None:
+        self._store = store
+        self._bootstrap_sha256 = bootstrap_sha256
+        self._http = urllib3.PoolManager(retries=False, timeout=STATUS_TIMEOUT_S)
+
+    def find_team(self, token: str) -> Team:
+        """Find the team of a token; see `halldoor.core.permission.find_team`."""
+        return find_team(token, self._store.read().configuration, self._bootstrap_sha256)
+
+    def read(self) -> dict[str, Any]:
+        """Give the accepted configuration, without the hashes of tokens."""
+        stored = self._store.read()
+        shown = to_shown_data(stored.configuration)
+        return {"revision": stored.revision, "configuration": shown}
+
+    def plan(self, wanted: Configuration) -> dict[str, Any]:
+        """Show what applying a configuration would change."""
+        stored = self._store.read()
+        differences = _list_differences(stored, wanted)
+        return {
+            "base": stored.revision,
+            "differences": [d.to_text() for d in differences],
+        }
+
+    def apply(
+        self, team: Team, wanted: Configuration, *, base: int | None, change_id: str
+    ) -> Outcome:
+        """Commit a whole configuration that was planned against a revision.
+
+        Without a base only a first configuration is taken: a file that was written
+        before somebody's shift or drain must not undo it unseen.
+        """
+        change = Change(change_id, team.name, "apply")
+        return self._commit(team, change, lambda _: wanted, base=base or 0)
+
+    def shift(
+        self, team: Team, name: str, verb: str, *, position: float | None, change_id: str
+    ) -> Outcome:
+        """Start, step, pause or take back a shift."""
+        change = Change(change_id, team.name, f"shift {verb} {name}")
+        return self._commit(team, change, lambda c: edit_shift(c, name, verb, position=position))
+
+    def drain(self, team: Team, target: str, *, is_leaving: bool, change_id: str) -> Outcome:
+        """Mark a target as leaving, or take that back."""
+        change = Change(change_id, team.name, f"{'drain' if is_leaving else 'undrain'} {target}")
+        return self._commit(team, change, lambda c: edit_drain(c, target, is_leaving=is_leaving))
+
+    def _commit(
+        self,
+        team: Team,
+        change: Change,
+        edit: Callable[[Configuration], Configuration],
+        *,
+        base: int | None = None,
+    ) -> Outcome:
+        """Commit an edit if the team may make it; refused ones are recorded too."""
+
+        def checked(stored: Stored) -> Configuration:
+            # A first configuration has nothing to edit; only apply gets this far then.
+            after = edit(stored.configuration or _make_empty())
+            check_permission(team, _list_differences(stored, after), stored.configuration, after)
+            return after
+
+        try:
+            committed = self._store.commit(checked, change, base=base)
+        except HalldoorError as exc:
+            if not isinstance(exc, PlatformError):
+                self._store.record_refused(change, str(exc))
+            log.info("Change refused.", change=change.id, who=change.who, error=str(exc)[:300])
+            raise
+        log.info("Change accepted.", change=change.id, who=change.who, revision=committed.revision)
+        return Outcome(committed.revision, [d.to_text() for d in committed.differences])
+
+    def list_audit(self, *, limit: int) -> list[AuditRecord]:
+        """List accepted changes, newest first, and refused ones in their place by time."""
+        stored = self._store.read()
+        accepted = list(self._store.list_audit(stored.head, limit=limit)) if stored.head else []
+        records = [*accepted, *self._store.list_refused()]
+        return sorted(records, key=lambda r: r.when, reverse=True)[:limit]
+
+    def get_status(self) -> dict[str, Any]:
+        """Ask every entry what it is doing, and sum up drains and shifts."""
+        stored = self._store.read()
+        if stored.configuration is None:
+            return {"revision": 0, "entries": [], "draining": [], "moves": []}
+        entries = [self._ask(e) for h in stored.configuration.halls for e in h.entries]
+        return {
+            "revision": stored.revision,
+            "entries": entries,
+            "draining": _sum_drains(entries),
+            "moves": _sum_moves(entries),
+        }
+
+    def _ask(self, entry: EntryHost) -> dict[str, Any]:
+        """Ask one entry for its status."""
+        try:
+            response = self._http.request("GET", f"http://{entry.http}/v1/status")
+            status: dict[str, Any] = msgspec.json.decode(response.data)
+        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError):
+            return {"name": entry.name, "state": "unreachable"}
+        return status
+
+    def explain(self, query: str) -> tuple[int, bytes]:
+        """Pass a question about a decision on to the first entry that answers."""
+        stored = self._store.read()
+        hosts = (
+            [e for h in stored.configuration.halls for e in h.entries]
+            if stored.configuration
+            else []
+        )
+        for entry in hosts:
+            try:
+                response = self._http.request("GET", f"http://{entry.http}/v1/explain?{query}")
+            except urllib3.exceptions.HTTPError:
+                continue
+            return response.status, response.data
+        raise PlatformError("No entry can be reached.", remedy="Check that entries run.")
+
+
+def _make_empty() -> Configuration:
+    """Make a configuration with nothing in it."""
+    return Configuration(regions=[], halls=[], targets=[], services=[], teams=[])
+
+
+def _list_differences(stored: Stored, wanted: Configuration) -> list[Difference]:
+    """List what would change; the fields that the API itself writes are left out."""
+    found = compare(to_shown_data(stored.configuration), to_shown_data(wanted))
+    own = ("previous_entries", "roster_revision")
+    return [d for d in found if not d.path.endswith(own)]
+
+
+def _sum_drains(entries: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Sum up what each leaving target still waits for."""
+    drains: dict[str, dict[str, Any]] = {}
+    for entry in entries:
+        for name, target in entry.get("targets", {}).items():
+            if target["leaving"]:
+                row = drains.setdefault(name, {"target": name, "in_flight": 0, "waits_for": []})
+                row["in_flight"] += target["in_flight"]
+                if target["in_flight"]:
+                    row["waits_for"].append(f"{entry['name']}: {target['in_flight']} request(s)")
+    silent = [e["name"] for e in entries if e["state"] == "unreachable"]
+    for row in drains.values():
+        row["waits_for"] += [f"{name}: does not answer" for name in silent]
+    return list(drains.values())
+
+
+def _sum_moves(entries: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Sum up moved requests by service and cap over all entries."""
+    sums: dict[tuple[str, str], dict[str, Any]] = {}
+    for entry in entries:
+        for move in entry.get("moves", []):
+            key = (move["service"], move["cap_of"])
+            empty = {"service": key[0], "cap_of": key[1], "total": 0, "moved": 0, "cap": 0.0}
+            row = sums.setdefault(key, empty)
+            row["total"] += move["total"]
+            row["moved"] += move["moved"]
+            row["cap"] = move["cap"]
+    return list(sums.values())
--- /dev/null
+++ b/halldoor/cli/operator.py
@@ -0,0 +1,273 @@
+"""``halldoor``: the operator's command line.
+
+Exit codes: 0 done; 1 the plan has differences (with ``--check``); 2 bad input;
+3 conflict; 4 not allowed; 5 can't be reached; 6 refused for another reason.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Literal, NoReturn
+from urllib.parse import urlencode
+
+import defopt
+import msgspec
+import urllib3
+
+from halldoor.core.configuration import Configuration
+from halldoor.core.errors import HalldoorError
+from halldoor.files import load_yaml
+
+Output = Literal["text", "json"]
+
+DONE, HAS_DIFFERENCES, BAD_INPUT, CONFLICT, NOT_ALLOWED, UNREACHABLE, REFUSED = range(7)
+_CODES = {400: BAD_INPUT, 422: BAD_INPUT, 409: CONFLICT, 403: NOT_ALLOWED, 503: UNREACHABLE}
+API_VARIABLE = "HALLDOOR_API"
+TOKEN_VARIABLE = "HALLDOOR_TOKEN"
+
+
+def validate(file: Path, *, output: Output = "text") -> None:
+    """Check a configuration file without any server.
+
+    Parameters
+    ----------
+    file
+        YAML file with the operators' configuration.
+    output
+        ``text`` or ``json``.
+    """
+    c = _load(file)
+    counts = {
+        "regions": len(c.regions),
+        "halls": len(c.halls),
+        "entries": sum(len(h.entries) for h in c.halls),
+        "targets": len(c.targets),
+        "services": len(c.services),
+        "shifts": len(c.shifts),
+    }
+    _print(output, {"valid": True, **counts}, lambda: [f"{file}: valid. {_join(counts)}."])
+
+
+def plan(file: Path, *, check: bool = False, output: Output = "text") -> None:
+    """Show what applying a file would change.
+
+    Parameters
+    ----------
+    file
+        YAML file with the operators' configuration.
+    check
+        Exit with 1 where there are differences.
+    output
+        ``text`` or ``json``.
+    """
+    _load(file)
+    answer = _call("POST", "plan", {"configuration": load_yaml(file)})
+    lines = answer["differences"] or ["No differences."]
+    _print(output, answer, lambda: [f"Against revision {answer['base']}:", *lines])
+    if check and answer["differences"]:
+        sys.exit(HAS_DIFFERENCES)
+
+
+def apply(
+    file: Path, *, base: int | None = None, change_id: str = "", output: Output = "text"
+) -> None:
+    """Put a file in force.
+
+    Parameters
+    ----------
+    file
+        YAML file with the operators' configuration.
+    base
+        Revision that ``plan`` showed; another in force is a conflict.
+    change_id
+        Id of this change; sending the same one again never applies it twice.
+    output
+        ``text`` or ``json``.
+    """
+    _load(file)
+    body = {"configuration": load_yaml(file), "base": base, "change_id": change_id}
+    _print_outcome(output, _call("POST", "apply", body))
+
+
+def shift(
+    verb: Literal["start", "step", "pause", "back"],
+    name: str,
+    *,
+    position: float | None = None,
+    change_id: str = "",
+    output: Output = "text",
+) -> None:
+    """Start, step, pause or take back a shift.
+
+    Parameters
+    ----------
+    verb
+        ``start`` or resume, ``step`` to a position, ``pause`` there, or go ``back`` to none.
+    name
+        Name of the shift.
+    position
+        Share of client blocks to choose, up to the cap.
+    change_id
+        Id of this change.
+    output
+        ``text`` or ``json``.
+    """
+    body = {"name": name, "verb": verb, "position": position, "change_id": change_id}
+    _print_outcome(output, _call("POST", "shift", body))
+
+
+def drain(target: str, *, back: bool = False, change_id: str = "", output: Output = "text") -> None:
+    """Let a target leave: it gets no new work, and ends what it has.
+
+    Parameters
+    ----------
+    target
+        Name of the target.
+    back
+        Take the drain back.
+    change_id
+        Id of this change.
+    output
+        ``text`` or ``json``.
+    """
+    body = {"target": target, "leaving": not back, "change_id": change_id}
+    _print_outcome(output, _call("POST", "drain", body))
+
+
+def status(*, output: Output = "text") -> None:
+    """Show entries, drains and moves.
+
+    Parameters
+    ----------
+    output
+        ``text`` or ``json``.
+    """
+    answer = _call("GET", "status")
+    _print(output, answer, lambda: _describe_status(answer))
+
+
+def explain(decision: str, *, output: Output = "text") -> None:
+    """Say in plain sentences why a request went where it did.
+
+    Parameters
+    ----------
+    decision
+        Decision id, or the whole Halldoor-Decision-Record header.
+    output
+        ``text`` or ``json``.
+    """
+    key = "id" if len(decision) <= 40 else "record"
+    answer = _call("GET", f"explain?{urlencode({key: decision})}")
+    _print(output, answer, lambda: answer["sentences"])
+
+
+def audit(*, limit: int = 20, output: Output = "text") -> None:
+    """List changes, newest first: who, when, what, before and after.
+
+    Parameters
+    ----------
+    limit
+        Changes listed at most.
+    output
+        ``text`` or ``json``.
+    """
+    answer = _call("GET", f"audit?limit={limit}")
+    _print(output, answer, lambda: [line for r in answer for line in _describe_record(r)])
+
+
+def _load(file: Path) -> Configuration:
+    """Read and check a configuration file."""
+    try:
+        return Configuration.from_data(load_yaml(file), origin=str(file))
+    except HalldoorError as exc:
+        _fail(BAD_INPUT, str(exc))
+
+
+def _call(method: str, path: str, body: Any = None) -> Any:
+    """Call the administration API; errors end the program with their code."""
+    api = os.environ.get(API_VARIABLE, "http://127.0.0.1:7400").rstrip("/")
+    headers = {"Authorization": f"Bearer {os.environ.get(TOKEN_VARIABLE, '')}"}
+    try:
+        response = urllib3.request(
+            method,
+            f"{api}/v1/{path}",
+            body=msgspec.json.encode(body) if body is not None else None,
+            headers=headers,
+            retries=False,
+            timeout=30.0,
+        )
+        answer = msgspec.json.decode(response.data)
+    except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as exc:
+        message = f"The administration API at {api} can't be used: {type(exc).__name__}."
+        _fail(UNREACHABLE, f"{message} Set {API_VARIABLE}, and check that halldoor-admin runs.")
+    if response.status != 200:
+        text = answer.get("error") or answer.get("message") or str(answer)
+        _fail(_CODES.get(response.status, REFUSED), f"{text} {answer.get('remedy', '')}".strip())
+    return answer
+
+
+def _fail(code: int, message: str) -> NoReturn:
+    """End with a message and a code."""
+    print(f"halldoor: {message}", file=sys.stderr)
+    sys.exit(code)
+
+
+def _print(output: Output, value: Any, describe: Callable[[], list[str]]) -> None:
+    """Print for scripts or for people."""
+    if output == "json":
+        print(msgspec.json.encode(value).decode())
+    else:
+        print("\n".join(describe()))
+
+
+def _print_outcome(output: Output, answer: Any) -> None:
+    """Print an accepted change."""
+    head = f"Accepted as revision {answer['revision']} (change {answer['change_id']})."
+    _print(output, answer, lambda: [head, *answer["differences"]])
+
+
+def _join(counts: dict[str, int]) -> str:
+    """Write counts in one line."""
+    return ", ".join(f"{v} {k}" for k, v in counts.items())
+
+
+def _describe_status(answer: Any) -> list[str]:
+    """Describe the status for people."""
+    lines = [f"Revision {answer['revision']} is accepted."]
+    for e in answer["entries"]:
+        busy = sum(t["in_flight"] for t in e.get("targets", {}).values())
+        lines.append(
+            f"{e['name']}: {e['state']}, revision {e.get('revision', '?')}, {busy} in flight"
+        )
+    for d in answer["draining"]:
+        waits = "; ".join(d["waits_for"]) or "nothing: it can be stopped"
+        lines.append(f"Draining {d['target']}: {d['in_flight']} in flight; waits for {waits}")
+    for m in answer["moves"]:
+        share = m["moved"] / m["total"] if m["total"] else 0.0
+        lines.append(
+            f"{m['service']}, cap of {m['cap_of']}: {m['moved']} of {m['total']} moved "
+            f"({share:.1%} against {m['cap']:.1%})"
+        )
+    return lines
+
+
+def _describe_record(record: Any) -> list[str]:
+    """Describe one change for people."""
+    head = (
+        f"{record['when']} revision {record['revision']} {record['who']}: "
+        f"{record['verb']} ({record['outcome']})"
+    )
+    pairs = zip(record["before"], record["after"], strict=False)
+    return [head, *(f"  was {b}\n  now {a}" for b, a in pairs)]
+
+
+def main() -> None:
+    """Start the program."""
+    defopt.run([validate, plan, apply, shift, drain, status, explain, audit])
+
+
+if __name__ == "__main__":
+    main()
--- a/halldoor/core/configuration.py
+++ b/halldoor/core/configuration.py
@@ -277,3 +277,11 @@
 def to_data(configuration: Configuration) -> Any:
     """Turn the configuration into plain data, for YAML and JSON."""
     return msgspec.to_builtins(configuration)
+
+
+def to_shown_data(configuration: Configuration | None) -> Any:
+    """Turn the configuration into plain data for people, with hashes of tokens cut short."""
+    data = to_data(configuration) if configuration is not None else {}
+    for team in data.get("teams", []):
+        team["token_sha256"] = [f"{digest[:12]}..." for digest in team["token_sha256"]]
+    return data
--- /dev/null
+++ b/halldoor/core/operation.py
@@ -0,0 +1,95 @@
+"""Edits of the configuration that operators make often: shifts and drains."""
+
+from __future__ import annotations
+
+import msgspec
+
+from halldoor.core.configuration import Configuration, Shift, Target
+from halldoor.core.errors import SettingsError
+
+SHIFT_VERBS = ("start", "step", "pause", "back")
+
+
+def edit_shift(
+    configuration: Configuration, name: str, verb: str, *, position: float | None = None
+) -> Configuration:
+    """Start, step, pause or take back a shift.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        What is accepted now.
+    name : str
+        Name of the shift.
+    verb : str
+        One of `SHIFT_VERBS`.
+    position : float, optional
+        Share of client blocks to choose, for ``start`` and ``step``.
+
+    Raises
+    ------
+    SettingsError
+        Where the shift can't make that step.
+    """
+    shift = next((s for s in configuration.shifts if s.name == name), None)
+    if shift is None:
+        known = ", ".join(s.name for s in configuration.shifts) or "none"
+        raise SettingsError(f"There is no shift {name!r}.", remedy=f"Known shifts: {known}.")
+    changed = _change_shift(shift, verb, position)
+    shifts = [changed if s.name == name else s for s in configuration.shifts]
+    return msgspec.structs.replace(configuration, shifts=shifts)
+
+
+def _change_shift(shift: Shift, verb: str, position: float | None) -> Shift:
+    """Change one shift."""
+    if verb == "start":
+        wanted = shift.position if position is None else position
+        return _move(shift, wanted, state="running")
+    if verb == "step":
+        if shift.state != "running":
+            raise SettingsError(
+                f"Shift {shift.name} is {shift.state}.",
+                remedy=f"Run 'halldoor shift start {shift.name}' first.",
+            )
+        if position is None:
+            raise SettingsError("A step needs a position.", remedy="Add --position 0.1.")
+        return _move(shift, position, state="running")
+    if verb == "pause":
+        return _move(shift, shift.position, state="paused")
+    if verb == "back":
+        return _move(shift, 0.0, state="planned")
+    raise SettingsError(
+        f"There is no shift verb {verb!r}.", remedy=f"Use one of: {', '.join(SHIFT_VERBS)}."
+    )
+
+
+def _move(shift: Shift, position: float, *, state: str) -> Shift:
+    """Put a shift at a position within its cap."""
+    if not 0.0 <= position <= shift.cap:
+        raise SettingsError(
+            f"Position {position} of shift {shift.name} is not from 0 to its cap {shift.cap}.",
+            remedy="Choose a position within the cap, or raise the cap by apply.",
+        )
+    return msgspec.structs.replace(shift, position=position, state=state)
+
+
+def edit_drain(configuration: Configuration, name: str, *, is_leaving: bool) -> Configuration:
+    """Mark a target as leaving, or take that back.
+
+    Raises
+    ------
+    SettingsError
+        Where there is no such target.
+    """
+    if not any(t.name == name for t in configuration.targets):
+        raise SettingsError(
+            f"There is no target {name!r}.", remedy="Run 'halldoor status' to list the targets."
+        )
+
+    def change(target: Target) -> Target:
+        if target.name != name:
+            return target
+        return msgspec.structs.replace(target, leaving=is_leaving)
+
+    targets = [change(t) for t in configuration.targets]
+    return msgspec.structs.replace(configuration, targets=targets)
--- a/halldoor/core/snapshot.py
+++ b/halldoor/core/snapshot.py
@@ -136,7 +136,7 @@
         shifts=tuple(
             ShiftView(s, select(configuration, s.to, order))
             for s in sorted(configuration.shifts, key=lambda s: s.name)
-            if s.service == service.name and s.state == "running"
+            if s.service == service.name and s.state != "planned"
         ),
         home_halls=frozenset(h for h, region in regions.items() if region == home),
     )
--- a/halldoor/platform/store.py
+++ b/halldoor/platform/store.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from halldoor.core.audit import AuditRecord, Difference, compare
-from halldoor.core.configuration import Configuration, Hall, check_configuration, to_data
+from halldoor.core.configuration import Configuration, Hall, check_configuration, to_shown_data
 from halldoor.core.errors import ConflictError, PlatformError
 from halldoor.core.revision import (
     HEAD_KEY,
@@ -23,6 +23,8 @@
 )
 from halldoor.platform.base import Platform, UncertainWriteError, WriteConflictError
 
+REFUSED_KEY = "audit/refused"
+REFUSED_KEPT = 500
 READ_BACK_TRIES = 20
 READ_BACK_PAUSE_S = 0.25
 
@@ -148,8 +150,8 @@
 
     def _write(self, configuration: Configuration, stored: Stored, change: Change) -> Committed:
         """Write the parts and then the head that names them."""
-        before = to_data(stored.configuration) if stored.configuration else {}
-        differences = list(compare(before, to_data(configuration)))
+        before = to_shown_data(stored.configuration)
+        differences = list(compare(before, to_shown_data(configuration)))
         revision = stored.revision + 1
         record = AuditRecord(
             revision=revision,
@@ -237,6 +239,26 @@
             remedy="Run 'halldoor plan FILE' to see your change against it, then apply again.",
         )
 
+    def record_refused(self, change: Change, why: str) -> None:
+        """Record a refused change, as far as the platform can be reached."""
+        record = AuditRecord(0, change.id, change.who, _format_now(), change.verb, why, "", [], [])
+        with contextlib.suppress(PlatformError):
+            for _ in range(5):
+                value = self._platform.get(REFUSED_KEY)
+                records = _decode_refused(value.data) if value else []
+                kept = [*records, record][-REFUSED_KEPT:]
+                try:
+                    data = msgspec.msgpack.encode(kept)
+                    self._platform.put(REFUSED_KEY, data, expected=value.version if value else 0)
+                    return
+                except WriteConflictError:
+                    continue
+
+    def list_refused(self) -> list[AuditRecord]:
+        """List the refused changes that are kept."""
+        value = self._platform.get(REFUSED_KEY)
+        return _decode_refused(value.data) if value else []
+
     def list_audit(self, head: Head, *, limit: int) -> Iterator[AuditRecord]:
         """List the audit trail from a head backwards."""
         wanted = head.audit
@@ -246,6 +268,11 @@
             wanted, limit = record.previous, limit - 1
 
 
+def _decode_refused(data: bytes) -> list[AuditRecord]:
+    """Read the refused changes."""
+    return msgspec.msgpack.decode(data, type=list[AuditRecord])
+
+
 def _decode_head(data: bytes) -> Head:
     """Read a head."""
     try:
--- a/halldoor/standins/fleet.py
+++ b/halldoor/standins/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import signal
 import socket
 import subprocess
@@ -10,6 +11,7 @@
 import tempfile
 import time
 from collections.abc import Callable, Iterator
+from hashlib import sha256
 from pathlib import Path
 from typing import Any
 
@@ -63,6 +65,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.http = urllib3.PoolManager(num_pools=200, maxsize=16, retries=False, timeout=15.0)
         self.platform_port = find_ports(1)[0]
+        self.admin_port = 0
         self.settings: dict[str, Path] = {}
         self.configuration: dict[str, Any] = {}
 
@@ -171,6 +174,44 @@
         """Read a process's log."""
         return (self.folder / f"{name}.log").read_text(errors="replace")
 
+    def start_admin(self) -> None:
+        """Start the administration API, with `TOKEN` as its first administrator."""
+        self.admin_port = find_ports(1)[0]
+        settings = {
+            "http": {"ip": IP, "port": self.admin_port},
+            "platform": self.platform_url,
+            "decision_key": DECISION_KEY,
+            "bootstrap_token_sha256": sha256(TOKEN.encode()).hexdigest(),
+            "log_format": "console",
+        }
+        path = self.folder / "admin.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        self.spawn("admin", "admin", str(path))
+        wait_until(lambda: self.can_connect(self.admin_port), what="admin")
+
+    def run_cli(self, *arguments: str, token: str = TOKEN) -> subprocess.CompletedProcess[str]:
+        """Run the operator's command line."""
+        known = {
+            **os.environ,
+            "HALLDOOR_API": f"http://{IP}:{self.admin_port}",
+            "HALLDOOR_TOKEN": token,
+        }
+        return subprocess.run(
+            [sys.executable, "-m", "halldoor.cli.operator", *arguments],
+            env=known,
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=60,
+        )
+
+    def write_configuration(self, configuration: dict[str, Any]) -> Path:
+        """Write a configuration for the command line."""
+        self.configuration = configuration
+        path = self.folder / "configuration.yaml"
+        path.write_text(yaml.safe_dump(configuration))
+        return path
+
     # Talking to them
 
     @property
