--- a/halldoor/entry/targets.py
+++ b/halldoor/entry/targets.py
@@ -146,7 +146,8 @@
                 preload_content=False,
                 decode_content=False,
             )
-            sock.settimeout(max(0.001, request.get_remaining_s()))
+            # The library puts its own time-out on the socket again before it reads.
+            connection.timeout = max(0.001, request.get_remaining_s())
             return connection.getresponse()
         except _FAULTS as exc:
             # Nothing tells how much of it arrived, so it may have run.
--- a/halldoor/entry/web.py
+++ b/halldoor/entry/web.py
@@ -22,7 +22,7 @@
     read_decision,
     sign_decision,
 )
-from halldoor.core.errors import Reason, Refusal, refuse, refuse_unknown
+from halldoor.core.errors import Ran, Reason, Refusal, refuse, refuse_unknown
 from halldoor.core.snapshot import ServiceView, Snapshot
 from halldoor.entry.cancel import CallerWatcher
 from halldoor.entry.dispatch import Dispatcher, Refused, Served
@@ -201,7 +201,9 @@
         if isinstance(outcome, Served | Answer):
             answer = outcome.answer if isinstance(outcome, Served) else outcome
             self._parts.metrics.add_request(request.service, "served", latency_s)
-            headers = [*answer.headers, *extra, ("Halldoor-Ran", "ran")]
+            # A target's own failure does not say whether it ran first.
+            ran = "ran" if answer.status < 500 else Ran.UNKNOWN.value
+            headers = [*answer.headers, *extra, ("Halldoor-Ran", ran)]
             start(f"{answer.status} {_get_phrase(answer.status)}", headers)
             return _Stream(answer, request)
         refusal = outcome.refusal if isinstance(outcome, Refused) else outcome
--- a/halldoor/standins/platform.py
+++ b/halldoor/standins/platform.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from halldoor.standins.target import cut_connection
+
 VALUE_LIMIT = 1_000_000
 WATCHES_AT_ONCE = 200
 
@@ -78,7 +80,7 @@
             return self._get(name, start)
         if kind == "kv" and method == "PUT":
             lease = environ.get("HTTP_PLATFORM_LEASE", "")
-            return self._put(name, _read_body(environ), query.get("expected"), lease, start)
+            return self._put(environ, name, query.get("expected"), lease, start)
         if kind == "watch":
             return self._watch(name, int(query["after"]), float(query["timeout_s"]), start)
         if kind == "leases":
@@ -109,9 +111,10 @@
         return _answer(start, 200, value[0], version=value[1])
 
     def _put(
-        self, key: str, data: bytes, expected: str | None, lease: str, start: Any
+        self, environ: dict[str, Any], key: str, expected: str | None, lease: str, start: Any
     ) -> Iterable[bytes]:
         """Write a key by compare-and-swap."""
+        data = _read_body(environ)
         if len(data) > VALUE_LIMIT:
             return _answer(start, 413, b"too large")
         with self._lock:
@@ -128,7 +131,7 @@
             is_lost = self.faults.lose_answers > 0
             self.faults.lose_answers -= is_lost
         if is_lost:
-            raise ConnectionAbortedError("answer lost on demand")
+            raise cut_connection(environ, "answer lost on demand")
         return _answer(start, 200, b"", version=version)
 
     def _watch(self, key: str, after: int, timeout_s: float, start: Any) -> Iterable[bytes]:
--- a/halldoor/standins/target.py
+++ b/halldoor/standins/target.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import select
+import socket
 import threading
 import time
 from collections import Counter, deque
@@ -137,13 +139,13 @@
     def _run(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
         """Run one request, or shed it."""
         if self.behaviour.close_idle:
-            raise ConnectionAbortedError("closed on demand")
+            raise cut_connection(environ, "closed on demand")
         if not self._enter():
             return _send_shed(start)
         try:
             size, digest = _digest_body(environ)
             if not self._work(environ):
-                raise ConnectionAbortedError("cancelled or past its deadline")
+                raise cut_connection(environ, "cancelled or past its deadline")
             operation = environ.get("HTTP_OPERATION_ID", "")
             with self._lock:
                 self.runs[operation or "(none)"] += 1
@@ -211,7 +213,7 @@
             has_failed, b.fail_after_run = b.fail_after_run > 0, max(0, b.fail_after_run - 1)
             is_cut_short, b.truncate = b.truncate > 0, max(0, b.truncate - 1)
         if has_cut:
-            raise ConnectionAbortedError("cut after the run on demand")
+            raise cut_connection(environ, "cut after the run on demand")
         if has_failed:
             return _send_json(start, 503, {"error": "failed after running"})
         self.outcomes["answered"] += 1
@@ -225,6 +227,15 @@
         return _send_json(start, 200, text, is_cut_short=is_cut_short)
 
 
+def cut_connection(environ: dict[str, Any], why: str) -> ConnectionAbortedError:
+    """Cut the caller's connection, so that not even an error answer gets out."""
+    sock = environ.get("halldoor.socket")
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+    return ConnectionAbortedError(why)
+
+
 def _is_closed(sock: Any, wait_s: float) -> bool:
     """Wait a while and tell whether the caller closed its connection."""
     poller = select.poll()
