Prove whole answers and room under cuts, freezes and replaced entries

Causes found, each with a test now: - thriftpy2's memory buffer answers a lying length with whatever lies in memory (two gigabytes of it); frames are decoded from a reader that ends instead. - A target that stops in the middle of an answer took the whole deadline; one attempt of a repeatable request now gets 0.6 of the time left, so that a second one has time. - Targets that all start cold were refused as 'no healthy target' past their ramp although slots were free (198 loans asked, 11 got); a cold target past its ramp is a last resort now. - A roster change moved slots at once; a slot now waits until every former home has adopted it. Change: a short bounded wait for an own slot before a refusal (queue_s).

--- a/halldoor/admin/service.py
+++ b/halldoor/admin/service.py
@@ -166,7 +166,7 @@
 def _list_differences(stored: Stored, wanted: Configuration) -> list[Difference]:
     """List what would change; the fields that the API itself writes are left out."""
     found = compare(to_shown_data(stored.configuration), to_shown_data(wanted))
-    own = ("previous_entries", "roster_revision")
+    own = ("former_rosters", "roster_revision")
     return [d for d in found if not d.path.endswith(own)]
 
 
--- a/halldoor/core/configuration.py
+++ b/halldoor/core/configuration.py
@@ -40,16 +40,25 @@
 class Hall(_Model, frozen=True, kw_only=True):
     """A hall with its entry hosts.
 
-    ``previous_entries`` and ``roster_revision`` are written by the administration
-    API when the roster changes: a slot moves only after its last home is known to
-    have adopted that revision.
+    A slot moves to another entry only after its last home is known to have adopted
+    the new roster.
+
+    Attributes
+    ----------
+    stopped_entries : list of str
+        Former entries that an operator knows to be stopped for good.
+    former_rosters : list of list of str
+        Earlier rosters, the latest first; written by the administration API.
+    roster_revision : int
+        Revision of the present roster; written by the administration API.
     """
 
     name: Name
     region: Name
     entries: list[EntryHost]
     labels: dict[str, str] = {}
-    previous_entries: list[str] = []
+    stopped_entries: list[str] = []
+    former_rosters: list[list[str]] = []
     roster_revision: int = 0
 
 
--- a/halldoor/core/settings.py
+++ b/halldoor/core/settings.py
@@ -54,6 +54,7 @@
     probe_period_s: float = 0.8
     max_body_bytes: int = 268_435_456
     caller_timeout_s: float = 10.0
+    queue_s: float = 0.05
     policy: str = "two-choices"
     strict_invariants: bool = False
     rest_at_start: bool = True
--- a/halldoor/core/slots.py
+++ b/halldoor/core/slots.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import NamedTuple
 
 from halldoor.core.placement import rank
@@ -88,6 +88,9 @@
         self._loans: dict[int, Loan] = {}
         self._next_loan = 1
         self._homes: dict[str, frozenset[int]] = {}
+        # Slots that wait for former homes to adopt the roster, with the names of those.
+        self._pending: dict[SlotKey, frozenset[str]] = {}
+        self._rest_s: dict[str, float] = {}
 
     def set_roster(
         self,
@@ -96,6 +99,7 @@
         *,
         now: float,
         rest_s: Mapping[str, float],
+        former: Sequence[Sequence[str]] = (),
     ) -> None:
         """Adopt the hall's roster and slot counts.
 
@@ -111,26 +115,58 @@
             Longest time a request to the target can last.  A slot that is new to
             this entry rests that long, since its last home, or an earlier process
             of this name, may still have a request running on it.
+        former : sequence of sequence of str, optional
+            Earlier rosters whose members may not know the present one yet.
         """
+        self._rest_s = dict(rest_s)
         for target, count in slots.items():
             homes = assign_homes(target, count, roster)
             mine = frozenset(i for i, home in enumerate(homes) if home == self.me)
-            self._adopt(target, mine, rest_until=now + _add_margin(rest_s.get(target, 0.0)))
+            earlier = [assign_homes(target, count, r) for r in former]
+            waits = {i: frozenset(h[i] for h in earlier if h) - {self.me} for i in mine}
+            self._adopt(target, waits, now=now)
         for target in [t for t in self._homes if t not in slots]:
-            self._adopt(target, frozenset(), rest_until=now)
+            self._adopt(target, {}, now=now)
 
-    def _adopt(self, target: str, mine: frozenset[int], *, rest_until: float) -> None:
-        """Replace the set of own slots of one target."""
+    def _adopt(self, target: str, waits: Mapping[int, frozenset[str]], *, now: float) -> None:
+        """Replace the own slots of one target; each with the former homes to wait for."""
         known = self._homes.get(target, frozenset())
         free = self._free.setdefault(target, {})
-        for i in known - mine:
+        for i in known - waits.keys():
             free.pop(i, None)
+            self._pending.pop(SlotKey(target, i), None)
         lent = {loan.key for loan in self._loans.values()}
-        for i in mine - known:
+        self._homes[target] = frozenset(waits)
+        for i in waits.keys() - known:
             key = SlotKey(target, i)
-            if key not in self._busy and key not in lent:
-                free[i] = rest_until
-        self._homes[target] = mine
+            if key in self._busy or key in lent:
+                continue
+            if waits[i]:
+                self._pending[key] = waits[i]
+            else:
+                free[i] = now + _add_margin(self._rest_s.get(target, 0.0))
+
+    def confirm(self, adopted: Collection[str], *, now: float) -> None:
+        """Free the slots whose former homes have all adopted the roster.
+
+        What those sent before may still run, so the slots rest first.
+
+        Parameters
+        ----------
+        adopted : collection of str
+            Entries known to have adopted it, or known to be stopped.
+        now : float
+            Monotonic seconds.
+        """
+        for key, names in list(self._pending.items()):
+            if names.issubset(adopted):
+                del self._pending[key]
+                rest_s = _add_margin(self._rest_s.get(key.target, 0.0))
+                self._free[key.target][key.number] = now + rest_s
+
+    def list_pending(self) -> frozenset[str]:
+        """List the former homes that slots wait for."""
+        return frozenset(name for names in self._pending.values() for name in names)
 
     def acquire(self, target: str, *, now: float, until: float) -> Hold | None:
         """Take one of this entry's own slots for a request that ends by ``until``."""
@@ -207,7 +243,7 @@
         """Tell whether every own slot is in exactly one place."""
         lent = [loan.key for loan in self._loans.values()]
         free = [SlotKey(t, i) for t, indexes in self._free.items() for i in indexes]
-        everything = [*lent, *free, *self._busy]
+        everything = [*lent, *free, *self._busy, *self._pending]
         return len(everything) == len(set(everything))
 
 
--- a/halldoor/entry/gossip.py
+++ b/halldoor/entry/gossip.py
@@ -61,6 +61,7 @@
         self.get_reports: Callable[[], tuple[TargetReport, ...]] = lambda: ()
         self.on_reports: Callable[[Member], None] = lambda member: None
         self.on_revision: Callable[[int, Address], None] = lambda revision, address: None
+        self.on_revisions: Callable[[dict[str, int]], None] = lambda revisions: None
         self.on_change: Callable[[], None] = lambda: None
         self._seen: tuple[Any, ...] = ()
         self.messages = 0
@@ -93,8 +94,10 @@
         for name, address in self._choose():
             self._exchange(name, address)
         # Records come with their reports only when these change, but hold until the next.
-        for member in self.list_alive():
+        members = self.list_alive()
+        for member in members:
             self.on_reports(member)
+        self.on_revisions({m.name: m.revision for m in members})
         self._notice_change()
 
     def _choose(self) -> list[tuple[str, Address]]:
--- a/halldoor/entry/hall.py
+++ b/halldoor/entry/hall.py
@@ -4,7 +4,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
@@ -58,7 +58,9 @@
         give_back: Callable[[Hold, float], None],
         rest_at_start: bool = True,
     ) -> None:
-        self._lock = threading.Lock()
+        # Waiters for a slot sleep on it; whoever frees one wakes one of them.
+        self._lock = threading.Condition()
+        self._waiting = 0
         self._policy = policy
         self._invariants = invariants
         self._borrow = borrow
@@ -83,9 +85,26 @@
                 [e.name for e in snapshot.hall.entries],
                 now=now,
                 rest_s=rest_s,
+                former=snapshot.hall.former_rosters,
             )
             self._snapshot = snapshot
 
+    def confirm_roster(self, revisions: Mapping[str, int]) -> None:
+        """Learn which entries have adopted which revision, so that moved slots can be used."""
+        snapshot = self._snapshot
+        if snapshot is None:
+            return
+        wanted = snapshot.hall.roster_revision
+        adopted = {name for name, revision in revisions.items() if revision >= wanted}
+        adopted.update(snapshot.hall.stopped_entries)
+        with self._lock:
+            self.slots.confirm(adopted, now=time.monotonic())
+
+    def list_pending(self) -> list[str]:
+        """List the former entries that moved slots still wait for."""
+        with self._lock:
+            return sorted(self.slots.list_pending())
+
     def admit(
         self,
         targets: Sequence[str],
@@ -93,6 +112,7 @@
         until: float,
         excluded: frozenset[str] = frozenset(),
         is_spill: bool = False,
+        wait_s: float = 0.0,
     ) -> Result[Admission, NoAdmission]:
         """Find a target with room and take a slot of it.
 
@@ -106,6 +126,8 @@
             Targets already tried.
         is_spill : bool, optional
             The request comes from another region, and leaves some room free.
+        wait_s : float, optional
+            Time to wait for a slot before giving up.
         """
         now = time.monotonic()
         passed_over: list[PassedOver] = []
@@ -117,12 +139,39 @@
         if admission is None and names and until > now:
             # Asking peers takes a round trip, so no lock is held meanwhile.
             admission = self._take_borrowed(names, until)
+        if admission is None and names and wait_s > 0:
+            admission = self._wait(targets, until=until, excluded=excluded, wait_s=wait_s)
         if admission is not None:
             return Success(admission)
         if not names:
             return Failure(self._refuse(Reason.NO_TARGET, "has no healthy target", passed_over))
         return Failure(self._refuse(Reason.NO_ROOM, "has no free slot", passed_over))
 
+    def _wait(
+        self, targets: Sequence[str], *, until: float, excluded: frozenset[str], wait_s: float
+    ) -> Admission | None:
+        """Wait a short while for an own slot.
+
+        No more wait than there are own slots, so that a wait is about one request long;
+        the others are refused at once and can go where there is room.
+        """
+        ends = min(time.monotonic() + wait_s, until)
+        with self._lock:
+            if self._waiting >= sum(self.slots.count_home(t) for t in targets):
+                return None
+            self._waiting += 1
+            try:
+                while (now := time.monotonic()) < ends:
+                    self._lock.wait(ends - now)
+                    now = time.monotonic()
+                    names = self._list_candidates(targets, excluded, now, [])
+                    admission = self._take_own(names, until, now, [])
+                    if admission is not None:
+                        return admission
+            finally:
+                self._waiting -= 1
+        return None
+
     def _refuse(self, reason: Reason, what: str, passed_over: list[PassedOver]) -> NoAdmission:
         """Build the refusal of this hall."""
         hall = self._snapshot.hall.name if self._snapshot else "?"
@@ -156,8 +205,9 @@
         ]
         views = [self._view(n, now) for n in usable]
         cold = [v.name for v in views if _is_cold_full(v, self._snapshot.hall_targets[v.name])]
-        passed_over += [PassedOver(n, "it is cold and has enough for now") for n in cold]
-        return self._policy.order([v for v in views if v.name not in cold])
+        warm = self._policy.order([v for v in views if v.name not in cold])
+        # A cold target past its ramp is a last resort: slow, but better than a refusal.
+        return [*warm, *self._policy.order([v for v in views if v.name in cold])]
 
     def _view(self, name: str, now: float) -> TargetView:
         """Build what the policy sees of one target."""
@@ -207,15 +257,25 @@
             is_leaving = is_leaving or self.health.is_leaving(admission.target.name, now)
         return now < admission.hold.until and not is_leaving
 
-    def release(self, admission: Admission, *, is_finished: bool) -> None:
-        """Give a slot back; where the target may still be busy it rests until the deadline."""
+    def release(self, admission: Admission, *, busy_until: float = 0.0) -> None:
+        """Give a slot back.
+
+        Parameters
+        ----------
+        admission : Admission
+            What was admitted.
+        busy_until : float, optional
+            Time until which the target may still be busy with what was cut off; the
+            slot rests a little longer than that.
+        """
         hold = admission.hold
-        rest_until = 0.0 if is_finished else hold.until + REST_MARGIN_S
+        rest_until = busy_until + REST_MARGIN_S if busy_until else 0.0
         name = admission.target.name
         with self._lock:
             self._in_flight[name] -= 1
             if not hold.lender:
                 self.slots.release(hold.key, rest_until=rest_until)
+                self._lock.notify()
         if hold.lender:
             self._give_back(hold, rest_until)
 
@@ -236,6 +296,7 @@
         """Take a lent slot back."""
         with self._lock:
             self.slots.end_loan(number, borrower, rest_until=time.monotonic() + rest_s)
+            self._lock.notify()
 
     def expire_loans(self) -> int:
         """Take back the loans that have lapsed."""
--- a/halldoor/entry/local.py
+++ b/halldoor/entry/local.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Sequence
 
 from returns.result import Failure, Result, Success
@@ -16,6 +17,8 @@
 from halldoor.entry.targets import Fault, TargetClient, TargetFault
 
 ATTEMPTS = 3
+ATTEMPT_SHARE = 0.6
+"""Share of the time left that one attempt of a repeatable request may take."""
 PREFETCH = 131_072
 """Bytes of a repeatable answer read before it is passed on, so that a break can be retried."""
 
@@ -29,10 +32,13 @@
         Slots, health and policy.
     client : TargetClient
         Connections to targets.
+    queue_s : float, optional
+        Time that a request of this entry's own callers may wait for a slot.
     """
 
-    def __init__(self, room: HallRoom, client: TargetClient) -> None:
+    def __init__(self, room: HallRoom, client: TargetClient, *, queue_s: float = 0.0) -> None:
         self._room = room
+        self._queue_s = queue_s
         self._client = client
         self._budget = RetryBudget()
         self._budget_lock = threading.Lock()
@@ -43,16 +49,16 @@
         """Try targets until one answers, none is left, or the outcome is unknown."""
         with self._budget_lock:
             self._budget.add_request()
-        admitted = self.admit(targets, request, is_spill=is_spill)
+        admitted = self.admit(targets, request, is_spill=is_spill, wait_s=self._queue_s)
         if isinstance(admitted, Failure):
             return admitted
         return self.carry(admitted.unwrap(), targets, request, body, is_spill=is_spill)
 
     def admit(
-        self, targets: Sequence[str], request: Request, *, is_spill: bool
+        self, targets: Sequence[str], request: Request, *, is_spill: bool, wait_s: float = 0.0
     ) -> Result[Admission, HallRefusal]:
         """Reserve room before any of the body crosses a link."""
-        result = self._room.admit(targets, until=request.deadline, is_spill=is_spill)
+        result = self._room.admit(targets, until=request.deadline, is_spill=is_spill, wait_s=wait_s)
         return result.alt(lambda no: HallRefusal(no.refusal, no.passed_over))
 
     def carry(
@@ -69,8 +75,9 @@
         tried: set[str] = set()
         for attempt in range(1, ATTEMPTS + 1):
             name = admission.target.name
+            limited = _limit_attempt(request, body, attempt)
             try:
-                answer = self._send(admission, request, body)
+                answer = self._send(admission, limited, body)
                 answer.attempts, answer.passed_over = attempt, passed_over
                 return Success(answer)
             except RequestError as exc:
@@ -101,19 +108,26 @@
         """Send to one target and account for what comes of it."""
         name = admission.target.name
         room = self._room
+
+        def may_send() -> bool:
+            return room.may_send(admission) and not request.cancellation.is_cancelled
+
         try:
             answer, latency_s = self._client.send(
-                admission.target, request, body, may_send=lambda: room.may_send(admission)
+                admission.target, request, body, may_send=may_send
             )
         except TargetFault as exc:
-            is_finished = exc.fault is not Fault.MAYBE_RAN
-            room.release(admission, is_finished=is_finished)
+            may_be_busy = exc.fault is Fault.MAYBE_RAN
+            room.release(admission, busy_until=request.deadline if may_be_busy else 0.0)
             self._learn(name, exc.fault, request)
             raise RequestError(_to_refusal(exc, request)) from exc
         except BaseException:
-            room.release(admission, is_finished=False)
+            room.release(admission, busy_until=request.deadline)
             raise
-        answer.add_end(lambda is_whole: room.release(admission, is_finished=is_whole))
+        deadline = request.deadline
+        answer.add_end(
+            lambda is_whole: room.release(admission, busy_until=0.0 if is_whole else deadline)
+        )
         if request.is_repeatable:
             self._prefetch(name, answer, request)
         room.add_result(name, is_good=answer.status < 500, latency_s=latency_s)
@@ -135,6 +149,14 @@
             self._room.add_result(name, is_good=False)
 
 
+def _limit_attempt(request: Request, body: Body, attempt: int) -> Request:
+    """Leave time for another attempt, so that a target that hangs doesn't take it all."""
+    if not request.is_repeatable or not body.can_repeat or attempt == ATTEMPTS:
+        return request
+    limit = time.monotonic() + request.get_remaining_s() * ATTEMPT_SHARE
+    return request._replace(deadline=limit)
+
+
 def _to_refusal(fault: TargetFault, request: Request) -> Refusal:
     """Say what a target's fault means for the caller."""
     if fault.fault is Fault.SHED:
--- a/halldoor/entry/process.py
+++ b/halldoor/entry/process.py
@@ -70,7 +70,7 @@
         self._lookups: LookupTable | None = None
         self._is_leaving = False
         self._is_stopping = False
-        self.peers = PeerPool()
+        self.peers = PeerPool(source_ip=settings.wire.ip)
         self.watcher = CallerWatcher()
         self.decisions = DecisionLog()
         self.metrics = Metrics()
@@ -81,7 +81,8 @@
     @classmethod
     def from_config(cls, settings: EntrySettings) -> EntryProcess:
         """Build the process from its settings."""
-        return cls(settings, HttpPlatform(settings.platform))
+        platform = HttpPlatform(settings.platform, source_ip=settings.wire.ip)
+        return cls(settings, platform)
 
     def _build_control(self, platform: Platform) -> None:
         """Build membership, configuration, loans and probes."""
@@ -127,7 +128,7 @@
         """Build what requests go through."""
         s = self.settings
         self.targets = TargetClient()
-        self.local = LocalHall(self.room, self.targets)
+        self.local = LocalHall(self.room, self.targets, queue_s=s.queue_s)
         remote = RemoteEntry(self.peers)
         self.dispatcher = Dispatcher(
             s.name,
@@ -158,6 +159,7 @@
         self.gossip.get_reports = self.probe.build_reports
         self.gossip.on_reports = self.probe.hear
         self.gossip.on_revision = self.configuration.hear_gossip
+        self.gossip.on_revisions = self.room.confirm_roster
         self.gossip.on_change = self._refresh_lookups
         self.metrics.read_gauges = lambda: read_gauges(
             self.metrics,
@@ -335,6 +337,7 @@
                 {"service": s, "cap_of": name, "total": t, "moved": m, "cap": cap}
                 for (s, name), (t, m, cap) in self.dispatcher.count_moves().items()
             ],
+            "slots_wait_for": self.room.list_pending(),
             "orders_running": self.orders.count_running(),
             "loans": {"asked": self.loans.asked, "borrowed": self.loans.borrowed},
             "claims": {"claimed": self.claims.claimed, "writes": self.claims.writes},
--- a/halldoor/platform/client.py
+++ b/halldoor/platform/client.py
@@ -31,13 +31,16 @@
         Base URL, such as ``http://10.0.0.1:7000``.
     timeout_s : float
         Longest wait for an answer other than a watch's.
+    source_ip : str, optional
+        Address that connections go out from.
     """
 
-    def __init__(self, url: str, *, timeout_s: float = 1.0) -> None:
+    def __init__(self, url: str, *, timeout_s: float = 1.0, source_ip: str = "") -> None:
         self._url = url.rstrip("/")
         self._timeout_s = timeout_s
         # No retries by the library: a repeated write must be decided here.
-        self._pool = urllib3.PoolManager(maxsize=8, retries=False)
+        source = (source_ip, 0) if source_ip else None
+        self._pool = urllib3.PoolManager(maxsize=8, retries=False, source_address=source)
 
     def get(self, key: str) -> Value | None:
         """Read a key."""
--- a/halldoor/platform/store.py
+++ b/halldoor/platform/store.py
@@ -25,6 +25,7 @@
 
 REFUSED_KEY = "audit/refused"
 REFUSED_KEPT = 500
+FORMER_ROSTERS = 8
 READ_BACK_TRIES = 20
 READ_BACK_PAUSE_S = 0.25
 
@@ -302,10 +303,11 @@
     if names == [e.name for e in hall.entries]:
         return msgspec.structs.replace(
             hall,
-            previous_entries=before.previous_entries,
+            former_rosters=before.former_rosters,
             roster_revision=before.roster_revision,
         )
-    return msgspec.structs.replace(hall, previous_entries=names, roster_revision=revision)
+    former = [names, *before.former_rosters][:FORMER_ROSTERS]
+    return msgspec.structs.replace(hall, former_rosters=former, roster_revision=revision)
 
 
 def _shorten(record: AuditRecord, limit: int = 300) -> AuditRecord:
--- a/halldoor/standins/fleet.py
+++ b/halldoor/standins/fleet.py
@@ -22,6 +22,7 @@
 from halldoor.core.configuration import Configuration
 from halldoor.platform.client import HttpPlatform
 from halldoor.platform.store import Change, ConfigurationStore
+from halldoor.standins.relay import Relays
 
 IP = "127.0.0.1"
 DECISION_KEY = "fleet-decision-key-0123"
@@ -65,8 +66,13 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.http = urllib3.PoolManager(num_pools=200, maxsize=16, retries=False, timeout=15.0)
         self.platform_port = find_ports(1)[0]
+        self.shown_platform_port = 0
         self.admin_port = 0
         self.settings: dict[str, Path] = {}
+        self.relays: Relays | None = None
+        # Pairs of address prefixes that can't reach each other, such as 127.0.1. and 127.0.2.
+        self.cuts: set[tuple[str, str]] = set()
+        self._hidden: dict[str, dict[str, Any]] = {}
         self.configuration: dict[str, Any] = {}
 
     @classmethod
@@ -121,7 +127,7 @@
             "name": name,
             "hall": hall,
             "http": host["http"],
-            "wire": host["wire"],
+            "wire": self._hidden.get(name, host["wire"]),
             "platform": self.platform_url,
             "decision_key": DECISION_KEY,
             "peers": peers,
@@ -169,6 +175,48 @@
                 process.kill()
                 process.wait()
         self.http.clear()
+        if self.relays is not None:
+            self.relays.stop()
+
+    # Cuts
+
+    def use_relays(self, configuration: dict[str, Any]) -> None:
+        """Put a relay before every entry's wire port and before the platform.
+
+        Each entry gets an address of its own, 127.0.HALL.NUMBER, by which cuts tell
+        who calls.  Call it before anything else is started.
+        """
+        self.relays = Relays()
+        hidden = find_ports(1 + sum(len(h["entries"]) for h in configuration["halls"]))
+        for i, hall in enumerate(configuration["halls"], 1):
+            for j, entry in enumerate(hall["entries"], 1):
+                real: dict[str, Any] = {"ip": f"127.0.{i}.{j}", "port": hidden.pop()}
+                self._hidden[entry["name"]] = real
+                self._add_relay(entry["wire"]["port"], (real["ip"], real["port"]))
+        self.shown_platform_port = hidden.pop()
+        self._add_relay(self.shown_platform_port, (IP, self.platform_port))
+
+    def _add_relay(self, port: int, to: tuple[str, int]) -> None:
+        """Add one relay; the platform stands at 127.0.0.1."""
+        assert self.relays is not None
+
+        def is_cut(source: str) -> bool:
+            pairs = list(self.cuts)
+            return any(
+                (source.startswith(a) and to[0].startswith(b))
+                or (source.startswith(b) and to[0].startswith(a))
+                for a, b in pairs
+            )
+
+        self.relays.add((IP, port), to, is_cut)
+
+    def cut(self, one: str, other: str) -> None:
+        """Cut two address prefixes from each other; ``127.0.0.`` is the platform's."""
+        self.cuts.add((one, other))
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.cuts.clear()
 
     def read_log(self, name: str) -> str:
         """Read a process's log."""
@@ -216,8 +264,9 @@
 
     @property
     def platform_url(self) -> str:
-        """URL of the platform's stand-in."""
-        return f"http://{IP}:{self.platform_port}"
+        """URL of the platform's stand-in, through its relay where there is one."""
+        port = self.shown_platform_port if self.relays is not None else self.platform_port
+        return f"http://{IP}:{port}"
 
     def can_connect(self, port: int) -> bool:
         """Tell whether something listens on a port."""
@@ -270,7 +319,9 @@
 
     def set_faults(self, **faults: object) -> None:
         """Set what goes wrong at the platform."""
-        self.http.request("POST", f"{self.platform_url}/faults", body=msgspec.json.encode(faults))
+        self.http.request(
+            "POST", f"http://{IP}:{self.platform_port}/faults", body=msgspec.json.encode(faults)
+        )
 
     def apply(self, configuration: dict[str, Any], *, change_id: str = "first") -> int:
         """Commit a configuration without the administration API."""
--- /dev/null
+++ b/halldoor/standins/relay.py
@@ -0,0 +1,80 @@
+"""A relay between processes that can be cut, as a network can: silently."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import threading
+from collections.abc import Callable
+from typing import Any
+
+CutTest = Callable[[str], bool]
+
+
+class Relays:
+    """TCP relays in one thread.
+
+    A cut swallows bytes and new connections without closing anything, so that the
+    two sides find out by time-outs.  Connections that were caught by a cut are closed
+    once it ends.
+    """
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+
+    def add(self, listen: tuple[str, int], to: tuple[str, int], is_cut: CutTest) -> None:
+        """Relay connections to ``to``; ``is_cut`` tells by the caller's address whether to."""
+
+        async def serve(reader: Any, writer: Any) -> None:
+            await _serve(reader, writer, to, is_cut)
+
+        async def start() -> None:
+            await asyncio.start_server(serve, *listen, limit=262_144)
+
+        asyncio.run_coroutine_threadsafe(start(), self._loop).result(5)
+
+    def stop(self) -> None:
+        """Stop all relays."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(5)
+
+
+async def _serve(reader: Any, writer: Any, to: tuple[str, int], is_cut: CutTest) -> None:
+    """Relay one connection."""
+    source = writer.get_extra_info("peername")[0]
+    try:
+        if is_cut(source):
+            await _wait_while(source, is_cut)
+            return
+        there_reader, there_writer = await asyncio.open_connection(*to, limit=262_144)
+        try:
+            await asyncio.gather(
+                _copy(reader, there_writer, source, is_cut),
+                _copy(there_reader, writer, source, is_cut),
+            )
+        finally:
+            there_writer.close()
+    except OSError:
+        pass
+    finally:
+        writer.close()
+
+
+async def _copy(reader: Any, writer: Any, source: str, is_cut: CutTest) -> None:
+    """Copy one direction; what a cut catches is lost with the connection."""
+    with contextlib.suppress(OSError):
+        while data := await reader.read(65_536):
+            if is_cut(source):
+                await _wait_while(source, is_cut)
+                break
+            writer.write(data)
+            await writer.drain()
+    writer.close()
+
+
+async def _wait_while(source: str, is_cut: CutTest) -> None:
+    """Wait until a cut ends."""
+    while is_cut(source):
+        await asyncio.sleep(0.05)
--- a/halldoor/standins/target.py
+++ b/halldoor/standins/target.py
@@ -38,7 +38,9 @@
     cut_after_run : int
         Requests that run and then lose their connection.
     truncate : int
-        Answers that are cut in half.
+        Answers that break off in the middle.
+    stall : int
+        Answers that stop in the middle and leave the connection open.
     close_idle : bool
         Close each connection as soon as its next request comes, unread.
     report_lag_s : float
@@ -58,6 +60,7 @@
     fail_after_run: int = 0
     cut_after_run: int = 0
     truncate: int = 0
+    stall: int = 0
     close_idle: bool = False
     report_lag_s: float = 0.0
     report_load: float = -1.0
@@ -212,6 +215,7 @@
             has_cut, b.cut_after_run = b.cut_after_run > 0, max(0, b.cut_after_run - 1)
             has_failed, b.fail_after_run = b.fail_after_run > 0, max(0, b.fail_after_run - 1)
             is_cut_short, b.truncate = b.truncate > 0, max(0, b.truncate - 1)
+            is_stalled, b.stall = b.stall > 0, max(0, b.stall - 1)
         if has_cut:
             raise cut_connection(environ, "cut after the run on demand")
         if has_failed:
@@ -222,9 +226,10 @@
         if length:
             seed = query.get("seed", [""])[0]
             start("200 OK", [("Content-Length", str(length)), ("Answer-For", seed)])
-            return _make_body(seed, length // 2 if is_cut_short else length)
+            pieces = _make_body(seed, length // 2 if is_cut_short or is_stalled else length)
+            return _cut_after(pieces, environ) if is_cut_short else pieces
         text = {"path": environ["PATH_INFO"], "size": size, "sha256": digest}
-        return _send_json(start, 200, text, is_cut_short=is_cut_short)
+        return _send_json(start, 200, text)
 
 
 def cut_connection(environ: dict[str, Any], why: str) -> ConnectionAbortedError:
@@ -274,16 +279,20 @@
         length -= PIECE
 
 
-def _send_json(
-    start: Any, status: int, value: object, *, is_cut_short: bool = False
-) -> Iterable[bytes]:
+def _cut_after(pieces: Iterator[bytes], environ: dict[str, Any]) -> Iterator[bytes]:
+    """Give pieces and then cut the connection."""
+    yield from pieces
+    raise cut_connection(environ, "cut short on demand")
+
+
+def _send_json(start: Any, status: int, value: object) -> Iterable[bytes]:
     """Answer with JSON."""
     body = msgspec.json.encode(value)
     start(
         f"{status} {'OK' if status == 200 else 'Unavailable'}",
         [("Content-Type", "application/json"), ("Content-Length", str(len(body)))],
     )
-    return [body[: len(body) // 2] if is_cut_short else body]
+    return [body]
 
 
 def _send_shed(start: Any) -> Iterable[bytes]:
--- /dev/null
+++ b/halldoor/tests/test_answers.py
@@ -0,0 +1,186 @@
+"""Everyone receives the whole answer to their own request."""
+
+import json
+import socket
+import threading
+import time
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from hashlib import sha256
+
+import pytest
+
+from halldoor.core.errors import PeerError
+from halldoor.standins.target import make_bytes
+from halldoor.tests.test_orders import control_all
+from halldoor.wire.protocol import decode_reply, encode_call, idl
+
+READ = "/s/decks/read"
+
+
+class TestWholeAnswers:
+    @pytest.fixture(autouse=True)
+    def restore(self, two_halls):
+        yield
+        control_all(two_halls, truncate=0, stall=0, latency_s=0.01, shed_share=0.0)
+
+    def test_hundred_callers_get_their_own(self, two_halls):
+        """With answers cut short and callers that go away among them."""
+        control_all(two_halls, truncate=3, latency_s=0.003)
+        entries = ["a1-e1", "a1-e2", "b1-e1", "b1-e2"]
+        outcomes = Counter()
+
+        def call(number):
+            seed, size = f"seed-{number}", 1 + (number * 7919) % 400_000
+            if number % 10 == 0:
+                _abandon(two_halls, entries[number % 4])
+            path = f"{READ}/{number}?size={size}&seed={seed}"
+            for _ in range(200):
+                response = two_halls.call(entries[number % 4], path)
+                outcomes[response.status] += 1
+                if response.status == 200:
+                    break
+                assert json.loads(response.data)["retry_after_s"] > 0
+                time.sleep(0.05)
+            assert response.headers["Answer-For"] == seed
+            assert sha256(response.data).digest() == sha256(make_bytes(seed, size)).digest()
+
+        with ThreadPoolExecutor(100) as pool:
+            list(pool.map(call, range(400)))
+        assert outcomes[200] == 400
+
+    @pytest.mark.parametrize("fault", ["truncate", "stall"])
+    def test_broken_small_answer_is_asked_for_again(self, two_halls, fault):
+        # One target of each hall, so that another one is left to ask.
+        for target in ("a1-t1", "b1-t1"):
+            two_halls.control(target, **{fault: 2})
+        for number in range(6):
+            response = two_halls.call("a1-e1", f"{READ}/x?size=50000&seed=t{number}")
+            assert (response.status, response.data) == (200, make_bytes(f"t{number}", 50_000))
+
+    @pytest.mark.parametrize("entry", ["a1-e1", "a1-e2"])
+    def test_truncated_large_answer_is_seen_as_cut(self, two_halls, entry):
+        control_all(two_halls, truncate=9)
+        with pytest.raises(Exception, match=r"IncompleteRead|broken|Incomplete"):
+            two_halls.call(entry, f"{READ}/x?size=3000000&seed=t")
+
+    def test_truncated_across_halls_is_seen_as_cut(self, two_halls):
+        for target in ("a1-t1", "a1-t2"):
+            two_halls.control(target, shed_share=1.0)
+        for target in ("b1-t1", "b1-t2"):
+            two_halls.control(target, truncate=9)
+        with pytest.raises(Exception, match=r"IncompleteRead|broken|Incomplete"):
+            two_halls.call("a1-e1", f"{READ}/x?size=3000000&seed=t")
+
+    def test_late_answer_never_reaches_another(self, two_halls):
+        """The deadline passes, the answer comes late, and the next request is another's."""
+        control_all(two_halls, latency_s=0.3)
+        for number in range(6):
+            late = two_halls.call(
+                "a1-e1", f"{READ}/late?size=1000&seed=late", headers={"Halldoor-Deadline-Ms": "150"}
+            )
+            assert late.status == 504
+            own = two_halls.call("a1-e1", f"{READ}/x?size=1000&seed=n{number}&work_s=0")
+            assert (own.status, own.data) == (200, make_bytes(f"n{number}", 1_000))
+
+    def test_caller_that_goes_away_cancels_at_the_target(self, two_halls):
+        def count_cancelled():
+            names = [t["name"] for t in two_halls.configuration["targets"]]
+            stats = [two_halls.get_json(n, "/stats") for n in names]
+            return sum(s["outcomes"].get("cancelled", 0) for s in stats)
+
+        before = count_cancelled()
+        _abandon(two_halls, "a1-e1", work_s=2.5)
+        deadline = time.monotonic() + 5
+        while count_cancelled() == before and time.monotonic() < deadline:
+            time.sleep(0.05)
+        assert count_cancelled() == before + 1
+
+
+def _abandon(fleet, entry, *, work_s=0.5):
+    """Start a request and go away."""
+    with socket.create_connection(("127.0.0.1", fleet.find_port(entry))) as sock:
+        sock.sendall(f"GET {READ}/gone?work_s={work_s} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        time.sleep(0.1)
+
+
+class TestFrames:
+    """Replies between entries can't cross."""
+
+    @pytest.mark.parametrize(("method", "sequence"), [("borrow", 8), ("get_head", 7)])
+    def test_reply_to_another_call_is_refused(self, method, sequence):
+        from halldoor.wire.protocol import answer_call
+
+        class Handler:
+            def borrow(self, request):
+                return idl.Loan(number=1, index=2, target=request.targets[0])
+
+        request = idl.LoanRequest(targets=["t"], borrower="e", duration_ms=1)
+        reply = answer_call(Handler(), encode_call("borrow", 7, {"request": request}))
+        assert decode_reply("borrow", 7, reply).index == 2
+        with pytest.raises(PeerError, match="came for"):
+            decode_reply(method, sequence, reply)
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"\x00\x00\x00\x05abcde",
+            b"\x7f\xff\xff\xff",
+            b"\x00\x00\x00\x00",
+            b"\x00\x00\x00\x10" + encode_call("get_head", 1, {})[:8],
+            b"\x00\x00\x00\x20" + encode_call("get_part", 1, {"digest": "x"})[:-6] + b"\x7f" * 9,
+        ],
+    )
+    def test_bad_frames_leave_the_entry_alive(self, two_halls, data):
+        wire = two_halls.configuration["halls"][0]["entries"][0]["wire"]["port"]
+        with socket.create_connection(("127.0.0.1", wire)) as sock:
+            sock.sendall(data)
+            sock.shutdown(socket.SHUT_WR)
+            sock.settimeout(5)
+            while sock.recv(4096):
+                pass
+        assert two_halls.get_revision("a1-e1") >= 1
+
+
+class TestBadCallers:
+    @pytest.mark.parametrize(
+        ("head", "status"),
+        [
+            ("GET /s/nothing/read HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+            ("DELETE /s/decks/read HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+            ("GET /s/decks/read HTTP/1.1\r\nHost: x\r\nHalldoor-Deadline-Ms: -5\r\n\r\n", 400),
+            ("GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+            ("GET / HTTP/1.1\r\nHost: x\r\nA: " + "x" * 40_000 + "\r\n\r\n", 413),
+            ("PUT /s/decks/upload HTTP/1.1\r\nHost: x\r\nContent-Length: 999999999\r\n\r\n", 413),
+            ("rubbish\r\n\r\n", 400),
+        ],
+    )
+    def test_clear_refusals(self, two_halls, head, status):
+        with socket.create_connection(("127.0.0.1", two_halls.find_port("a1-e1"))) as sock:
+            sock.sendall(head.encode())
+            sock.settimeout(5)
+            answer = sock.recv(4096)
+        assert int(answer.split()[1]) == status
+
+    def test_slow_callers_do_not_stop_others(self, two_halls):
+        port = two_halls.find_port("a1-e1")
+        slow = [socket.create_connection(("127.0.0.1", port)) for _ in range(30)]
+        try:
+            for sock in slow:
+                sock.sendall(b"GET /s/decks/read HTTP/1.1\r\nHost:")
+            results = []
+            threads = [
+                threading.Thread(
+                    target=lambda: results.append(two_halls.call("a1-e1", f"{READ}/x").status)
+                )
+                for _ in range(8)
+            ]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            assert results == [200] * 8
+        finally:
+            for sock in slow:
+                sock.close()
--- /dev/null
+++ b/halldoor/tests/test_room.py
@@ -0,0 +1,192 @@
+"""No target, hall or link is overloaded: judged by the targets' own counts."""
+
+import signal
+import threading
+import time
+from collections import Counter
+
+import pytest
+
+from halldoor.standins.fleet import Fleet, make_configuration, wait_until
+from halldoor.tests.conftest import start_all
+from halldoor.tests.test_orders import control_all
+
+READ = "/s/decks/read/x"
+DEADLINE_S = 1.0
+
+
+class Flood:
+    """Callers that keep more requests going than there is room for."""
+
+    def __init__(self, fleet, entries, *, callers=10, path=f"{READ}?work_s=0.04"):
+        self.fleet, self.path = fleet, path
+        self.outcomes = Counter()
+        self._is_over = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._call, args=(e,)) for e in entries for _ in range(callers)
+        ]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self._is_over.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _call(self, entry):
+        while not self._is_over.is_set():
+            try:
+                response = self.fleet.call(entry, self.path)
+                self.outcomes[response.headers.get("Halldoor-Ran")] += 1
+                if response.status != 200:
+                    time.sleep(0.02)
+            except Exception:
+                self.outcomes["no answer"] += 1
+                time.sleep(0.05)
+
+    def wait_for(self, count):
+        """Wait until that many more requests were served."""
+        wanted = self.outcomes["ran"] + count
+        wait_until(lambda: self.outcomes["ran"] >= wanted, what="requests served", limit_s=60)
+
+
+def read_stats(fleet):
+    return {t["name"]: fleet.get_json(t["name"], "/stats") for t in fleet.configuration["targets"]}
+
+
+def assert_within_slots(fleet):
+    over = {n: s["greatest"] for n, s in read_stats(fleet).items() if s["greatest"] > s["slots"]}
+    assert not over, f"more in flight than slots: {over}"
+
+
+@pytest.fixture
+def hall():
+    """One hall of two entries behind relays, so that they can be cut from each other."""
+    with Fleet.open() as fleet:
+        configuration = make_configuration(halls={"a1": 2}, deadline_s=DEADLINE_S)
+        fleet.use_relays(configuration)
+        start_all(fleet, configuration, rest_at_start=True)
+        yield fleet
+
+
+class TestRoom:
+    def test_every_slot_is_used_and_none_twice(self, hall):
+        with Flood(hall, ["a1-e1", "a1-e2"]) as flood:
+            flood.wait_for(300)
+        assert_within_slots(hall)
+        assert sum(s["greatest"] for s in read_stats(hall).values()) >= 11
+
+    def test_one_busy_entry_borrows_from_the_idle_one(self, hall):
+        wait_until(lambda: knows_peer(hall, "a1-e1"), what="peer known")
+        with Flood(hall, ["a1-e1"], callers=20) as flood:
+            flood.wait_for(300)
+        assert_within_slots(hall)
+        assert sum(s["greatest"] for s in read_stats(hall).values()) >= 11
+        assert hall.get_json("a1-e1", "/v1/status")["loans"]["borrowed"] > 0
+
+    def test_cut_inside_the_hall(self, hall):
+        with Flood(hall, ["a1-e1", "a1-e2"]) as flood:
+            flood.wait_for(100)
+            hall.cut("127.0.1.1", "127.0.1.2")
+            flood.wait_for(200)
+            hall.heal()
+            flood.wait_for(100)
+        assert_within_slots(hall)
+
+    def test_frozen_entry_that_wakes(self, hall):
+        with Flood(hall, ["a1-e1", "a1-e2"]) as flood:
+            flood.wait_for(100)
+            for _ in range(2):
+                hall.signal("a1-e1", signal.SIGSTOP)
+                time.sleep(DEADLINE_S * 1.5)
+                hall.signal("a1-e1", signal.SIGCONT)
+                flood.wait_for(100)
+        assert_within_slots(hall)
+
+    def test_killed_and_replaced_entry(self, hall):
+        with Flood(hall, ["a1-e1", "a1-e2"], path=f"{READ}?work_s=0.3") as flood:
+            for _ in range(2):
+                flood.wait_for(40)
+                hall.kill("a1-e1")
+                hall.restart_entry("a1-e1")
+                hall.wait_ready("a1-e1")
+        assert_within_slots(hall)
+
+    def test_lying_reports_and_timeouts_and_callers_that_leave(self, hall):
+        control_all(hall, report_load=0.0)
+        path = f"{READ}?work_s=0.5"
+        with Flood(hall, ["a1-e1", "a1-e2"], path=path) as flood:
+            flood.wait_for(30)
+            control_all(hall, cut_after_run=10, stall=5)
+            flood.wait_for(30)
+        assert_within_slots(hall)
+
+    def test_roster_change_while_a_former_entry_does_not_know(self, hall):
+        """A new entry takes over slots only after the cut-off former home has adopted."""
+        configuration = hall.configuration
+        with Flood(hall, ["a1-e1", "a1-e2"]) as flood:
+            flood.wait_for(50)
+            # a1-e1 is cut off from its peer and from the platform, and goes on serving.
+            hall.cut("127.0.1.1", "127.0.1.2")
+            hall.cut("127.0.1.1", "127.0.0.")
+            time.sleep(0.5)
+            entries = configuration["halls"][0]["entries"]
+            only = {**configuration, "halls": [{**configuration["halls"][0]}]}
+            only["halls"][0]["entries"] = entries[1:]
+            hall.apply(only, change_id="shrink")
+            hall.configuration = configuration
+            wait_until(lambda: hall.get_revision("a1-e2") == 2, what="revision 2 at a1-e2")
+            flood.wait_for(150)
+            assert hall.get_json("a1-e2", "/v1/status")["slots_wait_for"] == ["a1-e1"]
+            assert_within_slots(hall)
+            hall.heal()
+            wait_until(
+                lambda: not hall.get_json("a1-e2", "/v1/status")["slots_wait_for"],
+                what="slots taken over",
+            )
+            flood.wait_for(100)
+        assert_within_slots(hall)
+
+
+def knows_peer(fleet, name):
+    return len(fleet.get_json(name, "/v1/status")["members"]) > 1
+
+
+class TestRegions:
+    def test_failed_region_lands_on_the_other_without_overload(self):
+        with Fleet.open() as fleet:
+            configuration = make_configuration(halls={"a1": 2, "b1": 2}, deadline_s=DEADLINE_S)
+            start_all(fleet, configuration)
+            names = ["a1-e1", "a1-e2", "b1-e1", "b1-e2"]
+            with Flood(fleet, names, callers=6) as flood:
+                flood.wait_for(100)
+                for target in ("a1-t1", "a1-t2"):
+                    fleet.control(target, leaving=True)
+                flood.wait_for(200)
+            assert_within_slots(fleet)
+            stats = read_stats(fleet)
+            assert stats["b1-t1"]["greatest"] + stats["b1-t2"]["greatest"] >= 10
+
+    def test_link_limit_holds_for_requests_in_flight(self):
+        with Fleet.open() as fleet:
+            configuration = make_configuration(
+                halls={"a1": 2, "b1": 1}, targets=1, deadline_s=DEADLINE_S
+            )
+            configuration["links"][0]["requests"] = 3
+            start_all(fleet, configuration)
+            fleet.control("a1-t1", leaving=True)
+            wait_until(
+                lambda: all(
+                    t["leaving"]
+                    for e in ("a1-e1", "a1-e2")
+                    for t in fleet.get_json(e, "/v1/status")["targets"].values()
+                ),
+                what="a1 leaving",
+            )
+            with Flood(fleet, ["a1-e1", "a1-e2"], callers=6) as flood:
+                flood.wait_for(60)
+            assert read_stats(fleet)["b1-t1"]["greatest"] == 3
+            assert flood.outcomes["not run"] > 0
--- a/halldoor/wire/client.py
+++ b/halldoor/wire/client.py
@@ -19,9 +19,10 @@
 class PeerConnection:
     """One connection to one entry; calls on it go one after the other."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, *, source_ip: str = "") -> None:
+        source = (source_ip, 0) if source_ip else None
         try:
-            sock = socket.create_connection((address.ip, address.port), CONNECT_TIMEOUT_S)
+            sock = socket.create_connection((address.ip, address.port), CONNECT_TIMEOUT_S, source)
         except OSError as exc:
             raise PeerError(
                 f"Entry at {address} can't be reached: {exc}.",
@@ -63,9 +64,16 @@
 
 
 class PeerPool:
-    """Idle connections by address."""
+    """Idle connections by address.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    source_ip : str, optional
+        Address that connections go out from, so that peers and firewalls know the host.
+    """
+
+    def __init__(self, *, source_ip: str = "") -> None:
+        self._source_ip = source_ip
         self._lock = threading.Lock()
         self._idle: dict[Address, list[PeerConnection]] = {}
 
@@ -76,7 +84,7 @@
                 idle = self._idle.get(address)
                 connection = idle.pop() if idle else None
             if connection is None:
-                return PeerConnection(address)
+                return PeerConnection(address, source_ip=self._source_ip)
             if not connection.is_stale():
                 connection.has_sent = False
                 return connection
--- a/halldoor/wire/protocol.py
+++ b/halldoor/wire/protocol.py
@@ -11,6 +11,7 @@
 import thriftpy2
 from thriftpy2.protocol.cybin.cybin import TCyBinaryProtocol
 from thriftpy2.thrift import TApplicationException, TMessageType, TProcessor
+from thriftpy2.transport.buffered import TCyBufferedTransport
 from thriftpy2.transport.memory import TCyMemoryBuffer
 
 from halldoor.core.errors import PeerError
@@ -100,6 +101,27 @@
         self._sock.close()
 
 
+class _FrameReader:
+    """Gives the bytes of one frame and then nothing, as a closed connection would.
+
+    The library's own memory buffer fills what a lying length asks for beyond the
+    end with whatever is in memory, so frames are never decoded from that.
+    """
+
+    def __init__(self, frame: bytes) -> None:
+        self._frame = memoryview(frame)
+
+    def read(self, size: int) -> bytes:
+        """Read up to a number of bytes."""
+        part, self._frame = self._frame[:size], self._frame[size:]
+        return bytes(part)
+
+
+def _open_frame(frame: bytes) -> Any:
+    """Give a protocol that reads one frame."""
+    return TCyBinaryProtocol(TCyBufferedTransport(_FrameReader(frame)))
+
+
 def encode_call(method: str, sequence: int, arguments: dict[str, Any]) -> bytes:
     """Encode a call."""
     buffer = TCyMemoryBuffer()
@@ -118,7 +140,7 @@
     PeerError
         Where the peer failed, or the reply is another call's.
     """
-    protocol = TCyBinaryProtocol(TCyMemoryBuffer(frame))
+    protocol = _open_frame(frame)
     try:
         name, kind, got = protocol.read_message_begin()
         if (name, got) != (method, sequence):
@@ -149,8 +171,8 @@
     PeerError
         Where the frame is no call; the connection is to be closed.
     """
-    source, out = TCyMemoryBuffer(frame), TCyMemoryBuffer()
-    reader, writer = TCyBinaryProtocol(source), TCyBinaryProtocol(out)
+    out = TCyMemoryBuffer()
+    reader, writer = _open_frame(frame), TCyBinaryProtocol(out)
     processor = TProcessor(Service, handler)
     try:
         method, sequence, result, call = processor.process_in(reader)
--- /dev/null
+++ b/properties/test_slots.py
@@ -0,0 +1,138 @@
+"""Law: never more requests at a target than it has slots, whoever is cut, frozen or replaced."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from halldoor.core.slots import CLOCK_MARGIN, SlotTable, assign_homes
+
+NAMES = ["e1", "e2", "e3"]
+SLOTS = {"t1": 3, "t2": 6}
+LONGEST_S = 2.0
+
+
+class Hall(RuleBasedStateMachine):
+    """Three entries with clocks of their own, lost messages, freezes, kills, roster changes."""
+
+    @initialize(drift=st.lists(st.sampled_from([1.0, 1.0 + CLOCK_MARGIN, 0.985]), min_size=3))
+    def start(self, drift):
+        self.now = 100.0
+        self.drift = dict(zip(NAMES, drift, strict=False))
+        self.rosters = [["e1", "e2"]]
+        self.tables, self.adopted = {}, {}
+        for name in NAMES:
+            self.boot(name, rest={})
+        self.holds = {name: [] for name in NAMES}
+        # Requests at the target: key and the true time until which each may run there.
+        self.running = []
+
+    def clock(self, name):
+        return self.now * self.drift[name]
+
+    def boot(self, name, *, rest):
+        self.tables[name] = SlotTable(name, now=self.clock(name))
+        self.adopted[name] = 0
+        self.adopt(name, rest=rest)
+
+    def adopt(self, name, rest=None):
+        self.adopted[name] = len(self.rosters) - 1
+        self.tables[name].set_roster(
+            SLOTS,
+            self.rosters[-1],
+            now=self.clock(name),
+            rest_s=dict.fromkeys(SLOTS, LONGEST_S) if rest is None else rest,
+            former=self.rosters[-2::-1],
+        )
+
+    @rule(seconds=st.sampled_from([0.05, 0.5, 1.0, 2.5]))
+    def wait(self, seconds):
+        self.now += seconds
+        self.running = [(k, end) for k, end in self.running if end > self.now]
+
+    @rule(name=st.sampled_from(NAMES), where=st.sampled_from(sorted(SLOTS)))
+    def acquire(self, name, where):
+        now = self.clock(name)
+        hold = self.tables[name].acquire(where, now=now, until=now + LONGEST_S)
+        if hold:
+            self.holds[name].append((hold, None))
+
+    @rule(
+        lender=st.sampled_from(NAMES),
+        borrower=st.sampled_from(NAMES),
+        where=st.sampled_from(sorted(SLOTS)),
+        delay=st.sampled_from([0.0, 0.3]),
+    )
+    def borrow(self, lender, borrower, where, delay):
+        if lender == borrower:
+            return
+        until = self.clock(borrower) + LONGEST_S
+        self.now += delay
+        loan = self.tables[lender].lend(
+            where, borrower, duration_s=LONGEST_S, now=self.clock(lender)
+        )
+        if loan:
+            self.holds[borrower].append((loan, until))
+
+    @rule(name=st.sampled_from(NAMES), data=st.data())
+    def send(self, name, data):
+        """Send on a hold, if it still stands; a frozen entry does so when it wakes."""
+        if not self.holds[name]:
+            return
+        index = data.draw(st.integers(0, len(self.holds[name]) - 1))
+        hold, until = self.holds[name].pop(index)
+        until = hold.until if until is None else until
+        if self.clock(name) < until:
+            left = (until - self.clock(name)) / self.drift[name]
+            self.running.append((hold.key, self.now + left))
+            if not hasattr(hold, "borrower"):
+                self.tables[name].release(hold.key, rest_until=until)
+
+    @rule(name=st.sampled_from(NAMES))
+    def kill_and_restart(self, name):
+        self.holds[name] = []
+        self.boot(name, rest=None)
+
+    @rule(roster=st.sampled_from([["e1", "e2"], ["e1", "e2", "e3"], ["e2", "e3"], ["e3", "e1"]]))
+    def change_roster(self, roster):
+        if len(self.rosters) < 4 and roster != self.rosters[-1]:
+            self.rosters.append(roster)
+
+    @rule(name=st.sampled_from(NAMES))
+    def learn_roster(self, name):
+        if self.adopted[name] < len(self.rosters) - 1:
+            self.adopt(name)
+
+    @rule(name=st.sampled_from(NAMES))
+    def hear_revisions(self, name):
+        wanted = self.adopted[name]
+        adopted = {n for n in NAMES if self.adopted[n] >= wanted}
+        self.tables[name].confirm(adopted, now=self.clock(name))
+
+    @rule(name=st.sampled_from(NAMES))
+    def expire(self, name):
+        self.tables[name].expire_loans(self.clock(name))
+
+    @invariant()
+    def no_slot_is_used_twice(self):
+        keys = [k for k, end in getattr(self, "running", []) if end > self.now]
+        assert len(keys) == len(set(keys)), keys
+
+    @invariant()
+    def every_slot_is_in_one_place(self):
+        assert all(t.is_consistent() for t in getattr(self, "tables", {}).values())
+
+
+TestHall = Hall.TestCase
+
+
+@st.composite
+def rosters(draw):
+    return [f"e{i}" for i in range(draw(st.integers(1, 28)))]
+
+
+@given(rosters(), st.integers(1, 12))
+def test_homes_are_even_and_leave_no_slot_out(roster, slots):
+    homes = assign_homes("t", slots, roster)
+    counts = [homes.count(name) for name in roster]
+    assert len(homes) == slots
+    assert max(counts) - min(counts) <= 1
