--- a/halldoor/entry/local.py
+++ b/halldoor/entry/local.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Sequence
 
 from returns.result import Failure, Result, Success
@@ -14,13 +13,9 @@
 from halldoor.entry.hall import Admission, HallRoom
 from halldoor.entry.outcome import HallRefusal
 from halldoor.entry.request import Answer, Body, Request, RequestError
-from halldoor.entry.targets import Fault, TargetClient, TargetFault
+from halldoor.entry.targets import PREFETCH, Fault, TargetClient, TargetFault
 
 ATTEMPTS = 3
-ATTEMPT_SHARE = 0.6
-"""Share of the time left that one attempt of a repeatable request may take."""
-PREFETCH = 131_072
-"""Bytes of a repeatable answer read before it is passed on, so that a break can be retried."""
 
 
 class LocalHall:
@@ -75,9 +70,8 @@
         tried: set[str] = set()
         for attempt in range(1, ATTEMPTS + 1):
             name = admission.target.name
-            limited = _limit_attempt(request, body, attempt)
             try:
-                answer = self._send(admission, limited, body)
+                answer = self._send(admission, request, body)
                 answer.attempts, answer.passed_over = attempt, passed_over
                 return Success(answer)
             except RequestError as exc:
@@ -149,14 +143,6 @@
             self._room.add_result(name, is_good=False)
 
 
-def _limit_attempt(request: Request, body: Body, attempt: int) -> Request:
-    """Leave time for another attempt, so that a target that hangs doesn't take it all."""
-    if not request.is_repeatable or not body.can_repeat or attempt == ATTEMPTS:
-        return request
-    limit = time.monotonic() + request.get_remaining_s() * ATTEMPT_SHARE
-    return request._replace(deadline=limit)
-
-
 def _to_refusal(fault: TargetFault, request: Request) -> Refusal:
     """Say what a target's fault means for the caller."""
     if fault.fault is Fault.SHED:
--- a/halldoor/entry/targets.py
+++ b/halldoor/entry/targets.py
@@ -16,9 +16,17 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from halldoor.core.configuration import Target
-from halldoor.entry.request import Answer, Body, Request, RequestError, break_off, keep_end_to_end
+from halldoor.entry.request import Answer, Body, Request, break_off, keep_end_to_end
 
 PIECE = 65_536
+PREFETCH = 131_072
+"""Bytes of a repeatable answer read before it is passed on, so that a break can be retried."""
+STALL_SHARE = 0.4
+"""Share of the time left when an answer begins after which silence counts as a break.
+
+A request may use its whole deadline before the answer begins; it once was cut at a share
+of that, and slow requests that fitted their deadline failed.
+"""
 CONNECT_TIMEOUT_S = 0.5
 SHED_HEADER = "Target-Shed"
 SHED_MARKER = "not-run"
@@ -247,12 +255,16 @@
 
 def _read_pieces(response: Any, sock: Any, request: Request) -> Iterator[bytes]:
     """Read the body piece by piece; a short one is an error, never an end."""
+    stall_s = request.get_remaining_s() * (STALL_SHARE if request.is_repeatable else 1.0)
+    size = 0
     while True:
         if request.cancellation.is_cancelled:
             raise break_off("The caller went away while the answer was on its way.")
         # The library closes its socket once the last byte has been read.
+        remaining_s = request.get_remaining_s()
+        limit_s = min(remaining_s, stall_s) if size < PREFETCH else remaining_s
         with contextlib.suppress(OSError):
-            sock.settimeout(max(0.001, request.get_remaining_s()))
+            sock.settimeout(max(0.001, limit_s))
         try:
             piece = response.read1(PIECE, decode_content=False)
         except _FAULTS as exc:
@@ -261,7 +273,5 @@
             ) from exc
         if not piece:
             return
+        size += len(piece)
         yield piece
-
-
-__all__ = ["Fault", "RequestError", "TargetClient", "TargetFault"]
--- a/halldoor/standins/relay.py
+++ b/halldoor/standins/relay.py
@@ -37,8 +37,17 @@
 
     def stop(self) -> None:
         """Stop all relays."""
+
+        async def cancel() -> None:
+            others = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
+            for task in others:
+                task.cancel()
+            await asyncio.gather(*others, return_exceptions=True)
+
+        asyncio.run_coroutine_threadsafe(cancel(), self._loop).result(5)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(5)
+        self._loop.close()
 
 
 async def _serve(reader: Any, writer: Any, to: tuple[str, int], is_cut: CutTest) -> None:
--- /dev/null
+++ b/properties/test_store.py
@@ -0,0 +1,155 @@
+"""Law: accepted changes are never lost, doubled or reverted, whatever the platform does."""
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from halldoor.core.configuration import Configuration
+from halldoor.core.errors import ConflictError, HalldoorError, PlatformError
+from halldoor.core.operation import edit_drain
+from halldoor.platform.base import (
+    Platform,
+    UncertainWriteError,
+    Value,
+    WriteConflictError,
+)
+from halldoor.platform.store import Change, ConfigurationStore
+from halldoor.standins.fleet import make_configuration
+
+
+class FakePlatform(Platform):
+    """Keys in memory; faults come from a script, one for each write."""
+
+    def __init__(self):
+        self.values = {}
+        self.script = []
+        self.before_write = lambda key: None
+
+    def get(self, key):
+        return self.values.get(key)
+
+    def put(self, key, data, *, expected, lease=""):
+        self.before_write(key)
+        fault = self.script.pop(0) if self.script else "fine"
+        current = self.values.get(key, Value(b"", 0)).version
+        if fault == "lost before":
+            raise UncertainWriteError("lost", remedy="read back")
+        if expected is not None and expected != current:
+            raise WriteConflictError("conflict", remedy="again")
+        self.values[key] = Value(data, current + 1)
+        if fault == "lost after":
+            raise UncertainWriteError("lost", remedy="read back")
+        return current + 1
+
+    def watch(self, key, *, after, timeout_s):
+        raise NotImplementedError
+
+    def create_lease(self, ttl_s):
+        raise NotImplementedError
+
+    def renew_lease(self, lease):
+        raise NotImplementedError
+
+    def end_lease(self, lease):
+        raise NotImplementedError
+
+    def list_hosts(self):
+        return []
+
+
+FAULTS = st.lists(st.sampled_from(["fine", "fine", "lost before", "lost after"]), max_size=6)
+TARGETS = ["a1-t1", "a1-t2"]
+
+
+class Operators(RuleBasedStateMachine):
+    """Two operators race over drains, and repeat what they got no answer to."""
+
+    @initialize()
+    def start(self):
+        self.platform = FakePlatform()
+        self.stores = [ConfigurationStore(self.platform, pause=lambda s: None) for _ in range(2)]
+        first = Configuration.from_data(make_configuration(halls={"a1": 1}))
+        self.stores[0].commit(lambda _: first, Change("first", "ops", "apply"))
+        self.wanted = dict.fromkeys(TARGETS, False)
+        self.accepted = ["first"]
+        self.revision = 1
+        self.number = 0
+
+    def drain(self, store, target, leaving, change_id):
+        return self.stores[store].commit(
+            lambda s: edit_drain(s.configuration, target, is_leaving=leaving),
+            Change(change_id, f"op{store}", "drain"),
+        )
+
+    @rule(
+        who=st.integers(0, 1), where=st.sampled_from(TARGETS), leaving=st.booleans(), faults=FAULTS
+    )
+    def change(self, who, where, leaving, faults):
+        self.number += 1
+        change_id = f"c{self.number}"
+        self.platform.script = list(faults)
+        for _ in range(8):
+            try:
+                self.drain(who, where, leaving, change_id)
+                break
+            except PlatformError:
+                continue
+        self.platform.script = []
+        self.drain(who, where, leaving, change_id)
+        self.wanted[where] = leaving
+        self.accepted.append(change_id)
+
+    @rule(who=st.integers(0, 1))
+    def race(self, who):
+        """The other operator commits just before this one's head is written."""
+        self.number += 1
+        mine, other = f"c{self.number}", f"o{self.number}"
+
+        def interfere(key):
+            if key == "config/head":
+                self.platform.before_write = lambda key: None
+                self.drain(1 - who, TARGETS[1], True, other)
+
+        self.platform.before_write = interfere
+        self.drain(who, TARGETS[0], True, mine)
+        self.wanted = dict.fromkeys(TARGETS, True)
+        self.accepted += [other, mine]
+
+    @rule(who=st.integers(0, 1), change=st.data())
+    def repeat(self, who, change):
+        """An old change that is sent again changes nothing."""
+        change_id = change.draw(st.sampled_from(self.accepted))
+        before = self.platform.values["config/head"]
+        self.drain(who, TARGETS[0], not self.wanted[TARGETS[0]], change_id)
+        assert self.platform.values["config/head"] == before
+
+    @rule(who=st.integers(0, 1))
+    def apply_against_an_old_revision(self, who):
+        if self.revision < 2:
+            return
+        with pytest.raises(ConflictError, match="in force"):
+            self.stores[who].commit(
+                lambda s: s.configuration, Change("stale", "ops", "apply"), base=1
+            )
+
+    @invariant()
+    def nothing_is_lost_doubled_or_reverted(self):
+        if not hasattr(self, "platform"):
+            return
+        stored = ConfigurationStore(self.platform).read()
+        leaving = {t.name: t.leaving for t in stored.configuration.targets}
+        assert {t: leaving[t] for t in TARGETS} == self.wanted
+        trail = [r.change_id for r in self.stores[0].list_audit(stored.head, limit=1000)]
+        assert trail == list(reversed(self.accepted))
+        assert stored.revision >= self.revision
+        assert stored.revision == len(self.accepted)
+        self.revision = stored.revision
+
+
+TestOperators = Operators.TestCase
+
+
+def test_unknown_target_names_the_remedy():
+    configuration = Configuration.from_data(make_configuration(halls={"a1": 1}))
+    with pytest.raises(HalldoorError, match="halldoor status"):
+        edit_drain(configuration, "nothing", is_leaving=True)
