--- a/halldoor/entry/dispatch.py
+++ b/halldoor/entry/dispatch.py
@@ -122,12 +122,13 @@
     def serve(self, request: Request, body: Body) -> Result[Served, Refused]:
         """Serve a request, or refuse it with its final answer."""
         snapshot = self.snapshot
-        assert snapshot is not None
         trail = _Trail()
-        view = snapshot.services.get(request.service)
-        if view is None:
-            # It was there when the request was read; a newer revision has removed it.
-            refusal = refuse(Reason.UNKNOWN_SERVICE, "The service was just removed.")
+        view = snapshot.services.get(request.service) if snapshot else None
+        if snapshot is None or view is None:
+            # Read under another revision, or at an entry that knew one: here it is not known.
+            refusal = refuse(
+                Reason.UNKNOWN_SERVICE, "The service is not known here now. Come back."
+            )
             decision = self._decide(request, trail, snapshot, refusal.reason.value)
             return Failure(Refused(refusal, decision))
         with self._lock:
@@ -221,14 +222,14 @@
         return [entries[name] for name in names]
 
     def _decide(
-        self, request: Request, trail: _Trail, snapshot: Snapshot, outcome: str
+        self, request: Request, trail: _Trail, snapshot: Snapshot | None, outcome: str
     ) -> Decision:
         """Build the record of a decision."""
         step = trail.step
         return Decision(
             id=request.id,
             entry=self._me,
-            revision=snapshot.revision,
+            revision=snapshot.revision if snapshot else 0,
             service=request.service,
             operation=request.operation,
             client=request.client,
--- a/halldoor/entry/sessions.py
+++ b/halldoor/entry/sessions.py
@@ -78,7 +78,7 @@
 
     def start(self, head: Any, body: bytes, whole: bool) -> Any:
         """Admit a request; with its whole body, also run it."""
-        if self._services.get_snapshot() is None:
+        if self._services.get_snapshot() is None and head.kind != TO_ISSUER:
             return _start_refused(refuse(Reason.STARTING, "This entry is starting. Come back."))
         self._cancellation = Cancellation()
         request = _to_request(head, self._cancellation)
--- a/halldoor/entry/web.py
+++ b/halldoor/entry/web.py
@@ -164,7 +164,7 @@
         started = time.monotonic()
         read = self._read(environ)
         if isinstance(read, Refusal):
-            return _send(start, to_reply(read, close=True))
+            return _send(start, to_reply(_qualify(read, environ), close=True))
         request, body = read
         ticket = find_header(request.headers, "halldoor-ticket")
         request = request._replace(headers=_drop_own(request.headers))
@@ -342,6 +342,18 @@
     return refuse(Reason.BAD_REQUEST, message, retry_after_s=0.0)
 
 
+def _qualify(refusal: Refusal, environ: dict[str, Any]) -> Refusal:
+    """Say no more than is known of an operation whose ticket or id was not even looked at."""
+    is_order = "HTTP_HALLDOOR_TICKET" in environ or "HTTP_OPERATION_ID" in environ
+    if not is_order or refusal.ran == Ran.UNKNOWN:
+        return refusal
+    message = (
+        f"{refusal.message} This call was sent nowhere, "
+        "but another call of the same operation may have run."
+    )
+    return refusal._replace(ran=Ran.UNKNOWN, message=message)
+
+
 def _read_headers(environ: dict[str, Any]) -> tuple[tuple[str, str], ...]:
     """Collect the end-to-end headers."""
     found = [
--- a/halldoor/tests/test_orders.py
+++ b/halldoor/tests/test_orders.py
@@ -264,6 +264,20 @@
         assert runs[read_operation(during)] <= 1
         assert runs[read_operation(after)] == 1
 
+    def test_entry_that_starts_says_no_more_than_it_knows(self, fleet):
+        """Found by the soak: an entry without a configuration told 'not run' of what ran."""
+        ticket = fleet.get_ticket("a1-e1")
+        assert send(fleet, "a1-e2", ticket=ticket) == ("ran", 200)
+        fleet.kill("platform")
+        for name in ENTRIES:
+            fleet.kill(name)
+        fleet.restart_entry("b1-e1")
+        fleet.restart_entry("a1-e1")
+        for name in ("b1-e1", "a1-e1"):
+            wait_until(lambda n=name: fleet.can_connect(fleet.find_port(n)), what=name)
+            assert send(fleet, name, ticket=ticket)[0] == "outcome unknown"
+            assert send(fleet, name, operation=make_id())[0] == "outcome unknown"
+
     def test_id_claimed_by_a_killed_entry(self, fleet):
         operation = make_id()
         assert send(fleet, "a1-e1", operation=operation) == ("ran", 200)
