--- a/halldoor/entry/claims.py
+++ b/halldoor/entry/claims.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import queue
+import time
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -22,6 +23,8 @@
 from halldoor.platform.base import Platform, UncertainWriteError, WriteConflictError
 
 TRIES = 6
+PAUSE_S = 0.3
+"""Time after a failure in which requests fail at once, so that callers don't wait in vain."""
 WAIT_S = 3.0
 
 Holder = Result[Claim | None, PlatformError]
@@ -64,6 +67,7 @@
         # Ids whose claim may have been written although this process was told nothing.
         self._uncertain: set[str] = set()
         self.on_new: Callable[[str], None] = lambda operation: None
+        self._down_until = 0.0
         self.writes = 0
         self.claimed = 0
 
@@ -83,9 +87,15 @@
             by_shard.setdefault(find_shard(message.operation), []).append(message)
         for shard, requests in by_shard.items():
             operations = {r.operation for r in requests}
+            if time.monotonic() < self._down_until:
+                error = PlatformError("The platform failed just now.", remedy="Come back.")
+                for request in requests:
+                    request.reply.put(Failure(error))
+                continue
             try:
                 holders = self._claim(shard, operations)
             except PlatformError as exc:
+                self._down_until = time.monotonic() + PAUSE_S
                 self._known.pop(shard, None)
                 self._uncertain |= operations
                 for request in requests:
--- a/halldoor/entry/gossip.py
+++ b/halldoor/entry/gossip.py
@@ -6,7 +6,7 @@
 import threading
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 from halldoor.core.configuration import EntryHost
 from halldoor.core.errors import PeerError
@@ -27,7 +27,11 @@
 TIMEOUT_S = 0.4
 
 
-class GossipTask(Task[None]):
+class Beat(NamedTuple):
+    """Ask for a heartbeat now instead of at the end of the period."""
+
+
+class GossipTask(Task[Beat]):
     """Owns the membership of the hall.
 
     Parameters
@@ -83,8 +87,8 @@
         scale = max(1.0, entries / LARGE_HALL)
         return self._period_s * scale * self._random.uniform(0.8, 1.2)
 
-    def handle(self, messages: list[None]) -> None:
-        """Nothing is sent to this task but the end."""
+    def handle(self, messages: list[Beat]) -> None:
+        """Nothing to do: a heartbeat follows every message."""
 
     def tick(self) -> None:
         """Beat, and exchange with some peers."""
@@ -178,10 +182,13 @@
         now = time.monotonic()
         with self._lock:
             members = self._membership.list_alive(now)
-        seen = tuple(sorted((m.name, m.is_leaving) for m in members))
-        if seen != self._seen:
-            self._seen = seen
-            self.log.info("Members changed.", members=[n for n, _ in seen])
+            hall = self._membership.me.hall
+        # Others are heard of too seldom for their silence to mean anything.
+        seen = tuple(sorted(m.name for m in members if m.hall == hall and not m.is_leaving))
+        leaving = tuple(sorted(m.name for m in members if m.is_leaving))
+        if (seen, leaving) != self._seen:
+            self._seen = (seen, leaving)
+            self.log.info("Members changed.", members=seen, leaving=leaving)
             self.on_change()
 
     def list_alive(self) -> list[Member]:
--- a/halldoor/entry/local.py
+++ b/halldoor/entry/local.py
@@ -42,8 +42,6 @@
         self, targets: Sequence[str], request: Request, body: Body, *, is_spill: bool
     ) -> Result[Answer, HallRefusal]:
         """Try targets until one answers, none is left, or the outcome is unknown."""
-        with self._budget_lock:
-            self._budget.add_request()
         admitted = self.admit(targets, request, is_spill=is_spill, wait_s=self._queue_s)
         if isinstance(admitted, Failure):
             return admitted
@@ -53,6 +51,8 @@
         self, targets: Sequence[str], request: Request, *, is_spill: bool, wait_s: float = 0.0
     ) -> Result[Admission, HallRefusal]:
         """Reserve room before any of the body crosses a link."""
+        with self._budget_lock:
+            self._budget.add_request()
         result = self._room.admit(targets, until=request.deadline, is_spill=is_spill, wait_s=wait_s)
         return result.alt(lambda no: HallRefusal(no.refusal, no.passed_over))
 
--- a/halldoor/entry/lookups.py
+++ b/halldoor/entry/lookups.py
@@ -1,4 +1,4 @@
-"""Look-ups: which entry hosts a caller should use, answered from a ready table."""
+"""Look-ups: which entry hosts a caller should use, answered from a table of ready answers."""
 
 from __future__ import annotations
 
@@ -15,7 +15,10 @@
 
 
 class LookupTable:
-    """Ready answers by service and hall, made anew when anything changes.
+    """Ready answers by service and hall; a new table is made when anything changes.
+
+    Answers are written when they are first asked for, so that a change costs no more
+    than what is in use.  Two threads may write the same one; that does no harm.
 
     Parameters
     ----------
@@ -31,32 +34,48 @@
         self, snapshot: Snapshot, *, is_avoided: Callable[[str], bool], max_age_s: float
     ) -> None:
         self._snapshot = snapshot
+        self._is_avoided = is_avoided
         self._max_age_s = max_age_s
-        halls = [h.name for h in snapshot.configuration.halls]
-        self._own = halls.index(snapshot.hall.name) if snapshot.hall.name in halls else 0
-        lists = [self._list_entries(hall, is_avoided) for hall in halls]
-        self._answers = {
-            name: [self._rotate(view, hosts) for hosts in lists]
-            for name, view in snapshot.services.items()
-        }
+        self._halls = [h.name for h in snapshot.configuration.halls]
+        own = snapshot.hall.name
+        self._own = self._halls.index(own) if own in self._halls else 0
+        self._lists: dict[int, list[list[EntryHost]]] = {}
+        self._answers: dict[tuple[str, int], list[bytes]] = {}
+
+    def find(self, service: str, client: str) -> bytes | None:
+        """Give the ready answer for a caller; None for an unknown service."""
+        address = parse_address(client)
+        match = self._snapshot.blocks.find(address) if address is not None else None
+        hall = match.hall if match is not None and match.hall < len(self._halls) else self._own
+        rotations = self._answers.get((service, hall))
+        if rotations is None:
+            view = self._snapshot.services.get(service)
+            if view is None:
+                return None
+            rotations = self._answers[service, hall] = self._write_all(view, hall)
+        # A stable choice keeps a caller on one entry while nothing changes.
+        return rotations[crc32(client.encode()) % len(rotations)]
+
+    def _write_all(self, view: ServiceView, hall: int) -> list[bytes]:
+        """Write one answer for each entry of the nearest hall to come first."""
+        if hall not in self._lists:
+            self._lists[hall] = self._list_entries(self._halls[hall]) if self._halls else []
+        halls = self._lists[hall]
+        if not halls:
+            return [self._write(view, [])]
+        first, rest = halls[0], [e for entries in halls[1:] for e in entries]
+        return [self._write(view, [*first[i:], *first[:i], *rest]) for i in range(len(first))]
 
-    def _list_entries(self, hall: str, is_avoided: Callable[[str], bool]) -> list[list[EntryHost]]:
+    def _list_entries(self, hall: str) -> list[list[EntryHost]]:
         """List the usable entries by hall, the nearest hall first."""
         found = []
         for name in order_halls(self._snapshot.configuration, hall):
             known = self._snapshot.configuration.find_hall(name)
-            entries = [e for e in known.entries if not is_avoided(e.name)] if known else []
+            entries = [e for e in known.entries if not self._is_avoided(e.name)] if known else []
             if entries:
                 found.append(entries)
         return found
 
-    def _rotate(self, view: ServiceView, halls: list[list[EntryHost]]) -> list[bytes]:
-        """Write one answer for each entry of the nearest hall to come first."""
-        if not halls:
-            return [self._write(view, [])]
-        first, rest = halls[0], [e for entries in halls[1:] for e in entries]
-        return [self._write(view, [*first[i:], *first[:i], *rest]) for i in range(len(first))]
-
     def _write(self, view: ServiceView, entries: list[EntryHost]) -> bytes:
         """Write one answer."""
         return msgspec.json.encode(
@@ -69,15 +88,3 @@
                 "revision": self._snapshot.revision,
             }
         )
-
-    def find(self, service: str, client: str) -> bytes | None:
-        """Give the ready answer for a caller; None for an unknown service."""
-        by_hall = self._answers.get(service)
-        if by_hall is None:
-            return None
-        address = parse_address(client)
-        match = self._snapshot.blocks.find(address) if address is not None else None
-        hall = match.hall if match is not None and match.hall < len(by_hall) else self._own
-        rotations = by_hall[hall]
-        # A stable choice keeps a caller on one entry while nothing changes.
-        return rotations[crc32(client.encode()) % len(rotations)]
--- a/halldoor/entry/process.py
+++ b/halldoor/entry/process.py
@@ -22,11 +22,12 @@
 from halldoor.core.settings import EntrySettings
 from halldoor.core.snapshot import Snapshot
 from halldoor.core.ticket import Ledger
+from halldoor.entry.activity import Activity
 from halldoor.entry.cancel import CallerWatcher
 from halldoor.entry.claims import Claims
 from halldoor.entry.configuration import ConfigurationTask
 from halldoor.entry.dispatch import Dispatcher
-from halldoor.entry.gossip import GossipTask, find_entry
+from halldoor.entry.gossip import Beat, GossipTask, find_entry
 from halldoor.entry.hall import HallRoom
 from halldoor.entry.loans import Loans
 from halldoor.entry.local import LocalHall
@@ -73,6 +74,7 @@
         self._is_stopping = False
         self.peers = PeerPool(source_ip=settings.wire.ip)
         self.watcher = CallerWatcher()
+        self.activity = Activity()
         self.decisions = DecisionLog()
         self.metrics = Metrics()
         self._build_control(platform)
@@ -178,6 +180,7 @@
             configuration=self.configuration,
             decisions=self.decisions,
             watcher=self.watcher,
+            activity=self.activity,
             get_snapshot=lambda: self.snapshot,
         )
         self.wire = WireServer(s.wire, lambda sock: Session(services, sock))
@@ -188,6 +191,7 @@
                 decisions=self.decisions,
                 metrics=self.metrics,
                 watcher=self.watcher,
+                activity=self.activity,
                 get_lookups=lambda: self._lookups,
                 get_status=self.get_status,
                 find_decision=self.find_decision,
@@ -279,7 +283,7 @@
         log.info("Stopping; still serving callers with cached answers.")
         self.gossip.set_flags(is_leaving=True)
         self._refresh_lookups()
-        self.gossip.tick()
+        self.gossip.tell(Beat())
         ends = time.monotonic() + self.settings.lookup_max_age_s + 2 * self.settings.gossip_period_s
         limit = time.monotonic() + STOP_LIMIT_S
         while time.monotonic() < ends:
@@ -294,8 +298,7 @@
 
     def _count_running(self) -> int:
         """Count the requests that this process still works on."""
-        busy = self.http.requests.qsize if hasattr(self.http, "requests") else 0
-        return self.room.count_in_flight() + self.orders.count_running() + busy
+        return self.activity.count + self.room.count_in_flight() + self.orders.count_running()
 
     def _end(self) -> None:
         """Close the ports and end the tasks."""
--- a/halldoor/entry/sessions.py
+++ b/halldoor/entry/sessions.py
@@ -16,6 +16,7 @@
 from halldoor.core.errors import Reason, Refusal, refuse
 from halldoor.core.selector import Selector
 from halldoor.core.snapshot import Snapshot
+from halldoor.entry.activity import Activity
 from halldoor.entry.cancel import CallerWatcher
 from halldoor.entry.configuration import ConfigurationTask
 from halldoor.entry.dispatch import Refused, Served
@@ -49,6 +50,7 @@
     configuration: ConfigurationTask
     decisions: DecisionLog
     watcher: CallerWatcher
+    activity: Activity
     get_snapshot: Callable[[], Snapshot | None]
 
 
@@ -73,6 +75,7 @@
         self._answer_index = 0
         self._chunks: queue.Queue[bytes | None] | None = None
         self._result: queue.SimpleQueue[Any] = queue.SimpleQueue()
+        self._is_counted = False
 
     # Forwarded requests
 
@@ -85,6 +88,7 @@
         run = self._prepare(head, request)
         if isinstance(run, Failure):
             return _start_refusal(run.failure())
+        self._begin()
         if whole:
             with self._services.watcher.watch(self._sock, self._cancellation.cancel):
                 return self._run(run.unwrap(), Body(body))
@@ -126,15 +130,33 @@
             if wanted.matches(configuration.list_labels(target))
         ]
 
+    def _begin(self) -> None:
+        """Count the request until its answer has been read or its connection ends."""
+        if not self._is_counted:
+            self._is_counted = True
+            self._services.activity.begin()
+
+    def _end(self) -> None:
+        """Count the request out, once."""
+        if self._is_counted:
+            self._is_counted = False
+            self._services.activity.end()
+
     def _run(self, run: Callable[[Body], Any], body: Body) -> Any:
         """Run a request and build the reply."""
+        reply = None
         try:
             result = run(body)
             if isinstance(result, Failure):
-                return _start_refusal(result.failure())
-            return self._start_answer(result.unwrap())
+                reply = _start_refusal(result.failure())
+            else:
+                reply = self._start_answer(result.unwrap())
+            return reply
         except RequestError as exc:
             return _start_refused(exc.refusal)
+        finally:
+            if reply is None or reply.answer is None or reply.answer.last:
+                self._end()
 
     def _start_answer(self, value: Served | Answer) -> Any:
         """Build the reply that carries an answer's start."""
@@ -217,7 +239,10 @@
         try:
             data, is_last = self._gather()
         except RequestError as exc:
+            self._end()
             return idl.Chunk(index=index, data=b"", last=True, refusal=to_refusal(exc.refusal))
+        if is_last:
+            self._end()
         return idl.Chunk(index=index, data=data, last=is_last)
 
     def close(self) -> None:
@@ -228,6 +253,7 @@
             self._drain()
         if self._answer is not None:
             self._answer.close()
+        self._end()
 
     def _drain(self) -> None:
         """Make room in the queue and put the end marker."""
--- a/halldoor/entry/web.py
+++ b/halldoor/entry/web.py
@@ -24,6 +24,7 @@
 )
 from halldoor.core.errors import Ran, Reason, Refusal, refuse, refuse_unknown
 from halldoor.core.snapshot import ServiceView, Snapshot
+from halldoor.entry.activity import Activity
 from halldoor.entry.cancel import CallerWatcher
 from halldoor.entry.dispatch import Dispatcher, Refused, Served
 from halldoor.entry.lookups import LookupTable
@@ -55,6 +56,7 @@
     decisions: DecisionLog
     metrics: Metrics
     watcher: CallerWatcher
+    activity: Activity
     get_lookups: Callable[[], LookupTable | None]
     get_status: Callable[[], dict[str, Any]]
     find_decision: Callable[[str], Decision | None]
@@ -160,6 +162,19 @@
     # Requests
 
     def _serve(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        """Serve a request for a service, counted until the end of its answer."""
+        activity = self._parts.activity
+        activity.begin()
+        is_streaming = False
+        try:
+            pieces = self._answer(environ, start)
+            is_streaming = isinstance(pieces, _Stream)
+            return pieces
+        finally:
+            if not is_streaming:
+                activity.end()
+
+    def _answer(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
         """Serve a request for a service."""
         started = time.monotonic()
         read = self._read(environ)
@@ -205,7 +220,7 @@
             ran = "ran" if answer.status < 500 else Ran.UNKNOWN.value
             headers = [*answer.headers, *extra, ("Halldoor-Ran", ran)]
             start(f"{answer.status} {_get_phrase(answer.status)}", headers)
-            return _Stream(answer, request)
+            return _Stream(answer, request, self._parts.activity)
         refusal = outcome.refusal if isinstance(outcome, Refused) else outcome
         self._parts.metrics.add_request(request.service, refusal.reason.value, latency_s)
         log.info(
@@ -275,9 +290,10 @@
     without the end that HTTP needs: the caller sees that the answer is cut short.
     """
 
-    def __init__(self, answer: Answer, request: Request) -> None:
+    def __init__(self, answer: Answer, request: Request, activity: Activity) -> None:
         self._answer = answer
         self._request = request
+        self._activity: Activity | None = activity
 
     def __iter__(self) -> Iterator[bytes]:
         try:
@@ -287,8 +303,11 @@
             raise
 
     def close(self) -> None:
-        """Give up the rest where the caller has gone."""
+        """Give up the rest where the caller has gone; the server always calls this."""
         self._answer.close()
+        activity, self._activity = self._activity, None
+        if activity is not None:
+            activity.end()
 
 
 def to_reply(refusal: Refusal, *, decision: str = "", close: bool = False) -> Reply:
--- a/halldoor/tests/test_leaving.py
+++ b/halldoor/tests/test_leaving.py
@@ -26,7 +26,7 @@
 @pytest.fixture
 def fleet():
     with Fleet.open() as fleet:
-        configuration = make_configuration(halls={"a1": 2, "b1": 1})
+        configuration = make_configuration(halls={"a1": 2, "b1": 1}, deadline_s=8.0)
         fleet.use_relays(configuration)
         start_all(fleet, configuration, lookup_max_age_s=1.0)
         fleet.start_admin()
@@ -160,6 +160,25 @@
         assert set(outcomes) == {200}, [o for o in outcomes if o != 200][:5]
         assert len(outcomes) > 100
 
+    def test_request_forwarded_to_another_hall_outlasts_the_stop(self, fleet):
+        """The stopping entry has it on no target of its own."""
+        for target in ("a1-t1", "a1-t2"):
+            fleet.control(target, leaving=True)
+        wait_until(
+            lambda: all(is_left_alone(fleet, ["a1-e1"], t) for t in ("a1-t1", "a1-t2")),
+            what="targets leaving",
+        )
+        outcomes = []
+        # Longer than the entry goes on listening for callers with kept look-ups.
+        caller = threading.Thread(
+            target=lambda: outcomes.append(fleet.call("a1-e1", f"{READ}?work_s=5.5").status)
+        )
+        caller.start()
+        time.sleep(0.1)
+        fleet.stop("a1-e1")
+        caller.join()
+        assert outcomes == [200]
+
     def test_long_request_and_upload_outlast_the_stop(self, fleet):
         outcomes = []
 
