--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -19,7 +19,8 @@
     write_plot,
     write_result,
 )
-from halldoor.standins.fleet import Fleet, make_configuration
+from halldoor.standins.fleet import Fleet
+from halldoor.standins.sample import make_configuration
 
 SECONDS = 12.0
 CHANGES = 6
--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -7,7 +7,8 @@
 import urllib3
 
 from benchmarks.common import format_table, get_percentile, run_callers, write_result
-from halldoor.standins.fleet import Fleet, make_configuration
+from halldoor.standins.fleet import Fleet
+from halldoor.standins.sample import make_configuration
 
 SECONDS = 6.0
 ROUNDS = 3
--- a/benchmarks/orders.py
+++ b/benchmarks/orders.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from benchmarks.common import format_table, get_percentile, run_callers, write_result
-from halldoor.standins.fleet import Fleet, make_configuration
+from halldoor.standins.fleet import Fleet
+from halldoor.standins.sample import make_configuration
 
 SECONDS = 5.0
 ORDER = "/s/decks/order"
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -8,7 +8,8 @@
 from typing import Any, NamedTuple
 
 from benchmarks.common import format_table, get_percentile, run_callers, write_result
-from halldoor.standins.fleet import Fleet, make_configuration
+from halldoor.standins.fleet import Fleet
+from halldoor.standins.sample import make_configuration
 
 POLICIES = ["two-choices", "random", "round-robin", "least-reported"]
 SECONDS = 4.0
--- a/benchmarks/slots.py
+++ b/benchmarks/slots.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 
 from benchmarks.common import format_table, get_percentile, run_callers, write_result
-from halldoor.standins.fleet import Fleet, make_configuration
+from halldoor.standins.fleet import Fleet
+from halldoor.standins.sample import make_configuration
 
 SECONDS = 5.0
 CALLERS = 24
--- a/halldoor/core/policy.py
+++ b/halldoor/core/policy.py
@@ -4,22 +4,29 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from random import Random
+from typing import Any, Protocol
 
 from halldoor.core.errors import SettingsError
 from halldoor.core.health import TargetView
 
 
+class RandomSource(Protocol):
+    """What a policy needs of a source of randomness, such as `random.Random`."""
+
+    def shuffle(self, x: Any) -> None:
+        """Shuffle a list in place."""
+
+
 class Policy(ABC):
     """Order candidates, best first.
 
     Parameters
     ----------
-    random : random.Random
+    random : RandomSource
         Source of randomness, seeded by the caller.
     """
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: RandomSource) -> None:
         self._random = random
 
     @abstractmethod
@@ -27,7 +34,7 @@
         """Order the targets by name, best first."""
 
     @classmethod
-    def from_name(cls, name: str, random: Random) -> Policy:
+    def from_name(cls, name: str, random: RandomSource) -> Policy:
         """Build a policy by its name in the settings.
 
         Raises
@@ -74,7 +81,7 @@
 class RoundRobin(Policy):
     """Take each in turn."""
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: RandomSource) -> None:
         super().__init__(random)
         self._turn = 0
 
--- a/halldoor/entry/orders.py
+++ b/halldoor/entry/orders.py
@@ -24,6 +24,14 @@
 from halldoor.entry.claims import Claims
 from halldoor.entry.dispatch import Refused, Served
 from halldoor.entry.outcome import HallRefusal
+from halldoor.entry.refusals import (
+    refuse_forgotten,
+    refuse_gone,
+    refuse_platform_down,
+    refuse_ticket,
+    refuse_unreachable,
+    refuse_with_ticket,
+)
 from halldoor.entry.remote import TO_ISSUER, RemoteEntry
 from halldoor.entry.request import Answer, Body, Request, RequestError
 from halldoor.wire.client import PeerPool
@@ -108,13 +116,13 @@
     def issue_claimed(self, operation: str, incarnation: str) -> Result[str, Refusal]:
         """Issue the ticket of an id that a peer found claimed by this process."""
         if incarnation != self._ledger.incarnation:
-            return Failure(_refuse_gone())
+            return Failure(refuse_gone())
         return self._issue(operation)
 
     def _issue(self, operation: str) -> Result[str, Refusal]:
         """Issue a ticket from the own ledger; of an own id, the one issued when it was claimed."""
         if operation and not self._has_line(operation):
-            return Failure(_refuse_forgotten())
+            return Failure(refuse_forgotten())
         with self._lock:
             text = self._ledger.issue(operation, now=time.monotonic())
         if text is None:
@@ -136,7 +144,7 @@
         """Get the ticket of an id from the process that holds its claim."""
         entry = self._find_entry(holder.issuer)
         if entry is None:
-            return Failure(_refuse_gone())
+            return Failure(refuse_gone())
         try:
             reply = self._peers.call(
                 entry.wire,
@@ -146,7 +154,7 @@
                 incarnation=holder.incarnation,
             )
         except PeerError:
-            return Failure(_refuse_unreachable(holder.issuer))
+            return Failure(refuse_unreachable(holder.issuer))
         if reply.refusal is not None:
             return Failure(from_refusal(reply.refusal))
         return Success(reply.ticket)
@@ -161,7 +169,7 @@
             return Failure(refuse(Reason.BAD_REQUEST, message, retry_after_s=0.0))
         claimed = self._claims.ask(operation)
         if isinstance(claimed, Failure):
-            return Failure(_refuse_platform_down(is_order=is_order))
+            return Failure(refuse_platform_down(is_order=is_order))
         holder = claimed.unwrap()
         if holder is None:
             message = "This operation id is older than what is remembered. Look up whether it ran."
@@ -202,7 +210,7 @@
         """Pass an order by own id to the process that holds its claim."""
         entry = self._find_entry(holder.issuer)
         if entry is None:
-            return Failure(_refuse_gone())
+            return Failure(refuse_gone())
         # The incarnation goes in the ticket's place, so that a restarted entry refuses.
         return self._forward(entry, request, body, f"{_CLAIM_PREFIX}{holder.incarnation}")
 
@@ -210,30 +218,30 @@
         """Run an order by its ticket, here or at its issuer."""
         read = decode_ticket(text)
         if read is None:
-            return Failure(_refuse_ticket("It can't be read."))
+            return Failure(refuse_ticket("It can't be read."))
         ticket, payload, mac = read
         if request.operation_id and request.operation_id != ticket.operation:
-            return Failure(_refuse_ticket("It was issued for another Operation-Id."))
+            return Failure(refuse_ticket("It was issued for another Operation-Id."))
         if ticket.issuer != self._ledger.issuer:
             entry = self._find_entry(ticket.issuer)
             if entry is None:
-                return Failure(_refuse_gone())
+                return Failure(refuse_gone())
             return self._forward(entry, request, body, text)
         if ticket.incarnation != self._ledger.incarnation:
-            return Failure(_refuse_gone())
+            return Failure(refuse_gone())
         if not self._ledger.is_genuine(ticket, payload, mac):
-            return Failure(_refuse_ticket("It is not genuine."))
+            return Failure(refuse_ticket("It is not genuine."))
         return self._take_and_run(ticket, request, body)
 
     def run_forwarded(self, request: Request, body: Body, text: str) -> Outcome:
         """Run an order that another entry passed on to this issuer; it goes no further."""
         if text.startswith(_CLAIM_PREFIX):
             if text[len(_CLAIM_PREFIX) :] != self._ledger.incarnation:
-                return Failure(_refuse_gone())
+                return Failure(refuse_gone())
             return self.run_claimed(request, body)
         read = decode_ticket(text)
         if read is None or read[0].issuer != self._ledger.issuer:
-            return Failure(_refuse_ticket("It was passed to the wrong entry."))
+            return Failure(refuse_ticket("It was passed to the wrong entry."))
         return self._run_with_ticket(request, body, text)
 
     def run_claimed(self, request: Request, body: Body) -> Outcome:
@@ -245,15 +253,15 @@
         """
         operation = request.operation_id
         if not self._has_line(operation):
-            return Failure(_refuse_forgotten())
+            return Failure(refuse_forgotten())
         with self._lock:
             line = self._ledger.find(operation)
             if line is None:
-                return Failure(_refuse_forgotten())
+                return Failure(refuse_forgotten())
             is_later = line.state == State.ISSUED and line.attempt > 1
             if is_later or line.state == State.NOT_RUN:
                 fresh = self._ledger.issue(operation, now=time.monotonic())
-                return Failure(_refuse_with_ticket(fresh or ""))
+                return Failure(refuse_with_ticket(fresh or ""))
         return self._take_and_run(line.ticket, request, body)
 
     def _forward(self, entry: EntryHost, request: Request, body: Body, ticket: str) -> Outcome:
@@ -265,7 +273,7 @@
         refusal = failure.refusal
         if refusal.reason == Reason.BROKEN and refusal.ran == Ran.NOT_RUN:
             # This call reached nobody, but an earlier one with the ticket may have.
-            return Failure(_refuse_unreachable(entry.name))
+            return Failure(refuse_unreachable(entry.name))
         return Failure(refusal)
 
     def _take_and_run(self, ticket: Ticket, request: Request, body: Body) -> Outcome:
@@ -377,60 +385,3 @@
     assert kept is not None
     headers = (*kept.headers, ("Halldoor-Repeated", "yes"))
     return Answer(kept.status, headers, iter([kept.body]), target="", on_end=lambda _: None)
-
-
-def _refuse_ticket(why: str) -> Refusal:
-    """Refuse a ticket that never was one."""
-    return refuse(
-        Reason.BAD_TICKET, f"The ticket is not valid. {why} Get a new one.", retry_after_s=0.0
-    )
-
-
-def _refuse_gone() -> Refusal:
-    """Refuse a ticket whose issuing process ended: it took the outcome with it."""
-    return refuse_unknown(
-        Reason.ISSUER_GONE,
-        "The entry process that issued this ticket ended. Look up whether the operation ran.",
-    )
-
-
-def _refuse_forgotten() -> Refusal:
-    """Refuse an id that was claimed here so long ago that its outcome is forgotten."""
-    return refuse_unknown(
-        Reason.TICKET_USED,
-        "This operation id was used before and its outcome is forgotten. Look up whether it ran.",
-    )
-
-
-def _refuse_unreachable(issuer: str) -> Refusal:
-    """Refuse a ticket whose issuer can't be reached from here just now."""
-    return refuse_unknown(
-        Reason.ISSUER_GONE,
-        f"Entry {issuer}, which issued the ticket, can't be reached. Repeat the same call.",
-        retry_after_s=2.0,
-    )
-
-
-def _refuse_platform_down(*, is_order: bool) -> Refusal:
-    """Refuse an own id that can't be checked."""
-    if is_order:
-        # This call was sent nowhere, but whether an earlier one with the id was can't be known.
-        return refuse_unknown(
-            Reason.PLATFORM_DOWN,
-            "The platform can't be asked whether this id ran before; this call was sent nowhere. "
-            "Repeat the same id, or for a new operation get a ticket without an id.",
-            retry_after_s=2.0,
-        )
-    message = "The platform can't be asked about this id. Come back, or ask without an id."
-    return refuse(Reason.PLATFORM_DOWN, message, retry_after_s=2.0)
-
-
-def _refuse_with_ticket(ticket: str) -> Refusal:
-    """Refuse a repeat by id after an attempt that did not run."""
-    return Refusal(
-        Reason.TICKET_USED,
-        Ran.NOT_RUN,
-        "The first attempt did not run. Send the ticket in Halldoor-Ticket to try again.",
-        0.5,
-        ticket,
-    )
--- /dev/null
+++ b/halldoor/entry/reader.py
@@ -0,0 +1,199 @@
+"""Read a caller's request: head, deadline, client block and body."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from typing import Any
+from uuid import uuid4
+
+from halldoor.core.block import parse_address
+from halldoor.core.configuration import Operation
+from halldoor.core.errors import Ran, Reason, Refusal, refuse
+from halldoor.core.snapshot import ServiceView, Snapshot
+from halldoor.entry.request import (
+    SMALL_BODY,
+    Body,
+    Cancellation,
+    Request,
+    find_header,
+    keep_end_to_end,
+)
+
+PIECE = 65_536
+
+
+def read_request(
+    environ: dict[str, Any], snapshot: Snapshot | None
+) -> tuple[Request, Body] | Refusal:
+    """Read a request's head, and its body where that is small.
+
+    Parameters
+    ----------
+    environ : dict
+        WSGI environment.
+    snapshot : Snapshot or None
+        The revision in force.
+
+    Returns
+    -------
+    tuple of Request and Body, or Refusal
+        What was read, or why it can't be.
+    """
+    if snapshot is None:
+        return refuse(Reason.STARTING, "This entry is starting. Ask another, or come back.")
+    _, _, service, *rest = environ["PATH_INFO"].split("/", 3)
+    path = "/" + (rest[0] if rest else "")
+    view = snapshot.services.get(service)
+    if view is None:
+        return refuse_service(service)
+    method = environ["REQUEST_METHOD"]
+    operation = view.find_operation(method, path)
+    if operation is None:
+        return _refuse_operation(view, method, path)
+    headers = _read_headers(environ)
+    deadline_s = _read_deadline(headers, operation)
+    length = _read_length(environ)
+    if deadline_s is None or length is None:
+        message = "Halldoor-Deadline-Ms and Content-Length take whole numbers above 0."
+        return refuse(Reason.BAD_REQUEST, message, retry_after_s=0.0)
+    query = environ.get("QUERY_STRING", "")
+    request = Request(
+        id=uuid4().hex[:20],
+        service=service,
+        operation=operation.name,
+        method=method,
+        path=path + (f"?{query}" if query else ""),
+        headers=headers,
+        deadline=time.monotonic() + deadline_s,
+        length=length,
+        client=_find_client(environ, headers, snapshot),
+        is_repeatable=operation.repeatable,
+        operation_id="" if operation.repeatable else find_header(headers, "operation-id"),
+        cancellation=Cancellation(),
+    )
+    return _read_body(environ["wsgi.input"], request)
+
+
+def refuse_service(service: str) -> Refusal:
+    """Refuse an unknown service."""
+    message = f"There is no service {service[:60]!r}. Check the name, or ask its operators."
+    return refuse(Reason.UNKNOWN_SERVICE, message, retry_after_s=0.0)
+
+
+def _refuse_operation(view: ServiceView, method: str, path: str) -> Refusal:
+    """Refuse a request that no operation of the service takes."""
+    known = ", ".join(f"{'|'.join(o.methods)} {o.path}" for o in view.service.operations)
+    message = f"No operation takes {method} {path[:60]}. There are: {known}."
+    return refuse(Reason.BAD_REQUEST, message, retry_after_s=0.0)
+
+
+def qualify(refusal: Refusal, environ: dict[str, Any]) -> Refusal:
+    """Say no more than is known of an operation whose ticket or id was not even looked at."""
+    is_order = "HTTP_HALLDOOR_TICKET" in environ or "HTTP_OPERATION_ID" in environ
+    if not is_order or refusal.ran == Ran.UNKNOWN:
+        return refusal
+    message = (
+        f"{refusal.message} This call was sent nowhere, "
+        "but another call of the same operation may have run."
+    )
+    return refusal._replace(ran=Ran.UNKNOWN, message=message)
+
+
+def _read_headers(environ: dict[str, Any]) -> tuple[tuple[str, str], ...]:
+    """Collect the end-to-end headers."""
+    found = [
+        (key[5:].replace("_", "-").title(), value)
+        for key, value in environ.items()
+        if key.startswith("HTTP_")
+    ]
+    if environ.get("CONTENT_TYPE"):
+        found.append(("Content-Type", environ["CONTENT_TYPE"]))
+    return keep_end_to_end(found)
+
+
+_OWN_HEADERS = frozenset({"halldoor-ticket", "halldoor-deadline-ms", "halldoor-client"})
+
+
+def drop_own_headers(headers: tuple[tuple[str, str], ...]) -> tuple[tuple[str, str], ...]:
+    """Drop the headers that are for halldoor only; targets never see a ticket."""
+    return tuple((k, v) for k, v in headers if k.lower() not in _OWN_HEADERS)
+
+
+def _read_deadline(headers: tuple[tuple[str, str], ...], operation: Operation) -> float | None:
+    """Give the time allowed; None where the header is wrong."""
+    text = find_header(headers, "halldoor-deadline-ms")
+    if not text:
+        return operation.deadline_s
+    if not text.isascii() or not text.isdigit() or int(text) == 0:
+        return None
+    return min(operation.deadline_s, int(text) / 1000)
+
+
+def _read_length(environ: dict[str, Any]) -> int | None:
+    """Give the body's length; -1 for chunks, None where the header is wrong."""
+    if "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower():
+        return -1
+    text = environ.get("CONTENT_LENGTH") or "0"
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
+def _find_client(
+    environ: dict[str, Any], headers: tuple[tuple[str, str], ...], snapshot: Snapshot
+) -> str:
+    """Find the client block of a caller; without one, its /24 network."""
+    text = find_header(headers, "halldoor-client") or environ.get("REMOTE_ADDR", "")
+    address = parse_address(text)
+    if address is None:
+        return text[:64]
+    match = snapshot.blocks.find(address)
+    return f"block {match.start:08x}" if match else f"net {address >> 8:06x}"
+
+
+def _read_body(source: Any, request: Request) -> tuple[Request, Body] | Refusal:
+    """Read a small body whole; a larger one is streamed."""
+    if request.length == 0:
+        return request, Body()
+    wanted = SMALL_BODY if request.length < 0 else min(request.length, SMALL_BODY)
+    try:
+        first = _read_exactly(source, wanted)
+    except (OSError, ValueError) as exc:
+        return _refuse_cut(type(exc).__name__)
+    is_short = len(first) < wanted
+    if request.length < 0 and is_short:
+        return request._replace(length=len(first)), Body(first)
+    if is_short:
+        return _refuse_cut("it ended early")
+    if request.length == len(first):
+        return request, Body(first)
+    return request, Body(first, _read_rest(source, request.length - len(first), request.length < 0))
+
+
+def _refuse_cut(why: str) -> Refusal:
+    """Refuse a body that did not come whole; nothing of it was sent on."""
+    message = f"The request's body did not arrive: {why}. Send it again."
+    return refuse(Reason.BAD_REQUEST, message)
+
+
+def _read_exactly(source: Any, size: int) -> bytes:
+    """Read up to ``size`` bytes, less only at the end."""
+    parts, missing = [], size
+    while missing:
+        part = source.read(missing)
+        if not part:
+            break
+        parts.append(part)
+        missing -= len(part)
+    return b"".join(parts)
+
+
+def _read_rest(source: Any, missing: int, is_chunked: bool) -> Iterator[bytes]:
+    """Read the rest of a streamed body; raises where the caller breaks off."""
+    while missing > 0 or is_chunked:
+        piece = source.read(PIECE if is_chunked else min(PIECE, missing))
+        if not piece:
+            if is_chunked:
+                return
+            raise ConnectionAbortedError("the caller's body ended early")
+        missing -= len(piece)
+        yield piece
--- a/halldoor/entry/web.py
+++ b/halldoor/entry/web.py
@@ -6,14 +6,11 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs
-from uuid import uuid4
 
 import msgspec
 import structlog
 from returns.result import Failure
 
-from halldoor.core.block import parse_address
-from halldoor.core.configuration import Operation
 from halldoor.core.decision import (
     Decision,
     DecisionError,
@@ -23,27 +20,23 @@
     sign_decision,
 )
 from halldoor.core.errors import Ran, Reason, Refusal, refuse, refuse_unknown
-from halldoor.core.snapshot import ServiceView, Snapshot
 from halldoor.entry.activity import Activity
 from halldoor.entry.cancel import CallerWatcher
 from halldoor.entry.dispatch import Dispatcher, Refused, Served
 from halldoor.entry.lookups import LookupTable
 from halldoor.entry.metrics import Metrics
 from halldoor.entry.orders import Orders
+from halldoor.entry.reader import drop_own_headers, qualify, read_request, refuse_service
 from halldoor.entry.request import (
-    SMALL_BODY,
     Answer,
     Body,
-    Cancellation,
     Request,
     RequestError,
     find_header,
-    keep_end_to_end,
 )
 
 log = structlog.get_logger(part="web")
 
-PIECE = 65_536
 RECORD_LIMIT = 8_000
 """Longest decision record put into a header; longer ones are cut to fit elsewhere."""
 
@@ -102,7 +95,7 @@
         client = query.get("client", [environ.get("REMOTE_ADDR", "")])[0]
         body = table.find(service, client)
         if body is None:
-            return to_reply(_refuse_service(service))
+            return to_reply(refuse_service(service))
         self._parts.metrics.add_lookup(service)
         return Reply(200, body)
 
@@ -177,12 +170,12 @@
     def _answer(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
         """Serve a request for a service."""
         started = time.monotonic()
-        read = self._read(environ)
+        read = read_request(environ, self._parts.dispatcher.snapshot)
         if isinstance(read, Refusal):
-            return _send(start, to_reply(_qualify(read, environ), close=True))
+            return _send(start, to_reply(qualify(read, environ), close=True))
         request, body = read
         ticket = find_header(request.headers, "halldoor-ticket")
-        request = request._replace(headers=_drop_own(request.headers))
+        request = request._replace(headers=drop_own_headers(request.headers))
         with self._parts.watcher.watch(environ.get("halldoor.socket"), request.cancellation.cancel):
             outcome = self._run(request, body, ticket)
         latency_s = time.monotonic() - started
@@ -245,43 +238,6 @@
                 headers.append(("Halldoor-Decision-Record", record))
         return headers
 
-    def _read(self, environ: dict[str, Any]) -> tuple[Request, Body] | Refusal:
-        """Read a request's head, and its body where that is small."""
-        snapshot = self._parts.dispatcher.snapshot
-        if snapshot is None:
-            return refuse(Reason.STARTING, "This entry is starting. Ask another, or come back.")
-        _, _, service, *rest = environ["PATH_INFO"].split("/", 3)
-        path = "/" + (rest[0] if rest else "")
-        view = snapshot.services.get(service)
-        if view is None:
-            return _refuse_service(service)
-        method = environ["REQUEST_METHOD"]
-        operation = view.find_operation(method, path)
-        if operation is None:
-            return _refuse_operation(view, method, path)
-        headers = _read_headers(environ)
-        deadline_s = _read_deadline(headers, operation)
-        length = _read_length(environ)
-        if deadline_s is None or length is None:
-            message = "Halldoor-Deadline-Ms and Content-Length take whole numbers above 0."
-            return refuse(Reason.BAD_REQUEST, message, retry_after_s=0.0)
-        query = environ.get("QUERY_STRING", "")
-        request = Request(
-            id=uuid4().hex[:20],
-            service=service,
-            operation=operation.name,
-            method=method,
-            path=path + (f"?{query}" if query else ""),
-            headers=headers,
-            deadline=time.monotonic() + deadline_s,
-            length=length,
-            client=_find_client(environ, headers, snapshot),
-            is_repeatable=operation.repeatable,
-            operation_id="" if operation.repeatable else find_header(headers, "operation-id"),
-            cancellation=Cancellation(),
-        )
-        return _read_body(environ["wsgi.input"], request)
-
 
 class _Stream:
     """The answer's body on its way to the caller.
@@ -348,130 +304,6 @@
     return _PHRASES.get(status, "Answer" if status < 400 else "Refused")
 
 
-def _refuse_service(service: str) -> Refusal:
-    """Refuse an unknown service."""
-    message = f"There is no service {service[:60]!r}. Check the name, or ask its operators."
-    return refuse(Reason.UNKNOWN_SERVICE, message, retry_after_s=0.0)
-
-
-def _refuse_operation(view: ServiceView, method: str, path: str) -> Refusal:
-    """Refuse a request that no operation of the service takes."""
-    known = ", ".join(f"{'|'.join(o.methods)} {o.path}" for o in view.service.operations)
-    message = f"No operation takes {method} {path[:60]}. There are: {known}."
-    return refuse(Reason.BAD_REQUEST, message, retry_after_s=0.0)
-
-
-def _qualify(refusal: Refusal, environ: dict[str, Any]) -> Refusal:
-    """Say no more than is known of an operation whose ticket or id was not even looked at."""
-    is_order = "HTTP_HALLDOOR_TICKET" in environ or "HTTP_OPERATION_ID" in environ
-    if not is_order or refusal.ran == Ran.UNKNOWN:
-        return refusal
-    message = (
-        f"{refusal.message} This call was sent nowhere, "
-        "but another call of the same operation may have run."
-    )
-    return refusal._replace(ran=Ran.UNKNOWN, message=message)
-
-
-def _read_headers(environ: dict[str, Any]) -> tuple[tuple[str, str], ...]:
-    """Collect the end-to-end headers."""
-    found = [
-        (key[5:].replace("_", "-").title(), value)
-        for key, value in environ.items()
-        if key.startswith("HTTP_")
-    ]
-    if environ.get("CONTENT_TYPE"):
-        found.append(("Content-Type", environ["CONTENT_TYPE"]))
-    return keep_end_to_end(found)
-
-
-_OWN_HEADERS = frozenset({"halldoor-ticket", "halldoor-deadline-ms", "halldoor-client"})
-
-
-def _drop_own(headers: tuple[tuple[str, str], ...]) -> tuple[tuple[str, str], ...]:
-    """Drop the headers that are for halldoor only; targets never see a ticket."""
-    return tuple((k, v) for k, v in headers if k.lower() not in _OWN_HEADERS)
-
-
-def _read_deadline(headers: tuple[tuple[str, str], ...], operation: Operation) -> float | None:
-    """Give the time allowed; None where the header is wrong."""
-    text = find_header(headers, "halldoor-deadline-ms")
-    if not text:
-        return operation.deadline_s
-    if not text.isascii() or not text.isdigit() or int(text) == 0:
-        return None
-    return min(operation.deadline_s, int(text) / 1000)
-
-
-def _read_length(environ: dict[str, Any]) -> int | None:
-    """Give the body's length; -1 for chunks, None where the header is wrong."""
-    if "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower():
-        return -1
-    text = environ.get("CONTENT_LENGTH") or "0"
-    return int(text) if text.isascii() and text.isdigit() else None
-
-
-def _find_client(
-    environ: dict[str, Any], headers: tuple[tuple[str, str], ...], snapshot: Snapshot
-) -> str:
-    """Find the client block of a caller; without one, its /24 network."""
-    text = find_header(headers, "halldoor-client") or environ.get("REMOTE_ADDR", "")
-    address = parse_address(text)
-    if address is None:
-        return text[:64]
-    match = snapshot.blocks.find(address)
-    return f"block {match.start:08x}" if match else f"net {address >> 8:06x}"
-
-
-def _read_body(source: Any, request: Request) -> tuple[Request, Body] | Refusal:
-    """Read a small body whole; a larger one is streamed."""
-    if request.length == 0:
-        return request, Body()
-    wanted = SMALL_BODY if request.length < 0 else min(request.length, SMALL_BODY)
-    try:
-        first = _read_exactly(source, wanted)
-    except (OSError, ValueError) as exc:
-        return _refuse_cut(type(exc).__name__)
-    is_short = len(first) < wanted
-    if request.length < 0 and is_short:
-        return request._replace(length=len(first)), Body(first)
-    if is_short:
-        return _refuse_cut("it ended early")
-    if request.length == len(first):
-        return request, Body(first)
-    return request, Body(first, _read_rest(source, request.length - len(first), request.length < 0))
-
-
-def _refuse_cut(why: str) -> Refusal:
-    """Refuse a body that did not come whole; nothing of it was sent on."""
-    message = f"The request's body did not arrive: {why}. Send it again."
-    return refuse(Reason.BAD_REQUEST, message)
-
-
-def _read_exactly(source: Any, size: int) -> bytes:
-    """Read up to ``size`` bytes, less only at the end."""
-    parts, missing = [], size
-    while missing:
-        part = source.read(missing)
-        if not part:
-            break
-        parts.append(part)
-        missing -= len(part)
-    return b"".join(parts)
-
-
-def _read_rest(source: Any, missing: int, is_chunked: bool) -> Iterator[bytes]:
-    """Read the rest of a streamed body; raises where the caller breaks off."""
-    while missing > 0 or is_chunked:
-        piece = source.read(PIECE if is_chunked else min(PIECE, missing))
-        if not piece:
-            if is_chunked:
-                return
-            raise ConnectionAbortedError("the caller's body ended early")
-        missing -= len(piece)
-        yield piece
-
-
 def _name_fields(decision: Decision) -> dict[str, Any]:
     """View a decision as named fields."""
     fields = {name: getattr(decision, name) for name in decision.__struct_fields__}
--- a/halldoor/standins/demo.py
+++ b/halldoor/standins/demo.py
@@ -9,7 +9,8 @@
 from hashlib import sha256
 from typing import Any
 
-from halldoor.standins.fleet import Fleet, make_configuration, wait_until
+from halldoor.standins.fleet import Fleet, wait_until
+from halldoor.standins.sample import make_configuration
 from halldoor.standins.target import make_bytes
 
 LOAD_S = 4.0
--- a/halldoor/standins/fleet.py
+++ b/halldoor/standins/fleet.py
@@ -23,19 +23,12 @@
 from halldoor.platform.client import HttpPlatform
 from halldoor.platform.store import Change, ConfigurationStore
 from halldoor.standins.relay import Relays
+from halldoor.standins.sample import IP, find_ports
 
-IP = "127.0.0.1"
 DECISION_KEY = "fleet-decision-key-0123"
 TOKEN = "fleet-operator-token"
 
 
-def find_ports(count: int) -> list[int]:
-    """Let the kernel choose free ports."""
-    with contextlib.ExitStack() as stack:
-        socks = [stack.enter_context(socket.create_server((IP, 0))) for _ in range(count)]
-        return [s.getsockname()[1] for s in socks]
-
-
 def wait_until(holds: Callable[[], bool], *, what: str, limit_s: float = 20.0) -> float:
     """Wait until something holds, and give the seconds it took.
 
@@ -329,91 +322,3 @@
         wanted = Configuration.from_data(configuration)
         store = ConfigurationStore(HttpPlatform(self.platform_url))
         return store.commit(lambda _: wanted, Change(change_id, "fleet", "apply")).revision
-
-
-def make_configuration(
-    *, halls: dict[str, int], targets: int = 2, slots: int = 6, deadline_s: float = 3.0
-) -> dict[str, Any]:
-    """Make a configuration with one service for reads, orders and uploads.
-
-    Parameters
-    ----------
-    halls : dict of str to int
-        Number of entries by hall; a hall ``a2`` stands in region ``a``.
-    targets : int, optional
-        Targets in each hall.
-    slots : int, optional
-        Slots of each target.
-    deadline_s : float, optional
-        Deadline of every operation.
-    """
-    ports = iter(find_ports(sum(halls.values()) * 2 + len(halls) * targets))
-
-    def address() -> dict[str, Any]:
-        return {"ip": IP, "port": next(ports)}
-
-    regions = sorted({name[0] for name in halls})
-    rows = [
-        {
-            "name": name,
-            "region": name[0],
-            "entries": [
-                {"name": f"{name}-e{i}", "http": address(), "wire": address()}
-                for i in range(1, count + 1)
-            ],
-        }
-        for name, count in halls.items()
-    ]
-    operations = [
-        {
-            "name": "read",
-            "methods": ["GET"],
-            "path": "/read",
-            "repeatable": True,
-            "deadline_s": deadline_s,
-        },
-        {
-            "name": "order",
-            "methods": ["POST"],
-            "path": "/order",
-            "repeatable": False,
-            "deadline_s": deadline_s,
-        },
-        {
-            "name": "upload",
-            "methods": ["PUT"],
-            "path": "/upload",
-            "repeatable": True,
-            "deadline_s": deadline_s,
-        },
-    ]
-    return {
-        "regions": [{"name": r} for r in regions],
-        "halls": rows,
-        "targets": [
-            {
-                "name": f"{hall}-t{i}",
-                "hall": hall,
-                "address": address(),
-                "slots": slots,
-                "labels": {"service": "decks"},
-            }
-            for hall in halls
-            for i in range(1, targets + 1)
-        ],
-        "services": [
-            {
-                "name": "decks",
-                "team": "cards",
-                "operations": operations,
-                "selector": "service=decks",
-            }
-        ],
-        "teams": [{"name": "cards"}],
-        "links": [
-            {"origin": a, "destination": b, "latency_ms": 1 if a[0] == b[0] else 12}
-            for a in halls
-            for b in halls
-            if a != b
-        ],
-    }
--- a/halldoor/tests/conftest.py
+++ b/halldoor/tests/conftest.py
@@ -1,7 +1,8 @@
 import pytest
 from hypothesis import settings
 
-from halldoor.standins.fleet import Fleet, make_configuration
+from halldoor.standins.fleet import Fleet
+from halldoor.standins.sample import make_configuration
 
 settings.register_profile("ci", derandomize=True, deadline=None, max_examples=60)
 settings.load_profile("ci")
--- a/halldoor/tests/test_configuration.py
+++ b/halldoor/tests/test_configuration.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from halldoor.standins.fleet import Fleet, make_configuration, wait_until
+from halldoor.standins.fleet import Fleet, wait_until
+from halldoor.standins.sample import make_configuration
 from halldoor.tests.conftest import start_all
 
 HALLS = {"a1": 2, "a2": 2, "b1": 2, "b2": 2, "c1": 2, "c2": 2}
--- a/halldoor/tests/test_examples.py
+++ b/halldoor/tests/test_examples.py
@@ -6,7 +6,8 @@
 
 from halldoor.core.configuration import Configuration
 from halldoor.files import load_yaml
-from halldoor.standins.fleet import IP, Fleet, find_ports
+from halldoor.standins.fleet import Fleet
+from halldoor.standins.sample import IP, find_ports
 from halldoor.tests.conftest import start_all
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
--- a/halldoor/tests/test_leaving.py
+++ b/halldoor/tests/test_leaving.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from halldoor.standins.fleet import Fleet, make_configuration, wait_until
+from halldoor.standins.fleet import Fleet, wait_until
+from halldoor.standins.sample import make_configuration
 from halldoor.tests.conftest import start_all
 from halldoor.tests.test_room import Flood
 
--- a/halldoor/tests/test_operators.py
+++ b/halldoor/tests/test_operators.py
@@ -7,7 +7,8 @@
 
 from halldoor.core.configuration import Configuration
 from halldoor.core.errors import HalldoorError
-from halldoor.standins.fleet import Fleet, make_configuration
+from halldoor.standins.fleet import Fleet
+from halldoor.standins.sample import make_configuration
 from halldoor.tests.conftest import start_all
 
 scenarios("features/operators.feature")
--- a/halldoor/tests/test_shifts.py
+++ b/halldoor/tests/test_shifts.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from halldoor.standins.fleet import Fleet, make_configuration
+from halldoor.standins.fleet import Fleet
+from halldoor.standins.sample import make_configuration
 from halldoor.tests.conftest import start_all
 
 ENTRIES = ["a1-e1", "a1-e2"]
--- a/properties/test_shifts.py
+++ b/properties/test_shifts.py
@@ -15,7 +15,7 @@
 from halldoor.core.routing import ServiceMeters, list_steps
 from halldoor.core.shift import ShiftMeter, is_chosen
 from halldoor.core.snapshot import Snapshot
-from halldoor.standins.fleet import make_configuration
+from halldoor.standins.sample import make_configuration
 
 
 @given(
--- a/properties/test_store.py
+++ b/properties/test_store.py
@@ -14,7 +14,7 @@
     WriteConflictError,
 )
 from halldoor.platform.store import Change, ConfigurationStore
-from halldoor.standins.fleet import make_configuration
+from halldoor.standins.sample import make_configuration
 
 
 class FakePlatform(Platform):
