--- a/halldoor/entry/probe.py
+++ b/halldoor/entry/probe.py
@@ -24,7 +24,7 @@
 PROBERS = 2
 """Entries that probe one target; the others learn from their heartbeats."""
 FAILURES_TO_BELIEVE = 2
-HOST_LIST_S = 2.0
+HOST_LIST_S = 1.0
 COLD_AGE_S = 5.0
 
 
--- /dev/null
+++ b/properties/test_inputs.py
@@ -0,0 +1,108 @@
+"""Law: whatever comes from outside ends in a typed error, never in another exception."""
+
+import contextlib
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from halldoor.core import claim as claims
+from halldoor.core.claim import Claim, Shard, claim, decode_shard, encode_shard
+from halldoor.core.configuration import Configuration
+from halldoor.core.decision import Decision, DecisionError, PassedOver, read_decision, sign_decision
+from halldoor.core.errors import HalldoorError, PeerError
+from halldoor.core.selector import Selector
+from halldoor.core.ticket import decode_ticket
+from halldoor.files import parse_yaml
+from halldoor.standins.sample import make_configuration
+from halldoor.wire.protocol import answer_call, decode_reply, encode_call, idl
+
+KEY = b"key" * 6
+
+
+@given(st.binary(max_size=300), st.binary(max_size=40), st.integers(0, 80))
+def test_frames(noise, patch, at):
+    """Noise, and real calls with bytes replaced."""
+    request = idl.LoanRequest(targets=["t1", "t2"], borrower="e", duration_ms=5)
+    call = encode_call("borrow", 1, {"request": request})
+    patched = call[:at] + patch + call[at + len(patch) :]
+    for frame in (noise, patched):
+        with contextlib.suppress(PeerError):
+            answer_call(object(), frame)
+        with contextlib.suppress(PeerError):
+            decode_reply("borrow", 1, frame)
+
+
+@given(st.text(max_size=200))
+def test_tickets(text):
+    assert decode_ticket(text) is None or decode_ticket(text)[0].issuer is not None
+
+
+@given(st.text(max_size=120))
+def test_decision_records(text):
+    with pytest.raises(DecisionError):
+        read_decision(text, KEY)
+
+
+@given(st.lists(st.text(max_size=20), max_size=30))
+def test_signed_decision_comes_back(names):
+    decision = Decision(
+        *("id", "e", 3, "s", "op", "net", "a=b", "default", "", "h", "t", "served", 1),
+        [PassedOver(n, "why") for n in names],
+    )
+    read = read_decision(sign_decision(decision, KEY), KEY)
+    assert read.id == "id"
+    assert read.passed_over == decision.passed_over[:12]
+
+
+@given(st.text(max_size=60))
+def test_selectors(text):
+    with contextlib.suppress(HalldoorError):
+        Selector.from_text(text).matches({"a": "b"})
+
+
+@given(st.text(alphabet="[]{}:,-&*ab1 \n'\"!", max_size=80))
+def test_yaml(text):
+    with contextlib.suppress(HalldoorError):
+        Configuration.from_data(parse_yaml(text, origin="x"))
+
+
+@settings(max_examples=120)
+@given(st.data())
+def test_configuration_with_one_value_replaced(data):
+    whole = make_configuration(halls={"a1": 1})
+    section = data.draw(st.sampled_from(sorted(whole)))
+    row = data.draw(st.sampled_from(whole[section])) if whole[section] else None
+    if row is None:
+        return
+    field = data.draw(st.sampled_from(sorted(row)))
+    row[field] = data.draw(
+        st.one_of(
+            st.none(), st.integers(), st.text(max_size=5), st.lists(st.integers(), max_size=2)
+        )
+    )
+    with contextlib.suppress(HalldoorError):
+        Configuration.from_data(whole)
+
+
+def make_id(number):
+    value = f"{number:012x}"
+    return f"{value[:8]}-{value[8:]}-7000-8000-000000000000"
+
+
+@given(st.lists(st.integers(1, 60), min_size=1, max_size=120))
+def test_an_id_is_never_claimed_twice_even_when_shards_overflow(numbers):
+    """A forgotten claim is below the floor, so that it is unknown instead of free."""
+    limit, claims.CLAIMS_PER_SHARD = claims.CLAIMS_PER_SHARD, 8
+    try:
+        shard, granted = Shard(), {}
+        for turn, number in enumerate(numbers):
+            me, operation = Claim("e", f"i{turn}"), make_id(number)
+            outcome = claim(shard, [operation], me)
+            shard = decode_shard(encode_shard(outcome.shard))
+            if outcome.holders[operation] == me:
+                assert operation not in granted
+                granted[operation] = me
+            assert len(shard.claims) <= 9
+    finally:
+        claims.CLAIMS_PER_SHARD = limit
