Do not ask a lender again for 20 ms after it had nothing

Cause: in a flood each refusal asked the peers for a loan, at one or two milliseconds of both entries' processor time. Change: a lender that had nothing is passed over for 20 ms, one that did not answer for 0.5 s.

--- a/halldoor/entry/loans.py
+++ b/halldoor/entry/loans.py
@@ -18,6 +18,10 @@
 
 LENDERS_ASKED = 3
 BORROW_TIMEOUT_S = 0.15
+EMPTY_PAUSE_S = 0.02
+"""Time for which a lender that had nothing is not asked again: refusals come in floods."""
+SILENT_PAUSE_S = 0.5
+"""The same for a lender that did not answer."""
 
 
 class Return(NamedTuple):
@@ -56,6 +60,8 @@
         self._list_lenders = list_lenders
         self._find_entry = find_entry
         self._random = random.Random(me)
+        # Written by several request threads at once; the last word wins and does no harm.
+        self._pause_until: dict[str, float] = {}
         self.asked = 0
         self.borrowed = 0
 
@@ -68,7 +74,7 @@
         for lender in self._order_lenders(targets)[:LENDERS_ASKED]:
             entry = self._find_entry(lender)
             now = time.monotonic()
-            if entry is None or now >= until:
+            if entry is None or now >= until or now < self._pause_until.get(lender, 0.0):
                 continue
             request = idl.LoanRequest(
                 targets=list(targets),
@@ -81,10 +87,12 @@
                     entry.wire, "borrow", timeout_s=BORROW_TIMEOUT_S, request=request
                 )
             except PeerError:
+                self._pause_until[lender] = time.monotonic() + SILENT_PAUSE_S
                 continue
             if loan.number:
                 self.borrowed += 1
                 return to_hold(loan.target, loan.index, lender, loan.number, until)
+            self._pause_until[lender] = time.monotonic() + EMPTY_PAUSE_S
         return None
 
     def _order_lenders(self, targets: Sequence[str]) -> list[str]:
