Make the laws of slots and orders able to fail

Cause: trials with one line of a mechanism broken: five of twelve went unnoticed. The hall's state machine had too many slots and too few runs to bring two requests onto one slot; the ledger's needed more than 80 runs to use a refused ticket again; no target went on with what was cancelled. Change: one target of two slots, a rule that acquires and sends, 500 and 300 runs; a stand-in that ignores cancellation, and a test with it. Before: five trials passed that should fail.

--- a/halldoor/standins/target.py
+++ b/halldoor/standins/target.py
@@ -47,6 +47,8 @@
         Age of the load that the load endpoint reports.
     report_load : float
         Load to report instead of the true one; below 0 for the true one.
+    ignore_cancel : bool
+        Go on with a request whose caller has gone, until its work or deadline ends.
     ignore_limit : bool
         Run what exceeds the slots, and count it, instead of shedding.
     """
@@ -64,6 +66,7 @@
     close_idle: bool = False
     report_lag_s: float = 0.0
     report_load: float = -1.0
+    ignore_cancel: bool = False
     ignore_limit: bool = True
 
 
@@ -192,7 +195,7 @@
             takes_s *= 4
         ends = time.monotonic() + takes_s
         deadline = time.monotonic() + float(environ.get("HTTP_HALLDOOR_DEADLINE_MS", 1e9)) / 1000
-        sock = environ.get("halldoor.socket")
+        sock = environ.get("halldoor.socket") if not b.ignore_cancel else None
         while (rest_s := ends - time.monotonic()) > 0:
             if time.monotonic() >= deadline:
                 self.outcomes["deadline"] += 1
--- a/halldoor/tests/test_answers.py
+++ b/halldoor/tests/test_answers.py
@@ -33,7 +33,7 @@
         def call(number):
             seed, size = f"seed-{number}", 1 + (number * 7919) % 400_000
             if number % 10 == 0:
-                _abandon(two_halls, entries[number % 4])
+                abandon(two_halls, entries[number % 4])
             path = f"{READ}/{number}?size={size}&seed={seed}"
             for _ in range(200):
                 response = two_halls.call(entries[number % 4], path)
@@ -90,14 +90,14 @@
             return sum(s["outcomes"].get("cancelled", 0) for s in stats)
 
         before = count_cancelled()
-        _abandon(two_halls, "a1-e1", work_s=2.5)
+        abandon(two_halls, "a1-e1", work_s=2.5)
         deadline = time.monotonic() + 5
         while count_cancelled() == before and time.monotonic() < deadline:
             time.sleep(0.05)
         assert count_cancelled() == before + 1
 
 
-def _abandon(fleet, entry, *, work_s=0.5):
+def abandon(fleet, entry, *, work_s=0.5):
     """Start a request and go away."""
     with socket.create_connection(("127.0.0.1", fleet.find_port(entry))) as sock:
         sock.sendall(f"GET {READ}/gone?work_s={work_s} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
--- a/halldoor/tests/test_room.py
+++ b/halldoor/tests/test_room.py
@@ -10,6 +10,7 @@
 from halldoor.standins.fleet import Fleet, wait_until
 from halldoor.standins.sample import make_configuration
 from halldoor.tests.conftest import start_all
+from halldoor.tests.test_answers import abandon
 from halldoor.tests.test_orders import control_all
 
 READ = "/s/decks/read/x"
@@ -125,6 +126,23 @@
             flood.wait_for(30)
         assert_within_slots(hall)
 
+    def test_target_that_goes_on_with_what_was_cancelled(self, hall):
+        """A slot rests until the deadline when its caller left before the answer."""
+        control_all(hall, ignore_cancel=True)
+        wait_until(lambda: knows_peer(hall, "a1-e1"), what="peer known")
+        wait_until(
+            lambda: all(
+                t["free"] == t["home"]
+                for t in hall.get_json("a1-e1", "/v1/status")["targets"].values()
+            ),
+            what="slots rested",
+        )
+        for _ in range(6):
+            abandon(hall, "a1-e1", work_s=0.8)
+        with Flood(hall, ["a1-e1", "a1-e2"]) as flood:
+            flood.wait_for(100)
+        assert_within_slots(hall)
+
     def test_roster_change_while_a_former_entry_does_not_know(self, hall):
         """A new entry takes over slots only after the cut-off former home has adopted."""
         configuration = hall.configuration
--- a/properties/test_orders.py
+++ b/properties/test_orders.py
@@ -1,5 +1,6 @@
 """Law: an operation is sent at most once per ticket, and "not run" stays true."""
 
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
@@ -7,7 +8,7 @@
 from halldoor.core.errors import Ran, Reason, Refusal, refuse, refuse_unknown
 from halldoor.core.ticket import Answer, Ledger, State, decode_ticket
 
-IDS = [f"01890a5d-ac96-774b-bcce-b30209{i:06x}" for i in range(4)]
+IDS = [f"01890a5d-ac96-774b-bcce-b30209{i:06x}" for i in range(2)]
 ENTRIES = ["e1", "e2", "e3"]
 
 
@@ -102,6 +103,8 @@
 
 
 TestOrders = Orders.TestCase
+# 80 runs did not find a refused ticket that could be used again; 300 over two ids do.
+TestOrders.settings = settings(max_examples=300)
 
 
 def test_time_is_read_from_the_id():
--- a/properties/test_slots.py
+++ b/properties/test_slots.py
@@ -1,13 +1,13 @@
 """Law: never more requests at a target than it has slots, whoever is cut, frozen or replaced."""
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from halldoor.core.slots import CLOCK_MARGIN, SlotTable, assign_homes
 
 NAMES = ["e1", "e2", "e3"]
-SLOTS = {"t1": 3, "t2": 6}
+SLOTS = {"t1": 2}
 LONGEST_S = 2.0
 
 
@@ -44,7 +44,7 @@
             former=self.rosters[-2::-1],
         )
 
-    @rule(seconds=st.sampled_from([0.05, 0.5, 1.0, 2.5]))
+    @rule(seconds=st.sampled_from([0.1, 0.9, 1.0]))
     def wait(self, seconds):
         self.now += seconds
         self.running = [(k, end) for k, end in self.running if end > self.now]
@@ -73,13 +73,25 @@
         if loan:
             self.holds[borrower].append((loan, until))
 
+    @rule(name=st.sampled_from(NAMES), where=st.sampled_from(sorted(SLOTS)))
+    def acquire_and_send(self, name, where):
+        """What a healthy entry does, and an overload needs."""
+        self.acquire(name, where)
+        self.send_last(name)
+
+    def send_last(self, name):
+        if self.holds[name]:
+            self.send_hold(name, *self.holds[name].pop())
+
     @rule(name=st.sampled_from(NAMES), data=st.data())
     def send(self, name, data):
         """Send on a hold, if it still stands; a frozen entry does so when it wakes."""
         if not self.holds[name]:
             return
         index = data.draw(st.integers(0, len(self.holds[name]) - 1))
-        hold, until = self.holds[name].pop(index)
+        self.send_hold(name, *self.holds[name].pop(index))
+
+    def send_hold(self, name, hold, until):
         until = hold.until if until is None else until
         if self.clock(name) < until:
             left = (until - self.clock(name)) / self.drift[name]
@@ -101,6 +113,7 @@
     def learn_roster(self, name):
         if self.adopted[name] < len(self.rosters) - 1:
             self.adopt(name)
+            self.hear_revisions(name)
 
     @rule(name=st.sampled_from(NAMES))
     def hear_revisions(self, name):
@@ -123,6 +136,8 @@
 
 
 TestHall = Hall.TestCase
+# With two targets and 80 runs, three broken mechanisms went unnoticed; so fewer slots, more runs.
+TestHall.settings = settings(max_examples=500)
 
 
 @st.composite
