Try the breaking sequences themselves in the laws of slots and orders

Cause: random rules alone did not bring about a late copy after a refusal, a borrower frozen to the end of its loan, or a roster that one entry learns of first. Change: rules for just these. Before: three broken mechanisms passed.

--- a/properties/test_orders.py
+++ b/properties/test_orders.py
@@ -57,9 +57,16 @@
     @rule(data=st.data())
     def present(self, data):
         """Any caller presents any ticket, at its issuer's present process."""
-        if not self.tickets:
-            return
-        text = data.draw(st.sampled_from(self.tickets))
+        if self.tickets:
+            self.present_ticket(data.draw(st.sampled_from(self.tickets)))
+
+    @rule(data=st.data())
+    def present_refused(self, data):
+        """A late copy of a call whose caller was told no."""
+        if self.told_not_run:
+            self.present_ticket(data.draw(st.sampled_from(sorted(self.told_not_run))))
+
+    def present_ticket(self, text):
         ticket, payload, mac = decode_ticket(text)
         ledger = self.entries[ticket.issuer]
         if not ledger.is_genuine(ticket, payload, mac):
@@ -103,8 +110,9 @@
 
 
 TestOrders = Orders.TestCase
-# 80 runs did not find a refused ticket that could be used again; 300 over two ids do.
-TestOrders.settings = settings(max_examples=300)
+# Neither 80 nor 300 runs found a refused ticket that could be used again, before
+# `present_refused` tried just that.
+TestOrders.settings = settings(max_examples=150)
 
 
 def test_time_is_read_from_the_id():
--- a/properties/test_slots.py
+++ b/properties/test_slots.py
@@ -44,7 +44,7 @@
             former=self.rosters[-2::-1],
         )
 
-    @rule(seconds=st.sampled_from([0.1, 0.9, 1.0]))
+    @rule(seconds=st.sampled_from([0.1, 0.9, 2.5]))
     def wait(self, seconds):
         self.now += seconds
         self.running = [(k, end) for k, end in self.running if end > self.now]
@@ -76,9 +76,22 @@
     @rule(name=st.sampled_from(NAMES), where=st.sampled_from(sorted(SLOTS)))
     def acquire_and_send(self, name, where):
         """What a healthy entry does, and an overload needs."""
+        self.expire(name)
         self.acquire(name, where)
         self.send_last(name)
 
+    @rule(
+        lender=st.sampled_from(NAMES),
+        borrower=st.sampled_from(NAMES),
+        where=st.sampled_from(sorted(SLOTS)),
+        frozen_s=st.sampled_from([0.0, 1.0, 1.9, 2.1]),
+    )
+    def borrow_freeze_and_send(self, lender, borrower, where, frozen_s):
+        """The borrower is frozen between its loan and its sending."""
+        self.borrow(lender, borrower, where, 0.0)
+        self.wait(frozen_s)
+        self.send_last(borrower)
+
     def send_last(self, name):
         if self.holds[name]:
             self.send_hold(name, *self.holds[name].pop())
@@ -104,10 +117,15 @@
         self.holds[name] = []
         self.boot(name, rest=None)
 
-    @rule(roster=st.sampled_from([["e1", "e2"], ["e1", "e2", "e3"], ["e2", "e3"], ["e3", "e1"]]))
-    def change_roster(self, roster):
+    @rule(
+        roster=st.sampled_from([["e1", "e2"], ["e1", "e2", "e3"], ["e2", "e3"], ["e3", "e1"]]),
+        first=st.sampled_from(NAMES),
+    )
+    def change_roster(self, roster, first):
+        """A new roster that one entry learns of at once, and the others later."""
         if len(self.rosters) < 4 and roster != self.rosters[-1]:
             self.rosters.append(roster)
+            self.learn_roster(first)
 
     @rule(name=st.sampled_from(NAMES))
     def learn_roster(self, name):
@@ -136,8 +154,8 @@
 
 
 TestHall = Hall.TestCase
-# With two targets and 80 runs, three broken mechanisms went unnoticed; so fewer slots, more runs.
-TestHall.settings = settings(max_examples=500)
+# With more slots and 80 runs, three broken mechanisms went unnoticed.
+TestHall.settings = settings(max_examples=200)
 
 
 @st.composite
