--- a/properties/test_orders.py
+++ b/properties/test_orders.py
@@ -82,11 +82,22 @@
             self.sent[key] = self.sent.get(key, 0) + 1
             self.running[text] = (ticket.issuer, ticket)
 
+    @rule(name=st.sampled_from(ENTRIES), operation=st.sampled_from(IDS))
+    def order_that_is_shed(self, name, operation):
+        """A whole order that its target refuses with proof."""
+        count = len(self.tickets)
+        self.get_ticket(name, operation)
+        for text in self.tickets[count:]:
+            self.present_ticket(text)
+            if text in self.running:
+                self.settle_ticket(text, "not run")
+
     @rule(data=st.data(), how=st.sampled_from(["done", "not run", "unknown"]))
     def settle(self, data, how):
-        if not self.running:
-            return
-        text = data.draw(st.sampled_from(sorted(self.running)))
+        if self.running:
+            self.settle_ticket(data.draw(st.sampled_from(sorted(self.running))), how)
+
+    def settle_ticket(self, text, how):
         issuer, ticket = self.running.pop(text)
         ledger = self.entries[issuer]
         if ledger.incarnation != ticket.incarnation:
