Give tests ports on an address that no connection goes out from

Ruled out: slow imports, since 120 s did not help. Change: everything listens on 127.0.0.2, and no port is given twice in a process; source_ip is a setting of its own.

--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -8,7 +8,7 @@
 
 from benchmarks.common import format_table, get_percentile, run_callers, write_result
 from halldoor.standins.fleet import Fleet
-from halldoor.standins.sample import make_configuration
+from halldoor.standins.sample import IP, make_configuration
 
 SECONDS = 6.0
 ROUNDS = 3
@@ -45,7 +45,7 @@
 
 def _measure(port: int, path: str, *, callers: int = CALLERS) -> list[float]:
     """Measure requests/s, median and p99 in ms."""
-    pools = [urllib3.HTTPConnectionPool("127.0.0.1", port, maxsize=1) for _ in range(callers)]
+    pools = [urllib3.HTTPConnectionPool(IP, port, maxsize=1) for _ in range(callers)]
 
     def call(number: int) -> float:
         started = time.perf_counter()
@@ -71,7 +71,7 @@
     code = (
         "import sys, time, http.client\n"
         "port, seconds = int(sys.argv[1]), float(sys.argv[2])\n"
-        "c = http.client.HTTPConnection('127.0.0.1', port)\n"
+        "c = http.client.HTTPConnection(sys.argv[3], port)\n"
         "times, ends = [], time.monotonic() + seconds\n"
         "while time.monotonic() < ends:\n"
         "    t = time.perf_counter()\n"
@@ -82,7 +82,9 @@
     )
     running = [
         subprocess.Popen(
-            [sys.executable, "-c", code, str(port), str(SECONDS)], stdout=subprocess.PIPE, text=True
+            [sys.executable, "-c", code, str(port), str(SECONDS), IP],
+            stdout=subprocess.PIPE,
+            text=True,
         )
         for _ in range(4)
     ]
--- a/halldoor/core/settings.py
+++ b/halldoor/core/settings.py
@@ -36,6 +36,8 @@
         URL of the platform's key-value service.
     decision_key : str
         Shared secret that signs decision records, 16 characters or more.
+    source_ip : str
+        Address that connections to entries and the platform go out from; any if empty.
     peers : list of Address
         Wire addresses of entries to learn from when the platform is down.
     """
@@ -47,6 +49,7 @@
     platform: str
     decision_key: str
     peers: list[Address] = []
+    source_ip: str = ""
     workers: int = 48
     lookup_max_age_s: float = 3.0
     ticket_lifetime_s: float = 60.0
--- a/halldoor/entry/process.py
+++ b/halldoor/entry/process.py
@@ -72,7 +72,7 @@
         self._lookups: LookupTable | None = None
         self._is_leaving = False
         self._is_stopping = False
-        self.peers = PeerPool(source_ip=settings.wire.ip)
+        self.peers = PeerPool(source_ip=settings.source_ip)
         self.watcher = CallerWatcher()
         self.activity = Activity()
         self.decisions = DecisionLog()
@@ -84,7 +84,7 @@
     @classmethod
     def from_config(cls, settings: EntrySettings) -> EntryProcess:
         """Build the process from its settings."""
-        platform = HttpPlatform(settings.platform, source_ip=settings.wire.ip)
+        platform = HttpPlatform(settings.platform, source_ip=settings.source_ip)
         return cls(settings, platform)
 
     def _build_control(self, platform: Platform) -> None:
--- a/halldoor/standins/fleet.py
+++ b/halldoor/standins/fleet.py
@@ -25,6 +25,8 @@
 from halldoor.standins.relay import Relays
 from halldoor.standins.sample import IP, find_ports
 
+PLATFORM = "127.0.0.1"
+"""Address by which cuts know the platform."""
 DECISION_KEY = "fleet-decision-key-0123"
 TOKEN = "fleet-operator-token"
 
@@ -92,13 +94,13 @@
 
     def start_platform(self) -> None:
         """Start the platform's stand-in."""
-        self.spawn("platform", "standin", "platform", "--port", str(self.platform_port))
+        self.spawn("platform", "standin", "platform", "--port", str(self.platform_port), "--ip", IP)
         wait_until(lambda: self.can_connect(self.platform_port), what="platform")
 
     def start_targets(self, name: str, ports: list[int], *options: str) -> None:
         """Start targets' stand-ins, all in one process."""
         texts = [str(p) for p in ports]
-        self.spawn(name, "standin", "target", "--ports", *texts, *options)
+        self.spawn(name, "standin", "target", "--ip", IP, "--ports", *texts, *options)
         for port in ports:
             wait_until(lambda port=port: self.can_connect(port), what="target")  # type: ignore[misc]
 
@@ -120,13 +122,14 @@
             "name": name,
             "hall": hall,
             "http": host["http"],
-            "wire": self._hidden.get(name, host["wire"]),
+            "wire": host["wire"],
             "platform": self.platform_url,
             "decision_key": DECISION_KEY,
             "peers": peers,
             "strict_invariants": True,
             "rest_at_start": False,
             "log_format": "console",
+            **self._hidden.get(name, {}),
         } | changes
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
@@ -184,25 +187,27 @@
         hidden = find_ports(1 + sum(len(h["entries"]) for h in configuration["halls"]))
         for i, hall in enumerate(configuration["halls"], 1):
             for j, entry in enumerate(hall["entries"], 1):
-                real: dict[str, Any] = {"ip": f"127.0.{i}.{j}", "port": hidden.pop()}
-                self._hidden[entry["name"]] = real
-                self._add_relay(entry["wire"]["port"], (real["ip"], real["port"]))
+                port = hidden.pop()
+                self._hidden[entry["name"]] = {
+                    "wire": {"ip": IP, "port": port},
+                    "source_ip": f"127.0.{i}.{j}",
+                }
+                self._add_relay(entry["wire"]["port"], port, f"127.0.{i}.{j}")
         self.shown_platform_port = hidden.pop()
-        self._add_relay(self.shown_platform_port, (IP, self.platform_port))
+        self._add_relay(self.shown_platform_port, self.platform_port, PLATFORM)
 
-    def _add_relay(self, port: int, to: tuple[str, int]) -> None:
-        """Add one relay; the platform stands at 127.0.0.1."""
+    def _add_relay(self, port: int, to: int, name: str) -> None:
+        """Add the relay before a process that cuts know by an address."""
         assert self.relays is not None
 
         def is_cut(source: str) -> bool:
-            pairs = list(self.cuts)
             return any(
-                (source.startswith(a) and to[0].startswith(b))
-                or (source.startswith(b) and to[0].startswith(a))
-                for a, b in pairs
+                (source.startswith(a) and name.startswith(b))
+                or (source.startswith(b) and name.startswith(a))
+                for a, b in list(self.cuts)
             )
 
-        self.relays.add((IP, port), to, is_cut)
+        self.relays.add((IP, port), (IP, to), is_cut)
 
     def cut(self, one: str, other: str) -> None:
         """Cut two address prefixes from each other; ``127.0.0.`` is the platform's."""
--- a/halldoor/standins/sample.py
+++ b/halldoor/standins/sample.py
@@ -7,14 +7,25 @@
 from collections.abc import Iterator
 from typing import Any
 
-IP = "127.0.0.1"
+IP = "127.0.0.2"
+_given: set[int] = set()
 
 
 def find_ports(count: int) -> list[int]:
-    """Let the kernel choose free ports."""
+    """Let the kernel choose free ports, none of them twice in this process.
+
+    They are on an address that no connection goes out from: on 127.0.0.1 a port that
+    was found free is now and then taken by somebody's connection before it is used.
+    """
     with contextlib.ExitStack() as stack:
-        socks = [stack.enter_context(socket.create_server((IP, 0))) for _ in range(count)]
-        return [s.getsockname()[1] for s in socks]
+        ports: list[int] = []
+        while len(ports) < count:
+            sock = stack.enter_context(socket.create_server((IP, 0)))
+            port = sock.getsockname()[1]
+            if port not in _given:
+                _given.add(port)
+                ports.append(port)
+        return ports
 
 
 def _make_operation(
--- a/halldoor/tests/test_answers.py
+++ b/halldoor/tests/test_answers.py
@@ -11,6 +11,7 @@
 import pytest
 
 from halldoor.core.errors import PeerError
+from halldoor.standins.sample import IP
 from halldoor.standins.target import make_bytes
 from halldoor.tests.test_orders import control_all
 from halldoor.wire.protocol import decode_reply, encode_call, idl
@@ -99,7 +100,7 @@
 
 def abandon(fleet, entry, *, work_s=0.5):
     """Start a request and go away."""
-    with socket.create_connection(("127.0.0.1", fleet.find_port(entry))) as sock:
+    with socket.create_connection((IP, fleet.find_port(entry))) as sock:
         sock.sendall(f"GET {READ}/gone?work_s={work_s} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
         time.sleep(0.1)
 
@@ -134,7 +135,7 @@
     )
     def test_bad_frames_leave_the_entry_alive(self, two_halls, data):
         wire = two_halls.configuration["halls"][0]["entries"][0]["wire"]["port"]
-        with socket.create_connection(("127.0.0.1", wire)) as sock:
+        with socket.create_connection((IP, wire)) as sock:
             sock.sendall(data)
             sock.shutdown(socket.SHUT_WR)
             sock.settimeout(5)
@@ -157,7 +158,7 @@
         ],
     )
     def test_clear_refusals(self, two_halls, head, status):
-        with socket.create_connection(("127.0.0.1", two_halls.find_port("a1-e1"))) as sock:
+        with socket.create_connection((IP, two_halls.find_port("a1-e1"))) as sock:
             sock.sendall(head.encode())
             sock.settimeout(5)
             answer = sock.recv(4096)
@@ -165,7 +166,7 @@
 
     def test_slow_callers_do_not_stop_others(self, two_halls):
         port = two_halls.find_port("a1-e1")
-        slow = [socket.create_connection(("127.0.0.1", port)) for _ in range(30)]
+        slow = [socket.create_connection((IP, port)) for _ in range(30)]
         try:
             for sock in slow:
                 sock.sendall(b"GET /s/decks/read HTTP/1.1\r\nHost:")
--- a/halldoor/tests/test_orders.py
+++ b/halldoor/tests/test_orders.py
@@ -11,7 +11,7 @@
 import pytest
 
 from halldoor.standins.fleet import Fleet, wait_until
-from halldoor.standins.sample import make_configuration
+from halldoor.standins.sample import IP, make_configuration
 from halldoor.tests.conftest import start_all
 
 ORDER = "/s/decks/order"
@@ -183,7 +183,7 @@
     def test_body_half_sent_by_the_caller_runs_nothing(self, two_halls):
         ticket = two_halls.get_ticket("a1-e1")
         port = two_halls.find_port("a1-e1")
-        with socket.create_connection(("127.0.0.1", port)) as sock:
+        with socket.create_connection((IP, port)) as sock:
             head = (
                 f"POST {ORDER} HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n"
                 f"Halldoor-Ticket: {ticket}\r\n\r\nonly a part"
