Tell an operator the truth after a head write that got lost on its way

The read-back's 'not written' was swallowed together with the platform's faults, so a lost write took 5 s and ended as 'not known'; and with a base it would have been told as a conflict with nobody. Change: the two are told apart; after a conflict or a lost write the loop looks again and decides by change id and base. Conclusion: an apply with a base survives lost answers of both kinds.

--- a/halldoor/platform/store.py
+++ b/halldoor/platform/store.py
@@ -142,12 +142,9 @@
                 raise self._build_conflict(stored, base)
             configuration = _note_rosters(edit(stored), stored)
             check_configuration(configuration, origin=f"change {change.id}")
-            try:
+            with contextlib.suppress(WriteConflictError):
                 return self._write(configuration, stored, change)
-            except WriteConflictError:
-                if base is not None:
-                    raise self._build_conflict(self.read(), base) from None
-                # The edit was not made against a certain revision: it goes on top of the new one.
+            # Another's change came first, or the write was lost on the way: look again.
 
     def _write(self, configuration: Configuration, stored: Stored, change: Change) -> Committed:
         """Write the parts and then the head that names them."""
@@ -199,13 +196,16 @@
             Where it did not take effect: the old head is still there, or another's.
         """
         for _ in range(READ_BACK_TRIES):
-            with contextlib.suppress(PlatformError):
+            try:
                 value = self._platform.get(HEAD_KEY)
                 current = _decode_head(value.data) if value else None
-                if current is not None and self._has_change(current, head):
-                    return
-                raise WriteConflictError("The head was not written.", remedy="Try again.")
-            self._pause(READ_BACK_PAUSE_S)
+                is_done = current is not None and self._has_change(current, head)
+            except PlatformError:
+                self._pause(READ_BACK_PAUSE_S)
+                continue
+            if is_done:
+                return
+            raise WriteConflictError("The head was not written.", remedy="Try again.")
         raise PlatformError(
             "It is not known whether the change was accepted.",
             remedy="Send the same change id again once the platform answers.",
--- a/properties/test_store.py
+++ b/properties/test_store.py
@@ -153,3 +153,18 @@
     configuration = Configuration.from_data(make_configuration(halls={"a1": 1}))
     with pytest.raises(HalldoorError, match="halldoor status"):
         edit_drain(configuration, "nothing", is_leaving=True)
+
+
+@pytest.mark.parametrize("fault", ["lost after", "lost before"])
+def test_apply_with_a_base_whose_answer_was_lost_is_no_conflict(fault):
+    """Read back, so that an operator is not told of a conflict with the own change."""
+    platform = FakePlatform()
+    store = ConfigurationStore(platform, pause=lambda s: None)
+    first = Configuration.from_data(make_configuration(halls={"a1": 1}))
+    store.commit(lambda _: first, Change("first", "ops", "apply"))
+    drained = edit_drain(first, "a1-t1", is_leaving=True)
+    # Two parts, the changed targets and the audit record, go before the head.
+    platform.script = ["fine", "fine", fault]
+    change = Change("second", "ops", "apply")
+    assert store.commit(lambda _: drained, change, base=1).revision == 2
+    assert store.read().revision == 2
