Take lapsed loans back whenever somebody is admitted

Cause: found by reading: a home looked for lapsed loans only when somebody asked it for a loan, so the slots lent to a peer that died stayed idle for good in a hall of two. Change: lapsed loans come back at every admission. Unused names are gone. Before: the new test failed. After: it passes, with the laws of slots.

--- a/halldoor/core/slots.py
+++ b/halldoor/core/slots.py
@@ -75,13 +75,10 @@
     ----------
     me : str
         Name of this entry.
-    now : float
-        Monotonic seconds at the start of the process.
     """
 
-    def __init__(self, me: str, *, now: float) -> None:
+    def __init__(self, me: str) -> None:
         self.me = me
-        self._started = now
         # Slots free for use, each with the time before which it must rest.
         self._free: dict[str, dict[int, float]] = {}
         self._busy: dict[SlotKey, float] = {}
--- a/halldoor/entry/hall.py
+++ b/halldoor/entry/hall.py
@@ -68,7 +68,7 @@
         self._rest_at_start = rest_at_start
         self._snapshot: Snapshot | None = None
         self._in_flight: dict[str, int] = {}
-        self.slots = SlotTable(me, now=time.monotonic())
+        self.slots = SlotTable(me)
         self.health = HealthTable()
 
     def adopt(self, snapshot: Snapshot) -> None:
@@ -132,6 +132,7 @@
         now = time.monotonic()
         passed_over: list[PassedOver] = []
         with self._lock:
+            self.slots.expire_loans(now)
             names = self._list_candidates(targets, excluded, now, passed_over)
             if is_spill and not self._has_headroom(targets, now):
                 return Failure(self._refuse(Reason.NO_ROOM, "keeps room for its own", passed_over))
@@ -298,11 +299,6 @@
             self.slots.end_loan(number, borrower, rest_until=time.monotonic() + rest_s)
             self._lock.notify()
 
-    def expire_loans(self) -> int:
-        """Take back the loans that have lapsed."""
-        with self._lock:
-            return len(self.slots.expire_loans(time.monotonic()))
-
     def mark(self, target: str, *, is_healthy: bool, is_leaving: bool, load: float = 0.0) -> None:
         """Take a report on a target."""
         with self._lock:
--- a/halldoor/entry/remote.py
+++ b/halldoor/entry/remote.py
@@ -4,7 +4,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -227,6 +227,3 @@
 def is_final(refusal: Refusal, request: Request) -> bool:
     """Tell whether a refusal ends the request, since another try might run it twice."""
     return refusal.ran == Ran.UNKNOWN and not request.is_repeatable
-
-
-GetEntries = Callable[[str], list[EntryHost]]
--- a/halldoor/tests/test_room.py
+++ b/halldoor/tests/test_room.py
@@ -1,12 +1,20 @@
 """No target, hall or link is overloaded: judged by the targets' own counts."""
 
+import random
 import signal
 import threading
 import time
 from collections import Counter
 
 import pytest
-
+from returns.result import Failure, Success
+
+from halldoor.core.block import BlockTable
+from halldoor.core.configuration import Configuration
+from halldoor.core.invariant import Invariants
+from halldoor.core.policy import Policy
+from halldoor.core.snapshot import Snapshot
+from halldoor.entry.hall import HallRoom
 from halldoor.standins.fleet import Fleet, wait_until
 from halldoor.standins.sample import make_configuration
 from halldoor.tests.conftest import start_all
@@ -170,6 +178,29 @@
         assert_within_slots(hall)
 
 
+class TestLoans:
+    def test_slot_of_a_borrower_that_died_comes_back_to_its_home(self):
+        """Also where nobody asks for a loan again."""
+        data = make_configuration(halls={"a1": 1}, targets=1, slots=1)
+        snapshot = Snapshot.from_configuration(
+            Configuration.from_data(data), revision=1, hall="a1", blocks=BlockTable()
+        )
+        room = HallRoom(
+            "a1-e1",
+            policy=Policy.from_name("random", random.Random(1)),
+            invariants=Invariants(strict=True),
+            borrow=lambda targets, until: None,
+            give_back=lambda hold, rest_until: None,
+            rest_at_start=False,
+        )
+        room.adopt(snapshot)
+        assert room.lend(["a1-t1"], "a1-e2", 0.01) is not None
+        until = time.monotonic() + 60
+        assert isinstance(room.admit(["a1-t1"], until=until), Failure)
+        time.sleep(0.3)
+        assert isinstance(room.admit(["a1-t1"], until=until), Success)
+
+
 def knows_peer(fleet, name):
     return len(fleet.get_json(name, "/v1/status")["members"]) > 1
 
