--- a/halldoor/cli/admin.py
+++ b/halldoor/cli/admin.py
@@ -8,10 +8,8 @@
 import defopt
 
 from halldoor.admin.api import serve
-from halldoor.core.errors import HalldoorError
+from halldoor.cli.loading import load_or_exit
 from halldoor.core.settings import AdminSettings
-from halldoor.files import load_settings
-from halldoor.logs import configure_logs
 
 
 def run(settings: Path) -> None:
@@ -22,12 +20,11 @@
     settings : Path
         YAML file with the settings; docs/reference.md lists them.
     """
+    checked = load_or_exit(settings, AdminSettings, program="halldoor-admin")
     try:
-        checked = load_settings(settings, AdminSettings)
-        configure_logs(checked.log_format)
         serve(checked)
-    except (HalldoorError, OSError) as exc:
-        sys.exit(f"halldoor-admin: {exc}")
+    except OSError as exc:
+        sys.exit(f"halldoor-admin: {exc}. Check the address in {settings}.")
 
 
 def main() -> None:
--- a/halldoor/cli/entry.py
+++ b/halldoor/cli/entry.py
@@ -9,11 +9,10 @@
 
 import defopt
 
+from halldoor.cli.loading import load_or_exit
 from halldoor.core.errors import HalldoorError
 from halldoor.core.settings import EntrySettings
 from halldoor.entry.process import EntryProcess
-from halldoor.files import load_settings
-from halldoor.logs import configure_logs
 
 
 def run(settings: Path) -> None:
@@ -24,9 +23,8 @@
     settings : Path
         YAML file with the settings; docs/reference.md lists them.
     """
+    checked = load_or_exit(settings, EntrySettings, program="halldoor-entry")
     try:
-        checked = load_settings(settings, EntrySettings)
-        configure_logs(checked.log_format)
         process = EntryProcess.from_config(checked)
     except (HalldoorError, OSError) as exc:
         sys.exit(f"halldoor-entry: {exc}")
--- a/halldoor/standins/sample.py
+++ b/halldoor/standins/sample.py
@@ -58,6 +58,16 @@
     }
 
 
+def _make_links(halls: list[str]) -> list[dict[str, Any]]:
+    """Make links between all halls, short ones inside a region."""
+    return [
+        {"origin": a, "destination": b, "latency_ms": 1 if a[0] == b[0] else 12}
+        for a in halls
+        for b in halls
+        if a != b
+    ]
+
+
 def make_configuration(
     *, halls: dict[str, int], targets: int = 2, slots: int = 6, deadline_s: float = 3.0
 ) -> dict[str, Any]:
@@ -106,10 +116,5 @@
             }
         ],
         "teams": [{"name": "cards"}],
-        "links": [
-            {"origin": a, "destination": b, "latency_ms": 1 if a[0] == b[0] else 12}
-            for a in halls
-            for b in halls
-            if a != b
-        ],
+        "links": _make_links(list(halls)),
     }
--- /dev/null
+++ b/halldoor/tests/background.py
@@ -0,0 +1,24 @@
+"""Something that goes on in threads for the length of a block."""
+
+import threading
+
+
+class Background:
+    """Base: runs ``run`` once for each of ``items`` until the block ends."""
+
+    def __init__(self, items):
+        self.is_over = threading.Event()
+        self._threads = [threading.Thread(target=self.run, args=(item,)) for item in items]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.is_over.set()
+        for thread in self._threads:
+            thread.join()
+
+    def run(self, item):
+        raise NotImplementedError
--- a/halldoor/tests/test_configuration.py
+++ b/halldoor/tests/test_configuration.py
@@ -8,34 +8,24 @@
 
 from halldoor.standins.fleet import Fleet, wait_until
 from halldoor.standins.sample import make_configuration
+from halldoor.tests.background import Background
 from halldoor.tests.conftest import start_all
 
 HALLS = {"a1": 2, "a2": 2, "b1": 2, "b2": 2, "c1": 2, "c2": 2}
 NAMES = [f"{hall}-e{i}" for hall in HALLS for i in (1, 2)]
 
 
-class Watcher:
+class Watcher(Background):
     """Notes every revision that entries show, and any that falls."""
 
     def __init__(self, fleet, names):
-        self.fleet, self.names = fleet, names
+        super().__init__(names)
+        self.fleet = fleet
         self.fallen = []
-        self._is_over = threading.Event()
-        self._threads = [threading.Thread(target=self._watch, args=(n,)) for n in names]
 
-    def __enter__(self):
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *_):
-        self._is_over.set()
-        for thread in self._threads:
-            thread.join()
-
-    def _watch(self, name):
+    def run(self, name):
         seen, incarnation = 0, ""
-        while not self._is_over.is_set():
+        while not self.is_over.is_set():
             with contextlib.suppress(Exception):
                 status = self.fleet.get_json(name, "/v1/status")
                 if status["incarnation"] != incarnation:
--- a/halldoor/tests/test_room.py
+++ b/halldoor/tests/test_room.py
@@ -2,7 +2,6 @@
 
 import random
 import signal
-import threading
 import time
 from collections import Counter
 
@@ -17,6 +16,7 @@
 from halldoor.entry.hall import HallRoom
 from halldoor.standins.fleet import Fleet, wait_until
 from halldoor.standins.sample import make_configuration
+from halldoor.tests.background import Background
 from halldoor.tests.conftest import start_all
 from halldoor.tests.test_answers import abandon
 from halldoor.tests.test_orders import control_all
@@ -25,29 +25,16 @@
 DEADLINE_S = 1.0
 
 
-class Flood:
+class Flood(Background):
     """Callers that keep more requests going than there is room for."""
 
     def __init__(self, fleet, entries, *, callers=10, path=f"{READ}?work_s=0.04"):
+        super().__init__([e for e in entries for _ in range(callers)])
         self.fleet, self.path = fleet, path
         self.outcomes = Counter()
-        self._is_over = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._call, args=(e,)) for e in entries for _ in range(callers)
-        ]
-
-    def __enter__(self):
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *_):
-        self._is_over.set()
-        for thread in self._threads:
-            thread.join()
-
-    def _call(self, entry):
-        while not self._is_over.is_set():
+
+    def run(self, entry):
+        while not self.is_over.is_set():
             try:
                 response = self.fleet.call(entry, self.path)
                 self.outcomes[response.headers.get("Halldoor-Ran")] += 1
