Answer a forwarded request even where the entry fails inside

Cause: found by reading: an unexpected error in the thread of a streamed request left the other entry waiting for its deadline. Change: it is logged and refused as outcome unknown at once.

--- a/halldoor/entry/sessions.py
+++ b/halldoor/entry/sessions.py
@@ -9,11 +9,12 @@
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
+import structlog
 from msgspec import msgpack
 from returns.result import Failure, Success
 
 from halldoor.core.decision import DecisionLog
-from halldoor.core.errors import Reason, Refusal, refuse
+from halldoor.core.errors import Reason, Refusal, refuse, refuse_unknown
 from halldoor.core.selector import Selector
 from halldoor.core.snapshot import Snapshot
 from halldoor.entry.activity import Activity
@@ -36,6 +37,8 @@
 from halldoor.wire.protocol import CHUNK_BYTES, idl
 from halldoor.wire.server import ConnectionHandler
 
+log = structlog.get_logger(part="sessions")
+
 QUEUED_CHUNKS = 4
 """Chunks of a forwarded body kept in memory while the target takes them."""
 
@@ -154,6 +157,11 @@
             return reply
         except RequestError as exc:
             return _start_refused(exc.refusal)
+        except Exception:
+            # The other entry waits for a reply, and in a thread nobody else would give one.
+            log.exception("Forwarded request failed inside the entry.")
+            message = "The entry failed. Its log says more."
+            return _start_refused(refuse_unknown(Reason.BROKEN, message))
         finally:
             if reply is None or reply.answer is None or reply.answer.last:
                 self._end()
