--- a/halldoor/tests/test_examples.py
+++ b/halldoor/tests/test_examples.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from halldoor.core.configuration import Configuration
-from halldoor.files import load_yaml
+from halldoor.core.configuration import Configuration, Hall, Service, Shift
+from halldoor.core.settings import AdminSettings, EntrySettings
+from halldoor.files import load_settings, load_yaml
 from halldoor.standins.fleet import Fleet
 from halldoor.standins.sample import IP, find_ports
 from halldoor.tests.conftest import start_all
@@ -47,3 +48,19 @@
             assert answer.status == 200
             answer = fleet.call(entry, f"/s/{upload}/x", method="PUT", body=b"u" * 200_000)
             assert answer.status == 200
+
+
+@pytest.mark.parametrize(
+    "kind", [EntrySettings, AdminSettings, Configuration, Service, Hall, Shift]
+)
+def test_reference_lists_every_setting(kind):
+    text = (EXAMPLES.parent / "docs" / "reference.md").read_text()
+    missing = [name for name in kind.__struct_fields__ if f"`{name}`" not in text]
+    assert not missing
+
+
+@pytest.mark.parametrize(
+    ("name", "kind"), [("entry.yaml", EntrySettings), ("admin.yaml", AdminSettings)]
+)
+def test_settings_of_the_examples_are_valid(name, kind):
+    assert load_settings(EXAMPLES / name, kind)
