Keep each key to four targets, bound in-flight requests so that the shares add up, read load reports

Ruled out: lack of slots (warm load is 54 of 120 slots). Change: a key goes to the first four usable targets of its order; an entry's share of a target is exact over all entries; reports pass over busy targets; targets whose record lapsed come last; answers out of time count half towards ejection. Conclusion: refusing beats spilling; the number of choices is still to be measured.

--- a/halldoor/core/catalog.py
+++ b/halldoor/core/catalog.py
@@ -97,7 +97,7 @@
         Longest time between a change at a target and its record of it.
     """
 
-    settle_s: float = 2.3
+    settle_s: float = 2.0
     report_s: float = 2.5
 
 
@@ -128,7 +128,7 @@
         How long beliefs last.
     """
 
-    def __init__(self, timings: CatalogTimings = CatalogTimings()) -> None:
+    def __init__(self, timings: CatalogTimings) -> None:
         self._timings = timings
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] | None = None
--- a/halldoor/core/choice.py
+++ b/halldoor/core/choice.py
@@ -9,6 +9,7 @@
 
 from halldoor.core.budget import ColdShare
 from halldoor.core.catalog import Catalog, Target
+from halldoor.core.load import LoadTable
 from halldoor.core.outlier import OutlierTable
 from halldoor.core.placement import hash_key, rank
 from halldoor.core.route import Route
@@ -24,16 +25,21 @@
     ----------
     load_factor : float
         Requests that all entries together may have on a target, in multiples of its slots.
-    least_bound : int
-        Requests that one entry may have on a target, however many entries share it.
+    busy_load, full_load : float
+        Reported load, in multiples of the slots, from which a target is passed over while
+        another has room, and at all.
+    spill_choices : int
+        Targets that may serve one key; each of them has to see the key once to be warm for it.
     cold_excess, cold_slack : float
         All entries together may send a cold target its rate times the first plus the second.
     cold_margin : float
         Part of that to use; the rest covers entries that don't know yet that it is cold.
     """
 
-    load_factor: float = 4.0
-    least_bound: int = 2
+    load_factor: float = 2.0
+    busy_load: float = 1.34
+    full_load: float = 2.5
+    spill_choices: int = 4
     cold_excess: float = 1.5
     cold_slack: float = 5.0
     cold_margin: float = 0.6
@@ -63,11 +69,13 @@
         The targets.
     outliers : OutlierTable
         Which of them fail.
+    loads : LoadTable
+        What load they reported.
     own_name : str
         Name of this entry, for its rank among those that may send to a cold target.
     settings : ChoiceSettings
         Bounds.
-    zones : Mapping of str to str
+    regions : Mapping of str to str
         Region of each hall.
     """
 
@@ -75,13 +83,15 @@
         self,
         catalog: Catalog,
         outliers: OutlierTable,
+        loads: LoadTable,
         *,
         own_name: str,
         regions: Mapping[str, str],
-        settings: ChoiceSettings = ChoiceSettings(),
+        settings: ChoiceSettings,
     ) -> None:
         self._catalog = catalog
         self._outliers = outliers
+        self._loads = loads
         self._own_name = own_name
         self._regions = regions
         self._settings = settings
@@ -97,6 +107,9 @@
     ) -> Target | NoTarget:
         """Choose a target and, for a cold one, take from this entry's share of its rate.
 
+        A key goes to the first few targets of its order only, so that they stay warm for it:
+        under overload, refusing is better than making every target cold for every key.
+
         Parameters
         ----------
         tried : collection of str, optional
@@ -106,44 +119,74 @@
         if not order:
             return NoTarget("no target", {})
         passed: Counter[str] = Counter()
-        ejected: list[Target] = []
+        candidates = self._list_candidates(order, now, tried, passed)
+        choices = candidates[: self._settings.spill_choices] if key else candidates
+        for limit in (self._settings.busy_load, self._settings.full_load):
+            for target in choices:
+                if self._has_room(target, now, limit) and (
+                    not target.is_cold(now) or self._take_cold(target, now)
+                ):
+                    return target
+        passed["full or cold"] = len(choices)
+        return NoTarget("no room", passed)
+
+    def _list_candidates(
+        self, order: Sequence[Target], now: float, tried: Collection[str], passed: Counter[str]
+    ) -> list[Target]:
+        """List the targets worth trying, in order; doubtful ones only where there is no other."""
+        sound: list[Target] = []
+        doubtful: list[Target] = []
         for target in order:
             if target.name in tried:
                 passed["tried"] += 1
-            elif self.in_flight[target.name] >= self._bound(target):
-                passed["busy"] += 1
             elif self._outliers.is_ejected(target.name, now):
                 passed["ejected"] += 1
-                ejected.append(target)
-            elif target.is_cold(now) and not self._take_cold(target, now):
+                doubtful.append(target)
+            elif target.lapsed_at is not None:
+                passed["lapsed"] += 1
+                doubtful.append(target)
+            elif target.is_cold(now) and not self._may_be_sent_cold(target):
                 passed["cold"] += 1
             else:
-                return target
-        # Where all that have room look broken, the measurement may be wrong: try the first.
-        for target in ejected:
-            if len(ejected) + passed["tried"] >= len(order) and (
-                not target.is_cold(now) or self._take_cold(target, now)
-            ):
-                return target
-        return NoTarget("no room", passed)
+                sound.append(target)
+        # Where all look broken, the measurement is more likely wrong than the targets.
+        return sound or doubtful
+
+    def _has_room(self, target: Target, now: float, limit: float) -> bool:
+        """Tell whether a target has room, by own counts and by what it reported."""
+        own = self.in_flight[target.name]
+        return own < self._bound(target) and self._loads.estimate(target.name, now) < limit
 
     def _bound(self, target: Target) -> int:
-        """Give the requests that this entry may have on a target."""
-        share = self._settings.load_factor * target.record.slots / self._catalog.count_members()
-        return max(self._settings.least_bound, math.ceil(share))
+        """Give the requests that this entry may have on a target.
 
-    def _take_cold(self, target: Target, now: float) -> bool:
-        """Take one request from this entry's share of a cold target's rate."""
+        The shares of all entries add up to the whole, as long as each has at least one.
+        """
+        total = round(self._settings.load_factor * target.record.slots)
+        whole, rest = divmod(total, self._catalog.count_members())
+        return max(1, whole + (1 if self._rank(target.name) < rest else 0))
+
+    def _may_be_sent_cold(self, target: Target) -> bool:
+        """Tell whether this entry is one of those that may send to a cold target."""
+        return self._rank(target.name) < max(1, int(self._cold_limit(target)))
+
+    def _cold_limit(self, target: Target) -> float:
+        """Give the requests a second that all entries may send to a cold target."""
         routing = self._catalog.routing
         service = routing.services.get(target.record.service) if routing is not None else None
         if service is None:
-            return False
+            return 0.0
         settings = self._settings
         limit = service.cold_rate_per_s * settings.cold_excess + settings.cold_slack
-        return self._cold.take(
+        return limit * settings.cold_margin
+
+    def _take_cold(self, target: Target, now: float) -> bool:
+        """Take one request from this entry's share of a cold target's rate."""
+        limit = self._cold_limit(target)
+        return limit > 0 and self._cold.take(
             target.name,
             now,
-            limit_per_s=limit * settings.cold_margin,
+            limit_per_s=limit,
             entries=self._catalog.count_members(),
             rank=self._rank(target.name),
         )
--- a/halldoor/core/outlier.py
+++ b/halldoor/core/outlier.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-FAILURES_TO_EJECT = 2
+FAILURES_TO_EJECT = 2.0
 """Failures in a row that eject a target; one alone may be a lost packet."""
+SLOW_WEIGHT = 0.5
+"""Part of a failure that an answer out of time counts: under load good targets have some."""
 EJECT_S = 1.0
 """First ejection, in seconds; it doubles each time up to `EJECT_LIMIT_S`."""
 EJECT_LIMIT_S = 8.0
@@ -16,10 +18,9 @@
     """What was seen of one target."""
 
     def __init__(self) -> None:
-        self.failures = 0
+        self.failures = 0.0
         self.ejections = 0
         self.ejected_until = 0.0
-        self.trial_until = 0.0
 
 
 class OutlierTable:
@@ -32,23 +33,27 @@
         """Count a sound answer."""
         results = self._results.get(target)
         if results is not None:
-            results.failures = 0
+            results.failures = 0.0
             results.ejections = 0
             results.ejected_until = 0.0
 
-    def add_failure(self, target: str, now: float, *, is_dead: bool = False) -> bool:
+    def add_failure(
+        self, target: str, now: float, *, is_dead: bool = False, is_slow: bool = False
+    ) -> bool:
         """Count a failure; True where it ejects the target.
 
         Parameters
         ----------
         is_dead : bool, optional
             No connection came up: one failure is enough.
+        is_slow : bool, optional
+            The answer did not come in time: it takes more of these.
         """
         results = self._results.setdefault(target, _Results())
-        results.failures += 1
+        results.failures += SLOW_WEIGHT if is_slow else 1.0
         if results.failures < FAILURES_TO_EJECT and not is_dead:
             return False
-        results.failures = 0
+        results.failures = 0.0
         pause_s = min(EJECT_LIMIT_S, EJECT_S * 2**results.ejections)
         results.ejections += 1
         results.ejected_until = now + pause_s
--- a/halldoor/gateway/logbook.py
+++ b/halldoor/gateway/logbook.py
@@ -18,7 +18,7 @@
 QUEUE_LIMIT = 2_000
 """Lines that may wait to be written; about 600 kB."""
 SUCCESS_SAMPLE = 64
-"""One in so many successes is written; failures and changes of belief always are, up to the rate."""
+"""One in so many successes is written; failures and changes of belief are, up to the rate."""
 LINES_PER_S = 100.0
 """Lines a second over time; a busy entry answers several hundred requests a second."""
 LINES_AT_ONCE = 400
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -16,6 +16,7 @@
     TargetGone,
 )
 from halldoor.core.choice import ChoiceSettings, Chooser
+from halldoor.core.load import LoadTable
 from halldoor.core.outlier import OutlierTable
 from halldoor.core.route import CallerLimits
 from halldoor.core.settings import Address
@@ -103,12 +104,14 @@
         self.metrics = GatewayMetrics()
         self.catalog = Catalog(settings.timings)
         self.outliers = OutlierTable()
+        self.loads = LoadTable()
         self.pool = TargetPool()
         self._lookups = lookups
         self._random = random.Random()
         self._chooser = Chooser(
             self.catalog,
             self.outliers,
+            self.loads,
             own_name=settings.name,
             regions=settings.regions,
             settings=settings.choice,
@@ -117,6 +120,7 @@
             catalog=self.catalog,
             chooser=self._chooser,
             outliers=self.outliers,
+            loads=self.loads,
             pool=self.pool,
             names=names,
             logbook=self.logbook,
@@ -258,6 +262,7 @@
             case TargetGone(incarnation) if self.catalog.find_target(incarnation) is None:
                 self.pool.forget(incarnation)
                 self.outliers.forget(incarnation)
+                self.loads.forget(incarnation)
             case MemberGone(name) if name == self.settings.name and not self.is_stopping:
                 self.logbook.event("membership", "Own record is gone; writing it again.")
                 self.registration.note_gone()
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -11,6 +11,7 @@
 from halldoor.core.budget import RetryShare
 from halldoor.core.catalog import Catalog, Target
 from halldoor.core.choice import Chooser, NoTarget
+from halldoor.core.load import LoadReport, LoadTable
 from halldoor.core.outlier import OutlierTable
 from halldoor.core.route import CallerLimits, RequestKind, Route, RouteTable, Routing
 from halldoor.core.split import Splitter
@@ -77,7 +78,7 @@
 
     Parameters
     ----------
-    catalog, chooser, outliers
+    catalog, chooser, outliers, loads
         What is known of targets, and the choice between them.
     pool : TargetPool
         Connections to targets.
@@ -91,6 +92,7 @@
         catalog: Catalog,
         chooser: Chooser,
         outliers: OutlierTable,
+        loads: LoadTable,
         pool: TargetPool,
         names: HeaderNames,
         logbook: Logbook,
@@ -100,6 +102,7 @@
         self._catalog = catalog
         self._chooser = chooser
         self._outliers = outliers
+        self._loads = loads
         self._pool = pool
         self._names = names
         self._exchanger = Exchanger(pool, names)
@@ -247,6 +250,10 @@
     def _note(self, passage: Passage, target: Target, outcome: Outcome, now: float) -> None:
         """Learn from the result of one attempt."""
         name = target.name
+        if isinstance(outcome, Whole | Streaming):
+            report = LoadReport.from_text(find(outcome.answer.headers, self._names.load))
+            if report is not None:
+                self._loads.add(name, report, now)
         if isinstance(outcome, Unreached):
             passage.unreached += 1
         else:
@@ -277,11 +284,13 @@
             case Expired():
                 passage.may_have_run = True
                 passage.notes.append(f"{name}: no answer in time")
-                self._eject(name, now, "no answer in time")
+                self._eject(name, now, "no answer in time", is_slow=True)
 
-    def _eject(self, name: str, now: float, detail: str, *, is_dead: bool = False) -> None:
+    def _eject(
+        self, name: str, now: float, detail: str, *, is_dead: bool = False, is_slow: bool = False
+    ) -> None:
         """Count a failure of a target."""
-        if self._outliers.add_failure(name, now, is_dead=is_dead):
+        if self._outliers.add_failure(name, now, is_dead=is_dead, is_slow=is_slow):
             self._logbook.event("targets", "Ejected a failing target.", target=name, cause=detail)
 
     def _drop(self, name: str) -> None:
