Let a young entry reckon with many others, answer where it fails inside, batch changes for 0.6 s

Cause: after all entries were killed each sees few others for some seconds and would use whole budgets that belong to all; a new connection during a stop was kept open; an unexpected error closed the caller's connection without an answer. Change: at least 100 entries are reckoned with in the first 6 s; new connections during a stop are for one request; errors inside are logged and answered 502; the pause between watches is 0.6 s and the lease 3 s.

--- a/halldoor/core/catalog.py
+++ b/halldoor/core/catalog.py
@@ -13,6 +13,9 @@
 from halldoor.core.route import Routing
 from halldoor.core.settings import Address
 
+UNKNOWN_ENTRIES = 100
+"""Entries to reckon with while it is not known how many there are: the size of a large fleet."""
+
 
 class TargetRecord(NamedTuple):
     """What a target says of itself in the store.
@@ -96,10 +99,13 @@
         After the store was away, time for records that lapsed meanwhile to come back.
     report_s : float
         Longest time between a change at a target and its record of it.
+    young_s : float
+        Time after the start in which other entries may not have registered yet.
     """
 
     settle_s: float = 2.0
     report_s: float = 2.5
+    young_s: float = 6.0
 
 
 class Target:
@@ -138,6 +144,7 @@
         self.evacuated: set[str] = set()
         self.members: dict[str, MemberRecord] = {}
         self.version = 0
+        self._started_at: float | None = None
 
     def apply(self, change: Change, now: float) -> bool:
         """Apply one change; False where it changes nothing."""
@@ -218,6 +225,17 @@
         """Count the live entries, this one included."""
         return max(1, len(self.members))
 
+    def count_sharers(self, now: float) -> int:
+        """Count the entries that may share a budget.
+
+        After a start others may still be registering, and an entry that takes itself for the
+        only one would use the whole of what belongs to all.
+        """
+        if self._started_at is None:
+            self._started_at = now
+        is_young = now - self._started_at < self._timings.young_s
+        return max(self.count_members(), UNKNOWN_ENTRIES if is_young else 1)
+
     def _touch(self) -> None:
         """Note that something changed which choices depend on."""
         self.version += 1
--- a/halldoor/core/choice.py
+++ b/halldoor/core/choice.py
@@ -188,7 +188,7 @@
             target.name,
             now,
             limit_per_s=limit,
-            entries=self._catalog.count_members(),
+            entries=self._catalog.count_sharers(now),
             rank=self._rank(target.name),
         )
 
--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -66,6 +66,8 @@
         Gives the limits in force.
     connections : set
         Where the connection is listed while it is open.
+    is_closing : callable
+        Tells whether new connections are for one request only.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         handler: Handler,
         read_limits: Callable[[], CallerLimits],
         connections: set[CallerConnection],
+        is_closing: Callable[[], bool],
     ) -> None:
         self._handler = handler
         self._read_limits = read_limits
@@ -87,7 +90,7 @@
         self._drained.set()
         self._has_ended = False
         self._unread = 0
-        self.is_closing = False
+        self.is_closing = is_closing()
         self.is_busy = False
         self.has_answered = False
 
@@ -329,10 +332,14 @@
     *,
     read_limits: Callable[[], CallerLimits],
     connections: set[CallerConnection],
+    is_closing: Callable[[], bool] = lambda: False,
     backlog: int = 1024,
 ) -> asyncio.Server:
     """Open a port; port 0 lets the kernel choose one."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: CallerConnection(handler, read_limits, connections), ip, port, backlog=backlog
+        lambda: CallerConnection(handler, read_limits, connections, is_closing),
+        ip,
+        port,
+        backlog=backlog,
     )
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -162,6 +162,7 @@
             self.requests.handle,
             read_limits=self.requests.read_limits,
             connections=self._callers,
+            is_closing=lambda: self.is_stopping,
         )
         for address, handler in (
             (settings.ready, self._answer_ready),
--- a/halldoor/gateway/registration.py
+++ b/halldoor/gateway/registration.py
@@ -10,7 +10,7 @@
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.store import Lease, LeaseGoneError, MetadataStore, RecordCodec, StoreError
 
-LEASE_S = 4.0
+LEASE_S = 3.0
 """Lifetime of the lease, in seconds: a dead entry leaves the look-ups within it."""
 RENEWALS_PER_LEASE = 3
 """Renewals in one lifetime, so that two may be lost."""
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -124,6 +124,15 @@
         self.running += 1
         try:
             await self._route(caller, head)
+        except h11.RemoteProtocolError:
+            raise  # The caller's own fault; its connection answers it.
+        except Exception as exc:
+            attempt_id = find(head.headers, self._names.attempt_id).decode("latin-1")
+            self._logbook.event("request", "Failed inside.", id=attempt_id, cause=repr(exc))
+            if caller.has_answered:
+                caller.abort()
+            else:
+                caller.send(_build_own_answer(502, "failed inside"))
         finally:
             self.running -= 1
 
@@ -323,7 +332,7 @@
         if isinstance(outcome, Unreached):
             return True
         now = asyncio.get_running_loop().time()
-        return share.take_retry(now, entries=self._catalog.count_members())
+        return share.take_retry(now, entries=self._catalog.count_sharers(now))
 
     def _share(self, service: str) -> RetryShare:
         """Give this entry's share of a service's retry budget."""
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -20,11 +20,11 @@
 
 WATCH_S = 28.0
 """Longest wait of one watch, in seconds; the store allows 30."""
-BATCH_S = 0.25
+BATCH_S = 0.6
 """Pause between an event and the next watch, in seconds.
 
 Each watch that returns is a priced call; several changes within the pause cost one.  It is
-an eighth of the shortest time in which a change must be in force.
+less than a third of the shortest time in which a change must be in force, two seconds.
 """
 BACKOFF_S = 0.25
 """First pause after a failed call, in seconds; it doubles up to `BACKOFF_LIMIT_S`."""
--- a/halldoor/tests/test_choice.py
+++ b/halldoor/tests/test_choice.py
@@ -220,3 +220,19 @@
         splitter, route = Splitter(), make_route(parts=parts)
         counts = Counter(splitter.choose(route, str(i % 7)) for i in range(200))
         assert abs(counts["board"] - 20) <= 2
+
+
+class TestYoungEntry:
+    def test_an_entry_that_just_started_does_not_take_itself_for_the_only_one(self):
+        """After all entries were killed, each sees few others and must not use the whole rate."""
+        catalog = make_catalog(0)
+        catalog.apply(TargetSeen(make_target("cold", cold_left_s=20.0)), 0.0)
+        chooser = make_chooser(catalog)
+
+        def count_sent(since):
+            times = (since + i / 100 for i in range(100))
+            chosen = [chooser.choose(make_route(), "deck", "k", now) for now in times]
+            return sum(not isinstance(c, NoTarget) for c in chosen)
+
+        assert count_sent(0.0) == 1
+        assert count_sent(10.0) > 1
