--- a/halldoor/tests/gatewaykit.py
+++ b/halldoor/tests/gatewaykit.py
@@ -8,6 +8,7 @@
 import h11
 import msgspec
 
+from halldoor.core.catalog import CatalogTimings
 from halldoor.core.settings import Address
 from halldoor.gateway.headers import HeaderNames, find
 from halldoor.gateway.lookup import PlainLookupFormat
@@ -41,6 +42,8 @@
                 ready=Address("127.0.0.1", 0),
                 directory=Address("127.0.0.1", 0),
                 regions={"ams-a": "ams", "grq-a": "grq"},
+                # Retries are tested on an entry that has been up for a while.
+                timings=CatalogTimings(young_s=0.0),
                 **settings,
             ),
             store=self.store,
