Add halldoor-gateway, the gateway with routes, services and targets from YAML

Cause: the new request path could only be used on the platform; operators of the product need it by its own configuration.

--- /dev/null
+++ b/halldoor/cli/gateway.py
@@ -0,0 +1,57 @@
+"""``halldoor-gateway``: carry requests straight to targets, with records from a YAML file."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+import defopt
+import msgspec
+
+from halldoor.core.errors import HalldoorError
+from halldoor.files import load_settings
+from halldoor.gateway.filestore import FileStore, GatewayFileSettings, load_configuration
+from halldoor.gateway.headers import HeaderNames
+from halldoor.gateway.life import run_until_stopped
+from halldoor.gateway.lookup import PlainLookupFormat
+from halldoor.gateway.plain import PlainCodec
+from halldoor.gateway.process import Gateway, GatewaySettings
+
+
+def run(settings: Path) -> None:
+    """Run a gateway until SIGTERM, which stops it without cutting off a request.
+
+    Parameters
+    ----------
+    settings
+        YAML file with the settings; docs/reference.md lists them.
+    """
+    try:
+        checked = load_settings(settings, GatewayFileSettings)
+        load_configuration(Path(checked.configuration))
+        asyncio.run(run_until_stopped(build_gateway(checked)))
+    except (HalldoorError, OSError) as exc:
+        sys.exit(f"halldoor-gateway: {exc}")
+
+
+def build_gateway(checked: GatewayFileSettings) -> Gateway:
+    """Build a gateway from checked settings."""
+    data = msgspec.structs.asdict(checked)
+    configuration = Path(data.pop("configuration"))
+    return Gateway(
+        GatewaySettings(**data),
+        store=FileStore(configuration),
+        codec=PlainCodec(),
+        lookups=PlainLookupFormat(),
+        names=HeaderNames(),
+    )
+
+
+def main() -> None:
+    """Start the program."""
+    defopt.run(run)
+
+
+if __name__ == "__main__":
+    main()
