--- a/halldoor/cli/operator.py
+++ b/halldoor/cli/operator.py
@@ -19,6 +19,7 @@
 
 from halldoor.core.configuration import Configuration
 from halldoor.core.errors import HalldoorError
+from halldoor.core.history import explain_request, parse_lines
 from halldoor.files import load_yaml
 
 Output = Literal["text", "json"]
@@ -149,16 +150,22 @@
     _print(output, answer, lambda: _describe_status(answer))
 
 
-def explain(decision: str, *, output: Output = "text") -> None:
+def explain(decision: str, *, log: Path | None = None, output: Output = "text") -> None:
     """Say in plain sentences why a request went where it did.
 
     Parameters
     ----------
     decision
-        Decision id, or the whole Halldoor-Decision-Record header.
+        Decision id, or the whole Halldoor-Decision-Record header; with a log, the attempt id
+        that the caller sent.
+    log
+        File with log lines of gateways, or ``-`` for standard input.
     output
         ``text`` or ``json``.
     """
+    if log is not None:
+        _explain_from_log(decision, log, output)
+        return
     key = "id" if len(decision) <= 40 else "record"
     answer = _call("GET", f"explain?{urlencode({key: decision})}")
     _print(output, answer, lambda: answer["sentences"])
@@ -264,6 +271,22 @@
     return [head, *(f"  was {b}\n  now {a}" for b, a in pairs)]
 
 
+def _explain_from_log(attempt_id: str, log: Path, output: Output) -> None:
+    """Say what gateways' log lines tell of a request."""
+    try:
+        text = sys.stdin.read() if str(log) == "-" else log.read_text(errors="replace")
+    except OSError as exc:
+        _fail(BAD_INPUT, f"{log}: {exc.strerror}. Check the path.")
+    sentences = explain_request(parse_lines(text.splitlines()), attempt_id)
+    if not sentences:
+        _fail(
+            BAD_INPUT,
+            f"No line names {attempt_id}. Look at the logs of every entry of the caller's region; "
+            "of successes only a sample is written.",
+        )
+    _print(output, {"sentences": sentences}, lambda: sentences)
+
+
 def main() -> None:
     """Start the program."""
     defopt.run([validate, plan, apply, shift, drain, status, explain, audit])
--- /dev/null
+++ b/halldoor/core/history.py
@@ -0,0 +1,108 @@
+"""Tell from a gateway's log lines what happened to a request, in plain words."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
+
+BELIEF_WINDOW_S = 10.0
+"""How long before a request's end changes of belief are told, in seconds."""
+
+
+class LogLine(NamedTuple):
+    """One log line.
+
+    Attributes
+    ----------
+    part : str
+        Part of the gateway that wrote it, the prefix of its sentence.
+    at : float
+        Steady clock of the entry that wrote it, in seconds.
+    """
+
+    part: str
+    text: str
+    entry: str
+    at: float
+    fields: dict[str, Any]
+
+
+def parse_lines(lines: Iterable[str]) -> Iterator[LogLine]:
+    """Read log lines; what stands before the JSON is dropped, other lines are passed over."""
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            fields = json.loads(line[start:])
+        except ValueError:
+            continue
+        if not isinstance(fields, dict) or "event" not in fields:
+            continue
+        part, _, text = str(fields.pop("event")).partition(": ")
+        entry = str(fields.pop("entry", ""))
+        yield LogLine(part, text, entry, float(fields.pop("at", 0.0)), fields)
+
+
+def explain_request(lines: Iterable[LogLine], attempt_id: str) -> list[str]:
+    """Tell what happened to a request.
+
+    Parameters
+    ----------
+    attempt_id : str
+        The id that the caller sent.
+
+    Returns
+    -------
+    list of str
+        Sentences; empty where no line names the id.
+    """
+    known = list(lines)
+    told: list[str] = []
+    for line in known:
+        if line.fields.get("id") == attempt_id:
+            told += _tell_end(line)
+            told += [f"  {text}" for text in _tell_beliefs(known, line)]
+    return told
+
+
+def _tell_end(line: LogLine) -> list[str]:
+    """Tell the end of a request and each sending."""
+    fields = line.fields
+    if "status" not in fields:
+        detail = ", ".join(f"{k} {v}" for k, v in fields.items() if k != "id")
+        return [f"Entry {line.entry}: {line.text} ({detail})"]
+    told = [
+        f"Entry {line.entry} answered {fields['status']} after {fields.get('took_ms', 0)} ms: "
+        f"{fields.get('outcome', '')}.",
+        f"  Route {fields.get('route', '(none)')}, service {fields.get('service', '(none)')}, "
+        f"key {fields.get('key') or '(none)'}, configuration {fields.get('version', 0)}.",
+    ]
+    told += [f"  Sent to {note}." for note in fields.get("notes", [])]
+    told.append(f"  {_judge(fields)}")
+    return told
+
+
+def _judge(fields: dict[str, Any]) -> str:
+    """Say whether the request ran."""
+    if fields["status"] in (503, 429, 408) and not fields.get("target"):
+        return "It did not run: no target took it. The caller may come back."
+    if fields["status"] in (502, 504) and not fields.get("target"):
+        return "It may have run: a target had it and no sound answer came back."
+    if fields["status"] == 404 and not fields.get("target"):
+        return "It did not run: the configuration in force had no route for it."
+    return "A target answered it."
+
+
+def _tell_beliefs(lines: list[LogLine], end: LogLine) -> Iterator[str]:
+    """Tell what the entry learnt shortly before about targets, routing and the store."""
+    names = {note.partition(":")[0] for note in end.fields.get("notes", [])}
+    for line in lines:
+        age_s = end.at - line.at
+        if line.entry != end.entry or not 0 <= age_s <= BELIEF_WINDOW_S:
+            continue
+        target = line.fields.get("target")
+        if line.part in ("store", "routing", "process", "membership") or target in names:
+            detail = ", ".join(f"{k} {v}" for k, v in line.fields.items())
+            yield f"{age_s:.2f} s before, {line.part}: {line.text} {detail}".rstrip()
--- /dev/null
+++ b/halldoor/tests/test_history.py
@@ -0,0 +1,47 @@
+"""Explanations from log lines."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+from halldoor.core.history import explain_request, parse_lines
+
+LINES = [
+    '-1.0 e1 {"event": "routing: In force.", "at": 10.0, "entry": "e1", "version": 7}',
+    '{"event": "targets: Ejected a failing target.", "at": 11.0, "entry": "e1", "target": "t2"}',
+    '{"event": "targets: Ejected a failing target.", "at": 11.0, "entry": "e2", "target": "t1"}',
+    "no JSON at all",
+    '{"event": "request: Ended.", "at": 12.0, "entry": "e1", "route": "r", "service": "s", '
+    '"key": "k", "target": "", "took_ms": 20, "attempts": 1, "notes": ["t2: answer lost, reset"], '
+    '"version": 7, "id": "a1", "status": 502, "outcome": "t2: answer lost, reset"}',
+    '{"event": "request: Ended.", "at": 13.0, "entry": "e1", "id": "a2", "status": 503, '
+    '"outcome": "no room cold=4", "notes": [], "target": ""}',
+]
+
+
+def test_a_lost_answer_is_told_with_what_was_believed_before():
+    told = "\n".join(explain_request(parse_lines(LINES), "a1"))
+    assert "answered 502 after 20 ms" in told
+    assert "It may have run" in told
+    assert "1.00 s before, targets: Ejected a failing target. target t2" in told
+    assert "2.00 s before, routing: In force. version 7" in told
+    assert "t1" not in told
+
+
+def test_a_refusal_is_told_as_not_run():
+    told = "\n".join(explain_request(parse_lines(LINES), "a2"))
+    assert "no room cold=4" in told and "It did not run" in told
+
+
+def test_the_command_reads_standard_input_and_names_the_remedy():
+    command = [sys.executable, "-m", "halldoor.cli.operator", "explain", "--log", "-"]
+    text = "\n".join(LINES)
+    found = subprocess.run(
+        [*command, "a1"], check=False, input=text, capture_output=True, text=True
+    )
+    assert found.returncode == 0 and "may have run" in found.stdout
+    missing = subprocess.run(
+        [*command, "nope"], check=False, input=text, capture_output=True, text=True
+    )
+    assert missing.returncode == 2 and "every entry" in missing.stderr
