--- a/halldoor/tests/test_examples.py
+++ b/halldoor/tests/test_examples.py
@@ -7,6 +7,8 @@
 from halldoor.core.configuration import Configuration, Hall, Service, Shift
 from halldoor.core.settings import AdminSettings, EntrySettings
 from halldoor.files import load_settings, load_yaml
+from halldoor.gateway.filestore import GatewayConfiguration, GatewayFileSettings
+from halldoor.gateway.plain import LimitsModel, RouteModel, ServiceModel, TargetModel
 from halldoor.standins.fleet import Fleet
 from halldoor.standins.sample import IP, find_ports
 from halldoor.tests.conftest import start_all
@@ -51,7 +53,21 @@
 
 
 @pytest.mark.parametrize(
-    "kind", [EntrySettings, AdminSettings, Configuration, Service, Hall, Shift]
+    "kind",
+    [
+        EntrySettings,
+        AdminSettings,
+        Configuration,
+        Service,
+        Hall,
+        Shift,
+        GatewayFileSettings,
+        GatewayConfiguration,
+        RouteModel,
+        ServiceModel,
+        TargetModel,
+        LimitsModel,
+    ],
 )
 def test_reference_lists_every_setting(kind):
     text = (EXAMPLES.parent / "docs" / "reference.md").read_text()
