--- a/halldoor/tests/test_gateway_program.py
+++ b/halldoor/tests/test_gateway_program.py
@@ -68,7 +68,7 @@
     try:
         await wait_until(is_ready)
         looked_up = await fetch(f"http://{IP}:{directory}/entries?hall=ams-a")
-        assert looked_up.json()["entries"] == ["127.0.0.1:8100"]
+        assert looked_up.json()["entries"] == [f"{IP}:{front}"]
         headers = {"Host": "decks.example", "halldoor-attempt": "a1"}
         assert (await fetch(f"http://{IP}:{front}/x", **headers)).data == b"echo:"
         routes["version"] = 2
