Eject targets that are much slower than their service, and try them again one request at a time

Ruled out: ejecting without bound (under overload all targets look slow; beyond half, none is). Change: own time-outs and errors of targets count; an average over 3 times the service's ejects; after an ejection one request at a time, and one failure ejects again, longer.

--- a/halldoor/core/choice.py
+++ b/halldoor/core/choice.py
@@ -31,6 +31,8 @@
     spill_choices : int
         Targets that may serve one key; each of them has to see the key once to be warm for it.
         One to four were measured with load factors of two to five: two and four served best.
+    ejected_share : float
+        Part of a service's targets that may be passed over as broken; beyond it none is.
     cold_excess, cold_slack : float
         All entries together may send a cold target its rate times the first plus the second.
     cold_margin : float
@@ -41,6 +43,7 @@
     busy_load: float = 1.34
     full_load: float = 2.5
     spill_choices: int = 2
+    ejected_share: float = 0.5
     cold_excess: float = 1.5
     cold_slack: float = 5.0
     cold_margin: float = 0.6
@@ -150,12 +153,17 @@
                 passed["cold"] += 1
             else:
                 sound.append(target)
-        # Where all look broken, the measurement is more likely wrong than the targets.
+        # Where most look broken, the measurement is more likely wrong than the targets.
+        if len(doubtful) > self._settings.ejected_share * len(order):
+            kept = {t.name for t in (*sound, *doubtful)}
+            return [t for t in order if t.name in kept]
         return sound or doubtful
 
     def _has_room(self, target: Target, now: float, limit: float) -> bool:
         """Tell whether a target has room, by own counts and by what it reported."""
         own = self.in_flight[target.name]
+        if own and self._outliers.is_on_trial(target.name):
+            return False
         return own < self._bound(target) and self._loads.estimate(target.name, now) < limit
 
     def _bound(self, target: Target) -> int:
--- a/halldoor/core/outlier.py
+++ b/halldoor/core/outlier.py
@@ -1,10 +1,10 @@
-"""Outlier detection on one's own results: leave failing targets quickly, try them carefully."""
+"""Outlier detection on one's own results: leave failing or slow targets, try them carefully."""
 
 from __future__ import annotations
 
 FAILURES_TO_EJECT = 2.0
 """Failures in a row that eject a target; one alone may be a lost packet."""
-SLOW_WEIGHT = 0.5
+SLOW_WEIGHT = 0.67
 """Part of a failure that an answer out of time counts: under load good targets have some."""
 EJECT_S = 1.0
 """First ejection, in seconds; it doubles each time up to `EJECT_LIMIT_S`."""
@@ -12,15 +12,35 @@
 """Longest ejection, in seconds; targets that come back are wanted soon."""
 SHED_PAUSE_S = 0.05
 """Pause after a target was full, in seconds: about a third of a quick request."""
+SLOW_FACTOR = 3.0
+"""Multiple of the service's usual time from which a target counts as slow.
+
+A cold key takes about three times as long as a warm one, so a target has to be that slow on
+average, not once.
+"""
+SLOW_SAMPLES = 4
+"""Answers of a target before its average counts."""
+TARGET_WEIGHT = 0.3
+"""Weight of the newest answer in a target's average time: about the last three count."""
+SERVICE_WEIGHT = 0.02
+"""Weight of the newest answer in a service's average time: about the last fifty count."""
 
 
 class _Results:
-    """What was seen of one target."""
+    """What was seen of one target.
+
+    Attributes
+    ----------
+    ejections : int
+        Ejections in a row; above 0 after one ended, a single failure ejects again.
+    """
 
     def __init__(self) -> None:
         self.failures = 0.0
         self.ejections = 0
         self.ejected_until = 0.0
+        self.average_s = 0.0
+        self.samples = 0
 
 
 class OutlierTable:
@@ -28,14 +48,26 @@
 
     def __init__(self) -> None:
         self._results: dict[str, _Results] = {}
+        self._service_average_s: dict[str, float] = {}
 
-    def add_success(self, target: str) -> None:
-        """Count a sound answer."""
-        results = self._results.get(target)
-        if results is not None:
+    def add_success(self, target: str, service: str, took_s: float, now: float) -> bool:
+        """Count a sound answer; True where it is so slow, again and again, that it ejects."""
+        results = self._results.setdefault(target, _Results())
+        usual_s = self._service_average_s.get(service, took_s)
+        self._service_average_s[service] = usual_s + SERVICE_WEIGHT * (took_s - usual_s)
+        results.samples += 1
+        if results.samples == 1:
+            results.average_s = took_s
+        results.average_s += TARGET_WEIGHT * (took_s - results.average_s)
+        is_slow = took_s > SLOW_FACTOR * usual_s
+        if is_slow and results.ejections:
+            return self._eject(results, now)
+        if results.samples >= SLOW_SAMPLES and results.average_s > SLOW_FACTOR * usual_s:
+            return self._eject(results, now)
+        if not is_slow:
             results.failures = 0.0
             results.ejections = 0
-            results.ejected_until = 0.0
+        return False
 
     def add_failure(
         self, target: str, now: float, *, is_dead: bool = False, is_slow: bool = False
@@ -51,12 +83,18 @@
         """
         results = self._results.setdefault(target, _Results())
         results.failures += SLOW_WEIGHT if is_slow else 1.0
-        if results.failures < FAILURES_TO_EJECT and not is_dead:
+        if results.failures < FAILURES_TO_EJECT and not is_dead and not results.ejections:
             return False
+        return self._eject(results, now)
+
+    def _eject(self, results: _Results, now: float) -> bool:
+        """Eject a target, longer each time."""
+        if now < results.ejected_until:
+            return False  # Answers to requests sent before the ejection.
         results.failures = 0.0
-        pause_s = min(EJECT_LIMIT_S, EJECT_S * 2**results.ejections)
+        results.samples = 0
+        results.ejected_until = now + min(EJECT_LIMIT_S, EJECT_S * 2**results.ejections)
         results.ejections += 1
-        results.ejected_until = now + pause_s
         return True
 
     def add_shed(self, target: str, now: float) -> None:
@@ -69,6 +107,11 @@
         results = self._results.get(target)
         return results is not None and now < results.ejected_until
 
+    def is_on_trial(self, target: str) -> bool:
+        """Tell whether a target was ejected and has not shown since that it is well."""
+        results = self._results.get(target)
+        return results is not None and results.ejections > 0
+
     def forget(self, target: str) -> None:
         """Drop what is known of a target that is gone."""
         self._results.pop(target, None)
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -41,6 +41,7 @@
 DEFAULT_DEADLINE_S = 30.0
 """Time for a request whose caller names no deadline, in seconds."""
 SERVER_ERROR = 500
+TIMED_OUT = 504
 
 
 class RetrySettings(NamedTuple):
@@ -252,11 +253,13 @@
             if self._chooser.in_flight[name] <= 0:
                 del self._chooser.in_flight[name]
         now = asyncio.get_running_loop().time()
-        self._note(passage, target, outcome, now)
+        self._note(passage, target, outcome, now, took_s=now - started)
         self._metrics.add_attempt(passage.service, type(outcome).__name__, now - started)
         return outcome
 
-    def _note(self, passage: Passage, target: Target, outcome: Outcome, now: float) -> None:
+    def _note(
+        self, passage: Passage, target: Target, outcome: Outcome, now: float, *, took_s: float
+    ) -> None:
         """Learn from the result of one attempt."""
         name = target.name
         if isinstance(outcome, Whole | Streaming):
@@ -269,12 +272,14 @@
             passage.attempts += 1
         match outcome:
             case Whole(answer) if answer.status < SERVER_ERROR:
-                self._outliers.add_success(name)
+                if self._outliers.add_success(name, passage.service, took_s, now):
+                    self._logbook.event("targets", "Ejected a slow target.", target=name)
                 passage.may_have_run = True
                 passage.notes.append(f"{name}: {answer.status}")
             case Whole(answer):
                 passage.may_have_run = True
                 passage.notes.append(f"{name}: failed with {answer.status}")
+                self._eject(name, now, passage.notes[-1], is_slow=answer.status == TIMED_OUT)
             case Streaming():
                 passage.may_have_run = True
             case TurnedAway(status, is_other):
@@ -314,7 +319,7 @@
         return (
             passage.route.kind is RequestKind.REPEATABLE
             and outcome.answer.status >= SERVER_ERROR
-            and outcome.answer.status != 504
+            and outcome.answer.status != TIMED_OUT
         )
 
     def _may_go_on(
--- a/halldoor/tests/test_choice.py
+++ b/halldoor/tests/test_choice.py
@@ -236,3 +236,20 @@
 
         assert count_sent(0.0) == 1
         assert count_sent(10.0) > 1
+
+
+class TestDoubt:
+    def test_ejection_never_takes_most_of_a_service(self):
+        catalog = make_catalog(4)
+        chooser = make_chooser(catalog, ejected_share=0.5)
+        for name in ("t0", "t1", "t2"):
+            chooser._outliers.add_failure(name, 1.0, is_dead=True)
+        chosen = {chooser.choose(make_route(), "deck", str(i), 1.1).name for i in range(40)}
+        assert len(chosen) > 1
+
+    def test_a_target_on_trial_gets_one_request_at_a_time(self):
+        catalog = make_catalog(1)
+        chooser = make_chooser(catalog)
+        chooser._outliers.add_failure("t0", 0.0, is_dead=True)
+        chooser.in_flight["t0"] = 1
+        assert isinstance(chooser.choose(make_route(), "deck", "k", 5.0), NoTarget)
