--- a/halldoor/core/budget.py
+++ b/halldoor/core/budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import NamedTuple
 
 BUDGET_MARGIN = 0.8
 """Part of the budget to use; the rest covers entries that restart and forget their counts."""
@@ -37,6 +38,14 @@
             self._times.popleft()
 
 
+class RetrySettings(NamedTuple):
+    """The retry budget of all entries together; see `RetryShare`."""
+
+    ratio: float = 0.2
+    slack: float = 64.0
+    window_s: float = 10.0
+
+
 class RetryShare:
     """One entry's share of the retries that a service may get from all entries.
 
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from halldoor.core.route import RequestKind, Route
+from halldoor.core.route import RequestKind
 from halldoor.core.settings import Address
 from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.connection import (
@@ -242,8 +242,3 @@
 def _has_body(head: Head) -> bool:
     """Tell whether the caller announced a body, be it an empty one."""
     return bool(find(head.headers, b"content-length") or find(head.headers, b"transfer-encoding"))
-
-
-def is_repeatable(route: Route) -> bool:
-    """Tell whether requests of a route may run again."""
-    return route.kind is RequestKind.REPEATABLE
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -7,6 +7,7 @@
 from collections.abc import Coroutine
 from typing import Any, NamedTuple
 
+from halldoor.core.budget import RetrySettings
 from halldoor.core.catalog import (
     Catalog,
     CatalogTimings,
@@ -27,7 +28,7 @@
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.registration import Registration
-from halldoor.gateway.request import RequestHandler, RetrySettings
+from halldoor.gateway.request import RequestHandler
 from halldoor.gateway.store import MetadataStore, RecordCodec
 from halldoor.gateway.sync import BATCH_S, StoreSync, stop_task
 
@@ -111,26 +112,7 @@
         self.pool = TargetPool()
         self._lookups = lookups
         self._random = random.Random()
-        self._chooser = Chooser(
-            self.catalog,
-            self.outliers,
-            self.loads,
-            own_name=settings.name,
-            own_region=settings.region,
-            regions=settings.regions,
-            settings=settings.choice,
-        )
-        self.requests = RequestHandler(
-            catalog=self.catalog,
-            chooser=self._chooser,
-            outliers=self.outliers,
-            loads=self.loads,
-            pool=self.pool,
-            names=names,
-            logbook=self.logbook,
-            metrics=self.metrics,
-            retries=settings.retries,
-        )
+        self.requests = self._build_requests(names)
         self.member = MemberRecord(settings.name, settings.front, settings.hall, settings.region)
         self.sync = StoreSync(
             store,
@@ -156,6 +138,30 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.is_stopping = False
 
+    def _build_requests(self, names: HeaderNames) -> RequestHandler:
+        """Build what handles callers' requests."""
+        settings = self.settings
+        chooser = Chooser(
+            self.catalog,
+            self.outliers,
+            self.loads,
+            own_name=settings.name,
+            own_region=settings.region,
+            regions=settings.regions,
+            settings=settings.choice,
+        )
+        return RequestHandler(
+            catalog=self.catalog,
+            chooser=chooser,
+            outliers=self.outliers,
+            loads=self.loads,
+            pool=self.pool,
+            names=names,
+            logbook=self.logbook,
+            metrics=self.metrics,
+            retries=settings.retries,
+        )
+
     # Life
 
     async def start(self) -> None:
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -3,20 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import time
-from typing import Any, NamedTuple
 
 import h11
 
-from halldoor.core.budget import RetryShare
+from halldoor.core.budget import RetrySettings, RetryShare
 from halldoor.core.catalog import Catalog, Target
 from halldoor.core.choice import Chooser, NoTarget
 from halldoor.core.load import LoadReport, LoadTable
 from halldoor.core.outlier import OutlierTable
-from halldoor.core.route import CallerLimits, RequestKind, Route, RouteTable, Routing
+from halldoor.core.route import CallerLimits, RequestKind, RouteTable, Routing
 from halldoor.core.split import Splitter
 from halldoor.gateway.caller import Answer, CallerConnection, Head
-from halldoor.gateway.connection import ConnectionBrokenError, HttpConnection
+from halldoor.gateway.connection import ConnectionBrokenError
 from halldoor.gateway.exchange import (
     BODY_BUFFER,
     Exchanger,
@@ -32,48 +30,15 @@
 from halldoor.gateway.headers import HeaderNames, drop_hop_by_hop, find
 from halldoor.gateway.logbook import Logbook
 from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.passage import Passage, build_own_answer, read_ms
 from halldoor.gateway.pool import TargetPool
 
-RETRY_AFTER_S = 0.1
-"""When a refused caller may come back, in seconds: about the time of a quick request."""
 UNREACHED_LIMIT = 3
 """Targets in a row that may fail to connect before a request is refused."""
-DEFAULT_DEADLINE_S = 30.0
-"""Time for a request whose caller names no deadline, in seconds."""
 SERVER_ERROR = 500
 TIMED_OUT = 504
 
 
-class RetrySettings(NamedTuple):
-    """The retry budget of all entries together; see `RetryShare`."""
-
-    ratio: float = 0.2
-    slack: float = 64.0
-    window_s: float = 10.0
-
-
-class Passage:
-    """One request on its way: what was decided so far.
-
-    Attributes
-    ----------
-    may_have_run : bool
-        A target got the request and did not say that it left it alone.
-    """
-
-    def __init__(self, head: Head, route: Route, service: str, key: str, attempt_id: str) -> None:
-        self.head = head
-        self.route = route
-        self.service = service
-        self.key = key
-        self.attempt_id = attempt_id
-        self.tried: list[str] = []
-        self.attempts = 0
-        self.unreached = 0
-        self.may_have_run = False
-        self.notes: list[str] = []
-
-
 class RequestHandler:
     """Handle callers' requests.
 
@@ -133,7 +98,7 @@
             if caller.has_answered:
                 caller.abort()
             else:
-                caller.send(_build_own_answer(502, "failed inside"))
+                caller.send(build_own_answer(502, "failed inside"))
         finally:
             self.running -= 1
 
@@ -152,7 +117,7 @@
         key = find(head.headers, self._names.affinity_key).decode("latin-1")
         service = self._splitter.choose(route, key or attempt_id)
         passage = Passage(head, route, service, key if route.has_affinity else "", attempt_id)
-        caller_s = _read_ms(find(head.headers, self._names.deadline_ms))
+        caller_s = read_ms(find(head.headers, self._names.deadline_ms))
         expires_at = head.received_at + min(caller_s, route.timeout_s)
         sending = await self._read_body(caller, passage, expires_at, table.routing.limits)
         if sending is not None:
@@ -219,7 +184,7 @@
                 return
             outcome = await self._try(passage, sending, target)
             if isinstance(outcome, Whole):
-                if not self._is_worth_retry(passage, sending, outcome):
+                if not _is_worth_retry(passage, outcome):
                     self._deliver(caller, passage, outcome.answer, target)
                     return
             elif isinstance(outcome, Streaming):
@@ -314,14 +279,6 @@
         self._outliers.forget(name)
         self._logbook.event("targets", "Dropped: its address answers for another.", target=name)
 
-    def _is_worth_retry(self, passage: Passage, sending: Sending, outcome: Whole) -> bool:
-        """Tell whether a target's failure may be answered better by another target."""
-        return (
-            passage.route.kind is RequestKind.REPEATABLE
-            and outcome.answer.status >= SERVER_ERROR
-            and outcome.answer.status != TIMED_OUT
-        )
-
     def _may_go_on(
         self, passage: Passage, sending: Sending, outcome: Outcome, share: RetryShare
     ) -> bool:
@@ -385,7 +342,8 @@
         else:
             self._record(passage, answer.status, "answered in pieces", target.name)
         finally:
-            _close_or_keep(self._pool, target.name, connection)
+            # It closes the connection where the exchange did not end cleanly.
+            self._pool.give_back(target.name, connection)
 
     def _give_up(self, caller: CallerConnection, passage: Passage, reason: str) -> None:
         """Answer a request that no target answered: truly "not run", or outcome unknown."""
@@ -396,14 +354,14 @@
 
     def _finish(self, caller: CallerConnection, passage: Passage, status: int, reason: str) -> None:
         """Send an answer of the gateway's own."""
-        caller.send(_build_own_answer(status, reason))
+        caller.send(build_own_answer(status, reason))
         self._record(passage, status, reason, "")
 
     def _refuse_early(
         self, caller: CallerConnection, attempt_id: str, status: int, reason: str
     ) -> None:
         """Refuse a request that has no route."""
-        caller.send(_build_own_answer(status, reason))
+        caller.send(build_own_answer(status, reason))
         self._metrics.add_request("", str(status), 0.0)
         self._logbook.request(attempt_id, status, reason, version=self._version())
 
@@ -431,27 +389,10 @@
         return routing.version if routing is not None else 0
 
 
-def _close_or_keep(pool: TargetPool, name: str, connection: HttpConnection) -> None:
-    """Keep the connection of a streamed answer if it ended cleanly."""
-    pool.give_back(name, connection)
-
-
-def _read_ms(value: bytes) -> float:
-    """Read milliseconds from a header; the default deadline where it has none."""
-    try:
-        return max(0.0, float(value) / 1000)
-    except ValueError:
-        return DEFAULT_DEADLINE_S
-
-
-def _build_own_answer(status: int, reason: str) -> Answer:
-    """Build an answer of the gateway's own; one that did not run says when to come back."""
-    headers: Any = [(b"Content-Type", b"text/plain; charset=utf-8")]
-    if status in (503, 429):
-        headers.append((b"Retry-After", str(RETRY_AFTER_S).encode()))
-    return Answer(status, headers, f"halldoor: {reason}\n".encode())
-
-
-def now_s() -> float:
-    """Give the steady clock, in seconds."""
-    return time.monotonic()
+def _is_worth_retry(passage: Passage, outcome: Whole) -> bool:
+    """Tell whether a target's failure may be answered better by another target."""
+    return (
+        passage.route.kind is RequestKind.REPEATABLE
+        and outcome.answer.status >= SERVER_ERROR
+        and outcome.answer.status != TIMED_OUT
+    )
