Let two tests of the present entry hold beside heavy load

Ruled out: a fault of the entry: a refusal as not run with when to come back is right, and status told truly that nothing was in flight any more. Change: a refusal for room comes back, as in the slow-caller test; the status test's request runs 6.5 s of its 8 s deadline. The assertions are unchanged.

--- a/halldoor/tests/test_answers.py
+++ b/halldoor/tests/test_answers.py
@@ -81,7 +81,12 @@
                 "a1-e1", f"{READ}/late?size=1000&seed=late", headers={"Halldoor-Deadline-Ms": "150"}
             )
             assert late.status == 504
-            own = two_halls.call("a1-e1", f"{READ}/x?size=1000&seed=n{number}&work_s=0")
+            # The late request may still hold a slot: one without room comes back.
+            for _ in range(100):
+                own = two_halls.call("a1-e1", f"{READ}/x?size=1000&seed=n{number}&work_s=0")
+                if own.status == 200 or b'"no room"' not in own.data:
+                    break
+                time.sleep(0.05)
             assert (own.status, own.data) == (200, make_bytes(f"n{number}", 1_000))
 
     def test_caller_that_goes_away_cancels_at_the_target(self, two_halls):
--- a/halldoor/tests/test_leaving.py
+++ b/halldoor/tests/test_leaving.py
@@ -81,9 +81,9 @@
         assert set(flood.outcomes) == {"ran"}
 
     def test_status_shows_what_a_drain_waits_for(self, fleet):
-        # Both targets get a long request, so the one that drains has some in flight.
+        # Long enough for two runs of the command line on a busy machine; the deadline is 8 s.
         caller = threading.Thread(
-            target=lambda: [fleet.call("a1-e1", f"{READ}?work_s=2.5") for _ in range(1)]
+            target=lambda: [fleet.call("a1-e1", f"{READ}?work_s=6.5") for _ in range(1)]
         )
         caller.start()
         time.sleep(0.4)
