Make one piece of what stood twice in the gateway, and drop what nothing used

Cause: reading the whole change again. Nothing used the source address, read_body's limit, BodyTooLongError, the surplus flag beside the closed one, and stop_task without a task. Ruled out: one relay for the soak and the fleet (one is a thread that swallows, the other runs on the soak's loop with four faults); one class for the two retry budgets (other laws). Decisions are as they were.

--- a/halldoor/core/choice.py
+++ b/halldoor/core/choice.py
@@ -141,6 +141,10 @@
         passed["full or cold"] = len(choices)
         return NoTarget("no room", passed)
 
+    def forget(self, target: str) -> None:
+        """Drop what was counted of a target that is gone."""
+        self._cold.forget(target)
+
     def _list_candidates(
         self, order: Sequence[Target], now: float, tried: Collection[str], passed: Counter[str]
     ) -> list[Target]:
--- a/halldoor/core/split.py
+++ b/halldoor/core/split.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from halldoor.core.placement import hash_key
+from halldoor.core.placement import to_unit
 from halldoor.core.route import Route, SplitPart
 
 DRIFT_LIMIT = 1.5
@@ -47,7 +47,7 @@
 
 def _prefer(route: Route, key: str, total: float) -> str:
     """Give the part that a key prefers, in proportion to the weights."""
-    point = hash_key(route.name, key) / float(1 << 64) * total
+    point = to_unit(f"{route.name}\0{key}") * total
     for part in route.parts:
         point -= part.weight
         if point < 0:
--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -15,6 +15,7 @@
 import h11
 
 from halldoor.core.route import CallerLimits
+from halldoor.gateway.flow import FlowProtocol
 from halldoor.gateway.headers import Headers
 
 READ_AHEAD = 65_536
@@ -51,14 +52,10 @@
     reason: bytes = b""
 
 
-class BodyTooLongError(Exception):
-    """The caller's body is longer than the limit."""
-
-
 Handler = Callable[["CallerConnection", Head], Awaitable[None]]
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(FlowProtocol):
     """One connection of a caller.
 
     Parameters
@@ -80,17 +77,14 @@
         connections: set[CallerConnection],
         is_closing: Callable[[], bool],
     ) -> None:
+        super().__init__()
         self._handler = handler
         self._read_limits = read_limits
         self._connections = connections
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=read_limits().head_bytes + READ_AHEAD
         )
-        self._transport: Any = None
         self._task: asyncio.Task[None] | None = None
-        self._waiter: asyncio.Future[None] | None = None
-        self._drained = asyncio.Event()
-        self._drained.set()
         self._has_ended = False
         self._unread = 0
         self.is_closing = is_closing()
@@ -132,19 +126,6 @@
         if self._task is not None and self.is_busy:
             self._task.cancel()
 
-    def pause_writing(self) -> None:
-        """Let senders wait for room."""
-        self._drained.clear()
-
-    def resume_writing(self) -> None:
-        """Let senders go on."""
-        self._drained.set()
-
-    def _wake(self) -> None:
-        """Wake the reader."""
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
     # Reading
 
     async def _next_event(self) -> Any:
@@ -156,20 +137,10 @@
             if event is not h11.NEED_DATA:
                 return event
             self._unread = 0
-            self._transport.resume_reading()
-            self._waiter = asyncio.get_running_loop().create_future()
-            try:
-                await self._waiter
-            finally:
-                self._waiter = None
-
-    async def read_body(self, *, limit: int) -> bytes | None:
-        """Read the next piece of the body; None at its end.
+            await self._wait_for_data()
 
-        Parameters
-        ----------
-        limit : int
-            Longest piece, in bytes; h11 gives what has arrived, which is mostly less.
+    async def read_body(self) -> bytes | None:
+        """Read the next piece of the body that has arrived; None at its end.
 
         Raises
         ------
@@ -291,12 +262,7 @@
                 return None
             if self._h11.trailing_data[0]:
                 on_start()
-            self._transport.resume_reading()
-            self._waiter = asyncio.get_running_loop().create_future()
-            try:
-                await self._waiter
-            finally:
-                self._waiter = None
+            await self._wait_for_data()
             event = self._h11.next_event()
         self._unread = 0
         return event
--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -13,6 +13,7 @@
 import h11
 
 from halldoor.core.settings import Address
+from halldoor.gateway.flow import FlowProtocol
 from halldoor.gateway.headers import find
 
 READ_LIMIT = 262_144
@@ -29,7 +30,7 @@
     """The connection broke, or the peer broke the protocol; what was sent may have run."""
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(FlowProtocol):
     """Client side of an HTTP/1.1 connection.
 
     Attributes
@@ -40,23 +41,19 @@
         How long it may stay idle before it is no longer used.
     """
 
-    def __init__(self, *, source: str = "") -> None:
+    def __init__(self) -> None:
+        super().__init__()
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT)
-        self._transport: Any = None
-        self._waiter: asyncio.Future[None] | None = None
-        self._drained = asyncio.Event()
-        self._drained.set()
         self._error: BaseException | None = None
         self._is_closed = False
         self._is_idle = True
-        self._has_surplus = False
         self._says_close = False
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
 
     @classmethod
     async def open(
-        cls, address: Address, *, timeout_s: float, user_timeout_s: float, source_ip: str = ""
+        cls, address: Address, *, timeout_s: float, user_timeout_s: float
     ) -> HttpConnection:
         """Connect.
 
@@ -73,12 +70,9 @@
             Where no connection came up.
         """
         loop = asyncio.get_running_loop()
-        local = (source_ip, 0) if source_ip else None
         try:
             async with asyncio.timeout(timeout_s):
-                _, protocol = await loop.create_connection(
-                    cls, address.ip, address.port, local_addr=local
-                )
+                _, protocol = await loop.create_connection(cls, address.ip, address.port)
         except (OSError, TimeoutError) as exc:
             raise ConnectionFailedError(type(exc).__name__) from exc
         protocol._set_socket_options(user_timeout_s)
@@ -109,7 +103,6 @@
     def data_received(self, data: bytes) -> None:
         """Take bytes; any that come while nothing is asked make the connection useless."""
         if self._is_idle:
-            self._has_surplus = True
             self.close()
             return
         try:
@@ -141,19 +134,6 @@
         self._drained.set()
         self._wake()
 
-    def pause_writing(self) -> None:
-        """Let senders wait for room."""
-        self._drained.clear()
-
-    def resume_writing(self) -> None:
-        """Let senders go on."""
-        self._drained.set()
-
-    def _wake(self) -> None:
-        """Wake the reader."""
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
     # Exchanges
 
     def start(self) -> None:
@@ -191,12 +171,7 @@
             if event is h11.NEED_DATA:
                 if self._error is not None or self._is_closed:
                     raise ConnectionBrokenError("closed before the answer was whole")
-                self._transport.resume_reading()
-                self._waiter = asyncio.get_running_loop().create_future()
-                try:
-                    await self._waiter
-                finally:
-                    self._waiter = None
+                await self._wait_for_data()
                 continue
             if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 raise ConnectionBrokenError("closed without an answer")
@@ -235,7 +210,6 @@
         """Tell whether an idle connection may be used again."""
         return (
             not self._is_closed
-            and not self._has_surplus
             and not self._transport.is_closing()
             and now - self.idle_since < self.idle_limit_s
         )
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -120,7 +120,7 @@
         """Send a request to one target and read its answer."""
         loop = asyncio.get_running_loop()
         connection: HttpConnection | None = None
-        is_kept = False
+        is_settled = False
         try:
             async with asyncio.timeout_at(sending.expires_at + ANSWER_SLACK_S):
                 connection = await self._connect(sending, incarnation, address)
@@ -131,11 +131,10 @@
                     outcome = await self._read_answer(connection, sending)
                 finally:
                     sender.cancel()
-            is_kept = isinstance(outcome, Streaming)
-            if not is_kept:
+            if not isinstance(outcome, Streaming):
                 # It closes the connection where the exchange did not end cleanly.
                 self._pool.give_back(incarnation, connection)
-                is_kept = True
+            is_settled = True
             return outcome
         except TimeoutError:
             return Expired()
@@ -144,7 +143,7 @@
         except ConnectionBrokenError as exc:
             return Lost(str(exc))
         finally:
-            if connection is not None and not is_kept:
+            if connection is not None and not is_settled:
                 connection.close()
 
     async def _connect(
@@ -184,7 +183,7 @@
             await connection.send(request, h11.Data(data=sending.body), h11.EndOfMessage())
             return
         await connection.send(request, h11.Data(data=sending.body))
-        while (piece := await sending.rest.read_body(limit=BODY_BUFFER)) is not None:
+        while (piece := await sending.rest.read_body()) is not None:
             await connection.send(h11.Data(data=piece))
         await connection.send(h11.EndOfMessage())
 
--- a/halldoor/gateway/httpclient.py
+++ b/halldoor/gateway/httpclient.py
@@ -40,13 +40,10 @@
     ----------
     address : Address
         The server.
-    source_ip : str, optional
-        Address that connections go out from; any if empty.
     """
 
-    def __init__(self, address: Address, *, source_ip: str = "") -> None:
+    def __init__(self, address: Address) -> None:
         self._address = address
-        self._source_ip = source_ip
         self._idle: list[HttpConnection] = []
 
     async def call(
@@ -88,7 +85,6 @@
             self._address,
             timeout_s=min(CONNECT_S, timeout_s),
             user_timeout_s=CONNECT_S,
-            source_ip=self._source_ip,
         )
 
     async def _exchange(
--- a/halldoor/gateway/pool.py
+++ b/halldoor/gateway/pool.py
@@ -23,9 +23,8 @@
 class TargetPool:
     """Idle connections by target incarnation."""
 
-    def __init__(self, *, source_ip: str = "") -> None:
+    def __init__(self) -> None:
         self._idle: dict[str, list[HttpConnection]] = {}
-        self._source_ip = source_ip
         self.opened = 0
 
     def take_idle(self, incarnation: str) -> HttpConnection | None:
@@ -45,7 +44,6 @@
             address,
             timeout_s=min(CONNECT_TIMEOUT_S, timeout_s),
             user_timeout_s=USER_TIMEOUT_S,
-            source_ip=self._source_ip,
         )
         self.opened += 1
         return connection
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -272,9 +272,7 @@
         """Let the other parts follow a change of the catalog."""
         match change:
             case TargetGone(incarnation) if self.catalog.find_target(incarnation) is None:
-                self.pool.forget(incarnation)
-                self.outliers.forget(incarnation)
-                self.loads.forget(incarnation)
+                self.requests.forget_target(incarnation)
             case MemberGone(name) if name == self.settings.name and not self.is_stopping:
                 self.logbook.event("membership", "Own record is gone; writing it again.")
                 self.registration.note_gone()
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -147,7 +147,7 @@
         try:
             async with asyncio.timeout_at(expires_at):
                 while len(body) <= BODY_BUFFER:
-                    piece = await caller.read_body(limit=BODY_BUFFER)
+                    piece = await caller.read_body()
                     if piece is None:
                         rest = None
                         break
@@ -272,11 +272,17 @@
         if self._outliers.add_failure(name, now, is_dead=is_dead, is_slow=is_slow):
             self._logbook.event("targets", "Ejected a failing target.", target=name, cause=detail)
 
+    def forget_target(self, name: str) -> None:
+        """Drop the connections to a target that is gone, and what was learnt of it."""
+        self._pool.forget(name)
+        self._outliers.forget(name)
+        self._loads.forget(name)
+        self._chooser.forget(name)
+
     def _drop(self, name: str) -> None:
         """Forget a target whose address now belongs to another."""
         self._catalog.drop_target(name)
-        self._pool.forget(name)
-        self._outliers.forget(name)
+        self.forget_target(name)
         self._logbook.event("targets", "Dropped: its address answers for another.", target=name)
 
     def _may_go_on(
@@ -300,10 +306,7 @@
         """Give this entry's share of a service's retry budget."""
         share = self._shares.get(service)
         if share is None:
-            settings = self._retries
-            share = RetryShare(
-                ratio=settings.ratio, slack=settings.slack, window_s=settings.window_s
-            )
+            share = RetryShare(**self._retries._asdict())
             self._shares[service] = share
         return share
 
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -183,10 +183,8 @@
     return task is not None and task.cancelling() > 0
 
 
-async def stop_task(task: asyncio.Task[None] | None) -> None:
+async def stop_task(task: asyncio.Task[None]) -> None:
     """Cancel a task and wait for its end."""
-    if task is None:
-        return
     task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
         await task
