Give every request of the gateway's tests an id of its own

Cause: test_a_surplus_answer_never_reaches_another_request failed once beside load: the reply was the surplus of the request before. The test kit built ids from id(caller); a caller that was collected hands its number to the next one, so two requests had one id, which the protocol forbids. Ruled out: the gateway. It compares ids, and these were equal.

--- a/halldoor/tests/gatewaykit.py
+++ b/halldoor/tests/gatewaykit.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 
 import h11
 import msgspec
@@ -18,6 +19,8 @@
 from halldoor.standins.scripted import ScriptedTarget
 
 NAMES = HeaderNames()
+ATTEMPT_NUMBERS = itertools.count(1)
+"""Numbers that no two requests of a process share, whichever callers send them."""
 ROUTE = {
     "name": "r1",
     "host": "decks.example",
@@ -31,6 +34,8 @@
     """What a test needs: the store, targets, the gateway, and how to call it."""
 
     def __init__(self, settings):
+        # A stop waits for old look-ups to run out; tests have none to wait for.
+        settings = {"lookup_ttl_s": 0.05} | settings
         self.store = MemoryStore()
         self.targets = {}
         self.gateway = Gateway(
@@ -63,7 +68,7 @@
             await kit.add_target(f"t{i}")
         await kit.gateway.start()
         try:
-            await kit.wait(lambda: kit.gateway.sync.fresh_at > 0)
+            await kit.wait(lambda: kit.gateway.catalog.fresh_at > 0)
             yield kit
         finally:
             with contextlib.suppress(TimeoutError):
@@ -142,7 +147,6 @@
         self.reader = reader
         self.writer = writer
         self._h11 = h11.Connection(h11.CLIENT)
-        self._number = 0
 
     def build(
         self,
@@ -155,8 +159,7 @@
         deadline_ms=800,
         extra=(),
     ):
-        self._number += 1
-        attempt_id = attempt_id or f"a{id(self)}-{self._number}"
+        attempt_id = attempt_id or f"a{next(ATTEMPT_NUMBERS)}"
         fields = [
             ("Host", "decks.example"),
             (NAMES.attempt_id, attempt_id),
