Let a few entries of a large fleet read the store for the others

Ruled out: a push, a tree over regions, stale reads, thrift (18 MB): docs/design/relay.md. Change: core/relay.py chooses readers from the registered entries alone; gateway/relay.py asks a reader as it would ask the store; an answer says how old it is, and silence, a refusal or an age over 0.9 s send a follower to the store. Readers renew twice a second. Up to 24 entries all read the store.

--- /dev/null
+++ b/halldoor/cli/fleet.py
@@ -0,0 +1,133 @@
+"""Gateways side by side, from what each serves on its metrics address."""
+
+from __future__ import annotations
+
+import re
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
+
+import urllib3
+
+from halldoor.core.choice import TargetOut
+
+TIMEOUT_S = 2.0
+"""Longest wait for one gateway, in seconds."""
+AT_ONCE = 16
+"""Gateways that are asked at the same time."""
+LISTED = 20
+"""Lines of one list that are shown; the rest is counted."""
+LAG_S = 5.0
+"""Age of what the store said from which a gateway is called out of touch, in seconds: the time
+in which a change is to be in force everywhere."""
+
+_STATE = re.compile(r'^halldoor_state\{name="(\w+)"\} (\S+)')
+_OUT = re.compile(r"^halldoor_target_out\{(.*)\} 1")
+_LABEL = re.compile(r'(\w+)="([^"]*)"')
+
+
+class GatewayView(NamedTuple):
+    """What one gateway says of itself.
+
+    Attributes
+    ----------
+    store_age_s : float
+        Time since it heard from the store, in seconds.
+    error : str
+        Why it could not be reached; empty where it was.
+    """
+
+    address: str
+    version: int = 0
+    store_age_s: float = 0.0
+    members: int = 0
+    running: int = 0
+    reads_store: bool = False
+    targets_out: tuple[TargetOut, ...] = ()
+    error: str = ""
+
+    @property
+    def is_reached(self) -> bool:
+        """Tell whether it answered."""
+        return not self.error
+
+
+def fetch_fleet(addresses: Sequence[str]) -> list[GatewayView]:
+    """Ask every gateway, several at a time."""
+    pool = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+    with pool, ThreadPoolExecutor(min(AT_ONCE, len(addresses))) as executor:
+        return list(executor.map(lambda address: _fetch(pool, address), addresses))
+
+
+def _fetch(pool: urllib3.PoolManager, address: str) -> GatewayView:
+    """Ask one gateway."""
+    try:
+        response = pool.request("GET", f"http://{address}/")
+    except urllib3.exceptions.HTTPError as exc:
+        return GatewayView(address, error=type(exc).__name__)
+    if response.status != 200:
+        return GatewayView(address, error=f"answered {response.status}")
+    return parse_metrics(address, response.data.decode(errors="replace"))
+
+
+def parse_metrics(address: str, text: str) -> GatewayView:
+    """Read a gateway's figures."""
+    state: dict[str, float] = {}
+    out: list[TargetOut] = []
+    for line in text.splitlines():
+        if match := _STATE.match(line):
+            state[match[1]] = float(match[2])
+        elif match := _OUT.match(line):
+            labels = dict(_LABEL.findall(match[1]))
+            out.append(TargetOut(labels["target"], labels["service"], labels["reason"]))
+    return GatewayView(
+        address,
+        version=int(state.get("configuration_version", 0)),
+        store_age_s=state.get("store_age_seconds", 0.0),
+        members=int(state.get("members", 0)),
+        running=int(state.get("running", 0)),
+        reads_store=bool(state.get("reads_store", 0)),
+        targets_out=tuple(out),
+    )
+
+
+def describe_fleet(gateways: Sequence[GatewayView]) -> list[str]:
+    """Describe the fleet for people: what stands out first, then the targets that are out."""
+    reached = [g for g in gateways if g.is_reached]
+    newest = max((g.version for g in reached), default=0)
+    readers = sum(g.reads_store for g in reached)
+    lines = [
+        f"{len(reached)} of {len(gateways)} gateways answered; configuration {newest}; "
+        f"{readers} read the store; {sum(g.running for g in reached)} requests running."
+    ]
+    lines += _limit([f"{g.address}: not reached ({g.error})" for g in gateways if g.error])
+    lines += _limit(_describe_lag(g, newest) for g in reached if _is_lagging(g, newest))
+    return lines + _limit(_describe_targets(reached))
+
+
+def _is_lagging(gateway: GatewayView, newest: int) -> bool:
+    """Tell whether a gateway is behind the others or out of touch with the store."""
+    return gateway.version < newest or gateway.store_age_s > LAG_S
+
+
+def _describe_lag(gateway: GatewayView, newest: int) -> str:
+    """Describe a gateway that is behind."""
+    behind = f"configuration {gateway.version} of {newest}"
+    return f"{gateway.address}: {behind}, heard from the store {gateway.store_age_s:.1f} s ago"
+
+
+def _describe_targets(reached: Sequence[GatewayView]) -> list[str]:
+    """Describe the targets that are out, those that most gateways name first."""
+    counts = Counter(out for gateway in reached for out in gateway.targets_out)
+    return [
+        f"{out.target} of {out.service}: {out.reason} at {count} of {len(reached)}"
+        for out, count in counts.most_common()
+    ]
+
+
+def _limit(lines: Iterable[str]) -> list[str]:
+    """Show the first lines and count the others."""
+    shown = list(lines)
+    rest = len(shown) - LISTED
+    return [*shown[:LISTED], f"... and {rest} more"] if rest > 0 else shown
--- a/halldoor/cli/gateway.py
+++ b/halldoor/cli/gateway.py
@@ -15,8 +15,9 @@
 from halldoor.gateway.headers import HeaderNames
 from halldoor.gateway.lookup import PlainLookupFormat
 from halldoor.gateway.plain import PlainCodec
-from halldoor.gateway.process import Gateway, GatewaySettings
+from halldoor.gateway.process import Gateway
 from halldoor.gateway.runner import SettingsFile, run_until_stopped
+from halldoor.gateway.settings import GatewaySettings
 
 
 def run(settings: Path) -> None:
--- a/halldoor/cli/operator.py
+++ b/halldoor/cli/operator.py
@@ -17,6 +17,7 @@
 import msgspec
 import urllib3
 
+from halldoor.cli.fleet import describe_fleet, fetch_fleet
 from halldoor.core.configuration import Configuration
 from halldoor.core.errors import HalldoorError
 from halldoor.core.history import explain_request, parse_lines
@@ -150,6 +151,24 @@
     _print(output, answer, lambda: _describe_status(answer))
 
 
+def fleet(*addresses: str, output: Output = "text") -> None:
+    """Show gateways side by side: who lags, who can't be reached, and which targets are out.
+
+    Parameters
+    ----------
+    addresses
+        ``IP:PORT`` of the gateways' metrics.
+    output
+        ``text`` or ``json``.
+    """
+    if not addresses:
+        _fail(BAD_INPUT, "No address was given. Name the gateways' metrics, as IP:PORT.")
+    gateways = fetch_fleet(addresses)
+    _print(output, [g._asdict() for g in gateways], lambda: describe_fleet(gateways))
+    if not any(gateway.is_reached for gateway in gateways):
+        sys.exit(UNREACHABLE)
+
+
 def explain(decision: str, *, log: Path | None = None, output: Output = "text") -> None:
     """Say in plain sentences why a request went where it did.
 
@@ -289,7 +308,7 @@
 
 def main() -> None:
     """Start the program."""
-    defopt.run([validate, plan, apply, shift, drain, status, explain, audit])
+    defopt.run([validate, plan, apply, shift, drain, status, fleet, explain, audit])
 
 
 if __name__ == "__main__":
--- a/halldoor/core/catalog.py
+++ b/halldoor/core/catalog.py
@@ -42,12 +42,19 @@
 
 
 class MemberRecord(NamedTuple):
-    """An entry that serves callers, as it registered itself in the store."""
+    """An entry that serves callers, as it registered itself in the store.
+
+    Attributes
+    ----------
+    relay : Address or None
+        Where it passes changes of the store on to other entries; None where it does not.
+    """
 
     name: str
     front: Address
     hall: str
     region: str
+    relay: Address | None = None
 
 
 class RoutingSeen(NamedTuple):
@@ -187,9 +194,9 @@
         removals += [EvacuationSet(h, False) for h in self.evacuated if h not in halls]
         return [c for c in [*changes, *removals] if self.apply(c, now)]
 
-    def note_contact(self, now: float) -> None:
-        """Note that the store answered."""
-        self.fresh_at = now
+    def note_contact(self, heard_at: float) -> None:
+        """Note when the store was heard, directly or by another entry."""
+        self.fresh_at = max(self.fresh_at, heard_at)
 
     def begin_settling(self, now: float) -> None:
         """Note that the store is back: give records that lapsed meanwhile time to return.
--- a/halldoor/core/choice.py
+++ b/halldoor/core/choice.py
@@ -76,6 +76,14 @@
         return f"{self.reason} {counts}".strip()
 
 
+class TargetOut(NamedTuple):
+    """A target that gets no requests, or few, and why."""
+
+    target: str
+    service: str
+    reason: str
+
+
 class Chooser:
     """Choose targets and count what is on them from here.
 
@@ -150,6 +158,27 @@
         passed["full or cold"] = len(choices)
         return NoTarget("no room", passed)
 
+    def list_out(self, now: float) -> list[TargetOut]:
+        """List the targets that get no requests, or few, for operators to look at."""
+        found = []
+        for target in self._catalog.list_targets():
+            reason = self._find_reason_out(target, now)
+            if reason:
+                found.append(TargetOut(target.name, target.record.service, reason))
+        return found
+
+    def _find_reason_out(self, target: Target, now: float) -> str:
+        """Say why a target gets no requests, or few; empty where it gets its share."""
+        if target.record.is_draining:
+            return "draining"
+        if target.record.hall in self._catalog.evacuated:
+            return "hall evacuated"
+        if target.lapsed_at is not None:
+            return "record lapsed"
+        if self._outliers.is_ejected(target.name, now):
+            return "ejected"
+        return "cold" if target.is_cold(now) else ""
+
     @contextmanager
     def count(self, target: str) -> Iterator[None]:
         """Count a request as in flight on a target until the block ends."""
--- a/halldoor/core/history.py
+++ b/halldoor/core/history.py
@@ -116,6 +116,6 @@
         if line.entry != end.entry or not 0 <= age_s <= BELIEF_WINDOW_S:
             continue
         target = line.fields.get("target")
-        if line.part in ("store", "routing", "process", "membership") or target in names:
+        if line.part in ("store", "routing", "process", "relay") or target in names:
             detail = ", ".join(f"{k} {v}" for k, v in line.fields.items())
             yield f"{age_s:.2f} s before, {line.part}: {line.text} {detail}".rstrip()
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from aioprometheus import REGISTRY, Counter, Gauge, Histogram, Registry, render
+from collections.abc import Iterable
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from halldoor.core.choice import TargetOut
 
 BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0, 10.0]
 """Upper bounds in seconds: from a read nearby to the longest deadline."""
@@ -12,28 +16,31 @@
     """Counters that requests add to, and gauges set when they are read."""
 
     def __init__(self) -> None:
-        self.registry = Registry()
-        # The library's own collectors register themselves globally; halldoor keeps its own.
-        REGISTRY.clear()
-        self._requests = Counter("halldoor_requests", "Requests by service and status.")
+        self.registry = registry = Registry()
+        self._requests = Counter(
+            "halldoor_requests", "Requests by service and status.", registry=registry
+        )
         self._latency = Histogram(
-            "halldoor_request_seconds", "Time to the answer.", buckets=BUCKETS
+            "halldoor_request_seconds", "Time to the answer.", buckets=BUCKETS, registry=registry
+        )
+        self._attempts = Counter(
+            "halldoor_attempts", "Attempts by service and result.", registry=registry
         )
-        self._attempts = Counter("halldoor_attempts", "Sendings by service and outcome.")
         self._attempt_latency = Histogram(
-            "halldoor_attempt_seconds", "Time of one sending.", buckets=BUCKETS
+            "halldoor_attempt_seconds", "Time of one attempt.", buckets=BUCKETS, registry=registry
         )
-        self._store_calls = Counter("halldoor_store_calls", "Store calls by kind and outcome.")
-        self._gauges = Gauge("halldoor_state", "What this entry holds now, by name.")
-        for collector in (
-            self._requests,
-            self._latency,
-            self._attempts,
-            self._attempt_latency,
-            self._store_calls,
-            self._gauges,
-        ):
-            self.registry.register(collector)
+        self._store_calls = Counter(
+            "halldoor_store_calls", "Store calls by kind and outcome.", registry=registry
+        )
+        self._gauges = Gauge(
+            "halldoor_state", "What this entry holds now, by name.", registry=registry
+        )
+        self._targets_out = self._build_targets_out()
+
+    def _build_targets_out(self) -> Gauge:
+        """Build the gauge of targets that are out, without any yet."""
+        text = "Targets that get no requests, or few, and why."
+        return Gauge("halldoor_target_out", text, registry=self.registry)
 
     def add_request(self, service: str, status: str, took_s: float) -> None:
         """Count a request's end."""
@@ -53,6 +60,13 @@
         """Set a gauge."""
         self._gauges.set({"name": name}, value)
 
+    def set_targets_out(self, targets: Iterable[TargetOut]) -> None:
+        """Show the targets that get no requests, or few; those of the call before are dropped."""
+        self.registry.deregister(self._targets_out.name)
+        self._targets_out = self._build_targets_out()
+        for target, service, reason in targets:
+            self._targets_out.set({"target": target, "service": service, "reason": reason}, 1)
+
     def render(self) -> bytes:
         """Write all of it as text."""
         content, _ = render(self.registry, ["text/plain"])
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -3,35 +3,34 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Coroutine
-from typing import Any, NamedTuple
+from typing import Any
 
-from halldoor.core.budget import RetrySettings
 from halldoor.core.catalog import (
     Catalog,
-    CatalogTimings,
     Change,
     MemberGone,
     MemberRecord,
     TargetGone,
 )
-from halldoor.core.choice import ChoiceSettings, Chooser
+from halldoor.core.choice import Chooser
 from halldoor.core.load import LoadTable
 from halldoor.core.outlier import OutlierTable
 from halldoor.core.route import CallerLimits
-from halldoor.core.settings import Address
-from halldoor.gateway.caller import Answer, CallerConnection, Head, listen
+from halldoor.gateway.caller import CallerConnection, listen
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.feedback import TargetFeedback
 from halldoor.gateway.headers import HeaderNames
-from halldoor.gateway.lookup import LookupFormat, choose_entries
+from halldoor.gateway.lookup import LookupFormat
 from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.pages import Pages
 from halldoor.gateway.pool import TargetPool
-from halldoor.gateway.registration import Registration
+from halldoor.gateway.registration import RENEWAL_S, Registration
+from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.request import RequestHandler
+from halldoor.gateway.settings import LIVE_SETTINGS, GatewaySettings
 from halldoor.gateway.store import MetadataStore, RecordCodec
-from halldoor.gateway.sync import BATCH_S, StoreSync, stop_task
+from halldoor.gateway.sync import StoreSync, stop_task
 
 TICK_S = 0.1
 """Period of housekeeping, in seconds."""
@@ -45,53 +44,6 @@
 """Time before the end of the grace period at which the process ends by itself, in seconds."""
 
 
-LIVE_SETTINGS = (
-    "regions",
-    "lookup_ttl_s",
-    "grace_s",
-    "batch_s",
-    "timings",
-    "choice",
-    "retries",
-)
-"""Settings that a running process takes up; addresses and names need a restart."""
-
-
-class GatewaySettings(NamedTuple):
-    """Settings of a gateway.
-
-    Attributes
-    ----------
-    front, ready, directory : Address
-        Where it serves callers, readiness questions and look-ups.
-    metrics : Address or None
-        Where it serves its own figures.
-    regions : dict of str to str
-        Region of each hall.
-    lookup_ttl_s : float
-        How long callers may keep a look-up's answer, in seconds.
-    batch_s : float
-        Pause between a change in the store and the next watch, in seconds.
-    grace_s : float
-        Time between the request to stop and the kill, in seconds.
-    """
-
-    name: str
-    hall: str
-    region: str
-    front: Address
-    ready: Address
-    directory: Address
-    regions: dict[str, str]
-    metrics: Address | None = None
-    lookup_ttl_s: float = 1.0
-    grace_s: float = 6.0
-    batch_s: float = BATCH_S
-    timings: CatalogTimings = CatalogTimings()
-    choice: ChoiceSettings = ChoiceSettings()
-    retries: RetrySettings = RetrySettings()
-
-
 class Gateway:
     """One gateway process.
 
@@ -120,17 +72,38 @@
         self.log = EventLog(settings.name)
         self.metrics = GatewayMetrics()
         self.catalog = Catalog(settings.timings)
-        self.outliers = OutlierTable()
-        self.loads = LoadTable()
+        self.member = MemberRecord(
+            settings.name, settings.front, settings.hall, settings.region, settings.relay
+        )
         self.pool = TargetPool()
-        self.chooser = self._build_chooser()
-        self._lookups = lookups
-        self._random = random.Random()
+        self._build_requests(names)
+        self._build_store_tasks(store, codec)
+        self._pages = Pages(self, lookups)
+        self._callers: set[CallerConnection] = set()
+        self._others: set[CallerConnection] = set()
+        self._servers: list[asyncio.Server] = []
+        self._front: asyncio.Server | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self.is_stopping = False
+
+    def _build_requests(self, names: HeaderNames) -> None:
+        """Build what chooses targets and handles callers' requests."""
+        settings = self.settings
+        outliers, loads = OutlierTable(), LoadTable()
+        self.chooser = Chooser(
+            self.catalog,
+            outliers,
+            loads,
+            own_name=settings.name,
+            own_region=settings.region,
+            regions=settings.regions,
+            settings=settings.choice,
+        )
         self.feedback = TargetFeedback(
             catalog=self.catalog,
             chooser=self.chooser,
-            outliers=self.outliers,
-            loads=self.loads,
+            outliers=outliers,
+            loads=loads,
             pool=self.pool,
             names=names,
             log=self.log,
@@ -138,7 +111,7 @@
         self.requests = RequestHandler(
             catalog=self.catalog,
             chooser=self.chooser,
-            loads=self.loads,
+            loads=loads,
             feedback=self.feedback,
             pool=self.pool,
             names=names,
@@ -146,7 +119,13 @@
             metrics=self.metrics,
             retries=settings.retries,
         )
-        self.member = MemberRecord(settings.name, settings.front, settings.hall, settings.region)
+
+    def _build_store_tasks(self, store: MetadataStore, codec: RecordCodec) -> None:
+        """Build what keeps the catalog in step with the store, and this entry registered."""
+        settings = self.settings
+        self.feed = ChangeFeed(
+            store, self.member, self.catalog, settings=settings.relaying, log=self.log
+        )
         self.sync = StoreSync(
             store,
             codec,
@@ -155,6 +134,7 @@
             metrics=self.metrics,
             on_change=self._note_change,
             batch_s=settings.batch_s,
+            feed=self.feed,
         )
         self.registration = Registration(
             store,
@@ -162,31 +142,22 @@
             self.member,
             log=self.log,
             metrics=self.metrics,
+            read_period_s=self._read_renewal_period_s,
             on_contact=self._note_contact,
             on_return=self.sync.restart,
         )
-        self._callers: set[CallerConnection] = set()
-        self._others: set[CallerConnection] = set()
-        self._servers: list[asyncio.Server] = []
-        self._front: asyncio.Server | None = None
-        self._tasks: list[asyncio.Task[None]] = []
-        self.is_stopping = False
-
-    def _build_chooser(self) -> Chooser:
-        """Build what chooses targets."""
-        settings = self.settings
-        return Chooser(
-            self.catalog,
-            self.outliers,
-            self.loads,
-            own_name=settings.name,
-            own_region=settings.region,
-            regions=settings.regions,
-            settings=settings.choice,
-        )
 
     # Life
 
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        return self.catalog.routing is not None and not self.is_stopping
+
+    def count_callers(self) -> int:
+        """Count the callers' connections."""
+        return len(self._callers)
+
     async def start(self) -> None:
         """Open the ports and start every task."""
         settings = self.settings
@@ -199,9 +170,10 @@
             is_closing=lambda: self.is_stopping,
         )
         for address, handler in (
-            (settings.ready, self._answer_ready),
-            (settings.directory, self._answer_lookup),
-            (settings.metrics, self._answer_metrics),
+            (settings.ready, self._pages.answer_ready),
+            (settings.directory, self._pages.answer_lookup),
+            (settings.metrics, self._pages.answer_metrics),
+            (settings.relay, self.feed.answer),
         ):
             if address is None:
                 continue
@@ -234,8 +206,7 @@
 
     def reload(self, settings: GatewaySettings) -> None:
         """Take up changed settings; requests under way are not touched."""
-        names = GatewaySettings._fields
-        changed = [n for n in names if getattr(settings, n) != getattr(self.settings, n)]
+        changed = self.settings.find_changes(settings)
         live = {n: getattr(settings, n) for n in changed if n in LIVE_SETTINGS}
         self.settings = self.settings._replace(**live)
         self.catalog.timings = self.settings.timings
@@ -285,6 +256,7 @@
         for task in self._tasks:
             await stop_task(task)
         self.pool.close()
+        self.feed.close()
         self.log.close()
 
     async def _run_maintenance(self) -> None:
@@ -305,6 +277,12 @@
             if tick % SWEEP_TICKS == 0:
                 self.pool.sweep()
 
+    def _read_renewal_period_s(self) -> float:
+        """Give the period of renewals; a reader shows more often that it reaches the store."""
+        settings = self.settings.relaying
+        has_followers = len(self.catalog.members) > settings.fleet_limit and self.feed.is_direct
+        return settings.renewal_s if has_followers else RENEWAL_S
+
     def _note_contact(self) -> None:
         """Note that the store answered."""
         self.catalog.note_contact(asyncio.get_running_loop().time())
@@ -317,49 +295,3 @@
             case MemberGone(name) if name == self.settings.name and not self.is_stopping:
                 self.log.event("membership", "Own record is gone; writing it again.")
                 self.registration.note_gone()
-
-    # Small servers
-
-    @property
-    def is_ready(self) -> bool:
-        """Tell whether callers should be sent here."""
-        return self.catalog.routing is not None and not self.is_stopping
-
-    async def _answer_ready(self, caller: CallerConnection, head: Head) -> None:
-        """Answer a readiness question."""
-        is_known = head.target.decode("latin-1").partition("?")[0] == self._lookups.ready_path
-        if not is_known:
-            caller.send(Answer(404, []))
-            return
-        caller.send(Answer(200 if self.is_ready else 503, []))
-
-    async def _answer_lookup(self, caller: CallerConnection, head: Head) -> None:
-        """Answer a look-up."""
-        query = self._lookups.parse(head.target.decode("latin-1"))
-        if query is None:
-            caller.send(Answer(404, []))
-            return
-        members = {m.name: m for m in self.catalog.members.values()}
-        if self.is_ready:
-            members[self.member.name] = self.member
-        else:
-            members.pop(self.member.name, None)
-        if not members:
-            caller.send(Answer(503, [(b"Retry-After", b"0.2")]))
-            return
-        chosen = choose_entries(
-            members.values(), hall=query.hall, region=query.region, source=self._random
-        )
-        body = self._lookups.render(chosen, ttl_s=self.settings.lookup_ttl_s)
-        caller.send(Answer(200, [(b"Content-Type", b"application/json")], body))
-
-    async def _answer_metrics(self, caller: CallerConnection, head: Head) -> None:
-        """Answer with this process's figures."""
-        self.metrics.set("running", self.requests.running)
-        self.metrics.set("callers", len(self._callers))
-        self.metrics.set("members", len(self.catalog.members))
-        self.metrics.set("connections_opened", self.pool.opened)
-        routing = self.catalog.routing
-        self.metrics.set("configuration_version", routing.version if routing else 0)
-        body = self.metrics.render()
-        caller.send(Answer(200, [(b"Content-Type", b"text/plain; version=0.0.4")], body))
--- a/halldoor/gateway/registration.py
+++ b/halldoor/gateway/registration.py
@@ -12,8 +12,8 @@
 
 LEASE_S = 3.0
 """Lifetime of the lease, in seconds: a dead entry leaves the look-ups within it."""
-RENEWALS_PER_LEASE = 3
-"""Renewals in one lifetime, so that two may be lost."""
+RENEWAL_S = 1.0
+"""Usual period of renewals, in seconds: three in one lifetime, so that two may be lost."""
 RETRY_S = 0.5
 """Pause after a failed call, in seconds."""
 
@@ -23,6 +23,8 @@
 
     Parameters
     ----------
+    read_period_s : callable
+        Gives the period of renewals, in seconds.
     on_contact : callable
         Called whenever the store answered a renewal.
     on_return : callable
@@ -37,6 +39,7 @@
         *,
         log: EventLog,
         metrics: GatewayMetrics,
+        read_period_s: Callable[[], float],
         on_contact: Callable[[], None],
         on_return: Callable[[str], None],
     ) -> None:
@@ -45,6 +48,7 @@
         self._member = member
         self._log = log
         self._metrics = metrics
+        self._read_period_s = read_period_s
         self._on_contact = on_contact
         self._on_return = on_return
         self._lease: Lease | None = None
@@ -55,7 +59,7 @@
     async def run(self) -> None:
         """Register, and renew until cancelled."""
         while True:
-            pause_s = LEASE_S / RENEWALS_PER_LEASE
+            pause_s = self._read_period_s()
             try:
                 await self._renew()
             except LeaseGoneError:
--- a/halldoor/gateway/runner.py
+++ b/halldoor/gateway/runner.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 
 from halldoor.core.errors import HalldoorError
-from halldoor.gateway.process import Gateway, GatewaySettings
+from halldoor.gateway.process import Gateway
+from halldoor.gateway.settings import GatewaySettings
 
 CHECK_S = 1.0
 """Period of looking whether the settings file changed without a signal, in seconds."""
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -6,9 +6,19 @@
 import contextlib
 from collections.abc import Callable
 
-from halldoor.core.catalog import Catalog, Change, RoutingSeen, TargetGone
+from halldoor.core.catalog import (
+    Catalog,
+    Change,
+    EvacuationSet,
+    MemberGone,
+    MemberSeen,
+    RoutingSeen,
+    TargetGone,
+    TargetSeen,
+)
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.store import (
     Events,
     HistoryGoneError,
@@ -18,8 +28,6 @@
     StoreError,
 )
 
-WATCH_S = 28.0
-"""Longest wait of one watch, in seconds; the store allows 30."""
 BATCH_S = 0.6
 """Usual pause between an event and the next watch, in seconds.
 
@@ -44,6 +52,8 @@
         Called with each change that was applied.
     batch_s : float
         Pause between an event and the next watch, in seconds.
+    feed : ChangeFeed
+        Brings the changes once everything is read.
     """
 
     def __init__(
@@ -56,8 +66,10 @@
         metrics: GatewayMetrics,
         on_change: Callable[[Change], None],
         batch_s: float,
+        feed: ChangeFeed,
     ) -> None:
         self._store = store
+        self._feed = feed
         self._codec = codec
         self._catalog = catalog
         self._log = log
@@ -108,17 +120,18 @@
                 if not page.has_more or not page.items:
                     break
                 after = page.items[-1].key
-        now = self._note_contact()
+        now = self._note_contact(Events(items, revision or 0, is_return=self._is_away))
         changes = [c for c in map(self._decode, items) if c is not None]
         applied = self._catalog.load(changes, now)
         self._revision = revision
+        self._feed.begin(revision or 0)
         self._log.event("store", "Read all.", revision=revision, changes=len(applied))
         for change in applied:
             self._on_change(change)
 
     async def _watch(self, revision: int) -> None:
         """Wait for changes and apply them."""
-        task = asyncio.ensure_future(self._store.watch("", after=revision, wait_s=WATCH_S))
+        task = asyncio.ensure_future(self._feed.wait(revision))
         self._watching = task
         try:
             events = await task
@@ -129,15 +142,18 @@
         finally:
             self._watching = None
             task.cancel()
-        self._metrics.add_store_call("watch", "events" if events.items else "quiet")
-        now = self._note_contact()
+        if self._feed.is_direct:
+            self._metrics.add_store_call("watch", "events" if events.items else "quiet")
+        events = events._replace(is_return=events.is_return or self._is_away)
+        now = self._note_contact(events)
+        self._feed.publish(revision, events)
         for item in events.items:
             change = self._decode(item)
             if change is not None and self._catalog.apply(change, now):
-                self._log_change(change)
+                self._log_change(change, events.revision)
                 self._on_change(change)
         self._revision = events.revision
-        if events.items:
+        if events.items and self._feed.is_direct:
             await asyncio.sleep(self.batch_s)
 
     def _decode(self, item: StoredItem) -> Change | None:
@@ -148,14 +164,14 @@
             self._log.event("store", "Can't read a record.", key=item.key, error=str(exc))
             return None
 
-    def _note_contact(self) -> float:
-        """Note that the store answered; give the time."""
+    def _note_contact(self, events: Events) -> float:
+        """Note that the store was heard; give the time."""
         now = asyncio.get_running_loop().time()
-        self._catalog.note_contact(now)
-        if self._is_away:
-            self._is_away = False
+        self._catalog.note_contact(now - events.age_s)
+        if events.is_return:
             self._catalog.begin_settling(now)
-            self._log.event("store", "Back.")
+            self._log.event("store", "Back." if self._is_away else "Back, as its reader says.")
+        self._is_away = False
         return now
 
     def _note_away(self, exc: StoreError) -> None:
@@ -165,15 +181,33 @@
             self._is_away = True
             self._log.event("store", "Lost.", cause=exc.message)
 
-    def _log_change(self, change: Change) -> None:
-        """Write what is believed now."""
+    def _log_change(self, change: Change, revision: int) -> None:
+        """Write what is believed now, and the revision of the store that says so."""
+        event = self._log.event
         match change:
             case RoutingSeen(routing):
-                self._log.event("routing", "In force.", version=routing.version)
+                event("routing", "In force.", version=routing.version, revision=revision)
+            case TargetSeen(record):
+                text = "Draining." if record.is_draining else "Seen."
+                event(
+                    "targets",
+                    text,
+                    target=record.incarnation,
+                    service=record.service,
+                    hall=record.hall,
+                    slots=record.slots,
+                    cold_left_s=record.cold_left_s,
+                    revision=revision,
+                )
             case TargetGone(incarnation):
-                self._log.event("targets", "Gone.", target=incarnation)
-            case _:
-                self._log.event("catalog", "Changed.", change=repr(change))
+                event("targets", "Gone.", target=incarnation, revision=revision)
+            case EvacuationSet(hall, is_evacuated):
+                text = "Hall evacuated." if is_evacuated else "Evacuation ended."
+                event("targets", text, hall=hall, revision=revision)
+            case MemberSeen(member):
+                event("membership", "Entry seen.", member=member.name, revision=revision)
+            case MemberGone(name):
+                event("membership", "Entry gone.", member=name, revision=revision)
 
 
 def _is_cancelling() -> bool:
--- /dev/null
+++ b/halldoor/tests/test_fleet.py
@@ -0,0 +1,59 @@
+"""``halldoor fleet``: gateways side by side."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+
+from halldoor.cli.fleet import GatewayView, TargetOut, describe_fleet, fetch_fleet
+from halldoor.core.settings import Address
+from halldoor.standins.sample import IP, find_ports
+from halldoor.tests.gatewaykit import GatewayKit
+
+
+class TestFleet:
+    def test_a_running_gateways_figures_are_read(self):
+        async def check():
+            (port,) = find_ports(1)
+            async with GatewayKit.open(metrics=Address(IP, port)) as kit:
+                kit.write_target("t0", is_draining=True)
+                kit.write_target("t1", cold_left_s=60.0)
+                await kit.wait(lambda: len(kit.gateway.catalog.list_usable("deck")) == 1)
+                for _ in range(2):
+                    views = await asyncio.to_thread(fetch_fleet, [f"{IP}:{port}"])
+                (view,) = views
+                assert (view.version, view.is_reached, view.reads_store) == (1, True, True)
+                assert view.store_age_s < 60
+                reasons = {out.target: out.reason for out in view.targets_out}
+                assert reasons == {"t0": "draining", "t1": "cold"}
+
+        asyncio.run(check())
+
+    def test_what_stands_out_is_told_first(self):
+        out = TargetOut("t1", "deck", "ejected")
+        views = [
+            GatewayView("a:1", version=7, reads_store=True, running=3, targets_out=(out,)),
+            GatewayView("b:1", version=6, store_age_s=9.0, targets_out=(out,)),
+            GatewayView("c:1", error="ConnectTimeoutError"),
+        ]
+        told = describe_fleet(views)
+        assert told[0].startswith("2 of 3 gateways answered; configuration 7; 1 read the store")
+        assert told[1] == "c:1: not reached (ConnectTimeoutError)"
+        assert told[2].startswith("b:1: configuration 6 of 7, heard from the store 9.0 s ago")
+        assert told[3] == "t1 of deck: ejected at 2 of 2"
+
+    def test_a_hundred_gateways_stay_readable(self):
+        views = [GatewayView(f"10.0.0.{i}:1", version=i) for i in range(100)]
+        told = describe_fleet(views)
+        assert len(told) == 22 and told[-1] == "... and 79 more"
+
+    def test_the_command_names_the_remedy_and_says_who_is_unreachable(self):
+        command = [sys.executable, "-m", "halldoor.cli.operator", "fleet"]
+        missing = subprocess.run(command, check=False, capture_output=True, text=True)
+        assert missing.returncode == 2 and "IP:PORT" in missing.stderr
+        (port,) = find_ports(1)
+        dead = subprocess.run(
+            [*command, f"{IP}:{port}"], check=False, capture_output=True, text=True
+        )
+        assert dead.returncode == 5 and "not reached" in dead.stdout
