--- a/halldoor/core/history.py
+++ b/halldoor/core/history.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
+from halldoor.core.load import REPORT_MEMORY_S
+
 BELIEF_WINDOW_S = 10.0
 """How long before a request's end changes of belief are told, in seconds."""
 
@@ -88,15 +90,23 @@
 def _tell_attempt(attempt: dict[str, Any]) -> str:
     """Tell one attempt, and what was believed of its target."""
     detail = f" ({attempt['detail']})" if attempt.get("detail") else ""
-    age_ms = attempt.get("load_age_ms")
-    load = "no load known" if age_ms is None else f"load {attempt['load']}, {age_ms} ms old"
     cold = ", cold" if attempt.get("is_cold") else ""
     return (
         f"Target {attempt['target']}: {attempt['result']}{detail} after {attempt['took_ms']} ms; "
-        f"{attempt['in_flight']} in flight from here, {load}{cold}."
+        f"{attempt['in_flight']} in flight from here, {_tell_load(attempt)}{cold}."
     )
 
 
+def _tell_load(attempt: dict[str, Any]) -> str:
+    """Tell the load that a target had reported."""
+    age_ms = attempt.get("load_age_ms")
+    if age_ms is None:
+        return "no load reported"
+    if age_ms > REPORT_MEMORY_S * 1000:
+        return f"last load report too old to count ({age_ms} ms)"
+    return f"load {attempt['load']}, {age_ms} ms old"
+
+
 def _judge(fields: dict[str, Any]) -> str:
     """Say whether the request ran."""
     if fields["status"] in (503, 429, 408) and not fields.get("target"):
@@ -115,7 +125,7 @@
         age_s = end.at - line.at
         if line.entry != end.entry or not 0 <= age_s <= BELIEF_WINDOW_S:
             continue
-        target = line.fields.get("target")
-        if line.part in ("store", "routing", "process", "relay") or target in names:
+        is_about_target = line.part == "targets" and line.fields.get("target") in names
+        if is_about_target or line.part in ("store", "routing", "process", "relay"):
             detail = ", ".join(f"{k} {v}" for k, v in line.fields.items())
             yield f"{age_s:.2f} s before, {line.part}: {line.text} {detail}".rstrip()
--- a/halldoor/tests/test_history.py
+++ b/halldoor/tests/test_history.py
@@ -5,12 +5,16 @@
 import subprocess
 import sys
 
+import pytest
+
 from halldoor.core.history import explain_request, parse_lines
 
 LINES = [
     '-1.0 e1 {"event": "routing: In force.", "at": 10.0, "entry": "e1", "version": 7}',
     '{"event": "targets: Ejected a failing target.", "at": 11.0, "entry": "e1", "target": "t2"}',
     '{"event": "targets: Ejected a failing target.", "at": 11.0, "entry": "e2", "target": "t1"}',
+    '{"event": "request: Ended.", "at": 11.5, "entry": "e1", "id": "a0", "status": 200, '
+    '"outcome": "another request", "target": "t2", "attempts": []}',
     "no JSON at all",
     '{"event": "request: Ended.", "at": 12.0, "entry": "e1", "route": "r", "service": "s", '
     '"key": "k", "target": "", "took_ms": 20, "attempts": [{"target": "t2", "result": "answer '
@@ -31,6 +35,15 @@
     assert "1.00 s before, targets: Ejected a failing target. target t2" in told
     assert "2.00 s before, routing: In force. version 7" in told
     assert "t1" not in told
+    assert "another request" not in told
+
+
+@pytest.mark.parametrize(
+    ("age", "text"), [("null", "no load reported"), ("900", "too old to count (900 ms)")]
+)
+def test_a_load_that_did_not_count_is_told_as_such(age, text):
+    lines = [line.replace('"load_age_ms": 90', f'"load_age_ms": {age}') for line in LINES]
+    assert text in "\n".join(explain_request(parse_lines(lines), "a1"))
 
 
 def test_a_refusal_is_told_as_not_run():
