Begin a new history when an entry begins to read the store for others

Cause: found on reading. An entry that had followed up to revision 20 and then became a reader still held a history up to 10. A follower at 15 was told that there is nothing new, with a fresh age, until the next change; what came between 15 and 20, a draining target say, stayed unknown to it. Ruled out: the follower's way over the store; it is taken only where the reader refuses or is silent. Change: the history begins at the revision from which the entry reads, so that such a poll is refused and the follower reads the store.

--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -99,7 +99,10 @@
                 return await self._poll(reader.relay, revision)
             except ReaderLostError as exc:
                 self._leave_reader(reader, str(exc))
-        self.is_direct = True
+        if not self.is_direct:
+            # Followers that are behind must not take what this entry did not read for nothing new.
+            self.is_direct = True
+            self.begin(revision)
         # After a lost reader the watch ends in time to follow another one.
         direct_s = self._direct_until - asyncio.get_running_loop().time()
         wait_s = direct_s if 0 < direct_s < WATCH_S else WATCH_S
--- a/halldoor/tests/test_relay.py
+++ b/halldoor/tests/test_relay.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from halldoor.core.catalog import MemberRecord
+from halldoor.core.catalog import Catalog, CatalogTimings, MemberRecord
 from halldoor.core.relay import (
     Batch,
     ChangeHistory,
@@ -19,6 +19,9 @@
     choose_readers,
 )
 from halldoor.core.settings import Address
+from halldoor.gateway.caller import Head
+from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.store import MetadataStore, StoreError
 from halldoor.standins.memorystore import MemoryStore
 from halldoor.standins.sample import IP, find_ports
@@ -133,6 +136,41 @@
         self.store.put(key, value)
 
 
+class Poller:
+    """A follower that keeps the answer to its poll."""
+
+    async def ask(self, feed, after):
+        head = Head(b"GET", f"/changes?after={after}&wait_ms=50".encode(), [], 0.0)
+        await feed.answer(self, head)
+        return self.answer
+
+    def send(self, answer):
+        self.answer = answer
+
+
+class TestChangeFeed:
+    def test_what_was_followed_is_no_history_to_pass_on(self):
+        """An entry that begins to read the store did not see itself what came before."""
+
+        async def check():
+            store, catalog = MemoryStore(), Catalog(CatalogTimings())
+            own = MemberRecord("e0", ADDRESS, "h", "a", ADDRESS)
+            feed = ChangeFeed(store, own, catalog, settings=ALWAYS, log=EventLog("e0"))
+            feed.begin(10)
+            assert (await Poller().ask(feed, 15)).status == 200
+            feed.is_direct = False  # It follows another up to revision 20.
+            assert (await Poller().ask(feed, 15)).status == 503
+            for i in range(20):
+                store.put(f"k{i}", b"")
+            waiting = asyncio.ensure_future(feed.wait(20))
+            await asyncio.sleep(0.05)
+            assert (await Poller().ask(feed, 15)).status == 503
+            assert (await Poller().ask(feed, 20)).status == 200
+            waiting.cancel()
+
+        asyncio.run(check())
+
+
 class Fleet:
     """Four entries of one region that share a store; one of them reads it for the others."""
 
