--- a/halldoor/entry/gossip.py
+++ b/halldoor/entry/gossip.py
@@ -5,6 +5,7 @@
 import random
 import threading
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -20,6 +21,8 @@
 
 FANOUT = 2
 """Peers of the own hall that are asked in one period."""
+SEEDS_ASKED = 2
+"""Seeds that are asked in one period while no configuration is known; each may cost a time-out."""
 REMOTE_EVERY = 3
 """Periods between two exchanges with an entry of another hall."""
 LARGE_HALL = 8
@@ -60,8 +63,10 @@
         self._membership = membership
         self._lock = threading.Lock()
         self._peers = peers
-        self._seeds = seeds
         self._random = random.Random(membership.me.incarnation)
+        # In turn, so that one seed in reach is found in a known time; in an order of its own,
+        # so that entries that start together don't all ask the same one.
+        self._seeds = deque(self._random.sample(seeds, len(seeds)))
         self._turn = 0
         self._snapshot: Snapshot | None = None
         self.get_reports: Callable[[], tuple[TargetReport, ...]] = lambda: ()
@@ -116,7 +121,7 @@
         """Choose the peers of this period."""
         snapshot = self._snapshot
         if snapshot is None:
-            return [(str(a), a) for a in self._random.sample(self._seeds, min(2, len(self._seeds)))]
+            return self._choose_seeds()
         me = self._membership.me.name
         near = [e for e in snapshot.hall.entries if e.name != me]
         chosen = self._random.sample(near, min(FANOUT, len(near)))
@@ -130,6 +135,12 @@
             chosen += self._random.sample(far, min(1, len(far)))
         return [(e.name, e.wire) for e in chosen]
 
+    def _choose_seeds(self) -> list[tuple[str, Address]]:
+        """Choose the seeds that were not asked for longest."""
+        chosen = [self._seeds[i] for i in range(min(SEEDS_ASKED, len(self._seeds)))]
+        self._seeds.rotate(-len(chosen))
+        return [(str(a), a) for a in chosen]
+
     def _exchange(self, name: str, address: Address) -> None:
         """Exchange with one peer."""
         message = self._build(name)
--- a/halldoor/standins/sample.py
+++ b/halldoor/standins/sample.py
@@ -3,11 +3,25 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import socket
 from collections.abc import Iterator
 from typing import Any
 
-IP = "127.0.0.2"
+
+def _build_loopback_ip(process_id: int) -> str:
+    """Build a loopback address of a process's own, so that its ports are nobody else's.
+
+    Two test runs side by side that shared one address got the same port now and then: a port
+    is found free long before the process that it is for opens it.  Process ids have 22 bits;
+    they fill 127.64.0.0 to 127.127.255.255, which no relay or cut of a fleet names.
+    """
+    high, low = divmod(process_id % (1 << 22), 1 << 8)
+    return f"127.{64 + (high >> 8)}.{high & 255}.{low}"
+
+
+IP = _build_loopback_ip(os.getpid())
+"""Loopback address on which this process lets others listen."""
 _given: set[int] = set()
 
 
--- /dev/null
+++ b/halldoor/tests/test_standins.py
@@ -0,0 +1,19 @@
+"""The stand-ins' own promises: runs side by side do not disturb each other."""
+
+import subprocess
+import sys
+
+from halldoor.standins.sample import IP
+
+
+def test_each_process_listens_on_an_address_of_its_own():
+    """Two whole runs side by side took one port on one address; a fleet then did not start."""
+    code = "from halldoor.standins.sample import IP; print(IP)"
+    others = {
+        subprocess.run(
+            [sys.executable, "-c", code], check=True, capture_output=True, text=True
+        ).stdout.strip()
+        for _ in range(3)
+    }
+    assert len(others | {IP}) == 4
+    assert all(ip.startswith("127.") and 64 <= int(ip.split(".")[1]) < 128 for ip in others)
