--- a/halldoor/tests/test_gossip.py
+++ b/halldoor/tests/test_gossip.py
@@ -29,7 +29,7 @@
 class TestSeeds:
     @pytest.mark.parametrize("count", [1, 2, 11, 24])
     def test_every_seed_is_asked_in_turn(self, count):
-        """One seed in reach among many: it was drawn at random, and missed for 20 s now and then."""
+        """One seed in reach among many was drawn at random, and missed for 20 s now and then."""
         peers = SilentPeers()
         seeds = [Address("127.0.0.1", port) for port in range(1, count + 1)]
         gossip = build_gossip(peers, seeds)
