Send orders over kept connections too, and pass over answers that come twice

Cause: what may run once always opened a connection, against surplus answers and closed connections. Change: all but uploads take a kept connection. An answer to an earlier exchange that arrives where the next one is due is passed over, told by its id, and the connection is not used again. A connection that ended under a request is still 'outcome unknown' and never sent again. One that fell silent (no acknowledgement within the TCP user time-out) closes all kept ones, since what silences one often silences others. The log of an attempt says how long it connected and whether the connection was kept. Ruled out: connections opened ahead and never used (a connection per order as before, priced, and as blind to silence); uploads, whose bodies take longer than connecting.

--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -65,6 +65,12 @@
     ----------
     detail : str
         Status of the answer, or what went wrong.
+    took_ms : int
+        Time of all of it, in milliseconds.
+    connect_ms : int
+        Part of that until the connection was there; 0 for a kept one.
+    is_reused : bool
+        The connection was kept from an earlier exchange.
     """
 
     target: str
@@ -72,6 +78,8 @@
     result: AttemptResult
     detail: str
     took_ms: int
+    connect_ms: int
+    is_reused: bool
 
     def to_fields(self) -> dict[str, Any]:
         """Give the fields of the log line."""
@@ -80,6 +88,8 @@
             "result": self.result.value,
             "detail": self.detail,
             "took_ms": self.took_ms,
+            "connect_ms": self.connect_ms,
+            "is_reused": self.is_reused,
             **self.view._asdict(),
         }
 
--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -35,6 +35,8 @@
 
     Attributes
     ----------
+    exchanges : int
+        Exchanges begun on it, the present one included.
     idle_since : float
         When it was last put aside, on the loop's clock.
     idle_limit_s : float
@@ -48,6 +50,7 @@
         self._is_closed = False
         self._is_idle = True
         self._says_close = False
+        self.exchanges = 0
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
 
@@ -139,6 +142,17 @@
     def start(self) -> None:
         """Begin an exchange."""
         self._is_idle = False
+        self.exchanges += 1
+
+    @property
+    def is_reused(self) -> bool:
+        """Tell whether an earlier exchange used this connection."""
+        return self.exchanges > 1
+
+    @property
+    def has_fallen_silent(self) -> bool:
+        """Tell whether the peer stopped acknowledging what was sent to it."""
+        return isinstance(self._error, TimeoutError)
 
     async def send(self, *events: Any) -> None:
         """Send h11 events in one write.
@@ -179,6 +193,30 @@
                 self._note_keep_alive(event)
             return event
 
+    def can_skip_answer(self) -> bool:
+        """Tell whether an answer to an earlier exchange can be passed over.
+
+        The request must be out: h11 takes another answer only from then on.
+        """
+        return self.is_reused and self._h11.our_state is h11.DONE
+
+    async def skip_answer(self) -> None:
+        """Read to the end of an answer whose head was received, and make ready for the next.
+
+        The connection can't be used again afterwards.
+
+        Raises
+        ------
+        ConnectionBrokenError
+            Where the connection broke before the end.
+        """
+        while not isinstance(await self.receive(), h11.EndOfMessage):
+            pass
+        try:
+            self._h11.start_next_cycle()
+        except h11.LocalProtocolError as exc:
+            raise ConnectionBrokenError(f"closed after another's answer: {exc}") from exc
+
     def _note_keep_alive(self, response: h11.Response) -> None:
         """Note how long the peer will keep the connection."""
         self._says_close = b"close" in find(response.headers, b"connection").lower()
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -28,6 +28,11 @@
 
 A break within them is seen in time to try again or to say that the answer was lost.
 """
+SURPLUS_LIMIT = 3
+"""Answers of earlier exchanges that are passed over before a request's own is given up.
+
+A target sends one too many at a time; more mean that the connection is out of step.
+"""
 ANSWER_SLACK_S = 0.1
 """Time beyond the deadline that a target was given, for its own last answer to arrive, in seconds.
 
@@ -57,6 +62,21 @@
     expires_at: float
 
 
+class Connecting(NamedTuple):
+    """How the connection for a request was had.
+
+    Attributes
+    ----------
+    took_s : float
+        Time until it was there, in seconds.
+    is_reused : bool
+        It was kept from an earlier exchange.
+    """
+
+    took_s: float = 0.0
+    is_reused: bool = False
+
+
 class WholeAnswer(NamedTuple):
     """The target's answer, whole."""
 
@@ -124,25 +144,34 @@
         own = {b"expect", self._names.deadline_ms, self._names.expected_incarnation}
         return [(n, v) for n, v in drop_hop_by_hop(head.headers) if n.lower() not in own]
 
-    async def send(self, outgoing: OutgoingRequest, incarnation: str, address: Address) -> Outcome:
+    async def send(
+        self, outgoing: OutgoingRequest, incarnation: str, address: Address
+    ) -> tuple[Outcome, Connecting]:
         """Send a request to one target and read its answer."""
         connection: HttpConnection | None = None
+        connecting = Connecting()
         is_settled = False
+        started = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout_at(outgoing.expires_at + ANSWER_SLACK_S):
                 connection = await self._connect(outgoing, incarnation, address)
+                took_s = asyncio.get_running_loop().time() - started
+                connecting = Connecting(took_s, is_reused=connection.exchanges > 0)
                 outcome = await self._exchange(connection, outgoing, incarnation)
             if not isinstance(outcome, PartialAnswer):
                 # It closes the connection where the exchange did not end cleanly.
                 self._pool.release(incarnation, connection)
             is_settled = True
-            return outcome
+            return outcome, connecting
         except TimeoutError:
-            return TimedOut()
+            return TimedOut(), connecting
         except ConnectionFailedError as exc:
-            return ConnectFailed(str(exc))
+            return ConnectFailed(str(exc)), connecting
         except ConnectionBrokenError as exc:
-            return AnswerLost(str(exc))
+            if connection is not None and connection.is_reused and connection.has_fallen_silent:
+                # What silenced one kept connection has often silenced the others.
+                self._pool.close()
+            return AnswerLost(str(exc)), connecting
         finally:
             if connection is not None and not is_settled:
                 connection.close()
@@ -171,10 +200,9 @@
     ) -> HttpConnection:
         """Take a kept connection, or open one.
 
-        What may run once goes over a new connection: nothing on it can be left over from
-        another exchange, and it was not closed while it rested.
+        An upload opens one: its body takes longer than that, and most break off in it.
         """
-        if outgoing.kind is RequestKind.REPEATABLE:
+        if outgoing.kind is not RequestKind.UPLOAD:
             kept = self._pool.take_idle(incarnation)
             if kept is not None:
                 return kept
@@ -209,9 +237,7 @@
 
     async def _read_answer(self, connection: HttpConnection, outgoing: OutgoingRequest) -> Outcome:
         """Read the answer's head, and its body up to the limit of the buffer."""
-        response = await connection.receive()
-        while isinstance(response, h11.InformationalResponse):
-            response = await connection.receive()
+        response = await self._read_head(connection, outgoing)
         headers = list(response.headers.raw_items())
         problem = self._find_problem(response.status_code, headers, outgoing)
         if problem:
@@ -225,6 +251,27 @@
         answer = Answer(response.status_code, headers, bytes(body), response.reason)
         return PartialAnswer(answer, connection)
 
+    async def _read_head(
+        self, connection: HttpConnection, outgoing: OutgoingRequest
+    ) -> h11.Response:
+        """Read the head of the request's own answer; surplus ones before it are passed over.
+
+        A target may answer an earlier request of the connection twice, and so late that the
+        second answer arrives where the next one is due.
+        """
+        surplus = 0
+        while True:
+            response = await connection.receive()
+            if isinstance(response, h11.InformationalResponse):
+                continue
+            own = find(response.headers, self._names.attempt_id) == outgoing.attempt_id
+            # Which body the next answer has, if any, is known by the method; not after skipping.
+            can_skip = connection.can_skip_answer() and outgoing.head.method != b"HEAD"
+            if own or surplus >= SURPLUS_LIMIT or not can_skip:
+                return response
+            surplus += 1
+            await connection.skip_answer()
+
     def _find_problem(self, status: int, headers: Headers, outgoing: OutgoingRequest) -> str:
         """Say why an answer can't be the target's to this request; empty where it can."""
         names = self._names
--- a/halldoor/gateway/pages.py
+++ b/halldoor/gateway/pages.py
@@ -67,6 +67,7 @@
         metrics.set("members", len(gateway.catalog.members))
         metrics.set("reads_store", int(gateway.feed.is_direct))
         metrics.set("connections_opened", gateway.pool.opened)
+        metrics.set("connections_kept", gateway.pool.count_idle())
         metrics.set("configuration_version", routing.version if routing else 0)
         metrics.set("store_age_seconds", now - gateway.catalog.fresh_at)
         metrics.set_targets_out(gateway.chooser.list_out(now))
--- a/halldoor/gateway/pool.py
+++ b/halldoor/gateway/pool.py
@@ -58,6 +58,10 @@
         connection.mark_idle(now, idle_limit_s=IDLE_LIMIT_S)
         idle.append(connection)
 
+    def count_idle(self) -> int:
+        """Count the connections that are kept."""
+        return sum(len(idle) for idle in self._idle.values())
+
     def forget(self, incarnation: str) -> None:
         """Close what is kept for a target that is gone."""
         for connection in self._idle.pop(incarnation, []):
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -221,7 +221,7 @@
         started = loop.time()
         view = self._view(target, started)
         try:
-            outcome = await self._exchanger.send(outgoing, name, target.record.address)
+            outcome, connecting = await self._exchanger.send(outgoing, name, target.record.address)
         except asyncio.CancelledError:
             self._log.event(
                 "request", "Caller left.", id=state.attempt_id, target=name, sent=state.sent_count
@@ -232,7 +232,17 @@
         result, detail = self._feedback.add_outcome(
             name, state.service, outcome, now, took_s=took_s
         )
-        state.attempts.append(Attempt(name, view, result, detail, round(took_s * 1000)))
+        state.attempts.append(
+            Attempt(
+                name,
+                view,
+                result,
+                detail,
+                took_ms=round(took_s * 1000),
+                connect_ms=round(connecting.took_s * 1000),
+                is_reused=connecting.is_reused,
+            )
+        )
         self._metrics.add_attempt(state.service, result.value, took_s)
         return outcome
 
