Choose targets by the expected time to the answer, and bound waits by the route's aim

Each entry could have one or two requests on a target, so a key spilled to its second target while the first was idle: 791 cold answers in 11,465 requests where 414 would do. - Under overload (nine targets left for 237 keys) spilling made every target hold more keys than it keeps (up to 80): work 430 ms instead of 110, so half of the capacity, so more spilling. It did not end by itself. - Queues of 2.5 times the slots made all of them late: 9,998 of 18,860 status reads. Change: a choice is by time. Travelling is observed from connects by hall; work warm and cold from own answers; waiting from own requests and what others had at the target's last report, which fades. The key's first target counts as warm; its second is taken when it has a free slot and is cheaper although its cold start is priced by the pressure there. Requests that would wait past what their route's aim leaves are refused at once. Beyond the two, only targets that are mostly idle help out. Targets of the own region weigh 6 in place of 2. The share of each entry stays for targets that report no load. Settings switch each part off. Load reports are checked against own counts.

--- a/halldoor/core/choice.py
+++ b/halldoor/core/choice.py
@@ -1,44 +1,60 @@
-"""Choose the target of a request: by affinity key with bounds on load and on cold starts."""
+"""Choose the target of a request: by the time to its answer, where its key is warm.
+
+A key has an order of targets that every entry of the region computes alike.  Its first target
+takes its requests as long as an answer can be expected in time; the second one helps out when it
+is worth a cold start, and others only while they are mostly idle.  So keys stay warm, and overload
+does not spread them.
+"""
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from collections.abc import Collection, Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from typing import NamedTuple
 
-from halldoor.core.budget import ColdShare
 from halldoor.core.catalog import Catalog, Target
+from halldoor.core.cold import ColdRate, EntryRanks
+from halldoor.core.cost import CostModel, Estimate
+from halldoor.core.latency import LatencyModel, WorkLevels
 from halldoor.core.load import LoadTable
+from halldoor.core.order import KeyOrders, find_region_weight
 from halldoor.core.outlier import OutlierTable
-from halldoor.core.placement import hash_key, rank
-from halldoor.core.route import RequestKind, Route
+from halldoor.core.route import Route
 
-ORDERS_KEPT = 4_096
-"""Orders of targets by key that are kept between changes; a few hundred bytes each."""
+AIM_SHARE = 0.9
+"""Part of a route's aim to plan for; the rest is the way between caller and entry."""
 
 
 class ChoiceSettings(NamedTuple):
-    """Bounds of the choice.
+    """Bounds of the choice.  Each but `load_factor` and the cold rate can be switched off.
 
     Attributes
     ----------
     load_factor : float
-        Requests that all entries together may have on a target, in multiples of its slots.
-    busy_load, full_load : float
-        Reported load, in multiples of the slots, from which a target is passed over while
-        another has room, and at all.
+        Requests that all entries together may have on a target that does not report its load,
+        in multiples of its slots.
+    full_load : float
+        Requests on a target from which it is passed over, in multiples of its slots.
     spill_choices : int
-        Targets that may serve one key; each of them has to see the key once to be warm for it.
-        One to four were measured with load factors of two to five: two and four served best.
+        Targets that share a key's requests; each of them has to see the key once to be warm for
+        it.  One to three were measured: two served best.
+    spill_price : float
+        How far a cold start counts that a key's second target would have, in multiples of what
+        it costs others there: its time, times pressure / (1 - pressure).  0: not at all.
+    spare_load : float
+        Pressure below which any other target of the order may help out, once the first ones
+        can't answer in time.  0: none may.
+    wait_limit : float
+        Time that a request may wait for a slot, in multiples of what its route's aim leaves
+        after travelling and warm work.  0: no limit but `full_load`.
     ejected_share : float
         Part of a service's targets that may be passed over as broken; beyond it none is.
+        0: none is passed over.
     region_weight, upload_region_weight : float
-        Weight of the own region's targets; for uploads, which carry most bytes, a higher one.
-        Links between regions have limits, and a region with few targets must not be filled by
-        its own callers: weights of 2 and 3 were measured alike, with a fifth and a third fewer
-        bytes between regions than 1.
+        Weight of the own region's targets in the order.  Higher ones save travelling and bytes
+        between regions; too high ones fill a region of few targets with its own callers' keys.
+        2, 6 and 12 were measured: 6 served best.  1: no preference.
     cold_excess, cold_slack : float
         All entries together may send a cold target its rate times the first plus the second.
     cold_margin : float
@@ -46,12 +62,14 @@
     """
 
     load_factor: float = 4.0
-    busy_load: float = 1.34
     full_load: float = 2.5
     spill_choices: int = 2
+    spill_price: float = 1.0
+    spare_load: float = 0.5
+    wait_limit: float = 1.0
     ejected_share: float = 0.5
-    region_weight: float = 2.0
-    upload_region_weight: float = 4.0
+    region_weight: float = 6.0
+    upload_region_weight: float = 6.0
     cold_excess: float = 1.5
     cold_slack: float = 5.0
     cold_margin: float = 0.6
@@ -76,6 +94,20 @@
         return f"{self.reason} {counts}".strip()
 
 
+class Choice(NamedTuple):
+    """A target for a request, and what is expected of it.
+
+    Attributes
+    ----------
+    place : int
+        Place of the target in the key's order, from 0.
+    """
+
+    target: Target
+    estimate: Estimate
+    place: int
+
+
 class TargetOut(NamedTuple):
     """A target that gets no requests, or few, and why."""
 
@@ -95,6 +127,8 @@
         Which of them fail.
     loads : LoadTable
         What load they reported.
+    latency : LatencyModel
+        How long they take.
     own_name : str
         Name of this entry, for its rank among those that may send to a cold target.
     settings : ChoiceSettings
@@ -110,6 +144,7 @@
         catalog: Catalog,
         outliers: OutlierTable,
         loads: LoadTable,
+        latency: LatencyModel,
         *,
         own_name: str,
         own_region: str,
@@ -119,45 +154,97 @@
         self._catalog = catalog
         self._outliers = outliers
         self._loads = loads
-        self._own_name = own_name
-        self.regions = regions
-        self._own_region = own_region
+        self._costs = CostModel(loads, latency)
+        self.orders = KeyOrders(catalog, own_name=own_name, own_region=own_region, regions=regions)
         self.settings = settings
-        self._cold = ColdShare()
-        self._orders: dict[tuple[str, str, tuple[str, ...], bool], list[Target]] = {}
-        self._orders_version = -1
-        self._ranks: dict[str, int] = {}
-        self._ranks_version = -1
+        self._ranks = EntryRanks(catalog, own_name)
+        self._cold = ColdRate(catalog, self._ranks)
         self.in_flight: Counter[str] = Counter()
 
     def choose(
         self, route: Route, service: str, key: str, now: float, *, tried: Collection[str] = ()
-    ) -> Target | NoTarget:
+    ) -> Choice | NoTarget:
         """Choose a target and, for a cold one, take from this entry's share of its rate.
 
-        A key goes to the first few targets of its order only, so that they stay warm for it:
-        under overload, refusing is better than making every target cold for every key.
-
         Parameters
         ----------
         tried : collection of str, optional
             Targets that had this request before.
         """
-        order = self._order(route, service, key)
+        settings = self.settings
+        weight = find_region_weight(route, settings.region_weight, settings.upload_region_weight)
+        order = self.orders.get_order(route, service, key, weight)
         if not order:
             return NoTarget("no target", {})
         passed: Counter[str] = Counter()
         candidates = self._list_candidates(order, now, tried, passed)
-        choices = candidates[: self.settings.spill_choices] if key else candidates
-        for limit in (self.settings.busy_load, self.settings.full_load):
-            for target in choices:
-                if self._has_room(target, now, limit) and (
-                    not target.is_cold(now) or self._take_cold(target, now)
-                ):
-                    return target
-        passed["full or cold"] = len(choices)
+        levels = self._costs.get_levels(name_kind(service, route))
+        own = settings.spill_choices if key else len(candidates)
+        choices = []
+        for place, target in enumerate(candidates[:own]):
+            choice = self._weigh(target, key, levels, place, now)
+            reason = self._find_reason_against(choice, key, route, levels)
+            if reason:
+                passed[reason] += 1
+            else:
+                choices.append(choice)
+        for choice in sorted(choices, key=lambda c: c.estimate.cost_s):
+            if self._take(choice.target, now):
+                return choice
+            passed["cold rate"] += 1
+        for place, target in enumerate(candidates[own:], own):
+            if self._is_spare(target, now) and self._take(target, now):
+                return self._weigh(target, key, levels, place, now)
         return NoTarget("no room", passed)
 
+    def _weigh(
+        self, target: Target, key: str, levels: WorkLevels, place: int, now: float
+    ) -> Choice:
+        """Weigh a target for a request."""
+        estimate = self._costs.estimate(
+            target,
+            key,
+            levels,
+            on_target=self._count(target, now),
+            place=place,
+            now=now,
+            spill_price=self.settings.spill_price,
+        )
+        return Choice(target, estimate, place)
+
+    def _find_reason_against(
+        self, choice: Choice, key: str, route: Route, levels: WorkLevels
+    ) -> str:
+        """Say why a target can't take a request now; empty where it can."""
+        target, estimate, place = choice
+        if not self._has_room(target, estimate.on_target):
+            return "full"
+        if key and place and estimate.wait_s > 0:
+            # What waits there would only make its own keys wait too.
+            return "busy"
+        limit = self.settings.wait_limit
+        left_s = AIM_SHARE * route.aim_s - estimate.travel_s - levels.warm_s
+        if limit and estimate.wait_s > limit * max(left_s, levels.warm_s):
+            return "late"
+        return ""
+
+    def _is_spare(self, target: Target, now: float) -> bool:
+        """Tell whether a target that is none of the key's own is mostly idle."""
+        limit = self.settings.spare_load
+        count = self._count(target, now)
+        is_idle = count < limit * target.record.slots and self._has_room(target, count)
+        # What has not reported yet may be as busy as the others.
+        is_known = self._loads.has_report(target.name)
+        return is_idle and is_known and self._loads.get_pressure(target.name) < limit
+
+    def _take(self, target: Target, now: float) -> bool:
+        """Take a request of a cold target's rate; other targets have no such bound."""
+        return self._cold.take(target, now, self._cold_limit(target))
+
+    def _count(self, target: Target, now: float) -> float:
+        """Estimate the requests on a target."""
+        return self.in_flight[target.name] + self._loads.estimate_others(target.name, now)
+
     def list_out(self, now: float) -> list[TargetOut]:
         """List the targets that get no requests, or few, for operators to look at."""
         found = []
@@ -209,7 +296,7 @@
             elif target.lapsed_at is not None:
                 passed["lapsed"] += 1
                 doubtful.append(target)
-            elif target.is_cold(now) and not self._may_be_sent_cold(target):
+            elif target.is_cold(now) and not self._cold.may_send(target, self._cold_limit(target)):
                 passed["cold"] += 1
             else:
                 sound.append(target)
@@ -219,12 +306,14 @@
             return [t for t in order if t.name in kept]
         return sound or doubtful
 
-    def _has_room(self, target: Target, now: float, limit: float) -> bool:
+    def _has_room(self, target: Target, count: float) -> bool:
         """Tell whether a target has room, by own counts and by what it reported."""
         own = self.in_flight[target.name]
         if own and self._outliers.is_on_trial(target.name):
             return False
-        return own < self._bound(target) and self._loads.estimate(target.name, now) < limit
+        if not self._loads.has_report(target.name):
+            return own < self._bound(target)
+        return count < self.settings.full_load * target.record.slots
 
     def _bound(self, target: Target) -> int:
         """Give the requests that this entry may have on a target.
@@ -233,11 +322,7 @@
         """
         total = round(self.settings.load_factor * target.record.slots)
         whole, rest = divmod(total, self._catalog.count_members())
-        return max(1, whole + (1 if self._rank(target.name) < rest else 0))
-
-    def _may_be_sent_cold(self, target: Target) -> bool:
-        """Tell whether this entry is one of those that may send to a cold target."""
-        return self._rank(target.name) < max(1, int(self._cold_limit(target)))
+        return max(1, whole + (1 if self._ranks.get_rank(target.name) < rest else 0))
 
     def _cold_limit(self, target: Target) -> float:
         """Give the requests a second that all entries may send to a cold target."""
@@ -249,58 +334,7 @@
         limit = service.cold_rate_per_s * settings.cold_excess + settings.cold_slack
         return limit * settings.cold_margin
 
-    def _take_cold(self, target: Target, now: float) -> bool:
-        """Take one request from this entry's share of a cold target's rate."""
-        limit = self._cold_limit(target)
-        return limit > 0 and self._cold.take(
-            target.name,
-            now,
-            limit_per_s=limit,
-            entries=self._catalog.count_sharers(now),
-            rank=self._rank(target.name),
-        )
 
-    def _rank(self, target: str) -> int:
-        """Give this entry's place in a target's order of entries."""
-        if self._catalog.members_version != self._ranks_version:
-            self._ranks_version = self._catalog.members_version
-            self._ranks.clear()
-        if target not in self._ranks:
-            members = {*self._catalog.members, self._own_name}
-            self._ranks[target] = rank(target, members).index(self._own_name)
-        return self._ranks[target]
-
-    def _order(self, route: Route, service: str, key: str) -> Sequence[Target]:
-        """Order a service's targets for a key, alike on every entry of a region."""
-        homes = route.home_regions
-        is_upload = route.kind is RequestKind.UPLOAD
-        usable = self._catalog.list_usable(service)
-        if homes:
-            usable = [t for t in usable if self.regions.get(t.record.hall) in homes]
-        if not key:
-            return sorted(usable, key=lambda t: self.in_flight[t.name] / max(1, t.record.slots))
-        if self._orders_version != self._catalog.version or len(self._orders) > ORDERS_KEPT:
-            self._orders_version = self._catalog.version
-            self._orders.clear()
-        name = (service, key, homes, is_upload)
-        order = self._orders.get(name)
-        if order is None:
-            order = sorted(
-                usable, key=lambda t: _score(key, t, self._weigh(t, is_upload)), reverse=True
-            )
-            self._orders[name] = order
-        return order
-
-    def _weigh(self, target: Target, is_upload: bool) -> float:
-        """Weigh a target by its slots; those of the own region count for more."""
-        weight = float(max(1, target.record.slots))
-        if self.regions.get(target.record.hall) == self._own_region:
-            settings = self.settings
-            weight *= settings.upload_region_weight if is_upload else settings.region_weight
-        return weight
-
-
-def _score(key: str, target: Target, weight: float) -> tuple[float, str]:
-    """Score a target for a key by weighted rendezvous hashing."""
-    unit = (hash_key(key, target.name) + 1) / float((1 << 64) + 1)
-    return (-weight / math.log(unit), target.name)
+def name_kind(service: str, route: Route) -> str:
+    """Name a kind of request, for which targets work alike."""
+    return f"{service}/{route.name}"
--- /dev/null
+++ b/halldoor/core/cold.py
@@ -0,0 +1,70 @@
+"""Shares of this entry in what all entries together may send to a target."""
+
+from __future__ import annotations
+
+from halldoor.core.budget import ColdShare
+from halldoor.core.catalog import Catalog, Target
+from halldoor.core.placement import rank
+
+
+class EntryRanks:
+    """This entry's place in each target's order of entries; alike on every entry.
+
+    Parameters
+    ----------
+    catalog : Catalog
+        Who else is there.
+    own_name : str
+        Name of this entry.
+    """
+
+    def __init__(self, catalog: Catalog, own_name: str) -> None:
+        self._catalog = catalog
+        self._own_name = own_name
+        self._ranks: dict[str, int] = {}
+        self._version = -1
+
+    def get_rank(self, target: str) -> int:
+        """Give this entry's place in a target's order, from 0."""
+        if self._catalog.members_version != self._version:
+            self._version = self._catalog.members_version
+            self._ranks.clear()
+        if target not in self._ranks:
+            members = {*self._catalog.members, self._own_name}
+            self._ranks[target] = rank(target, members).index(self._own_name)
+        return self._ranks[target]
+
+
+class ColdRate:
+    """This entry's share of the requests that a cold target may get.
+
+    Parameters
+    ----------
+    catalog, ranks
+        The targets, the services' rates and this entry's places.
+    """
+
+    def __init__(self, catalog: Catalog, ranks: EntryRanks) -> None:
+        self._catalog = catalog
+        self._ranks = ranks
+        self._share = ColdShare()
+
+    def may_send(self, target: Target, limit_per_s: float) -> bool:
+        """Tell whether this entry is one of those that may send to a cold target at all."""
+        return self._ranks.get_rank(target.name) < max(1, int(limit_per_s))
+
+    def take(self, target: Target, now: float, limit_per_s: float) -> bool:
+        """Take one request of a cold target's rate; other targets have no such bound."""
+        if not target.is_cold(now):
+            return True
+        return limit_per_s > 0 and self._share.take(
+            target.name,
+            now,
+            limit_per_s=limit_per_s,
+            entries=self._catalog.count_sharers(now),
+            rank=self._ranks.get_rank(target.name),
+        )
+
+    def forget(self, target: str) -> None:
+        """Drop what was counted of a target that is gone."""
+        self._share.forget(target)
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -46,16 +46,32 @@
     ----------
     in_flight : int
         This entry's own requests on it, the new one not counted.
+    others : float
+        Estimate of other entries' requests on it.
     load : float
         Load that it reported last, in multiples of its slots.
     load_age_ms : int or None
         Age of that report; None where there is none.
+    pressure : float
+        Load that it had lately, in multiples of its slots.
+    place : int
+        Its place in the key's order, from 0.
+    has_sent_key : bool
+        This entry had an answer for the key from it.
+    expected_ms, expected_wait_ms : int
+        Expected time to the answer, and the wait for a slot in it.
     """
 
     in_flight: int
+    others: float
     load: float
     load_age_ms: int | None
+    pressure: float
     is_cold: bool
+    place: int
+    has_sent_key: bool
+    expected_ms: int
+    expected_wait_ms: int
 
 
 class Attempt(NamedTuple):
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from halldoor.core.catalog import Catalog
-from halldoor.core.choice import Chooser
+from halldoor.core.choice import Choice, Chooser
+from halldoor.core.latency import LatencyModel
 from halldoor.core.load import LoadReport, LoadTable
 from halldoor.core.outlier import OutlierTable
 from halldoor.gateway.attempt import AttemptResult
@@ -12,6 +15,7 @@
     AnswerLost,
     BodyFailed,
     ConnectFailed,
+    Connecting,
     Outcome,
     PartialAnswer,
     Rejected,
@@ -27,12 +31,28 @@
 """Status with which a target says that the deadline passed."""
 
 
+class Sending(NamedTuple):
+    """What one attempt sent, and where.
+
+    Attributes
+    ----------
+    kind : str
+        Kind of request, for which targets work alike.
+    key : str
+        Its affinity key; empty where it has none.
+    """
+
+    choice: Choice
+    kind: str
+    key: str
+
+
 class TargetFeedback:
     """Feed the outcome of each attempt to what is known of targets.
 
     Parameters
     ----------
-    catalog, chooser, outliers, loads
+    catalog, chooser, outliers, loads, latency
         What is known of targets.
     pool : TargetPool
         Connections to targets.
@@ -47,6 +67,7 @@
         chooser: Chooser,
         outliers: OutlierTable,
         loads: LoadTable,
+        latency: LatencyModel,
         pool: TargetPool,
         names: HeaderNames,
         log: EventLog,
@@ -55,18 +76,37 @@
         self._chooser = chooser
         self._outliers = outliers
         self._loads = loads
+        self._latency = latency
         self._pool = pool
         self._names = names
         self._log = log
 
     def add_outcome(
-        self, name: str, service: str, outcome: Outcome, now: float, *, took_s: float
+        self,
+        sent: Sending,
+        outcome: Outcome,
+        connecting: Connecting,
+        now: float,
+        *,
+        took_s: float,
     ) -> tuple[AttemptResult, str]:
         """Learn from one attempt; say how it ended, and a detail for the log."""
+        target = sent.choice.target
+        name, hall, service = target.name, target.record.hall, target.record.service
+        if connecting.took_s and not connecting.is_reused:
+            self._latency.add_connect(hall, connecting.took_s)
         if isinstance(outcome, WholeAnswer | PartialAnswer):
             self._add_load(name, outcome, now)
         match outcome:
             case WholeAnswer(answer) if answer.status < SERVER_ERROR:
+                self._latency.add_answer(
+                    sent.kind,
+                    name,
+                    hall,
+                    sent.key,
+                    took_s=took_s - connecting.took_s,
+                    has_waited=sent.choice.estimate.wait_s > 0,
+                )
                 if self._outliers.add_success(name, service, took_s, now):
                     self._log.event("targets", "Ejected a slow target.", target=name)
                 return AttemptResult.ANSWERED, str(answer.status)
@@ -112,7 +152,7 @@
         """Take the load that a target reported with its answer."""
         report = LoadReport.from_text(find(outcome.answer.headers, self._names.load))
         if report is not None:
-            self._loads.add(name, report, now)
+            self._loads.add(name, report, now, own=self._chooser.in_flight[name])
 
     def _drop(self, name: str) -> None:
         """Forget a target whose address now belongs to another."""
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -14,6 +14,7 @@
     TargetGone,
 )
 from halldoor.core.choice import Chooser
+from halldoor.core.latency import LatencyModel
 from halldoor.core.load import LoadTable
 from halldoor.core.outlier import OutlierTable
 from halldoor.core.route import CallerLimits
@@ -89,11 +90,12 @@
     def _build_requests(self, names: HeaderNames) -> None:
         """Build what chooses targets and handles callers' requests."""
         settings = self.settings
-        outliers, loads = OutlierTable(), LoadTable()
+        outliers, loads, latency = OutlierTable(), LoadTable(), LatencyModel()
         self.chooser = Chooser(
             self.catalog,
             outliers,
             loads,
+            latency,
             own_name=settings.name,
             own_region=settings.region,
             regions=settings.regions,
@@ -104,6 +106,7 @@
             chooser=self.chooser,
             outliers=outliers,
             loads=loads,
+            latency=latency,
             pool=self.pool,
             names=names,
             log=self.log,
@@ -112,6 +115,7 @@
             catalog=self.catalog,
             chooser=self.chooser,
             loads=loads,
+            latency=latency,
             feedback=self.feedback,
             pool=self.pool,
             names=names,
@@ -210,7 +214,7 @@
         live = {n: getattr(settings, n) for n in changed if n in LIVE_SETTINGS}
         self.settings = self.settings._replace(**live)
         self.catalog.timings = self.settings.timings
-        self.chooser.regions = self.settings.regions
+        self.chooser.orders.regions = self.settings.regions
         self.chooser.settings = self.settings.choice
         self.requests.use_retries(self.settings.retries)
         self.sync.batch_s = self.settings.batch_s
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -8,7 +8,8 @@
 
 from halldoor.core.budget import RetrySettings, RetryShare
 from halldoor.core.catalog import Catalog, Target
-from halldoor.core.choice import Chooser, NoTarget
+from halldoor.core.choice import Choice, Chooser, NoTarget, name_kind
+from halldoor.core.latency import LatencyModel
 from halldoor.core.load import LoadTable
 from halldoor.core.route import CallerLimits, RequestKind, RouteTable
 from halldoor.core.split import Splitter
@@ -33,7 +34,7 @@
     TimedOut,
     WholeAnswer,
 )
-from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR, TargetFeedback
+from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR, Sending, TargetFeedback
 from halldoor.gateway.headers import HeaderNames, drop_hop_by_hop, find
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pool import TargetPool
@@ -47,7 +48,7 @@
 
     Parameters
     ----------
-    catalog, chooser, loads
+    catalog, chooser, loads, latency
         What is known of targets, and the choice between them.
     feedback : TargetFeedback
         Learns from the results of attempts.
@@ -63,6 +64,7 @@
         catalog: Catalog,
         chooser: Chooser,
         loads: LoadTable,
+        latency: LatencyModel,
         feedback: TargetFeedback,
         pool: TargetPool,
         names: HeaderNames,
@@ -73,6 +75,7 @@
         self._catalog = catalog
         self._chooser = chooser
         self._loads = loads
+        self._latency = latency
         self._feedback = feedback
         self._pool = pool
         self._names = names
@@ -193,13 +196,14 @@
             now = loop.time()
             if now >= outgoing.expires_at:
                 return state.build_give_up("time ran out", is_late=True)
-            target = self._chooser.choose(
+            choice = self._chooser.choose(
                 state.route, state.service, state.key, now, tried=state.tried
             )
-            if isinstance(target, NoTarget):
-                return state.build_give_up(str(target))
+            if isinstance(choice, NoTarget):
+                return state.build_give_up(str(choice))
+            target = choice.target
             with self._chooser.count(target.name):
-                outcome = await self._attempt(state, outgoing, target)
+                outcome = await self._attempt(state, outgoing, choice)
                 if isinstance(outcome, PartialAnswer):
                     return await self._stream(caller, outgoing, outcome, target)
             if isinstance(outcome, WholeAnswer) and not _is_worth_retry(state, outcome):
@@ -213,13 +217,13 @@
                 return state.build_give_up(f"{last.target}: {last.result}, {last.detail}")
 
     async def _attempt(
-        self, state: RequestState, outgoing: OutgoingRequest, target: Target
+        self, state: RequestState, outgoing: OutgoingRequest, choice: Choice
     ) -> Outcome:
         """Send the request to one target and take note of the result."""
         loop = asyncio.get_running_loop()
-        name = target.name
+        target, name = choice.target, choice.target.name
         started = loop.time()
-        view = self._view(target, started)
+        view = self._view(choice, state.key, started)
         try:
             outcome, connecting = await self._exchanger.send(outgoing, name, target.record.address)
         except asyncio.CancelledError:
@@ -229,8 +233,9 @@
             raise
         now = loop.time()
         took_s = now - started
+        sending = Sending(choice, name_kind(state.service, state.route), state.key)
         result, detail = self._feedback.add_outcome(
-            name, state.service, outcome, now, took_s=took_s
+            sending, outcome, connecting, now, took_s=took_s
         )
         state.attempts.append(
             Attempt(
@@ -246,15 +251,22 @@
         self._metrics.add_attempt(state.service, result.value, took_s)
         return outcome
 
-    def _view(self, target: Target, now: float) -> TargetView:
+    def _view(self, choice: Choice, key: str, now: float) -> TargetView:
         """Give what is believed of a target, for the log."""
+        target = choice.target
         age_s = self._loads.age(target.name, now)
         return TargetView(
             # The request itself is counted already.
             in_flight=self._chooser.in_flight[target.name] - 1,
-            load=round(self._loads.estimate(target.name, now), 2),
+            others=round(self._loads.estimate_others(target.name, now), 1),
+            load=round(self._loads.get_load(target.name), 2),
             load_age_ms=None if age_s is None else round(age_s * 1000),
+            pressure=round(self._loads.get_pressure(target.name), 2),
             is_cold=target.is_cold(now),
+            place=choice.place,
+            has_sent_key=self._latency.has_sent(target.name, key),
+            expected_ms=round(choice.estimate.time_s * 1000),
+            expected_wait_ms=round(choice.estimate.wait_s * 1000),
         )
 
     def _may_go_on(self, state: RequestState, outgoing: OutgoingRequest, share: RetryShare) -> bool:
--- /dev/null
+++ b/halldoor/tests/test_latency.py
@@ -0,0 +1,79 @@
+"""What an entry learns of time and load from its own answers."""
+
+from __future__ import annotations
+
+import pytest
+
+from halldoor.core.latency import PAIRS_KEPT, LatencyModel
+from halldoor.core.load import LoadReport, LoadTable
+
+
+class TestLatencyModel:
+    def test_warm_and_cold_work_are_told_apart(self):
+        """New keys are mostly warm by others' requests; some show what a cold start takes."""
+        model = LatencyModel()
+        for i in range(60):
+            for n, took_s in enumerate((0.36 if i % 5 == 0 else 0.11, 0.10, 0.12, 0.11)):
+                model.add_answer(
+                    "s/r", f"t{i}", "a", "k", took_s=took_s + n / 1e4, has_waited=False
+                )
+        levels = model.get_levels("s/r")
+        assert levels.warm_s == pytest.approx(0.11, abs=0.01)
+        assert levels.cold_s == pytest.approx(0.36, abs=0.01)
+        assert levels.warm_s < levels.mean_s < levels.cold_s
+
+    def test_time_on_the_way_is_not_work(self):
+        model = LatencyModel()
+        model.add_connect("far", 0.04)
+        model.add_answer("s/r", "t", "far", "k", took_s=0.14, has_waited=False)
+        assert model.get_levels("s/r").warm_s == pytest.approx(0.1)
+
+    def test_answers_that_waited_say_nothing_of_work(self):
+        model = LatencyModel()
+        unknown = model.get_levels("s/r")
+        model.add_answer("s/r", "t", "a", "k", took_s=0.9, has_waited=True)
+        assert model.get_levels("s/r") == unknown
+        assert model.has_sent("t", "k")
+
+    def test_a_shorter_way_counts_at_once_and_a_longer_one_slowly(self):
+        model = LatencyModel()
+        for took_s in (0.3, 0.04, 0.3):
+            model.add_connect("far", took_s)
+        assert 0.04 < model.get_travel("far") < 0.1
+
+    def test_memory_of_keys_is_bounded_and_drops_the_oldest(self):
+        model = LatencyModel()
+        for i in range(PAIRS_KEPT + 10):
+            model.add_answer("s/r", "t", "a", str(i), took_s=0.1, has_waited=True)
+        assert not model.has_sent("t", "9")
+        assert model.has_sent("t", "10")
+
+
+class TestLoadTable:
+    def test_others_are_what_is_reported_beyond_ones_own(self):
+        loads = LoadTable()
+        loads.add("t", LoadReport(5, 3, 5), 1.0, own=2)
+        assert loads.estimate_others("t", 1.0) == 6.0
+        assert loads.get_load("t") == 1.6
+        assert loads.estimate_others("other", 1.0) == 0.0
+
+    def test_a_report_fades_to_what_is_usual_and_then_to_nothing(self):
+        loads = LoadTable()
+        for i in range(30):
+            loads.add("t", LoadReport(3, 0, 5), i / 10, own=1)
+        loads.add("t", LoadReport(5, 5, 5), 3.0, own=1)
+        now, soon, later = (loads.estimate_others("t", 3.0 + s) for s in (0.0, 0.6, 30.0))
+        assert now == 9.0
+        assert 2.0 < soon < 4.0
+        assert later < 0.01
+
+    def test_pressure_begins_with_the_first_report_and_follows_slowly(self):
+        """Regression: everything looked idle after a start, and keys were spread cold."""
+        loads = LoadTable()
+        loads.add("t", LoadReport(5, 5, 5), 0.0, own=0)
+        assert loads.get_pressure("t") == 2.0
+        loads.add("t", LoadReport(1, 0, 5), 0.1, own=0)
+        assert loads.get_pressure("t") > 1.5
+        for i in range(60):
+            loads.add("t", LoadReport(1, 0, 5), i / 10, own=0)
+        assert loads.get_pressure("t") < 0.3
