Take back the price of cold starts at a key's second target

A second target is used only with a free slot, which holds keys together well enough; the price kept keys away from second targets that had already seen them. Change: removed with its settings; what is left of the choice is the time to the answer. Conclusion: removed.

--- a/halldoor/core/choice.py
+++ b/halldoor/core/choice.py
@@ -2,8 +2,8 @@
 
 A key has an order of targets that every entry of the region computes alike.  Its first target
 takes its requests as long as an answer can be expected in time; the second one helps out when it
-is worth a cold start, and others only while they are mostly idle.  So keys stay warm, and overload
-does not spread them.
+has a free slot and answers sooner, be it cold, and others only while they are mostly idle.  So keys
+stay warm, and overload does not spread them.
 """
 
 from __future__ import annotations
@@ -39,9 +39,6 @@
     spill_choices : int
         Targets that share a key's requests; each of them has to see the key once to be warm for
         it.  One to three were measured: two served best.
-    spill_price : float
-        How far a cold start counts that a key's second target would have, in multiples of what
-        it costs others there: its time, times pressure / (1 - pressure).  0: not at all.
     spare_load : float
         Pressure below which any other target of the order may help out, once the first ones
         can't answer in time.  0: none may.
@@ -64,7 +61,6 @@
     load_factor: float = 4.0
     full_load: float = 2.5
     spill_choices: int = 2
-    spill_price: float = 1.0
     spare_load: float = 0.5
     wait_limit: float = 1.0
     ejected_share: float = 0.5
@@ -154,7 +150,7 @@
         self._catalog = catalog
         self._outliers = outliers
         self._loads = loads
-        self._costs = CostModel(loads, latency)
+        self._costs = CostModel(latency)
         self.orders = KeyOrders(catalog, own_name=own_name, own_region=own_region, regions=regions)
         self.settings = settings
         self._ranks = EntryRanks(catalog, own_name)
@@ -208,7 +204,6 @@
             on_target=self._count(target, now),
             place=place,
             now=now,
-            spill_price=self.settings.spill_price,
         )
         return Choice(target, estimate, place)
 
--- a/halldoor/core/cost.py
+++ b/halldoor/core/cost.py
@@ -1,4 +1,4 @@
-"""What a target would cost a request: the time to its answer, and what that costs others."""
+"""What a target would cost a request: the time to its answer, by its parts."""
 
 from __future__ import annotations
 
@@ -6,14 +6,9 @@
 
 from halldoor.core.catalog import Target
 from halldoor.core.latency import LatencyModel, WorkLevels
-from halldoor.core.load import LoadTable
 
-PRESSURE_LIMIT = 0.95
-"""Highest pressure that the price of a cold start reckons with; it would grow without bound."""
-KNOWN_KEY_SHARE = 0.25
-"""Part of that price for a target that had the key from this entry: it may have forgotten it."""
 EVENNESS = 0.25
-"""Price of a target for requests without a key, in multiples of its load and their work.
+"""What a target's load counts for requests without a key, in multiples of their work.
 
 Between targets that all have a free slot, it lets the emptier one win.
 """
@@ -30,15 +25,15 @@
         Requests on the target.
     travel_s, wait_s, work_s : float
         Time on the way, waiting for a slot, and in work, in seconds.
-    price_s : float
-        What the request would cost others, in seconds.
+    evenness_s : float
+        What is added where targets are compared, in seconds; not part of the time.
     """
 
     on_target: float
     travel_s: float
     wait_s: float
     work_s: float
-    price_s: float
+    evenness_s: float
 
     @property
     def time_s(self) -> float:
@@ -48,22 +43,19 @@
     @property
     def cost_s(self) -> float:
         """What targets are compared by, in seconds."""
-        return self.time_s + self.price_s
+        return self.time_s + self.evenness_s
 
 
 class CostModel:
-    """Estimates from reported loads and observed times.
+    """Estimates from observed times.
 
     Parameters
     ----------
-    loads : LoadTable
-        What targets reported.
     latency : LatencyModel
-        How long they take.
+        How long targets take.
     """
 
-    def __init__(self, loads: LoadTable, latency: LatencyModel) -> None:
-        self._loads = loads
+    def __init__(self, latency: LatencyModel) -> None:
         self._latency = latency
 
     def get_levels(self, kind: str) -> WorkLevels:
@@ -79,7 +71,6 @@
         on_target: float,
         place: int,
         now: float,
-        spill_price: float,
     ) -> Estimate:
         """Estimate what a target would cost.
 
@@ -89,18 +80,13 @@
             Requests on the target.
         place : int
             Place of the target in the key's order, from 0.
-        spill_price : float
-            Weight of what a cold start costs others.
         """
         slots = max(1, target.record.slots)
         wait_s = max(0.0, on_target - slots + 1) * levels.mean_s / slots
         work_s = self._expect_work(target, key, levels, place, now)
-        if key and place:
-            price_s = spill_price * self._price_cold_start(target, key, levels)
-        else:
-            price_s = 0.0 if key else EVENNESS * min(1.0, on_target / slots) * levels.mean_s
+        evenness_s = 0.0 if key else EVENNESS * min(1.0, on_target / slots) * levels.mean_s
         return Estimate(
-            on_target, self._latency.get_travel(target.record.hall), wait_s, work_s, price_s
+            on_target, self._latency.get_travel(target.record.hall), wait_s, work_s, evenness_s
         )
 
     def _expect_work(
@@ -113,9 +99,3 @@
             return levels.mean_s
         is_warm = place == 0 or self._latency.has_sent(target.name, key)
         return levels.warm_s if is_warm else levels.cold_s
-
-    def _price_cold_start(self, target: Target, key: str, levels: WorkLevels) -> float:
-        """Price a cold start: its extra work, by how much others wait for the slot."""
-        pressure = min(PRESSURE_LIMIT, self._loads.get_pressure(target.name))
-        price_s = levels.gap_s * pressure / (1.0 - pressure)
-        return KNOWN_KEY_SHARE * price_s if self._latency.has_sent(target.name, key) else price_s
