Tell from logs and metrics where requests lose time

Now an attempt's log line names the distance, the key's place and what was expected; successes say how many requests they stand for; the metrics split an attempt's time into parts and count attempts by distance and known key; halldoor report reads logs and shows requests by service, moment, kind of target and reason.

--- a/halldoor/cli/operator.py
+++ b/halldoor/cli/operator.py
@@ -21,6 +21,7 @@
 from halldoor.core.configuration import Configuration
 from halldoor.core.errors import HalldoorError
 from halldoor.core.history import explain_request, parse_lines
+from halldoor.core.report import build_report, describe_report
 from halldoor.files import load_yaml
 
 Output = Literal["text", "json"]
@@ -190,6 +191,22 @@
     _print(output, answer, lambda: answer["sentences"])
 
 
+def report(*logs: Path, output: Output = "text") -> None:
+    """Tell where requests lose time: by service, moment, kind of target, and reason.
+
+    Parameters
+    ----------
+    logs
+        Files with log lines of gateways, or ``-`` for standard input.
+    output
+        ``text`` or ``json``.
+    """
+    if not logs:
+        _fail(BAD_INPUT, "No log was given. Name files with log lines, or - for standard input.")
+    built = build_report(line for log in logs for line in parse_lines(_read_log(log)))
+    _print(output, built._asdict(), lambda: describe_report(built))
+
+
 def audit(*, limit: int = 20, output: Output = "text") -> None:
     """List changes, newest first: who, when, what, before and after.
 
@@ -290,13 +307,18 @@
     return [head, *(f"  was {b}\n  now {a}" for b, a in pairs)]
 
 
-def _explain_from_log(attempt_id: str, log: Path, output: Output) -> None:
-    """Say what gateways' log lines tell of a request."""
+def _read_log(log: Path) -> list[str]:
+    """Read the lines of a log file, or of standard input."""
     try:
         text = sys.stdin.read() if str(log) == "-" else log.read_text(errors="replace")
     except OSError as exc:
         _fail(BAD_INPUT, f"{log}: {exc.strerror}. Check the path.")
-    sentences = explain_request(parse_lines(text.splitlines()), attempt_id)
+    return text.splitlines()
+
+
+def _explain_from_log(attempt_id: str, log: Path, output: Output) -> None:
+    """Say what gateways' log lines tell of a request."""
+    sentences = explain_request(parse_lines(_read_log(log)), attempt_id)
     if not sentences:
         _fail(
             BAD_INPUT,
@@ -308,7 +330,7 @@
 
 def main() -> None:
     """Start the program."""
-    defopt.run([validate, plan, apply, shift, drain, status, fleet, explain, audit])
+    defopt.run([validate, plan, apply, shift, drain, status, fleet, explain, report, audit])
 
 
 if __name__ == "__main__":
--- a/halldoor/core/choice.py
+++ b/halldoor/core/choice.py
@@ -129,8 +129,8 @@
         Name of this entry, for its rank among those that may send to a cold target.
     settings : ChoiceSettings
         Bounds.
-    own_region : str
-        Region of this entry and its callers.
+    own_hall, own_region : str
+        Hall and region of this entry and its callers.
     regions : Mapping of str to str
         Region of each hall.
     """
@@ -143,6 +143,7 @@
         latency: LatencyModel,
         *,
         own_name: str,
+        own_hall: str,
         own_region: str,
         regions: Mapping[str, str],
         settings: ChoiceSettings,
@@ -151,7 +152,13 @@
         self._outliers = outliers
         self._loads = loads
         self._costs = CostModel(latency)
-        self.orders = KeyOrders(catalog, own_name=own_name, own_region=own_region, regions=regions)
+        self.orders = KeyOrders(
+            catalog,
+            own_name=own_name,
+            own_hall=own_hall,
+            own_region=own_region,
+            regions=regions,
+        )
         self.settings = settings
         self._ranks = EntryRanks(catalog, own_name)
         self._cold = ColdRate(catalog, self._ranks)
--- a/halldoor/core/order.py
+++ b/halldoor/core/order.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Mapping, Sequence
+from enum import StrEnum
 
 from halldoor.core.catalog import Catalog, Target
 from halldoor.core.placement import hash_key
@@ -13,6 +14,14 @@
 """Orders of targets by key that are kept between changes; a few hundred bytes each."""
 
 
+class Distance(StrEnum):
+    """How far a target is from this entry."""
+
+    HALL = "hall"
+    REGION = "region"
+    FAR = "far"
+
+
 class KeyOrders:
     """Orders by weighted rendezvous hashing: a target that leaves moves only its own keys.
 
@@ -20,17 +29,24 @@
     ----------
     catalog : Catalog
         The targets.
-    own_name, own_region : str
-        This entry and its region.
+    own_name, own_hall, own_region : str
+        This entry, its hall and its region.
     regions : Mapping of str to str
         Region of each hall.
     """
 
     def __init__(
-        self, catalog: Catalog, *, own_name: str, own_region: str, regions: Mapping[str, str]
+        self,
+        catalog: Catalog,
+        *,
+        own_name: str,
+        own_hall: str,
+        own_region: str,
+        regions: Mapping[str, str],
     ) -> None:
         self._catalog = catalog
         self._own_name = own_name
+        self._own_hall = own_hall
         self._own_region = own_region
         self.regions = regions
         self._orders: dict[tuple[str, str, tuple[str, ...], float], list[Target]] = {}
@@ -67,8 +83,14 @@
     def _weigh(self, target: Target, weight: float) -> float:
         """Weigh a target by its slots; those of the own region count for more."""
         slots = float(max(1, target.record.slots))
-        is_near = self.regions.get(target.record.hall) == self._own_region
-        return slots * weight if is_near else slots
+        return slots if self.find_distance(target) is Distance.FAR else slots * weight
+
+    def find_distance(self, target: Target) -> Distance:
+        """Tell how far a target is."""
+        hall = target.record.hall
+        if hall == self._own_hall:
+            return Distance.HALL
+        return Distance.REGION if self.regions.get(hall) == self._own_region else Distance.FAR
 
 
 def find_region_weight(route: Route, usual: float, upload: float) -> float:
--- /dev/null
+++ b/halldoor/core/report.py
@@ -0,0 +1,226 @@
+"""Tell from gateways' log lines where requests lose time: which, when, and for what reason."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+from halldoor.core.history import LogLine
+
+WINDOW_S = 2.0
+"""Length of a window of the table by moments, in seconds: about a short fault's."""
+REASONS_SHOWN = 12
+"""Reasons of refusals and failures that are listed; the rest is counted."""
+
+
+class Ended(StrEnum):
+    """How a request ended for its caller."""
+
+    IN_AIM = "in aim"
+    LATE = "late"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class Tally(NamedTuple):
+    """Requests of one group.
+
+    Attributes
+    ----------
+    group : tuple of str
+        What they have in common.
+    counts : dict of Ended to int
+        How they ended.  Ordinary successes are sampled and stand for several.
+    median_ms, high_ms : int
+        Median and 90th percentile of the time at the entry.
+    """
+
+    group: tuple[str, ...]
+    counts: dict[Ended, int]
+    median_ms: int
+    high_ms: int
+
+    @property
+    def total(self) -> int:
+        """All of them."""
+        return sum(self.counts.values())
+
+
+class AttemptTally(NamedTuple):
+    """Answered attempts at targets of one sort.
+
+    Attributes
+    ----------
+    group : tuple of str
+        Service, distance of the target, and whether the key was expected warm there.
+    expected_ms, took_ms, connect_ms : int
+        Medians of the time expected, taken, and spent on connecting.
+    """
+
+    group: tuple[str, ...]
+    total: int
+    expected_ms: int
+    took_ms: int
+    connect_ms: int
+
+
+class Report(NamedTuple):
+    """Where requests lose time."""
+
+    services: list[Tally]
+    moments: list[Tally]
+    attempts: list[AttemptTally]
+    reasons: list[tuple[str, str, int]]
+
+
+class _Request(NamedTuple):
+    """One logged request and how many it stands for."""
+
+    line: LogLine
+    stands_for: int
+    ended: Ended
+    since_start_s: float
+
+
+def build_report(lines: Iterable[LogLine]) -> Report:
+    """Build the report of some log lines, of one entry or many."""
+    requests = list(_list_requests(lines))
+    moments = _tally(requests, lambda r: (f"{int(r.since_start_s / WINDOW_S) * WINDOW_S:06.1f}",))
+    return Report(
+        services=_tally(requests, lambda r: (str(r.line.fields["service"]),)),
+        moments=moments,
+        attempts=_tally_attempts(requests),
+        reasons=_count_reasons(requests),
+    )
+
+
+def _list_requests(lines: Iterable[LogLine]) -> Iterable[_Request]:
+    """List the ends of requests, with the time since their entry's first line."""
+    first_at: dict[str, float] = {}
+    for line in lines:
+        since_s = line.at - first_at.setdefault(line.entry, line.at)
+        fields = line.fields
+        if line.part != "request" or not fields.get("service") or "status" not in fields:
+            continue
+        yield _Request(line, int(fields.get("stands_for", 1)), _judge(fields), since_s)
+
+
+def _judge(fields: dict[str, Any]) -> Ended:
+    """Say how a request ended."""
+    status = int(fields["status"])
+    if status < 500:
+        is_late = fields["took_ms"] > fields.get("aim_ms", fields["took_ms"])
+        return Ended.LATE if is_late else Ended.IN_AIM
+    return Ended.REFUSED if status == 503 else Ended.FAILED
+
+
+def _tally(
+    requests: Iterable[_Request], find_group: Callable[[_Request], tuple[str, ...]]
+) -> list[Tally]:
+    """Count requests by group."""
+    groups: defaultdict[tuple[str, ...], list[_Request]] = defaultdict(list)
+    for request in requests:
+        groups[find_group(request)].append(request)
+    tallies = []
+    for group, members in sorted(groups.items()):
+        counts = dict.fromkeys(Ended, 0)
+        for member in members:
+            counts[member.ended] += member.stands_for
+        times = [(int(m.line.fields["took_ms"]), m.stands_for) for m in members]
+        tallies.append(Tally(group, counts, _find_quantile(times, 0.5), _find_quantile(times, 0.9)))
+    return tallies
+
+
+def _tally_attempts(requests: Iterable[_Request]) -> list[AttemptTally]:
+    """Count answered attempts by service, distance and expected warmth."""
+    groups: defaultdict[tuple[str, ...], list[tuple[dict[str, Any], int]]] = defaultdict(list)
+    for request in requests:
+        for attempt in request.line.fields.get("attempts", ()):
+            if attempt.get("result") == "answered" and "distance" in attempt:
+                service = str(request.line.fields["service"])
+                group = (service, str(attempt["distance"]), _tell_warmth(attempt))
+                groups[group].append((attempt, request.stands_for))
+    return [
+        AttemptTally(
+            group,
+            sum(weight for _, weight in attempts),
+            *(
+                _find_quantile([(int(a[name]), weight) for a, weight in attempts], 0.5)
+                for name in ("expected_ms", "took_ms", "connect_ms")
+            ),
+        )
+        for group, attempts in sorted(groups.items())
+    ]
+
+
+def _tell_warmth(attempt: dict[str, Any]) -> str:
+    """Say whether a target was expected to be warm for the key."""
+    if attempt.get("is_cold"):
+        return "just started"
+    if attempt.get("place") == 0:
+        return "first choice"
+    return "had the key" if attempt.get("has_sent_key") else "cold"
+
+
+def _count_reasons(requests: Iterable[_Request]) -> list[tuple[str, str, int]]:
+    """Count why requests were refused or failed, by service; the most frequent first."""
+    counts: defaultdict[tuple[str, str], int] = defaultdict(int)
+    for request in requests:
+        if request.ended in (Ended.REFUSED, Ended.FAILED):
+            fields = request.line.fields
+            counts[(str(fields["service"]), _shorten(fields))] += request.stands_for
+    ordered = sorted(counts.items(), key=lambda item: -item[1])
+    return [(service, reason, count) for (service, reason), count in ordered]
+
+
+def _shorten(fields: dict[str, Any]) -> str:
+    """Give the reason without the name of the target."""
+    outcome = str(fields.get("outcome", ""))
+    attempts = fields.get("attempts") or ()
+    names = {str(attempt.get("target")) for attempt in attempts}
+    name, _, rest = outcome.partition(": ")
+    reason = rest if name in names else outcome
+    return f"{fields['status']} {reason}"
+
+
+def _find_quantile(values: Sequence[tuple[int, int]], quantile: float) -> int:
+    """Find a quantile of values that stand for several each; 0 where there are none."""
+    left = quantile * sum(weight for _, weight in values)
+    for value, weight in sorted(values):
+        left -= weight
+        if left < 0:
+            return value
+    return 0
+
+
+def describe_report(report: Report) -> list[str]:
+    """Write a report as lines of text."""
+    lines = ["By service (time at the entry, ms):", *_describe_tallies(report.services)]
+    lines += ["", "By moment (seconds since the entry's first line):"]
+    lines += _describe_tallies(report.moments)
+    lines += ["", "Answered attempts (medians, ms):"]
+    lines.append(f"{'service, distance, key':<44}{'n':>8}{'expected':>10}{'took':>7}{'connect':>9}")
+    lines += [
+        f"{', '.join(a.group):<44}{a.total:>8}{a.expected_ms:>10}{a.took_ms:>7}{a.connect_ms:>9}"
+        for a in report.attempts
+    ]
+    lines += ["", "Refused and failed:"]
+    shown = report.reasons[:REASONS_SHOWN]
+    lines += [f"{count:>8}  {service}: {reason}" for service, reason, count in shown]
+    left = sum(count for _, _, count in report.reasons[REASONS_SHOWN:])
+    if left:
+        lines.append(f"{left:>8}  for other reasons")
+    return lines
+
+
+def _describe_tallies(tallies: Iterable[Tally]) -> list[str]:
+    """Write counts as a table."""
+    heads = "".join(f"{ended.value:>9}" for ended in Ended)
+    lines = [f"{'':<16}{'n':>8}{heads}{'p50':>7}{'p90':>7}"]
+    for tally in tallies:
+        counts = "".join(f"{tally.counts[ended]:>9}" for ended in Ended)
+        name = ", ".join(tally.group)
+        lines.append(f"{name:<16}{tally.total:>8}{counts}{tally.median_ms:>7}{tally.high_ms:>7}")
+    return lines
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
+from halldoor.core.order import Distance
 from halldoor.core.route import Route
 from halldoor.gateway.caller import Answer, Head
 from halldoor.gateway.headers import Headers
@@ -54,6 +55,8 @@
         Age of that report; None where there is none.
     pressure : float
         Load that it had lately, in multiples of its slots.
+    distance : Distance
+        Whether it stands in this entry's hall, its region or farther away.
     place : int
         Its place in the key's order, from 0.
     has_sent_key : bool
@@ -68,6 +71,7 @@
     load_age_ms: int | None
     pressure: float
     is_cold: bool
+    distance: Distance
     place: int
     has_sent_key: bool
     expected_ms: int
--- a/halldoor/gateway/eventlog.py
+++ b/halldoor/gateway/eventlog.py
@@ -50,10 +50,20 @@
         self._put(f"{part}: {text}", fields)
 
     def request(self, attempt_id: str, status: int, outcome: str, **fields: Any) -> None:
-        """Write the end of a request: all failures, and a fixed sample of successes."""
-        if status < 400 and len(fields.get("attempts", ())) <= 1 and not _is_sampled(attempt_id):
+        """Write the end of a request: all failures, and a fixed sample of successes.
+
+        ``stands_for`` says how many requests a line stands for.
+        """
+        is_ordinary = status < 400 and len(fields.get("attempts", ())) <= 1
+        if is_ordinary and not _is_sampled(attempt_id):
             return
-        fields |= {"id": attempt_id, "status": status, "outcome": outcome}
+        stands_for = SUCCESS_SAMPLE if is_ordinary else 1
+        fields |= {
+            "id": attempt_id,
+            "status": status,
+            "outcome": outcome,
+            "stands_for": stands_for,
+        }
         self._put("request: Ended.", fields)
 
     def _put(self, text: str, fields: dict[str, Any]) -> None:
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -24,10 +24,15 @@
             "halldoor_request_seconds", "Time to the answer.", buckets=BUCKETS, registry=registry
         )
         self._attempts = Counter(
-            "halldoor_attempts", "Attempts by service and result.", registry=registry
+            "halldoor_attempts",
+            "Attempts by service, result, distance of the target, and whether it knew the key.",
+            registry=registry,
         )
-        self._attempt_latency = Histogram(
-            "halldoor_attempt_seconds", "Time of one attempt.", buckets=BUCKETS, registry=registry
+        self._attempt_parts = Histogram(
+            "halldoor_attempt_part_seconds",
+            "Time of one attempt by part: connecting, travelling, and waiting and work.",
+            buckets=BUCKETS,
+            registry=registry,
         )
         self._store_calls = Counter(
             "halldoor_store_calls", "Store calls by kind and outcome.", registry=registry
@@ -47,10 +52,40 @@
         self._requests.inc({"service": service, "status": status})
         self._latency.observe({"service": service}, took_s)
 
-    def add_attempt(self, service: str, outcome: str, took_s: float) -> None:
-        """Count one sending to a target."""
-        self._attempts.inc({"service": service, "outcome": outcome})
-        self._attempt_latency.observe({"service": service}, took_s)
+    def add_attempt(
+        self,
+        service: str,
+        result: str,
+        *,
+        took_s: float,
+        connect_s: float,
+        travel_s: float,
+        distance: str,
+        is_known_key: bool,
+    ) -> None:
+        """Count one sending to a target, and the parts of its time.
+
+        Parameters
+        ----------
+        travel_s : float
+            Time of a round trip as expected; a kept connection shows no time of its own.
+        distance : str
+            How far the target is.
+        is_known_key : bool
+            The target had the key from this entry before.
+        """
+        self._attempts.inc(
+            {
+                "service": service,
+                "result": result,
+                "distance": distance,
+                "key": "known" if is_known_key else "new",
+            }
+        )
+        at_target_s = max(0.0, took_s - connect_s - travel_s)
+        parts = {"connecting": connect_s, "travelling": travel_s, "at target": at_target_s}
+        for part, part_s in parts.items():
+            self._attempt_parts.observe({"service": service, "part": part}, part_s)
 
     def add_store_call(self, kind: str, outcome: str) -> None:
         """Count a call to the store."""
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -97,6 +97,7 @@
             loads,
             latency,
             own_name=settings.name,
+            own_hall=settings.hall,
             own_region=settings.region,
             regions=settings.regions,
             settings=settings.choice,
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -248,7 +248,15 @@
                 is_reused=connecting.is_reused,
             )
         )
-        self._metrics.add_attempt(state.service, result.value, took_s)
+        self._metrics.add_attempt(
+            state.service,
+            result.value,
+            took_s=took_s,
+            connect_s=connecting.took_s,
+            travel_s=choice.estimate.travel_s,
+            distance=view.distance,
+            is_known_key=view.has_sent_key,
+        )
         return outcome
 
     def _view(self, choice: Choice, key: str, now: float) -> TargetView:
@@ -263,6 +271,7 @@
             load_age_ms=None if age_s is None else round(age_s * 1000),
             pressure=round(self._loads.get_pressure(target.name), 2),
             is_cold=target.is_cold(now),
+            distance=self._chooser.orders.find_distance(target),
             place=choice.place,
             has_sent_key=self._latency.has_sent(target.name, key),
             expected_ms=round(choice.estimate.time_s * 1000),
@@ -352,6 +361,7 @@
             key=state.key,
             target=ending.target,
             took_ms=round(took_s * 1000),
+            aim_ms=round(state.route.aim_s * 1000),
             attempts=[attempt.to_fields() for attempt in state.attempts],
             version=self._version(),
             store_age_ms=round((now - self._catalog.fresh_at) * 1000),
--- a/halldoor/tests/test_choice.py
+++ b/halldoor/tests/test_choice.py
@@ -83,6 +83,7 @@
             self.loads,
             self.latency,
             own_name=name,
+            own_hall="ams-a",
             own_region="ams",
             regions=REGIONS,
             settings=ChoiceSettings(**settings),
--- /dev/null
+++ b/halldoor/tests/test_report.py
@@ -0,0 +1,82 @@
+"""``halldoor report``: where requests lose time, from log lines."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from halldoor.core.history import parse_lines
+from halldoor.core.report import Ended, build_report, describe_report
+
+
+def make_line(*, at=10.0, status=200, took_ms=90, stands_for=64, outcome="answered", **attempt):
+    attempts = [
+        {"target": "t1", "result": "answered", "took_ms": took_ms, "connect_ms": 0}
+        | {"distance": "far", "place": 0, "has_sent_key": False, "is_cold": False}
+        | {"expected_ms": 80}
+        | attempt
+    ]
+    fields = {"at": at, "entry": "e1", "service": "deck", "aim_ms": 100, "status": status}
+    fields |= {"took_ms": took_ms, "stands_for": stands_for, "outcome": outcome}
+    return json.dumps({"event": "request: Ended.", "attempts": attempts, **fields})
+
+
+LINES = [
+    json.dumps({"event": "process: Started.", "at": 8.0, "entry": "e1"}),
+    make_line(),
+    make_line(took_ms=300, place=1),
+    make_line(at=13.0, status=503, stands_for=1, outcome="no room late=1", result="not run"),
+    make_line(at=13.1, status=502, stands_for=1, outcome="t1: answer lost, reset", result="lost"),
+    "not a line of ours",
+]
+
+
+class TestReport:
+    def test_requests_are_counted_by_how_they_ended(self):
+        report = build_report(parse_lines(LINES))
+        (service,) = report.services
+        assert service.counts == {
+            Ended.IN_AIM: 64,
+            Ended.LATE: 64,
+            Ended.REFUSED: 1,
+            Ended.FAILED: 1,
+        }
+        assert (service.total, service.median_ms, service.high_ms) == (130, 90, 300)
+
+    def test_moments_are_counted_from_the_entrys_first_line(self):
+        report = build_report(parse_lines(LINES))
+        assert {t.group[0]: t.total for t in report.moments} == {"0002.0": 128, "0004.0": 2}
+
+    def test_attempts_are_told_by_distance_and_warmth(self):
+        report = build_report(parse_lines(LINES))
+        groups = {a.group: (a.total, a.took_ms) for a in report.attempts}
+        assert groups == {
+            ("deck", "far", "first choice"): (64, 90),
+            ("deck", "far", "cold"): (64, 300),
+        }
+
+    def test_reasons_leave_out_the_targets_name(self):
+        report = build_report(parse_lines(LINES))
+        assert report.reasons == [
+            ("deck", "503 no room late=1", 1),
+            ("deck", "502 answer lost, reset", 1),
+        ]
+
+    def test_an_empty_log_is_no_error(self):
+        assert describe_report(build_report([]))
+
+    @pytest.mark.parametrize("output", ["text", "json"])
+    def test_the_command_reads_files(self, tmp_path, output):
+        log = tmp_path / "entry.log"
+        log.write_text("\n".join(LINES))
+        command = [sys.executable, "-m", "halldoor.cli.operator", "report"]
+        done = subprocess.run(
+            [*command, str(log), "--output", output], check=False, capture_output=True, text=True
+        )
+        assert done.returncode == 0, done.stderr
+        assert "first choice" in done.stdout
+        missing = subprocess.run(command, check=False, capture_output=True, text=True)
+        assert missing.returncode == 2 and "No log was given" in missing.stderr
