--- a/halldoor/core/report.py
+++ b/halldoor/core/report.py
@@ -97,10 +97,13 @@
 
 
 def _list_requests(lines: Iterable[LogLine]) -> Iterable[_Request]:
-    """List the ends of requests, with the time since their entry's first line."""
-    first_at: dict[str, float] = {}
+    """List the ends of requests, with the time since their entry's start."""
+    started_at: dict[str, float] = {}
     for line in lines:
-        since_s = line.at - first_at.setdefault(line.entry, line.at)
+        if line.part == "process" and line.text == "Started.":
+            # The steady clock begins anew.
+            started_at[line.entry] = line.at
+        since_s = line.at - started_at.setdefault(line.entry, line.at)
         fields = line.fields
         if line.part != "request" or not fields.get("service") or "status" not in fields:
             continue
@@ -198,7 +201,7 @@
 def describe_report(report: Report) -> list[str]:
     """Write a report as lines of text."""
     lines = ["By service (time at the entry, ms):", *_describe_tallies(report.services)]
-    lines += ["", "By moment (seconds since the entry's first line):"]
+    lines += ["", "By moment (seconds since the entry's start):"]
     lines += _describe_tallies(report.moments)
     lines += ["", "Answered attempts (medians, ms):"]
     lines.append(f"{'service, distance, key':<44}{'n':>8}{'expected':>10}{'took':>7}{'connect':>9}")
--- a/halldoor/tests/test_report.py
+++ b/halldoor/tests/test_report.py
@@ -46,9 +46,12 @@
         }
         assert (service.total, service.median_ms, service.high_ms) == (130, 90, 300)
 
-    def test_moments_are_counted_from_the_entrys_first_line(self):
-        report = build_report(parse_lines(LINES))
-        assert {t.group[0]: t.total for t in report.moments} == {"0002.0": 128, "0004.0": 2}
+    def test_moments_are_counted_from_the_entrys_start(self):
+        again = json.dumps({"event": "process: Started.", "at": 1.0, "entry": "e1"})
+        lines = [*LINES, again, make_line(at=1.5)]
+        report = build_report(parse_lines(lines))
+        totals = {t.group[0]: t.total for t in report.moments}
+        assert totals == {"0000.0": 64, "0002.0": 128, "0004.0": 2}
 
     def test_attempts_are_told_by_distance_and_warmth(self):
         report = build_report(parse_lines(LINES))
