--- a/benchmarks/adopt.py
+++ b/benchmarks/adopt.py
@@ -8,11 +8,11 @@
 import msgspec
 
 from benchmarks.common import fit_line, format_table, write_plot, write_result
-from halldoor.core.block import BlockTable
-from halldoor.core.configuration import Configuration
-from halldoor.core.operation import edit_drain
-from halldoor.core.revision import Head, digest, join_configuration, split_configuration
-from halldoor.core.snapshot import Snapshot
+from halldoor.core.steering.block import BlockTable
+from halldoor.core.steering.configuration import Configuration
+from halldoor.core.steering.operation import edit_drain
+from halldoor.core.steering.revision import Head, digest, join_configuration, split_configuration
+from halldoor.core.steering.snapshot import Snapshot
 
 ROUNDS = 5
 CHANGES_A_DAY = 3_300
--- a/benchmarks/blocks.py
+++ b/benchmarks/blocks.py
@@ -8,7 +8,7 @@
 import tracemalloc
 
 from benchmarks.common import fit_line, format_table, write_plot, write_result
-from halldoor.core.block import BlockTable, pack_blocks
+from halldoor.core.steering.block import BlockTable, pack_blocks
 
 SIZES = [100_000, 500_000, 1_000_000, 2_500_000]
 LOOKUPS = 200_000
--- a/halldoor/__init__.py
+++ b/halldoor/__init__.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from halldoor.core.configuration import Configuration
-from halldoor.core.decision import Decision, explain
 from halldoor.core.errors import HalldoorError, Reason, Refusal
-from halldoor.core.selector import Selector
+from halldoor.core.explaining.decision import Decision, explain
 from halldoor.core.settings import AdminSettings, EntrySettings
+from halldoor.core.steering.configuration import Configuration
+from halldoor.core.steering.selector import Selector
 
 __all__ = [
     "AdminSettings",
--- a/halldoor/admin/api.py
+++ b/halldoor/admin/api.py
@@ -14,7 +14,6 @@
 from cherrypy.process.servers import ServerAdapter
 
 from halldoor.admin.service import Administration
-from halldoor.core.configuration import Configuration, Team
 from halldoor.core.errors import (
     ConflictError,
     HalldoorError,
@@ -23,6 +22,7 @@
     SettingsError,
 )
 from halldoor.core.settings import AdminSettings
+from halldoor.core.steering.configuration import Configuration, Team
 from halldoor.keyvalue.client import HttpPlatform
 from halldoor.keyvalue.store import ConfigurationStore
 from halldoor.server import HttpServer
--- a/halldoor/admin/service.py
+++ b/halldoor/admin/service.py
@@ -9,11 +9,11 @@
 import structlog
 import urllib3
 
-from halldoor.core.audit import AuditRecord, Difference, compare
-from halldoor.core.configuration import Configuration, EntryHost, Team, to_shown_data
 from halldoor.core.errors import HalldoorError, PlatformError
-from halldoor.core.operation import edit_drain, edit_shift
-from halldoor.core.permission import check_permission, find_team
+from halldoor.core.steering.audit import AuditRecord, Difference, compare
+from halldoor.core.steering.configuration import Configuration, EntryHost, Team, to_shown_data
+from halldoor.core.steering.operation import edit_drain, edit_shift
+from halldoor.core.steering.permission import check_permission, find_team
 from halldoor.keyvalue.store import Change, ConfigurationStore, Stored
 
 log = structlog.get_logger(part="admin")
@@ -45,7 +45,7 @@
         self._http = urllib3.PoolManager(retries=False, timeout=STATUS_TIMEOUT_S)
 
     def find_team(self, token: str) -> Team:
-        """Find the team of a token; see `halldoor.core.permission.find_team`."""
+        """Find the team of a token; see `halldoor.core.steering.permission.find_team`."""
         return find_team(token, self._store.read().configuration, self._bootstrap_sha256)
 
     def read(self) -> dict[str, Any]:
--- a/halldoor/cli/fleet.py
+++ b/halldoor/cli/fleet.py
@@ -10,7 +10,7 @@
 
 import urllib3
 
-from halldoor.core.choice import TargetOut
+from halldoor.core.targets.choice import TargetOut
 
 TIMEOUT_S = 2.0
 """Longest wait for one gateway, in seconds."""
--- a/halldoor/cli/operator.py
+++ b/halldoor/cli/operator.py
@@ -18,10 +18,10 @@
 import urllib3
 
 from halldoor.cli.fleet import describe_fleet, fetch_fleet
-from halldoor.core.configuration import Configuration
 from halldoor.core.errors import HalldoorError
-from halldoor.core.history import explain_request, parse_lines
-from halldoor.core.report import build_report, describe_report
+from halldoor.core.explaining.history import explain_request, parse_lines
+from halldoor.core.explaining.report import build_report, describe_report
+from halldoor.core.steering.configuration import Configuration
 from halldoor.files import load_yaml
 
 Output = Literal["text", "json"]
--- a/halldoor/core/history.py
+++ b/halldoor/core/explaining/history.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
-from halldoor.core.load import OLD_REPORT_S
+from halldoor.core.targets.load import OLD_REPORT_S
 
 BELIEF_WINDOW_S = 10.0
 """How long before a request's end changes of belief are told, in seconds."""
--- a/halldoor/core/report.py
+++ b/halldoor/core/explaining/report.py
@@ -7,7 +7,7 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
-from halldoor.core.history import LogLine
+from halldoor.core.explaining.history import LogLine
 
 WINDOW_S = 2.0
 """Length of a window of the table by moments, in seconds: about a short fault's."""
--- /dev/null
+++ b/halldoor/core/hall/__init__.py
@@ -0,0 +1,1 @@
+"""The present entry's hall: its slots and links, its targets' health, and who else serves it."""
--- a/halldoor/core/policy.py
+++ b/halldoor/core/hall/policy.py
@@ -7,7 +7,7 @@
 from typing import Any, Protocol
 
 from halldoor.core.errors import SettingsError
-from halldoor.core.health import TargetView
+from halldoor.core.hall.health import TargetView
 
 
 class RandomSource(Protocol):
--- a/halldoor/core/configuration.py
+++ b/halldoor/core/steering/configuration.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from halldoor.core.block import pack_blocks
 from halldoor.core.errors import SettingsError
-from halldoor.core.selector import LabelIndex, Selector
 from halldoor.core.settings import Address, parse
+from halldoor.core.steering.block import pack_blocks
+from halldoor.core.steering.selector import LabelIndex, Selector
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
--- a/halldoor/core/operation.py
+++ b/halldoor/core/steering/operation.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from halldoor.core.configuration import Configuration, Shift, Target
 from halldoor.core.errors import SettingsError
+from halldoor.core.steering.configuration import Configuration, Shift, Target
 
 SHIFT_VERBS = ("start", "step", "pause", "back")
 
--- a/halldoor/core/permission.py
+++ b/halldoor/core/steering/permission.py
@@ -6,10 +6,10 @@
 from collections.abc import Sequence
 from hashlib import sha256
 
-from halldoor.core.audit import Difference
-from halldoor.core.configuration import Configuration, Team
 from halldoor.core.errors import PermissionDeniedError
-from halldoor.core.selector import Selector
+from halldoor.core.steering.audit import Difference
+from halldoor.core.steering.configuration import Configuration, Team
+from halldoor.core.steering.selector import Selector
 
 BOOTSTRAP = Team(name="bootstrap", administrator=True)
 """The team of the token in the settings, until a configuration names teams."""
--- a/halldoor/core/revision.py
+++ b/halldoor/core/steering/revision.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
-from halldoor.core.block import pack_blocks, unpack_blocks
-from halldoor.core.configuration import Configuration, to_data
 from halldoor.core.errors import SettingsError
 from halldoor.core.settings import parse
+from halldoor.core.steering.block import pack_blocks, unpack_blocks
+from halldoor.core.steering.configuration import Configuration, to_data
 
 HEAD_KEY = "config/head"
 PART_PREFIX = "config/part/"
--- a/halldoor/core/routing.py
+++ b/halldoor/core/steering/routing.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from halldoor.core.shift import ShiftMeter, is_chosen
-from halldoor.core.snapshot import Destination, ServiceView
+from halldoor.core.steering.shift import ShiftMeter, is_chosen
+from halldoor.core.steering.snapshot import Destination, ServiceView
 
 FAILOVER = "failover"
 
--- a/halldoor/core/snapshot.py
+++ b/halldoor/core/steering/snapshot.py
@@ -4,10 +4,17 @@
 
 from typing import NamedTuple
 
-from halldoor.core.block import BlockTable
-from halldoor.core.configuration import Configuration, Hall, Operation, Service, Shift, Target
-from halldoor.core.link import LinkLimit
-from halldoor.core.selector import Selector
+from halldoor.core.hall.link import LinkLimit
+from halldoor.core.steering.block import BlockTable
+from halldoor.core.steering.configuration import (
+    Configuration,
+    Hall,
+    Operation,
+    Service,
+    Shift,
+    Target,
+)
+from halldoor.core.steering.selector import Selector
 
 FAR_MS = 50.0
 """Latency assumed between halls without a link in the configuration."""
--- a/halldoor/core/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from halldoor.core.route import Routing
 from halldoor.core.settings import Address
+from halldoor.core.targets.route import Routing
 
 UNKNOWN_ENTRIES = 100
 """Entries to reckon with while it is not known how many there are: the size of a large fleet."""
--- a/halldoor/core/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -13,14 +13,14 @@
 from contextlib import contextmanager
 from typing import NamedTuple
 
-from halldoor.core.catalog import Catalog, Target
-from halldoor.core.cold import ColdRate, EntryRanks
-from halldoor.core.cost import CostModel, Estimate
-from halldoor.core.latency import LatencyModel, WorkLevels
-from halldoor.core.load import LoadTable
-from halldoor.core.order import KeyOrders, find_region_weight
-from halldoor.core.outlier import OutlierTable
-from halldoor.core.route import Route
+from halldoor.core.targets.catalog import Catalog, Target
+from halldoor.core.targets.cold import ColdRate, EntryRanks
+from halldoor.core.targets.cost import CostModel, Estimate
+from halldoor.core.targets.latency import LatencyModel, WorkLevels
+from halldoor.core.targets.load import LoadTable
+from halldoor.core.targets.order import KeyOrders, find_region_weight
+from halldoor.core.targets.outlier import OutlierTable
+from halldoor.core.targets.route import Route
 
 AIM_SHARE = 0.9
 """Part of a route's aim to plan for; the rest is the way between caller and entry."""
--- a/halldoor/core/cold.py
+++ b/halldoor/core/targets/cold.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from halldoor.core.budget import ColdShare
-from halldoor.core.catalog import Catalog, Target
 from halldoor.core.placement import rank
+from halldoor.core.targets.budget import ColdShare
+from halldoor.core.targets.catalog import Catalog, Target
 
 
 class EntryRanks:
--- a/halldoor/core/order.py
+++ b/halldoor/core/targets/order.py
@@ -6,9 +6,9 @@
 from collections.abc import Mapping, Sequence
 from enum import StrEnum
 
-from halldoor.core.catalog import Catalog, Target
 from halldoor.core.placement import hash_key
-from halldoor.core.route import RequestKind, Route
+from halldoor.core.targets.catalog import Catalog, Target
+from halldoor.core.targets.route import RequestKind, Route
 
 ORDERS_KEPT = 4_096
 """Orders of targets by key that are kept between changes; a few hundred bytes each."""
--- a/halldoor/core/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -14,8 +14,8 @@
 from collections.abc import Iterable, Sequence
 from typing import Generic, NamedTuple, TypeVar
 
-from halldoor.core.catalog import MemberRecord
 from halldoor.core.placement import rank
+from halldoor.core.targets.catalog import MemberRecord
 
 T = TypeVar("T")
 
--- a/halldoor/core/split.py
+++ b/halldoor/core/targets/split.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from halldoor.core.placement import to_unit
-from halldoor.core.route import Route, SplitPart
+from halldoor.core.targets.route import Route, SplitPart
 
 DRIFT_LIMIT = 1.5
 """Requests by which a part may run ahead of its weight before a key leaves its usual part.
--- a/halldoor/entry/claims.py
+++ b/halldoor/entry/claims.py
@@ -9,7 +9,8 @@
 
 from returns.result import Failure, Result, Success
 
-from halldoor.core.claim import (
+from halldoor.core.errors import PlatformError
+from halldoor.core.orders.claim import (
     Claim,
     Shard,
     claim,
@@ -18,7 +19,6 @@
     find_shard,
     to_key,
 )
-from halldoor.core.errors import PlatformError
 from halldoor.entry.task import Task
 from halldoor.keyvalue.base import Platform, UncertainWriteError, WriteConflictError
 
--- a/halldoor/entry/configuration.py
+++ b/halldoor/entry/configuration.py
@@ -15,10 +15,11 @@
 
 import msgspec
 
-from halldoor.core.block import BlockTable
 from halldoor.core.errors import HalldoorError, PeerError, PlatformError
 from halldoor.core.invariant import Invariants
-from halldoor.core.revision import (
+from halldoor.core.settings import Address
+from halldoor.core.steering.block import BlockTable
+from halldoor.core.steering.revision import (
     HEAD_KEY,
     PART_PREFIX,
     Head,
@@ -28,8 +29,7 @@
     list_missing,
     read_block_index,
 )
-from halldoor.core.settings import Address
-from halldoor.core.snapshot import Snapshot
+from halldoor.core.steering.snapshot import Snapshot
 from halldoor.entry.gossip import GossipTask, find_entry
 from halldoor.entry.task import Task
 from halldoor.keyvalue.base import Platform
--- a/halldoor/entry/dispatch.py
+++ b/halldoor/entry/dispatch.py
@@ -8,14 +8,14 @@
 
 from returns.result import Failure, Result, Success
 
-from halldoor.core.configuration import EntryHost
-from halldoor.core.decision import Decision, PassedOver
 from halldoor.core.errors import Ran, Reason, Refusal, refuse
+from halldoor.core.explaining.decision import Decision, PassedOver
+from halldoor.core.hall.link import LinkShare
 from halldoor.core.invariant import Invariants
-from halldoor.core.link import LinkShare
 from halldoor.core.placement import rank
-from halldoor.core.routing import ServiceMeters, Step, list_steps
-from halldoor.core.snapshot import ServiceView, Snapshot
+from halldoor.core.steering.configuration import EntryHost
+from halldoor.core.steering.routing import ServiceMeters, Step, list_steps
+from halldoor.core.steering.snapshot import ServiceView, Snapshot
 from halldoor.entry.local import LocalHall
 from halldoor.entry.outcome import HallRefusal
 from halldoor.entry.remote import TO_TARGET, RemoteEntry, is_final
--- a/halldoor/entry/gossip.py
+++ b/halldoor/entry/gossip.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from halldoor.core.configuration import EntryHost
 from halldoor.core.errors import PeerError
-from halldoor.core.membership import SUSPECT_AFTER_S, Member, Membership, TargetReport
+from halldoor.core.hall.membership import SUSPECT_AFTER_S, Member, Membership, TargetReport
 from halldoor.core.settings import Address
-from halldoor.core.snapshot import Snapshot
+from halldoor.core.steering.configuration import EntryHost
+from halldoor.core.steering.snapshot import Snapshot
 from halldoor.entry.task import Task
 from halldoor.wire.client import PeerPool
 from halldoor.wire.convert import from_member, to_member
--- a/halldoor/entry/hall.py
+++ b/halldoor/entry/hall.py
@@ -9,14 +9,14 @@
 
 from returns.result import Failure, Result, Success
 
-from halldoor.core.configuration import Target
-from halldoor.core.decision import PassedOver
 from halldoor.core.errors import Reason, Refusal, refuse
-from halldoor.core.health import HealthTable, TargetView
+from halldoor.core.explaining.decision import PassedOver
+from halldoor.core.hall.health import HealthTable, TargetView
+from halldoor.core.hall.policy import Policy
+from halldoor.core.hall.slots import Hold, Loan, SlotKey, SlotTable
 from halldoor.core.invariant import Invariants
-from halldoor.core.policy import Policy
-from halldoor.core.slots import Hold, Loan, SlotKey, SlotTable
-from halldoor.core.snapshot import Snapshot
+from halldoor.core.steering.configuration import Target
+from halldoor.core.steering.snapshot import Snapshot
 
 REST_MARGIN_S = 0.2
 """Time after a deadline in which a target may still be busy with what was cut off."""
--- a/halldoor/entry/loans.py
+++ b/halldoor/entry/loans.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from halldoor.core.configuration import EntryHost
 from halldoor.core.errors import PeerError
-from halldoor.core.membership import Member
-from halldoor.core.slots import Hold
+from halldoor.core.hall.membership import Member
+from halldoor.core.hall.slots import Hold
+from halldoor.core.steering.configuration import EntryHost
 from halldoor.entry.hall import to_hold
 from halldoor.entry.task import Task
 from halldoor.wire.client import PeerPool
--- a/halldoor/entry/local.py
+++ b/halldoor/entry/local.py
@@ -7,9 +7,9 @@
 
 from returns.result import Failure, Result, Success
 
-from halldoor.core.decision import PassedOver
 from halldoor.core.errors import Ran, Reason, Refusal, refuse, refuse_unknown
-from halldoor.core.retry import RetryBudget
+from halldoor.core.explaining.decision import PassedOver
+from halldoor.core.hall.retry import RetryBudget
 from halldoor.entry.hall import Admission, HallRoom
 from halldoor.entry.outcome import HallRefusal
 from halldoor.entry.request import Answer, Body, Request, RequestError
--- a/halldoor/entry/lookups.py
+++ b/halldoor/entry/lookups.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from halldoor.core.block import parse_address
-from halldoor.core.configuration import EntryHost
-from halldoor.core.snapshot import ServiceView, Snapshot, order_halls
+from halldoor.core.steering.block import parse_address
+from halldoor.core.steering.configuration import EntryHost
+from halldoor.core.steering.snapshot import ServiceView, Snapshot, order_halls
 
 ENTRIES_LISTED = 6
 
--- a/halldoor/entry/orders.py
+++ b/halldoor/entry/orders.py
@@ -8,8 +8,6 @@
 
 from returns.result import Failure, Result, Success
 
-from halldoor.core.claim import Claim, parse_time_ms
-from halldoor.core.configuration import EntryHost
 from halldoor.core.errors import (
     PeerError,
     Ran,
@@ -19,8 +17,10 @@
     refuse_unknown,
 )
 from halldoor.core.invariant import Invariants
-from halldoor.core.ticket import Answer as KeptAnswer
-from halldoor.core.ticket import Entry, Ledger, State, Ticket, decode_ticket
+from halldoor.core.orders.claim import Claim, parse_time_ms
+from halldoor.core.orders.ticket import Answer as KeptAnswer
+from halldoor.core.orders.ticket import Entry, Ledger, State, Ticket, decode_ticket
+from halldoor.core.steering.configuration import EntryHost
 from halldoor.entry.claims import Claims
 from halldoor.entry.dispatch import Refused, Served
 from halldoor.entry.outcome import HallRefusal
--- a/halldoor/entry/outcome.py
+++ b/halldoor/entry/outcome.py
@@ -4,8 +4,8 @@
 
 from typing import NamedTuple
 
-from halldoor.core.decision import PassedOver
 from halldoor.core.errors import Refusal
+from halldoor.core.explaining.decision import PassedOver
 
 
 class HallRefusal(NamedTuple):
--- a/halldoor/entry/probe.py
+++ b/halldoor/entry/probe.py
@@ -11,11 +11,11 @@
 import msgspec
 import urllib3
 
-from halldoor.core.configuration import Target
 from halldoor.core.errors import PlatformError
-from halldoor.core.membership import Member, TargetReport
+from halldoor.core.hall.membership import Member, TargetReport
 from halldoor.core.placement import rank
-from halldoor.core.snapshot import Snapshot
+from halldoor.core.steering.configuration import Target
+from halldoor.core.steering.snapshot import Snapshot
 from halldoor.entry.hall import HallRoom
 from halldoor.entry.task import Task
 from halldoor.keyvalue.base import Platform
--- a/halldoor/entry/process.py
+++ b/halldoor/entry/process.py
@@ -12,16 +12,16 @@
 import structlog
 from cherrypy.process.servers import ServerAdapter
 
-from halldoor.core.claim import Claim
-from halldoor.core.configuration import EntryHost
-from halldoor.core.decision import Decision, DecisionLog
 from halldoor.core.errors import PeerError
+from halldoor.core.explaining.decision import Decision, DecisionLog
+from halldoor.core.hall.membership import Member, Membership
+from halldoor.core.hall.policy import Policy
 from halldoor.core.invariant import Invariants
-from halldoor.core.membership import Member, Membership
-from halldoor.core.policy import Policy
+from halldoor.core.orders.claim import Claim
+from halldoor.core.orders.ticket import Ledger
 from halldoor.core.settings import EntrySettings
-from halldoor.core.snapshot import Snapshot
-from halldoor.core.ticket import Ledger
+from halldoor.core.steering.configuration import EntryHost
+from halldoor.core.steering.snapshot import Snapshot
 from halldoor.entry.activity import Activity
 from halldoor.entry.cancel import CallerWatcher
 from halldoor.entry.claims import Claims
--- a/halldoor/entry/reader.py
+++ b/halldoor/entry/reader.py
@@ -7,10 +7,10 @@
 from typing import Any
 from uuid import uuid4
 
-from halldoor.core.block import parse_address
-from halldoor.core.configuration import Operation
 from halldoor.core.errors import Ran, Reason, Refusal, refuse
-from halldoor.core.snapshot import ServiceView, Snapshot
+from halldoor.core.steering.block import parse_address
+from halldoor.core.steering.configuration import Operation
+from halldoor.core.steering.snapshot import ServiceView, Snapshot
 from halldoor.entry.request import (
     SMALL_BODY,
     Body,
--- a/halldoor/entry/remote.py
+++ b/halldoor/entry/remote.py
@@ -9,8 +9,8 @@
 
 from returns.result import Failure, Result, Success
 
-from halldoor.core.configuration import EntryHost
 from halldoor.core.errors import PeerError, Ran, Reason, Refusal, refuse, refuse_unknown
+from halldoor.core.steering.configuration import EntryHost
 from halldoor.entry.outcome import HallRefusal
 from halldoor.entry.request import (
     Answer,
--- a/halldoor/entry/request.py
+++ b/halldoor/entry/request.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
-from halldoor.core.decision import PassedOver
 from halldoor.core.errors import Reason, Refusal, refuse_unknown
+from halldoor.core.explaining.decision import PassedOver
 
 Headers = tuple[tuple[str, str], ...]
 SMALL_BODY = 65_536
--- a/halldoor/entry/sessions.py
+++ b/halldoor/entry/sessions.py
@@ -13,10 +13,10 @@
 from msgspec import msgpack
 from returns.result import Failure, Success
 
-from halldoor.core.decision import DecisionLog
 from halldoor.core.errors import Reason, Refusal, refuse, refuse_unknown
-from halldoor.core.selector import Selector
-from halldoor.core.snapshot import Snapshot
+from halldoor.core.explaining.decision import DecisionLog
+from halldoor.core.steering.selector import Selector
+from halldoor.core.steering.snapshot import Snapshot
 from halldoor.entry.activity import Activity
 from halldoor.entry.cancel import CallerWatcher
 from halldoor.entry.configuration import ConfigurationTask
--- a/halldoor/entry/targets.py
+++ b/halldoor/entry/targets.py
@@ -15,7 +15,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
-from halldoor.core.configuration import Target
+from halldoor.core.steering.configuration import Target
 from halldoor.entry.request import Answer, Body, Request, break_off, keep_end_to_end
 
 PIECE = 65_536
--- a/halldoor/entry/web.py
+++ b/halldoor/entry/web.py
@@ -11,7 +11,8 @@
 import structlog
 from returns.result import Failure
 
-from halldoor.core.decision import (
+from halldoor.core.errors import Ran, Reason, Refusal, refuse, refuse_unknown
+from halldoor.core.explaining.decision import (
     Decision,
     DecisionError,
     DecisionLog,
@@ -19,7 +20,6 @@
     read_decision,
     sign_decision,
 )
-from halldoor.core.errors import Ran, Reason, Refusal, refuse, refuse_unknown
 from halldoor.entry.activity import Activity
 from halldoor.entry.cancel import CallerWatcher
 from halldoor.entry.dispatch import Dispatcher, Refused, Served
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -5,8 +5,8 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
-from halldoor.core.order import Distance
-from halldoor.core.route import Route
+from halldoor.core.targets.order import Distance
+from halldoor.core.targets.route import Route
 from halldoor.gateway.caller import Answer, Head
 from halldoor.gateway.headers import Headers
 
--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -14,7 +14,7 @@
 
 import h11
 
-from halldoor.core.route import CallerLimits
+from halldoor.core.targets.route import CallerLimits
 from halldoor.gateway.flow import FlowProtocol
 from halldoor.gateway.headers import Headers, find
 
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -7,8 +7,8 @@
 
 import h11
 
-from halldoor.core.route import RequestKind
 from halldoor.core.settings import Address
+from halldoor.core.targets.route import RequestKind
 from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.connection import (
     ConnectionBrokenError,
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -4,11 +4,11 @@
 
 from typing import NamedTuple
 
-from halldoor.core.catalog import Catalog
-from halldoor.core.choice import Choice, Chooser
-from halldoor.core.latency import LatencyModel
-from halldoor.core.load import LoadReport, LoadTable
-from halldoor.core.outlier import OutlierTable
+from halldoor.core.targets.catalog import Catalog
+from halldoor.core.targets.choice import Choice, Chooser
+from halldoor.core.targets.latency import LatencyModel
+from halldoor.core.targets.load import LoadReport, LoadTable
+from halldoor.core.targets.outlier import OutlierTable
 from halldoor.gateway.attempt import AttemptResult
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.exchange import (
@@ -92,23 +92,14 @@
     ) -> tuple[AttemptResult, str]:
         """Learn from one attempt; say how it ended, and a detail for the log."""
         target = sent.choice.target
-        name, hall, service = target.name, target.record.hall, target.record.service
+        name = target.name
         if connecting.took_s and not connecting.is_reused:
-            self._latency.add_connect(hall, connecting.took_s)
+            self._latency.add_connect(target.record.hall, connecting.took_s)
         if isinstance(outcome, WholeAnswer | PartialAnswer):
             self._add_load(name, outcome, now)
         match outcome:
             case WholeAnswer(answer) if answer.status < SERVER_ERROR:
-                self._latency.add_answer(
-                    sent.kind,
-                    name,
-                    hall,
-                    sent.key,
-                    took_s=took_s - connecting.took_s,
-                    has_waited=sent.choice.estimate.wait_s > 0,
-                )
-                if self._outliers.add_success(name, service, took_s, now):
-                    self._log.event("targets", "Ejected a slow target.", target=name)
+                self._add_success(sent, now, took_s=took_s, connect_s=connecting.took_s)
                 return AttemptResult.ANSWERED, str(answer.status)
             case WholeAnswer(answer):
                 is_slow = answer.status == GATEWAY_TIMEOUT
@@ -134,6 +125,20 @@
             case BodyFailed(detail):
                 return AttemptResult.BODY_FAILED, detail
 
+    def _add_success(self, sent: Sending, now: float, *, took_s: float, connect_s: float) -> None:
+        """Learn from a sound answer how long the target takes."""
+        target = sent.choice.target
+        self._latency.add_answer(
+            sent.kind,
+            target.name,
+            target.record.hall,
+            sent.key,
+            took_s=took_s - connect_s,
+            has_waited=sent.choice.estimate.wait_s > 0,
+        )
+        if self._outliers.add_success(target.name, target.record.service, took_s, now):
+            self._log.event("targets", "Ejected a slow target.", target=target.name)
+
     def add_failure(
         self, name: str, now: float, detail: str, *, is_dead: bool = False, is_slow: bool = False
     ) -> None:
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -6,7 +6,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from halldoor.core.choice import TargetOut
+from halldoor.core.targets.choice import TargetOut
 
 BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0, 10.0]
 """Upper bounds in seconds: from a read nearby to the longest deadline."""
--- a/halldoor/gateway/pages.py
+++ b/halldoor/gateway/pages.py
@@ -2,15 +2,54 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
+from halldoor.core.targets.catalog import MemberRecord
+from halldoor.core.targets.choice import TargetOut
 from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.lookup import LookupFormat, choose_entries
+from halldoor.gateway.metrics import GatewayMetrics
 
-if TYPE_CHECKING:
-    from halldoor.gateway.process import Gateway
+NO_ENTRY_RETRY_S = 0.2
+"""When to ask again where no entry is known, in seconds: a start reads the store that fast."""
+
+
+class GatewayState(NamedTuple):
+    """Who may be sent where, for readiness questions and look-ups.
+
+    Attributes
+    ----------
+    is_ready : bool
+        Callers should be sent here.
+    own : MemberRecord
+        This entry.
+    members : iterable of MemberRecord
+        The entries known, with or without this one.
+    lookup_ttl_s : float
+        How long callers may keep a look-up's answer, in seconds.
+    """
+
+    is_ready: bool
+    own: MemberRecord
+    members: Iterable[MemberRecord]
+    lookup_ttl_s: float
+
+
+class GatewayFigures(NamedTuple):
+    """A gateway's figures of the moment, for the metrics page.
+
+    Attributes
+    ----------
+    gauges : dict of str to float
+        Figures of the moment, by name.
+    targets_out : iterable of TargetOut
+        Targets that get no requests, or few.
+    """
+
+    gauges: dict[str, float]
+    targets_out: Iterable[TargetOut]
 
 
 class Pages:
@@ -18,15 +57,25 @@
 
     Parameters
     ----------
-    gateway : Gateway
-        Whose state is shown.
+    read_state, read_figures : callable
+        Give what is to be told.
     lookups : LookupFormat
         How look-ups are written.
+    metrics : GatewayMetrics
+        Counters and histograms.
     """
 
-    def __init__(self, gateway: Gateway, lookups: LookupFormat) -> None:
-        self._gateway = gateway
+    def __init__(
+        self,
+        read_state: Callable[[], GatewayState],
+        read_figures: Callable[[], GatewayFigures],
+        lookups: LookupFormat,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._read_state = read_state
+        self._read_figures = read_figures
         self._lookups = lookups
+        self._metrics = metrics
         self._random = random.Random()
 
     async def answer_ready(self, caller: CallerConnection, head: Head) -> None:
@@ -34,7 +83,7 @@
         if head.target.decode("latin-1").partition("?")[0] != self._lookups.ready_path:
             caller.send(Answer(404, []))
             return
-        caller.send(Answer(200 if self._gateway.is_ready else 503, []))
+        caller.send(Answer(200 if self._read_state().is_ready else 503, []))
 
     async def answer_lookup(self, caller: CallerConnection, head: Head) -> None:
         """Answer a look-up."""
@@ -42,34 +91,26 @@
         if query is None:
             caller.send(Answer(404, []))
             return
-        gateway = self._gateway
-        members = {m.name: m for m in gateway.catalog.members.values()}
-        if gateway.is_ready:
-            members[gateway.member.name] = gateway.member
+        state = self._read_state()
+        members = {m.name: m for m in state.members}
+        if state.is_ready:
+            members[state.own.name] = state.own
         else:
-            members.pop(gateway.member.name, None)
+            members.pop(state.own.name, None)
         if not members:
-            caller.send(Answer(503, [(b"Retry-After", b"0.2")]))
+            caller.send(Answer(503, [(b"Retry-After", str(NO_ENTRY_RETRY_S).encode())]))
             return
         chosen = choose_entries(
             members.values(), hall=query.hall, region=query.region, source=self._random
         )
-        body = self._lookups.render(chosen, ttl_s=gateway.settings.lookup_ttl_s)
+        body = self._lookups.render(chosen, ttl_s=state.lookup_ttl_s)
         caller.send(Answer(200, [(b"Content-Type", b"application/json")], body))
 
     async def answer_metrics(self, caller: CallerConnection, head: Head) -> None:
         """Answer with this process's figures."""
-        gateway, metrics = self._gateway, self._gateway.metrics
-        routing = gateway.catalog.routing
-        now = asyncio.get_running_loop().time()
-        metrics.set("running", gateway.requests.running)
-        metrics.set("callers", gateway.count_callers())
-        metrics.set("members", len(gateway.catalog.members))
-        metrics.set("reads_store", int(gateway.feed.is_direct))
-        metrics.set("connections_opened", gateway.pool.opened)
-        metrics.set("connections_kept", gateway.pool.count_idle())
-        metrics.set("configuration_version", routing.version if routing else 0)
-        metrics.set("store_age_seconds", now - gateway.catalog.fresh_at)
-        metrics.set_targets_out(gateway.chooser.list_out(now))
+        figures, metrics = self._read_figures(), self._metrics
+        for name, value in figures.gauges.items():
+            metrics.set(name, value)
+        metrics.set_targets_out(figures.targets_out)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
         caller.send(Answer(200, [content_type], metrics.render()))
--- a/halldoor/gateway/plain.py
+++ b/halldoor/gateway/plain.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from halldoor.core.catalog import (
+from halldoor.core.settings import Address
+from halldoor.core.targets.catalog import (
     Change,
     EvacuationSet,
     MemberGone,
@@ -17,7 +18,7 @@
     TargetRecord,
     TargetSeen,
 )
-from halldoor.core.route import (
+from halldoor.core.targets.route import (
     CallerLimits,
     RequestKind,
     Route,
@@ -25,7 +26,6 @@
     SplitPart,
     TargetService,
 )
-from halldoor.core.settings import Address
 from halldoor.gateway.store import RecordCodec, StoredItem, StoreError
 
 T = TypeVar("T")
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -6,25 +6,25 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from halldoor.core.catalog import (
+from halldoor.core.targets.catalog import (
     Catalog,
     Change,
     MemberGone,
     MemberRecord,
     TargetGone,
 )
-from halldoor.core.choice import Chooser
-from halldoor.core.latency import LatencyModel
-from halldoor.core.load import LoadTable
-from halldoor.core.outlier import OutlierTable
-from halldoor.core.route import CallerLimits
+from halldoor.core.targets.choice import Chooser
+from halldoor.core.targets.latency import LatencyModel
+from halldoor.core.targets.load import LoadTable
+from halldoor.core.targets.outlier import OutlierTable
+from halldoor.core.targets.route import CallerLimits
 from halldoor.gateway.caller import CallerConnection, listen
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.feedback import TargetFeedback
 from halldoor.gateway.headers import HeaderNames
 from halldoor.gateway.lookup import LookupFormat
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.pages import Pages
+from halldoor.gateway.pages import GatewayFigures, GatewayState, Pages
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.registration import RENEWAL_S, Registration
 from halldoor.gateway.relay import ChangeFeed
@@ -79,7 +79,7 @@
         self.pool = TargetPool()
         self._build_requests(names)
         self._build_store_tasks(store, codec)
-        self._pages = Pages(self, lookups)
+        self._pages = Pages(self._read_state, self._read_figures, lookups, self.metrics)
         self._callers: set[CallerConnection] = set()
         self._others: set[CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
@@ -159,9 +159,30 @@
         """Tell whether callers should be sent here."""
         return self.catalog.routing is not None and not self.is_stopping
 
-    def count_callers(self) -> int:
-        """Count the callers' connections."""
-        return len(self._callers)
+    def _read_state(self) -> GatewayState:
+        """Give what readiness questions and look-ups ask for."""
+        return GatewayState(
+            is_ready=self.is_ready,
+            own=self.member,
+            members=self.catalog.members.values(),
+            lookup_ttl_s=self.settings.lookup_ttl_s,
+        )
+
+    def _read_figures(self) -> GatewayFigures:
+        """Give the figures of the moment."""
+        now = asyncio.get_running_loop().time()
+        routing = self.catalog.routing
+        gauges = {
+            "running": self.requests.running,
+            "callers": len(self._callers),
+            "members": len(self.catalog.members),
+            "reads_store": int(self.feed.is_direct),
+            "connections_opened": self.pool.opened,
+            "connections_kept": self.pool.count_idle(),
+            "configuration_version": routing.version if routing else 0,
+            "store_age_seconds": now - self.catalog.fresh_at,
+        }
+        return GatewayFigures(gauges, self.chooser.list_out(now))
 
     async def start(self) -> None:
         """Open the ports and start every task."""
--- a/halldoor/gateway/registration.py
+++ b/halldoor/gateway/registration.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from halldoor.core.catalog import MemberRecord
+from halldoor.core.targets.catalog import MemberRecord
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.store import Lease, LeaseGoneError, MetadataStore, RecordCodec, StoreError
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -13,9 +13,9 @@
 
 import msgspec
 
-from halldoor.core.catalog import Catalog, MemberRecord
-from halldoor.core.relay import Batch, ChangeHistory, RelaySettings, choose_reader
 from halldoor.core.settings import Address
+from halldoor.core.targets.catalog import Catalog, MemberRecord
+from halldoor.core.targets.relay import Batch, ChangeHistory, RelaySettings, choose_reader
 from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -6,13 +6,13 @@
 
 import h11
 
-from halldoor.core.budget import RetrySettings, RetryShare
-from halldoor.core.catalog import Catalog, Target
-from halldoor.core.choice import Choice, Chooser, NoTarget, name_kind
-from halldoor.core.latency import LatencyModel
-from halldoor.core.load import LoadTable
-from halldoor.core.route import CallerLimits, RequestKind, RouteTable
-from halldoor.core.split import Splitter
+from halldoor.core.targets.budget import RetrySettings, RetryShare
+from halldoor.core.targets.catalog import Catalog, Target
+from halldoor.core.targets.choice import Choice, Chooser, NoTarget, name_kind
+from halldoor.core.targets.latency import LatencyModel
+from halldoor.core.targets.load import LoadTable
+from halldoor.core.targets.route import CallerLimits, RequestKind, RouteTable
+from halldoor.core.targets.split import Splitter
 from halldoor.gateway.attempt import (
     Attempt,
     AttemptResult,
--- a/halldoor/gateway/settings.py
+++ b/halldoor/gateway/settings.py
@@ -4,11 +4,11 @@
 
 from typing import NamedTuple
 
-from halldoor.core.budget import RetrySettings
-from halldoor.core.catalog import CatalogTimings
-from halldoor.core.choice import ChoiceSettings
-from halldoor.core.relay import RelaySettings
 from halldoor.core.settings import Address
+from halldoor.core.targets.budget import RetrySettings
+from halldoor.core.targets.catalog import CatalogTimings
+from halldoor.core.targets.choice import ChoiceSettings
+from halldoor.core.targets.relay import RelaySettings
 from halldoor.gateway.sync import BATCH_S
 
 LIVE_SETTINGS = (
--- a/halldoor/gateway/store.py
+++ b/halldoor/gateway/store.py
@@ -6,8 +6,8 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from halldoor.core.catalog import Change, MemberRecord
 from halldoor.core.errors import HalldoorError
+from halldoor.core.targets.catalog import Change, MemberRecord
 
 
 class StoreError(HalldoorError):
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -6,7 +6,7 @@
 import contextlib
 from collections.abc import Callable
 
-from halldoor.core.catalog import (
+from halldoor.core.targets.catalog import (
     Catalog,
     Change,
     EvacuationSet,
--- a/halldoor/keyvalue/store.py
+++ b/halldoor/keyvalue/store.py
@@ -9,10 +9,15 @@
 
 import msgspec
 
-from halldoor.core.audit import AuditRecord, Difference, compare
-from halldoor.core.configuration import Configuration, Hall, check_configuration, to_shown_data
 from halldoor.core.errors import ConflictError, PlatformError
-from halldoor.core.revision import (
+from halldoor.core.steering.audit import AuditRecord, Difference, compare
+from halldoor.core.steering.configuration import (
+    Configuration,
+    Hall,
+    check_configuration,
+    to_shown_data,
+)
+from halldoor.core.steering.revision import (
     HEAD_KEY,
     PART_PREFIX,
     Head,
--- a/halldoor/standins/fleet.py
+++ b/halldoor/standins/fleet.py
@@ -19,7 +19,7 @@
 import urllib3
 import yaml
 
-from halldoor.core.configuration import Configuration
+from halldoor.core.steering.configuration import Configuration
 from halldoor.keyvalue.client import HttpPlatform
 from halldoor.keyvalue.store import Change, ConfigurationStore
 from halldoor.standins.relay import Relays
--- a/halldoor/standins/soak.py
+++ b/halldoor/standins/soak.py
@@ -15,7 +15,7 @@
 
 import defopt
 
-from halldoor.core.ticket import decode_ticket
+from halldoor.core.orders.ticket import decode_ticket
 from halldoor.standins.fleet import Fleet
 from halldoor.standins.sample import make_configuration
 from halldoor.standins.target import make_bytes
--- a/halldoor/tests/gatewaykit.py
+++ b/halldoor/tests/gatewaykit.py
@@ -9,8 +9,8 @@
 import h11
 import msgspec
 
-from halldoor.core.catalog import CatalogTimings
 from halldoor.core.settings import Address
+from halldoor.core.targets.catalog import CatalogTimings
 from halldoor.gateway.headers import HeaderNames, find
 from halldoor.gateway.lookup import PlainLookupFormat
 from halldoor.gateway.plain import PlainCodec, TargetModel
--- a/halldoor/tests/test_choice.py
+++ b/halldoor/tests/test_choice.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from halldoor.core.catalog import (
+from halldoor.core.settings import Address
+from halldoor.core.targets.catalog import (
     Catalog,
     CatalogTimings,
     EvacuationSet,
@@ -17,11 +18,11 @@
     TargetRecord,
     TargetSeen,
 )
-from halldoor.core.choice import ChoiceSettings, Chooser, NoTarget
-from halldoor.core.latency import LatencyModel
-from halldoor.core.load import LoadReport, LoadTable
-from halldoor.core.outlier import OutlierTable
-from halldoor.core.route import (
+from halldoor.core.targets.choice import ChoiceSettings, Chooser, NoTarget
+from halldoor.core.targets.latency import LatencyModel
+from halldoor.core.targets.load import LoadReport, LoadTable
+from halldoor.core.targets.outlier import OutlierTable
+from halldoor.core.targets.route import (
     CallerLimits,
     RequestKind,
     Route,
@@ -30,8 +31,7 @@
     SplitPart,
     TargetService,
 )
-from halldoor.core.settings import Address
-from halldoor.core.split import Splitter
+from halldoor.core.targets.split import Splitter
 
 SERVICE = TargetService("deck", "/health", 390, cold_start_s=3.0, cold_rate_per_s=9.0)
 REGIONS = {"ams-a": "ams", "grq-a": "grq"}
--- a/halldoor/tests/test_examples.py
+++ b/halldoor/tests/test_examples.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from halldoor.core.configuration import Configuration, Hall, Service, Shift
 from halldoor.core.settings import AdminSettings, EntrySettings
+from halldoor.core.steering.configuration import Configuration, Hall, Service, Shift
 from halldoor.files import load_settings, load_yaml
 from halldoor.gateway.filestore import GatewayConfiguration, GatewayFileSettings
 from halldoor.gateway.plain import LimitsModel, RouteModel, ServiceModel, TargetModel
--- a/halldoor/tests/test_gossip.py
+++ b/halldoor/tests/test_gossip.py
@@ -5,7 +5,7 @@
 import pytest
 
 from halldoor.core.errors import PeerError
-from halldoor.core.membership import Member, Membership
+from halldoor.core.hall.membership import Member, Membership
 from halldoor.core.settings import Address
 from halldoor.entry.gossip import SEEDS_ASKED, GossipTask
 
--- a/halldoor/tests/test_history.py
+++ b/halldoor/tests/test_history.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from halldoor.core.history import explain_request, parse_lines
+from halldoor.core.explaining.history import explain_request, parse_lines
 
 LINES = [
     '-1.0 e1 {"event": "routing: In force.", "at": 10.0, "entry": "e1", "version": 7}',
--- /dev/null
+++ b/halldoor/tests/test_kept_connections.py
@@ -0,0 +1,84 @@
+"""Requests over connections that were kept from earlier ones."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from halldoor.tests.gatewaykit import GatewayKit
+
+
+def by_kind(kind):
+    return {"kind": kind}
+
+
+class TestKeptConnections:
+    @pytest.mark.parametrize(
+        ("kind", "connections"), [("repeatable", 1), ("at-most-once", 1), ("upload", 3)]
+    )
+    def test_all_but_uploads_share_a_connection(self, kind, connections):
+        """A new one costs a round trip before the request leaves: a fifth of some aims."""
+
+        async def check():
+            async with GatewayKit.open(targets=1, route=by_kind(kind)) as kit:
+                for _ in range(3):
+                    assert (await kit.call(method="POST", body=b"x")).status == 200
+                assert len({r.connection for r in kit.received}) == connections
+
+        asyncio.run(check())
+
+    @pytest.mark.parametrize("kind", ["repeatable", "at-most-once"])
+    def test_an_answer_that_comes_twice_does_not_cost_the_next_request(self, kind):
+        """The second one arrives in the place of the next request's answer."""
+
+        async def check():
+            async with GatewayKit.open(targets=1, route=by_kind(kind)) as kit:
+                target = kit.targets["t0"]
+                earlier = {}
+
+                async def answer_late_twice(request, writer):
+                    if request.connection in earlier:
+                        writer.write(target.build(earlier[request.connection], body=b"surplus"))
+                    earlier[request.connection] = request
+                    writer.write(target.build(request, body=b"own"))
+
+                target.script = answer_late_twice
+                replies = [await kit.call(method="POST", body=b"x") for _ in range(4)]
+                assert [(r.status, r.body) for r in replies] == [(200, b"own")] * 4
+                # A connection that was out of step is not used again.
+                assert [r.connection for r in target.received] == [1, 1, 2, 2]
+
+        asyncio.run(check())
+
+    def test_a_connection_that_ends_under_an_order_is_outcome_unknown(self):
+        async def check():
+            async with GatewayKit.open(route=by_kind("at-most-once")) as kit:
+                assert (await kit.call(method="POST", body=b"x")).status == 200
+                kit.script_all("reset")
+                assert (await kit.call(method="POST", body=b"x")).status == 502
+                assert len(kit.received) == 2
+                assert len({r.connection for r in kit.received}) == 1
+
+        asyncio.run(check())
+
+    def test_one_silent_connection_makes_all_kept_ones_suspicious(self):
+        """What silences a connection for good, without a reset, silences others too."""
+
+        async def check():
+            async with GatewayKit.open(targets=2, route=by_kind("at-most-once")) as kit:
+                for key in "abcdefgh":
+                    await kit.call(method="POST", body=b"x", key=key)
+                assert {len(t.received) > 0 for t in kit.targets.values()} == {True}
+                pool, taken = kit.gateway.pool, []
+                take_idle = pool.take_idle
+                pool.take_idle = lambda name: taken.append(take_idle(name)) or taken[-1]
+                kit.script_all("hang")
+                waiting = asyncio.ensure_future(kit.call(method="POST", body=b"x"))
+                await kit.wait(lambda: len(kit.received) == 9)
+                assert pool.count_idle() > 0
+                taken[-1].connection_lost(TimeoutError("no acknowledgement"))
+                assert (await waiting).status == 502
+                assert pool.count_idle() == 0
+
+        asyncio.run(check())
--- a/halldoor/tests/test_latency.py
+++ b/halldoor/tests/test_latency.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from halldoor.core.latency import PAIRS_KEPT, LatencyModel
-from halldoor.core.load import LoadReport, LoadTable
+from halldoor.core.targets.latency import PAIRS_KEPT, LatencyModel
+from halldoor.core.targets.load import LoadReport, LoadTable
 
 
 class TestLatencyModel:
--- a/halldoor/tests/test_operators.py
+++ b/halldoor/tests/test_operators.py
@@ -5,8 +5,8 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from halldoor.core.configuration import Configuration
 from halldoor.core.errors import HalldoorError
+from halldoor.core.steering.configuration import Configuration
 from halldoor.standins.fleet import Fleet
 from halldoor.standins.sample import make_configuration
 from halldoor.tests.conftest import start_all
--- a/halldoor/tests/test_orders.py
+++ b/halldoor/tests/test_orders.py
@@ -51,7 +51,7 @@
 
 def read_operation(ticket):
     """Read the operation id out of a ticket."""
-    from halldoor.core.ticket import decode_ticket
+    from halldoor.core.orders.ticket import decode_ticket
 
     return decode_ticket(ticket)[0].operation
 
--- a/halldoor/tests/test_outlier.py
+++ b/halldoor/tests/test_outlier.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from halldoor.core.outlier import EJECT_S, SLOW_SAMPLES, OutlierTable
+from halldoor.core.targets.outlier import EJECT_S, SLOW_SAMPLES, OutlierTable
 
 
 def warm_up(table, targets=("t1", "t2", "t3")):
--- a/halldoor/tests/test_relay.py
+++ b/halldoor/tests/test_relay.py
@@ -10,15 +10,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from halldoor.core.catalog import Catalog, CatalogTimings, MemberRecord
-from halldoor.core.relay import (
+from halldoor.core.settings import Address
+from halldoor.core.targets.catalog import Catalog, CatalogTimings, MemberRecord
+from halldoor.core.targets.relay import (
     Batch,
     ChangeHistory,
     RelaySettings,
     choose_reader,
     choose_readers,
 )
-from halldoor.core.settings import Address
 from halldoor.gateway.caller import Head
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.relay import ChangeFeed
--- a/halldoor/tests/test_report.py
+++ b/halldoor/tests/test_report.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from halldoor.core.history import parse_lines
-from halldoor.core.report import Ended, build_report, describe_report
+from halldoor.core.explaining.history import parse_lines
+from halldoor.core.explaining.report import Ended, build_report, describe_report
 
 
 def make_line(*, at=10.0, status=200, took_ms=90, stands_for=64, outcome="answered", **attempt):
--- a/halldoor/tests/test_room.py
+++ b/halldoor/tests/test_room.py
@@ -9,12 +9,12 @@
 import pytest
 from returns.result import Failure, Success
 
-from halldoor.core.block import BlockTable
-from halldoor.core.configuration import Configuration
 from halldoor.core.errors import Ran
+from halldoor.core.hall.policy import Policy
 from halldoor.core.invariant import Invariants
-from halldoor.core.policy import Policy
-from halldoor.core.snapshot import Snapshot
+from halldoor.core.steering.block import BlockTable
+from halldoor.core.steering.configuration import Configuration
+from halldoor.core.steering.snapshot import Snapshot
 from halldoor.entry.hall import HallRoom
 from halldoor.entry.local import LocalHall
 from halldoor.entry.request import Answer, Body, Cancellation, Request
--- a/halldoor/wire/convert.py
+++ b/halldoor/wire/convert.py
@@ -4,9 +4,9 @@
 
 from typing import Any
 
-from halldoor.core.decision import PassedOver
 from halldoor.core.errors import Ran, Reason, Refusal
-from halldoor.core.membership import Member, TargetReport
+from halldoor.core.explaining.decision import PassedOver
+from halldoor.core.hall.membership import Member, TargetReport
 from halldoor.wire.protocol import idl
 
 _HEALTHY, _LEAVING, _PROBED = 1, 2, 4
--- a/properties/test_budget.py
+++ b/properties/test_budget.py
@@ -5,8 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from halldoor.core.budget import ColdShare, RetryShare
 from halldoor.core.placement import rank
+from halldoor.core.targets.budget import ColdShare, RetryShare
 
 WINDOW_S = 10.0
 EVENTS = st.lists(
--- a/properties/test_inputs.py
+++ b/properties/test_inputs.py
@@ -7,12 +7,18 @@
 from hypothesis import strategies as st
 
 from halldoor.core import claim as claims
-from halldoor.core.claim import Claim, Shard, claim, decode_shard, encode_shard
-from halldoor.core.configuration import Configuration
-from halldoor.core.decision import Decision, DecisionError, PassedOver, read_decision, sign_decision
 from halldoor.core.errors import HalldoorError, PeerError
-from halldoor.core.selector import Selector
-from halldoor.core.ticket import decode_ticket
+from halldoor.core.explaining.decision import (
+    Decision,
+    DecisionError,
+    PassedOver,
+    read_decision,
+    sign_decision,
+)
+from halldoor.core.orders.claim import Claim, Shard, claim, decode_shard, encode_shard
+from halldoor.core.orders.ticket import decode_ticket
+from halldoor.core.steering.configuration import Configuration
+from halldoor.core.steering.selector import Selector
 from halldoor.files import parse_yaml
 from halldoor.standins.sample import make_configuration
 from halldoor.wire.protocol import answer_call, decode_reply, encode_call, idl
--- a/properties/test_orders.py
+++ b/properties/test_orders.py
@@ -4,9 +4,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from halldoor.core.claim import Claim, Shard, claim, parse_time_ms
 from halldoor.core.errors import Ran, Reason, Refusal, refuse, refuse_unknown
-from halldoor.core.ticket import Answer, Ledger, State, decode_ticket
+from halldoor.core.orders.claim import Claim, Shard, claim, parse_time_ms
+from halldoor.core.orders.ticket import Answer, Ledger, State, decode_ticket
 
 IDS = [f"01890a5d-ac96-774b-bcce-b30209{i:06x}" for i in range(2)]
 ENTRIES = ["e1", "e2", "e3"]
--- a/properties/test_shifts.py
+++ b/properties/test_shifts.py
@@ -6,15 +6,20 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from halldoor.core.audit import compare
-from halldoor.core.block import BlockTable, pack_blocks, parse_address, unpack_blocks
-from halldoor.core.configuration import Configuration, to_data
-from halldoor.core.health import HealthTable
-from halldoor.core.policy import Policy
-from halldoor.core.revision import Head, join_configuration, read_block_index, split_configuration
-from halldoor.core.routing import ServiceMeters, list_steps
-from halldoor.core.shift import ShiftMeter, is_chosen
-from halldoor.core.snapshot import Snapshot
+from halldoor.core.hall.health import HealthTable
+from halldoor.core.hall.policy import Policy
+from halldoor.core.steering.audit import compare
+from halldoor.core.steering.block import BlockTable, pack_blocks, parse_address, unpack_blocks
+from halldoor.core.steering.configuration import Configuration, to_data
+from halldoor.core.steering.revision import (
+    Head,
+    join_configuration,
+    read_block_index,
+    split_configuration,
+)
+from halldoor.core.steering.routing import ServiceMeters, list_steps
+from halldoor.core.steering.shift import ShiftMeter, is_chosen
+from halldoor.core.steering.snapshot import Snapshot
 from halldoor.standins.sample import make_configuration
 
 
--- a/properties/test_slots.py
+++ b/properties/test_slots.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from halldoor.core.slots import CLOCK_MARGIN, SlotTable, assign_homes
+from halldoor.core.hall.slots import CLOCK_MARGIN, SlotTable, assign_homes
 
 NAMES = ["e1", "e2", "e3"]
 SLOTS = {"t1": 2}
--- a/properties/test_store.py
+++ b/properties/test_store.py
@@ -4,9 +4,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from halldoor.core.configuration import Configuration
 from halldoor.core.errors import ConflictError, HalldoorError, PlatformError
-from halldoor.core.operation import edit_drain
+from halldoor.core.steering.configuration import Configuration
+from halldoor.core.steering.operation import edit_drain
 from halldoor.keyvalue.base import (
     Platform,
     UncertainWriteError,
