Decide about another attempt in one place for both request paths

Cause: the entry (local.py) and the gateway (request.py) each decided whether a request may be sent again, in other words and with other details; neither told the reason. Change: core/retry.py finds the obstacle from six facts; each path keeps its own budget. The reason stands in the gateway's outcome ('...; it may have run') and in the entry's passed-over list, so explain tells it. Tests: properties/test_retry.py; both paths' tests as they were.

--- a/halldoor/entry/local.py
+++ b/halldoor/entry/local.py
@@ -10,6 +10,7 @@
 from halldoor.core.errors import Ran, Reason, Refusal, refuse, refuse_unknown
 from halldoor.core.explaining.decision import PassedOver
 from halldoor.core.hall.retry import RetryBudget
+from halldoor.core.retry import RetryFacts, RetryObstacle, find_obstacle
 from halldoor.entry.hall import Admission, HallRoom
 from halldoor.entry.outcome import HallRefusal
 from halldoor.entry.request import Answer, Body, Request, RequestError
@@ -82,7 +83,9 @@
                 refusal = exc.refusal
             tried.add(name)
             passed_over.append(PassedOver(name, refusal.message))
-            if attempt == ATTEMPTS or not self._may_retry(request, body, refusal):
+            obstacle = self._find_obstacle(request, body, refusal, attempt)
+            if obstacle is not None:
+                passed_over.append(PassedOver("another attempt", obstacle.value))
                 return Failure(HallRefusal(refusal, passed_over, name, attempt))
             result = self._room.admit(
                 targets,
@@ -97,14 +100,24 @@
             admission = result.unwrap()
         raise AssertionError("unreachable")
 
-    def _may_retry(self, request: Request, body: Body, refusal: Refusal) -> bool:
-        """Tell whether another attempt is safe, affordable and in time."""
-        is_safe = request.is_repeatable or refusal.ran == Ran.NOT_RUN
-        is_worth_it = body.can_repeat and request.get_remaining_s() > 0.005
-        if not is_safe or not is_worth_it or request.cancellation.is_cancelled:
-            return False
+    def _find_obstacle(
+        self, request: Request, body: Body, refusal: Refusal, attempts: int
+    ) -> RetryObstacle | None:
+        """Find what forbids another attempt; where nothing does, take from the budget."""
+        obstacle = find_obstacle(
+            RetryFacts(
+                is_repeatable=request.is_repeatable,
+                may_have_run=refusal.ran != Ran.NOT_RUN,
+                can_resend=body.can_repeat,
+                attempts=attempts,
+                attempt_limit=ATTEMPTS,
+                left_s=0.0 if request.cancellation.is_cancelled else request.get_remaining_s(),
+            )
+        )
+        if obstacle is not None:
+            return obstacle
         with self._budget_lock:
-            return self._budget.take_retry()
+            return None if self._budget.take_retry() else RetryObstacle.BUDGET
 
     def _send(self, admission: Admission, request: Request, body: Body) -> Answer:
         """Send to one target and account for what comes of it."""
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
+from halldoor.core.retry import RetryObstacle
 from halldoor.core.targets.order import Distance
 from halldoor.core.targets.route import Route
 from halldoor.gateway.caller import Answer, Head
@@ -168,6 +169,12 @@
             return Ending(503, reason)
         return Ending(504 if is_late else 502, reason)
 
+    def build_last_failure(self, obstacle: RetryObstacle) -> Ending:
+        """Build the ending of a request whose last attempt failed and is not repeated."""
+        last = self.attempts[-1]
+        reason = f"{last.target}: {last.result}, {last.detail}; {obstacle}"
+        return self.build_give_up(reason, is_late=obstacle is RetryObstacle.NO_TIME)
+
 
 def read_ms(value: bytes) -> float:
     """Read milliseconds from a header, as seconds; the default deadline where it has none."""
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from halldoor.core.retry import RetryFacts, RetryObstacle, find_obstacle
 from halldoor.core.targets.budget import RetrySettings, RetryShare
 from halldoor.core.targets.catalog import Catalog, Target
 from halldoor.core.targets.choice import Choice, Chooser, NoTarget, name_kind
@@ -15,7 +16,6 @@
 from halldoor.core.targets.split import Splitter
 from halldoor.gateway.attempt import (
     Attempt,
-    AttemptResult,
     Ending,
     RequestState,
     TargetView,
@@ -210,11 +210,11 @@
                 return self._deliver(caller, state, outcome.answer, target)
             if isinstance(outcome, TimedOut):
                 return state.build_give_up("no answer in time", is_late=True)
-            if not self._may_go_on(state, outgoing, share):
+            obstacle = self._find_obstacle(state, outgoing, share)
+            if obstacle is not None:
                 if isinstance(outcome, WholeAnswer):
                     return self._deliver(caller, state, outcome.answer, target)
-                last = state.attempts[-1]
-                return state.build_give_up(f"{last.target}: {last.result}, {last.detail}")
+                return state.build_last_failure(obstacle)
 
     async def _attempt(
         self, state: RequestState, outgoing: OutgoingRequest, choice: Choice
@@ -278,21 +278,32 @@
             expected_wait_ms=round(choice.estimate.wait_s * 1000),
         )
 
-    def _may_go_on(self, state: RequestState, outgoing: OutgoingRequest, share: RetryShare) -> bool:
-        """Tell whether another target may be tried."""
-        unreached = sum(not attempt.result.was_sent for attempt in state.attempts)
-        if unreached >= UNREACHED_LIMIT or outgoing.rest is not None:
-            return False
-        if state.may_have_run and state.route.kind is not RequestKind.REPEATABLE:
-            return False
-        if state.sent_count == 0:
-            return True
-        if state.sent_count >= state.route.max_attempts:
-            return False
-        if state.attempts[-1].result is AttemptResult.NOT_REACHED:
-            return True
+    def _find_obstacle(
+        self, state: RequestState, outgoing: OutgoingRequest, share: RetryShare
+    ) -> RetryObstacle | None:
+        """Find what forbids to try another target; where nothing does, take from the budget."""
         now = asyncio.get_running_loop().time()
-        return share.take_retry(now, entries=self._catalog.count_sharers(now))
+        sent, unreached = state.sent_count, len(state.attempts) - state.sent_count
+        obstacle = find_obstacle(
+            RetryFacts(
+                is_repeatable=state.route.kind is RequestKind.REPEATABLE,
+                may_have_run=state.may_have_run,
+                can_resend=outgoing.rest is None,
+                attempts=sent,
+                attempt_limit=state.route.max_attempts,
+                left_s=outgoing.expires_at - now,
+            )
+        )
+        if obstacle is not None:
+            return obstacle
+        if unreached >= UNREACHED_LIMIT:
+            return RetryObstacle.NO_ATTEMPT_LEFT
+        # What reached no target since the last attempt that counted costs no target anything.
+        if not state.attempts[-1].result.was_sent:
+            return None
+        if share.take_retry(now, entries=self._catalog.count_sharers(now)):
+            return None
+        return RetryObstacle.BUDGET
 
     def _share(self, service: str) -> RetryShare:
         """Give this entry's share of a service's retry budget."""
