--- a/properties/test_inputs.py
+++ b/properties/test_inputs.py
@@ -6,7 +6,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from halldoor.core import claim as claims
 from halldoor.core.errors import HalldoorError, PeerError
 from halldoor.core.explaining.decision import (
     Decision,
@@ -15,6 +14,7 @@
     read_decision,
     sign_decision,
 )
+from halldoor.core.orders import claim as claims
 from halldoor.core.orders.claim import Claim, Shard, claim, decode_shard, encode_shard
 from halldoor.core.orders.ticket import decode_ticket
 from halldoor.core.steering.configuration import Configuration
