--- a/halldoor/cli/gateway.py
+++ b/halldoor/cli/gateway.py
@@ -53,8 +53,9 @@
 def build_settings(checked: GatewayFileSettings) -> GatewaySettings:
     """Build the gateway's settings from those of the file."""
     data = msgspec.structs.asdict(checked)
+    policy = data.pop("policy")
     del data["configuration"]
-    return GatewaySettings(**data)
+    return GatewaySettings(**data).use_policy(policy, origin="policy")
 
 
 def main() -> None:
--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -56,6 +56,10 @@
         All entries together may send a cold target its rate times the first plus the second.
     cold_margin : float
         Part of that to use; the rest covers entries that don't know yet that it is cold.
+    uses_keys : bool
+        Requests of a key go to the key's targets.
+    uses_reports : bool
+        What targets report of their load counts.
     """
 
     load_factor: float = 4.0
@@ -69,6 +73,8 @@
     cold_excess: float = 1.5
     cold_slack: float = 5.0
     cold_margin: float = 0.6
+    uses_keys: bool = True
+    uses_reports: bool = True
 
 
 class NoTarget(NamedTuple):
@@ -175,6 +181,7 @@
             Targets that had this request before.
         """
         settings = self.settings
+        key = key if settings.uses_keys else ""
         weight = find_region_weight(route, settings.region_weight, settings.upload_region_weight)
         order = self.orders.get_order(route, service, key, weight)
         if not order:
--- a/halldoor/core/targets/outlier.py
+++ b/halldoor/core/targets/outlier.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 FAILURES_TO_EJECT = 2.0
 """Failures in a row that eject a target; one alone may be a lost packet."""
 SLOW_WEIGHT = 0.67
@@ -26,6 +28,21 @@
 """Weight of the newest answer in a service's average time: about the last fifty count."""
 
 
+class OutlierSettings(NamedTuple):
+    """What ejects a target; each can be switched off.
+
+    Attributes
+    ----------
+    ejects_failing : bool
+        Targets that fail again and again, or can't be reached, are left alone for a while.
+    ejects_slow : bool
+        So are targets that are much slower than their service.
+    """
+
+    ejects_failing: bool = True
+    ejects_slow: bool = True
+
+
 class _Results:
     """What was seen of one target.
 
@@ -44,9 +61,16 @@
 
 
 class OutlierTable:
-    """Results by target, and who is ejected because of them."""
+    """Results by target, and who is ejected because of them.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    settings : OutlierSettings, optional
+        What ejects a target.
+    """
+
+    def __init__(self, settings: OutlierSettings | None = None) -> None:
+        self._settings = settings or OutlierSettings()
         self._results: dict[str, _Results] = {}
         self._service_average_s: dict[str, float] = {}
 
@@ -59,16 +83,21 @@
         if results.samples == 1:
             results.average_s = took_s
         results.average_s += TARGET_WEIGHT * (took_s - results.average_s)
-        is_slow = took_s > SLOW_FACTOR * usual_s
+        is_slow = self._settings.ejects_slow and took_s > SLOW_FACTOR * usual_s
         if is_slow and results.ejections:
             return self._eject(results, now)
-        if results.samples >= SLOW_SAMPLES and results.average_s > SLOW_FACTOR * usual_s:
+        if self._is_slow_on_average(results, usual_s):
             return self._eject(results, now)
         if not is_slow:
             results.failures = 0.0
             results.ejections = 0
         return False
 
+    def _is_slow_on_average(self, results: _Results, usual_s: float) -> bool:
+        """Tell whether a target's last answers were much slower than the service's."""
+        is_known = self._settings.ejects_slow and results.samples >= SLOW_SAMPLES
+        return is_known and results.average_s > SLOW_FACTOR * usual_s
+
     def add_failure(
         self, target: str, now: float, *, is_dead: bool = False, is_slow: bool = False
     ) -> bool:
@@ -82,6 +111,8 @@
             The answer did not come in time: it takes more of these.
         """
         results = self._results.setdefault(target, _Results())
+        if not self._settings.ejects_failing:
+            return False
         results.failures += SLOW_WEIGHT if is_slow else 1.0
         if results.failures < FAILURES_TO_EJECT and not is_dead and not results.ejections:
             return False
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -169,8 +169,7 @@
             return ConnectFailed(str(exc)), connecting
         except ConnectionBrokenError as exc:
             if connection is not None and connection.is_reused and connection.has_fallen_silent:
-                # What silenced one kept connection has often silenced the others.
-                self._pool.close()
+                self._pool.note_silence()
             return AnswerLost(str(exc)), connecting
         finally:
             if connection is not None and not is_settled:
@@ -198,14 +197,10 @@
     async def _connect(
         self, outgoing: OutgoingRequest, incarnation: str, address: Address
     ) -> HttpConnection:
-        """Take a kept connection, or open one.
-
-        An upload opens one: its body takes longer than that, and most break off in it.
-        """
-        if outgoing.kind is not RequestKind.UPLOAD:
-            kept = self._pool.take_idle(incarnation)
-            if kept is not None:
-                return kept
+        """Take a kept connection, or open one."""
+        kept = self._pool.take_idle(incarnation, outgoing.kind)
+        if kept is not None:
+            return kept
         left_s = outgoing.expires_at - asyncio.get_running_loop().time()
         return await self._pool.open(address, timeout_s=left_s)
 
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -155,6 +155,8 @@
 
     def _add_load(self, name: str, outcome: WholeAnswer | PartialAnswer, now: float) -> None:
         """Take the load that a target reported with its answer."""
+        if not self._chooser.settings.uses_reports:
+            return
         report = LoadReport.from_text(find(outcome.answer.headers, self._names.load))
         if report is not None:
             self._loads.add(name, report, now, own=self._chooser.in_flight[name])
--- a/halldoor/gateway/filestore.py
+++ b/halldoor/gateway/filestore.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -160,6 +161,8 @@
         YAML file with routes, services and targets; changes in it are taken up.
     regions : dict of str to str
         Region of each hall.
+    policy : dict
+        Settings of the policy by section; docs/reference.md lists them.
     """
 
     name: str
@@ -173,3 +176,4 @@
     metrics: Address | None = None
     lookup_ttl_s: float = 1.0
     grace_s: float = 6.0
+    policy: dict[str, dict[str, Any]] = {}
--- a/halldoor/gateway/pool.py
+++ b/halldoor/gateway/pool.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from enum import StrEnum
+from typing import NamedTuple
 
 from halldoor.core.settings import Address
+from halldoor.core.targets.route import RequestKind
 from halldoor.gateway.connection import HttpConnection
 
 CONNECT_TIMEOUT_S = 0.3
@@ -20,15 +23,48 @@
 """Idle connections kept per target."""
 
 
+class Reuse(StrEnum):
+    """Whose requests may go over a connection that an earlier exchange used."""
+
+    NONE = "none"
+    REPEATABLE = "repeatable"
+    ALL_BUT_UPLOADS = "all but uploads"
+
+
+class ConnectionSettings(NamedTuple):
+    """How connections to targets are used.
+
+    Attributes
+    ----------
+    reuse : Reuse
+        Uploads always open one: their body takes longer than that, and most break off in it.
+    closes_all_on_silence : bool
+        A kept connection whose peer stops acknowledging closes every other kept one, since what
+        silenced it has often silenced them.
+    """
+
+    reuse: Reuse = Reuse.ALL_BUT_UPLOADS
+    closes_all_on_silence: bool = True
+
+
 class TargetPool:
-    """Idle connections by target incarnation."""
+    """Idle connections by target incarnation.
+
+    Parameters
+    ----------
+    settings : ConnectionSettings, optional
+        How they are used.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, settings: ConnectionSettings | None = None) -> None:
+        self._settings = settings or ConnectionSettings()
         self._idle: dict[str, list[HttpConnection]] = {}
         self.opened = 0
 
-    def take_idle(self, incarnation: str) -> HttpConnection | None:
-        """Take a kept connection that is still sound."""
+    def take_idle(self, incarnation: str, kind: RequestKind) -> HttpConnection | None:
+        """Take a kept connection that is still sound; None where there is none for the kind."""
+        if not self._allows_reuse(kind):
+            return None
         now = asyncio.get_running_loop().time()
         idle = self._idle.get(incarnation, [])
         while idle:
@@ -38,6 +74,17 @@
             connection.close()
         return None
 
+    def _allows_reuse(self, kind: RequestKind) -> bool:
+        """Tell whether a request of a kind may take a kept connection."""
+        if kind is RequestKind.REPEATABLE:
+            return self._settings.reuse is not Reuse.NONE
+        return kind is not RequestKind.UPLOAD and self._settings.reuse is Reuse.ALL_BUT_UPLOADS
+
+    def note_silence(self) -> None:
+        """Note that a kept connection fell silent."""
+        if self._settings.closes_all_on_silence:
+            self.close()
+
     async def open(self, address: Address, *, timeout_s: float) -> HttpConnection:
         """Open a new connection."""
         connection = await HttpConnection.open(
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -76,7 +76,7 @@
         self.member = MemberRecord(
             settings.name, settings.front, settings.hall, settings.region, settings.relay
         )
-        self.pool = TargetPool()
+        self.pool = TargetPool(settings.connections)
         self._build_requests(names)
         self._build_store_tasks(store, codec)
         self._pages = Pages(self._read_state, self._read_figures, lookups, self.metrics)
@@ -90,7 +90,8 @@
     def _build_requests(self, names: HeaderNames) -> None:
         """Build what chooses targets and handles callers' requests."""
         settings = self.settings
-        outliers, loads, latency = OutlierTable(), LoadTable(), LatencyModel()
+        outliers = OutlierTable(settings.outliers)
+        loads, latency = LoadTable(), LatencyModel()
         self.chooser = Chooser(
             self.catalog,
             outliers,
--- a/halldoor/gateway/settings.py
+++ b/halldoor/gateway/settings.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple, get_type_hints
 
-from halldoor.core.settings import Address
+from halldoor.core.errors import SettingsError
+from halldoor.core.settings import Address, parse
 from halldoor.core.targets.budget import RetrySettings
 from halldoor.core.targets.catalog import CatalogTimings
 from halldoor.core.targets.choice import ChoiceSettings
+from halldoor.core.targets.outlier import OutlierSettings
 from halldoor.core.targets.relay import RelaySettings
+from halldoor.gateway.pool import ConnectionSettings
 from halldoor.gateway.sync import BATCH_S
 
 LIVE_SETTINGS = (
@@ -23,6 +27,10 @@
 """Settings that a running process takes up; addresses and names need a restart."""
 
 
+POLICY_SECTIONS = ("choice", "outliers", "connections", "retries")
+"""Settings that a policy file may change."""
+
+
 class GatewaySettings(NamedTuple):
     """Settings of a gateway.
 
@@ -60,7 +68,44 @@
     choice: ChoiceSettings = ChoiceSettings()
     retries: RetrySettings = RetrySettings()
     relaying: RelaySettings = RelaySettings()
+    outliers: OutlierSettings = OutlierSettings()
+    connections: ConnectionSettings = ConnectionSettings()
+
+    def use_policy(self, policy: Mapping[str, Any], *, origin: str) -> GatewaySettings:
+        """Give these settings with those of a policy file in their place.
+
+        Parameters
+        ----------
+        policy : mapping
+            Settings by section, as the file gave them.
+        origin : str
+            File name for messages.
+
+        Raises
+        ------
+        SettingsError
+            Where a section or setting is not known, or of another type.
+        """
+        checked = parse(policy, dict[str, dict[str, Any]], origin=origin)
+        sections: dict[str, Any] = {}
+        for section, values in checked.items():
+            _check_name(section, POLICY_SECTIONS, origin=origin)
+            known = getattr(self, section)
+            hints = get_type_hints(type(known))
+            for name, value in values.items():
+                _check_name(name, hints, origin=f"{origin}, {section}")
+                typed = parse(value, hints[name], origin=f"{origin}, {section}.{name}")
+                known = known._replace(**{name: typed})
+            sections[section] = known
+        return self._replace(**sections)
 
     def find_changes(self, other: GatewaySettings) -> list[str]:
         """Name the settings that differ in another set of them."""
         return [n for n in self._fields if getattr(self, n) != getattr(other, n)]
+
+
+def _check_name(name: str, known: Iterable[str], *, origin: str) -> None:
+    """Raise where a name is not among those known."""
+    if name not in known:
+        names = ", ".join(sorted(known))
+        raise SettingsError(f"{origin}: {name!r} is not known.", remedy=f"Known are: {names}.")
--- a/halldoor/tests/test_kept_connections.py
+++ b/halldoor/tests/test_kept_connections.py
@@ -72,7 +72,7 @@
                 assert {len(t.received) > 0 for t in kit.targets.values()} == {True}
                 pool, taken = kit.gateway.pool, []
                 take_idle = pool.take_idle
-                pool.take_idle = lambda name: taken.append(take_idle(name)) or taken[-1]
+                pool.take_idle = lambda *args: taken.append(take_idle(*args)) or taken[-1]
                 kit.script_all("hang")
                 waiting = asyncio.ensure_future(kit.call(method="POST", body=b"x"))
                 await kit.wait(lambda: len(kit.received) == 9)
--- /dev/null
+++ b/halldoor/tests/test_policy_settings.py
@@ -0,0 +1,62 @@
+"""A policy file changes settings by section; what it says wrong is named."""
+
+import pytest
+
+from halldoor.core.errors import SettingsError
+from halldoor.core.settings import Address
+from halldoor.core.targets.outlier import OutlierTable
+from halldoor.core.targets.route import RequestKind
+from halldoor.gateway.pool import Reuse, TargetPool
+from halldoor.gateway.settings import GatewaySettings
+
+SETTINGS = GatewaySettings(
+    name="e1",
+    hall="ams-a",
+    region="ams",
+    front=Address("127.0.0.1", 1),
+    ready=Address("127.0.0.1", 2),
+    directory=Address("127.0.0.1", 3),
+    regions={},
+)
+
+
+class TestPolicyFile:
+    def test_named_settings_change_and_the_others_stay(self):
+        policy = {"choice": {"region_weight": 1}, "connections": {"reuse": "repeatable"}}
+        changed = SETTINGS.use_policy(policy, origin="p.yaml")
+        assert changed.choice == SETTINGS.choice._replace(region_weight=1.0)
+        assert changed.connections.reuse is Reuse.REPEATABLE
+        assert changed.find_changes(SETTINGS) == ["choice", "connections"]
+
+    @pytest.mark.parametrize(
+        ("policy", "wanted"),
+        [
+            ({"choise": {}}, "'choise' is not known"),
+            ({"choice": {"weight": 2}}, "'weight' is not known"),
+            ({"choice": {"region_weight": "much"}}, r"choice\.region_weight"),
+            ({"connections": {"reuse": "some"}}, r"connections\.reuse"),
+            (["choice"], r"p\.yaml"),
+        ],
+    )
+    def test_what_is_wrong_is_named(self, policy, wanted):
+        with pytest.raises(SettingsError, match=wanted):
+            SETTINGS.use_policy(policy, origin="p.yaml")
+
+
+class TestSwitches:
+    @pytest.mark.parametrize("name", ["ejects_failing", "ejects_slow"])
+    def test_an_ejection_can_be_switched_off(self, name):
+        settings = SETTINGS.use_policy({"outliers": {name: False}}, origin="p.yaml")
+        table = OutlierTable(settings.outliers)
+        for number in range(20):
+            if name == "ejects_failing":
+                table.add_failure("t1", number, is_dead=True)
+            else:
+                table.add_success("t1", "deck", 10.0, number)
+                table.add_success("t2", "deck", 0.1, number)
+            assert not table.is_ejected("t1", number)
+
+    @pytest.mark.parametrize("reuse", Reuse)
+    def test_uploads_never_take_a_kept_connection(self, reuse):
+        settings = SETTINGS.use_policy({"connections": {"reuse": reuse.value}}, origin="p.yaml")
+        assert TargetPool(settings.connections).take_idle("t1", RequestKind.UPLOAD) is None
