--- a/halldoor/cli/fleet.py
+++ b/halldoor/cli/fleet.py
@@ -43,7 +43,6 @@
     store_age_s: float = 0.0
     members: int = 0
     running: int = 0
-    reads_store: bool = False
     targets_out: tuple[TargetOut, ...] = ()
     error: str = ""
 
@@ -87,7 +86,6 @@
         store_age_s=state.get("store_age_seconds", 0.0),
         members=int(state.get("members", 0)),
         running=int(state.get("running", 0)),
-        reads_store=bool(state.get("reads_store", 0)),
         targets_out=tuple(out),
     )
 
@@ -96,10 +94,9 @@
     """Describe the fleet for people: what stands out first, then the targets that are out."""
     reached = [g for g in gateways if g.is_reached]
     newest = max((g.version for g in reached), default=0)
-    readers = sum(g.reads_store for g in reached)
     lines = [
         f"{len(reached)} of {len(gateways)} gateways answered; configuration {newest}; "
-        f"{readers} read the store; {sum(g.running for g in reached)} requests running."
+        f"{sum(g.running for g in reached)} requests running."
     ]
     lines += _limit([f"{g.address}: not reached ({g.error})" for g in gateways if g.error])
     lines += _limit(_describe_lag(g, newest) for g in reached if _is_lagging(g, newest))
--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -42,19 +42,12 @@
 
 
 class MemberRecord(NamedTuple):
-    """An entry that serves callers, as it registered itself in the store.
-
-    Attributes
-    ----------
-    relay : Address or None
-        Where it passes changes of the store on to other entries; None where it does not.
-    """
+    """An entry that serves callers, as it registered itself in the store."""
 
     name: str
     front: Address
     hall: str
     region: str
-    relay: Address | None = None
 
 
 class RoutingSeen(NamedTuple):
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -26,8 +26,7 @@
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pages import GatewayFigures, GatewayState, Pages
 from halldoor.gateway.pool import TargetPool
-from halldoor.gateway.registration import RENEWAL_S, Registration
-from halldoor.gateway.relay import ChangeFeed
+from halldoor.gateway.registration import Registration
 from halldoor.gateway.request import RequestHandler
 from halldoor.gateway.settings import LIVE_SETTINGS, GatewaySettings
 from halldoor.gateway.store import MetadataStore, RecordCodec
@@ -73,9 +72,7 @@
         self.log = EventLog(settings.name)
         self.metrics = GatewayMetrics()
         self.catalog = Catalog(settings.timings)
-        self.member = MemberRecord(
-            settings.name, settings.front, settings.hall, settings.region, settings.relay
-        )
+        self.member = MemberRecord(settings.name, settings.front, settings.hall, settings.region)
         self.pool = TargetPool(settings.connections)
         self._build_requests(names)
         self._build_store_tasks(store, codec)
@@ -129,9 +126,6 @@
     def _build_store_tasks(self, store: MetadataStore, codec: RecordCodec) -> None:
         """Build what keeps the catalog in step with the store, and this entry registered."""
         settings = self.settings
-        self.feed = ChangeFeed(
-            store, self.member, self.catalog, settings=settings.relaying, log=self.log
-        )
         self.sync = StoreSync(
             store,
             codec,
@@ -140,7 +134,6 @@
             metrics=self.metrics,
             on_change=self._note_change,
             batch_s=settings.batch_s,
-            feed=self.feed,
         )
         self.registration = Registration(
             store,
@@ -148,7 +141,6 @@
             self.member,
             log=self.log,
             metrics=self.metrics,
-            read_period_s=self._read_renewal_period_s,
             on_contact=self._note_contact,
             on_return=self.sync.restart,
         )
@@ -177,7 +169,6 @@
             "running": self.requests.running,
             "callers": len(self._callers),
             "members": len(self.catalog.members),
-            "reads_store": int(self.feed.is_direct),
             "connections_opened": self.pool.opened,
             "connections_kept": self.pool.count_idle(),
             "configuration_version": routing.version if routing else 0,
@@ -200,7 +191,6 @@
             (settings.ready, self._pages.answer_ready),
             (settings.directory, self._pages.answer_lookup),
             (settings.metrics, self._pages.answer_metrics),
-            (settings.relay, self.feed.answer),
         ):
             if address is None:
                 continue
@@ -283,7 +273,6 @@
         for task in self._tasks:
             await stop_task(task)
         self.pool.close()
-        self.feed.close()
         self.log.close()
 
     async def _run_maintenance(self) -> None:
@@ -304,12 +293,6 @@
             if tick % SWEEP_TICKS == 0:
                 self.pool.sweep()
 
-    def _read_renewal_period_s(self) -> float:
-        """Give the period of renewals; a reader shows more often that it reaches the store."""
-        settings = self.settings.relaying
-        has_followers = len(self.catalog.members) > settings.fleet_limit and self.feed.is_direct
-        return settings.renewal_s if has_followers else RENEWAL_S
-
     def _note_contact(self) -> None:
         """Note that the store answered."""
         self.catalog.note_contact(asyncio.get_running_loop().time())
--- a/halldoor/gateway/registration.py
+++ b/halldoor/gateway/registration.py
@@ -13,7 +13,7 @@
 LEASE_S = 3.0
 """Lifetime of the lease, in seconds: a dead entry leaves the look-ups within it."""
 RENEWAL_S = 1.0
-"""Usual period of renewals, in seconds: three in one lifetime, so that two may be lost."""
+"""Period of renewals, in seconds: three in one lifetime, so that two may be lost."""
 RETRY_S = 0.5
 """Pause after a failed call, in seconds."""
 
@@ -23,8 +23,6 @@
 
     Parameters
     ----------
-    read_period_s : callable
-        Gives the period of renewals, in seconds.
     on_contact : callable
         Called whenever the store answered a renewal.
     on_return : callable
@@ -39,7 +37,6 @@
         *,
         log: EventLog,
         metrics: GatewayMetrics,
-        read_period_s: Callable[[], float],
         on_contact: Callable[[], None],
         on_return: Callable[[str], None],
     ) -> None:
@@ -48,7 +45,6 @@
         self._member = member
         self._log = log
         self._metrics = metrics
-        self._read_period_s = read_period_s
         self._on_contact = on_contact
         self._on_return = on_return
         self._lease: Lease | None = None
@@ -59,7 +55,7 @@
     async def run(self) -> None:
         """Register, and renew until cancelled."""
         while True:
-            pause_s = self._read_period_s()
+            pause_s = RENEWAL_S
             try:
                 await self._renew()
             except LeaseGoneError:
--- a/halldoor/gateway/store.py
+++ b/halldoor/gateway/store.py
@@ -44,20 +44,10 @@
 
 
 class Events(NamedTuple):
-    """What a watch brought, and the revision to go on from.
-
-    Attributes
-    ----------
-    age_s : float
-        Time since the store was heard, in seconds; above 0 where another entry passed it on.
-    is_return : bool
-        The store had been away before some of these changes.
-    """
+    """What a watch brought, and the revision to go on from."""
 
     items: Sequence[StoredItem]
     revision: int
-    age_s: float = 0.0
-    is_return: bool = False
 
 
 class Lease(NamedTuple):
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -18,7 +18,6 @@
 )
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.store import (
     Events,
     HistoryGoneError,
@@ -33,6 +32,8 @@
 
 Each watch that returns is a priced call; several changes within the pause cost one.
 """
+WATCH_S = 28.0
+"""Longest wait of one watch, in seconds; the store allows 30."""
 BACKOFF_S = 0.25
 """First pause after a failed call, in seconds; it doubles up to `BACKOFF_LIMIT_S`."""
 BACKOFF_LIMIT_S = 1.0
@@ -52,8 +53,6 @@
         Called with each change that was applied.
     batch_s : float
         Pause between an event and the next watch, in seconds.
-    feed : ChangeFeed
-        Brings the changes once everything is read.
     """
 
     def __init__(
@@ -66,10 +65,8 @@
         metrics: GatewayMetrics,
         on_change: Callable[[Change], None],
         batch_s: float,
-        feed: ChangeFeed,
     ) -> None:
         self._store = store
-        self._feed = feed
         self._codec = codec
         self._catalog = catalog
         self._log = log
@@ -120,18 +117,17 @@
                 if not page.has_more or not page.items:
                     break
                 after = page.items[-1].key
-        now = self._note_contact(Events(items, revision or 0, is_return=self._is_away))
+        now = self._note_contact()
         changes = [c for c in map(self._decode, items) if c is not None]
         applied = self._catalog.load(changes, now)
         self._revision = revision
-        self._feed.begin(revision or 0)
         self._log.event("store", "Read all.", revision=revision, changes=len(applied))
         for change in applied:
             self._on_change(change)
 
     async def _watch(self, revision: int) -> None:
         """Wait for changes and apply them."""
-        task = asyncio.ensure_future(self._feed.wait(revision))
+        task = asyncio.ensure_future(self._store.watch("", after=revision, wait_s=WATCH_S))
         self._watching = task
         try:
             events = await task
@@ -142,18 +138,15 @@
         finally:
             self._watching = None
             task.cancel()
-        if self._feed.is_direct:
-            self._metrics.add_store_call("watch", "events" if events.items else "quiet")
-        events = events._replace(is_return=events.is_return or self._is_away)
-        now = self._note_contact(events)
-        self._feed.publish(revision, events)
+        self._metrics.add_store_call("watch", "events" if events.items else "quiet")
+        now = self._note_contact()
         for item in events.items:
             change = self._decode(item)
             if change is not None and self._catalog.apply(change, now):
                 self._log_change(change, events.revision)
                 self._on_change(change)
         self._revision = events.revision
-        if events.items and self._feed.is_direct:
+        if events.items:
             await asyncio.sleep(self.batch_s)
 
     def _decode(self, item: StoredItem) -> Change | None:
@@ -164,13 +157,13 @@
             self._log.event("store", "Can't read a record.", key=item.key, error=str(exc))
             return None
 
-    def _note_contact(self, events: Events) -> float:
+    def _note_contact(self) -> float:
         """Note that the store was heard; give the time."""
         now = asyncio.get_running_loop().time()
-        self._catalog.note_contact(now - events.age_s)
-        if events.is_return:
+        self._catalog.note_contact(now)
+        if self._is_away:
             self._catalog.begin_settling(now)
-            self._log.event("store", "Back." if self._is_away else "Back, as its reader says.")
+            self._log.event("store", "Back.")
         self._is_away = False
         return now
 
