--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -164,12 +164,16 @@
             is_settled = True
             return outcome, connecting
         except TimeoutError:
+            if connecting.is_reused:
+                # Nobody can tell a slow target from a connection that lost its peer long ago.
+                self._pool.note_loss(incarnation, is_silent=False)
             return TimedOut(), connecting
         except ConnectionFailedError as exc:
+            self._pool.forget(incarnation)
             return ConnectFailed(str(exc)), connecting
         except ConnectionBrokenError as exc:
-            if connection is not None and connection.is_reused and connection.has_fallen_silent:
-                self._pool.note_silence()
+            if connecting.is_reused and connection is not None:
+                self._pool.note_loss(incarnation, is_silent=connection.has_fallen_silent)
             return AnswerLost(str(exc)), connecting
         finally:
             if connection is not None and not is_settled:
--- a/halldoor/gateway/pool.py
+++ b/halldoor/gateway/pool.py
@@ -80,10 +80,17 @@
             return self._settings.reuse is not Reuse.NONE
         return kind is not RequestKind.UPLOAD and self._settings.reuse is Reuse.ALL_BUT_UPLOADS
 
-    def note_silence(self) -> None:
-        """Note that a kept connection fell silent."""
-        if self._settings.closes_all_on_silence:
+    def note_loss(self, incarnation: str, *, is_silent: bool) -> None:
+        """Note that a kept connection lost its peer: the target's others probably did too.
+
+        Parameters
+        ----------
+        is_silent : bool
+            The peer stopped acknowledging; then other targets' connections are suspicious.
+        """
+        if is_silent and self._settings.closes_all_on_silence:
             self.close()
+        self.forget(incarnation)
 
     async def open(self, address: Address, *, timeout_s: float) -> HttpConnection:
         """Open a new connection."""
--- a/halldoor/tests/test_kept_connections.py
+++ b/halldoor/tests/test_kept_connections.py
@@ -82,3 +82,33 @@
                 assert pool.count_idle() == 0
 
         asyncio.run(check())
+
+    def test_a_kept_connection_without_an_answer_makes_its_targets_others_suspicious(self):
+        """A peer may acknowledge bytes and never answer again; new connections work."""
+
+        async def check():
+            async with GatewayKit.open(targets=1, route=by_kind("at-most-once")) as kit:
+                target = kit.targets["t0"]
+                first = [asyncio.ensure_future(kit.call(method="POST", body=b"x")) for _ in "ab"]
+                assert [(await call).status for call in first] == [200, 200]
+                kept = kit.gateway.pool.count_idle()
+                target.script = target.hang
+                late = await kit.call(method="POST", body=b"x", deadline_ms=200)
+                assert (late.status, kept) == (504, 2)
+                assert kit.gateway.pool.count_idle() == 0
+
+        asyncio.run(check())
+
+    def test_one_lost_peer_costs_one_order(self):
+        """Regression: each of a crashed target's kept connections cost an order of its own."""
+
+        async def check():
+            async with GatewayKit.open(targets=1, route=by_kind("at-most-once")) as kit:
+                calls = [asyncio.ensure_future(kit.call(method="POST", body=b"x")) for _ in "abc"]
+                assert [(await call).status for call in calls] == [200] * 3
+                assert kit.gateway.pool.count_idle() == 3
+                kit.script_all("reset")
+                assert (await kit.call(method="POST", body=b"x")).status == 502
+                assert kit.gateway.pool.count_idle() == 0
+
+        asyncio.run(check())
