--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -28,6 +28,7 @@
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.registration import Registration
 from halldoor.gateway.request import RequestHandler
+from halldoor.gateway.retries import RetryGate
 from halldoor.gateway.settings import LIVE_SETTINGS, GatewaySettings
 from halldoor.gateway.store import MetadataStore, RecordCodec
 from halldoor.gateway.sync import StoreSync, stop_task
@@ -110,6 +111,7 @@
             names=names,
             log=self.log,
         )
+        self.retries = RetryGate(self.catalog, settings.retries)
         self.requests = RequestHandler(
             catalog=self.catalog,
             chooser=self.chooser,
@@ -120,7 +122,7 @@
             names=names,
             log=self.log,
             metrics=self.metrics,
-            retries=settings.retries,
+            retries=self.retries,
         )
 
     def _build_store_tasks(self, store: MetadataStore, codec: RecordCodec) -> None:
@@ -229,7 +231,7 @@
         self.catalog.timings = self.settings.timings
         self.chooser.orders.regions = self.settings.regions
         self.chooser.settings = self.settings.choice
-        self.requests.use_retries(self.settings.retries)
+        self.retries.use(self.settings.retries)
         self.sync.batch_s = self.settings.batch_s
         at_restart = [n for n in changed if n not in LIVE_SETTINGS]
         self.log.event("process", "Reloaded.", changed=sorted(live), at_next_start=at_restart)
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -6,8 +6,6 @@
 
 import h11
 
-from halldoor.core.retry import RetryFacts, RetryObstacle, find_obstacle
-from halldoor.core.targets.budget import RetrySettings, RetryShare
 from halldoor.core.targets.catalog import Catalog, Target
 from halldoor.core.targets.choice import Choice, Chooser, NoTarget, name_kind
 from halldoor.core.targets.latency import LatencyModel
@@ -38,9 +36,7 @@
 from halldoor.gateway.headers import HeaderNames, drop_hop_by_hop, find
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pool import TargetPool
-
-UNREACHED_LIMIT = 3
-"""Targets that may fail to connect before a request is refused; each costs up to 0.3 s."""
+from halldoor.gateway.retries import RetryGate
 
 
 class RequestHandler:
@@ -56,6 +52,8 @@
         Connections to targets.
     names : HeaderNames
         Header names of callers and targets.
+    retries : RetryGate
+        Decides about another attempt.
     """
 
     def __init__(
@@ -70,7 +68,7 @@
         names: HeaderNames,
         log: EventLog,
         metrics: GatewayMetrics,
-        retries: RetrySettings,
+        retries: RetryGate,
     ) -> None:
         self._catalog = catalog
         self._chooser = chooser
@@ -85,7 +83,6 @@
         self._retries = retries
         self._splitter = Splitter()
         self._table: RouteTable | None = None
-        self._shares: dict[str, RetryShare] = {}
         self.running = 0
 
     def read_limits(self) -> CallerLimits:
@@ -97,12 +94,6 @@
         """Count this entry's requests on a target."""
         return self._chooser.in_flight[target]
 
-    def use_retries(self, retries: RetrySettings) -> None:
-        """Use another retry budget from now on; what was counted stays counted."""
-        self._retries = retries
-        for share in self._shares.values():
-            share.ratio, share.slack = retries.ratio, retries.slack
-
     async def handle(self, caller: CallerConnection, head: Head) -> None:
         """Answer one request."""
         self.running += 1
@@ -190,8 +181,7 @@
     ) -> Ending:
         """Send the request to targets until there is an answer or a reason to give up."""
         loop = asyncio.get_running_loop()
-        share = self._share(state.service)
-        share.add_request(loop.time())
+        self._retries.add_request(state.service, loop.time())
         while True:
             now = loop.time()
             if now >= outgoing.expires_at:
@@ -210,7 +200,12 @@
                 return self._deliver(caller, state, outcome.answer, target)
             if isinstance(outcome, TimedOut):
                 return state.build_give_up("no answer in time", is_late=True)
-            obstacle = self._find_obstacle(state, outgoing, share)
+            obstacle = self._retries.find_obstacle(
+                state,
+                loop.time(),
+                can_resend=outgoing.rest is None,
+                expires_at=outgoing.expires_at,
+            )
             if obstacle is not None:
                 if isinstance(outcome, WholeAnswer):
                     return self._deliver(caller, state, outcome.answer, target)
@@ -278,41 +273,6 @@
             expected_wait_ms=round(choice.estimate.wait_s * 1000),
         )
 
-    def _find_obstacle(
-        self, state: RequestState, outgoing: OutgoingRequest, share: RetryShare
-    ) -> RetryObstacle | None:
-        """Find what forbids to try another target; where nothing does, take from the budget."""
-        now = asyncio.get_running_loop().time()
-        sent, unreached = state.sent_count, len(state.attempts) - state.sent_count
-        obstacle = find_obstacle(
-            RetryFacts(
-                is_repeatable=state.route.kind is RequestKind.REPEATABLE,
-                may_have_run=state.may_have_run,
-                can_resend=outgoing.rest is None,
-                attempts=sent,
-                attempt_limit=state.route.max_attempts,
-                left_s=outgoing.expires_at - now,
-            )
-        )
-        if obstacle is not None:
-            return obstacle
-        if unreached >= UNREACHED_LIMIT:
-            return RetryObstacle.NO_ATTEMPT_LEFT
-        # What reached no target since the last attempt that counted costs no target anything.
-        if not state.attempts[-1].result.was_sent:
-            return None
-        if share.take_retry(now, entries=self._catalog.count_sharers(now)):
-            return None
-        return RetryObstacle.BUDGET
-
-    def _share(self, service: str) -> RetryShare:
-        """Give this entry's share of a service's retry budget."""
-        share = self._shares.get(service)
-        if share is None:
-            share = RetryShare(**self._retries._asdict())
-            self._shares[service] = share
-        return share
-
     # Answers
 
     def _deliver(
