--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -102,7 +102,7 @@
     Attributes
     ----------
     place : int
-        Place of the target in the key's order, from 0.
+        Place of the target in the key's order, from 0; targets not worth trying don't count.
     """
 
     target: Target
--- a/halldoor/core/targets/cost.py
+++ b/halldoor/core/targets/cost.py
@@ -79,7 +79,7 @@
         on_target : float
             Requests on the target.
         place : int
-            Place of the target in the key's order, from 0.
+            Place of the target in the key's order, from 0; targets not worth trying don't count.
         """
         slots = max(1, target.record.slots)
         wait_s = max(0.0, on_target - slots + 1) * levels.mean_s / slots
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -59,7 +59,7 @@
     distance : Distance
         Whether it stands in this entry's hall, its region or farther away.
     place : int
-        Its place in the key's order, from 0.
+        Its place in the key's order, from 0; targets not worth trying don't count.
     has_sent_key : bool
         This entry had an answer for the key from it.
     expected_ms, expected_wait_ms : int
