--- a/halldoor/core/targets/latency.py
+++ b/halldoor/core/targets/latency.py
@@ -42,11 +42,6 @@
     cold_s: float
     mean_s: float
 
-    @property
-    def gap_s(self) -> float:
-        """What a cold target costs, in seconds."""
-        return self.cold_s - self.warm_s
-
 
 _UNKNOWN = WorkLevels(WORK_PRIOR_S, WORK_PRIOR_S, WORK_PRIOR_S)
 
