Judge a logged attempt's warmth in one place for explain and report

Cause: history.py and report.py each told just started, first choice, had the key and cold apart, in the same order from the same fields. Change: history.find_warmth gives one enumeration; explain tells its words, report its names. No output changes.

--- a/halldoor/core/explaining/history.py
+++ b/halldoor/core/explaining/history.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Iterable, Iterator
+from enum import StrEnum
 from typing import Any, NamedTuple
 
 from halldoor.core.targets.load import OLD_REPORT_S
@@ -30,6 +31,24 @@
     fields: dict[str, Any]
 
 
+class Warmth(StrEnum):
+    """What an entry took a target for with respect to a key; told in these words."""
+
+    JUST_STARTED = "just started, cold"
+    FIRST_CHOICE = "the key's first, taken for warm"
+    HAD_THE_KEY = "it had the key from here before"
+    COLD = "taken for cold for the key"
+
+
+def find_warmth(attempt: dict[str, Any]) -> Warmth:
+    """Find what a logged attempt's target was taken for."""
+    if attempt.get("is_cold"):
+        return Warmth.JUST_STARTED
+    if attempt.get("place") == 0:
+        return Warmth.FIRST_CHOICE
+    return Warmth.HAD_THE_KEY if attempt.get("has_sent_key") else Warmth.COLD
+
+
 def parse_lines(lines: Iterable[str]) -> Iterator[LogLine]:
     """Read log lines; what stands before the JSON is dropped, other lines are passed over."""
     for line in lines:
@@ -108,16 +127,8 @@
     """Tell why the target was chosen: its place, and the time that was expected."""
     if "expected_ms" not in attempt:
         return "no expectation logged"
-    if attempt.get("is_cold"):
-        warmth = "just started, cold"
-    elif attempt["place"] == 0:
-        warmth = "the key's first, taken for warm"
-    elif attempt["has_sent_key"]:
-        warmth = "it had the key from here before"
-    else:
-        warmth = "taken for cold for the key"
     return (
-        f"choice {attempt['place'] + 1} of the key ({warmth}), "
+        f"choice {attempt['place'] + 1} of the key ({find_warmth(attempt)}), "
         f"expected {attempt['expected_ms']} ms with {attempt['expected_wait_ms']} ms of waiting"
     )
 
--- a/halldoor/core/explaining/report.py
+++ b/halldoor/core/explaining/report.py
@@ -7,7 +7,7 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
-from halldoor.core.explaining.history import LogLine
+from halldoor.core.explaining.history import LogLine, find_warmth
 
 WINDOW_S = 2.0
 """Length of a window of the table by moments, in seconds: about a short fault's."""
@@ -143,7 +143,8 @@
         for attempt in request.line.fields.get("attempts", ()):
             if attempt.get("result") == "answered" and "distance" in attempt:
                 service = str(request.line.fields["service"])
-                group = (service, str(attempt["distance"]), _tell_warmth(attempt))
+                warmth = find_warmth(attempt).name.lower().replace("_", " ")
+                group = (service, str(attempt["distance"]), warmth)
                 groups[group].append((attempt, request.stands_for))
     return [
         AttemptTally(
@@ -158,15 +159,6 @@
     ]
 
 
-def _tell_warmth(attempt: dict[str, Any]) -> str:
-    """Say whether a target was expected to be warm for the key."""
-    if attempt.get("is_cold"):
-        return "just started"
-    if attempt.get("place") == 0:
-        return "first choice"
-    return "had the key" if attempt.get("has_sent_key") else "cold"
-
-
 def _count_reasons(requests: Iterable[_Request]) -> list[tuple[str, str, int]]:
     """Count why requests were refused or failed, by service; the most frequent first."""
     counts: defaultdict[tuple[str, str], int] = defaultdict(int)
