Take a target that ends within a deadline's last millisecond for one that ran out of time

Cause: deadlines go out in whole milliseconds, rounded down, so a target's ends up to 1 ms before the entry's own. A target that closed then was told to the caller as broken (502) in place of late (504); test_late_answer failed so once. Ruled out: the late answer itself (it never reached another caller); a target at fault (it kept the deadline it was given). Change: Request.has_expired() counts that step, for targets and for the other hall. The test fails before (502 at 0.5 ms left) and keeps 502 at 50 ms.

--- a/halldoor/entry/local.py
+++ b/halldoor/entry/local.py
@@ -172,7 +172,7 @@
         return refuse(Reason.BROKEN, f"Not sent: {fault}. Come back in a second.")
     if request.cancellation.is_cancelled:
         return refuse_unknown(Reason.CANCELLED, "The caller went away.")
-    if request.get_remaining_s() <= 0:
+    if request.has_expired():
         return refuse_unknown(
             Reason.DEADLINE,
             "The target did not answer in time. Allow more time with Halldoor-Deadline-Ms.",
--- a/halldoor/entry/remote.py
+++ b/halldoor/entry/remote.py
@@ -217,7 +217,7 @@
     retry_after_s = 1.0 if request.is_repeatable else 0.0
     if request.cancellation.is_cancelled:
         return refuse_unknown(Reason.CANCELLED, "The caller went away.")
-    if request.get_remaining_s() <= 0:
+    if request.has_expired():
         message = "The other hall did not answer in time. Allow more time for it."
         return refuse_unknown(Reason.DEADLINE, message, retry_after_s=retry_after_s)
     message = f"The other hall broke off: {exc.message}"
--- a/halldoor/entry/request.py
+++ b/halldoor/entry/request.py
@@ -15,6 +15,9 @@
 SMALL_BODY = 65_536
 """Bodies up to this many bytes are read before routing, and can be sent again."""
 
+DEADLINE_STEP_S = 0.001
+"""Step of deadlines that are passed on, in seconds: rounded down, theirs end so much earlier."""
+
 _HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -109,6 +112,14 @@
         """Give the time left."""
         return self.deadline - time.monotonic()
 
+    def has_expired(self) -> bool:
+        """Tell whether the time is up, here or at whom the deadline was passed on to.
+
+        Without the step, a target that ended at its deadline just before this entry's own was
+        told to the caller as broken.
+        """
+        return self.get_remaining_s() <= DEADLINE_STEP_S
+
 
 class Body:
     """The body of a request: whole in memory where small, else a stream read once.
--- a/halldoor/tests/test_answers.py
+++ b/halldoor/tests/test_answers.py
@@ -10,7 +10,10 @@
 
 import pytest
 
-from halldoor.core.errors import PeerError
+from halldoor.core.errors import PeerError, Reason
+from halldoor.entry import local, remote
+from halldoor.entry.request import Cancellation, Request
+from halldoor.entry.targets import Fault, TargetFault
 from halldoor.standins.fleet import wait_until
 from halldoor.standins.sample import IP
 from halldoor.standins.target import make_bytes
@@ -132,6 +135,38 @@
         assert count_cancelled() == before + 1
 
 
+class TimedRequest(Request):
+    """A request with a fixed time left."""
+
+    left_s = 0.0
+
+    def get_remaining_s(self):
+        return self.left_s
+
+
+class TestDeadlines:
+    """A target's deadline, sent in whole milliseconds, ends up to one before the entry's own."""
+
+    @pytest.mark.parametrize(
+        ("left_s", "reason", "status"),
+        [
+            (-0.001, Reason.DEADLINE, 504),
+            (0.0005, Reason.DEADLINE, 504),
+            (0.05, Reason.BROKEN, 502),
+        ],
+    )
+    def test_a_peer_that_ends_within_the_last_millisecond_ended_at_the_deadline(
+        self, left_s, reason, status
+    ):
+        request = TimedRequest(
+            "d1", "decks", "read", "GET", "/x", (), 0.0, 0, "", True, "", Cancellation()
+        )
+        request.left_s = left_s
+        from_target = local._to_refusal(TargetFault(Fault.MAYBE_RAN, "closed"), request)
+        from_hall = remote._to_refusal(PeerError("closed.", remedy="Wait."), request)
+        assert [(r.reason, r.status) for r in (from_target, from_hall)] == [(reason, status)] * 2
+
+
 def abandon(fleet, entry, *, work_s=0.5):
     """Start a request and go away."""
     with socket.create_connection((IP, fleet.find_port(entry))) as sock:
