--- a/halldoor/tests/test_gateway_life.py
+++ b/halldoor/tests/test_gateway_life.py
@@ -10,6 +10,7 @@
 from halldoor.core.errors import SettingsError
 from halldoor.core.settings import Address
 from halldoor.gateway import runner
+from halldoor.standins.memorystore import MemoryStore
 from halldoor.tests.gatewaykit import Caller, GatewayKit
 
 
@@ -51,6 +52,27 @@
 
         asyncio.run(check())
 
+    def test_an_entry_is_known_to_others_only_once_it_takes_connections(self):
+        async def check():
+            seen = []
+
+            class WatchedStore(MemoryStore):
+                async def write(self, key, value, *, lease):
+                    seen.append(kit.gateway._front.is_serving())
+                    _, writer = await asyncio.open_connection("127.0.0.1", kit.front_port)
+                    writer.transport.abort()
+                    await super().write(key, value, lease=lease)
+
+            kit = GatewayKit({}, WatchedStore())
+            await kit.gateway.start()
+            try:
+                await kit.wait(lambda: kit.store.list_keys("entries/"))
+            finally:
+                await kit.gateway.stop()
+            assert seen == [True]
+
+        asyncio.run(check())
+
     def test_a_stop_finishes_what_runs_and_leaves_the_lookups(self):
         async def check():
             async with GatewayKit.open(targets=1, lookup_ttl_s=0.1, grace_s=3.0) as kit:
