--- /dev/null
+++ b/benchmarks/replay.py
@@ -0,0 +1,75 @@
+"""What each mechanism of the choice of targets is worth under load patterns, in virtual time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from unittest import mock
+
+from benchmarks.common import format_table, write_result
+from halldoor.core.targets import load
+from halldoor.core.targets.load import Fade
+from halldoor.standins.patterns import PATTERNS
+from halldoor.standins.replay import ModelEntry, Pattern, Replay, Tally
+
+SEEDS = (1, 2, 3)
+WARM_UP_S = 6.0
+"""Seconds at the start whose cold starts are told apart."""
+POLICIES: dict[str, dict[str, Any]] = {
+    "as it is": {},
+    "no preference of the own region": {"region_fill": 0.0, "near_region_fill": 0.0},
+    "the own region by 1.33 times its room": {"near_region_fill": 1.33, "most_local": 0.82},
+    "one target a key": {"spill_choices": 1},
+    "no limit of waits": {"wait_limit": 0.0},
+}
+"""Settings of the choice by name; `FADING` is not a setting."""
+FADING = "reports fade in 0.2 s and 3 s"
+
+
+def use(settings: dict[str, Any]) -> Callable[[ModelEntry], None]:
+    """Give a change of every entry's settings."""
+
+    def adapt(entry: ModelEntry) -> None:
+        entry.chooser.settings = entry.chooser.settings._replace(**settings)
+
+    return adapt
+
+
+def play(pattern: Pattern, settings: dict[str, Any]) -> list[Tally]:
+    """Play a pattern with several seeds."""
+    return [Replay(pattern, seed=seed, adapt=use(settings)).run() for seed in SEEDS]
+
+
+def describe(what: str, policy: str, tallies: list[Tally]) -> list[object]:
+    """Give the row of one policy: means over the seeds."""
+
+    def average(read: Callable[[Tally], float]) -> float:
+        return sum(map(read, tallies)) / len(tallies)
+
+    return [
+        what,
+        policy,
+        average(lambda t: t.share_in_aim()),
+        average(lambda t: t.share_in_aim(WARM_UP_S)),
+        average(lambda t: t.share_of_hall("ams-a")),
+        average(lambda t: t.counts["refused"]),
+        average(lambda t: t.counts["cold"]),
+        average(lambda t: t.counts["far"]),
+    ]
+
+
+def main() -> None:
+    """Play every pattern with every policy and write the table."""
+    rows = []
+    for what, pattern in PATTERNS.items():
+        for policy, settings in POLICIES.items():
+            rows.append(describe(what, policy, play(pattern, settings)))
+        with mock.patch.object(load.Fade, "from_pace", lambda **_: Fade()):
+            rows.append(describe(what, FADING, play(pattern, {})))
+    head = ["pattern", "policy", "in time", "after 6 s", "of ams", "refused", "cold", "far"]
+    title = f"Load patterns in virtual time, mean of {len(SEEDS)} seeds"
+    write_result("replay", title, format_table(head, rows))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/halldoor/tests/choicekit.py
@@ -0,0 +1,103 @@
+"""A chooser with a catalog of its own, for tests of the choice of targets."""
+
+from __future__ import annotations
+
+from halldoor.core.settings import Address
+from halldoor.core.targets.catalog import (
+    Catalog,
+    CatalogTimings,
+    MemberRecord,
+    MemberSeen,
+    RoutingSeen,
+    TargetRecord,
+    TargetSeen,
+)
+from halldoor.core.targets.choice import ChoiceSettings, Chooser, NoTarget
+from halldoor.core.targets.latency import LatencyModel
+from halldoor.core.targets.load import LoadReport, LoadTable
+from halldoor.core.targets.outlier import OutlierTable
+from halldoor.core.targets.route import (
+    CallerLimits,
+    RequestKind,
+    Route,
+    Routing,
+    SplitPart,
+    TargetService,
+)
+
+SERVICE = TargetService("deck", "/health", 390, cold_start_s=3.0, cold_rate_per_s=9.0)
+REGIONS = {"ams-a": "ams", "grq-a": "grq"}
+
+
+def make_route(**changes):
+    route = Route(
+        name="r1",
+        host="decks.example",
+        path_prefix="/",
+        kind=RequestKind.REPEATABLE,
+        parts=(SplitPart("deck", 1.0),),
+        timeout_s=0.8,
+        aim_s=0.3,
+        priority=1,
+        max_attempts=2,
+        has_affinity=True,
+    )
+    return route._replace(**changes)
+
+
+def make_target(name, *, hall="ams-a", cold_left_s=0.0, is_draining=False):
+    return TargetRecord(name, "deck", Address("127.0.0.1", 1), hall, 6, is_draining, cold_left_s)
+
+
+def make_routing(version=1, routes=()):
+    return Routing(version, tuple(routes) or (make_route(),), {"deck": SERVICE}, CallerLimits())
+
+
+def make_catalog(targets=4, members=("e1",)):
+    catalog = Catalog(CatalogTimings())
+    catalog.apply(RoutingSeen(make_routing()), 0.0)
+    for i in range(targets):
+        hall = "ams-a" if i % 2 else "grq-a"
+        catalog.apply(TargetSeen(make_target(f"t{i}", hall=hall)), 0.0)
+    for name in members:
+        catalog.apply(MemberSeen(MemberRecord(name, Address("127.0.0.1", 2), "ams-a", "ams")), 0.0)
+    return catalog
+
+
+class ChooserKit(Chooser):
+    """A chooser that gives only the target, and what it learns from."""
+
+    def __init__(self, catalog, name="e1", *, own_hall="ams-a", **settings):
+        self.outliers, self.loads, self.latency = OutlierTable(), LoadTable(), LatencyModel()
+        super().__init__(
+            catalog,
+            self.outliers,
+            self.loads,
+            self.latency,
+            own_name=name,
+            own_hall=own_hall,
+            own_region=REGIONS[own_hall],
+            regions=REGIONS,
+            settings=ChoiceSettings(**settings),
+        )
+
+    def choose(self, *request, **options):
+        choice = super().choose(*request, **options)
+        return choice if isinstance(choice, NoTarget) else choice.target
+
+    def report(self, name, running, waiting=0, *, now=1.0, times=1):
+        """Let a target report a load, so often that its pressure follows."""
+        for _ in range(times):
+            self.loads.add(name, LoadReport(running, waiting, 6), now, own=0)
+
+    def learn(self, *, warm_s=0.1, cold_s=0.3, targets=("x",)):
+        """Let the model know what warm and cold work takes."""
+        for target in targets:
+            for i in range(40):
+                for took_s in (cold_s, warm_s, warm_s):
+                    self.latency.add_answer(
+                        "deck/r1", target, "ams-a", f"l{i}", took_s=took_s, has_waited=False
+                    )
+
+
+make_chooser = ChooserKit
--- a/halldoor/tests/test_choice.py
+++ b/halldoor/tests/test_choice.py
@@ -5,113 +5,27 @@
 from collections import Counter
 
 import pytest
-from hypothesis import given
-from hypothesis import strategies as st
 
-from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import (
-    Catalog,
-    CatalogTimings,
     EvacuationSet,
-    MemberRecord,
-    MemberSeen,
     RoutingSeen,
     TargetGone,
-    TargetRecord,
     TargetSeen,
 )
-from halldoor.core.targets.choice import ChoiceSettings, Chooser, NoTarget
-from halldoor.core.targets.latency import LatencyModel
-from halldoor.core.targets.load import LoadReport, LoadTable
-from halldoor.core.targets.order import SHARE_STEP, RegionShares, find_own_share
-from halldoor.core.targets.outlier import OutlierTable
+from halldoor.core.targets.choice import NoTarget
 from halldoor.core.targets.route import (
-    CallerLimits,
     RequestKind,
-    Route,
     RouteTable,
-    Routing,
     SplitPart,
-    TargetService,
 )
 from halldoor.core.targets.split import Splitter
-
-SERVICE = TargetService("deck", "/health", 390, cold_start_s=3.0, cold_rate_per_s=9.0)
-REGIONS = {"ams-a": "ams", "grq-a": "grq"}
-
-
-def make_route(**changes):
-    route = Route(
-        name="r1",
-        host="decks.example",
-        path_prefix="/",
-        kind=RequestKind.REPEATABLE,
-        parts=(SplitPart("deck", 1.0),),
-        timeout_s=0.8,
-        aim_s=0.3,
-        priority=1,
-        max_attempts=2,
-        has_affinity=True,
-    )
-    return route._replace(**changes)
-
-
-def make_target(name, *, hall="ams-a", cold_left_s=0.0, is_draining=False):
-    return TargetRecord(name, "deck", Address("127.0.0.1", 1), hall, 6, is_draining, cold_left_s)
-
-
-def make_routing(version=1, routes=()):
-    return Routing(version, tuple(routes) or (make_route(),), {"deck": SERVICE}, CallerLimits())
-
-
-def make_catalog(targets=4, members=("e1",)):
-    catalog = Catalog(CatalogTimings())
-    catalog.apply(RoutingSeen(make_routing()), 0.0)
-    for i in range(targets):
-        hall = "ams-a" if i % 2 else "grq-a"
-        catalog.apply(TargetSeen(make_target(f"t{i}", hall=hall)), 0.0)
-    for name in members:
-        catalog.apply(MemberSeen(MemberRecord(name, Address("127.0.0.1", 2), "ams-a", "ams")), 0.0)
-    return catalog
-
-
-class ChooserKit(Chooser):
-    """A chooser that gives only the target, and what it learns from."""
-
-    def __init__(self, catalog, name="e1", *, own_hall="ams-a", **settings):
-        self.outliers, self.loads, self.latency = OutlierTable(), LoadTable(), LatencyModel()
-        super().__init__(
-            catalog,
-            self.outliers,
-            self.loads,
-            self.latency,
-            own_name=name,
-            own_hall=own_hall,
-            own_region=REGIONS[own_hall],
-            regions=REGIONS,
-            settings=ChoiceSettings(**settings),
-        )
-
-    def choose(self, *request, **options):
-        choice = super().choose(*request, **options)
-        return choice if isinstance(choice, NoTarget) else choice.target
-
-    def report(self, name, running, waiting=0, *, now=1.0, times=1):
-        """Let a target report a load, so often that its pressure follows."""
-        for _ in range(times):
-            self.loads.add(name, LoadReport(running, waiting, 6), now, own=0)
-
-    def learn(self, *, warm_s=0.1, cold_s=0.3, targets=("x",)):
-        """Let the model know what warm and cold work takes."""
-        for target in targets:
-            for i in range(40):
-                for took_s in (cold_s, warm_s, warm_s):
-                    self.latency.add_answer(
-                        "deck/r1", target, "ams-a", f"l{i}", took_s=took_s, has_waited=False
-                    )
-
-
-make_chooser = ChooserKit
+from halldoor.tests.choicekit import (
+    make_catalog,
+    make_chooser,
+    make_route,
+    make_routing,
+    make_target,
+)
 
 
 class TestAffinity:
@@ -274,57 +188,6 @@
         assert max(near) - min(near) <= 2
 
 
-class TestLargeFleet:
-    """What an entry decides that hardly ever meets the same key or target again."""
-
-    def test_an_entry_without_answers_yet_takes_the_keys_first_target_not_the_nearer(self):
-        """Regression: at the start of a fleet, keys were warmed at two targets."""
-        catalog = make_catalog(20)
-        chooser = make_chooser(catalog, region_fill=0.0)
-        for hall, travel_s in (("grq-a", 0.024), ("ams-a", 0.001)):
-            chooser.latency.add_connect(hall, travel_s)
-        for key in map(str, range(50)):
-            order = chooser.orders.get_order(make_route(), "deck", key, fill=0.0, most=0.9)
-            assert chooser.choose(make_route(), "deck", key, 1.0) is order[0]
-
-    @pytest.mark.parametrize(("travel_s", "aim_s", "fill"), [(0.024, 1.2, 1.0), (0.024, 0.3, 1.4)])
-    def test_a_region_takes_what_its_part_of_the_room_is_for_its_callers(
-        self, travel_s, aim_s, fill
-    ):
-        """Regression: a region with a tenth of the targets took 0.4 of a third of the requests."""
-        catalog = make_catalog(0)
-        for i in range(60):
-            hall = "ams-a" if i < 12 else "grq-a"
-            catalog.apply(TargetSeen(make_target(f"t{i}", hall=hall)), 0.0)
-        shares = {}
-        for hall, far in (("ams-a", "grq-a"), ("grq-a", "ams-a")):
-            chooser = make_chooser(catalog, own_hall=hall)
-            chooser.latency.add_connect(far, travel_s)
-            # A lost packet does not make the region farther.
-            chooser.latency.add_connect(far, 1.0)
-            keys = [str(i) for i in range(1000)]
-            halls = [chooser.choose(make_route(aim_s=aim_s), "deck", k, 1.0) for k in keys]
-            shares[hall] = sum(t.record.hall == hall for t in halls) / 1000
-        # A fifth of the room for half of the callers.
-        assert abs(shares["ams-a"] - fill * 0.2 / 0.5) < 0.05
-        assert abs(shares["grq-a"] - RegionShares().most) < 0.05
-
-    def test_the_own_region_comes_first_while_its_distance_is_not_known(self):
-        shares = RegionShares()
-        assert shares.find_fill(make_route(aim_s=1.2), None) == shares.fill
-
-    @given(
-        room=st.floats(0.0, 1.0),
-        callers=st.floats(0.01, 1.0),
-        fill=st.floats(0.1, 3.0),
-        most=st.floats(0.1, 0.95),
-    )
-    def test_the_share_follows_the_room_in_steps(self, room, callers, fill, most):
-        share = find_own_share(room=room, callers=callers, fill=fill, most=most)
-        assert abs(share - min(most, fill * room / callers)) <= SHARE_STEP / 2 + 1e-9
-        assert 0.0 <= share < 1.0
-
-
 class TestColdTargets:
     def test_all_entries_together_stay_below_the_rate(self):
         members = tuple(f"e{i}" for i in range(12))
--- /dev/null
+++ b/halldoor/tests/test_order.py
@@ -0,0 +1,62 @@
+"""The order of a key's targets in a large fleet, and how many keys a region keeps."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from halldoor.core.targets.catalog import TargetSeen
+from halldoor.core.targets.order import SHARE_STEP, RegionShares, find_own_share
+from halldoor.tests.choicekit import make_catalog, make_chooser, make_route, make_target
+
+
+class TestLargeFleet:
+    """What an entry decides that hardly ever meets the same key or target again."""
+
+    def test_an_entry_without_answers_yet_takes_the_keys_first_target_not_the_nearer(self):
+        """Regression: at the start of a fleet, keys were warmed at two targets."""
+        catalog = make_catalog(20)
+        chooser = make_chooser(catalog, region_fill=0.0)
+        for hall, travel_s in (("grq-a", 0.024), ("ams-a", 0.001)):
+            chooser.latency.add_connect(hall, travel_s)
+        for key in map(str, range(50)):
+            order = chooser.orders.get_order(make_route(), "deck", key, fill=0.0, most=0.9)
+            assert chooser.choose(make_route(), "deck", key, 1.0) is order[0]
+
+    @pytest.mark.parametrize(("travel_s", "aim_s", "fill"), [(0.024, 1.2, 1.0), (0.024, 0.3, 1.4)])
+    def test_a_region_takes_what_its_part_of_the_room_is_for_its_callers(
+        self, travel_s, aim_s, fill
+    ):
+        """Regression: a region with a tenth of the targets took 0.4 of a third of the requests."""
+        catalog = make_catalog(0)
+        for i in range(60):
+            hall = "ams-a" if i < 12 else "grq-a"
+            catalog.apply(TargetSeen(make_target(f"t{i}", hall=hall)), 0.0)
+        shares = {}
+        for hall, far in (("ams-a", "grq-a"), ("grq-a", "ams-a")):
+            chooser = make_chooser(catalog, own_hall=hall)
+            chooser.latency.add_connect(far, travel_s)
+            # A lost packet does not make the region farther.
+            chooser.latency.add_connect(far, 1.0)
+            keys = [str(i) for i in range(1000)]
+            halls = [chooser.choose(make_route(aim_s=aim_s), "deck", k, 1.0) for k in keys]
+            shares[hall] = sum(t.record.hall == hall for t in halls) / 1000
+        # A fifth of the room for half of the callers.
+        assert abs(shares["ams-a"] - fill * 0.2 / 0.5) < 0.05
+        assert abs(shares["grq-a"] - RegionShares().most) < 0.05
+
+    def test_the_own_region_comes_first_while_its_distance_is_not_known(self):
+        shares = RegionShares()
+        assert shares.find_fill(make_route(aim_s=1.2), None) == shares.fill
+
+    @given(
+        room=st.floats(0.0, 1.0),
+        callers=st.floats(0.01, 1.0),
+        fill=st.floats(0.1, 3.0),
+        most=st.floats(0.1, 0.95),
+    )
+    def test_the_share_follows_the_room_in_steps(self, room, callers, fill, most):
+        share = find_own_share(room=room, callers=callers, fill=fill, most=most)
+        assert abs(share - min(most, fill * room / callers)) <= SHARE_STEP / 2 + 1e-9
+        assert 0.0 <= share < 1.0
--- a/halldoor/tests/test_replay.py
+++ b/halldoor/tests/test_replay.py
@@ -6,23 +6,9 @@
 
 from halldoor.core.targets import load
 from halldoor.core.targets.load import Fade
-from halldoor.standins.replay import Burst, Pattern, Replay, Slowdown
-
-LARGE = Pattern(
-    # A region with a tenth of the targets and a third of the callers; 60 entries and 66 targets.
-    halls={
-        "ams-a": ("ams", 20, 7, 1 / 3),
-        "ehv-a": ("ehv", 20, 27, 1 / 3),
-        "grq-a": ("grq", 20, 32, 1 / 3),
-    },
-    rate_per_s=480.0,
-    length_s=12.0,
-    keys=60,
-    warm_s=0.456,
-    cold_s=1.52,
-    aim_s=1.0,
-    timeout_s=3.0,
-)
+from halldoor.standins.patterns import LARGE
+from halldoor.standins.replay import Burst, Replay, Slowdown
+
 SEEDS = (1, 2, 3)
 
 
