--- a/halldoor/standins/sample.py
+++ b/halldoor/standins/sample.py
@@ -42,6 +42,16 @@
         return ports
 
 
+def find_port_pair() -> tuple[int, int]:
+    """Find two free ports in a row, for settings that name a range of ports."""
+    while True:
+        (first,) = find_ports(1)
+        with contextlib.suppress(OSError), socket.create_server((IP, first + 1)):
+            if first + 1 not in _given:
+                _given.add(first + 1)
+                return first, first + 1
+
+
 def _make_operation(
     name: str, method: str, deadline_s: float, *, repeatable: bool
 ) -> dict[str, Any]:
