--- a/halldoor/tests/test_gateway_life.py
+++ b/halldoor/tests/test_gateway_life.py
@@ -14,6 +14,15 @@
 from halldoor.tests.gatewaykit import Caller, GatewayKit
 
 
+async def run_until_registered(kit):
+    """Start a kit's gateway, wait for its record in the store, and stop it."""
+    await kit.gateway.start()
+    try:
+        await kit.wait(lambda: kit.store.list_keys("entries/"))
+    finally:
+        await kit.gateway.stop()
+
+
 class TestStoreAndLife:
     def test_a_draining_target_gets_nothing_more(self):
         async def check():
@@ -64,11 +73,7 @@
                     await super().write(key, value, lease=lease)
 
             kit = GatewayKit({}, WatchedStore())
-            await kit.gateway.start()
-            try:
-                await kit.wait(lambda: kit.store.list_keys("entries/"))
-            finally:
-                await kit.gateway.stop()
+            await run_until_registered(kit)
             assert seen == [True]
 
         asyncio.run(check())
@@ -89,11 +94,7 @@
             seen = []
             kit = GatewayKit({}, SlowStore())
             kit.configure()
-            await kit.gateway.start()
-            try:
-                await kit.wait(lambda: kit.store.list_keys("entries/"))
-            finally:
-                await kit.gateway.stop()
+            await run_until_registered(kit)
             assert seen == [True]
 
         asyncio.run(check())
