--- a/halldoor/core/targets/latency.py
+++ b/halldoor/core/targets/latency.py
@@ -132,6 +132,11 @@
             if len(self._pairs) > PAIRS_KEPT:
                 self._pairs.popitem(last=False)
 
+    def forget(self, target: str) -> None:
+        """Drop what a target had of keys: it is gone, or knows nothing any more."""
+        for pair in [pair for pair in self._pairs if pair[0] == target]:
+            del self._pairs[pair]
+
     def has_sent(self, target: str, key: str) -> bool:
         """Tell whether this entry had an answer for a key from a target."""
         return (target, key) in self._pairs
--- a/halldoor/core/teams/quota.py
+++ b/halldoor/core/teams/quota.py
@@ -193,10 +193,10 @@
         self._shares: tuple[Share, ...] = ()
         self._computed_at = -math.inf
 
-    def use(self, limits: Mapping[str, TeamLimit]) -> None:
+    def use(self, limits: Mapping[str, TeamLimit], now: float) -> None:
         """Use other limits from now on; what was counted stays counted."""
         self._limits = limits
-        self._buckets = {n: b for n, b in self._buckets.items() if n in limits}
+        self._buckets = {name: self._buckets.get(name) or _Bucket(now) for name in limits}
         self._computed_at = -math.inf
 
     def take(self, report: Report, now: float) -> None:
@@ -214,11 +214,10 @@
         """Count a period."""
         for count in counts:
             limit = self._find_limit(count.team)
-            if limit is None:
-                continue
-            bucket = self._find_bucket(count.team, now)
-            bucket.advance(limit, now)
-            bucket.add(count, limit)
+            if limit is not None:
+                bucket = self._buckets[count.team]
+                bucket.advance(limit, now)
+                bucket.add(count, limit)
 
     def _find_limit(self, team: str) -> TeamLimit | None:
         """Give a team's limit, less what silent entries may admit; None where it has none."""
@@ -227,13 +226,6 @@
             return None
         return TeamLimit(limit.rate_per_s * self._left, limit.burst)
 
-    def _find_bucket(self, team: str, now: float) -> _Bucket:
-        """Give a team's bucket."""
-        bucket = self._buckets.get(team)
-        if bucket is None:
-            bucket = self._buckets[team] = _Bucket(now)
-        return bucket
-
     def compute_shares(self, now: float, *, entries: int, period_s: float) -> tuple[Share, ...]:
         """Compute the shares of the teams that ask for more than they may.
 
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -151,6 +151,7 @@
         self._pool.forget(name)
         self._outliers.forget(name)
         self._loads.forget(name)
+        self._latency.forget(name)
         self._chooser.forget(name)
 
     def _add_load(self, target: Target, outcome: WholeAnswer | PartialAnswer, now: float) -> None:
--- a/halldoor/gateway/quotas.py
+++ b/halldoor/gateway/quotas.py
@@ -96,7 +96,8 @@
         table = self._access.find_table()
         if table is not self._table and table is not None:
             self._table = table
-            self._ledger.use(table.teams.get_limits())
+            now = asyncio.get_running_loop().time()
+            self._ledger.use(table.teams.get_limits(), now)
 
     def _choose_collectors(self) -> None:
         """Choose who collects, alike on every entry that knows the same others."""
