Write every request of a quiet entry, and always what was late

Change: the sample follows the load, 16 lines a second; late, refused and failed ones have theirs up to 100 a second.

--- a/halldoor/gateway/eventlog.py
+++ b/halldoor/gateway/eventlog.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import queue
 import threading
@@ -17,8 +18,13 @@
 
 QUEUE_LIMIT = 2_000
 """Lines that may wait to be written; about 600 kB."""
-SUCCESS_SAMPLE = 64
-"""One in so many successes is written; failures and changes of belief are, up to the rate."""
+ORDINARY_PER_S = 16.0
+"""Lines a second for successes within their aim; all of them while there are fewer.
+
+What failed, was late or was tried twice is written up to `LINES_PER_S`, as are changes of belief.
+"""
+PACE_S = 2.0
+"""Time over which ordinary successes are averaged, in seconds."""
 LINES_PER_S = 100.0
 """Lines a second over time; a busy entry answers several hundred requests a second."""
 LINES_AT_ONCE = 400
@@ -40,6 +46,7 @@
         self._credit = float(LINES_AT_ONCE)
         self._credit_at = time.monotonic()
         self._dropped = 0
+        self._pace = _Pace()
         self._render = structlog.processors.JSONRenderer()
         self._name = name
         self._writer = threading.Thread(target=self._write, name="log", daemon=True)
@@ -50,14 +57,17 @@
         self._put(f"{part}: {text}", fields)
 
     def request(self, attempt_id: str, status: int, outcome: str, **fields: Any) -> None:
-        """Write the end of a request: all failures, and a fixed sample of successes.
+        """Write the end of a request: what was not ordinary, and a sample of the rest.
 
         ``stands_for`` says how many requests a line stands for.
         """
-        is_ordinary = status < 400 and len(fields.get("attempts", ())) <= 1
-        if is_ordinary and not _is_sampled(attempt_id):
-            return
-        stands_for = SUCCESS_SAMPLE if is_ordinary else 1
+        is_late = fields.get("took_ms", 0) > fields.get("aim_ms", math.inf)
+        is_ordinary = status < 400 and not is_late and len(fields.get("attempts", ())) <= 1
+        stands_for = 1
+        if is_ordinary:
+            stands_for = math.ceil(self._pace.add(time.monotonic()) / ORDINARY_PER_S)
+            if not _is_sampled(attempt_id, stands_for):
+                return
         fields |= {
             "id": attempt_id,
             "status": status,
@@ -110,9 +120,23 @@
         self._writer.join(timeout_s)
 
 
-def _is_sampled(attempt_id: str) -> bool:
+class _Pace:
+    """How many ordinary successes there are a second."""
+
+    def __init__(self) -> None:
+        self._count = 0.0
+        self._at = 0.0
+
+    def add(self, now: float) -> float:
+        """Count one; give their number a second, averaged over `PACE_S`."""
+        self._count = self._count * math.exp((self._at - now) / PACE_S) + 1.0
+        self._at = now
+        return self._count / PACE_S
+
+
+def _is_sampled(attempt_id: str, stands_for: int) -> bool:
     """Tell whether a success is written; alike for all entries that see the id."""
-    return zlib.crc32(attempt_id.encode()) % SUCCESS_SAMPLE == 0
+    return zlib.crc32(attempt_id.encode()) % max(1, stands_for) == 0
 
 
 def _write_all(fd: int, data: bytes) -> None:
--- /dev/null
+++ b/halldoor/tests/test_eventlog.py
@@ -0,0 +1,44 @@
+"""The gateway's log: what is written at which load."""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+
+from halldoor.gateway.eventlog import EventLog
+
+
+def write(calls, *, pause_s=0.0):
+    read_end, write_end = os.pipe()
+    log = EventLog("e1", fd=write_end)
+    for i, fields in enumerate(calls):
+        log.request(f"id{i}", **fields)
+        if pause_s:
+            time.sleep(pause_s)
+    log.close(timeout_s=2.0)
+    os.close(write_end)
+    with os.fdopen(read_end) as lines:
+        return [json.loads(line) for line in lines]
+
+
+def answered(took_ms=50, aim_ms=300):
+    return {"status": 200, "outcome": "answered", "took_ms": took_ms, "aim_ms": aim_ms}
+
+
+class TestSampling:
+    def test_a_quiet_entry_writes_every_request(self):
+        """One in 64 was written, however quiet the entry: 26 of 1,870 late ones had a line."""
+        lines = write([answered()] * 10, pause_s=0.01)
+        assert [line["stands_for"] for line in lines] == [1] * 10
+
+    def test_a_busy_entry_writes_a_sample_that_stands_for_all(self):
+        lines = write([answered()] * 2_000)
+        assert len(lines) < 400
+        assert 1_000 < sum(line["stands_for"] for line in lines) < 4_000
+
+    def test_what_was_late_or_failed_is_always_written(self):
+        busy = [answered()] * 1_000
+        lines = write([*busy, answered(took_ms=400), {"status": 429, "outcome": "over"}])
+        assert {"id1000", "id1001"} <= {line["id"] for line in lines}
+        assert lines[-1]["stands_for"] == 1
