Keep quotas through restarts and cuts: laws in virtual time, four ways measured

Cause: the property found more than the bound where entries were cut off from the start (they were not reckoned with), where a collector restarted under a hot team (it admitted it whole at first, and its average of the demand began at 0), and where both came together. The model has the product's two collectors.

--- /dev/null
+++ b/benchmarks/quotas.py
@@ -0,0 +1,79 @@
+"""Ways to keep teams' quotas over all entries together, in virtual time."""
+
+from __future__ import annotations
+
+from benchmarks.common import format_table, write_result
+from halldoor.core.teams.team import TeamLimit
+from halldoor.standins.quotafleet import (
+    MESSAGE_BYTES,
+    CollectorShares,
+    DemandParts,
+    EqualParts,
+    HomeTokens,
+    QuotaWay,
+    Run,
+    Trouble,
+)
+
+FLEETS = (12, 75, 300)
+"""Entries."""
+RATES = (6.0, 60.0, 174.0)
+"""Requests a second of a small, a middling and the largest of 80 teams; as many at once."""
+USUAL = 0.6
+"""What a team usually asks for, in parts of its rate."""
+PATTERNS = {
+    "usual": (1.0, None),
+    "callers on few entries": (1.0, 0.1),
+    "7.5 times the usual for 7 s": (7.5, None),
+}
+"""Load patterns: the factor of a surge, and the part of the entries that most callers use."""
+WAYS: dict[str, type[QuotaWay]] = {
+    "equal parts": EqualParts,
+    "parts by demand": DemandParts,
+    "tokens of a home entry": HomeTokens,
+    "shares of a collector": CollectorShares,
+}
+UNTIL_S = 14.0
+
+
+def play(way: type[QuotaWay], entries: int, rate: float, pattern: str, seed: int) -> Run:
+    """Play one team under a pattern."""
+    factor, crowd = PATTERNS[pattern]
+    weights = None
+    if crowd is not None:
+        few = max(1, round(crowd * entries))
+        weights = [20.0] * few + [0.1] * (entries - few)
+    run = Run(entries, TeamLimit(rate, rate), Trouble(), seed=seed)
+    return run.play(
+        way(),
+        lambda now: USUAL * rate * (factor if 3.0 <= now < 10.0 else 1.0),
+        until_s=UNTIL_S,
+        weights=weights,
+    )
+
+
+def describe(name: str, entries: int, pattern: str) -> list[object]:
+    """Give the row of one way: the worst of the teams' windows, and what is wrongly refused."""
+    runs = [play(WAYS[name], entries, rate, pattern, seed) for seed, rate in enumerate(RATES)]
+    worst = max(run.find_worst_window() / run.bound for run in runs)
+    admitted = [f"{len(run.admitted) / run.count_allowed():.2f}" for run in runs]
+    rate_kb = max(run.messages for run in runs) * MESSAGE_BYTES / entries / UNTIL_S / 1000
+    return [entries, pattern, name, f"{worst:.2f}", " ".join(admitted), f"{rate_kb:.2f}"]
+
+
+def main() -> None:
+    """Measure, and write the table."""
+    rows = [describe(w, n, p) for n in FLEETS for p in PATTERNS for w in WAYS]
+    header = [
+        "entries",
+        "load",
+        "way",
+        "worst 5 s over the bound",
+        f"admitted of allowed, teams of {', '.join(f'{r:g}' for r in RATES)} a second",
+        "KB/s an entry, one team, both directions",
+    ]
+    write_result("quotas", __doc__ or "", format_table(header, rows))
+
+
+if __name__ == "__main__":
+    main()
--- a/halldoor/gateway/quotas.py
+++ b/halldoor/gateway/quotas.py
@@ -116,16 +116,20 @@
         data = msgspec.msgpack.encode(report)
         for collector in self._collectors:
             if collector.name == self._own.name:
-                self._take_answer(self._collect(report), place=self._collectors.index(collector))
+                answer = self._collect(report)
+                if answer is not None:
+                    self._take_answer(answer, place=self._collectors.index(collector))
             elif self._transport is not None and collector.relay is not None:
                 self._transport.sendto(data, (collector.relay.ip, collector.relay.port))
 
-    def _collect(self, report: Report) -> Shares:
-        """Count a report, and answer it."""
+    def _collect(self, report: Report) -> Shares | None:
+        """Count a report, and answer it; None where too little was counted yet."""
         now = asyncio.get_running_loop().time()
         self._ledger.take(report, now)
-        entries = self._catalog.count_sharers(now)
-        period_s = find_period(self._catalog.count_members())
+        entries = self._catalog.count_members()
+        period_s = find_period(entries)
+        if not report.periods or self._ledger.is_young(now, period_s=period_s):
+            return None
         shares = self._ledger.compute_shares(now, entries=entries, period_s=period_s)
         return Shares(report.periods[-1].number, shares)
 
@@ -139,8 +143,9 @@
         if isinstance(message, Report):
             self._metrics.add_quota_message("report")
             self._follow_routing()
-            if message.periods and self._transport is not None:
-                self._transport.sendto(msgspec.msgpack.encode(self._collect(message)), addr)
+            answer = self._collect(message)
+            if answer is not None and self._transport is not None:
+                self._transport.sendto(msgspec.msgpack.encode(answer), addr)
             return
         self._metrics.add_quota_message("answer")
         self._take_answer(message, place=self._find_place(Address(*addr)))
--- /dev/null
+++ b/halldoor/standins/quotafleet.py
@@ -0,0 +1,333 @@
+"""Ways to keep a team's quota over a fleet of entries, in virtual time.
+
+A model for tests and measurements: entries that are asked at random, messages with delays, losses
+and cuts, and the product's own gate and ledger as one of the ways.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any, NamedTuple
+
+from halldoor.core.teams.quota import (
+    COLLECTORS,
+    FRESH_PERIODS,
+    EntryBucket,
+    QuotaGate,
+    QuotaLedger,
+    Report,
+    Shares,
+    find_period,
+)
+from halldoor.core.teams.team import TeamLimit
+
+TEAM = "north"
+QUIET_S = 2.0
+"""Seconds before the first request, in which entries hear of each other."""
+WINDOW_S = 5.0
+EXCESS, SLACK = 0.1, 20.0
+"""The operators' bound: (rate x window + burst) x (1 + excess) + slack in any window."""
+MESSAGE_BYTES = 60
+"""Size of a message with one team, headers of the network included."""
+
+
+class Trouble(NamedTuple):
+    """What goes wrong on a run.
+
+    Attributes
+    ----------
+    loss, doubling : float
+        Parts of the messages that are lost, and that come twice.
+    delay_s : float
+        Mean time of a message on its way, in seconds.
+    cut_entries : int
+        Entries that nothing reaches between `cut_from_s` and `cut_to_s`.
+    restart_s : float
+        When the collector, or a team's home, starts again and knows nothing.
+    """
+
+    loss: float = 0.0
+    doubling: float = 0.0
+    delay_s: float = 0.007
+    cut_entries: int = 0
+    cut_from_s: float = 4.0
+    cut_to_s: float = 9.0
+    restart_s: float = 99.0
+
+
+class Run:
+    """One run: entries that are asked, and what a way admits.
+
+    Parameters
+    ----------
+    entries : int
+        Entries of the fleet.
+    limit : TeamLimit
+        The team's quota.
+    seed : int
+        Of all chance.
+    """
+
+    def __init__(self, entries: int, limit: TeamLimit, trouble: Trouble, *, seed: int) -> None:
+        self.entries = entries
+        self.limit = limit
+        self.random = Random(seed)
+        self.asked: list[float] = []
+        self.admitted: list[float] = []
+        self.messages = 0
+        self._trouble = trouble
+        self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._numbers = itertools.count()
+
+    def at(self, when: float, action: Callable[..., None], *args: Any) -> None:
+        """Do something at a time; the action gets that time first."""
+        heapq.heappush(self._events, (when, next(self._numbers), action, args))
+
+    def send(self, now: float, entry: int, action: Callable[..., None], *args: Any) -> None:
+        """Carry a message between an entry and the others; it may be lost, late or doubled."""
+        trouble = self._trouble
+        self.messages += 1
+        is_cut = entry < trouble.cut_entries and trouble.cut_from_s <= now < trouble.cut_to_s
+        if is_cut or self.random.random() < trouble.loss:
+            return
+        for _ in range(2 if self.random.random() < trouble.doubling else 1):
+            self.at(now + self.random.uniform(0.0, 2 * trouble.delay_s), action, entry, *args)
+
+    def play(
+        self,
+        way: QuotaWay,
+        rate_at: Callable[[float], float],
+        *,
+        until_s: float = 14.0,
+        weights: Sequence[float] | None = None,
+    ) -> Run:
+        """Play requests that come at random; ``weights`` says how often each entry is asked."""
+        way.start(self)
+        self.at(self._trouble.restart_s, way.restart)
+        now = QUIET_S
+        everyone = range(self.entries)
+        while now < until_s:
+            now += self.random.expovariate(rate_at(now))
+            self.at(now, self._ask, way, self.random.choices(everyone, weights)[0])
+        while self._events and self._events[0][0] < until_s:
+            when, _, action, args = heapq.heappop(self._events)
+            action(when, *args)
+        return self
+
+    def _ask(self, now: float, way: QuotaWay, entry: int) -> None:
+        """Ask an entry once."""
+        self.asked.append(now)
+        if way.admit(now, entry):
+            self.admitted.append(now)
+
+    # What came of it
+
+    def find_worst_window(self) -> int:
+        """Find the most that was admitted in any window."""
+        worst = first = 0
+        for last, when in enumerate(self.admitted):
+            while self.admitted[first] <= when - WINDOW_S:
+                first += 1
+            worst = max(worst, last - first + 1)
+        return worst
+
+    @property
+    def bound(self) -> float:
+        """The most that may be admitted in any window."""
+        limit = self.limit
+        return (limit.rate_per_s * WINDOW_S + limit.burst) * (1 + EXCESS) + SLACK
+
+    def count_allowed(self) -> int:
+        """Count what one token bucket that sees every request at once would admit."""
+        level, at, allowed = self.limit.burst, 0.0, 0
+        for when in self.asked:
+            level = min(self.limit.burst, level + (when - at) * self.limit.rate_per_s)
+            at = when
+            if level >= 1.0:
+                level -= 1.0
+                allowed += 1
+        return allowed
+
+
+class QuotaWay(ABC):
+    """A way to keep a quota."""
+
+    run: Run
+
+    def start(self, run: Run) -> None:
+        """Begin a run."""
+        self.run = run
+
+    def restart(self, now: float) -> None:
+        """Forget what the collector or the home knew, if there is one."""
+        return
+
+    @abstractmethod
+    def admit(self, now: float, entry: int) -> bool:
+        """Decide about one request at an entry."""
+
+
+class EqualParts(QuotaWay):
+    """Each entry has an equal part of the quota, at least one request at once; no messages."""
+
+    def start(self, run: Run) -> None:
+        """Give each entry its bucket."""
+        super().start(run)
+        self._buckets = [EntryBucket(0.0) for _ in range(run.entries)]
+        limit, n = run.limit, run.entries
+        self._part = TeamLimit(limit.rate_per_s / n, max(1.0, limit.burst / n))
+
+    def admit(self, now: float, entry: int) -> bool:
+        """Admit by the entry's own part."""
+        return self._buckets[entry].take(self._part, now) <= 0.0
+
+
+class DemandParts(QuotaWay):
+    """Entries tell each other what they are asked; each has the part that its demand is of all.
+
+    A tenth of the quota is shared evenly, so that an entry that is asked for the first time has
+    some of it.
+    """
+
+    EVEN_SHARE = 0.1
+
+    def start(self, run: Run) -> None:
+        """Begin to tell."""
+        super().start(run)
+        self._buckets = [EntryBucket(0.0) for _ in range(run.entries)]
+        self._asked = [0.0] * run.entries
+        self._told = [0.0] * run.entries
+        for entry in range(run.entries):
+            run.at(run.random.random() * find_period(run.entries), self._tell, entry)
+
+    def _tell(self, now: float, entry: int) -> None:
+        """Tell the others, by way of one that passes it on."""
+        self.run.send(now, entry, self._hear, self._asked[entry])
+        self._asked[entry] *= 0.5
+        self.run.at(now + find_period(self.run.entries), self._tell, entry)
+
+    def _hear(self, now: float, entry: int, asked: float) -> None:
+        """Take what an entry was asked."""
+        self._told[entry] = asked
+
+    def admit(self, now: float, entry: int) -> bool:
+        """Admit by the entry's part of the demand."""
+        self._asked[entry] += 1.0
+        even = self.EVEN_SHARE / self.run.entries
+        part = even + (1 - self.EVEN_SHARE) * self._told[entry] / max(1.0, sum(self._told))
+        limit = self.run.limit
+        own = TeamLimit(limit.rate_per_s * part, max(1.0, limit.burst * part))
+        return self._buckets[entry].take(own, now) <= 0.0
+
+
+class HomeTokens(QuotaWay):
+    """One entry is the team's home and grants tokens that last a second, ahead of need."""
+
+    LIFETIME_S = 1.0
+
+    def start(self, run: Run) -> None:
+        """Fill the home's bucket; nobody has tokens."""
+        super().start(run)
+        self._home = EntryBucket(0.0)
+        self._tokens: list[list[float]] = [[] for _ in range(run.entries)]
+        self._is_asking = [False] * run.entries
+        self._need = [0.0] * run.entries
+
+    def restart(self, now: float) -> None:
+        """Begin with an empty bucket: what was granted is not known."""
+        self._home = EntryBucket(now)
+        while self._home.take(self.run.limit, now) <= 0.0:
+            pass
+
+    def admit(self, now: float, entry: int) -> bool:
+        """Spend a token; ask for more where few are left."""
+        tokens = [until for until in self._tokens[entry] if until > now]
+        self._need[entry] += 1.0
+        is_admitted = bool(tokens)
+        if tokens:
+            tokens.pop(0)
+        self._tokens[entry] = tokens
+        if len(tokens) < 1 and not self._is_asking[entry]:
+            self._is_asking[entry] = True
+            self.run.send(now, entry, self._grant, 1 + int(self._need[entry]))
+            self.run.at(now + 0.3, self._ask_again, entry)
+            self._need[entry] *= 0.5
+        return is_admitted
+
+    def _ask_again(self, now: float, entry: int) -> None:
+        """Allow another question: the last may be lost."""
+        self._is_asking[entry] = False
+
+    def _grant(self, now: float, entry: int, wanted: int) -> None:
+        """Grant tokens out of the home's bucket."""
+        granted = sum(self._home.take(self.run.limit, now) <= 0.0 for _ in range(wanted))
+        self.run.send(now, entry, self._receive, granted)
+
+    def _receive(self, now: float, entry: int, granted: int) -> None:
+        """Keep tokens for a while."""
+        self._is_asking[entry] = False
+        self._tokens[entry] += [now + self.LIFETIME_S] * granted
+
+
+class CollectorShares(QuotaWay):
+    """The product's way: counts go to collectors, the first of which answers with shares.
+
+    As in the product there are several, and a restart hits the first; the others' answers count
+    while it is silent.
+    """
+
+    def start(self, run: Run) -> None:
+        """Begin to report."""
+        super().start(run)
+        limits = {TEAM: run.limit}
+        self._gates = [QuotaGate(f"e{i}", i + 1, run.random) for i in range(run.entries)]
+        for gate in self._gates:
+            gate.use(limits)
+        self._first_answer_at = [0.0] * run.entries
+        self._ledgers = [self._make_ledger(0.0) for _ in range(COLLECTORS)]
+        for entry in range(run.entries):
+            run.at(run.random.random() * find_period(run.entries), self._report, entry)
+
+    def _make_ledger(self, now: float) -> QuotaLedger:
+        """Make a collector that knows nothing yet."""
+        ledger = QuotaLedger()
+        ledger.use({TEAM: self.run.limit}, now)
+        return ledger
+
+    def restart(self, now: float) -> None:
+        """Begin with a first collector that knows nothing."""
+        self._ledgers[0] = self._make_ledger(now)
+
+    def admit(self, now: float, entry: int) -> bool:
+        """Admit by the entry's gate."""
+        return self._gates[entry].admit(TEAM, now, entries=self.run.entries).is_admitted
+
+    def _report(self, now: float, entry: int) -> None:
+        """End a period and report it."""
+        report = self._gates[entry].close_period()
+        for place in range(COLLECTORS):
+            self.run.send(now, entry, self._collect, place, report)
+        self.run.at(now + find_period(self.run.entries), self._report, entry)
+
+    def _collect(self, now: float, entry: int, place: int, report: Report) -> None:
+        """Count a report, and answer it."""
+        entries, ledger = self.run.entries, self._ledgers[place]
+        ledger.take(report, now)
+        period_s = find_period(entries)
+        if ledger.is_young(now, period_s=period_s):
+            return
+        shares = ledger.compute_shares(now, entries=entries, period_s=period_s)
+        answer = Shares(report.periods[-1].number, shares)
+        self.run.send(now, entry, self._answer, place, answer)
+
+    def _answer(self, now: float, entry: int, place: int, shares: Shares) -> None:
+        """Take an answer as the product does."""
+        fresh_s = FRESH_PERIODS * find_period(self.run.entries)
+        if place and now - self._first_answer_at[entry] <= fresh_s:
+            return
+        if self._gates[entry].take(shares, now) and not place:
+            self._first_answer_at[entry] = now
