Let the entries of a hall share what they learn of targets

Hypothesis: an entry of 75 meets a target every 15 s and a key every 34 s, so that it knows neither loads nor warm keys; a hall of 12 sees a dozen times as much.

--- /dev/null
+++ b/halldoor/gateway/datagrams.py
@@ -0,0 +1,91 @@
+"""Short messages between entries, by datagrams.
+
+Datagrams, since a late message is worth nothing, a lost one is made up for by the next, and neither
+may hold up the other.  A frozen or cut off peer costs nothing here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from enum import IntEnum
+from typing import Any, cast
+
+import msgspec
+
+from halldoor.core.settings import Address
+from halldoor.gateway.metrics import GatewayMetrics
+
+Receiver = Callable[[Any, Address], None]
+
+
+class MessageKind(IntEnum):
+    """First byte of a message: what the rest holds."""
+
+    QUOTA_REPORT = 1
+    QUOTA_SHARES = 2
+    OBSERVATIONS = 3
+
+
+class DatagramPort(asyncio.DatagramProtocol):
+    """The socket for messages of other entries.
+
+    Parameters
+    ----------
+    address : Address or None
+        Where it listens; None: nothing is sent or heard.
+    """
+
+    def __init__(self, address: Address | None, *, metrics: GatewayMetrics) -> None:
+        self._address = address
+        self._metrics = metrics
+        self._transport: asyncio.DatagramTransport | None = None
+        self._receivers: dict[int, tuple[Any, Receiver]] = {}
+
+    def receive(self, kind: MessageKind, message_type: Any, receiver: Receiver) -> None:
+        """Pass messages of a kind on to a receiver."""
+        self._receivers[kind] = (message_type, receiver)
+
+    async def start(self) -> None:
+        """Open the port."""
+        if self._address is not None:
+            loop = asyncio.get_running_loop()
+            local = (self._address.ip, self._address.port)
+            await loop.create_datagram_endpoint(lambda: self, local_addr=local)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the socket."""
+        # The loop's own class of datagram transports is none of `asyncio.DatagramTransport`.
+        self._transport = cast("asyncio.DatagramTransport", transport)
+
+    def close(self) -> None:
+        """Close the port."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def send(self, kind: MessageKind, message: Any, *addresses: Address | None) -> None:
+        """Send a message; one that can't be sent now is dropped."""
+        if self._transport is None:
+            return
+        data = bytes([kind]) + msgspec.msgpack.encode(message)
+        for address in addresses:
+            if address is not None:
+                self._transport.sendto(data, (address.ip, address.port))
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a message; one that can't be read is counted and dropped."""
+        message_type, receiver = self._receivers.get(data[0] if data else 0, (None, None))
+        if receiver is None:
+            self._metrics.add_message("unknown")
+            return
+        try:
+            message = msgspec.msgpack.decode(data[1:], type=message_type)
+        except msgspec.DecodeError:
+            self._metrics.add_message("unreadable")
+            return
+        self._metrics.add_message(MessageKind(data[0]).name.lower())
+        receiver(message, Address(*addr))
+
+    def error_received(self, exc: Exception) -> None:
+        """Count a message that could not be delivered; the next one follows anyhow."""
+        self._metrics.add_message("undelivered")
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from halldoor.core.targets.catalog import Catalog, Target
 from halldoor.core.targets.choice import Choice, Chooser
 from halldoor.core.targets.latency import LatencyModel
 from halldoor.core.targets.load import LoadReport, LoadTable
+from halldoor.core.targets.observation import Observation
 from halldoor.core.targets.outlier import OutlierTable
 from halldoor.gateway.attempt import AttemptResult
+from halldoor.gateway.caller import Answer
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.exchange import (
     AnswerLost,
@@ -58,6 +61,11 @@
         Connections to targets.
     names : HeaderNames
         Header names that targets use.
+
+    Attributes
+    ----------
+    on_observation : callable or None
+        Called with each sound answer, for other entries to learn from.
     """
 
     def __init__(
@@ -80,6 +88,7 @@
         self._pool = pool
         self._names = names
         self._log = log
+        self.on_observation: Callable[[Observation], None] | None = None
 
     def add_outcome(
         self,
@@ -100,6 +109,7 @@
         match outcome:
             case WholeAnswer(answer) if answer.status < SERVER_ERROR:
                 self._add_success(sent, now, took_s=took_s, connect_s=connecting.took_s)
+                self._tell(sent, answer, took_s=took_s - connecting.took_s)
                 return AttemptResult.ANSWERED, str(answer.status)
             case WholeAnswer(answer):
                 is_slow = answer.status == GATEWAY_TIMEOUT
@@ -139,6 +149,42 @@
         if self._outliers.add_success(target.name, target.record.service, took_s, now):
             self._log.event("targets", "Ejected a slow target.", target=target.name)
 
+    def _tell(self, sent: Sending, answer: Answer, *, took_s: float) -> None:
+        """Let other entries know of a sound answer."""
+        if self.on_observation is None:
+            return
+        report = LoadReport.from_text(find(answer.headers, self._names.load))
+        self.on_observation(
+            Observation(
+                sent.choice.target.name,
+                sent.kind,
+                sent.key,
+                took_ms=round(took_s * 1000),
+                has_waited=sent.choice.estimate.wait_s > 0,
+                running=report.running if report is not None else 0,
+                waiting=report.waiting if report is not None else 0,
+                slots=report.slots if report is not None else 0,
+            )
+        )
+
+    def add_observation(self, seen: Observation, now: float) -> None:
+        """Learn from an answer that another entry of the hall had."""
+        target = self._catalog.find_target(seen.target)
+        if target is None:
+            return
+        if seen.slots > 0 and self._chooser.settings.uses_reports:
+            report = LoadReport(seen.running, seen.waiting, seen.slots)
+            own = self._chooser.in_flight[target.name]
+            self._loads.add(target.name, report, now, own=own, service=target.record.service)
+        self._latency.add_answer(
+            seen.kind,
+            target.name,
+            target.record.hall,
+            seen.key,
+            took_s=seen.took_ms / 1000,
+            has_waited=seen.has_waited,
+        )
+
     def add_failure(
         self, name: str, now: float, detail: str, *, is_dead: bool = False, is_slow: bool = False
     ) -> None:
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -61,8 +61,8 @@
             "halldoor_over_quota", "Requests refused by their team's quota.", registry=registry
         )
         self._quota_teams: set[str] = set()
-        self._quota_messages = Counter(
-            "halldoor_quota_messages", "Messages about quotas, by kind.", registry=registry
+        self._messages = Counter(
+            "halldoor_messages", "Messages of other entries, by kind.", registry=registry
         )
         self._unreadable = Counter(
             "halldoor_unreadable_records", "Records that could not be read.", registry=registry
@@ -140,9 +140,9 @@
             self._quota_teams.add(team)
         self._over_quota.inc({"team": team if team in self._quota_teams else "other"})
 
-    def add_quota_message(self, kind: str) -> None:
-        """Count a message about quotas from another entry."""
-        self._quota_messages.inc({"kind": kind})
+    def add_message(self, kind: str) -> None:
+        """Count a message of another entry."""
+        self._messages.inc({"kind": kind})
 
     def add_unreadable_record(self) -> None:
         """Count a record that could not be read."""
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -25,6 +25,7 @@
 from halldoor.core.teams.quota import QuotaGate
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.caller import CallerConnection, listen
+from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.feedback import TargetFeedback
 from halldoor.gateway.headers import HeaderNames
@@ -38,6 +39,7 @@
 from halldoor.gateway.request import RequestHandler
 from halldoor.gateway.retries import RetryGate
 from halldoor.gateway.settings import LIVE_SETTINGS, GatewaySettings
+from halldoor.gateway.sharing import ObservationSharing
 from halldoor.gateway.store import MetadataStore, RecordCodec
 from halldoor.gateway.sync import StoreSync, stop_task
 from halldoor.gateway.travel import TravelProbe
@@ -86,6 +88,7 @@
             settings.name, settings.front, settings.hall, settings.region, settings.relay
         )
         self.pool = TargetPool(settings.connections)
+        self.port = DatagramPort(settings.relay, metrics=self.metrics)
         self._build_requests(names)
         self._build_store_tasks(store, codec)
         self._pages = Pages(self._read_state, self._read_figures, lookups, self.metrics)
@@ -129,8 +132,9 @@
         self.access = CallerAccess(
             self.catalog, gate, splitter, names=names, settings=settings.access
         )
-        self.quotas = QuotaExchange(
-            self.member, self.catalog, self.access, log=self.log, metrics=self.metrics
+        self.quotas = QuotaExchange(self.member, self.catalog, self.access, self.port, log=self.log)
+        self.sharing = ObservationSharing(
+            self.member, self.catalog, self.feedback, self.port, settings=settings.sharing
         )
         self.requests = RequestHandler(
             catalog=self.catalog,
@@ -238,12 +242,13 @@
                 connections=self._others,
             )
             self._servers.append(server)
-        await self.quotas.start()
+        await self.port.start()
         parts = (
             self.sync.run(),
             self._run_maintenance(),
             self.travel.run(),
             self.quotas.run(),
+            self.sharing.run(),
         )
         for part in parts:
             self._start_task(part)
@@ -319,7 +324,7 @@
             await stop_task(task)
         self.pool.close()
         self.feed.close()
-        self.quotas.close()
+        self.port.close()
         self.log.close()
 
     async def _run_maintenance(self) -> None:
--- a/halldoor/gateway/quotas.py
+++ b/halldoor/gateway/quotas.py
@@ -1,15 +1,8 @@
-"""Exchange counts and shares of teams' quotas between entries: MessagePack in datagrams.
-
-Datagrams, since a late report is worth nothing, a lost one is made up for by the next, and
-neither may hold up the other.  A frozen or cut off peer costs nothing here.
-"""
+"""Exchange counts and shares of teams' quotas between entries."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import cast
-
-import msgspec
 
 from halldoor.core.placement import rank
 from halldoor.core.settings import Address
@@ -24,21 +17,23 @@
     find_period,
 )
 from halldoor.gateway.access import CallerAccess
+from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
-from halldoor.gateway.metrics import GatewayMetrics
 
 
-class QuotaExchange(asyncio.DatagramProtocol):
+class QuotaExchange:
     """Report to the collectors, and collect where this entry is one.
 
     Parameters
     ----------
     own : MemberRecord
-        This entry; it uses the port of its relay for datagrams.
+        This entry.
     catalog : Catalog
         Who else is there.
     access : CallerAccess
         Where the limits in force and this entry's counts are.
+    port : DatagramPort
+        Messages of other entries.
     """
 
     def __init__(
@@ -46,9 +41,9 @@
         own: MemberRecord,
         catalog: Catalog,
         access: CallerAccess,
+        port: DatagramPort,
         *,
         log: EventLog,
-        metrics: GatewayMetrics,
     ) -> None:
         self._own = own
         self._catalog = catalog
@@ -56,30 +51,13 @@
         self._gate: QuotaGate = access.gate
         self._ledger = QuotaLedger()
         self._log = log
-        self._metrics = metrics
-        self._transport: asyncio.DatagramTransport | None = None
+        self._port = port
         self._collectors: list[MemberRecord] = []
         self._members_version = -1
         self._table: object = None
         self._first_answer_at = 0.0
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Take the socket."""
-        # The loop's own class of datagram transports is none of `asyncio.DatagramTransport`.
-        self._transport = cast("asyncio.DatagramTransport", transport)
-
-    async def start(self) -> None:
-        """Open the port."""
-        if self._own.relay is None:
-            return
-        loop = asyncio.get_running_loop()
-        address = (self._own.relay.ip, self._own.relay.port)
-        await loop.create_datagram_endpoint(lambda: self, local_addr=address)
-
-    def close(self) -> None:
-        """Close the port."""
-        if self._transport is not None:
-            self._transport.close()
+        port.receive(MessageKind.QUOTA_REPORT, Report, self._receive_report)
+        port.receive(MessageKind.QUOTA_SHARES, Shares, self._receive_shares)
 
     async def run(self) -> None:
         """Report in each period, as long as any team has a limit."""
@@ -113,14 +91,13 @@
     def _send_report(self) -> None:
         """End a period and report it."""
         report = self._gate.close_period()
-        data = msgspec.msgpack.encode(report)
         for collector in self._collectors:
             if collector.name == self._own.name:
                 answer = self._collect(report)
                 if answer is not None:
                     self._take_answer(answer, place=self._collectors.index(collector))
-            elif self._transport is not None and collector.relay is not None:
-                self._transport.sendto(data, (collector.relay.ip, collector.relay.port))
+            else:
+                self._port.send(MessageKind.QUOTA_REPORT, report, collector.relay)
 
     def _collect(self, report: Report) -> Shares | None:
         """Count a report, and answer it; None where too little was counted yet."""
@@ -133,22 +110,16 @@
         shares = self._ledger.compute_shares(now, entries=entries, period_s=period_s)
         return Shares(report.periods[-1].number, shares)
 
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take a report or an answer."""
-        try:
-            message = _decode(data)
-        except msgspec.DecodeError:
-            self._metrics.add_quota_message("unreadable")
-            return
-        if isinstance(message, Report):
-            self._metrics.add_quota_message("report")
-            self._follow_routing()
-            answer = self._collect(message)
-            if answer is not None and self._transport is not None:
-                self._transport.sendto(msgspec.msgpack.encode(answer), addr)
-            return
-        self._metrics.add_quota_message("answer")
-        self._take_answer(message, place=self._find_place(Address(*addr)))
+    def _receive_report(self, report: Report, sender: Address) -> None:
+        """Take another entry's report."""
+        self._follow_routing()
+        answer = self._collect(report)
+        if answer is not None:
+            self._port.send(MessageKind.QUOTA_SHARES, answer, sender)
+
+    def _receive_shares(self, answer: Shares, sender: Address) -> None:
+        """Take a collector's answer."""
+        self._take_answer(answer, place=self._find_place(sender))
 
     def _find_place(self, address: Address) -> int:
         """Give a collector's place in their order; past the last where it is none."""
@@ -164,15 +135,3 @@
             return
         if place < len(self._collectors) and self._gate.take(answer, now) and is_first:
             self._first_answer_at = now
-
-    def error_received(self, exc: Exception) -> None:
-        """Count a datagram that could not be delivered; the next report follows anyhow."""
-        self._metrics.add_quota_message("undelivered")
-
-
-def _decode(data: bytes) -> Report | Shares:
-    """Decode a message: a report has three fields, an answer two."""
-    try:
-        return msgspec.msgpack.decode(data, type=Report)
-    except msgspec.ValidationError:
-        return msgspec.msgpack.decode(data, type=Shares)
--- a/halldoor/gateway/settings.py
+++ b/halldoor/gateway/settings.py
@@ -10,6 +10,7 @@
 from halldoor.core.targets.budget import RetrySettings
 from halldoor.core.targets.catalog import CatalogTimings
 from halldoor.core.targets.choice import ChoiceSettings
+from halldoor.core.targets.observation import SharingSettings
 from halldoor.core.targets.outlier import OutlierSettings
 from halldoor.core.targets.relay import RelaySettings
 from halldoor.core.teams.admission import AccessSettings
@@ -30,7 +31,7 @@
 """Settings that a running process takes up; addresses and names need a restart."""
 
 
-POLICY_SECTIONS = ("choice", "outliers", "connections", "retries", "relaying", "access")
+POLICY_SECTIONS = ("choice", "outliers", "connections", "retries", "relaying", "access", "sharing")
 """Settings that a policy file may change."""
 
 
@@ -74,6 +75,7 @@
     outliers: OutlierSettings = OutlierSettings()
     connections: ConnectionSettings = ConnectionSettings()
     access: AccessSettings = AccessSettings()
+    sharing: SharingSettings = SharingSettings()
 
     def use_policy(self, policy: Mapping[str, Any], *, origin: str) -> GatewaySettings:
         """Give these settings with those of a policy file in their place.
