--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -42,10 +42,13 @@
         it.  One to three were measured: two served best.
     spare_load : float
         Pressure below which any other target of the order may help out, once the first ones
-        can't answer in time.  0: none may.
+        can't answer in time.  0: none may.  What helps out is cold for the key and occupies a slot
+        three times as long: of such answers on a busy fleet of 75, nine in ten were late.
     wait_limit : float
         Time that a request may wait for a slot, in multiples of what its route's aim leaves
-        after travelling and warm work.  0: no limit but `full_load`.
+        after travelling and warm work.  0: no limit but `full_load`.  Loads are known roughly, and
+        half of those that would be refused at 1 are answered in time at 2.2: on a busy fleet of 75
+        in a replay 0.86 in place of 0.83 of the requests.
     ejected_share : float
         Part of a service's targets that may be passed over as broken; beyond it none is.
         0: none is passed over.
@@ -64,8 +67,8 @@
     load_factor: float = 4.0
     full_load: float = 2.5
     spill_choices: int = 2
-    spare_load: float = 0.5
-    wait_limit: float = 1.0
+    spare_load: float = 0.3
+    wait_limit: float = 2.2
     ejected_share: float = 0.5
     region_fill: float = RegionShares().fill
     near_region_fill: float = RegionShares().near_fill
--- a/halldoor/tests/test_choice.py
+++ b/halldoor/tests/test_choice.py
@@ -153,7 +153,7 @@
         assert chooser.choose(make_route(), "deck", "k", 1.0) is second
 
     def test_a_second_target_without_a_free_slot_is_left_to_its_own_keys(self):
-        chooser = make_chooser(make_catalog(2))
+        chooser = make_chooser(make_catalog(2), wait_limit=1.0)
         first, second = self.get_order(chooser)
         chooser.report(first.name, 6, 8)
         chooser.report(second.name, 6, 1)
