--- a/benchmarks/access.py
+++ b/benchmarks/access.py
@@ -8,7 +8,7 @@
 from benchmarks.common import format_table, write_result
 from halldoor.core.targets.route import CallerLimits, Routing
 from halldoor.core.teams.admission import AccessSettings, AccessTable, Entrance
-from halldoor.core.teams.quota import QuotaGate
+from halldoor.core.teams.gate import QuotaGate
 from halldoor.core.teams.team import Team, TeamLimit, digest_key
 from halldoor.tests.choicekit import SERVICE, make_route
 
@@ -27,7 +27,7 @@
     ]
     routing = Routing(1, (make_route(),), {"deck": SERVICE}, CallerLimits(), tuple(known))
     table = AccessTable(routing)
-    gate = QuotaGate("e1", 1, Random(1))
+    gate = QuotaGate("e1", 1, Random(1).random)
     gate.use(table.teams.get_limits())
     fields = [f"Bearer key{i % teams}".encode() for i in range(REQUESTS)]
     best = float("inf")
--- a/halldoor/core/teams/admission.py
+++ b/halldoor/core/teams/admission.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from halldoor.core.targets.route import Route, RouteTable, Routing
-from halldoor.core.teams.quota import Admission, QuotaGate
+from halldoor.core.teams.gate import Admission, QuotaGate
 from halldoor.core.teams.team import Team, TeamTable, digest_key, join_homes, read_bearer
 
 
--- a/halldoor/gateway/access.py
+++ b/halldoor/gateway/access.py
@@ -13,7 +13,7 @@
     Refusal,
     RefusalReason,
 )
-from halldoor.core.teams.quota import QuotaGate
+from halldoor.core.teams.gate import QuotaGate
 from halldoor.gateway.attempt import RETRY_AFTER_S, build_own_answer, spread
 from halldoor.gateway.caller import Answer, Head
 from halldoor.gateway.headers import HeaderNames, find
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -57,6 +57,14 @@
             "Polls of other entries that were not readable.",
             registry=registry,
         )
+        self._build_team_counters(registry)
+        self._gauges = Gauge(
+            "halldoor_state", "What this entry holds now, by name.", registry=registry
+        )
+        self._targets_out = self._build_targets_out()
+
+    def _build_team_counters(self, registry: Registry) -> None:
+        """Build the counters of teams, of other entries' messages and of records."""
         self._over_quota = Counter(
             "halldoor_over_quota", "Requests refused by their team's quota.", registry=registry
         )
@@ -67,10 +75,6 @@
         self._unreadable = Counter(
             "halldoor_unreadable_records", "Records that could not be read.", registry=registry
         )
-        self._gauges = Gauge(
-            "halldoor_state", "What this entry holds now, by name.", registry=registry
-        )
-        self._targets_out = self._build_targets_out()
 
     def _build_targets_out(self) -> Gauge:
         """Build the gauge of targets that are out, without any yet."""
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -22,7 +22,7 @@
 from halldoor.core.targets.outlier import OutlierTable
 from halldoor.core.targets.route import CallerLimits
 from halldoor.core.targets.split import Splitter
-from halldoor.core.teams.quota import QuotaGate
+from halldoor.core.teams.gate import QuotaGate
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.caller import CallerConnection, listen
 from halldoor.gateway.datagrams import DatagramPort
@@ -128,7 +128,7 @@
         self.travel = TravelProbe(self.member, self.catalog, latency, log=self.log)
         self.retries = RetryGate(self.catalog, settings.retries)
         splitter = Splitter()
-        gate = QuotaGate(settings.name, secrets.randbits(32), Random())
+        gate = QuotaGate(settings.name, secrets.randbits(32), Random().random)
         self.access = CallerAccess(
             self.catalog, gate, splitter, names=names, settings=settings.access
         )
--- a/halldoor/gateway/quotas.py
+++ b/halldoor/gateway/quotas.py
@@ -7,15 +7,9 @@
 from halldoor.core.placement import rank
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog, MemberRecord
-from halldoor.core.teams.quota import (
-    COLLECTORS,
-    FRESH_PERIODS,
-    QuotaGate,
-    QuotaLedger,
-    Report,
-    Shares,
-    find_period,
-)
+from halldoor.core.teams.gate import QuotaGate
+from halldoor.core.teams.ledger import QuotaLedger
+from halldoor.core.teams.quota import COLLECTORS, FRESH_PERIODS, Report, Shares, find_period
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
--- a/halldoor/standins/quotafleet.py
+++ b/halldoor/standins/quotafleet.py
@@ -13,16 +13,9 @@
 from random import Random
 from typing import Any, NamedTuple
 
-from halldoor.core.teams.quota import (
-    COLLECTORS,
-    FRESH_PERIODS,
-    EntryBucket,
-    QuotaGate,
-    QuotaLedger,
-    Report,
-    Shares,
-    find_period,
-)
+from halldoor.core.teams.gate import EntryBucket, QuotaGate
+from halldoor.core.teams.ledger import QuotaLedger
+from halldoor.core.teams.quota import COLLECTORS, FRESH_PERIODS, Report, Shares, find_period
 from halldoor.core.teams.team import TeamLimit
 
 TEAM = "north"
@@ -284,7 +277,7 @@
         """Begin to report."""
         super().start(run)
         limits = {TEAM: run.limit}
-        self._gates = [QuotaGate(f"e{i}", i + 1, run.random) for i in range(run.entries)]
+        self._gates = [QuotaGate(f"e{i}", i + 1, run.random.random) for i in range(run.entries)]
         for gate in self._gates:
             gate.use(limits)
         self._first_answer_at = [0.0] * run.entries
--- a/halldoor/tests/test_admission.py
+++ b/halldoor/tests/test_admission.py
@@ -11,7 +11,7 @@
     Entrance,
     RefusalReason,
 )
-from halldoor.core.teams.quota import QuotaGate
+from halldoor.core.teams.gate import QuotaGate
 from halldoor.core.teams.team import Team, TeamLimit, digest_key, join_homes
 from halldoor.tests.choicekit import SERVICE, make_route
 
@@ -24,7 +24,7 @@
     def __init__(self, *, team=NORTH, **route):
         routing = Routing(1, (make_route(**route),), {"deck": SERVICE}, CallerLimits(), (team,))
         self.table = AccessTable(routing)
-        self.gate = QuotaGate("e1", 1, Random(1))
+        self.gate = QuotaGate("e1", 1, Random(1).random)
         self.gate.use(self.table.teams.get_limits())
 
     def enter(self, *, host="decks.example", key="k", age_s=0.0, **settings):
