--- a/halldoor/cli/fleet.py
+++ b/halldoor/cli/fleet.py
@@ -24,6 +24,7 @@
 
 _STATE = re.compile(r'^halldoor_state\{name="(\w+)"\} (\S+)')
 _OUT = re.compile(r"^halldoor_target_out\{(.*)\} 1")
+_OVER_QUOTA = re.compile(r'^halldoor_over_quota\{team="([^"]*)"\} (\S+)')
 _LABEL = re.compile(r'(\w+)="([^"]*)"')
 
 
@@ -34,6 +35,8 @@
     ----------
     store_age_s : float
         Time since it heard from the store, in seconds.
+    over_quota : tuple of (str, int)
+        Teams whose requests it refused for their quota, and how many since its start.
     error : str
         Why it could not be reached; empty where it was.
     """
@@ -45,6 +48,7 @@
     running: int = 0
     watches_store: bool = False
     targets_out: tuple[TargetOut, ...] = ()
+    over_quota: tuple[tuple[str, int], ...] = ()
     error: str = ""
 
     @property
@@ -75,12 +79,15 @@
     """Read a gateway's figures."""
     state: dict[str, float] = {}
     out: list[TargetOut] = []
+    over_quota: list[tuple[str, int]] = []
     for line in text.splitlines():
         if match := _STATE.match(line):
             state[match[1]] = float(match[2])
         elif match := _OUT.match(line):
             labels = dict(_LABEL.findall(match[1]))
             out.append(TargetOut(labels["target"], labels["service"], labels["reason"]))
+        elif match := _OVER_QUOTA.match(line):
+            over_quota.append((match[1], int(float(match[2]))))
     return GatewayView(
         address,
         version=int(state.get("configuration_version", 0)),
@@ -89,6 +96,7 @@
         running=int(state.get("running", 0)),
         watches_store=bool(state.get("watches_store", 0)),
         targets_out=tuple(out),
+        over_quota=tuple(over_quota),
     )
 
 
@@ -103,6 +111,7 @@
     ]
     lines += _limit([f"{g.address}: not reached ({g.error})" for g in gateways if g.error])
     lines += _limit(_describe_lag(g, newest) for g in reached if _is_lagging(g, newest))
+    lines += _limit(_describe_quotas(reached))
     return lines + _limit(_describe_targets(reached))
 
 
@@ -117,6 +126,20 @@
     return f"{gateway.address}: {behind}, heard from the store {gateway.store_age_s:.1f} s ago"
 
 
+def _describe_quotas(reached: Sequence[GatewayView]) -> list[str]:
+    """Describe the teams that are refused for their quotas, those that are most first."""
+    refused: Counter[str] = Counter()
+    gateways: Counter[str] = Counter()
+    for gateway in reached:
+        for team, count in gateway.over_quota:
+            refused[team] += count
+            gateways[team] += 1
+    return [
+        f"Team {team}: {count} requests over its quota, refused by {gateways[team]} gateways"
+        for team, count in refused.most_common()
+    ]
+
+
 def _describe_targets(reached: Sequence[GatewayView]) -> list[str]:
     """Describe the targets that are out, those that most gateways name first."""
     counts = Counter(out for gateway in reached for out in gateway.targets_out)
--- a/halldoor/tests/test_fleet.py
+++ b/halldoor/tests/test_fleet.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 
-from halldoor.cli.fleet import GatewayView, TargetOut, describe_fleet, fetch_fleet
+from halldoor.cli.fleet import GatewayView, TargetOut, describe_fleet, fetch_fleet, parse_metrics
 from halldoor.core.settings import Address
 from halldoor.standins.sample import IP, find_ports
 from halldoor.tests.gatewaykit import GatewayKit
@@ -30,6 +30,11 @@
 
         asyncio.run(check())
 
+    def test_teams_over_their_quota_are_told_with_who_refuses_them(self):
+        texts = ['halldoor_over_quota{team="north"} 3', 'halldoor_over_quota{team="north"} 4.0']
+        told = describe_fleet([parse_metrics(f"a:{i}", text) for i, text in enumerate(texts)])
+        assert told[1] == "Team north: 7 requests over its quota, refused by 2 gateways"
+
     def test_what_stands_out_is_told_first(self):
         out = TargetOut("t1", "deck", "ejected")
         views = [
