--- a/halldoor/gateway/filestore.py
+++ b/halldoor/gateway/filestore.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from halldoor.core.errors import HalldoorError
+from halldoor.core.errors import HalldoorError, SettingsError
 from halldoor.core.settings import Address, parse
 from halldoor.files import load_yaml
 from halldoor.gateway.plain import (
@@ -22,6 +22,7 @@
     RoutingModel,
     ServiceModel,
     TargetModel,
+    TeamModel,
 )
 from halldoor.gateway.store import Events, Lease, MetadataStore, Page, StoredItem, StoreError
 
@@ -57,14 +58,23 @@
     services: list[ServiceModel]
     targets: list[NamedTarget]
     limits: LimitsModel = LimitsModel()
+    teams: list[TeamModel] = []
     evacuated_halls: list[str] = []
     entries: list[NamedMember] = []
 
+    def to_model(self) -> RoutingModel:
+        """Give the part that is the routes, services, limits and teams."""
+        return RoutingModel(
+            version=self.version,
+            routes=self.routes,
+            services=self.services,
+            limits=self.limits,
+            teams=self.teams,
+        )
+
     def to_records(self) -> dict[str, bytes]:
         """Give the records by key."""
-        routing = RoutingModel(
-            version=self.version, routes=self.routes, services=self.services, limits=self.limits
-        )
+        routing = self.to_model()
         records = {ROUTING_KEY: msgspec.json.encode(routing)}
         records |= {EVACUATION_PREFIX + hall: b"{}" for hall in self.evacuated_halls}
         records |= {TARGET_PREFIX + t.name: _encode_unnamed(t) for t in self.targets}
@@ -87,7 +97,14 @@
     SettingsError
         Names what is wrong, where, and the remedy.
     """
-    return parse(load_yaml(path), GatewayConfiguration, origin=str(path))
+    configuration: GatewayConfiguration = parse(
+        load_yaml(path), GatewayConfiguration, origin=str(path)
+    )
+    try:
+        configuration.to_model().to_routing()
+    except ValueError as exc:
+        raise SettingsError(f"{path}: {exc}.", remedy="Correct it; the last one holds on.") from exc
+    return configuration
 
 
 class FileStore(MetadataStore):
--- a/halldoor/tests/test_examples.py
+++ b/halldoor/tests/test_examples.py
@@ -4,11 +4,22 @@
 
 import pytest
 
+from halldoor.core.errors import SettingsError
 from halldoor.core.settings import AdminSettings, EntrySettings
 from halldoor.core.steering.configuration import Configuration, Hall, Service, Shift
 from halldoor.files import load_settings, load_yaml
-from halldoor.gateway.filestore import GatewayConfiguration, GatewayFileSettings
-from halldoor.gateway.plain import LimitsModel, RouteModel, ServiceModel, TargetModel
+from halldoor.gateway.filestore import (
+    GatewayConfiguration,
+    GatewayFileSettings,
+    load_configuration,
+)
+from halldoor.gateway.plain import (
+    LimitsModel,
+    RouteModel,
+    ServiceModel,
+    TargetModel,
+    TeamModel,
+)
 from halldoor.standins.fleet import Fleet
 from halldoor.standins.sample import IP, find_ports
 from halldoor.tests.conftest import start_all
@@ -66,7 +77,9 @@
         RouteModel,
         ServiceModel,
         TargetModel,
+        TeamModel,
         LimitsModel,
+        TeamModel,
     ],
 )
 def test_reference_lists_every_setting(kind):
@@ -80,3 +93,30 @@
 )
 def test_settings_of_the_examples_are_valid(name, kind):
     assert load_settings(EXAMPLES / name, kind)
+
+
+class TestTeamsInAFile:
+    TEAMS = """
+teams:
+  - {name: north, key_digests: [%s], rate_per_s: 5, burst: 5}
+  - {name: south, key_digests: [%s]}
+"""
+
+    def write(self, tmp_path, *digests):
+        path = tmp_path / "routes.yaml"
+        path.write_text((EXAMPLES / "gateway-routes.yaml").read_text() + self.TEAMS % digests)
+        return path
+
+    def test_they_become_part_of_the_routing(self, tmp_path):
+        configuration = load_configuration(self.write(tmp_path, "ab" * 32, "cd" * 32))
+        routing = configuration.to_model().to_routing()
+        assert [team.name for team in routing.teams] == ["north", "south"]
+        assert b"north" in configuration.to_records()["routing"]
+
+    def test_a_key_of_two_teams_is_an_error_that_names_both(self, tmp_path):
+        with pytest.raises(SettingsError, match="north and south hold one key"):
+            load_configuration(self.write(tmp_path, "ab" * 32, "ab" * 32))
+
+    def test_a_digest_that_is_none_is_an_error(self, tmp_path):
+        with pytest.raises(SettingsError, match="hexadecimal"):
+            load_configuration(self.write(tmp_path, "key-itself", "cd" * 32))
