Let a test of bad frames bear an entry that has closed already

Cause: the entry reads a frame that is none, and closes with bytes unread, which resets; if that comes before the test's own shutdown, the socket is no longer connected. What is asked stays: the connection ends within 5 s and the entry answers afterwards.

--- a/halldoor/tests/test_answers.py
+++ b/halldoor/tests/test_answers.py
@@ -1,5 +1,6 @@
 """Everyone receives the whole answer to their own request."""
 
+import contextlib
 import json
 import socket
 import threading
@@ -206,10 +207,13 @@
         wire = two_halls.configuration["halls"][0]["entries"][0]["wire"]["port"]
         with socket.create_connection((IP, wire)) as sock:
             sock.sendall(data)
-            sock.shutdown(socket.SHUT_WR)
             sock.settimeout(5)
-            while sock.recv(4096):
-                pass
+            # The entry may have closed already, with bytes unread: then it is a reset.
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_WR)
+            with contextlib.suppress(ConnectionResetError):
+                while sock.recv(4096):
+                    pass
         assert two_halls.get_revision("a1-e1") >= 1
 
 
