Admit a team that has a rate and no burst

Cause, found on reading: the bucket that bounds what one entry alone admits had the burst's size, so that a team without one was refused every request. Change: a second of the rate at least.

--- a/halldoor/core/teams/gate.py
+++ b/halldoor/core/teams/gate.py
@@ -135,7 +135,9 @@
         part = self._parts.get(team, 1.0)
         if part < 1.0 and self._draw() >= part:
             return Admission(_find_return(part), part, age_s)
-        wait_s = self._find_bucket(team, now).take(limit, now)
+        # A second of the rate at least: a team may have no burst.
+        own = limit._replace(burst=max(1.0, limit.burst, limit.rate_per_s))
+        wait_s = self._find_bucket(team, now).take(own, now)
         return Admission(min(RETRY_MOST_S, wait_s), part, age_s)
 
     def _admit_alone(self, team: str, limit: TeamLimit, now: float, entries: int) -> Admission:
--- a/halldoor/tests/test_admission.py
+++ b/halldoor/tests/test_admission.py
@@ -12,6 +12,7 @@
     RefusalReason,
 )
 from halldoor.core.teams.gate import QuotaGate
+from halldoor.core.teams.quota import Shares
 from halldoor.core.teams.team import Team, TeamLimit, digest_key, join_homes
 from halldoor.tests.choicekit import SERVICE, make_route
 
@@ -82,6 +83,17 @@
         assert join_homes(("a",), ("b",)) is None
 
 
+class TestQuota:
+    def test_a_team_without_a_burst_has_its_rate(self):
+        """Regression: an entry's own bucket of size 0 refused every request of such a team."""
+        gate = QuotaGate("e1", 1, Random(1).random)
+        gate.use({"north": TeamLimit(20.0, 0.0)})
+        number = gate.close_period().periods[-1].number
+        gate.take(Shares(number, ()), 1.0)
+        admitted = [gate.admit("north", 1.0 + i / 10, entries=75) for i in range(8)]
+        assert all(admission.is_admitted for admission in admitted)
+
+
 class TestAge:
     def test_old_knowledge_refuses_what_it_does_not_know_as_not_run(self):
         for unknown in ({"key": "?"}, {"host": "?"}):
