Tell in which regions requests run, and when much of that moves

Cause: an operator saw 29 of 100 requests of a region change their region within 2 s; no counter told from which region to which requests ran, and no line said that this moved. It could only be summed from sampled attempts. Now a counter by region and reason, a line when 0.15 moved between two windows of 2 s, and a row for each region in the fleet view. No behaviour changes.

--- a/halldoor/cli/fleet.py
+++ b/halldoor/cli/fleet.py
@@ -25,6 +25,7 @@
 _STATE = re.compile(r'^halldoor_state\{name="(\w+)"\} (\S+)')
 _OUT = re.compile(r"^halldoor_target_out\{(.*)\} 1")
 _OVER_QUOTA = re.compile(r'^halldoor_over_quota\{team="([^"]*)"\} (\S+)')
+_REGION_REQUESTS = re.compile(r"^halldoor_region_requests\{(.*)\} (\S+)")
 _LABEL = re.compile(r'(\w+)="([^"]*)"')
 
 
@@ -35,6 +36,8 @@
     ----------
     store_age_s : float
         Time since it heard from the store, in seconds.
+    region_requests : tuple of (str, str, int)
+        Requests sent since its start, by its region and the region of the target.
     over_quota : tuple of (str, int)
         Teams whose requests it refused for their quota, and how many since its start.
     error : str
@@ -49,6 +52,7 @@
     watches_store: bool = False
     targets_out: tuple[TargetOut, ...] = ()
     over_quota: tuple[tuple[str, int], ...] = ()
+    region_requests: tuple[tuple[str, str, int], ...] = ()
     error: str = ""
 
     @property
@@ -80,6 +84,7 @@
     state: dict[str, float] = {}
     out: list[TargetOut] = []
     over_quota: list[tuple[str, int]] = []
+    region_requests: Counter[tuple[str, str]] = Counter()
     for line in text.splitlines():
         if match := _STATE.match(line):
             state[match[1]] = float(match[2])
@@ -88,6 +93,9 @@
             out.append(TargetOut(labels["target"], labels["service"], labels["reason"]))
         elif match := _OVER_QUOTA.match(line):
             over_quota.append((match[1], int(float(match[2]))))
+        elif match := _REGION_REQUESTS.match(line):
+            labels = dict(_LABEL.findall(match[1]))
+            region_requests[(labels["from"], labels["to"])] += int(float(match[2]))
     return GatewayView(
         address,
         version=int(state.get("configuration_version", 0)),
@@ -97,6 +105,7 @@
         watches_store=bool(state.get("watches_store", 0)),
         targets_out=tuple(out),
         over_quota=tuple(over_quota),
+        region_requests=tuple((*pair, count) for pair, count in region_requests.items()),
     )
 
 
@@ -112,6 +121,7 @@
     lines += _limit([f"{g.address}: not reached ({g.error})" for g in gateways if g.error])
     lines += _limit(_describe_lag(g, newest) for g in reached if _is_lagging(g, newest))
     lines += _limit(_describe_quotas(reached))
+    lines += _limit(_describe_regions(reached))
     return lines + _limit(_describe_targets(reached))
 
 
@@ -140,6 +150,25 @@
     ]
 
 
+def _describe_regions(reached: Sequence[GatewayView]) -> list[str]:
+    """Describe where each region's requests ran since the gateways' starts."""
+    counts: Counter[tuple[str, str]] = Counter()
+    totals: Counter[str] = Counter()
+    for gateway in reached:
+        for region, to, count in gateway.region_requests:
+            counts[(region, to)] += count
+            totals[region] += count
+    return [
+        f"Requests of {region}: "
+        + ", ".join(
+            f"{count / totals[region]:.0%} in {to}"
+            for (origin, to), count in sorted(counts.items())
+            if origin == region
+        )
+        for region in sorted(totals)
+    ]
+
+
 def _describe_targets(reached: Sequence[GatewayView]) -> list[str]:
     """Describe the targets that are out, those that most gateways name first."""
     counts = Counter(out for gateway in reached for out in gateway.targets_out)
--- /dev/null
+++ b/halldoor/core/targets/regionflow.py
@@ -0,0 +1,114 @@
+"""Which regions an entry's requests run in, and when that moves.
+
+A region's requests may move to others only slowly: what moves at once lands on targets that don't
+have the keys at hand, and on the links between regions.  Each entry counts its own part, so that
+its log alone tells when much moved, and why.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import StrEnum
+from typing import NamedTuple
+
+WINDOW_S = 2.0
+"""Length of the windows that are compared, in seconds: that of the operators' bound on moves."""
+MOVED_LEAST = 0.15
+"""Least part of the requests that is worth a log line when it moved: the operators' usual bound."""
+REQUESTS_LEAST = 20
+"""Least requests in either window; with fewer, a part says little."""
+
+
+class RunReason(StrEnum):
+    """Why a request runs where it runs."""
+
+    NEAR = "near"
+    FIRST = "the key's first target is far"
+    SPILLED = "spilled"
+    RETRIED = "retried"
+    HOME = "home region"
+
+
+class RegionMove(NamedTuple):
+    """What moved between one window and the next.
+
+    Attributes
+    ----------
+    part : float
+        Part of the requests that runs in another region than before.
+    before, after : dict of str to int
+        Requests by region of execution in the two windows.
+    reason : RunReason
+        Whose part of the requests changed most.
+    """
+
+    part: float
+    before: dict[str, int]
+    after: dict[str, int]
+    reason: RunReason
+
+
+class RegionFlow:
+    """Count requests by region of execution and reason, and compare adjacent windows."""
+
+    def __init__(self) -> None:
+        self._window = -1
+        self._current: Counter[tuple[str, RunReason]] = Counter()
+        self._last: Counter[tuple[str, RunReason]] = Counter()
+
+    def add(self, region: str, reason: RunReason, now: float) -> RegionMove | None:
+        """Count a request; give what moved if it is the first of a new window."""
+        window = int(now / WINDOW_S)
+        move = None
+        if window != self._window:
+            move = find_move(self._last, self._current)
+            is_next = window == self._window + 1
+            self._last = self._current if is_next else Counter()
+            self._current = Counter()
+            self._window = window
+        self._current[(region, reason)] += 1
+        return move
+
+
+def find_move(
+    before: Counter[tuple[str, RunReason]], after: Counter[tuple[str, RunReason]]
+) -> RegionMove | None:
+    """Find how much moved between two windows; None where it is little or there are few requests.
+
+    Parameters
+    ----------
+    before, after : Counter of (str, RunReason)
+        Requests of each window by region of execution and reason.
+    """
+    if min(before.total(), after.total()) < REQUESTS_LEAST:
+        return None
+    by_region = [_sum(counts, 0) for counts in (before, after)]
+    part = measure_move(*by_region)
+    if part < MOVED_LEAST:
+        return None
+    by_reason = [_sum(counts, 1) for counts in (before, after)]
+    reasons = {
+        reason: abs(by_reason[1][reason] / after.total() - by_reason[0][reason] / before.total())
+        for reason in RunReason
+        if reason is not RunReason.NEAR
+    }
+    return RegionMove(
+        part, dict(by_region[0]), dict(by_region[1]), max(reasons, key=reasons.__getitem__)
+    )
+
+
+def measure_move(before: Counter[str], after: Counter[str]) -> float:
+    """Give the part of the requests that runs in another region than before, 0 to 1."""
+    regions = {*before, *after}
+    changes = (
+        after[r] / max(1, after.total()) - before[r] / max(1, before.total()) for r in regions
+    )
+    return sum(abs(change) for change in changes) / 2
+
+
+def _sum(counts: Counter[tuple[str, RunReason]], place: int) -> Counter[str]:
+    """Sum counts by one part of their names."""
+    summed: Counter[str] = Counter()
+    for name, count in counts.items():
+        summed[name[place]] += count
+    return summed
--- /dev/null
+++ b/halldoor/gateway/flows.py
@@ -0,0 +1,72 @@
+"""Tell in which regions this entry's requests run: counters, and a line when much moves."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from halldoor.core.targets.catalog import Catalog
+from halldoor.core.targets.choice import Choice
+from halldoor.core.targets.regionflow import RegionFlow, RunReason
+from halldoor.core.targets.route import Route
+from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.metrics import GatewayMetrics
+
+
+class FlowWatch:
+    """Count sent requests by region.
+
+    Parameters
+    ----------
+    own_region : str
+        Region of this entry and, mostly, of its callers.
+    regions : Mapping of str to str
+        Region of each hall.
+    catalog : Catalog
+        The configuration in force, and the age of the last contact with the store.
+    """
+
+    def __init__(
+        self,
+        own_region: str,
+        regions: Mapping[str, str],
+        catalog: Catalog,
+        *,
+        log: EventLog,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._own_region = own_region
+        self._regions = regions
+        self._catalog = catalog
+        self._log = log
+        self._metrics = metrics
+        self._flow = RegionFlow()
+
+    def add(self, route: Route, choice: Choice, now: float, *, is_retry: bool) -> None:
+        """Count a request that goes to a target."""
+        region = self._regions.get(choice.target.record.hall, "")
+        reason = self._find_reason(route, region, choice.place, is_retry=is_retry)
+        self._metrics.add_region_request(self._own_region, region, reason.value)
+        move = self._flow.add(region, reason, now)
+        if move is None:
+            return
+        routing = self._catalog.routing
+        self._log.event(
+            "flow",
+            "Moved between regions.",
+            moved=round(move.part, 2),
+            before=move.before,
+            after=move.after,
+            reason=move.reason.value,
+            version=routing.version if routing is not None else 0,
+            store_age_ms=round((now - self._catalog.fresh_at) * 1000),
+        )
+
+    def _find_reason(self, route: Route, region: str, place: int, *, is_retry: bool) -> RunReason:
+        """Say why a request runs where it runs."""
+        if region == self._own_region:
+            return RunReason.NEAR
+        if route.home_regions and self._own_region not in route.home_regions:
+            return RunReason.HOME
+        if is_retry:
+            return RunReason.RETRIED
+        return RunReason.SPILLED if place else RunReason.FIRST
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -37,6 +37,11 @@
             buckets=BUCKETS,
             registry=registry,
         )
+        self._region_requests = Counter(
+            "halldoor_region_requests",
+            "Requests sent to targets, by region of this entry, region of the target, and reason.",
+            registry=registry,
+        )
         self._store_calls = Counter(
             "halldoor_store_calls", "Store calls by kind and outcome.", registry=registry
         )
@@ -121,6 +126,10 @@
         for part, part_s in parts.items():
             self._attempt_parts.observe({"service": service, "part": part}, part_s)
 
+    def add_region_request(self, region: str, to: str, reason: str) -> None:
+        """Count a request from one region that is sent to a target in a region."""
+        self._region_requests.inc({"from": region, "to": to, "reason": reason})
+
     def add_store_call(self, kind: str, outcome: str) -> None:
         """Count a call to the store."""
         self._store_calls.inc({"kind": kind, "outcome": outcome})
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -28,6 +28,7 @@
 from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.feedback import TargetFeedback
+from halldoor.gateway.flows import FlowWatch
 from halldoor.gateway.headers import HeaderNames
 from halldoor.gateway.lookup import LookupFormat
 from halldoor.gateway.metrics import GatewayMetrics
@@ -149,6 +150,13 @@
             retries=self.retries,
             access=self.access,
             splitter=splitter,
+            flows=FlowWatch(
+                settings.region,
+                settings.regions,
+                self.catalog,
+                log=self.log,
+                metrics=self.metrics,
+            ),
         )
 
     def _build_store_tasks(self, store: MetadataStore, codec: RecordCodec) -> None:
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -38,6 +38,7 @@
     WholeAnswer,
 )
 from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR, Sending, TargetFeedback
+from halldoor.gateway.flows import FlowWatch
 from halldoor.gateway.headers import HeaderNames, drop_hop_by_hop, find
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pool import TargetPool
@@ -63,6 +64,8 @@
         Decides which requests are let in.
     splitter : Splitter
         Shares requests between services.
+    flows : FlowWatch
+        Counts where requests run.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         retries: RetryGate,
         access: CallerAccess,
         splitter: Splitter,
+        flows: FlowWatch,
     ) -> None:
         self._catalog = catalog
         self._chooser = chooser
@@ -94,6 +98,7 @@
         self._retries = retries
         self._access = access
         self._splitter = splitter
+        self._flows = flows
         self._random = Random()
         self.running = 0
 
@@ -217,6 +222,7 @@
         target, name = choice.target, choice.target.name
         started = loop.time()
         view = self._view(choice, state.key, started)
+        self._flows.add(state.route, choice, started, is_retry=bool(state.attempts))
         try:
             outcome, connecting = await self._exchanger.send(outgoing, name, target.record.address)
         except asyncio.CancelledError:
--- /dev/null
+++ b/halldoor/tests/test_flows.py
@@ -0,0 +1,89 @@
+"""In which regions requests run, and what is told when that moves."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from types import SimpleNamespace
+
+import pytest
+
+from halldoor.cli.fleet import describe_fleet, parse_metrics
+from halldoor.core.targets.choice import Choice
+from halldoor.core.targets.regionflow import RegionFlow, RunReason, measure_move
+from halldoor.gateway.flows import FlowWatch
+from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.tests.choicekit import REGIONS, make_catalog, make_route
+from halldoor.tests.gatewaykit import GatewayKit
+
+
+def add(flow, at_s, *, near=0, spilled=0, first=0):
+    moves = [flow.add("ams", RunReason.NEAR, at_s) for _ in range(near)]
+    moves += [flow.add("grq", RunReason.SPILLED, at_s) for _ in range(spilled)]
+    moves += [flow.add("grq", RunReason.FIRST, at_s) for _ in range(first)]
+    return [move for move in moves if move is not None]
+
+
+class TestRegionFlow:
+    def test_the_first_request_of_a_window_tells_what_moved_before_it(self):
+        flow = RegionFlow()
+        add(flow, 0.5, near=18, first=2)
+        add(flow, 2.5, near=12, spilled=6, first=2)
+        (move,) = add(flow, 4.0, near=1)
+        assert move.part == pytest.approx(0.3)
+        assert (move.before, move.after) == ({"ams": 18, "grq": 2}, {"ams": 12, "grq": 8})
+        assert move.reason is RunReason.SPILLED
+
+    @pytest.mark.parametrize(
+        "counts",
+        [
+            pytest.param({"near": 18, "spilled": 2}, id="little"),
+            pytest.param({"near": 9, "spilled": 9}, id="few requests"),
+        ],
+    )
+    def test_nothing_is_told(self, counts):
+        flow = RegionFlow()
+        add(flow, 0.5, near=20)
+        add(flow, 2.5, **counts)
+        assert not add(flow, 4.0, near=1)
+
+    def test_windows_that_are_not_adjacent_are_not_compared(self):
+        flow = RegionFlow()
+        add(flow, 0.5, near=20)
+        add(flow, 6.5, spilled=20)
+        assert not add(flow, 8.0, near=1)
+
+    def test_what_goes_back_and_forth_counts_once(self):
+        before, after = Counter(ams=5, grq=5), Counter(ams=10, ehv=10)
+        assert measure_move(before, after) == pytest.approx(0.5)
+
+
+class TestFlowWatch:
+    def test_a_line_says_what_moved_and_why(self):
+        catalog = make_catalog()
+        lines = []
+        log = SimpleNamespace(event=lambda *texts, **fields: lines.append((texts, fields)))
+        flows = FlowWatch("ams", REGIONS, catalog, log=log, metrics=GatewayMetrics())
+        near, far = (
+            Choice(catalog.find_target(name), None, place) for name, place in (("t1", 0), ("t0", 1))
+        )
+        for at_s, choice in ((0.5, near), (2.5, far), (4.5, far)):
+            for _ in range(20):
+                flows.add(make_route(), choice, at_s, is_retry=False)
+        ((texts, fields),) = lines
+        assert texts == ("flow", "Moved between regions.")
+        assert (fields["moved"], fields["reason"], fields["version"]) == (1.0, "spilled", 1)
+
+
+class TestGateway:
+    def test_requests_are_counted_by_region_and_reason(self):
+        async def check():
+            async with GatewayKit.open(targets=0) as kit:
+                await kit.add_target("t0", hall="grq-a")
+                await kit.wait(lambda: kit.gateway.catalog.list_usable("deck"))
+                await kit.call()
+                return kit.gateway.metrics.render().decode()
+
+        text = asyncio.run(check())
+        told = describe_fleet([parse_metrics("a:1", text), parse_metrics("a:2", text)])
+        assert "Requests of ams: 100% in grq" in told
