--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -9,8 +9,8 @@
 from benchmarks.common import format_table, write_result
 from halldoor.core.targets import load
 from halldoor.core.targets.load import Fade
-from halldoor.standins.patterns import PATTERNS
-from halldoor.standins.replay import ModelEntry, Pattern, Replay, Tally
+from halldoor.standins.patterns import PATTERNS, Pattern
+from halldoor.standins.replay import ModelEntry, Replay, Tally
 
 SEEDS = (1, 2, 3)
 WARM_UP_S = 6.0
--- a/halldoor/standins/patterns.py
+++ b/halldoor/standins/patterns.py
@@ -2,7 +2,95 @@
 
 from __future__ import annotations
 
-from halldoor.standins.replay import Burst, Pattern, Slowdown
+from typing import NamedTuple
+
+
+class Slowdown(NamedTuple):
+    """A part of the targets works slower for a while."""
+
+    at_s: float
+    for_s: float
+    share: float
+    factor: float
+
+
+class Evacuation(NamedTuple):
+    """The targets of a hall get nothing for a while, and are cold when they return.
+
+    Attributes
+    ----------
+    cold_s : float
+        Time that they stay cold after their return, in seconds.
+    """
+
+    hall: str
+    at_s: float
+    for_s: float
+    cold_s: float
+
+    @property
+    def until_s(self) -> float:
+        """When the targets return, in seconds."""
+        return self.at_s + self.for_s
+
+
+class Burst(NamedTuple):
+    """More callers come for a while."""
+
+    at_s: float
+    for_s: float
+    factor: float
+
+
+class Pattern(NamedTuple):
+    """A fleet and its load.
+
+    Attributes
+    ----------
+    halls : dict of str to tuple of (str, int, int, float)
+        Region, entries, targets and part of the callers of each hall.
+    rate_per_s : float
+        Requests of all callers.
+    keys : int
+        Keys of each region, all asked alike often.
+    warm_s, cold_s, aim_s, timeout_s, far_s, near_s : float
+        Work with and without the key at hand, the route's aim and limit, and the round trips to
+        another region and within one, in seconds.
+    warm_keys : int
+        Keys that a target keeps warm.
+    sharing_s : float or None
+        Time after which the other entries of a hall know of an answer, in seconds; None: never.
+    cold_rate_per_s : float
+        Requests a second that a cold target bears.
+    """
+
+    halls: dict[str, tuple[str, int, int, float]]
+    rate_per_s: float
+    length_s: float
+    keys: int
+    warm_s: float
+    cold_s: float
+    aim_s: float
+    timeout_s: float
+    far_s: float = 0.024
+    near_s: float = 0.001
+    slots: int = 6
+    queue: int = 18
+    warm_keys: int = 16
+    sharing_s: float | None = None
+    slowdowns: tuple[Slowdown, ...] = ()
+    bursts: tuple[Burst, ...] = ()
+    evacuations: tuple[Evacuation, ...] = ()
+    cold_rate_per_s: float = 0.0
+
+    def get_rate(self, now: float) -> float:
+        """Give the rate of requests at a moment."""
+        rate = self.rate_per_s
+        for burst in self.bursts:
+            if burst.at_s <= now < burst.at_s + burst.for_s:
+                rate *= burst.factor
+        return rate
+
 
 LARGE = Pattern(
     # A region with a tenth of the targets and a third of the callers; 60 entries and 66 targets,
@@ -55,6 +143,28 @@
     warm_keys=25,
     sharing_s=0.15,
 )
+RETURN = Pattern(
+    # The reads of 10 entries and 20 targets.  A region of two halls is at the height of its day
+    # when one of them is evacuated, and 10 s later its targets come back, cold for 6 s.
+    halls={
+        "ams-a": ("ams", 2, 4, 0.24),
+        "ams-b": ("ams", 2, 4, 0.24),
+        "ehv-a": ("ehv", 3, 10, 0.21),
+        "grq-a": ("grq", 3, 2, 0.31),
+    },
+    rate_per_s=285.0,
+    length_s=28.0,
+    keys=24,
+    warm_s=0.144,
+    cold_s=0.48,
+    aim_s=0.4,
+    timeout_s=2.5,
+    far_s=0.07,
+    warm_keys=47,
+    sharing_s=0.15,
+    evacuations=(Evacuation("ams-a", at_s=4.0, for_s=10.0, cold_s=6.0),),
+    cold_rate_per_s=9.2,
+)
 PATTERNS = {
     "75 entries, few slots, cold at the start": SHIFTED,
     "the same, each entry knows only its own answers": SHIFTED._replace(sharing_s=None),
@@ -66,5 +176,6 @@
         rate_per_s=300.0, slowdowns=(Slowdown(at_s=5.0, for_s=5.0, share=0.15, factor=4.4),)
     ),
     "small fleet, 0.5 of the slots busy": SMALL,
+    "a hall of two returns cold": RETURN,
 }
 """Patterns by what they are."""
--- a/halldoor/standins/replay.py
+++ b/halldoor/standins/replay.py
@@ -13,12 +13,14 @@
 import random
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import (
     Catalog,
     CatalogTimings,
+    EvacuationSet,
     MemberRecord,
     MemberSeen,
     RoutingSeen,
@@ -26,6 +28,7 @@
     TargetSeen,
 )
 from halldoor.core.targets.choice import Choice, ChoiceSettings, Chooser, NoTarget, name_kind
+from halldoor.core.targets.cost import JUST_STARTED_FACTOR
 from halldoor.core.targets.latency import LatencyModel
 from halldoor.core.targets.load import LoadReport, LoadTable
 from halldoor.core.targets.outlier import OutlierTable
@@ -37,6 +40,7 @@
     SplitPart,
     TargetService,
 )
+from halldoor.standins.patterns import Evacuation, Pattern, Slowdown
 
 ADDRESS = Address("127.0.0.1", 1)
 SERVICE = "deck"
@@ -44,67 +48,12 @@
 """Work varies by so much of its mean to either side."""
 
 
-class Slowdown(NamedTuple):
-    """A part of the targets works slower for a while."""
+class Run(NamedTuple):
+    """A request that a target began to work on: when, from which region, and in which."""
 
     at_s: float
-    for_s: float
-    share: float
-    factor: float
-
-
-class Burst(NamedTuple):
-    """More callers come for a while."""
-
-    at_s: float
-    for_s: float
-    factor: float
-
-
-class Pattern(NamedTuple):
-    """A fleet and its load.
-
-    Attributes
-    ----------
-    halls : dict of str to tuple of (str, int, int, float)
-        Region, entries, targets and part of the callers of each hall.
-    rate_per_s : float
-        Requests of all callers.
-    keys : int
-        Keys of each region, all asked alike often.
-    warm_s, cold_s, aim_s, timeout_s, far_s, near_s : float
-        Work with and without the key at hand, the route's aim and limit, and the round trips to
-        another region and within one, in seconds.
-    warm_keys : int
-        Keys that a target keeps warm.
-    sharing_s : float or None
-        Time after which the other entries of a hall know of an answer, in seconds; None: never.
-    """
-
-    halls: dict[str, tuple[str, int, int, float]]
-    rate_per_s: float
-    length_s: float
-    keys: int
-    warm_s: float
-    cold_s: float
-    aim_s: float
-    timeout_s: float
-    far_s: float = 0.024
-    near_s: float = 0.001
-    slots: int = 6
-    queue: int = 18
-    warm_keys: int = 16
-    sharing_s: float | None = None
-    slowdowns: tuple[Slowdown, ...] = ()
-    bursts: tuple[Burst, ...] = ()
-
-    def get_rate(self, now: float) -> float:
-        """Give the rate of requests at a moment."""
-        rate = self.rate_per_s
-        for burst in self.bursts:
-            if burst.at_s <= now < burst.at_s + burst.for_s:
-                rate *= burst.factor
-        return rate
+    origin: str
+    region: str
 
 
 class Tally(NamedTuple):
@@ -119,6 +68,8 @@
     counts : Counter of str
         Requests by what became of them, answers that found the key ``cold`` or ``warm``, and
         requests that went ``far``.
+    runs : list of Run
+        Each request that a target worked on, in the order of the times.
     """
 
     in_aim: Counter[int]
@@ -126,6 +77,7 @@
     refused: Counter[int]
     by_hall: Counter[tuple[str, str]]
     counts: Counter[str]
+    runs: list[Run]
 
     def share_in_aim(self, since_s: float = 0.0, until_s: float = 1e9) -> float:
         """Give the part of the requests of some seconds that were answered within the aim."""
@@ -158,6 +110,7 @@
         self.waiting: deque[_Request] = deque()
         self.warm: OrderedDict[str, None] = OrderedDict()
         self.is_slow_at: list[Slowdown] = []
+        self.cold_until = 0.0
 
     def begin(self, key: str, now: float, source: random.Random) -> tuple[float, bool]:
         """Begin work on a key; give its time and whether the key was at hand."""
@@ -170,6 +123,8 @@
         for slowdown in self.is_slow_at:
             if slowdown.at_s <= now < slowdown.at_s + slowdown.for_s:
                 work_s *= slowdown.factor
+        if now < self.cold_until:
+            work_s *= JUST_STARTED_FACTOR
         return work_s * source.uniform(1 - SPREAD, 1 + SPREAD), is_warm
 
 
@@ -228,14 +183,16 @@
             max_attempts=2,
             has_affinity=True,
         )
-        service = TargetService(SERVICE, "/health", 390, cold_start_s=0.0, cold_rate_per_s=0.0)
+        service = TargetService(
+            SERVICE, "/health", 390, cold_start_s=0.0, cold_rate_per_s=pattern.cold_rate_per_s
+        )
         routing = Routing(1, (self._route,), {SERVICE: service}, CallerLimits())
         self._catalog.apply(RoutingSeen(routing), 0.0)
         self._targets: dict[str, _Target] = {}
         self.entries: list[ModelEntry] = []
         self._weights: list[float] = []
         self._build(adapt)
-        self.tally = Tally(Counter(), Counter(), Counter(), Counter(), Counter())
+        self.tally = Tally(Counter(), Counter(), Counter(), Counter(), Counter(), [])
 
     def _build(self, adapt: Callable[[ModelEntry], None] | None) -> None:
         """Build targets and entries; entries of a hall share the orders, which are alike."""
@@ -253,6 +210,9 @@
             count = round(slowdown.share * len(self._targets))
             for name in self._source.sample(sorted(self._targets), count):
                 self._targets[name].is_slow_at.append(slowdown)
+        for evacuation in pattern.evacuations:
+            self._at(evacuation.at_s, partial(self._evacuate, evacuation))
+            self._at(evacuation.until_s, partial(self._take_back, evacuation))
         for hall, (_, entries, _, part) in pattern.halls.items():
             first: ModelEntry | None = None
             for i in range(entries):
@@ -265,6 +225,21 @@
                 self.entries.append(entry)
                 self._weights.append(part / entries)
 
+    def _evacuate(self, evacuation: Evacuation) -> None:
+        """Take a hall out of use."""
+        self._catalog.apply(EvacuationSet(evacuation.hall, True), self._now)
+
+    def _take_back(self, evacuation: Evacuation) -> None:
+        """Take a hall into use again; its targets have become cold and know no key."""
+        for target in list(self._catalog.list_targets()):
+            if target.record.hall == evacuation.hall:
+                model = self._targets[target.name]
+                model.cold_until = self._now + evacuation.cold_s
+                model.warm.clear()
+                record = target.record._replace(cold_left_s=evacuation.cold_s)
+                self._catalog.apply(TargetSeen(record), self._now)
+        self._catalog.apply(EvacuationSet(evacuation.hall, False), self._now)
+
     def run(self) -> Tally:
         """Play the pattern."""
         self._at(self._draw_pause(), self._arrive)
@@ -321,6 +296,8 @@
         target.running += 1
         work_s, is_warm = target.begin(request.key, self._now, self._source)
         self.tally.counts["warm" if is_warm else "cold"] += 1
+        region = self._pattern.halls[request.choice.target.record.hall][0]
+        self.tally.runs.append(Run(self._now, request.entry.region, region))
         self._at(work_s, lambda: self._answer(target, request))
 
     def _answer(self, target: _Target, request: _Request) -> None:
--- /dev/null
+++ b/halldoor/tests/test_moves.py
@@ -0,0 +1,51 @@
+"""How much of a region's requests changes its region at once.
+
+A hall of a region with two was evacuated for 26 s at the height of the region's day, and its eight
+targets came back cold.  They stood first in their keys' orders again at once, but each took only
+one request a second from an entry; what it did not take went to the key's next target, which was in
+another region for two of five, or was refused, while the targets that had served these keys for
+26 s were passed over.  6 s later all eight stopped being cold in the same moment, and everything
+came back: 29 of 100 requests of the region changed their region within 2 s; 15 were allowed.
+
+What settled it, of the region's four entries (requests sent to other regions, and refused):
+
+    second      71   72   73 | 74   75   76   77   78   79 | 80   81
+    far, %      18   21   26 | 32   36   47   30   24   36 | 12    8
+    refused      0    0    0 | 19   48   37   40   35   33 |  0    0
+
+    74.03  targets: Evacuation ended.  "hall": "sindos-a"
+    74.63  request: Ended.  "took_ms": 1, "status": 503, "outcome": "no room busy=1,cold rate=1"
+    74.75  request: Ended.  "took_ms": 1, "status": 503, "outcome": "no room cold rate=2"
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from halldoor.standins.moves import find_largest_move
+from halldoor.standins.patterns import RETURN
+from halldoor.standins.replay import Replay
+
+MAX_SHIFT = 0.15
+"""Part of a region's requests that may change its region from one window to the next."""
+SEEDS = (1, 2, 3, 4)
+
+
+def count_refused(tally, since_s, until_s):
+    return sum(tally.refused[second] for second in range(since_s, until_s))
+
+
+@pytest.fixture(scope="module", params=SEEDS)
+def tally(request):
+    return Replay(RETURN, seed=request.param).run()
+
+
+class TestReturningHall:
+    def test_its_region_does_not_move_at_once(self, tally):
+        assert find_largest_move(tally.runs, "ams", RETURN).part <= MAX_SHIFT
+
+    def test_what_its_cold_targets_cannot_take_stays_where_it_was(self, tally):
+        (evacuation,) = RETURN.evacuations
+        back_s = int(evacuation.until_s)
+        before = count_refused(tally, back_s - 6, back_s)
+        assert count_refused(tally, back_s, back_s + 6) <= before + 10
--- a/halldoor/tests/test_replay.py
+++ b/halldoor/tests/test_replay.py
@@ -6,8 +6,8 @@
 
 from halldoor.core.targets import load
 from halldoor.core.targets.load import Fade
-from halldoor.standins.patterns import LARGE, SHIFTED
-from halldoor.standins.replay import Burst, Replay, Slowdown
+from halldoor.standins.patterns import LARGE, SHIFTED, Burst, Slowdown
+from halldoor.standins.replay import Replay
 
 SEEDS = (1, 2, 3)
 
