Pass over a cold target whose rate is used up before it takes a place of its key

Cause: a hall that returned cold stood first and second in its keys' orders again at once. What its rate did not admit had one target left, which is far for two of five keys, or was refused ('no room cold rate=2'), while the targets that had served these keys until then were third and fourth. Now a target without rate left is no candidate. Ruled out: a larger cold rate (a rule bounds it); three targets a key (measured earlier: more cold keys).

--- a/halldoor/core/targets/budget.py
+++ b/halldoor/core/targets/budget.py
@@ -107,6 +107,18 @@
     def take(self, target: str, now: float, *, limit_per_s: float, entries: int, rank: int) -> bool:
         """Take one request; False where this entry may not send to the target now.
 
+        The parameters are those of `has_room`.
+        """
+        if not self.has_room(target, now, limit_per_s=limit_per_s, entries=entries, rank=rank):
+            return False
+        self._sent.setdefault(target, SlidingCount(self._window_s)).add(now)
+        return True
+
+    def has_room(
+        self, target: str, now: float, *, limit_per_s: float, entries: int, rank: int
+    ) -> bool:
+        """Tell whether this entry may send to the target now.
+
         Parameters
         ----------
         limit_per_s : float
@@ -119,12 +131,8 @@
         limit = max(1, int(limit_per_s))
         if rank >= limit:
             return False
-        own = max(1, limit // max(1, entries))
-        sent = self._sent.setdefault(target, SlidingCount(self._window_s))
-        if sent.count(now) >= own:
-            return False
-        sent.add(now)
-        return True
+        sent = self._sent.get(target)
+        return sent is None or sent.count(now) < max(1, limit // max(1, entries))
 
     def forget(self, target: str) -> None:
         """Drop the counts of a target that is gone."""
--- a/halldoor/core/targets/cold.py
+++ b/halldoor/core/targets/cold.py
@@ -2,11 +2,21 @@
 
 from __future__ import annotations
 
+from typing import TypedDict
+
 from halldoor.core.placement import rank
 from halldoor.core.targets.budget import ColdShare
 from halldoor.core.targets.catalog import Catalog, Target
 
 
+class ColdBound(TypedDict):
+    """What bounds an entry's share of a cold target's rate; see `ColdShare.has_room`."""
+
+    limit_per_s: float
+    entries: int
+    rank: int
+
+
 class EntryRanks:
     """This entry's place in each target's order of entries; alike on every entry.
 
@@ -49,22 +59,30 @@
         self._ranks = ranks
         self._share = ColdShare()
 
-    def may_send(self, target: Target, limit_per_s: float) -> bool:
-        """Tell whether this entry is one of those that may send to a cold target at all."""
-        return self._ranks.get_rank(target.name) < max(1, int(limit_per_s))
+    def has_room(self, target: Target, now: float, limit_per_s: float) -> bool:
+        """Tell whether this entry may send to a target now; only cold ones have a bound."""
+        if not target.is_cold(now):
+            return True
+        return limit_per_s > 0 and self._share.has_room(
+            target.name, now, **self._find_bound(target, now, limit_per_s)
+        )
 
     def take(self, target: Target, now: float, limit_per_s: float) -> bool:
         """Take one request of a cold target's rate; other targets have no such bound."""
         if not target.is_cold(now):
             return True
         return limit_per_s > 0 and self._share.take(
-            target.name,
-            now,
-            limit_per_s=limit_per_s,
-            entries=self._catalog.count_sharers(now),
-            rank=self._ranks.get_rank(target.name),
+            target.name, now, **self._find_bound(target, now, limit_per_s)
         )
 
+    def _find_bound(self, target: Target, now: float, limit_per_s: float) -> ColdBound:
+        """Give what bounds this entry's share."""
+        return {
+            "limit_per_s": limit_per_s,
+            "entries": self._catalog.count_sharers(now),
+            "rank": self._ranks.get_rank(target.name),
+        }
+
     def forget(self, target: str) -> None:
         """Drop what was counted of a target that is gone."""
         self._share.forget(target)
