Let a target take its keys over one after another, and a region's share change at a bounded speed

Change: cold targets and those that join stand last in the orders; once warm, a target takes its keys over evenly in 6 s; a region's share follows what is won or asked for at half of the operators' bound, and what is lost at once.

--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -120,11 +120,18 @@
 
 
 class Target:
-    """A target that may get requests, and what is believed of it."""
+    """A target that may get requests, and what is believed of it.
 
-    def __init__(self, record: TargetRecord, cold_until: float) -> None:
+    Attributes
+    ----------
+    joined_at : float
+        When it came, or its hall was taken into use again, in seconds of the steady clock.
+    """
+
+    def __init__(self, record: TargetRecord, cold_until: float, joined_at: float) -> None:
         self.record = record
         self.cold_until = cold_until
+        self.joined_at = joined_at
         self.lapsed_at: float | None = None
 
     @property
@@ -132,6 +139,11 @@
         """Name of this incarnation."""
         return self.record.incarnation
 
+    @property
+    def ready_at(self) -> float:
+        """When it begins to take keys over, in seconds of the steady clock."""
+        return max(self.joined_at, self.cold_until)
+
     def is_cold(self, now: float) -> bool:
         """Tell whether the target is cold."""
         return now < self.cold_until
@@ -169,6 +181,7 @@
         self.members_version = 0
         self.fresh_at = 0.0
         self._started_at: float | None = None
+        self._first_seen_at: float | None = None
 
     def apply(self, change: Change, now: float) -> bool:
         """Apply one change; False where it changes nothing."""
@@ -293,7 +306,7 @@
 
     def _see_target(self, record: TargetRecord, now: float) -> bool:
         """Take a target's record."""
-        cold_until = now + record.cold_left_s if record.cold_left_s > 0 else 0.0
+        cold_until = now + record.cold_left_s if record.cold_left_s > 0 else -math.inf
         target = self._targets.get(record.incarnation)
         if target is not None and record.started_ms < target.record.started_ms:
             return False  # Written before the start that is known.
@@ -301,7 +314,8 @@
             if target is not None:
                 self._restarted.add(record.incarnation)
                 self.lapsed.discard(record.incarnation)
-            self._targets[record.incarnation] = Target(record, cold_until)
+            joined_at = now if self._has_settled(now) else -math.inf
+            self._targets[record.incarnation] = Target(record, cold_until, joined_at)
             self._touch()
             return True
         target.lapsed_at = None
@@ -313,9 +327,19 @@
         # "Draining" is believed until the target starts again: it never comes back from it.
         is_draining = record.is_draining or target.record.is_draining
         target.record = record._replace(is_draining=is_draining)
-        if is_changed:
+        is_cold = target.is_cold(now)
+        if is_changed or (is_cold and not was_cold):
             self._touch()
-        return is_changed or target.is_cold(now) != was_cold
+        return is_changed or is_cold != was_cold
+
+    def _has_settled(self, now: float) -> bool:
+        """Tell whether this entry has known targets for a while.
+
+        What it sees shortly after its start was there before, with its keys at hand.
+        """
+        if self._first_seen_at is None:
+            self._first_seen_at = now
+        return now - self._first_seen_at >= self.timings.young_s
 
     def _lose_target(self, incarnation: str, now: float) -> bool:
         """Take the removal of a target's record."""
@@ -352,6 +376,7 @@
             cold_s = service.cold_start_s if service is not None else 0.0
             until = now + cold_s + self.timings.report_s
             target.cold_until = max(target.cold_until, until)
+            target.joined_at = now
 
     def _see_member(self, member: MemberRecord) -> bool:
         """Take an entry's record."""
--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -19,75 +19,15 @@
 from halldoor.core.targets.cost import CostModel, Estimate
 from halldoor.core.targets.latency import LatencyModel, WorkLevels
 from halldoor.core.targets.load import LoadTable
-from halldoor.core.targets.order import KeyOrders, RegionShares
+from halldoor.core.targets.order import KeyOrders, OrderSettings
 from halldoor.core.targets.outlier import OutlierTable
 from halldoor.core.targets.route import Route
+from halldoor.core.targets.settings import ChoiceSettings
 
 AIM_SHARE = 0.9
 """Part of a route's aim to plan for; the rest is the way between caller and entry."""
 
 
-class ChoiceSettings(NamedTuple):
-    """Bounds of the choice.  Each but `load_factor` and the cold rate can be switched off.
-
-    Attributes
-    ----------
-    load_factor : float
-        Requests that all entries together may have on a target that does not report its load,
-        in multiples of its slots.
-    full_load : float
-        Requests on a target from which it is passed over, in multiples of its slots.
-    spill_choices : int
-        Targets that share a key's requests; each of them has to see the key once to be warm for
-        it.  One to three were measured: two served best.
-    spare_load : float
-        Pressure below which any other target of the order may help out, once the first ones
-        can't answer in time.  0: none may.  What helps out is cold for the key and occupies a slot
-        three times as long: of 343 such cold answers on a busy fleet of 75, 300 were late.
-    wait_limit : float
-        Time that a request may wait for a slot, in multiples of what its route's aim leaves
-        after travelling and warm work.  0: no limit but `full_load`.  Loads are known
-        roughly, so that some of what is refused at 1 can be in time: on a busy fleet of 75 in a
-        replay 0.86 of the requests are at 2.2, 0.83 at 1.
-    ejected_share : float
-        Part of a service's targets that may be passed over as broken; beyond it none is.
-        0: none is passed over.
-    region_fill, near_region_fill, near_share, most_local : float
-        How many requests stay in the own region; see `RegionShares`.  Fills of 0: no preference.
-    cold_excess, cold_slack : float
-        All entries together may send a cold target its rate times the first plus the second.
-    cold_margin : float
-        Part of that to use; the rest covers entries that don't know yet that it is cold.
-    uses_keys : bool
-        Requests of a key go to the key's targets.
-    uses_reports : bool
-        What targets report of their load counts.
-    """
-
-    load_factor: float = 4.0
-    full_load: float = 2.5
-    spill_choices: int = 2
-    spare_load: float = 0.3
-    wait_limit: float = 2.2
-    ejected_share: float = 0.5
-    region_fill: float = RegionShares().fill
-    near_region_fill: float = RegionShares().near_fill
-    near_share: float = RegionShares().near_share
-    most_local: float = RegionShares().most
-    cold_excess: float = 1.5
-    cold_slack: float = 5.0
-    cold_margin: float = 0.6
-    uses_keys: bool = True
-    uses_reports: bool = True
-
-    @property
-    def region_shares(self) -> RegionShares:
-        """How many requests stay in the own region."""
-        return RegionShares(
-            self.region_fill, self.near_region_fill, self.near_share, self.most_local
-        )
-
-
 class NoTarget(NamedTuple):
     """No target can take the request now.
 
@@ -180,6 +120,8 @@
             own_hall=own_hall,
             own_region=own_region,
             regions=regions,
+            join_s=settings.join_s,
+            max_shift=settings.max_shift,
         )
         self.settings = settings
         self._ranks = EntryRanks(catalog, own_name)
@@ -199,7 +141,9 @@
         settings = self.settings
         key = key if settings.uses_keys else ""
         fill = settings.region_shares.find_fill(route, self._find_far_travel())
-        order = self.orders.get_order(route, service, key, fill=fill, most=settings.most_local)
+        order = self.orders.get_order(
+            route, service, key, now, settings=OrderSettings(fill, settings.most_local)
+        )
         if not order:
             return NoTarget("no target", {})
         passed: Counter[str] = Counter()
@@ -350,7 +294,7 @@
             elif not self._has_cold_rate(target, now):
                 # It must not stand for one of the key's own targets: those that served the key
                 # before it came back are next, and warm.  In a replay of a hall of two that
-                # returns cold, none is refused until it is warm, 122 to 160 are otherwise (4 seeds).
+                # returns cold, none is refused until it is warm; 122 to 160 otherwise (4 seeds).
                 passed["cold"] += 1
             else:
                 has_sound = True
--- /dev/null
+++ b/halldoor/core/targets/regionshare.py
@@ -0,0 +1,161 @@
+"""How many of a region's keys have their first target in the region, and how fast that may change.
+
+Load pattern: a region whose targets come back together, or a configuration that changes what is
+asked of them.  Keys that change their region land on targets that don't have them at hand, and on
+the links between regions, so that operators bound how many may do so at a time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from halldoor.core.targets.regionflow import WINDOW_S
+from halldoor.core.targets.route import Route
+
+SHARE_STEP = 0.05
+"""Step of the share of keys whose first target stands in the own region."""
+SLEW_PART = 0.5
+"""Part of what may move at a time that is used; steps, and requests that spill, have the rest."""
+
+
+class RegionShares(NamedTuple):
+    """How many of a region's requests its own targets take.
+
+    Load pattern: a region with a tenth of the targets and a third of the callers, beside regions
+    with targets to spare.  A fixed weight of 6 for the own region gives the first 1.3 times the
+    mean load and sends the others' requests far for nothing.  So the share follows from room: a
+    region's part of the service's slots over its part of the callers.  In a replay of 60 entries
+    at 0.6 of the slots, 0.80 of the small region's requests were in time by room, 0.77 by weight.
+
+    Attributes
+    ----------
+    fill : float
+        Load of the own region's targets that is accepted for being near, in multiples of the mean
+        load, where travelling counts.  At 12 entries and a round trip of 0.1 to 0.2 of the aim,
+        weights that come to 0.6, 1.3 and 1.9 of it were measured: 1.3 served best.
+    near_fill : float
+        The same where a round trip is less than `near_share` of the route's aim.
+    near_share : float
+        Below it, a caller hardly notices where the target is.  On a busy fleet of 75 with a round
+        trip of 0.07 of the aim, 0.1 in place of 0.04 answers 64% in place of 57% of the small
+        region's callers in time; what the region can't carry waits there for nothing.
+    most : float
+        Largest share.  The rest keeps targets elsewhere in use, and connections to them open.
+    """
+
+    fill: float = 1.4
+    near_fill: float = 1.0
+    near_share: float = 0.1
+    most: float = 0.9
+
+    def find_fill(self, route: Route, far_s: float | None) -> float:
+        """Find the load that is accepted for being near.
+
+        It is one of two figures, and the aim stands in the configuration, so that entries whose
+        measured times differ a little still order alike.
+
+        Parameters
+        ----------
+        far_s : float or None
+            Shortest round trip to another region, in seconds; None where it is not known.
+        """
+        is_near = far_s is not None and far_s < self.near_share * route.aim_s
+        return self.near_fill if is_near else self.fill
+
+
+def find_own_share(*, room: float, callers: float, fill: float, most: float) -> float:
+    """Find the part of a region's keys whose first target stands in the region.
+
+    It goes in steps, so that a target that joins or leaves moves only its own keys, mostly.
+
+    Parameters
+    ----------
+    room, callers : float
+        The region's part of the service's slots, and of the callers.
+    fill, most : float
+        See `RegionShares`.
+    """
+    return _round(min(most, fill * room / callers))
+
+
+class Room(NamedTuple):
+    """Slots of a service.
+
+    Attributes
+    ----------
+    own, total : int
+        Slots of warm targets, of the own region and of all.
+    listed_own, listed_far : int
+        Slots of all targets that may be used, cold ones included, of the own region and of others.
+    """
+
+    own: int
+    total: int
+    listed_own: int
+    listed_far: int
+
+
+class OwnShare:
+    """The share of one service, which follows the room at a bounded speed.
+
+    What is lost moves at once: requests can't go on where there is no target.  What is won, or
+    asked for, moves slowly.  In a replay of a region whose halls both come back at once, 0.11 of
+    its requests change their region within 2 s, 0.78 without the bound.
+
+    Parameters
+    ----------
+    max_shift : float
+        Part of a region's requests that may change its region from one window to the next.
+    """
+
+    def __init__(self, max_shift: float) -> None:
+        self._speed_per_s = SLEW_PART * max_shift / WINDOW_S
+        self._share: float | None = None
+        self._aim = 0.0
+        self._room = Room(0, 0, 0, 0)
+        self._at = 0.0
+
+    def follow(self, room: Room, aim: float, now: float) -> float:
+        """Move towards a share; give the present one, in steps.
+
+        Parameters
+        ----------
+        aim : float
+            What follows from the room and the route's aim; see `find_own_share`.
+        """
+        if self._share is None:
+            self._share = aim
+        elif _has_lost(self._room, room):
+            # Only what the loss asks for: a move that is under way goes on as slowly.
+            self._share = min(1.0, max(0.0, self._share + aim - self._aim))
+        step = self._speed_per_s * (now - self._at)
+        self._share += min(step, max(-step, aim - self._share))
+        self._aim, self._room, self._at = aim, room, now
+        return _round(self._share)
+
+
+def _has_lost(before: Room, after: Room) -> bool:
+    """Tell whether targets are gone, drain, or stand in an evacuated hall."""
+    return after.listed_own < before.listed_own or after.listed_far < before.listed_far
+
+
+def measure_room(slots: Sequence[tuple[int, bool, bool]]) -> Room:
+    """Sum up slots.
+
+    Parameters
+    ----------
+    slots : sequence of (int, bool, bool)
+        A target's slots, whether it stands in the own region, and whether it is warm.
+    """
+    return Room(
+        own=sum(count for count, is_own, is_warm in slots if is_own and is_warm),
+        total=sum(count for count, _, is_warm in slots if is_warm),
+        listed_own=sum(count for count, is_own, _ in slots if is_own),
+        listed_far=sum(count for count, is_own, _ in slots if not is_own),
+    )
+
+
+def _round(share: float) -> float:
+    """Give the nearest step."""
+    return round(share / SHARE_STEP) * SHARE_STEP
--- a/halldoor/gateway/settings.py
+++ b/halldoor/gateway/settings.py
@@ -9,10 +9,10 @@
 from halldoor.core.settings import Address, parse
 from halldoor.core.targets.budget import RetrySettings
 from halldoor.core.targets.catalog import CatalogTimings
-from halldoor.core.targets.choice import ChoiceSettings
 from halldoor.core.targets.observation import SharingSettings
 from halldoor.core.targets.outlier import OutlierSettings
 from halldoor.core.targets.relay import RelaySettings
+from halldoor.core.targets.settings import ChoiceSettings
 from halldoor.core.teams.admission import AccessSettings
 from halldoor.gateway.pool import ConnectionSettings
 from halldoor.gateway.sync import BATCH_S
--- a/halldoor/standins/replay.py
+++ b/halldoor/standins/replay.py
@@ -27,7 +27,7 @@
     TargetRecord,
     TargetSeen,
 )
-from halldoor.core.targets.choice import Choice, ChoiceSettings, Chooser, NoTarget, name_kind
+from halldoor.core.targets.choice import Choice, Chooser, NoTarget, name_kind
 from halldoor.core.targets.cost import JUST_STARTED_FACTOR
 from halldoor.core.targets.latency import LatencyModel
 from halldoor.core.targets.load import LoadReport, LoadTable
@@ -40,6 +40,7 @@
     SplitPart,
     TargetService,
 )
+from halldoor.core.targets.settings import ChoiceSettings
 from halldoor.standins.patterns import Evacuation, Pattern, Slowdown
 
 ADDRESS = Address("127.0.0.1", 1)
--- a/halldoor/tests/choicekit.py
+++ b/halldoor/tests/choicekit.py
@@ -12,7 +12,7 @@
     TargetRecord,
     TargetSeen,
 )
-from halldoor.core.targets.choice import ChoiceSettings, Chooser, NoTarget
+from halldoor.core.targets.choice import Chooser, NoTarget
 from halldoor.core.targets.latency import LatencyModel
 from halldoor.core.targets.load import LoadReport, LoadTable
 from halldoor.core.targets.outlier import OutlierTable
@@ -24,6 +24,7 @@
     SplitPart,
     TargetService,
 )
+from halldoor.core.targets.settings import ChoiceSettings
 
 SERVICE = TargetService("deck", "/health", 390, cold_start_s=3.0, cold_rate_per_s=9.0)
 REGIONS = {"ams-a": "ams", "grq-a": "grq"}
--- a/halldoor/tests/test_order.py
+++ b/halldoor/tests/test_order.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from halldoor.core.targets.catalog import TargetSeen
-from halldoor.core.targets.order import SHARE_STEP, RegionShares, find_own_share
+from halldoor.core.targets.order import OrderSettings
+from halldoor.core.targets.regionshare import SHARE_STEP, RegionShares, find_own_share
 from halldoor.tests.choicekit import make_catalog, make_chooser, make_route, make_target
 
 
@@ -21,7 +22,9 @@
         for hall, travel_s in (("grq-a", 0.024), ("ams-a", 0.001)):
             chooser.latency.add_connect(hall, travel_s)
         for key in map(str, range(50)):
-            order = chooser.orders.get_order(make_route(), "deck", key, fill=0.0, most=0.9)
+            order = chooser.orders.get_order(
+                make_route(), "deck", key, 1.0, settings=OrderSettings(0.0, 0.9)
+            )
             assert chooser.choose(make_route(), "deck", key, 1.0) is order[0]
 
     @pytest.mark.parametrize(
@@ -63,3 +66,63 @@
         share = find_own_share(room=room, callers=callers, fill=fill, most=most)
         assert abs(share - min(most, fill * room / callers)) <= SHARE_STEP / 2 + 1e-9
         assert 0.0 <= share < 1.0
+
+
+class TestJoining:
+    def make(self, **settings):
+        """Give a chooser of a settled fleet of four targets, and a catalog to change."""
+        catalog = make_catalog(4)
+        catalog.apply(TargetSeen(make_target("t9", hall="ams-a", cold_left_s=2.0)), 100.0)
+        return make_chooser(catalog, **settings)
+
+    def count_keys(self, chooser, now, *, first="t9"):
+        orders = (
+            chooser.orders.get_order(
+                make_route(), "deck", str(i), now, settings=OrderSettings(1.4, 0.9)
+            )
+            for i in range(500)
+        )
+        return sum(order[0].name == first for order in orders)
+
+    def test_a_new_target_takes_its_keys_one_after_the_other_once_it_is_warm(self):
+        chooser = self.make(join_s=6.0)
+        counts = [self.count_keys(chooser, now) for now in (101.9, 103.5, 105.0, 108.0)]
+        assert counts[0] == 0
+        assert counts[3] > 100
+        assert counts[1] == pytest.approx(counts[3] / 4, abs=0.08 * counts[3])
+        assert counts[2] == pytest.approx(counts[3] / 2, abs=0.08 * counts[3])
+
+    def test_a_key_that_it_took_over_stays(self):
+        chooser = self.make(join_s=6.0)
+        early = [i for i in range(200) if self.has_key(chooser, i, 104.0)]
+        assert early
+        assert all(self.has_key(chooser, i, 106.0) for i in early)
+
+    def has_key(self, chooser, i, now):
+        settings = OrderSettings(1.4, 0.9)
+        order = chooser.orders.get_order(make_route(), "deck", str(i), now, settings=settings)
+        return order[0].name == "t9"
+
+    def test_all_at_once_where_it_is_switched_off(self):
+        chooser = self.make(join_s=0.0)
+        assert self.count_keys(chooser, 102.0) == self.count_keys(chooser, 200.0) > 100
+
+    def test_what_an_entry_sees_at_its_start_was_there_before(self):
+        catalog = make_catalog(4)
+        catalog.apply(TargetSeen(make_target("t9", hall="ams-a")), 3.0)
+        assert self.count_keys(make_chooser(catalog), 3.0) > 100
+
+    def test_cold_targets_are_used_where_there_are_no_others(self):
+        catalog = make_catalog(0)
+        catalog.apply(TargetSeen(make_target("t0", cold_left_s=3.0)), 0.0)
+        assert make_chooser(catalog).choose(make_route(), "deck", "k", 1.0).name == "t0"
+
+    def test_a_key_keeps_its_place_while_its_cold_target_is_past_its_rate(self):
+        """The next target is the one that the key has without the cold one."""
+        catalog = make_catalog(6)
+        chooser = make_chooser(catalog)
+        before = {str(i): chooser.choose(make_route(), "deck", str(i), 99.0) for i in range(100)}
+        for name in ("t8", "t9"):
+            catalog.apply(TargetSeen(make_target(name, cold_left_s=3.0)), 100.0)
+        for key, target in before.items():
+            assert chooser.choose(make_route(), "deck", key, 101.0) is target
