Let a key go at once where it goes when its target is gone

A target that is ejected, or whose record lapsed, was passed over in the key's order, whose next place may be in another region; once its record was gone, the order preferred the own region again. So a lost target's keys moved twice, the second time seconds later. Test: of 22 keys of an ejected target, 5 changed their region when it was gone; none after.

--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -277,6 +277,8 @@
             # Where most look broken, the measurement is more likely wrong than the targets.
             count = sum(target.name in doubtful for target in order)
             is_widespread = count > self.settings.ejected_share * len(order)
+        if not is_widespread and self.settings.region_fill > 0 and order[0].name in doubtful:
+            order = self.orders.replace_first(order, doubtful)
         put_off: list[Target] = []
         has_sound = False
         for target in order:
--- a/halldoor/core/targets/order.py
+++ b/halldoor/core/targets/order.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from enum import Enum, StrEnum, auto
 from operator import itemgetter
 from typing import NamedTuple
@@ -160,6 +160,25 @@
             self._orders[name] = order
         return order.targets
 
+    def replace_first(self, order: Sequence[Target], out: Collection[str]) -> Sequence[Target]:
+        """Let the next target of the first one's region stand first while that one is out.
+
+        It is where the key goes when the target is gone, so that its requests move once: else they
+        go to another region first, and come back when the target's record goes.
+
+        Parameters
+        ----------
+        order : sequence of Target
+            A key's order, not empty.
+        out : collection of str
+            Targets that are left alone for now.
+        """
+        is_far = self.is_far(order[0].record.hall)
+        for place, target in enumerate(order):
+            if target.name not in out and self.is_far(target.record.hall) is is_far:
+                return [target, *order[:place], *order[place + 1 :]]
+        return order
+
     def _build_order(
         self, candidates: Sequence[_Candidate], key: str, region: _Placement, now: float
     ) -> _Order:
--- a/halldoor/tests/test_order.py
+++ b/halldoor/tests/test_order.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from halldoor.core.targets.catalog import TargetSeen
+from halldoor.core.targets.catalog import TargetGone, TargetSeen
 from halldoor.core.targets.order import OrderSettings
 from halldoor.core.targets.regionshare import SHARE_STEP, RegionShares, find_own_share
 from halldoor.tests.choicekit import make_catalog, make_chooser, make_route, make_target
@@ -106,3 +106,21 @@
         catalog.apply(TargetSeen(record), 100.0)
         chosen = {chooser.choose(make_route(), "deck", "k", 101.0).name for _ in range(20)}
         assert len(chosen - {first.name}) == 1
+
+
+class TestTargetsOut:
+    """A target that is out for now, and later gone, moves its keys once."""
+
+    @pytest.mark.parametrize("hall", ["ams-a", "grq-a"])
+    def test_a_key_goes_where_it_goes_when_its_target_is_gone(self, hall):
+        """Of an ejected target's 22 keys, 5 went to another region until its record was gone."""
+        catalog = make_catalog(16)
+        chooser = make_chooser(catalog)
+        keys = list(map(str, range(200)))
+        out = next(t for t in catalog.list_targets() if t.record.hall == hall)
+        own = [k for k in keys if chooser.choose(make_route(), "deck", k, 1.0) is out]
+        chooser.outliers.add_failure(out.name, 1.0, is_dead=True)
+        meanwhile = [chooser.choose(make_route(), "deck", key, 1.1).name for key in own]
+        catalog.apply(TargetGone(out.name), 1.2)
+        assert own
+        assert [chooser.choose(make_route(), "deck", key, 1.2).name for key in own] == meanwhile
