--- a/halldoor/core/targets/order.py
+++ b/halldoor/core/targets/order.py
@@ -97,6 +97,8 @@
     def __init__(self) -> None:
         self.share = OwnShare()
         self.room = Room(0, 0, 0, 0)
+        self.aim = 0.0
+        self.asked = (0.0, 0.0)
         self.until = -math.inf
         self.version = -1
 
@@ -131,6 +133,7 @@
         self._orders: dict[tuple[str, str, tuple[str, ...], _Placement], _Order] = {}
         self._candidates: dict[tuple[str, tuple[str, ...], bool], list[_Candidate]] = {}
         self._shares: dict[tuple[str, str, tuple[str, ...]], _ServiceShare] = {}
+        self._points: dict[str, float] = {}
         self._version = -1
 
     def get_order(
@@ -149,6 +152,8 @@
             self._version = self._catalog.version
             self._orders.clear()
             self._candidates.clear()
+            self._points.clear()
+            self._forget_routes()
         key = key or self._own_name
         region = self._find_region(route, service, key, now, settings)
         name = (service, key, route.home_regions, region)
@@ -210,7 +215,9 @@
         if settings.fill <= 0:
             return _Placement.ANY
         share = self._follow_share(route, service, settings, now)
-        point = to_unit(f"region of {key}")
+        point = self._points.get(key)
+        if point is None:
+            point = self._points[key] = to_unit(f"region of {key}")
         share.weights.add(point, now)
         if point < share.present:
             return _Placement.OWN
@@ -249,6 +256,13 @@
             ]
         return candidates
 
+    def _forget_routes(self) -> None:
+        """Drop the shares of routes that are gone from the configuration."""
+        routing = self._catalog.routing
+        if routing is not None:
+            names = {route.name for route in routing.routes}
+            self._shares = {k: state for k, state in self._shares.items() if k[0] in names}
+
     def _follow_share(
         self, route: Route, service: str, settings: OrderSettings, now: float
     ) -> OwnShare:
@@ -257,9 +271,10 @@
         state = self._shares.get(name)
         if state is None:
             state = self._shares[name] = _ServiceShare()
-        if state.version != self._catalog.version or now >= state.until:
+        asked = (settings.fill, settings.most)
+        if (state.version, state.asked) != (self._catalog.version, asked) or now >= state.until:
             targets = [c.target for c in self._get_candidates(service, route.home_regions, True)]
-            state.version = self._catalog.version
+            state.version, state.asked = self._catalog.version, asked
             state.until = min((t.cold_until for t in targets if t.is_cold(now)), default=math.inf)
             state.room = measure_room(
                 [
@@ -267,13 +282,13 @@
                     for t in targets
                 ]
             )
-        aim = find_own_share(
-            room=state.room.own / max(1, state.room.total),
-            callers=self._find_callers(),
-            fill=settings.fill,
-            most=settings.most,
-        )
-        state.share.follow(state.room, aim, now, max_shift=settings.max_shift)
+            state.aim = find_own_share(
+                room=state.room.own / max(1, state.room.total),
+                callers=self._find_callers(),
+                fill=settings.fill,
+                most=settings.most,
+            )
+        state.share.follow(state.room, state.aim, now, max_shift=settings.max_shift)
         return state.share
 
     def _find_callers(self) -> float:
