--- a/halldoor/core/targets/order.py
+++ b/halldoor/core/targets/order.py
@@ -93,7 +93,17 @@
 
 
 class _ServiceShare:
-    """The share of one service's keys that stay in the region, and what it follows from."""
+    """The share of one service's keys that stay in the region, and what it follows from.
+
+    Attributes
+    ----------
+    room, aim : Room, float
+        Slots, and the share that follows from them.
+    asked : tuple of (float, float)
+        The `OrderSettings` that the aim was found for: fill and most.
+    version : int
+        Version of the catalog that they were found for.
+    """
 
     def __init__(self) -> None:
         self.share = OwnShare()
@@ -155,13 +165,13 @@
             self._points.clear()
             self._forget_routes()
         key = key or self._own_name
-        region = self._find_region(route, service, key, now, settings)
-        name = (service, key, route.home_regions, region)
+        placement = self._find_placement(route, service, key, now, settings)
+        name = (service, key, route.home_regions, placement)
         order = self._orders.get(name)
         if order is None or now >= order.until:
-            prefers_own = region is not _Placement.ANY
+            prefers_own = placement is not _Placement.ANY
             candidates = self._get_candidates(service, route.home_regions, prefers_own)
-            order = self._build_order(candidates, key, region, now)
+            order = self._build_order(candidates, key, placement, now)
             self._orders[name] = order
         return order.targets
 
@@ -185,7 +195,7 @@
         return order
 
     def _build_order(
-        self, candidates: Sequence[_Candidate], key: str, region: _Placement, now: float
+        self, candidates: Sequence[_Candidate], key: str, placement: _Placement, now: float
     ) -> _Order:
         """Order targets for a key."""
         hashes = hash_pairs(key, [c.encoded_name for c in candidates])
@@ -196,18 +206,18 @@
         scored.sort(key=_BY_SCORE, reverse=True)
         warm = [target for _, _, target in scored if not target.is_cold(now)]
         if len(warm) == len(scored):
-            return _Order(self._prefer_region(warm, region), math.inf)
-        order = self._prefer_region([target for _, _, target in scored], region)
+            return _Order(self._place(warm, placement), math.inf)
+        order = self._place([target for _, _, target in scored], placement)
         # Targets of a hall turn cold, and stop being cold, in the same moment.  They keep their
         # places, for what their rates allow, and the others are ordered as if those were gone: in
         # a replay of a hall of two that returns cold, 0.05 to 0.07 of the region's requests change
         # their region within 2 s; 0.31 to 0.37 where the next in order may be far (4 seeds).
-        others = iter(self._prefer_region(warm, region))
+        others = iter(self._place(warm, placement))
         targets = [target if target.is_cold(now) else next(others) for target in order]
         until = min(target.cold_until for target in order if target.is_cold(now))
         return _Order(targets, until)
 
-    def _find_region(
+    def _find_placement(
         self, route: Route, service: str, key: str, now: float, settings: OrderSettings
     ) -> _Placement:
         """Find in which region a key's targets stand, by the region's share."""
@@ -225,13 +235,13 @@
         is_away = share.lag > 0 and to_unit(f"spill of {key}") < share.lag
         return _Placement.AWAY if is_away else _Placement.OTHER
 
-    def _prefer_region(self, order: list[Target], region: _Placement) -> list[Target]:
-        """Order targets by the region meant for them, where there are such."""
-        if region is _Placement.ANY:
+    def _place(self, order: list[Target], placement: _Placement) -> list[Target]:
+        """Order targets by the regions that a placement asks for, where they have any."""
+        if placement is _Placement.ANY:
             return order
-        if region is _Placement.AWAY:
+        if placement is _Placement.AWAY:
             return sorted(order, key=lambda target: not self.is_far(target.record.hall))
-        is_own = region is _Placement.OWN
+        is_own = placement is _Placement.OWN
         for place, target in enumerate(order):
             if self.is_far(target.record.hall) is not is_own:
                 return [target, *order[:place], *order[place + 1 :]]
