Read of the whole change: one copy of what stood twice, and regions that follow changed settings

The watch on moves between regions kept its own copy of the halls' regions, which the chooser's orders take up anew when the settings change: a hall named later would have counted in no region (test). Conclusion: nothing is decided otherwise.

--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -199,6 +199,11 @@
         removals += [EvacuationSet(h, False) for h in self.evacuated if h not in halls]
         return [c for c in [*changes, *removals] if self.apply(c, now)]
 
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force; 0 where there is none."""
+        return self.routing.version if self.routing is not None else 0
+
     def note_contact(self, heard_at: float) -> None:
         """Note when the store was heard, directly or by another entry."""
         self.fresh_at = max(self.fresh_at, heard_at)
--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -215,10 +215,6 @@
         is_known = self._loads.has_report(target.name)
         return is_idle and is_known and self._loads.get_pressure(target.name) < limit
 
-    def _has_cold_rate(self, target: Target, now: float) -> bool:
-        """Tell whether this entry may send to a target now, as far as the cold rate goes."""
-        return not target.is_cold(now) or self._cold.has_room(target, now, self._cold_limit(target))
-
     def _take(self, target: Target, now: float) -> bool:
         """Take a request of a cold target's rate; other targets have no such bound."""
         return self._cold.take(target, now, self._cold_limit(target))
@@ -290,7 +286,9 @@
                     yield target
                 else:
                     put_off.append(target)
-            elif not self._has_cold_rate(target, now):
+            elif target.is_cold(now) and not self._cold.has_room(
+                target, now, self._cold_limit(target)
+            ):
                 # It must not stand for one of the key's own targets: those that served the key
                 # before it came back are next, and warm.  In a replay of a hall of two that
                 # returns cold, none is refused until it is warm; 122 to 160 otherwise (4 seeds).
--- a/halldoor/core/targets/cold.py
+++ b/halldoor/core/targets/cold.py
@@ -60,9 +60,7 @@
         self._share = ColdShare()
 
     def has_room(self, target: Target, now: float, limit_per_s: float) -> bool:
-        """Tell whether this entry may send to a target now; only cold ones have a bound."""
-        if not target.is_cold(now):
-            return True
+        """Tell whether this entry may send to a cold target now."""
         return limit_per_s > 0 and self._share.has_room(
             target.name, now, **self._find_bound(target, now, limit_per_s)
         )
--- a/halldoor/core/targets/order.py
+++ b/halldoor/core/targets/order.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from enum import Enum, StrEnum, auto
 from operator import itemgetter
 from typing import NamedTuple
@@ -88,7 +88,7 @@
         When the next of its targets stops being cold.
     """
 
-    targets: list[Target]
+    targets: Sequence[Target]
     until: float
 
 
@@ -189,10 +189,9 @@
             Targets that are left alone for now.
         """
         is_far = self.is_far(order[0].record.hall)
-        for place, target in enumerate(order):
-            if target.name not in out and self.is_far(target.record.hall) is is_far:
-                return [target, *order[:place], *order[place + 1 :]]
-        return order
+        return _put_first(
+            order, lambda t: t.name not in out and self.is_far(t.record.hall) is is_far
+        )
 
     def _build_order(
         self, candidates: Sequence[_Candidate], key: str, placement: _Placement, now: float
@@ -235,17 +234,14 @@
         is_away = share.lag > 0 and to_unit(f"spill of {key}") < share.lag
         return _Placement.AWAY if is_away else _Placement.OTHER
 
-    def _place(self, order: list[Target], placement: _Placement) -> list[Target]:
+    def _place(self, order: Sequence[Target], placement: _Placement) -> Sequence[Target]:
         """Order targets by the regions that a placement asks for, where they have any."""
         if placement is _Placement.ANY:
             return order
         if placement is _Placement.AWAY:
             return sorted(order, key=lambda target: not self.is_far(target.record.hall))
-        is_own = placement is _Placement.OWN
-        for place, target in enumerate(order):
-            if self.is_far(target.record.hall) is not is_own:
-                return [target, *order[:place], *order[place + 1 :]]
-        return order
+        is_far = placement is _Placement.OTHER
+        return _put_first(order, lambda t: self.is_far(t.record.hall) is is_far)
 
     def _get_candidates(
         self, service: str, homes: tuple[str, ...], prefers_own: bool
@@ -326,3 +322,11 @@
     def is_far(self, hall: str) -> bool:
         """Tell whether a hall stands in another region."""
         return self.regions.get(hall) != self._own_region
+
+
+def _put_first(order: Sequence[Target], is_meant: Callable[[Target], bool]) -> Sequence[Target]:
+    """Put the first target that is meant at the front; the order as it is where none is."""
+    for place, target in enumerate(order):
+        if is_meant(target):
+            return [target, *order[:place], *order[place + 1 :]]
+    return order
--- a/halldoor/gateway/flows.py
+++ b/halldoor/gateway/flows.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.choice import Choice
+from halldoor.core.targets.order import KeyOrders
 from halldoor.core.targets.regionflow import RegionFlow, RunReason
 from halldoor.core.targets.route import Route
 from halldoor.gateway.eventlog import EventLog
@@ -19,8 +18,8 @@
     ----------
     own_region : str
         Region of this entry and, mostly, of its callers.
-    regions : Mapping of str to str
-        Region of each hall.
+    orders : KeyOrders
+        Knows the region of each hall, also after the settings changed.
     catalog : Catalog
         The configuration in force, and the age of the last contact with the store.
     """
@@ -28,14 +27,14 @@
     def __init__(
         self,
         own_region: str,
-        regions: Mapping[str, str],
+        orders: KeyOrders,
         catalog: Catalog,
         *,
         log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
         self._own_region = own_region
-        self._regions = regions
+        self._orders = orders
         self._catalog = catalog
         self._log = log
         self._metrics = metrics
@@ -43,13 +42,12 @@
 
     def add(self, route: Route, choice: Choice, now: float, *, is_retry: bool) -> None:
         """Count a request that goes to a target."""
-        region = self._regions.get(choice.target.record.hall, "")
+        region = self._orders.regions.get(choice.target.record.hall, "")
         reason = self._find_reason(route, region, choice.place, is_retry=is_retry)
         self._metrics.add_region_request(self._own_region, region, reason.value)
         move = self._flow.add(region, reason, now)
         if move is None:
             return
-        routing = self._catalog.routing
         self._log.event(
             "flow",
             "Moved between regions.",
@@ -57,7 +55,7 @@
             before=move.before,
             after=move.after,
             reason=move.reason.value,
-            version=routing.version if routing is not None else 0,
+            version=self._catalog.configuration_version,
             store_age_ms=round((now - self._catalog.fresh_at) * 1000),
         )
 
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -129,11 +129,7 @@
         self.travel = TravelProbe(self.member, self.catalog, latency, log=self.log)
         self.retries = RetryGate(self.catalog, settings.retries)
         splitter = Splitter()
-        gate = QuotaGate(settings.name, secrets.randbits(32), Random().random)
-        self.access = CallerAccess(
-            self.catalog, gate, splitter, names=names, settings=settings.access
-        )
-        self.quotas = QuotaExchange(self.member, self.catalog, self.access, self.port, log=self.log)
+        self._build_access(splitter, names)
         self.sharing = ObservationSharing(
             self.member, self.catalog, self.feedback, self.port, settings=settings.sharing
         )
@@ -150,13 +146,26 @@
             retries=self.retries,
             access=self.access,
             splitter=splitter,
-            flows=FlowWatch(
-                settings.region,
-                settings.regions,
-                self.catalog,
-                log=self.log,
-                metrics=self.metrics,
-            ),
+            flows=self._build_flows(),
+        )
+
+    def _build_access(self, splitter: Splitter, names: HeaderNames) -> None:
+        """Build what lets requests in, by routes, teams and quotas."""
+        settings = self.settings
+        gate = QuotaGate(settings.name, secrets.randbits(32), Random().random)
+        self.access = CallerAccess(
+            self.catalog, gate, splitter, names=names, settings=settings.access
+        )
+        self.quotas = QuotaExchange(self.member, self.catalog, self.access, self.port, log=self.log)
+
+    def _build_flows(self) -> FlowWatch:
+        """Build what counts in which regions requests run."""
+        return FlowWatch(
+            self.settings.region,
+            self.chooser.orders,
+            self.catalog,
+            log=self.log,
+            metrics=self.metrics,
         )
 
     def _build_store_tasks(self, store: MetadataStore, codec: RecordCodec) -> None:
@@ -210,7 +219,6 @@
     def _read_figures(self) -> GatewayFigures:
         """Give the figures of the moment."""
         now = asyncio.get_running_loop().time()
-        routing = self.catalog.routing
         gauges = {
             "running": self.requests.running,
             "callers": len(self._callers),
@@ -218,7 +226,7 @@
             "watches_store": int(self.feed.is_direct),
             "connections_opened": self.pool.opened,
             "connections_kept": self.pool.count_idle(),
-            "configuration_version": routing.version if routing else 0,
+            "configuration_version": self.catalog.configuration_version,
             "store_age_seconds": now - self.catalog.fresh_at,
         }
         return GatewayFigures(gauges, self.chooser.list_out(now))
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -343,7 +343,7 @@
             took_ms=round(took_s * 1000),
             aim_ms=round(state.route.aim_s * 1000),
             attempts=[attempt.to_fields() for attempt in state.attempts],
-            version=self._version(),
+            version=self._catalog.configuration_version,
             store_age_ms=self._get_store_age_ms(),
         )
 
@@ -361,7 +361,7 @@
             refusal.reason.value,
             team=refusal.team,
             key_digest=refusal.key_digest,
-            version=self._version(),
+            version=self._catalog.configuration_version,
             store_age_ms=self._get_store_age_ms(),
             **fields,
         )
@@ -371,11 +371,6 @@
         now = asyncio.get_running_loop().time()
         return round((now - self._catalog.fresh_at) * 1000)
 
-    def _version(self) -> int:
-        """Give the version of the configuration in force; 0 where there is none."""
-        routing = self._catalog.routing
-        return routing.version if routing is not None else 0
-
 
 def _is_worth_retry(state: RequestState, outcome: WholeAnswer) -> bool:
     """Tell whether a target's failure may be answered better by another target."""
--- a/halldoor/tests/test_flows.py
+++ b/halldoor/tests/test_flows.py
@@ -13,7 +13,7 @@
 from halldoor.core.targets.regionflow import RegionFlow, RunReason, measure_move
 from halldoor.gateway.flows import FlowWatch
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.tests.choicekit import REGIONS, make_catalog, make_route
+from halldoor.tests.choicekit import REGIONS, make_catalog, make_chooser, make_route
 from halldoor.tests.gatewaykit import GatewayKit
 
 
@@ -63,7 +63,8 @@
         catalog = make_catalog()
         lines = []
         log = SimpleNamespace(event=lambda *texts, **fields: lines.append((texts, fields)))
-        flows = FlowWatch("ams", REGIONS, catalog, log=log, metrics=GatewayMetrics())
+        orders = make_chooser(catalog).orders
+        flows = FlowWatch("ams", orders, catalog, log=log, metrics=GatewayMetrics())
         near, far = (
             Choice(catalog.find_target(name), None, place) for name, place in (("t1", 0), ("t0", 1))
         )
@@ -74,6 +75,16 @@
         assert texts == ("flow", "Moved between regions.")
         assert (fields["moved"], fields["reason"], fields["version"]) == (1.0, "spilled", 1)
 
+    def test_a_hall_of_changed_settings_counts_in_its_region(self):
+        """Regression: requests to a hall that the settings named later counted in no region."""
+        catalog = make_catalog()
+        orders, metrics = make_chooser(catalog).orders, GatewayMetrics()
+        log = SimpleNamespace(event=lambda *texts, **fields: None)
+        flows = FlowWatch("ams", orders, catalog, log=log, metrics=metrics)
+        orders.regions = {**REGIONS, "grq-a": "grq-new"}
+        flows.add(make_route(), Choice(catalog.find_target("t0"), None, 1), 0.5, is_retry=False)
+        assert 'to="grq-new"' in metrics.render().decode()
+
 
 class TestGateway:
     def test_requests_are_counted_by_region_and_reason(self):
