Tell which requests are the same, and when a target closed under one

An entry's log names a request by its id, new with each sending, and by its key, which is the object. Whether two lines were the same request could not be told, so that the incident's three hypotheses (one request that ends targets, our own second attempts, targets that end by themselves) all fitted: key 2e had 39 lines in 12 s, 13 with lost answers and others answered.

Now each line holds a digest of caller, method, host, path and body, and 'halldoor report' lists the requests under which two targets or more were lost, over the logs of all entries. A connection that its target closed no longer reads as 'not HTTP' (108 of the 109 lost answers of the incident's logs). The metrics tell how many targets an entry knows, and a first reading has its line for the version that it brings in force. No decision changes.

--- a/halldoor/core/explaining/report.py
+++ b/halldoor/core/explaining/report.py
@@ -13,6 +13,10 @@
 """Length of a window of the table by moments, in seconds: about a short fault's."""
 REASONS_SHOWN = 12
 """Reasons of refusals and failures that are listed; the rest is counted."""
+SUSPECTS_SHOWN = 8
+"""Requests under which targets were lost that are listed; the rest is counted."""
+LEAST_LOST = 2
+"""Targets that must be lost under the same request for it to be listed: one ends by chance."""
 
 
 class Ended(StrEnum):
@@ -66,6 +70,24 @@
     connect_ms: int
 
 
+class Suspect(NamedTuple):
+    """Requests of one caller with the same path and body, under which several targets were lost.
+
+    Attributes
+    ----------
+    targets, entries : int
+        Targets that were lost under it, and entries that saw it.
+    answered : int
+        How often a target answered it.
+    """
+
+    digest: str
+    service: str
+    targets: int
+    entries: int
+    answered: int
+
+
 class Report(NamedTuple):
     """Where requests lose time."""
 
@@ -73,6 +95,7 @@
     moments: list[Tally]
     attempts: list[AttemptTally]
     reasons: list[tuple[str, str, int]]
+    suspects: list[Suspect]
 
 
 class _Request(NamedTuple):
@@ -93,6 +116,7 @@
         moments=moments,
         attempts=_tally_attempts(requests),
         reasons=_count_reasons(requests),
+        suspects=_list_suspects(requests),
     )
 
 
@@ -170,6 +194,31 @@
     return [(service, reason, count) for (service, reason), count in ordered]
 
 
+def _list_suspects(requests: Iterable[_Request]) -> list[Suspect]:
+    """List the requests under which several targets were lost, those with most first."""
+    lost: defaultdict[str, set[str]] = defaultdict(set)
+    entries: defaultdict[str, set[str]] = defaultdict(set)
+    answered: defaultdict[str, int] = defaultdict(int)
+    services: dict[str, str] = {}
+    for line, stands_for, *_ in requests:
+        digest = str(line.fields.get("digest", ""))
+        if not digest:
+            continue
+        services[digest] = str(line.fields["service"])
+        entries[digest].add(line.entry)
+        for attempt in line.fields.get("attempts", ()):
+            if attempt.get("result") == "answer lost":
+                lost[digest].add(str(attempt["target"]))
+            elif attempt.get("result") == "answered":
+                answered[digest] += stands_for
+    found = [
+        Suspect(digest, services[digest], len(targets), len(entries[digest]), answered[digest])
+        for digest, targets in lost.items()
+        if len(targets) >= LEAST_LOST
+    ]
+    return sorted(found, key=lambda suspect: -suspect.targets)
+
+
 def _shorten(fields: dict[str, Any]) -> str:
     """Give the reason without the name of the target."""
     outcome = str(fields.get("outcome", ""))
@@ -207,7 +256,20 @@
     left = sum(count for _, _, count in report.reasons[REASONS_SHOWN:])
     if left:
         lines.append(f"{left:>8}  for other reasons")
-    return lines
+    return lines + _describe_suspects(report.suspects)
+
+
+def _describe_suspects(suspects: Sequence[Suspect]) -> list[str]:
+    """Write the requests under which targets were lost; nothing where there are none."""
+    if not suspects:
+        return []
+    lines = ["", "The same request, and the targets lost under it:"]
+    lines += [
+        f"{s.targets:>8}  {s.digest} ({s.service}) at {s.entries} entries, answered {s.answered}"
+        for s in suspects[:SUSPECTS_SHOWN]
+    ]
+    left = len(suspects) - SUSPECTS_SHOWN
+    return [*lines, f"{left:>8}  other requests"] if left > 0 else lines
 
 
 def _describe_tallies(tallies: Iterable[Tally]) -> list[str]:
--- /dev/null
+++ b/halldoor/core/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests under which targets end: which are the same, and who stops them."""
--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
 from halldoor.core.settings import Address
@@ -251,7 +251,7 @@
         del self._targets[incarnation]
         self.lapsed.discard(incarnation)
 
-    def list_targets(self) -> Iterable[Target]:
+    def list_targets(self) -> Collection[Target]:
         """List all targets."""
         return self._targets.values()
 
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -144,7 +144,13 @@
 
 
 class RequestState:
-    """One request on its way: its route, and its attempts so far."""
+    """One request on its way: its route, and its attempts so far.
+
+    Attributes
+    ----------
+    digest : str
+        What makes it the same as others; empty until its body is read.
+    """
 
     def __init__(
         self, head: Head, entrance: Entrance, service: str, key: str, attempt_id: str
@@ -155,6 +161,7 @@
         self.service = service
         self.key = key
         self.attempt_id = attempt_id
+        self.digest = ""
         self.attempts: list[Attempt] = []
 
     @property
--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -97,6 +97,12 @@
         self.is_body_too_long = False
         self._body_left = 0
 
+    @property
+    def address(self) -> str:
+        """IP address of the caller; empty where the socket does not say."""
+        peer = self._transport.get_extra_info("peername")
+        return str(peer[0]) if peer else ""
+
     # Events of the socket
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -181,6 +181,8 @@
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as exc:
+                if self._is_closed:
+                    raise ConnectionBrokenError("closed before the answer was whole") from exc
                 raise ConnectionBrokenError(f"not HTTP: {exc}") from exc
             if event is h11.NEED_DATA:
                 if self._error is not None or self._is_closed:
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -223,6 +223,7 @@
             "running": self.requests.running,
             "callers": len(self._callers),
             "members": len(self.catalog.members),
+            "targets": len(self.catalog.list_targets()),
             "watches_store": int(self.feed.is_direct),
             "connections_opened": self.pool.opened,
             "connections_kept": self.pool.count_idle(),
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from halldoor.core.quarantine.identity import digest_request, name_caller
 from halldoor.core.targets.catalog import Catalog, Target
 from halldoor.core.targets.choice import Choice, Chooser, NoTarget, name_kind
 from halldoor.core.targets.latency import LatencyModel
@@ -169,6 +170,7 @@
             return Ending(408, "body came too slowly")
         except BodyTooLongError:
             return Ending(413, "body too long")
+        state.digest = _digest(caller, state, bytes(body), is_whole=rest is None)
         return OutgoingRequest(
             head,
             self._exchanger.build_headers(head, team=state.team, has_teams=self._access.has_teams),
@@ -339,6 +341,7 @@
             service=state.service,
             team=state.team,
             key=state.key,
+            digest=state.digest,
             target=ending.target,
             took_ms=round(took_s * 1000),
             aim_ms=round(state.route.aim_s * 1000),
@@ -372,6 +375,19 @@
         return round((now - self._catalog.fresh_at) * 1000)
 
 
+def _digest(caller: CallerConnection, state: RequestState, body: bytes, *, is_whole: bool) -> str:
+    """Digest what makes a request the same as others."""
+    head = state.head
+    return digest_request(
+        name_caller(state.team, caller.address),
+        method=head.method,
+        host=find(head.headers, b"host"),
+        target=head.target,
+        body=body,
+        length=b"" if is_whole else find(head.headers, b"content-length"),
+    )
+
+
 def _is_worth_retry(state: RequestState, outcome: WholeAnswer) -> bool:
     """Tell whether a target's failure may be answered better by another target."""
     return (
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -126,6 +126,8 @@
         self.is_loaded.set()
         self._log.event("store", "Read all.", revision=revision, changes=len(applied))
         for change in applied:
+            if isinstance(change, RoutingSeen):
+                self._log_change(change, revision or 0)
             self._on_change(change)
 
     async def _watch(self, revision: int) -> None:
--- a/halldoor/tests/test_gateway.py
+++ b/halldoor/tests/test_gateway.py
@@ -199,6 +199,21 @@
 
         asyncio.run(check())
 
+    def test_log_lines_tell_that_it_was_the_same_request_and_how_it_was_lost(self):
+        async def check():
+            lines = []
+            async with GatewayKit.open() as kit:
+                kit.gateway.log.request = lambda *_, **fields: lines.append(fields)
+                kit.script_all("reset")
+                for path in ("/1", "/1", "/2"):
+                    await kit.call(path=path)
+            first, again, other = (line["digest"] for line in lines)
+            assert first == again != other
+            details = {a["detail"] for line in lines for a in line["attempts"]}
+            assert details == {"closed before the answer was whole"}
+
+        asyncio.run(check())
+
     def test_a_surplus_answer_never_reaches_another_request(self):
         async def check():
             async with GatewayKit.open() as kit:
--- a/halldoor/tests/test_report.py
+++ b/halldoor/tests/test_report.py
@@ -34,6 +34,31 @@
 ]
 
 
+def make_lost_line(digest, target, *, entry="e1", result="answer lost"):
+    line = json.loads(make_line(status=502, stands_for=1, result=result))
+    line["attempts"][0]["target"] = target
+    return json.dumps(line | {"digest": digest, "entry": entry})
+
+
+class TestSuspects:
+    def test_the_same_request_is_followed_over_entries(self):
+        lines = [
+            make_lost_line("d1", "t1"),
+            make_lost_line("d1", "t2", entry="e2"),
+            make_lost_line("d1", "t2", entry="e3"),
+            make_lost_line("d1", "t3", entry="e3", result="answered"),
+            make_lost_line("d2", "t1"),
+        ]
+        report = build_report(parse_lines(lines))
+        assert report.suspects == [("d1", "deck", 2, 3, 1)]
+        assert "       2  d1 (deck) at 3 entries, answered 1" in describe_report(report)
+
+    def test_what_lost_one_target_is_not_listed(self):
+        report = build_report(parse_lines([make_lost_line("d2", "t1")]))
+        assert report.suspects == []
+        assert not any("lost under it" in line for line in describe_report(report))
+
+
 class TestReport:
     def test_requests_are_counted_by_how_they_ended(self):
         report = build_report(parse_lines(LINES))
