--- /dev/null
+++ b/halldoor/tests/crashkit.py
@@ -0,0 +1,185 @@
+"""Several gateways on one store, and targets that end under some requests."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections import defaultdict
+
+from halldoor.core.settings import Address
+from halldoor.core.targets.catalog import CatalogTimings
+from halldoor.standins.memorystore import MemoryStore
+from halldoor.standins.sample import IP, find_ports
+from halldoor.standins.scripted import ScriptedTarget
+from halldoor.tests.gatewaykit import NAMES, GatewayKit
+
+BAD = b"/bad"
+POPULAR = b"/popular"
+WORK_S = 0.075
+"""Time for which a request runs before it is answered, or ends its target, in seconds."""
+AWAY_S = (1.5, 3.0)
+"""Shortest and longest time until a target that ended is back under a new name, in seconds."""
+
+
+class CrashingTarget(ScriptedTarget):
+    """A target that ends under the bad request, and at a word."""
+
+    def __init__(self, name, fleet):
+        super().__init__(name, NAMES)
+        self.fleet = fleet
+        self.script = self.work
+        self.running = []
+
+    async def work(self, request, writer):
+        self.fleet.sent[request.target].append(self.fleet.now())
+        self.running.append(request.target)
+        try:
+            await asyncio.sleep(WORK_S)
+        finally:
+            self.running.remove(request.target)
+        if request.target == BAD:
+            self.fleet.end(self)
+        if self.incarnation in self.fleet.targets:
+            await self.answer(request, writer)
+
+
+class CrashFleet:
+    """Gateways, targets and callers.
+
+    Attributes
+    ----------
+    sent : dict of bytes to list of float
+        When each path was sent to a target.
+    ended_at : list of float
+        When a target ended.
+    statuses : dict of bytes to list of int
+        What callers got, by path.
+    """
+
+    def __init__(self, *, kind, seed=1, entries=6):
+        self.kind = kind
+        self.entries = entries
+        self.random = random.Random(seed)
+        self.store = MemoryStore()
+        self.targets = {}
+        self.kits = []
+        self.sent = defaultdict(list)
+        self.ended_at = []
+        self.statuses = defaultdict(list)
+        self._stack = contextlib.AsyncExitStack()
+        self._tasks = set()
+        self._names = 0
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def open(cls, **options):
+        fleet = cls(**options)
+        for _ in range(12):
+            await fleet.start_target()
+        try:
+            await fleet.start_entries()
+            yield fleet
+        finally:
+            for task in fleet._tasks:
+                task.cancel()
+            await fleet._stack.aclose()
+            for target in fleet.targets.values():
+                await target.stop()
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    def spawn(self, work):
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def start_entries(self):
+        """Start every entry; each knows all others before it is asked."""
+        for i, port in enumerate(find_ports(self.entries)):
+            kit = GatewayKit.open(
+                name=f"e{i}",
+                relay=Address(IP, port),
+                store=self.store,
+                targets=0,
+                is_configured=False,
+                timings=CatalogTimings(young_s=0.0),
+            )
+            self.kits.append(await self._stack.enter_async_context(kit))
+            if not i and not self.store.list_keys("routing"):
+                self.kits[0].configure(kind=self.kind)
+        for kit in self.kits:
+            members = kit.gateway.catalog.members
+            await kit.wait(lambda members=members: len(members) == self.entries)
+
+    async def restart_entries(self):
+        """End every entry at once, and start them anew: none keeps anything."""
+        self.kits.clear()
+        await self._stack.aclose()
+        await self.start_entries()
+
+    async def start_target(self):
+        self._names += 1
+        target = CrashingTarget(f"t{self._names}", self)
+        await target.start()
+        self.targets[target.incarnation] = target
+        kit = GatewayKit({}, self.store)
+        kit.targets = self.targets
+        kit.write_target(target.incarnation)
+
+    def end(self, target):
+        """End a target in the middle of all that it runs."""
+        if self.targets.pop(target.incarnation, None) is None:
+            return
+        self.ended_at.append(self.now())
+        self.spawn(self._replace(target))
+
+    async def _replace(self, target):
+        await target.stop()
+        await asyncio.sleep(self.random.uniform(*AWAY_S))
+        self.store.remove(f"targets/{target.incarnation}")
+        await self.start_target()
+
+    async def end_targets_under(self, path, *, every_s, for_s):
+        """End a target that is just running a request, again and again."""
+        ends = self.now() + for_s
+        while self.now() < ends:
+            await asyncio.sleep(every_s)
+            running = [t for t in self.targets.values() if path in t.running]
+            while not running and self.now() < ends:
+                await asyncio.sleep(0.005)
+                running = [t for t in self.targets.values() if path in t.running]
+            if running:
+                self.end(self.random.choice(running))
+
+    async def call(self, path, key=""):
+        """Ask any entry once; how it ended is kept."""
+        kit = self.random.choice(self.kits)
+        method, body = ("POST", b"x") if self.kind != "repeatable" else ("GET", b"")
+        with contextlib.suppress(OSError, TimeoutError):
+            reply = await kit.call(
+                path=path.decode(), key=key, method=method, body=body, deadline_ms=2000
+            )
+            self.statuses[path].append(reply.status)
+
+    async def ask(self, path, *, per_s, for_s, key=""):
+        """Ask for a path, or for many others, again and again; without a key of any target."""
+        ends = self.now() + for_s
+        while self.now() < ends:
+            if path:
+                self.spawn(self.call(path, key))
+            else:
+                other = f"/{self.random.randrange(40)}"
+                self.spawn(self.call(other.encode(), other))
+            await asyncio.sleep(self.random.expovariate(per_s))
+
+    def count_sound(self):
+        """Give the share of sound requests that were served."""
+        statuses = [s for path, all_ in self.statuses.items() if path != BAD for s in all_]
+        return statuses.count(200) / len(statuses)
+
+    def count_late_sends(self, path, *, after_s):
+        """Count sendings later than a time after the third target ended."""
+        third_at = sorted(self.ended_at)[2]
+        return sum(at > third_at + after_s for at in self.sent[path])
