Stop a request under which targets end, known to all entries

One request of one caller ended each target that ran it and came again at any entry; 38 targets ended, and it was sent 16 times more after all had had 3 s to know of the third.

Cause: each sending was judged by itself. An entry left the target alone and gave the request to the next one; none saw more than two of the ends, and nothing summed them up.

Mend: the targets that ended under a request (same caller, method, host, path and body) are a set that only grows, so that it merges to the same whatever is lost, late or doubled. An entry tells three of them that count (two of the fleet by the request's digest, one of its own hall); from the second end on these tell all, and record it in the store under a lease of ten minutes, where entries that start later find it. Past three ends it is answered 503 at once, with the time of the next trial; past six where a target lately answered it, so that targets that end for reasons of their own don't block what runs on them. An answer clears it. Two trials, after 30 and 300 s, each by the one entry that holds its key in the store. A target that falls silent counts once it is found gone.

Nothing is sent or written while no target ends.

--- a/halldoor/core/retry.py
+++ b/halldoor/core/retry.py
@@ -20,6 +20,7 @@
     NO_ATTEMPT_LEFT = "no attempt left"
     NO_TIME = "no time left"
     BUDGET = "retry budget used up"
+    QUARANTINED = "targets end under it"
 
 
 class RetryFacts(NamedTuple):
--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
+from halldoor.core.quarantine.record import EvidenceRecord
 from halldoor.core.settings import Address
 from halldoor.core.targets.route import Routing
 
@@ -98,7 +99,28 @@
     name: str
 
 
-Change = RoutingSeen | TargetSeen | TargetGone | EvacuationSet | MemberSeen | MemberGone
+class EvidenceSeen(NamedTuple):
+    """Evidence against a request was recorded."""
+
+    record: EvidenceRecord
+
+
+class EvidenceGone(NamedTuple):
+    """Evidence against a request is no longer recorded."""
+
+    digest: str
+
+
+Change = (
+    RoutingSeen
+    | TargetSeen
+    | TargetGone
+    | EvacuationSet
+    | MemberSeen
+    | MemberGone
+    | EvidenceSeen
+    | EvidenceGone
+)
 
 
 class CatalogTimings(NamedTuple):
@@ -162,6 +184,7 @@
         self.routing: Routing | None = None
         self.evacuated: set[str] = set()
         self.members: dict[str, MemberRecord] = {}
+        self._suspects: set[str] = set()
         self.version = 0
         self.members_version = 0
         self.fresh_at = 0.0
@@ -182,6 +205,12 @@
                 return self._see_member(member)
             case MemberGone(name):
                 return self._lose_member(name)
+            case EvidenceSeen(record):
+                self._suspects.add(record.digest)
+                return True
+            case EvidenceGone(digest):
+                self._suspects.discard(digest)
+                return True
 
     def load(self, changes: Sequence[Change], now: float) -> list[Change]:
         """Apply a whole reading of the store, in which what is not named is gone.
@@ -197,6 +226,8 @@
         removals: list[Change] = [TargetGone(t) for t in self._targets if t not in named]
         removals += [MemberGone(m) for m in self.members if m not in members]
         removals += [EvacuationSet(h, False) for h in self.evacuated if h not in halls]
+        suspects = {c.record.digest for c in changes if isinstance(c, EvidenceSeen)}
+        removals += [EvidenceGone(d) for d in self._suspects if d not in suspects]
         return [c for c in [*changes, *removals] if self.apply(c, now)]
 
     @property
--- /dev/null
+++ b/halldoor/gateway/body.py
@@ -0,0 +1,62 @@
+"""Read a caller's request: its body as far as it is known before anything is sent on."""
+
+from __future__ import annotations
+
+import asyncio
+
+from halldoor.core.quarantine.identity import digest_request, name_caller
+from halldoor.gateway.attempt import Ending, RequestState
+from halldoor.gateway.caller import BodyTooLongError, CallerConnection
+from halldoor.gateway.exchange import BODY_BUFFER, OutgoingRequest
+from halldoor.gateway.headers import Headers, find
+
+
+async def read_request(
+    caller: CallerConnection, state: RequestState, headers: Headers, expires_at: float
+) -> OutgoingRequest | Ending:
+    """Read the body up to the limit of the buffer, and digest what makes the request the same.
+
+    Parameters
+    ----------
+    headers : Headers
+        What goes on to a target.
+    expires_at : float
+        When the time for an answer ends, on the loop's clock.
+    """
+    body = bytearray()
+    rest: CallerConnection | None = caller
+    try:
+        async with asyncio.timeout_at(expires_at):
+            while len(body) <= BODY_BUFFER:
+                piece = await caller.read_body()
+                if piece is None:
+                    rest = None
+                    break
+                body += piece
+    except TimeoutError:
+        return Ending(408, "body came too slowly")
+    except BodyTooLongError:
+        return Ending(413, "body too long")
+    state.digest = _digest(caller, state, bytes(body), is_whole=rest is None)
+    return OutgoingRequest(
+        state.head,
+        headers,
+        state.attempt_id.encode("latin-1"),
+        bytes(body),
+        rest,
+        state.route.kind,
+        expires_at,
+    )
+
+
+def _digest(caller: CallerConnection, state: RequestState, body: bytes, *, is_whole: bool) -> str:
+    """Digest what makes a request the same as others."""
+    head = state.head
+    return digest_request(
+        name_caller(state.team, caller.address),
+        method=head.method,
+        host=find(head.headers, b"host"),
+        target=head.target,
+        body=body[:BODY_BUFFER],
+        length=b"" if is_whole else find(head.headers, b"content-length"),
+    )
--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -30,6 +30,10 @@
     """The connection broke, or the peer broke the protocol; what was sent may have run."""
 
 
+class PeerClosedError(ConnectionBrokenError):
+    """The connection ended before the answer was whole; its peer may have ended too."""
+
+
 class HttpConnection(FlowProtocol):
     """Client side of an HTTP/1.1 connection.
 
@@ -163,7 +167,7 @@
             Where the socket is gone.
         """
         if self._is_closed:
-            raise ConnectionBrokenError("closed while sending")
+            raise PeerClosedError("closed while sending")
         data = b"".join(self._h11.send(event) or b"" for event in events)
         if data:
             self._transport.write(data)
@@ -182,15 +186,15 @@
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as exc:
                 if self._is_closed:
-                    raise ConnectionBrokenError("closed before the answer was whole") from exc
+                    raise PeerClosedError("closed before the answer was whole") from exc
                 raise ConnectionBrokenError(f"not HTTP: {exc}") from exc
             if event is h11.NEED_DATA:
                 if self._error is not None or self._is_closed:
-                    raise ConnectionBrokenError("closed before the answer was whole")
+                    raise PeerClosedError("closed before the answer was whole")
                 await self._wait_for_data()
                 continue
             if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
-                raise ConnectionBrokenError("closed without an answer")
+                raise PeerClosedError("closed without an answer")
             if isinstance(event, h11.Response):
                 self._note_keep_alive(event)
             return event
--- a/halldoor/gateway/datagrams.py
+++ b/halldoor/gateway/datagrams.py
@@ -25,6 +25,8 @@
     QUOTA_REPORT = 1
     QUOTA_SHARES = 2
     OBSERVATIONS = 3
+    EVIDENCE = 4
+    EVIDENCE_FOR_ALL = 5
 
 
 class DatagramPort(asyncio.DatagramProtocol):
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -14,6 +14,7 @@
     ConnectionBrokenError,
     ConnectionFailedError,
     HttpConnection,
+    PeerClosedError,
 )
 from halldoor.gateway.headers import HeaderNames, Headers, drop_hop_by_hop, find, replace
 from halldoor.gateway.pool import TargetPool
@@ -104,9 +105,16 @@
 
 
 class AnswerLost(NamedTuple):
-    """No answer came back; the request may have run."""
+    """No answer came back; the request may have run.
+
+    Attributes
+    ----------
+    is_closed : bool
+        The connection ended under the request: the target may have ended too.
+    """
 
     detail: str
+    is_closed: bool = False
 
 
 class TimedOut(NamedTuple):
@@ -186,7 +194,7 @@
         except ConnectionBrokenError as exc:
             if connecting.is_reused and connection is not None:
                 self._pool.note_loss(incarnation, is_silent=connection.has_fallen_silent)
-            return AnswerLost(str(exc)), connecting
+            return AnswerLost(str(exc), isinstance(exc, PeerClosedError)), connecting
         finally:
             if connection is not None and not is_settled:
                 connection.close()
--- a/halldoor/gateway/filestore.py
+++ b/halldoor/gateway/filestore.py
@@ -158,6 +158,10 @@
     async def write(self, key: str, value: bytes, *, lease: str) -> None:
         """Do nothing: the file names the entries."""
 
+    async def claim(self, key: str, *, lease: str) -> bool:
+        """Refuse: entries share nothing here, so that each would hold the key."""
+        return False
+
     async def create_lease(self, ttl_s: float) -> Lease:
         """Give a lease that never lapses."""
         return Lease("file", ttl_s)
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -77,6 +77,11 @@
         self._messages = Counter(
             "halldoor_messages", "Messages of other entries, by kind.", registry=registry
         )
+        self._quarantine = Counter(
+            "halldoor_quarantine",
+            "Targets that ended under a request, and what became of such requests.",
+            registry=registry,
+        )
         self._unreadable = Counter(
             "halldoor_unreadable_records", "Records that could not be read.", registry=registry
         )
@@ -157,6 +162,10 @@
         """Count a message of another entry."""
         self._messages.inc({"kind": kind})
 
+    def add_quarantine(self, what: str) -> None:
+        """Count an event of the quarantine."""
+        self._quarantine.inc({"what": what})
+
     def add_unreadable_record(self) -> None:
         """Count a record that could not be read."""
         self._unreadable.inc({})
--- a/halldoor/gateway/plain.py
+++ b/halldoor/gateway/plain.py
@@ -28,6 +28,7 @@
     check_routing,
 )
 from halldoor.core.teams.team import Team, TeamLimit
+from halldoor.gateway.records import EVIDENCE_PREFIX, decode_evidence
 from halldoor.gateway.store import RecordCodec, StoredItem, StoreError
 
 T = TypeVar("T")
@@ -176,6 +177,8 @@
         """Decode a record."""
         key, value = item
         kind, _, name = key.partition("/")
+        if key.startswith(EVIDENCE_PREFIX):
+            return _decode_evidence(item)
         if key == ROUTING_KEY:
             return RoutingSeen(_read_routing(key, value)) if value else None
         if kind == "evacuated":
@@ -200,6 +203,14 @@
         return StoredItem(MEMBER_PREFIX + member.name, msgspec.json.encode(model))
 
 
+def _decode_evidence(item: StoredItem) -> Change:
+    """Decode evidence against a request."""
+    try:
+        return decode_evidence(item)
+    except msgspec.DecodeError as exc:
+        raise StoreError(f"{item.key}: {exc}.", remedy="The record is passed over.") from exc
+
+
 def _read_routing(key: str, value: bytes) -> Routing:
     """Decode a configuration; one whose parts don't fit together is refused whole."""
     try:
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -11,8 +11,11 @@
 from halldoor.core.targets.catalog import (
     Catalog,
     Change,
+    EvidenceGone,
+    EvidenceSeen,
     MemberGone,
     MemberRecord,
+    MemberSeen,
     TargetGone,
     TargetSeen,
 )
@@ -34,6 +37,7 @@
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pages import GatewayFigures, GatewayState, Pages
 from halldoor.gateway.pool import TargetPool
+from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.quotas import QuotaExchange
 from halldoor.gateway.registration import Registration
 from halldoor.gateway.relay import ChangeFeed
@@ -90,6 +94,15 @@
         )
         self.pool = TargetPool(settings.connections)
         self.port = DatagramPort(settings.relay, metrics=self.metrics)
+        self.quarantine = RequestQuarantine(
+            self.member,
+            self.catalog,
+            self.port,
+            store,
+            settings=settings.quarantine,
+            log=self.log,
+            metrics=self.metrics,
+        )
         self._build_requests(names)
         self._build_store_tasks(store, codec)
         self._pages = Pages(self._read_state, self._read_figures, lookups, self.metrics)
@@ -147,6 +160,7 @@
             access=self.access,
             splitter=splitter,
             flows=self._build_flows(),
+            quarantine=self.quarantine,
         )
 
     def _build_access(self, splitter: Splitter, names: HeaderNames) -> None:
@@ -229,6 +243,7 @@
             "connections_kept": self.pool.count_idle(),
             "configuration_version": self.catalog.configuration_version,
             "store_age_seconds": now - self.catalog.fresh_at,
+            **self.quarantine.get_figures(),
         }
         return GatewayFigures(gauges, self.chooser.list_out(now))
 
@@ -266,6 +281,7 @@
             self.travel.run(),
             self.quotas.run(),
             self.sharing.run(),
+            self.quarantine.run(),
         )
         for part in parts:
             self._start_task(part)
@@ -296,6 +312,7 @@
         self.chooser.settings = self.settings.choice
         self.retries.use(self.settings.retries)
         self.access.settings = self.settings.access
+        self.quarantine.use(self.settings.quarantine)
         self.feed.batch_s = self.settings.batch_s
         self.feed.settings = self.settings.relaying
         at_restart = [n for n in changed if n not in LIVE_SETTINGS]
@@ -371,8 +388,18 @@
         match change:
             case TargetSeen(record) if self.catalog.take_restart(record.incarnation):
                 self.feedback.forget_target(record.incarnation)
+                self.quarantine.note_gone(record.incarnation)
             case TargetGone(incarnation) if self.catalog.find_target(incarnation) is None:
                 self.feedback.forget_target(incarnation)
+                self.quarantine.note_gone(incarnation)
+            case EvidenceSeen(evidence):
+                self.quarantine.take_record(evidence)
+            case EvidenceGone(digest):
+                self.quarantine.lose_record(digest)
+            case MemberSeen():
+                self.quarantine.note_members()
             case MemberGone(name) if name == self.settings.name and not self.is_stopping:
                 self.log.event("membership", "Own record is gone; writing it again.")
                 self.registration.note_gone()
+            case MemberGone():
+                self.quarantine.note_members()
--- /dev/null
+++ b/halldoor/gateway/records.py
@@ -0,0 +1,55 @@
+"""Records that only entries write, alike in every store: evidence against requests, and trials."""
+
+from __future__ import annotations
+
+import msgspec
+
+from halldoor.core.quarantine.record import EvidenceRecord, RecordedEnd
+from halldoor.core.targets.catalog import Change, EvidenceGone, EvidenceSeen
+from halldoor.gateway.store import StoredItem
+
+EVIDENCE_PREFIX = "halldoor/quarantine/"
+TRIAL_PREFIX = "halldoor/trials/"
+
+
+class EvidenceModel(msgspec.Struct, frozen=True):
+    """Evidence against a request, whose digest is the end of the key.
+
+    Attributes
+    ----------
+    ended_ms : dict of str to int
+        When each target ended under it, in Unix milliseconds.
+    """
+
+    ended_ms: dict[str, int]
+    cleared: list[str] = []
+    was_sound: bool = False
+
+
+def encode_evidence(record: EvidenceRecord) -> StoredItem:
+    """Encode evidence."""
+    model = EvidenceModel(
+        {end.target: end.at_ms for end in record.ends}, list(record.cleared), record.was_sound
+    )
+    return StoredItem(EVIDENCE_PREFIX + record.digest, msgspec.json.encode(model))
+
+
+def decode_evidence(item: StoredItem) -> Change:
+    """Decode evidence, or its removal.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        Where it can't be read.
+    """
+    digest = item.key.removeprefix(EVIDENCE_PREFIX)
+    if item.value is None:
+        return EvidenceGone(digest)
+    model = msgspec.json.decode(item.value, type=EvidenceModel)
+    ends = tuple(RecordedEnd(target, at_ms) for target, at_ms in model.ended_ms.items())
+    return EvidenceSeen(EvidenceRecord(digest, ends, tuple(model.cleared), model.was_sound))
+
+
+def name_trial(digest: str, trial: int) -> str:
+    """Give the key that the entry holds which runs a blocked request once more."""
+    return f"{TRIAL_PREFIX}{digest}/{trial}"
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from halldoor.core.quarantine.identity import digest_request, name_caller
+from halldoor.core.retry import RetryObstacle
 from halldoor.core.targets.catalog import Catalog, Target
 from halldoor.core.targets.choice import Choice, Chooser, NoTarget, name_kind
 from halldoor.core.targets.latency import LatencyModel
@@ -26,11 +26,11 @@
     read_ms,
     spread,
 )
-from halldoor.gateway.caller import Answer, BodyTooLongError, CallerConnection, Head
-from halldoor.gateway.connection import ConnectionBrokenError
+from halldoor.gateway.body import read_request
+from halldoor.gateway.caller import Answer, CallerConnection, Head
+from halldoor.gateway.connection import ConnectionBrokenError, PeerClosedError
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.exchange import (
-    BODY_BUFFER,
     Exchanger,
     Outcome,
     OutgoingRequest,
@@ -43,6 +43,7 @@
 from halldoor.gateway.headers import HeaderNames, drop_hop_by_hop, find
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pool import TargetPool
+from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.retries import RetryGate
 
 
@@ -67,6 +68,8 @@
         Shares requests between services.
     flows : FlowWatch
         Counts where requests run.
+    quarantine : RequestQuarantine
+        Knows the requests under which targets end.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         access: CallerAccess,
         splitter: Splitter,
         flows: FlowWatch,
+        quarantine: RequestQuarantine,
     ) -> None:
         self._catalog = catalog
         self._chooser = chooser
@@ -100,6 +104,7 @@
         self._access = access
         self._splitter = splitter
         self._flows = flows
+        self._quarantine = quarantine
         self._random = Random()
         self.running = 0
 
@@ -142,45 +147,20 @@
         state = RequestState(head, entrance, service, key if route.has_affinity else "", attempt_id)
         caller_s = read_ms(find(head.headers, self._names.deadline_ms))
         expires_at = head.received_at + min(caller_s, route.timeout_s)
-        outgoing = await self._read_request(caller, state, expires_at)
+        headers = self._exchanger.build_headers(
+            head, team=state.team, has_teams=self._access.has_teams
+        )
+        outgoing = await read_request(caller, state, headers, expires_at)
         if isinstance(outgoing, Ending):
             self._finish(caller, state, outgoing)
             return
-        ending = await self._carry(caller, state, outgoing)
+        ending = await self._quarantine.admit(state.digest)
+        if ending is None:
+            ending = await self._carry(caller, state, outgoing)
         if caller.is_body_too_long and not ending.target:
             ending = Ending(413, "body too long")
         self._finish(caller, state, ending)
 
-    async def _read_request(
-        self, caller: CallerConnection, state: RequestState, expires_at: float
-    ) -> OutgoingRequest | Ending:
-        """Read the body up to the limit of the buffer."""
-        head = state.head
-        body = bytearray()
-        rest: CallerConnection | None = caller
-        try:
-            async with asyncio.timeout_at(expires_at):
-                while len(body) <= BODY_BUFFER:
-                    piece = await caller.read_body()
-                    if piece is None:
-                        rest = None
-                        break
-                    body += piece
-        except TimeoutError:
-            return Ending(408, "body came too slowly")
-        except BodyTooLongError:
-            return Ending(413, "body too long")
-        state.digest = _digest(caller, state, bytes(body), is_whole=rest is None)
-        return OutgoingRequest(
-            head,
-            self._exchanger.build_headers(head, team=state.team, has_teams=self._access.has_teams),
-            state.attempt_id.encode("latin-1"),
-            bytes(body),
-            rest,
-            state.route.kind,
-            expires_at,
-        )
-
     async def _carry(
         self, caller: CallerConnection, state: RequestState, outgoing: OutgoingRequest
     ) -> Ending:
@@ -200,22 +180,30 @@
             with self._chooser.count(target.name):
                 outcome = await self._attempt(state, outgoing, choice)
                 if isinstance(outcome, PartialAnswer):
-                    return await self._stream(caller, outgoing, outcome, target)
+                    return await self._stream(caller, state, outgoing, outcome, target)
             if isinstance(outcome, WholeAnswer) and not _is_worth_retry(state, outcome):
                 return self._deliver(caller, state, outcome.answer, target)
             if isinstance(outcome, TimedOut):
                 return state.build_give_up("no answer in time", is_late=True)
-            obstacle = self._retries.find_obstacle(
-                state,
-                loop.time(),
-                can_resend=outgoing.rest is None,
-                expires_at=outgoing.expires_at,
-            )
+            obstacle = self._find_obstacle(state, outgoing)
             if obstacle is not None:
                 if isinstance(outcome, WholeAnswer):
                     return self._deliver(caller, state, outcome.answer, target)
                 return state.build_last_failure(obstacle)
 
+    def _find_obstacle(
+        self, state: RequestState, outgoing: OutgoingRequest
+    ) -> RetryObstacle | None:
+        """Find what forbids to send the request once more."""
+        if self._quarantine.is_blocked(state.digest):
+            return RetryObstacle.QUARANTINED
+        return self._retries.find_obstacle(
+            state,
+            asyncio.get_running_loop().time(),
+            can_resend=outgoing.rest is None,
+            expires_at=outgoing.expires_at,
+        )
+
     async def _attempt(
         self, state: RequestState, outgoing: OutgoingRequest, choice: Choice
     ) -> Outcome:
@@ -228,10 +216,12 @@
         try:
             outcome, connecting = await self._exchanger.send(outgoing, name, target.record.address)
         except asyncio.CancelledError:
+            self._quarantine.note_unanswered(state.digest, target)
             self._log.event(
                 "request", "Caller left.", id=state.attempt_id, target=name, sent=state.sent_count
             )
             raise
+        self._quarantine.add_outcome(state.digest, target, outcome)
         now = loop.time()
         took_s = now - started
         sending = Sending(choice, name_kind(state.service, state.route), state.key)
@@ -297,6 +287,7 @@
     async def _stream(
         self,
         caller: CallerConnection,
+        state: RequestState,
         outgoing: OutgoingRequest,
         partial: PartialAnswer,
         target: Target,
@@ -316,11 +307,14 @@
         except (ConnectionBrokenError, TimeoutError) as exc:
             reason = str(exc) or "time ran out"
             self._feedback.add_failure(target.name, asyncio.get_running_loop().time(), reason)
+            if isinstance(exc, PeerClosedError):
+                self._quarantine.note_end(state.digest, target)
             caller.abort()
             return Ending(answer.status, f"broke off: {reason}", target.name)
         finally:
             # It closes the connection where the exchange did not end cleanly.
             self._pool.release(target.name, connection)
+        self._quarantine.note_answer(state.digest)
         return Ending(answer.status, "answered in pieces", target.name)
 
     def _finish(self, caller: CallerConnection, state: RequestState, ending: Ending) -> None:
@@ -375,19 +369,6 @@
         return round((now - self._catalog.fresh_at) * 1000)
 
 
-def _digest(caller: CallerConnection, state: RequestState, body: bytes, *, is_whole: bool) -> str:
-    """Digest what makes a request the same as others."""
-    head = state.head
-    return digest_request(
-        name_caller(state.team, caller.address),
-        method=head.method,
-        host=find(head.headers, b"host"),
-        target=head.target,
-        body=body,
-        length=b"" if is_whole else find(head.headers, b"content-length"),
-    )
-
-
 def _is_worth_retry(state: RequestState, outcome: WholeAnswer) -> bool:
     """Tell whether a target's failure may be answered better by another target."""
     return (
--- a/halldoor/gateway/settings.py
+++ b/halldoor/gateway/settings.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple, get_type_hints
 
 from halldoor.core.errors import SettingsError
+from halldoor.core.quarantine.settings import QuarantineSettings
 from halldoor.core.settings import Address, parse
 from halldoor.core.targets.budget import RetrySettings
 from halldoor.core.targets.catalog import CatalogTimings
@@ -27,11 +28,21 @@
     "retries",
     "relaying",
     "access",
+    "quarantine",
 )
 """Settings that a running process takes up; addresses and names need a restart."""
 
 
-POLICY_SECTIONS = ("choice", "outliers", "connections", "retries", "relaying", "access", "sharing")
+POLICY_SECTIONS = (
+    "choice",
+    "outliers",
+    "connections",
+    "retries",
+    "relaying",
+    "access",
+    "sharing",
+    "quarantine",
+)
 """Settings that a policy file may change."""
 
 
@@ -76,6 +87,7 @@
     connections: ConnectionSettings = ConnectionSettings()
     access: AccessSettings = AccessSettings()
     sharing: SharingSettings = SharingSettings()
+    quarantine: QuarantineSettings = QuarantineSettings()
 
     def use_policy(self, policy: Mapping[str, Any], *, origin: str) -> GatewaySettings:
         """Give these settings with those of a policy file in their place.
--- a/halldoor/gateway/store.py
+++ b/halldoor/gateway/store.py
@@ -88,6 +88,16 @@
             Where there is no such lease.
         """
 
+    @abstractmethod
+    async def claim(self, key: str, *, lease: str) -> bool:
+        """Write a key that goes with a lease unless it is there; False where it is.
+
+        Raises
+        ------
+        LeaseGoneError
+            Where there is no such lease.
+        """
+
     @abstractmethod
     async def create_lease(self, ttl_s: float) -> Lease:
         """Create a lease."""
--- a/halldoor/standins/memorystore.py
+++ b/halldoor/standins/memorystore.py
@@ -120,6 +120,14 @@
         self._leases[lease].add(key)
         self.put(key, value)
 
+    async def claim(self, key: str, *, lease: str) -> bool:
+        """Write a key unless it is there."""
+        if key in self._values:
+            self._call()
+            return False
+        await self.write(key, b"", lease=lease)
+        return True
+
     async def create_lease(self, ttl_s: float) -> Lease:
         """Create a lease; it lasts until it is ended."""
         self._call()
--- a/halldoor/tests/test_relay.py
+++ b/halldoor/tests/test_relay.py
@@ -165,6 +165,10 @@
         await self._reach()
         await self.store.write(key, value, lease=lease)
 
+    async def claim(self, key, *, lease):
+        await self._reach()
+        return await self.store.claim(key, lease=lease)
+
     async def create_lease(self, ttl_s):
         await self._reach()
         return await self.store.create_lease(ttl_s)
