Tell of a block once, and compare the ways to know the sum of the ends in virtual time

Six ways at 10, 75 and 300 entries, under lost messages, halls cut from each other, a store that is away and restarts of all (benchmarks/crashes.py; the product's own core is the last way).

The bound and the sound request beside crashes are laws in properties/test_quarantine.py.

--- /dev/null
+++ b/benchmarks/crashes.py
@@ -0,0 +1,84 @@
+"""Ways to know, over all entries, that targets end under a request, in virtual time."""
+
+from __future__ import annotations
+
+from benchmarks.common import format_table, write_result
+from halldoor.standins.crashfleet import (
+    CountingWay,
+    Fleet,
+    Homes,
+    HomesAndRecord,
+    NoSum,
+    OwnSum,
+    Run,
+    StoreSum,
+    TellAll,
+    Trouble,
+)
+
+FLEETS = (10, 75, 300)
+"""Entries."""
+SEEDS = range(4)
+UNTIL_S = 12.0
+WAYS: dict[str, type[CountingWay]] = {
+    "each sending by itself": NoSum,
+    "own ends": OwnSum,
+    "tell all": TellAll,
+    "a record in the store": StoreSum,
+    "those who count": Homes,
+    "those who count, and a record": HomesAndRecord,
+}
+TROUBLES = {
+    "none": Trouble(),
+    "0.2 of the messages lost": Trouble(loss=0.2),
+    "halls cut from each other": Trouble(cut_s=(0.0, UNTIL_S)),
+    "store away for 4 s": Trouble(away_s=(0.0, 4.0)),
+    "all start again after 1 s": Trouble(restart_s=1.0),
+}
+
+
+def play(way: str, fleet: Fleet, trouble: Trouble, seed: int) -> Run:
+    """Play one way."""
+    return Run(fleet, trouble, seed=seed).play(WAYS[way](), until_s=UNTIL_S)
+
+
+def describe(way: str, entries: int) -> list[object]:
+    """Give the row of one way: sendings too late by trouble, ends, and its price."""
+    fleet = Fleet(entries=entries)
+    by_trouble = {n: [play(way, fleet, t, seed) for seed in SEEDS] for n, t in TROUBLES.items()}
+    late = [max(run.count_late() for run in runs) for runs in by_trouble.values()]
+    calm = by_trouble["none"]
+    rack = play(way, Fleet(entries=entries, bad_per_s=0.0, rack=500), Trouble(), 0)
+    popular = Fleet(entries=entries, bad_per_s=0.0, popular_per_s=8.0, ends_per_s=1.2)
+    runs = [play(way, popular, Trouble(), seed) for seed in SEEDS]
+    asked = sum(run.served + run.refused + run.lost for run in runs)
+    return [
+        entries,
+        way,
+        *late,
+        max(len(run.ended) for run in calm),
+        max(run.messages for run in calm),
+        max(run.store_calls for run in calm),
+        f"{rack.messages}, {rack.store_calls}",
+        f"{sum(run.served for run in runs) / asked:.2f}, {sum(run.refused for run in runs)}",
+    ]
+
+
+def main() -> None:
+    """Measure, and write the table."""
+    rows = [describe(way, entries) for entries in FLEETS for way in WAYS]
+    header = [
+        "entries",
+        "way",
+        *(f"sent too late: {name}" for name in TROUBLES),
+        "targets ended, no trouble",
+        "messages",
+        "store calls",
+        "messages, store calls where 500 different requests lose their targets at once",
+        "sound request beside ends of its targets: served, refused",
+    ]
+    write_result("crashes", __doc__ or "", format_table(header, rows))
+
+
+if __name__ == "__main__":
+    main()
--- a/halldoor/core/quarantine/quarantine.py
+++ b/halldoor/core/quarantine/quarantine.py
@@ -11,9 +11,11 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterator, Sequence
+from enum import StrEnum
 from typing import NamedTuple
 
 from halldoor.core.quarantine.evidence import Case, Evidence
+from halldoor.core.quarantine.homes import FLEET_HOMES
 from halldoor.core.quarantine.settings import QuarantineSettings
 
 CASES_KEPT = 4096
@@ -33,8 +35,12 @@
 TRIALS_AFTER_S = (30.0, 300.0)
 """When a blocked request may run once more, in seconds: what ended its targets may be mended."""
 
-EVERYONE = None
-"""Recipients of what all other entries are told."""
+
+class Audience(StrEnum):
+    """Who is told, where it is not some entries by name."""
+
+    FLEET = "fleet"
+    HALL = "hall"
 
 
 class Message(NamedTuple):
@@ -42,11 +48,11 @@
 
     Attributes
     ----------
-    to : tuple of str, or None
-        Names of entries; None (`EVERYONE`) for all others.
+    to : tuple of str, or Audience
+        Names of entries, or all others of the fleet or of the own hall.
     """
 
-    to: tuple[str, ...] | None
+    to: tuple[str, ...] | Audience
     evidence: Evidence
 
 
@@ -271,6 +277,17 @@
             watch.repeats.clear()
         self._on_change(BlockChange(watch.case.build_evidence(now), is_blocked))
 
+    def _is_known(self, watch: _Watch, evidence: Evidence | None) -> bool:
+        """Tell whether who has some evidence need not be told more."""
+        if evidence is None or watch.case.is_covered_by(evidence):
+            return evidence is not None
+        if not watch.is_blocked:
+            return False
+        # Further ends change nothing for those who don't send it any more.
+        case = Case(evidence.digest)
+        case.merge(evidence, 0.0)
+        return case.find_blocked_at(self.settings) is not None
+
     def _list_other_homes(self, watch: _Watch) -> tuple[str, ...]:
         """List those who count for a request, this entry left out."""
         homes = self._find_homes(watch.case.digest)
@@ -286,22 +303,24 @@
         """Tell everybody, where this entry counts and there is enough to tell."""
         is_home = self._own_name in self._find_homes(watch.case.digest)
         is_worth = watch.case.count_ends() >= LEAST_TOLD or watch.told is not None
-        if not is_home or not is_worth or watch.case.is_covered_by(watch.told):
+        if not is_home or not is_worth or self._is_known(watch, watch.told):
             return
         self._tell_all(watch, now)
         if watch.is_blocked:
             watch.repeats = [now + after_s for after_s in REPEATS_S]
 
     def _tell_all(self, watch: _Watch, now: float) -> None:
-        """Tell everybody."""
+        """Tell everybody for whom this entry counts: the fleet, or its hall."""
         watch.told = watch.case.build_evidence(now)
-        self._outbox.append(Message(EVERYONE, watch.told))
+        place = self._find_homes(watch.case.digest).index(self._own_name)
+        audience = Audience.FLEET if place < FLEET_HOMES else Audience.HALL
+        self._outbox.append(Message(audience, watch.told))
 
     def _plan_record(self, watch: _Watch, now: float) -> None:
         """Plan when this entry records a case, unless another has done so by then."""
         planned_at, watch.record_at = watch.record_at, None
         is_worth = watch.case.count_ends() >= LEAST_TOLD or watch.recorded is not None
-        if not is_worth or watch.case.is_covered_by(watch.recorded):
+        if not is_worth or self._is_known(watch, watch.recorded):
             return
         homes = list(self._find_homes(watch.case.digest))
         is_home = self._own_name in homes
@@ -309,7 +328,7 @@
             return
         place = homes.index(self._own_name) if is_home else len(homes)
         delay_s = 0.0 if watch.is_blocked else RECORD_DELAY_S
-        is_heard = watch.case.is_covered_by(watch.heard)
+        is_heard = self._is_known(watch, watch.heard)
         if place:
             delay_s += place * STAND_IN_DELAY_S if is_heard else ALONE_DELAY_S
         is_later = planned_at is not None and planned_at < now + delay_s and not is_heard
@@ -335,7 +354,8 @@
         for watch in self._watches.values():
             if watch.repeats and watch.repeats[0] <= now:
                 watch.repeats = [at for at in watch.repeats if at > now]
-                self._tell_all(watch, now)
+                if self._own_name in self._find_homes(watch.case.digest):
+                    self._tell_all(watch, now)
         messages, self._outbox = self._outbox, []
         return messages
 
--- a/halldoor/gateway/quarantine.py
+++ b/halldoor/gateway/quarantine.py
@@ -8,7 +8,7 @@
 
 from halldoor.core.quarantine.evidence import Evidence
 from halldoor.core.quarantine.homes import choose_homes
-from halldoor.core.quarantine.quarantine import BlockChange, Message, Quarantine
+from halldoor.core.quarantine.quarantine import Audience, BlockChange, Message, Quarantine
 from halldoor.core.quarantine.record import EvidenceRecord, from_record, to_record
 from halldoor.core.quarantine.settings import QuarantineSettings
 from halldoor.core.quarantine.unanswered import UnansweredRequests
@@ -228,9 +228,11 @@
     def _send(self, message: Message) -> None:
         """Send evidence to other entries."""
         members = self._catalog.members
-        if message.to is None:
+        if isinstance(message.to, Audience):
             kind = MessageKind.EVIDENCE_FOR_ALL
             others = [m for m in members.values() if m.name != self._own.name]
+            if message.to is Audience.HALL:
+                others = [m for m in others if m.hall == self._own.hall]
         else:
             kind = MessageKind.EVIDENCE
             others = [members[name] for name in message.to if name in members]
--- a/halldoor/tests/test_crashing_request.py
+++ b/halldoor/tests/test_crashing_request.py
@@ -24,7 +24,11 @@
 
 import pytest
 
+from halldoor.core.quarantine import quarantine
+from halldoor.core.quarantine.quarantine import TRIALS_AFTER_S
+from halldoor.core.teams.team import digest_key
 from halldoor.tests.crashkit import BAD, POPULAR, CrashFleet
+from halldoor.tests.gatewaykit import GatewayKit, open_pair
 
 CONTACT_S = 3.0
 """Time in which all entries must know that a third target ended, in seconds."""
@@ -77,3 +81,113 @@
                 assert fleet.count_sound() >= 0.95
 
         asyncio.run(check())
+
+
+THREE_ATTEMPTS = {"max_attempts": 3}
+
+
+async def end_three(kit, **request):
+    """Let a request end three targets: each closes the connection under it."""
+    kit.script_all("reset")
+    assert (await kit.call(path="/bad", **request)).status == 502
+    assert kit.gateway.quarantine.get_figures()["blocked"] == 1
+
+
+class TestBlockedRequest:
+    def test_it_is_refused_at_once_with_the_time_of_its_next_trial(self):
+        async def check():
+            async with GatewayKit.open(targets=4, route=THREE_ATTEMPTS) as kit:
+                await end_three(kit)
+                sent = len(kit.received)
+                reply = await kit.call(path="/bad")
+                assert (reply.status, len(kit.received)) == (503, sent)
+                assert 0.7 * TRIALS_AFTER_S[0] < float(reply.find(b"retry-after"))
+
+        asyncio.run(check())
+
+    def test_other_requests_of_its_caller_are_served(self):
+        async def check():
+            async with GatewayKit.open(targets=4, route=THREE_ATTEMPTS) as kit:
+                await end_three(kit)
+                kit.script_all("answer")
+                assert (await kit.call(path="/good")).status == 200
+                assert (await kit.call(path="/bad", method="POST", body=b"x")).status == 200
+
+        asyncio.run(check())
+
+    def test_another_team_is_not_refused_for_it(self):
+        teams = [
+            {"name": name, "key_digests": [digest_key(name.encode()).hex()]}
+            for name in ("north", "south")
+        ]
+
+        def sign(team):
+            return [("Authorization", f"Bearer {team}")]
+
+        async def check():
+            async with GatewayKit.open(targets=4, teams=teams, route=THREE_ATTEMPTS) as kit:
+                await end_three(kit, extra=sign("north"))
+                kit.script_all("answer")
+                assert (await kit.call(path="/bad", extra=sign("north"))).status == 503
+                assert (await kit.call(path="/bad", extra=sign("south"))).status == 200
+
+        asyncio.run(check())
+
+    def test_one_entry_tries_it_and_an_answer_lifts_it_everywhere(self, monkeypatch):
+        monkeypatch.setattr(quarantine, "TRIALS_AFTER_S", (0.3, 300.0))
+
+        async def check():
+            async with open_pair() as kits:
+                kits[0].configure(**THREE_ATTEMPTS)
+                for i in range(2):
+                    await kits[0].add_target(f"t{i + 2}")
+                for kit in kits:
+                    await kit.wait(lambda k=kit: len(k.gateway.catalog.list_usable("deck")) == 4)
+                    await kit.wait(lambda k=kit: k.gateway.catalog.configuration_version == 2)
+                await end_three(kits[0])
+                kits[0].script_all("answer")
+                sent = len(kits[0].received)
+                await asyncio.sleep(1.0)
+                replies = await asyncio.gather(*(kit.call(path="/bad") for kit in kits))
+                assert sorted(reply.status for reply in replies) == [200, 503]
+                assert len(kits[0].received) == sent + 1
+                await asyncio.sleep(0.1)
+                for kit in kits:
+                    assert (await kit.call(path="/bad")).status == 200
+
+        asyncio.run(check())
+
+    def test_a_trial_whose_target_ends_is_the_last_for_now(self, monkeypatch):
+        monkeypatch.setattr(quarantine, "TRIALS_AFTER_S", (0.3, 300.0))
+
+        async def check():
+            async with GatewayKit.open(targets=6, route=THREE_ATTEMPTS) as kit:
+                await end_three(kit)
+                sent = len(kit.received)
+                await asyncio.sleep(0.4)
+                statuses = [(await kit.call(path="/bad")).status for _ in range(4)]
+                assert statuses == [502, 503, 503, 503]
+                assert len(kit.received) == sent + 1
+
+        asyncio.run(check())
+
+
+class TestSilentTarget:
+    def test_what_left_it_unanswered_counts_once_it_is_gone(self):
+        async def check():
+            async with GatewayKit.open(targets=4) as kit:
+                kit.script_all("hang")
+                for _ in range(3):
+                    caller = await kit.connect()
+                    await caller.send(path="/bad", key="")
+                    await kit.wait(lambda: kit.received)
+                    caller.close()
+                    await kit.wait(lambda: kit.gateway.requests.running == 0)
+                    (name,) = (n for n, t in kit.targets.items() if t.received)
+                    await kit.targets.pop(name).stop()
+                    kit.store.remove(f"targets/{name}")
+                    catalog = kit.gateway.catalog
+                    await kit.wait(lambda n=name, c=catalog: c.find_target(n) is None)
+                assert (await kit.call(path="/bad", key="")).status == 503
+
+        asyncio.run(check())
--- a/halldoor/tests/test_quarantine.py
+++ b/halldoor/tests/test_quarantine.py
@@ -8,8 +8,8 @@
 from halldoor.core.quarantine.homes import choose_homes
 from halldoor.core.quarantine.quarantine import (
     CASES_KEPT,
-    EVERYONE,
     TRIALS_AFTER_S,
+    Audience,
     Quarantine,
 )
 from halldoor.core.quarantine.settings import QuarantineSettings
@@ -136,9 +136,21 @@
         assert home.take_messages(0.0) == []
         home.take(build("t2"), 0.0)
         (message,) = home.take_messages(0.0)
-        assert message.to is EVERYONE
+        assert message.to is Audience.FLEET
         assert {end.target for end in message.evidence.ends} == {"t1", "t2"}
 
+    def test_the_one_of_a_hall_tells_its_hall(self):
+        home = open_entry("h3", homes=[*HOMES, "h3"])
+        home.take(build("t1", "t2"), 0.0)
+        assert home.take_messages(0.0)[0].to is Audience.HALL
+
+    def test_ends_past_a_block_are_not_told(self):
+        home = open_entry("h1")
+        home.take(build("t1", "t2", "t3"), 0.0)
+        home.take_messages(2.0)
+        home.take(build("t4"), 2.0)
+        assert home.take_messages(9.0) == []
+
     def test_a_block_is_told_again(self):
         home = open_entry("h1")
         home.take(build("t1", "t2", "t3"), 0.0)
--- /dev/null
+++ b/properties/test_quarantine.py
@@ -0,0 +1,98 @@
+"""Laws of the quarantine: what it knows does not depend on how it came, and its bound holds."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from halldoor.core.quarantine.evidence import Case, Evidence, TargetEnd
+from halldoor.core.quarantine.record import from_record, to_record
+from halldoor.core.quarantine.settings import QuarantineSettings
+from halldoor.standins.crashfleet import Fleet, HomesAndRecord, Run, Trouble
+
+LATE_SENDS = 3
+"""Sendings that all entries together may make once all had time to know."""
+TARGETS = st.sampled_from([f"t{i}" for i in range(6)])
+EVIDENCE = st.builds(
+    Evidence,
+    digest=st.just("d"),
+    ends=st.lists(st.builds(TargetEnd, TARGETS, st.just(1.0)), max_size=6).map(tuple),
+    cleared=st.lists(TARGETS, max_size=3).map(tuple),
+    was_sound=st.booleans(),
+)
+
+
+def merge(parts):
+    case = Case("d")
+    for part in parts:
+        case.merge(part, 10.0)
+    evidence = case.build_evidence(10.0)
+    return ({end.target for end in evidence.ends}, evidence.was_sound, case.count_ends())
+
+
+@given(parts=st.lists(EVIDENCE, max_size=6), source=st.randoms())
+def test_any_order_and_any_repetition_of_ends_tells_the_same(parts, source):
+    parts = [part._replace(cleared=()) for part in parts]
+    shuffled = [*parts, *parts]
+    source.shuffle(shuffled)
+    assert merge(parts) == merge(shuffled)
+
+
+@given(parts=st.lists(EVIDENCE, max_size=6))
+def test_the_second_time_brings_nothing_new(parts):
+    case = Case("d")
+    for part in parts:
+        case.merge(part, 10.0)
+    told = case.build_evidence(10.0)
+    assert not case.merge(told, 10.0)
+    assert case.is_covered_by(told)
+
+
+@given(part=EVIDENCE, later_ms=st.integers(0, 500_000))
+def test_a_record_tells_what_was_known_however_late_it_is_read(part, later_ms):
+    read = from_record(to_record(part, 1_000_000), 1_000_000 + later_ms)
+    assert [end.target for end in read.ends] == [end.target for end in part.ends]
+    assert all(abs(end.age_s - 1.0 - later_ms / 1000) < 0.002 for end in read.ends)
+
+
+@given(ends=st.lists(st.tuples(TARGETS, st.floats(0.0, 1000.0)), max_size=12))
+def test_fewer_targets_than_the_limit_never_block(ends):
+    case = Case("d")
+    for target, at in ends:
+        case.add_end(target, at)
+    is_blocked = case.find_blocked_at(QuarantineSettings()) is not None
+    assert is_blocked == (len({target for target, _ in ends}) >= 3)
+
+
+TROUBLES = st.builds(
+    Trouble,
+    loss=st.sampled_from([0.0, 0.05, 0.2]),
+    delay_s=st.sampled_from([0.002, 0.013, 0.04]),
+    cut_s=st.sampled_from([(99.0, 99.0), (0.0, 4.0), (0.0, 12.0), (0.3, 12.0)]),
+    away_s=st.sampled_from([(99.0, 99.0), (0.0, 3.0), (1.0, 5.0)]),
+    restart_s=st.sampled_from([99.0, 0.7, 2.0, 4.0]),
+)
+
+
+@settings(max_examples=40)
+@given(
+    entries=st.sampled_from([6, 10, 24, 75]),
+    rate=st.sampled_from([1.0, 4.0, 8.0, 30.0]),
+    trouble=TROUBLES,
+    seed=st.integers(0, 1000),
+)
+def test_all_entries_together_stop_in_time(entries, rate, trouble, seed):
+    # The messages and the store may fail, but not both at once: then nothing is left to know by.
+    if trouble.cut_s[0] < 99.0:
+        trouble = trouble._replace(away_s=(99.0, 99.0))
+    run = Run(Fleet(entries=entries, bad_per_s=rate), trouble, seed=seed)
+    run.play(HomesAndRecord(), until_s=14.0)
+    assert run.count_late() <= LATE_SENDS
+
+
+@settings(max_examples=15)
+@given(entries=st.sampled_from([6, 10, 75]), seed=st.integers(0, 1000))
+def test_a_sound_request_is_hardly_refused_beside_ends_of_its_targets(entries, seed):
+    fleet = Fleet(entries=entries, bad_per_s=0.0, popular_per_s=8.0, ends_per_s=1.2)
+    run = Run(fleet, Trouble(), seed=seed).play(HomesAndRecord(), until_s=25.0)
+    assert run.refused <= 0.02 * (run.served + run.refused + run.lost)
