--- a/halldoor/tests/crashkit.py
+++ b/halldoor/tests/crashkit.py
@@ -57,8 +57,9 @@
         What callers got, by path.
     """
 
-    def __init__(self, *, kind, seed=1, entries=6):
+    def __init__(self, *, kind, seed=1, entries=6, addresses=1):
         self.kind = kind
+        self.addresses = addresses
         self.entries = entries
         self.random = random.Random(seed)
         self.store = MemoryStore()
@@ -154,12 +155,18 @@
                 self.end(self.random.choice(running))
 
     async def call(self, path, key=""):
-        """Ask any entry once; how it ended is kept."""
+        """Ask any entry once, from any address; how it ended is kept."""
         kit = self.random.choice(self.kits)
+        source = f"127.0.0.{self.random.randrange(2, 2 + self.addresses)}"
         method, body = ("POST", b"x") if self.kind != "repeatable" else ("GET", b"")
         with contextlib.suppress(OSError, TimeoutError):
             reply = await kit.call(
-                path=path.decode(), key=key, method=method, body=body, deadline_ms=2000
+                path=path.decode(),
+                key=key,
+                method=method,
+                body=body,
+                deadline_ms=2000,
+                source=source,
             )
             self.statuses[path].append(reply.status)
 
--- a/halldoor/tests/gatewaykit.py
+++ b/halldoor/tests/gatewaykit.py
@@ -124,11 +124,14 @@
     def front_port(self):
         return self.gateway._front.sockets[0].getsockname()[1]
 
-    async def connect(self):
-        return Caller(*await asyncio.open_connection("127.0.0.1", self.front_port))
+    async def connect(self, source="127.0.0.1"):
+        address = (source, 0)
+        return Caller(
+            *await asyncio.open_connection("127.0.0.1", self.front_port, local_addr=address)
+        )
 
-    async def call(self, **request):
-        caller = await self.connect()
+    async def call(self, *, source="127.0.0.1", **request):
+        caller = await self.connect(source)
         try:
             return await caller.call(**request)
         finally:
--- a/halldoor/tests/test_crashing_request.py
+++ b/halldoor/tests/test_crashing_request.py
@@ -52,6 +52,21 @@
 
         asyncio.run(check())
 
+    def test_so_it_is_where_its_caller_has_many_addresses(self):
+        """Without teams in the configuration nothing but the address tells callers apart.
+
+        The same request came at entries of all three regions, from other machines each time, so
+        that it was another one for each address: 24 and 34 targets ended under it instead of 38
+        and 37, and 12 and 14 of its sendings came too late.
+        """
+
+        async def check():
+            async with CrashFleet.open(kind="repeatable", addresses=40) as fleet:
+                await fleet.ask(BAD, per_s=8.0, for_s=8.0)
+                assert fleet.count_late_sends(BAD, after_s=CONTACT_S) <= LATE_SENDS
+
+        asyncio.run(check())
+
     def test_entries_that_all_start_again_still_know(self):
         async def check():
             async with CrashFleet.open(kind="repeatable") as fleet:
