Take a request for the same from whatever address it comes

Without teams an address tells little: the request came from machines of all three regions, and was another one at each.

Now the address is no part of the request but goes with each end. Ends under the sendings of one address block that address alone, since its other headers may be to blame, and nobody can have another's request refused from one address; ends under two block the request for all. A team's key tells whose a request is, wherever it comes from.

--- a/halldoor/core/quarantine/quarantine.py
+++ b/halldoor/core/quarantine/quarantine.py
@@ -16,6 +16,7 @@
 
 from halldoor.core.quarantine.evidence import Case, Evidence
 from halldoor.core.quarantine.homes import FLEET_HOMES
+from halldoor.core.quarantine.identity import Identity
 from halldoor.core.quarantine.settings import QuarantineSettings
 
 CASES_KEPT = 4096
@@ -147,17 +148,17 @@
 
     # What callers' requests ask
 
-    def find_block(self, digest: str, now: float) -> Block | None:
+    def find_block(self, request: Identity, now: float) -> Block | None:
         """Find why a request must not be sent; None where it may."""
-        watch = self._watches.get(digest)
+        watch = self._watches.get(request.digest)
         if watch is None:
             return None
         watch.case.forget_before(now - self.settings.memory_s)
         self._judge(watch, now)
-        blocked_at = watch.case.find_blocked_at(self.settings)
-        if blocked_at is None:
+        if not watch.case.is_blocked_for(request.caller, self.settings):
             return None
-        self._watches.move_to_end(digest)
+        self._watches.move_to_end(request.digest)
+        blocked_at = watch.case.find_blocked_at(self.settings)
         due = sum(now >= blocked_at + after_s for after_s in TRIALS_AFTER_S)
         trial = due - 1 if due and due - 1 not in watch.trials_taken else None
         times = [blocked_at + after_s for after_s in TRIALS_AFTER_S[due:]]
@@ -172,15 +173,15 @@
 
     # What this entry sees
 
-    def note_end(self, digest: str, target: str, now: float) -> bool:
+    def note_end(self, request: Identity, target: str, now: float) -> bool:
         """Note that a target ended under a request; False where that is known."""
         if not self.settings.limit:
             return False
-        watch = self._watch(digest)
-        if not watch.case.add_end(target, now):
+        watch = self._watch(request.digest)
+        if not watch.case.add_end(target, request.caller, now):
             return False
         watch.case.has_own_end = True
-        answered_at = self._find_answer(digest, now)
+        answered_at = self._find_answer(request.digest, now)
         if answered_at is not None:
             watch.case.clear_before(answered_at)
         self._judge(watch, now)
@@ -268,7 +269,7 @@
 
     def _judge(self, watch: _Watch, now: float) -> None:
         """Note whether a request is blocked."""
-        is_blocked = watch.case.find_blocked_at(self.settings) is not None
+        is_blocked = watch.case.is_blocked(self.settings)
         if is_blocked == watch.is_blocked:
             return
         watch.is_blocked = is_blocked
@@ -283,10 +284,10 @@
             return evidence is not None
         if not watch.is_blocked:
             return False
-        # Further ends change nothing for those who don't send it any more.
-        case = Case(evidence.digest)
-        case.merge(evidence, 0.0)
-        return case.find_blocked_at(self.settings) is not None
+        # Further ends change nothing where the request is blocked for as many callers.
+        case = Case.from_evidence(evidence, 0.0)
+        is_blocked_for_all = len(case.list_callers()) > 1 or len(watch.case.list_callers()) == 1
+        return is_blocked_for_all and case.is_blocked(self.settings)
 
     def _list_other_homes(self, watch: _Watch) -> tuple[str, ...]:
         """List those who count for a request, this entry left out."""
--- a/halldoor/core/quarantine/record.py
+++ b/halldoor/core/quarantine/record.py
@@ -16,11 +16,14 @@
     ----------
     target : str
         One start of a target.
+    caller : str
+        Digest of whose request it ran.
     at_ms : int
         When, in Unix milliseconds by the clock of the entry that wrote it.
     """
 
     target: str
+    caller: str
     at_ms: int
 
 
@@ -41,11 +44,17 @@
     now_ms : int
         Time of day, in Unix milliseconds.
     """
-    ends = tuple(RecordedEnd(t, now_ms - round(age_s * MS_PER_S)) for t, age_s in evidence.ends)
+    ends = tuple(
+        RecordedEnd(target, caller, now_ms - round(age_s * MS_PER_S))
+        for target, caller, age_s in evidence.ends
+    )
     return EvidenceRecord(evidence.digest, ends, evidence.cleared, evidence.was_sound)
 
 
 def from_record(record: EvidenceRecord, now_ms: int) -> Evidence:
     """Give the evidence of a record; what a fast clock dated ahead is taken for new."""
-    ends = tuple(TargetEnd(t, max(0.0, (now_ms - at_ms) / MS_PER_S)) for t, at_ms in record.ends)
+    ends = tuple(
+        TargetEnd(target, caller, max(0.0, (now_ms - at_ms) / MS_PER_S))
+        for target, caller, at_ms in record.ends
+    )
     return Evidence(record.digest, ends, record.cleared, record.was_sound)
--- a/halldoor/core/quarantine/unanswered.py
+++ b/halldoor/core/quarantine/unanswered.py
@@ -9,6 +9,7 @@
 from collections import deque
 from typing import NamedTuple
 
+from halldoor.core.quarantine.identity import Identity
 from halldoor.core.targets.catalog import Target
 
 GONE_WITHIN_S = 6.0
@@ -26,7 +27,7 @@
         When its caller left, or its time ran out, in seconds of the clock of ``now``.
     """
 
-    digest: str
+    request: Identity
     target: Target
     at: float
 
@@ -37,9 +38,9 @@
     def __init__(self) -> None:
         self._requests: deque[Unanswered] = deque(maxlen=KEPT)
 
-    def add(self, digest: str, target: Target, now: float) -> None:
+    def add(self, request: Identity, target: Target, now: float) -> None:
         """Remember a request that a target did not answer."""
-        self._requests.append(Unanswered(digest, target, now))
+        self._requests.append(Unanswered(request, target, now))
 
     def take(self, incarnation: str, now: float) -> list[Unanswered]:
         """Take the requests under which a target ended that is gone now.
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
+from halldoor.core.quarantine.identity import Identity
 from halldoor.core.retry import RetryObstacle
 from halldoor.core.targets.order import Distance
 from halldoor.core.teams.admission import Entrance
@@ -148,7 +149,7 @@
 
     Attributes
     ----------
-    digest : str
+    identity : Identity
         What makes it the same as others; empty until its body is read.
     """
 
@@ -161,7 +162,7 @@
         self.service = service
         self.key = key
         self.attempt_id = attempt_id
-        self.digest = ""
+        self.identity = Identity("", "")
         self.attempts: list[Attempt] = []
 
     @property
--- a/halldoor/gateway/body.py
+++ b/halldoor/gateway/body.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from halldoor.core.quarantine.identity import digest_request, name_caller
+from halldoor.core.quarantine.identity import Identity, identify_request
 from halldoor.gateway.attempt import Ending, RequestState
 from halldoor.gateway.caller import BodyTooLongError, CallerConnection
 from halldoor.gateway.exchange import BODY_BUFFER, OutgoingRequest
@@ -14,7 +14,7 @@
 async def read_request(
     caller: CallerConnection, state: RequestState, headers: Headers, expires_at: float
 ) -> OutgoingRequest | Ending:
-    """Read the body up to the limit of the buffer, and digest what makes the request the same.
+    """Read the body up to the limit of the buffer, and identify the request.
 
     Parameters
     ----------
@@ -37,7 +37,7 @@
         return Ending(408, "body came too slowly")
     except BodyTooLongError:
         return Ending(413, "body too long")
-    state.digest = _digest(caller, state, bytes(body), is_whole=rest is None)
+    state.identity = _identify(caller, state, bytes(body), is_whole=rest is None)
     return OutgoingRequest(
         state.head,
         headers,
@@ -49,11 +49,14 @@
     )
 
 
-def _digest(caller: CallerConnection, state: RequestState, body: bytes, *, is_whole: bool) -> str:
-    """Digest what makes a request the same as others."""
+def _identify(
+    caller: CallerConnection, state: RequestState, body: bytes, *, is_whole: bool
+) -> Identity:
+    """Identify a request."""
     head = state.head
-    return digest_request(
-        name_caller(state.team, caller.address),
+    return identify_request(
+        state.team,
+        caller.address,
         method=head.method,
         host=find(head.headers, b"host"),
         target=head.target,
--- a/halldoor/gateway/quarantine.py
+++ b/halldoor/gateway/quarantine.py
@@ -8,6 +8,7 @@
 
 from halldoor.core.quarantine.evidence import Evidence
 from halldoor.core.quarantine.homes import choose_homes
+from halldoor.core.quarantine.identity import Identity
 from halldoor.core.quarantine.quarantine import Audience, BlockChange, Message, Quarantine
 from halldoor.core.quarantine.record import EvidenceRecord, from_record, to_record
 from halldoor.core.quarantine.settings import QuarantineSettings
@@ -92,25 +93,25 @@
 
     # What callers' requests ask
 
-    async def admit(self, digest: str) -> Ending | None:
+    async def admit(self, request: Identity) -> Ending | None:
         """Decide whether a request may be sent; give its refusal where it may not.
 
         A blocked one may run once more after a while, at the one entry that claims that run in the
         store: what ended its targets may have been mended.
         """
-        block = self._core.find_block(digest, _now())
+        block = self._core.find_block(request, _now())
         if block is None:
             return None
-        if block.trial is not None and await self._claim_trial(digest, block.trial):
+        if block.trial is not None and await self._claim_trial(request.digest, block.trial):
             return None
         self._count("refused")
         # It is known not to be served: its caller is told when it may be, which is no time soon.
         after_s = spread(block.retry_after_s, self._random)
         return Ending(503, f"{block.ends} targets ended under it", retry_after_s=after_s)
 
-    def is_blocked(self, digest: str) -> bool:
+    def is_blocked(self, request: Identity) -> bool:
         """Tell whether a request must not be sent once more."""
-        return self._core.find_block(digest, _now()) is not None
+        return self._core.find_block(request, _now()) is not None
 
     async def _claim_trial(self, digest: str, trial: int) -> bool:
         """Claim a run of a blocked request; False where another entry has it, or none may."""
@@ -131,41 +132,41 @@
 
     # What becomes of them
 
-    def add_outcome(self, digest: str, target: Target, outcome: Outcome) -> None:
+    def add_outcome(self, request: Identity, target: Target, outcome: Outcome) -> None:
         """Learn from one attempt whether its target ended under the request."""
         match outcome:
             case WholeAnswer(answer) if answer.status < SERVER_ERROR:
-                self.note_answer(digest)
+                self.note_answer(request)
             case AnswerLost(is_closed=True):
-                self.note_end(digest, target)
+                self.note_end(request, target)
             case TimedOut():
-                self.note_unanswered(digest, target)
+                self.note_unanswered(request, target)
             case ConnectFailed():
                 self.note_gone(target.name)
             case _:
                 return
 
-    def note_answer(self, digest: str) -> None:
+    def note_answer(self, request: Identity) -> None:
         """Note that a target answered a request soundly."""
-        self._core.note_answer(digest, _now())
+        self._core.note_answer(request.digest, _now())
         self._plan()
 
-    def note_end(self, digest: str, target: Target) -> None:
+    def note_end(self, request: Identity, target: Target) -> None:
         """Note that a target ended under a request."""
-        if not self._core.note_end(digest, _name_start(target), _now()):
+        if not self._core.note_end(request, _name_start(target), _now()):
             return
         self._count("target ended")
-        self._log.event("quarantine", "A target ended.", digest=digest, target=target.name)
+        self._log.event("quarantine", "A target ended.", target=target.name, **request._asdict())
         self._plan()
 
-    def note_unanswered(self, digest: str, target: Target) -> None:
+    def note_unanswered(self, request: Identity, target: Target) -> None:
         """Note that a caller left, or the time ran out, while a target had the request."""
-        self._unanswered.add(digest, target, _now())
+        self._unanswered.add(request, target, _now())
 
     def note_gone(self, incarnation: str) -> None:
         """Note that a target is gone: it may have ended under what it left unanswered."""
-        for digest, target, _ in self._unanswered.take(incarnation, _now()):
-            self.note_end(digest, target)
+        for request, target, _ in self._unanswered.take(incarnation, _now()):
+            self.note_end(request, target)
 
     # What others know
 
@@ -284,6 +285,7 @@
             "Blocks a request." if change.is_blocked else "Lifts a block.",
             digest=evidence.digest,
             ended_ms_ago={end.target: round(end.age_s * 1000) for end in evidence.ends},
+            callers=len({end.caller for end in evidence.ends}),
             cleared=evidence.cleared,
             was_sound=evidence.was_sound,
         )
--- a/halldoor/gateway/records.py
+++ b/halldoor/gateway/records.py
@@ -12,25 +12,26 @@
 TRIAL_PREFIX = "halldoor/trials/"
 
 
-class EvidenceModel(msgspec.Struct, frozen=True):
-    """Evidence against a request, whose digest is the end of the key.
+class EndModel(msgspec.Struct, frozen=True):
+    """A target that ended under a request, in Unix milliseconds, and whose it was."""
 
-    Attributes
-    ----------
-    ended_ms : dict of str to int
-        When each target ended under it, in Unix milliseconds.
-    """
+    target: str
+    caller: str
+    at_ms: int
+
+
+class EvidenceModel(msgspec.Struct, frozen=True):
+    """Evidence against a request, whose digest is the end of the key."""
 
-    ended_ms: dict[str, int]
+    ends: list[EndModel]
     cleared: list[str] = []
     was_sound: bool = False
 
 
 def encode_evidence(record: EvidenceRecord) -> StoredItem:
     """Encode evidence."""
-    model = EvidenceModel(
-        {end.target: end.at_ms for end in record.ends}, list(record.cleared), record.was_sound
-    )
+    ends = [EndModel(*end) for end in record.ends]
+    model = EvidenceModel(ends, list(record.cleared), record.was_sound)
     return StoredItem(EVIDENCE_PREFIX + record.digest, msgspec.json.encode(model))
 
 
@@ -46,7 +47,7 @@
     if item.value is None:
         return EvidenceGone(digest)
     model = msgspec.json.decode(item.value, type=EvidenceModel)
-    ends = tuple(RecordedEnd(target, at_ms) for target, at_ms in model.ended_ms.items())
+    ends = tuple(RecordedEnd(end.target, end.caller, end.at_ms) for end in model.ends)
     return EvidenceSeen(EvidenceRecord(digest, ends, tuple(model.cleared), model.was_sound))
 
 
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -154,7 +154,7 @@
         if isinstance(outgoing, Ending):
             self._finish(caller, state, outgoing)
             return
-        ending = await self._quarantine.admit(state.digest)
+        ending = await self._quarantine.admit(state.identity)
         if ending is None:
             ending = await self._carry(caller, state, outgoing)
         if caller.is_body_too_long and not ending.target:
@@ -195,7 +195,7 @@
         self, state: RequestState, outgoing: OutgoingRequest
     ) -> RetryObstacle | None:
         """Find what forbids to send the request once more."""
-        if self._quarantine.is_blocked(state.digest):
+        if self._quarantine.is_blocked(state.identity):
             return RetryObstacle.QUARANTINED
         return self._retries.find_obstacle(
             state,
@@ -216,12 +216,12 @@
         try:
             outcome, connecting = await self._exchanger.send(outgoing, name, target.record.address)
         except asyncio.CancelledError:
-            self._quarantine.note_unanswered(state.digest, target)
+            self._quarantine.note_unanswered(state.identity, target)
             self._log.event(
                 "request", "Caller left.", id=state.attempt_id, target=name, sent=state.sent_count
             )
             raise
-        self._quarantine.add_outcome(state.digest, target, outcome)
+        self._quarantine.add_outcome(state.identity, target, outcome)
         now = loop.time()
         took_s = now - started
         sending = Sending(choice, name_kind(state.service, state.route), state.key)
@@ -308,13 +308,13 @@
             reason = str(exc) or "time ran out"
             self._feedback.add_failure(target.name, asyncio.get_running_loop().time(), reason)
             if isinstance(exc, PeerClosedError):
-                self._quarantine.note_end(state.digest, target)
+                self._quarantine.note_end(state.identity, target)
             caller.abort()
             return Ending(answer.status, f"broke off: {reason}", target.name)
         finally:
             # It closes the connection where the exchange did not end cleanly.
             self._pool.release(target.name, connection)
-        self._quarantine.note_answer(state.digest)
+        self._quarantine.note_answer(state.identity)
         return Ending(answer.status, "answered in pieces", target.name)
 
     def _finish(self, caller: CallerConnection, state: RequestState, ending: Ending) -> None:
@@ -335,7 +335,8 @@
             service=state.service,
             team=state.team,
             key=state.key,
-            digest=state.digest,
+            digest=state.identity.digest,
+            caller=state.identity.caller,
             target=ending.target,
             took_ms=round(took_s * 1000),
             aim_ms=round(state.route.aim_s * 1000),
--- a/halldoor/standins/crashfleet.py
+++ b/halldoor/standins/crashfleet.py
@@ -17,6 +17,7 @@
 
 from halldoor.core.quarantine.evidence import Case, Evidence
 from halldoor.core.quarantine.homes import choose_homes
+from halldoor.core.quarantine.identity import Identity
 from halldoor.core.quarantine.quarantine import Audience, Message, Quarantine
 from halldoor.core.quarantine.record import EvidenceRecord, from_record, to_record
 from halldoor.core.quarantine.settings import QuarantineSettings
@@ -24,6 +25,7 @@
 from halldoor.core.targets.catalog import MemberRecord
 
 SETTINGS = QuarantineSettings()
+CALLER = "c"
 BAD = "bad"
 POPULAR = "popular"
 WORK_S = 0.075
@@ -288,7 +290,7 @@
 
     def note_end(self, now: float, entry: int, digest: str, target: str) -> None:
         """Count it."""
-        self.cases[entry].setdefault(digest, Case(digest)).add_end(target, now)
+        self.cases[entry].setdefault(digest, Case(digest)).add_end(target, CALLER, now)
 
     def note_answer(self, now: float, entry: int, digest: str) -> None:
         """Clear the request of the ends before."""
@@ -299,7 +301,7 @@
     def is_blocked(self, now: float, entry: int, digest: str) -> bool:
         """Go by what is counted here."""
         case = self.cases[entry].get(digest)
-        return case is not None and case.find_blocked_at(SETTINGS) is not None
+        return case is not None and case.is_blocked(SETTINGS)
 
 
 class TellAll(OwnSum):
@@ -349,7 +351,7 @@
             self.run.at(now + 0.5, self._write, digest, target)
             return
         record = self.records.setdefault(digest, Case(digest))
-        if record.add_end(target, now):
+        if record.add_end(target, CALLER, now):
             evidence = record.build_evidence(now)
             for other in range(self.run.fleet.entries):
                 heard_at = now + STORE_S + self.run.random.uniform(*WATCH_S)
@@ -380,7 +382,7 @@
 
     def note_end(self, now: float, entry: int, digest: str, target: str) -> None:
         """Let the entry's part see it."""
-        self._parts[entry].note_end(digest, target, now)
+        self._parts[entry].note_end(Identity(digest, CALLER), target, now)
         self._poll(now, entry, self._parts[entry])
 
     def note_answer(self, now: float, entry: int, digest: str) -> None:
@@ -390,7 +392,7 @@
 
     def is_blocked(self, now: float, entry: int, digest: str) -> bool:
         """Ask the entry's part."""
-        return self._parts[entry].find_block(digest, now) is not None
+        return self._parts[entry].find_block(Identity(digest, CALLER), now) is not None
 
     def _poll(self, now: float, entry: int, part: Quarantine) -> None:
         """Send and record what is due, and come back when more is."""
--- a/halldoor/tests/test_identity.py
+++ b/halldoor/tests/test_identity.py
@@ -1,10 +1,10 @@
-"""Which requests count as the same."""
+"""Which requests count as the same, and whose they are."""
 
 from __future__ import annotations
 
 import pytest
 
-from halldoor.core.quarantine.identity import digest_request, name_caller
+from halldoor.core.quarantine.identity import identify_request
 
 REQUEST = {
     "method": b"POST",
@@ -13,17 +13,19 @@
     "body": b"cards",
     "length": b"",
 }
-CALLER = name_caller("", "10.0.0.7")
+
+
+def identify(team="", address="10.0.0.7", **changed):
+    return identify_request(team, address, **REQUEST | changed)
 
 
 class TestIdentity:
     def test_a_request_is_the_same_at_every_entry(self):
-        assert digest_request(CALLER, **REQUEST) == digest_request(CALLER, **REQUEST)
+        assert identify() == identify()
 
     @pytest.mark.parametrize("host", [b"DECKS.example", b"decks.example:8443"])
     def test_a_host_is_written_in_several_ways(self, host):
-        other = digest_request(CALLER, **REQUEST | {"host": host})
-        assert other == digest_request(CALLER, **REQUEST)
+        assert identify(host=host) == identify()
 
     @pytest.mark.parametrize(
         "changed",
@@ -33,24 +35,19 @@
             {"target": b"/decks/7?page=3"},
             {"body": b"card"},
             {"length": b"600000"},
+            {"team": "north"},
         ],
     )
     def test_what_differs_is_another_request(self, changed):
-        assert digest_request(CALLER, **REQUEST | changed) != digest_request(CALLER, **REQUEST)
+        assert identify(**changed).digest != identify().digest
 
     def test_parts_do_not_run_into_each_other(self):
-        one = digest_request(CALLER, **REQUEST | {"target": b"/a", "body": b"bc"})
-        other = digest_request(CALLER, **REQUEST | {"target": b"/ab", "body": b"c"})
-        assert one != other
-
-    def test_no_caller_makes_anothers_request(self):
-        callers = [
-            CALLER,
-            name_caller("", "10.0.0.8"),
-            name_caller("north", "10.0.0.7"),
-            name_caller("10.0.0.7", ""),
-        ]
-        assert len({digest_request(caller, **REQUEST) for caller in callers}) == len(callers)
+        assert identify(target=b"/a", body=b"bc") != identify(target=b"/ab", body=b"c")
+
+    def test_without_teams_an_address_tells_callers_apart_and_not_requests(self):
+        one, other = identify(), identify(address="10.0.0.8")
+        assert one.digest == other.digest and one.caller != other.caller
 
     def test_a_team_is_one_caller_wherever_it_comes_from(self):
-        assert name_caller("north", "10.0.0.7") == name_caller("north", "10.0.0.8")
+        assert identify("north") == identify("north", "10.0.0.8")
+        assert identify("north").caller != identify("south").caller
--- a/halldoor/tests/test_quarantine.py
+++ b/halldoor/tests/test_quarantine.py
@@ -6,6 +6,7 @@
 
 from halldoor.core.quarantine.evidence import Case, Evidence, TargetEnd
 from halldoor.core.quarantine.homes import choose_homes
+from halldoor.core.quarantine.identity import Identity
 from halldoor.core.quarantine.quarantine import (
     CASES_KEPT,
     TRIALS_AFTER_S,
@@ -19,6 +20,8 @@
 USUAL = QuarantineSettings()
 ADDRESS = Address("127.0.0.1", 1)
 HOMES = ["h1", "h2"]
+D = Identity("d", "c1")
+OTHERS = Identity("d", "c2")
 
 
 def open_entry(name, settings=USUAL, homes=HOMES):
@@ -26,73 +29,90 @@
 
 
 def build(*targets, cleared=(), was_sound=False):
-    return Evidence("d", tuple(TargetEnd(t, 1.0) for t in targets), cleared, was_sound)
+    return Evidence("d", tuple(TargetEnd(t, "c1", 1.0) for t in targets), cleared, was_sound)
 
 
 def end_targets(entry, count, *, now=0.0):
     for i in range(count):
-        entry.note_end("d", f"t{i}", now + i)
+        entry.note_end(D, f"t{i}", now + i)
 
 
 class TestBlock:
     def test_two_targets_may_end_by_chance_and_a_third_blocks(self):
         entry = open_entry("e1")
         end_targets(entry, 2)
-        assert entry.find_block("d", 2.0) is None
-        entry.note_end("d", "t2", 2.0)
-        assert entry.find_block("d", 2.0).ends == 3
-        assert entry.find_block("other", 2.0) is None
+        assert entry.find_block(D, 2.0) is None
+        entry.note_end(D, "t2", 2.0)
+        assert entry.find_block(D, 2.0).ends == 3
+        assert entry.find_block(Identity("other", "c1"), 2.0) is None
+
+    def test_what_ended_under_one_callers_sendings_is_not_blamed_on_another(self):
+        entry = open_entry("e1")
+        end_targets(entry, 5)
+        assert entry.find_block(D, 5.0) is not None
+        assert entry.find_block(OTHERS, 5.0) is None
+
+    def test_what_ended_under_two_callers_sendings_is_the_requests_doing(self):
+        entry, other = open_entry("h1"), open_entry("e2")
+        end_targets(entry, 3)
+        entry.take_messages(3.0)
+        entry.note_end(OTHERS, "t9", 3.0)
+        assert entry.find_block(Identity("d", "c3"), 3.0).ends == 4
+        # Who knows that it is blocked for one caller is told that it is for all.
+        for message in entry.take_messages(3.0):
+            other.take(message.evidence, 3.0)
+        assert other.find_block(Identity("d", "c3"), 3.0) is not None
 
     def test_copies_that_ran_on_one_target_count_once(self):
         entry = open_entry("e1")
         for _ in range(5):
-            entry.note_end("d", "t1", 0.0)
-        assert entry.find_block("d", 0.0) is None
+            entry.note_end(D, "t1", 0.0)
+        assert entry.find_block(D, 0.0) is None
 
     def test_what_was_answered_in_between_is_not_blocked(self):
         entry = open_entry("e1")
         for i in range(20):
-            entry.note_end("d", f"t{i}", 2.0 * i)
+            entry.note_end(D, f"t{i}", 2.0 * i)
             entry.note_answer("d", 2.0 * i + 1)
-            assert entry.find_block("d", 2.0 * i + 1) is None
+            assert entry.find_block(D, 2.0 * i + 1) is None
 
     def test_what_was_answered_lately_takes_more_ends(self):
         entry = open_entry("e1")
         entry.note_answer("d", 0.0)
         end_targets(entry, USUAL.limit_once_sound - 1, now=1.0)
-        assert entry.find_block("d", 7.0) is None
-        entry.note_end("d", "last", 7.0)
-        assert entry.find_block("d", 7.0) is not None
+        assert entry.find_block(D, 7.0) is None
+        entry.note_end(D, "last", 7.0)
+        assert entry.find_block(D, 7.0) is not None
 
     def test_an_answer_lifts_it(self):
         entry = open_entry("e1")
         end_targets(entry, 3)
         entry.note_answer("d", 4.0)
-        assert entry.find_block("d", 4.0) is None
+        assert entry.find_block(D, 4.0) is None
 
     def test_it_ends_with_the_memory_of_the_ends(self):
         entry = open_entry("e1")
         end_targets(entry, 3)
-        assert entry.find_block("d", USUAL.memory_s - 1.0) is not None
-        assert entry.find_block("d", USUAL.memory_s + 1.0) is None
+        assert entry.find_block(D, USUAL.memory_s - 1.0) is not None
+        assert entry.find_block(D, USUAL.memory_s + 1.0) is None
         # Two ends are left, so that a further one blocks it again.
-        entry.note_end("d", "t9", USUAL.memory_s + 1.0)
-        assert entry.find_block("d", USUAL.memory_s + 1.0) is not None
-        assert entry.find_block("d", 2 * USUAL.memory_s) is None
+        entry.note_end(D, "t9", USUAL.memory_s + 1.0)
+        assert entry.find_block(D, USUAL.memory_s + 1.0) is not None
+        assert entry.find_block(D, 2 * USUAL.memory_s) is None
 
     def test_it_can_be_switched_off(self):
         entry = open_entry("e1", QuarantineSettings(limit=0))
         end_targets(entry, 9)
-        assert entry.find_block("d", 9.0) is None
+        assert entry.find_block(D, 9.0) is None
         assert entry.take_messages(9.0) == []
 
     def test_memory_is_bounded_and_keeps_what_is_blocked(self):
         entry = open_entry("e1")
         end_targets(entry, 3)
         for i in range(2 * CASES_KEPT):
-            entry.note_end(f"d{i}", "t1", 4.0)
+            entry.note_end(Identity(f"d{i}", "c1"), "t1", 4.0)
         assert entry.count_suspects() == CASES_KEPT
-        assert entry.find_block("d", 5.0) is not None
+        assert entry.find_block(D, 5.0) is not None
 
 
 class TestTrial:
@@ -102,7 +122,7 @@
         blocked_at = 2.0
         trials = []
         for second in range(4000):
-            block = entry.find_block("d", blocked_at + second)
+            block = entry.find_block(D, blocked_at + second)
             if block.trial is not None:
                 trials.append((second, block.trial))
                 entry.note_trial("d", block.trial)
@@ -111,9 +131,9 @@
     def test_callers_are_told_when_the_next_one_is(self):
         entry = open_entry("e1")
         end_targets(entry, 3)
-        assert entry.find_block("d", 12.0).retry_after_s == TRIALS_AFTER_S[0] - 10.0
-        assert entry.find_block("d", 102.0).retry_after_s == TRIALS_AFTER_S[1] - 100.0
-        assert entry.find_block("d", 500.0).retry_after_s == USUAL.memory_s - 500.0
+        assert entry.find_block(D, 12.0).retry_after_s == TRIALS_AFTER_S[0] - 10.0
+        assert entry.find_block(D, 102.0).retry_after_s == TRIALS_AFTER_S[1] - 100.0
+        assert entry.find_block(D, 500.0).retry_after_s == USUAL.memory_s - 500.0
 
 
 class TestTelling:
@@ -126,7 +146,7 @@
 
     def test_an_end_is_told_to_those_who_count_and_to_nobody_else(self):
         entry = open_entry("e1")
-        entry.note_end("d", "t1", 0.0)
+        entry.note_end(D, "t1", 0.0)
         (message,) = entry.take_messages(0.0)
         assert message.to == ("h1", "h2")
 
@@ -161,17 +181,17 @@
         entry, home = open_entry("e1"), open_entry("h1")
         entry.note_answer("d", 5.0)
         home.take(build("t1", "t2", "t3"), 5.0)
-        assert home.find_block("d", 5.0) is not None
+        assert home.find_block(D, 5.0) is not None
         entry.take(build("t1", "t2", "t3"), 5.0, is_for_all=True)
-        assert entry.find_block("d", 5.0) is None
+        assert entry.find_block(D, 5.0) is None
         (message,) = entry.take_messages(5.0)
         home.take(message.evidence, 5.0)
-        assert home.find_block("d", 5.0) is None
+        assert home.find_block(D, 5.0) is None
 
     def test_others_that_count_now_are_told_too(self):
         homes = ["h1"]
         entry = Quarantine("e1", USUAL, lambda _: homes)
-        entry.note_end("d", "t1", 0.0)
+        entry.note_end(D, "t1", 0.0)
         entry.take_messages(0.0)
         entry.recheck_homes(1.0)
         assert entry.take_messages(1.0) == []
@@ -182,9 +202,9 @@
     @pytest.mark.parametrize("age_s", [-5.0, float("nan"), float("inf")])
     def test_senseless_ages_do_no_harm(self, age_s):
         entry = open_entry("e1")
-        entry.take(Evidence("d", (TargetEnd("t1", age_s),)), 100.0)
-        entry.note_end("d", "t2", 100.0)
-        assert entry.find_block("d", 100.0) is None
+        entry.take(Evidence("d", (TargetEnd("t1", "c1", age_s),)), 100.0)
+        entry.note_end(D, "t2", 100.0)
+        assert entry.find_block(D, 100.0) is None
 
 
 class TestRecord:
@@ -228,14 +248,14 @@
     def test_an_entry_that_starts_later_learns_it_from_there(self):
         entry = open_entry("e9")
         entry.take_record(build("t1", "t2", "t3"), 0.0)
-        assert entry.find_block("d", 0.0) is not None
+        assert entry.find_block(D, 0.0) is not None
 
 
 class TestCase:
     def test_only_the_newest_ends_are_kept(self):
         case = Case("d")
         for i in range(40):
-            case.add_end(f"t{i}", float(i))
+            case.add_end(f"t{i}", "c1", float(i))
         assert {end.target for end in case.build_evidence(40.0).ends} == {
             f"t{i}" for i in range(24, 40)
         }
--- a/properties/test_quarantine.py
+++ b/properties/test_quarantine.py
@@ -13,10 +13,11 @@
 LATE_SENDS = 3
 """Sendings that all entries together may make once all had time to know."""
 TARGETS = st.sampled_from([f"t{i}" for i in range(6)])
+CALLERS = st.sampled_from(["c1", "c2"])
 EVIDENCE = st.builds(
     Evidence,
     digest=st.just("d"),
-    ends=st.lists(st.builds(TargetEnd, TARGETS, st.just(1.0)), max_size=6).map(tuple),
+    ends=st.lists(st.builds(TargetEnd, TARGETS, CALLERS, st.just(1.0)), max_size=6).map(tuple),
     cleared=st.lists(TARGETS, max_size=3).map(tuple),
     was_sound=st.booleans(),
 )
@@ -59,8 +60,8 @@
 def test_fewer_targets_than_the_limit_never_block(ends):
     case = Case("d")
     for target, at in ends:
-        case.add_end(target, at)
-    is_blocked = case.find_blocked_at(QuarantineSettings()) is not None
+        case.add_end(target, "c1", at)
+    is_blocked = case.is_blocked(QuarantineSettings())
     assert is_blocked == (len({target for target, _ in ends}) >= 3)
 
 
