--- a/halldoor/standins/memorystore.py
+++ b/halldoor/standins/memorystore.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
+from typing import NamedTuple
 
 from halldoor.gateway.store import (
     Events,
@@ -20,6 +20,16 @@
 """Items on one page of a range."""
 
 
+class StoreCopy(NamedTuple):
+    """All that a store held at a moment."""
+
+    values: dict[str, bytes]
+    history: list[tuple[int, StoredItem]]
+    revision: int
+    leases: dict[str, set[str]]
+    next_lease: int
+
+
 class MemoryStore(MetadataStore):
     """Keys in memory.
 
@@ -29,6 +39,8 @@
         Every call fails; what waits is cut.
     calls, ranges : int
         Calls so far, and pages of ranges among them.
+    copies : int
+        How often it was restored from a copy.
     """
 
     def __init__(self) -> None:
@@ -37,7 +49,8 @@
         self._first_revision = 0
         self._revision = 0
         self._leases: dict[str, set[str]] = {}
-        self._ids = itertools.count(1)
+        self._next_lease = 1
+        self.copies = 0
         self._changed = asyncio.Event()
         self.is_down = False
         self.calls = 0
@@ -60,6 +73,23 @@
         self._history.clear()
         self._first_revision = self._revision
 
+    def copy(self) -> StoreCopy:
+        """Copy all that it holds."""
+        leases = {name: set(keys) for name, keys in self._leases.items()}
+        return StoreCopy(
+            dict(self._values), list(self._history), self._revision, leases, self._next_lease
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what came since is gone, and its numbers are given out again."""
+        self._values = dict(copy.values)
+        self._history = list(copy.history)
+        self._revision = copy.revision
+        self._leases = {name: set(keys) for name, keys in copy.leases.items()}
+        self._next_lease = copy.next_lease
+        self.copies += 1
+        self._wake()
+
     def cut(self) -> None:
         """Go down: calls fail, and what waits ends."""
         self.is_down = True
@@ -99,6 +129,8 @@
     async def watch(self, prefix: str, *, after: int, wait_s: float) -> Events:
         """Wait for changes."""
         self._call()
+        if after > self._revision:
+            raise HistoryGoneError("There is no such revision.", remedy="Read all again.")
         try:
             async with asyncio.timeout(wait_s):
                 while self._revision <= after and not self.is_down:
@@ -117,6 +149,8 @@
         self._call()
         if lease not in self._leases:
             raise LeaseGoneError("No such lease.", remedy="Create another.")
+        for keys in self._leases.values():
+            keys.discard(key)
         self._leases[lease].add(key)
         self.put(key, value)
 
@@ -131,7 +165,8 @@
     async def create_lease(self, ttl_s: float) -> Lease:
         """Create a lease; it lasts until it is ended."""
         self._call()
-        name = str(next(self._ids))
+        name = str(self._next_lease)
+        self._next_lease += 1
         self._leases[name] = set()
         return Lease(name, ttl_s)
 
