A revision and a lease mean something only with the copy of the store that gave them out

What operators saw: after the store had come back from an older copy, a configuration that they wrote was in force nowhere, with no line that said why. Cause: entries went on from their revision; the store gave the revisions up to it out again, and what was written at them was taken for known. Leases alike: an entry renewed a name that by then was another's. Ruled out: a watch from a revision that the store does not have yet (410, all is read again; but by the time an entry asks, the store has it once more).

The header that tells one copy from the next is now part of what an entry believes: another one, whatever it says, and all is read anew, the lease given up unended and the entry registered under one of its own, and polls of followers at another copy refused. What the copy lacks holds for the 2 s in which its writer writes it again (targets as lapsed, entries, evacuations, evidence against requests); a target that is known to have left since is not taken back; a configuration never goes back, and one written again under the same version replaces what was lost.

Two ways to get back in step were weighed: all entries read anew as soon as an answer tells them, and followers that wait for their reader. The first holds without anybody else and is kept.

--- a/benchmarks/choice.py
+++ b/benchmarks/choice.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 
 from benchmarks.common import format_table, write_result
-from halldoor.core.targets.catalog import Catalog, TargetSeen
+from halldoor.core.targets.catalog import Catalog
+from halldoor.core.targets.changes import TargetSeen
 from halldoor.tests.choicekit import ChooserKit, make_catalog, make_route, make_target
 
 FLEETS = (60, 200, 400)
--- a/halldoor/cli/fleet.py
+++ b/halldoor/cli/fleet.py
@@ -36,6 +36,10 @@
     ----------
     store_age_s : float
         Time since it heard from the store, in seconds.
+    store_era : int
+        Number of the copy of the store that it believes; -1 where the store has none.
+    blocked : int
+        Requests that it does not send, since targets end under them.
     region_requests : tuple of (str, str, int)
         Requests sent since its start, by its region and the region of the target.
     over_quota : tuple of (str, int)
@@ -47,8 +51,10 @@
     address: str
     version: int = 0
     store_age_s: float = 0.0
+    store_era: int = -1
     members: int = 0
     running: int = 0
+    blocked: int = 0
     watches_store: bool = False
     targets_out: tuple[TargetOut, ...] = ()
     over_quota: tuple[tuple[str, int], ...] = ()
@@ -100,7 +106,9 @@
         address,
         version=int(state.get("configuration_version", 0)),
         store_age_s=state.get("store_age_seconds", 0.0),
+        store_era=int(state.get("store_era", -1)),
         members=int(state.get("members", 0)),
+        blocked=int(state.get("blocked", 0)),
         running=int(state.get("running", 0)),
         watches_store=bool(state.get("watches_store", 0)),
         targets_out=tuple(out),
@@ -120,6 +128,8 @@
     ]
     lines += _limit([f"{g.address}: not reached ({g.error})" for g in gateways if g.error])
     lines += _limit(_describe_lag(g, newest) for g in reached if _is_lagging(g, newest))
+    lines += _limit(_describe_eras(reached))
+    lines += _limit(_describe_blocked(reached))
     lines += _limit(_describe_quotas(reached))
     lines += _limit(_describe_regions(reached))
     return lines + _limit(_describe_targets(reached))
@@ -136,6 +146,27 @@
     return f"{gateway.address}: {behind}, heard from the store {gateway.store_age_s:.1f} s ago"
 
 
+def _describe_eras(reached: Sequence[GatewayView]) -> list[str]:
+    """Describe the gateways that believe an older copy of the store than others do."""
+    newest = max((g.store_era for g in reached), default=-1)
+    return [
+        f"{g.address}: copy {g.store_era} of the store, others know copy {newest}"
+        for g in reached
+        if g.store_era != newest
+    ]
+
+
+def _describe_blocked(reached: Sequence[GatewayView]) -> list[str]:
+    """Describe how many requests are blocked, and by how many gateways."""
+    blocking = [g.blocked for g in reached if g.blocked]
+    if not blocking:
+        return []
+    return [
+        f"{max(blocking)} requests under which targets end, blocked by "
+        f"{len(blocking)} of {len(reached)} gateways"
+    ]
+
+
 def _describe_quotas(reached: Sequence[GatewayView]) -> list[str]:
     """Describe the teams that are refused for their quotas, those that are most first."""
     refused: Counter[str] = Counter()
--- a/halldoor/core/quarantine/homes.py
+++ b/halldoor/core/quarantine/homes.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 
 from halldoor.core.placement import rank
-from halldoor.core.targets.catalog import MemberRecord
+from halldoor.core.targets.changes import MemberRecord
 
 FLEET_HOMES = 2
 """Entries of the whole fleet that count, so that the death of one costs nothing."""
--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -7,122 +7,31 @@
 from __future__ import annotations
 
 import math
+from collections import OrderedDict
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
-from halldoor.core.quarantine.record import EvidenceRecord
-from halldoor.core.settings import Address
+from halldoor.core.targets.changes import (
+    Change,
+    EvacuationSet,
+    EvidenceGone,
+    EvidenceSeen,
+    MemberGone,
+    MemberRecord,
+    MemberSeen,
+    RoutingSeen,
+    TargetGone,
+    TargetRecord,
+    TargetSeen,
+)
 from halldoor.core.targets.route import Routing
 
+LEFT_KEPT = 2000
+"""Targets that left and are remembered, in case an older copy of the store names them again."""
 UNKNOWN_ENTRIES = 100
 """Entries to reckon with while it is not known how many there are: the size of a large fleet."""
 
 
-class TargetRecord(NamedTuple):
-    """What a target says of itself in the store.
-
-    Attributes
-    ----------
-    incarnation : str
-        Name of the target; it stands for nothing else, ever.
-    slots : int
-        Requests that it works on at a time.
-    is_draining : bool
-        It is about to end and takes no new work.
-    cold_left_s : float
-        How much longer it is cold, in seconds.
-    started_ms : int
-        When it started, in Unix milliseconds by its own clock; 0 where it does not say.  A target
-        that starts again may keep its name.
-    """
-
-    incarnation: str
-    service: str
-    address: Address
-    hall: str
-    slots: int
-    is_draining: bool
-    cold_left_s: float
-    started_ms: int = 0
-
-
-class MemberRecord(NamedTuple):
-    """An entry that serves callers, as it registered itself in the store.
-
-    Attributes
-    ----------
-    relay : Address or None
-        Where it passes changes of the store on to other entries; None where it does not.
-    """
-
-    name: str
-    front: Address
-    hall: str
-    region: str
-    relay: Address | None = None
-
-
-class RoutingSeen(NamedTuple):
-    """A version of the operators' configuration was read."""
-
-    routing: Routing
-
-
-class TargetSeen(NamedTuple):
-    """A target's record was written."""
-
-    record: TargetRecord
-
-
-class TargetGone(NamedTuple):
-    """A target's record was removed."""
-
-    incarnation: str
-
-
-class EvacuationSet(NamedTuple):
-    """An operator asked that a hall's targets get nothing, or took that back."""
-
-    hall: str
-    is_evacuated: bool
-
-
-class MemberSeen(NamedTuple):
-    """An entry's record was written."""
-
-    member: MemberRecord
-
-
-class MemberGone(NamedTuple):
-    """An entry's record was removed."""
-
-    name: str
-
-
-class EvidenceSeen(NamedTuple):
-    """Evidence against a request was recorded."""
-
-    record: EvidenceRecord
-
-
-class EvidenceGone(NamedTuple):
-    """Evidence against a request is no longer recorded."""
-
-    digest: str
-
-
-Change = (
-    RoutingSeen
-    | TargetSeen
-    | TargetGone
-    | EvacuationSet
-    | MemberSeen
-    | MemberGone
-    | EvidenceSeen
-    | EvidenceGone
-)
-
-
 class CatalogTimings(NamedTuple):
     """How long beliefs last.
 
@@ -185,6 +94,8 @@
         self.evacuated: set[str] = set()
         self.members: dict[str, MemberRecord] = {}
         self._suspects: set[str] = set()
+        self._left: OrderedDict[str, int] = OrderedDict()
+        self._postponed: dict[Change, float] = {}
         self.version = 0
         self.members_version = 0
         self.fresh_at = 0.0
@@ -192,6 +103,8 @@
 
     def apply(self, change: Change, now: float) -> bool:
         """Apply one change; False where it changes nothing."""
+        if self._postponed:
+            self._keep(change)
         match change:
             case RoutingSeen(routing):
                 return self._adopt(routing)
@@ -212,14 +125,24 @@
                 self._suspects.discard(digest)
                 return True
 
-    def load(self, changes: Sequence[Change], now: float) -> list[Change]:
+    def load(
+        self, changes: Sequence[Change], now: float, *, is_restored: bool = False
+    ) -> list[Change]:
         """Apply a whole reading of the store, in which what is not named is gone.
 
+        Parameters
+        ----------
+        is_restored : bool, optional
+            The store came back from an older copy.  What is not in it holds until its writer had
+            time to write it again, and targets that left since the copy are not taken back.
+
         Returns
         -------
         list of Change
             What changed, the removals included.
         """
+        if is_restored:
+            changes = [c for c in changes if not self._has_left(c)]
         named = {c.record.incarnation for c in changes if isinstance(c, TargetSeen)}
         members = {c.member.name for c in changes if isinstance(c, MemberSeen)}
         halls = {c.hall for c in changes if isinstance(c, EvacuationSet)}
@@ -228,8 +151,41 @@
         removals += [EvacuationSet(h, False) for h in self.evacuated if h not in halls]
         suspects = {c.record.digest for c in changes if isinstance(c, EvidenceSeen)}
         removals += [EvidenceGone(d) for d in self._suspects if d not in suspects]
+        if is_restored:
+            self.begin_settling(now)
+            removals = self._postpone(removals, now)
         return [c for c in [*changes, *removals] if self.apply(c, now)]
 
+    def _has_left(self, change: Change) -> bool:
+        """Tell whether a record is of a start of a target that is known to have left."""
+        if not isinstance(change, TargetSeen):
+            return False
+        record = change.record
+        return self._left.get(record.incarnation) == record.started_ms
+
+    def _postpone(self, removals: Sequence[Change], now: float) -> list[Change]:
+        """Put removals off until their writers had time to write again; give the others."""
+        at_once: list[Change] = [c for c in removals if isinstance(c, TargetGone)]
+        self._postponed = {c: now + self.timings.settle_s for c in removals if c not in at_once}
+        return at_once
+
+    def apply_postponed(self, now: float) -> list[Change]:
+        """Apply removals whose time is over, unless what they remove was written again."""
+        due = [change for change, at in self._postponed.items() if at <= now]
+        for change in due:
+            del self._postponed[change]
+        return [change for change in due if self.apply(change, now)]
+
+    def _keep(self, change: Change) -> None:
+        """Drop the removal of what was just written again."""
+        match change:
+            case EvacuationSet(hall, True):
+                self._postponed.pop(EvacuationSet(hall, False), None)
+            case MemberSeen(member):
+                self._postponed.pop(MemberGone(member.name), None)
+            case EvidenceSeen(record):
+                self._postponed.pop(EvidenceGone(record.digest), None)
+
     @property
     def configuration_version(self) -> int:
         """Version of the configuration in force; 0 where there is none."""
@@ -279,7 +235,9 @@
 
     def _forget(self, incarnation: str) -> None:
         """Drop a target."""
-        del self._targets[incarnation]
+        self._left[incarnation] = self._targets.pop(incarnation).record.started_ms
+        if len(self._left) > LEFT_KEPT:
+            self._left.popitem(last=False)
         self.lapsed.discard(incarnation)
 
     def list_targets(self) -> Collection[Target]:
@@ -317,8 +275,12 @@
         self._by_service = None
 
     def _adopt(self, routing: Routing) -> bool:
-        """Take a configuration if it is newer; an older one is never taken back."""
-        if self.routing is not None and routing.version <= self.routing.version:
+        """Take a configuration if it is newer; an older one is never taken back.
+
+        One of the same version replaces what a store that was restored has lost.
+        """
+        known = self.routing
+        if known is not None and (routing.version < known.version or routing == known):
             return False
         self.routing = routing
         self._touch()
--- a/halldoor/core/targets/observation.py
+++ b/halldoor/core/targets/observation.py
@@ -16,7 +16,7 @@
 from typing import NamedTuple
 
 from halldoor.core.placement import rank
-from halldoor.core.targets.catalog import MemberRecord
+from halldoor.core.targets.changes import MemberRecord
 
 
 class SharingSettings(NamedTuple):
--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -18,7 +18,7 @@
 from typing import Generic, NamedTuple, TypeVar
 
 from halldoor.core.placement import rank
-from halldoor.core.targets.catalog import MemberRecord
+from halldoor.core.targets.changes import MemberRecord
 
 T = TypeVar("T")
 
--- a/halldoor/gateway/httpclient.py
+++ b/halldoor/gateway/httpclient.py
@@ -13,6 +13,7 @@
     ConnectionFailedError,
     HttpConnection,
 )
+from halldoor.gateway.headers import Headers
 
 CONNECT_S = 1.0
 """Longest time for a connection to come up, in seconds; one lost packet costs about one."""
@@ -27,6 +28,7 @@
 
     status: int
     body: bytes
+    headers: Headers = []
 
 
 class HttpCallError(Exception):
@@ -101,7 +103,8 @@
         pieces = []
         while not isinstance(event := await connection.receive(), h11.EndOfMessage):
             pieces.append(bytes(event.data))
-        return HttpAnswer(response.status_code, b"".join(pieces))
+        fields = list(response.headers.raw_items())
+        return HttpAnswer(response.status_code, b"".join(pieces), fields)
 
     def close(self) -> None:
         """Close kept connections."""
--- a/halldoor/gateway/lookup.py
+++ b/halldoor/gateway/lookup.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from halldoor.core.targets.catalog import MemberRecord
+from halldoor.core.targets.changes import MemberRecord
 
 ANSWER_LIMIT = 64
 """Entries in one answer."""
--- a/halldoor/gateway/pages.py
+++ b/halldoor/gateway/pages.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from halldoor.core.targets.catalog import MemberRecord
+from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.choice import TargetOut
 from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.lookup import LookupFormat, choose_entries
--- a/halldoor/gateway/plain.py
+++ b/halldoor/gateway/plain.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from halldoor.core.settings import Address
-from halldoor.core.targets.catalog import (
+from halldoor.core.targets.changes import (
     Change,
     EvacuationSet,
     MemberGone,
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -8,8 +8,8 @@
 from random import Random
 from typing import Any
 
-from halldoor.core.targets.catalog import (
-    Catalog,
+from halldoor.core.targets.catalog import Catalog
+from halldoor.core.targets.changes import (
     Change,
     EvidenceGone,
     EvidenceSeen,
@@ -243,6 +243,7 @@
             "connections_kept": self.pool.count_idle(),
             "configuration_version": self.catalog.configuration_version,
             "store_age_seconds": now - self.catalog.fresh_at,
+            "store_era": self.sync.era_number,
             **self.quarantine.get_figures(),
         }
         return GatewayFigures(gauges, self.chooser.list_out(now))
@@ -375,6 +376,8 @@
             last = now
             for name in self.catalog.drop_lapsed(now):
                 self._note_change(TargetGone(name))
+            for change in self.catalog.apply_postponed(now):
+                self._note_change(change)
             tick += 1
             if tick % SWEEP_TICKS == 0:
                 self.pool.sweep()
--- a/halldoor/gateway/quarantine.py
+++ b/halldoor/gateway/quarantine.py
@@ -14,7 +14,8 @@
 from halldoor.core.quarantine.settings import QuarantineSettings
 from halldoor.core.quarantine.unanswered import UnansweredRequests
 from halldoor.core.settings import Address
-from halldoor.core.targets.catalog import Catalog, MemberRecord, Target
+from halldoor.core.targets.catalog import Catalog, Target
+from halldoor.core.targets.changes import MemberRecord
 from halldoor.gateway.attempt import Ending, spread
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
@@ -78,6 +79,7 @@
         self._unanswered = UnansweredRequests()
         self._lease = ""
         self._lease_until = 0.0
+        self._lease_era = ""
         self._wake = asyncio.Event()
         self._random = Random()
         port.receive(MessageKind.EVIDENCE, Evidence, self._take_report)
@@ -259,10 +261,12 @@
 
     async def _get_lease(self) -> str:
         """Give a lease for records; a new one each minute at most."""
-        if not self._lease or _now() >= self._lease_until:
+        is_of_old = self._lease_era != self._store.era
+        if not self._lease or is_of_old or _now() >= self._lease_until:
             lease = await self._store.create_lease(LEASE_S)
             self._metrics.add_store_call("lease", "created")
             self._lease, self._lease_until = lease.name, _now() + LEASE_USE_S
+            self._lease_era = self._store.era
         return self._lease
 
     # Sight
--- a/halldoor/gateway/quotas.py
+++ b/halldoor/gateway/quotas.py
@@ -6,7 +6,8 @@
 
 from halldoor.core.placement import rank
 from halldoor.core.settings import Address
-from halldoor.core.targets.catalog import Catalog, MemberRecord
+from halldoor.core.targets.catalog import Catalog
+from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.teams.gate import QuotaGate
 from halldoor.core.teams.ledger import QuotaLedger
 from halldoor.core.teams.quota import COLLECTORS, FRESH_PERIODS, Report, Shares, find_period
--- a/halldoor/gateway/records.py
+++ b/halldoor/gateway/records.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from halldoor.core.quarantine.record import EvidenceRecord, RecordedEnd
-from halldoor.core.targets.catalog import Change, EvidenceGone, EvidenceSeen
+from halldoor.core.targets.changes import Change, EvidenceGone, EvidenceSeen
 from halldoor.gateway.store import StoredItem
 
 EVIDENCE_PREFIX = "halldoor/quarantine/"
--- a/halldoor/gateway/registration.py
+++ b/halldoor/gateway/registration.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from halldoor.core.targets.catalog import MemberRecord
+from halldoor.core.targets.changes import MemberRecord
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.store import Lease, LeaseGoneError, MetadataStore, RecordCodec, StoreError
@@ -54,6 +54,7 @@
         self._on_contact = on_contact
         self._on_return = on_return
         self._lease: Lease | None = None
+        self._era = ""
         self._is_written = False
         self._has_failed = False
         self._wake = asyncio.Event()
@@ -91,11 +92,13 @@
         """Renew the lease, or register anew."""
         if self._lease is None:
             self._lease = await self._store.create_lease(LEASE_S)
+            self._era = self._store.era
             self._is_written = False
             self._metrics.add_store_call("lease", "created")
         elif self._is_written:
             await self._store.renew_lease(self._lease.name)
             self._metrics.add_store_call("lease", "renewed")
+        self._check_era()
         if not self._is_written:
             item = self._codec.encode_member(self._member)
             await self._store.write(item.key, item.value or b"", lease=self._lease.name)
@@ -103,6 +106,20 @@
             self._metrics.add_store_call("write", "ok")
             self._log.event("membership", "Registered.", lease=self._lease.name)
 
+    def _check_era(self) -> None:
+        """Give up a lease that was made before the store was restored from a copy.
+
+        Its name may be given out again, so that this entry would keep another's record alive.
+
+        Raises
+        ------
+        LeaseGoneError
+            Where it was.
+        """
+        if self._era != self._store.era:
+            self._on_return("the store was restored from a copy")
+            raise LeaseGoneError("The store was restored.", remedy="Create another lease.")
+
     def note_gone(self) -> None:
         """Register again: this entry's record was removed though it lives."""
         if self._is_written:
@@ -112,7 +129,7 @@
     async def leave(self) -> None:
         """End the lease, so that look-ups stop naming this entry at once."""
         lease, self._lease = self._lease, None
-        if lease is None:
+        if lease is None or self._era != self._store.era:
             return
         try:
             await self._store.end_lease(lease.name)
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -10,11 +10,12 @@
 import asyncio
 import math
 from typing import NamedTuple
-from urllib.parse import parse_qsl, urlsplit
+from urllib.parse import parse_qsl, urlencode, urlsplit
 
 import msgspec
 
-from halldoor.core.targets.catalog import Catalog, MemberRecord
+from halldoor.core.targets.catalog import Catalog
+from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.relay import (
     Batch,
     ChangeHistory,
@@ -115,6 +116,7 @@
         self._direct_until = 0.0
         self._proven_at = -math.inf
         self._had_changes = False
+        self._era = ""
         self._history: ChangeHistory[StoredItem] = ChangeHistory()
         self._has_news = asyncio.Event()
 
@@ -195,7 +197,8 @@
             self._client = HttpClient(self._reader.relay)
         sent_at = _now()
         wait_s = self.settings.find_poll_s(sent_at - self._proven_at)
-        target = f"{PATH}?after={revision}&wait_ms={wait_s * 1000:.0f}"
+        query = {"after": revision, "wait_ms": round(wait_s * 1000), "era": self._era}
+        target = f"{PATH}?{urlencode(query)}"
         timeout_s = wait_s + self.settings.answer_s
         try:
             answer = await self._client.call("GET", target, timeout_s=timeout_s)
@@ -215,8 +218,15 @@
 
     # What followers are told
 
-    def begin(self, revision: int, proven_at: float) -> None:
-        """Begin a new history: everything up to a revision was read at once."""
+    def begin(self, revision: int, proven_at: float, era: str) -> None:
+        """Begin a new history: everything up to a revision was read at once.
+
+        Parameters
+        ----------
+        era : str
+            Which copy of the store the revision is of.
+        """
+        self._era = era
         self._history = ChangeHistory()
         self._proven_at = proven_at
         self._publish(Batch(revision, revision, [], False))
@@ -241,11 +251,12 @@
             self._metrics.add_bad_poll()
             caller.send(Answer(404, []))
             return
-        if not self._history.has_news(poll.after):
+        if poll.era == self._era and not self._history.has_news(poll.after):
             await self._wait_for_news(poll.wait_s)
         batch = self._history.collect(poll.after)
-        if batch is None:
-            caller.send(Answer(503, []))
+        if poll.era != self._era or batch is None:
+            # Revisions of another copy of the store can't be compared with ours.
+            caller.send(Answer(409 if poll.era != self._era else 503, []))
             return
         now = _now()
         changes = RelayedChanges(
@@ -273,10 +284,17 @@
 
 
 class Poll(NamedTuple):
-    """A follower's question."""
+    """A follower's question.
+
+    Attributes
+    ----------
+    era : str
+        Which copy of the store its revision is of.
+    """
 
     after: int
     wait_s: float
+    era: str
 
 
 def _now() -> float:
@@ -291,6 +309,6 @@
         return None
     query = dict(parse_qsl(parts.query))
     try:
-        return Poll(int(query["after"]), int(query["wait_ms"]) / 1000)
+        return Poll(int(query["after"]), int(query["wait_ms"]) / 1000, query.get("era", ""))
     except (KeyError, ValueError):
         return None
--- a/halldoor/gateway/sharing.py
+++ b/halldoor/gateway/sharing.py
@@ -5,7 +5,8 @@
 import asyncio
 
 from halldoor.core.settings import Address
-from halldoor.core.targets.catalog import Catalog, MemberRecord
+from halldoor.core.targets.catalog import Catalog
+from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.observation import Observation, SharingSettings, choose_peers
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.feedback import TargetFeedback
--- a/halldoor/gateway/store.py
+++ b/halldoor/gateway/store.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from halldoor.core.errors import HalldoorError
-from halldoor.core.targets.catalog import Change, MemberRecord
+from halldoor.core.targets.changes import Change, MemberRecord
 
 
 class StoreError(HalldoorError):
@@ -62,8 +62,17 @@
 
     Every method raises `StoreError` where the store can't be reached in time, refuses, or
     answers rubbish.  A write that raised may have been done, or may be done later.
+
+    Attributes
+    ----------
+    era : str
+        Tells the store's present state from the one before it was last restored from a copy, as
+        its newest answer said; empty where it does not say.  Revisions and leases of another era
+        mean nothing.
     """
 
+    era: str = ""
+
     @abstractmethod
     async def read_range(self, prefix: str, *, after: str = "") -> Page:
         """Read the keys with a prefix that come after a key."""
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -6,8 +6,8 @@
 import contextlib
 from collections.abc import Callable
 
-from halldoor.core.targets.catalog import (
-    Catalog,
+from halldoor.core.targets.catalog import Catalog
+from halldoor.core.targets.changes import (
     Change,
     EvacuationSet,
     MemberGone,
@@ -72,15 +72,24 @@
         self._on_change = on_change
         self._feed = feed
         self._revision: int | None = None
+        self._era = ""
+        self._last_revision = 0
         self._is_away = False
         self.is_loaded = asyncio.Event()
         self._watching: asyncio.Task[Update] | None = None
 
+    @property
+    def era_number(self) -> int:
+        """Number of the copy of the store that is believed; -1 where it has none."""
+        return int(self._era) if self._era.isdecimal() else -1
+
     async def run(self) -> None:
         """Read and watch until cancelled."""
         backoff_s = BACKOFF_S
         while True:
             try:
+                if self._era != self._store.era:
+                    self._revision = None
                 if self._revision is None:
                     await self._load()
                 else:
@@ -105,6 +114,7 @@
     async def _load(self) -> None:
         """Read everything; watching goes on from the first page's revision."""
         began_at = asyncio.get_running_loop().time()
+        before = self._era
         items: list[StoredItem] = []
         revision: int | None = None
         after = ""
@@ -118,11 +128,15 @@
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
+        is_restored = self.is_loaded.is_set() and before != self._store.era
         now = self._note_contact(is_return=self._is_away, heard_at=began_at)
         changes = [c for c in map(self._decode, items) if c is not None]
-        applied = self._catalog.load(changes, now)
-        self._revision = revision
-        self._feed.begin(revision or 0, began_at)
+        applied = self._catalog.load(changes, now, is_restored=is_restored)
+        if is_restored:
+            self._log_era(before, revision or 0)
+        self._revision, self._era = revision, self._store.era
+        self._last_revision = revision or 0
+        self._feed.begin(revision or 0, began_at, self._era)
         self.is_loaded.set()
         self._log.event("store", "Read all.", revision=revision, changes=len(applied))
         for change in applied:
@@ -143,6 +157,8 @@
         finally:
             self._watching = None
             task.cancel()
+        if self._store.era != self._era:
+            return  # What was asked for has another meaning now.
         events = update.events
         update = update._replace(is_return=update.is_return or self._is_away)
         now = self._note_contact(is_return=update.is_return, heard_at=update.proven_at)
@@ -151,7 +167,7 @@
             if change is not None and self._catalog.apply(change, now):
                 self._log_change(change, events.revision)
                 self._on_change(change)
-        self._revision = events.revision
+        self._revision = self._last_revision = events.revision
         self._feed.take(revision, update)
         await self._feed.pause()
 
@@ -185,6 +201,19 @@
             self._is_away = True
             self._log.event("store", "Lost.", cause=exc.message)
 
+    def _log_era(self, before: str, revision: int) -> None:
+        """Write that the store was restored from a copy, and what its answers said."""
+        self._metrics.add_store_call("range", "restored")
+        self._log.event(
+            "store",
+            "Came back from a copy; read all again.",
+            era_before=before,
+            era=self._store.era,
+            problem=find_era_problem(before, self._store.era),
+            revision_before=self._last_revision,
+            revision=revision,
+        )
+
     def _log_change(self, change: Change, revision: int) -> None:
         """Write what is believed now, and the revision of the store that says so."""
         event = self._log.event
@@ -214,6 +243,17 @@
                 event("membership", "Entry gone.", member=name, revision=revision)
 
 
+def find_era_problem(before: str, era: str) -> str:
+    """Say what is odd about the number of a copy; empty where it rose as it should."""
+    if not era:
+        return "the store no longer says which copy it is"
+    if not era.isdecimal():
+        return "it is not a number"
+    if before.isdecimal() and int(era) < int(before):
+        return "it is lower than before"
+    return ""
+
+
 def _is_cancelling() -> bool:
     """Tell whether the running task itself is being cancelled."""
     task = asyncio.current_task()
--- a/halldoor/gateway/travel.py
+++ b/halldoor/gateway/travel.py
@@ -5,7 +5,8 @@
 import asyncio
 import random
 
-from halldoor.core.targets.catalog import Catalog, MemberRecord
+from halldoor.core.targets.catalog import Catalog
+from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.latency import LatencyModel
 from halldoor.gateway.connection import ConnectionFailedError, HttpConnection
 from halldoor.gateway.eventlog import EventLog
--- a/halldoor/standins/crashfleet.py
+++ b/halldoor/standins/crashfleet.py
@@ -22,7 +22,7 @@
 from halldoor.core.quarantine.record import EvidenceRecord, from_record, to_record
 from halldoor.core.quarantine.settings import QuarantineSettings
 from halldoor.core.settings import Address
-from halldoor.core.targets.catalog import MemberRecord
+from halldoor.core.targets.changes import MemberRecord
 
 SETTINGS = QuarantineSettings()
 CALLER = "c"
--- a/halldoor/standins/memorystore.py
+++ b/halldoor/standins/memorystore.py
@@ -88,6 +88,7 @@
         self._leases = {name: set(keys) for name, keys in copy.leases.items()}
         self._next_lease = copy.next_lease
         self.copies += 1
+        self.era = str(self.copies)
         self._wake()
 
     def cut(self) -> None:
--- a/halldoor/standins/replay.py
+++ b/halldoor/standins/replay.py
@@ -17,9 +17,8 @@
 from typing import NamedTuple
 
 from halldoor.core.settings import Address
-from halldoor.core.targets.catalog import (
-    Catalog,
-    CatalogTimings,
+from halldoor.core.targets.catalog import Catalog, CatalogTimings
+from halldoor.core.targets.changes import (
     EvacuationSet,
     MemberRecord,
     MemberSeen,
--- a/halldoor/tests/choicekit.py
+++ b/halldoor/tests/choicekit.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 from halldoor.core.settings import Address
-from halldoor.core.targets.catalog import (
-    Catalog,
-    CatalogTimings,
+from halldoor.core.targets.catalog import Catalog, CatalogTimings
+from halldoor.core.targets.changes import (
     MemberRecord,
     MemberSeen,
     RoutingSeen,
--- a/halldoor/tests/test_choice.py
+++ b/halldoor/tests/test_choice.py
@@ -6,12 +6,7 @@
 
 import pytest
 
-from halldoor.core.targets.catalog import (
-    EvacuationSet,
-    RoutingSeen,
-    TargetGone,
-    TargetSeen,
-)
+from halldoor.core.targets.changes import EvacuationSet, RoutingSeen, TargetGone, TargetSeen
 from halldoor.core.targets.choice import NoTarget
 from halldoor.core.targets.order import OrderSettings
 from halldoor.core.targets.route import (
--- a/halldoor/tests/test_fleet.py
+++ b/halldoor/tests/test_fleet.py
@@ -35,6 +35,15 @@
         told = describe_fleet([parse_metrics(f"a:{i}", text) for i, text in enumerate(texts)])
         assert told[1] == "Team north: 7 requests over its quota, refused by 2 gateways"
 
+    def test_entries_that_believe_unlike_copies_of_the_store_are_told(self):
+        views = [GatewayView("a:1", store_era=3), GatewayView("b:1", store_era=2)]
+        assert describe_fleet(views)[1] == "b:1: copy 2 of the store, others know copy 3"
+
+    def test_blocked_requests_are_told(self):
+        views = [GatewayView("a:1", blocked=1), GatewayView("b:1"), GatewayView("c:1", blocked=2)]
+        told = describe_fleet(views)[1]
+        assert told == "2 requests under which targets end, blocked by 2 of 3 gateways"
+
     def test_what_stands_out_is_told_first(self):
         out = TargetOut("t1", "deck", "ejected")
         views = [
--- a/halldoor/tests/test_order.py
+++ b/halldoor/tests/test_order.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from halldoor.core.targets.catalog import TargetGone, TargetSeen
+from halldoor.core.targets.changes import TargetGone, TargetSeen
 from halldoor.core.targets.order import OrderSettings
 from halldoor.core.targets.regionshare import SHARE_STEP, RegionShares, find_own_share
 from halldoor.tests.choicekit import make_catalog, make_chooser, make_route, make_target
--- a/halldoor/tests/test_quarantine.py
+++ b/halldoor/tests/test_quarantine.py
@@ -15,7 +15,7 @@
 )
 from halldoor.core.quarantine.settings import QuarantineSettings
 from halldoor.core.settings import Address
-from halldoor.core.targets.catalog import MemberRecord
+from halldoor.core.targets.changes import MemberRecord
 
 USUAL = QuarantineSettings()
 ADDRESS = Address("127.0.0.1", 1)
--- a/halldoor/tests/test_relay.py
+++ b/halldoor/tests/test_relay.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from halldoor.core.settings import Address
-from halldoor.core.targets.catalog import MemberRecord
+from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.relay import (
     Batch,
     ChangeHistory,
--- a/halldoor/tests/test_restart.py
+++ b/halldoor/tests/test_restart.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from halldoor.core.targets.catalog import TargetGone, TargetSeen
+from halldoor.core.targets.changes import TargetGone, TargetSeen
 from halldoor.tests.choicekit import make_catalog, make_target
 from halldoor.tests.gatewaykit import GatewayKit
 
--- a/halldoor/tests/test_sharing.py
+++ b/halldoor/tests/test_sharing.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from halldoor.core.settings import Address
-from halldoor.core.targets.catalog import MemberRecord
+from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.observation import SharingSettings, choose_peers
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.metrics import GatewayMetrics
