--- a/halldoor/standins/memorystore.py
+++ b/halldoor/standins/memorystore.py
@@ -39,6 +39,8 @@
         Every call fails; what waits is cut.
     calls, ranges : int
         Calls so far, and pages of ranges among them.
+    is_slow : bool
+        Ranges are answered only once it no longer is.
     copies : int
         How often it was restored from a copy.
     """
@@ -53,6 +55,7 @@
         self.copies = 0
         self._changed = asyncio.Event()
         self.is_down = False
+        self.is_slow = False
         self.calls = 0
         self.ranges = 0
 
@@ -122,6 +125,8 @@
     async def read_range(self, prefix: str, *, after: str = "") -> Page:
         """Read a page."""
         self._call()
+        while self.is_slow:
+            await asyncio.sleep(0.01)
         self.ranges += 1
         keys = [k for k in self.list_keys(prefix) if k > after]
         items = [StoredItem(k, self._values[k]) for k in keys[:PAGE_SIZE]]
--- /dev/null
+++ b/halldoor/tests/test_suspension.py
@@ -0,0 +1,135 @@
+"""A machine that is suspended for a while, and goes on as if nothing had been.
+
+A suspension is counted by the clock of the time since boot, but not by the steady clock, which the
+gateway's event loop went by.  So nothing that an entry believed had become older: it said at once
+that it was ready and named to callers the entries of before, sent requests whose callers had given
+up, and sent them over connections whose peers had long closed them.  The check that tells of a
+process that stood still used the steady clock too, and saw nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from halldoor.core.settings import Address
+from halldoor.gateway import clock
+from halldoor.standins.sample import IP, find_ports
+from halldoor.tests.gatewaykit import GatewayKit
+
+SUSPENSIONS_S = [5.0, 60.0]
+
+
+class Suspension:
+    """The clock of the time since boot, which runs on while the machine is suspended."""
+
+    def __init__(self, monkeypatch):
+        self.slept_s = 0.0
+        read = clock.read_seconds
+        monkeypatch.setattr(clock, "read_seconds", lambda: read() + self.slept_s)
+
+
+@pytest.fixture
+def suspension(monkeypatch):
+    return Suspension(monkeypatch)
+
+
+async def ask(address, target):
+    reader, writer = await asyncio.open_connection(address.ip, address.port)
+    writer.write(f"GET {target} HTTP/1.1\r\nHost: e\r\nConnection: close\r\n\r\n".encode())
+    status = int((await reader.readline()).split()[1])
+    writer.transport.abort()
+    return status
+
+
+class TestSuspension:
+    def test_the_loop_counts_it(self, suspension):
+        async def check():
+            loop = asyncio.get_running_loop()
+            before = loop.time()
+            suspension.slept_s = 60.0
+            assert loop.time() - before > 59.0
+            async with asyncio.timeout(1.0):
+                await asyncio.sleep(0.01)
+
+        clock.run(check())
+
+    @pytest.mark.parametrize("slept_s", SUSPENSIONS_S)
+    def test_an_entry_is_not_ready_until_it_has_asked_the_store(self, suspension, slept_s):
+        async def check():
+            ready, directory = (Address(IP, port) for port in find_ports(2))
+            async with GatewayKit.open(ready=ready, directory=directory) as kit:
+                await kit.wait(lambda: kit.gateway.is_ready)
+                assert await ask(ready, "/ready") == 200
+                assert await ask(directory, "/entries?hall=ams-a&region=ams") == 200
+                asked, kit.store.is_slow = kit.store.ranges, True
+                suspension.slept_s = slept_s
+                assert await ask(ready, "/ready") == 503
+                assert await ask(directory, "/entries?hall=ams-a&region=ams") == 503
+                kit.store.is_slow = False
+                await kit.wait(lambda: kit.gateway.is_ready)
+                assert kit.store.ranges > asked
+
+        clock.run(check())
+
+    def test_a_store_that_is_down_does_not_keep_it_from_serving(self, suspension):
+        async def check():
+            async with GatewayKit.open() as kit:
+                kit.store.cut()
+                suspension.slept_s = 60.0
+                await asyncio.sleep(0.2)
+                await kit.wait(lambda: kit.gateway.is_ready, limit_s=2.0)
+                assert (await kit.call()).status == 200
+
+        clock.run(check())
+
+    @pytest.mark.parametrize("slept_s", [2.0, *SUSPENSIONS_S])
+    def test_no_connection_of_before_is_used(self, suspension, slept_s):
+        async def check():
+            async with GatewayKit.open(targets=1) as kit:
+                await kit.call()
+                await kit.call()
+                assert [r.connection for r in kit.received] == [1, 1]
+                suspension.slept_s = slept_s
+                await kit.call()
+                assert kit.received[-1].connection == 2
+
+        clock.run(check())
+
+    def test_nothing_is_sent_past_its_callers_deadline(self, suspension):
+        async def check():
+            async with GatewayKit.open(targets=1) as kit:
+                opened = kit.gateway.pool.open
+
+                async def open_and_sleep(*args, **options):
+                    connection = await opened(*args, **options)
+                    suspension.slept_s = 5.0
+                    return connection
+
+                kit.gateway.pool.open = open_and_sleep
+                reply = await kit.call(deadline_ms=800)
+                assert (reply.status, kit.received) == (503, [])
+
+        clock.run(check())
+
+    def test_what_may_have_run_is_not_sent_again(self, suspension):
+        async def check():
+            async with GatewayKit.open(route={"kind": "at-most-once"}) as kit:
+                kit.script_all("hang")
+                caller = await kit.connect()
+                await caller.send(method="POST", body=b"x")
+                await kit.wait(lambda: kit.received)
+                suspension.slept_s = 60.0
+                assert (await caller.receive()).status == 504
+                await asyncio.sleep(0.1)
+                assert len(kit.received) == 1
+
+        clock.run(check())
+
+
+class TestClock:
+    def test_a_system_without_it_goes_by_the_steady_one(self, monkeypatch):
+        monkeypatch.setattr(clock, "_BOOT_TIME", None)
+        assert not clock.counts_suspensions()
+        assert clock.read_seconds() > 0
