Measure every age and wait of the gateway by a clock that counts suspensions

Cause: the event loop went by the steady clock, which stands still while the machine is suspended, so that leases, proofs of age, shares of quotas, ejections, deadlines and idle connections were all believed to be younger than they were, and the check for a process that stood still saw nothing. Weighed: two clocks of which each use names the right one (some forty uses, and each new one can be wrong), and one clock for the loop, under which all that is due on waking happens at once. The second is kept; the log goes by it too, so that ages and the times of lines agree. A system without it says so at its start.

--- a/halldoor/cli/gateway.py
+++ b/halldoor/cli/gateway.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import sys
 from pathlib import Path
 
@@ -11,6 +10,7 @@
 
 from halldoor.core.errors import HalldoorError
 from halldoor.files import load_settings
+from halldoor.gateway import clock
 from halldoor.gateway.filestore import FileStore, GatewayFileSettings, load_configuration
 from halldoor.gateway.headers import HeaderNames
 from halldoor.gateway.lookup import PlainLookupFormat
@@ -34,7 +34,7 @@
         file = SettingsFile(
             settings, lambda: build_settings(load_settings(settings, GatewayFileSettings))
         )
-        asyncio.run(run_until_stopped(build_gateway(checked), file))
+        clock.run(run_until_stopped(build_gateway(checked), file))
     except (HalldoorError, OSError) as exc:
         sys.exit(f"halldoor-gateway: {exc}")
 
--- a/halldoor/gateway/eventlog.py
+++ b/halldoor/gateway/eventlog.py
@@ -10,12 +10,13 @@
 import os
 import queue
 import threading
-import time
 import zlib
 from typing import Any
 
 import structlog
 
+from halldoor.gateway import clock
+
 QUEUE_LIMIT = 2_000
 """Lines that may wait to be written; about 600 kB."""
 ORDINARY_PER_S = 16.0
@@ -44,7 +45,7 @@
         self._fd = fd
         self._queue: queue.Queue[bytes | None] = queue.Queue(QUEUE_LIMIT)
         self._credit = float(LINES_AT_ONCE)
-        self._credit_at = time.monotonic()
+        self._credit_at = clock.read_seconds()
         self._dropped = 0
         self._pace = _Pace()
         self._render = structlog.processors.JSONRenderer()
@@ -65,7 +66,7 @@
         is_ordinary = status < 400 and not is_late and len(fields.get("attempts", ())) <= 1
         stands_for = 1
         if is_ordinary:
-            stands_for = math.ceil(self._pace.add(time.monotonic()) / ORDINARY_PER_S)
+            stands_for = math.ceil(self._pace.add(clock.read_seconds()) / ORDINARY_PER_S)
             if not _is_sampled(attempt_id, stands_for):
                 return
         fields |= {
@@ -78,7 +79,7 @@
 
     def _put(self, text: str, fields: dict[str, Any]) -> None:
         """Queue a line unless too many were written lately."""
-        now = time.monotonic()
+        now = clock.read_seconds()
         gained = (now - self._credit_at) * LINES_PER_S
         self._credit = min(float(LINES_AT_ONCE), self._credit + gained)
         self._credit_at = now
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -26,6 +26,7 @@
 from halldoor.core.targets.route import CallerLimits
 from halldoor.core.targets.split import Splitter
 from halldoor.core.teams.gate import QuotaGate
+from halldoor.gateway import clock
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.caller import CallerConnection, listen
 from halldoor.gateway.datagrams import DatagramPort
@@ -288,6 +289,8 @@
             self._start_task(part)
         self._registering = self._start_task(self.registration.run())
         self.log.event("process", "Started.", hall=settings.hall, front=str(settings.front))
+        if not clock.counts_suspensions():
+            self.log.event("process", "This system's clock does not count suspensions.")
 
     def _start_task(self, part: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Start a task that must not end."""
