An entry that stood still is not ready, and names nobody, until it has asked the store

What callers saw: an entry that wakes after a minute named the entries of before, and said that it was ready, for as long as its watch took to notice. Cause: a process that stood still asked the store anew, but relied on what it knew meanwhile; kept connections were used up to their limit of 4 s. Now the store is read whole on waking, readiness and look-ups wait until it was asked (a store that is down answers that too: then what is known has to do), and kept connections to targets are closed. Housekeeping is a module of its own.

--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -35,6 +35,7 @@
 from halldoor.gateway.flows import FlowWatch
 from halldoor.gateway.headers import HeaderNames
 from halldoor.gateway.lookup import LookupFormat
+from halldoor.gateway.maintenance import Maintenance
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pages import GatewayFigures, GatewayState, Pages
 from halldoor.gateway.pool import TargetPool
@@ -50,12 +51,6 @@
 from halldoor.gateway.sync import StoreSync, stop_task
 from halldoor.gateway.travel import TravelProbe
 
-TICK_S = 0.1
-"""Period of housekeeping, in seconds."""
-STALL_S = 1.0
-"""A tick that comes so late means that the process stood still, in seconds."""
-SWEEP_TICKS = 10
-"""Ticks between two sweeps of idle connections."""
 QUIET_S = 0.3
 """Time without a request after which a stopping process may end, in seconds."""
 STOP_MARGIN_S = 0.3
@@ -106,6 +101,13 @@
         )
         self._build_requests(names)
         self._build_store_tasks(store, codec)
+        self.maintenance = Maintenance(
+            self.catalog,
+            self.pool,
+            on_change=self._note_change,
+            on_stall=self._note_stall,
+            log=self.log,
+        )
         self._pages = Pages(self._read_state, self._read_figures, lookups, self.metrics)
         self._callers: set[CallerConnection] = set()
         self._others: set[CallerConnection] = set()
@@ -142,6 +144,9 @@
         )
         self.travel = TravelProbe(self.member, self.catalog, latency, log=self.log)
         self.retries = RetryGate(self.catalog, settings.retries)
+        flows = FlowWatch(
+            settings.region, self.chooser.orders, self.catalog, log=self.log, metrics=self.metrics
+        )
         splitter = Splitter()
         self._build_access(splitter, names)
         self.sharing = ObservationSharing(
@@ -160,7 +165,7 @@
             retries=self.retries,
             access=self.access,
             splitter=splitter,
-            flows=self._build_flows(),
+            flows=flows,
             quarantine=self.quarantine,
         )
 
@@ -173,16 +178,6 @@
         )
         self.quotas = QuotaExchange(self.member, self.catalog, self.access, self.port, log=self.log)
 
-    def _build_flows(self) -> FlowWatch:
-        """Build what counts in which regions requests run."""
-        return FlowWatch(
-            self.settings.region,
-            self.chooser.orders,
-            self.catalog,
-            log=self.log,
-            metrics=self.metrics,
-        )
-
     def _build_store_tasks(self, store: MetadataStore, codec: RecordCodec) -> None:
         """Build what keeps the catalog in step with the store, and this entry registered."""
         settings = self.settings
@@ -220,14 +215,20 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
-        return self.catalog.routing is not None and not self.is_stopping
+        is_known = self.catalog.routing is not None and not self.is_confirming
+        return is_known and not self.is_stopping
+
+    @property
+    def is_confirming(self) -> bool:
+        """Tell whether what is known may be old: the process stood still, and asks the store."""
+        return self.sync.is_confirming or self.maintenance.has_stood_still()
 
     def _read_state(self) -> GatewayState:
         """Give what readiness questions and look-ups ask for."""
         return GatewayState(
             is_ready=self.is_ready,
             own=self.member,
-            members=self.catalog.members.values(),
+            members=() if self.is_confirming else self.catalog.members.values(),
             lookup_ttl_s=self.settings.lookup_ttl_s,
         )
 
@@ -279,7 +280,7 @@
         await self.port.start()
         parts = (
             self.sync.run(),
-            self._run_maintenance(),
+            self.maintenance.run(),
             self.travel.run(),
             self.quotas.run(),
             self.sharing.run(),
@@ -365,25 +366,10 @@
         self.port.close()
         self.log.close()
 
-    async def _run_maintenance(self) -> None:
-        """Drop what has run out, and notice when the process stood still."""
-        loop = asyncio.get_running_loop()
-        last = loop.time()
-        tick = 0
-        while True:
-            await asyncio.sleep(TICK_S)
-            now = loop.time()
-            if now - last > STALL_S:
-                self.log.event("process", "Stood still.", for_s=round(now - last, 2))
-                self.sync.restart("the process stood still")
-            last = now
-            for name in self.catalog.drop_lapsed(now):
-                self._note_change(TargetGone(name))
-            for change in self.catalog.apply_postponed(now):
-                self._note_change(change)
-            tick += 1
-            if tick % SWEEP_TICKS == 0:
-                self.pool.sweep()
+    def _note_stall(self) -> None:
+        """Believe nothing of before: ask the store anew, and use no connection of then."""
+        self.pool.close()
+        self.sync.confirm("the process stood still")
 
     def _note_contact(self) -> None:
         """Note that the store answered."""
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -75,6 +75,7 @@
         self._era = ""
         self._last_revision = 0
         self._is_away = False
+        self.is_confirming = False
         self.is_loaded = asyncio.Event()
         self._watching: asyncio.Task[Update] | None = None
 
@@ -111,6 +112,12 @@
         if self._watching is not None:
             self._watching.cancel()
 
+    def confirm(self, cause: str) -> None:
+        """Read the store anew, and let nobody rely on what is known until it was asked."""
+        self.is_confirming = True
+        self._revision = None
+        self.restart(cause)
+
     async def _load(self) -> None:
         """Read everything; watching goes on from the first page's revision."""
         began_at = asyncio.get_running_loop().time()
@@ -157,8 +164,8 @@
         finally:
             self._watching = None
             task.cancel()
-        if self._store.era != self._era:
-            return  # What was asked for has another meaning now.
+        if self._store.era != self._era or self._revision is None:
+            return  # What was asked for has another meaning now, or is not to be relied on.
         events = update.events
         update = update._replace(is_return=update.is_return or self._is_away)
         now = self._note_contact(is_return=update.is_return, heard_at=update.proven_at)
@@ -191,11 +198,12 @@
         if is_return:
             self._catalog.begin_settling(now)
             self._log.event("store", "Back." if self._is_away else "Back, as its reader says.")
-        self._is_away = False
+        self._is_away = self.is_confirming = False
         return now
 
     def _note_away(self, exc: StoreError) -> None:
-        """Note that the store did not answer."""
+        """Note that the store did not answer: what is known has to do."""
+        self.is_confirming = False
         self._metrics.add_store_call("watch", "failed")
         if not self._is_away:
             self._is_away = True
