Send nothing once its caller's deadline has passed, and use no connection from before a suspension

What targets saw: a request with a deadline of 1 ms, of a caller that had given up while its connection came up and the machine was suspended.

--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -121,6 +121,10 @@
     """The time for an answer ended; the request may have run."""
 
 
+class NotSent(NamedTuple):
+    """The time for an answer ended before the request was sent."""
+
+
 class BodyFailed(NamedTuple):
     """The caller's body broke off or passed the limit; the target's connection was closed."""
 
@@ -128,7 +132,14 @@
 
 
 Outcome = (
-    WholeAnswer | PartialAnswer | Rejected | ConnectFailed | AnswerLost | TimedOut | BodyFailed
+    WholeAnswer
+    | PartialAnswer
+    | Rejected
+    | ConnectFailed
+    | NotSent
+    | AnswerLost
+    | TimedOut
+    | BodyFailed
 )
 
 
@@ -177,6 +188,9 @@
                 connection = await self._connect(outgoing, incarnation, address)
                 took_s = asyncio.get_running_loop().time() - started
                 connecting = Connecting(took_s, is_reused=connection.exchanges > 0)
+                if asyncio.get_running_loop().time() >= outgoing.expires_at:
+                    # The machine may have been suspended meanwhile: nobody waits any more.
+                    return NotSent(), connecting
                 outcome = await self._exchange(connection, outgoing, incarnation)
             if not isinstance(outcome, PartialAnswer):
                 # It closes the connection where the exchange did not end cleanly.
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -19,6 +19,7 @@
     BodyFailed,
     ConnectFailed,
     Connecting,
+    NotSent,
     Outcome,
     PartialAnswer,
     Rejected,
@@ -126,6 +127,8 @@
             case ConnectFailed(detail):
                 self.add_failure(name, now, detail, is_dead=True)
                 return AttemptResult.NOT_REACHED, detail
+            case NotSent():
+                return AttemptResult.NOT_REACHED, "no time left"
             case AnswerLost(detail):
                 self.add_failure(name, now, detail)
                 return AttemptResult.ANSWER_LOST, detail
--- a/halldoor/gateway/pool.py
+++ b/halldoor/gateway/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -19,6 +20,9 @@
 """
 IDLE_LIMIT_S = 4.0
 """Longest rest of a connection whose target names none, in seconds."""
+SWEPT_LIMIT_S = 2.5
+"""Time since the last sweep from which no kept connection is trusted, in seconds: one comes each
+second, unless the process stood still."""
 IDLE_KEPT = 8
 """Idle connections kept per target."""
 
@@ -59,6 +63,7 @@
     def __init__(self, settings: ConnectionSettings | None = None) -> None:
         self._settings = settings or ConnectionSettings()
         self._idle: dict[str, list[HttpConnection]] = {}
+        self._swept_at = math.inf
         self.opened = 0
 
     def take_idle(self, incarnation: str, kind: RequestKind) -> HttpConnection | None:
@@ -66,6 +71,9 @@
         if not self._allows_reuse(kind):
             return None
         now = asyncio.get_running_loop().time()
+        if now - self._swept_at > SWEPT_LIMIT_S:
+            # The machine was suspended, which nobody has noticed yet.
+            self.close()
         idle = self._idle.get(incarnation, [])
         while idle:
             connection = idle.pop()
@@ -123,7 +131,7 @@
 
     def sweep(self) -> None:
         """Close connections that rested too long."""
-        now = asyncio.get_running_loop().time()
+        now = self._swept_at = asyncio.get_running_loop().time()
         for name, idle in list(self._idle.items()):
             for connection in idle:
                 if not connection.is_usable(now):
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -32,6 +32,7 @@
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.exchange import (
     Exchanger,
+    NotSent,
     Outcome,
     OutgoingRequest,
     PartialAnswer,
@@ -183,7 +184,7 @@
                     return await self._stream(caller, state, outgoing, outcome, target)
             if isinstance(outcome, WholeAnswer) and not _is_worth_retry(state, outcome):
                 return self._deliver(caller, state, outcome.answer, target)
-            if isinstance(outcome, TimedOut):
+            if isinstance(outcome, TimedOut | NotSent):
                 return state.build_give_up("no answer in time", is_late=True)
             obstacle = self._find_obstacle(state, outgoing)
             if obstacle is not None:
