--- a/halldoor/core/quarantine/quarantine.py
+++ b/halldoor/core/quarantine/quarantine.py
@@ -192,8 +192,6 @@
 
     def note_answer(self, digest: str, now: float) -> None:
         """Note that a target answered a request soundly, and so did not end under it."""
-        if not self.settings.limit:
-            return
         self._sound_at[digest] = now
         self._sound_at.move_to_end(digest)
         if len(self._sound_at) > SOUND_KEPT:
--- a/halldoor/tests/test_quarantine.py
+++ b/halldoor/tests/test_quarantine.py
@@ -106,6 +106,15 @@
         assert entry.find_block(D, 9.0) is None
         assert entry.take_messages(9.0) == []
 
+    def test_an_answer_while_it_is_off_lifts_it_for_good(self):
+        entry = open_entry("e1")
+        end_targets(entry, 3)
+        entry.settings = QuarantineSettings(limit=0)
+        assert entry.find_block(D, 4.0) is None
+        entry.note_answer("d", 4.0)
+        entry.settings = USUAL
+        assert entry.find_block(D, 5.0) is None
+
     def test_memory_is_bounded_and_keeps_what_is_blocked(self):
         entry = open_entry("e1")
         end_targets(entry, 3)
