--- a/benchmarks/crashes.py
+++ b/benchmarks/crashes.py
@@ -3,17 +3,14 @@
 from __future__ import annotations
 
 from benchmarks.common import format_table, write_result
-from halldoor.standins.crashfleet import (
-    CountingWay,
-    Fleet,
+from halldoor.standins.crashfleet import CountingWay, Fleet, Run, Trouble
+from halldoor.standins.crashways import (
     Homes,
     HomesAndRecord,
     NoSum,
     OwnSum,
-    Run,
     StoreSum,
     TellAll,
-    Trouble,
 )
 
 FLEETS = (10, 75, 300)
--- a/halldoor/core/quarantine/quarantine.py
+++ b/halldoor/core/quarantine/quarantine.py
@@ -18,6 +18,7 @@
 from halldoor.core.quarantine.homes import FLEET_HOMES
 from halldoor.core.quarantine.identity import Identity
 from halldoor.core.quarantine.settings import QuarantineSettings
+from halldoor.core.quarantine.watch import Watch
 
 CASES_KEPT = 4096
 """Requests that are remembered for ends, about 2 MB; callers can't make an entry remember more."""
@@ -75,35 +76,6 @@
     trial: int | None
 
 
-class _Watch:
-    """A case, and who was told of it.
-
-    Attributes
-    ----------
-    told : Evidence or None
-        What all were told last, by this entry.
-    recorded : Evidence or None
-        What the store holds.
-    record_at, repeats : float or None, list of float
-        When it is to be recorded, and told again; in seconds of the clock of ``now``.
-    heard : Evidence or None
-        What another entry told all last.
-    homes : tuple of str
-        Who was told of the own ends.
-    """
-
-    def __init__(self, digest: str) -> None:
-        self.case = Case(digest)
-        self.is_blocked = False
-        self.told: Evidence | None = None
-        self.recorded: Evidence | None = None
-        self.record_at: float | None = None
-        self.repeats: list[float] = []
-        self.heard: Evidence | None = None
-        self.homes: tuple[str, ...] = ()
-        self.trials_taken: set[int] = set()
-
-
 class BlockChange(NamedTuple):
     """A request that is blocked now, or no longer is; for logs."""
 
@@ -142,7 +114,7 @@
         self.settings = settings
         self._find_homes = find_homes
         self._on_change = on_change
-        self._watches: OrderedDict[str, _Watch] = OrderedDict()
+        self._watches: OrderedDict[str, Watch] = OrderedDict()
         self._sound_at: OrderedDict[str, float] = OrderedDict()
         self._outbox: list[Message] = []
 
@@ -236,7 +208,7 @@
             watch.case.forget_before(now - self.settings.memory_s)
             self._plan_record(watch, now)
 
-    def _merge(self, watch: _Watch, evidence: Evidence, now: float) -> None:
+    def _merge(self, watch: Watch, evidence: Evidence, now: float) -> None:
         """Merge evidence, and add what this entry knows to the contrary."""
         is_news = watch.case.merge(evidence, now)
         answered_at = self._find_answer(evidence.digest, now)
@@ -258,14 +230,14 @@
 
     # Telling others
 
-    def _spread(self, watch: _Watch, now: float) -> None:
+    def _spread(self, watch: Watch, now: float) -> None:
         """Judge anew, and let the others know."""
         self._judge(watch, now)
         self._tell_homes(watch, now)
         self._tell_all_if_home(watch, now)
         self._plan_record(watch, now)
 
-    def _judge(self, watch: _Watch, now: float) -> None:
+    def _judge(self, watch: Watch, now: float) -> None:
         """Note whether a request is blocked."""
         is_blocked = watch.case.is_blocked(self.settings)
         if is_blocked == watch.is_blocked:
@@ -276,7 +248,7 @@
             watch.repeats.clear()
         self._on_change(BlockChange(watch.case.build_evidence(now), is_blocked))
 
-    def _is_known(self, watch: _Watch, evidence: Evidence | None) -> bool:
+    def _is_known(self, watch: Watch, evidence: Evidence | None) -> bool:
         """Tell whether who has some evidence need not be told more."""
         if evidence is None or watch.case.is_covered_by(evidence):
             return evidence is not None
@@ -287,18 +259,18 @@
         is_blocked_for_all = len(case.list_callers()) > 1 or len(watch.case.list_callers()) == 1
         return is_blocked_for_all and case.is_blocked(self.settings)
 
-    def _list_other_homes(self, watch: _Watch) -> tuple[str, ...]:
+    def _list_other_homes(self, watch: Watch) -> tuple[str, ...]:
         """List those who count for a request, this entry left out."""
         homes = self._find_homes(watch.case.digest)
         return tuple(name for name in homes if name != self._own_name)
 
-    def _tell_homes(self, watch: _Watch, now: float) -> None:
+    def _tell_homes(self, watch: Watch, now: float) -> None:
         """Tell those who count."""
         watch.homes = self._list_other_homes(watch)
         if watch.homes:
             self._outbox.append(Message(watch.homes, watch.case.build_evidence(now)))
 
-    def _tell_all_if_home(self, watch: _Watch, now: float) -> None:
+    def _tell_all_if_home(self, watch: Watch, now: float) -> None:
         """Tell everybody, where this entry counts and there is enough to tell."""
         is_home = self._own_name in self._find_homes(watch.case.digest)
         is_worth = watch.case.count_ends() >= LEAST_TOLD or watch.told is not None
@@ -308,14 +280,14 @@
         if watch.is_blocked:
             watch.repeats = [now + after_s for after_s in REPEATS_S]
 
-    def _tell_all(self, watch: _Watch, now: float) -> None:
+    def _tell_all(self, watch: Watch, now: float) -> None:
         """Tell everybody for whom this entry counts: the fleet, or its hall."""
         watch.told = watch.case.build_evidence(now)
         place = self._find_homes(watch.case.digest).index(self._own_name)
         audience = Audience.FLEET if place < FLEET_HOMES else Audience.HALL
         self._outbox.append(Message(audience, watch.told))
 
-    def _plan_record(self, watch: _Watch, now: float) -> None:
+    def _plan_record(self, watch: Watch, now: float) -> None:
         """Plan when this entry records a case, unless another has done so by then."""
         planned_at, watch.record_at = watch.record_at, None
         is_worth = watch.case.count_ends() >= LEAST_TOLD or watch.recorded is not None
@@ -397,13 +369,13 @@
         """Count the requests that are blocked."""
         return sum(watch.is_blocked for watch in self._watches.values())
 
-    def _watch(self, digest: str) -> _Watch:
+    def _watch(self, digest: str) -> Watch:
         """Give what is known of a request; the least lately met one makes room."""
         watch = self._watches.get(digest)
         if watch is None:
             if len(self._watches) >= CASES_KEPT:
                 free = (d for d, w in self._watches.items() if not w.is_blocked)
                 del self._watches[next(free, next(iter(self._watches)))]
-            watch = self._watches[digest] = _Watch(digest)
+            watch = self._watches[digest] = Watch(digest)
         self._watches.move_to_end(digest)
         return watch
--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -290,8 +290,7 @@
                 target, now, self._cold_limit(target)
             ):
                 # It must not stand for one of the key's own targets: those that served the key
-                # before it came back are next, and warm.  In a replay of a hall of two that
-                # returns cold, none is refused until it is warm; 122 to 160 otherwise (4 seeds).
+                # before it came back are next, and warm; requests would be refused beside them.
                 passed["cold"] += 1
             else:
                 has_sound = True
@@ -305,9 +304,7 @@
         """Give candidates with their places, from 0.
 
         Where a key's near first target is out, a far one does not stand for it: what waits there
-        makes that region's callers late too.  With a region whose targets had all just come back
-        cold, 0.33 of all requests are in time in 2 s, 0.23 where its overflow waits (a played day
-        of 10 entries).
+        makes that region's callers late too.
         """
         place = 0
         for target in candidates:
@@ -340,9 +337,8 @@
         total = round(self.settings.load_factor * target.record.slots)
         whole, rest = divmod(total, self._catalog.count_members())
         if not whole:
-            # One at least, whatever the rank.  Ranking this entry among 195 for each target that
-            # had not reported took 52% of an entry's processor time in the first seconds of a
-            # fleet (profile of one entry in a play of 195).
+            # One at least, whatever the rank: ranking this entry in a large fleet for each target
+            # that has not reported would take half of its processor time at the fleet's start.
             return 1
         return max(1, whole + (1 if self._ranks.get_rank(target.name) < rest else 0))
 
--- a/halldoor/core/targets/load.py
+++ b/halldoor/core/targets/load.py
@@ -2,10 +2,8 @@
 
 Load pattern: keys that stay on their targets, so that a target with several of them is busy for
 long, and entries that hear of it the more seldom the larger the fleet is.  How long a report counts
-follows from what is observed: the time until the next one is due, and the work of the service.  In
-a replay of 60 entries and 66 targets at 0.6 of their slots, where an entry hears of a target every
-8 s, 0.96 of the requests after the first 6 s were in time (mean of 6 seeds) where reports that
-fade in 0.2 s and 3 s left 0.82.
+follows from what is observed: the time until the next one is due, and the work of the service.  A
+fixed time would be too short for a large fleet, or too long for a small one.
 """
 
 from __future__ import annotations
@@ -16,15 +14,9 @@
 NEWS_LEAST_S = 0.2
 """Shortest time in which a report fades, in seconds: one to two requests of 0.1 s."""
 NEWS_GAPS = 0.5
-"""Time in which a report fades, in parts of the time until the next one is due.
-
-In the replay, 0.5 of it served best of 0.02, 0.06, 0.12, 0.25, 0.5, 1 and 4.
-"""
+"""Time in which a report fades, in parts of the time until the next one is due."""
 NEWS_WORKS = 8.0
-"""Longest time in which a report fades, in multiples of the mean work: a queue has changed then.
-
-It is the best of the replay's values over its mean work of 0.5 s.
-"""
+"""Longest time in which a report fades, in multiples of the mean work: a queue has changed then."""
 HABIT_LEAST_S = 3.0
 """Shortest time in which what others usually have is forgotten without reports, in seconds."""
 HABIT_GAPS = 4.0
--- a/halldoor/core/targets/observation.py
+++ b/halldoor/core/targets/observation.py
@@ -3,8 +3,7 @@
 Load pattern: a fleet in which an entry meets a target, or a key, once in many seconds.  Alone it
 knows neither how busy a target is nor where a key is warm, and so waits at full targets, sends keys
 to cold ones, and refuses what others had room for.  The entries of a hall see a dozen times as much
-together.  In a replay of 75 entries at 0.9 of what their targets can do, 0.86 of the requests were
-in time with what a hall knows, 0.82 with what an entry knows.
+together.
 
 Observations are hints: one that is lost or late costs nothing, and nothing is decided by them but
 the choice between targets.
--- a/halldoor/core/targets/order.py
+++ b/halldoor/core/targets/order.py
@@ -18,10 +18,7 @@
 """Orders of targets by key that are kept between changes; a few hundred bytes each."""
 
 OWN_WEIGHT = 6.0
-"""Weight of the own region's targets among a key's further targets.
-
-At 12 entries 2, 6 and 12 were measured: 6 served best.
-"""
+"""Weight of the own region's targets among a key's further targets."""
 
 _UNITS = float((1 << 64) + 1)
 _BY_SCORE = itemgetter(0, 1)
@@ -208,9 +205,8 @@
             return _Order(self._place(warm, placement), math.inf)
         order = self._place([target for _, _, target in scored], placement)
         # Targets of a hall turn cold, and stop being cold, in the same moment.  They keep their
-        # places, for what their rates allow, and the others are ordered as if those were gone: in
-        # a replay of a hall of two that returns cold, 0.05 to 0.07 of the region's requests change
-        # their region within 2 s; 0.31 to 0.37 where the next in order may be far (4 seeds).
+        # places, for what their rates allow, and the others are ordered as if those were gone:
+        # otherwise a third of the region's requests would change their region at once.
         others = iter(self._place(warm, placement))
         targets = [target if target.is_cold(now) else next(others) for target in order]
         until = min(target.cold_until for target in order if target.is_cold(now))
@@ -229,8 +225,7 @@
         share.weights.add(point, now)
         if point < share.present:
             return _Placement.OWN
-        # What spills comes back as slowly as the keys do.  In a replay of a region whose halls
-        # both come back, 0.11 of its requests move within 2 s; 0.16 where they come back at once.
+        # What spills comes back as slowly as the keys do: together they must not pass the bound.
         is_away = share.lag > 0 and to_unit(f"spill of {key}") < share.lag
         return _Placement.AWAY if is_away else _Placement.OTHER
 
--- a/halldoor/core/targets/regionshare.py
+++ b/halldoor/core/targets/regionshare.py
@@ -17,8 +17,7 @@
 """Step of the share of keys whose first target stands in the own region."""
 SLEW_PART = 1 / 3
 """Part of what may move at a time that is used; chance moves as much between windows of 250
-requests.  In a replay of a region whose halls both come back, 0.11 of its requests move within 2 s
-(4 seeds summed up)."""
+requests."""
 BUCKETS = 100
 """Parts of the key space in which requests are counted: with some tens of keys, one key each."""
 MEMORY_S = 10.0
@@ -37,21 +36,18 @@
     Load pattern: a region with a tenth of the targets and a third of the callers, beside regions
     with targets to spare.  A fixed weight of 6 for the own region gives the first 1.3 times the
     mean load and sends the others' requests far for nothing.  So the share follows from room: a
-    region's part of the service's slots over its part of the callers.  In a replay of 60 entries
-    at 0.6 of the slots, 0.80 of the small region's requests were in time by room, 0.77 by weight.
+    region's part of the service's slots over its part of the callers.
 
     Attributes
     ----------
     fill : float
         Load of the own region's targets that is accepted for being near, in multiples of the mean
-        load, where travelling counts.  At 12 entries and a round trip of 0.1 to 0.2 of the aim,
-        weights that come to 0.6, 1.3 and 1.9 of it were measured: 1.3 served best.
+        load, where travelling counts.
     near_fill : float
         The same where a round trip is less than `near_share` of the route's aim.
     near_share : float
-        Below it, a caller hardly notices where the target is.  On a busy fleet of 75 with a round
-        trip of 0.07 of the aim, 0.1 in place of 0.04 answers 64% in place of 57% of the small
-        region's callers in time; what the region can't carry waits there for nothing.
+        Below it, a caller hardly notices where the target is, and what the region can't carry
+        would wait there for nothing.
     most : float
         Largest share.  The rest keeps targets elsewhere in use, and connections to them open.
     """
@@ -142,8 +138,8 @@
     """The share of one service, which follows the room at a bounded speed.
 
     What is lost moves at once: requests can't go on where there is no target.  What is won, or
-    asked for, moves slowly, by the requests that move and not by the number of keys: in the replay
-    of a returning region, 0.11 of its requests move within 2 s, 0.67 to 0.79 without the bound.
+    asked for, moves slowly, by the requests that move and not by the number of keys: a region that
+    returns would take most of its requests back at once.
 
     Attributes
     ----------
--- a/halldoor/core/targets/settings.py
+++ b/halldoor/core/targets/settings.py
@@ -19,16 +19,15 @@
         Requests on a target from which it is passed over, in multiples of its slots.
     spill_choices : int
         Targets that share a key's requests; each of them has to see the key once to be warm for
-        it.  One to three were measured: two served best.
+        it.
     spare_load : float
         Pressure below which any other target of the order may help out, once the first ones
         can't answer in time.  0: none may.  What helps out is cold for the key and occupies a slot
-        three times as long: of 343 such cold answers on a busy fleet of 75, 300 were late.
+        three times as long.
     wait_limit : float
         Time that a request may wait for a slot, in multiples of what its route's aim leaves
         after travelling and warm work.  0: no limit but `full_load`.  Loads are known
-        roughly, so that some of what is refused at 1 can be in time: on a busy fleet of 75 in a
-        replay 0.86 of the requests are at 2.2, 0.83 at 1.
+        roughly, so that some of what would be refused at 1 can be in time.
     ejected_share : float
         Part of a service's targets that may be passed over as broken; beyond it none is.
         0: none is passed over.
--- a/halldoor/core/teams/ledger.py
+++ b/halldoor/core/teams/ledger.py
@@ -38,9 +38,8 @@
 START_LEVEL = -0.5
 """Level of a bucket when its collector begins to count, in parts of the burst.
 
-What was admitted just before is not known.  A team below its rate notices nothing of it after the
-first second; a hot one got 4% more than the bound of 5 s where a collector that restarted under
-it began at 0.
+What was admitted just before is not known, and a hot team would pass its bound where a collector
+that restarted under it began at 0.  A team below its rate notices nothing after the first second.
 """
 BUCKET_SHARE = 0.9
 """Part of a team's burst that the collector hands out at once; the rest covers the time until a
--- a/halldoor/core/teams/quota.py
+++ b/halldoor/core/teams/quota.py
@@ -25,8 +25,8 @@
 """
 PERIOD_ENTRIES = 300
 """Entries up to which the period holds; beyond, it grows with them, so that a collector never gets
-more than 1,000 reports a second.  At a period of 0.9 s a team that asked for 7.5 times its usual
-got a sixth more in 5 s than it may, at 0.3 s a tenth less (simulated, 300 entries)."""
+more than 1,000 reports a second.  The longer it is, the more a hot team gets before its share is
+in force."""
 PERIODS_SENT = 2
 """Periods in each report: one report may be lost without a trace."""
 FRESH_PERIODS = 3.5
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -121,6 +121,7 @@
         settings = self.settings
         outliers = OutlierTable(settings.outliers)
         loads, latency = LoadTable(), LatencyModel()
+        self.travel = TravelProbe(self.member, self.catalog, latency, log=self.log)
         self.chooser = Chooser(
             self.catalog,
             outliers,
@@ -142,8 +143,6 @@
             names=names,
             log=self.log,
         )
-        self.travel = TravelProbe(self.member, self.catalog, latency, log=self.log)
-        self.retries = RetryGate(self.catalog, settings.retries)
         flows = FlowWatch(
             settings.region, self.chooser.orders, self.catalog, log=self.log, metrics=self.metrics
         )
@@ -170,8 +169,9 @@
         )
 
     def _build_access(self, splitter: Splitter, names: HeaderNames) -> None:
-        """Build what lets requests in, by routes, teams and quotas."""
+        """Build what lets requests in, by routes, teams and quotas, and lets them be repeated."""
         settings = self.settings
+        self.retries = RetryGate(self.catalog, settings.retries)
         gate = QuotaGate(settings.name, secrets.randbits(32), Random().random)
         self.access = CallerAccess(
             self.catalog, gate, splitter, names=names, settings=settings.access
--- a/halldoor/gateway/registration.py
+++ b/halldoor/gateway/registration.py
@@ -24,9 +24,8 @@
     Parameters
     ----------
     is_loaded : asyncio.Event
-        Set once everything was read.  An entry that is named in look-ups before answers 503, for
-        0.07 s at the median and 0.24 s at most where 195 entries start at once (from their logs);
-        and no other can follow it yet.
+        Set once everything was read.  An entry that is named in look-ups before answers 503, and
+        no other can follow it yet.
     on_contact : callable
         Called whenever the store answered a renewal.
     on_return : callable
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -126,8 +126,7 @@
         revision: int | None = None
         after = ""
         while True:
-            # One range over all keys, as in the watch: at 195 entries and 717 targets it takes
-            # two calls a start where a range by kind of record takes four.
+            # One range over all keys, as in the watch: one by kind of record takes more calls.
             page = await self._store.read_range("", after=after)
             self._metrics.add_store_call("range", "ok")
             revision = page.revision if revision is None else min(revision, page.revision)
--- a/properties/test_quarantine.py
+++ b/properties/test_quarantine.py
@@ -8,7 +8,8 @@
 from halldoor.core.quarantine.evidence import Case, Evidence, TargetEnd
 from halldoor.core.quarantine.record import from_record, to_record
 from halldoor.core.quarantine.settings import QuarantineSettings
-from halldoor.standins.crashfleet import Fleet, HomesAndRecord, Run, Trouble
+from halldoor.standins.crashfleet import Fleet, Run, Trouble
+from halldoor.standins.crashways import HomesAndRecord
 
 LATE_SENDS = 3
 """Sendings that all entries together may make once all had time to know."""
