Refuse what lay unread while the process stood still

What targets saw: requests of callers that had given up seconds before. Cause: a request's time counts from the reading of its head, and what lay in a socket while the machine was suspended looks new. Until the store was asked, and for 0.2 s after waking, requests are refused as not run; their callers, if they are still there, come back. Ruled out: the deadline in the request, which is a duration.

--- a/halldoor/core/teams/admission.py
+++ b/halldoor/core/teams/admission.py
@@ -21,6 +21,7 @@
     """Why a request is not let in; part of the answer and of the log line."""
 
     NO_CONFIGURATION = "no configuration yet"
+    STOOD_STILL = "the entry stood still"
     NO_ROUTE = "no route"
     UNKNOWN_KEY = "key unknown"
     OLD_CONFIGURATION = "configuration may be old"
@@ -33,6 +34,7 @@
 
 _STATUSES = {
     RefusalReason.NO_CONFIGURATION: 503,
+    RefusalReason.STOOD_STILL: 503,
     RefusalReason.NO_ROUTE: 404,
     RefusalReason.UNKNOWN_KEY: 401,
     RefusalReason.OLD_CONFIGURATION: 503,
--- a/halldoor/gateway/access.py
+++ b/halldoor/gateway/access.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 
 from halldoor.core.targets.catalog import Catalog
@@ -30,6 +31,8 @@
         This entry's part of the quotas.
     splitter : Splitter
         Told which routes there are.
+    is_confirming : callable
+        Tells whether the process stood still and has not asked the store since.
     """
 
     def __init__(
@@ -40,6 +43,7 @@
         *,
         names: HeaderNames,
         settings: AccessSettings,
+        is_confirming: Callable[[], bool],
     ) -> None:
         self._catalog = catalog
         self.gate = gate
@@ -47,6 +51,7 @@
         self._names = names
         self.settings = settings
         self._random = Random()
+        self._is_confirming = is_confirming
         self._table: AccessTable | None = None
 
     @property
@@ -68,6 +73,9 @@
 
     def enter(self, head: Head, now: float) -> Entrance | Refusal:
         """Decide about a request by its head."""
+        if self._is_confirming():
+            # Nobody knows how long it lay unread: its caller may have given up long ago.
+            return Refusal(RefusalReason.STOOD_STILL)
         table = self.find_table()
         if table is None:
             return Refusal(RefusalReason.NO_CONFIGURATION)
--- a/halldoor/gateway/maintenance.py
+++ b/halldoor/gateway/maintenance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from halldoor.core.targets.catalog import Catalog
@@ -14,6 +15,8 @@
 """Period of housekeeping, in seconds."""
 STALL_S = 1.0
 """A tick that comes so late means that the process stood still, in seconds."""
+UNREAD_S = 0.2
+"""Time in which all that lay unread while the process stood still is read, in seconds."""
 SWEEP_TICKS = 10
 """Ticks between two sweeps of idle connections."""
 
@@ -46,10 +49,15 @@
         self._on_stall = on_stall
         self._log = log
         self._ticked_at: float | None = None
+        self._woke_at = -math.inf
 
     def has_stood_still(self) -> bool:
-        """Tell whether the process stood still and has not taken note of it yet."""
+        """Tell whether the process has just stood still, whether it has noticed or not."""
         now = asyncio.get_running_loop().time()
+        return self._is_late(now) or now - self._woke_at < UNREAD_S
+
+    def _is_late(self, now: float) -> bool:
+        """Tell whether the tick is later than a busy process makes it."""
         return self._ticked_at is not None and now - self._ticked_at > STALL_S
 
     async def run(self) -> None:
@@ -60,8 +68,9 @@
         while True:
             await asyncio.sleep(TICK_S)
             now = loop.time()
-            if self.has_stood_still():
+            if self._is_late(now):
                 self._log.event("process", "Stood still.", for_s=round(now - self._ticked_at, 2))
+                self._woke_at = now
                 self._on_stall()
             self._ticked_at = now
             self._drop_lapsed(now)
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -174,7 +174,12 @@
         self.retries = RetryGate(self.catalog, settings.retries)
         gate = QuotaGate(settings.name, secrets.randbits(32), Random().random)
         self.access = CallerAccess(
-            self.catalog, gate, splitter, names=names, settings=settings.access
+            self.catalog,
+            gate,
+            splitter,
+            names=names,
+            settings=settings.access,
+            is_confirming=lambda: self.is_confirming,
         )
         self.quotas = QuotaExchange(self.member, self.catalog, self.access, self.port, log=self.log)
 
@@ -215,12 +220,11 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
-        is_known = self.catalog.routing is not None and not self.is_confirming
-        return is_known and not self.is_stopping
+        return self.catalog.routing is not None and not self.is_confirming and not self.is_stopping
 
     @property
     def is_confirming(self) -> bool:
-        """Tell whether what is known may be old: the process stood still, and asks the store."""
+        """Tell whether what is known, or comes in, may be old: the process stood still."""
         return self.sync.is_confirming or self.maintenance.has_stood_still()
 
     def _read_state(self) -> GatewayState:
