Ask for the time that is left at the very moment of sending, and say truly whether it was sent

The task asks itself now. Where the time ends before anything was sent the request has not run, and its caller is told so (503) instead of 'no answer in time' (504).

--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -41,6 +41,8 @@
     ----------
     exchanges : int
         Exchanges begun on it, the present one included.
+    has_sent : bool
+        Something of the present exchange was sent.
     idle_since : float
         When it was last put aside, on the loop's clock.
     idle_limit_s : float
@@ -55,6 +57,7 @@
         self._is_idle = True
         self._says_close = False
         self.exchanges = 0
+        self.has_sent = False
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
 
@@ -146,6 +149,7 @@
     def start(self) -> None:
         """Begin an exchange."""
         self._is_idle = False
+        self.has_sent = False
         self.exchanges += 1
 
     @property
@@ -170,6 +174,7 @@
             raise PeerClosedError("closed while sending")
         data = b"".join(self._h11.send(event) or b"" for event in events)
         if data:
+            self.has_sent = True
             self._transport.write(data)
         await self._drained.wait()
 
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -143,6 +143,10 @@
 )
 
 
+class DeadlinePassedError(Exception):
+    """A request's time ended before it was sent."""
+
+
 class Exchanger:
     """Send requests to targets over kept and new connections.
 
@@ -188,9 +192,6 @@
                 connection = await self._connect(outgoing, incarnation, address)
                 took_s = asyncio.get_running_loop().time() - started
                 connecting = Connecting(took_s, is_reused=connection.exchanges > 0)
-                if asyncio.get_running_loop().time() >= outgoing.expires_at:
-                    # The machine may have been suspended meanwhile: nobody waits any more.
-                    return NotSent(), connecting
                 outcome = await self._exchange(connection, outgoing, incarnation)
             if not isinstance(outcome, PartialAnswer):
                 # It closes the connection where the exchange did not end cleanly.
@@ -198,6 +199,8 @@
             is_settled = True
             return outcome, connecting
         except TimeoutError:
+            if connection is None or not connection.has_sent:
+                return NotSent(), connecting
             if connecting.is_reused:
                 # Nobody can tell a slow target from a connection that lost its peer long ago.
                 self._pool.note_loss(incarnation, is_silent=False)
@@ -225,9 +228,11 @@
         try:
             return await self._read_answer(connection, outgoing)
         except ConnectionBrokenError:
-            failure = _find_caller_failure(sender)
+            failure = _find_sending_failure(sender)
             if failure is None:
                 raise
+            if isinstance(failure, DeadlinePassedError):
+                return NotSent()
             return BodyFailed(repr(failure))
         finally:
             sender.cancel()
@@ -248,6 +253,9 @@
         """Send head and body."""
         names = self._names
         left_ms = (outgoing.expires_at - asyncio.get_running_loop().time()) * 1000
+        if left_ms <= 0:
+            # The machine may have been suspended at any moment before: nobody waits any more.
+            raise DeadlinePassedError
         headers = [
             *outgoing.headers,
             (names.deadline_ms, str(max(1, int(left_ms))).encode()),
@@ -328,12 +336,12 @@
 
 def _end_if_failed(sender: asyncio.Task[None], connection: HttpConnection) -> None:
     """Close a connection whose request could not be sent whole."""
-    if _find_caller_failure(sender) is not None:
+    if _find_sending_failure(sender) is not None:
         connection.close()
 
 
-def _find_caller_failure(sender: asyncio.Task[None]) -> BaseException | None:
-    """Find why the caller's body could not be read; None where that was not the trouble.
+def _find_sending_failure(sender: asyncio.Task[None]) -> BaseException | None:
+    """Find why a request could not be sent whole; None where the connection is the trouble.
 
     A target that stops reading may still answer; a caller whose body breaks off ends it all.
     """
