Blame no request for a full target that takes no connections

A target that left a request unanswered counted as ended under it once no connection to it came up; in a rush a full target lets connections hang as well, so that a reader who asks three times could be locked out for 30 s. Now only a refused connection says that nobody listens any more, or the target's record that goes. The test (failed before): four full targets, six requests without an answer, connections that time out: none suspected.

--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -23,7 +23,19 @@
 
 
 class ConnectionFailedError(Exception):
-    """No connection came up; nothing was sent."""
+    """No connection came up; nothing was sent.
+
+    Parameters
+    ----------
+    cause : str
+        What went wrong, in a word.
+    is_refused : bool, optional
+        Nobody listens there.
+    """
+
+    def __init__(self, cause: str, *, is_refused: bool = False) -> None:
+        super().__init__(cause)
+        self.is_refused = is_refused
 
 
 class ConnectionBrokenError(Exception):
@@ -84,7 +96,8 @@
             async with asyncio.timeout(timeout_s):
                 _, protocol = await loop.create_connection(cls, address.ip, address.port)
         except (OSError, TimeoutError) as exc:
-            raise ConnectionFailedError(type(exc).__name__) from exc
+            is_refused = isinstance(exc, ConnectionRefusedError)
+            raise ConnectionFailedError(type(exc).__name__, is_refused=is_refused) from exc
         protocol._set_socket_options(user_timeout_s)
         return protocol
 
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -99,9 +99,16 @@
 
 
 class ConnectFailed(NamedTuple):
-    """No connection came up: the request was not sent."""
+    """No connection came up: the request was not sent.
+
+    Attributes
+    ----------
+    is_refused : bool
+        Nobody listens there any more.
+    """
 
     detail: str
+    is_refused: bool = False
 
 
 class AnswerLost(NamedTuple):
@@ -207,7 +214,7 @@
             return TimedOut(), connecting
         except ConnectionFailedError as exc:
             self._pool.forget(incarnation)
-            return ConnectFailed(str(exc)), connecting
+            return ConnectFailed(str(exc), exc.is_refused), connecting
         except ConnectionBrokenError as exc:
             if connecting.is_reused and connection is not None:
                 self._pool.note_loss(incarnation, is_silent=connection.has_fallen_silent)
--- a/halldoor/gateway/quarantine.py
+++ b/halldoor/gateway/quarantine.py
@@ -143,7 +143,8 @@
                 self.note_end(request, target)
             case TimedOut():
                 self.note_unanswered(request, target)
-            case ConnectFailed():
+            case ConnectFailed(is_refused=True):
+                # A full target lets connections hang, or resets them; only a dead one refuses.
                 self.note_gone(target.name)
             case _:
                 return
--- a/halldoor/tests/test_crashing_request.py
+++ b/halldoor/tests/test_crashing_request.py
@@ -21,12 +21,14 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 import pytest
 
 from halldoor.core.quarantine import quarantine
 from halldoor.core.quarantine.quarantine import TRIALS_AFTER_S
 from halldoor.core.teams.team import digest_key
+from halldoor.gateway.connection import ConnectionFailedError
 from halldoor.tests.crashkit import BAD, POPULAR, CrashFleet
 from halldoor.tests.gatewaykit import GatewayKit, open_pair
 
@@ -187,6 +189,23 @@
         asyncio.run(check())
 
 
+class TestFullTarget:
+    def test_requests_that_full_targets_do_not_answer_are_not_blamed(self, monkeypatch):
+        """A reader who asks again and again in the middle of a rush must not be locked out."""
+
+        async def check():
+            async with GatewayKit.open(targets=4) as kit:
+                kit.script_all("hang")
+                for _ in range(6):
+                    assert (await kit.call(path="/slow", key="", deadline_ms=60)).status == 504
+                failure = ConnectionFailedError("TimeoutError")
+                monkeypatch.setattr(kit.gateway.pool, "open", mock.AsyncMock(side_effect=failure))
+                await kit.call(path="/other", key="")
+                assert kit.gateway.quarantine.get_figures()["suspects"] == 0
+
+        asyncio.run(check())
+
+
 class TestSilentTarget:
     def test_what_left_it_unanswered_counts_once_it_is_gone(self):
         async def check():
