--- a/halldoor/cli/fleet.py
+++ b/halldoor/cli/fleet.py
@@ -53,6 +53,7 @@
     store_age_s: float = 0.0
     store_era: int = -1
     members: int = 0
+    targets: int = 0
     running: int = 0
     blocked: int = 0
     watches_store: bool = False
@@ -108,6 +109,7 @@
         store_age_s=state.get("store_age_seconds", 0.0),
         store_era=int(state.get("store_era", -1)),
         members=int(state.get("members", 0)),
+        targets=int(state.get("targets", 0)),
         blocked=int(state.get("blocked", 0)),
         running=int(state.get("running", 0)),
         watches_store=bool(state.get("watches_store", 0)),
