Name the entries that count for a request its collectors, as for quotas

The glossary has one word for who counts for the whole fleet, and 'home' stands for the owner of a slot and for regions. No behaviour changes.

--- a/benchmarks/crashes.py
+++ b/benchmarks/crashes.py
@@ -5,8 +5,8 @@
 from benchmarks.common import format_table, write_result
 from halldoor.standins.crashfleet import CountingWay, Fleet, Run, Trouble
 from halldoor.standins.crashways import (
-    Homes,
-    HomesAndRecord,
+    Collectors,
+    CollectorsAndRecord,
     NoSum,
     OwnSum,
     StoreSum,
@@ -22,8 +22,8 @@
     "own ends": OwnSum,
     "tell all": TellAll,
     "a record in the store": StoreSum,
-    "those who count": Homes,
-    "those who count, and a record": HomesAndRecord,
+    "collectors": Collectors,
+    "collectors, and a record": CollectorsAndRecord,
 }
 TROUBLES = {
     "none": Trouble(),
--- a/halldoor/core/quarantine/homes.py
+++ b/halldoor/core/quarantine/collectors.py
@@ -13,12 +13,12 @@
 from halldoor.core.placement import rank
 from halldoor.core.targets.changes import MemberRecord
 
-FLEET_HOMES = 2
+FLEET_COLLECTORS = 2
 """Entries of the whole fleet that count, so that the death of one costs nothing."""
 
 
-def choose_homes(digest: str, own_hall: str, members: Iterable[MemberRecord]) -> list[str]:
-    """Choose who counts for an entry of a hall: two of the fleet, and one of its hall.
+def choose_collectors(digest: str, own_hall: str, members: Iterable[MemberRecord]) -> list[str]:
+    """Choose a request's collectors for an entry of a hall: two of the fleet, one of its hall.
 
     The one of the hall counts on where the hall is cut off from the others.
 
@@ -30,5 +30,5 @@
     halls = {m.name: m.hall for m in members if m.relay is not None}
     order = rank(digest, halls)
     near = [name for name in order if halls[name] == own_hall]
-    homes = order[:FLEET_HOMES]
-    return homes + [name for name in near[:1] if name not in homes]
+    collectors = order[:FLEET_COLLECTORS]
+    return collectors + [name for name in near[:1] if name not in collectors]
--- a/halldoor/core/quarantine/quarantine.py
+++ b/halldoor/core/quarantine/quarantine.py
@@ -14,8 +14,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from halldoor.core.quarantine.collectors import FLEET_COLLECTORS
 from halldoor.core.quarantine.evidence import Case, Evidence
-from halldoor.core.quarantine.homes import FLEET_HOMES
 from halldoor.core.quarantine.identity import Identity
 from halldoor.core.quarantine.settings import QuarantineSettings
 from halldoor.core.quarantine.watch import Watch
@@ -33,7 +33,7 @@
 STAND_IN_DELAY_S = 2.0
 """Time until another entry records what the first has not, in seconds: above that of a watch."""
 ALONE_DELAY_S = 0.5
-"""Time for the ones who count to be heard before an entry records its own ends, in seconds."""
+"""Time for the collectors to be heard before an entry records its own ends, in seconds."""
 TRIALS_AFTER_S = (30.0, 300.0)
 """When a blocked request may run once more, in seconds: what ended its targets may be mended."""
 
@@ -92,8 +92,8 @@
         Name of this entry.
     settings : QuarantineSettings
         Bounds.
-    find_homes : callable
-        Gives the names of those who count for a request, the fleet's first.
+    find_collectors : callable
+        Gives the names of a request's collectors, the fleet's first.
     on_change : callable
         Called with each request that becomes blocked, or no longer is.
 
@@ -106,13 +106,13 @@
         self,
         own_name: str,
         settings: QuarantineSettings,
-        find_homes: Callable[[str], Sequence[str]],
+        find_collectors: Callable[[str], Sequence[str]],
         *,
         on_change: Callable[[BlockChange], None] = lambda _: None,
     ) -> None:
         self._own_name = own_name
         self.settings = settings
-        self._find_homes = find_homes
+        self._find_collectors = find_collectors
         self._on_change = on_change
         self._watches: OrderedDict[str, Watch] = OrderedDict()
         self._sound_at: OrderedDict[str, float] = OrderedDict()
@@ -157,8 +157,8 @@
         if answered_at is not None:
             watch.case.clear_before(answered_at)
         self._judge(watch, now)
-        self._tell_homes(watch, now)
-        self._tell_all_if_home(watch, now)
+        self._tell_collectors(watch, now)
+        self._tell_all_if_collector(watch, now)
         self._plan_record(watch, now)
         return True
 
@@ -187,7 +187,7 @@
         Parameters
         ----------
         is_for_all : bool, optional
-            It told everybody: it is one of those who count.
+            It told everybody: it is a collector.
         """
         watch = self._watch(evidence.digest)
         if is_for_all:
@@ -217,24 +217,24 @@
             return
         if is_news:
             self._judge(watch, now)
-            self._tell_all_if_home(watch, now)
+            self._tell_all_if_collector(watch, now)
         self._plan_record(watch, now)
 
-    def recheck_homes(self, now: float) -> None:
-        """Tell who counts now of this entry's ends, where others counted before."""
+    def recheck_collectors(self, now: float) -> None:
+        """Tell collects now of this entry's ends, where others counted before."""
         for watch in self._watches.values():
             if watch.case.has_own_end and watch.case.count_ends():
-                homes = self._list_other_homes(watch)
-                if set(homes) - set(watch.homes):
-                    self._tell_homes(watch, now)
+                collectors = self._list_other_collectors(watch)
+                if set(collectors) - set(watch.collectors):
+                    self._tell_collectors(watch, now)
 
     # Telling others
 
     def _spread(self, watch: Watch, now: float) -> None:
         """Judge anew, and let the others know."""
         self._judge(watch, now)
-        self._tell_homes(watch, now)
-        self._tell_all_if_home(watch, now)
+        self._tell_collectors(watch, now)
+        self._tell_all_if_collector(watch, now)
         self._plan_record(watch, now)
 
     def _judge(self, watch: Watch, now: float) -> None:
@@ -259,22 +259,22 @@
         is_blocked_for_all = len(case.list_callers()) > 1 or len(watch.case.list_callers()) == 1
         return is_blocked_for_all and case.is_blocked(self.settings)
 
-    def _list_other_homes(self, watch: Watch) -> tuple[str, ...]:
-        """List those who count for a request, this entry left out."""
-        homes = self._find_homes(watch.case.digest)
-        return tuple(name for name in homes if name != self._own_name)
+    def _list_other_collectors(self, watch: Watch) -> tuple[str, ...]:
+        """List a request's collectors, this entry left out."""
+        collectors = self._find_collectors(watch.case.digest)
+        return tuple(name for name in collectors if name != self._own_name)
 
-    def _tell_homes(self, watch: Watch, now: float) -> None:
-        """Tell those who count."""
-        watch.homes = self._list_other_homes(watch)
-        if watch.homes:
-            self._outbox.append(Message(watch.homes, watch.case.build_evidence(now)))
+    def _tell_collectors(self, watch: Watch, now: float) -> None:
+        """Tell the collectors."""
+        watch.collectors = self._list_other_collectors(watch)
+        if watch.collectors:
+            self._outbox.append(Message(watch.collectors, watch.case.build_evidence(now)))
 
-    def _tell_all_if_home(self, watch: Watch, now: float) -> None:
+    def _tell_all_if_collector(self, watch: Watch, now: float) -> None:
         """Tell everybody, where this entry counts and there is enough to tell."""
-        is_home = self._own_name in self._find_homes(watch.case.digest)
+        is_collector = self._own_name in self._find_collectors(watch.case.digest)
         is_worth = watch.case.count_ends() >= LEAST_TOLD or watch.told is not None
-        if not is_home or not is_worth or self._is_known(watch, watch.told):
+        if not is_collector or not is_worth or self._is_known(watch, watch.told):
             return
         self._tell_all(watch, now)
         if watch.is_blocked:
@@ -283,8 +283,8 @@
     def _tell_all(self, watch: Watch, now: float) -> None:
         """Tell everybody for whom this entry counts: the fleet, or its hall."""
         watch.told = watch.case.build_evidence(now)
-        place = self._find_homes(watch.case.digest).index(self._own_name)
-        audience = Audience.FLEET if place < FLEET_HOMES else Audience.HALL
+        place = self._find_collectors(watch.case.digest).index(self._own_name)
+        audience = Audience.FLEET if place < FLEET_COLLECTORS else Audience.HALL
         self._outbox.append(Message(audience, watch.told))
 
     def _plan_record(self, watch: Watch, now: float) -> None:
@@ -293,11 +293,11 @@
         is_worth = watch.case.count_ends() >= LEAST_TOLD or watch.recorded is not None
         if not is_worth or self._is_known(watch, watch.recorded):
             return
-        homes = list(self._find_homes(watch.case.digest))
-        is_home = self._own_name in homes
-        if not is_home and not watch.case.has_own_end:
+        collectors = list(self._find_collectors(watch.case.digest))
+        is_collector = self._own_name in collectors
+        if not is_collector and not watch.case.has_own_end:
             return
-        place = homes.index(self._own_name) if is_home else len(homes)
+        place = collectors.index(self._own_name) if is_collector else len(collectors)
         delay_s = 0.0 if watch.is_blocked else RECORD_DELAY_S
         is_heard = self._is_known(watch, watch.heard)
         if place:
@@ -325,7 +325,7 @@
         for watch in self._watches.values():
             if watch.repeats and watch.repeats[0] <= now:
                 watch.repeats = [at for at in watch.repeats if at > now]
-                if self._own_name in self._find_homes(watch.case.digest):
+                if self._own_name in self._find_collectors(watch.case.digest):
                     self._tell_all(watch, now)
         messages, self._outbox = self._outbox, []
         return messages
--- a/halldoor/core/quarantine/watch.py
+++ b/halldoor/core/quarantine/watch.py
@@ -18,7 +18,7 @@
         When it is to be recorded, and told again; in seconds of the clock of ``now``.
     heard : Evidence or None
         What another entry told all last.
-    homes : tuple of str
+    collectors : tuple of str
         Who was told of the own ends.
     """
 
@@ -30,5 +30,5 @@
         self.record_at: float | None = None
         self.repeats: list[float] = []
         self.heard: Evidence | None = None
-        self.homes: tuple[str, ...] = ()
+        self.collectors: tuple[str, ...] = ()
         self.trials_taken: set[int] = set()
--- a/halldoor/gateway/quarantine.py
+++ b/halldoor/gateway/quarantine.py
@@ -6,8 +6,8 @@
 import time
 from random import Random
 
+from halldoor.core.quarantine.collectors import choose_collectors
 from halldoor.core.quarantine.evidence import Evidence
-from halldoor.core.quarantine.homes import choose_homes
 from halldoor.core.quarantine.identity import Identity
 from halldoor.core.quarantine.quarantine import Audience, BlockChange, Message, Quarantine
 from halldoor.core.quarantine.record import EvidenceRecord, from_record, to_record
@@ -74,7 +74,7 @@
         self._log = log
         self._metrics = metrics
         self._core = Quarantine(
-            own.name, settings, self._find_homes, on_change=self._note_block_change
+            own.name, settings, self._find_collectors, on_change=self._note_block_change
         )
         self._unanswered = UnansweredRequests()
         self._lease = ""
@@ -89,9 +89,9 @@
         """Use other bounds from now on; what was counted stays counted."""
         self._core.settings = settings
 
-    def _find_homes(self, digest: str) -> list[str]:
+    def _find_collectors(self, digest: str) -> list[str]:
         """Name the entries that count for a request."""
-        return choose_homes(digest, self._own.hall, self._catalog.members.values())
+        return choose_collectors(digest, self._own.hall, self._catalog.members.values())
 
     # What callers' requests ask
 
@@ -174,12 +174,12 @@
     # What others know
 
     def _take_report(self, evidence: Evidence, sender: Address) -> None:
-        """Take what an entry tells those who count."""
+        """Take what an entry tells collectors."""
         self._core.take(evidence, _now())
         self._plan()
 
     def _take_told_to_all(self, evidence: Evidence, sender: Address) -> None:
-        """Take what one of those who count tells everybody."""
+        """Take what a collector tells everybody."""
         self._core.take(evidence, _now(), is_for_all=True)
         self._plan()
 
@@ -195,7 +195,7 @@
 
     def note_members(self) -> None:
         """Follow the entries that are there: others may count now."""
-        self._core.recheck_homes(_now())
+        self._core.recheck_collectors(_now())
         self._plan()
 
     # Telling others
--- a/halldoor/standins/crashways.py
+++ b/halldoor/standins/crashways.py
@@ -4,8 +4,8 @@
 
 from functools import partial
 
+from halldoor.core.quarantine.collectors import choose_collectors
 from halldoor.core.quarantine.evidence import Case, Evidence
-from halldoor.core.quarantine.homes import choose_homes
 from halldoor.core.quarantine.identity import Identity
 from halldoor.core.quarantine.quarantine import Audience, Message, Quarantine
 from halldoor.core.quarantine.record import EvidenceRecord, from_record, to_record
@@ -114,23 +114,24 @@
         self.cases[entry].setdefault(evidence.digest, Case(evidence.digest)).merge(evidence, now)
 
 
-class Homes(CountingWay):
+class Collectors(CountingWay):
     """The product's way without the store: a few count for all, and tell all."""
 
     def start(self, run: Run) -> None:
         """Begin with nothing known."""
         super().start(run)
         self._by_name = {m.name: i for i, m in enumerate(run.members)}
-        self._homes: dict[tuple[str, str], list[str]] = {}
+        self._collectors: dict[tuple[str, str], list[str]] = {}
         self._parts = [
-            Quarantine(m.name, SETTINGS, partial(self._find_homes, m.hall)) for m in run.members
+            Quarantine(m.name, SETTINGS, partial(self._find_collectors, m.hall))
+            for m in run.members
         ]
 
-    def _find_homes(self, hall: str, digest: str) -> list[str]:
-        """Find who counts for a request, as the product does."""
-        if (hall, digest) not in self._homes:
-            self._homes[hall, digest] = choose_homes(digest, hall, self.run.members)
-        return self._homes[hall, digest]
+    def _find_collectors(self, hall: str, digest: str) -> list[str]:
+        """Find the collectors of a request, as the product does."""
+        if (hall, digest) not in self._collectors:
+            self._collectors[hall, digest] = choose_collectors(digest, hall, self.run.members)
+        return self._collectors[hall, digest]
 
     def note_end(self, now: float, entry: int, digest: str, target: str) -> None:
         """Let the entry's part see it."""
@@ -180,8 +181,8 @@
         part.note_recorded(evidence)
 
 
-class HomesAndRecord(Homes):
-    """The product's way: what those who count know is recorded in the store, too."""
+class CollectorsAndRecord(Collectors):
+    """The product's way: what collectors know is recorded in the store, too."""
 
     def start(self, run: Run) -> None:
         """Begin with an empty store."""
--- a/halldoor/tests/test_quarantine.py
+++ b/halldoor/tests/test_quarantine.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from halldoor.core.quarantine.collectors import choose_collectors
 from halldoor.core.quarantine.evidence import Case, Evidence, TargetEnd
-from halldoor.core.quarantine.homes import choose_homes
 from halldoor.core.quarantine.identity import Identity
 from halldoor.core.quarantine.quarantine import (
     CASES_KEPT,
@@ -19,13 +19,13 @@
 
 USUAL = QuarantineSettings()
 ADDRESS = Address("127.0.0.1", 1)
-HOMES = ["h1", "h2"]
+COLLECTORS = ["h1", "h2"]
 D = Identity("d", "c1")
 OTHERS = Identity("d", "c2")
 
 
-def open_entry(name, settings=USUAL, homes=HOMES):
-    return Quarantine(name, settings, lambda _: homes)
+def open_entry(name, settings=USUAL, collectors=COLLECTORS):
+    return Quarantine(name, settings, lambda _: collectors)
 
 
 def build(*targets, cleared=(), was_sound=False):
@@ -160,52 +160,52 @@
         assert message.to == ("h1", "h2")
 
     def test_those_who_count_tell_everybody_from_the_second_end_on(self):
-        home = open_entry("h1")
-        home.take(build("t1"), 0.0)
-        assert home.take_messages(0.0) == []
-        home.take(build("t2"), 0.0)
-        (message,) = home.take_messages(0.0)
+        collector = open_entry("h1")
+        collector.take(build("t1"), 0.0)
+        assert collector.take_messages(0.0) == []
+        collector.take(build("t2"), 0.0)
+        (message,) = collector.take_messages(0.0)
         assert message.to is Audience.FLEET
         assert {end.target for end in message.evidence.ends} == {"t1", "t2"}
 
     def test_the_one_of_a_hall_tells_its_hall(self):
-        home = open_entry("h3", homes=[*HOMES, "h3"])
-        home.take(build("t1", "t2"), 0.0)
-        assert home.take_messages(0.0)[0].to is Audience.HALL
+        collector = open_entry("h3", collectors=[*COLLECTORS, "h3"])
+        collector.take(build("t1", "t2"), 0.0)
+        assert collector.take_messages(0.0)[0].to is Audience.HALL
 
     def test_ends_past_a_block_are_not_told(self):
-        home = open_entry("h1")
-        home.take(build("t1", "t2", "t3"), 0.0)
-        home.take_messages(2.0)
-        home.take(build("t4"), 2.0)
-        assert home.take_messages(9.0) == []
+        collector = open_entry("h1")
+        collector.take(build("t1", "t2", "t3"), 0.0)
+        collector.take_messages(2.0)
+        collector.take(build("t4"), 2.0)
+        assert collector.take_messages(9.0) == []
 
     def test_a_block_is_told_again(self):
-        home = open_entry("h1")
-        home.take(build("t1", "t2", "t3"), 0.0)
-        counts = [len(home.take_messages(at)) for at in (0.0, 0.2, 0.4, 0.9, 1.1, 5.0)]
+        collector = open_entry("h1")
+        collector.take(build("t1", "t2", "t3"), 0.0)
+        counts = [len(collector.take_messages(at)) for at in (0.0, 0.2, 0.4, 0.9, 1.1, 5.0)]
         assert counts == [1, 0, 1, 0, 1, 0]
 
     def test_an_entry_that_had_an_answer_speaks_for_the_request(self):
-        entry, home = open_entry("e1"), open_entry("h1")
+        entry, collector = open_entry("e1"), open_entry("h1")
         entry.note_answer("d", 5.0)
-        home.take(build("t1", "t2", "t3"), 5.0)
-        assert home.find_block(D, 5.0) is not None
+        collector.take(build("t1", "t2", "t3"), 5.0)
+        assert collector.find_block(D, 5.0) is not None
         entry.take(build("t1", "t2", "t3"), 5.0, is_for_all=True)
         assert entry.find_block(D, 5.0) is None
         (message,) = entry.take_messages(5.0)
-        home.take(message.evidence, 5.0)
-        assert home.find_block(D, 5.0) is None
+        collector.take(message.evidence, 5.0)
+        assert collector.find_block(D, 5.0) is None
 
     def test_others_that_count_now_are_told_too(self):
-        homes = ["h1"]
-        entry = Quarantine("e1", USUAL, lambda _: homes)
+        collectors = ["h1"]
+        entry = Quarantine("e1", USUAL, lambda _: collectors)
         entry.note_end(D, "t1", 0.0)
         entry.take_messages(0.0)
-        entry.recheck_homes(1.0)
+        entry.recheck_collectors(1.0)
         assert entry.take_messages(1.0) == []
-        homes[:] = ["h3"]
-        entry.recheck_homes(2.0)
+        collectors[:] = ["h3"]
+        entry.recheck_collectors(2.0)
         assert entry.take_messages(2.0)[0].to == ("h3",)
 
     @pytest.mark.parametrize("age_s", [-5.0, float("nan"), float("inf")])
@@ -270,15 +270,15 @@
         }
 
 
-class TestHomes:
+class TestCollectors:
     def test_a_hall_that_is_cut_off_has_one_of_its_own(self):
         members = [MemberRecord(f"e{i}", ADDRESS, f"hall{i % 6}", "r", ADDRESS) for i in range(60)]
         for hall in range(6):
-            homes = choose_homes("d", f"hall{hall}", members)
+            collectors = choose_collectors("d", f"hall{hall}", members)
             halls = {m.name: m.hall for m in members}
-            assert f"hall{hall}" in {halls[name] for name in homes}
-            assert homes[:2] == choose_homes("d", "hall0", members)[:2]
+            assert f"hall{hall}" in {halls[name] for name in collectors}
+            assert collectors[:2] == choose_collectors("d", "hall0", members)[:2]
 
     def test_entries_that_take_no_messages_count_for_nobody(self):
         members = [MemberRecord("e1", ADDRESS, "a", "r")]
-        assert choose_homes("d", "a", members) == []
+        assert choose_collectors("d", "a", members) == []
--- a/properties/test_quarantine.py
+++ b/properties/test_quarantine.py
@@ -9,7 +9,7 @@
 from halldoor.core.quarantine.record import from_record, to_record
 from halldoor.core.quarantine.settings import QuarantineSettings
 from halldoor.standins.crashfleet import Fleet, Run, Trouble
-from halldoor.standins.crashways import HomesAndRecord
+from halldoor.standins.crashways import CollectorsAndRecord
 
 LATE_SENDS = 3
 """Sendings that all entries together may make once all had time to know."""
@@ -88,7 +88,7 @@
     if trouble.cut_s[0] < 99.0:
         trouble = trouble._replace(away_s=(99.0, 99.0))
     run = Run(Fleet(entries=entries, bad_per_s=rate), trouble, seed=seed)
-    run.play(HomesAndRecord(), until_s=14.0)
+    run.play(CollectorsAndRecord(), until_s=14.0)
     assert run.count_late() <= LATE_SENDS
 
 
@@ -96,5 +96,5 @@
 @given(entries=st.sampled_from([6, 10, 75]), seed=st.integers(0, 1000))
 def test_a_sound_request_is_hardly_refused_beside_ends_of_its_targets(entries, seed):
     fleet = Fleet(entries=entries, bad_per_s=0.0, popular_per_s=8.0, ends_per_s=1.2)
-    run = Run(fleet, Trouble(), seed=seed).play(HomesAndRecord(), until_s=25.0)
+    run = Run(fleet, Trouble(), seed=seed).play(CollectorsAndRecord(), until_s=25.0)
     assert run.refused <= 0.02 * (run.served + run.refused + run.lost)
