--- a/halldoor/core/quarantine/quarantine.py
+++ b/halldoor/core/quarantine/quarantine.py
@@ -162,15 +162,23 @@
         self._plan_record(watch, now)
         return True
 
-    def note_answer(self, digest: str, now: float) -> None:
-        """Note that a target answered a request soundly, and so did not end under it."""
+    def note_answer(self, digest: str, now: float) -> bool:
+        """Note that a target answered a request soundly, and so did not end under it.
+
+        Returns
+        -------
+        bool
+            It speaks for a request under which targets ended, and others are to be told.
+        """
         self._sound_at[digest] = now
         self._sound_at.move_to_end(digest)
         if len(self._sound_at) > SOUND_KEPT:
             self._sound_at.popitem(last=False)
         watch = self._watches.get(digest)
-        if watch is not None and watch.case.count_ends() and watch.case.clear_before(now):
-            self._spread(watch, now)
+        if watch is None or not watch.case.count_ends() or not watch.case.clear_before(now):
+            return False
+        self._spread(watch, now)
+        return True
 
     def _find_answer(self, digest: str, now: float) -> float | None:
         """Give when this entry last had an answer; None where that is too long ago."""
--- a/halldoor/gateway/quarantine.py
+++ b/halldoor/gateway/quarantine.py
@@ -150,8 +150,9 @@
 
     def note_answer(self, request: Identity) -> None:
         """Note that a target answered a request soundly."""
-        self._core.note_answer(request.digest, _now())
-        self._plan()
+        # Most answers change nothing, and must not cost a look at every request under suspicion.
+        if self._core.note_answer(request.digest, _now()):
+            self._plan()
 
     def note_end(self, request: Identity, target: Target) -> None:
         """Note that a target ended under a request."""
--- a/halldoor/tests/test_quarantine.py
+++ b/halldoor/tests/test_quarantine.py
@@ -84,6 +84,14 @@
         entry.note_end(D, "last", 7.0)
         assert entry.find_block(D, 7.0) is not None
 
+    def test_only_an_answer_that_changes_something_is_to_be_told(self):
+        entry = open_entry("e1")
+        assert not entry.note_answer("d", 0.0)
+        entry.note_end(D, "t1", 1.0)
+        assert not entry.note_answer("other", 2.0)
+        assert entry.note_answer("d", 2.0)
+        assert not entry.note_answer("d", 3.0)
+
     def test_an_answer_lifts_it(self):
         entry = open_entry("e1")
         end_targets(entry, 3)
