A caller that goes away cancels its own request only

What a caller saw: "The caller went away." with retry_after_s 0.0, while it was waiting (KNOWN-RED: once, at a load of 15). Its request, which may have been running, was cut off.

Cause: the watcher of callers' sockets looked its callback up by the socket's number, after the event. Between the two that request may end, and its number go to the next caller. Of all refusals of a well-formed read only this one carries 0.0; an unknown service was ruled out, as the entry had its configuration.

Now the watcher asks the socket itself, under the lock that whoever closes it needs too.

--- a/halldoor/entry/cancel.py
+++ b/halldoor/entry/cancel.py
@@ -49,19 +49,33 @@
         finally:
             self._forget(number)
 
-    def _forget(self, number: int) -> Callable[[], None] | None:
-        """Stop watching a socket; gives its callback the first time."""
+    def _forget(self, number: int) -> None:
+        """Stop watching a socket."""
         with self._lock:
-            on_close = self._watched.pop(number, None)
-            if on_close is not None:
+            if self._watched.pop(number, None) is not None:
                 with contextlib.suppress(OSError):
                     self._epoll.unregister(number)
-        return on_close
+
+    def _take_if_closed(self, number: int) -> Callable[[], None] | None:
+        """Stop watching a socket whose other side has closed; gives its callback.
+
+        Between the event and this look the number may have gone to another caller's socket.  Under
+        the lock it can't: whoever closes a watched socket forgets it first.
+        """
+        with self._lock:
+            if number not in self._watched:
+                return None
+            look = select.poll()
+            look.register(number, select.POLLRDHUP)
+            if not look.poll(0):
+                return None
+            self._epoll.unregister(number)
+            return self._watched.pop(number)
 
     def _run(self) -> None:
         """Wait for sockets that end."""
         while not self._is_stopped:
             for number, _ in self._epoll.poll(CHECK_S):
-                on_close = self._forget(number)
+                on_close = self._take_if_closed(number)
                 if on_close is not None:
                     on_close()
