Take all records over from a reader of the hall, in place of the store's pages

Hypothesis: a follower that must read anew can ask its reader, which must read anyway. An entry that starts into a running fleet reads one page. Half of a restore's cost was another fault: 'I know another copy' from a reader counted as its loss, so that each follower watched the store itself for 3 s.

Tried and mended on the way: an entry that had left its reader for its age did not ask it for all records either, so that 24 of 24 read the store; a reader that failed to hand over is not asked again for 3 s, nothing else keeps from asking.

test_handover.py: restores, kills and cuts at random in virtual time; who wakes from a suspension relies on nothing that changed meanwhile (test_suspension.py, drawn; fails with the check switched off).

--- /dev/null
+++ b/benchmarks/restarts.py
@@ -0,0 +1,93 @@
+"""Calls to the store, and time to be in step, where all entries read everything at once."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from benchmarks.common import format_table, write_result
+from halldoor.standins.storefleet import StoreFleet
+from halldoor.standins.virtualtime import run
+
+FLEETS = ((12, 6), (75, 6), (300, 6), (830, 30))
+"""Entries and halls."""
+TARGETS_AN_ENTRY = 6
+WINDOW_S = 3.0
+"""Time over which calls are counted, in seconds."""
+HEADER = [
+    "entries, halls",
+    "what",
+    "ranges",
+    "watches",
+    "leases and writes",
+    "renewals",
+    "all in step after, s",
+    "MB between entries",
+]
+
+
+async def measure(entries: int, halls: int) -> list[list[object]]:
+    """Measure a fleet: all start, one after the other starts, the store is restored."""
+    fleet = StoreFleet(entries=entries, halls=halls, targets=TARGETS_AN_ENTRY * entries)
+    fleet.configure(1)
+    rows = []
+    now = asyncio.get_running_loop().time
+
+    async def count(what: str, version: int, began: float, bytes_before: int) -> None:
+        took_s = await fleet.wait(version) + now() - began if what else 0.0
+        took_s = now() - began
+        await asyncio.sleep(max(0.0, began + WINDOW_S - now()))
+        calls = fleet.count_calls(began, began + WINDOW_S)
+        rows.append(
+            [
+                f"{entries}, {halls}",
+                what,
+                calls["range"],
+                calls["watch"],
+                calls["lease"] + calls["write"],
+                calls["renewal"],
+                f"{took_s:.2f}",
+                f"{(fleet.handed_bytes - bytes_before) / 1e6:.1f}",
+            ]
+        )
+        await asyncio.sleep(10.0)
+
+    began = now()
+    await fleet.start(within_s=0.5)
+    await count("first start", 1, began, 0)
+    copy = fleet.store.copy()
+    began, handed = now(), fleet.handed_bytes
+    await count("nothing", 1, began, handed)
+    fleet.configure(2)
+    await asyncio.sleep(5.0)
+    handed = fleet.handed_bytes
+    fleet.store.cut()
+    await asyncio.sleep(0.5)
+    began = now()
+    fleet.store.restore(copy)
+    fleet.store.is_down = False
+    fleet.configure(3)
+    await count("store restored", 3, began, handed)
+    began, handed = now(), fleet.handed_bytes
+    await fleet.start(within_s=0.5)
+    await count("all start again", 3, began, handed)
+    fleet.stop()
+    return rows
+
+
+def main() -> None:
+    """Measure, and write the table."""
+    rows: list[list[object]] = []
+
+    async def measure_all() -> None:
+        for entries, halls in FLEETS:
+            began = time.process_time()
+            rows.extend(await measure(entries, halls))
+            print(f"{entries} entries: {time.process_time() - began:.1f} s of processor time")
+
+    run(measure_all())
+    write_result("restarts", __doc__ or "", format_table(HEADER, rows))
+
+
+if __name__ == "__main__":
+    main()
--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -113,6 +113,31 @@
     return by_name[rank(own_name, by_name)[0]]
 
 
+class WantedEra(NamedTuple):
+    """Which copy of the store an entry asks another one for records of.
+
+    Attributes
+    ----------
+    newest : str
+        The copy that its own newest answer of the store was of.
+    left : str or None
+        The copy that it believed until now, and no longer can; None where it believed none, or
+        where it still is that copy.
+    """
+
+    newest: str
+    left: str | None = None
+
+    def is_met_by(self, era: str) -> bool:
+        """Tell whether records of a copy are what is asked for, or newer."""
+        if era == self.newest:
+            return era != self.left
+        if self.left is None:
+            return False
+        known = (self.left, self.newest)
+        return era.isdecimal() and all(e.isdecimal() and int(e) < int(era) for e in known)
+
+
 class Batch(NamedTuple, Generic[T]):
     """Changes that one update brought.
 
--- /dev/null
+++ b/halldoor/gateway/handover.py
@@ -0,0 +1,150 @@
+"""Hand all records of the store to another entry, in place of the store's pages.
+
+Load pattern: all entries read everything at once, because all start or because the store came back
+from a copy.  Each page is a call, so that calls grow with entries times records; here a hall's
+readers read, and the others ask them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from typing import NamedTuple
+from urllib.parse import parse_qsl, urlencode, urlsplit
+
+import msgspec
+
+from halldoor.core.targets.relay import WantedEra, date_poll
+from halldoor.gateway.httpclient import HttpCallError, HttpClient
+from halldoor.gateway.store import StoredItem
+
+RECORDS_PATH = "/records"
+HANDOVER_WAIT_S = 0.5
+"""Time for a reader to read the copy of the store that is asked for, in seconds: several times as
+long as that takes."""
+
+
+class ReaderLostError(Exception):
+    """The reader can't be relied on now; watch the store."""
+
+
+class Whole(NamedTuple):
+    """All records of the store, as of a revision.
+
+    Attributes
+    ----------
+    era : str
+        Which copy of the store the revision is of.
+    proven_at : float
+        Moment up to which every change is included, on the loop's clock.
+    """
+
+    items: list[StoredItem]
+    revision: int
+    era: str
+    proven_at: float
+
+
+class HandedRecords(msgspec.Struct, frozen=True):
+    """Answer to a question for all records.
+
+    Attributes
+    ----------
+    items : msgspec.Raw
+        The records, as a list of `StoredItem`.
+    era : str
+        Which copy of the store the revision is of.
+    age_s : float
+        Age of the answering entry's proof, in seconds.
+    """
+
+    items: msgspec.Raw
+    revision: int
+    era: str
+    age_s: float
+
+
+class RecordTable:
+    """All records, as an entry read them, encoded once for all that ask.
+
+    Attributes
+    ----------
+    era : str
+        Which copy of the store they are of.
+    """
+
+    def __init__(self) -> None:
+        self.era = ""
+        self._revision: int | None = None
+        self._records: dict[str, StoredItem] = {}
+        self._encoded: msgspec.Raw | None = None
+
+    def begin(self, whole: Whole) -> None:
+        """Begin anew with all that was read."""
+        self.era, self._revision = whole.era, whole.revision
+        self._records = {item.key: item for item in whole.items}
+        self._encoded = None
+
+    def take(self, items: Iterable[StoredItem], revision: int) -> None:
+        """Follow changes."""
+        self._revision = revision
+        for item in items:
+            self._encoded = None
+            if item.value is None:
+                self._records.pop(item.key, None)
+            else:
+                self._records[item.key] = item
+
+    def meets(self, wanted: WantedEra) -> bool:
+        """Tell whether these are records of the copy of the store that is asked for."""
+        return self._revision is not None and wanted.is_met_by(self.era)
+
+    def encode(self, age_s: float) -> bytes:
+        """Encode the answer to a question for all of them; something must have been read."""
+        assert self._revision is not None
+        if self._encoded is None:
+            self._encoded = msgspec.Raw(msgspec.msgpack.encode(list(self._records.values())))
+        return msgspec.msgpack.encode(HandedRecords(self._encoded, self._revision, self.era, age_s))
+
+
+async def ask_for_whole(client: HttpClient, wanted: WantedEra, *, answer_s: float) -> Whole:
+    """Ask an entry for all records.
+
+    Parameters
+    ----------
+    answer_s : float
+        Time for the answer beyond the entry's own wait for the store, in seconds.
+
+    Raises
+    ------
+    ReaderLostError
+        Where it can't give them.
+    """
+    query = {name: era for name, era in wanted._asdict().items() if era is not None}
+    sent_at = asyncio.get_running_loop().time()
+    try:
+        answer = await client.call(
+            "GET", f"{RECORDS_PATH}?{urlencode(query)}", timeout_s=HANDOVER_WAIT_S + answer_s
+        )
+    except HttpCallError as exc:
+        raise ReaderLostError(str(exc)) from exc
+    if answer.status != 200:
+        raise ReaderLostError(f"it answered {answer.status}")
+    try:
+        handed = msgspec.msgpack.decode(answer.body, type=HandedRecords)
+        items = msgspec.msgpack.decode(handed.items, type=list[StoredItem])
+    except msgspec.DecodeError as exc:
+        raise ReaderLostError(f"its answer can't be read: {exc}") from exc
+    if not wanted.is_met_by(handed.era):
+        raise ReaderLostError(f"it knows copy {handed.era!r} of the store")
+    proven_at = date_poll(sent_at=sent_at, held_s=0.0, age_s=handed.age_s)
+    return Whole(items, handed.revision, handed.era, proven_at)
+
+
+def parse_wanted_era(target: str) -> WantedEra | None:
+    """Read a question for all records; None where the request target is none."""
+    parts = urlsplit(target)
+    query = dict(parse_qsl(parts.query, keep_blank_values=True))
+    if parts.path != RECORDS_PATH or "newest" not in query:
+        return None
+    return WantedEra(query["newest"], query.get("left"))
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -9,17 +9,20 @@
 
 import asyncio
 import math
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 from urllib.parse import parse_qsl, urlencode, urlsplit
 
 import msgspec
 
+from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.relay import (
     Batch,
     ChangeHistory,
     RelaySettings,
+    WantedEra,
     choose_reader,
     choose_readers,
     date_poll,
@@ -27,6 +30,15 @@
 )
 from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.handover import (
+    HANDOVER_WAIT_S,
+    RECORDS_PATH,
+    ReaderLostError,
+    RecordTable,
+    Whole,
+    ask_for_whole,
+    parse_wanted_era,
+)
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.store import Events, MetadataStore, StoredItem
@@ -34,6 +46,8 @@
 WATCH_S = 28.0
 """Longest wait of a watch that proves nothing to others, in seconds; the store allows 30."""
 PATH = "/changes"
+OTHER_ERA = 409
+"""Status of a poll for changes of another copy of the store."""
 
 
 class RelayedChanges(msgspec.Struct, frozen=True):
@@ -72,8 +86,8 @@
     is_return: bool = False
 
 
-class ReaderLostError(Exception):
-    """The reader can't be relied on now; watch the store."""
+class OtherEraError(Exception):
+    """The reader knows another copy of the store: everything has to be read anew."""
 
 
 class ChangeFeed:
@@ -89,6 +103,8 @@
         When to follow a reader.
     batch_s : float
         Pause after changes of an entry that watches for itself alone, in seconds.
+    open_client : callable, optional
+        Opens a client of another entry.
     """
 
     def __init__(
@@ -101,7 +117,9 @@
         batch_s: float,
         log: EventLog,
         metrics: GatewayMetrics,
+        open_client: Callable[[Address], HttpClient] = HttpClient,
     ) -> None:
+        self._open_client = open_client
         self._store = store
         self._own = own
         self._catalog = catalog
@@ -114,9 +132,10 @@
         self._is_reader = False
         self._members_version = -1
         self._direct_until = 0.0
+        self._no_handover_until = 0.0
         self._proven_at = -math.inf
         self._had_changes = False
-        self._era = ""
+        self._records = RecordTable()
         self._history: ChangeHistory[StoredItem] = ChangeHistory()
         self._has_news = asyncio.Event()
 
@@ -194,16 +213,18 @@
         """Ask the reader once."""
         assert self._reader is not None and self._reader.relay is not None
         if self._client is None:
-            self._client = HttpClient(self._reader.relay)
+            self._client = self._open_client(self._reader.relay)
         sent_at = _now()
         wait_s = self.settings.find_poll_s(sent_at - self._proven_at)
-        query = {"after": revision, "wait_ms": round(wait_s * 1000), "era": self._era}
+        query = {"after": revision, "wait_ms": round(wait_s * 1000), "era": self._records.era}
         target = f"{PATH}?{urlencode(query)}"
         timeout_s = wait_s + self.settings.answer_s
         try:
             answer = await self._client.call("GET", target, timeout_s=timeout_s)
         except HttpCallError as exc:
             raise ReaderLostError(str(exc)) from exc
+        if answer.status == OTHER_ERA:
+            raise OtherEraError
         if answer.status != 200:
             raise ReaderLostError(f"it answered {answer.status}")
         try:
@@ -211,31 +232,66 @@
         except msgspec.DecodeError as exc:
             raise ReaderLostError(f"its answer can't be read: {exc}") from exc
         proven_at = date_poll(sent_at=sent_at, held_s=changes.held_s, age_s=changes.age_s)
-        if _now() - proven_at > self.settings.age_limit_s:
-            raise ReaderLostError(f"it proves nothing newer than {_now() - proven_at:.2f} s")
+        self._check_age(proven_at)
         self._metrics.add_relayed(len(changes.items), _now() - proven_at)
         return Update(Events(changes.items, changes.revision), proven_at, changes.is_return)
 
-    # What followers are told
-
-    def begin(self, revision: int, proven_at: float, era: str) -> None:
-        """Begin a new history: everything up to a revision was read at once.
+    async def fetch_whole(self, members: Iterable[MemberRecord], wanted: WantedEra) -> Whole | None:
+        """Ask a reader for all records; None where there is none, or it can't give them.
 
         Parameters
         ----------
-        era : str
-            Which copy of the store the revision is of.
+        members : iterable of MemberRecord
+            The entries that are believed to be there.
         """
-        self._era = era
+        readers = choose_readers(members, self._own.hall, self.settings)
+        reader = choose_reader(self._own.name, readers)
+        if reader is None or reader.relay is None or _now() < self._no_handover_until:
+            return None
+        client = self._open_client(reader.relay)
+        try:
+            whole = await ask_for_whole(client, wanted, answer_s=self.settings.answer_s)
+            self._check_age(whole.proven_at)
+        except ReaderLostError as exc:
+            self._metrics.add_relay_loss()
+            cause = str(exc)
+            self._log.event("relay", "Reads the store itself.", reader=reader.name, cause=cause)
+            self._direct_until = self._no_handover_until = _now() + self.settings.direct_s
+            return None
+        finally:
+            client.close()
+        count, age_s = len(whole.items), _now() - whole.proven_at
+        self._metrics.add_relayed(count, age_s)
+        self._log.event(
+            "relay",
+            "Took all records over.",
+            reader=reader.name,
+            records=count,
+            age_ms=round(age_s * 1000),
+        )
+        return whole
+
+    def _check_age(self, proven_at: float) -> None:
+        """Check that a reader's proof is new enough to rely on."""
+        age_s = _now() - proven_at
+        if age_s > self.settings.age_limit_s:
+            raise ReaderLostError(f"it proves nothing newer than {age_s:.2f} s")
+
+    # What followers are told
+
+    def begin(self, whole: Whole) -> None:
+        """Begin a new history: everything up to a revision was read at once."""
+        self._records.begin(whole)
         self._history = ChangeHistory()
-        self._proven_at = proven_at
-        self._publish(Batch(revision, revision, [], False))
+        self._proven_at = whole.proven_at
+        self._publish(Batch(whole.revision, whole.revision, [], False))
 
     def take(self, after: int, update: Update) -> None:
         """Keep an update that was applied, and tell it to followers that wait."""
         events = update.events
         self._had_changes = bool(events.items)
         self._proven_at = max(self._proven_at, update.proven_at)
+        self._records.take(events.items, events.revision)
         self._publish(Batch(after, events.revision, events.items, update.is_return))
 
     def _publish(self, batch: Batch[StoredItem]) -> None:
@@ -245,18 +301,22 @@
         self._has_news = asyncio.Event()
 
     async def answer(self, caller: CallerConnection, head: Head) -> None:
-        """Answer a follower's poll."""
-        poll = _parse_poll(head.target.decode("latin-1"))
+        """Answer a follower's poll, or its question for everything."""
+        target = head.target.decode("latin-1")
+        if target.startswith(RECORDS_PATH):
+            await self._hand_over(caller, target)
+            return
+        poll = _parse_poll(target)
         if poll is None:
             self._metrics.add_bad_poll()
             caller.send(Answer(404, []))
             return
-        if poll.era == self._era and not self._history.has_news(poll.after):
+        if poll.era == self._records.era and not self._history.has_news(poll.after):
             await self._wait_for_news(poll.wait_s)
         batch = self._history.collect(poll.after)
-        if poll.era != self._era or batch is None:
+        if poll.era != self._records.era or batch is None:
             # Revisions of another copy of the store can't be compared with ours.
-            caller.send(Answer(409 if poll.era != self._era else 503, []))
+            caller.send(Answer(OTHER_ERA if poll.era != self._records.era else 503, []))
             return
         now = _now()
         changes = RelayedChanges(
@@ -268,6 +328,21 @@
         )
         caller.send(Answer(200, [], msgspec.msgpack.encode(changes)))
 
+    async def _hand_over(self, caller: CallerConnection, target: str) -> None:
+        """Answer all records, once they are of the copy of the store that is asked for."""
+        wanted = parse_wanted_era(target)
+        if wanted is None:
+            self._metrics.add_bad_poll()
+            caller.send(Answer(404, []))
+            return
+        ends = _now() + HANDOVER_WAIT_S
+        while not self._records.meets(wanted) and _now() < ends:
+            await self._wait_for_news(ends - _now())
+        if not self._records.meets(wanted):
+            caller.send(Answer(503, []))
+            return
+        caller.send(Answer(200, [], self._records.encode(_now() - self._proven_at)))
+
     async def _wait_for_news(self, wait_s: float) -> None:
         """Wait for the next update, with or without changes."""
         try:
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -16,12 +16,15 @@
     TargetGone,
     TargetSeen,
 )
+from halldoor.core.targets.relay import WantedEra
 from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.handover import Whole
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.relay import ChangeFeed, Update
+from halldoor.gateway.relay import ChangeFeed, OtherEraError, Update
 from halldoor.gateway.store import (
     HistoryGoneError,
     MetadataStore,
+    Page,
     RecordCodec,
     StoredItem,
     StoreError,
@@ -75,6 +78,7 @@
         self._era = ""
         self._last_revision = 0
         self._is_away = False
+        self._needs_other_era = False
         self.is_confirming = False
         self.is_loaded = asyncio.Event()
         self._watching: asyncio.Task[Update] | None = None
@@ -90,7 +94,7 @@
         while True:
             try:
                 if self._era != self._store.era:
-                    self._revision = None
+                    self._revision, self._needs_other_era = None, True
                 if self._revision is None:
                     await self._load()
                 else:
@@ -100,6 +104,9 @@
                 self._metrics.add_store_call("watch", "history gone")
                 self._log.event("store", "Its history is gone; reading all again.")
                 self._revision = None
+            except OtherEraError:
+                self._log.event("store", "Its reader knows another copy of the store.")
+                self._revision, self._needs_other_era = None, True
             except StoreError as exc:
                 self._note_away(exc)
                 await asyncio.sleep(backoff_s)
@@ -119,37 +126,60 @@
         self.restart(cause)
 
     async def _load(self) -> None:
-        """Read everything; watching goes on from the first page's revision."""
-        began_at = asyncio.get_running_loop().time()
+        """Take everything in, and go on from its revision."""
         before = self._era
-        items: list[StoredItem] = []
-        revision: int | None = None
-        after = ""
-        while True:
-            # One range over all keys, as in the watch: one by kind of record takes more calls.
-            page = await self._store.read_range("", after=after)
-            self._metrics.add_store_call("range", "ok")
-            revision = page.revision if revision is None else min(revision, page.revision)
-            items += page.items
-            if not page.has_more or not page.items:
-                break
-            after = page.items[-1].key
-        is_restored = self.is_loaded.is_set() and before != self._store.era
-        now = self._note_contact(is_return=self._is_away, heard_at=began_at)
-        changes = [c for c in map(self._decode, items) if c is not None]
+        whole = await self._read_whole()
+        is_restored = self.is_loaded.is_set() and before != whole.era
+        now = self._note_contact(is_return=self._is_away, heard_at=whole.proven_at)
+        changes = [c for c in map(self._decode, whole.items) if c is not None]
         applied = self._catalog.load(changes, now, is_restored=is_restored)
         if is_restored:
-            self._log_era(before, revision or 0)
-        self._revision, self._era = revision, self._store.era
-        self._last_revision = revision or 0
-        self._feed.begin(revision or 0, began_at, self._era)
+            self._log_era(before, whole)
+        self._store.era = self._era = whole.era
+        self._needs_other_era = False
+        self._revision = self._last_revision = whole.revision
+        self._feed.begin(whole)
         self.is_loaded.set()
-        self._log.event("store", "Read all.", revision=revision, changes=len(applied))
+        self._log.event("store", "Read all.", revision=whole.revision, changes=len(applied))
         for change in applied:
             if isinstance(change, RoutingSeen):
-                self._log_change(change, revision or 0)
+                self._log_change(change, whole.revision)
             self._on_change(change)
 
+    async def _read_whole(self) -> Whole:
+        """Read everything: from an entry that is in step, or page by page from the store.
+
+        The first page of one that starts names the entries of its hall.  Whoever stood still asks
+        the store itself.
+        """
+        if self.is_loaded.is_set() and not self.is_confirming:
+            left = self._era if self._needs_other_era else None
+            members = list(self._catalog.members.values())
+            whole = await self._feed.fetch_whole(members, WantedEra(self._store.era, left))
+            if whole is not None:
+                return whole
+        began_at = asyncio.get_running_loop().time()
+        # One range over all keys, as in the watch: one by kind of record takes more calls.
+        page = await self._read_page(after="")
+        items, revision, era = list(page.items), page.revision, self._store.era
+        if page.has_more and not self.is_loaded.is_set():
+            seen = [c for c in map(self._decode, items) if isinstance(c, MemberSeen)]
+            members = [change.member for change in seen]
+            whole = await self._feed.fetch_whole(members, WantedEra(self._store.era))
+            if whole is not None:
+                return whole
+        while page.has_more and page.items:
+            page = await self._read_page(after=page.items[-1].key)
+            items += page.items
+            revision = min(revision, page.revision)
+        return Whole(items, revision, era, began_at)
+
+    async def _read_page(self, *, after: str) -> Page:
+        """Read a page of the store."""
+        page = await self._store.read_range("", after=after)
+        self._metrics.add_store_call("range", "ok")
+        return page
+
     async def _watch(self, revision: int) -> None:
         """Wait for changes and apply them."""
         task = asyncio.ensure_future(self._feed.wait(revision))
@@ -208,17 +238,17 @@
             self._is_away = True
             self._log.event("store", "Lost.", cause=exc.message)
 
-    def _log_era(self, before: str, revision: int) -> None:
+    def _log_era(self, before: str, whole: Whole) -> None:
         """Write that the store was restored from a copy, and what its answers said."""
         self._metrics.add_store_call("range", "restored")
         self._log.event(
             "store",
             "Came back from a copy; read all again.",
             era_before=before,
-            era=self._store.era,
-            problem=find_era_problem(before, self._store.era),
+            era=whole.era,
+            problem=find_era_problem(before, whole.era),
             revision_before=self._last_revision,
-            revision=revision,
+            revision=whole.revision,
         )
 
     def _log_change(self, change: Change, revision: int) -> None:
--- a/halldoor/standins/memorystore.py
+++ b/halldoor/standins/memorystore.py
@@ -33,6 +33,11 @@
 class MemoryStore(MetadataStore):
     """Keys in memory.
 
+    Parameters
+    ----------
+    page_items : int, optional
+        Items on one page of a range.
+
     Attributes
     ----------
     is_down : bool
@@ -45,7 +50,8 @@
         How often it was restored from a copy.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, page_items: int = PAGE_SIZE) -> None:
+        self._page_items = page_items
         self._values: dict[str, bytes] = {}
         self._history: list[tuple[int, StoredItem]] = []
         self._first_revision = 0
@@ -129,8 +135,8 @@
             await asyncio.sleep(0.01)
         self.ranges += 1
         keys = [k for k in self.list_keys(prefix) if k > after]
-        items = [StoredItem(k, self._values[k]) for k in keys[:PAGE_SIZE]]
-        return Page(items, len(keys) > PAGE_SIZE, self._revision)
+        items = [StoredItem(k, self._values[k]) for k in keys[: self._page_items]]
+        return Page(items, len(keys) > self._page_items, self._revision)
 
     async def watch(self, prefix: str, *, after: int, wait_s: float) -> Events:
         """Wait for changes."""
--- /dev/null
+++ b/halldoor/tests/test_handover.py
@@ -0,0 +1,193 @@
+"""Records of the store that one entry hands to another.
+
+Every entry read the whole store anew when it came back from a copy, and when it started: 150 pages
+at 75 entries and 450 targets, and 354 watches beside, where 50 are usual, for each follower left
+its reader for three seconds: the reader's answer that it knows another copy read like a failure.
+
+    entries, halls   what             ranges   watches
+    75, 6            store restored   150      354
+    75, 6            all start again  150      134
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from halldoor.core.targets.relay import WantedEra, choose_readers
+from halldoor.gateway.httpclient import HttpAnswer
+from halldoor.standins import storefleet, virtualtime
+from halldoor.standins.storefleet import StoreFleet
+
+IN_STEP_S = 5.0
+"""Time in which all entries must hold what the store holds, in seconds."""
+RESTORED_S = 10.0
+"""The same after the store came back from a copy: what is not in it may be written again first."""
+HALLS = 2
+TARGETS = 60
+PAGES = 2
+"""Pages of the store that these and the entries fill."""
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(*, entries=16, targets=TARGETS):
+    fleet = StoreFleet(entries=entries, halls=HALLS, targets=targets, page_items=50)
+    fleet.configure(1)
+    await fleet.start(within_s=0.5)
+    await fleet.wait(1)
+    # Until those that lost their reader at the start follow one again.
+    await asyncio.sleep(2 * fleet.settings.direct_s)
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def list_readers(fleet):
+    """List the entries that read for others."""
+    members = next(iter(fleet.entries.values())).catalog.members.values()
+    readers = [r for i in range(HALLS) for r in choose_readers(members, f"h{i}", fleet.settings)]
+    return [fleet.entries[reader.relay.port] for reader in readers]
+
+
+def count_ranges(fleet, since):
+    return fleet.count_calls(since, asyncio.get_running_loop().time())["range"]
+
+
+def list_targets(entry):
+    return {target.name for target in entry.catalog.list_targets()}
+
+
+class TestRestoredStore:
+    def test_only_readers_read_it_anew(self):
+        async def check():
+            async with open_fleet() as fleet:
+                copy = fleet.store.copy()
+                fleet.configure(2)
+                await asyncio.sleep(2.0)
+                began = asyncio.get_running_loop().time()
+                await fleet.restore(copy)
+                fleet.configure(3)
+                assert await fleet.wait(3) < IN_STEP_S
+                assert count_ranges(fleet, began) == len(list_readers(fleet)) * PAGES
+                assert {len(list_targets(entry)) for entry in fleet.entries.values()} == {TARGETS}
+
+        virtualtime.run(check())
+
+    @pytest.mark.parametrize("fault", ["dead", "cut", "silent"])
+    def test_entries_whose_reader_is_lost_read_it_themselves(self, fault):
+        async def check():
+            async with open_fleet() as fleet:
+                copy = fleet.store.copy()
+                (reader, _) = list_readers(fleet)
+                if fault == "dead":
+                    reader.stop()
+                elif fault == "cut":
+                    reader.link.is_cut = True
+                else:
+                    reader.feed.answer = hang
+                await fleet.restore(copy)
+                fleet.configure(3)
+                others = [entry for entry in fleet.entries.values() if entry is not reader]
+                async with asyncio.timeout(IN_STEP_S):
+                    while any(e.catalog.configuration_version != 3 for e in others):
+                        await asyncio.sleep(0.01)
+
+        virtualtime.run(check())
+
+
+async def hang(caller, head):
+    await asyncio.sleep(60.0)
+
+
+class TestStart:
+    def test_an_entry_that_starts_reads_one_page_of_many(self):
+        async def check():
+            async with open_fleet() as fleet:
+                reader = list_readers(fleet)[0]
+                (port, old) = next(
+                    (p, e) for p, e in fleet.entries.items() if e is not reader and p % HALLS == 0
+                )
+                old.stop()
+                began = asyncio.get_running_loop().time()
+                new = fleet.replace(port)
+                await asyncio.wait_for(new.sync.is_loaded.wait(), IN_STEP_S)
+                assert count_ranges(fleet, began) == 1
+                assert list_targets(new) == list_targets(reader)
+
+        virtualtime.run(check())
+
+    @pytest.mark.parametrize("answer", [HttpAnswer(200, b"rubbish"), HttpAnswer(503, b"")])
+    def test_rubbish_is_not_believed(self, answer, monkeypatch):
+        async def call(self, method, target, **options):
+            return answer
+
+        async def check():
+            async with open_fleet() as fleet:
+                monkeypatch.setattr(storefleet.ModelClient, "call", call)
+                await fleet.start(within_s=0.5)
+                await fleet.wait(1, limit_s=IN_STEP_S)
+                assert {len(list_targets(entry)) for entry in fleet.entries.values()} == {TARGETS}
+
+        virtualtime.run(check())
+
+    @pytest.mark.parametrize("target", ["/records", "/records?left=1", "/recordsx?newest=1"])
+    def test_what_is_no_question_for_records_is_not_found(self, target):
+        async def check():
+            async with open_fleet(entries=2, targets=0) as fleet:
+                client = storefleet.ModelClient(fleet, storefleet.Address(storefleet.IP, 1))
+                assert (await client.call("GET", target, timeout_s=9.0)).status == 404
+
+        virtualtime.run(check())
+
+
+ERAS = st.sampled_from(["", "0", "1", "2", "10", "x"])
+
+
+class TestWantedEra:
+    @given(newest=ERAS, left=st.none() | ERAS, era=ERAS)
+    def test_what_was_left_is_never_taken_nor_what_is_older(self, newest, left, era):
+        if WantedEra(newest, left).is_met_by(era):
+            assert era != left
+            assert era == newest or int(era) > int(newest)
+
+    def test_a_newer_copy_than_known_is_taken(self):
+        assert WantedEra("3", "3").is_met_by("4")
+        assert not WantedEra("3", "3").is_met_by("3")
+        assert not WantedEra("3").is_met_by("4")
+
+
+@settings(max_examples=8)
+@given(
+    kills=st.lists(st.tuples(st.integers(1, 16), st.floats(0.0, 4.0)), max_size=6),
+    cuts=st.lists(st.tuples(st.integers(1, 16), st.floats(0.0, 4.0)), max_size=4),
+    restores=st.lists(st.floats(0.1, 3.0), min_size=1, max_size=3),
+    away_s=st.sampled_from([0.0, 0.5, 2.0]),
+)
+def test_after_restores_all_hold_what_the_store_holds(kills, cuts, restores, away_s):
+    """Entries are killed and replaced, or cut off for 1.5 s, around the store's restores."""
+
+    async def check():
+        async with open_fleet() as fleet:
+            loop = asyncio.get_running_loop()
+            copy = fleet.store.copy()
+            for port, at in kills:
+                loop.call_later(at, fleet.replace, port)
+            for port, at in cuts:
+                loop.call_later(at, fleet.cut, port, 1.5)
+            for version, after_s in enumerate(restores, start=2):
+                fleet.write_target(TARGETS + version, "h0")
+                await asyncio.sleep(after_s)
+                await fleet.restore(copy, away_s=away_s)
+                fleet.configure(version)
+            await asyncio.sleep(RESTORED_S)
+            held = [list_targets(entry) for entry in fleet.entries.values()]
+            stored = {key.removeprefix("targets/") for key in fleet.store.list_keys("targets/")}
+            assert all(names == stored for names in held)
+            assert fleet.is_in_step(version)
+
+    virtualtime.run(check())
--- a/halldoor/tests/test_suspension.py
+++ b/halldoor/tests/test_suspension.py
@@ -15,12 +15,16 @@
 
 import h11
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from halldoor.core.settings import Address
 from halldoor.gateway import clock
 from halldoor.gateway.connection import HttpConnection
 from halldoor.gateway.headers import find
+from halldoor.standins import virtualtime
 from halldoor.standins.sample import IP, find_ports
+from halldoor.standins.storefleet import StoreFleet
 from halldoor.tests.gatewaykit import NAMES, GatewayKit
 
 SUSPENSIONS_S = [5.0, 60.0]
@@ -212,3 +216,45 @@
                 assert late == []
 
         clock.run(check())
+
+
+def relies(entry):
+    """Tell whether an entry says that it is ready, and answers look-ups."""
+    is_confirming = entry.sync.is_confirming or entry.maintenance.has_stood_still()
+    return entry.catalog.routing is not None and not is_confirming
+
+
+@settings(max_examples=15)
+@given(
+    suspensions=st.lists(
+        st.tuples(st.floats(0.0, 3.0), st.floats(1.5, 60.0), st.booleans()), min_size=1, max_size=3
+    ),
+    is_down=st.booleans(),
+)
+def test_who_wakes_relies_on_nothing_that_changed_meanwhile(suspensions, is_down):
+    """In virtual time: entries of two halls, of which one reads for others, sleep at any moment."""
+
+    async def check():
+        fleet = StoreFleet(entries=10, halls=2, targets=20)
+        fleet.configure(version := 1)
+        await fleet.start(within_s=0.5)
+        await fleet.wait(version)
+        for after_s, for_s, is_restored in suspensions:
+            copy = fleet.store.copy()
+            await asyncio.sleep(after_s)
+            asyncio.get_running_loop().suspend(for_s)
+            if is_restored:
+                fleet.store.restore(copy)
+            fleet.configure(version := version + 1)
+            for _ in range(40):
+                await asyncio.sleep(0.005)
+                relying = [e for e in fleet.entries.values() if relies(e)]
+                assert all(e.catalog.configuration_version == version for e in relying)
+            if is_down:
+                fleet.store.cut()
+                await asyncio.sleep(0.5)
+                fleet.store.is_down = False
+        await fleet.wait(version, limit_s=5.0)
+        fleet.stop()
+
+    virtualtime.run(check())
