Pages of two copies of the store are not put together

What operators saw: nothing yet; drawn by the property of test_handover.py, with three restores in 1.4 s: ten seconds later all entries held version 3 where the store held 4.

Cause: the store was restored between two pages of one reading. The entry kept the first page's revision, of the older copy, with the newer copy's number; that revision was given out again, so that the watch went on behind the version written there. Ruled out: the handover (one entry alone does it).

--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -170,6 +170,9 @@
                 return whole
         while page.has_more and page.items:
             page = await self._read_page(after=page.items[-1].key)
+            if self._store.era != era:
+                # Revisions of two copies can't be compared; the older may be given out again.
+                raise HistoryGoneError("The store was restored meanwhile.", remedy="Read again.")
             items += page.items
             revision = min(revision, page.revision)
         return Whole(items, revision, era, began_at)
--- a/halldoor/tests/test_handover.py
+++ b/halldoor/tests/test_handover.py
@@ -100,6 +100,43 @@
         virtualtime.run(check())
 
 
+class TestRestoreWhileReading:
+    def test_pages_of_two_copies_are_not_put_together(self):
+        """The store was restored between two pages of one reading of it.
+
+        The entry went on from the first page's revision, which the restored store gave out once
+        more, so that it never saw the version of the configuration written there:
+
+            1.346  RESTORED era 2
+            1.441  store: Its history is gone; reading all again.
+            1.446  RESTORED era 3
+            1.457  routing: In force.  version 3  revision 78
+
+        and ten seconds later still version 3 where the store held 4.
+        """
+
+        async def check():
+            async with open_fleet(entries=1) as fleet:
+                fleet.configure(2)
+                (entry,) = fleet.entries.values()
+                copy = fleet.store.copy()
+                fleet.configure(3)
+                read_range = entry.link.read_range
+
+                async def restore_and_read(prefix, *, after=""):
+                    if after and fleet.store.copies < 2:
+                        fleet.store.restore(copy)
+                        fleet.configure(4)
+                    return await read_range(prefix, after=after)
+
+                entry.link.read_range = restore_and_read
+                fleet.store.restore(copy)
+                fleet.configure(3)
+                await fleet.wait(4, limit_s=IN_STEP_S)
+
+        virtualtime.run(check())
+
+
 async def hang(caller, head):
     await asyncio.sleep(60.0)
 
