halldoor replay: play a load pattern under several policies, side by side

The model of the choice in virtual time becomes a command: patterns and policies from files, figures and a picture.

Not in it: teams and quotas, callers that come back, several kinds of request.

--- a/halldoor/cli/operator.py
+++ b/halldoor/cli/operator.py
@@ -8,7 +8,7 @@
 
 import os
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any, Literal, NoReturn
 from urllib.parse import urlencode
@@ -18,6 +18,7 @@
 import urllib3
 
 from halldoor.cli.fleet import describe_fleet, fetch_fleet
+from halldoor.cli.replay import describe_played, draw, load_pattern, load_policies, play_policies
 from halldoor.core.errors import HalldoorError
 from halldoor.core.explaining.history import explain_request, parse_lines
 from halldoor.core.explaining.report import build_report, describe_report
@@ -207,6 +208,38 @@
     _print(output, built._asdict(), lambda: describe_report(built))
 
 
+def replay(
+    pattern: Path,
+    *,
+    policy: Sequence[Path] = (),
+    seed: int = 1,
+    plot: Path | None = None,
+    output: Output = "text",
+) -> None:
+    """Play a load pattern in virtual time, under the standing policy and others.
+
+    Parameters
+    ----------
+    pattern
+        YAML file with a fleet and its load; examples are in examples/patterns.
+    policy
+        Policy files, as entries take them; only their ``choice`` counts.
+    seed
+        Decides all that happens by chance: the same seed gives the same result.
+    plot
+        File for a picture, .svg or .png.
+    output
+        ``text`` or ``json``.
+    """
+    try:
+        played = play_policies(load_pattern(pattern), load_policies(policy), seed=seed)
+        if plot is not None:
+            draw(played, plot)
+    except HalldoorError as exc:
+        _fail(BAD_INPUT, str(exc))
+    _print(output, [one.to_fields() for one in played], lambda: describe_played(played))
+
+
 def audit(*, limit: int = 20, output: Output = "text") -> None:
     """List changes, newest first: who, when, what, before and after.
 
@@ -330,7 +363,7 @@
 
 def main() -> None:
     """Start the program."""
-    defopt.run([validate, plan, apply, shift, drain, status, fleet, explain, report, audit])
+    defopt.run([validate, plan, apply, shift, drain, status, fleet, explain, report, replay, audit])
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/halldoor/cli/replay.py
@@ -0,0 +1,153 @@
+"""Play a load pattern under several policies, side by side: the part behind ``halldoor replay``."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from halldoor.core.errors import SettingsError
+from halldoor.core.settings import Address
+from halldoor.core.targets.settings import ChoiceSettings
+from halldoor.files import load_settings, load_yaml
+from halldoor.gateway.settings import GatewaySettings
+from halldoor.standins.patterns import Pattern
+from halldoor.standins.replay import ModelEntry, Replay, Tally
+
+STANDING = "as it is"
+"""Name of the policy without any file."""
+SECTION = "choice"
+"""Section of a policy file that a replay knows."""
+_NOWHERE = Address("127.0.0.1", 1)
+_USUAL = GatewaySettings(
+    name="replay",
+    hall="",
+    region="",
+    front=_NOWHERE,
+    ready=_NOWHERE,
+    directory=_NOWHERE,
+    regions={},
+)
+
+
+class Played(NamedTuple):
+    """What became of a pattern under a policy."""
+
+    policy: str
+    tally: Tally
+
+    def to_fields(self) -> dict[str, Any]:
+        """Give the figures by name."""
+        tally, counts = self.tally, self.tally.counts
+        worst = min(self.list_seconds(), key=lambda second: tally.share_in_aim(second, second + 1))
+        return {
+            "policy": self.policy,
+            "in_aim": round(tally.share_in_aim(), 4),
+            "worst_second": worst,
+            "in_aim_in_worst_second": round(tally.share_in_aim(worst, worst + 1), 4),
+            **{name: counts[name] for name in ("late", "refused", "cold", "warm", "far")},
+        }
+
+    def list_seconds(self) -> list[int]:
+        """List the seconds in which requests came."""
+        tally = self.tally
+        return sorted({*tally.in_aim, *tally.late, *tally.refused})
+
+
+def load_pattern(path: Path) -> Pattern:
+    """Read and check a load pattern.
+
+    Raises
+    ------
+    SettingsError
+        Names the field that is wrong.
+    """
+    return load_settings(path, Pattern)
+
+
+def load_policies(paths: Iterable[Path]) -> dict[str, ChoiceSettings]:
+    """Read policy files, and the standing policy before them.
+
+    Raises
+    ------
+    SettingsError
+        Names the setting that is wrong, or that a replay does not know.
+    """
+    policies = {STANDING: _USUAL.choice}
+    for path in paths:
+        settings = _USUAL.use_policy(load_yaml(path), origin=str(path))
+        others = [name for name in settings.find_changes(_USUAL) if name != SECTION]
+        if others:
+            raise SettingsError(
+                f"{path}: a replay does not know {', '.join(others)}.",
+                remedy=f"Only '{SECTION}' has a part in it; remove the others.",
+            )
+        policies[path.stem] = settings.choice
+    return policies
+
+
+def play_policies(
+    pattern: Pattern, policies: dict[str, ChoiceSettings], *, seed: int
+) -> list[Played]:
+    """Play a pattern under each policy, with the same chance."""
+    return [Played(name, _play(pattern, choice, seed)) for name, choice in policies.items()]
+
+
+def _play(pattern: Pattern, choice: ChoiceSettings, seed: int) -> Tally:
+    """Play a pattern once."""
+
+    def use(entry: ModelEntry) -> None:
+        entry.chooser.settings = choice
+
+    return Replay(pattern, seed=seed, adapt=use).run()
+
+
+def describe_played(played: Sequence[Played]) -> list[str]:
+    """Describe plays for people."""
+    lines = []
+    for one in played:
+        f = one.to_fields()
+        lines.append(
+            f"{f['policy']}: {f['in_aim']:.1%} in time, {f['late']} late, {f['refused']} refused; "
+            f"worst second {f['worst_second']}: {f['in_aim_in_worst_second']:.1%}; "
+            f"{f['cold']} of {f['cold'] + f['warm']} cold, {f['far']} in another region."
+        )
+    return lines
+
+
+def draw(played: Sequence[Played], path: Path) -> None:
+    """Draw what became of the requests of each second.
+
+    Raises
+    ------
+    SettingsError
+        Where nothing can be drawn here, or not into that file.
+    """
+    try:
+        import matplotlib as mpl
+    except ModuleNotFoundError as exc:
+        raise SettingsError(
+            "Plots need matplotlib.", remedy="Install halldoor with its 'plot' extra."
+        ) from exc
+    mpl.use("agg")
+    import matplotlib.pyplot as plt
+
+    figure, panels = plt.subplots(3, sharex=True, figsize=(7, 7))
+    for name, panel in zip(("in_aim", "late", "refused"), panels, strict=True):
+        for one in played:
+            counts = getattr(one.tally, name)
+            seconds = one.list_seconds()
+            panel.step(seconds, [counts[s] for s in seconds], where="post", label=one.policy)
+        panel.set_ylabel(f"{name.replace('_', ' ')}, a second")
+        panel.set_ylim(bottom=0)
+    panels[0].legend()
+    panels[-1].set_xlabel("s")
+    figure.tight_layout()
+    try:
+        figure.savefig(path)
+    except (OSError, ValueError) as exc:
+        raise SettingsError(
+            f"{path}: {exc}.", remedy="Name a file that ends in .svg or .png."
+        ) from exc
+    finally:
+        plt.close(figure)
--- a/halldoor/standins/patterns.py
+++ b/halldoor/standins/patterns.py
@@ -2,10 +2,19 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Annotated
 
+import msgspec
 
-class Slowdown(NamedTuple):
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class _Data(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Data that may come from a file."""
+
+
+class Slowdown(_Data, frozen=True, kw_only=True):
     """A part of the targets works slower for a while."""
 
     at_s: float
@@ -14,7 +23,7 @@
     factor: float
 
 
-class Evacuation(NamedTuple):
+class Evacuation(_Data, frozen=True, kw_only=True):
     """The targets of a hall get nothing for a while, and are cold when they return.
 
     Attributes
@@ -34,7 +43,7 @@
         return self.at_s + self.for_s
 
 
-class Burst(NamedTuple):
+class Burst(_Data, frozen=True, kw_only=True):
     """More callers come for a while."""
 
     at_s: float
@@ -42,13 +51,28 @@
     factor: float
 
 
-class Pattern(NamedTuple):
+class HallLoad(_Data, frozen=True, kw_only=True):
+    """A hall.
+
+    Attributes
+    ----------
+    callers : float
+        How many of all callers ask here, in parts of the sum over the halls.
+    """
+
+    region: str
+    entries: Count
+    targets: Annotated[int, msgspec.Meta(ge=0)]
+    callers: Annotated[float, msgspec.Meta(ge=0)]
+
+
+class Pattern(_Data, frozen=True, kw_only=True):
     """A fleet and its load.
 
     Attributes
     ----------
-    halls : dict of str to tuple of (str, int, int, float)
-        Region, entries, targets and part of the callers of each hall.
+    halls : dict of str to HallLoad
+        The halls by name.
     rate_per_s : float
         Requests of all callers.
     keys : int
@@ -64,25 +88,33 @@
         Requests a second that a cold target bears.
     """
 
-    halls: dict[str, tuple[str, int, int, float]]
-    rate_per_s: float
-    length_s: float
-    keys: int
-    warm_s: float
-    cold_s: float
-    aim_s: float
-    timeout_s: float
-    far_s: float = 0.024
-    near_s: float = 0.001
-    slots: int = 6
+    halls: Annotated[dict[str, HallLoad], msgspec.Meta(min_length=1)]
+    rate_per_s: Positive
+    length_s: Positive
+    keys: Count
+    warm_s: Positive
+    cold_s: Positive
+    aim_s: Positive
+    timeout_s: Positive
+    far_s: Positive = 0.024
+    near_s: Positive = 0.001
+    slots: Count = 6
     queue: int = 18
     warm_keys: int = 16
-    sharing_s: float | None = None
+    sharing_s: Positive | None = None
     slowdowns: tuple[Slowdown, ...] = ()
     bursts: tuple[Burst, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
     cold_rate_per_s: float = 0.0
 
+    def __post_init__(self) -> None:
+        """Check what only the whole tells."""
+        if not sum(hall.callers for hall in self.halls.values()):
+            raise ValueError("no hall has callers")
+        unknown = {e.hall for e in self.evacuations} - self.halls.keys()
+        if unknown:
+            raise ValueError(f"evacuations name no hall of it: {', '.join(sorted(unknown))}")
+
     def get_rate(self, now: float) -> float:
         """Give the rate of requests at a moment."""
         rate = self.rate_per_s
@@ -96,9 +128,9 @@
     # A region with a tenth of the targets and a third of the callers; 60 entries and 66 targets,
     # 0.6 of the slots busy once every key is warm.
     halls={
-        "ams-a": ("ams", 20, 7, 1 / 3),
-        "ehv-a": ("ehv", 20, 27, 1 / 3),
-        "grq-a": ("grq", 20, 32, 1 / 3),
+        "ams-a": HallLoad(region="ams", entries=20, targets=7, callers=1 / 3),
+        "ehv-a": HallLoad(region="ehv", entries=20, targets=27, callers=1 / 3),
+        "grq-a": HallLoad(region="grq", entries=20, targets=32, callers=1 / 3),
     },
     rate_per_s=480.0,
     length_s=12.0,
@@ -111,9 +143,9 @@
 SMALL = Pattern(
     # 12 entries and 20 targets that work a third as long.
     halls={
-        "ams-a": ("ams", 4, 2, 1 / 3),
-        "ehv-a": ("ehv", 4, 8, 1 / 3),
-        "grq-a": ("grq", 4, 10, 1 / 3),
+        "ams-a": HallLoad(region="ams", entries=4, targets=2, callers=1 / 3),
+        "ehv-a": HallLoad(region="ehv", entries=4, targets=8, callers=1 / 3),
+        "grq-a": HallLoad(region="grq", entries=4, targets=10, callers=1 / 3),
     },
     rate_per_s=420.0,
     length_s=12.0,
@@ -127,9 +159,9 @@
     # 75 entries and 68 targets of few slots that work briefly; each keeps a few dozen keys.  0.5
     # of the slots are busy once every key is warm, more than all of them while none is.
     halls={
-        "ams-a": ("ams", 25, 7, 1 / 3),
-        "ehv-a": ("ehv", 25, 28, 1 / 3),
-        "grq-a": ("grq", 25, 33, 1 / 3),
+        "ams-a": HallLoad(region="ams", entries=25, targets=7, callers=1 / 3),
+        "ehv-a": HallLoad(region="ehv", entries=25, targets=28, callers=1 / 3),
+        "grq-a": HallLoad(region="grq", entries=25, targets=33, callers=1 / 3),
     },
     rate_per_s=750.0,
     length_s=10.0,
@@ -147,10 +179,10 @@
     # The reads of 10 entries and 20 targets.  A region of two halls is at the height of its day
     # when one of them is evacuated, and 10 s later its targets come back, cold for 6 s.
     halls={
-        "ams-a": ("ams", 2, 4, 0.24),
-        "ams-b": ("ams", 2, 4, 0.24),
-        "ehv-a": ("ehv", 3, 10, 0.21),
-        "grq-a": ("grq", 3, 2, 0.31),
+        "ams-a": HallLoad(region="ams", entries=2, targets=4, callers=0.24),
+        "ams-b": HallLoad(region="ams", entries=2, targets=4, callers=0.24),
+        "ehv-a": HallLoad(region="ehv", entries=3, targets=10, callers=0.21),
+        "grq-a": HallLoad(region="grq", entries=3, targets=2, callers=0.31),
     },
     rate_per_s=285.0,
     length_s=28.0,
@@ -162,27 +194,30 @@
     far_s=0.07,
     warm_keys=47,
     sharing_s=0.15,
-    evacuations=(Evacuation("ams-a", at_s=4.0, for_s=10.0, cold_s=6.0),),
+    evacuations=(Evacuation(hall="ams-a", at_s=4.0, for_s=10.0, cold_s=6.0),),
     cold_rate_per_s=9.2,
 )
-RETURN_REGION = RETURN._replace(
+RETURN_REGION = msgspec.structs.replace(
+    RETURN,
     # Both of its halls, in the slope of the day: all that the region can do was elsewhere.
     rate_per_s=220.0,
     length_s=44.0,
     evacuations=(
-        Evacuation("ams-a", at_s=4.0, for_s=10.0, cold_s=6.0),
-        Evacuation("ams-b", at_s=4.0, for_s=10.0, cold_s=6.0),
+        Evacuation(hall="ams-a", at_s=4.0, for_s=10.0, cold_s=6.0),
+        Evacuation(hall="ams-b", at_s=4.0, for_s=10.0, cold_s=6.0),
     ),
 )
 PATTERNS = {
     "75 entries, few slots, cold at the start": SHIFTED,
-    "the same, each entry knows only its own answers": SHIFTED._replace(sharing_s=None),
+    "the same, each entry knows only its own answers": msgspec.structs.replace(
+        SHIFTED, sharing_s=None
+    ),
     "large fleet, 0.6 of the slots busy": LARGE,
-    "the same, twice the callers for 3 s": LARGE._replace(
-        rate_per_s=360.0, bursts=(Burst(at_s=6.0, for_s=3.0, factor=2.0),)
+    "the same, twice the callers for 3 s": msgspec.structs.replace(
+        LARGE, rate_per_s=360.0, bursts=(Burst(at_s=6.0, for_s=3.0, factor=2.0),)
     ),
-    "the same, 15% of the targets 4.4 times slower for 5 s": LARGE._replace(
-        rate_per_s=300.0, slowdowns=(Slowdown(at_s=5.0, for_s=5.0, share=0.15, factor=4.4),)
+    "the same, 15% of the targets 4.4 times slower for 5 s": msgspec.structs.replace(
+        LARGE, rate_per_s=300.0, slowdowns=(Slowdown(at_s=5.0, for_s=5.0, share=0.15, factor=4.4),)
     ),
     "small fleet, 0.5 of the slots busy": SMALL,
     "a hall of two returns cold": RETURN,
--- a/halldoor/standins/replay.py
+++ b/halldoor/standins/replay.py
@@ -133,7 +133,7 @@
 
     def __init__(self, pattern: Pattern, catalog: Catalog, name: str, hall: str) -> None:
         self.name, self.hall = name, hall
-        self.region = pattern.halls[hall][0]
+        self.region = pattern.halls[hall].region
         self.loads, self.latency, self.outliers = LoadTable(), LatencyModel(), OutlierTable()
         self.chooser = Chooser(
             catalog,
@@ -143,11 +143,11 @@
             own_name=name,
             own_hall=hall,
             own_region=self.region,
-            regions={h: p[0] for h, p in pattern.halls.items()},
+            regions={name: load.region for name, load in pattern.halls.items()},
             settings=ChoiceSettings(),
         )
-        for other, (region, *_) in pattern.halls.items():
-            is_far = region != self.region
+        for other, load in pattern.halls.items():
+            is_far = load.region != self.region
             self.latency.add_connect(other, pattern.far_s if is_far else pattern.near_s)
 
 
@@ -197,14 +197,14 @@
     def _build(self, adapt: Callable[[ModelEntry], None] | None) -> None:
         """Build targets and entries; entries of a hall share the orders, which are alike."""
         pattern = self._pattern
-        for hall, (region, entries, targets, _) in pattern.halls.items():
-            for i in range(targets):
+        for hall, load in pattern.halls.items():
+            for i in range(load.targets):
                 name = f"t-{hall}-{i}"
                 record = TargetRecord(name, SERVICE, ADDRESS, hall, pattern.slots, False, 0.0)
                 self._catalog.apply(TargetSeen(record), 0.0)
                 self._targets[name] = _Target(pattern, name)
-            for i in range(entries):
-                member = MemberRecord(f"e-{hall}-{i}", ADDRESS, hall, region, ADDRESS)
+            for i in range(load.entries):
+                member = MemberRecord(f"e-{hall}-{i}", ADDRESS, hall, load.region, ADDRESS)
                 self._catalog.apply(MemberSeen(member), 0.0)
         for slowdown in pattern.slowdowns:
             count = round(slowdown.share * len(self._targets))
@@ -213,9 +213,9 @@
         for evacuation in pattern.evacuations:
             self._at(evacuation.at_s, partial(self._evacuate, evacuation))
             self._at(evacuation.until_s, partial(self._take_back, evacuation))
-        for hall, (_, entries, _, part) in pattern.halls.items():
+        for hall, load in pattern.halls.items():
             first: ModelEntry | None = None
-            for i in range(entries):
+            for i in range(load.entries):
                 entry = ModelEntry(pattern, self._catalog, f"e-{hall}-{i}", hall)
                 if adapt is not None:
                     adapt(entry)
@@ -223,7 +223,7 @@
                     entry.chooser.orders = first.chooser.orders
                 first = first or entry
                 self.entries.append(entry)
-                self._weights.append(part / entries)
+                self._weights.append(load.callers / load.entries)
 
     def _evacuate(self, evacuation: Evacuation) -> None:
         """Take a hall out of use."""
@@ -296,7 +296,7 @@
         target.running += 1
         work_s, is_warm = target.begin(request.key, self._now, self._source)
         self.tally.counts["warm" if is_warm else "cold"] += 1
-        region = self._pattern.halls[request.choice.target.record.hall][0]
+        region = self._pattern.halls[request.choice.target.record.hall].region
         self.tally.runs.append(Run(self._now, request.entry.region, region))
         self._at(work_s, lambda: self._answer(target, request))
 
@@ -318,7 +318,7 @@
         if self._pattern.sharing_s is not None:
             self._at(self._pattern.sharing_s, lambda: self._share(request, report, took_s))
         entry.outliers.add_success(name, SERVICE, took_s, self._now)
-        if self._pattern.halls[hall][0] != entry.region:
+        if self._pattern.halls[hall].region != entry.region:
             self.tally.counts["far"] += 1
         self._end(entry, request.began_at, "in aim" if took_s <= self._pattern.aim_s else "late")
 
--- a/halldoor/tests/test_replay.py
+++ b/halldoor/tests/test_replay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from halldoor.core.targets import load
@@ -34,13 +35,13 @@
 
 class TestReplay:
     def test_a_seed_gives_the_same_play(self):
-        pattern = LARGE._replace(length_s=2.0)
+        pattern = msgspec.structs.replace(LARGE, length_s=2.0)
         assert Replay(pattern, seed=5).run() == Replay(pattern, seed=5).run()
 
     def test_every_request_ends_once(self):
         slow = Slowdown(at_s=1.0, for_s=2.0, share=0.3, factor=5.0)
         burst = Burst(at_s=1.0, for_s=2.0, factor=2.0)
-        pattern = LARGE._replace(length_s=4.0, slowdowns=(slow,), bursts=(burst,))
+        pattern = msgspec.structs.replace(LARGE, length_s=4.0, slowdowns=(slow,), bursts=(burst,))
         replay = Replay(pattern, seed=1)
         tally = replay.run()
         ended = tally.counts["in aim"] + tally.counts["late"] + tally.counts["refused"]
@@ -53,7 +54,7 @@
         """0.79 in time where each entry knows its own answers only, 0.84 with its hall's."""
 
         def serve(sharing_s):
-            pattern = SHIFTED._replace(sharing_s=sharing_s)
+            pattern = msgspec.structs.replace(SHIFTED, sharing_s=sharing_s)
             return sum(Replay(pattern, seed=s).run().share_in_aim() for s in (1, 2)) / 2
 
         assert serve(0.15) > serve(None) + 0.025
--- /dev/null
+++ b/halldoor/tests/test_replay_command.py
@@ -0,0 +1,96 @@
+"""``halldoor replay``: a pattern and policies from files, and what comes of them."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+import yaml
+
+from halldoor.cli.replay import load_pattern, load_policies, play_policies
+from halldoor.core.errors import SettingsError
+
+EXAMPLES = Path(__file__).parents[2] / "examples" / "patterns"
+SMALL = {
+    "halls": {
+        "a": {"region": "ra", "entries": 2, "targets": 3, "callers": 1},
+        "b": {"region": "rb", "entries": 2, "targets": 3, "callers": 1},
+    },
+    "rate_per_s": 60,
+    "length_s": 3,
+    "keys": 8,
+    "warm_s": 0.1,
+    "cold_s": 0.3,
+    "aim_s": 0.4,
+    "timeout_s": 1.0,
+}
+
+
+def write(folder, name, data):
+    path = folder / name
+    path.write_text(yaml.safe_dump(data))
+    return path
+
+
+def run(*arguments):
+    command = [sys.executable, "-m", "halldoor.cli.operator", "replay", *map(str, arguments)]
+    return subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
+
+
+class TestReplay:
+    def test_policies_are_told_side_by_side(self, tmp_path):
+        pattern = write(tmp_path, "small.yaml", SMALL)
+        policy = write(tmp_path, "no-keys.yaml", {"choice": {"uses_keys": False}})
+        plot = tmp_path / "plot.svg"
+        done = run(pattern, "--policy", policy, "--plot", plot, "--output", "json")
+        assert done.returncode == 0, done.stderr
+        told = msgspec.json.decode(done.stdout)
+        assert [one["policy"] for one in told] == ["as it is", "no-keys"]
+        assert told[0]["cold"] < told[1]["cold"]
+        assert "<svg" in plot.read_text()[:1000]
+
+    def test_the_same_seed_gives_the_same(self, tmp_path):
+        pattern, policies = load_pattern(write(tmp_path, "p.yaml", SMALL)), load_policies([])
+        first, again, other = (
+            play_policies(pattern, policies, seed=seed)[0].to_fields() for seed in (1, 1, 2)
+        )
+        assert first == again != other
+
+    @pytest.mark.parametrize("path", sorted(EXAMPLES.glob("*.yaml")), ids=lambda p: p.stem)
+    def test_the_examples_can_be_played(self, path):
+        pattern = msgspec.structs.replace(load_pattern(path), length_s=1.0)
+        (played,) = play_policies(pattern, load_policies([]), seed=1)
+        assert played.to_fields()["warm"] + played.to_fields()["cold"] > 0
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(
+        ("change", "wanted"),
+        [
+            ({"rate_per_s": "many"}, "rate_per_s"),
+            ({"rate_per_s": 0}, "rate_per_s"),
+            ({"halls": {}}, "halls"),
+            ({"speed": 1}, "speed"),
+            ({"bursts": [{"at_s": 1}]}, r"for_s.*bursts\[0\]"),
+            ({"evacuations": [{"hall": "z", "at_s": 1, "for_s": 1, "cold_s": 1}]}, "no hall"),
+        ],
+    )
+    def test_a_wrong_pattern_is_named(self, tmp_path, change, wanted):
+        with pytest.raises(SettingsError, match=wanted):
+            load_pattern(write(tmp_path, "p.yaml", SMALL | change))
+
+    def test_one_line_and_a_code(self, tmp_path):
+        pattern = write(tmp_path, "p.yaml", SMALL)
+        policy = write(tmp_path, "q.yaml", {"sharing": {}, "retries": {"ratio": 0.5}})
+        done = run(pattern, "--policy", policy)
+        assert done.returncode == 2
+        assert done.stderr.count("\n") == 1
+        assert "a replay does not know retries" in done.stderr
+
+    @pytest.mark.parametrize("name", ["plot.none", "no/such/folder/plot.svg"])
+    def test_a_picture_that_cannot_be_written(self, tmp_path, name):
+        done = run(write(tmp_path, "p.yaml", SMALL), "--plot", tmp_path / name)
+        assert (done.returncode, done.stderr.count("\n")) == (2, 1)
