halldoor report: when a region's requests went to another one, summed up over entries

Purpose: an on-call engineer saw a line for each entry and had to add them up by hand. The report lists the greatest moves by moment and region of origin: part, entries, reasons, versions, age of the store.

--- a/halldoor/core/explaining/history.py
+++ b/halldoor/core/explaining/history.py
@@ -49,6 +49,16 @@
     return Warmth.HAD_THE_KEY if attempt.get("has_sent_key") else Warmth.COLD
 
 
+def date_lines(lines: Iterable[LogLine]) -> Iterator[tuple[LogLine, float]]:
+    """Give each line with the time since its entry's start, in seconds."""
+    started_at: dict[str, float] = {}
+    for line in lines:
+        if line.part == "process" and line.text == "Started.":
+            # The steady clock begins anew.
+            started_at[line.entry] = line.at
+        yield line, line.at - started_at.setdefault(line.entry, line.at)
+
+
 def parse_lines(lines: Iterable[str]) -> Iterator[LogLine]:
     """Read log lines; what stands before the JSON is dropped, other lines are passed over."""
     for line in lines:
--- a/halldoor/core/explaining/report.py
+++ b/halldoor/core/explaining/report.py
@@ -7,7 +7,8 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
-from halldoor.core.explaining.history import LogLine, find_warmth
+from halldoor.core.explaining.history import LogLine, date_lines, find_warmth
+from halldoor.core.explaining.moves import Moved, MoveTable, describe_moves
 
 WINDOW_S = 2.0
 """Length of a window of the table by moments, in seconds: about a short fault's."""
@@ -96,6 +97,7 @@
     attempts: list[AttemptTally]
     reasons: list[tuple[str, str, int]]
     suspects: list[Suspect]
+    moves: list[Moved]
 
 
 class _Request(NamedTuple):
@@ -109,7 +111,12 @@
 
 def build_report(lines: Iterable[LogLine]) -> Report:
     """Build the report of some log lines, of one entry or many."""
-    requests = list(_list_requests(lines))
+    moves, requests = MoveTable(), []
+    for line, since_start_s in date_lines(lines):
+        moves.add(line, since_start_s)
+        request = _read_request(line, since_start_s)
+        if request is not None:
+            requests.append(request)
     moments = _tally(requests, lambda r: (f"{int(r.since_start_s / WINDOW_S) * WINDOW_S:06.1f}",))
     return Report(
         services=_tally(requests, lambda r: (str(r.line.fields["service"]),)),
@@ -117,21 +124,16 @@
         attempts=_tally_attempts(requests),
         reasons=_count_reasons(requests),
         suspects=_list_suspects(requests),
+        moves=moves.list_moves(),
     )
 
 
-def _list_requests(lines: Iterable[LogLine]) -> Iterable[_Request]:
-    """List the ends of requests, with the time since their entry's start."""
-    started_at: dict[str, float] = {}
-    for line in lines:
-        if line.part == "process" and line.text == "Started.":
-            # The steady clock begins anew.
-            started_at[line.entry] = line.at
-        since_s = line.at - started_at.setdefault(line.entry, line.at)
-        fields = line.fields
-        if line.part != "request" or not fields.get("service") or "status" not in fields:
-            continue
-        yield _Request(line, int(fields.get("stands_for", 1)), _judge(fields), since_s)
+def _read_request(line: LogLine, since_start_s: float) -> _Request | None:
+    """Read the end of a request; None where a line tells of none."""
+    fields = line.fields
+    if line.part != "request" or not fields.get("service") or "status" not in fields:
+        return None
+    return _Request(line, int(fields.get("stands_for", 1)), _judge(fields), since_start_s)
 
 
 def _judge(fields: dict[str, Any]) -> Ended:
@@ -256,7 +258,7 @@
     left = sum(count for _, _, count in report.reasons[REASONS_SHOWN:])
     if left:
         lines.append(f"{left:>8}  for other reasons")
-    return lines + _describe_suspects(report.suspects)
+    return lines + _describe_suspects(report.suspects) + describe_moves(report.moves)
 
 
 def _describe_suspects(suspects: Sequence[Suspect]) -> list[str]:
--- a/halldoor/gateway/flows.py
+++ b/halldoor/gateway/flows.py
@@ -51,6 +51,7 @@
         self._log.event(
             "flow",
             "Moved between regions.",
+            origin=self._own_region,
             moved=round(move.part, 2),
             before=move.before,
             after=move.after,
--- a/halldoor/tests/test_report.py
+++ b/halldoor/tests/test_report.py
@@ -59,6 +59,35 @@
         assert not any("lost under it" in line for line in describe_report(report))
 
 
+def make_move_line(at, entry, *, before, after, reason="spilled"):
+    fields = {"at": at, "entry": entry, "origin": "ams", "moved": 0.5, "version": 7}
+    fields |= {"before": before, "after": after, "reason": reason, "store_age_ms": 410}
+    return json.dumps({"event": "flow: Moved between regions.", **fields})
+
+
+class TestMoves:
+    def test_entries_are_summed_up_by_window(self):
+        lines = [
+            json.dumps({"event": "process: Started.", "at": 8.0, "entry": "e1"}),
+            json.dumps({"event": "process: Started.", "at": 108.0, "entry": "e2"}),
+            make_move_line(11.0, "e1", before={"ams": 10}, after={"ams": 4, "grq": 6}),
+            make_move_line(111.9, "e2", before={"ams": 10}, after={"ams": 10}, reason="retried"),
+            make_move_line(17.0, "e1", before={"ams": 2}, after={"grq": 2}),
+        ]
+        report = build_report(parse_lines(lines))
+        (first, second) = report.moves
+        assert (first.since_start_s, first.entries, first.part) == (2.0, 2, 0.3)
+        assert (first.after, first.reasons) == ({"ams": 14, "grq": 6}, {"spilled": 1, "retried": 1})
+        assert (second.since_start_s, second.part) == (8.0, 1.0)
+        (told,) = [line for line in describe_report(report) if "0.30 moved" in line]
+        assert "ams 20 before, ams 14 grq 6 after; version 7, store heard up to 410 ms" in told
+
+    def test_lines_without_figures_are_no_error(self):
+        line = json.dumps({"event": "flow: Moved between regions.", "at": 1.0, "entry": "e1"})
+        (move,) = build_report(parse_lines([line])).moves
+        assert (move.part, move.versions) == (0.0, ())
+
+
 class TestReport:
     def test_requests_are_counted_by_how_they_ended(self):
         report = build_report(parse_lines(LINES))
