--- /dev/null
+++ b/halldoor/gateway/following.py
@@ -0,0 +1,79 @@
+"""Let the parts of an entry follow what changes in its catalog."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from halldoor.core.targets.catalog import Catalog
+from halldoor.core.targets.changes import (
+    Change,
+    EvidenceGone,
+    EvidenceSeen,
+    MemberGone,
+    MemberSeen,
+    TargetGone,
+    TargetSeen,
+)
+from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.feedback import TargetFeedback
+from halldoor.gateway.quarantine import RequestQuarantine
+from halldoor.gateway.registration import Registration
+
+
+class ChangeFollower:
+    """Tells the other parts of each change that was applied.
+
+    Parameters
+    ----------
+    own_name : str
+        Name of this entry.
+    catalog : Catalog
+        Where the changes were applied.
+    feedback, quarantine, registration
+        Who follows them.
+    is_stopping : callable
+        Tells whether the own record goes because this entry leaves.
+    """
+
+    def __init__(
+        self,
+        own_name: str,
+        catalog: Catalog,
+        *,
+        feedback: TargetFeedback,
+        quarantine: RequestQuarantine,
+        registration: Registration,
+        is_stopping: Callable[[], bool],
+        log: EventLog,
+    ) -> None:
+        self._own_name = own_name
+        self._catalog = catalog
+        self._feedback = feedback
+        self._quarantine = quarantine
+        self._registration = registration
+        self._is_stopping = is_stopping
+        self._log = log
+
+    def note_change(self, change: Change) -> None:
+        """Tell of a change."""
+        match change:
+            case TargetSeen(record) if self._catalog.take_restart(record.incarnation):
+                self._note_gone(record.incarnation)
+            case TargetGone(incarnation) if self._catalog.find_target(incarnation) is None:
+                self._note_gone(incarnation)
+            case EvidenceSeen(evidence):
+                self._quarantine.take_record(evidence)
+            case EvidenceGone(digest):
+                self._quarantine.lose_record(digest)
+            case MemberSeen():
+                self._quarantine.note_members()
+            case MemberGone(name) if name == self._own_name and not self._is_stopping():
+                self._log.event("membership", "Own record is gone; writing it again.")
+                self._registration.note_gone()
+            case MemberGone():
+                self._quarantine.note_members()
+
+    def _note_gone(self, incarnation: str) -> None:
+        """Tell that a start of a target is gone."""
+        self._feedback.forget_target(incarnation)
+        self._quarantine.note_gone(incarnation)
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -9,16 +9,7 @@
 from typing import Any
 
 from halldoor.core.targets.catalog import Catalog
-from halldoor.core.targets.changes import (
-    Change,
-    EvidenceGone,
-    EvidenceSeen,
-    MemberGone,
-    MemberRecord,
-    MemberSeen,
-    TargetGone,
-    TargetSeen,
-)
+from halldoor.core.targets.changes import Change, MemberRecord
 from halldoor.core.targets.choice import Chooser
 from halldoor.core.targets.latency import LatencyModel
 from halldoor.core.targets.load import LoadTable
@@ -33,6 +24,7 @@
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.feedback import TargetFeedback
 from halldoor.gateway.flows import FlowWatch
+from halldoor.gateway.following import ChangeFollower
 from halldoor.gateway.headers import HeaderNames
 from halldoor.gateway.lookup import LookupFormat
 from halldoor.gateway.maintenance import Maintenance
@@ -214,6 +206,15 @@
             on_contact=self._note_contact,
             on_return=self.sync.restart,
         )
+        self._follower = ChangeFollower(
+            settings.name,
+            self.catalog,
+            feedback=self.feedback,
+            quarantine=self.quarantine,
+            registration=self.registration,
+            is_stopping=lambda: self.is_stopping,
+            log=self.log,
+        )
 
     # Life
 
@@ -381,21 +382,4 @@
 
     def _note_change(self, change: Change) -> None:
         """Let the other parts follow a change of the catalog."""
-        match change:
-            case TargetSeen(record) if self.catalog.take_restart(record.incarnation):
-                self.feedback.forget_target(record.incarnation)
-                self.quarantine.note_gone(record.incarnation)
-            case TargetGone(incarnation) if self.catalog.find_target(incarnation) is None:
-                self.feedback.forget_target(incarnation)
-                self.quarantine.note_gone(incarnation)
-            case EvidenceSeen(evidence):
-                self.quarantine.take_record(evidence)
-            case EvidenceGone(digest):
-                self.quarantine.lose_record(digest)
-            case MemberSeen():
-                self.quarantine.note_members()
-            case MemberGone(name) if name == self.settings.name and not self.is_stopping:
-                self.log.event("membership", "Own record is gone; writing it again.")
-                self.registration.note_gone()
-            case MemberGone():
-                self.quarantine.note_members()
+        self._follower.note_change(change)
--- a/halldoor/tests/gatewaykit.py
+++ b/halldoor/tests/gatewaykit.py
@@ -32,6 +32,11 @@
 }
 
 
+def by_kind(kind):
+    """Give the changes of a route of a kind."""
+    return {"kind": kind}
+
+
 class GatewayKit:
     """What a test needs: the store, targets, the gateway, and how to call it."""
 
