--- a/halldoor/core/teams/ledger.py
+++ b/halldoor/core/teams/ledger.py
@@ -209,12 +209,16 @@
         An entry that was cut off goes by its last answer for a while; once that is over, what it
         admitted is charged for good.
         """
-        usual = self._find_usual(now, period_s=period_s)
+        late = [
+            (reporter, periods)
+            for reporter in self._reporters.values()
+            if (periods := (now - reporter.heard_at) / period_s) >= LATE_PERIODS
+            and not reporter.is_charged
+        ]
         unheard: Counter[str] = Counter()
-        for reporter in self._reporters.values():
-            periods = (now - reporter.heard_at) / period_s
-            if periods < LATE_PERIODS or reporter.is_charged:
-                continue
+        # Mostly nobody is late, and adding up what all admitted takes milliseconds.
+        usual = self._find_usual(now, period_s=period_s) if late else unheard
+        for reporter, periods in late:
             # A team that just became hot is so at the entries that are not heard, too.
             admitted = usual | Counter({c.team: c.admitted for c in reporter.last_counts})
             if periods < FRESH_PERIODS:
