--- a/halldoor/cli/fleet.py
+++ b/halldoor/cli/fleet.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import re
+import sys
 from collections import Counter
-from collections.abc import Iterable, Sequence
-from concurrent.futures import ThreadPoolExecutor
+from collections.abc import Callable, Iterable, Sequence
+from concurrent.futures import ThreadPoolExecutor, as_completed
 from typing import NamedTuple
 
 import urllib3
@@ -14,8 +15,8 @@
 
 TIMEOUT_S = 2.0
 """Longest wait for one gateway, in seconds."""
-AT_ONCE = 16
-"""Gateways that are asked at the same time."""
+AT_ONCE = 256
+"""Gateways that are asked at the same time: 200 that do not answer take one time-out."""
 LISTED = 20
 """Lines of one list that are shown; the rest is counted."""
 LAG_S = 5.0
@@ -68,11 +69,54 @@
         return not self.error
 
 
-def fetch_fleet(addresses: Sequence[str]) -> list[GatewayView]:
-    """Ask every gateway, several at a time."""
-    pool = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+def fetch_fleet(
+    addresses: Sequence[str], on_progress: Callable[[int], None] = lambda _: None
+) -> list[GatewayView]:
+    """Ask every gateway, many at a time.
+
+    Parameters
+    ----------
+    on_progress : callable, optional
+        Called with how many have answered, or failed to, so far.
+    """
+    pool = urllib3.PoolManager(len(addresses), retries=False, timeout=TIMEOUT_S)
+    views: dict[int, GatewayView] = {}
     with pool, ThreadPoolExecutor(min(AT_ONCE, len(addresses))) as executor:
-        return list(executor.map(lambda address: _fetch(pool, address), addresses))
+        asked = {executor.submit(_fetch, pool, a): i for i, a in enumerate(addresses)}
+        for done in as_completed(asked):
+            views[asked[done]] = done.result()
+            on_progress(len(views))
+    return [views[i] for i in range(len(addresses))]
+
+
+def show_progress(count: int, total: int) -> None:
+    """Show on a terminal how many gateways have answered."""
+    if sys.stderr.isatty():
+        end = "\n" if count == total else ""
+        print(f"\r{count} of {total} gateways asked", end=end, file=sys.stderr, flush=True)
+
+
+def count_since(earlier: Sequence[GatewayView], later: Sequence[GatewayView]) -> list[GatewayView]:
+    """Give gateways whose requests are those since an earlier look at them.
+
+    One that started anew since counts with all that it has; one that was not reached before, with
+    nothing.
+    """
+    return [
+        new._replace(region_requests=_subtract(old, new))
+        for old, new in zip(earlier, later, strict=True)
+    ]
+
+
+def _subtract(old: GatewayView, new: GatewayView) -> tuple[tuple[str, str, int], ...]:
+    """Give the requests of a gateway since an earlier look."""
+    if not old.is_reached:
+        return ()
+    before = {(origin, to): count for origin, to, count in old.region_requests}
+    counts = [(o, to, count - before.get((o, to), 0)) for o, to, count in new.region_requests]
+    if any(count < 0 for _, _, count in counts):
+        return new.region_requests
+    return tuple((o, to, count) for o, to, count in counts if count)
 
 
 def _fetch(pool: urllib3.PoolManager, address: str) -> GatewayView:
--- a/halldoor/cli/operator.py
+++ b/halldoor/cli/operator.py
@@ -8,6 +8,7 @@
 
 import os
 import sys
+import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any, Literal, NoReturn
@@ -17,7 +18,13 @@
 import msgspec
 import urllib3
 
-from halldoor.cli.fleet import describe_fleet, fetch_fleet
+from halldoor.cli.fleet import (
+    GatewayView,
+    count_since,
+    describe_fleet,
+    fetch_fleet,
+    show_progress,
+)
 from halldoor.cli.replay import describe_played, draw, load_pattern, load_policies, play_policies
 from halldoor.core.errors import HalldoorError
 from halldoor.core.explaining.history import explain_request, parse_lines
@@ -29,6 +36,8 @@
 
 DONE, HAS_DIFFERENCES, BAD_INPUT, CONFLICT, NOT_ALLOWED, UNREACHABLE, REFUSED = range(7)
 _CODES = {400: BAD_INPUT, 422: BAD_INPUT, 409: CONFLICT, 403: NOT_ALLOWED, 503: UNREACHABLE}
+LONGEST_LOOK_S = 600.0
+"""Longest time between two looks at the fleet, in seconds."""
 API_VARIABLE = "HALLDOOR_API"
 TOKEN_VARIABLE = "HALLDOOR_TOKEN"
 
@@ -153,19 +162,30 @@
     _print(output, answer, lambda: _describe_status(answer))
 
 
-def fleet(*addresses: str, output: Output = "text") -> None:
+def fleet(*addresses: str, over: float = 0.0, output: Output = "text") -> None:
     """Show gateways side by side: who lags, who can't be reached, and which targets are out.
 
     Parameters
     ----------
     addresses
         ``IP:PORT`` of the gateways' metrics.
+    over
+        Seconds between two looks: where requests ran is told of that time, not since the starts.
     output
         ``text`` or ``json``.
     """
     if not addresses:
         _fail(BAD_INPUT, "No address was given. Name the gateways' metrics, as IP:PORT.")
-    gateways = fetch_fleet(addresses)
+    if not 0.0 <= over <= LONGEST_LOOK_S:
+        _fail(BAD_INPUT, f"--over {over:g}: name 0 to {LONGEST_LOOK_S:g} seconds.")
+
+    def look() -> list[GatewayView]:
+        return fetch_fleet(addresses, lambda count: show_progress(count, len(addresses)))
+
+    gateways = look()
+    if over:
+        time.sleep(over)
+        gateways = count_since(gateways, look())
     _print(output, [g._asdict() for g in gateways], lambda: describe_fleet(gateways))
     if not any(gateway.is_reached for gateway in gateways):
         sys.exit(UNREACHABLE)
--- a/halldoor/tests/test_fleet.py
+++ b/halldoor/tests/test_fleet.py
@@ -3,14 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import subprocess
 import sys
+import time
 
-from halldoor.cli.fleet import GatewayView, TargetOut, describe_fleet, fetch_fleet, parse_metrics
+import pytest
+
+from halldoor.cli.fleet import (
+    GatewayView,
+    TargetOut,
+    count_since,
+    describe_fleet,
+    fetch_fleet,
+    parse_metrics,
+)
 from halldoor.core.settings import Address
 from halldoor.standins.sample import IP, find_ports
 from halldoor.tests.gatewaykit import GatewayKit
 
+FLEET_S = 5.0
+"""Time in which 200 gateways must be described, in seconds."""
+
 
 class TestFleet:
     def test_a_running_gateways_figures_are_read(self):
@@ -62,6 +76,41 @@
         told = describe_fleet(views)
         assert len(told) == 22 and told[-1] == "... and 79 more"
 
+    def test_two_hundred_that_do_not_answer_are_named_in_time(self):
+        with socket.create_server((IP, 0), backlog=400) as silent:
+            address = f"{IP}:{silent.getsockname()[1]}"
+            progress = []
+            began = time.monotonic()
+            views = fetch_fleet([address] * 200, progress.append)
+            assert time.monotonic() - began < FLEET_S
+        assert progress == list(range(1, 201))
+        assert {view.error for view in views} == {"ReadTimeoutError"}
+        assert describe_fleet(views)[-1] == "... and 180 more"
+
+    def test_where_requests_ran_between_two_looks(self):
+        def view(name, *requests, error=""):
+            return GatewayView(name, region_requests=requests, error=error)
+
+        earlier = [
+            view("a", ("x", "x", 90), ("x", "y", 10)),
+            view("b", ("x", "x", 500)),
+            view("c", error="ConnectTimeoutError"),
+        ]
+        later = [
+            view("a", ("x", "x", 95), ("x", "y", 25)),
+            view("b", ("x", "x", 5)),  # It started anew.
+            view("c", ("x", "y", 700)),
+        ]
+        assert "Requests of x: 40% in x, 60% in y" in describe_fleet(count_since(earlier, later))
+
+    @pytest.mark.parametrize("over", ["-1", "1e9", "nan"])
+    def test_a_time_that_makes_no_sense_is_refused(self, over):
+        command = [sys.executable, "-m", "halldoor.cli.operator", "fleet", f"{IP}:1"]
+        done = subprocess.run(
+            [*command, f"--over={over}"], check=False, capture_output=True, text=True
+        )
+        assert done.returncode == 2 and done.stderr.count("\n") == 1
+
     def test_the_command_names_the_remedy_and_says_who_is_unreachable(self):
         command = [sys.executable, "-m", "halldoor.cli.operator", "fleet"]
         missing = subprocess.run(command, check=False, capture_output=True, text=True)
