--- a/halldoor/cli/operator.py
+++ b/halldoor/cli/operator.py
@@ -191,7 +191,13 @@
         sys.exit(UNREACHABLE)
 
 
-def explain(decision: str, *, log: Path | None = None, output: Output = "text") -> None:
+def explain(
+    decision: str,
+    *,
+    log: Path | None = None,
+    fleet: Sequence[Path] = (),
+    output: Output = "text",
+) -> None:
     """Say in plain sentences why a request went where it did.
 
     Parameters
@@ -201,11 +207,14 @@
         that the caller sent.
     log
         File with log lines of gateways, or ``-`` for standard input.
+    fleet
+        Files with log lines of all gateways: the caller may have come to several.
     output
         ``text`` or ``json``.
     """
-    if log is not None:
-        _explain_from_log(decision, log, output)
+    logs = [*fleet, log] if log is not None else fleet
+    if logs:
+        _explain_from_logs(decision, logs, output)
         return
     key = "id" if len(decision) <= 40 else "record"
     answer = _call("GET", f"explain?{urlencode({key: decision})}")
@@ -369,9 +378,10 @@
     return text.splitlines()
 
 
-def _explain_from_log(attempt_id: str, log: Path, output: Output) -> None:
+def _explain_from_logs(attempt_id: str, logs: Sequence[Path], output: Output) -> None:
     """Say what gateways' log lines tell of a request."""
-    sentences = explain_request(parse_lines(_read_log(log)), attempt_id)
+    lines = (line for log in logs for line in parse_lines(_read_log(log)))
+    sentences = explain_request(lines, attempt_id)
     if not sentences:
         _fail(
             BAD_INPUT,
--- a/halldoor/core/explaining/history.py
+++ b/halldoor/core/explaining/history.py
@@ -95,6 +95,9 @@
         if line.fields.get("id") == attempt_id:
             told += _tell_end(line)
             told += [f"  {text}" for text in _tell_beliefs(known, line)]
+    entries = sorted({line.entry for line in known if line.fields.get("id") == attempt_id})
+    if len(entries) > 1:
+        told.insert(0, f"{len(entries)} entries name it: {', '.join(entries)}.")
     return told
 
 
--- a/halldoor/tests/test_history.py
+++ b/halldoor/tests/test_history.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import subprocess
 import sys
 
@@ -62,3 +63,19 @@
         [*command, "nope"], check=False, input=text, capture_output=True, text=True
     )
     assert missing.returncode == 2 and "every entry" in missing.stderr
+
+
+def test_one_id_is_found_over_the_logs_of_all_entries(tmp_path):
+    """A caller that was refused comes back to another entry with the same id."""
+    logs = [tmp_path / f"{name}.log" for name in ("e1", "e2", "e3")]
+    for log, status in zip(logs, (503, 200, 404), strict=True):
+        fields = {"at": 5.0, "entry": log.stem, "status": status, "target": "t1"}
+        fields["id"] = "other" if status == 404 else "a1"
+        log.write_text(json.dumps({"event": "request: Ended.", **fields}) + "\n")
+    command = [sys.executable, "-m", "halldoor.cli.operator", "explain", "a1", "--fleet", *logs]
+    done = subprocess.run(command, check=False, capture_output=True, text=True)
+    assert done.returncode == 0, done.stderr
+    told = done.stdout
+    assert told.startswith("2 entries name it: e1, e2.")
+    assert "Entry e1 answered 503" in told and "Entry e2 answered 200" in told
+    assert "e3" not in told
