A reader that stays behind the store's copy costs its followers no readings

What operators saw: nothing yet; found on reading the diff.

Cause: 'I know another copy' was taken for the proof that one's own is over. Which of the two is right only the store says. Now the follower asks the reader for a newer copy, and where it has none leaves it, watches the store and goes on from its own revision.

--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -159,7 +159,7 @@
             try:
                 return await self._poll(revision)
             except ReaderLostError as exc:
-                self._leave_reader(str(exc))
+                self.leave_reader(str(exc))
         return await self._watch(revision)
 
     async def pause(self) -> None:
@@ -182,7 +182,7 @@
         name = reader.name if reader is not None else ""
         self._log.event("relay", "Follows." if name else "Watches the store.", reader=name)
 
-    def _leave_reader(self, cause: str) -> None:
+    def leave_reader(self, cause: str) -> None:
         """Watch the store for a while."""
         self.close()
         self._metrics.add_relay_loss()
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -78,7 +78,6 @@
         self._era = ""
         self._last_revision = 0
         self._is_away = False
-        self._needs_other_era = False
         self.is_confirming = False
         self.is_loaded = asyncio.Event()
         self._watching: asyncio.Task[Update] | None = None
@@ -94,7 +93,7 @@
         while True:
             try:
                 if self._era != self._store.era:
-                    self._revision, self._needs_other_era = None, True
+                    self._revision = None
                 if self._revision is None:
                     await self._load()
                 else:
@@ -105,8 +104,7 @@
                 self._log.event("store", "Its history is gone; reading all again.")
                 self._revision = None
             except OtherEraError:
-                self._log.event("store", "Its reader knows another copy of the store.")
-                self._revision, self._needs_other_era = None, True
+                await self._follow_era()
             except StoreError as exc:
                 self._note_away(exc)
                 await asyncio.sleep(backoff_s)
@@ -126,9 +124,23 @@
         self.restart(cause)
 
     async def _load(self) -> None:
-        """Take everything in, and go on from its revision."""
+        """Read everything, and go on from its revision."""
+        self._adopt(await self._read_whole())
+
+    async def _follow_era(self) -> None:
+        """Take the copy of the store that the reader knows, or leave the reader."""
+        self._log.event("store", "Its reader knows another copy of the store.")
+        members = list(self._catalog.members.values())
+        whole = await self._feed.fetch_whole(members, WantedEra(self._store.era, self._era))
+        if whole is not None:
+            self._adopt(whole)
+        else:
+            # The store itself says which of the two is right; all is read only if it is the other.
+            self._feed.leave_reader("it knows another copy of the store")
+
+    def _adopt(self, whole: Whole) -> None:
+        """Take everything in."""
         before = self._era
-        whole = await self._read_whole()
         is_restored = self.is_loaded.is_set() and before != whole.era
         now = self._note_contact(is_return=self._is_away, heard_at=whole.proven_at)
         changes = [c for c in map(self._decode, whole.items) if c is not None]
@@ -136,7 +148,6 @@
         if is_restored:
             self._log_era(before, whole)
         self._store.era = self._era = whole.era
-        self._needs_other_era = False
         self._revision = self._last_revision = whole.revision
         self._feed.begin(whole)
         self.is_loaded.set()
@@ -153,7 +164,7 @@
         the store itself.
         """
         if self.is_loaded.is_set() and not self.is_confirming:
-            left = self._era if self._needs_other_era else None
+            left = self._era if self._era != self._store.era else None
             members = list(self._catalog.members.values())
             whole = await self._feed.fetch_whole(members, WantedEra(self._store.era, left))
             if whole is not None:
--- a/halldoor/tests/test_handover.py
+++ b/halldoor/tests/test_handover.py
@@ -99,6 +99,28 @@
 
         virtualtime.run(check())
 
+    def test_a_reader_that_stays_behind_costs_its_followers_no_readings(self):
+        """A reader that is cut off from the store knows its older copy for as long.
+
+        Each time that a follower came back to it, it was told so, and read all anew: once in 3.5 s.
+        """
+
+        async def check():
+            async with open_fleet() as fleet:
+                copy = fleet.store.copy()
+                (reader, _) = list_readers(fleet)
+                reader.link.is_cut = True
+                await fleet.restore(copy)
+                fleet.configure(2)
+                await asyncio.sleep(IN_STEP_S)
+                since = asyncio.get_running_loop().time()
+                await asyncio.sleep(20.0)
+                assert count_ranges(fleet, since) == 0
+                others = [entry for entry in fleet.entries.values() if entry is not reader]
+                assert {entry.catalog.configuration_version for entry in others} == {2}
+
+        virtualtime.run(check())
+
 
 class TestRestoreWhileReading:
     def test_pages_of_two_copies_are_not_put_together(self):
