An installation for tests is up once its platform answers, not once its port is open

Cause, from the four tracebacks: PlatformError on GET /kv/config/head, ReadTimeoutError after 1 s; the stand-in's port accepts before its threads serve. Ruled out: ports taken by another run, since the connection stood.

--- a/halldoor/standins/fleet.py
+++ b/halldoor/standins/fleet.py
@@ -97,7 +97,14 @@
     def start_platform(self) -> None:
         """Start the platform's stand-in."""
         self.spawn("platform", "standin", "platform", "--port", str(self.platform_port), "--ip", IP)
-        wait_until(lambda: self.can_connect(self.platform_port), what="platform")
+        wait_until(self._platform_answers, what="platform")
+
+    def _platform_answers(self) -> bool:
+        """Tell whether the stand-in answers: its port is open before anybody serves it."""
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            url = f"{self.platform_url}/stats"
+            return urllib3.request("GET", url, retries=False, timeout=1.0).status == 200
+        return False
 
     def start_targets(self, name: str, ports: list[int], *options: str) -> None:
         """Start targets' stand-ins, all in one process."""
--- /dev/null
+++ b/halldoor/tests/test_fleet_start.py
@@ -0,0 +1,39 @@
+"""An installation for tests comes up on a busy machine, too."""
+
+from __future__ import annotations
+
+import socket
+import threading
+
+from halldoor.standins.fleet import Fleet
+from halldoor.standins.sample import IP
+
+
+def answer_late(server, after_s):
+    """Accept a first caller and leave it alone; answer the ones that come later."""
+    with server.accept()[0] as first:
+        first.settimeout(after_s)
+        while first.recv(4096):
+            pass  # Until it gives up.
+    with server.accept()[0] as second:
+        second.recv(4096)
+        second.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+
+
+class TestStart:
+    def test_the_platform_is_up_once_it_answers(self, monkeypatch):
+        """Four tests had set-up errors at a load of 20, six of another file at one of 17.
+
+        The stand-in's port is open a while before its threads serve it, and the first call to it
+        has one second:
+
+            PlatformError: The platform did not answer GET /kv/config/head: ReadTimeoutError.
+        """
+        with Fleet.open() as fleet, socket.create_server((IP, 0)) as server:
+            monkeypatch.setattr(fleet, "spawn", lambda *_: None)
+            monkeypatch.setattr(fleet, "platform_port", server.getsockname()[1])
+            thread = threading.Thread(target=answer_late, args=(server, 5.0))
+            thread.start()
+            fleet.start_platform()
+            thread.join(10.0)
+            assert not thread.is_alive()
