Two entries of a test listen on the test process's own address

On 127.0.0.1 the connections of other processes take such ports; other tests have had an address of their own since that was found. Nothing of the product changes.

--- a/halldoor/tests/gatewaykit.py
+++ b/halldoor/tests/gatewaykit.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import itertools
-import socket
 
 import h11
 import msgspec
@@ -18,6 +17,7 @@
 from halldoor.gateway.process import Gateway
 from halldoor.gateway.settings import GatewaySettings
 from halldoor.standins.memorystore import MemoryStore
+from halldoor.standins.sample import IP, find_ports
 from halldoor.standins.scripted import ScriptedTarget
 
 NAMES = HeaderNames()
@@ -143,12 +143,6 @@
             caller.close()
 
 
-def find_free_port():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 @contextlib.asynccontextmanager
 async def open_pair(teams=()):
     """Open two gateways on one store."""
@@ -156,7 +150,8 @@
         "lookup_ttl_s": 0.05,
         "timings": CatalogTimings(young_s=0.0),
     }
-    relays = [Address("127.0.0.1", find_free_port()) for _ in range(2)]
+    # On this process's own address: on 127.0.0.1 others' connections take ports that were free.
+    relays = [Address(IP, port) for port in find_ports(2)]
     async with GatewayKit.open(name="e1", relay=relays[0], teams=teams, **options) as one:
         kit = GatewayKit.open(
             name="e2",
