--- a/halldoor/core/teams/ledger.py
+++ b/halldoor/core/teams/ledger.py
@@ -216,8 +216,9 @@
             and not reporter.is_charged
         ]
         unheard: Counter[str] = Counter()
-        # Mostly nobody is late, and adding up what all admitted takes milliseconds.
-        usual = self._find_usual(now, period_s=period_s) if late else unheard
+        if not late:
+            return unheard  # Mostly so, and adding up what all admitted takes milliseconds.
+        usual = self._find_usual(now, period_s=period_s)
         for reporter, periods in late:
             # A team that just became hot is so at the entries that are not heard, too.
             admitted = usual | Counter({c.team: c.admitted for c in reporter.last_counts})
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -236,15 +236,18 @@
         self._metrics.add_relayed(len(changes.items), _now() - proven_at)
         return Update(Events(changes.items, changes.revision), proven_at, changes.is_return)
 
-    async def fetch_whole(self, members: Iterable[MemberRecord], wanted: WantedEra) -> Whole | None:
+    async def fetch_whole(
+        self, wanted: WantedEra, members: Iterable[MemberRecord] | None = None
+    ) -> Whole | None:
         """Ask a reader for all records; None where there is none, or it can't give them.
 
         Parameters
         ----------
-        members : iterable of MemberRecord
-            The entries that are believed to be there.
+        members : iterable of MemberRecord, optional
+            The entries that are there, where the catalog does not know them yet.
         """
-        readers = choose_readers(members, self._own.hall, self.settings)
+        known = self._catalog.members.values() if members is None else members
+        readers = choose_readers(known, self._own.hall, self.settings)
         reader = choose_reader(self._own.name, readers)
         if reader is None or reader.relay is None or _now() < self._no_handover_until:
             return None
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -95,7 +95,7 @@
                 if self._era != self._store.era:
                     self._revision = None
                 if self._revision is None:
-                    await self._load()
+                    self._adopt(await self._read_whole())
                 else:
                     await self._watch(self._revision)
                 backoff_s = BACKOFF_S
@@ -123,15 +123,10 @@
         self._revision = None
         self.restart(cause)
 
-    async def _load(self) -> None:
-        """Read everything, and go on from its revision."""
-        self._adopt(await self._read_whole())
-
     async def _follow_era(self) -> None:
         """Take the copy of the store that the reader knows, or leave the reader."""
         self._log.event("store", "Its reader knows another copy of the store.")
-        members = list(self._catalog.members.values())
-        whole = await self._feed.fetch_whole(members, WantedEra(self._store.era, self._era))
+        whole = await self._feed.fetch_whole(WantedEra(self._store.era, self._era))
         if whole is not None:
             self._adopt(whole)
         else:
@@ -165,8 +160,7 @@
         """
         if self.is_loaded.is_set() and not self.is_confirming:
             left = self._era if self._era != self._store.era else None
-            members = list(self._catalog.members.values())
-            whole = await self._feed.fetch_whole(members, WantedEra(self._store.era, left))
+            whole = await self._feed.fetch_whole(WantedEra(self._store.era, left))
             if whole is not None:
                 return whole
         began_at = asyncio.get_running_loop().time()
@@ -176,7 +170,7 @@
         if page.has_more and not self.is_loaded.is_set():
             seen = [c for c in map(self._decode, items) if isinstance(c, MemberSeen)]
             members = [change.member for change in seen]
-            whole = await self._feed.fetch_whole(members, WantedEra(self._store.era))
+            whole = await self._feed.fetch_whole(WantedEra(self._store.era), members)
             if whole is not None:
                 return whole
         while page.has_more and page.items:
