Log the age of what an entry knows of a target's cold state

With it the three hypotheses differ: old information and is_cold false (1), new information and is_cold true at too many senders (2), sendings further apart than their arrivals (3).

--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -65,6 +65,10 @@
         Age from which such a report hardly counts.
     pressure : float
         Load that it had lately, in multiples of its slots.
+    is_cold : bool
+        The entry held it for cold.
+    state_age_ms : int
+        Age of the newest information on whether it is cold.
     distance : Distance
         Whether it stands in this entry's hall, its region or farther away.
     place : int
@@ -82,6 +86,7 @@
     load_old_ms: int
     pressure: float
     is_cold: bool
+    state_age_ms: int
     distance: Distance
     place: int
     has_sent_key: bool
