--- a/halldoor/tests/gatewaykit.py
+++ b/halldoor/tests/gatewaykit.py
@@ -66,6 +66,7 @@
             names=NAMES,
         )
         self.version = 0
+        self.service = {"name": "deck", "cold_start_s": 0.0}
 
     @classmethod
     @contextlib.asynccontextmanager
@@ -90,8 +91,11 @@
 
     def configure(self, *, limits=None, teams=(), **changes):
         self.version += 1
-        service = {"name": "deck", "cold_start_s": 0.0}
-        data = {"version": self.version, "routes": [ROUTE | changes], "services": [service]}
+        data = {
+            "version": self.version,
+            "routes": [ROUTE | changes],
+            "services": [self.service],
+        }
         data["teams"] = list(teams)
         if limits:
             data["limits"] = limits
--- /dev/null
+++ b/halldoor/tests/ratekit.py
@@ -0,0 +1,211 @@
+"""Several gateways on one store, some of them cut off, and targets that count what they get."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+from halldoor.core.settings import Address
+from halldoor.core.targets.catalog import CatalogTimings
+from halldoor.gateway.headers import find
+from halldoor.gateway.store import MetadataStore, StoreError
+from halldoor.standins.memorystore import MemoryStore
+from halldoor.standins.sample import IP, find_ports
+from halldoor.standins.scripted import ScriptedTarget
+from halldoor.tests.gatewaykit import NAMES, GatewayKit
+
+WORK_S = 0.03
+
+
+class StoreLink(MetadataStore):
+    """One gateway's way to the store, which can be cut."""
+
+    def __init__(self, store):
+        self.store = store
+        self.is_cut = False
+
+    async def _call(self, name, *args, **options):
+        call = asyncio.ensure_future(getattr(self.store, name)(*args, **options))
+        try:
+            while not call.done():
+                await asyncio.wait([call], timeout=0.02)
+                if self.is_cut:
+                    raise StoreError("Cut off.", remedy="Wait.")
+            self.era = self.store.era
+            return call.result()
+        finally:
+            call.cancel()
+
+    async def read_range(self, prefix, *, after=""):
+        return await self._call("read_range", prefix, after=after)
+
+    async def watch(self, prefix, *, after, wait_s):
+        return await self._call("watch", prefix, after=after, wait_s=wait_s)
+
+    async def write(self, key, value, *, lease):
+        return await self._call("write", key, value, lease=lease)
+
+    async def claim(self, key, *, lease):
+        return await self._call("claim", key, lease=lease)
+
+    async def create_lease(self, ttl_s):
+        return await self._call("create_lease", ttl_s)
+
+    async def renew_lease(self, lease):
+        return await self._call("renew_lease", lease)
+
+    async def end_lease(self, lease):
+        return await self._call("end_lease", lease)
+
+
+class CountingTarget(ScriptedTarget):
+    """A target that notes when requests arrive, and says in health answers how long it is cold.
+
+    Attributes
+    ----------
+    arrivals : list of tuple
+        Time and sending entry of each request.
+    extra : list of tuple of bytes
+        Further fields of its answers.
+    """
+
+    def __init__(self, name):
+        super().__init__(name, NAMES)
+        self.script = self.work
+        self.cold_until = 0.0
+        self.arrivals = []
+        self.checks = 0
+        self.extra = []
+
+    async def work(self, request, writer):
+        now = asyncio.get_running_loop().time()
+        if request.target == b"/health":
+            self.checks += 1
+            left_ms = max(0, round((self.cold_until - now) * 1000))
+            fields = [
+                (b"halldoor-target", self.incarnation.encode()),
+                (b"halldoor-cold-ms", str(left_ms).encode()),
+            ]
+            writer.write(self.build(request, is_signed=False, extra=fields))
+            return
+        self.arrivals.append((now, find(request.headers, b"x-entry").decode()))
+        await asyncio.sleep(WORK_S)
+        writer.write(self.build(request, extra=list(self.extra)))
+
+    def count_most(self, *, since, window_s):
+        """Return the most arrivals within any window from a time on."""
+        times = [at for at, _ in self.arrivals if at >= since]
+        worst = first = 0
+        for last, at in enumerate(times):
+            while times[first] <= at - window_s:
+                first += 1
+            worst = max(worst, last - first + 1)
+        return worst
+
+
+class RateFleet:
+    """Gateways that share one store, targets and callers.
+
+    Attributes
+    ----------
+    statuses : list of tuple
+        When each request was answered, by which entry and how.
+    """
+
+    def __init__(self, *, entries, targets, seed=1, **service):
+        self.entries = entries
+        self.random = random.Random(seed)
+        self.store = MemoryStore()
+        self.service = {"name": "deck", "cold_start_s": 3.0, "cold_rate_per_s": 9.0} | service
+        self.targets = [CountingTarget(f"t{i}") for i in range(targets)]
+        self.kits = []
+        self.links = []
+        self.statuses = []
+        self._tasks = set()
+        self._stack = contextlib.AsyncExitStack()
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def open(cls, **options):
+        fleet = cls(**options)
+        try:
+            await fleet._start()
+            yield fleet
+        finally:
+            for task in fleet._tasks:
+                task.cancel()
+            await fleet._stack.aclose()
+            for target in fleet.targets:
+                await target.stop()
+
+    async def _start(self):
+        for i, port in enumerate(find_ports(self.entries)):
+            self.links.append(StoreLink(self.store))
+            kit = GatewayKit.open(
+                name=f"e{i}",
+                relay=Address(IP, port),
+                store=self.links[i],
+                targets=0,
+                is_configured=False,
+                timings=CatalogTimings(young_s=0.0),
+            )
+            if not i:
+                self._write_records()
+                for target in self.targets:
+                    await target.start()
+                    self.write_target(target)
+            self.kits.append(await self._stack.enter_async_context(kit))
+        for kit in self.kits:
+            catalog = kit.gateway.catalog
+            await kit.wait(lambda catalog=catalog: len(catalog.members) == self.entries)
+
+    def _write_records(self):
+        kit = GatewayKit({}, self.store)
+        kit.service = self.service
+        kit.configure()
+
+    def write_target(self, target, **changes):
+        kit = GatewayKit({}, self.store)
+        kit.targets = {target.incarnation: target}
+        kit.write_target(target.incarnation, **changes)
+
+    def turn_cold(self, target, *, for_s):
+        """Let a target become cold, and say so in the store."""
+        target.cold_until = self.now() + for_s
+        self.write_target(target, cold_left_s=for_s)
+
+    def cut(self, *entries, from_others=False):
+        """Cut entries off from the store, and from all other entries where that is asked for."""
+        for i in entries:
+            self.links[i].is_cut = True
+            if from_others:
+                port = self.kits[i].gateway.port
+                port.send = lambda *_: None
+                port.datagram_received = lambda *_: None
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    async def ask(self, *, per_s, for_s, entries=None):
+        """Ask entries at random, each request with a key of its own."""
+        ends = self.now() + for_s
+        while self.now() < ends:
+            entry = self.random.choice(entries or range(self.entries))
+            task = asyncio.ensure_future(self._call(entry))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(self.random.expovariate(per_s))
+        await asyncio.sleep(2 * WORK_S)
+
+    async def _call(self, entry):
+        key = str(self.random.randrange(50))
+        extra = [("x-entry", f"e{entry}")]
+        with contextlib.suppress(OSError, TimeoutError):
+            reply = await self.kits[entry].call(key=key, extra=extra)
+            self.statuses.append((self.now(), entry, reply.status))
+
+    def find_served(self, entries, *, since):
+        """Return the part of the requests at some entries that were served from a time on."""
+        statuses = [s for at, entry, s in self.statuses if entry in entries and at >= since]
+        return statuses.count(200) / len(statuses)
--- /dev/null
+++ b/halldoor/tests/test_flooded_cold_target.py
@@ -0,0 +1,36 @@
+"""All entries together keep a cold target's rate, also those that the store can't reach."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from halldoor.tests.ratekit import RateFleet
+
+ALLOWED = 9.0 * 1.5 + 5.0
+"""Requests that a cold target may get in any second."""
+SPREAD_S = 3.0
+"""Time for all entries to learn that a target turned cold, in seconds."""
+
+
+@pytest.mark.parametrize("entries", [6, 10])
+@pytest.mark.parametrize("from_others", [False, True])
+def test_entries_without_store_contact_flood_a_cold_target(entries, from_others):
+    """Most entries can't read the record by which a target says that it is cold again."""
+
+    async def check():
+        async with RateFleet.open(entries=entries, targets=3) as fleet:
+            cut = range(2, entries)
+            asking = asyncio.ensure_future(fleet.ask(per_s=150.0, for_s=8.0))
+            await asyncio.sleep(1.0)
+            fleet.cut(*cut, from_others=from_others)
+            await asyncio.sleep(1.0)
+            cold = fleet.targets[0]
+            fleet.turn_cold(cold, for_s=20.0)
+            since = fleet.now() + SPREAD_S
+            await asking
+            assert cold.count_most(since=since, window_s=1.0) <= ALLOWED
+            assert fleet.find_served(cut, since=since) > 0.98
+
+    asyncio.run(check())
