Keep the share of an entry whose record is gone in a target's rate

What callers would see: a cold target that is flooded where some entries are cut off from the store. Found while looking for other causes of the flooded cold target; the incident itself had another one.

Cause: each entry divides a target's rate by the entries that are registered. Entries that are cut off lapse for the others, but the others don't lapse for them, so that the two groups divide by different numbers: ten entries, nine cut off, took 20 at once of a rate of 11.1, where 18.5 are allowed; with five to eight cut off 14 to 18. Ruled out for the incident: the target stood in an evacuated hall, where one of the groups sends nothing.

Change: an entry whose record is gone keeps its share for 60 s (core/targets/sharers.py), which the retry budget and the quotas' equal parts use too. The catalog's count of sharers moves there. Why it works: all groups divide by the same set, whoever they see. Cost: after a machine is gone for good the others use its part again only after a minute.

--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -26,11 +26,10 @@
 )
 from halldoor.core.targets.notice import ColdNotice
 from halldoor.core.targets.route import Routing
+from halldoor.core.targets.sharers import SharerTable
 
 LEFT_KEPT = 2000
 """Targets that left and are remembered, in case an older copy of the store names them again."""
-UNKNOWN_ENTRIES = 100
-"""Entries to reckon with while it is not known how many there are: the size of a large fleet."""
 
 
 class CatalogTimings(NamedTuple):
@@ -83,6 +82,8 @@
 
     Attributes
     ----------
+    sharers : SharerTable
+        Entries among which rates are divided.
     version, members_version : int
         Rise whenever something changes that choices depend on, and whenever entries do.
     lapsed : set of str
@@ -103,6 +104,7 @@
         self.routing: Routing | None = None
         self.evacuated: set[str] = set()
         self.members: dict[str, MemberRecord] = {}
+        self.sharers = SharerTable()
         self._suspects: set[str] = set()
         self._left: OrderedDict[str, int] = OrderedDict()
         self._postponed: dict[Change, float] = {}
@@ -110,7 +112,6 @@
         self.members_version = 0
         self.fresh_at = 0.0
         self.relayed_at = -math.inf
-        self._started_at: float | None = None
 
     def apply(self, change: Change, now: float) -> bool:
         """Apply one change; False where it changes nothing."""
@@ -128,7 +129,7 @@
             case MemberSeen(member):
                 return self._see_member(member)
             case MemberGone(name):
-                return self._lose_member(name)
+                return self._lose_member(name, now)
             case EvidenceSeen(record):
                 self._suspects.add(record.digest)
                 return True
@@ -279,15 +280,8 @@
         return max(1, len(self.members))
 
     def count_sharers(self, now: float) -> int:
-        """Count the entries that may share a budget.
-
-        After a start others may still be registering, and an entry that takes itself for the
-        only one would use the whole of what belongs to all.
-        """
-        if self._started_at is None:
-            self._started_at = now
-        is_young = now - self._started_at < self.timings.young_s
-        return max(self.count_members(), UNKNOWN_ENTRIES if is_young else 1)
+        """Count the entries that may share a budget."""
+        return self.sharers.count(now, young_s=self.timings.young_s)
 
     def _touch(self) -> None:
         """Note that something changed which choices depend on."""
@@ -393,12 +387,14 @@
         if self.members.get(member.name) == member:
             return False
         self.members[member.name] = member
+        self.sharers.add(member.name)
         self.members_version += 1
         return True
 
-    def _lose_member(self, name: str) -> bool:
+    def _lose_member(self, name: str, now: float) -> bool:
         """Take the removal of an entry's record."""
         if self.members.pop(name, None) is None:
             return False
+        self.sharers.remove(name, now)
         self.members_version += 1
         return True
--- a/halldoor/core/targets/cold.py
+++ b/halldoor/core/targets/cold.py
@@ -35,15 +35,19 @@
         self._version = -1
 
     def get_rank(self, target: str) -> int:
-        """Give this entry's place in a target's order, from 0."""
-        if self._catalog.members_version != self._version:
-            self._version = self._catalog.members_version
+        """Return this entry's place in a target's order, from 0."""
+        if self._catalog.sharers.version != self._version:
+            self._version = self._catalog.sharers.version
             self._ranks.clear()
         if target not in self._ranks:
-            members = {*self._catalog.members, self._own_name}
-            self._ranks[target] = rank(target, members).index(self._own_name)
+            self._ranks[target] = self._find_rank(target)
         return self._ranks[target]
 
+    def _find_rank(self, target: str) -> int:
+        """Compute this entry's place in a target's order."""
+        names = {*self._catalog.sharers.list_names(), self._own_name}
+        return rank(target, names).index(self._own_name)
+
 
 class ColdRate:
     """This entry's share of the requests that a cold target may get.
--- /dev/null
+++ b/halldoor/tests/test_rate_shares.py
@@ -0,0 +1,54 @@
+"""A target's rate is divided among all entries that may serve, not among those in sight."""
+
+from __future__ import annotations
+
+import pytest
+
+from halldoor.core.targets.changes import MemberGone
+from halldoor.core.targets.cold import ColdRate, EntryRanks
+from halldoor.core.targets.sharers import ABSENCE_S
+from halldoor.tests.choicekit import make_catalog
+
+ALLOWED = 9.0 * 1.5 + 5.0
+"""Requests that a cold target may get in any second."""
+LIMIT_PER_S = 0.6 * ALLOWED
+
+
+def make_rates(names):
+    """Return each entry's catalog and its share of the rate."""
+    catalogs = {name: make_catalog(targets=1, members=names) for name in names}
+    for catalog in catalogs.values():
+        catalog.count_sharers(0.0)  # They have been up for a while.
+    rates = {name: ColdRate(c, EntryRanks(c, name)) for name, c in catalogs.items()}
+    return catalogs, rates
+
+
+def count_taken(catalogs, rates, now):
+    """Count what all entries take of a cold target at once."""
+    taken = 0
+    for name, rate in rates.items():
+        target = catalogs[name].find_target("t0")
+        target.cold_until = now + 10.0
+        taken += sum(rate.take(target, now, LIMIT_PER_S) for _ in range(40))
+    return taken
+
+
+@pytest.mark.parametrize("cut", range(1, 10))
+def test_two_groups_of_entries_each_use_the_whole_rate(cut):
+    """Entries that are cut off lapse for the others, but not the others for them."""
+    names = [f"e{i}" for i in range(10)]
+    catalogs, rates = make_rates(names)
+    for name in names[cut:]:
+        for gone in names[:cut]:
+            catalogs[name].apply(MemberGone(gone), 100.0)
+    assert count_taken(catalogs, rates, 110.0) <= LIMIT_PER_S
+
+
+def test_an_entry_that_is_gone_for_good_gives_its_share_back():
+    names = ["e0", "e1"]
+    catalogs, rates = make_rates(names)
+    catalogs["e0"].apply(MemberGone("e1"), 100.0)
+    del rates["e1"]
+    before = count_taken(catalogs, rates, 101.0)
+    after = count_taken(catalogs, rates, 102.0 + ABSENCE_S)
+    assert (before, after) == (5, 11)
