Log the limit that a target names in its answer

Step 2 of the incident of the named limit: no line showed that a target names one, nor to which entries, so that 'nobody reads it' and 'each entry keeps it by itself' could not be told apart. No behaviour changes.

--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -107,6 +107,8 @@
         Part of that until the connection was there; 0 for a kept one.
     is_reused : bool
         The connection was kept from an earlier exchange.
+    named_limit : str
+        Limit that the target named in its answer, as it wrote it; empty where it named none.
     """
 
     target: str
@@ -116,6 +118,7 @@
     took_ms: int
     connect_ms: int
     is_reused: bool
+    named_limit: str = ""
 
     def to_fields(self) -> dict[str, Any]:
         """Give the fields of the log line."""
@@ -126,6 +129,7 @@
             "took_ms": self.took_ms,
             "connect_ms": self.connect_ms,
             "is_reused": self.is_reused,
+            "named_limit": self.named_limit,
             **self.view._asdict(),
         }
 
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -96,6 +96,7 @@
 
     status: int
     is_other_incarnation: bool
+    headers: Headers = []
 
 
 class ConnectFailed(NamedTuple):
@@ -337,10 +338,20 @@
         if status == 421:
             return Rejected(status, True)
         if find(headers, self._names.not_run):
-            return Rejected(status, False)
+            return Rejected(status, False, headers)
         return WholeAnswer(Answer(status, headers, body, response.reason))
 
 
+def get_answer_headers(outcome: Outcome) -> Headers | None:
+    """Return the header fields of the target's own answer; None where there was none."""
+    match outcome:
+        case WholeAnswer(answer) | PartialAnswer(answer):
+            return answer.headers
+        case Rejected(_, False, headers):
+            return headers
+    return None
+
+
 def _end_if_failed(sender: asyncio.Task[None], connection: HttpConnection) -> None:
     """Close a connection whose request could not be sent whole."""
     if _find_sending_failure(sender) is not None:
--- a/halldoor/gateway/headers.py
+++ b/halldoor/gateway/headers.py
@@ -38,6 +38,7 @@
     credentials: bytes = b"authorization"
     incarnation: bytes = b"halldoor-target"
     cold_ms: bytes = b"halldoor-cold-ms"
+    limit: bytes = b"halldoor-limit"
 
 
 def find(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -38,6 +38,7 @@
     PartialAnswer,
     TimedOut,
     WholeAnswer,
+    get_answer_headers,
 )
 from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR, Sending, TargetFeedback
 from halldoor.gateway.flows import FlowWatch
@@ -47,6 +48,9 @@
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.retries import RetryGate
 
+LIMIT_SHOWN = 16
+"""Characters of a limit that a target named, in the log."""
+
 
 class RequestHandler:
     """Handle callers' requests.
@@ -238,6 +242,7 @@
                 took_ms=round(took_s * 1000),
                 connect_ms=round(connecting.took_s * 1000),
                 is_reused=connecting.is_reused,
+                named_limit=self._read_named_limit(outcome),
             )
         )
         self._metrics.add_attempt(
@@ -251,6 +256,11 @@
         )
         return outcome
 
+    def _read_named_limit(self, outcome: Outcome) -> str:
+        """Return the limit that a target's answer names, cut to what a log line bears."""
+        value = find(get_answer_headers(outcome) or [], self._names.limit)
+        return value[:LIMIT_SHOWN].decode("latin-1")
+
     def _view(self, choice: Choice, key: str, now: float) -> TargetView:
         """Give what is believed of a target, for the log."""
         target = choice.target
