Keep the limit that a target names, over all entries together

What callers saw: nothing yet; a target in need that had named a limit of 6.5 requests a second got 83 to 85 in 4 s (44 and 41 allowed), one of 5.1 got 37 and 38 (36 and 35), from entries that had passed such answers on.

Cause: nothing read the field; traffic stayed as it was from the second in which it was named. Ruled out: each entry keeping it by itself, and retries: there is no code for the first, and hardly any of the second.

Change: core/targets/rates.py (was cold.py) answers whether an entry may send to a target now, for its cold rate and for a named limit, which are divided alike: whole numbers by an order of entries that share. Limits are read from all answers of a target and exchanged between entries, the newest statement counts (core/targets/limits.py, gateway/limits.py). Without news an entry sends a single request now and then, all together at the limit at most. After its end the rate doubles each second. What finds no target with room is refused at once, with the time until the entry's own share has room. After: the tests pass in contact and isolated; a limit's end reaches entries that sent the target nothing. Why it works: the shares add up to the limit whichever entries hear of it, by no message.

--- a/halldoor/core/targets/budget.py
+++ b/halldoor/core/targets/budget.py
@@ -32,6 +32,11 @@
         self._trim(now)
         return len(self._times)
 
+    def find_wait(self, now: float) -> float:
+        """Return when the oldest event leaves the window, in seconds; 0 where there is none."""
+        self._trim(now)
+        return self._times[0] + self._window_s - now if self._times else 0.0
+
     def _trim(self, now: float) -> None:
         """Forget what lies before the window."""
         while self._times and self._times[0] <= now - self._window_s:
@@ -87,53 +92,58 @@
         return True
 
 
-class ColdShare:
-    """One entry's share of the requests that a cold target may get from all entries.
+class RateShare:
+    """One entry's share of the requests that targets may get from all entries.
 
-    At most ``limit_per_s`` entries, chosen by rank for each target, send to it at all; each
-    sends a fixed whole number a second.  So the sum holds in any second without messages.
+    Of ``limit`` requests in a window, at most ``limit`` entries, chosen by rank for each target,
+    send any; each sends a fixed whole number.  So the sum holds in any window without messages.
 
     Parameters
     ----------
-    window_s : float, optional
-        Length of the sliding window, in seconds; a little over the one that is judged, since
-        requests that were sent apart may arrive closer together.
+    window_s : float
+        Length of the sliding window, in seconds.
     """
 
-    def __init__(self, *, window_s: float = 1.1) -> None:
+    def __init__(self, *, window_s: float) -> None:
         self._window_s = window_s
         self._sent: dict[str, SlidingCount] = {}
 
-    def take(self, target: str, now: float, *, limit_per_s: float, entries: int, rank: int) -> bool:
+    def add(self, target: str, now: float) -> None:
+        """Count a request that was sent."""
+        self._sent.setdefault(target, SlidingCount(self._window_s)).add(now)
+
+    def take(self, target: str, now: float, *, limit: int, entries: int, rank: int) -> bool:
         """Take one request; False where this entry may not send to the target now.
 
         The parameters are those of `has_room`.
         """
-        if not self.has_room(target, now, limit_per_s=limit_per_s, entries=entries, rank=rank):
+        if not self.has_room(target, now, limit=limit, entries=entries, rank=rank):
             return False
-        self._sent.setdefault(target, SlidingCount(self._window_s)).add(now)
+        self.add(target, now)
         return True
 
-    def has_room(
-        self, target: str, now: float, *, limit_per_s: float, entries: int, rank: int
-    ) -> bool:
-        """Tell whether this entry may send to the target now.
+    def has_room(self, target: str, now: float, *, limit: int, entries: int, rank: int) -> bool:
+        """Whether this entry may send to the target now.
 
         Parameters
         ----------
-        limit_per_s : float
-            Requests a second that all entries together may send.
+        limit : int
+            Requests in a window that all entries together may send.
         entries : int
-            Live entries.
+            Entries that share it.
         rank : int
             Place of this entry in the target's order of entries, from 0.
         """
-        limit = max(1, int(limit_per_s))
         if rank >= limit:
             return False
         sent = self._sent.get(target)
         return sent is None or sent.count(now) < max(1, limit // max(1, entries))
 
+    def find_wait(self, target: str, now: float) -> float:
+        """Return when the oldest request in the window leaves it, in seconds; 0 without any."""
+        sent = self._sent.get(target)
+        return sent.find_wait(now) if sent is not None else 0.0
+
     def forget(self, target: str) -> None:
         """Drop the counts of a target that is gone."""
         self._sent.pop(target, None)
--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -15,12 +15,13 @@
 from typing import NamedTuple
 
 from halldoor.core.targets.catalog import Catalog, Target
-from halldoor.core.targets.cold import ColdRate, EntryRanks
 from halldoor.core.targets.cost import CostModel, Estimate
 from halldoor.core.targets.latency import LatencyModel, WorkLevels
+from halldoor.core.targets.limits import LimitTable
 from halldoor.core.targets.load import LoadTable
 from halldoor.core.targets.order import KeyOrders, OrderSettings
 from halldoor.core.targets.outlier import OutlierTable
+from halldoor.core.targets.rates import EntryRanks, TargetRates
 from halldoor.core.targets.route import Route
 from halldoor.core.targets.settings import ChoiceSettings
 
@@ -125,14 +126,15 @@
         )
         self.settings = settings
         self._ranks = EntryRanks(catalog, own_name)
-        self._cold = ColdRate(catalog, self._ranks)
+        self.limits = LimitTable()
+        self._rates = TargetRates(catalog, self._ranks, self.limits)
         self.in_flight: Counter[str] = Counter()
         self._chosen_at: dict[str, float] = {}
 
     def choose(
         self, route: Route, service: str, key: str, now: float, *, tried: Collection[str] = ()
     ) -> Choice | NoTarget:
-        """Choose a target and, for a cold one, take from this entry's share of its rate.
+        """Choose a target and, where its rate is bounded, take from this entry's share.
 
         Parameters
         ----------
@@ -167,12 +169,13 @@
         for choice in choices:
             if self._take(choice.target, now):
                 return choice
-            passed["cold rate"] += 1
+            passed["rate"] += 1
         for place, target in candidates:
             if self._is_spare(target, now) and self._take(target, now):
                 return self._weigh(target, key, levels, place, now)
-        room_after_s = min((choice.estimate.wait_s for choice in weighed), default=0.0)
-        return NoTarget("no room", passed, room_after_s)
+        waits = [choice.estimate.wait_s for choice in weighed]
+        waits = waits or [self._rates.find_wait(target, now) for target in order]
+        return NoTarget("no room", passed, min((w for w in waits if w > 0), default=0.0))
 
     def _find_far_travel(self) -> float | None:
         """Find the shortest round trip to another region; None where none is known."""
@@ -219,8 +222,8 @@
         return is_idle and is_known and self._loads.get_pressure(target.name) < limit
 
     def _take(self, target: Target, now: float) -> bool:
-        """Take a request of a cold target's rate; other targets have no such bound."""
-        if not self._cold.take(target, now, self._cold_limit(target)):
+        """Take a request of a target's rate, where that is bounded."""
+        if not self._rates.take(target, now, self.settings):
             return False
         self._chosen_at[target.name] = now
         return True
@@ -267,7 +270,7 @@
 
     def forget(self, target: str) -> None:
         """Drop what was counted of a target that is gone."""
-        self._cold.forget(target)
+        self._rates.forget(target)
         self._chosen_at.pop(target, None)
 
     def _iter_candidates(
@@ -297,12 +300,10 @@
                     yield target
                 else:
                     put_off.append(target)
-            elif target.is_cold(now) and not self._cold.has_room(
-                target, now, self._cold_limit(target)
-            ):
+            elif reason := self._rates.find_reason_against(target, now, self.settings):
                 # It must not stand for one of the key's own targets: those that served the key
                 # before it came back are next, and warm; requests would be refused beside them.
-                passed["cold"] += 1
+                passed[reason] += 1
             else:
                 has_sound = True
                 yield target
@@ -353,16 +354,6 @@
             return 1
         return max(1, whole + (1 if self._ranks.get_rank(target.name) < rest else 0))
 
-    def _cold_limit(self, target: Target) -> float:
-        """Give the requests a second that all entries may send to a cold target."""
-        routing = self._catalog.routing
-        service = routing.services.get(target.record.service) if routing is not None else None
-        if service is None:
-            return 0.0
-        settings = self.settings
-        limit = service.cold_rate_per_s * settings.cold_excess + settings.cold_slack
-        return limit * settings.cold_margin
-
 
 def name_kind(service: str, route: Route) -> str:
     """Name a kind of request, for which targets work alike."""
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -67,6 +67,8 @@
         Load that it had lately, in multiples of its slots.
     is_cold : bool
         The entry held it for cold.
+    limit_per_s : float or None
+        Limit that the target names, or the rate to which it returns after one; None without.
     state_age_ms : int
         Age of the newest information on whether it is cold.
     distance : Distance
@@ -86,6 +88,7 @@
     load_old_ms: int
     pressure: float
     is_cold: bool
+    limit_per_s: float | None
     state_age_ms: int
     distance: Distance
     place: int
--- a/halldoor/gateway/datagrams.py
+++ b/halldoor/gateway/datagrams.py
@@ -28,6 +28,7 @@
     EVIDENCE = 4
     EVIDENCE_FOR_ALL = 5
     COLD_STATE = 6
+    LIMITS = 7
 
 
 class DatagramPort(asyncio.DatagramProtocol):
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -25,8 +25,9 @@
     Rejected,
     TimedOut,
     WholeAnswer,
+    get_answer_headers,
 )
-from halldoor.gateway.headers import HeaderNames, find
+from halldoor.gateway.headers import HeaderNames, Headers, find
 from halldoor.gateway.pool import TargetPool
 
 SERVER_ERROR = 500
@@ -67,6 +68,8 @@
     ----------
     on_observation : callable or None
         Called with each sound answer, for other entries to learn from.
+    on_answer : callable or None
+        Called with the target, the header fields and the time of each answer of a target.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         self._names = names
         self._log = log
         self.on_observation: Callable[[Observation], None] | None = None
+        self.on_answer: Callable[[Target, Headers, float], None] | None = None
 
     def add_outcome(
         self,
@@ -105,6 +109,9 @@
         name = target.name
         if connecting.took_s and not connecting.is_reused:
             self._latency.add_connect(target.record.hall, connecting.took_s)
+        headers = get_answer_headers(outcome)
+        if headers is not None and self.on_answer is not None:
+            self.on_answer(target, headers, now)
         if isinstance(outcome, WholeAnswer | PartialAnswer):
             self._add_load(target, outcome, now)
         match outcome:
--- a/halldoor/gateway/following.py
+++ b/halldoor/gateway/following.py
@@ -17,6 +17,7 @@
 from halldoor.gateway.coldstate import ColdStateExchange
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.feedback import TargetFeedback
+from halldoor.gateway.limits import LimitExchange
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.registration import Registration
 
@@ -30,7 +31,7 @@
         Name of this entry.
     catalog : Catalog
         Where the changes were applied.
-    feedback, quarantine, registration, cold_state
+    feedback, quarantine, registration, cold_state, limits
         Who follows them.
     is_stopping : callable
         Tells whether the own record goes because this entry leaves.
@@ -45,6 +46,7 @@
         quarantine: RequestQuarantine,
         registration: Registration,
         cold_state: ColdStateExchange,
+        limits: LimitExchange,
         is_stopping: Callable[[], bool],
         log: EventLog,
     ) -> None:
@@ -54,6 +56,7 @@
         self._quarantine = quarantine
         self._registration = registration
         self._cold_state = cold_state
+        self._limits = limits
         self._is_stopping = is_stopping
         self._log = log
 
@@ -81,3 +84,4 @@
         self._feedback.forget_target(incarnation)
         self._quarantine.note_gone(incarnation)
         self._cold_state.forget(incarnation)
+        self._limits.forget(incarnation)
--- /dev/null
+++ b/halldoor/gateway/limits.py
@@ -0,0 +1,137 @@
+"""Read the limits that targets name, and exchange them with other entries."""
+
+from __future__ import annotations
+
+import asyncio
+
+from halldoor.core.settings import Address
+from halldoor.core.targets.catalog import Catalog, Target
+from halldoor.core.targets.changes import MemberRecord
+from halldoor.core.targets.limits import LimitNotice, LimitTable, parse_limit
+from halldoor.core.targets.notice import choose_receivers
+from halldoor.gateway.datagrams import DatagramPort, MessageKind
+from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.headers import HeaderNames, Headers, find
+from halldoor.gateway.metrics import GatewayMetrics
+
+PERIOD_S = 0.25
+"""Time between two messages, in seconds."""
+REFRESH_S = 2.0
+"""Time after which a limit that still holds is sent again, in seconds, so that others don't have to
+find out by requests of their own, and that a lost message is made up for."""
+NOTICES_MOST = 16
+"""Notices in one message, so that it fits a datagram."""
+
+
+class LimitExchange:
+    """The task that notifies other entries of limits, and applies their notices.
+
+    Parameters
+    ----------
+    own : MemberRecord
+        This entry.
+    catalog : Catalog
+        Targets and other entries.
+    limits : LimitTable
+        The limits that are known.
+    port : DatagramPort
+        Messages of other entries.
+    names : HeaderNames
+        Header names that targets use.
+    """
+
+    def __init__(
+        self,
+        own: MemberRecord,
+        catalog: Catalog,
+        limits: LimitTable,
+        port: DatagramPort,
+        *,
+        names: HeaderNames,
+        log: EventLog,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._own = own
+        self._catalog = catalog
+        self._limits = limits
+        self._port = port
+        self._names = names
+        self._log = log
+        self._metrics = metrics
+        self._waiting: dict[str, LimitNotice] = {}
+        self._read_at: dict[str, float] = {}
+        self._sent_at: dict[str, float] = {}
+        self._receivers: list[Address | None] = []
+        self._members_version = -1
+        port.receive(MessageKind.LIMITS, list[LimitNotice], self._receive)
+
+    def read_answer(self, target: Target, headers: Headers, now: float) -> None:
+        """Read whether a target's answer names a limit."""
+        value = find(headers, self._names.limit)
+        if not value and not self._limits.names_limit(target.name):
+            return  # As nearly all answers.
+        try:
+            limit_per_s = parse_limit(value)
+        except ValueError as exc:
+            self._metrics.add_bad_limit()
+            self._log.event("targets", "Bad limit.", target=target.name, cause=str(exc))
+            return
+        is_news = self._apply(target, limit_per_s, now, now, source="answer")
+        if is_news or now - self._sent_at.get(target.name, 0.0) >= REFRESH_S:
+            self._sent_at[target.name] = self._read_at[target.name] = now
+            started_ms = target.record.started_ms
+            self._waiting[target.name] = LimitNotice(target.name, started_ms, limit_per_s, 0.0)
+
+    def forget(self, target: str) -> None:
+        """Drop what is known of a target that is gone."""
+        self._limits.forget(target)
+        for kept in (self._waiting, self._read_at, self._sent_at):
+            kept.pop(target, None)
+
+    async def run(self) -> None:
+        """Send notices until cancelled."""
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            now = asyncio.get_running_loop().time()
+            waiting, self._waiting = self._waiting, {}
+            notices = [n._replace(age_s=now - self._read_at[name]) for name, n in waiting.items()]
+            for first in range(0, len(notices), NOTICES_MOST):
+                part = notices[first : first + NOTICES_MOST]
+                self._port.send(MessageKind.LIMITS, part, *self._get_receivers())
+
+    def _get_receivers(self) -> list[Address | None]:
+        """Return the addresses that notices are sent to."""
+        if self._members_version != self._catalog.members_version:
+            self._members_version = self._catalog.members_version
+            members = choose_receivers(self._catalog.members.values(), self._own)
+            self._receivers = [member.relay for member in members]
+        return self._receivers
+
+    def _receive(self, notices: list[LimitNotice], sender: Address) -> None:
+        """Apply the notices of another entry."""
+        now = asyncio.get_running_loop().time()
+        for notice in notices:
+            target = self._catalog.find_target(notice.target)
+            if target is None or notice.started_ms != target.record.started_ms:
+                continue
+            if notice.is_valid:
+                said_at = now - notice.age_s
+                self._apply(target, notice.limit_per_s, said_at, now, source=str(sender))
+
+    def _apply(
+        self, target: Target, limit_per_s: float | None, said_at: float, now: float, *, source: str
+    ) -> bool:
+        """Apply what a target said, and log it where it is news."""
+        entries = self._catalog.count_sharers(now)
+        if not self._limits.add(target.name, limit_per_s, said_at, entries=entries):
+            return False
+        self._log.event(
+            "targets",
+            "Limit ended." if limit_per_s is None else "Names a limit.",
+            target=target.name,
+            limit_per_s=limit_per_s,
+            entries=entries,
+            source=source,
+            age_ms=round((now - said_at) * 1000),
+        )
+        return True
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -67,6 +67,11 @@
             "Health checks of targets while the store can't be reached, by outcome.",
             registry=registry,
         )
+        self._bad_limits = Counter(
+            "halldoor_bad_limits",
+            "Answers of targets with a limit that could not be read.",
+            registry=registry,
+        )
         self._build_team_counters(registry)
         self._gauges = Gauge(
             "halldoor_state", "What this entry holds now, by name.", registry=registry
@@ -161,6 +166,10 @@
         """Count a health check of a target."""
         self._health_checks.inc({"outcome": outcome})
 
+    def add_bad_limit(self) -> None:
+        """Count a limit that could not be read."""
+        self._bad_limits.inc({})
+
     def add_over_quota(self, team: str) -> None:
         """Count a request refused by its team's quota; past `TEAM_LABELS` teams as "other"."""
         if len(self._quota_teams) < TEAM_LABELS:
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -27,6 +27,7 @@
 from halldoor.gateway.flows import FlowWatch
 from halldoor.gateway.following import ChangeFollower
 from halldoor.gateway.headers import HeaderNames
+from halldoor.gateway.limits import LimitExchange
 from halldoor.gateway.lookup import LookupFormat
 from halldoor.gateway.maintenance import Maintenance
 from halldoor.gateway.metrics import GatewayMetrics
@@ -154,6 +155,16 @@
             log=self.log,
             metrics=self.metrics,
         )
+        self.limits = LimitExchange(
+            self.member,
+            self.catalog,
+            self.chooser.limits,
+            self.port,
+            names=names,
+            log=self.log,
+            metrics=self.metrics,
+        )
+        self.feedback.on_answer = self.limits.read_answer
         self.requests = RequestHandler(
             catalog=self.catalog,
             chooser=self.chooser,
@@ -224,6 +235,7 @@
             quarantine=self.quarantine,
             registration=self.registration,
             cold_state=self.cold_state,
+            limits=self.limits,
             is_stopping=lambda: self.is_stopping,
             log=self.log,
         )
@@ -302,6 +314,7 @@
             self.quotas.run(),
             self.sharing.run(),
             self.cold_state.run(),
+            self.limits.run(),
             self.quarantine.run(),
         )
         for part in parts:
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -274,6 +274,7 @@
             load_old_ms=round(self._loads.get_old_s(target.name) * 1000),
             pressure=round(self._loads.get_pressure(target.name), 2),
             is_cold=target.is_cold(now),
+            limit_per_s=self._chooser.limits.get_limit(target.name, now),
             state_age_ms=round((now - max(self._catalog.informed_at, target.stated_at)) * 1000),
             distance=self._chooser.orders.find_distance(target),
             place=choice.place,
--- a/halldoor/tests/test_named_limit.py
+++ b/halldoor/tests/test_named_limit.py
@@ -43,3 +43,58 @@
             assert fleet.find_served(range(entries), since=since) > 0.98
 
     asyncio.run(check())
+
+
+class TestEnd:
+    def test_traffic_returns_to_a_target_that_no_longer_names_a_limit(self):
+        """Also from entries that sent it nothing, and by and by."""
+
+        async def check():
+            async with RateFleet.open(entries=6, targets=3) as fleet:
+                asking = asyncio.ensure_future(fleet.ask(per_s=90.0, for_s=14.0))
+                await asyncio.sleep(1.0)
+                limited = fleet.targets[0]
+                name_limit(limited, b"0.5")
+                await asyncio.sleep(5.0)
+                limited.extra = []
+                ended_at = fleet.now()
+                await asking
+                first = [at for at, _ in limited.arrivals if ended_at <= at < ended_at + 1.0]
+                late = [(at, entry) for at, entry in limited.arrivals if at >= ended_at + 5.0]
+                assert len(first) <= 20
+                assert len(late) / (fleet.now() - ended_at - 5.0) > 15.0
+                assert len({entry for _, entry in late}) == 6
+
+        asyncio.run(check())
+
+    @pytest.mark.parametrize("text", [b"none", b"-1", b"nan", b"inf"])
+    def test_what_is_no_limit_is_passed_over(self, text):
+        async def check():
+            async with RateFleet.open(entries=1, targets=1) as fleet:
+                name_limit(fleet.targets[0], text)
+                await fleet.ask(per_s=60.0, for_s=1.0)
+                assert {status for _, _, status in fleet.statuses} == {200}
+                metrics = fleet.kits[0].gateway.metrics.render().decode()
+                assert "halldoor_bad_limits" in metrics
+
+        asyncio.run(check())
+
+
+def test_where_all_targets_name_limits_what_does_not_fit_is_refused_at_once():
+    async def check():
+        async with RateFleet.open(entries=2, targets=2) as fleet:
+            for target in fleet.targets:
+                name_limit(target, b"4")
+            await fleet.ask(per_s=40.0, for_s=1.0)
+            caller = await fleet.kits[0].connect()
+            refused = 0
+            for number in range(20):
+                began_at = fleet.now()
+                reply = await caller.call(key=str(number), deadline_ms=3000)
+                if reply.status == 503:
+                    refused += 1
+                    assert fleet.now() - began_at < 0.1
+                    assert float(reply.find(b"retry-after")) > 0
+            assert refused > 10
+
+    asyncio.run(check())
--- a/halldoor/tests/test_rate_shares.py
+++ b/halldoor/tests/test_rate_shares.py
@@ -5,7 +5,9 @@
 import pytest
 
 from halldoor.core.targets.changes import MemberGone
-from halldoor.core.targets.cold import ColdRate, EntryRanks
+from halldoor.core.targets.limits import LimitTable
+from halldoor.core.targets.rates import EntryRanks, TargetRates
+from halldoor.core.targets.settings import ChoiceSettings
 from halldoor.core.targets.sharers import ABSENCE_S
 from halldoor.tests.choicekit import make_catalog
 
@@ -19,7 +21,9 @@
     catalogs = {name: make_catalog(targets=1, members=names) for name in names}
     for catalog in catalogs.values():
         catalog.count_sharers(0.0)  # They have been up for a while.
-    rates = {name: ColdRate(c, EntryRanks(c, name)) for name, c in catalogs.items()}
+    rates = {
+        name: TargetRates(c, EntryRanks(c, name), LimitTable()) for name, c in catalogs.items()
+    }
     return catalogs, rates
 
 
@@ -29,7 +33,7 @@
     for name, rate in rates.items():
         target = catalogs[name].find_target("t0")
         target.cold_until = now + 10.0
-        taken += sum(rate.take(target, now, LIMIT_PER_S) for _ in range(40))
+        taken += sum(rate.take(target, now, ChoiceSettings()) for _ in range(40))
     return taken
 
 
--- a/properties/test_budget.py
+++ b/properties/test_budget.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from halldoor.core.placement import rank
-from halldoor.core.targets.budget import ColdShare, RetryShare
+from halldoor.core.targets.budget import RateShare, RetryShare
 
 WINDOW_S = 10.0
 EVENTS = st.lists(
@@ -42,15 +42,13 @@
 def test_a_cold_target_gets_no_more_than_its_limit_in_any_second(sends, entries, limit):
     names = [f"e{i}" for i in range(entries)]
     order = rank("t1", names)
-    shares = {name: ColdShare() for name in names}
+    shares = {name: RateShare(window_s=1.1) for name in names}
     now = 0.0
     sent: list[float] = []
     for pause_s, entry in sends:
         now += pause_s
         name = names[entry % entries]
-        taken = shares[name].take(
-            "t1", now, limit_per_s=limit, entries=entries, rank=order.index(name)
-        )
+        taken = shares[name].take("t1", now, limit=limit, entries=entries, rank=order.index(name))
         if taken:
             sent.append(now)
         assert len([t for t in sent if t > now - 1.0]) <= limit
