Compare four ways of dividing a target's rate among entries

In virtual time, at 10, 75 and 300 entries, with cuts from the store and from each other, lost messages and a restart of all (benchmarks/rates.py, four seeds).

--- /dev/null
+++ b/benchmarks/rates.py
@@ -0,0 +1,78 @@
+"""Ways to divide a target's rate among all entries, in virtual time."""
+
+from __future__ import annotations
+
+from benchmarks.common import format_table, write_result
+from halldoor.standins.ratefleet import (
+    Bound,
+    EqualBuckets,
+    HomeGrants,
+    RankedShares,
+    RateWay,
+    Run,
+    SteadyRankedShares,
+    Trouble,
+)
+
+FLEETS = (10, 75, 300)
+"""Entries."""
+SEEDS = range(4)
+ASKED_PER_S = 30.0
+"""Requests a second that would go to the target if nothing bounded them."""
+BOUNDS = {
+    "cold, 11 of 18.5 a second": Bound(11.0, 1.0, 18.5, 1.0),
+    "named limit of 6.5 a second": Bound(6.5, 4.0, 1.5 * 6.5 * 4 + 5, 2.0),
+    "named limit of 0.5 a second": Bound(0.5, 4.0, 1.5 * 0.5 * 4 + 5, 2.0),
+}
+TROUBLES = {
+    "none": Trouble(),
+    "half without the store": Trouble(cut_share=0.5),
+    "nine tenths without the store": Trouble(cut_share=0.9),
+    "half isolated": Trouble(cut_share=0.5, is_isolated=True),
+    "nine tenths isolated": Trouble(cut_share=0.9, is_isolated=True),
+    "a fifth of the messages lost": Trouble(loss=0.2),
+    "all restart": Trouble(restart_s=6.0),
+}
+WAYS: dict[str, type[RateWay]] = {
+    "equal token buckets": EqualBuckets,
+    "grants of a home entry": HomeGrants,
+    "ranked shares": RankedShares,
+    "ranked shares, lapsed entries counted": SteadyRankedShares,
+}
+
+
+def describe(bound: str, entries: int, trouble: str, way: str) -> list[object]:
+    """Return the row of one way: the worst of the seeds, and the mean part that was used."""
+    runs = [
+        Run(entries, BOUNDS[bound], TROUBLES[trouble], asked_per_s=ASKED_PER_S, seed=seed).play(
+            WAYS[way]()
+        )
+        for seed in SEEDS
+    ]
+    worst = max(run.find_worst_window() / run.bound.allowed for run in runs)
+    used, cut_used = (
+        sum(run.find_use(is_cut=is_cut) for run in runs) / len(runs) for is_cut in (False, True)
+    )
+    messages = max(run.messages for run in runs)
+    cut_text = f"{cut_used:.2f}" if TROUBLES[trouble].cut_share else ""
+    return [bound, entries, trouble, way, f"{worst:.2f}", f"{used:.2f}", cut_text, messages]
+
+
+def main() -> None:
+    """Measure, and write the table."""
+    rows = [describe(b, n, t, w) for b in BOUNDS for n in FLEETS for t in TROUBLES for w in WAYS]
+    header = [
+        "bound",
+        "entries",
+        "trouble",
+        "way",
+        "worst window over what is allowed",
+        "used by entries in contact",
+        "used by entries that are cut off",
+        "messages in 15 s",
+    ]
+    write_result("rates", __doc__ or "", format_table(header, rows))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/halldoor/standins/ratefleet.py
@@ -0,0 +1,279 @@
+"""Ways to divide a target's rate among entries, in virtual time.
+
+A model for tests and measurements: entries that are asked at random, what each of them knows of the
+others, and messages that are lost or cut.  The product's own share is one of the ways.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from random import Random
+from typing import Any, NamedTuple
+
+from halldoor.core.placement import rank
+from halldoor.core.targets.budget import RateShare
+
+TARGET = "t1"
+LAPSE_S = 3.0
+"""Time after which an entry that is cut off from the store is no longer registered, in seconds."""
+DELAY_S = 0.01
+"""Mean time of a message on its way, in seconds."""
+
+
+class Bound(NamedTuple):
+    """What all entries together may send.
+
+    Attributes
+    ----------
+    limit_per_s : float
+        Rate that is divided.
+    window_s : float
+        Length of the sliding window that is judged, in seconds.
+    allowed : float
+        Most requests in any such window.
+    share_s : float
+        Window by which shares are counted, in seconds.
+    """
+
+    limit_per_s: float
+    window_s: float
+    allowed: float
+    share_s: float
+
+    @property
+    def share(self) -> int:
+        """Requests in the window of shares that all entries together may send."""
+        return max(1, int(self.limit_per_s * self.share_s))
+
+
+class Trouble(NamedTuple):
+    """What goes wrong on a run.
+
+    Attributes
+    ----------
+    cut_share : float
+        Part of the entries that the store can't reach between `cut_from_s` and `cut_to_s`.
+    is_isolated : bool
+        They don't reach other entries either.
+    loss : float
+        Part of the messages between entries that are lost.
+    restart_s : float
+        When all entries restart, and know nothing of what they sent.
+    """
+
+    cut_share: float = 0.0
+    is_isolated: bool = False
+    cut_from_s: float = 3.0
+    cut_to_s: float = 12.0
+    loss: float = 0.0
+    restart_s: float = 99.0
+
+
+class Run:
+    """One run: entries that are asked for one target.
+
+    Parameters
+    ----------
+    entries : int
+        Entries of the fleet.
+    asked_per_s : float
+        Requests for the target a second, at any entry.
+    seed : int
+        Of all chance.
+
+    Attributes
+    ----------
+    asked, sent : list of tuple
+        Time and entry of each request, and of those that were sent.
+    """
+
+    def __init__(
+        self, entries: int, bound: Bound, trouble: Trouble, *, asked_per_s: float, seed: int
+    ) -> None:
+        self.names = [f"e{i}" for i in range(entries)]
+        self.bound = bound
+        self.trouble = trouble
+        self.random = Random(seed)
+        self.asked: list[tuple[float, int]] = []
+        self.sent: list[tuple[float, int]] = []
+        self.messages = 0
+        self._asked_per_s = asked_per_s
+        self._cut = set(self.random.sample(range(entries), round(trouble.cut_share * entries)))
+        self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._numbers = itertools.count()
+
+    def at(self, when: float, action: Callable[..., None], *args: Any) -> None:
+        """Schedule an action; it gets the time first."""
+        heapq.heappush(self._events, (when, next(self._numbers), action, args))
+
+    def is_cut(self, entry: int, now: float) -> bool:
+        """Whether the store can't reach an entry."""
+        trouble = self.trouble
+        return entry in self._cut and trouble.cut_from_s <= now < trouble.cut_to_s
+
+    def list_registered(self, entry: int, now: float) -> list[str]:
+        """Return the entries that an entry holds for registered, itself included."""
+        has_lapsed = now >= self.trouble.cut_from_s + LAPSE_S and not self.is_cut(entry, now)
+        return [
+            name
+            for i, name in enumerate(self.names)
+            if i == entry or not (has_lapsed and self.is_cut(i, now))
+        ]
+
+    def send(self, now: float, source: int, to: int, action: Callable[..., None], *a: Any) -> None:
+        """Carry a message between two entries, unless it is lost or cut."""
+        self.messages += 1
+        is_cut = self.trouble.is_isolated and (self.is_cut(source, now) or self.is_cut(to, now))
+        if source != to and (is_cut or self.random.random() < self.trouble.loss):
+            return
+        self.at(now + self.random.uniform(0.0, 2 * DELAY_S), action, to, *a)
+
+    def play(self, way: RateWay, *, until_s: float = 15.0) -> Run:
+        """Play requests that come at random."""
+        way.start(self)
+        self.at(self.trouble.restart_s, way.restart)
+        now = 0.0
+        while now < until_s:
+            now += self.random.expovariate(self._asked_per_s)
+            self.at(now, self._ask, way, self.random.randrange(len(self.names)))
+        while self._events and self._events[0][0] < until_s:
+            when, _, action, args = heapq.heappop(self._events)
+            action(when, *args)
+        return self
+
+    def _ask(self, now: float, way: RateWay, entry: int) -> None:
+        """Ask an entry once."""
+        self.asked.append((now, entry))
+        if way.take(now, entry):
+            self.sent.append((now, entry))
+
+    def find_worst_window(self) -> int:
+        """Return the most that was sent in any window."""
+        worst = first = 0
+        for last, (when, _) in enumerate(self.sent):
+            while self.sent[first][0] <= when - self.bound.window_s:
+                first += 1
+            worst = max(worst, last - first + 1)
+        return worst
+
+    def find_use(self, *, is_cut: bool) -> float:
+        """Return the part of the rate that entries used during the cut, or the others did.
+
+        It is relative to what they were asked, where that is less.
+        """
+        trouble = self.trouble
+        span_s = trouble.cut_to_s - trouble.cut_from_s
+        part = len(self._cut) if is_cut else len(self.names) - len(self._cut)
+        wanted = [e for at, e in self.asked if trouble.cut_from_s <= at < trouble.cut_to_s]
+        sent = [e for at, e in self.sent if trouble.cut_from_s <= at < trouble.cut_to_s]
+        count = sum((e in self._cut) == is_cut for e in wanted)
+        fair = min(count, self.bound.limit_per_s * span_s * part / len(self.names))
+        return sum((e in self._cut) == is_cut for e in sent) / fair if fair else 1.0
+
+
+class RateWay(ABC):
+    """A way to divide a target's rate."""
+
+    run: Run
+
+    def start(self, run: Run) -> None:
+        """Begin a run."""
+        self.run = run
+        self.restart(0.0)
+
+    @abstractmethod
+    def restart(self, now: float) -> None:
+        """Forget everything, at all entries."""
+
+    @abstractmethod
+    def take(self, now: float, entry: int) -> bool:
+        """Decide about one request at an entry."""
+
+
+class RankedShares(RateWay):
+    """Whole numbers by an order of entries that is alike on all that know the same others."""
+
+    def restart(self, now: float) -> None:
+        """Begin with nothing sent."""
+        self._shares = [RateShare(window_s=self.run.bound.share_s) for _ in self.run.names]
+        self._orders: dict[tuple[str, ...], list[str]] = {}
+
+    def take(self, now: float, entry: int) -> bool:
+        """Take from the entry's own share."""
+        members = tuple(self.list_sharers(now, entry))
+        if members not in self._orders:
+            self._orders[members] = rank(TARGET, members)
+        return self._shares[entry].take(
+            TARGET,
+            now,
+            limit=self.run.bound.share,
+            entries=len(members),
+            rank=self._orders[members].index(self.run.names[entry]),
+        )
+
+    def list_sharers(self, now: float, entry: int) -> list[str]:
+        """Return the entries among which the rate is divided."""
+        return self.run.list_registered(entry, now)
+
+
+class SteadyRankedShares(RankedShares):
+    """The same, with entries that lapsed counted on: they may be cut off, and serve."""
+
+    def list_sharers(self, now: float, entry: int) -> list[str]:
+        """Return the entries among which the rate is divided."""
+        return self.run.names
+
+
+class EqualBuckets(RateWay):
+    """Each entry has a token bucket with an equal part of the rate, one request deep."""
+
+    def restart(self, now: float) -> None:
+        """Begin with a part of a token, drawn at random."""
+        self._levels = [(self.run.random.random(), now) for _ in self.run.names]
+
+    def take(self, now: float, entry: int) -> bool:
+        """Spend a token."""
+        level, at = self._levels[entry]
+        rate_per_s = self.run.bound.limit_per_s / len(self.run.list_registered(entry, now))
+        level = min(1.0, level + rate_per_s * (now - at))
+        is_taken = level >= 1.0
+        self._levels[entry] = (level - is_taken, now)
+        return is_taken
+
+
+class HomeGrants(RateWay):
+    """One entry is the target's home and grants single requests for the next second."""
+
+    LIFETIME_S = 1.0
+    ASK_S = 0.2
+
+    def restart(self, now: float) -> None:
+        """Begin with no grants; what was granted before is not known."""
+        self._granted = [RateShare(window_s=self.run.bound.share_s) for _ in self.run.names]
+        self._tokens: list[list[float]] = [[] for _ in self.run.names]
+        self._asked_at = [-1.0] * len(self.run.names)
+
+    def take(self, now: float, entry: int) -> bool:
+        """Spend a grant, or ask the home for one."""
+        self._tokens[entry] = [until for until in self._tokens[entry] if until > now]
+        if self._tokens[entry]:
+            self._tokens[entry].pop(0)
+            return True
+        if now - self._asked_at[entry] >= self.ASK_S:
+            self._asked_at[entry] = now
+            home = rank(TARGET, self.run.list_registered(entry, now))[0]
+            self.run.send(now, entry, self.run.names.index(home), self._grant, entry)
+        return False
+
+    def _grant(self, now: float, home: int, entry: int) -> None:
+        """Grant a request if the rate allows one more."""
+        limit = self.run.bound.share
+        if self._granted[home].take(TARGET, now, limit=limit, entries=1, rank=0):
+            self.run.send(now, home, entry, self._receive)
+
+    def _receive(self, now: float, entry: int) -> None:
+        """Keep a grant for a while."""
+        self._tokens[entry].append(now + self.LIFETIME_S)
