Send notices through one class, and keep a process's tasks in another

ColdStateExchange and LimitExchange had the same receivers and the same split into messages; both now use NoticeSender. Behaviour stays as it is.

--- a/halldoor/gateway/coldstate.py
+++ b/halldoor/gateway/coldstate.py
@@ -12,14 +12,14 @@
 
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog, Target
-from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.choice import Chooser
-from halldoor.core.targets.notice import ColdNotice, choose_receivers
+from halldoor.core.targets.notice import ColdNotice
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.headers import HeaderNames, find
 from halldoor.gateway.httpclient import HttpAnswer, HttpCallError, HttpClient
 from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.notices import NoticeSender
 
 PERIOD_S = 0.25
 """Time between two messages, and between two looks for targets to check, in seconds."""
@@ -32,8 +32,6 @@
 """Longest wait for a health answer, in seconds; it waits for a slot like a request."""
 CHECKS_MOST = 24
 """Checks that are under way at once."""
-NOTICES_MOST = 16
-"""Notices in one message, so that it fits a datagram."""
 
 
 class ColdStateExchange:
@@ -41,14 +39,12 @@
 
     Parameters
     ----------
-    own : MemberRecord
-        This entry.
     catalog : Catalog
         Targets, other entries, and the time of the last contact with the store.
     chooser : Chooser
         Knows which targets are in use.
-    port : DatagramPort
-        Messages of other entries.
+    sender, port : NoticeSender, DatagramPort
+        Messages to and of other entries.
     names : HeaderNames
         Header names that targets use.
     contact_limit_s : float
@@ -57,9 +53,9 @@
 
     def __init__(
         self,
-        own: MemberRecord,
         catalog: Catalog,
         chooser: Chooser,
+        sender: NoticeSender,
         port: DatagramPort,
         *,
         names: HeaderNames,
@@ -67,17 +63,14 @@
         log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
-        self._own = own
         self._catalog = catalog
         self._chooser = chooser
-        self._port = port
+        self._sender = sender
         self._names = names
         self._contact_limit_s = contact_limit_s
         self._log = log
         self._metrics = metrics
         self._waiting: dict[str, ColdNotice] = {}
-        self._receivers: list[Address | None] = []
-        self._members_version = -1
         self._checks: dict[str, asyncio.Task[None]] = {}
         self._checked_at: dict[str, float] = {}
         self._random = random.Random()
@@ -94,28 +87,14 @@
             while True:
                 await asyncio.sleep(PERIOD_S)
                 self._check_targets(asyncio.get_running_loop().time())
-                self._send()
+                notices, self._waiting = list(self._waiting.values()), {}
+                self._sender.send(MessageKind.COLD_STATE, notices)
         finally:
             for check in self._checks.values():
                 check.cancel()
 
     # Notices
 
-    def _send(self) -> None:
-        """Send the notices that wait."""
-        notices, self._waiting = list(self._waiting.values()), {}
-        for first in range(0, len(notices), NOTICES_MOST):
-            part = notices[first : first + NOTICES_MOST]
-            self._port.send(MessageKind.COLD_STATE, part, *self._get_receivers())
-
-    def _get_receivers(self) -> list[Address | None]:
-        """Return the addresses that notices are sent to."""
-        if self._members_version != self._catalog.members_version:
-            self._members_version = self._catalog.members_version
-            members = choose_receivers(self._catalog.members.values(), self._own)
-            self._receivers = [member.relay for member in members]
-        return self._receivers
-
     def _receive(self, notices: list[ColdNotice], sender: Address) -> None:
         """Apply the notices of another entry."""
         for notice in notices:
--- a/halldoor/gateway/limits.py
+++ b/halldoor/gateway/limits.py
@@ -6,21 +6,18 @@
 
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog, Target
-from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.limits import LimitNotice, LimitTable, parse_limit
-from halldoor.core.targets.notice import choose_receivers
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.headers import HeaderNames, Headers, find
 from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.notices import NoticeSender
 
 PERIOD_S = 0.25
 """Time between two messages, in seconds."""
 REFRESH_S = 2.0
 """Time after which a limit that still holds is sent again, in seconds, so that others don't have to
 find out by requests of their own, and that a lost message is made up for."""
-NOTICES_MOST = 16
-"""Notices in one message, so that it fits a datagram."""
 
 
 class LimitExchange:
@@ -28,41 +25,35 @@
 
     Parameters
     ----------
-    own : MemberRecord
-        This entry.
     catalog : Catalog
         Targets and other entries.
     limits : LimitTable
         The limits that are known.
-    port : DatagramPort
-        Messages of other entries.
+    sender, port : NoticeSender, DatagramPort
+        Messages to and of other entries.
     names : HeaderNames
         Header names that targets use.
     """
 
     def __init__(
         self,
-        own: MemberRecord,
         catalog: Catalog,
         limits: LimitTable,
+        sender: NoticeSender,
         port: DatagramPort,
         *,
         names: HeaderNames,
         log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
-        self._own = own
         self._catalog = catalog
         self._limits = limits
-        self._port = port
+        self._sender = sender
         self._names = names
         self._log = log
         self._metrics = metrics
         self._waiting: dict[str, LimitNotice] = {}
-        self._read_at: dict[str, float] = {}
-        self._sent_at: dict[str, float] = {}
-        self._receivers: list[Address | None] = []
-        self._members_version = -1
+        self._noticed_at: dict[str, float] = {}
         port.receive(MessageKind.LIMITS, list[LimitNotice], self._receive)
 
     def read_answer(self, target: Target, headers: Headers, now: float) -> None:
@@ -77,16 +68,16 @@
             self._log.event("targets", "Bad limit.", target=target.name, cause=str(exc))
             return
         is_news = self._apply(target, limit_per_s, now, now, source="answer")
-        if is_news or now - self._sent_at.get(target.name, 0.0) >= REFRESH_S:
-            self._sent_at[target.name] = self._read_at[target.name] = now
+        if is_news or now - self._noticed_at.get(target.name, 0.0) >= REFRESH_S:
+            self._noticed_at[target.name] = now
             started_ms = target.record.started_ms
             self._waiting[target.name] = LimitNotice(target.name, started_ms, limit_per_s, 0.0)
 
     def forget(self, target: str) -> None:
         """Drop what is known of a target that is gone."""
         self._limits.forget(target)
-        for kept in (self._waiting, self._read_at, self._sent_at):
-            kept.pop(target, None)
+        self._waiting.pop(target, None)
+        self._noticed_at.pop(target, None)
 
     async def run(self) -> None:
         """Send notices until cancelled."""
@@ -94,18 +85,11 @@
             await asyncio.sleep(PERIOD_S)
             now = asyncio.get_running_loop().time()
             waiting, self._waiting = self._waiting, {}
-            notices = [n._replace(age_s=now - self._read_at[name]) for name, n in waiting.items()]
-            for first in range(0, len(notices), NOTICES_MOST):
-                part = notices[first : first + NOTICES_MOST]
-                self._port.send(MessageKind.LIMITS, part, *self._get_receivers())
-
-    def _get_receivers(self) -> list[Address | None]:
-        """Return the addresses that notices are sent to."""
-        if self._members_version != self._catalog.members_version:
-            self._members_version = self._catalog.members_version
-            members = choose_receivers(self._catalog.members.values(), self._own)
-            self._receivers = [member.relay for member in members]
-        return self._receivers
+            notices = [
+                notice._replace(age_s=now - self._noticed_at[name])
+                for name, notice in waiting.items()
+            ]
+            self._sender.send(MessageKind.LIMITS, notices)
 
     def _receive(self, notices: list[LimitNotice], sender: Address) -> None:
         """Apply the notices of another entry."""
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -4,9 +4,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Coroutine
 from random import Random
-from typing import Any
 
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import Change, MemberRecord
@@ -31,6 +29,7 @@
 from halldoor.gateway.lookup import LookupFormat
 from halldoor.gateway.maintenance import Maintenance
 from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.notices import NoticeSender
 from halldoor.gateway.pages import GatewayFigures, GatewayState, Pages
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.quarantine import RequestQuarantine
@@ -42,7 +41,8 @@
 from halldoor.gateway.settings import LIVE_SETTINGS, GatewaySettings
 from halldoor.gateway.sharing import ObservationSharing
 from halldoor.gateway.store import MetadataStore, RecordCodec
-from halldoor.gateway.sync import StoreSync, stop_task
+from halldoor.gateway.sync import StoreSync
+from halldoor.gateway.tasks import TaskSet, stop_task
 from halldoor.gateway.travel import TravelProbe
 
 QUIET_S = 0.3
@@ -107,7 +107,7 @@
         self._others: set[CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
         self._front: asyncio.Server | None = None
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = TaskSet(self.log)
         self.is_stopping = False
 
     def _build_requests(self, names: HeaderNames) -> None:
@@ -145,42 +145,47 @@
         self.sharing = ObservationSharing(
             self.member, self.catalog, self.feedback, self.port, settings=settings.sharing
         )
+        self._build_target_exchanges(names)
+        self.requests = RequestHandler(
+            catalog=self.catalog,
+            chooser=self.chooser,
+            loads=loads,
+            latency=latency,
+            feedback=self.feedback,
+            pool=self.pool,
+            names=names,
+            log=self.log,
+            metrics=self.metrics,
+            retries=self.retries,
+            access=self.access,
+            splitter=splitter,
+            flows=flows,
+            quarantine=self.quarantine,
+        )
+
+    def _build_target_exchanges(self, names: HeaderNames) -> None:
+        """Build what exchanges knowledge of single targets with other entries."""
+        sender = NoticeSender(self.member, self.catalog, self.port)
         self.cold_state = ColdStateExchange(
-            self.member,
             self.catalog,
             self.chooser,
+            sender,
             self.port,
             names=names,
-            contact_limit_s=settings.relaying.contact_limit_s,
+            contact_limit_s=self.settings.relaying.contact_limit_s,
             log=self.log,
             metrics=self.metrics,
         )
         self.limits = LimitExchange(
-            self.member,
             self.catalog,
             self.chooser.limits,
+            sender,
             self.port,
             names=names,
             log=self.log,
             metrics=self.metrics,
         )
         self.feedback.on_answer = self.limits.read_answer
-        self.requests = RequestHandler(
-            catalog=self.catalog,
-            chooser=self.chooser,
-            loads=loads,
-            latency=latency,
-            feedback=self.feedback,
-            pool=self.pool,
-            names=names,
-            log=self.log,
-            metrics=self.metrics,
-            retries=self.retries,
-            access=self.access,
-            splitter=splitter,
-            flows=flows,
-            quarantine=self.quarantine,
-        )
 
     def _build_access(self, splitter: Splitter, names: HeaderNames) -> None:
         """Build what lets requests in, by routes, teams and quotas, and lets them be repeated."""
@@ -318,26 +323,12 @@
             self.quarantine.run(),
         )
         for part in parts:
-            self._start_task(part)
-        self._registering = self._start_task(self.registration.run())
+            self._tasks.start(part)
+        self._registering = self._tasks.start(self.registration.run())
         self.log.event("process", "Started.", hall=settings.hall, front=str(settings.front))
         if not clock.counts_suspensions():
             self.log.event("process", "This system's clock does not count suspensions.")
 
-    def _start_task(self, part: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """Start a task that must not end."""
-        task = asyncio.get_running_loop().create_task(part)
-        task.add_done_callback(self._note_task_end)
-        self._tasks.append(task)
-        return task
-
-    def _note_task_end(self, task: asyncio.Task[None]) -> None:
-        """Log a task that failed; the process then can't be trusted and ends."""
-        if task.cancelled():
-            return
-        self.log.event("process", "A task failed.", cause=repr(task.exception()))
-        asyncio.get_running_loop().stop()
-
     def reload(self, settings: GatewaySettings) -> None:
         """Take up changed settings; requests under way are not touched."""
         changed = self.settings.find_changes(settings)
@@ -390,8 +381,7 @@
         self.log.event("process", "Stopped.", running=self.requests.running)
         for server in self._servers:
             server.close()
-        for task in self._tasks:
-            await stop_task(task)
+        await self._tasks.stop()
         self.pool.close()
         self.feed.close()
         self.port.close()
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 
 from halldoor.core.targets.catalog import Catalog
@@ -316,10 +315,3 @@
     """Tell whether the running task itself is being cancelled."""
     task = asyncio.current_task()
     return task is not None and task.cancelling() > 0
-
-
-async def stop_task(task: asyncio.Task[None]) -> None:
-    """Cancel a task and wait for its end."""
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
