Name what functions do by the field's terms in the modules touched

Docstrings alone: return, check, record, notify, apply and receive, where they said give, tell, note, let and take. The syntax trees without docstrings are the same as before.

--- a/halldoor/core/targets/budget.py
+++ b/halldoor/core/targets/budget.py
@@ -28,7 +28,7 @@
         self._trim(now)
 
     def count(self, now: float) -> int:
-        """Give the events of the last ``window_s`` seconds."""
+        """Return the events of the last ``window_s`` seconds."""
         self._trim(now)
         return len(self._times)
 
--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -68,7 +68,7 @@
         return self.record.incarnation
 
     def is_cold(self, now: float) -> bool:
-        """Tell whether the target is cold."""
+        """Check whether the target is cold."""
         return now < self.cold_until
 
 
@@ -169,7 +169,7 @@
         return [c for c in [*changes, *removals] if self.apply(c, now)]
 
     def _has_left(self, change: Change) -> bool:
-        """Tell whether a record is of a start of a target that is known to have left."""
+        """Check whether a record is of a start of a target that is known to have left."""
         if not isinstance(change, TargetSeen):
             return False
         record = change.record
@@ -204,7 +204,7 @@
         return self.routing.version if self.routing is not None else 0
 
     def note_contact(self, heard_at: float) -> None:
-        """Note when the store was heard, directly or by another entry."""
+        """Record the time of the last contact with the store, direct or by another entry."""
         self.fresh_at = max(self.fresh_at, heard_at)
 
     def note_relay(self, now: float) -> None:
@@ -217,7 +217,7 @@
         return max(self.fresh_at, self.relayed_at)
 
     def begin_settling(self, now: float) -> None:
-        """Note that the store is back: give records that lapsed meanwhile time to return.
+        """Record that the store is back: give records that lapsed meanwhile time to return.
 
         Removals applied at this very time are taken for lapses; later ones are meant.
         """
@@ -238,7 +238,7 @@
         return dropped
 
     def take_restart(self, incarnation: str) -> bool:
-        """Tell once of each new start under a known name: nothing learnt before holds."""
+        """Check, once for each, whether a known name has started again: nothing of before holds."""
         if incarnation not in self._restarted:
             return False
         self._restarted.discard(incarnation)
@@ -284,12 +284,12 @@
         return self.sharers.count(now, young_s=self.timings.young_s)
 
     def _touch(self) -> None:
-        """Note that something changed which choices depend on."""
+        """Record that something changed which choices depend on."""
         self.version += 1
         self._by_service = None
 
     def _adopt(self, routing: Routing) -> bool:
-        """Take a configuration if it is newer; an older one is never taken back.
+        """Apply a configuration if it is newer; an older one is never taken back.
 
         One of the same version replaces what a store that was restored has lost.
         """
@@ -301,7 +301,7 @@
         return True
 
     def _see_target(self, record: TargetRecord, now: float) -> bool:
-        """Take a target's record."""
+        """Apply a target's record."""
         cold_until = now + record.cold_left_s if record.cold_left_s > 0 else -math.inf
         target = self._targets.get(record.incarnation)
         if target is not None and record.started_ms < target.record.started_ms:
@@ -345,7 +345,7 @@
         return not was_cold
 
     def _lose_target(self, incarnation: str, now: float) -> bool:
-        """Take the removal of a target's record."""
+        """Apply the removal of a target's record."""
         target = self._targets.get(incarnation)
         if target is None:
             return False
@@ -358,7 +358,7 @@
         return True
 
     def _set_evacuation(self, hall: str, is_evacuated: bool, now: float) -> bool:
-        """Take an evacuation, or its end."""
+        """Apply an evacuation, or its end."""
         if is_evacuated == (hall in self.evacuated):
             return False
         if is_evacuated:
@@ -383,7 +383,7 @@
             target.cold_until = max(target.cold_until, now + cold_s)
 
     def _see_member(self, member: MemberRecord) -> bool:
-        """Take an entry's record."""
+        """Apply an entry's record."""
         if self.members.get(member.name) == member:
             return False
         self.members[member.name] = member
@@ -392,7 +392,7 @@
         return True
 
     def _lose_member(self, name: str, now: float) -> bool:
-        """Take the removal of an entry's record."""
+        """Apply the removal of an entry's record."""
         if self.members.pop(name, None) is None:
             return False
         self.sharers.remove(name, now)
--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -199,7 +199,7 @@
     def _find_reason_against(
         self, choice: Choice, key: str, route: Route, levels: WorkLevels
     ) -> str:
-        """Say why a target can't take a request now; empty where it can."""
+        """Return why a target can't take a request now; empty where it can."""
         target, estimate, place = choice
         if not self._has_room(target, estimate.on_target):
             return "full"
@@ -213,7 +213,7 @@
         return ""
 
     def _is_spare(self, target: Target, now: float) -> bool:
-        """Tell whether a target that is none of the key's own is mostly idle."""
+        """Check whether a target that is none of the key's own is mostly idle."""
         limit = self.settings.spare_load
         count = self._count(target, now)
         is_idle = count < limit * target.record.slots and self._has_room(target, count)
@@ -246,7 +246,7 @@
         return found
 
     def _find_reason_out(self, target: Target, now: float) -> str:
-        """Say why a target gets no requests, or few; empty where it gets its share."""
+        """Return why a target gets no requests, or few; empty where it gets its share."""
         if target.record.is_draining:
             return "draining"
         if target.record.hall in self._catalog.evacuated:
@@ -276,7 +276,7 @@
     def _iter_candidates(
         self, order: Sequence[Target], now: float, tried: Collection[str], passed: Counter[str]
     ) -> Iterator[Target]:
-        """Give the targets worth trying, in order; doubtful ones only where there is no other.
+        """Return the targets worth trying, in order; doubtful ones only where there is no other.
 
         Most choices take one of the first two, so that the others are not looked at: a known key's
         choice does not grow with the number of targets.
@@ -313,7 +313,7 @@
     def _number(
         self, first: Target, candidates: Iterator[Target], tried: Collection[str]
     ) -> Iterator[tuple[int, Target]]:
-        """Give candidates with their places, from 0.
+        """Return candidates with their places, from 0.
 
         Where a key's near first target is out, a far one does not stand for it: what waits there
         makes that region's callers late too.
@@ -327,13 +327,13 @@
             place += 1
 
     def _list_doubtful(self, now: float) -> Mapping[str, str]:
-        """Give the targets that are left alone for now, and why."""
+        """Return the targets that are left alone for now, and why."""
         doubtful = dict.fromkeys(self._catalog.lapsed, "lapsed")
         doubtful.update(dict.fromkeys(self._outliers.list_ejected(now), "ejected"))
         return doubtful
 
     def _has_room(self, target: Target, count: float) -> bool:
-        """Tell whether a target has room, by own counts and by what it reported."""
+        """Check whether a target has room, by own counts and by what it reported."""
         own = self.in_flight[target.name]
         if own and self._outliers.is_on_trial(target.name):
             return False
@@ -342,7 +342,7 @@
         return count < self.settings.full_load * target.record.slots
 
     def _bound(self, target: Target) -> int:
-        """Give the requests that this entry may have on a target.
+        """Return the requests that this entry may have on a target.
 
         The shares of all entries add up to the whole, as long as each has at least one.
         """
--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -83,11 +83,11 @@
         return PAUSE_SHARE * self.bound_s
 
     def find_watch_s(self, *, is_after_changes: bool) -> float:
-        """Give how long a reader's watch waits for changes, in seconds."""
+        """Return how long a reader's watch waits for changes, in seconds."""
         return (BUSY_SHARE if is_after_changes else QUIET_SHARE) * self.bound_s
 
     def find_poll_s(self, age_s: float) -> float:
-        """Give how long a poll may wait for news, in seconds, by the age of the last proof."""
+        """Return how long a poll may wait for news, in seconds, by the age of the last proof."""
         return max(self.poll_at_least_s, self.age_limit_s - age_s - self.answer_s)
 
 
@@ -133,7 +133,7 @@
     left: str | None = None
 
     def is_met_by(self, era: str) -> bool:
-        """Tell whether records of a copy are what is asked for, or newer."""
+        """Check whether records of a copy are what is asked for, or newer."""
         if era == self.newest:
             return era != self.left
         if self.left is None:
@@ -166,7 +166,7 @@
         self._batches: deque[Batch[T]] = deque(maxlen=BATCHES_KEPT)
 
     def has_news(self, after: int) -> bool:
-        """Tell whether a follower at a revision need not wait for an answer."""
+        """Check whether a follower at a revision need not wait for an answer."""
         return not self._batches or self._batches[-1].revision > after
 
     def add(self, batch: Batch[T]) -> None:
@@ -198,7 +198,7 @@
 
 
 def date_watch(*, sent_at: float, wait_s: float, returned_at: float, has_changes: bool) -> float:
-    """Give the moment up to which a watch's answer includes every change.
+    """Return the moment up to which a watch's answer includes every change.
 
     One that brought nothing waited its time at the store first; of one with changes it is only
     known that it was answered after it was sent.
@@ -208,7 +208,7 @@
 
 
 def date_poll(*, sent_at: float, held_s: float, age_s: float) -> float:
-    """Give the moment up to which a reader's answer includes every change.
+    """Return the moment up to which a reader's answer includes every change.
 
     Parameters
     ----------
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -39,12 +39,12 @@
 
     @property
     def was_sent(self) -> bool:
-        """Tell whether the target received the request."""
+        """Check whether the target received the request."""
         return self is not AttemptResult.NOT_REACHED
 
     @property
     def may_have_run(self) -> bool:
-        """Tell whether the target may have run the request."""
+        """Check whether the target may have run the request."""
         return self not in (AttemptResult.NOT_REACHED, AttemptResult.NOT_RUN)
 
 
@@ -124,7 +124,7 @@
     named_limit: str = ""
 
     def to_fields(self) -> dict[str, Any]:
-        """Give the fields of the log line."""
+        """Return the fields of the log line."""
         return {
             "target": self.target,
             "result": self.result.value,
@@ -189,7 +189,7 @@
 
     @property
     def may_have_run(self) -> bool:
-        """Tell whether a target may have run the request."""
+        """Check whether a target may have run the request."""
         return any(attempt.result.may_have_run for attempt in self.attempts)
 
     def build_give_up(
--- a/halldoor/gateway/datagrams.py
+++ b/halldoor/gateway/datagrams.py
@@ -77,7 +77,7 @@
                 self._transport.sendto(data, (address.ip, address.port))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take a message; one that can't be read is counted and dropped."""
+        """Receive a message; one that can't be read is counted and dropped."""
         message_type, receiver = self._receivers.get(data[0] if data else 0, (None, None))
         if receiver is None:
             self._metrics.add_message("unknown")
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -322,7 +322,7 @@
             await connection.skip_answer()
 
     def _find_problem(self, status: int, headers: Headers, outgoing: OutgoingRequest) -> str:
-        """Say why an answer can't be the target's to this request; empty where it can."""
+        """Return why an answer can't be the target's to this request; empty where it can."""
         names = self._names
         if find(headers, names.attempt_id) != outgoing.attempt_id:
             return "answer of another request"
@@ -370,5 +370,5 @@
 
 
 def _has_body(head: Head) -> bool:
-    """Tell whether the caller announced a body, be it an empty one."""
+    """Check whether the caller announced a body, be it an empty one."""
     return bool(find(head.headers, b"content-length") or find(head.headers, b"transfer-encoding"))
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -104,7 +104,7 @@
         *,
         took_s: float,
     ) -> tuple[AttemptResult, str]:
-        """Learn from one attempt; say how it ended, and a detail for the log."""
+        """Update the models by one attempt; return how it ended, and a detail for the log."""
         target = sent.choice.target
         name = target.name
         if connecting.took_s and not connecting.is_reused:
@@ -146,7 +146,7 @@
                 return AttemptResult.BODY_FAILED, detail
 
     def _add_success(self, sent: Sending, now: float, *, took_s: float, connect_s: float) -> None:
-        """Learn from a sound answer how long the target takes."""
+        """Update the models by the time of a sound answer."""
         target = sent.choice.target
         self._latency.add_answer(
             sent.kind,
@@ -160,7 +160,7 @@
             self._log.event("targets", "Ejected a slow target.", target=target.name)
 
     def _tell(self, sent: Sending, answer: Answer, *, took_s: float) -> None:
-        """Let other entries know of a sound answer."""
+        """Notify other entries of a sound answer."""
         if self.on_observation is None:
             return
         report = LoadReport.from_text(find(answer.headers, self._names.load))
@@ -178,7 +178,7 @@
         )
 
     def add_observation(self, seen: Observation, now: float) -> None:
-        """Learn from an answer that another entry of the hall had."""
+        """Update the models by an answer that another entry of the hall had."""
         target = self._catalog.find_target(seen.target)
         if target is None:
             return
@@ -211,7 +211,7 @@
         self._chooser.forget(name)
 
     def _add_load(self, target: Target, outcome: WholeAnswer | PartialAnswer, now: float) -> None:
-        """Take the load that a target reported with its answer."""
+        """Apply the load that a target reported with its answer."""
         if not self._chooser.settings.uses_reports:
             return
         report = LoadReport.from_text(find(outcome.answer.headers, self._names.load))
--- a/halldoor/gateway/following.py
+++ b/halldoor/gateway/following.py
@@ -23,7 +23,7 @@
 
 
 class ChangeFollower:
-    """Tells the other parts of each change that was applied.
+    """Notifies the other parts of each change that was applied.
 
     Parameters
     ----------
@@ -61,7 +61,7 @@
         self._log = log
 
     def note_change(self, change: Change) -> None:
-        """Tell of a change."""
+        """Notify the parts of a change."""
         match change:
             case TargetSeen(record) if self._catalog.take_restart(record.incarnation):
                 self._note_gone(record.incarnation)
@@ -80,7 +80,7 @@
                 self._quarantine.note_members()
 
     def _note_gone(self, incarnation: str) -> None:
-        """Tell that a start of a target is gone."""
+        """Notify the parts that a start of a target is gone."""
         self._feedback.forget_target(incarnation)
         self._quarantine.note_gone(incarnation)
         self._cold_state.forget(incarnation)
--- a/halldoor/gateway/headers.py
+++ b/halldoor/gateway/headers.py
@@ -42,7 +42,7 @@
 
 
 def find(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
-    """Give the first value of a field, or empty; ``name`` in lower case."""
+    """Return the first value of a field, or empty; ``name`` in lower case."""
     for field, value in headers:
         if field.lower() == name:
             return value
@@ -62,5 +62,5 @@
 
 
 def replace(headers: Headers, name: bytes, value: bytes) -> Headers:
-    """Give the fields with all of one name replaced by one value."""
+    """Return the fields with all of one name replaced by one value."""
     return [*((n, v) for n, v in headers if n.lower() != name), (name, value)]
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -249,16 +249,16 @@
 
     @property
     def is_ready(self) -> bool:
-        """Tell whether callers should be sent here."""
+        """Check whether callers should be sent here."""
         return self.catalog.routing is not None and not self.is_confirming and not self.is_stopping
 
     @property
     def is_confirming(self) -> bool:
-        """Tell whether what is known, or comes in, may be old: the process stood still."""
+        """Check whether what is known, or comes in, may be old: the process stood still."""
         return self.sync.is_confirming or self.maintenance.has_stood_still()
 
     def _read_state(self) -> GatewayState:
-        """Give what readiness questions and look-ups ask for."""
+        """Return what readiness questions and look-ups ask for."""
         return GatewayState(
             is_ready=self.is_ready,
             own=self.member,
@@ -267,7 +267,7 @@
         )
 
     def _read_figures(self) -> GatewayFigures:
-        """Give the figures of the moment."""
+        """Return the figures of the moment."""
         now = asyncio.get_running_loop().time()
         gauges = {
             "running": self.requests.running,
@@ -393,9 +393,9 @@
         self.sync.confirm("the process stood still")
 
     def _note_contact(self) -> None:
-        """Note that the store answered."""
+        """Record that the store answered."""
         self.catalog.note_contact(asyncio.get_running_loop().time())
 
     def _note_change(self, change: Change) -> None:
-        """Let the other parts follow a change of the catalog."""
+        """Notify the other parts of a change of the catalog."""
         self._follower.note_change(change)
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -114,7 +114,7 @@
 
     @property
     def is_direct(self) -> bool:
-        """Tell whether this entry watches the store."""
+        """Check whether this entry watches the store."""
         return self._reader is None or _now() < self._direct_until
 
     # The follower's side, and watching the store
@@ -355,5 +355,5 @@
 
 
 def _now() -> float:
-    """Give the time of the loop's clock."""
+    """Return the time of the loop's clock."""
     return asyncio.get_running_loop().time()
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -114,7 +114,7 @@
         self.running = 0
 
     def read_limits(self) -> CallerLimits:
-        """Give the limits on callers that are in force."""
+        """Return the limits on callers that are in force."""
         routing = self._catalog.routing
         return routing.limits if routing is not None else CallerLimits()
 
@@ -262,7 +262,7 @@
         return value[:LIMIT_SHOWN].decode("latin-1")
 
     def _view(self, choice: Choice, key: str, now: float) -> TargetView:
-        """Give what is believed of a target, for the log."""
+        """Return what is believed of a target, for the log."""
         target = choice.target
         age_s = self._loads.age(target.name, now)
         return TargetView(
@@ -378,13 +378,13 @@
         )
 
     def _get_store_age_ms(self) -> int:
-        """Give the age of the last contact with the store, in milliseconds."""
+        """Return the age of the last contact with the store, in milliseconds."""
         now = asyncio.get_running_loop().time()
         return round((now - self._catalog.fresh_at) * 1000)
 
 
 def _is_worth_retry(state: RequestState, outcome: WholeAnswer) -> bool:
-    """Tell whether a target's failure may be answered better by another target."""
+    """Check whether a target's failure may be answered better by another target."""
     return (
         state.route.kind is RequestKind.REPEATABLE
         and outcome.answer.status >= SERVER_ERROR
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -134,7 +134,7 @@
             self._feed.leave_reader("it knows another copy of the store")
 
     def _adopt(self, whole: Whole) -> None:
-        """Take everything in."""
+        """Apply all records."""
         before = self._era
         is_restored = self.is_loaded.is_set() and before != whole.era
         now = self._note_contact(is_return=self._is_away, heard_at=whole.proven_at)
@@ -232,7 +232,7 @@
             return self._codec.decode(StoredItem(item.key, None))
 
     def _note_contact(self, *, is_return: bool, heard_at: float) -> float:
-        """Note when the store was heard; give the time."""
+        """Record the time of the last contact with the store, and return it."""
         now = asyncio.get_running_loop().time()
         self._catalog.note_contact(heard_at)
         if is_return:
@@ -251,7 +251,7 @@
         return now
 
     def _note_away(self, exc: StoreError) -> None:
-        """Note that the store did not answer: what is known has to do."""
+        """Record that the store did not answer: what is known has to do."""
         self.is_confirming = False
         self._metrics.add_store_call("watch", "failed")
         if not self._is_away:
@@ -301,7 +301,7 @@
 
 
 def find_era_problem(before: str, era: str) -> str:
-    """Say what is odd about the number of a copy; empty where it rose as it should."""
+    """Return what is odd about the number of a copy; empty where it rose as it should."""
     if not era:
         return "the store no longer says which copy it is"
     if not era.isdecimal():
@@ -312,6 +312,6 @@
 
 
 def _is_cancelling() -> bool:
-    """Tell whether the running task itself is being cancelled."""
+    """Check whether the running task itself is being cancelled."""
     task = asyncio.current_task()
     return task is not None and task.cancelling() > 0
