Spread probes by the entry's name; split two builders that had grown

The core draws no chance of its own: the time of an entry's probe of a limited target follows from a hash of both names. GatewayMetrics and Gateway build counters and exchanges in methods of their own.

--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -126,7 +126,7 @@
         )
         self.settings = settings
         self._ranks = EntryRanks(catalog, own_name)
-        self.limits = LimitTable()
+        self.limits = LimitTable(own_name)
         self._rates = TargetRates(catalog, self._ranks, self.limits)
         self.in_flight: Counter[str] = Counter()
         self._chosen_at: dict[str, float] = {}
--- a/halldoor/core/targets/limits.py
+++ b/halldoor/core/targets/limits.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import math
-from random import Random
 from typing import NamedTuple
 
+from halldoor.core.placement import to_unit
+
 RETURN_S = 1.0
 """Time in which a target's rate doubles after its limit ended, in seconds."""
 RETURN_DOUBLINGS = 4
@@ -77,12 +78,12 @@
 
     Parameters
     ----------
-    source : Random, optional
-        Spreads the times of probes.
+    own_name : str
+        Name of this entry, by which its probes come at other times than others'.
     """
 
-    def __init__(self, source: Random | None = None) -> None:
-        self._random = source or Random()
+    def __init__(self, own_name: str) -> None:
+        self._own_name = own_name
         self._states: dict[str, _State] = {}
 
     def add(self, target: str, limit_per_s: float | None, said_at: float, *, entries: int) -> bool:
@@ -103,8 +104,8 @@
         if limit_per_s is None:
             return self._end(target, known, said_at)
         is_news = known is None or known.ended_at is not None or known.limit_per_s != limit_per_s
-        wait_s = max(PROBE_S, entries / max(limit_per_s, PROBE_LEAST_PER_S))
-        probe_at = said_at + wait_s * self._random.uniform(1.0, 1.0 + PROBE_SPREAD)
+        spread = 1.0 + PROBE_SPREAD * to_unit(f"{self._own_name}/{target}")
+        probe_at = said_at + spread * _find_probe_wait(limit_per_s, entries)
         self._states[target] = _State(limit_per_s, said_at, None, probe_at)
         return is_news
 
@@ -136,7 +137,7 @@
     def note_probe(self, target: str, now: float, *, entries: int) -> None:
         """Record that this entry sent such a request; the next one has to wait."""
         state = self._states[target]
-        wait_s = max(PROBE_S, entries / max(state.limit_per_s, PROBE_LEAST_PER_S))
+        wait_s = _find_probe_wait(state.limit_per_s, entries)
         self._states[target] = state._replace(probe_at=now + wait_s)
 
     def names_limit(self, target: str) -> bool:
@@ -164,6 +165,11 @@
     return limit_per_s
 
 
+def _find_probe_wait(limit_per_s: float, entries: int) -> float:
+    """Return the least time between two probes of one entry, in seconds."""
+    return max(PROBE_S, entries / max(limit_per_s, PROBE_LEAST_PER_S))
+
+
 def _is_limit(limit_per_s: float) -> bool:
     """Whether a figure may be a limit."""
     return math.isfinite(limit_per_s) and limit_per_s >= 0
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -62,6 +62,15 @@
             "Polls of other entries that were not readable.",
             registry=registry,
         )
+        self._build_target_counters(registry)
+        self._build_team_counters(registry)
+        self._gauges = Gauge(
+            "halldoor_state", "What this entry holds now, by name.", registry=registry
+        )
+        self._targets_out = self._build_targets_out()
+
+    def _build_target_counters(self, registry: Registry) -> None:
+        """Build the counters of what is learnt of single targets."""
         self._health_checks = Counter(
             "halldoor_health_checks",
             "Health checks of targets while the store can't be reached, by outcome.",
@@ -72,11 +81,6 @@
             "Answers of targets with a limit that could not be read.",
             registry=registry,
         )
-        self._build_team_counters(registry)
-        self._gauges = Gauge(
-            "halldoor_state", "What this entry holds now, by name.", registry=registry
-        )
-        self._targets_out = self._build_targets_out()
 
     def _build_team_counters(self, registry: Registry) -> None:
         """Build the counters of teams, of other entries' messages and of records."""
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -142,9 +142,6 @@
         )
         splitter = Splitter()
         self._build_access(splitter, names)
-        self.sharing = ObservationSharing(
-            self.member, self.catalog, self.feedback, self.port, settings=settings.sharing
-        )
         self._build_target_exchanges(names)
         self.requests = RequestHandler(
             catalog=self.catalog,
@@ -165,6 +162,9 @@
 
     def _build_target_exchanges(self, names: HeaderNames) -> None:
         """Build what exchanges knowledge of single targets with other entries."""
+        self.sharing = ObservationSharing(
+            self.member, self.catalog, self.feedback, self.port, settings=self.settings.sharing
+        )
         sender = NoticeSender(self.member, self.catalog, self.port)
         self.cold_state = ColdStateExchange(
             self.catalog,
--- a/halldoor/tests/test_limits.py
+++ b/halldoor/tests/test_limits.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from random import Random
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -12,7 +10,7 @@
 
 
 def make_table(limit_per_s=6.0):
-    table = LimitTable(Random(1))
+    table = LimitTable("e1")
     table.add("t1", limit_per_s, 10.0, entries=10)
     return table
 
@@ -35,7 +33,7 @@
         assert limits == [1.0, 2.0, 4.0, 8.0, None]
 
     def test_the_first_statement_without_a_limit_is_no_news(self):
-        assert not LimitTable().add("t1", None, 1.0, entries=3)
+        assert not LimitTable("e1").add("t1", None, 1.0, entries=3)
 
     @pytest.mark.parametrize(("limit_per_s", "entries"), [(6.0, 10), (0.0, 10), (0.3, 300)])
     def test_entries_without_news_probe_at_less_than_the_limit(self, limit_per_s, entries):
--- a/halldoor/tests/test_rate_shares.py
+++ b/halldoor/tests/test_rate_shares.py
@@ -22,7 +22,7 @@
     for catalog in catalogs.values():
         catalog.count_sharers(0.0)  # They have been up for a while.
     rates = {
-        name: TargetRates(c, EntryRanks(c, name), LimitTable()) for name, c in catalogs.items()
+        name: TargetRates(c, EntryRanks(c, name), LimitTable(name)) for name, c in catalogs.items()
     }
     return catalogs, rates
 
