Keep confirming after a suspension in which contact with the store was lost

What callers would see: an entry that wakes says that it is ready and names entries of before, without having asked the store. Found by test_who_wakes_relies_on_nothing_that_changed_meanwhile, once, in a run of all tests: two suspensions, of 2 and 30 s.

Cause: gave a watch up with a StoreError when nothing was heard of the store for 2 s. A suspension looks like that; a StoreError ends the confirmation after it, since the store was asked and did not answer, but here nobody had asked. Change: ContactLostError, which counts as lost contact and ends no confirmation.

--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -21,6 +21,10 @@
     """The reader knows another copy of the store: everything has to be read anew."""
 
 
+class ContactLostError(Exception):
+    """Nothing was heard of the store for too long while a watch waited."""
+
+
 class RelayedChanges(msgspec.Struct, frozen=True):
     """Answer to a poll.
 
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -40,13 +40,14 @@
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.polls import (
     OTHER_ERA,
+    ContactLostError,
     Poll,
     RelayedChanges,
     Update,
     parse_poll,
     send_poll,
 )
-from halldoor.gateway.store import Events, MetadataStore, StoredItem, StoreError
+from halldoor.gateway.store import Events, MetadataStore, StoredItem
 from halldoor.gateway.substitute import SubstituteReader
 
 CONTACT_CHECK_S = 0.25
@@ -196,7 +197,7 @@
 
         Raises
         ------
-        StoreError
+        ContactLostError
             Where contact is lost.
         """
         had_contact = self.has_contact
@@ -205,7 +206,7 @@
             while not watch.done():
                 await asyncio.wait([watch], timeout=CONTACT_CHECK_S)
                 if had_contact and not self.has_contact and not watch.done():
-                    raise StoreError("No answer.", remedy="Follow an entry that has contact.")
+                    raise ContactLostError
             return watch.result()
         finally:
             watch.cancel()
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -19,7 +19,7 @@
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.handover import Whole
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.polls import OtherEraError, Update
+from halldoor.gateway.polls import ContactLostError, OtherEraError, Update
 from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.store import (
     HistoryGoneError,
@@ -105,6 +105,9 @@
                 self._revision = None
             except OtherEraError:
                 await self._follow_era()
+            except ContactLostError:
+                # A suspension looks like this too, so that what is being confirmed still has to be.
+                self._note_lost("no answer")
             except StoreError as exc:
                 self._note_away(exc)
                 await asyncio.sleep(backoff_s)
@@ -254,9 +257,13 @@
         """Record that the store did not answer: what is known has to do."""
         self.is_confirming = False
         self._metrics.add_store_call("watch", "failed")
+        self._note_lost(exc.message)
+
+    def _note_lost(self, cause: str) -> None:
+        """Record that contact with the store is lost."""
         if not self._is_away:
             self._is_away = True
-            self._log.event("store", "Lost.", cause=exc.message)
+            self._log.event("store", "Lost.", cause=cause)
 
     def _log_era(self, before: str, whole: Whole) -> None:
         """Write that the store was restored from a copy, and what its answers said."""
--- a/halldoor/tests/test_suspension.py
+++ b/halldoor/tests/test_suspension.py
@@ -15,7 +15,7 @@
 
 import h11
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from halldoor.core.settings import Address
@@ -231,6 +231,7 @@
     ),
     is_down=st.booleans(),
 )
+@example(suspensions=[(0.0, 2.0, False), (0.0, 30.0, False)], is_down=False)
 def test_who_wakes_relies_on_nothing_that_changed_meanwhile(suspensions, is_down):
     """In virtual time: entries of two halls, of which one reads for others, sleep at any moment."""
 
