--- a/halldoor/tests/ratekit.py
+++ b/halldoor/tests/ratekit.py
@@ -9,6 +9,7 @@
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import CatalogTimings
 from halldoor.gateway.headers import find
+from halldoor.gateway.httpclient import HttpCallError
 from halldoor.gateway.store import MetadataStore, StoreError
 from halldoor.standins.memorystore import MemoryStore
 from halldoor.standins.sample import IP, find_ports
@@ -59,6 +60,20 @@
         return await self._call("end_lease", lease)
 
 
+class SilentClient:
+    """A client of an entry that can't be reached."""
+
+    def __init__(self, address):
+        pass
+
+    async def call(self, method, target, *, timeout_s):
+        await asyncio.sleep(timeout_s)
+        raise HttpCallError("no answer in time")
+
+    def close(self):
+        pass
+
+
 class CountingTarget(ScriptedTarget):
     """A target that notes when requests arrive, and says in health answers how long it is cold.
 
@@ -183,6 +198,7 @@
                 port = self.kits[i].gateway.port
                 port.send = lambda *_: None
                 port.datagram_received = lambda *_: None
+                self.kits[i].gateway.feed._substitute._open_client = SilentClient
 
     def now(self):
         return asyncio.get_running_loop().time()
