Ask up to twelve entries for contact before the store is tried again

What callers would see: an entry that few others can inform goes on with old information for seconds more. Found on reading: four of the others were asked, then the store was watched for 3 s. Change: up to three times four are asked, all of a small fleet.

--- a/halldoor/gateway/substitute.py
+++ b/halldoor/gateway/substitute.py
@@ -24,6 +24,9 @@
 """Time for which a poll waits for changes, in seconds."""
 CANDIDATES = 4
 """Entries that are asked at once, of which the first to answer is followed."""
+ROUNDS = 3
+"""Times that others are asked before the store is tried again: all of a small fleet, and enough of
+a large one to find an entry in contact unless hardly any is."""
 
 
 class SubstituteReader:
@@ -72,14 +75,22 @@
             return None
 
     async def _find(self, revision: int, era: str) -> Update | None:
-        """Ask some entries at once, and follow the first that answers."""
+        """Ask other entries, a few at once, and follow the first that answers."""
         members = [
             member
             for member in self._catalog.members.values()
             if member.relay is not None and member.name != self._own.name
         ]
-        candidates = self._random.sample(members, min(CANDIDATES, len(members)))
+        self._random.shuffle(members)
         poll = Poll(revision, 0.0, era, needs_contact=True)
+        for first in range(0, min(len(members), ROUNDS * CANDIDATES), CANDIDATES):
+            update = await self._ask_all(members[first : first + CANDIDATES], poll)
+            if update is not None:
+                return update
+        return None
+
+    async def _ask_all(self, candidates: list[MemberRecord], poll: Poll) -> Update | None:
+        """Ask some entries at once, and follow the first that answers."""
         asking = [asyncio.ensure_future(self._try(member, poll)) for member in candidates]
         try:
             for answer in asyncio.as_completed(asking):
--- /dev/null
+++ b/halldoor/tests/test_substitute.py
@@ -0,0 +1,71 @@
+"""An entry without contact to the store finds the entries that have it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+import msgspec
+import pytest
+
+from halldoor.core.settings import Address
+from halldoor.core.targets.catalog import Catalog, CatalogTimings
+from halldoor.core.targets.changes import MemberRecord, MemberSeen
+from halldoor.core.targets.relay import RelaySettings
+from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.httpclient import HttpAnswer
+from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.polls import RelayedChanges
+from halldoor.gateway.substitute import SubstituteReader
+from halldoor.standins.storefleet import NoLog
+
+ENTRIES = 10
+
+
+class PeerClient:
+    """A client of an entry, which answers only where it is in contact."""
+
+    def __init__(self, has_contact):
+        self.has_contact = has_contact
+
+    async def call(self, method, target, *, timeout_s):
+        if not self.has_contact:
+            return HttpAnswer(503, b"")
+        changes = RelayedChanges([], 7, 0.0, 0.0, False)
+        return HttpAnswer(200, msgspec.msgpack.encode(changes))
+
+    def close(self):
+        pass
+
+
+def make_reader(in_contact):
+    catalog = Catalog(CatalogTimings())
+    members = [
+        MemberRecord(f"e{i}", Address("127.0.0.1", i), "h", "r", Address("127.0.0.1", i))
+        for i in range(1, ENTRIES + 1)
+    ]
+    for member in members:
+        catalog.apply(MemberSeen(member), 0.0)
+    return SubstituteReader(
+        members[0],
+        catalog,
+        settings=RelaySettings(),
+        log=cast(EventLog, NoLog()),
+        metrics=GatewayMetrics(),
+        open_client=lambda address: PeerClient(address.port in in_contact),
+    )
+
+
+@pytest.mark.parametrize("port", range(2, ENTRIES + 1))
+def test_the_only_entry_in_contact_is_found_at_once(port):
+    async def check():
+        for _ in range(5):
+            update = await make_reader({port}).poll(7, "")
+            assert update is not None
+            assert update.is_substitute
+
+    asyncio.run(check())
+
+
+def test_where_nobody_has_contact_there_is_none():
+    assert asyncio.run(make_reader(set()).poll(7, "")) is None
