--- a/halldoor/tests/test_limits.py
+++ b/halldoor/tests/test_limits.py
@@ -62,7 +62,7 @@
 class TestReading:
     @pytest.mark.parametrize("value", [b"none", b"-0.1", b"nan", b"inf", b"1,5"])
     def test_what_is_no_limit_is_an_error(self, value):
-        with pytest.raises(ValueError, match="convert|a second"):
+        with pytest.raises(ValueError, match=r"convert|a second"):
             parse_limit(value)
 
     def test_no_field_is_no_limit(self):
