List the cold rate over a restart of all as red

The property left restarts out though no trace allows that. Processes take longer to start; not traced further.

--- a/properties/test_rates.py
+++ b/properties/test_rates.py
@@ -48,3 +48,12 @@
     bound = Bound(0.6 * allowed, 1.0, allowed, 1.1)
     worst = play(bound, entries, trouble._replace(restart_s=99.0), seed).find_worst_window()
     assert worst <= allowed
+
+
+@settings(max_examples=25)
+@given(entries=st.sampled_from([2, 10, 75]), seed=st.integers(0, 1000))
+def test_a_cold_rate_holds_as_all_restart(entries, seed):
+    """Entries that restart without any pause have counted nothing of the window before."""
+    bound = Bound(0.6 * 18.5, 1.0, 18.5, 1.1)
+    trouble = Trouble(cut_share=0.5, restart_s=5.0)
+    assert play(bound, entries, trouble, seed).find_worst_window() <= bound.allowed
