Log what a target says of itself in its answer, its leaving included

The fields of an answer are read once, into a TargetStatement, for the log and for the limits, which read them by themselves before. No other behaviour changes.

--- /dev/null
+++ b/halldoor/core/targets/statement.py
@@ -0,0 +1,51 @@
+"""What a target says of itself in an answer: one record, read once for all that act on it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+SHOWN = 16
+"""Characters of a field that are logged: a target may write anything."""
+
+
+class TargetStatement(NamedTuple):
+    """Fields of one answer that concern the target itself, as it wrote them; empty where missing.
+
+    Attributes
+    ----------
+    limit : bytes
+        Requests a second that it takes from all entries together.
+    leaving : bytes
+        ``1`` where it is about to end and takes no new work.
+    """
+
+    limit: bytes = b""
+    leaving: bytes = b""
+
+    @classmethod
+    def from_headers(
+        cls, headers: Iterable[tuple[bytes, bytes]], fields: Mapping[bytes, str]
+    ) -> TargetStatement:
+        """Read a statement from the header fields of an answer; of a repeated one the first.
+
+        Parameters
+        ----------
+        fields : mapping of bytes to str
+            Attribute by the name of its header field, in lower case.
+        """
+        found: dict[str, bytes] = {}
+        for name, value in headers:
+            attribute = fields.get(name.lower())
+            if attribute is not None:
+                found.setdefault(attribute, value)
+        return cls(**found) if found else _NOTHING
+
+    def to_fields(self) -> dict[str, str]:
+        """Return the fields that are there, for the log."""
+        return {
+            name: value[:SHOWN].decode("latin-1") for name, value in self._asdict().items() if value
+        }
+
+
+_NOTHING = TargetStatement()
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -9,6 +9,7 @@
 from halldoor.core.quarantine.identity import Identity
 from halldoor.core.retry import RetryObstacle
 from halldoor.core.targets.order import Distance
+from halldoor.core.targets.statement import TargetStatement
 from halldoor.core.teams.admission import Entrance
 from halldoor.gateway.caller import Answer, Head
 from halldoor.gateway.headers import Headers
@@ -110,8 +111,8 @@
         Part of that until the connection was there; 0 for a kept one.
     is_reused : bool
         The connection was kept from an earlier exchange.
-    named_limit : str
-        Limit that the target named in its answer, as it wrote it; empty where it named none.
+    statement : TargetStatement
+        What the target said of itself in its answer.
     """
 
     target: str
@@ -121,7 +122,7 @@
     took_ms: int
     connect_ms: int
     is_reused: bool
-    named_limit: str = ""
+    statement: TargetStatement = TargetStatement()
 
     def to_fields(self) -> dict[str, Any]:
         """Return the fields of the log line."""
@@ -132,7 +133,7 @@
             "took_ms": self.took_ms,
             "connect_ms": self.connect_ms,
             "is_reused": self.is_reused,
-            "named_limit": self.named_limit,
+            "stated": self.statement.to_fields(),
             **self.view._asdict(),
         }
 
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -11,6 +11,7 @@
 from halldoor.core.targets.load import LoadReport, LoadTable
 from halldoor.core.targets.observation import Observation
 from halldoor.core.targets.outlier import OutlierTable
+from halldoor.core.targets.statement import TargetStatement
 from halldoor.gateway.attempt import AttemptResult
 from halldoor.gateway.caller import Answer
 from halldoor.gateway.eventlog import EventLog
@@ -27,7 +28,7 @@
     WholeAnswer,
     get_answer_headers,
 )
-from halldoor.gateway.headers import HeaderNames, Headers, find
+from halldoor.gateway.headers import HeaderNames, find
 from halldoor.gateway.pool import TargetPool
 
 SERVER_ERROR = 500
@@ -68,8 +69,8 @@
     ----------
     on_observation : callable or None
         Called with each sound answer, for other entries to learn from.
-    on_answer : callable or None
-        Called with the target, the header fields and the time of each answer of a target.
+    on_statement : list of callable
+        Called with the target, what it says of itself and the time, for each answer of a target.
     """
 
     def __init__(
@@ -93,7 +94,18 @@
         self._names = names
         self._log = log
         self.on_observation: Callable[[Observation], None] | None = None
-        self.on_answer: Callable[[Target, Headers, float], None] | None = None
+        self.on_statement: list[Callable[[Target, TargetStatement, float], None]] = []
+        self._statement_fields = names.statement_fields
+
+    def read_statement(self, target: Target, outcome: Outcome, now: float) -> TargetStatement:
+        """Read what a target says of itself in its answer, and notify those that act on it."""
+        headers = get_answer_headers(outcome)
+        if headers is None:
+            return TargetStatement()
+        statement = TargetStatement.from_headers(headers, self._statement_fields)
+        for apply_statement in self.on_statement:
+            apply_statement(target, statement, now)
+        return statement
 
     def add_outcome(
         self,
@@ -109,9 +121,6 @@
         name = target.name
         if connecting.took_s and not connecting.is_reused:
             self._latency.add_connect(target.record.hall, connecting.took_s)
-        headers = get_answer_headers(outcome)
-        if headers is not None and self.on_answer is not None:
-            self.on_answer(target, headers, now)
         if isinstance(outcome, WholeAnswer | PartialAnswer):
             self._add_load(target, outcome, now)
         match outcome:
--- a/halldoor/gateway/headers.py
+++ b/halldoor/gateway/headers.py
@@ -39,6 +39,12 @@
     incarnation: bytes = b"halldoor-target"
     cold_ms: bytes = b"halldoor-cold-ms"
     limit: bytes = b"halldoor-limit"
+    leaving: bytes = b"halldoor-leaving"
+
+    @property
+    def statement_fields(self) -> dict[bytes, str]:
+        """Attributes of `TargetStatement` by the names of their fields."""
+        return {self.limit: "limit", self.leaving: "leaving"}
 
 
 def find(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
--- a/halldoor/gateway/limits.py
+++ b/halldoor/gateway/limits.py
@@ -7,9 +7,9 @@
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog, Target
 from halldoor.core.targets.limits import LimitNotice, LimitTable, parse_limit
+from halldoor.core.targets.statement import TargetStatement
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
-from halldoor.gateway.headers import HeaderNames, Headers, find
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.notices import NoticeSender
 
@@ -31,8 +31,6 @@
         The limits that are known.
     sender, port : NoticeSender, DatagramPort
         Messages to and of other entries.
-    names : HeaderNames
-        Header names that targets use.
     """
 
     def __init__(
@@ -42,23 +40,21 @@
         sender: NoticeSender,
         port: DatagramPort,
         *,
-        names: HeaderNames,
         log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
         self._catalog = catalog
         self._limits = limits
         self._sender = sender
-        self._names = names
         self._log = log
         self._metrics = metrics
         self._waiting: dict[str, LimitNotice] = {}
         self._noticed_at: dict[str, float] = {}
         port.receive(MessageKind.LIMITS, list[LimitNotice], self._receive)
 
-    def read_answer(self, target: Target, headers: Headers, now: float) -> None:
-        """Read whether a target's answer names a limit."""
-        value = find(headers, self._names.limit)
+    def apply_statement(self, target: Target, statement: TargetStatement, now: float) -> None:
+        """Apply whether a target's answer names a limit."""
+        value = statement.limit
         if not value and not self._limits.names_limit(target.name):
             return  # As nearly all answers.
         try:
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -181,11 +181,10 @@
             self.chooser.limits,
             sender,
             self.port,
-            names=names,
             log=self.log,
             metrics=self.metrics,
         )
-        self.feedback.on_answer = self.limits.read_answer
+        self.feedback.on_statement.append(self.limits.apply_statement)
 
     def _build_access(self, splitter: Splitter, names: HeaderNames) -> None:
         """Build what lets requests in, by routes, teams and quotas, and lets them be repeated."""
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -38,7 +38,6 @@
     PartialAnswer,
     TimedOut,
     WholeAnswer,
-    get_answer_headers,
 )
 from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR, Sending, TargetFeedback
 from halldoor.gateway.flows import FlowWatch
@@ -48,9 +47,6 @@
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.retries import RetryGate
 
-LIMIT_SHOWN = 16
-"""Characters of a limit that a target named, in the log."""
-
 
 class RequestHandler:
     """Handle callers' requests.
@@ -229,6 +225,7 @@
         self._quarantine.add_outcome(state.identity, target, outcome)
         now = loop.time()
         took_s = now - started
+        statement = self._feedback.read_statement(target, outcome, now)
         sending = Sending(choice, name_kind(state.service, state.route), state.key)
         result, detail = self._feedback.add_outcome(
             sending, outcome, connecting, now, took_s=took_s
@@ -242,7 +239,7 @@
                 took_ms=round(took_s * 1000),
                 connect_ms=round(connecting.took_s * 1000),
                 is_reused=connecting.is_reused,
-                named_limit=self._read_named_limit(outcome),
+                statement=statement,
             )
         )
         self._metrics.add_attempt(
@@ -256,11 +253,6 @@
         )
         return outcome
 
-    def _read_named_limit(self, outcome: Outcome) -> str:
-        """Return the limit that a target's answer names, cut to what a log line bears."""
-        value = find(get_answer_headers(outcome) or [], self._names.limit)
-        return value[:LIMIT_SHOWN].decode("latin-1")
-
     def _view(self, choice: Choice, key: str, now: float) -> TargetView:
         """Return what is believed of a target, for the log."""
         target = choice.target
