Stop sending to a target that says in an answer that it leaves

What callers saw: nothing; requests were answered, but a target that had said to an entry that it leaves got requests through the same entry 2.7 to 3.1 s later (2.5 s allowed).

Cause: only the target's record said that it leaves, and the record waits for the store, which was away for 13 s. Ruled out: older information that takes it back (no entry had contact), requests that waited (5 ms on their way), another entry.

Change: an answer with the field makes the target drain for the entry, for that start of the target and for good; other entries are notified, pass it on, and believe it for 30 s or until an answer of their own. It is taken out of the choice like one whose record says so, so that its keys move once. Kept connections and requests in flight go on. Health answers count too. Why it works: the choice of each later request, retries included, starts from the targets that do not drain.

--- a/halldoor/core/quarantine/unanswered.py
+++ b/halldoor/core/quarantine/unanswered.py
@@ -49,6 +49,4 @@
         """
         recent = [r for r in self._requests if r.at >= now - GONE_WITHIN_S]
         self._requests = deque((r for r in recent if r.target.name != incarnation), maxlen=KEPT)
-        return [
-            r for r in recent if r.target.name == incarnation and not r.target.record.is_draining
-        ]
+        return [r for r in recent if r.target.name == incarnation and not r.target.is_draining]
--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -24,6 +24,7 @@
     TargetRecord,
     TargetSeen,
 )
+from halldoor.core.targets.leaving import LeavingTable
 from halldoor.core.targets.notice import ColdNotice
 from halldoor.core.targets.route import Routing
 from halldoor.core.targets.sharers import SharerTable
@@ -54,6 +55,8 @@
     ----------
     stated_at : float
         When it last said whether it is cold, other than by its record.
+    says_leaving : bool
+        It said in an answer that it is about to end.
     """
 
     def __init__(self, record: TargetRecord, cold_until: float) -> None:
@@ -61,6 +64,12 @@
         self.cold_until = cold_until
         self.stated_at = -math.inf
         self.lapsed_at: float | None = None
+        self.says_leaving = False
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether it is about to end, by its record or its answers."""
+        return self.record.is_draining or self.says_leaving
 
     @property
     def name(self) -> str:
@@ -107,6 +116,7 @@
         self.sharers = SharerTable()
         self._suspects: set[str] = set()
         self._left: OrderedDict[str, int] = OrderedDict()
+        self._leaving = LeavingTable()
         self._postponed: dict[Change, float] = {}
         self.version = 0
         self.members_version = 0
@@ -270,7 +280,7 @@
         if self._by_service is None:
             self._by_service = {}
             for target in self._targets.values():
-                if target.record.is_draining or target.record.hall in self.evacuated:
+                if target.is_draining or target.record.hall in self.evacuated:
                     continue
                 self._by_service.setdefault(target.record.service, []).append(target)
         return self._by_service.get(service, [])
@@ -310,7 +320,8 @@
             if target is not None:
                 self._restarted.add(record.incarnation)
                 self.lapsed.discard(record.incarnation)
-            self._targets[record.incarnation] = Target(record, cold_until)
+            target = self._targets[record.incarnation] = Target(record, cold_until)
+            target.says_leaving = self._leaving.has(target.name, record.started_ms)
             self._touch()
             return True
         target.lapsed_at = None
@@ -344,12 +355,30 @@
             self._touch()
         return not was_cold
 
+    def add_leaving(self, incarnation: str, started_ms: int, *, until: float = math.inf) -> bool:
+        """Apply a target's statement that it leaves; False where it changes nothing."""
+        self._leaving.add(incarnation, started_ms, until=until)
+        target = self._targets.get(incarnation)
+        if target is None or target.record.started_ms != started_ms or target.says_leaving:
+            return False
+        target.says_leaving = True
+        self._touch()
+        return True
+
+    def expire_leaving(self, now: float) -> list[str]:
+        """Drop what others said of targets that leave, once it is too old; return the targets."""
+        expired = self._leaving.expire(now)
+        for target in filter(None, map(self._targets.get, expired)):
+            target.says_leaving = self._leaving.has(target.name, target.record.started_ms)
+            self._touch()
+        return expired
+
     def _lose_target(self, incarnation: str, now: float) -> bool:
         """Apply the removal of a target's record."""
         target = self._targets.get(incarnation)
         if target is None:
             return False
-        if now <= self._back_at and not target.record.is_draining:
+        if now <= self._back_at and not target.is_draining:
             target.lapsed_at = now
             self.lapsed.add(incarnation)
             return True
--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -247,7 +247,7 @@
 
     def _find_reason_out(self, target: Target, now: float) -> str:
         """Return why a target gets no requests, or few; empty where it gets its share."""
-        if target.record.is_draining:
+        if target.is_draining:
             return "draining"
         if target.record.hall in self._catalog.evacuated:
             return "hall evacuated"
--- a/halldoor/gateway/coldstate.py
+++ b/halldoor/gateway/coldstate.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog, Target
@@ -16,7 +16,7 @@
 from halldoor.core.targets.notice import ColdNotice
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
-from halldoor.gateway.headers import HeaderNames, find
+from halldoor.gateway.headers import HeaderNames, Headers, find
 from halldoor.gateway.httpclient import HttpAnswer, HttpCallError, HttpClient
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.notices import NoticeSender
@@ -47,6 +47,8 @@
         Messages to and of other entries.
     names : HeaderNames
         Header names that targets use.
+    read_statement : callable
+        Called with a target, the fields of its health answer and the time.
     contact_limit_s : float
         Time without news of the store after which targets are checked, in seconds.
     """
@@ -59,6 +61,7 @@
         port: DatagramPort,
         *,
         names: HeaderNames,
+        read_statement: Callable[[Target, Headers, float], object],
         contact_limit_s: float,
         log: EventLog,
         metrics: GatewayMetrics,
@@ -67,6 +70,7 @@
         self._chooser = chooser
         self._sender = sender
         self._names = names
+        self._read_statement = read_statement
         self._contact_limit_s = contact_limit_s
         self._log = log
         self._metrics = metrics
@@ -153,6 +157,9 @@
             return
         finally:
             client.close()
+        if find(answer.headers, self._names.incarnation) == target.name.encode():
+            now = asyncio.get_running_loop().time()
+            self._read_statement(target, answer.headers, now)
         notice = self._read_answer(target, answer)
         self._metrics.add_health_check("unreadable" if notice is None else "ok")
         if notice is not None:
--- a/halldoor/gateway/datagrams.py
+++ b/halldoor/gateway/datagrams.py
@@ -29,6 +29,7 @@
     EVIDENCE_FOR_ALL = 5
     COLD_STATE = 6
     LIMITS = 7
+    LEAVING = 8
 
 
 class DatagramPort(asyncio.DatagramProtocol):
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -26,9 +26,8 @@
     Rejected,
     TimedOut,
     WholeAnswer,
-    get_answer_headers,
 )
-from halldoor.gateway.headers import HeaderNames, find
+from halldoor.gateway.headers import HeaderNames, Headers, find
 from halldoor.gateway.pool import TargetPool
 
 SERVER_ERROR = 500
@@ -97,10 +96,15 @@
         self.on_statement: list[Callable[[Target, TargetStatement, float], None]] = []
         self._statement_fields = names.statement_fields
 
-    def read_statement(self, target: Target, outcome: Outcome, now: float) -> TargetStatement:
-        """Read what a target says of itself in its answer, and notify those that act on it."""
-        headers = get_answer_headers(outcome)
-        if headers is None:
+    def read_statement(self, target: Target, headers: Headers, now: float) -> TargetStatement:
+        """Read what a target says of itself in its answer, and notify those that act on it.
+
+        Parameters
+        ----------
+        headers : list
+            Fields of its answer; empty where there was none, which says nothing.
+        """
+        if not headers:
             return TargetStatement()
         statement = TargetStatement.from_headers(headers, self._statement_fields)
         for apply_statement in self.on_statement:
--- /dev/null
+++ b/halldoor/gateway/leaving.py
@@ -0,0 +1,125 @@
+"""Learn from answers that a target leaves, and notify other entries.
+
+Others learn of it before they send the target anything, and before it is gone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+from halldoor.core.settings import Address
+from halldoor.core.targets.catalog import Catalog, Target
+from halldoor.core.targets.leaving import HEARSAY_S, LeavingNotice
+from halldoor.core.targets.statement import TargetStatement
+from halldoor.gateway.datagrams import DatagramPort, MessageKind
+from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.notices import NoticeSender
+
+PERIOD_S = 0.25
+"""Time between two messages, in seconds."""
+REPEATS = 3
+"""Messages in which a statement is sent, since one may be lost."""
+LEAVING = b"1"
+"""Value by which a target says that it leaves."""
+STAYING = (b"", b"0")
+"""Values by which it says nothing of the kind."""
+
+
+class _Pending(NamedTuple):
+    """A statement that is still to be sent.
+
+    Attributes
+    ----------
+    said_at : float
+        When the target's answer arrived, at whichever entry.
+    left : int
+        Messages that are still to carry it.
+    """
+
+    started_ms: int
+    said_at: float
+    left: int = REPEATS
+
+
+class LeavingExchange:
+    """The task that notifies other entries of targets that leave, and applies their notices.
+
+    Parameters
+    ----------
+    catalog : Catalog
+        Targets and other entries.
+    sender, port : NoticeSender, DatagramPort
+        Messages to and of other entries.
+    """
+
+    def __init__(
+        self,
+        catalog: Catalog,
+        sender: NoticeSender,
+        port: DatagramPort,
+        *,
+        log: EventLog,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._catalog = catalog
+        self._sender = sender
+        self._log = log
+        self._metrics = metrics
+        self._pending: dict[str, _Pending] = {}
+        port.receive(MessageKind.LEAVING, list[LeavingNotice], self._receive)
+
+    def apply_statement(self, target: Target, statement: TargetStatement, now: float) -> None:
+        """Apply whether a target's answer says that it leaves."""
+        if statement.leaving in STAYING:
+            return
+        if statement.leaving != LEAVING:
+            self._metrics.add_bad_statement("leaving")
+            cause = f"leaving: {statement.to_fields()['leaving']!r}"
+            self._log.event("targets", "Bad statement.", target=target.name, cause=cause)
+            return
+        started_ms = target.record.started_ms
+        if self._catalog.add_leaving(target.name, started_ms):
+            self._note_news(target.name, started_ms, now, now, source="answer")
+
+    async def run(self) -> None:
+        """Send notices until cancelled."""
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            now = asyncio.get_running_loop().time()
+            pending = self._pending
+            self._sender.send(
+                MessageKind.LEAVING,
+                [LeavingNotice(t, p.started_ms, now - p.said_at) for t, p in pending.items()],
+            )
+            self._pending = {
+                t: p._replace(left=p.left - 1) for t, p in pending.items() if p.left > 1
+            }
+
+    def _receive(self, notices: list[LeavingNotice], sender: Address) -> None:
+        """Apply the notices of another entry, and pass on what is news."""
+        now = asyncio.get_running_loop().time()
+        for notice in notices:
+            if not notice.is_valid or notice.age_s >= HEARSAY_S:
+                continue
+            target = self._catalog.find_target(notice.target)
+            if target is None or target.record.started_ms != notice.started_ms:
+                continue
+            said_at = now - notice.age_s
+            until = said_at + HEARSAY_S
+            if self._catalog.add_leaving(target.name, notice.started_ms, until=until):
+                self._note_news(target.name, notice.started_ms, said_at, now, source=str(sender))
+
+    def _note_news(
+        self, target: str, started_ms: int, said_at: float, now: float, *, source: str
+    ) -> None:
+        """Log a statement that was not known, and keep it for the next messages."""
+        self._pending[target] = _Pending(started_ms, said_at)
+        self._log.event(
+            "targets",
+            "Says that it leaves.",
+            target=target,
+            source=source,
+            age_ms=round((now - said_at) * 1000),
+        )
--- a/halldoor/gateway/maintenance.py
+++ b/halldoor/gateway/maintenance.py
@@ -84,3 +84,5 @@
             self._on_change(TargetGone(name))
         for change in self._catalog.apply_postponed(now):
             self._on_change(change)
+        for name in self._catalog.expire_leaving(now):
+            self._log.event("targets", "No longer known to leave.", target=name)
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -81,6 +81,11 @@
             "Answers of targets with a limit that could not be read.",
             registry=registry,
         )
+        self._bad_statements = Counter(
+            "halldoor_bad_statements",
+            "Answers in which what a target says of itself could not be read, by field.",
+            registry=registry,
+        )
 
     def _build_team_counters(self, registry: Registry) -> None:
         """Build the counters of teams, of other entries' messages and of records."""
@@ -174,6 +179,10 @@
         """Count a limit that could not be read."""
         self._bad_limits.inc({})
 
+    def add_bad_statement(self, field: str) -> None:
+        """Count a field of a target's statement that could not be read."""
+        self._bad_statements.inc({"field": field})
+
     def add_over_quota(self, team: str) -> None:
         """Count a request refused by its team's quota; past `TEAM_LABELS` teams as "other"."""
         if len(self._quota_teams) < TEAM_LABELS:
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -25,6 +25,7 @@
 from halldoor.gateway.flows import FlowWatch
 from halldoor.gateway.following import ChangeFollower
 from halldoor.gateway.headers import HeaderNames
+from halldoor.gateway.leaving import LeavingExchange
 from halldoor.gateway.limits import LimitExchange
 from halldoor.gateway.lookup import LookupFormat
 from halldoor.gateway.maintenance import Maintenance
@@ -172,6 +173,7 @@
             sender,
             self.port,
             names=names,
+            read_statement=self.feedback.read_statement,
             contact_limit_s=self.settings.relaying.contact_limit_s,
             log=self.log,
             metrics=self.metrics,
@@ -184,7 +186,10 @@
             log=self.log,
             metrics=self.metrics,
         )
-        self.feedback.on_statement.append(self.limits.apply_statement)
+        self.leaving = LeavingExchange(
+            self.catalog, sender, self.port, log=self.log, metrics=self.metrics
+        )
+        self.feedback.on_statement += [self.limits.apply_statement, self.leaving.apply_statement]
 
     def _build_access(self, splitter: Splitter, names: HeaderNames) -> None:
         """Build what lets requests in, by routes, teams and quotas, and lets them be repeated."""
@@ -319,6 +324,7 @@
             self.sharing.run(),
             self.cold_state.run(),
             self.limits.run(),
+            self.leaving.run(),
             self.quarantine.run(),
         )
         for part in parts:
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -38,6 +38,7 @@
     PartialAnswer,
     TimedOut,
     WholeAnswer,
+    get_answer_headers,
 )
 from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR, Sending, TargetFeedback
 from halldoor.gateway.flows import FlowWatch
@@ -225,7 +226,7 @@
         self._quarantine.add_outcome(state.identity, target, outcome)
         now = loop.time()
         took_s = now - started
-        statement = self._feedback.read_statement(target, outcome, now)
+        statement = self._feedback.read_statement(target, get_answer_headers(outcome), now)
         sending = Sending(choice, name_kind(state.service, state.route), state.key)
         result, detail = self._feedback.add_outcome(
             sending, outcome, connecting, now, took_s=took_s
--- a/halldoor/tests/test_leaving_statement.py
+++ b/halldoor/tests/test_leaving_statement.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from halldoor.core.targets.changes import TargetGone, TargetSeen
+from halldoor.tests.choicekit import make_catalog, make_target
 from halldoor.tests.ratekit import RateFleet
 
 SPREAD_S = 2.0
@@ -35,3 +37,126 @@
             assert fleet.find_served(range(entries), since=since) > 0.98
 
     asyncio.run(check())
+
+
+def test_entries_that_sent_a_leaving_target_nothing_learn_of_it():
+    """Else they find out by requests of their own, or once it is gone."""
+
+    async def check():
+        async with RateFleet.open(entries=6, targets=3) as fleet:
+            fleet.cut(*range(6))
+            leaving = fleet.targets[0]
+            say_leaving(leaving)
+            await fleet.ask(per_s=60.0, for_s=1.0, entries=[0])
+            assert {entry for _, entry in leaving.arrivals} == {"e0"}
+            await asyncio.sleep(1.0)
+            await fleet.ask(per_s=100.0, for_s=1.0)
+            assert {entry for _, entry in leaving.arrivals} == {"e0"}
+
+    asyncio.run(check())
+
+
+def test_where_all_targets_leave_requests_are_refused_at_once():
+    async def check():
+        async with RateFleet.open(entries=1, targets=2) as fleet:
+            for target in fleet.targets:
+                say_leaving(target)
+            await fleet.ask(per_s=60.0, for_s=0.5)
+            arrived = sum(len(target.arrivals) for target in fleet.targets)
+            caller = await fleet.kits[0].connect()
+            began_at = fleet.now()
+            reply = await caller.call(key="k", deadline_ms=3000)
+            assert reply.status == 503
+            assert fleet.now() - began_at < 0.1
+            assert sum(len(target.arrivals) for target in fleet.targets) == arrived
+
+    asyncio.run(check())
+
+
+@pytest.mark.parametrize("text", [b"0", b"no", b"-1", b"\xff"])
+def test_what_is_no_statement_of_leaving_is_passed_over(text):
+    async def check():
+        async with RateFleet.open(entries=1, targets=1) as fleet:
+            fleet.targets[0].extra = [(b"halldoor-leaving", text)]
+            await fleet.ask(per_s=60.0, for_s=0.5)
+            assert {status for _, _, status in fleet.statuses} == {200}
+
+    asyncio.run(check())
+
+
+def test_an_answer_of_another_incarnation_says_nothing_of_the_target():
+    async def check():
+        async with RateFleet.open(entries=1, targets=2) as fleet:
+            other = fleet.targets[0]
+
+            async def misdirect(request, writer):
+                fields = [(b"halldoor-leaving", b"1")]
+                status = b"421 Misdirected Request"
+                writer.write(other.build(request, status=status, is_signed=False, extra=fields))
+
+            other.script = misdirect
+            await fleet.ask(per_s=60.0, for_s=0.5)
+            catalog = fleet.kits[0].gateway.catalog
+            assert not catalog.add_leaving("t0", 0)
+            fleet.write_target(other, started_ms=5)
+            await fleet.kits[0].wait(lambda: catalog.find_target("t0") is not None)
+            assert not catalog.find_target("t0").is_draining
+
+    asyncio.run(check())
+
+
+class TestCatalog:
+    """What is known of a target that said that it leaves."""
+
+    @pytest.fixture
+    def catalog(self):
+        catalog = make_catalog(targets=2)
+        assert catalog.add_leaving("t0", 0)
+        return catalog
+
+    def list_usable(self, catalog):
+        return {target.name for target in catalog.list_usable("deck")}
+
+    def test_a_record_does_not_take_it_back(self, catalog):
+        catalog.apply(TargetSeen(make_target("t0")), 1.0)
+        assert self.list_usable(catalog) == {"t1"}
+
+    def test_a_record_that_was_gone_does_not_take_it_back(self, catalog):
+        catalog.apply(TargetGone("t0"), 1.0)
+        catalog.apply(TargetSeen(make_target("t0")), 2.0)
+        assert self.list_usable(catalog) == {"t1"}
+
+    @pytest.mark.parametrize("is_restored", [False, True])
+    def test_a_whole_reading_of_the_store_does_not_take_it_back(self, catalog, is_restored):
+        changes = [TargetSeen(make_target(name)) for name in ("t0", "t1")]
+        catalog.load(changes, 1.0, is_restored=is_restored)
+        assert self.list_usable(catalog) == {"t1"}
+
+    def test_it_does_not_hold_for_the_next_start(self, catalog):
+        record = make_target("t0")
+        catalog.apply(TargetSeen(record._replace(started_ms=5)), 1.0)
+        catalog.add_leaving("t0", 5)
+        catalog.apply(TargetSeen(record._replace(started_ms=7)), 2.0)
+        assert self.list_usable(catalog) == {"t0", "t1"}
+
+    def test_the_record_that_goes_moves_no_key(self, catalog):
+        version = catalog.version
+        orders = self.list_usable(catalog)
+        catalog.apply(TargetGone("t0"), 1.0)
+        assert self.list_usable(catalog) == orders
+        assert catalog.version > version
+
+    def test_what_another_entry_said_holds_for_a_time(self):
+        catalog = make_catalog(targets=2)
+        assert catalog.add_leaving("t0", 0, until=30.0)
+        assert not catalog.expire_leaving(29.0)
+        assert self.list_usable(catalog) == {"t1"}
+        assert catalog.expire_leaving(30.0) == ["t0"]
+        assert self.list_usable(catalog) == {"t0", "t1"}
+
+    def test_its_own_answer_makes_what_another_entry_said_final(self):
+        catalog = make_catalog(targets=2)
+        catalog.add_leaving("t0", 0, until=30.0)
+        catalog.add_leaving("t0", 0)
+        assert not catalog.expire_leaving(1000.0)
+        assert self.list_usable(catalog) == {"t1"}
