--- a/halldoor/core/quarantine/unanswered.py
+++ b/halldoor/core/quarantine/unanswered.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from halldoor.core.quarantine.identity import Identity
-from halldoor.core.targets.catalog import Target
+from halldoor.core.targets.target import Target
 
 GONE_WITHIN_S = 6.0
 """Time within which such a target is missed by the others, or its record goes, in seconds."""
--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -28,6 +28,7 @@
 from halldoor.core.targets.notice import ColdNotice
 from halldoor.core.targets.route import Routing
 from halldoor.core.targets.sharers import SharerTable
+from halldoor.core.targets.target import Target
 
 LEFT_KEPT = 2000
 """Targets that left and are remembered, in case an older copy of the store names them again."""
@@ -48,39 +49,6 @@
     young_s: float = 6.0
 
 
-class Target:
-    """A target that may get requests, and what is known of it.
-
-    Attributes
-    ----------
-    stated_at : float
-        When it last said whether it is cold, other than by its record.
-    says_leaving : bool
-        It said in an answer that it is about to end.
-    """
-
-    def __init__(self, record: TargetRecord, cold_until: float) -> None:
-        self.record = record
-        self.cold_until = cold_until
-        self.stated_at = -math.inf
-        self.lapsed_at: float | None = None
-        self.says_leaving = False
-
-    @property
-    def is_draining(self) -> bool:
-        """Whether it is about to end, by its record or its answers."""
-        return self.record.is_draining or self.says_leaving
-
-    @property
-    def name(self) -> str:
-        """Name of this incarnation."""
-        return self.record.incarnation
-
-    def is_cold(self, now: float) -> bool:
-        """Check whether the target is cold."""
-        return now < self.cold_until
-
-
 class Catalog:
     """The believed state of the whole system.
 
--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -14,7 +14,7 @@
 from itertools import islice
 from typing import NamedTuple
 
-from halldoor.core.targets.catalog import Catalog, Target
+from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.cost import CostModel, Estimate
 from halldoor.core.targets.latency import LatencyModel, WorkLevels
 from halldoor.core.targets.limits import LimitTable
@@ -24,6 +24,7 @@
 from halldoor.core.targets.rates import EntryRanks, TargetRates
 from halldoor.core.targets.route import Route
 from halldoor.core.targets.settings import ChoiceSettings
+from halldoor.core.targets.target import Target
 
 IN_USE_S = 1.0
 """Time since the last request to a target within which it is in use, in seconds."""
--- a/halldoor/core/targets/cost.py
+++ b/halldoor/core/targets/cost.py
@@ -4,8 +4,8 @@
 
 from typing import NamedTuple
 
-from halldoor.core.targets.catalog import Target
 from halldoor.core.targets.latency import LatencyModel, WorkLevels
+from halldoor.core.targets.target import Target
 
 EVENNESS = 0.25
 """What a target's load counts for requests without a key, in multiples of their work.
--- a/halldoor/core/targets/order.py
+++ b/halldoor/core/targets/order.py
@@ -10,9 +10,10 @@
 from typing import NamedTuple
 
 from halldoor.core.placement import hash_pairs, to_unit
-from halldoor.core.targets.catalog import Catalog, Target
+from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.regionshare import OwnShare, Room, find_own_share
 from halldoor.core.targets.route import Route
+from halldoor.core.targets.target import Target
 
 ORDERS_KEPT = 4_096
 """Orders of targets by key that are kept between changes; a few hundred bytes each."""
--- a/halldoor/core/targets/rates.py
+++ b/halldoor/core/targets/rates.py
@@ -9,9 +9,10 @@
 
 from halldoor.core.placement import rank
 from halldoor.core.targets.budget import RateShare
-from halldoor.core.targets.catalog import Catalog, Target
+from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.limits import LimitTable
 from halldoor.core.targets.settings import ChoiceSettings
+from halldoor.core.targets.target import Target
 
 COLD_WINDOW_S = 1.1
 """Window of a cold target's rate, in seconds; a little over the one second that is judged, since
--- a/halldoor/gateway/coldstate.py
+++ b/halldoor/gateway/coldstate.py
@@ -11,9 +11,10 @@
 from collections.abc import Callable, Iterable
 
 from halldoor.core.settings import Address
-from halldoor.core.targets.catalog import Catalog, Target
+from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.choice import Chooser
 from halldoor.core.targets.notice import ColdNotice
+from halldoor.core.targets.target import Target
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.headers import HeaderNames, Headers, find
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -5,13 +5,14 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from halldoor.core.targets.catalog import Catalog, Target
+from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.choice import Choice, Chooser
 from halldoor.core.targets.latency import LatencyModel
 from halldoor.core.targets.load import LoadReport, LoadTable
 from halldoor.core.targets.observation import Observation
 from halldoor.core.targets.outlier import OutlierTable
 from halldoor.core.targets.statement import TargetStatement
+from halldoor.core.targets.target import Target
 from halldoor.gateway.attempt import AttemptResult
 from halldoor.gateway.caller import Answer
 from halldoor.gateway.eventlog import EventLog
--- a/halldoor/gateway/leaving.py
+++ b/halldoor/gateway/leaving.py
@@ -9,9 +9,10 @@
 from typing import NamedTuple
 
 from halldoor.core.settings import Address
-from halldoor.core.targets.catalog import Catalog, Target
+from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.leaving import HEARSAY_S, LeavingNotice
 from halldoor.core.targets.statement import TargetStatement
+from halldoor.core.targets.target import Target
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.metrics import GatewayMetrics
--- a/halldoor/gateway/limits.py
+++ b/halldoor/gateway/limits.py
@@ -5,9 +5,10 @@
 import asyncio
 
 from halldoor.core.settings import Address
-from halldoor.core.targets.catalog import Catalog, Target
+from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.limits import LimitNotice, LimitTable, parse_limit
 from halldoor.core.targets.statement import TargetStatement
+from halldoor.core.targets.target import Target
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.metrics import GatewayMetrics
--- a/halldoor/gateway/quarantine.py
+++ b/halldoor/gateway/quarantine.py
@@ -13,8 +13,9 @@
 from halldoor.core.quarantine.settings import QuarantineSettings
 from halldoor.core.quarantine.unanswered import UnansweredRequests
 from halldoor.core.settings import Address
-from halldoor.core.targets.catalog import Catalog, Target
+from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import MemberRecord
+from halldoor.core.targets.target import Target
 from halldoor.gateway.attempt import Ending
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -9,12 +9,13 @@
 import h11
 
 from halldoor.core.retry import RetryObstacle
-from halldoor.core.targets.catalog import Catalog, Target
+from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.choice import Choice, Chooser, NoTarget, name_kind
 from halldoor.core.targets.latency import LatencyModel
 from halldoor.core.targets.load import LoadTable
 from halldoor.core.targets.route import CallerLimits, RequestKind
 from halldoor.core.targets.split import Splitter
+from halldoor.core.targets.target import Target
 from halldoor.core.teams.admission import Refusal
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.attempt import (
