--- a/halldoor/core/targets/statement.py
+++ b/halldoor/core/targets/statement.py
@@ -18,10 +18,13 @@
         Requests a second that it takes from all entries together.
     leaving : bytes
         ``1`` where it is about to end and takes no new work.
+    retry_after : bytes
+        Seconds for which it wants nothing from this entry, where it turned a request away.
     """
 
     limit: bytes = b""
     leaving: bytes = b""
+    retry_after: bytes = b""
 
     @classmethod
     def from_headers(
--- a/halldoor/gateway/headers.py
+++ b/halldoor/gateway/headers.py
@@ -44,7 +44,7 @@
     @property
     def statement_fields(self) -> dict[bytes, str]:
         """Attributes of `TargetStatement` by the names of their fields."""
-        return {self.limit: "limit", self.leaving: "leaving"}
+        return {self.limit: "limit", self.leaving: "leaving", b"retry-after": "retry_after"}
 
 
 def find(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
