Add failing tests: requests reach a target within the rest that it asked for

Two of eight targets turn all away and ask for 3 s: 17 and 9 requests of one entry within a rest, 2 allowed, at six and ten gateways. All of them: every caller is told to come back after 0.1 s.

--- a/halldoor/tests/ratekit.py
+++ b/halldoor/tests/ratekit.py
@@ -83,6 +83,10 @@
         Time and sending entry of each request.
     extra : list of tuple of bytes
         Further fields of its answers.
+    rejection : list of tuple of bytes or None
+        Further fields of the answers with which it turns every request away; None while it serves.
+    rejected : list of tuple
+        Time and sending entry of each request that it turned away.
     """
 
     def __init__(self, name):
@@ -92,6 +96,8 @@
         self.arrivals = []
         self.checks = 0
         self.extra = []
+        self.rejection = None
+        self.rejected = []
 
     async def work(self, request, writer):
         now = asyncio.get_running_loop().time()
@@ -104,7 +110,14 @@
             ]
             writer.write(self.build(request, is_signed=False, extra=fields))
             return
-        self.arrivals.append((now, find(request.headers, b"x-entry").decode()))
+        entry = find(request.headers, b"x-entry").decode()
+        self.arrivals.append((now, entry))
+        if self.rejection is not None:
+            fields = [(NAMES.not_run, b"1"), *self.rejection]
+            status = b"503 Service Unavailable"
+            self.rejected.append((now, entry))
+            writer.write(self.build(request, status=status, is_signed=False, extra=fields))
+            return
         await asyncio.sleep(WORK_S)
         writer.write(self.build(request, extra=list(self.extra)))
 
@@ -126,6 +139,8 @@
     ----------
     statuses : list of tuple
         When each request was answered, by which entry and how.
+    told : list of tuple
+        When a request was refused, and when its caller was told to come back, in seconds.
     """
 
     def __init__(self, *, entries, targets, seed=1, **service):
@@ -137,6 +152,7 @@
         self.kits = []
         self.links = []
         self.statuses = []
+        self.told = []
         self._tasks = set()
         self._stack = contextlib.AsyncExitStack()
 
@@ -220,6 +236,8 @@
         with contextlib.suppress(OSError, TimeoutError):
             reply = await self.kits[entry].call(key=key, extra=extra)
             self.statuses.append((self.now(), entry, reply.status))
+            if reply.status == 503:
+                self.told.append((self.now(), float(reply.find(b"retry-after"))))
 
     def find_served(self, entries, *, since):
         """Return the part of the requests at some entries that were served from a time on."""
