Keep the rest that a target asks this entry for

What callers saw: 177 of 2,147 deck reads refused in nine seconds, while fourteen of twenty targets had room; the six others turned requests away, asked each entry for 3 s and got up to 13 requests from one within a rest (2 allowed).

Cause: nothing read Retry-After; a target that turns a request away is left alone for 50 ms, and looks idle, since it refuses at once. Ruled out: a rest kept on one way only (most first attempts go there too), notices (there are none).

Change: a rest is a reason against a target, for this entry and this start of the target, in rates.py, which every way to a target passes: second attempts, trials, probes of a limit; health checks skip it. After it the requests in flight grow from one. Where all targets rest, requests are refused at once with the end of the first rest. An hour at most; of more than 30 s two requests look. Repeated fields of an answer are read as several values, for limits too. Why it works: the rest is read from the answer that starts it, and no way to the target goes round the check.

--- /dev/null
+++ b/benchmarks/rests.py
@@ -0,0 +1,101 @@
+"""Ways to honour the rest that a target asks for, and to return after it, in virtual time."""
+
+from __future__ import annotations
+
+from benchmarks.common import format_table, write_result
+from halldoor.standins.ratefleet import Bound, Run, Trouble
+from halldoor.standins.restways import (
+    DoublingShares,
+    Need,
+    NotifiedRests,
+    OwnRests,
+    SingleTrials,
+    SlowStart,
+    SpreadCallers,
+)
+
+FLEETS = (10, 75, 300)
+"""Entries."""
+SEEDS = range(4)
+UNTIL_S = 18.0
+"""Length of a run, in seconds."""
+RETURN_S = 6.0
+"""Time after the target's need in which the return is looked at, in seconds."""
+WAVE_S = 0.25
+"""Window of the wave, in seconds."""
+ASKED_PER_S = 40.0
+"""Requests a second for the target, at any entry: about what its slots take."""
+NEEDS = {"all turned away for 6 s": Need(), "one entry turned away": Need(only_first=True)}
+TROUBLES = {
+    "none": Trouble(),
+    "half isolated": Trouble(cut_share=0.5, is_isolated=True),
+    "a fifth of the messages lost": Trouble(loss=0.2),
+    "all restart": Trouble(restart_s=5.0),
+}
+WAYS: dict[str, type[OwnRests]] = {
+    "own rests": OwnRests,
+    "notices": NotifiedRests,
+    "own rests, callers spread": SpreadCallers,
+    "the same, single trials": SingleTrials,
+    "the same, slow start": SlowStart,
+    "the same, doubling shares": DoublingShares,
+}
+
+
+def count_wave(run: Run, need: Need) -> int:
+    """Return the most requests in a short window after the need."""
+    times = sorted(at for at, _ in run.sent if need.to_s <= at < need.to_s + RETURN_S)
+    return max((sum(at <= t < at + WAVE_S for t in times) for at in times), default=0)
+
+
+def describe(need: str, entries: int, trouble: str, way: str) -> list[object]:
+    """Return the row of one way: the worst of the seeds, and the mean part that was sent."""
+    bound = Bound(ASKED_PER_S, 1.0, 0.0, 1.0)
+    ways = [WAYS[way](NEEDS[need]) for _ in SEEDS]
+    for seed, played in zip(SEEDS, ways, strict=True):
+        run = Run(entries, bound, TROUBLES[trouble], asked_per_s=ASKED_PER_S, seed=seed)
+        run.play(played, until_s=UNTIL_S)
+    begin, end = NEEDS[need].to_s, NEEDS[need].to_s + RETURN_S
+    asked = sum(begin <= at < end for played in ways for at, _ in played.run.asked)
+    sent = sum(begin <= at < end for played in ways for at, _ in played.run.sent)
+    others = [
+        [e for at, e in requests if e and NEEDS[need].from_s <= at < begin]
+        for played in ways
+        for requests in (played.run.asked, played.run.sent)
+    ]
+    others_asked, others_sent = (sum(map(len, others[i::2])) for i in (0, 1))
+    spared = f"{others_sent / others_asked:.2f}" if NEEDS[need].only_first else ""
+    return [
+        need,
+        entries,
+        trouble,
+        way,
+        max(len(played.turned_away) for played in ways),
+        max(played.find_most_in_rest() for played in ways),
+        max(count_wave(played.run, NEEDS[need]) for played in ways),
+        f"{sent / asked:.2f}",
+        spared,
+        max(played.run.messages for played in ways),
+    ]
+
+
+def main() -> None:
+    """Measure, and write the table."""
+    rows = [describe(n, e, t, w) for n in NEEDS for e in FLEETS for t in TROUBLES for w in WAYS]
+    header = [
+        "need",
+        "entries",
+        "trouble",
+        "way",
+        "requests turned away",
+        "most of one entry within a rest",
+        f"most in {WAVE_S:g} s after the need",
+        f"part sent in the {RETURN_S:.0f} s after it",
+        "part sent by entries that were not turned away",
+        "messages",
+    ]
+    write_result("rests", __doc__ or "", format_table(header, rows))
+
+
+if __name__ == "__main__":
+    main()
--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -22,6 +22,7 @@
 from halldoor.core.targets.order import KeyOrders, OrderSettings
 from halldoor.core.targets.outlier import OutlierTable
 from halldoor.core.targets.rates import EntryRanks, TargetRates
+from halldoor.core.targets.rests import RestTable
 from halldoor.core.targets.route import Route
 from halldoor.core.targets.settings import ChoiceSettings
 from halldoor.core.targets.target import Target
@@ -44,11 +45,14 @@
     room_after_s : float
         When the first of the key's targets should have a free slot, in seconds; 0 where that is
         not known.
+    is_asked : bool
+        All targets asked for a rest, and it is when the first of those ends.
     """
 
     reason: str
     passed_over: Mapping[str, int]
     room_after_s: float = 0.0
+    is_asked: bool = False
 
     def __str__(self) -> str:
         counts = ",".join(f"{reason}={count}" for reason, count in self.passed_over.items())
@@ -128,8 +132,9 @@
         self.settings = settings
         self._ranks = EntryRanks(catalog, own_name)
         self.limits = LimitTable(own_name)
-        self._rates = TargetRates(catalog, self._ranks, self.limits)
+        self.rests = RestTable()
         self.in_flight: Counter[str] = Counter()
+        self._rates = TargetRates(catalog, self._ranks, self.limits, self.rests, self.in_flight)
         self._chosen_at: dict[str, float] = {}
 
     def choose(
@@ -174,10 +179,20 @@
         for place, target in candidates:
             if self._is_spare(target, now) and self._take(target, now):
                 return self._weigh(target, key, levels, place, now)
+        rest_s = self.find_rest(order, now)
+        if rest_s > 0:
+            return NoTarget("all rest", passed, rest_s, is_asked=True)
         waits = [choice.estimate.wait_s for choice in weighed]
         waits = waits or [self._rates.find_wait(target, now) for target in order]
         return NoTarget("no room", passed, min((w for w in waits if w > 0), default=0.0))
 
+    def find_rest(self, targets: Sequence[Target], now: float) -> float:
+        """Return when the first of some targets wants requests again, in seconds.
+
+        It is 0 where one of them wants any now.
+        """
+        return min((self.rests.find_wait(target.start, now) for target in targets), default=0.0)
+
     def _find_far_travel(self) -> float | None:
         """Find the shortest round trip to another region; None where none is known."""
         halls = [h for h in self._latency.list_measured_halls() if self.orders.is_far(h)]
@@ -256,6 +271,8 @@
             return "record lapsed"
         if self._outliers.is_ejected(target.name, now):
             return "ejected"
+        if self.rests.find_wait(target.start, now) > 0:
+            return "asked for rest"
         return "cold" if target.is_cold(now) else ""
 
     @contextmanager
@@ -288,8 +305,9 @@
             # Where most look broken, the measurement is more likely wrong than the targets.
             count = sum(target.name in doubtful for target in order)
             is_widespread = count > self.settings.ejected_share * len(order)
-        if not is_widespread and self.settings.region_fill > 0 and order[0].name in doubtful:
-            order = self.orders.replace_first(order, doubtful)
+        out = {*doubtful, *self.rests.list_resting(now)}
+        if not is_widespread and self.settings.region_fill > 0 and order[0].name in out:
+            order = self.orders.replace_first(order, out)
         put_off: list[Target] = []
         has_sound = False
         for target in order:
--- a/halldoor/core/targets/limits.py
+++ b/halldoor/core/targets/limits.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from halldoor.core.placement import to_unit
+from halldoor.core.targets.statement import SEPARATOR
 
 RETURN_S = 1.0
 """Time in which a target's rate doubles after its limit ended, in seconds."""
@@ -150,7 +151,7 @@
 
 
 def parse_limit(value: bytes) -> float | None:
-    """Parse a limit as a target writes it; None where it is none.
+    """Parse a limit as a target writes it, of several the lowest; None where it is none.
 
     Raises
     ------
@@ -159,7 +160,7 @@
     """
     if not value:
         return None
-    limit_per_s = float(value)
+    limit_per_s = min(map(float, value.split(SEPARATOR)))
     if not _is_limit(limit_per_s):
         raise ValueError(f"{limit_per_s} requests a second")
     return limit_per_s
--- a/halldoor/core/targets/rates.py
+++ b/halldoor/core/targets/rates.py
@@ -1,16 +1,20 @@
 """Shares of this entry in what all entries together may send to a target.
 
-A target's rate is bounded while it is cold, and while it names a limit.  What an entry may send
+A target's rate is bounded while it is cold, and while it names a limit; it gets nothing in a rest
+that it asked this entry for.  What an entry may send
 follows from the entries that share the rate and an order of them that is alike on all, without
 messages.
 """
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from halldoor.core.placement import rank
 from halldoor.core.targets.budget import RateShare
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.limits import LimitTable
+from halldoor.core.targets.rests import RestTable
 from halldoor.core.targets.settings import ChoiceSettings
 from halldoor.core.targets.target import Target
 
@@ -59,20 +63,34 @@
 
     Parameters
     ----------
-    catalog, ranks, limits
-        The targets with their services' rates, this entry's places, and the limits that targets
-        name.
+    catalog, ranks, limits, rests
+        The targets with their services' rates, this entry's places, the limits that targets name,
+        and the rests that they ask for.
+    in_flight : mapping of str to int
+        Requests of this entry by target.
     """
 
-    def __init__(self, catalog: Catalog, ranks: EntryRanks, limits: LimitTable) -> None:
+    def __init__(
+        self,
+        catalog: Catalog,
+        ranks: EntryRanks,
+        limits: LimitTable,
+        rests: RestTable,
+        in_flight: Mapping[str, int],
+    ) -> None:
         self._catalog = catalog
         self._ranks = ranks
         self._limits = limits
+        self._rests = rests
+        self._in_flight = in_flight
         self._cold = RateShare(window_s=COLD_WINDOW_S)
         self._limited = RateShare(window_s=LIMIT_WINDOW_S)
 
     def find_reason_against(self, target: Target, now: float, settings: ChoiceSettings) -> str:
         """Return why this entry may not send to a target now; empty where it may."""
+        in_flight = self._in_flight.get(target.name, 0)
+        if not self._rests.may_send(target.start, now, in_flight=in_flight):
+            return "rest"
         if target.is_cold(now) and not self._has_cold_room(target, now, settings):
             return "cold"
         if self._limits.names_limit(target.name) and not self._has_limit_room(target, now):
@@ -83,6 +101,7 @@
         """Take one request from this entry's shares; False where one of them is used up."""
         if self.find_reason_against(target, now, settings):
             return False
+        self._rests.note_sent(target.start, now)
         if target.is_cold(now):
             self._cold.add(target.name, now)
         if self._limits.get_limit(target.name, now) is not None:
--- a/halldoor/core/targets/statement.py
+++ b/halldoor/core/targets/statement.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+SEPARATOR = b"\n"
+"""Between the values of a field that an answer has more than once."""
 SHOWN = 16
 """Characters of a field that are logged: a target may write anything."""
 
@@ -14,6 +16,8 @@
 
     Attributes
     ----------
+    status : int
+        Status of the answer; 0 where there was none.
     limit : bytes
         Requests a second that it takes from all entries together.
     leaving : bytes
@@ -22,15 +26,16 @@
         Seconds for which it wants nothing from this entry, where it turned a request away.
     """
 
+    status: int = 0
     limit: bytes = b""
     leaving: bytes = b""
     retry_after: bytes = b""
 
     @classmethod
-    def from_headers(
-        cls, headers: Iterable[tuple[bytes, bytes]], fields: Mapping[bytes, str]
+    def from_answer(
+        cls, status: int, headers: Iterable[tuple[bytes, bytes]], fields: Mapping[bytes, str]
     ) -> TargetStatement:
-        """Read a statement from the header fields of an answer; of a repeated one the first.
+        """Read a statement from an answer; repeated fields are joined by `SEPARATOR`.
 
         Parameters
         ----------
@@ -41,14 +46,14 @@
         for name, value in headers:
             attribute = fields.get(name.lower())
             if attribute is not None:
-                found.setdefault(attribute, value)
-        return cls(**found) if found else _NOTHING
+                known = found.get(attribute)
+                found[attribute] = value if known is None else known + SEPARATOR + value
+        return cls(status, **found)
 
     def to_fields(self) -> dict[str, str]:
         """Return the fields that are there, for the log."""
         return {
-            name: value[:SHOWN].decode("latin-1") for name, value in self._asdict().items() if value
+            name: value[:SHOWN].decode("latin-1")
+            for name, value in self._asdict().items()
+            if value and isinstance(value, bytes)
         }
-
-
-_NOTHING = TargetStatement()
--- a/halldoor/core/targets/target.py
+++ b/halldoor/core/targets/target.py
@@ -25,6 +25,11 @@
         self.lapsed_at: float | None = None
         self.says_leaving = False
 
+    @property
+    def start(self) -> tuple[str, int]:
+        """What tells this start of the target from others: its incarnation, and when it began."""
+        return self.record.incarnation, self.record.started_ms
+
     @property
     def is_draining(self) -> bool:
         """Whether it is about to end, by its record or its answers."""
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -18,6 +18,10 @@
 """When a refused caller may come back at the soonest, in seconds: the time of a quick request."""
 RETRY_SPREAD = 0.25
 """Part by which these times differ, so that refused callers don't return all at once."""
+REST_SPREAD = 0.5
+"""The same, of the time until the first target wants requests again."""
+ROUNDING_S = 0.01
+"""Time that is lost where a time to come back is written, in seconds."""
 RETRY_AFTER_MOST_S = 0.8
 """Latest such time, in seconds: a third of what callers have left of 2.5 s, past which they return
 all the same."""
@@ -149,12 +153,15 @@
         The target whose answer was passed on; empty for an answer of the gateway's own.
     retry_after_s : float
         When the caller may come back, in seconds, where the request did not run.
+    is_asked : bool
+        Targets asked for this time: nothing is served before.
     """
 
     status: int
     outcome: str
     target: str = ""
     retry_after_s: float = RETRY_AFTER_S
+    is_asked: bool = False
 
 
 class RequestState:
@@ -194,7 +201,12 @@
         return any(attempt.result.may_have_run for attempt in self.attempts)
 
     def build_give_up(
-        self, reason: str, *, is_late: bool = False, room_after_s: float = 0.0
+        self,
+        reason: str,
+        *,
+        is_late: bool = False,
+        room_after_s: float = 0.0,
+        is_asked: bool = False,
     ) -> Ending:
         """Build the ending of a request that no target answered.
 
@@ -204,17 +216,32 @@
             The time ran out.
         room_after_s : float, optional
             When there should be room for it, in seconds, where that is known.
+        is_asked : bool, optional
+            Targets asked for this time: nothing is served before.
         """
         if not self.may_have_run:
+            if is_asked:
+                return Ending(503, reason, retry_after_s=room_after_s, is_asked=True)
             after_s = min(RETRY_AFTER_MOST_S, max(RETRY_AFTER_S, room_after_s))
             return Ending(503, reason, retry_after_s=after_s)
         return Ending(504 if is_late else 502, reason)
 
-    def build_last_failure(self, obstacle: RetryObstacle) -> Ending:
-        """Build the ending of a request whose last attempt failed and is not repeated."""
+    def build_last_failure(self, obstacle: RetryObstacle, *, rest_s: float = 0.0) -> Ending:
+        """Build the ending of a request whose last attempt failed and is not repeated.
+
+        Parameters
+        ----------
+        rest_s : float, optional
+            How much longer all targets want no requests, in seconds; 0 where one does.
+        """
         last = self.attempts[-1]
         reason = f"{last.target}: {last.result}, {last.detail}; {obstacle}"
-        return self.build_give_up(reason, is_late=obstacle is RetryObstacle.NO_TIME)
+        return self.build_give_up(
+            reason,
+            is_late=obstacle is RetryObstacle.NO_TIME,
+            room_after_s=rest_s,
+            is_asked=rest_s > 0,
+        )
 
 
 def read_ms(value: bytes) -> float:
@@ -230,6 +257,11 @@
     return after_s * source.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
 
 
+def spread_later(after_s: float, source: Random) -> float:
+    """Spread a time to come back before which nothing is served."""
+    return after_s * source.uniform(1.0, 1.0 + REST_SPREAD) + ROUNDING_S
+
+
 def build_own_answer(status: int, reason: str, *, retry_after_s: float = RETRY_AFTER_S) -> Answer:
     """Build an answer of the gateway's own; one that did not run says when to come back."""
     headers: Headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
--- a/halldoor/gateway/coldstate.py
+++ b/halldoor/gateway/coldstate.py
@@ -49,7 +49,7 @@
     names : HeaderNames
         Header names that targets use.
     read_statement : callable
-        Called with a target, the fields of its health answer and the time.
+        Called with a target, status and fields of its health answer, and the time.
     contact_limit_s : float
         Time without news of the store after which targets are checked, in seconds.
     """
@@ -62,7 +62,7 @@
         port: DatagramPort,
         *,
         names: HeaderNames,
-        read_statement: Callable[[Target, Headers, float], object],
+        read_statement: Callable[[Target, int, Headers, float], object],
         contact_limit_s: float,
         log: EventLog,
         metrics: GatewayMetrics,
@@ -138,6 +138,8 @@
             target = self._catalog.find_target(name)
             if target is None or target.is_cold(now) or name in self._checks:
                 continue
+            if self._chooser.find_rest([target], now) > 0:
+                continue
             known_at = max(target.stated_at, self._checked_at.get(name, 0.0))
             if now - known_at >= CHECK_S * self._random.uniform(1.0, 1.0 + CHECK_SPREAD):
                 due.append((known_at, name, target))
@@ -160,7 +162,7 @@
             client.close()
         if find(answer.headers, self._names.incarnation) == target.name.encode():
             now = asyncio.get_running_loop().time()
-            self._read_statement(target, answer.headers, now)
+            self._read_statement(target, answer.status, answer.headers, now)
         notice = self._read_answer(target, answer)
         self._metrics.add_health_check("unreadable" if notice is None else "ok")
         if notice is not None:
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -342,14 +342,14 @@
         return WholeAnswer(Answer(status, headers, body, response.reason))
 
 
-def get_answer_headers(outcome: Outcome) -> Headers:
-    """Return the header fields of the target's own answer; none where there was none."""
+def get_answer_head(outcome: Outcome) -> tuple[int, Headers]:
+    """Return status and header fields of the target's own answer; none where there was none."""
     match outcome:
         case WholeAnswer(answer) | PartialAnswer(answer):
-            return answer.headers
-        case Rejected(_, False, headers):
-            return headers
-    return []
+            return answer.status, answer.headers
+        case Rejected(status, False, headers):
+            return status, headers
+    return 0, []
 
 
 def _end_if_failed(sender: asyncio.Task[None], connection: HttpConnection) -> None:
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -97,17 +97,19 @@
         self.on_statement: list[Callable[[Target, TargetStatement, float], None]] = []
         self._statement_fields = names.statement_fields
 
-    def read_statement(self, target: Target, headers: Headers, now: float) -> TargetStatement:
+    def read_statement(
+        self, target: Target, status: int, headers: Headers, now: float
+    ) -> TargetStatement:
         """Read what a target says of itself in its answer, and notify those that act on it.
 
         Parameters
         ----------
-        headers : list
-            Fields of its answer; empty where there was none, which says nothing.
+        status, headers : int, list
+            Of its answer; no fields where there was none, which says nothing.
         """
         if not headers:
             return TargetStatement()
-        statement = TargetStatement.from_headers(headers, self._statement_fields)
+        statement = TargetStatement.from_answer(status, headers, self._statement_fields)
         for apply_statement in self.on_statement:
             apply_statement(target, statement, now)
         return statement
--- a/halldoor/gateway/leaving.py
+++ b/halldoor/gateway/leaving.py
@@ -11,7 +11,7 @@
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.leaving import HEARSAY_S, LeavingNotice
-from halldoor.core.targets.statement import TargetStatement
+from halldoor.core.targets.statement import SEPARATOR, TargetStatement
 from halldoor.core.targets.target import Target
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
@@ -24,7 +24,7 @@
 """Messages in which a statement is sent, since one may be lost."""
 LEAVING = b"1"
 """Value by which a target says that it leaves."""
-STAYING = (b"", b"0")
+STAYING = {b"", b"0"}
 """Values by which it says nothing of the kind."""
 
 
@@ -73,9 +73,10 @@
 
     def apply_statement(self, target: Target, statement: TargetStatement, now: float) -> None:
         """Apply whether a target's answer says that it leaves."""
-        if statement.leaving in STAYING:
+        values = set(statement.leaving.split(SEPARATOR))
+        if values <= STAYING:
             return
-        if statement.leaving != LEAVING:
+        if LEAVING not in values:
             self._metrics.add_bad_statement("leaving")
             cause = f"leaving: {statement.to_fields()['leaving']!r}"
             self._log.event("targets", "Bad statement.", target=target.name, cause=cause)
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -38,6 +38,7 @@
 from halldoor.gateway.registration import Registration
 from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.request import RequestHandler
+from halldoor.gateway.rests import RestReader
 from halldoor.gateway.retries import RetryGate
 from halldoor.gateway.settings import LIVE_SETTINGS, GatewaySettings
 from halldoor.gateway.sharing import ObservationSharing
@@ -189,7 +190,12 @@
         self.leaving = LeavingExchange(
             self.catalog, sender, self.port, log=self.log, metrics=self.metrics
         )
-        self.feedback.on_statement += [self.limits.apply_statement, self.leaving.apply_statement]
+        rests = RestReader(self.chooser.rests, log=self.log, metrics=self.metrics)
+        self.feedback.on_statement += [
+            self.limits.apply_statement,
+            self.leaving.apply_statement,
+            rests.apply_statement,
+        ]
 
     def _build_access(self, splitter: Splitter, names: HeaderNames) -> None:
         """Build what lets requests in, by routes, teams and quotas, and lets them be repeated."""
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -26,6 +26,7 @@
     build_own_answer,
     read_ms,
     spread,
+    spread_later,
 )
 from halldoor.gateway.body import read_request
 from halldoor.gateway.caller import Answer, CallerConnection, Head
@@ -39,7 +40,7 @@
     PartialAnswer,
     TimedOut,
     WholeAnswer,
-    get_answer_headers,
+    get_answer_head,
 )
 from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR, Sending, TargetFeedback
 from halldoor.gateway.flows import FlowWatch
@@ -178,7 +179,9 @@
                 state.route, state.service, state.key, now, tried=state.tried
             )
             if isinstance(choice, NoTarget):
-                return state.build_give_up(str(choice), room_after_s=choice.room_after_s)
+                return state.build_give_up(
+                    str(choice), room_after_s=choice.room_after_s, is_asked=choice.is_asked
+                )
             target = choice.target
             with self._chooser.count(target.name):
                 outcome = await self._attempt(state, outgoing, choice)
@@ -192,7 +195,8 @@
             if obstacle is not None:
                 if isinstance(outcome, WholeAnswer):
                     return self._deliver(caller, state, outcome.answer, target)
-                return state.build_last_failure(obstacle)
+                rest_s = self._chooser.find_rest(self._catalog.list_usable(state.service), now)
+                return state.build_last_failure(obstacle, rest_s=rest_s)
 
     def _find_obstacle(
         self, state: RequestState, outgoing: OutgoingRequest
@@ -227,7 +231,7 @@
         self._quarantine.add_outcome(state.identity, target, outcome)
         now = loop.time()
         took_s = now - started
-        statement = self._feedback.read_statement(target, get_answer_headers(outcome), now)
+        statement = self._feedback.read_statement(target, *get_answer_head(outcome), now)
         sending = Sending(choice, name_kind(state.service, state.route), state.key)
         result, detail = self._feedback.add_outcome(
             sending, outcome, connecting, now, took_s=took_s
@@ -327,7 +331,8 @@
     def _finish(self, caller: CallerConnection, state: RequestState, ending: Ending) -> None:
         """Send an answer of the gateway's own unless a target's went out; log and count."""
         if not ending.target:
-            after_s = spread(ending.retry_after_s, self._random)
+            spread_time = spread_later if ending.is_asked else spread
+            after_s = spread_time(ending.retry_after_s, self._random)
             caller.send(build_own_answer(ending.status, ending.outcome, retry_after_s=after_s))
         if not state.may_have_run:
             self._access.gate.give_back(state.team)
--- /dev/null
+++ b/halldoor/gateway/rests.py
@@ -0,0 +1,54 @@
+"""Read from answers for how long a target wants no requests of this entry."""
+
+from __future__ import annotations
+
+import time
+
+from halldoor.core.targets.rests import REST_MOST_S, RestTable, parse_rest
+from halldoor.core.targets.statement import TargetStatement
+from halldoor.core.targets.target import Target
+from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.metrics import GatewayMetrics
+
+REJECTIONS = (429, 503)
+"""Statuses with which a target may ask for a rest."""
+SERVER_ERROR = 500
+"""Lowest status with which a target says that it failed."""
+
+
+class RestReader:
+    """Applies the rests that targets ask for.
+
+    Parameters
+    ----------
+    rests : RestTable
+        The rests that are known.
+    """
+
+    def __init__(self, rests: RestTable, *, log: EventLog, metrics: GatewayMetrics) -> None:
+        self._rests = rests
+        self._log = log
+        self._metrics = metrics
+
+    def apply_statement(self, target: Target, statement: TargetStatement, now: float) -> None:
+        """Apply whether a target's answer asks for a rest."""
+        if statement.status not in REJECTIONS:
+            if statement.status < SERVER_ERROR:
+                self._rests.add_sound(target.start, now)
+            return
+        if not statement.retry_after:
+            return
+        try:
+            rest_s = parse_rest(statement.retry_after, time.time())
+        except (ValueError, OverflowError) as exc:
+            self._add_bad(target, str(exc))
+            return
+        if rest_s > REST_MOST_S:
+            self._add_bad(target, f"{rest_s:.0f} s of rest, {REST_MOST_S:.0f} at most")
+        if rest_s > 0 and self._rests.add(target.start, rest_s, now):
+            self._log.event("targets", "Asks for rest.", target=target.name, rest_s=rest_s)
+
+    def _add_bad(self, target: Target, cause: str) -> None:
+        """Log and count a rest that can't be kept as it is written."""
+        self._metrics.add_bad_statement("retry_after")
+        self._log.event("targets", "Bad statement.", target=target.name, cause=cause)
--- a/halldoor/tests/test_rate_shares.py
+++ b/halldoor/tests/test_rate_shares.py
@@ -7,6 +7,7 @@
 from halldoor.core.targets.changes import MemberGone
 from halldoor.core.targets.limits import LimitTable
 from halldoor.core.targets.rates import EntryRanks, TargetRates
+from halldoor.core.targets.rests import RestTable
 from halldoor.core.targets.settings import ChoiceSettings
 from halldoor.core.targets.sharers import ABSENCE_S
 from halldoor.tests.choicekit import make_catalog
@@ -22,7 +23,8 @@
     for catalog in catalogs.values():
         catalog.count_sharers(0.0)  # They have been up for a while.
     rates = {
-        name: TargetRates(c, EntryRanks(c, name), LimitTable(name)) for name, c in catalogs.items()
+        name: TargetRates(c, EntryRanks(c, name), LimitTable(name), RestTable(), {})
+        for name, c in catalogs.items()
     }
     return catalogs, rates
 
--- a/halldoor/tests/test_requested_rest.py
+++ b/halldoor/tests/test_requested_rest.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from halldoor.core.targets.rests import REST_MOST_S, RestTable, parse_rest
+from halldoor.core.targets.statement import TargetStatement
 from halldoor.tests.ratekit import RateFleet
 
 REST_S = 3.0
@@ -80,3 +82,108 @@
             assert max(map(count_most_in_rest, fleet.targets)) <= MOST_IN_REST
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize("text", [b"-3", b"nan", b"inf", b"soon", b"3, 4", b"", b"\xff"])
+def test_a_rest_that_can_not_be_read_is_counted(text):
+    async def check():
+        async with RateFleet.open(entries=1, targets=1) as fleet:
+            ask_for_rest(fleet.targets, text)
+            await fleet.ask(per_s=40.0, for_s=0.5)
+            serve(fleet.targets)
+            await asyncio.sleep(0.2)
+            assert (await fleet.kits[0].call()).status == 200
+            metrics = fleet.kits[0].gateway.metrics.render().decode()
+            assert ("halldoor_bad_statements{" in metrics) is bool(text)
+
+    asyncio.run(check())
+
+
+class TestReading:
+    WALL_S = 1_445_412_420.0  # 7:27 of the day below.
+
+    @pytest.mark.parametrize(
+        ("value", "rest_s"),
+        [
+            (b"3", 3.0),
+            (b"0", 0.0),
+            (b"0.25", 0.25),
+            (b"1e12", 1e12),
+            (b"1\n9", 9.0),
+            (b"Wed, 21 Oct 2015 07:28:00 GMT", 60.0),
+            (b"Wed, 21 Oct 2015 07:00:00 GMT", 0.0),
+        ],
+    )
+    def test_what_a_target_may_write(self, value, rest_s):
+        assert parse_rest(value, self.WALL_S) == rest_s
+
+    def test_repeated_fields_are_one_value(self):
+        headers = [(b"Retry-After", b"1"), (b"X", b"y"), (b"retry-after", b"9")]
+        statement = TargetStatement.from_answer(503, headers, {b"retry-after": "retry_after"})
+        assert parse_rest(statement.retry_after, self.WALL_S) == 9.0
+
+
+class TestTable:
+    """One target's rest, in the time of the test."""
+
+    START = ("t1", 0)
+
+    def count_sent(self, table, times, *, is_sound, rest_s=0.0):
+        """Ask at some times; each request is answered before the next."""
+        sent = []
+        for now in times:
+            if table.may_send(self.START, now, in_flight=0):
+                table.note_sent(self.START, now)
+                sent.append(now)
+                if is_sound:
+                    table.add_sound(self.START, now)
+                else:
+                    table.add(self.START, rest_s, now)
+        return sent
+
+    def test_nothing_is_sent_in_a_short_rest(self):
+        table = RestTable()
+        table.add(self.START, 3.0, 0.0)
+        assert not self.count_sent(table, [i / 10 for i in range(30)], is_sound=True)
+        assert table.may_send(self.START, 3.0, in_flight=0)
+
+    def test_the_longer_of_two_rests_holds(self):
+        table = RestTable()
+        table.add(self.START, 3.0, 0.0)
+        table.add(self.START, 1.0, 0.1)
+        assert table.find_wait(self.START, 1.0) == 2.0
+
+    def test_a_target_that_asks_for_an_hour_in_error_is_not_lost(self):
+        table = RestTable()
+        table.add(self.START, 3600.0, 0.0)
+        assert len(self.count_sent(table, range(61), is_sound=True)) == MOST_IN_REST
+        assert table.may_send(self.START, 61.0, in_flight=0)
+
+    @pytest.mark.parametrize("rest_s", [40.0, 600.0, 3600.0])
+    def test_a_target_that_keeps_asking_gets_two_requests_in_a_rest(self, rest_s):
+        table = RestTable()
+        table.add(self.START, rest_s, 0.0)
+        sent = [0.0, *self.count_sent(table, range(8000), is_sound=False, rest_s=rest_s)]
+        for at in sent:
+            assert sum(at + GRACE_S < t < at + rest_s for t in sent) <= MOST_IN_REST
+
+    def test_a_rest_has_an_end_whatever_is_asked(self):
+        table = RestTable()
+        table.add(self.START, 1e12, 0.0)
+        assert table.find_wait(self.START, 0.0) == REST_MOST_S
+
+    def test_the_requests_in_flight_grow_after_a_rest(self):
+        table = RestTable()
+        table.add(self.START, 3.0, 0.0)
+        assert not table.may_send(self.START, 5.0, in_flight=1)
+        table.add_sound(self.START, 5.0)
+        allowed = [
+            sum(table.may_send(self.START, now, in_flight=i) for i in range(20))
+            for now in (3.5, 4.5, 5.5, 6.5)
+        ]
+        assert allowed == [1, 2, 5, 20]
+
+    def test_it_does_not_hold_for_the_next_start(self):
+        table = RestTable()
+        table.add(self.START, 3.0, 0.0)
+        assert table.may_send(("t1", 7), 1.0, in_flight=0)
