Wait one window after a start before a bounded target gets requests

Cause: a start forgets what was sent in the window before. Change: shares of a rate open one window (1.1 s cold, 2 s named) after the start of the process. Cost: where all targets of a service are cold and all entries restart, 1.1 s more without service.

--- a/halldoor/core/targets/budget.py
+++ b/halldoor/core/targets/budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import NamedTuple
 
@@ -102,10 +103,14 @@
     ----------
     window_s : float
         Length of the sliding window, in seconds.
+    began_at : float, optional
+        Start of this entry.  Nothing is sent in the window that follows: what it sent in a life
+        before is not known.
     """
 
-    def __init__(self, *, window_s: float) -> None:
+    def __init__(self, *, window_s: float, began_at: float = -math.inf) -> None:
         self._window_s = window_s
+        self._opens_at = began_at + window_s
         self._sent: dict[str, SlidingCount] = {}
 
     def add(self, target: str, now: float) -> None:
@@ -134,7 +139,7 @@
         rank : int
             Place of this entry in the target's order of entries, from 0.
         """
-        if rank >= limit:
+        if rank >= limit or now < self._opens_at:
             return False
         sent = self._sent.get(target)
         return sent is None or sent.count(now) < max(1, limit // max(1, entries))
--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -137,6 +137,10 @@
         self._rates = TargetRates(catalog, self._ranks, self.limits, self.rests, self.in_flight)
         self._chosen_at: dict[str, float] = {}
 
+    def begin(self, now: float) -> None:
+        """Begin to choose, after the start of this entry."""
+        self._rates.begin(now)
+
     def choose(
         self, route: Route, service: str, key: str, now: float, *, tried: Collection[str] = ()
     ) -> Choice | NoTarget:
--- a/halldoor/core/targets/rates.py
+++ b/halldoor/core/targets/rates.py
@@ -86,6 +86,11 @@
         self._cold = RateShare(window_s=COLD_WINDOW_S)
         self._limited = RateShare(window_s=LIMIT_WINDOW_S)
 
+    def begin(self, now: float) -> None:
+        """Begin to send: what this entry sent in a life before is not known."""
+        self._cold = RateShare(window_s=COLD_WINDOW_S, began_at=now)
+        self._limited = RateShare(window_s=LIMIT_WINDOW_S, began_at=now)
+
     def find_reason_against(self, target: Target, now: float, settings: ChoiceSettings) -> str:
         """Return why this entry may not send to a target now; empty where it may."""
         in_flight = self._in_flight.get(target.name, 0)
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -297,6 +297,7 @@
     async def start(self) -> None:
         """Open the ports and start every task."""
         settings = self.settings
+        self.chooser.begin(asyncio.get_running_loop().time())
         self._front = await listen(
             settings.front.ip,
             settings.front.port,
--- a/halldoor/standins/ratefleet.py
+++ b/halldoor/standins/ratefleet.py
@@ -198,7 +198,8 @@
 
     def restart(self, now: float) -> None:
         """Begin with nothing sent."""
-        self._shares = [RateShare(window_s=self.run.bound.share_s) for _ in self.run.names]
+        window_s = self.run.bound.share_s
+        self._shares = [RateShare(window_s=window_s, began_at=now) for _ in self.run.names]
         self._orders: dict[tuple[str, ...], list[str]] = {}
 
     def take(self, now: float, entry: int) -> bool:
--- a/halldoor/tests/test_rate_shares.py
+++ b/halldoor/tests/test_rate_shares.py
@@ -58,3 +58,14 @@
     before = count_taken(catalogs, rates, 101.0)
     after = count_taken(catalogs, rates, 102.0 + ABSENCE_S)
     assert (before, after) == (5, 11)
+
+
+def test_entries_that_restart_send_their_shares_again():
+    """What they sent before is not known, so that they wait until it left the window."""
+    names = [f"e{i}" for i in range(10)]
+    catalogs, rates = make_rates(names)
+    before = count_taken(catalogs, rates, 100.0)
+    for rate in rates.values():
+        rate.begin(100.1)
+    assert before + count_taken(catalogs, rates, 100.9) <= LIMIT_PER_S
+    assert count_taken(catalogs, rates, 101.3) == before
