Double the pause after each rejection in a row

What callers saw: two of eight targets that turn all requests away, without a rest that can be read: 2.5% of the requests refused at six gateways while six targets have room. Cause: such a target is left alone for 50 ms, and then looks idle, since it refuses at once; both attempts of a request meet one.

--- a/halldoor/core/targets/outlier.py
+++ b/halldoor/core/targets/outlier.py
@@ -14,7 +14,10 @@
 EJECT_LIMIT_S = 8.0
 """Longest ejection, in seconds; targets that come back are wanted soon."""
 SHED_PAUSE_S = 0.05
-"""Pause after a target was full, in seconds: about a third of a quick request."""
+"""First pause after a target was full, in seconds: about a third of a quick request.  It doubles
+while the target answers nothing else, up to `SHED_PAUSE_LIMIT_S`."""
+SHED_PAUSE_LIMIT_S = 0.8
+"""Longest such pause, in seconds."""
 SLOW_FACTOR = 3.0
 """Multiple of the service's usual time from which a target counts as slow.
 
@@ -51,11 +54,14 @@
     ----------
     ejections : int
         Ejections in a row; above 0 after one ended, a single failure ejects again.
+    sheds : int
+        Pauses in a row since the target was full.
     """
 
     def __init__(self) -> None:
         self.failures = 0.0
         self.ejections = 0
+        self.sheds = 0
         self.ejected_until = 0.0
         self.average_s = 0.0
         self.samples = 0
@@ -81,6 +87,7 @@
         results = self._results.setdefault(target, _Results())
         usual_s = self._service_average_s.get(service, took_s)
         self._service_average_s[service] = usual_s + SERVICE_WEIGHT * (took_s - usual_s)
+        results.sheds = 0
         results.samples += 1
         if results.samples == 1:
             results.average_s = took_s
@@ -134,7 +141,12 @@
     def add_shed(self, target: str, now: float) -> None:
         """Count a request that a full target turned away."""
         results = self._results.setdefault(target, _Results())
-        results.ejected_until = max(results.ejected_until, now + SHED_PAUSE_S)
+        if now < results.ejected_until:
+            return  # Answers to requests sent before the pause.
+        pause_s = min(SHED_PAUSE_LIMIT_S, SHED_PAUSE_S * 2**results.sheds)
+        if pause_s < SHED_PAUSE_LIMIT_S:
+            results.sheds += 1
+        results.ejected_until = now + pause_s
         self._ejected[target] = results.ejected_until
 
     def is_ejected(self, target: str, now: float) -> bool:
