--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -29,7 +29,7 @@
 
 
 def get_percentile(values: Sequence[float], share: float) -> float:
-    """Give a percentile; nan where there are no values."""
+    """Return a percentile; nan where there are no values."""
     ordered = sorted(values)
     if not ordered:
         return float("nan")
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -148,7 +148,7 @@
 
 
 def _mean(values: list[float]) -> float:
-    """Give the mean."""
+    """Return the mean."""
     return sum(values) / len(values)
 
 
--- a/benchmarks/crashes.py
+++ b/benchmarks/crashes.py
@@ -40,7 +40,7 @@
 
 
 def describe(way: str, entries: int) -> list[object]:
-    """Give the row of one way: sendings too late by trouble, ends, and its price."""
+    """Return the row of one way: sendings too late by trouble, ends, and its price."""
     fleet = Fleet(entries=entries)
     by_trouble = {n: [play(way, fleet, t, seed) for seed in SEEDS] for n, t in TROUBLES.items()}
     late = [max(run.count_late() for run in runs) for runs in by_trouble.values()]
--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -53,7 +53,7 @@
 
 
 def describe(name: str, entries: int, pattern: str) -> list[object]:
-    """Give the row of one way: the worst of the teams' windows, and what is wrongly refused."""
+    """Return the row of one way: the worst of the teams' windows, and what is wrongly refused."""
     runs = [play(WAYS[name], entries, rate, pattern, seed) for seed, rate in enumerate(RATES)]
     worst = max(run.find_worst_window() / run.bound for run in runs)
     admitted = [f"{len(run.admitted) / run.count_allowed():.2f}" for run in runs]
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -27,7 +27,7 @@
 
 
 def use(settings: dict[str, Any]) -> Callable[[ModelEntry], None]:
-    """Give a change of every entry's settings."""
+    """Return a change of every entry's settings."""
 
     def adapt(entry: ModelEntry) -> None:
         entry.chooser.settings = entry.chooser.settings._replace(**settings)
@@ -41,7 +41,7 @@
 
 
 def describe(what: str, policy: str, tallies: list[Tally]) -> list[object]:
-    """Give the row of one policy: means over the seeds."""
+    """Return the row of one policy: means over the seeds."""
 
     def average(read: Callable[[Tally], float]) -> float:
         return sum(map(read, tallies)) / len(tallies)
--- a/halldoor/admin/api.py
+++ b/halldoor/admin/api.py
@@ -105,7 +105,7 @@
 
     @_answer
     def configuration(self) -> dict[str, Any]:
-        """Give the accepted configuration."""
+        """Return the accepted configuration."""
         self._authenticate()
         return self._administration.read()
 
--- a/halldoor/admin/service.py
+++ b/halldoor/admin/service.py
@@ -49,7 +49,7 @@
         return find_team(token, self._store.read().configuration, self._bootstrap_sha256)
 
     def read(self) -> dict[str, Any]:
-        """Give the accepted configuration, without the hashes of tokens."""
+        """Return the accepted configuration, without the hashes of tokens."""
         stored = self._store.read()
         shown = to_shown_data(stored.configuration)
         return {"revision": stored.revision, "configuration": shown}
--- a/halldoor/cli/fleet.py
+++ b/halldoor/cli/fleet.py
@@ -65,7 +65,7 @@
 
     @property
     def is_reached(self) -> bool:
-        """Tell whether it answered."""
+        """Check whether it answered."""
         return not self.error
 
 
@@ -109,7 +109,7 @@
 
 
 def _subtract(old: GatewayView, new: GatewayView) -> tuple[tuple[str, str, int], ...]:
-    """Give the requests of a gateway since an earlier look."""
+    """Return the requests of a gateway since an earlier look."""
     if not old.is_reached:
         return ()
     before = {(origin, to): count for origin, to, count in old.region_requests}
@@ -182,7 +182,7 @@
 
 
 def _is_lagging(gateway: GatewayView, newest: int) -> bool:
-    """Tell whether a gateway is behind the others or out of touch with the store."""
+    """Check whether a gateway is behind the others or out of touch with the store."""
     return gateway.version < newest or gateway.store_age_s > LAG_S
 
 
--- a/halldoor/cli/operator.py
+++ b/halldoor/cli/operator.py
@@ -222,7 +222,7 @@
 
 
 def report(*logs: Path, output: Output = "text") -> None:
-    """Tell where requests lose time: by service, moment, kind of target, and reason.
+    """Return where requests lose time: by service, moment, kind of target, and reason.
 
     Parameters
     ----------
@@ -379,7 +379,7 @@
 
 
 def _explain_from_logs(attempt_id: str, logs: Sequence[Path], output: Output) -> None:
-    """Say what gateways' log lines tell of a request."""
+    """Return what gateways' log lines tell of a request."""
     lines = (line for log in logs for line in parse_lines(_read_log(log)))
     sentences = explain_request(lines, attempt_id)
     if not sentences:
--- a/halldoor/cli/replay.py
+++ b/halldoor/cli/replay.py
@@ -37,7 +37,7 @@
     tally: Tally
 
     def to_fields(self) -> dict[str, Any]:
-        """Give the figures by name."""
+        """Return the figures by name."""
         tally, counts = self.tally, self.tally.counts
         worst = min(self.list_seconds(), key=lambda second: tally.share_in_aim(second, second + 1))
         return {
--- a/halldoor/core/errors.py
+++ b/halldoor/core/errors.py
@@ -113,7 +113,7 @@
 
     @property
     def status(self) -> int:
-        """Give the HTTP status code that fits the reason."""
+        """Return the HTTP status code that fits the reason."""
         return _STATUS.get(self.reason, 503)
 
 
--- a/halldoor/core/explaining/history.py
+++ b/halldoor/core/explaining/history.py
@@ -1,4 +1,4 @@
-"""Tell from a gateway's log lines what happened to a request, in plain words."""
+"""Explain from a gateway's log lines what happened to a request, in plain words."""
 
 from __future__ import annotations
 
@@ -50,7 +50,7 @@
 
 
 def date_lines(lines: Iterable[LogLine]) -> Iterator[tuple[LogLine, float]]:
-    """Give each line with the time since its entry's start, in seconds."""
+    """Return each line with the time since its entry's start, in seconds."""
     started_at: dict[str, float] = {}
     for line in lines:
         if line.part == "process" and line.text == "Started.":
@@ -77,7 +77,7 @@
 
 
 def explain_request(lines: Iterable[LogLine], attempt_id: str) -> list[str]:
-    """Tell what happened to a request.
+    """Return what happened to a request.
 
     Parameters
     ----------
@@ -121,7 +121,7 @@
 
 
 def _tell_team(fields: dict[str, Any]) -> Iterator[str]:
-    """Tell whose the request was, and what its quota's decision went by."""
+    """Return whose the request was, and what its quota's decision went by."""
     if fields.get("key_digest"):
         yield f"No team holds the key whose digest begins with {fields['key_digest']}."
     if fields.get("team"):
@@ -146,14 +146,14 @@
 
 
 def _tell_connecting(attempt: dict[str, Any]) -> str:
-    """Tell how the connection was had."""
+    """Return how the connection was had."""
     if attempt.get("is_reused"):
         return "on a kept connection"
     return f"on a new connection, up after {attempt.get('connect_ms', 0)} ms"
 
 
 def _tell_choice(attempt: dict[str, Any]) -> str:
-    """Tell why the target was chosen: its place, and the time that was expected."""
+    """Return why the target was chosen: its place, and the time that was expected."""
     if "expected_ms" not in attempt:
         return "no expectation logged"
     return (
@@ -174,7 +174,7 @@
 
 
 def _judge(fields: dict[str, Any]) -> str:
-    """Say whether the request ran."""
+    """Check whether the request ran."""
     if fields["status"] in (503, 429, 408) and not fields.get("target"):
         return "It did not run: no target took it. The caller may come back."
     if fields["status"] in (502, 504) and not fields.get("target"):
@@ -187,7 +187,7 @@
 
 
 def _tell_beliefs(lines: list[LogLine], end: LogLine) -> Iterator[str]:
-    """Tell what the entry learnt shortly before about targets, routing and the store."""
+    """Return what the entry learnt shortly before about targets, routing and the store."""
     names = {attempt["target"] for attempt in end.fields.get("attempts", [])}
     for line in lines:
         age_s = end.at - line.at
--- a/halldoor/core/explaining/moves.py
+++ b/halldoor/core/explaining/moves.py
@@ -1,4 +1,4 @@
-"""Tell from gateways' log lines when a region's requests went to other regions, and why."""
+"""Find from gateways' log lines when a region's requests went to other regions, and why."""
 
 from __future__ import annotations
 
--- a/halldoor/core/explaining/report.py
+++ b/halldoor/core/explaining/report.py
@@ -1,4 +1,4 @@
-"""Tell from gateways' log lines where requests lose time: which, when, and for what reason."""
+"""Find from gateways' log lines where requests lose time: which, when, and for what reason."""
 
 from __future__ import annotations
 
@@ -137,7 +137,7 @@
 
 
 def _judge(fields: dict[str, Any]) -> Ended:
-    """Say how a request ended."""
+    """Return how a request ended."""
     status = int(fields["status"])
     if status < 500:
         is_late = fields["took_ms"] > fields.get("aim_ms", fields["took_ms"])
@@ -222,7 +222,7 @@
 
 
 def _shorten(fields: dict[str, Any]) -> str:
-    """Give the reason without the name of the target."""
+    """Return the reason without the name of the target."""
     outcome = str(fields.get("outcome", ""))
     attempts = fields.get("attempts") or ()
     names = {str(attempt.get("target")) for attempt in attempts}
--- a/halldoor/core/hall/health.py
+++ b/halldoor/core/hall/health.py
@@ -111,11 +111,11 @@
         self._get(target).cold_since = now
 
     def is_leaving(self, target: str, now: float) -> bool:
-        """Tell whether a target takes no new work."""
+        """Check whether a target takes no new work."""
         return self._get(target).leaving_until > now
 
     def has_room_to_try(self, target: str, now: float) -> bool:
-        """Tell whether neither probes nor failures speak against a target."""
+        """Check whether neither probes nor failures speak against a target."""
         contact = self._get(target)
         return contact.ejected_until <= now and contact.unhealthy_until <= now
 
@@ -131,7 +131,7 @@
         return good if len(good) * 2 >= len(staying) else staying
 
     def get_ramp(self, target: str, now: float) -> float:
-        """Give the share of room to use, rising while a target is cold."""
+        """Return the share of room to use, rising while a target is cold."""
         since = self._get(target).cold_since
         if since is None or now - since >= RAMP_S:
             return 1.0
--- a/halldoor/core/hall/membership.py
+++ b/halldoor/core/hall/membership.py
@@ -113,7 +113,7 @@
         return [m for n, m in self._members.items() if now - self._heard[n] <= self.suspect_after_s]
 
     def is_alive(self, name: str, now: float) -> bool:
-        """Tell whether a peer was heard of lately."""
+        """Check whether a peer was heard of lately."""
         return name in self._heard and now - self._heard[name] <= self.suspect_after_s
 
     def list_leaving(self) -> list[str]:
--- a/halldoor/core/hall/slots.py
+++ b/halldoor/core/hall/slots.py
@@ -59,7 +59,7 @@
 
 
 def assign_homes(target: str, slots: int, roster: Sequence[str]) -> list[str]:
-    """Give the home entry of every slot of a target.
+    """Return the home entry of every slot of a target.
 
     Slots go round the roster in rendezvous order, so that no entry has more than
     one slot more than another and different targets start at different entries.
@@ -176,7 +176,7 @@
         return Hold(key, "", 0, until)
 
     def release(self, key: SlotKey, *, rest_until: float = 0.0) -> None:
-        """Give an own slot back; it rests until ``rest_until`` where work may go on."""
+        """Return an own slot back; it rests until ``rest_until`` where work may go on."""
         if self._busy.pop(key, None) is not None:
             self._put_back(key, rest_until)
 
@@ -237,7 +237,7 @@
         return len(self._homes.get(target, frozenset()))
 
     def is_consistent(self) -> bool:
-        """Tell whether every own slot is in exactly one place."""
+        """Check whether every own slot is in exactly one place."""
         lent = [loan.key for loan in self._loans.values()]
         free = [SlotKey(t, i) for t, indexes in self._free.items() for i in indexes]
         everything = [*lent, *free, *self._busy, *self._pending]
--- a/halldoor/core/orders/claim.py
+++ b/halldoor/core/orders/claim.py
@@ -64,7 +64,7 @@
 
 
 def find_shard(operation: str) -> int:
-    """Give the number of the shard of an operation id."""
+    """Return the number of the shard of an operation id."""
     return hash_key(operation) % SHARDS
 
 
--- a/halldoor/core/orders/ticket.py
+++ b/halldoor/core/orders/ticket.py
@@ -164,7 +164,7 @@
         return encode_ticket(ticket, self._key)
 
     def is_genuine(self, ticket: Ticket, payload: bytes, mac: bytes) -> bool:
-        """Tell whether this process wrote the ticket."""
+        """Check whether this process wrote the ticket."""
         wanted = hmac.new(self._key, payload, sha256).digest()[:_MAC_BYTES]
         return ticket.incarnation == self.incarnation and hmac.compare_digest(mac, wanted)
 
@@ -195,7 +195,7 @@
         return self._repeat(line)
 
     def _repeat(self, line: Entry) -> Entry | Refusal:
-        """Give the first outcome again."""
+        """Return the first outcome again."""
         if line.state == State.SENT:
             return Refusal(
                 Reason.STILL_RUNNING,
--- a/halldoor/core/quarantine/evidence.py
+++ b/halldoor/core/quarantine/evidence.py
@@ -130,7 +130,7 @@
         return Evidence(self.digest, ends, tuple(sorted(self._cleared)), self._was_sound)
 
     def is_covered_by(self, evidence: Evidence) -> bool:
-        """Tell whether evidence holds all that is known here."""
+        """Check whether evidence holds all that is known here."""
         return (
             self._ends.keys() <= {end.target for end in evidence.ends}
             and self._cleared <= set(evidence.cleared)
@@ -153,11 +153,11 @@
         return len(self._ends) - len(self._cleared)
 
     def is_blocked(self, settings: QuarantineSettings) -> bool:
-        """Tell whether the request is blocked, for one caller at least."""
+        """Check whether the request is blocked, for one caller at least."""
         return bool(settings.limit) and self.count_ends() >= self._find_limit(settings)
 
     def is_blocked_for(self, caller: str, settings: QuarantineSettings) -> bool:
-        """Tell whether the request of a caller is blocked.
+        """Check whether the request of a caller is blocked.
 
         What ended under the sendings of one caller only may be that caller's doing, by headers
         that make no difference here: it does not speak against the others.
@@ -172,9 +172,9 @@
         return {end.caller for end in self._list_blamed()}
 
     def find_blocked_at(self, settings: QuarantineSettings) -> float:
-        """Give when the end came that blocked the request; it must be blocked."""
+        """Return when the end came that blocked the request; it must be blocked."""
         return self._list_blamed()[self._find_limit(settings) - 1].at
 
     def find_blocked_until(self, settings: QuarantineSettings) -> float:
-        """Give when so many ends are forgotten that a blocked request no longer is."""
+        """Return when so many ends are forgotten that a blocked request no longer is."""
         return self._list_blamed()[-self._find_limit(settings)].at + settings.memory_s
--- a/halldoor/core/quarantine/quarantine.py
+++ b/halldoor/core/quarantine/quarantine.py
@@ -138,7 +138,7 @@
         return Block(watch.case.count_ends(), max(0.0, min(times) - now), trial)
 
     def note_trial(self, digest: str, trial: int) -> None:
-        """Note that a trial was taken, by this entry or another."""
+        """Record that a trial was taken, by this entry or another."""
         watch = self._watches.get(digest)
         if watch is not None:
             watch.trials_taken.add(trial)
@@ -146,7 +146,7 @@
     # What this entry sees
 
     def note_end(self, request: Identity, target: str, now: float) -> bool:
-        """Note that a target ended under a request; False where that is known."""
+        """Record that a target ended under a request; False where that is known."""
         if not self.settings.limit:
             return False
         watch = self._watch(request.digest)
@@ -163,7 +163,7 @@
         return True
 
     def note_answer(self, digest: str, now: float) -> bool:
-        """Note that a target answered a request soundly, and so did not end under it.
+        """Record that a target answered a request soundly, and so did not end under it.
 
         Returns
         -------
@@ -181,7 +181,7 @@
         return True
 
     def _find_answer(self, digest: str, now: float) -> float | None:
-        """Give when this entry last had an answer; None where that is too long ago."""
+        """Return when this entry last had an answer; None where that is too long ago."""
         answered_at = self._sound_at.get(digest)
         if answered_at is None or answered_at < now - self.settings.sound_s:
             return None
@@ -209,7 +209,7 @@
         self._merge(watch, evidence, now)
 
     def lose_record(self, digest: str, now: float) -> None:
-        """Note that the store no longer holds anything of a request; it may have to again."""
+        """Record that the store no longer holds anything of a request; it may have to again."""
         watch = self._watches.get(digest)
         if watch is not None:
             watch.recorded = None
@@ -246,7 +246,7 @@
         self._plan_record(watch, now)
 
     def _judge(self, watch: Watch, now: float) -> None:
-        """Note whether a request is blocked."""
+        """Record whether a request is blocked."""
         is_blocked = watch.case.is_blocked(self.settings)
         if is_blocked == watch.is_blocked:
             return
@@ -257,7 +257,7 @@
         self._on_change(BlockChange(watch.case.build_evidence(now), is_blocked))
 
     def _is_known(self, watch: Watch, evidence: Evidence | None) -> bool:
-        """Tell whether who has some evidence need not be told more."""
+        """Check whether who has some evidence need not be told more."""
         if evidence is None or watch.case.is_covered_by(evidence):
             return evidence is not None
         if not watch.is_blocked:
@@ -316,13 +316,13 @@
     # What is due
 
     def find_due(self) -> float | None:
-        """Give when something is due; None while nothing is."""
+        """Return when something is due; None while nothing is."""
         if self._outbox:
             return 0.0
         return min(self._iter_due(), default=None)
 
     def _iter_due(self) -> Iterator[float]:
-        """Give the times at which something is due."""
+        """Return the times at which something is due."""
         for watch in self._watches.values():
             if watch.record_at is not None:
                 yield watch.record_at
@@ -348,7 +348,7 @@
         return watch.case.build_evidence(now)
 
     def note_recorded(self, evidence: Evidence) -> None:
-        """Note that the store took what this entry recorded."""
+        """Record that the store took what this entry recorded."""
         watch = self._watches.get(evidence.digest)
         if watch is not None:
             watch.recorded = evidence
@@ -378,7 +378,7 @@
         return sum(watch.is_blocked for watch in self._watches.values())
 
     def _watch(self, digest: str) -> Watch:
-        """Give what is known of a request; the least lately met one makes room."""
+        """Return what is known of a request; the least lately met one makes room."""
         watch = self._watches.get(digest)
         if watch is None:
             if len(self._watches) >= CASES_KEPT:
--- a/halldoor/core/quarantine/record.py
+++ b/halldoor/core/quarantine/record.py
@@ -37,7 +37,7 @@
 
 
 def to_record(evidence: Evidence, now_ms: int) -> EvidenceRecord:
-    """Give the record of evidence.
+    """Return the record of evidence.
 
     Parameters
     ----------
@@ -52,7 +52,7 @@
 
 
 def from_record(record: EvidenceRecord, now_ms: int) -> Evidence:
-    """Give the evidence of a record; what a fast clock dated ahead is taken for new."""
+    """Return the evidence of a record; what a fast clock dated ahead is taken for new."""
     ends = tuple(
         TargetEnd(target, caller, max(0.0, (now_ms - at_ms) / MS_PER_S))
         for target, caller, at_ms in record.ends
--- a/halldoor/core/settings.py
+++ b/halldoor/core/settings.py
@@ -99,7 +99,7 @@
 
 
 def _name_remedy(problem: str, data: Any) -> str:
-    """Say what to do about a schema error, with the value that was given."""
+    """Return what to do about a schema error, with the value that was given."""
     _, found, path = problem.partition(" - at `$")
     given = _follow(data, path.rstrip("`")) if found else data
     if "unknown field" in problem:
--- a/halldoor/core/steering/configuration.py
+++ b/halldoor/core/steering/configuration.py
@@ -192,7 +192,7 @@
         return next((h for h in self.halls if h.name == name), None)
 
     def list_labels(self, target: Target) -> dict[str, str]:
-        """Give a target's labels with those of its hall and region."""
+        """Return a target's labels with those of its hall and region."""
         return self._list_hall_labels(self.find_hall(target.hall)) | _list_own_labels(target)
 
     def index_labels(self) -> LabelIndex:
@@ -203,14 +203,14 @@
         )
 
     def _list_hall_labels(self, hall: Hall | None) -> dict[str, str]:
-        """Give what targets take over from a hall and its region."""
+        """Return what targets take over from a hall and its region."""
         region = next((r for r in self.regions if hall and r.name == hall.region), None)
         labels = {"region": region.name, **region.labels} if region is not None else {}
         return labels | hall.labels if hall is not None else labels
 
 
 def _list_own_labels(target: Target) -> dict[str, str]:
-    """Give the labels that a target has whatever its hall."""
+    """Return the labels that a target has whatever its hall."""
     return {"target": target.name, "hall": target.hall, **target.labels}
 
 
--- a/halldoor/core/steering/permission.py
+++ b/halldoor/core/steering/permission.py
@@ -70,7 +70,7 @@
 
 
 def _may_change(team: Team, path: str, before: Configuration | None, after: Configuration) -> bool:
-    """Tell whether a team may change one path: it must own it before and after."""
+    """Check whether a team may change one path: it must own it before and after."""
     kind, _, rest = path.partition(".")
     versions = [c for c in (before, after) if c is not None]
     if kind == "services":
@@ -83,19 +83,19 @@
 
 
 def _owns_service(team: Team, path: str, configuration: Configuration) -> bool:
-    """Tell whether a service is the team's, or not there."""
+    """Check whether a service is the team's, or not there."""
     owners = [s.team for s in configuration.services if _is_at(path, s.name)]
     return all(owner == team.name for owner in owners)
 
 
 def _owns_shift(team: Team, path: str, configuration: Configuration) -> bool:
-    """Tell whether a shift is on the team's service, or not there."""
+    """Check whether a shift is on the team's service, or not there."""
     services = [s.service for s in configuration.shifts if _is_at(path, s.name)]
     return all(_owns_service(team, service, configuration) for service in services)
 
 
 def _owns_target(team: Team, name: str, configuration: Configuration) -> bool:
-    """Tell whether only the team's services use a target."""
+    """Check whether only the team's services use a target."""
     target = next((t for t in configuration.targets if t.name == name), None)
     if target is None:
         return False
@@ -107,5 +107,5 @@
 
 
 def _is_at(path: str, name: str) -> bool:
-    """Tell whether a path is a name or lies below it; names may hold dots."""
+    """Check whether a path is a name or lies below it; names may hold dots."""
     return path == name or path.startswith(f"{name}.")
--- a/halldoor/core/steering/revision.py
+++ b/halldoor/core/steering/revision.py
@@ -135,12 +135,12 @@
 
 
 def is_newer(head: Head, current: Head | None) -> bool:
-    """Tell whether a head may be adopted: revisions never go back."""
+    """Check whether a head may be adopted: revisions never go back."""
     return current is None or head.revision > current.revision
 
 
 def _get_number(name: str) -> int:
-    """Give the number of a chunk such as ``targets/3``."""
+    """Return the number of a chunk such as ``targets/3``."""
     return int(name.rpartition("/")[2])
 
 
--- a/halldoor/core/steering/routing.py
+++ b/halldoor/core/steering/routing.py
@@ -103,5 +103,5 @@
         return ""
 
     def is_within_caps(self) -> bool:
-        """Tell whether every cap holds at this entry."""
+        """Check whether every cap holds at this entry."""
         return all(meter.is_within_cap() for meter in self.meters.values())
--- a/halldoor/core/steering/selector.py
+++ b/halldoor/core/steering/selector.py
@@ -18,7 +18,7 @@
     negated: bool
 
     def matches(self, labels: Mapping[str, str]) -> bool:
-        """Tell whether the labels meet the condition."""
+        """Check whether the labels meet the condition."""
         return (labels.get(self.key) in self.values) != self.negated
 
 
@@ -51,7 +51,7 @@
         return cls(text, terms)
 
     def matches(self, labels: Mapping[str, str]) -> bool:
-        """Tell whether the labels meet every term."""
+        """Check whether the labels meet every term."""
         return all(term.matches(labels) for term in self.terms)
 
 
--- a/halldoor/core/steering/shift.py
+++ b/halldoor/core/steering/shift.py
@@ -54,7 +54,7 @@
         self.count = self.count._replace(total=self.count.total + 1)
 
     def can_move(self) -> bool:
-        """Tell whether one more request may move."""
+        """Check whether one more request may move."""
         # The small term absorbs rounding, as in 10 * 0.1; `is_within_cap` allows the same.
         return self.credit >= 1.0 - 1e-9
 
@@ -68,12 +68,12 @@
         self.count = self.count._replace(denied=self.count.denied + 1)
 
     def is_within_cap(self) -> bool:
-        """Tell whether the promise holds at this entry."""
+        """Check whether the promise holds at this entry."""
         return self.count.moved <= self.allowed + 1e-6
 
 
 def is_chosen(shift: str, client_block: str, position: float) -> bool:
-    """Tell whether a shift at ``position`` (0 to 1) would move this client block.
+    """Check whether a shift at ``position`` (0 to 1) would move this client block.
 
     The set of blocks only grows as the position grows.
     """
--- a/halldoor/core/steering/snapshot.py
+++ b/halldoor/core/steering/snapshot.py
@@ -159,7 +159,7 @@
 
 
 def _find_rest(services: dict[str, ServiceView], target: str) -> float:
-    """Give the longest time that a request to a target can last."""
+    """Return the longest time that a request to a target can last."""
     deadlines = [
         op.deadline_s
         for view in services.values()
@@ -172,5 +172,5 @@
 
 
 def _is_below(path: str, prefix: str) -> bool:
-    """Tell whether a path lies under a prefix, at a slash."""
+    """Check whether a path lies under a prefix, at a slash."""
     return path == prefix or path.startswith(prefix.rstrip("/") + "/")
--- a/halldoor/core/targets/cost.py
+++ b/halldoor/core/targets/cost.py
@@ -53,7 +53,7 @@
         return self.time_s + self.evenness_s
 
     def find_cost(self, *, least_travel_s: float) -> float:
-        """Give the cost with at least so much travelling, in seconds.
+        """Return the cost with at least so much travelling, in seconds.
 
         A key's second target must not win by being nearer than the first: each entry would take
         the one near it, and both would pay the key's cold start.
@@ -74,7 +74,7 @@
         self._latency = latency
 
     def get_levels(self, kind: str) -> WorkLevels:
-        """Give the work of a kind of request."""
+        """Return the work of a kind of request."""
         return self._latency.get_levels(kind)
 
     def estimate(
--- a/halldoor/core/targets/latency.py
+++ b/halldoor/core/targets/latency.py
@@ -96,11 +96,11 @@
         self._shortest_s[hall] = min(took_s, self._shortest_s.get(hall, took_s))
 
     def get_travel(self, hall: str) -> float:
-        """Give the time of a round trip to a hall, in seconds; 0 where it is not known."""
+        """Return the time of a round trip to a hall, in seconds; 0 where it is not known."""
         return self._travel_s.get(hall, 0.0)
 
     def get_shortest_travel(self, hall: str) -> float:
-        """Give the shortest round trip to a hall so far, in seconds; 0 where none is known.
+        """Return the shortest round trip to a hall so far, in seconds; 0 where none is known.
 
         Lost packets and a busy process never raise it, so that it says how far the hall is.
         """
@@ -138,11 +138,11 @@
             del self._pairs[pair]
 
     def has_sent(self, target: str, key: str) -> bool:
-        """Tell whether this entry had an answer for a key from a target."""
+        """Check whether this entry had an answer for a key from a target."""
         return (target, key) in self._pairs
 
     def get_levels(self, kind: str) -> WorkLevels:
-        """Give the work of a kind of request; a guess before its first answer."""
+        """Return the work of a kind of request; a guess before its first answer."""
         samples = self._samples.get(kind)
         return _UNKNOWN if samples is None else samples.levels
 
--- a/halldoor/core/targets/load.py
+++ b/halldoor/core/targets/load.py
@@ -153,7 +153,7 @@
         pace.fade = Fade.from_pace(gap_s=targets * pace.interval_s, work_s=work_s)
 
     def _find_pace(self, service: str) -> _Pace:
-        """Give the pace of a service's reports."""
+        """Return the pace of a service's reports."""
         return self._paces.setdefault(service, _Pace())
 
     def add(
@@ -179,7 +179,7 @@
         known.at = now
 
     def has_report(self, target: str) -> bool:
-        """Tell whether a target ever reported."""
+        """Check whether a target ever reported."""
         return target in self._reported
 
     def estimate_others(self, target: str, now: float) -> float:
@@ -196,22 +196,22 @@
         return usual + (known.others - usual) * math.exp(-age_s / fade.news_s)
 
     def get_old_s(self, target: str) -> float:
-        """Give the age from which a target's report hardly counts, in seconds."""
+        """Return the age from which a target's report hardly counts, in seconds."""
         known = self._reported.get(target)
         return Fade().old_s if known is None else known.pace.fade.old_s
 
     def get_pressure(self, target: str) -> float:
-        """Give the load that a target had lately, in multiples of its slots."""
+        """Return the load that a target had lately, in multiples of its slots."""
         known = self._reported.get(target)
         return 0.0 if known is None else known.pressure
 
     def get_load(self, target: str) -> float:
-        """Give the load that a target reported last; 0 where it never did."""
+        """Return the load that a target reported last; 0 where it never did."""
         known = self._reported.get(target)
         return 0.0 if known is None else known.load
 
     def age(self, target: str, now: float) -> float | None:
-        """Give the age of a target's last report in seconds; None where there is none."""
+        """Return the age of a target's last report in seconds; None where there is none."""
         known = self._reported.get(target)
         return None if known is None else now - known.at
 
--- a/halldoor/core/targets/order.py
+++ b/halldoor/core/targets/order.py
@@ -147,7 +147,7 @@
     def get_order(
         self, route: Route, service: str, key: str, now: float, *, settings: OrderSettings
     ) -> Sequence[Target]:
-        """Give the usable targets of a service in their order for a key.
+        """Return the usable targets of a service in their order for a key.
 
         Without the cold ones, it is the order as if those were gone.
 
@@ -242,7 +242,7 @@
     def _get_candidates(
         self, service: str, homes: tuple[str, ...], prefers_own: bool
     ) -> list[_Candidate]:
-        """Give what is alike for all keys until a target changes, computed once.
+        """Return what is alike for all keys until a target changes, computed once.
 
         After each change of targets every key's order is built again.
         """
@@ -309,14 +309,14 @@
         return slots * OWN_WEIGHT if is_preferred else slots
 
     def find_distance(self, target: Target) -> Distance:
-        """Tell how far a target is."""
+        """Return how far a target is."""
         hall = target.record.hall
         if hall == self._own_hall:
             return Distance.HALL
         return Distance.FAR if self.is_far(hall) else Distance.REGION
 
     def is_far(self, hall: str) -> bool:
-        """Tell whether a hall stands in another region."""
+        """Check whether a hall stands in another region."""
         return self.regions.get(hall) != self._own_region
 
 
--- a/halldoor/core/targets/outlier.py
+++ b/halldoor/core/targets/outlier.py
@@ -103,7 +103,7 @@
         return False
 
     def _is_slow_on_average(self, results: _Results, usual_s: float) -> bool:
-        """Tell whether a target's last answers were much slower than the service's."""
+        """Check whether a target's last answers were much slower than the service's."""
         is_known = self._settings.ejects_slow and results.samples >= SLOW_SAMPLES
         return is_known and results.average_s > SLOW_FACTOR * usual_s
 
@@ -150,7 +150,7 @@
         self._ejected[target] = results.ejected_until
 
     def is_ejected(self, target: str, now: float) -> bool:
-        """Tell whether a target is left alone for now."""
+        """Check whether a target is left alone for now."""
         results = self._results.get(target)
         return results is not None and now < results.ejected_until
 
@@ -162,7 +162,7 @@
         return self._ejected.keys()
 
     def is_on_trial(self, target: str) -> bool:
-        """Tell whether a target was ejected and has not shown since that it is well."""
+        """Check whether a target was ejected and has not shown since that it is well."""
         results = self._results.get(target)
         return results is not None and results.ejections > 0
 
--- a/halldoor/core/targets/regionflow.py
+++ b/halldoor/core/targets/regionflow.py
@@ -98,7 +98,7 @@
 
 
 def measure_move(before: Counter[str], after: Counter[str]) -> float:
-    """Give the part of the requests that runs in another region than before, 0 to 1."""
+    """Return the part of the requests that runs in another region than before, 0 to 1."""
     regions = {*before, *after}
     changes = (
         after[r] / max(1, after.total()) - before[r] / max(1, before.total()) for r in regions
--- a/halldoor/core/targets/regionshare.py
+++ b/halldoor/core/targets/regionshare.py
@@ -129,7 +129,7 @@
         self._total += 1.0
 
     def find(self, bucket: int) -> float:
-        """Give the part of the requests that a part of the key space has; never 0."""
+        """Return the part of the requests that a part of the key space has; never 0."""
         count = self._counts[bucket] + ASSUMED_REQUESTS / BUCKETS
         return count / (self._total + ASSUMED_REQUESTS)
 
@@ -203,5 +203,5 @@
 
 
 def _has_lost(before: Room, after: Room) -> bool:
-    """Tell whether targets are gone, drain, or stand in an evacuated hall."""
+    """Check whether targets are gone, drain, or stand in an evacuated hall."""
     return after.own < before.own or after.far < before.far
--- a/halldoor/core/targets/split.py
+++ b/halldoor/core/targets/split.py
@@ -46,7 +46,7 @@
 
 
 def _prefer(route: Route, key: str, total: float) -> str:
-    """Give the part that a key prefers, in proportion to the weights."""
+    """Return the part that a key prefers, in proportion to the weights."""
     point = to_unit(f"{route.name}\0{key}") * total
     for part in route.parts:
         point -= part.weight
--- a/halldoor/core/teams/admission.py
+++ b/halldoor/core/teams/admission.py
@@ -63,7 +63,7 @@
 
     @property
     def status(self) -> int:
-        """Give the status of the answer."""
+        """Return the status of the answer."""
         return _STATUSES[self.reason]
 
 
@@ -118,12 +118,12 @@
 
     @property
     def has_teams(self) -> bool:
-        """Tell whether callers need keys."""
+        """Check whether callers need keys."""
         return len(self._teams) > 0
 
     @property
     def teams(self) -> TeamTable:
-        """Give the teams."""
+        """Return the teams."""
         return self._teams
 
     def enter(
@@ -172,7 +172,7 @@
 
 
 def _apply_team(route: Route, team: Team) -> Route | None:
-    """Give a route as it holds for a team; None where no region may serve both."""
+    """Return a route as it holds for a team; None where no region may serve both."""
     if team.priority is None and not team.home_regions:
         return route
     homes = join_homes(route.home_regions, team.home_regions)
--- a/halldoor/core/teams/gate.py
+++ b/halldoor/core/teams/gate.py
@@ -77,7 +77,7 @@
 
     @property
     def is_admitted(self) -> bool:
-        """Tell whether the request may go on."""
+        """Check whether the request may go on."""
         return self.retry_after_s <= 0.0
 
 
@@ -111,11 +111,11 @@
 
     @property
     def has_limits(self) -> bool:
-        """Tell whether any team has a limit."""
+        """Check whether any team has a limit."""
         return bool(self._limits)
 
     def get_answer_age(self, now: float) -> float | None:
-        """Give the age of the last answer of a collector, in seconds; None before the first."""
+        """Return the age of the last answer of a collector, in seconds; None before the first."""
         return None if self._answered_at is None else now - self._answered_at
 
     def admit(self, team: str, now: float, *, entries: int) -> Admission:
@@ -160,7 +160,7 @@
         return Admission(min(RETRY_MOST_S, wait_s), 1.0 / entries, None)
 
     def give_back(self, team: str) -> None:
-        """Give a request back that was admitted and then reached no target."""
+        """Return a request back that was admitted and then reached no target."""
         if team not in self._limits:
             return
         self._counts.setdefault(team, [0, 0])[1] -= 1
@@ -186,12 +186,12 @@
 
 
 def _find_equal(limit: TeamLimit, entries: int) -> TeamLimit:
-    """Give an entry's equal part of a limit, at least one request at once."""
+    """Return an entry's equal part of a limit, at least one request at once."""
     return TeamLimit(limit.rate_per_s / entries, max(1.0, limit.burst / entries))
 
 
 def _find_bucket(buckets: dict[str, EntryBucket], team: str, now: float) -> EntryBucket:
-    """Give the bucket of a team."""
+    """Return the bucket of a team."""
     bucket = buckets.get(team)
     if bucket is None:
         bucket = buckets[team] = EntryBucket(now)
@@ -199,6 +199,6 @@
 
 
 def _find_return(part: float) -> float:
-    """Give the time until a refused caller likely finds room: the more are refused, the later."""
+    """Return the time until a refused caller likely finds room: the more are refused, the later."""
     crowd = 1.0 / max(part, 0.01) - 1.0
     return min(RETRY_MOST_S, max(RETRY_LEAST_S, RECOVERY_S * crowd))
--- a/halldoor/core/teams/ledger.py
+++ b/halldoor/core/teams/ledger.py
@@ -66,7 +66,7 @@
 
     @property
     def demand_per_s(self) -> float:
-        """Give the average; of a young bucket, over the time that it exists."""
+        """Return the average; of a young bucket, over the time that it exists."""
         age_s = max(self._at - self._began_at, PERIOD_S)
         return self._asked_per_s / -math.expm1(-age_s / DEMAND_S)
 
@@ -83,7 +83,7 @@
         self.level = max(-DEBT_S * limit.rate_per_s, self.level - count.admitted)
 
     def find_part(self, limit: TeamLimit, *, unheard: float) -> float:
-        """Give the part of the team's requests that may be admitted: 0 to 1.
+        """Return the part of the team's requests that may be admitted: 0 to 1.
 
         Parameters
         ----------
@@ -166,14 +166,14 @@
                 bucket.add(count, limit)
 
     def _find_limit(self, team: str) -> TeamLimit | None:
-        """Give a team's limit, less what silent entries may admit; None where it has none."""
+        """Return a team's limit, less what silent entries may admit; None where it has none."""
         limit = self._limits.get(team)
         if limit is None:
             return None
         return TeamLimit(limit.rate_per_s * self._left, limit.burst * self._left)
 
     def is_young(self, now: float, *, period_s: float) -> bool:
-        """Tell whether it counts for too short a time to answer."""
+        """Check whether it counts for too short a time to answer."""
         return self._first_at is None or now - self._first_at < YOUNG_PERIODS * period_s
 
     def compute_shares(self, now: float, *, entries: int, period_s: float) -> tuple[Share, ...]:
--- a/halldoor/core/teams/quota.py
+++ b/halldoor/core/teams/quota.py
@@ -109,5 +109,5 @@
 
 
 def find_period(entries: int) -> float:
-    """Give the period of reports of a fleet, in seconds."""
+    """Return the period of reports of a fleet, in seconds."""
     return PERIOD_S * max(1.0, entries / PERIOD_ENTRIES)
--- a/halldoor/core/teams/team.py
+++ b/halldoor/core/teams/team.py
@@ -63,7 +63,7 @@
 
 
 def read_bearer(value: bytes) -> bytes:
-    """Give the key in an ``Authorization`` field; empty where there is none."""
+    """Return the key in an ``Authorization`` field; empty where there is none."""
     if value[: len(BEARER)].lower() != BEARER:
         return b""
     return value[len(BEARER) :].strip()
@@ -101,12 +101,12 @@
         return self._by_digest.get(digest_key(key))
 
     def get_limits(self) -> Mapping[str, TeamLimit]:
-        """Give the limits of the teams that have one, by name."""
+        """Return the limits of the teams that have one, by name."""
         return {t.name: t.limit for t in self.by_name.values() if t.limit is not None}
 
 
 def join_homes(route: tuple[str, ...], team: tuple[str, ...]) -> tuple[str, ...] | None:
-    """Give the regions that both a route and a team allow.
+    """Return the regions that both a route and a team allow.
 
     Returns
     -------
--- a/halldoor/entry/configuration.py
+++ b/halldoor/entry/configuration.py
@@ -145,7 +145,7 @@
         return self._gossip.choose_relays(self.revision if self._rotate_relays else 0)
 
     def is_relay(self) -> bool:
-        """Tell whether this entry is to watch; one that knows nothing always is."""
+        """Check whether this entry is to watch; one that knows nothing always is."""
         return self._head is None or self._me in self.choose_relays()
 
     def _fetch_from_platform(self, wanted: str) -> bytes:
@@ -270,7 +270,7 @@
     # Serving peers
 
     def get_head_message(self) -> Any:
-        """Give the head in force as a message."""
+        """Return the head in force as a message."""
         head = self._head
         if head is None:
             return idl.Head(revision=0, data=b"", platform_version=0)
@@ -278,7 +278,7 @@
         return idl.Head(revision=head.revision, data=data, platform_version=self._head_version)
 
     def get_part(self, wanted: str) -> bytes:
-        """Give a part by digest; empty where it is not held."""
+        """Return a part by digest; empty where it is not held."""
         return self._parts.get(wanted, b"")
 
 
--- a/halldoor/entry/dispatch.py
+++ b/halldoor/entry/dispatch.py
@@ -153,7 +153,7 @@
     def _may_take(
         self, step: Step, trail: _Trail, meters: ServiceMeters, snapshot: Snapshot
     ) -> bool:
-        """Tell whether caps and bounds allow a step; the caps are charged before the move."""
+        """Check whether caps and bounds allow a step; the caps are charged before the move."""
         is_remote = step.hall != snapshot.hall.name
         if is_remote and trail.remote_halls >= REMOTE_HALLS:
             return False
@@ -251,7 +251,7 @@
 
 
 def _may_go_on(refusal: Refusal, request: Request, body: Body) -> bool:
-    """Tell whether the next step may be tried."""
+    """Check whether the next step may be tried."""
     if is_final(refusal, request) or not body.can_repeat:
         return False
     return request.get_remaining_s() > 0 and not request.cancellation.is_cancelled
--- a/halldoor/entry/gossip.py
+++ b/halldoor/entry/gossip.py
@@ -92,11 +92,11 @@
             self._membership.beat(**flags)
 
     def get_pause_s(self) -> float:
-        """Give the time to the next exchange; large halls exchange less often."""
+        """Return the time to the next exchange; large halls exchange less often."""
         return self._get_period_s() * self._random.uniform(0.8, 1.2)
 
     def _get_period_s(self) -> float:
-        """Give the mean time between two exchanges."""
+        """Return the mean time between two exchanges."""
         entries = len(self._snapshot.hall.entries) if self._snapshot else 1
         return self._period_s * max(1.0, entries / LARGE_HALL)
 
@@ -197,7 +197,7 @@
             self.on_revision(gossip.revision, address)
 
     def _notice_change(self) -> None:
-        """Tell when somebody came, went or is leaving."""
+        """Return when somebody came, went or is leaving."""
         now = time.monotonic()
         with self._lock:
             members = self._membership.list_alive(now)
@@ -217,7 +217,7 @@
             return [m for m in self._membership.list_alive(time.monotonic()) if m.hall == me.hall]
 
     def is_avoided(self, name: str) -> bool:
-        """Tell whether look-ups and forwards should avoid an entry."""
+        """Check whether look-ups and forwards should avoid an entry."""
         now = time.monotonic()
         with self._lock:
             member = self._membership.find(name)
--- a/halldoor/entry/hall.py
+++ b/halldoor/entry/hall.py
@@ -216,7 +216,7 @@
         return self.health.view(name, in_flight=self._in_flight.get(name, 0), share=share, now=now)
 
     def _has_headroom(self, targets: Sequence[str], now: float) -> bool:
-        """Tell whether enough own slots are free to take a request from elsewhere."""
+        """Check whether enough own slots are free to take a request from elsewhere."""
         home = sum(self.slots.count_home(t) for t in targets)
         free = sum(self.slots.count_free(t, now) for t in targets)
         return free > home * SPILL_HEADROOM
@@ -249,7 +249,7 @@
         return Admission(self._snapshot.hall_targets[name], hold)
 
     def may_send(self, admission: Admission) -> bool:
-        """Tell whether the hold still stands and the target still takes work."""
+        """Check whether the hold still stands and the target still takes work."""
         now = time.monotonic()
         with self._lock:
             snapshot = self._snapshot
@@ -259,7 +259,7 @@
         return now < admission.hold.until and not is_leaving
 
     def release(self, admission: Admission, *, busy_until: float = 0.0) -> None:
-        """Give a slot back.
+        """Return a slot back.
 
         Parameters
         ----------
@@ -321,7 +321,7 @@
             self.health.mark_cold(target, now=time.monotonic())
 
     def is_leaving(self, target: str) -> bool:
-        """Tell whether a target takes no new work."""
+        """Check whether a target takes no new work."""
         with self._lock:
             known = self._snapshot.hall_targets.get(target) if self._snapshot else None
             said = known is not None and known.leaving
@@ -375,7 +375,7 @@
 
 
 def _is_cold_full(view: TargetView, target: Target) -> bool:
-    """Tell whether a cold target already has its share of work from this entry."""
+    """Check whether a cold target already has its share of work from this entry."""
     if view.ramp >= 1.0:
         return False
     return view.in_flight >= max(1, int(target.slots * view.ramp))
--- a/halldoor/entry/local.py
+++ b/halldoor/entry/local.py
@@ -165,7 +165,7 @@
 
 
 def _to_refusal(fault: TargetFault, request: Request) -> Refusal:
-    """Say what a target's fault means for the caller."""
+    """Return what a target's fault means for the caller."""
     if fault.fault is Fault.SHED:
         return refuse(Reason.SHED, "The target is full and did not run it. Come back in a second.")
     if fault.fault is Fault.NOT_SENT:
--- a/halldoor/entry/lookups.py
+++ b/halldoor/entry/lookups.py
@@ -43,7 +43,7 @@
         self._answers: dict[tuple[str, int], list[bytes]] = {}
 
     def find(self, service: str, client: str) -> bytes | None:
-        """Give the ready answer for a caller; None for an unknown service."""
+        """Return the ready answer for a caller; None for an unknown service."""
         address = parse_address(client)
         match = self._snapshot.blocks.find(address) if address is not None else None
         hall = match.hall if match is not None and match.hall < len(self._halls) else self._own
--- a/halldoor/entry/orders.py
+++ b/halldoor/entry/orders.py
@@ -110,7 +110,7 @@
         return self._ask_ticket(holder, operation)
 
     def is_me(self, holder: Claim) -> bool:
-        """Tell whether a claim is this process's."""
+        """Check whether a claim is this process's."""
         return holder == Claim(self._ledger.issuer, self._ledger.incarnation)
 
     def issue_claimed(self, operation: str, incarnation: str) -> Result[str, Refusal]:
@@ -131,7 +131,7 @@
         return Success(text)
 
     def _has_line(self, operation: str) -> bool:
-        """Tell whether the ledger knows an id that this process has claimed.
+        """Check whether the ledger knows an id that this process has claimed.
 
         The claim is visible to others an instant before its line is; the claims
         task takes requests in turn, so asking it again waits for that.
@@ -374,13 +374,13 @@
 
 
 def _has_no_body(answer: Answer) -> bool:
-    """Tell whether the answer says that it has no body."""
+    """Check whether the answer says that it has no body."""
     lengths = [v for k, v in answer.headers if k.lower() == "content-length"]
     return answer.status == 204 or lengths == ["0"]
 
 
 def _to_answer(line: Entry) -> Answer:
-    """Give the kept answer again."""
+    """Return the kept answer again."""
     kept = line.answer
     assert kept is not None
     headers = (*kept.headers, ("Halldoor-Repeated", "yes"))
--- a/halldoor/entry/process.py
+++ b/halldoor/entry/process.py
@@ -320,7 +320,7 @@
         return "serving" if self.snapshot is not None else "starting"
 
     def get_status(self) -> dict[str, Any]:
-        """Say what this entry is doing, for operators."""
+        """Return what this entry is doing, for operators."""
         counts = self.room.count()
         return {
             "name": self.settings.name,
--- a/halldoor/entry/reader.py
+++ b/halldoor/entry/reader.py
@@ -121,7 +121,7 @@
 
 
 def _read_deadline(headers: tuple[tuple[str, str], ...], operation: Operation) -> float | None:
-    """Give the time allowed; None where the header is wrong."""
+    """Return the time allowed; None where the header is wrong."""
     text = find_header(headers, "halldoor-deadline-ms")
     if not text:
         return operation.deadline_s
@@ -131,7 +131,7 @@
 
 
 def _read_length(environ: dict[str, Any]) -> int | None:
-    """Give the body's length; -1 for chunks, None where the header is wrong."""
+    """Return the body's length; -1 for chunks, None where the header is wrong."""
     if "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower():
         return -1
     text = environ.get("CONTENT_LENGTH") or "0"
--- a/halldoor/entry/remote.py
+++ b/halldoor/entry/remote.py
@@ -213,7 +213,7 @@
 
 
 def _to_refusal(exc: PeerError, request: Request) -> Refusal:
-    """Say what a peer's fault means; the peer may have had the request sent already."""
+    """Return what a peer's fault means; the peer may have had the request sent already."""
     retry_after_s = 1.0 if request.is_repeatable else 0.0
     if request.cancellation.is_cancelled:
         return refuse_unknown(Reason.CANCELLED, "The caller went away.")
@@ -225,5 +225,5 @@
 
 
 def is_final(refusal: Refusal, request: Request) -> bool:
-    """Tell whether a refusal ends the request, since another try might run it twice."""
+    """Check whether a refusal ends the request, since another try might run it twice."""
     return refusal.ran == Ran.UNKNOWN and not request.is_repeatable
--- a/halldoor/entry/request.py
+++ b/halldoor/entry/request.py
@@ -109,11 +109,11 @@
     cancellation: Cancellation
 
     def get_remaining_s(self) -> float:
-        """Give the time left."""
+        """Return the time left."""
         return self.deadline - time.monotonic()
 
     def has_expired(self) -> bool:
-        """Tell whether the time is up, here or at whom the deadline was passed on to.
+        """Check whether the time is up, here or at whom the deadline was passed on to.
 
         Without the step, a target that ended at its deadline just before this entry's own was
         told to the caller as broken.
@@ -148,7 +148,7 @@
         return self.is_whole or not self._is_taken
 
     def read(self) -> Iterator[bytes]:
-        """Give the parts; a streamed body only once."""
+        """Return the parts; a streamed body only once."""
         self._is_taken = True
         if self.data:
             yield self.data
--- a/halldoor/entry/sessions.py
+++ b/halldoor/entry/sessions.py
@@ -199,7 +199,7 @@
         return b"".join(parts), False
 
     def _read_chunks(self, chunks: queue.Queue[bytes | None], request: Request) -> Iterator[bytes]:
-        """Give the chunks of a streamed body as they come."""
+        """Return the chunks of a streamed body as they come."""
         while True:
             try:
                 data = chunks.get(timeout=max(0.001, request.get_remaining_s()))
@@ -240,7 +240,7 @@
             return self._result.get()
 
     def read(self, index: int) -> Any:
-        """Give the next chunk of an answer."""
+        """Return the next chunk of an answer."""
         if self._answer is None or index != self._answer_index:
             raise ValueError("chunk out of order")
         self._answer_index += 1
@@ -299,11 +299,11 @@
         return self._services.configuration.hear(head.revision, sender)
 
     def get_head(self) -> Any:
-        """Give the head in force."""
+        """Return the head in force."""
         return self._services.configuration.get_head_message()
 
     def get_part(self, digest: str) -> bytes:
-        """Give a part of the configuration; empty where it is not held."""
+        """Return a part of the configuration; empty where it is not held."""
         return self._services.configuration.get_part(digest)
 
     def get_ticket(self, operation_id: str, incarnation: str) -> Any:
@@ -314,7 +314,7 @@
         return idl.TicketReply(ticket=issued.unwrap())
 
     def find_decision(self, decision_id: str) -> bytes:
-        """Give a kept decision record; empty where there is none."""
+        """Return a kept decision record; empty where there is none."""
         found = self._services.decisions.find(decision_id)
         return msgpack.encode(found) if found is not None else b""
 
--- a/halldoor/entry/targets.py
+++ b/halldoor/entry/targets.py
@@ -105,7 +105,7 @@
         return answer, time.monotonic() - started
 
     def _open(self, target: Target, request: Request) -> HTTPConnection:
-        """Give a connected connection."""
+        """Return a connected connection."""
         if request.is_repeatable:
             connection = self._take_idle(target)
             if connection is not None:
@@ -237,14 +237,14 @@
 
 
 def _guard(body: Body, request: Request, connection: HTTPConnection) -> Any:
-    """Give the body in a form that the library sends once and within the deadline."""
+    """Return the body in a form that the library sends once and within the deadline."""
     if body.is_whole:
         return body.data or None
     return _guard_pieces(body, request, connection)
 
 
 def _guard_pieces(body: Body, request: Request, connection: HTTPConnection) -> Iterator[bytes]:
-    """Give the pieces of a streamed body until the deadline."""
+    """Return the pieces of a streamed body until the deadline."""
     for piece in body.read():
         remaining_s = request.get_remaining_s()
         if remaining_s <= 0 or connection.sock is None:
--- a/halldoor/entry/task.py
+++ b/halldoor/entry/task.py
@@ -77,7 +77,7 @@
             return messages
 
     def get_pause_s(self) -> float:
-        """Give the time to wait for messages before the next `tick`."""
+        """Return the time to wait for messages before the next `tick`."""
         return self._period_s
 
     @abstractmethod
--- a/halldoor/entry/web.py
+++ b/halldoor/entry/web.py
@@ -301,7 +301,7 @@
 
 
 def _get_phrase(status: int) -> str:
-    """Give a reason phrase."""
+    """Return a reason phrase."""
     return _PHRASES.get(status, "Answer" if status < 400 else "Refused")
 
 
--- a/halldoor/gateway/access.py
+++ b/halldoor/gateway/access.py
@@ -56,12 +56,12 @@
 
     @property
     def has_teams(self) -> bool:
-        """Tell whether callers need keys."""
+        """Check whether callers need keys."""
         table = self.find_table()
         return table is not None and table.has_teams
 
     def find_table(self) -> AccessTable | None:
-        """Give the routes and teams in force; None where no configuration is known."""
+        """Return the routes and teams in force; None where no configuration is known."""
         routing = self._catalog.routing
         if routing is None:
             return None
--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -126,7 +126,7 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Note that the socket is gone."""
+        """Record that the socket is gone."""
         self._leave()
 
     def _leave(self) -> None:
--- a/halldoor/gateway/clock.py
+++ b/halldoor/gateway/clock.py
@@ -16,7 +16,7 @@
 
 
 def counts_suspensions() -> bool:
-    """Tell whether this system has such a clock; the steady one takes its place elsewhere."""
+    """Check whether this system has such a clock; the steady one takes its place elsewhere."""
     return _BOOT_TIME is not None
 
 
@@ -29,7 +29,7 @@
     """An event loop on that clock: on waking, all that is due by then happens at once."""
 
     def time(self) -> float:
-        """Give the time, in seconds."""
+        """Return the time, in seconds."""
         return read_seconds()
 
 
--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -150,7 +150,7 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Note that the socket is gone."""
+        """Record that the socket is gone."""
         if exc is not None and self._error is None:
             self._error = exc
         self._is_closed = True
@@ -167,12 +167,12 @@
 
     @property
     def is_reused(self) -> bool:
-        """Tell whether an earlier exchange used this connection."""
+        """Check whether an earlier exchange used this connection."""
         return self.exchanges > 1
 
     @property
     def has_fallen_silent(self) -> bool:
-        """Tell whether the peer stopped acknowledging what was sent to it."""
+        """Check whether the peer stopped acknowledging what was sent to it."""
         return isinstance(self._error, TimeoutError)
 
     async def send(self, *events: Any) -> None:
@@ -218,7 +218,7 @@
             return event
 
     def can_skip_answer(self) -> bool:
-        """Tell whether an answer to an earlier exchange can be passed over.
+        """Check whether an answer to an earlier exchange can be passed over.
 
         The request must be out: h11 takes another answer only from then on.
         """
@@ -242,7 +242,7 @@
             raise ConnectionBrokenError(f"closed after another's answer: {exc}") from exc
 
     def _note_keep_alive(self, response: h11.Response) -> None:
-        """Note how long the peer will keep the connection."""
+        """Record how long the peer will keep the connection."""
         self._says_close = b"close" in find(response.headers, b"connection").lower()
         for part in find(response.headers, b"keep-alive").lower().split(b","):
             name, _, value = part.strip().partition(b"=")
@@ -251,7 +251,7 @@
                 self.idle_limit_s = max(0.0, int(value) - 1.0)
 
     def can_be_reused(self) -> bool:
-        """Tell whether the exchange ended cleanly on both sides."""
+        """Check whether the exchange ended cleanly on both sides."""
         return (
             not self._is_closed
             and not self._says_close
@@ -269,7 +269,7 @@
         self.idle_limit_s = min(idle_limit_s, self.idle_limit_s or idle_limit_s)
 
     def is_usable(self, now: float) -> bool:
-        """Tell whether an idle connection may be used again."""
+        """Check whether an idle connection may be used again."""
         return (
             not self._is_closed
             and not self._transport.is_closing()
--- a/halldoor/gateway/eventlog.py
+++ b/halldoor/gateway/eventlog.py
@@ -136,7 +136,7 @@
 
 
 def _is_sampled(attempt_id: str, stands_for: int) -> bool:
-    """Tell whether a success is written; alike for all entries that see the id."""
+    """Check whether a success is written; alike for all entries that see the id."""
     return zlib.crc32(attempt_id.encode()) % max(1, stands_for) == 0
 
 
--- a/halldoor/gateway/filestore.py
+++ b/halldoor/gateway/filestore.py
@@ -63,7 +63,7 @@
     entries: list[NamedMember] = []
 
     def to_model(self) -> RoutingModel:
-        """Give the part that is the routes, services, limits and teams."""
+        """Return the part that is the routes, services, limits and teams."""
         return RoutingModel(
             version=self.version,
             routes=self.routes,
@@ -73,7 +73,7 @@
         )
 
     def to_records(self) -> dict[str, bytes]:
-        """Give the records by key."""
+        """Return the records by key."""
         routing = self.to_model()
         records = {ROUTING_KEY: msgspec.json.encode(routing)}
         records |= {EVACUATION_PREFIX + hall: b"{}" for hall in self.evacuated_halls}
@@ -163,7 +163,7 @@
         return False
 
     async def create_lease(self, ttl_s: float) -> Lease:
-        """Give a lease that never lapses."""
+        """Return a lease that never lapses."""
         return Lease("file", ttl_s)
 
     async def renew_lease(self, lease: str) -> None:
--- a/halldoor/gateway/flows.py
+++ b/halldoor/gateway/flows.py
@@ -61,7 +61,7 @@
         )
 
     def _find_reason(self, route: Route, region: str, place: int, *, is_retry: bool) -> RunReason:
-        """Say why a request runs where it runs."""
+        """Return why a request runs where it runs."""
         if region == self._own_region:
             return RunReason.NEAR
         if route.home_regions and self._own_region not in route.home_regions:
--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -96,7 +96,7 @@
                 self._records[item.key] = item
 
     def meets(self, wanted: WantedEra) -> bool:
-        """Tell whether these are records of the copy of the store that is asked for."""
+        """Check whether these are records of the copy of the store that is asked for."""
         return self._revision is not None and wanted.is_met_by(self.era)
 
     def encode(self, age_s: float) -> bytes:
--- a/halldoor/gateway/maintenance.py
+++ b/halldoor/gateway/maintenance.py
@@ -52,12 +52,12 @@
         self._woke_at = -math.inf
 
     def has_stood_still(self) -> bool:
-        """Tell whether the process has just stood still, whether it has noticed or not."""
+        """Check whether the process has just stood still, whether it has noticed or not."""
         now = asyncio.get_running_loop().time()
         return self._is_late(now) or now - self._woke_at < UNREAD_S
 
     def _is_late(self, now: float) -> bool:
-        """Tell whether the tick is later than a busy process makes it."""
+        """Check whether the tick is later than a busy process makes it."""
         return self._ticked_at is not None and now - self._ticked_at > STALL_S
 
     async def run(self) -> None:
--- a/halldoor/gateway/pool.py
+++ b/halldoor/gateway/pool.py
@@ -83,13 +83,13 @@
         return None
 
     def _allows_reuse(self, kind: RequestKind) -> bool:
-        """Tell whether a request of a kind may take a kept connection."""
+        """Check whether a request of a kind may take a kept connection."""
         if kind is RequestKind.REPEATABLE:
             return self._settings.reuse is not Reuse.NONE
         return kind is not RequestKind.UPLOAD and self._settings.reuse is Reuse.ALL_BUT_UPLOADS
 
     def note_loss(self, incarnation: str, *, is_silent: bool) -> None:
-        """Note that a kept connection lost its peer: the target's others probably did too.
+        """Record that a kept connection lost its peer: the target's others probably did too.
 
         Parameters
         ----------
--- a/halldoor/gateway/quarantine.py
+++ b/halldoor/gateway/quarantine.py
@@ -112,7 +112,7 @@
         )
 
     def is_blocked(self, request: Identity) -> bool:
-        """Tell whether a request must not be sent once more."""
+        """Check whether a request must not be sent once more."""
         return self._core.find_block(request, _now()) is not None
 
     async def _claim_trial(self, digest: str, trial: int) -> bool:
@@ -150,13 +150,13 @@
                 return
 
     def note_answer(self, request: Identity) -> None:
-        """Note that a target answered a request soundly."""
+        """Record that a target answered a request soundly."""
         # Most answers change nothing, and must not cost a look at every request under suspicion.
         if self._core.note_answer(request.digest, _now()):
             self._plan()
 
     def note_end(self, request: Identity, target: Target) -> None:
-        """Note that a target ended under a request."""
+        """Record that a target ended under a request."""
         if not self._core.note_end(request, _name_start(target), _now()):
             return
         self._count("target ended")
@@ -164,11 +164,11 @@
         self._plan()
 
     def note_unanswered(self, request: Identity, target: Target) -> None:
-        """Note that a caller left, or the time ran out, while a target had the request."""
+        """Record that a caller left, or the time ran out, while a target had the request."""
         self._unanswered.add(request, target, _now())
 
     def note_gone(self, incarnation: str) -> None:
-        """Note that a target is gone: it may have ended under what it left unanswered."""
+        """Record that a target is gone: it may have ended under what it left unanswered."""
         for request, target, _ in self._unanswered.take(incarnation, _now()):
             self.note_end(request, target)
 
@@ -190,7 +190,7 @@
         self._plan()
 
     def lose_record(self, digest: str) -> None:
-        """Note that the store holds it no longer."""
+        """Record that the store holds it no longer."""
         self._core.lose_record(digest, _now())
         self._plan()
 
@@ -262,7 +262,7 @@
         self._core.note_recorded(evidence)
 
     async def _get_lease(self) -> str:
-        """Give a lease for records; a new one each minute at most."""
+        """Return a lease for records; a new one each minute at most."""
         is_of_old = self._lease_era != self._store.era
         if not self._lease or is_of_old or _now() >= self._lease_until:
             lease = await self._store.create_lease(LEASE_S)
@@ -274,7 +274,7 @@
     # Sight
 
     def get_figures(self) -> dict[str, float]:
-        """Give the figures of the moment."""
+        """Return the figures of the moment."""
         self._core.forget_old(_now())
         return {"suspects": self._core.count_suspects(), "blocked": self._core.count_blocked()}
 
@@ -303,7 +303,7 @@
 
 
 def _now() -> float:
-    """Give the time of the loop's clock."""
+    """Return the time of the loop's clock."""
     return asyncio.get_running_loop().time()
 
 
--- a/halldoor/gateway/quotas.py
+++ b/halldoor/gateway/quotas.py
@@ -117,7 +117,7 @@
         self._take_answer(answer, place=self._find_place(sender))
 
     def _find_place(self, address: Address) -> int:
-        """Give a collector's place in their order; past the last where it is none."""
+        """Return a collector's place in their order; past the last where it is none."""
         addresses = [m.relay for m in self._collectors]
         return addresses.index(address) if address in addresses else len(addresses)
 
--- a/halldoor/gateway/records.py
+++ b/halldoor/gateway/records.py
@@ -52,5 +52,5 @@
 
 
 def name_trial(digest: str, trial: int) -> str:
-    """Give the key that the entry holds which runs a blocked request once more."""
+    """Return the key that the entry holds which runs a blocked request once more."""
     return f"{TRIAL_PREFIX}{digest}/{trial}"
--- a/halldoor/gateway/retries.py
+++ b/halldoor/gateway/retries.py
@@ -79,7 +79,7 @@
         return RetryObstacle.BUDGET
 
     def _find_share(self, service: str) -> RetryShare:
-        """Give this entry's share of a service's budget."""
+        """Return this entry's share of a service's budget."""
         share = self._shares.get(service)
         if share is None:
             share = self._shares[service] = RetryShare(**self._settings._asdict())
@@ -87,7 +87,7 @@
 
 
 def _has_tried_enough(state: RequestState) -> bool:
-    """Tell whether too many targets, or too slow ones, could not be reached."""
+    """Check whether too many targets, or too slow ones, could not be reached."""
     unreached = [attempt for attempt in state.attempts if not attempt.result.was_sent]
     wasted_s = sum(attempt.took_ms for attempt in unreached) / 1000
     return wasted_s >= UNREACHED_MOST_S or len(unreached) >= UNREACHED_LIMIT
--- a/halldoor/gateway/runner.py
+++ b/halldoor/gateway/runner.py
@@ -32,14 +32,14 @@
         self._seen_at = self._read_time()
 
     def _read_time(self) -> int | None:
-        """Give the file's time of change; None while it is missing."""
+        """Return the file's time of change; None while it is missing."""
         try:
             return self._path.stat().st_mtime_ns
         except FileNotFoundError:
             return None  # It may be being replaced; the next look sees the new one.
 
     def has_changed(self) -> bool:
-        """Tell whether the file changed since the last call."""
+        """Check whether the file changed since the last call."""
         seen_at, self._seen_at = self._seen_at, self._read_time()
         return self._seen_at is not None and self._seen_at != seen_at
 
--- a/halldoor/gateway/sharing.py
+++ b/halldoor/gateway/sharing.py
@@ -60,7 +60,7 @@
                 self._port.send(MessageKind.OBSERVATIONS, observations, *self._get_peers())
 
     def _get_peers(self) -> list[Address | None]:
-        """Give the addresses of the peers."""
+        """Return the addresses of the peers."""
         if self._members_version != self._catalog.members_version:
             self._members_version = self._catalog.members_version
             members = self._catalog.members.values()
--- a/halldoor/keyvalue/store.py
+++ b/halldoor/keyvalue/store.py
@@ -217,7 +217,7 @@
         )
 
     def _has_change(self, current: Head, wanted: Head) -> bool:
-        """Tell whether a change is in the history of a head."""
+        """Check whether a change is in the history of a head."""
         if current.change_id == wanted.change_id:
             return True
         return any(r.change_id == wanted.change_id for r in self.list_audit(current, limit=50))
@@ -232,7 +232,7 @@
         return None
 
     def _build_conflict(self, stored: Stored, base: int) -> ConflictError:
-        """Say what others changed since the operator looked."""
+        """Return what others changed since the operator looked."""
         records = []
         if stored.head is not None:
             records = [r for r in self.list_audit(stored.head, limit=20) if r.revision > base]
--- a/halldoor/server.py
+++ b/halldoor/server.py
@@ -53,7 +53,7 @@
             self.server.busy -= 1
 
     def _has_next(self) -> bool:
-        """Tell whether the next request has begun; waits only while workers are idle."""
+        """Check whether the next request has begun; waits only while workers are idle."""
         if self.rfile.has_data():
             return True
         if self.server.busy * 2 > self.server.threads or not self.server.ready:
--- a/halldoor/standins/crashfleet.py
+++ b/halldoor/standins/crashfleet.py
@@ -211,7 +211,7 @@
             self.at(now + self.random.uniform(0.0, 2 * trouble.delay_s), action, to, *a)
 
     def is_store_away(self, now: float) -> bool:
-        """Tell whether the store is away at a time."""
+        """Check whether the store is away at a time."""
         return self.trouble.away_s[0] <= now < self.trouble.away_s[1]
 
     # What came of it
@@ -253,4 +253,4 @@
 
     @abstractmethod
     def is_blocked(self, now: float, entry: int, digest: str) -> bool:
-        """Tell whether an entry does not send a request."""
+        """Check whether an entry does not send a request."""
--- a/halldoor/standins/demo.py
+++ b/halldoor/standins/demo.py
@@ -44,7 +44,7 @@
 
 
 def _check(done: Any) -> str:
-    """Give the output of a command that must have worked."""
+    """Return the output of a command that must have worked."""
     if done.returncode:
         raise SystemExit(f"Command failed with {done.returncode}: {done.stderr}")
     return str(done.stdout).strip()
--- a/halldoor/standins/fleet.py
+++ b/halldoor/standins/fleet.py
@@ -100,7 +100,7 @@
         wait_until(self._platform_answers, what="platform")
 
     def _platform_answers(self) -> bool:
-        """Tell whether the stand-in answers: its port is open before anybody serves it."""
+        """Check whether the stand-in answers: its port is open before anybody serves it."""
         with contextlib.suppress(urllib3.exceptions.HTTPError):
             url = f"{self.platform_url}/stats"
             return urllib3.request("GET", url, retries=False, timeout=1.0).status == 200
@@ -293,13 +293,13 @@
         return f"http://{IP}:{port}"
 
     def can_connect(self, port: int) -> bool:
-        """Tell whether something listens on a port."""
+        """Check whether something listens on a port."""
         with contextlib.suppress(OSError), socket.create_connection((IP, port), 0.2):
             return True
         return False
 
     def find_port(self, name: str) -> int:
-        """Give the HTTP port of an entry or a target."""
+        """Return the HTTP port of an entry or a target."""
         for hall in self.configuration["halls"]:
             for entry in hall["entries"]:
                 if entry["name"] == name:
@@ -325,7 +325,7 @@
         return msgspec.json.decode(self.call(name, path).data)
 
     def get_revision(self, name: str) -> int:
-        """Give the revision in force at an entry; 0 where it does not answer."""
+        """Return the revision in force at an entry; 0 where it does not answer."""
         try:
             return int(self.get_json(name, "/v1/status")["revision"])
         except (urllib3.exceptions.HTTPError, OSError, msgspec.DecodeError):
--- a/halldoor/standins/moves.py
+++ b/halldoor/standins/moves.py
@@ -58,7 +58,7 @@
 
 
 def _is_disrupted(pattern: Pattern, since_s: float, until_s: float) -> bool:
-    """Tell whether a time lies in or shortly after a disruption."""
+    """Check whether a time lies in or shortly after a disruption."""
     times = [0.0]
     for evacuation in pattern.evacuations:
         times += [evacuation.at_s, evacuation.until_s]
--- a/halldoor/standins/patterns.py
+++ b/halldoor/standins/patterns.py
@@ -116,7 +116,7 @@
             raise ValueError(f"evacuations name no hall of it: {', '.join(sorted(unknown))}")
 
     def get_rate(self, now: float) -> float:
-        """Give the rate of requests at a moment."""
+        """Return the rate of requests at a moment."""
         rate = self.rate_per_s
         for burst in self.bursts:
             if burst.at_s <= now < burst.at_s + burst.for_s:
--- a/halldoor/standins/quotafleet.py
+++ b/halldoor/standins/quotafleet.py
@@ -180,7 +180,7 @@
     """Each entry has an equal part of the quota, at least one request at once; no messages."""
 
     def start(self, run: Run) -> None:
-        """Give each entry its bucket."""
+        """Return each entry its bucket."""
         super().start(run)
         self._buckets = [EntryBucket(0.0) for _ in range(run.entries)]
         limit, n = run.limit, run.entries
--- a/halldoor/standins/replay.py
+++ b/halldoor/standins/replay.py
@@ -80,13 +80,13 @@
     runs: list[Run]
 
     def share_in_aim(self, since_s: float = 0.0, until_s: float = 1e9) -> float:
-        """Give the part of the requests of some seconds that were answered within the aim."""
+        """Return the part of the requests of some seconds that were answered within the aim."""
         seconds = [s for s in {*self.in_aim, *self.late, *self.refused} if since_s <= s < until_s]
         good = sum(self.in_aim[s] for s in seconds)
         return good / max(1, sum(self.in_aim[s] + self.late[s] + self.refused[s] for s in seconds))
 
     def share_of_hall(self, hall: str) -> float:
-        """Give the part of a hall's requests that were answered within the aim."""
+        """Return the part of a hall's requests that were answered within the aim."""
         count = sum(n for (h, _), n in self.by_hall.items() if h == hall)
         return self.by_hall[(hall, "in aim")] / max(1, count)
 
--- a/halldoor/standins/soak.py
+++ b/halldoor/standins/soak.py
@@ -267,7 +267,7 @@
         self.fleet.run_cli("drain", name, "--back")
 
     def _is_seen_leaving(self, name: str) -> bool:
-        """Tell whether the change was accepted and every entry is up and not cut off."""
+        """Check whether the change was accepted and every entry is up and not cut off."""
         answer = self.fleet.run_cli("status", "--output", "json")
         if answer.returncode or self.fleet.cuts:
             return False
--- a/halldoor/standins/storefleet.py
+++ b/halldoor/standins/storefleet.py
@@ -303,7 +303,7 @@
         self.store.is_down = False
 
     def is_in_step(self, version: int) -> bool:
-        """Tell whether every entry believes a version, and is registered."""
+        """Check whether every entry believes a version, and is registered."""
         registered = len(self.store.list_keys("entries/")) == len(self.entries)
         return registered and all(
             entry.catalog.configuration_version == version for entry in self.entries.values()
@@ -328,5 +328,5 @@
 
 
 def _now() -> float:
-    """Give the loop's time."""
+    """Return the loop's time."""
     return asyncio.get_running_loop().time()
--- a/halldoor/standins/target.py
+++ b/halldoor/standins/target.py
@@ -119,7 +119,7 @@
         return {"state": state, "age_s": age_s, "slots": b.slots, "load": self._get_reported_load()}
 
     def _get_reported_load(self) -> float:
-        """Give the load, as old or as wrong as the behaviour says."""
+        """Return the load, as old or as wrong as the behaviour says."""
         if self.behaviour.report_load >= 0:
             return self.behaviour.report_load
         wanted = time.monotonic() - self.behaviour.report_lag_s
@@ -181,7 +181,7 @@
             return True
 
     def _leave(self) -> None:
-        """Give the slot back."""
+        """Return the slot back."""
         with self._lock:
             self._in_flight -= 1
             self._loads.append((time.monotonic(), self._in_flight / self.behaviour.slots))
--- a/halldoor/standins/virtualtime.py
+++ b/halldoor/standins/virtualtime.py
@@ -31,7 +31,7 @@
         super().__init__(self._virtual)
 
     def time(self) -> float:
-        """Give the virtual time, in seconds."""
+        """Return the virtual time, in seconds."""
         return self._virtual.now
 
     def suspend(self, for_s: float) -> None:
--- a/halldoor/tests/crashkit.py
+++ b/halldoor/tests/crashkit.py
@@ -182,7 +182,7 @@
             await asyncio.sleep(self.random.expovariate(per_s))
 
     def count_sound(self):
-        """Give the share of sound requests that were served."""
+        """Return the share of sound requests that were served."""
         statuses = [s for path, all_ in self.statuses.items() if path != BAD for s in all_]
         return statuses.count(200) / len(statuses)
 
--- a/halldoor/tests/gatewaykit.py
+++ b/halldoor/tests/gatewaykit.py
@@ -33,7 +33,7 @@
 
 
 def by_kind(kind):
-    """Give the changes of a route of a kind."""
+    """Return the changes of a route of a kind."""
     return {"kind": kind}
 
 
--- a/halldoor/tests/test_choice.py
+++ b/halldoor/tests/test_choice.py
@@ -128,7 +128,7 @@
 
 class TestExpectedTime:
     def get_order(self, chooser, key="k"):
-        """Give the key's first targets, and let the work be known."""
+        """Return the key's first targets, and let the work be known."""
         chooser.learn()
         first = chooser.choose(make_route(), "deck", key, 1.0)
         second = chooser.choose(make_route(), "deck", key, 1.0, tried=[first.name])
@@ -325,7 +325,7 @@
     """Callers of a region without a warm target must not make other regions' callers wait."""
 
     def make(self, *, load):
-        """Give a chooser whose own targets are cold and past their rate, far ones so loaded."""
+        """Return a chooser whose own targets are cold and past their rate, far ones so loaded."""
         catalog = make_catalog(6)
         chooser = make_chooser(catalog)
         chooser.learn()
--- a/halldoor/tests/test_leaving.py
+++ b/halldoor/tests/test_leaving.py
@@ -24,7 +24,7 @@
 
 
 def is_left_alone(fleet, entries, target):
-    """Tell whether every entry knows that the target leaves."""
+    """Check whether every entry knows that the target leaves."""
     return all(fleet.get_json(e, "/v1/status")["targets"][target]["leaving"] for e in entries)
 
 
--- a/halldoor/tests/test_suspension.py
+++ b/halldoor/tests/test_suspension.py
@@ -219,7 +219,7 @@
 
 
 def relies(entry):
-    """Tell whether an entry says that it is ready, and answers look-ups."""
+    """Check whether an entry says that it is ready, and answers look-ups."""
     is_confirming = entry.sync.is_confirming or entry.maintenance.has_stood_still()
     return entry.catalog.routing is not None and not is_confirming
 
--- a/halldoor/wire/client.py
+++ b/halldoor/wire/client.py
@@ -55,7 +55,7 @@
             ) from exc
 
     def is_stale(self) -> bool:
-        """Tell whether the idle connection can't be used any more."""
+        """Check whether the idle connection can't be used any more."""
         return self._frames.is_stale()
 
     def close(self) -> None:
@@ -78,7 +78,7 @@
         self._idle: dict[Address, list[PeerConnection]] = {}
 
     def open(self, address: Address) -> PeerConnection:
-        """Give a connection that is known to be open, a new one where none is idle."""
+        """Return a connection that is known to be open, a new one where none is idle."""
         while True:
             with self._lock:
                 idle = self._idle.get(address)
--- a/halldoor/wire/protocol.py
+++ b/halldoor/wire/protocol.py
@@ -101,7 +101,7 @@
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
     def is_stale(self) -> bool:
-        """Tell whether an idle connection was closed, or sent what nobody asked for."""
+        """Check whether an idle connection was closed, or sent what nobody asked for."""
         try:
             self._sock.setblocking(False)
             return self._sock.recv(1, socket.MSG_PEEK) is not None
@@ -134,7 +134,7 @@
 
 
 def _open_frame(frame: bytes) -> Any:
-    """Give a protocol that reads one frame."""
+    """Return a protocol that reads one frame."""
     return TCyBinaryProtocol(TCyBufferedTransport(_FrameReader(frame)))
 
 
