--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -31,6 +31,8 @@
 from halldoor.gateway.headers import HeaderNames, Headers, find
 from halldoor.gateway.pool import TargetPool
 
+StatementReceiver = Callable[[Target, TargetStatement, float], None]
+
 SERVER_ERROR = 500
 """Lowest status with which a target says that it failed."""
 GATEWAY_TIMEOUT = 504
@@ -70,7 +72,9 @@
     on_observation : callable or None
         Called with each sound answer, for other entries to learn from.
     on_statement : list of callable
-        Called with the target, what it says of itself and the time, for each answer of a target.
+        Called with the target, what it says of itself and the time, for each answer to a request.
+    on_any_statement : list of callable
+        The same, for health answers too, in which a target may leave out what concerns requests.
     """
 
     def __init__(
@@ -94,7 +98,8 @@
         self._names = names
         self._log = log
         self.on_observation: Callable[[Observation], None] | None = None
-        self.on_statement: list[Callable[[Target, TargetStatement, float], None]] = []
+        self.on_statement: list[StatementReceiver] = []
+        self.on_any_statement: list[StatementReceiver] = []
         self._statement_fields = names.statement_fields
 
     def read_statement(
@@ -110,10 +115,18 @@
         if not headers:
             return TargetStatement()
         statement = TargetStatement.from_answer(status, headers, self._statement_fields)
-        for apply_statement in self.on_statement:
+        for apply_statement in [*self.on_any_statement, *self.on_statement]:
             apply_statement(target, statement, now)
         return statement
 
+    def read_health_statement(
+        self, target: Target, status: int, headers: Headers, now: float
+    ) -> None:
+        """Read what a target says of itself in a health answer."""
+        statement = TargetStatement.from_answer(status, headers, self._statement_fields)
+        for apply_statement in self.on_any_statement:
+            apply_statement(target, statement, now)
+
     def add_outcome(
         self,
         sent: Sending,
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -174,7 +174,7 @@
             sender,
             self.port,
             names=names,
-            read_statement=self.feedback.read_statement,
+            read_statement=self.feedback.read_health_statement,
             contact_limit_s=self.settings.relaying.contact_limit_s,
             log=self.log,
             metrics=self.metrics,
@@ -191,11 +191,8 @@
             self.catalog, sender, self.port, log=self.log, metrics=self.metrics
         )
         rests = RestReader(self.chooser.rests, log=self.log, metrics=self.metrics)
-        self.feedback.on_statement += [
-            self.limits.apply_statement,
-            self.leaving.apply_statement,
-            rests.apply_statement,
-        ]
+        self.feedback.on_statement.append(self.limits.apply_statement)
+        self.feedback.on_any_statement += [self.leaving.apply_statement, rests.apply_statement]
 
     def _build_access(self, splitter: Splitter, names: HeaderNames) -> None:
         """Build what lets requests in, by routes, teams and quotas, and lets them be repeated."""
--- a/halldoor/tests/ratekit.py
+++ b/halldoor/tests/ratekit.py
@@ -107,6 +107,7 @@
             fields = [
                 (b"halldoor-target", self.incarnation.encode()),
                 (b"halldoor-cold-ms", str(left_ms).encode()),
+                *self.extra,
             ]
             writer.write(self.build(request, is_signed=False, extra=fields))
             return
--- a/halldoor/tests/test_leaving_statement.py
+++ b/halldoor/tests/test_leaving_statement.py
@@ -160,3 +160,27 @@
         catalog.add_leaving("t0", 0)
         assert not catalog.expire_leaving(1000.0)
         assert self.list_usable(catalog) == {"t1"}
+
+
+def test_a_health_answer_says_that_a_target_leaves():
+    """Entries without contact check the targets that they use."""
+
+    async def check():
+        async with RateFleet.open(entries=1, targets=2, health_path="/health") as fleet:
+            leaving = fleet.targets[0]
+            work = leaving.work
+
+            async def answer(request, writer):
+                leaving.extra = [(b"halldoor-leaving", b"1")] * (request.target == b"/health")
+                await work(request, writer)
+
+            leaving.script = answer
+            fleet.cut(0, from_others=True)
+            asking = asyncio.ensure_future(fleet.ask(per_s=60.0, for_s=6.0))
+            target = fleet.kits[0].gateway.catalog.find_target("t0")
+            await fleet.kits[0].wait(lambda: target.is_draining)
+            arrived = len(leaving.arrivals)
+            await asking
+            assert len(leaving.arrivals) <= arrived + 1
+
+    asyncio.run(check())
--- a/halldoor/tests/test_requested_rest.py
+++ b/halldoor/tests/test_requested_rest.py
@@ -187,3 +187,33 @@
         table = RestTable()
         table.add(self.START, 3.0, 0.0)
         assert table.may_send(("t1", 7), 1.0, in_flight=0)
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "is_resting"),
+    [
+        (b"503 Full", [(b"halldoor-not-run", b"1")], True),
+        (b"503 Full", [], True),
+        (b"429 Too Many Requests", [(b"halldoor-not-run", b"1")], True),
+        (b"500 Failed", [], False),
+        (b"200 OK", [], False),
+    ],
+)
+def test_which_answers_ask_for_a_rest(status, fields, is_resting):
+    async def check():
+        async with RateFleet.open(entries=1, targets=1) as fleet:
+            target = fleet.targets[0]
+            extra = [*fields, (b"Retry-After", b"3")]
+
+            async def answer(request, writer):
+                target.arrivals.append((fleet.now(), "e0"))
+                writer.write(target.build(request, status=status, extra=extra))
+
+            target.script = answer
+            await fleet.kits[0].call()
+            arrived = len(target.arrivals)
+            await asyncio.sleep(1.0)
+            await fleet.kits[0].call()
+            assert (len(target.arrivals) == arrived) is is_resting
+
+    asyncio.run(check())
