Take notices of targets from registered entries only

What callers saw, in a test: a process that is no entry sends eight datagrams, each a limit of 0 (or a cold time, or that it leaves) for one of the eight targets of a service, and 40 of the next 40 requests are refused. It needs to know the targets' names only. Cause: messages between entries are believed by their form. What it does not do: a process that sends from an entry's own address is believed, and quota reports and evidence are as before. Proof of who sent a message is an issue of its own.

--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -384,7 +384,7 @@
         if self.members.get(member.name) == member:
             return False
         self.members[member.name] = member
-        self.sharers.add(member.name)
+        self.sharers.add(member.name, member.relay)
         self.members_version += 1
         return True
 
--- a/halldoor/core/targets/sharers.py
+++ b/halldoor/core/targets/sharers.py
@@ -1,7 +1,9 @@
-"""Entries among which a rate is divided."""
+"""Entries among which a rate is divided, and whose notices are believed."""
 
 from __future__ import annotations
 
+from halldoor.core.settings import Address
+
 ABSENCE_S = 60.0
 """Time for which an entry whose record is gone still has its share, in seconds: it may be cut off
 from the store, and go on serving."""
@@ -21,11 +23,19 @@
     def __init__(self) -> None:
         self._registered: set[str] = set()
         self._absent: dict[str, float] = {}
+        self._addresses: dict[str, Address | None] = {}
         self._started_at: float | None = None
         self.version = 0
 
-    def add(self, name: str) -> None:
-        """Add an entry that registered."""
+    def add(self, name: str, address: Address | None = None) -> None:
+        """Add an entry that registered.
+
+        Parameters
+        ----------
+        address : Address, optional
+            Where its notices come from.
+        """
+        self._addresses[name] = address
         self._absent.pop(name, None)
         self._registered.add(name)
         self.version += 1
@@ -36,6 +46,10 @@
         self._absent[name] = now
         self.version += 1
 
+    def has_address(self, address: Address) -> bool:
+        """Whether notices from an address are those of an entry."""
+        return address in self._addresses.values()
+
     def list_names(self) -> set[str]:
         """Return the names of all that have a share."""
         return {*self._registered, *self._absent}
@@ -63,4 +77,5 @@
         dropped = [name for name, at in self._absent.items() if now - at > ABSENCE_S]
         for name in dropped:
             del self._absent[name]
+            self._addresses.pop(name, None)
         self.version += bool(dropped)
--- a/halldoor/gateway/datagrams.py
+++ b/halldoor/gateway/datagrams.py
@@ -32,6 +32,10 @@
     LEAVING = 8
 
 
+NOTICES = frozenset({MessageKind.COLD_STATE, MessageKind.LIMITS, MessageKind.LEAVING})
+"""Kinds that are believed from registered entries only: any of them can take a target out."""
+
+
 class DatagramPort(asyncio.DatagramProtocol):
     """The socket for messages of other entries.
 
@@ -39,10 +43,19 @@
     ----------
     address : Address or None
         Where it listens; None: nothing is sent or heard.
+    is_entry : callable
+        Whether an address is an entry's.
     """
 
-    def __init__(self, address: Address | None, *, metrics: GatewayMetrics) -> None:
+    def __init__(
+        self,
+        address: Address | None,
+        *,
+        is_entry: Callable[[Address], bool],
+        metrics: GatewayMetrics,
+    ) -> None:
         self._address = address
+        self._is_entry = is_entry
         self._metrics = metrics
         self._transport: asyncio.DatagramTransport | None = None
         self._receivers: dict[int, tuple[Any, Receiver]] = {}
@@ -83,6 +96,9 @@
         if receiver is None:
             self._metrics.add_message("unknown")
             return
+        if data[0] in NOTICES and not self._is_entry(Address(*addr)):
+            self._metrics.add_message("stranger")
+            return
         try:
             message = msgspec.msgpack.decode(data[1:], type=message_type)
         except msgspec.DecodeError:
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -85,7 +85,9 @@
             settings.name, settings.front, settings.hall, settings.region, settings.relay
         )
         self.pool = TargetPool(settings.connections)
-        self.port = DatagramPort(settings.relay, metrics=self.metrics)
+        self.port = DatagramPort(
+            settings.relay, is_entry=self.catalog.sharers.has_address, metrics=self.metrics
+        )
         self.quarantine = RequestQuarantine(
             self.member,
             self.catalog,
--- a/halldoor/tests/test_sharing.py
+++ b/halldoor/tests/test_sharing.py
@@ -42,7 +42,7 @@
 
     def test_what_cannot_be_read_is_counted_and_changes_nothing(self):
         metrics = GatewayMetrics()
-        port = DatagramPort(None, metrics=metrics)
+        port = DatagramPort(None, is_entry=lambda _: True, metrics=metrics)
         port.receive(MessageKind.OBSERVATIONS, list[int], lambda *_: None)
         for data in (b"", b"\x09", b"\x03", b"\x03\xff", b"\x03\x91\xa1x"):
             port.datagram_received(data, ("127.0.0.1", 1))
