--- a/halldoor/standins/leavingways.py
+++ b/halldoor/standins/leavingways.py
@@ -6,10 +6,7 @@
 
 from __future__ import annotations
 
-from halldoor.core.settings import Address
-from halldoor.core.targets.changes import MemberRecord
-from halldoor.core.targets.notice import choose_receivers
-from halldoor.standins.ratefleet import RateWay, Run
+from halldoor.standins.ratefleet import RateWay, Run, list_receivers
 
 LEAVES_S = 4.0
 """When the target begins to say that it leaves, in seconds of a run."""
@@ -19,8 +16,6 @@
 """Time between two messages of an entry, in seconds."""
 REPEATS = 3
 """Messages in which an entry sends the same."""
-HALLS = 6
-"""Halls that the entries are in."""
 
 
 class OwnAnswers(RateWay):
@@ -58,13 +53,7 @@
     def start(self, run: Run) -> None:
         """Begin a run."""
         super().start(run)
-        members = [
-            MemberRecord(name, Address("127.0.0.1", 1), f"h{i % HALLS}", "r", Address(name, 1))
-            for i, name in enumerate(run.names)
-        ]
-        self._receivers = [
-            [run.names.index(m.name) for m in choose_receivers(members, own)] for own in members
-        ]
+        self._receivers = list_receivers(run.names)
 
     def notify(self, now: float, entry: int) -> None:
         """Send a notice to those that this entry notifies."""
--- a/halldoor/standins/ratefleet.py
+++ b/halldoor/standins/ratefleet.py
@@ -9,12 +9,15 @@
 import heapq
 import itertools
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import Any, NamedTuple
 
 from halldoor.core.placement import rank
+from halldoor.core.settings import Address
 from halldoor.core.targets.budget import RateShare
+from halldoor.core.targets.changes import MemberRecord
+from halldoor.core.targets.notice import choose_receivers
 
 TARGET = "t1"
 LAPSE_S = 3.0
@@ -23,6 +26,19 @@
 """Mean time of a message on its way, in seconds."""
 
 
+HALLS = 6
+"""Halls that the entries are in."""
+
+
+def list_receivers(names: Sequence[str]) -> list[list[int]]:
+    """Return, for each entry, the entries that it sends notices to."""
+    members = [
+        MemberRecord(name, Address("127.0.0.1", 1), f"h{i % HALLS}", "r", Address(name, 1))
+        for i, name in enumerate(names)
+    ]
+    return [[names.index(m.name) for m in choose_receivers(members, own)] for own in members]
+
+
 class Bound(NamedTuple):
     """What all entries together may send.
 
--- a/halldoor/standins/restways.py
+++ b/halldoor/standins/restways.py
@@ -11,11 +11,8 @@
 from typing import NamedTuple
 
 from halldoor.core.placement import rank
-from halldoor.core.settings import Address
 from halldoor.core.targets.budget import RateShare
-from halldoor.core.targets.changes import MemberRecord
-from halldoor.core.targets.notice import choose_receivers
-from halldoor.standins.ratefleet import TARGET, RateWay, Run
+from halldoor.standins.ratefleet import TARGET, RateWay, Run, list_receivers
 
 ANSWER_S = 0.02
 """Time from a request to the answer that turns it away, in seconds."""
@@ -23,8 +20,6 @@
 """Time from a request to a sound answer, in seconds."""
 PERIOD_S = 0.25
 """Time between two messages of an entry, in seconds."""
-HALLS = 6
-"""Halls that the entries are in."""
 SLOTS = 6
 """Requests that the target works on at a time."""
 GRACE_S = 0.5
@@ -125,13 +120,7 @@
     def start(self, run: Run) -> None:
         """Begin a run."""
         super().start(run)
-        members = [
-            MemberRecord(name, Address("127.0.0.1", 1), f"h{i % HALLS}", "r", Address(name, 1))
-            for i, name in enumerate(run.names)
-        ]
-        self._receivers = [
-            [run.names.index(m.name) for m in choose_receivers(members, own)] for own in members
-        ]
+        self._receivers = list_receivers(run.names)
 
     def notify(self, now: float, entry: int) -> None:
         """Send a notice to those that this entry notifies."""
