Count what was sent to a target before it was known to be cold

Symptom: a target that turned cold while entries were slow to learn of it gets what they sent meanwhile, and then the whole rate again within the same second (halldoor/tests/test_rate_shares.py failed before: 10 more requests of two entries that had each sent 9). Cause: an entry's share of the cold rate counted from the moment at which it knew. Change: requests to any target count; the share is looked at while the target is cold.

--- a/halldoor/core/targets/rates.py
+++ b/halldoor/core/targets/rates.py
@@ -107,8 +107,8 @@
         if self.find_reason_against(target, now, settings):
             return False
         self._rests.note_sent(target.start, now)
-        if target.is_cold(now):
-            self._cold.add(target.name, now)
+        # Counted while it is warm too: it may have turned cold before this entry learns of it.
+        self._cold.add(target.name, now)
         if self._limits.get_limit(target.name, now) is not None:
             self._take_limited(target, now)
         return True
--- a/halldoor/tests/test_rate_shares.py
+++ b/halldoor/tests/test_rate_shares.py
@@ -69,3 +69,14 @@
         rate.begin(100.1)
     assert before + count_taken(catalogs, rates, 100.9) <= LIMIT_PER_S
     assert count_taken(catalogs, rates, 101.3) == before
+
+
+def test_what_was_sent_before_a_target_was_known_to_be_cold_counts():
+    """It may have been cold already, and gets the whole rate again."""
+    names = ["e0", "e1"]
+    catalogs, rates = make_rates(names)
+    for name, rate in rates.items():
+        target = catalogs[name].find_target("t0")
+        assert all(rate.take(target, 99.5, ChoiceSettings()) for _ in range(9))
+    assert count_taken(catalogs, rates, 100.0) == 0
+    assert count_taken(catalogs, rates, 100.7) > 0
