--- a/halldoor/core/targets/budget.py
+++ b/halldoor/core/targets/budget.py
@@ -115,7 +115,10 @@
 
     def add(self, target: str, now: float) -> None:
         """Count a request that was sent."""
-        self._sent.setdefault(target, SlidingCount(self._window_s)).add(now)
+        sent = self._sent.get(target)
+        if sent is None:
+            sent = self._sent[target] = SlidingCount(self._window_s)
+        sent.add(now)
 
     def take(self, target: str, now: float, *, limit: int, entries: int, rank: int) -> bool:
         """Take one request; False where this entry may not send to the target now.
--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -309,7 +309,7 @@
             # Where most look broken, the measurement is more likely wrong than the targets.
             count = sum(target.name in doubtful for target in order)
             is_widespread = count > self.settings.ejected_share * len(order)
-        out = {*doubtful, *self.rests.list_resting(now)}
+        out = {*doubtful, *self.rests.list_resting(now)} if self.rests else doubtful
         if not is_widespread and self.settings.region_fill > 0 and order[0].name in out:
             order = self.orders.replace_first(order, out)
         put_off: list[Target] = []
--- a/halldoor/core/targets/rates.py
+++ b/halldoor/core/targets/rates.py
@@ -93,8 +93,7 @@
 
     def find_reason_against(self, target: Target, now: float, settings: ChoiceSettings) -> str:
         """Return why this entry may not send to a target now; empty where it may."""
-        in_flight = self._in_flight.get(target.name, 0)
-        if not self._rests.may_send(target.start, now, in_flight=in_flight):
+        if self._rests and not self._may_send_after_rest(target, now):
             return "rest"
         if target.is_cold(now) and not self._has_cold_room(target, now, settings):
             return "cold"
@@ -106,7 +105,8 @@
         """Take one request from this entry's shares; False where one of them is used up."""
         if self.find_reason_against(target, now, settings):
             return False
-        self._rests.note_sent(target.start, now)
+        if self._rests:
+            self._rests.note_sent(target.start, now)
         # Counted while it is warm too: it may have turned cold before this entry learns of it.
         self._cold.add(target.name, now)
         if self._limits.get_limit(target.name, now) is not None:
@@ -117,6 +117,11 @@
         """Return when a limited target has room for a request from here; 0 where not known."""
         return self._limited.find_wait(target.name, now)
 
+    def _may_send_after_rest(self, target: Target, now: float) -> bool:
+        """Whether no rest of a target forbids a request from here."""
+        in_flight = self._in_flight.get(target.name, 0)
+        return self._rests.may_send(target.start, now, in_flight=in_flight)
+
     def _has_cold_room(self, target: Target, now: float, settings: ChoiceSettings) -> bool:
         """Whether a cold target has room for a request from here."""
         routing = self._catalog.routing
--- a/halldoor/core/targets/rests.py
+++ b/halldoor/core/targets/rests.py
@@ -59,6 +59,10 @@
     def __init__(self) -> None:
         self._rests: dict[Start, _Rest] = {}
 
+    def __bool__(self) -> bool:
+        """Whether any target rests, or returns from a rest."""
+        return bool(self._rests)
+
     def add(self, start: Start, rest_s: float, now: float) -> bool:
         """Apply a rest that a target asked for; False where one held already.
 
