Check a target once more when the connection to it is there

What callers saw: nothing; a target that drains got requests after every entry knew of it.

Cause: a target was chosen first and connected to afterwards, which takes up to 0.3 s (a new connection between regions 70 ms, all uploads open one). Nothing looked at the target again before the request was sent, so that the time to connect came on top of the time in which news reaches the entry.

Ruled out: checking again inside the sender as well; between the check and the first byte lies one turn of the loop.

Change: Exchanger asks the catalog before it sends (Catalog.can_send); a target that was withdrawn meanwhile is an attempt that reached nobody, so that the request goes to the next target without a retry of the budget.

Why it works: what the entry knows at the moment of sending decides, not at the moment of choosing.

--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -341,6 +341,13 @@
             self._touch()
         return expired
 
+    def can_send(self, incarnation: str) -> bool:
+        """Check whether a request may still be sent to a target that was chosen."""
+        target = self._targets.get(incarnation)
+        if target is None or target.is_draining:
+            return False
+        return target.record.hall not in self.evacuated
+
     def _lose_target(self, incarnation: str, now: float) -> bool:
         """Apply the removal of a target's record."""
         target = self._targets.get(incarnation)
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
@@ -133,6 +134,10 @@
     """The time for an answer ended before the request was sent."""
 
 
+class Withdrawn(NamedTuple):
+    """The target was withdrawn before the request was sent."""
+
+
 class BodyFailed(NamedTuple):
     """The caller's body broke off or passed the limit; the target's connection was closed."""
 
@@ -147,6 +152,7 @@
     | NotSent
     | AnswerLost
     | TimedOut
+    | Withdrawn
     | BodyFailed
 )
 
@@ -164,11 +170,16 @@
         Connections.
     names : HeaderNames
         Header names that targets use.
+    can_send : callable
+        Whether a target, by its incarnation, still takes requests.
     """
 
-    def __init__(self, pool: TargetPool, names: HeaderNames) -> None:
+    def __init__(
+        self, pool: TargetPool, names: HeaderNames, *, can_send: Callable[[str], bool]
+    ) -> None:
         self._pool = pool
         self._names = names
+        self._can_send = can_send
 
     def build_headers(self, head: Head, *, team: str, has_teams: bool) -> Headers:
         """Take the caller's fields that go on to the target.
@@ -200,6 +211,9 @@
                 connection = await self._connect(outgoing, incarnation, address)
                 took_s = asyncio.get_running_loop().time() - started
                 connecting = Connecting(took_s, is_reused=connection.exchanges > 0)
+                if not self._can_send(incarnation):
+                    # Connecting takes up to `CONNECT_TIMEOUT_S`.
+                    return Withdrawn(), connecting
                 outcome = await self._exchange(connection, outgoing, incarnation)
             if not isinstance(outcome, PartialAnswer):
                 # It closes the connection where the exchange did not end cleanly.
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -27,6 +27,7 @@
     Rejected,
     TimedOut,
     WholeAnswer,
+    Withdrawn,
 )
 from halldoor.gateway.headers import HeaderNames, Headers, find
 from halldoor.gateway.pool import TargetPool
@@ -165,6 +166,8 @@
                 return AttemptResult.NOT_REACHED, detail
             case NotSent():
                 return AttemptResult.NOT_REACHED, "no time left"
+            case Withdrawn():
+                return AttemptResult.NOT_REACHED, "withdrawn"
             case AnswerLost(detail):
                 self.add_failure(name, now, detail)
                 return AttemptResult.ANSWER_LOST, detail
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -101,7 +101,7 @@
         self._feedback = feedback
         self._pool = pool
         self._names = names
-        self._exchanger = Exchanger(pool, names)
+        self._exchanger = Exchanger(pool, names, can_send=catalog.can_send)
         self._log = log
         self._metrics = metrics
         self._retries = retries
