Notify other entries of targets that the store withdrew

Cause: a record reached an entry by one chain alone: the store, perhaps a reader, a watch, a pause. Each part may take most of the bound, and an entry whose watch brought nothing sent on for as long as the watch waited, up to 28 s, though its renewals were answered and all others knew.

Ruled out: passing whole updates on between all entries (bytes grow with entries times changes; only what bears a bound is announced); fixed receivers as for other notices (sixteen, three times each: 3,552 messages a target at 74 entries, by count; six peers drawn anew, twice: 888).

Change: an entry that applies a record that withdraws a target notifies six other entries, two of them anywhere, and once more 0.2 s later; whoever did not know passes it on (gateway/storenotices.py). A notice holds until the own view has reached its revision of the store (core/targets/withdrawal.py), so that a target which registers again is taken back by the store's own word, and for 30 s at most. Configurations and evacuations are announced as a revision alone: an entry that is behind ends its pause, and opens another watch if the present one has not brought it in 0.5 s. Entries that start announce nothing.

Why it works: an entry acts on whichever of two ways comes first, so that a part of one entry's chain delays that entry no more than a message does. The forged-notice test covers the new kind.

--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -23,12 +23,14 @@
     TargetGone,
     TargetRecord,
     TargetSeen,
+    TargetStart,
 )
 from halldoor.core.targets.leaving import LeavingTable
 from halldoor.core.targets.notice import ColdNotice
 from halldoor.core.targets.route import Routing
 from halldoor.core.targets.sharers import SharerTable
 from halldoor.core.targets.target import Target
+from halldoor.core.targets.withdrawal import StoreView, WithdrawalTable
 
 LEFT_KEPT = 2000
 """Targets that left and are remembered, in case an older copy of the store names them again."""
@@ -85,6 +87,8 @@
         self._suspects: set[str] = set()
         self._left: OrderedDict[str, int] = OrderedDict()
         self._leaving = LeavingTable()
+        self._withdrawals = WithdrawalTable()
+        self._newly_withdrawn: list[TargetStart] = []
         self._postponed: dict[Change, float] = {}
         self.version = 0
         self.members_version = 0
@@ -300,6 +304,8 @@
         target.cold_until = max(target.cold_until, cold_until)
         # "Draining" is believed until the target starts again: it never comes back from it.
         is_draining = record.is_draining or target.record.is_draining
+        if is_draining and not target.is_draining:
+            self._newly_withdrawn.append(target.start)
         target.record = record._replace(is_draining=is_draining)
         is_cold = target.is_cold(now)
         if is_changed or (is_cold and not was_cold):
@@ -341,6 +347,46 @@
             self._touch()
         return expired
 
+    def take_withdrawn(self) -> list[TargetStart]:
+        """Return, once, the targets that the store's records withdrew, and no notice before."""
+        withdrawn, self._newly_withdrawn = self._newly_withdrawn, []
+        return withdrawn
+
+    def withdraw(self, start: TargetStart, view: StoreView, *, until: float) -> bool:
+        """Apply another entry's notice that the store withdrew a target.
+
+        Returns
+        -------
+        bool
+            Whether the target was usable until now.
+        """
+        target = self._targets.get(start.target)
+        if target is None or target.start != start or target.is_draining:
+            return False
+        self._withdrawals.add(start, view, until=until)
+        target.is_withdrawn = True
+        self._touch()
+        return True
+
+    def release_withdrawn(self, own: StoreView, now: float) -> list[TargetStart]:
+        """Decide by the own view of the store again where it includes what notices said.
+
+        Returns
+        -------
+        list of TargetStart
+            Targets that are usable after all.
+        """
+        usable = []
+        for start in self._withdrawals.release(own, now):
+            target = self._targets.get(start.target)
+            if target is None or not target.is_withdrawn:
+                continue
+            target.is_withdrawn = self._withdrawals.has(target.start)
+            if not target.is_draining:
+                usable.append(start)
+                self._touch()
+        return usable
+
     def can_send(self, incarnation: str) -> bool:
         """Check whether a request may still be sent to a target that was chosen."""
         target = self._targets.get(incarnation)
@@ -357,6 +403,8 @@
             target.lapsed_at = now
             self.lapsed.add(incarnation)
             return True
+        if not target.is_draining:
+            self._newly_withdrawn.append(target.start)
         self._forget(incarnation)
         self._touch()
         return True
--- a/halldoor/core/targets/changes.py
+++ b/halldoor/core/targets/changes.py
@@ -37,6 +37,21 @@
     started_ms: int = 0
 
 
+class TargetStart(NamedTuple):
+    """One start of a target.
+
+    Attributes
+    ----------
+    target : str
+        Name of its incarnation.
+    started_ms : int
+        When it started; see `TargetRecord`.
+    """
+
+    target: str
+    started_ms: int
+
+
 class MemberRecord(NamedTuple):
     """An entry that serves callers, as it registered itself in the store.
 
--- a/halldoor/core/targets/target.py
+++ b/halldoor/core/targets/target.py
@@ -4,7 +4,7 @@
 
 import math
 
-from halldoor.core.targets.changes import TargetRecord
+from halldoor.core.targets.changes import TargetRecord, TargetStart
 
 
 class Target:
@@ -16,6 +16,8 @@
         When it last said whether it is cold, other than by its record.
     says_leaving : bool
         It said in an answer that it is about to end.
+    is_withdrawn : bool
+        Another entry read in the store that it drains or is gone.
     """
 
     def __init__(self, record: TargetRecord, cold_until: float) -> None:
@@ -24,16 +26,17 @@
         self.stated_at = -math.inf
         self.lapsed_at: float | None = None
         self.says_leaving = False
+        self.is_withdrawn = False
 
     @property
-    def start(self) -> tuple[str, int]:
+    def start(self) -> TargetStart:
         """What tells this start of the target from others: its incarnation, and when it began."""
-        return self.record.incarnation, self.record.started_ms
+        return TargetStart(self.record.incarnation, self.record.started_ms)
 
     @property
     def is_draining(self) -> bool:
-        """Whether it is about to end, by its record or its answers."""
-        return self.record.is_draining or self.says_leaving
+        """Whether it is about to end, by its record, its answers or another entry's notice."""
+        return self.record.is_draining or self.says_leaving or self.is_withdrawn
 
     @property
     def name(self) -> str:
--- a/halldoor/gateway/datagrams.py
+++ b/halldoor/gateway/datagrams.py
@@ -30,9 +30,17 @@
     COLD_STATE = 6
     LIMITS = 7
     LEAVING = 8
+    STORE_NEWS = 9
 
 
-NOTICES = frozenset({MessageKind.COLD_STATE, MessageKind.LIMITS, MessageKind.LEAVING})
+NOTICES = frozenset(
+    {
+        MessageKind.COLD_STATE,
+        MessageKind.LIMITS,
+        MessageKind.LEAVING,
+        MessageKind.STORE_NEWS,
+    }
+)
 """Kinds that are believed from registered entries only: any of them can take a target out."""
 
 
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -43,6 +43,7 @@
 from halldoor.gateway.settings import LIVE_SETTINGS, GatewaySettings
 from halldoor.gateway.sharing import ObservationSharing
 from halldoor.gateway.store import MetadataStore, RecordCodec
+from halldoor.gateway.storenotices import StoreNoticeExchange
 from halldoor.gateway.sync import StoreSync
 from halldoor.gateway.tasks import TaskSet, stop_task
 from halldoor.gateway.travel import TravelProbe
@@ -232,6 +233,17 @@
             on_change=self._note_change,
             feed=self.feed,
         )
+        self.store_notices = StoreNoticeExchange(
+            self.member,
+            self.catalog,
+            self.port,
+            get_view=lambda: self.sync.view,
+            hurry=self.feed.hurry,
+            renew_watch=self.sync.renew_watch,
+            log=self.log,
+            metrics=self.metrics,
+        )
+        self.sync.on_update.append(self.store_notices.note_update)
         self.registration = Registration(
             store,
             codec,
@@ -331,6 +343,7 @@
             self.cold_state.run(),
             self.limits.run(),
             self.leaving.run(),
+            self.store_notices.run(),
             self.quarantine.run(),
         )
         for part in parts:
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -104,6 +104,7 @@
         self._records = RecordTable()
         self._history: ChangeHistory[StoredItem] = ChangeHistory()
         self._has_news = asyncio.Event()
+        self._hurried = asyncio.Event()
         self._substitute = SubstituteReader(
             own, catalog, settings=settings, log=log, metrics=metrics, open_client=open_client
         )
@@ -129,6 +130,7 @@
             Where the store can't be read.
         """
         self._choose()
+        self._hurried.clear()
         if not self.is_direct:
             try:
                 return await self._poll(revision)
@@ -144,8 +146,17 @@
 
     async def pause(self) -> None:
         """Let several changes make one call to the store."""
-        if self._had_changes and self.is_direct:
-            await asyncio.sleep(self.settings.pause_s if self._is_reader else self.batch_s)
+        if not (self._had_changes and self.is_direct):
+            return
+        try:
+            async with asyncio.timeout(self.settings.pause_s if self._is_reader else self.batch_s):
+                await self._hurried.wait()
+        except TimeoutError:
+            return  # Nothing came up meanwhile.
+
+    def hurry(self) -> None:
+        """End the pause: there is news."""
+        self._hurried.set()
 
     def _choose(self) -> None:
         """Choose the reader to follow, once other entries are known than before."""
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import (
@@ -16,6 +16,7 @@
     TargetSeen,
 )
 from halldoor.core.targets.relay import WantedEra
+from halldoor.core.targets.withdrawal import StoreView
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.handover import Whole
 from halldoor.gateway.metrics import GatewayMetrics
@@ -54,6 +55,11 @@
         Called with each change that was applied.
     feed : ChangeFeed
         Brings the changes once everything is read.
+
+    Attributes
+    ----------
+    on_update : list of callable
+        Called with the changes of each update, once they are applied.
     """
 
     def __init__(
@@ -67,6 +73,7 @@
         on_change: Callable[[Change], None],
         feed: ChangeFeed,
     ) -> None:
+        self.on_update: list[Callable[[Sequence[Change]], None]] = []
         self._store = store
         self._codec = codec
         self._catalog = catalog
@@ -87,6 +94,11 @@
         """Number of the copy of the store that is believed; -1 where it has none."""
         return int(self._era) if self._era.isdecimal() else -1
 
+    @property
+    def view(self) -> StoreView:
+        """How far the store was followed."""
+        return StoreView(self._era, self._last_revision)
+
     async def run(self) -> None:
         """Read and watch until cancelled."""
         backoff_s = BACKOFF_S
@@ -115,8 +127,12 @@
 
     def restart(self, cause: str) -> None:
         """Ask the store anew: what the present watch would bring may be lost or late."""
-        self._log.event("store", "Watching anew.", cause=cause)
         self._is_away = True
+        self.renew_watch(cause)
+
+    def renew_watch(self, cause: str) -> None:
+        """Open another watch in place of the present one, which brings nothing."""
+        self._log.event("store", "Watching anew.", cause=cause)
         if self._watching is not None:
             self._watching.cancel()
 
@@ -154,6 +170,7 @@
             if isinstance(change, RoutingSeen):
                 self._log_change(change, whole.revision)
             self._on_change(change)
+        self._announce(applied)
 
     async def _read_whole(self) -> Whole:
         """Read everything: from an entry that is in step, or page by page from the store.
@@ -212,15 +229,23 @@
         else:
             update = update._replace(is_return=update.is_return or self._is_away)
             now = self._note_contact(is_return=update.is_return, heard_at=update.proven_at)
+        applied = []
         for item in events.items:
             change = self._decode(item)
             if change is not None and self._catalog.apply(change, now):
+                applied.append(change)
                 self._log_change(change, events.revision)
                 self._on_change(change)
         self._revision = self._last_revision = events.revision
         self._feed.take(revision, update)
+        self._announce(applied)
         await self._feed.pause()
 
+    def _announce(self, changes: Sequence[Change]) -> None:
+        """Notify whoever follows the updates."""
+        for note_update in self.on_update:
+            note_update(changes)
+
     def _decode(self, item: StoredItem) -> Change | None:
         """Decode a record; one that can't be read names nothing, as if it were not there.
 
--- a/halldoor/tests/test_forged_notice.py
+++ b/halldoor/tests/test_forged_notice.py
@@ -8,17 +8,21 @@
 import msgspec
 import pytest
 
+from halldoor.core.targets.changes import TargetStart
 from halldoor.core.targets.leaving import LeavingNotice
 from halldoor.core.targets.limits import LimitNotice
 from halldoor.core.targets.notice import ColdNotice
+from halldoor.core.targets.withdrawal import StoreNotice, StoreView
 from halldoor.gateway.datagrams import MessageKind
 from halldoor.standins.sample import IP
 from halldoor.tests.ratekit import RateFleet
 
+LATER = StoreView("", 1_000_000)
 FORGED = {
     MessageKind.LIMITS: lambda name: LimitNotice(name, 0, 0.0, 0.0),
     MessageKind.LEAVING: lambda name: LeavingNotice(name, 0, 0.0),
     MessageKind.COLD_STATE: lambda name: ColdNotice(name, 0, 60.0),
+    MessageKind.STORE_NEWS: lambda name: StoreNotice(LATER, 0.0, [TargetStart(name, 0)]),
 }
 
 
