Model faults of single entries and of the store in virtual time

The model of entries and their store had one delay for all, cuts that refused at once, and a store that was up or down.

- modelnetwork: delays within a hall, a region and between regions; losses (sent again on a connection, lost as datagrams), slow, isolated and suspended nodes.
A task factory lets every task of a suspended entry stand still, those that it starts included.
- storelink: time of the store for a call, slowness, share of the calls turned away, limits as in the client of the platform's store, watches whose connection is lost without a word.
- memorystore: a gap (watches hear nothing, then the history is dropped and the watches are cut), leases that lapse.
- modelentry: the entry's own DatagramPort on a model transport, a NoticeSender, and `exchanges` for tasks that exchange messages.

--- a/halldoor/standins/memorystore.py
+++ b/halldoor/standins/memorystore.py
@@ -37,6 +37,8 @@
     ----------
     page_items : int, optional
         Items on one page of a range.
+    has_expiry : bool, optional
+        Leases that are not renewed lapse.
 
     Attributes
     ----------
@@ -46,11 +48,13 @@
         Calls so far, and pages of ranges among them.
     is_slow : bool
         Ranges are answered only once it no longer is.
+    is_deaf : bool
+        Watches hear of no change.
     copies : int
         How often it was restored from a copy.
     """
 
-    def __init__(self, *, page_items: int = PAGE_SIZE) -> None:
+    def __init__(self, *, page_items: int = PAGE_SIZE, has_expiry: bool = False) -> None:
         self._page_items = page_items
         self._values: dict[str, bytes] = {}
         self._history: list[tuple[int, StoredItem]] = []
@@ -58,10 +62,15 @@
         self._revision = 0
         self._leases: dict[str, set[str]] = {}
         self._next_lease = 1
+        self._has_expiry = has_expiry
+        self._ttls: dict[str, float] = {}
+        self._expiries: dict[str, asyncio.TimerHandle] = {}
         self.copies = 0
         self._changed = asyncio.Event()
         self.is_down = False
         self.is_slow = False
+        self.is_deaf = False
+        self._cuts = 0
         self.calls = 0
         self.ranges = 0
 
@@ -82,6 +91,17 @@
         self._history.clear()
         self._first_revision = self._revision
 
+    def open_gap(self) -> None:
+        """Let watches hear of no change, until the gap is closed."""
+        self.is_deaf = True
+
+    def close_gap(self) -> None:
+        """Forget the history that no watch has heard, and cut all that watch."""
+        self.is_deaf = False
+        self._cuts += 1
+        self.forget_history()
+        self._wake()
+
     def copy(self) -> StoreCopy:
         """Copy all that it holds."""
         leases = {name: set(keys) for name, keys in self._leases.items()}
@@ -143,19 +163,26 @@
         self._call()
         if after > self._revision:
             raise HistoryGoneError("There is no such revision.", remedy="Read all again.")
+        cuts = self._cuts
         try:
             async with asyncio.timeout(wait_s):
-                while self._revision <= after and not self.is_down:
+                while (self.is_deaf or self._revision <= after) and self._is_kept(cuts):
                     await self._changed.wait()
         except TimeoutError:
             return Events([], after)
         if self.is_down:
             raise StoreError("The store is down.", remedy="Start it.")
+        if cuts != self._cuts:
+            raise StoreError("The watch was cut.", remedy="Watch again.")
         if after < self._first_revision:
             raise HistoryGoneError("The history is gone.", remedy="Read all again.")
         items = [i for r, i in self._history if r > after and i.key.startswith(prefix)]
         return Events(items, self._revision)
 
+    def _is_kept(self, cuts: int) -> bool:
+        """Check whether a watch goes on that began after so many cuts."""
+        return not self.is_down and cuts == self._cuts
+
     async def write(self, key: str, value: bytes, *, lease: str) -> None:
         """Write a key under a lease."""
         self._call()
@@ -175,11 +202,13 @@
         return True
 
     async def create_lease(self, ttl_s: float) -> Lease:
-        """Create a lease; it lasts until it is ended."""
+        """Create a lease."""
         self._call()
         name = str(self._next_lease)
         self._next_lease += 1
         self._leases[name] = set()
+        self._ttls[name] = ttl_s
+        self._expect_renewal(name)
         return Lease(name, ttl_s)
 
     async def renew_lease(self, lease: str) -> None:
@@ -187,6 +216,16 @@
         self._call()
         if lease not in self._leases:
             raise LeaseGoneError("No such lease.", remedy="Create another.")
+        self._expect_renewal(lease)
+
+    def _expect_renewal(self, lease: str) -> None:
+        """Let a lease lapse unless it is renewed within its time."""
+        if not self._has_expiry:
+            return
+        if lease in self._expiries:
+            self._expiries[lease].cancel()
+        loop = asyncio.get_running_loop()
+        self._expiries[lease] = loop.call_later(self._ttls[lease], self.lapse, lease)
 
     async def end_lease(self, lease: str) -> None:
         """End a lease."""
@@ -195,6 +234,8 @@
 
     def lapse(self, lease: str) -> None:
         """Let a lease lapse: its keys go."""
+        if lease in self._expiries:
+            self._expiries.pop(lease).cancel()
         for key in self._leases.pop(lease, set()):
             self.remove(key)
 
--- /dev/null
+++ b/halldoor/standins/modelentry.py
@@ -0,0 +1,211 @@
+"""The parts of an entry that keep it in step with the store and with other entries."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING, Any, Protocol, cast
+
+from halldoor.core.settings import Address
+from halldoor.core.targets.catalog import Catalog, CatalogTimings
+from halldoor.core.targets.changes import Change, MemberGone, MemberRecord
+from halldoor.gateway.caller import Answer, CallerConnection, Head
+from halldoor.gateway.datagrams import DatagramPort
+from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.httpclient import HttpAnswer, HttpCallError, HttpClient
+from halldoor.gateway.maintenance import Maintenance
+from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.notices import NoticeSender
+from halldoor.gateway.plain import PlainCodec
+from halldoor.gateway.pool import TargetPool
+from halldoor.gateway.registration import Registration
+from halldoor.gateway.relay import ChangeFeed
+from halldoor.gateway.sync import StoreSync
+from halldoor.standins.modelnetwork import Node, Place, start_on
+from halldoor.standins.storelink import StoreLink
+
+if TYPE_CHECKING:
+    from halldoor.standins.storefleet import StoreFleet
+
+
+class NoLog:
+    """A log that counts what it is told."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+
+    def event(self, part: str, text: str, **fields: Any) -> None:
+        """Count an event."""
+        self.counts[f"{part}: {text}"] += 1
+
+
+class _Caller:
+    """The side of a poll that takes the answer."""
+
+    def __init__(self) -> None:
+        self.answer = Answer(500, [])
+
+    def send(self, answer: Answer) -> None:
+        """Take the answer."""
+        self.answer = answer
+
+
+class ModelClient:
+    """A client of another entry.
+
+    Parameters
+    ----------
+    own : Node, optional
+        The node that calls; None: one beside the entry that is called.
+    """
+
+    def __init__(self, fleet: StoreFleet, address: Address, own: Node | None = None) -> None:
+        self._fleet = fleet
+        self._address = address
+        self._own = own
+
+    async def call(
+        self, method: str, target: str, *, body: bytes = b"", timeout_s: float
+    ) -> HttpAnswer:
+        """Make one call."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._call(method, target)
+        except TimeoutError:
+            raise HttpCallError("no answer in time") from None
+
+    async def _call(self, method: str, target: str) -> HttpAnswer:
+        """Reach the other entry, if it is up."""
+        node = self._fleet.nodes[self._address.port]
+        own = self._own if self._own is not None else Node(node.place)
+        await self._fleet.network.travel(own, node)
+        entry = self._fleet.entries.get(self._address.port)
+        if entry is None or not entry.tasks:
+            raise HttpCallError("connection refused")
+        caller = _Caller()
+        head = Head(method.encode(), target.encode(), [], asyncio.get_running_loop().time())
+        answering = entry.serve(entry.feed.answer(cast(CallerConnection, caller), head))
+        await asyncio.wait([answering])
+        if answering.cancelled():
+            raise HttpCallError("connection reset")
+        answering.result()
+        self._fleet.handed_bytes += len(caller.answer.body)
+        await self._fleet.network.travel(node, own)
+        return HttpAnswer(caller.answer.status, caller.answer.body)
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+class ModelTransport:
+    """The way of an entry's datagrams to other entries."""
+
+    def __init__(self, fleet: StoreFleet, own: MemberRecord) -> None:
+        self._fleet = fleet
+        self._own = own
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram to the entry at an address."""
+        fleet, own = self._fleet, self._own.front
+        if address[1] in fleet.nodes:
+            sender, receiver = fleet.nodes[own.port], fleet.nodes[address[1]]
+            fleet.network.post(
+                sender, receiver, lambda: fleet.deliver(data, own, to_port=address[1])
+            )
+
+    def close(self) -> None:
+        """Close the port."""
+
+
+class Part(Protocol):
+    """A part of an entry that has a task."""
+
+    def run(self) -> Coroutine[Any, Any, None]:
+        """Run until cancelled."""
+
+
+class ModelEntry:
+    """The parts of an entry that keep it in step with the store.
+
+    Attributes
+    ----------
+    port, sender : DatagramPort, NoticeSender
+        Messages of and to other entries.
+    exchanges : list of Part
+        What runs beside the other tasks.
+    """
+
+    def __init__(self, fleet: StoreFleet, member: MemberRecord) -> None:
+        self.node = fleet.nodes[member.front.port] = Node(Place(member.hall, member.region))
+        self.link = StoreLink(fleet.server, self.node)
+        self.events = NoLog()
+        log = cast(EventLog, self.events)
+        self.catalog = Catalog(CatalogTimings(young_s=0.0))
+        codec, metrics = PlainCodec(), GatewayMetrics()
+        self.port = DatagramPort(None, is_entry=self.catalog.sharers.has_address, metrics=metrics)
+        self.port.connection_made(cast(asyncio.BaseTransport, ModelTransport(fleet, member)))
+        self.sender = NoticeSender(member, self.catalog, self.port)
+        self.feed = ChangeFeed(
+            self.link,
+            member,
+            self.catalog,
+            settings=fleet.settings,
+            batch_s=fleet.batch_s,
+            log=log,
+            metrics=metrics,
+            open_client=lambda a: cast(HttpClient, ModelClient(fleet, a, self.node)),
+        )
+        self.sync = StoreSync(
+            self.link,
+            codec,
+            self.catalog,
+            log=log,
+            metrics=metrics,
+            on_change=self._note_change,
+            feed=self.feed,
+        )
+        self.name = member.name
+        self.registration = Registration(
+            self.link,
+            codec,
+            member,
+            log=log,
+            metrics=metrics,
+            is_loaded=self.sync.is_loaded,
+            on_contact=lambda: self.catalog.note_contact(asyncio.get_running_loop().time()),
+            on_return=self.sync.restart,
+        )
+        self.maintenance = Maintenance(
+            self.catalog,
+            TargetPool(),
+            on_change=self._note_change,
+            on_stall=lambda: self.sync.confirm("the process stood still"),
+            log=log,
+        )
+        self.exchanges: list[Part] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self._serving: set[asyncio.Task[None]] = set()
+
+    def _note_change(self, change: Change) -> None:
+        """Write the own record again where it is gone."""
+        if isinstance(change, MemberGone) and change.name == self.name:
+            self.registration.note_gone()
+
+    def start(self) -> None:
+        """Start the tasks."""
+        parts: list[Part] = [self.sync, self.registration, self.maintenance, *self.exchanges]
+        self.tasks = [start_on(self.node, part.run()) for part in parts]
+
+    def serve(self, answering: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Answer a call of another entry."""
+        task = start_on(self.node, answering)
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+        return task
+
+    def stop(self) -> None:
+        """End the tasks at once, as a killed process does."""
+        for task in [*self.tasks, *self._serving]:
+            task.cancel()
+        self.tasks = []
--- /dev/null
+++ b/halldoor/standins/modelnetwork.py
@@ -0,0 +1,202 @@
+"""A network between entries and their store in virtual time, and the faults of its nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+from collections.abc import Callable, Coroutine, Generator
+from random import Random
+from typing import Any, NamedTuple
+
+CUT_CHECK_S = 0.05
+"""Period at which what waits behind a cut tries again, in seconds."""
+RETRANSMISSION_S = 0.2
+"""Time until a lost part of a call is sent again, in seconds; it doubles each time."""
+
+ATTEMPTS_MOST = 8
+"""Times that a lost part of a call is sent again."""
+
+
+class Place(NamedTuple):
+    """Where a node stands."""
+
+    hall: str
+    region: str
+
+
+class Delays(NamedTuple):
+    """One-way delays within a hall, within a region, and between regions, in seconds."""
+
+    hall_s: float = 0.004
+    region_s: float = 0.004
+    far_s: float = 0.004
+
+    def find(self, a: Place, b: Place) -> float:
+        """Return the delay between two places, in seconds."""
+        if a.region != b.region:
+            return self.far_s
+        return self.hall_s if a.hall == b.hall else self.region_s
+
+
+class Node:
+    """An entry or the store, as the network sees it.
+
+    Attributes
+    ----------
+    slow_s : float
+        Time until it turns to what arrives, in seconds.
+    loss : float
+        Share of the messages from and to it that is lost.
+    is_isolated : bool
+        Nothing reaches it, and nothing of its own reaches others.
+    """
+
+    def __init__(self, place: Place) -> None:
+        self.place = place
+        self.slow_s = 0.0
+        self.loss = 0.0
+        self.is_isolated = False
+        self._resumed: asyncio.Event | None = None
+        self._unread: list[Callable[[], None]] = []
+
+    @property
+    def is_suspended(self) -> bool:
+        """Whether nothing runs on it."""
+        return self._resumed is not None
+
+    def suspend(self, for_s: float) -> None:
+        """Let nothing run for a time, in seconds."""
+        if self._resumed is None:
+            self._resumed = asyncio.Event()
+            asyncio.get_running_loop().call_later(for_s, self._resume)
+
+    def _resume(self) -> None:
+        """Run on, and read what has arrived meanwhile."""
+        if self._resumed is not None:
+            self._resumed.set()
+            self._resumed = None
+        unread, self._unread = self._unread, []
+        for receive in unread:
+            receive()
+
+    async def wait_until_resumed(self) -> None:
+        """Wait while it is suspended."""
+        while self._resumed is not None:
+            await self._resumed.wait()
+
+    def receive(self, receive: Callable[[], None]) -> None:
+        """Receive a message, or keep it until the node runs on."""
+        if self.is_suspended:
+            self._unread.append(receive)
+        else:
+            receive()
+
+
+class Network:
+    """Delays, losses and cuts between nodes.
+
+    Parameters
+    ----------
+    delays : Delays
+        Delays without any fault.
+    """
+
+    def __init__(self, delays: Delays, random: Random) -> None:
+        self._delays = delays
+        self._random = random
+
+    async def travel(self, sender: Node, receiver: Node) -> None:
+        """Bring a part of a call over a connection: what is lost is sent again."""
+        delay_s = self._delays.find(sender.place, receiver.place)
+        for attempt in range(ATTEMPTS_MOST):
+            if not self._is_lost(sender, receiver):
+                break
+            delay_s += RETRANSMISSION_S * 2**attempt
+        await asyncio.sleep(delay_s + receiver.slow_s)
+        while sender.is_isolated or receiver.is_isolated:
+            await asyncio.sleep(CUT_CHECK_S)
+
+    def post(self, sender: Node, receiver: Node, receive: Callable[[], None]) -> None:
+        """Send a datagram, which may be lost."""
+        is_cut = sender.is_isolated or receiver.is_isolated
+        if is_cut or self._is_lost(sender, receiver):
+            return
+        delay_s = self._delays.find(sender.place, receiver.place) + receiver.slow_s
+        asyncio.get_running_loop().call_later(delay_s, receiver.receive, receive)
+
+    def _is_lost(self, sender: Node, receiver: Node) -> bool:
+        """Draw whether a message is lost."""
+        kept = (1 - sender.loss) * (1 - receiver.loss)
+        return kept < 1 and self._random.random() >= kept
+
+
+_node: contextvars.ContextVar[Node | None] = contextvars.ContextVar("node", default=None)
+
+
+class _NodeCoroutine(Coroutine[Any, Any, Any]):
+    """A coroutine that makes no step while its node is suspended."""
+
+    def __init__(self, inner: Coroutine[Any, Any, Any], node: Node) -> None:
+        self._inner = inner
+        self._node = node
+        self._steps = self._run()
+        self._has_started = False
+
+    def _run(self) -> Generator[Any, Any, Any]:
+        """Make the steps of the inner coroutine."""
+        error: BaseException | None = None
+        while True:
+            while self._node.is_suspended:
+                try:
+                    yield from self._node.wait_until_resumed().__await__()
+                except asyncio.CancelledError as exc:
+                    error = exc
+            try:
+                step = self._inner.send(None) if error is None else self._inner.throw(error)
+            except StopIteration as stop:
+                return stop.value
+            error = None
+            try:
+                yield step
+            except (Exception, asyncio.CancelledError) as exc:
+                # The task also throws the error of what was waited for.
+                error = exc
+
+    def send(self, value: Any) -> Any:
+        """Make a step."""
+        self._has_started = True
+        return self._steps.send(value)
+
+    def throw(self, *error: Any) -> Any:
+        """Raise an error within."""
+        if not self._has_started:
+            self._inner.close()
+        return self._steps.throw(*error)
+
+    def close(self) -> None:
+        """End it."""
+        self._steps.close()
+        self._inner.close()
+
+    def __await__(self) -> Generator[Any, Any, Any]:
+        return self._steps
+
+
+def create_task(
+    loop: asyncio.AbstractEventLoop,
+    coroutine: Any,
+    *,
+    context: contextvars.Context | None = None,
+) -> asyncio.Task[Any]:
+    """Create a task that stands still with its node; a task factory of event loops."""
+    node = _node.get() if context is None else context.get(_node)
+    if node is not None:
+        coroutine = _NodeCoroutine(coroutine, node)
+    return asyncio.Task(coroutine, loop=loop, context=context)
+
+
+def start_on(node: Node, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+    """Start a task, and all tasks that it starts, on a node."""
+    context = contextvars.copy_context()
+    context.run(_node.set, node)
+    return asyncio.get_running_loop().create_task(coroutine, context=context)
--- a/halldoor/standins/storefleet.py
+++ b/halldoor/standins/storefleet.py
@@ -8,220 +8,28 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Sequence
 from random import Random
-from typing import Any, cast
 
 import msgspec
 
 from halldoor.core.settings import Address
-from halldoor.core.targets.catalog import Catalog, CatalogTimings
-from halldoor.core.targets.changes import MemberGone, MemberRecord
-from halldoor.core.targets.relay import RelaySettings
-from halldoor.gateway.caller import Answer, CallerConnection, Head
-from halldoor.gateway.eventlog import EventLog
-from halldoor.gateway.httpclient import HttpAnswer, HttpCallError, HttpClient
-from halldoor.gateway.maintenance import Maintenance
-from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.plain import PlainCodec, TargetModel
-from halldoor.gateway.pool import TargetPool
-from halldoor.gateway.registration import Registration
-from halldoor.gateway.relay import ChangeFeed
-from halldoor.gateway.store import Events, Lease, MetadataStore, Page, StoreError
-from halldoor.gateway.sync import StoreSync
+from halldoor.core.targets.changes import MemberRecord
+from halldoor.core.targets.relay import RelaySettings, choose_readers
+from halldoor.gateway.plain import TARGET_PREFIX, TargetModel
 from halldoor.standins.memorystore import MemoryStore, StoreCopy
+from halldoor.standins.modelentry import ModelClient, ModelEntry, NoLog
+from halldoor.standins.modelnetwork import Delays, Network, Node, Place, create_task
+from halldoor.standins.storelink import StoreLink, StoreServer
+
+__all__ = ["IP", "Address", "ModelClient", "ModelEntry", "NoLog", "StoreFleet", "StoreLink"]
 
-TRAVEL_S = 0.004
-"""Time of a message on its way, in seconds."""
 PAGE_ITEMS = 500
 """Items on a page of the store."""
+BATCH_S = 0.6
+"""Pause after changes of an entry that watches for itself alone, in seconds."""
 IP = "10.0.0.1"
-
-
-class NoLog:
-    """A log that counts what it is told."""
-
-    def __init__(self) -> None:
-        self.counts: Counter[str] = Counter()
-
-    def event(self, part: str, text: str, **fields: Any) -> None:
-        """Count an event."""
-        self.counts[f"{part}: {text}"] += 1
-
-
-class StoreLink(MetadataStore):
-    """One entry's way to the store; calls take time, and are counted by kind."""
-
-    def __init__(self, fleet: StoreFleet) -> None:
-        self._fleet = fleet
-        self.is_cut = False
-
-    async def _reach(self, kind: str) -> MemoryStore:
-        """Reach the store."""
-        self._fleet.calls.append((_now(), kind))
-        await asyncio.sleep(TRAVEL_S)
-        if self.is_cut:
-            raise StoreError("Cut off.", remedy="Mend the link.")
-        return self._fleet.store
-
-    async def _return(self, store: MemoryStore) -> None:
-        """Bring an answer back."""
-        era = store.era
-        await asyncio.sleep(TRAVEL_S)
-        self.era = era
-
-    async def read_range(self, prefix: str, *, after: str = "") -> Page:
-        """Read a page."""
-        store = await self._reach("range")
-        page = await store.read_range(prefix, after=after)
-        await self._return(store)
-        return page
-
-    async def watch(self, prefix: str, *, after: int, wait_s: float) -> Events:
-        """Wait for changes."""
-        store = await self._reach("watch")
-        try:
-            return await store.watch(prefix, after=after, wait_s=wait_s)
-        finally:
-            await self._return(store)
-
-    async def write(self, key: str, value: bytes, *, lease: str) -> None:
-        """Write a key under a lease."""
-        store = await self._reach("write")
-        await self._return(store)
-        await store.write(key, value, lease=lease)
-
-    async def claim(self, key: str, *, lease: str) -> bool:
-        """Write a key unless it is there."""
-        store = await self._reach("write")
-        await self._return(store)
-        return await store.claim(key, lease=lease)
-
-    async def create_lease(self, ttl_s: float) -> Lease:
-        """Create a lease."""
-        store = await self._reach("lease")
-        await self._return(store)
-        return await store.create_lease(ttl_s)
-
-    async def renew_lease(self, lease: str) -> None:
-        """Renew a lease; its price is a tenth of another call's."""
-        store = await self._reach("renewal")
-        await self._return(store)
-        await store.renew_lease(lease)
-
-    async def end_lease(self, lease: str) -> None:
-        """End a lease."""
-        store = await self._reach("lease")
-        await store.end_lease(lease)
-
-
-class _Caller:
-    """The side of a poll that takes the answer."""
-
-    def __init__(self) -> None:
-        self.answer = Answer(500, [])
-
-    def send(self, answer: Answer) -> None:
-        """Take the answer."""
-        self.answer = answer
-
-
-class ModelClient:
-    """A client of another entry."""
-
-    def __init__(self, fleet: StoreFleet, address: Address) -> None:
-        self._fleet = fleet
-        self._address = address
-
-    async def call(
-        self, method: str, target: str, *, body: bytes = b"", timeout_s: float
-    ) -> HttpAnswer:
-        """Make one call."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self._call(method, target)
-        except TimeoutError:
-            raise HttpCallError("no answer in time") from None
-
-    async def _call(self, method: str, target: str) -> HttpAnswer:
-        """Reach the other entry, if it is up."""
-        await asyncio.sleep(TRAVEL_S)
-        entry = self._fleet.entries.get(self._address.port)
-        if entry is None or not entry.tasks:
-            raise HttpCallError("connection refused")
-        caller = _Caller()
-        head = Head(method.encode(), target.encode(), [], _now())
-        await entry.feed.answer(cast(CallerConnection, caller), head)
-        self._fleet.handed_bytes += len(caller.answer.body)
-        await asyncio.sleep(TRAVEL_S)
-        return HttpAnswer(caller.answer.status, caller.answer.body)
-
-    def close(self) -> None:
-        """Close the connection."""
-
-
-class ModelEntry:
-    """The parts of an entry that keep it in step with the store."""
-
-    def __init__(self, fleet: StoreFleet, member: MemberRecord) -> None:
-        self.link = StoreLink(fleet)
-        self.events = NoLog()
-        log = cast(EventLog, self.events)
-        self.catalog = Catalog(CatalogTimings(young_s=0.0))
-        codec, metrics = PlainCodec(), GatewayMetrics()
-        self.feed = ChangeFeed(
-            self.link,
-            member,
-            self.catalog,
-            settings=fleet.settings,
-            batch_s=0.6,
-            log=log,
-            metrics=metrics,
-            open_client=lambda address: cast(HttpClient, ModelClient(fleet, address)),
-        )
-        self.sync = StoreSync(
-            self.link,
-            codec,
-            self.catalog,
-            log=log,
-            metrics=metrics,
-            on_change=self._note_change,
-            feed=self.feed,
-        )
-        self._name = member.name
-        self.registration = Registration(
-            self.link,
-            codec,
-            member,
-            log=log,
-            metrics=metrics,
-            is_loaded=self.sync.is_loaded,
-            on_contact=lambda: self.catalog.note_contact(_now()),
-            on_return=self.sync.restart,
-        )
-        self.maintenance = Maintenance(
-            self.catalog,
-            TargetPool(),
-            on_change=self._note_change,
-            on_stall=lambda: self.sync.confirm("the process stood still"),
-            log=log,
-        )
-        self.tasks: list[asyncio.Task[None]] = []
-
-    def _note_change(self, change: object) -> None:
-        """Write the own record again where it is gone."""
-        if isinstance(change, MemberGone) and change.name == self._name:
-            self.registration.note_gone()
-
-    def start(self) -> None:
-        """Start the tasks."""
-        parts = (self.sync.run(), self.registration.run(), self.maintenance.run())
-        self.tasks = [asyncio.ensure_future(part) for part in parts]
-
-    def stop(self) -> None:
-        """End the tasks at once, as a killed process does."""
-        for task in self.tasks:
-            task.cancel()
-        self.tasks = []
+SERVICE = "deck"
 
 
 class StoreFleet:
@@ -229,59 +37,123 @@
 
     Parameters
     ----------
-    entries, halls, targets : int
+    entries : int or sequence of int
+        How many there are, or how many there are in each hall.
+    halls, targets : int
         How many there are.
+    regions : int, optional
+        How many there are; halls are dealt out to them in turn, and the store is in the first hall.
     page_items : int, optional
         Items on a page of the store.
+    settings, batch_s : RelaySettings, float, optional
+        When entries read the store; see `ChangeFeed`.
+    delays, answer_s : Delays, float, optional
+        Time of messages on their way, and of the store for a call, in seconds.
+    has_expiry : bool, optional
+        Leases that are not renewed lapse.
 
     Attributes
     ----------
-    calls : list of tuple of float and str
-        Calls to the store: when, and of which kind.
+    server : StoreServer
+        The store on the network, and its faults.
+    nodes : dict of int to Node
+        Entries on the network by their port, and their faults.
     handed_bytes : int
         Bytes that entries answered each other.
     """
 
     def __init__(
-        self, *, entries: int, halls: int, targets: int, page_items: int = PAGE_ITEMS, seed: int = 1
+        self,
+        *,
+        entries: int | Sequence[int],
+        halls: int,
+        targets: int,
+        regions: int = 1,
+        page_items: int = PAGE_ITEMS,
+        seed: int = 1,
+        settings: RelaySettings | None = None,
+        batch_s: float = BATCH_S,
+        delays: Delays | None = None,
+        answer_s: float = 0.0,
+        has_expiry: bool = False,
     ) -> None:
-        self.store = MemoryStore(page_items=page_items)
+        self.store = MemoryStore(page_items=page_items, has_expiry=has_expiry)
         self.store.era = "0"
-        self.settings = RelaySettings()
-        self.calls: list[tuple[float, str]] = []
+        self.settings = settings if settings is not None else RelaySettings()
+        self.batch_s = batch_s
         self.handed_bytes = 0
-        self._random = Random(seed)
+        self.random = Random(seed)
+        self.network = Network(delays if delays is not None else Delays(), Random(seed))
+        self.nodes: dict[int, Node] = {}
+        self._regions = regions
+        self.server = StoreServer(
+            self.store,
+            Place("h0", "r0"),
+            self.network,
+            answer_s=answer_s,
+            random=Random(seed),
+        )
         for i in range(targets):
             self.write_target(i, f"h{i % halls}")
         self.entries: dict[int, ModelEntry] = {}
-        self._members = {
-            port: MemberRecord(
-                f"e{port}", Address(IP, port), f"h{port % halls}", "r", Address(IP, port)
-            )
-            for port in range(1, entries + 1)
-        }
+        places = (
+            [port % halls for port in range(1, entries + 1)]
+            if isinstance(entries, int)
+            else [hall for hall, count in enumerate(entries) for _ in range(count)]
+        )
+        self._members = {port: self._build_member(port, h) for port, h in enumerate(places, 1)}
+
+    def _build_member(self, port: int, hall: int) -> MemberRecord:
+        """Build an entry's record."""
+        address = Address(IP, port)
+        return MemberRecord(f"e{port}", address, f"h{hall}", f"r{hall % self._regions}", address)
+
+    @property
+    def calls(self) -> list[tuple[float, str]]:
+        """Calls to the store: when, and of which kind."""
+        return self.server.calls
 
     def configure(self, version: int) -> None:
         """Write a version of the configuration."""
         data = {"version": version, "routes": [], "services": []}
         self.store.put("routing", msgspec.json.encode(data))
 
-    def write_target(self, number: int, hall: str) -> None:
+    def write_target(self, number: int, hall: str, *, is_draining: bool = False) -> None:
         """Write a target's record."""
-        model = TargetModel(service="deck", address=Address(IP, 9), hall=hall, slots=6)
-        self.store.put(f"targets/t{number:05}", msgspec.json.encode(model))
+        model = TargetModel(
+            service=SERVICE, address=Address(IP, 9), hall=hall, slots=6, is_draining=is_draining
+        )
+        self.store.put(f"{TARGET_PREFIX}{name_target(number)}", msgspec.json.encode(model))
+
+    def remove_target(self, number: int) -> None:
+        """Remove a target's record."""
+        self.store.remove(f"{TARGET_PREFIX}{name_target(number)}")
 
     async def start(self, *, within_s: float) -> None:
         """Start every entry anew, at moments within a time."""
+        loop = asyncio.get_running_loop()
+        loop.set_task_factory(create_task)
         for port, member in self._members.items():
             if port in self.entries:
                 self.entries[port].stop()
             self.entries[port] = ModelEntry(self, member)
-        loop = asyncio.get_running_loop()
         for entry in self.entries.values():
-            loop.call_later(self._random.uniform(0.0, within_s), entry.start)
+            loop.call_later(self.random.uniform(0.0, within_s), entry.start)
         await asyncio.sleep(within_s)
 
+    def list_readers(self) -> list[int]:
+        """List the ports of the entries that read for others."""
+        halls = sorted({member.hall for member in self._members.values()})
+        members = self._members.values()
+        readers = [r for hall in halls for r in choose_readers(members, hall, self.settings)]
+        return [reader.front.port for reader in readers]
+
+    def deliver(self, data: bytes, sender: Address, *, to_port: int) -> None:
+        """Deliver a datagram to an entry, if it is up."""
+        entry = self.entries.get(to_port)
+        if entry is not None and entry.tasks:
+            entry.port.datagram_received(data, (sender.ip, sender.port))
+
     def replace(self, port: int) -> ModelEntry:
         """Kill an entry and start it anew."""
         self.entries[port].stop()
@@ -327,6 +199,11 @@
             entry.stop()
 
 
+def name_target(number: int) -> str:
+    """Return a target's name."""
+    return f"t{number:05}"
+
+
 def _now() -> float:
     """Return the loop's time."""
     return asyncio.get_running_loop().time()
--- /dev/null
+++ b/halldoor/standins/storelink.py
@@ -0,0 +1,163 @@
+"""One entry's way to the store of a model, with the faults of stores and of ways to them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Coroutine
+from contextlib import asynccontextmanager
+from random import Random
+from typing import Any
+
+from halldoor.gateway.store import Events, Lease, MetadataStore, Page, StoreError
+from halldoor.standins.memorystore import MemoryStore
+from halldoor.standins.modelnetwork import Network, Node, Place
+
+CALL_S = 1.0
+"""Longest wait for an answer, in seconds."""
+READ_S = 3.0
+"""Longest wait for a page of a range, in seconds."""
+
+
+class StoreServer:
+    """The store as a server on the network.
+
+    Parameters
+    ----------
+    answer_s : float
+        Time of its own for a call, in seconds.
+
+    Attributes
+    ----------
+    slowness : float
+        Factor of the time for a call.
+    refused : float
+        Share of the calls that are turned away.
+    calls : list of tuple of float and str
+        Calls: when, and of which kind.
+    """
+
+    def __init__(
+        self, store: MemoryStore, place: Place, network: Network, *, answer_s: float, random: Random
+    ) -> None:
+        self.store = store
+        self.node = Node(place)
+        self.network = network
+        self.slowness = 1.0
+        self.refused = 0.0
+        self.calls: list[tuple[float, str]] = []
+        self._answer_s = answer_s
+        self._random = random
+
+    async def accept(self, kind: str) -> None:
+        """Accept a call, or turn it away."""
+        self.calls.append((asyncio.get_running_loop().time(), kind))
+        await asyncio.sleep(self._answer_s * self.slowness)
+
+    def is_refused(self) -> bool:
+        """Draw whether a call is turned away."""
+        return self.refused > 0 and self._random.random() < self.refused
+
+
+class StoreLink(MetadataStore):
+    """One entry's way to the store; calls take time, and are counted by kind.
+
+    Attributes
+    ----------
+    is_cut : bool
+        Calls are refused on the way.
+    is_silent : bool
+        Nothing passes either way, and nobody is told.
+    """
+
+    def __init__(self, server: StoreServer, node: Node) -> None:
+        self._server = server
+        self._node = node
+        self.is_cut = False
+        self.is_silent = False
+        self._silenced = asyncio.Event()
+
+    def silence_watch(self) -> None:
+        """Lose the connection of the present watch without a word; later ones work."""
+        self._silenced.set()
+        self._silenced = asyncio.Event()
+
+    @asynccontextmanager
+    async def _call(self, kind: str, *, limit_s: float = CALL_S) -> AsyncIterator[MemoryStore]:
+        """Make a call: reach the store, and bring its answer or its error back."""
+        server = self._server
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._travel(self._node, server.node)
+                if self.is_cut:
+                    server.calls.append((asyncio.get_running_loop().time(), kind))
+                    raise StoreError("Cut off.", remedy="Mend the link.")
+                await server.accept(kind)
+                error: StoreError | None = None
+                try:
+                    if server.is_refused():
+                        raise StoreError("The store answered 429.", remedy="Call later.")
+                    yield server.store
+                except StoreError as exc:
+                    error = exc
+                era = server.store.era
+                await self._travel(server.node, self._node)
+                self.era = era
+                if error is not None:
+                    raise error
+        except TimeoutError:
+            raise StoreError(f"No answer to {kind}.", remedy="Check the store.") from None
+
+    async def _travel(self, sender: Node, receiver: Node) -> None:
+        """Pass one way."""
+        await self._server.network.travel(sender, receiver)
+        while self.is_silent:
+            await asyncio.sleep(CALL_S)
+
+    async def read_range(self, prefix: str, *, after: str = "") -> Page:
+        """Read a page."""
+        async with self._call("range", limit_s=READ_S) as store:
+            return await store.read_range(prefix, after=after)
+
+    async def watch(self, prefix: str, *, after: int, wait_s: float) -> Events:
+        """Wait for changes."""
+        async with self._call("watch", limit_s=wait_s + CALL_S) as store:
+            watch = store.watch(prefix, after=after, wait_s=wait_s)
+            return await self._listen(watch)
+
+    async def _listen(self, watch: Coroutine[Any, Any, Events]) -> Events:
+        """Wait for a watch, or for ever once its connection was lost."""
+        waiting = asyncio.ensure_future(watch)
+        silenced = asyncio.ensure_future(self._silenced.wait())
+        try:
+            await asyncio.wait([waiting, silenced], return_when=asyncio.FIRST_COMPLETED)
+            if silenced.done():
+                await asyncio.get_running_loop().create_future()
+            return waiting.result()
+        finally:
+            waiting.cancel()
+            silenced.cancel()
+
+    async def write(self, key: str, value: bytes, *, lease: str) -> None:
+        """Write a key under a lease."""
+        async with self._call("write") as store:
+            await store.write(key, value, lease=lease)
+
+    async def claim(self, key: str, *, lease: str) -> bool:
+        """Write a key unless it is there."""
+        async with self._call("write") as store:
+            return await store.claim(key, lease=lease)
+
+    async def create_lease(self, ttl_s: float) -> Lease:
+        """Create a lease."""
+        async with self._call("lease") as store:
+            return await store.create_lease(ttl_s)
+
+    async def renew_lease(self, lease: str) -> None:
+        """Renew a lease; its price is a tenth of another call's."""
+        async with self._call("renewal") as store:
+            await store.renew_lease(lease)
+
+    async def end_lease(self, lease: str) -> None:
+        """End a lease."""
+        async with self._call("lease") as store:
+            await store.end_lease(lease)
