Measure how long entries keep sending to a withdrawn target

Each bound of the relay was checked for one hop and one fault before; the whole way was not measured.

`python -m benchmarks.withdrawals` prints the table; names of faults as arguments choose the rows that have them all.

--- /dev/null
+++ b/benchmarks/withdrawals.py
@@ -0,0 +1,116 @@
+"""Time from the store's word that a target drains or is gone until the entries exclude it."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import sys
+import time
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from random import Random
+
+from benchmarks.common import format_table, get_percentile, write_result
+from halldoor.standins.storefaults import FAULTS
+from halldoor.standins.virtualtime import run
+from halldoor.standins.withdrawals import (
+    GROWN,
+    SMALL,
+    Deployment,
+    Times,
+    Way,
+    measure,
+    open_fleet,
+    start,
+)
+
+SEEDS = 4
+"""Withdrawals of each kind with each pair of faults."""
+WORKERS = 2
+TRAVEL_S = 0.3
+"""Part of the bound that is left for connecting and travelling, in seconds."""
+HEADER = [
+    "entries",
+    "faults",
+    "draining: first, median, p99, last, s",
+    "removal: first, median, p99, last, s",
+    "with a fault of their own: last, s",
+    "bound, s",
+    "over",
+]
+NOTE = f"""Entries in touch: without a fault of their own. Each row: {SEEDS} withdrawals by a record
+that says that the target drains, and {SEEDS} by the removal of its record, at random moments of the
+faults (`halldoor/standins/storefaults.py`). "inf": not within 6 s. "over": the last entry in touch
+excluded the target later than the bound less {TRAVEL_S} s for connecting and travelling. A target
+that is kept as a last resort isn't excluded."""
+
+
+def list_faults() -> Iterator[tuple[str, ...]]:
+    """List no fault, each fault, and each pair."""
+    for count in range(3):
+        yield from itertools.combinations(FAULTS, count)
+
+
+def measure_faults(deployment: Deployment, faults: Sequence[str]) -> dict[Way, Times]:
+    """Measure withdrawals while some faults act."""
+    times = {way: Times([], []) for way in Way}
+
+    async def measure_all() -> None:
+        fleet = open_fleet(deployment, seed=1)
+        await start(fleet)
+        for number, (seed, way) in enumerate(itertools.product(range(SEEDS), Way)):
+            random = Random(f"{seed} {way.value} {faults}")
+            got = await measure(fleet, number, way, faults, random)
+            times[way] = Times(times[way].in_touch + got.in_touch, times[way].others + got.others)
+        fleet.stop()
+        await asyncio.sleep(0.1)
+
+    run(measure_all())
+    return times
+
+
+def build_row(deployment: Deployment, faults: Sequence[str]) -> list[object]:
+    """Measure some faults and build their row."""
+    times = measure_faults(deployment, faults)
+    last = max(max(t.in_touch) for t in times.values())
+    others = [time for t in times.values() for time in t.others]
+    return [
+        sum(deployment.entries),
+        ", ".join(faults) or "none",
+        *(_format(times[way].in_touch) for way in Way),
+        f"{max(others):.2f}" if others else "",
+        deployment.bound_s,
+        "over" if last > deployment.bound_s - TRAVEL_S else "",
+    ]
+
+
+def _format(times: list[float]) -> str:
+    """Write the first, the median, the 99th percentile and the last."""
+    values = (min(times), get_percentile(times, 0.5), get_percentile(times, 0.99), max(times))
+    return ", ".join(f"{value:.2f}" for value in values)
+
+
+def main() -> None:
+    """Measure, and write the table; arguments choose the pairs that name them all."""
+    wanted = set(sys.argv[1:])
+    cases = [
+        (deployment, faults)
+        for deployment in (GROWN, *SMALL)
+        for faults in list_faults()
+        if wanted <= set(faults)
+    ]
+    began = time.monotonic()
+    rows = []
+    with ProcessPoolExecutor(WORKERS) as pool:
+        for row in pool.map(build_row, *zip(*cases, strict=True)):
+            rows.append(row)
+            print(*row, sep=" | ", flush=True)
+    print(f"{len(rows)} rows in {time.monotonic() - began:.0f} s")
+    if wanted:
+        print(format_table(HEADER, rows))
+    else:
+        write_result("withdrawals", __doc__ or "", format_table(HEADER, rows), NOTE)
+
+
+if __name__ == "__main__":
+    main()
--- a/halldoor/standins/storefleet.py
+++ b/halldoor/standins/storefleet.py
@@ -54,6 +54,8 @@
 
     Attributes
     ----------
+    targets : int
+        Targets that were there from the start.
     server : StoreServer
         The store on the network, and its faults.
     nodes : dict of int to Node
@@ -85,7 +87,8 @@
         self.random = Random(seed)
         self.network = Network(delays if delays is not None else Delays(), Random(seed))
         self.nodes: dict[int, Node] = {}
-        self._regions = regions
+        self.targets = targets
+        self._halls, self._regions = halls, regions
         self.server = StoreServer(
             self.store,
             Place("h0", "r0"),
@@ -94,7 +97,7 @@
             random=Random(seed),
         )
         for i in range(targets):
-            self.write_target(i, f"h{i % halls}")
+            self.write_target(i, self.find_hall(i))
         self.entries: dict[int, ModelEntry] = {}
         places = (
             [port % halls for port in range(1, entries + 1)]
@@ -118,10 +121,16 @@
         data = {"version": version, "routes": [], "services": []}
         self.store.put("routing", msgspec.json.encode(data))
 
-    def write_target(self, number: int, hall: str, *, is_draining: bool = False) -> None:
+    def find_hall(self, number: int) -> str:
+        """Return the hall of a target that was there from the start."""
+        return f"h{number % self._halls}"
+
+    def write_target(
+        self, number: int, hall: str, *, slots: int = 6, is_draining: bool = False
+    ) -> None:
         """Write a target's record."""
         model = TargetModel(
-            service=SERVICE, address=Address(IP, 9), hall=hall, slots=6, is_draining=is_draining
+            service=SERVICE, address=Address(IP, 9), hall=hall, slots=slots, is_draining=is_draining
         )
         self.store.put(f"{TARGET_PREFIX}{name_target(number)}", msgspec.json.encode(model))
 
--- a/halldoor/standins/storelink.py
+++ b/halldoor/standins/storelink.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
 from random import Random
@@ -17,6 +18,9 @@
 READ_S = 3.0
 """Longest wait for a page of a range, in seconds."""
 
+SILENT_MOST_S = 60.0
+"""Longer than any watch, in seconds."""
+
 
 class StoreServer:
     """The store as a server on the network.
@@ -75,9 +79,18 @@
         self.is_cut = False
         self.is_silent = False
         self._silenced = asyncio.Event()
-
-    def silence_watch(self) -> None:
-        """Lose the connection of the present watch without a word; later ones work."""
+        self._noticed_s = math.inf
+
+    def silence_watch(self, *, noticed_s: float = math.inf) -> None:
+        """Let the present watch hear nothing more; later ones work.
+
+        Parameters
+        ----------
+        noticed_s : float, optional
+            Time until the connection is found dead, in seconds; infinite where the store still
+            acknowledges what arrives on it.
+        """
+        self._noticed_s = noticed_s
         self._silenced.set()
         self._silenced = asyncio.Event()
 
@@ -125,13 +138,14 @@
             return await self._listen(watch)
 
     async def _listen(self, watch: Coroutine[Any, Any, Events]) -> Events:
-        """Wait for a watch, or for ever once its connection was lost."""
+        """Wait for a watch, or for the end of its connection once that is silent."""
         waiting = asyncio.ensure_future(watch)
         silenced = asyncio.ensure_future(self._silenced.wait())
         try:
             await asyncio.wait([waiting, silenced], return_when=asyncio.FIRST_COMPLETED)
             if silenced.done():
-                await asyncio.get_running_loop().create_future()
+                await asyncio.sleep(min(self._noticed_s, SILENT_MOST_S))
+                raise StoreError("The connection was lost.", remedy="Watch again.")
             return waiting.result()
         finally:
             waiting.cancel()
