Report how late entries learn of targets that leave

Users saw requests reach targets more than 3 s after the store had acknowledged that these drain, or their removal. The lines hold when each entry learnt it and how long each attempt took, but nothing joined them by target, and each entry's clock is its own.

`halldoor report` now lists each withdrawn target: the first entry that knew, how much later the others did, and the last request sent to it, with the time since its own entry knew. Clocks are compared by the collector's time before each line, where it is there. An entry that read everything as of that revision counts as told, since it writes no line of the target.

Not in the lines, so not in the table: the store's own moment of the acknowledgement (the first entry's line stands for it), requests whose caller left, and the successes that are not sampled.

Tests: halldoor/tests/test_withdrawals.py.

--- a/halldoor/core/explaining/history.py
+++ b/halldoor/core/explaining/history.py
@@ -22,6 +22,9 @@
         Part of the gateway that wrote it, the prefix of its sentence.
     at : float
         Steady clock of the entry that wrote it, in seconds.
+    collected_at : float or None
+        Clock of whoever collected the lines of all entries, in seconds, where a line begins with
+        it.
     """
 
     part: str
@@ -29,6 +32,7 @@
     entry: str
     at: float
     fields: dict[str, Any]
+    collected_at: float | None = None
 
 
 class Warmth(StrEnum):
@@ -60,7 +64,10 @@
 
 
 def parse_lines(lines: Iterable[str]) -> Iterator[LogLine]:
-    """Read log lines; what stands before the JSON is dropped, other lines are passed over."""
+    """Read log lines; of what stands before the JSON only a time is kept, in seconds.
+
+    Other lines are passed over.
+    """
     for line in lines:
         start = line.find("{")
         if start < 0:
@@ -73,7 +80,17 @@
             continue
         part, _, text = str(fields.pop("event")).partition(": ")
         entry = str(fields.pop("entry", ""))
-        yield LogLine(part, text, entry, float(fields.pop("at", 0.0)), fields)
+        at = float(fields.pop("at", 0.0))
+        yield LogLine(part, text, entry, at, fields, _parse_time(line[:start]))
+
+
+def _parse_time(prefix: str) -> float | None:
+    """Read the time that a collector put before a line, in seconds; None where there is none."""
+    words = prefix.split(maxsplit=1)
+    try:
+        return float(words[0]) if words else None
+    except ValueError:
+        return None
 
 
 def explain_request(lines: Iterable[LogLine], attempt_id: str) -> list[str]:
--- a/halldoor/core/explaining/report.py
+++ b/halldoor/core/explaining/report.py
@@ -9,6 +9,11 @@
 
 from halldoor.core.explaining.history import LogLine, date_lines, find_warmth
 from halldoor.core.explaining.moves import Moved, MoveTable, describe_moves
+from halldoor.core.explaining.withdrawals import (
+    Withdrawal,
+    WithdrawalTable,
+    describe_withdrawals,
+)
 
 WINDOW_S = 2.0
 """Length of a window of the table by moments, in seconds: about a short fault's."""
@@ -98,6 +103,7 @@
     reasons: list[tuple[str, str, int]]
     suspects: list[Suspect]
     moves: list[Moved]
+    withdrawals: list[Withdrawal]
 
 
 class _Request(NamedTuple):
@@ -111,9 +117,10 @@
 
 def build_report(lines: Iterable[LogLine]) -> Report:
     """Build the report of some log lines, of one entry or many."""
-    moves, requests = MoveTable(), []
+    moves, withdrawals, requests = MoveTable(), WithdrawalTable(), []
     for line, since_start_s in date_lines(lines):
         moves.add(line, since_start_s)
+        withdrawals.add(line)
         request = _read_request(line, since_start_s)
         if request is not None:
             requests.append(request)
@@ -125,6 +132,7 @@
         reasons=_count_reasons(requests),
         suspects=_list_suspects(requests),
         moves=moves.list_moves(),
+        withdrawals=withdrawals.list_withdrawals(),
     )
 
 
@@ -258,7 +266,9 @@
     left = sum(count for _, _, count in report.reasons[REASONS_SHOWN:])
     if left:
         lines.append(f"{left:>8}  for other reasons")
-    return lines + _describe_suspects(report.suspects) + describe_moves(report.moves)
+    lines += _describe_suspects(report.suspects)
+    lines += describe_moves(report.moves)
+    return lines + describe_withdrawals(report.withdrawals)
 
 
 def _describe_suspects(suspects: Sequence[Suspect]) -> list[str]:
--- /dev/null
+++ b/halldoor/tests/test_withdrawals.py
@@ -0,0 +1,112 @@
+"""How long targets that drain or are gone still get requests, from log lines."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from halldoor.core.explaining.history import parse_lines
+from halldoor.core.explaining.report import build_report, describe_report
+from halldoor.core.explaining.withdrawals import Sending
+
+STARTS = {"e1": 100.0, "e2": 5000.0, "e3": 70.0}
+"""Steady clocks of the entries at the collector's moment 0, in seconds."""
+
+
+def make_line(entry, at, event, **fields):
+    """Make a line as a collector writes it, the later the more it is behind."""
+    line = {"event": event, "at": STARTS[entry] + at, "entry": entry, **fields}
+    return at, f"{at:.3f} {entry} {json.dumps(line)}"
+
+
+def make_request(entry, ended, *attempts):
+    """Make the line of a request; attempts are target, result, time taken and to connect."""
+    names = ("target", "result", "took_ms", "connect_ms")
+    fields = [dict(zip(names, attempt, strict=True)) for attempt in attempts]
+    rest = {"service": "deck", "status": 200, "took_ms": 900, "stands_for": 1}
+    return make_line(entry, ended, "request: Ended.", attempts=fields, **rest)
+
+
+def build(*lines):
+    started = [make_line(entry, 0.0, "process: Started.") for entry in STARTS]
+    return build_report(parse_lines(text for _, text in sorted([*started, *lines])))
+
+
+def list_withdrawals(*lines):
+    return build(*lines).withdrawals
+
+
+class TestWithdrawals:
+    def test_entries_with_clocks_of_their_own_are_compared(self):
+        (found,) = list_withdrawals(
+            make_line("e2", 5.10, "targets: Draining.", target="t1", revision=7),
+            make_line("e1", 5.35, "targets: Draining.", target="t1", revision=7),
+            make_line("e2", 6.00, "targets: Gone.", target="t1", revision=9),
+            make_line("e3", 7.60, "targets: Draining.", target="t1", revision=7),
+            make_request("e3", 8.02, ("t1", "answered", 500, 20)),
+            make_request("e1", 5.50, ("t1", "answered", 300, 0)),
+        )
+        assert (found.first_entry, found.slowest, found.unaware) == ("e2", "e3", 0)
+        assert found.delays_s == pytest.approx([0.25, 2.5])
+        assert found.last is not None and found.last.entry == "e3"
+        assert found.last.after_s == pytest.approx(2.44)
+        assert found.last.own_s == pytest.approx(-0.06)
+
+    def test_an_entry_that_reads_all_again_knows(self):
+        read = make_line("e1", 7.0, "store: Read all.", revision=8)
+        old = make_line("e3", 7.0, "store: Read all.", revision=6)
+        drained = make_line("e2", 5.0, "targets: Draining.", target="t1", revision=7)
+        (found,) = list_withdrawals(drained, read, old)
+        assert found.delays_s == pytest.approx([2.0])
+        assert (found.unaware, found.last) == (1, None)
+
+    def test_only_the_attempt_at_the_target_counts(self):
+        (found,) = list_withdrawals(
+            make_line("e2", 5.0, "targets: Gone.", target="t1", revision=7),
+            make_request(
+                "e1",
+                7.0,
+                ("t1", "not reached", 400, 400),
+                ("t1", "failed", 300, 0),
+                ("t2", "", 200, 0),
+            ),
+            make_request("e1", 8.0, ("t1", "not reached", 10, 10)),
+        )
+        assert found.last == Sending("e1", pytest.approx(1.5), None)
+
+    def test_a_target_that_is_back_is_no_longer_withdrawn(self):
+        gone = make_line("e2", 5.0, "targets: Gone.", target="t1", revision=7)
+        back = make_line("e2", 6.0, "targets: Seen.", target="t1", revision=9)
+        again = make_line("e1", 20.0, "targets: Draining.", target="t1", revision=11)
+        request = make_request("e1", 9.0, ("t1", "answered", 100, 0))
+        late = make_request("e2", 22.0, ("t1", "answered", 100, 0))
+        late_one, early_one = list_withdrawals(gone, back, again, request, late)
+        assert (early_one.at_s, early_one.last) == (pytest.approx(5.0), None)
+        assert late_one.at_s == pytest.approx(20.0)
+        assert late_one.last == Sending("e2", pytest.approx(1.9), None)
+
+    def test_an_older_line_of_an_entry_that_lags_changes_nothing(self):
+        drained = make_line("e2", 5.0, "targets: Draining.", target="t1", revision=7)
+        seen = make_line("e1", 5.5, "targets: Seen.", target="t1", revision=6)
+        request = make_request("e1", 7.0, ("t1", "answered", 500, 0))
+        (found,) = list_withdrawals(drained, seen, request)
+        assert found.last is not None and found.last.after_s == pytest.approx(1.5)
+
+    def test_an_entry_that_started_later_is_not_awaited(self):
+        lines = [make_line("e2", 5.0, "targets: Draining.", target="t1", revision=7)]
+        lines += [make_line(e, 6.0, "process: Started.") for e in ("e1", "e3")]
+        lines += [make_line("e1", 6.5, "store: Read all.", revision=8)]
+        (found,) = list_withdrawals(*lines)
+        assert (found.delays_s, found.unaware) == ((), 2)
+
+    def test_the_latest_are_written(self):
+        told = describe_report(
+            build(
+                make_line("e2", 5.10, "targets: Draining.", target="t1", revision=7),
+                make_line("e3", 7.60, "targets: Draining.", target="t1", revision=7),
+                make_request("e3", 8.02, ("t1", "answered", 500, 20)),
+            )
+        )
+        assert "       1  got a request, the last one: median 2.44, p99 2.44, worst 2.44" in told
+        assert any("t1: first e2" in line and "0.06 s before it knew" in line for line in told)
