Log targets that a whole reading finds draining or gone

An entry whose history of the store was lost reads all records again, and wrote `store: Read all.` alone: its log could not say when it learnt that a target leaves, which is where the reported requests to such targets have to be looked for.

It now writes `targets: Draining.` and `targets: Gone.` as for a change, 100 lines at most and a count of the rest, since a whole fleet of targets may be gone at once. All others stay unwritten: every target is new to an entry that starts.

--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import (
@@ -40,6 +40,9 @@
 BACKOFF_LIMIT_S = 1.0
 """Longest pause after failed calls, in seconds: the store's return is noticed within it."""
 
+WITHDRAWALS_LOGGED = 100
+"""Draining or missing targets of a whole reading that are logged each; the rest is counted."""
+
 
 class StoreSync:
     """The task that reads the store.
@@ -150,11 +153,27 @@
         self._feed.begin(whole)
         self.is_loaded.set()
         self._log.event("store", "Read all.", revision=whole.revision, changes=len(applied))
+        self._log_reading(applied, whole.revision)
         for change in applied:
-            if isinstance(change, RoutingSeen):
-                self._log_change(change, whole.revision)
             self._on_change(change)
 
+    def _log_reading(self, applied: Sequence[Change], revision: int) -> None:
+        """Write what a whole reading changed that explains later requests.
+
+        Not every target: all of them are new to an entry that starts.
+        """
+        withdrawn = []
+        for change in applied:
+            if isinstance(change, RoutingSeen):
+                self._log_change(change, revision)
+            elif _is_withdrawal(change):
+                withdrawn.append(change)
+        for change in withdrawn[:WITHDRAWALS_LOGGED]:
+            self._log_change(change, revision)
+        if len(withdrawn) > WITHDRAWALS_LOGGED:
+            left = len(withdrawn) - WITHDRAWALS_LOGGED
+            self._log.event("targets", "More drain or are gone.", count=left, revision=revision)
+
     async def _read_whole(self) -> Whole:
         """Read everything: from an entry that is in step, or page by page from the store.
 
@@ -318,6 +337,17 @@
     return ""
 
 
+def _is_withdrawal(change: Change) -> bool:
+    """Check whether a change tells that a target drains or is gone."""
+    match change:
+        case TargetSeen(record):
+            return record.is_draining
+        case TargetGone():
+            return True
+        case _:
+            return False
+
+
 def _is_cancelling() -> bool:
     """Check whether the running task itself is being cancelled."""
     task = asyncio.current_task()
--- a/halldoor/tests/test_withdrawals.py
+++ b/halldoor/tests/test_withdrawals.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
+import msgspec
 import pytest
 
 from halldoor.core.explaining.history import parse_lines
 from halldoor.core.explaining.report import build_report, describe_report
 from halldoor.core.explaining.withdrawals import Sending
+from halldoor.core.settings import Address
+from halldoor.gateway.plain import TargetModel
+from halldoor.gateway.sync import WITHDRAWALS_LOGGED
+from halldoor.standins import virtualtime
+from halldoor.standins.storefleet import IP, StoreFleet
 
 STARTS = {"e1": 100.0, "e2": 5000.0, "e3": 70.0}
 """Steady clocks of the entries at the collector's moment 0, in seconds."""
@@ -110,3 +117,52 @@
         )
         assert "       1  got a request, the last one: median 2.44, p99 2.44, worst 2.44" in told
         assert any("t1: first e2" in line and "0.06 s before it knew" in line for line in told)
+
+
+def write_draining(fleet, number):
+    model = TargetModel(
+        service="deck", address=Address(IP, 9), hall="h0", slots=6, is_draining=True
+    )
+    fleet.store.put(f"targets/t{number:05}", msgspec.json.encode(model))
+
+
+async def lose_history(change, *, targets):
+    """Change a store whose history is then dropped; give each entry's counts of lines."""
+    fleet = StoreFleet(entries=3, halls=3, targets=targets)
+    fleet.configure(1)
+    await fleet.start(within_s=0.5)
+    await fleet.wait(1)
+    change(fleet)
+    fleet.store.forget_history()
+    await asyncio.sleep(2.0)
+    fleet.stop()
+    return [entry.events.counts for entry in fleet.entries.values()]
+
+
+class TestWholeReading:
+    def test_withdrawals_found_in_it_are_logged(self):
+        """The log did not say when an entry that read everything again knew of them."""
+
+        def change(fleet):
+            write_draining(fleet, 1)
+            fleet.store.remove("targets/t00002")
+
+        async def check():
+            for counts in await lose_history(change, targets=6):
+                assert counts["store: Its history is gone; reading all again."] == 1
+                assert counts["targets: Draining."] == counts["targets: Gone."] == 1
+                assert counts["targets: Seen."] == 0
+
+        virtualtime.run(check())
+
+    def test_lines_are_bounded(self):
+        def change(fleet):
+            for key in fleet.store.list_keys("targets/"):
+                fleet.store.remove(key)
+
+        async def check():
+            for counts in await lose_history(change, targets=WITHDRAWALS_LOGGED + 20):
+                assert counts["targets: Gone."] == WITHDRAWALS_LOGGED
+                assert counts["targets: More drain or are gone."] == 1
+
+        virtualtime.run(check())
