Log whether a removed target is taken for a lapse

A target whose record goes in the update with which the store returns is kept for 2 s as one that may come back, and gets the requests that no other target can take. Its log line was that of a target that is gone at once, and nothing was written when it was dropped, so a request that was sent after an entry knew could not be told from one that should not have been sent.

`targets: Gone.` has `is_lapsed`, and `targets: Did not come back.` marks the end. The test in TestWholeReading (halldoor/tests/test_withdrawals.py) fails without it.

--- a/halldoor/gateway/maintenance.py
+++ b/halldoor/gateway/maintenance.py
@@ -81,6 +81,7 @@
     def _drop_lapsed(self, now: float) -> None:
         """Drop what did not come back in time after the store did."""
         for name in self._catalog.drop_lapsed(now):
+            self._log.event("targets", "Did not come back.", target=name)
             self._on_change(TargetGone(name))
         for change in self._catalog.apply_postponed(now):
             self._on_change(change)
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -316,7 +316,10 @@
                     revision=revision,
                 )
             case TargetGone(incarnation):
-                event("targets", "Gone.", target=incarnation, revision=revision)
+                is_lapsed = incarnation in self._catalog.lapsed
+                event(
+                    "targets", "Gone.", target=incarnation, is_lapsed=is_lapsed, revision=revision
+                )
             case EvacuationSet(hall, is_evacuated):
                 text = "Hall evacuated." if is_evacuated else "Evacuation ended."
                 event("targets", text, hall=hall, revision=revision)
--- a/halldoor/standins/storefleet.py
+++ b/halldoor/standins/storefleet.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+from collections import Counter, deque
 from random import Random
 from typing import Any, cast
 
@@ -34,18 +34,22 @@
 """Time of a message on its way, in seconds."""
 PAGE_ITEMS = 500
 """Items on a page of the store."""
+LINES_KEPT = 100
+"""Log lines of an entry that are kept."""
 IP = "10.0.0.1"
 
 
 class NoLog:
-    """A log that counts what it is told."""
+    """A log that counts what it is told, and keeps the last lines."""
 
     def __init__(self) -> None:
         self.counts: Counter[str] = Counter()
+        self.lines: deque[tuple[str, str, dict[str, Any]]] = deque(maxlen=LINES_KEPT)
 
     def event(self, part: str, text: str, **fields: Any) -> None:
         """Count an event."""
         self.counts[f"{part}: {text}"] += 1
+        self.lines.append((part, text, fields))
 
 
 class StoreLink(MetadataStore):
--- a/halldoor/tests/test_withdrawals.py
+++ b/halldoor/tests/test_withdrawals.py
@@ -12,6 +12,7 @@
 from halldoor.core.explaining.report import build_report, describe_report
 from halldoor.core.explaining.withdrawals import Sending
 from halldoor.core.settings import Address
+from halldoor.core.targets.catalog import CatalogTimings
 from halldoor.gateway.plain import TargetModel
 from halldoor.gateway.sync import WITHDRAWALS_LOGGED
 from halldoor.standins import virtualtime
@@ -155,6 +156,33 @@
 
         virtualtime.run(check())
 
+    def test_a_removal_that_is_taken_for_a_lapse_is_logged_as_such(self):
+        """Nothing told a target that is kept for a while from one that gets no requests."""
+
+        async def check():
+            fleet = StoreFleet(entries=1, halls=1, targets=6)
+            fleet.configure(1)
+            await fleet.start(within_s=0.5)
+            await fleet.wait(1)
+            fleet.store.remove("targets/t00001")
+            await asyncio.sleep(1.0)
+            fleet.store.cut()
+            fleet.store.remove("targets/t00002")
+            await asyncio.sleep(0.5)
+            fleet.store.is_down = False
+            await asyncio.sleep(2 * CatalogTimings().settle_s)
+            (entry,) = fleet.entries.values()
+            fleet.stop()
+            lines = [line for line in entry.events.lines if line[0] == "targets"]
+            told = [(text, fields["target"], fields.get("is_lapsed")) for _, text, fields in lines]
+            assert told == [
+                ("Gone.", "t00001", False),
+                ("Gone.", "t00002", True),
+                ("Did not come back.", "t00002", None),
+            ]
+
+        virtualtime.run(check())
+
     def test_lines_are_bounded(self):
         def change(fleet):
             for key in fleet.store.list_keys("targets/"):
