Keep entries' clocks apart where log lines come in bundles

Of lines that an entry writes at once only the first has the collector's time before it. An entry whose start came without one was placed at the collector's moment 0, and all its later lines were shifted by the time of that start. Only lines with a time set the clock now.

The test fails without it: e1 was named as the first entry that knew.

--- a/halldoor/core/explaining/withdrawals.py
+++ b/halldoor/core/explaining/withdrawals.py
@@ -122,8 +122,6 @@
             # Lines may be collected late, and never early.
             offset = line.collected_at - line.at
             self._offsets[run] = min(self._offsets.get(run, math.inf), offset)
-        else:
-            self._offsets.setdefault(run, -line.at)
         self._began.setdefault(run, line.at)
         return run
 
@@ -147,8 +145,11 @@
         return sorted(found, key=_get_lateness, reverse=True)
 
     def _find_time(self, run: _Run, at: float) -> float:
-        """Find a moment on the lines' common clock, in seconds."""
-        return at + self._offsets[run]
+        """Find a moment on the lines' common clock, in seconds.
+
+        Without a collector's time it is the time since the process started.
+        """
+        return at + self._offsets.get(run, -self._began[run])
 
     def _find_periods(self, told: Sequence[_Told]) -> list[_Period]:
         """Find the times in which a target was withdrawn."""
--- a/halldoor/tests/test_withdrawals.py
+++ b/halldoor/tests/test_withdrawals.py
@@ -38,7 +38,8 @@
 
 def build(*lines):
     started = [make_line(entry, 0.0, "process: Started.") for entry in STARTS]
-    return build_report(parse_lines(text for _, text in sorted([*started, *lines])))
+    dated = sorted([*started, *lines], key=lambda line: line[0])
+    return build_report(parse_lines(text for _, text in dated))
 
 
 def list_withdrawals(*lines):
@@ -61,6 +62,17 @@
         assert found.last.after_s == pytest.approx(2.44)
         assert found.last.own_s == pytest.approx(-0.06)
 
+    def test_lines_that_were_collected_together_begin_with_one_time(self):
+        """A start without a time before its line shifted all later lines of its entry."""
+        at, started = make_line("e1", 4.0, "process: Started.")
+        (found,) = list_withdrawals(
+            (at, started[started.index("{") :]),
+            make_line("e1", 4.5, "store: Read all.", revision=6),
+            make_line("e2", 5.0, "targets: Draining.", target="t1", revision=7),
+            make_line("e1", 5.2, "targets: Draining.", target="t1", revision=7),
+        )
+        assert (found.first_entry, found.delays_s) == ("e2", (pytest.approx(0.2),))
+
     def test_an_entry_that_reads_all_again_knows(self):
         read = make_line("e1", 7.0, "store: Read all.", revision=8)
         old = make_line("e3", 7.0, "store: Read all.", revision=6)
