--- a/halldoor/standins/modelentry.py
+++ b/halldoor/standins/modelentry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
@@ -29,15 +29,21 @@
     from halldoor.standins.storefleet import StoreFleet
 
 
+LINES_KEPT = 100
+"""Log lines of an entry that are kept."""
+
+
 class NoLog:
-    """A log that counts what it is told."""
+    """A log that counts what it is told, and keeps the last lines."""
 
     def __init__(self) -> None:
         self.counts: Counter[str] = Counter()
+        self.lines: deque[tuple[str, str, dict[str, Any]]] = deque(maxlen=LINES_KEPT)
 
     def event(self, part: str, text: str, **fields: Any) -> None:
         """Count an event."""
         self.counts[f"{part}: {text}"] += 1
+        self.lines.append((part, text, fields))
 
 
 class _Caller:
