--- a/halldoor/standins/modelentry.py
+++ b/halldoor/standins/modelentry.py
@@ -21,6 +21,7 @@
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.registration import Registration
 from halldoor.gateway.relay import ChangeFeed
+from halldoor.gateway.storenotices import StoreNoticeExchange
 from halldoor.gateway.sync import StoreSync
 from halldoor.standins.modelnetwork import Node, Place, start_on
 from halldoor.standins.storelink import StoreLink
@@ -189,7 +190,18 @@
             on_stall=lambda: self.sync.confirm("the process stood still"),
             log=log,
         )
-        self.exchanges: list[Part] = []
+        notices = StoreNoticeExchange(
+            member,
+            self.catalog,
+            self.port,
+            get_view=lambda: self.sync.view,
+            hurry=self.feed.hurry,
+            renew_watch=self.sync.renew_watch,
+            log=log,
+            metrics=metrics,
+        )
+        self.sync.on_update.append(notices.note_update)
+        self.exchanges: list[Part] = [notices]
         self.tasks: list[asyncio.Task[None]] = []
         self._serving: set[asyncio.Task[None]] = set()
 
