Resume a whole reading at the page that failed

What callers saw: requests reached a draining target for as long as an entry read the store again, each failed or refused page adding the pages before it and a pause.

Cause: StoreSync._read_whole kept nothing of a reading that failed, and applied nothing before its last page.

Ruled out: one range for each kind of record (more calls); withdrawing what a page does not name (it may have lapsed while the store was away); applying a newer configuration early (its targets may be on a later page).

Draining targets and evacuations of a page are applied before the next page is asked for; evacuations and the configuration come on the first one by the order of keys. A page that was read ends the row of failures.

Tests in test_reading.py fail before.

--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -21,6 +21,7 @@
 from halldoor.gateway.handover import Whole
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.polls import ContactLostError, OtherEraError, Update
+from halldoor.gateway.reading import WholeReader
 from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.store import (
     HistoryGoneError,
@@ -72,6 +73,7 @@
         self._on_change = on_change
         self._feed = feed
         self._backoff = Backoff(feed.random)
+        self._reader = WholeReader(store, metrics=metrics, on_page=self._apply_withdrawals)
         self._revision: int | None = None
         self._era = ""
         self._last_revision = 0
@@ -122,6 +124,7 @@
         """Read the store anew, and let nobody rely on what is known until it was asked."""
         self.is_confirming = True
         self._revision = None
+        self._reader.clear()
         self.restart(cause)
 
     async def _follow_era(self) -> None:
@@ -159,35 +162,37 @@
         The first page of one that starts names the entries of its hall.  Whoever stood still asks
         the store itself.
         """
-        if self.is_loaded.is_set() and not self.is_confirming:
+        if self.is_loaded.is_set() and not self.is_confirming and not self._reader.has_pages:
             left = self._era if self._era != self._store.era else None
             whole = await self._feed.fetch_whole(WantedEra(self._store.era, left))
             if whole is not None:
                 return whole
-        began_at = asyncio.get_running_loop().time()
-        # One range over all keys, as in the watch: one by kind of record takes more calls.
-        page = await self._read_page(after="")
-        items, revision, era = list(page.items), page.revision, self._store.era
+        page = await self._reader.read_first()
         if page.has_more and not self.is_loaded.is_set():
-            seen = [c for c in map(self._decode, items) if isinstance(c, MemberSeen)]
+            seen = [c for c in map(self._decode, page.items) if isinstance(c, MemberSeen)]
             members = [change.member for change in seen]
             whole = await self._feed.fetch_whole(WantedEra(self._store.era), members)
             if whole is not None:
+                self._reader.clear()
                 return whole
-        while page.has_more and page.items:
-            page = await self._read_page(after=page.items[-1].key)
-            if self._store.era != era:
-                # Revisions of two copies can't be compared; the older may be given out again.
-                raise HistoryGoneError("The store was restored meanwhile.", remedy="Read again.")
-            items += page.items
-            revision = min(revision, page.revision)
-        return Whole(items, revision, era, began_at)
-
-    async def _read_page(self, *, after: str) -> Page:
-        """Read a page of the store."""
-        page = await self._store.read_range("", after=after)
-        self._metrics.add_store_call("range", "ok")
-        return page
+        return await self._reader.read_rest()
+
+    def _apply_withdrawals(self, page: Page, era: str) -> None:
+        """Apply what takes something out of use, before the other pages are read.
+
+        What a page does not name may be on another one, as may the targets of a newer
+        configuration; a page of another copy of the store may say what no longer holds.
+        """
+        self._backoff.reset()
+        if not self.is_loaded.is_set() or era != self._era:
+            return
+        now = asyncio.get_running_loop().time()
+        for change in map(self._decode, page.items):
+            if change is None or not is_withdrawal(change):
+                continue
+            if self._catalog.apply(change, now):
+                self._log_change(change, page.revision)
+                self._on_change(change)
 
     async def _watch(self, revision: int) -> None:
         """Wait for changes and apply them."""
@@ -305,6 +310,16 @@
                 event("membership", "Entry gone.", member=name, revision=revision)
 
 
+def is_withdrawal(change: Change) -> bool:
+    """Check whether a change takes a target or a hall out of use."""
+    match change:
+        case TargetSeen(record):
+            return record.is_draining
+        case EvacuationSet(_, is_evacuated):
+            return is_evacuated
+    return False
+
+
 def find_era_problem(before: str, era: str) -> str:
     """Return what is odd about the number of a copy; empty where it rose as it should."""
     if not era:
--- a/halldoor/tests/test_reading.py
+++ b/halldoor/tests/test_reading.py
@@ -7,13 +7,17 @@
 from random import Random
 
 import msgspec
+import pytest
 
 from halldoor.core.settings import Address
 from halldoor.gateway.backoff import BACKOFF_LIMIT_S, SPREAD_S, Backoff
 from halldoor.gateway.plain import TargetModel
+from halldoor.gateway.store import StoreError
 from halldoor.standins import virtualtime
 from halldoor.standins.storefleet import StoreFleet
 
+BOUND_S = 3.0
+"""Time from a record's writing to its effect at every entry, in seconds."""
 TRAVEL_S = 0.035
 """Time of a message between two regions, in seconds."""
 TARGETS = 130
@@ -61,6 +65,19 @@
     return wait_and_call
 
 
+def turn_away(entry, should_fail):
+    """Let pages fail as calls that the store turns away, by the key that they begin after."""
+    read_range = entry.link.read_range
+
+    async def read(prefix, *, after=""):
+        page = await read_range(prefix, after=after)
+        if should_fail(after):
+            raise StoreError("The store answered 429.", remedy="Call later.")
+        return page
+
+    entry.link.read_range = read
+
+
 async def lose_history(fleet):
     """Cut all watches, and forget what they would go on from."""
     fleet.store.cut()
@@ -69,7 +86,72 @@
     fleet.store.is_down = False
 
 
+def fail_first(kinds):
+    """Fail the first call of each of some kinds."""
+    left = list(kinds)
+
+    def should_fail(after):
+        kind = "rest" if after else "first"
+        if kind in left:
+            left.remove(kind)
+            return True
+        return False
+
+    return should_fail
+
+
 class TestLostHistory:
+    @pytest.mark.parametrize("failures", [["rest"], ["first", "rest"], ["rest", "rest"]])
+    def test_pages_before_a_failed_one_are_not_read_again(self, failures):
+        """Each page that was turned away cost all the pages before it."""
+
+        async def check():
+            async with open_fleet() as fleet:
+                (entry,) = fleet.entries.values()
+                turn_away(entry, fail_first(failures))
+                began = asyncio.get_running_loop().time()
+                drain(fleet, TARGETS - 1)
+                await lose_history(fleet)
+                await asyncio.sleep(BOUND_S)
+                assert is_draining(entry, TARGETS - 1)
+                ranges = fleet.count_calls(began, began + BOUND_S)["range"]
+                assert ranges == PAGES + len(failures)
+
+        virtualtime.run(check())
+
+    def test_a_draining_target_is_known_before_the_last_page(self):
+        """Requests went on to a target on a page read, while the store turned the next away."""
+
+        async def check():
+            async with open_fleet() as fleet:
+                (entry,) = fleet.entries.values()
+                turn_away(entry, bool)
+                drain(fleet, 0)
+                fleet.store.remove("targets/t00001")
+                await lose_history(fleet)
+                await asyncio.sleep(BOUND_S)
+                assert is_draining(entry, 0)
+                # A removal is known only once all pages are.
+                assert entry.catalog.find_target("t00001") is not None
+
+        virtualtime.run(check())
+
+    def test_pages_of_before_a_suspension_are_not_relied_on(self):
+        async def check():
+            async with open_fleet() as fleet:
+                (entry,) = fleet.entries.values()
+                turn_away(entry, fail_first(["rest"] * 3))
+                fleet.configure(2)
+                await lose_history(fleet)
+                await asyncio.sleep(0.2)
+                entry.sync.confirm("the process stood still")
+                began = asyncio.get_running_loop().time()
+                await asyncio.sleep(BOUND_S)
+                assert not entry.sync.is_confirming
+                assert entry.catalog.fresh_at >= began
+
+        virtualtime.run(check())
+
     def test_a_cut_watch_is_retried_at_once(self):
         """A pause of 0.25 s after the cut added to the time of the reading."""
 
