Pause between watches until a slot of the entry's own

What callers saw: requests reached a target up to 2.42 s after its record said that it drains, of 3.0 s allowed; 1.2 s of that were the pause after an unrelated change.

Cause: a change wakes the watches of all entries, which then pause for the same time. Nobody asks the store meanwhile, so that no entry can notify another one either.

Evidence: test_entries_are_not_deaf_at_once_after_a_change fails before: half a pause after the next change no entry knows it.

Why it works: slots of n entries are spread over the period, so that the first one learns after about an n-th of it, while an entry makes one call a period as before and is deaf for no longer than before without a notice.

--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -197,6 +197,24 @@
         )
 
 
+def find_slot_s(now: float, *, period_s: float, phase: float) -> float:
+    """Return the time until an entry's next slot for a watch, in seconds.
+
+    A change wakes the watches of all entries at once.  After pauses of one length they would be
+    deaf at once as well, and none of them could notify the others.
+
+    Parameters
+    ----------
+    period_s : float
+        Time between two slots, in seconds.
+    phase : float
+        Where this entry's slots lie within the period, from 0 to 1.
+    """
+    if period_s <= 0:
+        return 0.0
+    return period_s - (now - phase * period_s) % period_s
+
+
 def date_watch(*, sent_at: float, wait_s: float, returned_at: float, has_changes: bool) -> float:
     """Return the moment up to which a watch's answer includes every change.
 
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -25,6 +25,7 @@
     choose_reader,
     choose_readers,
     date_watch,
+    find_slot_s,
 )
 from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
@@ -69,7 +70,7 @@
     settings : RelaySettings
         When to follow a reader.
     batch_s : float
-        Pause after changes of an entry that watches for itself alone, in seconds.
+        Longest pause after changes of an entry that watches for itself alone, in seconds.
     open_client : callable, optional
         Opens a client of another entry.
 
@@ -110,7 +111,9 @@
         self._records = RecordTable()
         self._history: ChangeHistory[StoredItem] = ChangeHistory()
         self._has_news = asyncio.Event()
+        self._hurried = asyncio.Event()
         self.random = Random(own.name)
+        self._phase = self.random.random()
         self._substitute = SubstituteReader(
             own, catalog, settings=settings, log=log, metrics=metrics, open_client=open_client
         )
@@ -136,6 +139,7 @@
             Where the store can't be read.
         """
         self._choose()
+        self._hurried.clear()
         if not self.is_direct:
             try:
                 return await self._poll(revision)
@@ -151,8 +155,20 @@
 
     async def pause(self) -> None:
         """Let several changes make one call to the store."""
-        if self._had_changes and self.is_direct:
-            await asyncio.sleep(self.settings.pause_s if self._is_reader else self.batch_s)
+        if not (self._had_changes and self.is_direct):
+            return
+        pause_s = self.settings.pause_s
+        if not self._is_reader:
+            pause_s = find_slot_s(_now(), period_s=self.batch_s, phase=self._phase)
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._hurried.wait()
+        except TimeoutError:
+            return  # Nothing came up meanwhile.
+
+    def hurry(self) -> None:
+        """End the pause, or skip the next one: the store holds news that can't wait."""
+        self._hurried.set()
 
     def _choose(self) -> None:
         """Choose the reader to follow, once other entries are known than before."""
--- /dev/null
+++ b/halldoor/tests/test_pause.py
@@ -0,0 +1,93 @@
+"""Pauses between two watches of the store, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from halldoor.core.targets.relay import find_slot_s
+from halldoor.standins import virtualtime
+from halldoor.standins.storefleet import StoreFleet
+
+BATCH_S = 1.2
+CALL_S = 0.1
+"""Time in which a call to the store and back is over, in seconds."""
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(*, entries):
+    """Entries of halls without readers."""
+    fleet = StoreFleet(entries=entries, halls=entries // 2, targets=0)
+    fleet.configure(1)
+    await fleet.start(within_s=0.5)
+    for entry in fleet.entries.values():
+        entry.feed.batch_s = BATCH_S
+    await fleet.wait(1)
+    await asyncio.sleep(5.0)
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def list_informed(fleet, version):
+    return [e for e in fleet.entries.values() if e.catalog.configuration_version == version]
+
+
+def test_entries_are_not_deaf_at_once_after_a_change():
+    """A change woke all entries; none asked the store for the next 1.2 s, whatever happened."""
+
+    async def check():
+        async with open_fleet(entries=10) as fleet:
+            fleet.configure(2)
+            await fleet.wait(2)
+            fleet.configure(3)
+            # Each second part of the pause, with a notice, leaves most of any bound.
+            await asyncio.sleep(BATCH_S / 2)
+            assert list_informed(fleet, 3)
+            await asyncio.sleep(BATCH_S / 2 + CALL_S)
+            assert len(list_informed(fleet, 3)) == 10
+
+    virtualtime.run(check())
+
+
+def test_news_ends_the_pause():
+    async def check():
+        async with open_fleet(entries=10) as fleet:
+            fleet.configure(2)
+            await fleet.wait(2)
+            fleet.configure(3)
+            for entry in fleet.entries.values():
+                entry.feed.hurry()
+            await asyncio.sleep(CALL_S)
+            assert len(list_informed(fleet, 3)) == 10
+
+    virtualtime.run(check())
+
+
+def test_changes_cost_no_more_calls_than_one_in_a_pause():
+    async def check():
+        async with open_fleet(entries=10) as fleet:
+            began = asyncio.get_running_loop().time()
+            for version in range(2, 62):
+                fleet.configure(version)
+                await asyncio.sleep(BATCH_S / 6)
+            calls = fleet.count_calls(began, began + 10 * BATCH_S)
+            # The first watch waited already.
+            assert calls["watch"] <= 10 * (10 + 1)
+
+    virtualtime.run(check())
+
+
+@given(
+    now=st.floats(0.0, 1e6),
+    period_s=st.floats(0.01, 10.0),
+    phase=st.floats(0.0, 1.0, exclude_max=True),
+)
+def test_a_slot_comes_within_the_period(now, period_s, phase):
+    pause_s = find_slot_s(now, period_s=period_s, phase=phase)
+    assert 0.0 <= pause_s <= period_s
+    assert find_slot_s(now, period_s=0.0, phase=phase) == 0.0
