Divide the bound among the parts of news' whole way

Cause: pauses, ages, waits and time-outs were planned one hop and one fault at a time, in four files, and none knew of the others. On paper a follower whose reader is silent and whose history is lost took 2.5 s of a bound of 2 s: it asked the silent reader for all records, with 0.8 s to wait.

Change: core/targets/relay.py names the parts (Budget) and the ways on which news comes (CHAINS); a property test adds each way up for bounds of 2 to 10 s. The pause of an entry that watches for itself and the wait for a handover derive from the bound there. A reader that did not answer a poll is not asked for all records. A poll sent late has no more time for its answer than its follower's knowledge has left, 0.1 s at least.

Why it works: the sums leave room for the request itself, and a part that grows fails the test of every way that it is on.

--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -24,6 +24,10 @@
 
 BATCHES_KEPT = 64
 """Batches of changes that an entry keeps for its followers: 20 s at three a second."""
+OWN_PAUSE_SHARE = 0.42
+"""Part of the bound between two slots of an entry that watches for itself alone."""
+OWN_PAUSE_LIMIT_S = 1.3
+"""Longest time between two slots, in seconds: new targets are wanted too."""
 QUIET_SHARE = 0.25
 """Part of the bound that a reader's watch waits for changes: each return is a proof."""
 BUSY_SHARE = 0.15
@@ -36,6 +40,107 @@
 Above the shares before, which add up to the age that a sound reader's proof may reach; the rest
 of the bound is left for a poll's answer and the entry's own call to the store.
 """
+HANDOVER_SHARE = 0.15
+"""Part of the bound that a reader waits for the copy of the store that it is asked for."""
+ROUND_TRIP_S = 0.07
+"""Time of a message to another region and back, in seconds."""
+RETRY_S = 0.05
+"""Longest pause before the first retry of a call to the store, in seconds: entries that lost a
+call together retry at different moments."""
+READING_S = 0.25
+"""Time in which all records are read, in seconds: a few pages, each a round trip."""
+
+
+class Budget(NamedTuple):
+    """Parts of the way from a change of the store to the last request that ignores it.
+
+    Each is the longest time that it takes, in seconds.
+
+    Attributes
+    ----------
+    own_pause_s : float
+        An entry that watches for itself pauses.
+    reader_pause_s : float
+        A reader pauses.
+    age_s : float
+        A follower relies on a reader that is lost.
+    handover_s : float
+        A follower waits for all records of its reader, in vain.
+    connect_s, call_s : float
+        A connection to the store is opened, and a call answered.
+    retry_s : float
+        The first retry is put off.
+    poll_s : float
+        A poll's answer comes in: within a hall.
+    reading_s : float
+        All records are read.
+    request_s : float
+        A request that was sent just before opens its connection, and arrives.
+    """
+
+    own_pause_s: float
+    reader_pause_s: float
+    age_s: float
+    handover_s: float
+    connect_s: float = ROUND_TRIP_S
+    call_s: float = ROUND_TRIP_S
+    retry_s: float = RETRY_S
+    poll_s: float = 0.1 * ROUND_TRIP_S
+    reading_s: float = READING_S
+    request_s: float = 1.5 * ROUND_TRIP_S
+
+    def add_up(self, chain: Sequence[str]) -> float:
+        """Return the time that a chain of parts takes, in seconds."""
+        return sum(getattr(self, f"{part}_s") for part in chain)
+
+
+_CUT = ("call", "retry", "connect", "call")
+"""A watch is cut, and another one opened."""
+_REFUSED = ("retry", "call")
+"""A call is refused, and made once more."""
+_LOST_HISTORY = (*_CUT, "retry", "reading")
+"""The watch that is opened after a cut finds the history lost."""
+_LOST_READER = ("age", "connect", "call")
+"""A follower watches the store itself."""
+CHAINS = {
+    "own watch": ("own_pause", "call", "request"),
+    "own watch, cut": ("own_pause", *_CUT, "request"),
+    "own watch, cut and refused": ("own_pause", *_CUT, *_REFUSED, "request"),
+    "own watch, history lost": ("own_pause", *_LOST_HISTORY, "request"),
+    "own watch, history lost, refused": ("own_pause", *_LOST_HISTORY, *_REFUSED, "request"),
+    "reader": ("reader_pause", "call", "poll", "request"),
+    "reader, cut": ("reader_pause", *_CUT, "poll", "request"),
+    "reader, history lost": ("reader_pause", *_LOST_HISTORY, "poll", "request"),
+    "reader, history lost, refused": (
+        "reader_pause",
+        *_LOST_HISTORY,
+        *_REFUSED,
+        "poll",
+        "request",
+    ),
+    "reader left behind, no handover": (
+        "reader_pause",
+        *_LOST_HISTORY,
+        "poll",
+        "connect",
+        "call",
+        "retry",
+        "handover",
+        "reading",
+        "request",
+    ),
+    "lost reader": (*_LOST_READER, "request"),
+    "lost reader, refused": (*_LOST_READER, *_REFUSED, "request"),
+    "lost reader, history lost": (*_LOST_READER, "retry", "reading", "request"),
+    "lost reader, history lost, refused": (
+        *_LOST_READER,
+        "retry",
+        "reading",
+        *_REFUSED,
+        "request",
+    ),
+}
+"""Ways of news to an entry, by what goes wrong on them: the parts one after the other."""
 
 
 class RelaySettings(NamedTuple):
@@ -55,7 +160,8 @@
     answer_s : float
         Time for a poll's answer beyond its wait, in seconds: hundreds of round trips in a hall.
     poll_at_least_s : float
-        Shortest wait of a poll, in seconds, so that a reader without news is not asked in a loop.
+        Shortest wait of a poll, in seconds, so that a reader without news is not asked in a loop;
+        and the shortest time for its answer.
     contact_limit_s : float
         Time without any answer of the store after which an entry follows any other that has
         contact, in seconds: two renewals of its lease have failed by then.
@@ -82,6 +188,26 @@
         """Pause of a reader after changes, in seconds."""
         return PAUSE_SHARE * self.bound_s
 
+    @property
+    def own_pause_s(self) -> float:
+        """Time between two slots of an entry that watches for itself alone, in seconds."""
+        return min(OWN_PAUSE_LIMIT_S, OWN_PAUSE_SHARE * self.bound_s)
+
+    @property
+    def handover_wait_s(self) -> float:
+        """Time for a reader to read the copy of the store that is asked for, in seconds."""
+        return HANDOVER_SHARE * self.bound_s
+
+    @property
+    def budget(self) -> Budget:
+        """How the bound is divided among the parts of a way."""
+        return Budget(
+            own_pause_s=self.own_pause_s,
+            reader_pause_s=self.pause_s,
+            age_s=self.age_limit_s,
+            handover_s=self.handover_wait_s + self.answer_s,
+        )
+
     def find_watch_s(self, *, is_after_changes: bool) -> float:
         """Return how long a reader's watch waits for changes, in seconds."""
         return (BUSY_SHARE if is_after_changes else QUIET_SHARE) * self.bound_s
@@ -90,6 +216,11 @@
         """Return how long a poll may wait for news, in seconds, by the age of the last proof."""
         return max(self.poll_at_least_s, self.age_limit_s - age_s - self.answer_s)
 
+    def find_answer_s(self, age_s: float) -> float:
+        """Return the time for a poll's answer beyond its wait, in seconds."""
+        left_s = self.age_limit_s - age_s - self.find_poll_s(age_s)
+        return min(self.answer_s, max(self.poll_at_least_s, left_s))
+
 
 def choose_readers(
     members: Iterable[MemberRecord], hall: str, settings: RelaySettings
--- a/halldoor/gateway/backoff.py
+++ b/halldoor/gateway/backoff.py
@@ -4,9 +4,8 @@
 
 from random import Random
 
-SPREAD_S = 0.05
-"""Longest pause before the first retry, in seconds: entries that lost a call together retry at
-different moments."""
+from halldoor.core.targets.relay import RETRY_S
+
 BACKOFF_S = 0.25
 """Pause after the second failure in a row, in seconds; it doubles up to `BACKOFF_LIMIT_S`."""
 BACKOFF_LIMIT_S = 1.0
@@ -32,7 +31,7 @@
 
     def draw_spread_s(self) -> float:
         """Draw the pause before a first retry, in seconds."""
-        return self._source.uniform(0.0, SPREAD_S)
+        return self._source.uniform(0.0, RETRY_S)
 
     def find_pause_s(self) -> float:
         """Record a failure, and return the pause after it, in seconds."""
--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -19,15 +19,16 @@
 from halldoor.gateway.store import StoredItem
 
 RECORDS_PATH = "/records"
-HANDOVER_WAIT_S = 0.5
-"""Time for a reader to read the copy of the store that is asked for, in seconds: several times as
-long as that takes."""
 
 
 class ReaderLostError(Exception):
     """The reader can't be relied on now; watch the store."""
 
 
+class ReaderSilentError(ReaderLostError):
+    """The reader does not answer; nothing else is to be asked of it now."""
+
+
 class Whole(NamedTuple):
     """All records of the store, as of a revision.
 
@@ -107,13 +108,13 @@
         return msgspec.msgpack.encode(HandedRecords(self._encoded, self._revision, self.era, age_s))
 
 
-async def ask_for_whole(client: HttpClient, wanted: WantedEra, *, answer_s: float) -> Whole:
+async def ask_for_whole(client: HttpClient, wanted: WantedEra, *, timeout_s: float) -> Whole:
     """Ask an entry for all records.
 
     Parameters
     ----------
-    answer_s : float
-        Time for the answer beyond the entry's own wait for the store, in seconds.
+    timeout_s : float
+        Time for the answer, the entry's own wait for the store included, in seconds.
 
     Raises
     ------
@@ -123,11 +124,9 @@
     query = {name: era for name, era in wanted._asdict().items() if era is not None}
     sent_at = asyncio.get_running_loop().time()
     try:
-        answer = await client.call(
-            "GET", f"{RECORDS_PATH}?{urlencode(query)}", timeout_s=HANDOVER_WAIT_S + answer_s
-        )
+        answer = await client.call("GET", f"{RECORDS_PATH}?{urlencode(query)}", timeout_s=timeout_s)
     except HttpCallError as exc:
-        raise ReaderLostError(str(exc)) from exc
+        raise ReaderSilentError(str(exc)) from exc
     if answer.status != 200:
         raise ReaderLostError(f"it answered {answer.status}")
     try:
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from halldoor.core.targets.relay import date_poll
-from halldoor.gateway.handover import ReaderLostError
+from halldoor.gateway.handover import ReaderLostError, ReaderSilentError
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.gateway.store import Events, StoredItem
 
@@ -123,7 +123,7 @@
             "GET", f"{PATH}?{urlencode(query)}", timeout_s=poll.wait_s + answer_s
         )
     except HttpCallError as exc:
-        raise ReaderLostError(str(exc)) from exc
+        raise ReaderSilentError(str(exc)) from exc
     if answer.status == OTHER_ERA:
         raise OtherEraError
     if answer.status != 200:
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -30,9 +30,9 @@
 from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.handover import (
-    HANDOVER_WAIT_S,
     RECORDS_PATH,
     ReaderLostError,
+    ReaderSilentError,
     RecordTable,
     Whole,
     ask_for_whole,
@@ -145,6 +145,8 @@
                 return await self._poll(revision)
             except ReaderLostError as exc:
                 self.leave_reader(str(exc))
+                if isinstance(exc, ReaderSilentError):
+                    self._no_handover_until = self._direct_until
         if not self.has_contact:
             update = await self._substitute.poll(revision, self._records.era)
             if update is not None:
@@ -240,11 +242,11 @@
         if self._client is None:
             self._client = self._open_client(self._reader.relay)
         sent_at = _now()
-        wait_s = self.settings.find_poll_s(sent_at - self._proven_at)
+        age_s = sent_at - self._proven_at
+        wait_s = self.settings.find_poll_s(age_s)
         poll = Poll(revision, wait_s, self._records.era)
-        update = await send_poll(
-            self._client, poll, sent_at=sent_at, answer_s=self.settings.answer_s
-        )
+        answer_s = self.settings.find_answer_s(age_s)
+        update = await send_poll(self._client, poll, sent_at=sent_at, answer_s=answer_s)
         self._check_age(update.proven_at)
         self._metrics.add_relayed(len(update.events.items), _now() - update.proven_at)
         return update
@@ -266,7 +268,8 @@
             return None
         client = self._open_client(reader.relay)
         try:
-            whole = await ask_for_whole(client, wanted, answer_s=self.settings.answer_s)
+            timeout_s = self.settings.budget.handover_s
+            whole = await ask_for_whole(client, wanted, timeout_s=timeout_s)
             self._check_age(whole.proven_at)
         except ReaderLostError as exc:
             self._metrics.add_relay_loss()
@@ -354,7 +357,7 @@
             self._metrics.add_bad_poll()
             caller.send(Answer(404, []))
             return
-        ends = _now() + HANDOVER_WAIT_S
+        ends = _now() + self.settings.handover_wait_s
         while not self._records.meets(wanted) and _now() < ends:
             await self._wait_for_news(ends - _now())
         if not self._records.meets(wanted):
--- a/halldoor/tests/test_reading.py
+++ b/halldoor/tests/test_reading.py
@@ -10,7 +10,8 @@
 import pytest
 
 from halldoor.core.settings import Address
-from halldoor.gateway.backoff import BACKOFF_LIMIT_S, SPREAD_S, Backoff
+from halldoor.core.targets.relay import RETRY_S
+from halldoor.gateway.backoff import BACKOFF_LIMIT_S, Backoff
 from halldoor.gateway.plain import TargetModel
 from halldoor.gateway.store import StoreError
 from halldoor.standins import virtualtime
@@ -161,18 +162,49 @@
                 delay(entry)
                 drain(fleet, 0)
                 await lose_history(fleet)
-                await asyncio.sleep(SPREAD_S + 2 * TRAVEL_S * (2 + PAGES) + SPREAD_S)
+                await asyncio.sleep(RETRY_S + 2 * TRAVEL_S * (2 + PAGES) + RETRY_S)
                 assert is_draining(entry, 0)
 
         virtualtime.run(check())
 
 
+@pytest.mark.parametrize("refusals", [0, 1])
+@pytest.mark.parametrize(("halls", "is_silent"), [(1, False), (1, True), (4, False)])
+def test_faults_together_stay_within_the_bound(halls, is_silent, refusals):
+    """A silent reader, a lost history and a refused page took 2.3 s of a bound of 2 s."""
+
+    async def check():
+        async with open_fleet(entries=16, halls=halls, targets=60) as fleet:
+            entries = list(fleet.entries.values())
+            bound_s = fleet.settings.bound_s
+            for entry in entries:
+                delay(entry)
+                turn_away(entry, fail_first(["rest"] * refusals))
+                entry.feed.batch_s = fleet.settings.own_pause_s
+            if is_silent:
+                (reader,) = [entry for entry in entries if entry.feed.is_direct]
+                reader.feed.answer = hang
+                entries.remove(reader)
+            fleet.configure(2)
+            await asyncio.sleep(2 * TRAVEL_S)
+            drain(fleet, 0)
+            await lose_history(fleet)
+            await asyncio.sleep(bound_s - fleet.settings.budget.request_s)
+            assert all(is_draining(entry, 0) for entry in entries)
+
+    virtualtime.run(check())
+
+
+async def hang(caller, head):
+    await asyncio.sleep(60.0)
+
+
 def test_only_the_first_retry_is_at_once():
     source = Random(1)
     backoff = Backoff(source)
-    assert backoff.find_pause_s() <= SPREAD_S
+    assert backoff.find_pause_s() <= RETRY_S
     assert [backoff.find_pause_s() for _ in range(4)] == [0.25, 0.5, 1.0, 1.0]
     for _ in range(5000):
         assert backoff.find_pause_s() == BACKOFF_LIMIT_S
     backoff.reset()
-    assert backoff.find_pause_s() <= SPREAD_S
+    assert backoff.find_pause_s() <= RETRY_S
--- a/halldoor/tests/test_relay.py
+++ b/halldoor/tests/test_relay.py
@@ -13,6 +13,7 @@
 from halldoor.core.settings import Address
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.relay import (
+    CHAINS,
     Batch,
     ChangeHistory,
     RelaySettings,
@@ -74,6 +75,20 @@
         assert settings.find_poll_s(age_s) <= max(settings.poll_at_least_s, settings.age_limit_s)
 
 
+class TestBudget:
+    @pytest.mark.parametrize("name", CHAINS)
+    @given(bound_s=st.floats(2.0, 10.0))
+    def test_the_parts_of_each_way_add_up_to_no_more_than_the_bound(self, name, bound_s):
+        """Each part was planned by itself: a lost reader and history took 2.5 s of a bound of 2."""
+        assert RelaySettings(bound_s=bound_s).budget.add_up(CHAINS[name]) <= bound_s
+
+    @given(bound_s=st.floats(0.5, 10.0), age_s=st.floats(0.0, 10.0))
+    def test_a_poll_ends_when_its_followers_knowledge_is_too_old(self, bound_s, age_s):
+        settings = RelaySettings(bound_s=bound_s)
+        ends_s = age_s + settings.find_poll_s(age_s) + settings.find_answer_s(age_s)
+        assert ends_s <= max(settings.age_limit_s, age_s + 2 * settings.poll_at_least_s) + 1e-9
+
+
 class TestChangeHistory:
     @given(
         sizes=st.lists(st.integers(0, 3), min_size=1, max_size=20),
