--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -10,6 +10,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Iterable
+from random import Random
 
 import msgspec
 
@@ -24,13 +25,14 @@
     choose_reader,
     choose_readers,
     date_watch,
+    find_slot_s,
 )
 from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.handover import (
-    HANDOVER_WAIT_S,
     RECORDS_PATH,
     ReaderLostError,
+    ReaderSilentError,
     RecordTable,
     Whole,
     ask_for_whole,
@@ -68,9 +70,14 @@
     settings : RelaySettings
         When to follow a reader.
     batch_s : float
-        Pause after changes of an entry that watches for itself alone, in seconds.
+        Longest pause after changes of an entry that watches for itself alone, in seconds.
     open_client : callable, optional
         Opens a client of another entry.
+
+    Attributes
+    ----------
+    random : random.Random
+        Spreads this entry's calls, so that they differ from other entries'.
     """
 
     def __init__(
@@ -105,6 +112,8 @@
         self._history: ChangeHistory[StoredItem] = ChangeHistory()
         self._has_news = asyncio.Event()
         self._hurried = asyncio.Event()
+        self.random = Random(own.name)
+        self._phase = self.random.random()
         self._substitute = SubstituteReader(
             own, catalog, settings=settings, log=log, metrics=metrics, open_client=open_client
         )
@@ -136,6 +145,8 @@
                 return await self._poll(revision)
             except ReaderLostError as exc:
                 self.leave_reader(str(exc))
+                if isinstance(exc, ReaderSilentError):
+                    self._no_handover_until = self._direct_until
         if not self.has_contact:
             update = await self._substitute.poll(revision, self._records.era)
             if update is not None:
@@ -148,14 +159,17 @@
         """Let several changes make one call to the store."""
         if not (self._had_changes and self.is_direct):
             return
+        pause_s = self.settings.pause_s
+        if not self._is_reader:
+            pause_s = find_slot_s(_now(), period_s=self.batch_s, phase=self._phase)
         try:
-            async with asyncio.timeout(self.settings.pause_s if self._is_reader else self.batch_s):
+            async with asyncio.timeout(pause_s):
                 await self._hurried.wait()
         except TimeoutError:
             return  # Nothing came up meanwhile.
 
     def hurry(self) -> None:
-        """End the pause: there is news."""
+        """End the pause, or skip the next one: the store holds news that can't wait."""
         self._hurried.set()
 
     def _choose(self) -> None:
@@ -228,11 +242,11 @@
         if self._client is None:
             self._client = self._open_client(self._reader.relay)
         sent_at = _now()
-        wait_s = self.settings.find_poll_s(sent_at - self._proven_at)
+        age_s = sent_at - self._proven_at
+        wait_s = self.settings.find_poll_s(age_s)
         poll = Poll(revision, wait_s, self._records.era)
-        update = await send_poll(
-            self._client, poll, sent_at=sent_at, answer_s=self.settings.answer_s
-        )
+        answer_s = self.settings.find_answer_s(age_s)
+        update = await send_poll(self._client, poll, sent_at=sent_at, answer_s=answer_s)
         self._check_age(update.proven_at)
         self._metrics.add_relayed(len(update.events.items), _now() - update.proven_at)
         return update
@@ -254,7 +268,8 @@
             return None
         client = self._open_client(reader.relay)
         try:
-            whole = await ask_for_whole(client, wanted, answer_s=self.settings.answer_s)
+            timeout_s = self.settings.budget.handover_s
+            whole = await ask_for_whole(client, wanted, timeout_s=timeout_s)
             self._check_age(whole.proven_at)
         except ReaderLostError as exc:
             self._metrics.add_relay_loss()
@@ -342,7 +357,7 @@
             self._metrics.add_bad_poll()
             caller.send(Answer(404, []))
             return
-        ends = _now() + HANDOVER_WAIT_S
+        ends = _now() + self.settings.handover_wait_s
         while not self._records.meets(wanted) and _now() < ends:
             await self._wait_for_news(ends - _now())
         if not self._records.meets(wanted):
--- /dev/null
+++ b/halldoor/tests/test_reading.py
@@ -0,0 +1,210 @@
+"""Readings of the whole store, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from random import Random
+
+import msgspec
+import pytest
+
+from halldoor.core.settings import Address
+from halldoor.core.targets.relay import RETRY_S
+from halldoor.gateway.backoff import BACKOFF_LIMIT_S, Backoff
+from halldoor.gateway.plain import TargetModel
+from halldoor.gateway.store import StoreError
+from halldoor.standins import virtualtime
+from halldoor.standins.storefleet import StoreFleet
+
+BOUND_S = 3.0
+"""Time from a record's writing to its effect at every entry, in seconds."""
+TRAVEL_S = 0.035
+"""Time of a message between two regions, in seconds."""
+TARGETS = 130
+PAGES = 3
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(*, entries=1, halls=1, targets=TARGETS, page_items=50):
+    fleet = StoreFleet(entries=entries, halls=halls, targets=targets, page_items=page_items)
+    fleet.configure(1)
+    await fleet.start(within_s=0.5)
+    await fleet.wait(1)
+    await asyncio.sleep(2 * fleet.settings.direct_s)
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def drain(fleet, number, hall="h0"):
+    model = TargetModel(
+        service="deck", address=Address("10.0.0.1", 9), hall=hall, slots=6, is_draining=True
+    )
+    fleet.store.put(f"targets/t{number:05}", msgspec.json.encode(model))
+
+
+def is_draining(entry, number):
+    return entry.catalog.find_target(f"t{number:05}").is_draining
+
+
+def delay(entry):
+    """Put the store into another region."""
+    for name in ("read_range", "watch"):
+        setattr(entry.link, name, make_slow(getattr(entry.link, name)))
+
+
+def make_slow(call):
+    async def wait_and_call(*args, **options):
+        await asyncio.sleep(TRAVEL_S)
+        try:
+            return await call(*args, **options)
+        finally:
+            await asyncio.sleep(TRAVEL_S)
+
+    return wait_and_call
+
+
+def turn_away(entry, should_fail):
+    """Let pages fail as calls that the store turns away, by the key that they begin after."""
+    read_range = entry.link.read_range
+
+    async def read(prefix, *, after=""):
+        page = await read_range(prefix, after=after)
+        if should_fail(after):
+            raise StoreError("The store answered 429.", remedy="Call later.")
+        return page
+
+    entry.link.read_range = read
+
+
+async def lose_history(fleet):
+    """Cut all watches, and forget what they would go on from."""
+    fleet.store.cut()
+    fleet.store.forget_history()
+    await asyncio.sleep(0.001)
+    fleet.store.is_down = False
+
+
+def fail_first(kinds):
+    """Fail the first call of each of some kinds."""
+    left = list(kinds)
+
+    def should_fail(after):
+        kind = "rest" if after else "first"
+        if kind in left:
+            left.remove(kind)
+            return True
+        return False
+
+    return should_fail
+
+
+class TestLostHistory:
+    @pytest.mark.parametrize("failures", [["rest"], ["first", "rest"], ["rest", "rest"]])
+    def test_pages_before_a_failed_one_are_not_read_again(self, failures):
+        """Each page that was turned away cost all the pages before it."""
+
+        async def check():
+            async with open_fleet() as fleet:
+                (entry,) = fleet.entries.values()
+                turn_away(entry, fail_first(failures))
+                began = asyncio.get_running_loop().time()
+                drain(fleet, TARGETS - 1)
+                await lose_history(fleet)
+                await asyncio.sleep(BOUND_S)
+                assert is_draining(entry, TARGETS - 1)
+                ranges = fleet.count_calls(began, began + BOUND_S)["range"]
+                assert ranges == PAGES + len(failures)
+
+        virtualtime.run(check())
+
+    def test_a_draining_target_is_known_before_the_last_page(self):
+        """Requests went on to a target on a page read, while the store turned the next away."""
+
+        async def check():
+            async with open_fleet() as fleet:
+                (entry,) = fleet.entries.values()
+                turn_away(entry, bool)
+                drain(fleet, 0)
+                fleet.store.remove("targets/t00001")
+                await lose_history(fleet)
+                await asyncio.sleep(BOUND_S)
+                assert is_draining(entry, 0)
+                # A removal is known only once all pages are.
+                assert entry.catalog.find_target("t00001") is not None
+
+        virtualtime.run(check())
+
+    def test_pages_of_before_a_suspension_are_not_relied_on(self):
+        async def check():
+            async with open_fleet() as fleet:
+                (entry,) = fleet.entries.values()
+                turn_away(entry, fail_first(["rest"] * 3))
+                fleet.configure(2)
+                await lose_history(fleet)
+                await asyncio.sleep(0.2)
+                entry.sync.confirm("the process stood still")
+                began = asyncio.get_running_loop().time()
+                await asyncio.sleep(BOUND_S)
+                assert not entry.sync.is_confirming
+                assert entry.catalog.fresh_at >= began
+
+        virtualtime.run(check())
+
+    def test_a_cut_watch_is_retried_at_once(self):
+        """A pause of 0.25 s after the cut added to the time of the reading."""
+
+        async def check():
+            async with open_fleet() as fleet:
+                (entry,) = fleet.entries.values()
+                delay(entry)
+                drain(fleet, 0)
+                await lose_history(fleet)
+                await asyncio.sleep(RETRY_S + 2 * TRAVEL_S * (2 + PAGES) + RETRY_S)
+                assert is_draining(entry, 0)
+
+        virtualtime.run(check())
+
+
+@pytest.mark.parametrize("refusals", [0, 1])
+@pytest.mark.parametrize(("halls", "is_silent"), [(1, False), (1, True), (4, False)])
+def test_faults_together_stay_within_the_bound(halls, is_silent, refusals):
+    """A silent reader, a lost history and a refused page took 2.3 s of a bound of 2 s."""
+
+    async def check():
+        async with open_fleet(entries=16, halls=halls, targets=60) as fleet:
+            entries = list(fleet.entries.values())
+            bound_s = fleet.settings.bound_s
+            for entry in entries:
+                delay(entry)
+                turn_away(entry, fail_first(["rest"] * refusals))
+                entry.feed.batch_s = fleet.settings.own_pause_s
+            if is_silent:
+                (reader,) = [entry for entry in entries if entry.feed.is_direct]
+                reader.feed.answer = hang
+                entries.remove(reader)
+            fleet.configure(2)
+            await asyncio.sleep(2 * TRAVEL_S)
+            drain(fleet, 0)
+            await lose_history(fleet)
+            await asyncio.sleep(bound_s - fleet.settings.budget.request_s)
+            assert all(is_draining(entry, 0) for entry in entries)
+
+    virtualtime.run(check())
+
+
+async def hang(caller, head):
+    await asyncio.sleep(60.0)
+
+
+def test_only_the_first_retry_is_at_once():
+    source = Random(1)
+    backoff = Backoff(source)
+    assert backoff.find_pause_s() <= RETRY_S
+    assert [backoff.find_pause_s() for _ in range(4)] == [0.25, 0.5, 1.0, 1.0]
+    for _ in range(5000):
+        assert backoff.find_pause_s() == BACKOFF_LIMIT_S
+    backoff.reset()
+    assert backoff.find_pause_s() <= RETRY_S
