Add failing tests: a withdrawn target is excluded within the bound

Callers' requests reached targets that drained or were gone. Each step on the way of that news keeps to a part of the bound of 3 s, the sum does not. At 74 entries in three regions, in virtual time, with no entry at fault itself, these exclude the target later than the bound less 0.3 s:

- removal while the store's watches hear nothing for a second, history dropped: 26 entries, 2.79 s to over 3 s; the removal comes with the return and is kept as a lapse for 2 s more
- pause of 1.2 s after another change, then the gap, and a slow store: 20 entries over 3 s, whether the target drains or its record goes; with a store that turns most calls away: 48 to 51
- a watch after a pause is turned away: 5 to 8 entries (draining), 28 to 32 (removal)
- an entry whose own connection died takes its absence for the store's: 10
- a watch that the store forgot, on a connection that stands: 8

--- a/halldoor/standins/withdrawals.py
+++ b/halldoor/standins/withdrawals.py
@@ -17,7 +17,7 @@
 from halldoor.core.targets.relay import RelaySettings
 from halldoor.standins.modelnetwork import Delays
 from halldoor.standins.storefaults import FAULTS, Scene
-from halldoor.standins.storefleet import SERVICE, StoreFleet, name_target
+from halldoor.standins.storefleet import PAGE_ITEMS, SERVICE, StoreFleet, name_target
 
 LEAD_S = 4.0
 """Time before a withdrawal in which faults begin, in seconds."""
@@ -72,13 +72,14 @@
     others: list[float]
 
 
-def open_fleet(deployment: Deployment, seed: int) -> StoreFleet:
+def open_fleet(deployment: Deployment, seed: int, *, page_items: int = PAGE_ITEMS) -> StoreFleet:
     """Build the entries and the store of a deployment."""
     return StoreFleet(
         entries=deployment.entries,
         halls=len(deployment.entries),
         regions=deployment.regions,
         targets=deployment.targets,
+        page_items=page_items,
         seed=seed,
         settings=RelaySettings(bound_s=deployment.bound_s),
         batch_s=BATCH_SHARE * deployment.bound_s,
@@ -106,11 +107,8 @@
     for fault in faults:
         FAULTS[fault].schedule(scene, moment)
     await asyncio.sleep(LEAD_S)
-    if way is Way.DRAINING:
-        fleet.write_target(number, fleet.find_hall(number), is_draining=True)
-    else:
-        fleet.remove_target(number)
-    times = await _watch(fleet, name_target(number))
+    withdraw(fleet, number, way)
+    times = await watch_exclusion(fleet, name_target(number))
     await asyncio.sleep(RECOVERY_S)
     return Times(
         [time for port, time in times.items() if port not in scene.victims],
@@ -118,13 +116,23 @@
     )
 
 
-async def _watch(fleet: StoreFleet, target: str) -> dict[int, float]:
-    """Look at all entries, and return when each excluded a target for good."""
+def withdraw(fleet: StoreFleet, number: int, way: Way) -> None:
+    """Let the store take the record that a target drains, or its removal."""
+    if way is Way.DRAINING:
+        fleet.write_target(number, fleet.find_hall(number), is_draining=True)
+    else:
+        fleet.remove_target(number)
+
+
+async def watch_exclusion(
+    fleet: StoreFleet, target: str, *, for_s: float = WATCHED_S
+) -> dict[int, float]:
+    """Look at all entries for a time, and return when each excluded a target for good."""
     loop = asyncio.get_running_loop()
     began = loop.time()
     times = dict.fromkeys(fleet.entries, math.inf)
     seen: dict[int, tuple[Catalog, int, int]] = {}
-    while loop.time() < began + WATCHED_S:
+    while loop.time() < began + for_s:
         for port, entry in fleet.entries.items():
             catalog = entry.catalog
             state = (catalog, catalog.version, len(catalog.lapsed))
--- /dev/null
+++ b/halldoor/tests/test_withdrawal_bound.py
@@ -0,0 +1,116 @@
+"""Every entry in touch excludes a target that drains or is gone within the bound, whatever fails.
+
+At 74 entries in three regions, in virtual time; the bound runs from the store's acknowledgement.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from halldoor.standins import virtualtime, withdrawals
+from halldoor.standins.storefaults import DEAD_CONNECTION_S, SLOW_STORE
+from halldoor.standins.withdrawals import GROWN, Way
+
+TRAVEL_S = 0.3
+"""Part of the bound that is left for connecting and travelling, in seconds."""
+DEPLOYMENT = GROWN._replace(targets=72)
+PAGE_ITEMS = 80
+"""Items on a page of the store, so that all records are on two as in a large one."""
+LEAD_S = 1.0
+"""Time before the withdrawal in which faults begin, in seconds."""
+REFUSED = 0.6
+"""Share of the calls that the store turns away, so that some entries fail several times."""
+NUMBER = 5
+"""The target that is withdrawn."""
+
+
+def change_another_target(fleet):
+    """Let entries pause after a change that has nothing to do with the target."""
+    fleet.write_target(NUMBER + 1, fleet.find_hall(NUMBER + 1), slots=7)
+
+
+def open_gap(fleet):
+    fleet.store.open_gap()
+
+
+def close_gap(fleet):
+    fleet.store.close_gap()
+
+
+def slow_store(fleet):
+    fleet.server.slowness = SLOW_STORE
+
+
+def throttle_store(fleet):
+    fleet.server.refused = REFUSED
+
+
+def lose_connections(fleet):
+    """Let the connection of every third watch die; it is found dead two seconds later."""
+    for port in range(1, len(fleet.entries) + 1, 3):
+        fleet.entries[port].link.silence_watch(noticed_s=DEAD_CONNECTION_S)
+
+
+def stick_watches(fleet):
+    """Let every third watch hear nothing more, though its connection stands."""
+    for port in range(1, len(fleet.entries) + 1, 3):
+        fleet.entries[port].link.silence_watch()
+
+
+def assert_excluded_within_bound(way, *events, seed=1):
+    """Withdraw a target, with events at seconds after it, and check when it was excluded."""
+    times = {}
+
+    async def measure():
+        fleet = withdrawals.open_fleet(DEPLOYMENT, seed, page_items=PAGE_ITEMS)
+        await withdrawals.start(fleet)
+        moment = asyncio.get_running_loop().time() + LEAD_S
+        for at_s, begin in events:
+            asyncio.get_running_loop().call_at(moment + at_s, begin, fleet)
+        await asyncio.sleep(LEAD_S)
+        withdrawals.withdraw(fleet, NUMBER, way)
+        target = withdrawals.name_target(NUMBER)
+        times.update(await withdrawals.watch_exclusion(fleet, target, for_s=DEPLOYMENT.bound_s))
+        fleet.stop()
+
+    virtualtime.run(measure())
+    late = {port: round(s, 2) for port, s in times.items() if s > GROWN.bound_s - TRAVEL_S}
+    assert late == {}
+
+
+class TestStoreGap:
+    def test_removal_during_the_gap_is_not_kept_as_a_lapse(self):
+        # A removal that came while the watches heard nothing counted as a lapse for 2 s more.
+        events = [(-0.5, open_gap), (0.5, close_gap)]
+        assert_excluded_within_bound(Way.REMOVAL, *events)
+
+    @pytest.mark.parametrize(
+        ("way", "fault"),
+        [(Way.DRAINING, slow_store), (Way.REMOVAL, slow_store), (Way.DRAINING, throttle_store)],
+    )
+    def test_pause_after_another_change_then_a_gap(self, way, fault):
+        # Pause, deaf watch, back-off and whole reading each kept to the bound, their sum did not.
+        events = [(-1.0, fault), (-0.3, change_another_target), (0.9, open_gap), (1.9, close_gap)]
+        assert_excluded_within_bound(way, *events)
+
+
+class TestThrottledStore:
+    @pytest.mark.parametrize("way", Way)
+    def test_watch_after_a_pause_is_turned_away(self, way):
+        # Entries that watch for themselves alone paused, and then backed off up to a second a time.
+        events = [(-0.05, change_another_target), (0.05, throttle_store)]
+        assert_excluded_within_bound(way, *events, seed=2)
+
+
+class TestLostConnection:
+    def test_own_absence_is_not_taken_for_one_of_the_store(self):
+        # Entries whose connection had died kept a removed target, as if its record had lapsed.
+        assert_excluded_within_bound(Way.REMOVAL, (-0.8, lose_connections))
+
+
+class TestStuckWatch:
+    def test_watch_that_hears_nothing_is_not_relied_on(self):
+        # An entry that watches for itself alone waited 28 s for the answer.
+        assert_excluded_within_bound(Way.DRAINING, (-1.0, stick_watches))
