Keep the first watch after another one short

Cause: a store that is about to forget its history cuts the watches first. A watch that begins between the two is neither cut nor refused: it is answered at the next change alone, while renewals go on. Entries retry a cut watch within 0.05 s, so that most begin there.

Change: a watch that goes on from a cut one, from a poll or a lost reader waits for a tenth of the bound; when it has returned, watches wait as long as before. Costs one call for each loss.

Why it works: the next watch begins after the history is gone, and is told so at once.

--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -44,6 +44,11 @@
 """Part of the bound that a reader waits for the copy of the store that it is asked for."""
 ROUND_TRIP_S = 0.07
 """Time of a message to another region and back, in seconds."""
+RESUME_SHARE = 0.1
+"""Part of the bound that the first watch waits which goes on from another one, or from a poll.
+
+A store that is about to forget its history may take it, and answer it at its next change only.
+"""
 RETRY_S = 0.05
 """Longest pause before the first retry of a call to the store, in seconds: entries that lost a
 call together retry at different moments."""
@@ -208,6 +213,11 @@
             handover_s=self.handover_wait_s + self.answer_s,
         )
 
+    @property
+    def resume_s(self) -> float:
+        """Wait of a first watch, in seconds."""
+        return RESUME_SHARE * self.bound_s
+
     def find_watch_s(self, *, is_after_changes: bool) -> float:
         """Return how long a reader's watch waits for changes, in seconds."""
         return (BUSY_SHARE if is_after_changes else QUIET_SHARE) * self.bound_s
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -108,6 +108,7 @@
         self._no_handover_until = 0.0
         self._proven_at = -math.inf
         self._had_changes = False
+        self._is_resumed = False
         self._records = RecordTable()
         self._history: ChangeHistory[StoredItem] = ChangeHistory()
         self._has_news = asyncio.Event()
@@ -206,8 +207,12 @@
         if not self.has_contact:
             # It ends in time to look for a substitute again.
             wait_s = min(wait_s, self.settings.direct_s)
+        if not self._is_resumed:
+            wait_s = min(wait_s, self.settings.resume_s)
         sent_at = _now()
+        self._is_resumed = False
         events = await self._watch_in_contact(revision, wait_s)
+        self._is_resumed = True
         self._metrics.add_store_call("watch", "events" if events.items else "quiet")
         proven_at = date_watch(
             sent_at=sent_at,
@@ -241,6 +246,7 @@
         assert self._reader is not None and self._reader.relay is not None
         if self._client is None:
             self._client = self._open_client(self._reader.relay)
+        self._is_resumed = False
         sent_at = _now()
         age_s = sent_at - self._proven_at
         wait_s = self.settings.find_poll_s(age_s)
@@ -302,6 +308,7 @@
         """Begin a new history: everything up to a revision was read at once."""
         self._records.begin(whole)
         self._history = ChangeHistory()
+        self._is_resumed = True
         self._proven_at = whole.proven_at
         self._publish(Batch(whole.revision, whole.revision, [], False))
 
--- a/halldoor/standins/memorystore.py
+++ b/halldoor/standins/memorystore.py
@@ -95,12 +95,26 @@
         """Let watches hear of no change, until the gap is closed."""
         self.is_deaf = True
 
-    def close_gap(self) -> None:
-        """Forget the history that no watch has heard, and cut all that watch."""
-        self.is_deaf = False
+    def close_gap(self, *, forget_after_s: float = 0.0) -> None:
+        """Cut all that watch, and forget the history that no watch has heard.
+
+        Parameters
+        ----------
+        forget_after_s : float, optional
+            Time between the two, in seconds.  A watch that begins in it hears nothing until the
+            next change.
+        """
         self._cuts += 1
-        self.forget_history()
         self._wake()
+        if forget_after_s:
+            asyncio.get_running_loop().call_later(forget_after_s, self._end_gap)
+        else:
+            self._end_gap()
+
+    def _end_gap(self) -> None:
+        """Forget the history, and let watches that begin from now on hear of changes."""
+        self.is_deaf = False
+        self.forget_history()
 
     def copy(self) -> StoreCopy:
         """Copy all that it holds."""
--- a/halldoor/tests/test_withdrawal_bound.py
+++ b/halldoor/tests/test_withdrawal_bound.py
@@ -11,7 +11,7 @@
 
 from halldoor.standins import virtualtime, withdrawals
 from halldoor.standins.storefaults import DEAD_CONNECTION_S, SLOW_STORE
-from halldoor.standins.withdrawals import GROWN, Way
+from halldoor.standins.withdrawals import GROWN, SMALL, Way
 
 TRAVEL_S = 0.3
 """Part of the bound that is left for connecting and travelling, in seconds."""
@@ -22,6 +22,8 @@
 """Time before the withdrawal in which faults begin, in seconds."""
 REFUSED = 0.6
 """Share of the calls that the store turns away, so that some entries fail several times."""
+FORGET_S = 0.1
+"""Time between the cut of the watches and the loss of the history, in seconds."""
 NUMBER = 5
 """The target that is withdrawn."""
 
@@ -39,6 +41,10 @@
     fleet.store.close_gap()
 
 
+def close_gap_late(fleet):
+    fleet.store.close_gap(forget_after_s=FORGET_S)
+
+
 def slow_store(fleet):
     fleet.server.slowness = SLOW_STORE
 
@@ -59,12 +65,12 @@
         fleet.entries[port].link.silence_watch()
 
 
-def assert_excluded_within_bound(way, *events, seed=1):
+def assert_excluded_within_bound(way, *events, seed=1, deployment=DEPLOYMENT):
     """Withdraw a target, with events at seconds after it, and check when it was excluded."""
     times = {}
 
     async def measure():
-        fleet = withdrawals.open_fleet(DEPLOYMENT, seed, page_items=PAGE_ITEMS)
+        fleet = withdrawals.open_fleet(deployment, seed, page_items=PAGE_ITEMS)
         await withdrawals.start(fleet)
         moment = asyncio.get_running_loop().time() + LEAD_S
         for at_s, begin in events:
@@ -72,11 +78,11 @@
         await asyncio.sleep(LEAD_S)
         withdrawals.withdraw(fleet, NUMBER, way)
         target = withdrawals.name_target(NUMBER)
-        times.update(await withdrawals.watch_exclusion(fleet, target, for_s=DEPLOYMENT.bound_s))
+        times.update(await withdrawals.watch_exclusion(fleet, target, for_s=deployment.bound_s))
         fleet.stop()
 
     virtualtime.run(measure())
-    late = {port: round(s, 2) for port, s in times.items() if s > GROWN.bound_s - TRAVEL_S}
+    late = {port: round(s, 2) for port, s in times.items() if s > deployment.bound_s - TRAVEL_S}
     assert late == {}
 
 
@@ -95,6 +101,13 @@
         events = [(-1.0, fault), (-0.3, change_another_target), (0.9, open_gap), (1.9, close_gap)]
         assert_excluded_within_bound(way, *events)
 
+    @pytest.mark.parametrize("deployment", [DEPLOYMENT, *SMALL], ids=lambda d: d.name)
+    @pytest.mark.parametrize("way", Way)
+    def test_watches_that_begin_before_the_history_is_forgotten_hear_nothing(self, way, deployment):
+        # All entries opened another watch as soon as they were cut, and heard of no change by it.
+        events = [(-0.1, open_gap), (0.9, close_gap_late)]
+        assert_excluded_within_bound(way, *events, deployment=deployment)
+
 
 class TestThrottledStore:
     @pytest.mark.parametrize("way", Way)
