Hand followers the difference after a lost history

Cause: a reader that had read all again began a new history. Each follower's next poll failed, so that the follower left its reader for 3 s, watched the store, was told of the lost history, and took all records over, all followers at the same moment.

The regression test fails before.

Weighed: all records compressed (5 to 1, but all at once and after a failed poll); followers that read the store themselves (148 pages instead of 12).

Change: a reader keeps its history, and adds the difference between the records that it knew and those that it read, marked as a difference. Entries of an earlier version skip the mark; they apply a difference like any changes.

Why it works: a difference leads from the reader's revision to the one that was read. What came and went between the two is not in it, so that a follower that is between them, by a watch of its own, gets none and asks for all, as before; a property test builds such histories. Where the store came back from a copy, or the revision fell, nothing leads there and a new history begins.

--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -282,12 +282,16 @@
         The batch holds all changes after the first revision up to the second.
     is_return : bool
         The store had been away before.
+    is_difference : bool
+        What came and went between the two revisions is left out, so that it leads from the first
+        one alone to the second.
     """
 
     after: int
     revision: int
     items: Sequence[T]
     is_return: bool
+    is_difference: bool = False
 
 
 class ChangeHistory(Generic[T]):
@@ -304,7 +308,8 @@
         """Add a batch; one that does not follow the last begins a new history."""
         if self._batches and self._batches[-1].revision != batch.after:
             self._batches.clear()
-        if batch.items or not self._batches:
+        can_extend = self._batches and not self._batches[-1].is_difference
+        if batch.items or batch.is_difference or not can_extend:
             self._batches.append(batch)
         else:
             last = self._batches.pop()
@@ -320,11 +325,14 @@
         if not self._batches or after < self._batches[0].after:
             return None
         wanted = [batch for batch in self._batches if batch.revision > after]
+        if wanted and wanted[0].is_difference and wanted[0].after < after:
+            return None
         return Batch(
             after=after,
             revision=max(after, self._batches[-1].revision),
             items=[item for batch in wanted for item in batch.items],
             is_return=any(batch.is_return for batch in wanted),
+            is_difference=any(batch.is_difference for batch in wanted),
         )
 
 
--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from halldoor.core.targets.relay import WantedEra, date_poll
+from halldoor.core.targets.relay import Batch, WantedEra, date_poll
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.gateway.store import StoredItem
 
@@ -80,6 +80,16 @@
         self._records: dict[str, StoredItem] = {}
         self._encoded: msgspec.Raw | None = None
 
+    def find_difference(self, whole: Whole) -> Batch[StoredItem] | None:
+        """Return what leads from these records to all that was read; None where nothing does."""
+        before = self._revision
+        if before is None or self.era != whole.era or whole.revision < before:
+            return None
+        names = {item.key for item in whole.items}
+        items = [StoredItem(key, None) for key in self._records if key not in names]
+        items += [item for item in whole.items if self._records.get(item.key) != item]
+        return Batch(before, whole.revision, items, is_return=False, is_difference=True)
+
     def begin(self, whole: Whole) -> None:
         """Begin anew with all that was read."""
         self.era, self._revision = whole.era, whole.revision
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -36,6 +36,8 @@
         Time for which the poll was held, in seconds.
     is_return : bool
         The store had been away before some of these changes.
+    is_difference : bool
+        What came and went meanwhile may be left out.
     """
 
     items: list[StoredItem]
@@ -43,6 +45,7 @@
     age_s: float
     held_s: float
     is_return: bool
+    is_difference: bool = False
 
 
 class Update(NamedTuple):
@@ -56,12 +59,15 @@
         The store had been away before some of these changes.
     is_substitute : bool
         They came from an entry that took the place of the store.
+    is_difference : bool
+        What came and went meanwhile may be left out.
     """
 
     events: Events
     proven_at: float
     is_return: bool = False
     is_substitute: bool = False
+    is_difference: bool = False
 
 
 class Poll(NamedTuple):
@@ -133,4 +139,9 @@
     except msgspec.DecodeError as exc:
         raise ReaderLostError(f"its answer can't be read: {exc}") from exc
     proven_at = date_poll(sent_at=sent_at, held_s=changes.held_s, age_s=changes.age_s)
-    return Update(Events(changes.items, changes.revision), proven_at, changes.is_return)
+    return Update(
+        Events(changes.items, changes.revision),
+        proven_at,
+        changes.is_return,
+        is_difference=changes.is_difference,
+    )
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -298,9 +298,17 @@
 
     # What followers are told
 
-    def begin(self, whole: Whole) -> None:
-        """Begin a new history: everything up to a revision was read at once."""
+    def begin(self, whole: Whole, *, is_return: bool) -> None:
+        """Go on from all that was read at once.
+
+        Followers get the difference; of another copy of the store, they have to ask for all.
+        """
+        difference = self._records.find_difference(whole)
         self._records.begin(whole)
+        if difference is not None:
+            self._proven_at = max(self._proven_at, whole.proven_at)
+            self._publish(difference._replace(is_return=is_return))
+            return
         self._history = ChangeHistory()
         self._proven_at = whole.proven_at
         self._publish(Batch(whole.revision, whole.revision, [], False))
@@ -311,7 +319,15 @@
         self._had_changes = bool(events.items)
         self._proven_at = max(self._proven_at, update.proven_at)
         self._records.take(events.items, events.revision)
-        self._publish(Batch(after, events.revision, events.items, update.is_return))
+        self._publish(
+            Batch(
+                after,
+                events.revision,
+                events.items,
+                is_return=update.is_return,
+                is_difference=update.is_difference,
+            )
+        )
 
     def _publish(self, batch: Batch[StoredItem]) -> None:
         """Keep a batch, and wake the followers that wait for news or a proof."""
@@ -347,6 +363,7 @@
             age_s=now - self._proven_at,
             held_s=now - head.received_at,
             is_return=batch.is_return,
+            is_difference=batch.is_difference,
         )
         caller.send(Answer(200, [], msgspec.msgpack.encode(changes)))
 
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -141,14 +141,15 @@
         """Apply all records."""
         before = self._era
         is_restored = self.is_loaded.is_set() and before != whole.era
-        now = self._note_contact(is_return=self._is_away, heard_at=whole.proven_at)
+        is_return = self._is_away
+        now = self._note_contact(is_return=is_return, heard_at=whole.proven_at)
         changes = [c for c in map(self._decode, whole.items) if c is not None]
         applied = self._catalog.load(changes, now, is_restored=is_restored)
         if is_restored:
             self._log_era(before, whole)
         self._store.era = self._era = whole.era
         self._revision = self._last_revision = whole.revision
-        self._feed.begin(whole)
+        self._feed.begin(whole, is_return=is_return)
         self.is_loaded.set()
         self._log.event("store", "Read all.", revision=whole.revision, changes=len(applied))
         for change in applied:
--- a/halldoor/tests/test_reading.py
+++ b/halldoor/tests/test_reading.py
@@ -168,6 +168,32 @@
         virtualtime.run(check())
 
 
+def test_followers_of_a_reader_with_lost_history_get_the_difference():
+    """They left it for 3 s, asked the store, and each took half a megabyte over at once."""
+
+    async def check():
+        async with open_fleet(entries=16, halls=2) as fleet:
+            readers = [entry for entry in fleet.entries.values() if entry.feed.is_direct]
+            handed, began = fleet.handed_bytes, asyncio.get_running_loop().time()
+            drain(fleet, 0)
+            fleet.store.remove("targets/t00001")
+            await lose_history(fleet)
+            await asyncio.sleep(BOUND_S)
+            for entry in fleet.entries.values():
+                assert is_draining(entry, 0)
+                assert entry.feed.is_direct == (entry in readers)
+            # One page of the 3 that each of the others would have taken over.
+            assert fleet.handed_bytes - handed < 50 * 100 * (16 - len(readers))
+            calls = fleet.count_calls(began, began + BOUND_S)
+            assert calls["range"] == PAGES * len(readers)
+            await asyncio.sleep(2 * BOUND_S)
+            assert {len(entry.catalog.list_targets()) for entry in fleet.entries.values()} == {
+                TARGETS - 1
+            }
+
+    virtualtime.run(check())
+
+
 @pytest.mark.parametrize("refusals", [0, 1])
 @pytest.mark.parametrize(("halls", "is_silent"), [(1, False), (1, True), (4, False)])
 def test_faults_together_stay_within_the_bound(halls, is_silent, refusals):
--- a/halldoor/tests/test_relay.py
+++ b/halldoor/tests/test_relay.py
@@ -89,6 +89,10 @@
         assert ends_s <= max(settings.age_limit_s, age_s + 2 * settings.poll_at_least_s) + 1e-9
 
 
+def drop_removed(values):
+    return {key: value for key, value in values.items() if value is not None}
+
+
 class TestChangeHistory:
     @given(
         sizes=st.lists(st.integers(0, 3), min_size=1, max_size=20),
@@ -104,6 +108,45 @@
         assert set(range(at + 1, revision + 1)) <= set(batch.items)
         assert batch.revision == max(at, revision) and batch.items == sorted(batch.items)
 
+    @given(
+        steps=st.lists(
+            st.tuples(
+                st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from([None, 0, 1]))),
+                st.booleans(),
+            ),
+            min_size=1,
+            max_size=12,
+        ),
+    )
+    def test_a_difference_leads_no_follower_astray(self, steps):
+        """Also one ahead of its reader, which knows what came and went before the difference."""
+        table, states = {}, [{}]
+        history = ChangeHistory()
+        history.add(Batch(0, 0, [], False))
+        for changes, is_difference in steps:
+            after, before = len(states) - 1, dict(table)
+            for key, value in changes:
+                table[key] = value
+                states.append(dict(table))
+            items = changes
+            if is_difference:
+                items = [(k, v) for k, v in table.items() if before.get(k) != v]
+            history.add(Batch(after, len(states) - 1, items, False, is_difference))
+        for at, state in enumerate(states):
+            batch = history.collect(at)
+            assert batch is not None or any(is_difference for _, is_difference in steps)
+            if batch is not None:
+                assert drop_removed(state | dict(batch.items)) == drop_removed(table)
+
+    def test_a_follower_in_step_goes_on_after_a_difference(self):
+        history = ChangeHistory()
+        history.add(Batch(0, 5, ["a"], False))
+        history.add(Batch(5, 9, ["b"], False, is_difference=True))
+        history.add(Batch(9, 11, [], False))
+        assert history.collect(9) == Batch(9, 11, [], False)
+        assert history.collect(5).items == ["b"]
+        assert history.collect(7) is None
+
     def test_a_gap_begins_a_new_history(self):
         history = ChangeHistory()
         history.add(Batch(0, 5, ["a"], False))
