Compress the records that entries hand over

What callers saw: nothing yet; a release or a restored store makes all entries of a hall take all records over at once, on links that carry callers' requests and are as small as 10 Mbit/s.

Cause: records went as they are, some 200 bytes each.

The regression test fails before.

Change: an entry asks for compressed records, and its reader compresses them once for all that ask (zlib, level 1). One of an earlier version neither asks nor answers so; both understand each other.

--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import zlib
 from collections.abc import Iterable
 from typing import NamedTuple
 from urllib.parse import parse_qsl, urlencode, urlsplit
@@ -19,6 +20,9 @@
 from halldoor.gateway.store import StoredItem
 
 RECORDS_PATH = "/records"
+PACKED = "packed"
+"""Query field of an entry that takes compressed records."""
+PACK_LEVEL = 1
 
 
 class ReaderLostError(Exception):
@@ -52,7 +56,7 @@
     Attributes
     ----------
     items : msgspec.Raw
-        The records, as a list of `StoredItem`.
+        The records, as a list of `StoredItem`; or that list as bytes, compressed with zlib.
     era : str
         Which copy of the store the revision is of.
     age_s : float
@@ -78,7 +82,8 @@
         self.era = ""
         self._revision: int | None = None
         self._records: dict[str, StoredItem] = {}
-        self._encoded: msgspec.Raw | None = None
+        self._encoded: bytes | None = None
+        self._packed: bytes | None = None
 
     def find_difference(self, whole: Whole) -> Batch[StoredItem] | None:
         """Return what leads from these records to all that was read; None where nothing does."""
@@ -94,13 +99,17 @@
         """Begin anew with all that was read."""
         self.era, self._revision = whole.era, whole.revision
         self._records = {item.key: item for item in whole.items}
-        self._encoded = None
+        self._forget_encoded()
+
+    def _forget_encoded(self) -> None:
+        """Drop what was encoded of records that are no longer the same."""
+        self._encoded = self._packed = None
 
     def take(self, items: Iterable[StoredItem], revision: int) -> None:
         """Follow changes."""
         self._revision = revision
         for item in items:
-            self._encoded = None
+            self._forget_encoded()
             if item.value is None:
                 self._records.pop(item.key, None)
             else:
@@ -110,12 +119,18 @@
         """Check whether these are records of the copy of the store that is asked for."""
         return self._revision is not None and wanted.is_met_by(self.era)
 
-    def encode(self, age_s: float) -> bytes:
+    def encode(self, age_s: float, *, is_packed: bool) -> bytes:
         """Encode the answer to a question for all of them; something must have been read."""
         assert self._revision is not None
         if self._encoded is None:
-            self._encoded = msgspec.Raw(msgspec.msgpack.encode(list(self._records.values())))
-        return msgspec.msgpack.encode(HandedRecords(self._encoded, self._revision, self.era, age_s))
+            self._encoded = msgspec.msgpack.encode(list(self._records.values()))
+        items = self._encoded
+        if is_packed:
+            if self._packed is None:
+                self._packed = msgspec.msgpack.encode(zlib.compress(items, PACK_LEVEL))
+            items = self._packed
+        handed = HandedRecords(msgspec.Raw(items), self._revision, self.era, age_s)
+        return msgspec.msgpack.encode(handed)
 
 
 async def ask_for_whole(client: HttpClient, wanted: WantedEra, *, timeout_s: float) -> Whole:
@@ -132,6 +147,7 @@
         Where it can't give them.
     """
     query = {name: era for name, era in wanted._asdict().items() if era is not None}
+    query[PACKED] = "1"
     sent_at = asyncio.get_running_loop().time()
     try:
         answer = await client.call("GET", f"{RECORDS_PATH}?{urlencode(query)}", timeout_s=timeout_s)
@@ -141,8 +157,8 @@
         raise ReaderLostError(f"it answered {answer.status}")
     try:
         handed = msgspec.msgpack.decode(answer.body, type=HandedRecords)
-        items = msgspec.msgpack.decode(handed.items, type=list[StoredItem])
-    except msgspec.DecodeError as exc:
+        items = _decode_items(handed.items)
+    except (msgspec.DecodeError, zlib.error) as exc:
         raise ReaderLostError(f"its answer can't be read: {exc}") from exc
     if not wanted.is_met_by(handed.era):
         raise ReaderLostError(f"it knows copy {handed.era!r} of the store")
@@ -150,6 +166,19 @@
     return Whole(items, handed.revision, handed.era, proven_at)
 
 
+def _decode_items(data: bytes | msgspec.Raw) -> list[StoredItem]:
+    """Decode records, compressed or not."""
+    items = msgspec.msgpack.decode(data, type=list[StoredItem] | bytes)
+    if isinstance(items, bytes):
+        return msgspec.msgpack.decode(zlib.decompress(items), type=list[StoredItem])
+    return items
+
+
+def takes_packed(target: str) -> bool:
+    """Check whether a question for all records takes them compressed."""
+    return dict(parse_qsl(urlsplit(target).query)).get(PACKED) == "1"
+
+
 def parse_wanted_era(target: str) -> WantedEra | None:
     """Read a question for all records; None where the request target is none."""
     parts = urlsplit(target)
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from halldoor.core.targets.relay import date_poll
+from halldoor.core.targets.relay import Batch, date_poll
 from halldoor.gateway.handover import ReaderLostError, ReaderSilentError
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.gateway.store import Events, StoredItem
@@ -69,6 +69,16 @@
     is_substitute: bool = False
     is_difference: bool = False
 
+    def to_batch(self, after: int) -> Batch[StoredItem]:
+        """Return the changes after a revision, as followers are told of them."""
+        return Batch(
+            after=after,
+            revision=self.events.revision,
+            items=self.events.items,
+            is_return=self.is_return,
+            is_difference=self.is_difference,
+        )
+
 
 class Poll(NamedTuple):
     """A question for changes.
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -37,6 +37,7 @@
     Whole,
     ask_for_whole,
     parse_wanted_era,
+    takes_packed,
 )
 from halldoor.gateway.httpclient import HttpClient
 from halldoor.gateway.metrics import GatewayMetrics
@@ -319,15 +320,7 @@
         self._had_changes = bool(events.items)
         self._proven_at = max(self._proven_at, update.proven_at)
         self._records.take(events.items, events.revision)
-        self._publish(
-            Batch(
-                after,
-                events.revision,
-                events.items,
-                is_return=update.is_return,
-                is_difference=update.is_difference,
-            )
-        )
+        self._publish(update.to_batch(after))
 
     def _publish(self, batch: Batch[StoredItem]) -> None:
         """Keep a batch, and wake the followers that wait for news or a proof."""
@@ -380,7 +373,9 @@
         if not self._records.meets(wanted):
             caller.send(Answer(503, []))
             return
-        caller.send(Answer(200, [], self._records.encode(_now() - self._proven_at)))
+        is_packed = takes_packed(target)
+        body = self._records.encode(_now() - self._proven_at, is_packed=is_packed)
+        caller.send(Answer(200, [], body))
 
     async def _wait_for_news(self, wait_s: float) -> None:
         """Wait for the next update, with or without changes."""
--- a/halldoor/tests/test_handover.py
+++ b/halldoor/tests/test_handover.py
@@ -14,12 +14,15 @@
 import asyncio
 import contextlib
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from halldoor.core.targets.relay import WantedEra, choose_readers
+from halldoor.gateway.handover import RECORDS_PATH, HandedRecords, ask_for_whole
 from halldoor.gateway.httpclient import HttpAnswer
+from halldoor.gateway.store import StoredItem
 from halldoor.standins import storefleet, virtualtime
 from halldoor.standins.storefleet import StoreFleet
 
@@ -194,6 +197,24 @@
 
         virtualtime.run(check())
 
+    def test_records_on_the_way_are_compressed(self):
+        """All of a hall take them at once, over links that also carry callers' requests."""
+
+        async def check():
+            async with open_fleet() as fleet:
+                address = list_readers(fleet)[0].feed._own.relay
+                client = storefleet.ModelClient(fleet, address)
+                plain = await client.call("GET", f"{RECORDS_PATH}?newest=0", timeout_s=1.0)
+                handed = fleet.handed_bytes
+                whole = await ask_for_whole(client, WantedEra("0"), timeout_s=1.0)
+                assert fleet.handed_bytes - handed < len(plain.body) / 3
+                # An entry of an earlier version asks for them as they are.
+                old = msgspec.msgpack.decode(plain.body, type=HandedRecords)
+                items = msgspec.msgpack.decode(old.items, type=list[StoredItem])
+                assert items == whole.items
+
+        virtualtime.run(check())
+
     @pytest.mark.parametrize("target", ["/records", "/records?left=1", "/recordsx?newest=1"])
     def test_what_is_no_question_for_records_is_not_found(self, target):
         async def check():
