Take no records over that are older than the own ones

What callers saw: nothing that was traced to this; a target whose record was removed can get requests again for as long as a reader is behind.

Cause: an entry whose history is lost takes all records over from its reader if the reader's proof is new enough, whatever their revision. One that watched the store itself meanwhile knew more, and went back.

Evidence: test_records_older_than_the_own_ones_are_not_taken_over fails before: the removed target is there again.

Change: of the same copy of the store, records of an earlier revision than the own one are passed over, and the store is read.

Why it works: a reading of the store itself is never older than what was applied; its answers are linearizable.

--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -166,7 +166,7 @@
         if self.is_loaded.is_set() and not self.is_confirming and not self._reader.has_pages:
             left = self._era if self._era != self._store.era else None
             whole = await self._feed.fetch_whole(WantedEra(self._store.era, left))
-            if whole is not None:
+            if whole is not None and not self._is_ahead_of(whole):
                 return whole
         page = await self._reader.read_first()
         if page.has_more and not self.is_loaded.is_set():
@@ -178,6 +178,10 @@
                 return whole
         return await self._reader.read_rest()
 
+    def _is_ahead_of(self, whole: Whole) -> bool:
+        """Check whether this entry applied changes that records of its reader lack."""
+        return whole.era == self._era and whole.revision < self._last_revision
+
     def _apply_withdrawals(self, page: Page, era: str) -> None:
         """Apply what takes something out of use, before the other pages are read.
 
--- a/halldoor/tests/test_reading.py
+++ b/halldoor/tests/test_reading.py
@@ -194,6 +194,30 @@
     virtualtime.run(check())
 
 
+def test_records_older_than_the_own_ones_are_not_taken_over():
+    """A target that was gone came back for as long as the reader was behind."""
+
+    async def check():
+        async with open_fleet(entries=16) as fleet:
+            (reader,) = [entry for entry in fleet.entries.values() if entry.feed.is_direct]
+            reader.link.watch = hang
+            follower = next(entry for entry in fleet.entries.values() if entry is not reader)
+            follower.feed.leave_reader("a test says so")
+            # Until the present poll is over; the reader's proof is still good.
+            await asyncio.sleep(1.0)
+            fleet.store.remove("targets/t00001")
+            await asyncio.sleep(0.05)
+            assert follower.catalog.find_target("t00001") is None
+            fleet.configure(2)
+            await lose_history(fleet)
+            for _ in range(100):
+                await asyncio.sleep(0.005)
+                assert follower.catalog.find_target("t00001") is None
+            assert follower.catalog.configuration_version == 2
+
+    virtualtime.run(check())
+
+
 @pytest.mark.parametrize("refusals", [0, 1])
 @pytest.mark.parametrize(("halls", "is_silent"), [(1, False), (1, True), (4, False)])
 def test_faults_together_stay_within_the_bound(halls, is_silent, refusals):
@@ -221,7 +245,7 @@
     virtualtime.run(check())
 
 
-async def hang(caller, head):
+async def hang(*args, **options):
     await asyncio.sleep(60.0)
 
 
