--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -160,14 +160,15 @@
         """Apply all records."""
         before = self._era
         is_restored = self.is_loaded.is_set() and before != whole.era
-        now = self._note_contact(is_return=self._is_away, heard_at=whole.proven_at)
+        is_return = self._is_away
+        now = self._note_contact(is_return=is_return, heard_at=whole.proven_at)
         changes = [c for c in map(self._decode, whole.items) if c is not None]
         applied = self._catalog.load(changes, now, is_restored=is_restored)
         if is_restored:
             self._log_era(before, whole)
         self._store.era = self._era = whole.era
         self._revision = self._last_revision = whole.revision
-        self._feed.begin(whole)
+        self._feed.begin(whole, is_return=is_return)
         self.is_loaded.set()
         self._log.event("store", "Read all.", revision=whole.revision, changes=len(applied))
         self._log_reading(applied, whole.revision)
@@ -201,7 +202,7 @@
         if self.is_loaded.is_set() and not self.is_confirming and not self._reader.has_pages:
             left = self._era if self._era != self._store.era else None
             whole = await self._feed.fetch_whole(WantedEra(self._store.era, left))
-            if whole is not None:
+            if whole is not None and not self._is_ahead_of(whole):
                 return whole
         page = await self._reader.read_first()
         if page.has_more and not self.is_loaded.is_set():
@@ -213,6 +214,10 @@
                 return whole
         return await self._reader.read_rest()
 
+    def _is_ahead_of(self, whole: Whole) -> bool:
+        """Check whether this entry applied changes that records of its reader lack."""
+        return whole.era == self._era and whole.revision < self._last_revision
+
     def _apply_withdrawals(self, page: Page, era: str) -> None:
         """Apply what takes something out of use, before the other pages are read.
 
