Ask anew for a page that the store does not answer

What callers saw: requests reached a draining target while an entry read the store again; the store may turn entries away without a response.

Cause: a page had 3 s, as long as the whole bound.

Evidence: test_a_page_that_is_not_answered_is_asked_for_anew fails before.

Change: an entry that serves requests gives a page up after a quarter of the bound, or after twice the time of the page before, and doubles that where it was too short. One that starts waits as before.

Why it works: the reading resumes at that page after 50 ms at most. Links on which pages take longer get them after a few tries, and the time is kept for the next reading.

--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -42,6 +42,8 @@
 """
 HANDOVER_SHARE = 0.15
 """Part of the bound that a reader waits for the copy of the store that it is asked for."""
+PAGE_SHARE = 0.25
+"""Part of the bound after which a page of the store that is not answered is asked for anew."""
 ROUND_TRIP_S = 0.07
 """Time of a message to another region and back, in seconds."""
 RETRY_S = 0.05
@@ -198,6 +200,11 @@
         """Time for a reader to read the copy of the store that is asked for, in seconds."""
         return HANDOVER_SHARE * self.bound_s
 
+    @property
+    def page_limit_s(self) -> float:
+        """Time for a page of the store, in seconds, while nothing says that it takes longer."""
+        return PAGE_SHARE * self.bound_s
+
     @property
     def budget(self) -> Budget:
         """How the bound is divided among the parts of a way."""
--- a/halldoor/gateway/reading.py
+++ b/halldoor/gateway/reading.py
@@ -11,11 +11,13 @@
 
 from halldoor.gateway.handover import Whole
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.store import HistoryGoneError, MetadataStore, Page
+from halldoor.gateway.store import HistoryGoneError, MetadataStore, Page, StoreError
 
 KEPT_S = 5.0
 """Longest time for which pages wait for the others, in seconds: the store may forget the history
 since then."""
+LIMIT_FACTOR = 2
+"""How much longer than the page before one may take, and than its limit where it took longer."""
 
 
 class WholeReader:
@@ -25,6 +27,8 @@
     ----------
     on_page : callable
         Called with each page, and the copy of the store that it is of, before the next is read.
+    find_limit_s : callable
+        Returns the time for a page, in seconds; infinity where nobody waits for it.
     """
 
     def __init__(
@@ -33,10 +37,13 @@
         *,
         metrics: GatewayMetrics,
         on_page: Callable[[Page, str], None],
+        find_limit_s: Callable[[], float],
     ) -> None:
         self._store = store
         self._metrics = metrics
         self._on_page = on_page
+        self._find_limit_s = find_limit_s
+        self._usual_s = 0.0
         self._pages: list[Page] = []
         self._era = ""
         self._began_at = 0.0
@@ -87,7 +94,7 @@
     async def _read_page(self, *, after: str) -> None:
         """Read a page, and keep it."""
         pages = self._pages
-        page = await self._store.read_range("", after=after)
+        page = await self._call(after)
         self._metrics.add_store_call("range", "ok")
         era = self._store.era
         if pages is not self._pages:
@@ -100,3 +107,27 @@
             raise HistoryGoneError("The store was restored meanwhile.", remedy="Read again.")
         pages.append(page)
         self._on_page(page, era)
+
+    async def _call(self, after: str) -> Page:
+        """Read a page in time.
+
+        The limit follows the link and the store: a slow one answers in the end.
+
+        Raises
+        ------
+        StoreError
+            Where the store can't be read, or does not answer.
+        """
+        loop = asyncio.get_running_loop()
+        limit_s = max(self._find_limit_s(), self._usual_s)
+        sent_at = loop.time()
+        try:
+            async with asyncio.timeout(limit_s):
+                page = await self._store.read_range("", after=after)
+        except TimeoutError as exc:
+            self._usual_s = LIMIT_FACTOR * limit_s
+            raise StoreError(
+                f"No page within {limit_s:.2f} s.", remedy="Check the store and the way to it."
+            ) from exc
+        self._usual_s = LIMIT_FACTOR * (loop.time() - sent_at)
+        return page
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from halldoor.core.targets.catalog import Catalog
@@ -73,7 +74,12 @@
         self._on_change = on_change
         self._feed = feed
         self._backoff = Backoff(feed.random)
-        self._reader = WholeReader(store, metrics=metrics, on_page=self._apply_withdrawals)
+        self._reader = WholeReader(
+            store,
+            metrics=metrics,
+            on_page=self._apply_withdrawals,
+            find_limit_s=self._find_page_limit_s,
+        )
         self._revision: int | None = None
         self._era = ""
         self._last_revision = 0
@@ -178,6 +184,10 @@
                 return whole
         return await self._reader.read_rest()
 
+    def _find_page_limit_s(self) -> float:
+        """Return the time for a page; no request depends on one while nothing is known."""
+        return self._feed.settings.page_limit_s if self.is_loaded.is_set() else math.inf
+
     def _is_ahead_of(self, whole: Whole) -> bool:
         """Check whether this entry applied changes that records of its reader lack."""
         return whole.era == self._era and whole.revision < self._last_revision
--- a/halldoor/tests/test_reading.py
+++ b/halldoor/tests/test_reading.py
@@ -19,6 +19,8 @@
 
 BOUND_S = 3.0
 """Time from a record's writing to its effect at every entry, in seconds."""
+READ_S = 3.0
+"""Time after which a client of the store gives a page up, in seconds."""
 TRAVEL_S = 0.035
 """Time of a message between two regions, in seconds."""
 TARGETS = 130
@@ -137,6 +139,54 @@
 
         virtualtime.run(check())
 
+    def test_a_page_that_is_not_answered_is_asked_for_anew(self):
+        """The call took 3 s to fail, as long as the bound."""
+
+        async def check():
+            async with open_fleet() as fleet:
+                (entry,) = fleet.entries.values()
+                read_range = entry.link.read_range
+                is_lost = fail_first(["rest"])
+
+                async def read(prefix, *, after=""):
+                    if is_lost(after):
+                        await asyncio.sleep(READ_S)
+                        raise StoreError("No answer.", remedy="Call again.")
+                    return await read_range(prefix, after=after)
+
+                entry.link.read_range = read
+                drain(fleet, TARGETS - 1)
+                await lose_history(fleet)
+                budget = fleet.settings.budget
+                await asyncio.sleep(fleet.settings.bound_s - budget.own_pause_s - budget.request_s)
+                assert is_draining(entry, TARGETS - 1)
+
+        virtualtime.run(check())
+
+    def test_a_slow_link_brings_all_pages_in_the_end(self):
+        """Each page takes longer than any bound has time for."""
+
+        async def check():
+            async with open_fleet() as fleet:
+                (entry,) = fleet.entries.values()
+                read_range = entry.link.read_range
+                calls = []
+
+                async def read(prefix, *, after=""):
+                    calls.append(after)
+                    await asyncio.sleep(READ_S - 0.5)
+                    return await read_range(prefix, after=after)
+
+                entry.link.read_range = read
+                drain(fleet, TARGETS - 1)
+                await lose_history(fleet)
+                await asyncio.sleep(PAGES * READ_S + READ_S)
+                assert is_draining(entry, TARGETS - 1)
+                # Three are given up, after 0.5, 1 and 2 s.
+                assert len(calls) <= PAGES + 3
+
+        virtualtime.run(check())
+
     def test_pages_of_before_a_suspension_are_not_relied_on(self):
         async def check():
             async with open_fleet() as fleet:
