Keep the limit for a page where pages are read

The reader of all records holds it, from the first reading on; one function less stands between it and the settings.

--- a/halldoor/gateway/reading.py
+++ b/halldoor/gateway/reading.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from halldoor.gateway.handover import Whole
@@ -27,8 +28,11 @@
     ----------
     on_page : callable
         Called with each page, and the copy of the store that it is of, before the next is read.
-    find_limit_s : callable
-        Returns the time for a page, in seconds; infinity where nobody waits for it.
+
+    Attributes
+    ----------
+    limit_s : float
+        Time for a page, in seconds, once requests depend on it.
     """
 
     def __init__(
@@ -37,12 +41,11 @@
         *,
         metrics: GatewayMetrics,
         on_page: Callable[[Page, str], None],
-        find_limit_s: Callable[[], float],
     ) -> None:
         self._store = store
         self._metrics = metrics
         self._on_page = on_page
-        self._find_limit_s = find_limit_s
+        self.limit_s = math.inf
         self._usual_s = 0.0
         self._pages: list[Page] = []
         self._era = ""
@@ -119,7 +122,7 @@
             Where the store can't be read, or does not answer.
         """
         loop = asyncio.get_running_loop()
-        limit_s = max(self._find_limit_s(), self._usual_s)
+        limit_s = max(self.limit_s, self._usual_s)
         sent_at = loop.time()
         try:
             async with asyncio.timeout(limit_s):
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Callable
 
 from halldoor.core.targets.catalog import Catalog
@@ -74,12 +73,7 @@
         self._on_change = on_change
         self._feed = feed
         self._backoff = Backoff(feed.random)
-        self._reader = WholeReader(
-            store,
-            metrics=metrics,
-            on_page=self._apply_withdrawals,
-            find_limit_s=self._find_page_limit_s,
-        )
+        self._reader = WholeReader(store, metrics=metrics, on_page=self._apply_withdrawals)
         self._revision: int | None = None
         self._era = ""
         self._last_revision = 0
@@ -157,6 +151,7 @@
         self._revision = self._last_revision = whole.revision
         self._feed.begin(whole, is_return=is_return)
         self.is_loaded.set()
+        self._reader.limit_s = self._feed.settings.page_limit_s
         self._log.event("store", "Read all.", revision=whole.revision, changes=len(applied))
         for change in applied:
             if isinstance(change, RoutingSeen):
@@ -184,10 +179,6 @@
                 return whole
         return await self._reader.read_rest()
 
-    def _find_page_limit_s(self) -> float:
-        """Return the time for a page; no request depends on one while nothing is known."""
-        return self._feed.settings.page_limit_s if self.is_loaded.is_set() else math.inf
-
     def _is_ahead_of(self, whole: Whole) -> bool:
         """Check whether this entry applied changes that records of its reader lack."""
         return whole.era == self._era and whole.revision < self._last_revision
