--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -170,6 +170,7 @@
         self._revision = self._last_revision = whole.revision
         self._feed.begin(whole, is_return=is_return)
         self.is_loaded.set()
+        self._reader.limit_s = self._feed.settings.page_limit_s
         self._log.event("store", "Read all.", revision=whole.revision, changes=len(applied))
         self._log_reading(applied, whole.revision)
         for change in applied:
