--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -24,6 +24,7 @@
     TargetRecord,
     TargetSeen,
 )
+from halldoor.core.targets.contact import Lapse, StoreContact
 from halldoor.core.targets.leaving import LeavingTable
 from halldoor.core.targets.notice import ColdNotice
 from halldoor.core.targets.route import Routing
@@ -41,11 +42,15 @@
     ----------
     settle_s : float
         After the store was away, time for records that lapsed meanwhile to come back.
+    lapse_s : float
+        Shortest absence of the store in which a target's record lapses: the lifetime of a record
+        less the time between two writes.
     young_s : float
         Time after the start in which other entries may not have registered yet.
     """
 
     settle_s: float = 2.0
+    lapse_s: float = 3.0
     young_s: float = 6.0
 
 
@@ -63,8 +68,10 @@
         Entries among which rates are divided.
     version, members_version : int
         Rise whenever something changes that choices depend on, and whenever entries do.
-    lapsed : set of str
+    lapsed : dict of str to Lapse
         Targets whose record lapsed while the store was away, and may come back.
+    contact : StoreContact
+        When the store answered.
     fresh_at : float
         When the store last answered, in seconds of the steady clock.
     relayed_at : float
@@ -76,8 +83,9 @@
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] | None = None
         self._restarted: set[str] = set()
-        self.lapsed: set[str] = set()
-        self._back_at = -math.inf
+        self.lapsed: dict[str, Lapse] = {}
+        self.contact = StoreContact()
+        self._restored_at = -math.inf
         self.routing: Routing | None = None
         self.evacuated: set[str] = set()
         self.members: dict[str, MemberRecord] = {}
@@ -142,7 +150,7 @@
         suspects = {c.record.digest for c in changes if isinstance(c, EvidenceSeen)}
         removals += [EvidenceGone(d) for d in self._suspects if d not in suspects]
         if is_restored:
-            self.begin_settling(now)
+            self._restored_at = now
             removals = self._postpone(removals, now)
         return [c for c in [*changes, *removals] if self.apply(c, now)]
 
@@ -194,21 +202,22 @@
         """When news of the store last came in, from itself or by another entry."""
         return max(self.fresh_at, self.relayed_at)
 
-    def begin_settling(self, now: float) -> None:
-        """Record that the store is back: give records that lapsed meanwhile time to return.
+    def note_answer(self, now: float) -> None:
+        """Record that the store answered a call of this entry."""
+        self.note_contact(now)
+        self.contact.note_answer(now)
 
-        Removals applied at this very time are taken for lapses; later ones are meant.
-        """
-        self._back_at = now
+    def _find_lapse(self, now: float) -> Lapse | None:
+        """Return until when a target is kept whose record is gone; None where that is meant."""
+        absence, settle_s = self.contact.find_absence(), self.timings.settle_s
+        if now <= self._restored_at:
+            return Lapse(now + settle_s, absence.length_s)
+        lapse = Lapse(absence.ended_at + settle_s, absence.length_s)
+        return lapse if lapse.away_s >= self.timings.lapse_s and now < lapse.until else None
 
     def drop_lapsed(self, now: float) -> list[str]:
         """Drop targets whose record lapsed and did not come back in time."""
-        lapsed = [t for t in map(self._targets.get, self.lapsed) if t is not None]
-        dropped = [
-            t.name
-            for t in lapsed
-            if t.lapsed_at is not None and now >= t.lapsed_at + self.timings.settle_s
-        ]
+        dropped = [name for name, lapse in self.lapsed.items() if now >= lapse.until]
         for name in dropped:
             self._forget(name)
         if dropped:
@@ -237,7 +246,7 @@
         self._left[incarnation] = self._targets.pop(incarnation).record.started_ms
         if len(self._left) > LEFT_KEPT:
             self._left.popitem(last=False)
-        self.lapsed.discard(incarnation)
+        self.lapsed.pop(incarnation, None)
 
     def list_targets(self) -> Collection[Target]:
         """List all targets."""
@@ -287,13 +296,12 @@
         if target is None or record.started_ms > target.record.started_ms > 0:
             if target is not None:
                 self._restarted.add(record.incarnation)
-                self.lapsed.discard(record.incarnation)
+                self.lapsed.pop(record.incarnation, None)
             target = self._targets[record.incarnation] = Target(record, cold_until)
             target.says_leaving = self._leaving.has(target.name, record.started_ms)
             self._touch()
             return True
-        target.lapsed_at = None
-        self.lapsed.discard(target.name)
+        self.lapsed.pop(target.name, None)
         is_changed = record._replace(cold_left_s=0.0) != target.record._replace(cold_left_s=0.0)
         # A record never ends a cold time early: the target may have written it before.
         was_cold = target.is_cold(now)
@@ -346,9 +354,11 @@
         target = self._targets.get(incarnation)
         if target is None:
             return False
-        if now <= self._back_at and not target.is_draining:
-            target.lapsed_at = now
-            self.lapsed.add(incarnation)
+        if incarnation in self.lapsed:
+            return False
+        lapse = None if target.is_draining else self._find_lapse(now)
+        if lapse is not None:
+            self.lapsed[incarnation] = lapse
             return True
         self._forget(incarnation)
         self._touch()
--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -271,7 +271,7 @@
             return "draining"
         if target.record.hall in self._catalog.evacuated:
             return "hall evacuated"
-        if target.lapsed_at is not None:
+        if target.name in self._catalog.lapsed:
             return "record lapsed"
         if self._outliers.is_ejected(target.name, now):
             return "ejected"
--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -149,14 +149,11 @@
     ----------
     after, revision : int
         The batch holds all changes after the first revision up to the second.
-    is_return : bool
-        The store had been away before.
     """
 
     after: int
     revision: int
     items: Sequence[T]
-    is_return: bool
 
 
 class ChangeHistory(Generic[T]):
@@ -193,7 +190,6 @@
             after=after,
             revision=max(after, self._batches[-1].revision),
             items=[item for batch in wanted for item in batch.items],
-            is_return=any(batch.is_return for batch in wanted),
         )
 
 
--- a/halldoor/core/targets/target.py
+++ b/halldoor/core/targets/target.py
@@ -22,7 +22,6 @@
         self.record = record
         self.cold_until = cold_until
         self.stated_at = -math.inf
-        self.lapsed_at: float | None = None
         self.says_leaving = False
 
     @property
--- a/halldoor/gateway/maintenance.py
+++ b/halldoor/gateway/maintenance.py
@@ -73,6 +73,7 @@
                 self._woke_at = now
                 self._on_stall()
             self._ticked_at = now
+            self._catalog.contact.tick(now)
             self._drop_lapsed(now)
             tick += 1
             if tick % SWEEP_TICKS == 0:
@@ -80,7 +81,10 @@
 
     def _drop_lapsed(self, now: float) -> None:
         """Drop what did not come back in time after the store did."""
+        lapses = dict(self._catalog.lapsed)
         for name in self._catalog.drop_lapsed(now):
+            away_ms = round(lapses[name].away_s * 1000)
+            self._log.event("targets", "Record stayed away.", target=name, store_away_ms=away_ms)
             self._on_change(TargetGone(name))
         for change in self._catalog.apply_postponed(now):
             self._on_change(change)
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import NamedTuple
 from urllib.parse import parse_qsl, urlencode, urlsplit
 
 import msgspec
 
+from halldoor.core.targets.contact import ContactReport, StoreContact, date_report
 from halldoor.core.targets.relay import date_poll
 from halldoor.gateway.handover import ReaderLostError
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
@@ -34,15 +36,22 @@
         Age of the answering entry's proof, in seconds.
     held_s : float
         Time for which the poll was held, in seconds.
-    is_return : bool
-        The store had been away before some of these changes.
+    contact : ContactReport or None
+        The answering entry's contact with the store.
     """
 
     items: list[StoredItem]
     revision: int
     age_s: float
     held_s: float
-    is_return: bool
+    contact: ContactReport | None = None
+
+
+class NoChanges(msgspec.Struct, frozen=True):
+    """Answer to a poll for changes that the answering entry does not have."""
+
+    held_s: float
+    contact: ContactReport | None = None
 
 
 class Update(NamedTuple):
@@ -52,15 +61,15 @@
     ----------
     proven_at : float
         Moment up to which every change is included, on the loop's clock.
-    is_return : bool
-        The store had been away before some of these changes.
+    is_relayed : bool
+        They came from another entry.
     is_substitute : bool
         They came from an entry that took the place of the store.
     """
 
     events: Events
     proven_at: float
-    is_return: bool = False
+    is_relayed: bool = False
     is_substitute: bool = False
 
 
@@ -98,11 +107,15 @@
         return None
 
 
-async def send_poll(client: HttpClient, poll: Poll, *, sent_at: float, answer_s: float) -> Update:
+async def send_poll(
+    client: HttpClient, poll: Poll, contact: StoreContact, *, sent_at: float, answer_s: float
+) -> Update:
     """Send a poll and read its answer.
 
     Parameters
     ----------
+    contact : StoreContact
+        Where the other entry's contact with the store is recorded, also if it has no changes.
     sent_at : float
         Time on the loop's clock.
     answer_s : float
@@ -124,13 +137,19 @@
         )
     except HttpCallError as exc:
         raise ReaderLostError(str(exc)) from exc
-    if answer.status == OTHER_ERA:
-        raise OtherEraError
-    if answer.status != 200:
-        raise ReaderLostError(f"it answered {answer.status}")
+    kind: type[RelayedChanges | NoChanges] = RelayedChanges if answer.status == 200 else NoChanges
     try:
-        changes = msgspec.msgpack.decode(answer.body, type=RelayedChanges)
+        changes = msgspec.msgpack.decode(answer.body, type=kind) if answer.body else None
     except msgspec.DecodeError as exc:
         raise ReaderLostError(f"its answer can't be read: {exc}") from exc
+    if changes is not None and changes.contact is not None:
+        now = asyncio.get_running_loop().time()
+        span = date_report(changes.contact, sent_at=sent_at, held_s=changes.held_s, received_at=now)
+        contact.note_span(span, now)
+    if answer.status == OTHER_ERA:
+        raise OtherEraError
+    if not isinstance(changes, RelayedChanges):
+        raise ReaderLostError(f"it answered {answer.status}")
     proven_at = date_poll(sent_at=sent_at, held_s=changes.held_s, age_s=changes.age_s)
-    return Update(Events(changes.items, changes.revision), proven_at, changes.is_return)
+    events = Events(changes.items, changes.revision)
+    return Update(events, proven_at, is_relayed=True)
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -405,7 +405,7 @@
 
     def _note_contact(self) -> None:
         """Record that the store answered."""
-        self.catalog.note_contact(asyncio.get_running_loop().time())
+        self.catalog.note_answer(asyncio.get_running_loop().time())
 
     def _note_change(self, change: Change) -> None:
         """Notify the other parts of a change of the catalog."""
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -41,6 +41,7 @@
 from halldoor.gateway.polls import (
     OTHER_ERA,
     ContactLostError,
+    NoChanges,
     Poll,
     RelayedChanges,
     Update,
@@ -220,7 +221,11 @@
         wait_s = self.settings.find_poll_s(sent_at - self._proven_at)
         poll = Poll(revision, wait_s, self._records.era)
         update = await send_poll(
-            self._client, poll, sent_at=sent_at, answer_s=self.settings.answer_s
+            self._client,
+            poll,
+            self._catalog.contact,
+            sent_at=sent_at,
+            answer_s=self.settings.answer_s,
         )
         self._check_age(update.proven_at)
         self._metrics.add_relayed(len(update.events.items), _now() - update.proven_at)
@@ -277,7 +282,7 @@
         self._records.begin(whole)
         self._history = ChangeHistory()
         self._proven_at = whole.proven_at
-        self._publish(Batch(whole.revision, whole.revision, [], False))
+        self._publish(Batch(whole.revision, whole.revision, []))
 
     def take(self, after: int, update: Update) -> None:
         """Keep an update that was applied, and tell it to followers that wait."""
@@ -285,7 +290,7 @@
         self._had_changes = bool(events.items)
         self._proven_at = max(self._proven_at, update.proven_at)
         self._records.take(events.items, events.revision)
-        self._publish(Batch(after, events.revision, events.items, update.is_return))
+        self._publish(Batch(after, events.revision, events.items))
 
     def _publish(self, batch: Batch[StoredItem]) -> None:
         """Keep a batch, and wake the followers that wait for news or a proof."""
@@ -310,17 +315,20 @@
         if poll.era == self._records.era and not self._history.has_news(poll.after):
             await self._wait_for_news(poll.wait_s)
         batch = self._history.collect(poll.after)
+        now = _now()
+        held_s, contact = now - head.received_at, self._catalog.contact.get_report(now)
         if poll.era != self._records.era or batch is None:
             # Revisions of another copy of the store can't be compared with ours.
-            caller.send(Answer(OTHER_ERA if poll.era != self._records.era else 503, []))
+            status = OTHER_ERA if poll.era != self._records.era else 503
+            body = msgspec.msgpack.encode(NoChanges(held_s, contact))
+            caller.send(Answer(status, [], body))
             return
-        now = _now()
         changes = RelayedChanges(
             list(batch.items),
             batch.revision,
             age_s=now - self._proven_at,
-            held_s=now - head.received_at,
-            is_return=batch.is_return,
+            held_s=held_s,
+            contact=contact,
         )
         caller.send(Answer(200, [], msgspec.msgpack.encode(changes)))
 
--- a/halldoor/gateway/substitute.py
+++ b/halldoor/gateway/substitute.py
@@ -124,7 +124,13 @@
     async def _ask(self, client: HttpClient, poll: Poll) -> Update:
         """Send one poll."""
         sent_at = asyncio.get_running_loop().time()
-        update = await send_poll(client, poll, sent_at=sent_at, answer_s=self._settings.answer_s)
+        update = await send_poll(
+            client,
+            poll,
+            self._catalog.contact,
+            sent_at=sent_at,
+            answer_s=self._settings.answer_s,
+        )
         age_s = asyncio.get_running_loop().time() - update.proven_at
         self._metrics.add_relayed(len(update.events.items), age_s)
         return update._replace(is_substitute=True)
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -102,6 +102,7 @@
             except HistoryGoneError:
                 self._metrics.add_store_call("watch", "history gone")
                 self._log.event("store", "Its history is gone; reading all again.")
+                self._catalog.contact.note_answer(asyncio.get_running_loop().time())
                 self._revision = None
             except OtherEraError:
                 await self._follow_era()
@@ -140,7 +141,7 @@
         """Apply all records."""
         before = self._era
         is_restored = self.is_loaded.is_set() and before != whole.era
-        now = self._note_contact(is_return=self._is_away, heard_at=whole.proven_at)
+        now = self._note_contact(whole.proven_at)
         changes = [c for c in map(self._decode, whole.items) if c is not None]
         applied = self._catalog.load(changes, now, is_restored=is_restored)
         if is_restored:
@@ -154,6 +155,7 @@
             if isinstance(change, RoutingSeen):
                 self._log_change(change, whole.revision)
             self._on_change(change)
+        self._catalog.contact.note_known(whole.proven_at)
 
     async def _read_whole(self) -> Whole:
         """Read everything: from an entry that is in step, or page by page from the store.
@@ -188,6 +190,7 @@
     async def _read_page(self, *, after: str) -> Page:
         """Read a page of the store."""
         page = await self._store.read_range("", after=after)
+        self._catalog.contact.note_answer(asyncio.get_running_loop().time())
         self._metrics.add_store_call("range", "ok")
         return page
 
@@ -204,19 +207,22 @@
         finally:
             self._watching = None
             task.cancel()
+        if not update.is_relayed:
+            self._catalog.contact.note_answer(asyncio.get_running_loop().time())
         if self._store.era != self._era or self._revision is None:
             return  # What was asked for has another meaning now, or is not to be relied on.
         events = update.events
         if update.is_substitute:
             now = self._note_substitute(update)
         else:
-            update = update._replace(is_return=update.is_return or self._is_away)
-            now = self._note_contact(is_return=update.is_return, heard_at=update.proven_at)
+            now = self._note_contact(update.proven_at)
         for item in events.items:
             change = self._decode(item)
             if change is not None and self._catalog.apply(change, now):
                 self._log_change(change, events.revision)
                 self._on_change(change)
+        # The store's own answer holds all that lapsed before its return, whenever it was asked.
+        self._catalog.contact.note_known(update.proven_at if update.is_relayed else now)
         self._revision = self._last_revision = events.revision
         self._feed.take(revision, update)
         await self._feed.pause()
@@ -234,13 +240,12 @@
             self._log.event("store", "Can't read a record.", key=item.key, error=str(exc))
             return self._codec.decode(StoredItem(item.key, None))
 
-    def _note_contact(self, *, is_return: bool, heard_at: float) -> float:
+    def _note_contact(self, heard_at: float) -> float:
         """Record the time of the last contact with the store, and return it."""
         now = asyncio.get_running_loop().time()
         self._catalog.note_contact(heard_at)
-        if is_return:
-            self._catalog.begin_settling(now)
-            self._log.event("store", "Back." if self._is_away else "Back, as its reader says.")
+        if self._is_away:
+            self._log.event("store", "Back.", store_away_ms=self._away_ms)
         self._is_away = self.is_confirming = False
         return now
 
@@ -249,10 +254,13 @@
         now = asyncio.get_running_loop().time()
         self._catalog.note_contact(update.proven_at)
         self._catalog.note_relay(now)
-        if update.is_return:
-            self._catalog.begin_settling(now)
         return now
 
+    @property
+    def _away_ms(self) -> int:
+        """How long the store was away since what is known, in milliseconds."""
+        return round(self._catalog.contact.find_absence().length_s * 1000)
+
     def _note_away(self, exc: StoreError) -> None:
         """Record that the store did not answer: what is known has to do."""
         self.is_confirming = False
@@ -297,7 +305,14 @@
                     revision=revision,
                 )
             case TargetGone(incarnation):
-                event("targets", "Gone.", target=incarnation, revision=revision)
+                is_lapsed = incarnation in self._catalog.lapsed
+                event(
+                    "targets",
+                    "Record lapsed; used last." if is_lapsed else "Gone.",
+                    target=incarnation,
+                    store_away_ms=self._away_ms,
+                    revision=revision,
+                )
             case EvacuationSet(hall, is_evacuated):
                 text = "Hall evacuated." if is_evacuated else "Evacuation ended."
                 event("targets", text, hall=hall, revision=revision)
--- a/halldoor/standins/storefleet.py
+++ b/halldoor/standins/storefleet.py
@@ -195,7 +195,7 @@
             log=log,
             metrics=metrics,
             is_loaded=self.sync.is_loaded,
-            on_contact=lambda: self.catalog.note_contact(_now()),
+            on_contact=lambda: self.catalog.note_answer(_now()),
             on_return=self.sync.restart,
         )
         self.maintenance = Maintenance(
--- a/halldoor/tests/choicekit.py
+++ b/halldoor/tests/choicekit.py
@@ -26,6 +26,7 @@
 from halldoor.core.targets.settings import ChoiceSettings
 
 SERVICE = TargetService("deck", "/health", 390, cold_start_s=3.0, cold_rate_per_s=9.0)
+TICK_S = 0.1
 REGIONS = {"ams-a": "ams", "grq-a": "grq"}
 
 
@@ -64,6 +65,14 @@
     return catalog
 
 
+def hear_store_return(catalog, at, *, away_s=4.5):
+    """Let the store answer at a moment for the first time since it went away."""
+    catalog.note_answer(at - away_s)
+    for i in range(1, round(away_s / TICK_S)):
+        catalog.contact.tick(at - away_s + i * TICK_S)
+    catalog.note_answer(at)
+
+
 class ChooserKit(Chooser):
     """A chooser that gives only the target, and what it learns from."""
 
--- a/halldoor/tests/test_choice.py
+++ b/halldoor/tests/test_choice.py
@@ -16,6 +16,7 @@
 )
 from halldoor.core.targets.split import Splitter
 from halldoor.tests.choicekit import (
+    hear_store_return,
     make_catalog,
     make_chooser,
     make_route,
@@ -241,7 +242,7 @@
 
     def test_records_that_lapsed_while_the_store_was_away_have_time_to_return(self):
         catalog = make_catalog(2)
-        catalog.begin_settling(10.0)
+        hear_store_return(catalog, 10.0)
         catalog.apply(TargetGone("t0"), 10.0)
         catalog.apply(TargetGone("t1"), 10.0)
         catalog.apply(TargetSeen(make_target("t0")), 11.0)
@@ -252,7 +253,8 @@
     def test_a_removal_after_the_return_is_meant(self):
         """Regression: an entry sent for 2 s more to a target that had left (DRAIN)."""
         catalog = make_catalog(2)
-        catalog.begin_settling(10.0)
+        hear_store_return(catalog, 10.0)
+        catalog.contact.note_known(10.0)
         catalog.apply(TargetGone("t0"), 10.3)
         assert [t.name for t in catalog.list_usable("deck")] == ["t1"]
 
--- a/halldoor/tests/test_gateway_life.py
+++ b/halldoor/tests/test_gateway_life.py
@@ -9,6 +9,7 @@
 
 from halldoor.core.errors import SettingsError
 from halldoor.core.settings import Address
+from halldoor.core.targets.contact import SILENCE_S
 from halldoor.gateway import runner
 from halldoor.standins.memorystore import MemoryStore
 from halldoor.tests.gatewaykit import Caller, GatewayKit
@@ -52,6 +53,18 @@
 
         asyncio.run(check())
 
+    def test_the_store_is_not_taken_for_away_while_it_renews_and_a_watch_waits(self):
+        async def check():
+            async with GatewayKit.open() as kit:
+                contact = kit.gateway.catalog.contact
+                loop = asyncio.get_running_loop()
+                ends = loop.time() + SILENCE_S + 1.0
+                while loop.time() < ends:
+                    await asyncio.sleep(0.05)
+                    assert contact.get_report(loop.time()).heard_s < SILENCE_S
+
+        asyncio.run(check())
+
     def test_a_record_that_was_taken_away_is_written_again(self):
         async def check():
             async with GatewayKit.open() as kit:
--- a/halldoor/tests/test_relay.py
+++ b/halldoor/tests/test_relay.py
@@ -12,6 +12,7 @@
 
 from halldoor.core.settings import Address
 from halldoor.core.targets.changes import MemberRecord
+from halldoor.core.targets.contact import ContactReport, date_report
 from halldoor.core.targets.relay import (
     Batch,
     ChangeHistory,
@@ -83,7 +84,7 @@
         history, revision = ChangeHistory(), 0
         for size in sizes:
             items = list(range(revision + 1, revision + size + 1))
-            history.add(Batch(revision, revision + size, items, False))
+            history.add(Batch(revision, revision + size, items))
             revision += size
         batch = history.collect(at)
         assert set(range(at + 1, revision + 1)) <= set(batch.items)
@@ -91,10 +92,10 @@
 
     def test_a_gap_begins_a_new_history(self):
         history = ChangeHistory()
-        history.add(Batch(0, 5, ["a"], False))
-        history.add(Batch(9, 10, ["b"], True))
+        history.add(Batch(0, 5, ["a"]))
+        history.add(Batch(9, 10, ["b"]))
         assert history.collect(4) is None
-        assert history.collect(9) == Batch(9, 10, ["b"], True)
+        assert history.collect(9) == Batch(9, 10, ["b"])
 
 
 delays = st.floats(0.0, 3.0)
@@ -126,6 +127,20 @@
         dated = date_poll(sent_at=sent_at, held_s=held_s, age_s=answered - proven)
         assert dated <= proven + 1e-9
 
+    @given(away_s=delays, heard_s=delays, there_s=delays, held_s=delays, back_s=delays)
+    def test_a_report_never_claims_more_contact_than_there_was(
+        self, away_s, heard_s, there_s, held_s, back_s
+    ):
+        since, answered = 0.0, away_s + heard_s
+        sent_at = answered - held_s - there_s
+        span = date_report(
+            ContactReport(answered - since, heard_s),
+            sent_at=sent_at,
+            held_s=held_s,
+            received_at=answered + back_s,
+        )
+        assert since - 1e-9 <= span.since and span.until <= answered - heard_s + 1e-9
+
     @given(delays_s=st.lists(st.tuples(delays, delays), min_size=2, max_size=20))
     def test_entries_that_follow_each_other_in_a_ring_prove_nothing_new(self, delays_s):
         proven = now = 0.0
--- a/halldoor/tests/test_restart.py
+++ b/halldoor/tests/test_restart.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from halldoor.core.targets.changes import TargetGone, TargetSeen
-from halldoor.tests.choicekit import make_catalog, make_target
+from halldoor.tests.choicekit import hear_store_return, make_catalog, make_target
 from halldoor.tests.gatewaykit import GatewayKit
 
 
@@ -43,7 +43,7 @@
     def test_a_target_that_lapsed_and_came_back_anew_stays(self):
         catalog = make_catalog(targets=1)
         see(catalog, started_ms=100)
-        catalog.begin_settling(2.0)
+        hear_store_return(catalog, 2.0)
         catalog.apply(TargetGone("t0"), 2.0)
         see(catalog, 2.5, started_ms=200)
         assert catalog.drop_lapsed(10.0) == [] and is_usable(catalog)
--- a/halldoor/tests/test_substitute.py
+++ b/halldoor/tests/test_substitute.py
@@ -31,7 +31,7 @@
     async def call(self, method, target, *, timeout_s):
         if not self.has_contact:
             return HttpAnswer(503, b"")
-        changes = RelayedChanges([], 7, 0.0, 0.0, False)
+        changes = RelayedChanges([], 7, 0.0, 0.0)
         return HttpAnswer(200, msgspec.msgpack.encode(changes))
 
     def close(self):
--- /dev/null
+++ b/properties/test_lapses.py
@@ -0,0 +1,119 @@
+"""Laws: a record is taken for lapsed where the store was away, and nowhere else."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from halldoor.core.targets.catalog import CatalogTimings
+from halldoor.core.targets.contact import ContactSpan, StoreContact
+from halldoor.standins import virtualtime
+from halldoor.standins.storefleet import StoreFleet
+
+TICK_S = 0.1
+AWAY_FROM_S = 20.0
+LENGTH_S = 40.0
+SHORT_S = 1.4
+"""A cut that is shorter than a record's life with a renewal missed before and after it."""
+moments = st.floats(0.0, LENGTH_S)
+
+
+def play(spans):
+    """Let answers and reports come in, each at a moment, with ticks between; give each state."""
+    contact, now = StoreContact(), 0.0
+    for at, span in sorted(spans, key=lambda s: s[0]):
+        while now + TICK_S < at:
+            now += TICK_S
+            contact.tick(now)
+        now = at
+        contact.note_span(span, now)
+        yield now, contact
+
+
+@given(
+    away_s=st.floats(CatalogTimings().lapse_s, 10.0),
+    answers=st.lists(moments, max_size=30),
+    reports=st.lists(st.tuples(moments, st.floats(0.0, 30.0), st.floats(0.0, 3.0)), max_size=30),
+)
+def test_an_absence_of_the_store_is_found_and_never_ends_before_its_return(
+    away_s, answers, reports
+):
+    """Whatever this entry and others heard of it, as long as lapsed records may come back."""
+    back_at = AWAY_FROM_S + away_s
+    spans = [(at, ContactSpan(at, at)) for at in (0.0, *answers, back_at, LENGTH_S)]
+    for at, since_s, age_s in reports:
+        until = max(0.0, at - age_s)
+        # What others can have heard: the store was there for the whole of a span.
+        spans.append((at, ContactSpan(max(0.0, until - since_s), until)))
+    sound = [(at, span) for at, span in spans if span.until <= AWAY_FROM_S or span.since >= back_at]
+    for now, contact in play(sound):
+        if back_at <= now <= back_at + CatalogTimings().settle_s:
+            absence = contact.absence
+            assert absence is not None and absence.length_s >= away_s - 1e-6
+            assert back_at <= absence.ended_at <= now
+
+
+@given(
+    answers=st.lists(moments, max_size=10),
+    cut_from=st.floats(0.0, 30.0),
+    period_s=st.floats(0.1, 1.5),
+    age_s=st.floats(0.0, 1.0),
+)
+def test_an_entry_that_hears_another_in_contact_finds_no_absence(
+    answers, cut_from, period_s, age_s
+):
+    """It asks one that was in contact for ever, from two seconds after its own last answer on."""
+    spans = [(at, ContactSpan(at, at)) for at in (0.0, *answers, cut_from)]
+    at = min(a for a in (0.0, *answers, cut_from))
+    while at < LENGTH_S:
+        spans.append((at, ContactSpan(0.0, at - age_s)))
+        at += period_s
+    for _, contact in play(spans):
+        absence = contact.absence
+        assert absence is None or absence.length_s < CatalogTimings().lapse_s
+
+
+def list_cuts(most_s):
+    """Draw times for which entries are cut off from the store, one for each."""
+    cut = st.tuples(st.integers(1, 8), st.floats(0.0, 3.0), st.floats(0.3, most_s))
+    return st.lists(cut, min_size=1, max_size=8, unique_by=lambda c: c[0])
+
+
+@settings(max_examples=15)
+@given(
+    entries=st.sampled_from([2, 5, 9]),
+    faults=st.one_of(
+        st.tuples(list_cuts(6.0), st.just([])),
+        # An entry without a history asks nobody but the store.
+        st.tuples(list_cuts(SHORT_S), st.lists(st.floats(0.0, 6.0), min_size=1, max_size=3)),
+    ),
+    removals=st.lists(st.floats(0.0, 6.0), min_size=6, max_size=12),
+)
+def test_what_the_store_removes_while_it_answers_is_never_used_again(entries, faults, removals):
+    """All entries but one are cut off from the store for a time, and its history is lost."""
+    cuts, losses = faults
+
+    async def check():
+        fleet = StoreFleet(entries=entries, halls=1, targets=len(removals))
+        fleet.configure(1)
+        await fleet.start(within_s=0.1)
+        await fleet.wait(1)
+        await asyncio.sleep(2 * fleet.settings.direct_s)
+        loop = asyncio.get_running_loop()
+        for port, at, for_s in cuts:
+            if port < entries:
+                loop.call_later(at, fleet.cut, port, for_s)
+        for at in losses:
+            loop.call_later(at, fleet.store.forget_history)
+        for i, at in enumerate(removals):
+            loop.call_later(at, fleet.store.remove, f"targets/t{i:05}")
+        ends = loop.time() + 14.0
+        while loop.time() < ends:
+            await asyncio.sleep(0.05)
+            assert not any(entry.catalog.lapsed for entry in fleet.entries.values())
+        assert not any(entry.catalog.list_usable("deck") for entry in fleet.entries.values())
+        fleet.stop()
+
+    virtualtime.run(check())
