--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -297,8 +297,6 @@
     ----------
     after, revision : int
         The batch holds all changes after the first revision up to the second.
-    is_return : bool
-        The store had been away before.
     is_difference : bool
         What came and went between the two revisions is left out, so that it leads from the first
         one alone to the second.
@@ -307,7 +305,6 @@
     after: int
     revision: int
     items: Sequence[T]
-    is_return: bool
     is_difference: bool = False
 
 
@@ -348,7 +345,6 @@
             after=after,
             revision=max(after, self._batches[-1].revision),
             items=[item for batch in wanted for item in batch.items],
-            is_return=any(batch.is_return for batch in wanted),
             is_difference=any(batch.is_difference for batch in wanted),
         )
 
--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -42,12 +42,15 @@
         Which copy of the store the revision is of.
     proven_at : float
         Moment up to which every change is included, on the loop's clock.
+    newest : int
+        Revision of the newest part; no part holds anything later.
     """
 
     items: list[StoredItem]
     revision: int
     era: str
     proven_at: float
+    newest: int = 0
 
 
 class HandedRecords(msgspec.Struct, frozen=True):
@@ -93,7 +96,7 @@
         names = {item.key for item in whole.items}
         items = [StoredItem(key, None) for key in self._records if key not in names]
         items += [item for item in whole.items if self._records.get(item.key) != item]
-        return Batch(before, whole.revision, items, is_return=False, is_difference=True)
+        return Batch(before, whole.revision, items, is_difference=True)
 
     def begin(self, whole: Whole) -> None:
         """Begin anew with all that was read."""
--- a/halldoor/gateway/reading.py
+++ b/halldoor/gateway/reading.py
@@ -90,9 +90,9 @@
         while self._pages[-1].has_more and self._pages[-1].items:
             await self._read_page(after=self._pages[-1].items[-1].key)
         items = [item for page in self._pages for item in page.items]
-        revision = min(page.revision for page in self._pages)
+        revisions = [page.revision for page in self._pages]
         self.clear()
-        return Whole(items, revision, self._era, self._began_at)
+        return Whole(items, min(revisions), self._era, self._began_at, newest=max(revisions))
 
     async def _read_page(self, *, after: str) -> None:
         """Read a page, and keep it."""
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -44,6 +44,7 @@
 from halldoor.gateway.polls import (
     OTHER_ERA,
     ContactLostError,
+    NoChanges,
     Poll,
     RelayedChanges,
     Update,
@@ -252,8 +253,13 @@
         age_s = sent_at - self._proven_at
         wait_s = self.settings.find_poll_s(age_s)
         poll = Poll(revision, wait_s, self._records.era)
-        answer_s = self.settings.find_answer_s(age_s)
-        update = await send_poll(self._client, poll, sent_at=sent_at, answer_s=answer_s)
+        update = await send_poll(
+            self._client,
+            poll,
+            self._catalog.contact,
+            sent_at=sent_at,
+            answer_s=self.settings.find_answer_s(age_s),
+        )
         self._check_age(update.proven_at)
         self._metrics.add_relayed(len(update.events.items), _now() - update.proven_at)
         return update
@@ -305,21 +311,21 @@
 
     # What followers are told
 
-    def begin(self, whole: Whole, *, is_return: bool) -> None:
+    def begin(self, whole: Whole) -> None:
         """Go on from all that was read at once.
 
         Followers get the difference; of another copy of the store, they have to ask for all.
         """
         difference = self._records.find_difference(whole)
         self._records.begin(whole)
+        self._is_resumed = True
         if difference is not None:
             self._proven_at = max(self._proven_at, whole.proven_at)
-            self._publish(difference._replace(is_return=is_return))
+            self._publish(difference)
             return
         self._history = ChangeHistory()
-        self._is_resumed = True
         self._proven_at = whole.proven_at
-        self._publish(Batch(whole.revision, whole.revision, [], False))
+        self._publish(Batch(whole.revision, whole.revision, []))
 
     def take(self, after: int, update: Update) -> None:
         """Keep an update that was applied, and tell it to followers that wait."""
@@ -352,18 +358,21 @@
         if poll.era == self._records.era and not self._history.has_news(poll.after):
             await self._wait_for_news(poll.wait_s)
         batch = self._history.collect(poll.after)
+        now = _now()
+        held_s, contact = now - head.received_at, self._catalog.contact.get_report(now)
         if poll.era != self._records.era or batch is None:
             # Revisions of another copy of the store can't be compared with ours.
-            caller.send(Answer(OTHER_ERA if poll.era != self._records.era else 503, []))
+            status = OTHER_ERA if poll.era != self._records.era else 503
+            body = msgspec.msgpack.encode(NoChanges(held_s, contact))
+            caller.send(Answer(status, [], body))
             return
-        now = _now()
         changes = RelayedChanges(
             list(batch.items),
             batch.revision,
             age_s=now - self._proven_at,
-            held_s=now - head.received_at,
-            is_return=batch.is_return,
+            held_s=held_s,
             is_difference=batch.is_difference,
+            contact=contact,
         )
         caller.send(Answer(200, [], msgspec.msgpack.encode(changes)))
 
--- a/halldoor/gateway/storenotices.py
+++ b/halldoor/gateway/storenotices.py
@@ -111,11 +111,16 @@
 
     # The own view of the store
 
-    def note_update(self, changes: Sequence[Change]) -> None:
-        """Record that an update of the store was applied, and announce what bears a bound."""
+    def note_update(self, changes: Sequence[Change], view: StoreView) -> None:
+        """Record that an update of the store was applied, and announce what bears a bound.
+
+        Parameters
+        ----------
+        view : StoreView
+            What the changes are of; part of a reading may be ahead of the own view.
+        """
         now = _now()
         self._release(now)
-        view = self._get_view()
         if not self._has_read:
             # Others know at least as much as an entry that starts.
             self._has_read, self._newest = True, view
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -42,6 +42,8 @@
 WITHDRAWALS_LOGGED = 100
 """Draining or missing targets of a whole reading that are logged each; the rest is counted."""
 
+UpdateReceiver = Callable[[Sequence[Change], StoreView], None]
+
 
 class StoreSync:
     """The task that reads the store.
@@ -60,7 +62,8 @@
     Attributes
     ----------
     on_update : list of callable
-        Called with the changes of each update, once they are applied.
+        Called with the changes of each update, once they are applied, and the view of the store
+        that they are of.
     """
 
     def __init__(
@@ -74,7 +77,7 @@
         on_change: Callable[[Change], None],
         feed: ChangeFeed,
     ) -> None:
-        self.on_update: list[Callable[[Sequence[Change]], None]] = []
+        self.on_update: list[UpdateReceiver] = []
         self._store = store
         self._codec = codec
         self._catalog = catalog
@@ -116,6 +119,7 @@
             except HistoryGoneError:
                 self._metrics.add_store_call("watch", "history gone")
                 self._log.event("store", "Its history is gone; reading all again.")
+                self._catalog.contact.note_answer(asyncio.get_running_loop().time())
                 self._revision = None
                 self._backoff.reset()
                 await asyncio.sleep(self._backoff.draw_spread_s())
@@ -160,22 +164,22 @@
         """Apply all records."""
         before = self._era
         is_restored = self.is_loaded.is_set() and before != whole.era
-        is_return = self._is_away
-        now = self._note_contact(is_return=is_return, heard_at=whole.proven_at)
+        now = self._note_contact(whole.proven_at)
         changes = [c for c in map(self._decode, whole.items) if c is not None]
         applied = self._catalog.load(changes, now, is_restored=is_restored)
         if is_restored:
             self._log_era(before, whole)
         self._store.era = self._era = whole.era
         self._revision = self._last_revision = whole.revision
-        self._feed.begin(whole, is_return=is_return)
+        self._feed.begin(whole)
         self.is_loaded.set()
         self._reader.limit_s = self._feed.settings.page_limit_s
         self._log.event("store", "Read all.", revision=whole.revision, changes=len(applied))
         self._log_reading(applied, whole.revision)
         for change in applied:
             self._on_change(change)
-        self._announce(applied)
+        self._catalog.contact.note_known(whole.proven_at)
+        self._announce(applied, StoreView(whole.era, max(whole.revision, whole.newest)))
 
     def _log_reading(self, applied: Sequence[Change], revision: int) -> None:
         """Write what a whole reading changed that explains later requests.
@@ -186,7 +190,7 @@
         for change in applied:
             if isinstance(change, RoutingSeen):
                 self._log_change(change, revision)
-            elif _is_withdrawal(change):
+            elif is_withdrawal(change):
                 withdrawn.append(change)
         for change in withdrawn[:WITHDRAWALS_LOGGED]:
             self._log_change(change, revision)
@@ -226,15 +230,20 @@
         configuration; a page of another copy of the store may say what no longer holds.
         """
         self._backoff.reset()
+        now = asyncio.get_running_loop().time()
+        self._catalog.contact.note_answer(now)
         if not self.is_loaded.is_set() or era != self._era:
             return
-        now = asyncio.get_running_loop().time()
+        applied = []
         for change in map(self._decode, page.items):
             if change is None or not is_withdrawal(change):
                 continue
             if self._catalog.apply(change, now):
+                applied.append(change)
                 self._log_change(change, page.revision)
                 self._on_change(change)
+        if applied:
+            self._announce(applied, StoreView(era, page.revision))
 
     async def _watch(self, revision: int) -> None:
         """Wait for changes and apply them."""
@@ -249,14 +258,15 @@
         finally:
             self._watching = None
             task.cancel()
+        if not update.is_relayed:
+            self._catalog.contact.note_answer(asyncio.get_running_loop().time())
         if self._store.era != self._era or self._revision is None:
             return  # What was asked for has another meaning now, or is not to be relied on.
         events = update.events
         if update.is_substitute:
             now = self._note_substitute(update)
         else:
-            update = update._replace(is_return=update.is_return or self._is_away)
-            now = self._note_contact(is_return=update.is_return, heard_at=update.proven_at)
+            now = self._note_contact(update.proven_at)
         applied = []
         for item in events.items:
             change = self._decode(item)
@@ -264,15 +274,17 @@
                 applied.append(change)
                 self._log_change(change, events.revision)
                 self._on_change(change)
+        # The store's own answer holds all that lapsed before its return, whenever it was asked.
+        self._catalog.contact.note_known(update.proven_at if update.is_relayed else now)
         self._revision = self._last_revision = events.revision
         self._feed.take(revision, update)
-        self._announce(applied)
+        self._announce(applied, self.view)
         await self._feed.pause()
 
-    def _announce(self, changes: Sequence[Change]) -> None:
+    def _announce(self, changes: Sequence[Change], view: StoreView) -> None:
         """Notify whoever follows the updates."""
         for note_update in self.on_update:
-            note_update(changes)
+            note_update(changes, view)
 
     def _decode(self, item: StoredItem) -> Change | None:
         """Decode a record; one that can't be read names nothing, as if it were not there.
@@ -287,13 +299,12 @@
             self._log.event("store", "Can't read a record.", key=item.key, error=str(exc))
             return self._codec.decode(StoredItem(item.key, None))
 
-    def _note_contact(self, *, is_return: bool, heard_at: float) -> float:
+    def _note_contact(self, heard_at: float) -> float:
         """Record the time of the last contact with the store, and return it."""
         now = asyncio.get_running_loop().time()
         self._catalog.note_contact(heard_at)
-        if is_return:
-            self._catalog.begin_settling(now)
-            self._log.event("store", "Back." if self._is_away else "Back, as its reader says.")
+        if self._is_away:
+            self._log.event("store", "Back.", store_away_ms=self._away_ms)
         self._is_away = self.is_confirming = False
         return now
 
@@ -302,10 +313,13 @@
         now = asyncio.get_running_loop().time()
         self._catalog.note_contact(update.proven_at)
         self._catalog.note_relay(now)
-        if update.is_return:
-            self._catalog.begin_settling(now)
         return now
 
+    @property
+    def _away_ms(self) -> int:
+        """How long the store was away since what is known, in milliseconds."""
+        return round(self._catalog.contact.find_absence().length_s * 1000)
+
     def _note_away(self, exc: StoreError) -> None:
         """Record that the store did not answer: what is known has to do."""
         self.is_confirming = False
@@ -352,7 +366,11 @@
             case TargetGone(incarnation):
                 is_lapsed = incarnation in self._catalog.lapsed
                 event(
-                    "targets", "Gone.", target=incarnation, is_lapsed=is_lapsed, revision=revision
+                    "targets",
+                    "Record lapsed; used last." if is_lapsed else "Gone.",
+                    target=incarnation,
+                    store_away_ms=self._away_ms,
+                    revision=revision,
                 )
             case EvacuationSet(hall, is_evacuated):
                 text = "Hall evacuated." if is_evacuated else "Evacuation ended."
@@ -384,17 +402,6 @@
     return ""
 
 
-def _is_withdrawal(change: Change) -> bool:
-    """Check whether a change tells that a target drains or is gone."""
-    match change:
-        case TargetSeen(record):
-            return record.is_draining
-        case TargetGone():
-            return True
-        case _:
-            return False
-
-
 def _is_cancelling() -> bool:
     """Check whether the running task itself is being cancelled."""
     task = asyncio.current_task()
