Resume the usual watches after a difference as well

Cause: a reading that leads to a difference for followers returned before the feed noted that it goes on from a whole reading, so that the next watch ended after a tenth of the bound: one call more for each lost history. Found in a merge of both changes, each of which was right by itself.

Change: the feed notes it for every whole reading. Safe either way; no test counts this one call.

--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -310,6 +310,7 @@
 
         Followers get the difference; of another copy of the store, they have to ask for all.
         """
+        self._is_resumed = True
         difference = self._records.find_difference(whole)
         self._records.begin(whole)
         if difference is not None:
@@ -317,7 +318,6 @@
             self._publish(difference._replace(is_return=is_return))
             return
         self._history = ChangeHistory()
-        self._is_resumed = True
         self._proven_at = whole.proven_at
         self._publish(Batch(whole.revision, whole.revision, [], False))
 
