--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -316,6 +316,7 @@
 
         Followers get the difference; of another copy of the store, they have to ask for all.
         """
+        self._is_resumed = True
         difference = self._records.find_difference(whole)
         self._records.begin(whole)
         self._is_resumed = True
