Take any later revision for proof that an entry knew of a withdrawal

Changes are applied in the store's order, so any line with that revision or a later one shows that the entry knew.

The new test fails without it.

--- a/halldoor/core/explaining/withdrawals.py
+++ b/halldoor/core/explaining/withdrawals.py
@@ -78,7 +78,13 @@
 
 
 class _Period(NamedTuple):
-    """Time from a withdrawal until the target is back, on the common clock."""
+    """Time from a withdrawal until the target is back, on the common clock.
+
+    Attributes
+    ----------
+    revision : int
+        Least revision of the store by which an entry knew of it.
+    """
 
     first: _Run
     since: float
@@ -96,21 +102,27 @@
         self._began: dict[_Run, float] = {}
         self._told: defaultdict[str, list[_Told]] = defaultdict(list)
         self._sent: defaultdict[str, list[tuple[_Run, float]]] = defaultdict(list)
-        self._read: defaultdict[_Run, list[tuple[float, int]]] = defaultdict(list)
+        self._applied: defaultdict[_Run, list[tuple[float, int]]] = defaultdict(list)
 
     def add(self, line: LogLine) -> None:
         """Take a line; any that tells of no target changes nothing."""
         run = self._find_run(line)
         fields = line.fields
+        if "revision" in fields:
+            self._add_revision(run, line.at, int(fields["revision"]))
         match (line.part, line.text):
             case ("targets", "Draining." | "Gone." | "Seen." as text):
                 told = _Told(run, line.at, int(fields.get("revision", 0)), text != "Seen.")
                 self._told[str(fields.get("target", ""))].append(told)
-            case ("store", "Read all."):
-                self._read[run].append((line.at, int(fields.get("revision", 0))))
             case ("request", "Ended."):
                 self._add_sendings(run, line)
 
+    def _add_revision(self, run: _Run, at: float, revision: int) -> None:
+        """Take up to which revision an entry applied all changes."""
+        applied = self._applied[run]
+        if not applied or applied[-1][1] != revision:
+            applied.append((at, revision))
+
     def _find_run(self, line: LogLine) -> _Run:
         """Find the life of the process that wrote a line, and set its clock."""
         run = self._runs.get(line.entry, _Run(line.entry, 0))
@@ -160,6 +172,8 @@
             is_open = last is not None and at < last.until
             if is_withdrawn and is_open and last is not None:
                 last.known.setdefault(run.entry, at)
+                # The lines name the update's revision, which is the change's own or later.
+                periods[-1] = last._replace(revision=min(revision, last.revision))
             elif is_withdrawn and (last is None or revision > last.revision):
                 periods.append(_Period(run, at, math.inf, revision, {run.entry: at}))
             elif is_open and last is not None and revision > last.revision:
@@ -172,9 +186,9 @@
         ran = [r for r, at in self._began.items() if self._find_time(r, at) <= period.since]
         known = {e: at for e, at in period.known.items() if e in {run.entry for run in ran}}
         for run in ran:
-            read_at = self._find_reading(run, period)
-            if read_at is not None:
-                known[run.entry] = min(read_at, known.get(run.entry, math.inf))
+            applied_at = self._find_application(run, period)
+            if applied_at is not None:
+                known[run.entry] = min(applied_at, known.get(run.entry, math.inf))
         others = sorted(
             (at - period.since, e) for e, at in known.items() if e != period.first.entry
         )
@@ -188,12 +202,15 @@
             self._find_last(target, period, known),
         )
 
-    def _find_reading(self, run: _Run, period: _Period) -> float | None:
-        """Find when an entry read everything as of the withdrawal or later."""
-        for at, revision in self._read[run]:
-            read_at = self._find_time(run, at)
-            if period.since <= read_at < period.until and revision >= period.revision:
-                return read_at
+    def _find_application(self, run: _Run, period: _Period) -> float | None:
+        """Find when an entry had applied all changes up to the withdrawal.
+
+        The line of the target itself may be missing: whole readings write few, and lines get lost.
+        """
+        for at, revision in self._applied[run]:
+            applied_at = self._find_time(run, at)
+            if period.since <= applied_at < period.until and revision >= period.revision:
+                return applied_at
         return None
 
     def _find_last(self, target: str, period: _Period, known: dict[str, float]) -> Sending | None:
--- a/halldoor/tests/test_withdrawals.py
+++ b/halldoor/tests/test_withdrawals.py
@@ -81,6 +81,17 @@
         assert found.delays_s == pytest.approx([2.0])
         assert (found.unaware, found.last) == (1, None)
 
+    def test_a_lost_line_is_no_late_news(self):
+        """Lines that were lost on the way made entries seem to learn of a drain at its end."""
+        (found,) = list_withdrawals(
+            make_line("e2", 5.0, "targets: Draining.", target="t1", revision=9),
+            make_line("e3", 5.1, "targets: Draining.", target="t1", revision=7),
+            make_line("e1", 5.2, "routing: In force.", version=3, revision=6),
+            make_line("e1", 5.4, "membership: Entry seen.", member="e4", revision=8),
+            make_line("e1", 9.0, "targets: Gone.", target="t1", revision=20),
+        )
+        assert (found.target, found.delays_s) == ("t1", pytest.approx((0.1, 0.4)))
+
     def test_only_the_attempt_at_the_target_counts(self):
         (found,) = list_withdrawals(
             make_line("e2", 5.0, "targets: Gone.", target="t1", revision=7),
