--- a/halldoor/core/targets/changes.py
+++ b/halldoor/core/targets/changes.py
@@ -112,3 +112,14 @@
     | EvidenceSeen
     | EvidenceGone
 )
+
+
+def is_withdrawal(change: Change) -> bool:
+    """Check whether a change tells that a target drains or is gone."""
+    match change:
+        case TargetSeen(record):
+            return record.is_draining
+        case TargetGone():
+            return True
+        case _:
+            return False
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -14,6 +14,7 @@
     RoutingSeen,
     TargetGone,
     TargetSeen,
+    is_withdrawal,
 )
 from halldoor.core.targets.relay import WantedEra
 from halldoor.gateway.eventlog import EventLog
@@ -166,7 +167,7 @@
         for change in applied:
             if isinstance(change, RoutingSeen):
                 self._log_change(change, revision)
-            elif _is_withdrawal(change):
+            elif is_withdrawal(change):
                 withdrawn.append(change)
         for change in withdrawn[:WITHDRAWALS_LOGGED]:
             self._log_change(change, revision)
@@ -340,17 +341,6 @@
     return ""
 
 
-def _is_withdrawal(change: Change) -> bool:
-    """Check whether a change tells that a target drains or is gone."""
-    match change:
-        case TargetSeen(record):
-            return record.is_draining
-        case TargetGone():
-            return True
-        case _:
-            return False
-
-
 def _is_cancelling() -> bool:
     """Check whether the running task itself is being cancelled."""
     task = asyncio.current_task()
