--- a/halldoor/core/targets/changes.py
+++ b/halldoor/core/targets/changes.py
@@ -114,7 +114,7 @@
 )
 
 
-def is_withdrawal(change: Change) -> bool:
+def is_target_withdrawal(change: Change) -> bool:
     """Check whether a change tells that a target drains or is gone."""
     match change:
         case TargetSeen(record):
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -14,7 +14,7 @@
     RoutingSeen,
     TargetGone,
     TargetSeen,
-    is_withdrawal,
+    is_target_withdrawal,
 )
 from halldoor.core.targets.relay import WantedEra
 from halldoor.gateway.eventlog import EventLog
@@ -167,7 +167,7 @@
         for change in applied:
             if isinstance(change, RoutingSeen):
                 self._log_change(change, revision)
-            elif is_withdrawal(change):
+            elif is_target_withdrawal(change):
                 withdrawn.append(change)
         for change in withdrawn[:WITHDRAWALS_LOGGED]:
             self._log_change(change, revision)
