--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -14,6 +14,7 @@
     RoutingSeen,
     TargetGone,
     TargetSeen,
+    is_target_withdrawal,
 )
 from halldoor.core.targets.relay import WantedEra
 from halldoor.core.targets.withdrawal import StoreView
@@ -189,9 +190,7 @@
         for change in applied:
             if isinstance(change, RoutingSeen):
                 self._log_change(change, revision)
-        self._log_withdrawals(
-            [c for c in applied if isinstance(c, TargetGone) or is_withdrawal(c)], revision
-        )
+        self._log_withdrawals([c for c in applied if is_target_withdrawal(c)], revision)
 
     def _log_withdrawals(self, withdrawn: Sequence[Change], revision: int) -> None:
         """Write what a reading took out of use, up to a limit."""
