--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -9,7 +9,6 @@
 import math
 from collections import OrderedDict
 from collections.abc import Collection, Sequence
-from typing import NamedTuple
 
 from halldoor.core.targets.changes import (
     Change,
@@ -28,34 +27,17 @@
 from halldoor.core.targets.contact import Lapse, StoreContact
 from halldoor.core.targets.leaving import LeavingTable
 from halldoor.core.targets.notice import ColdNotice
+from halldoor.core.targets.removals import PostponedRemovals, list_missing
 from halldoor.core.targets.route import Routing
 from halldoor.core.targets.sharers import SharerTable
 from halldoor.core.targets.target import Target
+from halldoor.core.targets.timings import CatalogTimings
 from halldoor.core.targets.withdrawal import StoreView, WithdrawalTable
 
 LEFT_KEPT = 2000
 """Targets that left and are remembered, in case an older copy of the store names them again."""
 
 
-class CatalogTimings(NamedTuple):
-    """How long beliefs last.
-
-    Attributes
-    ----------
-    settle_s : float
-        After the store was away, time for records that lapsed meanwhile to come back.
-    lapse_s : float
-        Shortest absence of the store in which a target's record lapses: the lifetime of a record
-        less the time between two writes.
-    young_s : float
-        Time after the start in which other entries may not have registered yet.
-    """
-
-    settle_s: float = 2.0
-    lapse_s: float = 3.0
-    young_s: float = 6.0
-
-
 class Catalog:
     """The believed state of the whole system.
 
@@ -97,7 +79,7 @@
         self._leaving = LeavingTable()
         self._withdrawals = WithdrawalTable()
         self._newly_withdrawn: list[TargetStart] = []
-        self._postponed: dict[Change, float] = {}
+        self._postponed = PostponedRemovals()
         self.version = 0
         self.members_version = 0
         self.fresh_at = 0.0
@@ -105,8 +87,7 @@
 
     def apply(self, change: Change, now: float) -> bool:
         """Apply one change; False where it changes nothing."""
-        if self._postponed:
-            self._keep(change)
+        self._postponed.drop_for(change)
         match change:
             case RoutingSeen(routing):
                 return self._adopt(routing)
@@ -145,17 +126,16 @@
         """
         if is_restored:
             changes = [c for c in changes if not self._has_left(c)]
-        named = {c.record.incarnation for c in changes if isinstance(c, TargetSeen)}
-        members = {c.member.name for c in changes if isinstance(c, MemberSeen)}
-        halls = {c.hall for c in changes if isinstance(c, EvacuationSet)}
-        removals: list[Change] = [TargetGone(t) for t in self._targets if t not in named]
-        removals += [MemberGone(m) for m in self.members if m not in members]
-        removals += [EvacuationSet(h, False) for h in self.evacuated if h not in halls]
-        suspects = {c.record.digest for c in changes if isinstance(c, EvidenceSeen)}
-        removals += [EvidenceGone(d) for d in self._suspects if d not in suspects]
+        removals = list_missing(
+            changes,
+            targets=self._targets,
+            members=self.members,
+            evacuated=self.evacuated,
+            suspects=self._suspects,
+        )
         if is_restored:
             self._restored_at = now
-            removals = self._postpone(removals, now)
+            removals = self._postponed.add(removals, due_at=now + self.timings.settle_s)
         return [c for c in [*changes, *removals] if self.apply(c, now)]
 
     def _has_left(self, change: Change) -> bool:
@@ -165,28 +145,9 @@
         record = change.record
         return self._left.get(record.incarnation) == record.started_ms
 
-    def _postpone(self, removals: Sequence[Change], now: float) -> list[Change]:
-        """Put removals off until their writers had time to write again; give the others."""
-        at_once: list[Change] = [c for c in removals if isinstance(c, TargetGone)]
-        self._postponed = {c: now + self.timings.settle_s for c in removals if c not in at_once}
-        return at_once
-
     def apply_postponed(self, now: float) -> list[Change]:
         """Apply removals whose time is over, unless what they remove was written again."""
-        due = [change for change, at in self._postponed.items() if at <= now]
-        for change in due:
-            del self._postponed[change]
-        return [change for change in due if self.apply(change, now)]
-
-    def _keep(self, change: Change) -> None:
-        """Drop the removal of what was just written again."""
-        match change:
-            case EvacuationSet(hall, True):
-                self._postponed.pop(EvacuationSet(hall, False), None)
-            case MemberSeen(member):
-                self._postponed.pop(MemberGone(member.name), None)
-            case EvidenceSeen(record):
-                self._postponed.pop(EvidenceGone(record.digest), None)
+        return [change for change in self._postponed.take_due(now) if self.apply(change, now)]
 
     @property
     def configuration_version(self) -> int:
--- /dev/null
+++ b/halldoor/gateway/exchanges.py
@@ -0,0 +1,77 @@
+"""What an entry exchanges with others about single targets, and how answers feed it."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine
+from typing import Any
+
+from halldoor.core.targets.catalog import Catalog
+from halldoor.core.targets.changes import MemberRecord
+from halldoor.core.targets.choice import Chooser
+from halldoor.gateway.coldstate import ColdStateExchange
+from halldoor.gateway.datagrams import DatagramPort
+from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.feedback import TargetFeedback
+from halldoor.gateway.headers import HeaderNames
+from halldoor.gateway.leaving import LeavingExchange
+from halldoor.gateway.limits import LimitExchange
+from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.notices import NoticeSender
+from halldoor.gateway.rests import RestReader
+from halldoor.gateway.settings import GatewaySettings
+from halldoor.gateway.sharing import ObservationSharing
+
+
+class TargetExchanges:
+    """Observations, cold states, limits and leaving targets, as entries tell each other.
+
+    Parameters
+    ----------
+    own : MemberRecord
+        This entry.
+    catalog, chooser : Catalog, Chooser
+        What is known of targets.
+    feedback : TargetFeedback
+        Reads targets' answers; what they say of themselves goes to the exchanges.
+    port : DatagramPort
+        The socket for messages of other entries.
+    names : HeaderNames
+        Header names that targets use.
+    """
+
+    def __init__(
+        self,
+        own: MemberRecord,
+        catalog: Catalog,
+        chooser: Chooser,
+        feedback: TargetFeedback,
+        port: DatagramPort,
+        *,
+        names: HeaderNames,
+        settings: GatewaySettings,
+        log: EventLog,
+        metrics: GatewayMetrics,
+    ) -> None:
+        sender = NoticeSender(own, catalog, port)
+        self.sharing = ObservationSharing(own, catalog, feedback, port, settings=settings.sharing)
+        self.cold_state = ColdStateExchange(
+            catalog,
+            chooser,
+            sender,
+            port,
+            names=names,
+            read_statement=feedback.read_health_statement,
+            contact_limit_s=settings.relaying.contact_limit_s,
+            log=log,
+            metrics=metrics,
+        )
+        self.limits = LimitExchange(catalog, chooser.limits, sender, port, log=log, metrics=metrics)
+        self.leaving = LeavingExchange(catalog, sender, port, log=log, metrics=metrics)
+        rests = RestReader(chooser.rests, log=log, metrics=metrics)
+        feedback.on_statement.append(self.limits.apply_statement)
+        feedback.on_any_statement += [self.leaving.apply_statement, rests.apply_statement]
+
+    def list_tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the tasks, each to be run until cancelled."""
+        parts = (self.sharing, self.cold_state, self.limits, self.leaving)
+        return [part.run() for part in parts]
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -18,19 +18,16 @@
 from halldoor.gateway import clock
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.caller import CallerConnection, listen
-from halldoor.gateway.coldstate import ColdStateExchange
 from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.exchanges import TargetExchanges
 from halldoor.gateway.feedback import TargetFeedback
 from halldoor.gateway.flows import FlowWatch
 from halldoor.gateway.following import ChangeFollower
 from halldoor.gateway.headers import HeaderNames
-from halldoor.gateway.leaving import LeavingExchange
-from halldoor.gateway.limits import LimitExchange
 from halldoor.gateway.lookup import LookupFormat
 from halldoor.gateway.maintenance import Maintenance
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.notices import NoticeSender
 from halldoor.gateway.pages import GatewayFigures, GatewayState, Pages
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.quarantine import RequestQuarantine
@@ -38,10 +35,8 @@
 from halldoor.gateway.registration import Registration
 from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.request import RequestHandler
-from halldoor.gateway.rests import RestReader
 from halldoor.gateway.retries import RetryGate
 from halldoor.gateway.settings import LIVE_SETTINGS, GatewaySettings
-from halldoor.gateway.sharing import ObservationSharing
 from halldoor.gateway.store import MetadataStore, RecordCodec
 from halldoor.gateway.storenotices import StoreNoticeExchange
 from halldoor.gateway.sync import StoreSync
@@ -147,7 +142,17 @@
         )
         splitter = Splitter()
         self._build_access(splitter, names)
-        self._build_target_exchanges(names)
+        self.exchanges = TargetExchanges(
+            self.member,
+            self.catalog,
+            self.chooser,
+            self.feedback,
+            self.port,
+            names=names,
+            settings=settings,
+            log=self.log,
+            metrics=self.metrics,
+        )
         self.requests = RequestHandler(
             catalog=self.catalog,
             chooser=self.chooser,
@@ -165,38 +170,6 @@
             quarantine=self.quarantine,
         )
 
-    def _build_target_exchanges(self, names: HeaderNames) -> None:
-        """Build what exchanges knowledge of single targets with other entries."""
-        self.sharing = ObservationSharing(
-            self.member, self.catalog, self.feedback, self.port, settings=self.settings.sharing
-        )
-        sender = NoticeSender(self.member, self.catalog, self.port)
-        self.cold_state = ColdStateExchange(
-            self.catalog,
-            self.chooser,
-            sender,
-            self.port,
-            names=names,
-            read_statement=self.feedback.read_health_statement,
-            contact_limit_s=self.settings.relaying.contact_limit_s,
-            log=self.log,
-            metrics=self.metrics,
-        )
-        self.limits = LimitExchange(
-            self.catalog,
-            self.chooser.limits,
-            sender,
-            self.port,
-            log=self.log,
-            metrics=self.metrics,
-        )
-        self.leaving = LeavingExchange(
-            self.catalog, sender, self.port, log=self.log, metrics=self.metrics
-        )
-        rests = RestReader(self.chooser.rests, log=self.log, metrics=self.metrics)
-        self.feedback.on_statement.append(self.limits.apply_statement)
-        self.feedback.on_any_statement += [self.leaving.apply_statement, rests.apply_statement]
-
     def _build_access(self, splitter: Splitter, names: HeaderNames) -> None:
         """Build what lets requests in, by routes, teams and quotas, and lets them be repeated."""
         settings = self.settings
@@ -260,8 +233,8 @@
             feedback=self.feedback,
             quarantine=self.quarantine,
             registration=self.registration,
-            cold_state=self.cold_state,
-            limits=self.limits,
+            cold_state=self.exchanges.cold_state,
+            limits=self.exchanges.limits,
             is_stopping=lambda: self.is_stopping,
             log=self.log,
         )
@@ -339,10 +312,7 @@
             self.maintenance.run(),
             self.travel.run(),
             self.quotas.run(),
-            self.sharing.run(),
-            self.cold_state.run(),
-            self.limits.run(),
-            self.leaving.run(),
+            *self.exchanges.list_tasks(),
             self.store_notices.run(),
             self.quarantine.run(),
         )
