Let the own view of the store decide on a lapse, whatever a notice said

What callers saw: nothing; found in review. A target that another entry had called withdrawn was forgotten where the own view took its removal for a lapse of the store's leases, so that one wrong notice took a sound target out everywhere.

Cause: Catalog._lose_target asked is_draining, which includes notices, before it asked for a lapse. Change: its record and its answers count alone.

--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -370,7 +370,8 @@
             return False
         if incarnation in self.lapsed:
             return False
-        lapse = None if target.is_draining else self._find_lapse(now)
+        is_leaving = target.record.is_draining or target.says_leaving
+        lapse = None if is_leaving else self._find_lapse(now)
         if lapse is not None:
             self.lapsed[incarnation] = lapse
             return True
--- a/halldoor/core/targets/withdrawal.py
+++ b/halldoor/core/targets/withdrawal.py
@@ -66,14 +66,11 @@
         Time since an entry first applied the changes, in seconds.
     withdrawn : sequence of TargetStart
         Targets that drain, or whose record was removed.
-    has_more : bool
-        The configuration or the evacuations changed too.
     """
 
     view: StoreView
     age_s: float
     withdrawn: Sequence[TargetStart]
-    has_more: bool = False
 
     @property
     def is_valid(self) -> bool:
--- a/halldoor/gateway/storenotices.py
+++ b/halldoor/gateway/storenotices.py
@@ -38,10 +38,7 @@
 ROUNDS = 2
 """Times that a notice is sent."""
 BEHIND_S = 0.5
-"""Time after which an entry that has ended its pause, and is still behind, opens another watch, in
-seconds."""
-PAUSED_BEHIND_S = 1.5
-"""The same for one that may pause, in seconds: withdrawn targets are known by the notice."""
+"""Time after which an entry that is still behind others opens another watch, in seconds."""
 CHECK_S = 1.0
 """Period of looking for notices that no longer hold, in seconds."""
 
@@ -108,7 +105,6 @@
         self._pending: dict[TargetStart | None, _Pending] = {}
         self._wake = asyncio.Event()
         self._newest = StoreView("", -1)
-        self._ahead = StoreView("", -1)
         self._has_read = False
         self._check: asyncio.TimerHandle | None = None
         port.receive(MessageKind.STORE_NEWS, list[StoreNotice], self._receive)
@@ -205,30 +201,17 @@
                 revision=view.revision,
             )
         if own.is_behind(view):
-            self._catch_up(notice, now)
+            self._hurry()
+            self._watch_lag(view)
+            if not notice.withdrawn and not self._newest.has_reached(view):
+                self._newest = view
+                self._add(None, view, learned_at=now - notice.age_s)
 
-    def _catch_up(self, notice: StoreNotice, now: float) -> None:
-        """Follow the store up to the view of another entry."""
-        view = notice.view
-        if not self._ahead.has_reached(view):
-            self._ahead = view
-        if not notice.has_more:
-            self._watch_lag(view, PAUSED_BEHIND_S)
-            return
-        self._hurry()
-        self._watch_lag(view, BEHIND_S)
-        if not self._newest.has_reached(view):
-            self._newest = view
-            self._add(None, view, learned_at=now - notice.age_s)
-
-    def _watch_lag(self, view: StoreView, after_s: float) -> None:
+    def _watch_lag(self, view: StoreView) -> None:
         """Open another watch if the present one does not bring a view in time."""
-        loop = asyncio.get_running_loop()
-        if self._check is not None:
-            if self._check.when() <= loop.time() + after_s:
-                return
-            self._check.cancel()
-        self._check = loop.call_later(after_s, self._check_lag, view)
+        if self._check is None:
+            loop = asyncio.get_running_loop()
+            self._check = loop.call_later(BEHIND_S, self._check_lag, view)
 
     def _check_lag(self, view: StoreView) -> None:
         """Open another watch if the own view is still behind."""
@@ -238,8 +221,6 @@
             self._metrics.add_store_call("watch", "behind")
             self._log.event("store", "Behind other entries.", own=own.revision, other=view.revision)
             self._renew_watch("other entries are ahead")
-        elif own.is_behind(self._ahead):
-            self._watch_lag(self._ahead, PAUSED_BEHIND_S)
 
 
 def _build_notices(
@@ -255,8 +236,7 @@
         age_s = max(now - due[start].learned_at for start in starts)
         targets = [start for start in starts if start is not None]
         for first in range(0, max(1, len(targets)), WITHDRAWN_MOST):
-            part = targets[first : first + WITHDRAWN_MOST]
-            yield StoreNotice(view, age_s, part, has_more=None in starts)
+            yield StoreNotice(view, age_s, targets[first : first + WITHDRAWN_MOST])
 
 
 def _now() -> float:
