End pauses only for notices that the store has to explain

What callers saw: nothing yet; found in review. In a release every entry that watches for itself asked the store at each notice of another one.

Cause: a notice of a withdrawn target ended the receiver's pause, though the receiver had just excluded the target by it. While targets drain one after the other somebody is always ahead, so that nobody pauses. Besides, a configuration and a withdrawal in one message were taken for a withdrawal, and the configuration was not passed on.

Both new tests fail before the change.

Ruled out: fewer notices; they are the fast way.

Change: withdrawals end no pause; a configuration or an evacuation does, and travels in a message of its own.

--- a/halldoor/gateway/storenotices.py
+++ b/halldoor/gateway/storenotices.py
@@ -200,12 +200,16 @@
                 age_ms=round(notice.age_s * 1000),
                 revision=view.revision,
             )
-        if own.is_behind(view):
-            self._hurry()
-            self._watch_lag(view)
-            if not notice.withdrawn and not self._newest.has_reached(view):
-                self._newest = view
-                self._add(None, view, learned_at=now - notice.age_s)
+        if not own.is_behind(view):
+            return
+        self._watch_lag(view)
+        if notice.withdrawn:
+            # What it says holds from now on; the store's own word may wait for the next slot.
+            return
+        self._hurry()
+        if not self._newest.has_reached(view):
+            self._newest = view
+            self._add(None, view, learned_at=now - notice.age_s)
 
     def _watch_lag(self, view: StoreView) -> None:
         """Open another watch if the present one does not bring a view in time."""
@@ -235,7 +239,10 @@
     for view, starts in by_view.items():
         age_s = max(now - due[start].learned_at for start in starts)
         targets = [start for start in starts if start is not None]
-        for first in range(0, max(1, len(targets)), WITHDRAWN_MOST):
+        if len(targets) < len(starts):
+            # By itself: no receiver can apply it, so that each reads the store at once.
+            yield StoreNotice(view, age_s, [])
+        for first in range(0, len(targets), WITHDRAWN_MOST):
             yield StoreNotice(view, age_s, targets[first : first + WITHDRAWN_MOST])
 
 
--- /dev/null
+++ b/halldoor/tests/test_notices_in_release.py
@@ -0,0 +1,75 @@
+"""Notices of many targets that drain one after the other cost neither calls nor contact."""
+
+from __future__ import annotations
+
+import asyncio
+
+from halldoor.core.targets.changes import TargetStart
+from halldoor.core.targets.relay import RelaySettings
+from halldoor.core.targets.withdrawal import StoreNotice, StoreView
+from halldoor.gateway.storenotices import _build_notices, _Pending
+from halldoor.standins import virtualtime
+from halldoor.standins.storefleet import StoreFleet
+
+SETTINGS = RelaySettings(bound_s=3.0)
+ENTRIES = 24
+"""Each in a hall of its own, so that each watches for itself."""
+TARGETS = 60
+PERIOD_S = 0.1
+"""Time between two targets that drain, in seconds."""
+SLOW_STORE = 160.0
+"""Factor of the store's time for a call: an answer then takes 0.8 s."""
+
+
+def play_release(*, slowness=1.0):
+    """Drain targets one after the other; give the watches, and how late each view was at most."""
+    results = []
+
+    async def play():
+        results.extend(await drain_targets(slowness))
+
+    virtualtime.run(play())
+    return results
+
+
+async def drain_targets(slowness):
+    fleet = StoreFleet(
+        entries=ENTRIES,
+        halls=ENTRIES,
+        targets=TARGETS,
+        regions=3,
+        settings=SETTINGS,
+        batch_s=SETTINGS.own_pause_s,
+        answer_s=0.005,
+    )
+    fleet.configure(1)
+    await fleet.start(within_s=0.1)
+    await fleet.wait(1)
+    await asyncio.sleep(5.0)
+    fleet.server.slowness = slowness
+    loop, latest = asyncio.get_running_loop(), dict.fromkeys(fleet.entries, 0.0)
+    began_at, written = loop.time(), {}
+    for number in range(TARGETS):
+        fleet.write_target(number, fleet.find_hall(number), is_draining=True)
+        written[fleet.store.copy().revision] = loop.time()
+        await asyncio.sleep(PERIOD_S)
+        for port, entry in fleet.entries.items():
+            missing = [at for r, at in written.items() if r > entry.sync.view.revision]
+            latest[port] = max(latest[port], loop.time() - min(missing, default=loop.time()))
+    watches = fleet.count_calls(began_at, loop.time())["watch"]
+    fleet.stop()
+    return watches, sorted(latest.values())
+
+
+def test_each_notice_ends_the_pause_of_all_entries():
+    # Entries asked the store at each other's notices of what these had already told them.
+    watches, _ = play_release()
+    assert watches <= ENTRIES * (TARGETS * PERIOD_S / SETTINGS.own_pause_s + 1)
+
+
+def test_a_configuration_is_not_passed_on_beside_a_withdrawn_target():
+    # Receivers took both in one message for news that they can apply without the store.
+    view, start = StoreView("1", 9), TargetStart("t0", 0)
+    due = dict.fromkeys((None, start), _Pending(view, learned_at=1.0, due_at=1.0))
+    notices = list(_build_notices(due, view, 1.0))
+    assert notices == [StoreNotice(view, 0.0, []), StoreNotice(view, 0.0, [start])]
