Give a slow store time to answer before another watch is opened

What callers saw: nothing yet; found in review. While a store answered slowly and changes went on, entries learned of no new target or configuration for as long as it lasted.

Cause: an entry that was behind a notice for 0.5 s gave its watch up. Where an answer takes 0.75 s and notices go on, each watch was given up before its answer, for ever. An entry that paused counted as behind as well, and wrote two lines each time.

Ruled out: no further watch at all; an entry whose watch is stuck would learn of configurations up to 28 s later.

Change: the first watch is given up as before; each one that was opened in vain doubles the time before the next, up to 8 times. After a withdrawal, which ends no pause, it is 2 s.

--- a/halldoor/gateway/storenotices.py
+++ b/halldoor/gateway/storenotices.py
@@ -39,6 +39,10 @@
 """Times that a notice is sent."""
 BEHIND_S = 0.5
 """Time after which an entry that is still behind others opens another watch, in seconds."""
+PAUSED_S = 2.0
+"""The same after a withdrawal, which ends no pause, in seconds: above a pause and a call."""
+PATIENCE_MOST = 8.0
+"""Factor of both at most; it doubles with each watch that was opened in vain."""
 CHECK_S = 1.0
 """Period of looking for notices that no longer hold, in seconds."""
 
@@ -107,6 +111,7 @@
         self._newest = StoreView("", -1)
         self._has_read = False
         self._check: asyncio.TimerHandle | None = None
+        self._patience = 1.0
         port.receive(MessageKind.STORE_NEWS, list[StoreNotice], self._receive)
 
     # The own view of the store
@@ -202,29 +207,40 @@
             )
         if not own.is_behind(view):
             return
-        self._watch_lag(view)
         if notice.withdrawn:
             # What it says holds from now on; the store's own word may wait for the next slot.
+            self._watch_lag(view, PAUSED_S)
             return
         self._hurry()
+        self._watch_lag(view, BEHIND_S)
         if not self._newest.has_reached(view):
             self._newest = view
             self._add(None, view, learned_at=now - notice.age_s)
 
-    def _watch_lag(self, view: StoreView) -> None:
-        """Open another watch if the present one does not bring a view in time."""
-        if self._check is None:
-            loop = asyncio.get_running_loop()
-            self._check = loop.call_later(BEHIND_S, self._check_lag, view)
+    def _watch_lag(self, view: StoreView, limit_s: float) -> None:
+        """Open another watch if the present one does not bring a view in time, in seconds."""
+        loop = asyncio.get_running_loop()
+        due_at = loop.time() + limit_s * self._patience
+        if self._check is not None:
+            if self._check.when() <= due_at:
+                return
+            self._check.cancel()
+        self._check = loop.call_at(due_at, self._check_lag, view)
 
     def _check_lag(self, view: StoreView) -> None:
-        """Open another watch if the own view is still behind."""
+        """Open another watch if the own view is still behind.
+
+        A slow store answers each watch late: one that is given up each time brings nothing.
+        """
         self._check = None
         own = self._get_view()
-        if own.is_behind(view):
-            self._metrics.add_store_call("watch", "behind")
-            self._log.event("store", "Behind other entries.", own=own.revision, other=view.revision)
-            self._renew_watch("other entries are ahead")
+        if not own.is_behind(view):
+            self._patience = max(1.0, self._patience / 2)
+            return
+        self._patience = min(PATIENCE_MOST, self._patience * 2)
+        self._metrics.add_store_call("watch", "behind")
+        self._log.event("store", "Behind other entries.", own=own.revision, other=view.revision)
+        self._renew_watch("other entries are ahead")
 
 
 def _build_notices(
--- a/halldoor/tests/test_notices_in_release.py
+++ b/halldoor/tests/test_notices_in_release.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from halldoor.core.targets.changes import TargetStart
 from halldoor.core.targets.relay import RelaySettings
 from halldoor.core.targets.withdrawal import StoreNotice, StoreView
@@ -21,18 +23,26 @@
 """Factor of the store's time for a call: an answer then takes 0.8 s."""
 
 
-def play_release(*, slowness=1.0):
-    """Drain targets one after the other; give the watches, and how late each view was at most."""
+def drain(fleet, number):
+    fleet.write_target(number, fleet.find_hall(number), is_draining=True)
+
+
+def configure(fleet, number):
+    fleet.configure(2 + number)
+
+
+def play_release(write=drain, *, slowness=1.0):
+    """Write one change after the other; give the watches, and how late each view was at most."""
     results = []
 
     async def play():
-        results.extend(await drain_targets(slowness))
+        results.extend(await write_changes(write, slowness))
 
     virtualtime.run(play())
     return results
 
 
-async def drain_targets(slowness):
+async def write_changes(write, slowness):
     fleet = StoreFleet(
         entries=ENTRIES,
         halls=ENTRIES,
@@ -50,7 +60,7 @@
     loop, latest = asyncio.get_running_loop(), dict.fromkeys(fleet.entries, 0.0)
     began_at, written = loop.time(), {}
     for number in range(TARGETS):
-        fleet.write_target(number, fleet.find_hall(number), is_draining=True)
+        write(fleet, number)
         written[fleet.store.copy().revision] = loop.time()
         await asyncio.sleep(PERIOD_S)
         for port, entry in fleet.entries.items():
@@ -67,6 +77,13 @@
     assert watches <= ENTRIES * (TARGETS * PERIOD_S / SETTINGS.own_pause_s + 1)
 
 
+@pytest.mark.parametrize("write", [drain, configure])
+def test_watches_are_given_up_before_a_slow_store_answers_them(write):
+    # Each notice of others led to another watch half a second later, so that none was answered.
+    _, latest = play_release(write, slowness=SLOW_STORE)
+    assert latest[-1] <= SETTINGS.bound_s
+
+
 def test_a_configuration_is_not_passed_on_beside_a_withdrawn_target():
     # Receivers took both in one message for news that they can apply without the store.
     view, start = StoreView("1", 9), TargetStart("t0", 0)
