Call the store for no notice that says all itself

What callers saw: nothing; the store's calls are priced.

Cause: every notice between entries ended the pause before the next watch, also one that names the targets which left, which the receiver applies as it comes.

The regression test fails before (593 calls for at most 110).

Change: only notices of a newer configuration or evacuation end the pause; they don't carry it.

--- a/halldoor/gateway/storenotices.py
+++ b/halldoor/gateway/storenotices.py
@@ -196,7 +196,9 @@
                 revision=view.revision,
             )
         if own.is_behind(view):
-            self._hurry()
+            if not notice.withdrawn:
+                # A watch is dear, and the notice says all that can't wait.
+                self._hurry()
             self._watch_lag(view)
             if not notice.withdrawn and not self._newest.has_reached(view):
                 self._newest = view
--- a/halldoor/tests/test_pause.py
+++ b/halldoor/tests/test_pause.py
@@ -18,9 +18,9 @@
 
 
 @contextlib.asynccontextmanager
-async def open_fleet(*, entries):
+async def open_fleet(*, entries, targets=0):
     """Entries of halls without readers."""
-    fleet = StoreFleet(entries=entries, halls=entries // 2, targets=0)
+    fleet = StoreFleet(entries=entries, halls=entries // 2, targets=targets)
     fleet.configure(1)
     await fleet.start(within_s=0.5)
     for entry in fleet.entries.values():
@@ -82,6 +82,26 @@
     virtualtime.run(check())
 
 
+def test_notices_of_targets_that_leave_cost_no_calls():
+    """Each of them made every entry call the store, for what the notice had said."""
+
+    async def check():
+        async with open_fleet(entries=10, targets=60) as fleet:
+            began = asyncio.get_running_loop().time()
+            for number in range(60):
+                fleet.write_target(number, "h0", is_draining=True)
+                await asyncio.sleep(BATCH_S / 6)
+            calls = fleet.count_calls(began, began + 10 * BATCH_S)
+            # The first watch waited already.
+            assert calls["watch"] <= 10 * (10 + 1)
+            # The last one's notice is on its way.
+            await asyncio.sleep(BATCH_S)
+            for entry in fleet.entries.values():
+                assert not entry.catalog.list_usable("deck")
+
+    virtualtime.run(check())
+
+
 @given(
     now=st.floats(0.0, 1e6),
     period_s=st.floats(0.01, 10.0),
