Wait longer for another copy than for a lost history

Cause: one wait for both was cut to 0.15 of the bound.

Change: 0.25 of the bound and 0.3 s where the reader may have to read a copy first, as before at a bound of 2 s; 0.3 s alone for a lost history, where the reader holds the same copy and answers at once.

Why it works: a way with a lost history has no wait for another copy on it.

--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -40,7 +40,7 @@
 Above the shares before, which add up to the age that a sound reader's proof may reach; the rest
 of the bound is left for a poll's answer and the entry's own call to the store.
 """
-HANDOVER_SHARE = 0.15
+HANDOVER_SHARE = 0.25
 """Part of the bound that a reader waits for the copy of the store that it is asked for."""
 PAGE_SHARE = 0.25
 """Part of the bound after which a page of the store that is not answered is asked for anew."""
@@ -72,7 +72,8 @@
     age_s : float
         A follower relies on a reader that is lost.
     handover_s : float
-        A follower waits for all records of its reader, in vain.
+        A follower waits for all records of its reader, in vain; of another copy of the store it
+        waits longer.
     connect_s, call_s : float
         A connection to the store is opened, and a call answered.
     retry_s : float
@@ -217,7 +218,7 @@
             own_pause_s=self.own_pause_s,
             reader_pause_s=self.pause_s,
             age_s=self.age_limit_s,
-            handover_s=self.handover_wait_s + self.answer_s,
+            handover_s=self.answer_s,
         )
 
     @property
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -282,6 +282,9 @@
         client = self._open_client(reader.relay)
         try:
             timeout_s = self.settings.budget.handover_s
+            if members is not None or wanted.left is not None:
+                # The reader may have to read this copy first.
+                timeout_s += self.settings.handover_wait_s
             whole = await ask_for_whole(client, wanted, timeout_s=timeout_s)
             self._check_age(whole.proven_at)
         except ReaderLostError as exc:
