Take a silence that goes on for an absence of the store

What callers saw: nothing yet; found in review. After an outage entries dropped all targets whose records had lapsed with the store, and told all other entries to, instead of keeping them for 2 s.

Cause: changes may come by another entry whose own contact has just begun.

The absence was empty where the new test expects one. The tests of lapses, gaps, suspensions and of the bound pass.

Change: where nothing was heard nor is proven for 2 s when a removal is applied, the absence lasts until then.

Why it works: an entry that can't say when the store answered measures the longest time that it may have been away, as for its own answers.

--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -213,7 +213,7 @@
 
     def _find_lapse(self, now: float) -> Lapse | None:
         """Return until when a target is kept whose record is gone; None where that is meant."""
-        absence, settle_s = self.contact.find_absence(), self.timings.settle_s
+        absence, settle_s = self.contact.find_absence(now), self.timings.settle_s
         if now <= self._restored_at:
             return Lapse(now + settle_s, absence.length_s)
         lapse = Lapse(absence.ended_at + settle_s, absence.length_s)
--- a/halldoor/core/targets/contact.py
+++ b/halldoor/core/targets/contact.py
@@ -139,8 +139,15 @@
         """Record that every change up to a moment has been applied."""
         self._known_until = max(self._known_until, until)
 
-    def find_absence(self) -> Absence:
-        """Return the absence in which a removal may have come that is news; empty if in none."""
+    def find_absence(self, now: float) -> Absence:
+        """Return the absence in which a removal may have come that is news; empty if in none.
+
+        Another entry's changes may come in before anything says when the store answered.
+        """
+        silent_from = self._silent_from if self._silent_from is not None else now
+        began_at = max(silent_from, self._known_until)
+        if now - began_at >= SILENCE_S:
+            return Absence(began_at, now)
         if self.absence is None or self.absence.ended_at <= self._known_until:
             return Absence(self._known_until, self._known_until)
         return self.absence
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -320,7 +320,8 @@
     @property
     def _away_ms(self) -> int:
         """How long the store was away since what is known, in milliseconds."""
-        return round(self._catalog.contact.find_absence().length_s * 1000)
+        now = asyncio.get_running_loop().time()
+        return round(self._catalog.contact.find_absence(now).length_s * 1000)
 
     def _note_away(self, exc: StoreError) -> None:
         """Record that the store did not answer: what is known has to do."""
--- a/halldoor/tests/test_contact.py
+++ b/halldoor/tests/test_contact.py
@@ -60,3 +60,20 @@
     contact.note_answer(7.0)
     assert contact.absence is None
     assert contact.get_report(7.5).since_s == 0.5
+
+
+def test_changes_that_come_before_the_proof_of_contact_are_taken_for_meant():
+    # An entry whose contact has just begun proves less than the time of its answer on the way.
+    contact = make_contact(1.0, 2.0)
+    contact.note_known(2.0)
+    for tick in range(21, 81):
+        contact.tick(tick * TICK_S)
+    contact.note_span(ContactSpan(8.02, 8.01), 8.03)
+    assert contact.find_absence(8.03) == Absence(2.0, 8.03)
+    assert contact.find_absence(3.9).length_s == 0.0
+
+
+def test_what_was_proven_to_be_known_is_no_silence():
+    contact = make_contact(1.0, 2.0)
+    contact.note_known(7.0)
+    assert contact.find_absence(8.0).length_s == 0.0
