Announce no removal by an entry that stood still

What callers saw: nothing yet; found in review. After an outage of the store in which one entry was suspended, all other entries had no target at all until the records were back.

Cause: the suspended entry measures no absence, and takes all lapsed records for removed. It announced them. Entries that had not reached that revision yet excluded the targets, and when the removals came by their own watch they counted as meant, since an excluded target is not kept as lapsed.

Ruled out: to let receivers keep such targets as lapsed; a removal that an entry in contact announces is meant, and would be ignored by entries that were cut off alone.

Change: for the life of a record after it stood still an entry announces no removals. It still announces targets that drain.

Why it works: lapses that it can't tell from removals come within that time; others that ran on announce what is meant.

--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -413,7 +413,7 @@
         if lapse is not None:
             self.lapsed[incarnation] = lapse
             return True
-        if not target.is_draining:
+        if not target.is_draining and self.contact.can_tell_removals(now):
             self._newly_withdrawn.append(target.start)
         self._forget(incarnation)
         self._touch()
--- a/halldoor/core/targets/contact.py
+++ b/halldoor/core/targets/contact.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 STALL_S = 1.0
@@ -16,6 +17,8 @@
 STEADY_S = 1.5
 """Time in which every live target writes its record once, in seconds; a shorter return of the
 store between two silences does not end its absence."""
+LIFE_S = 4.5
+"""Time after its last write in which a record runs out, in seconds."""
 
 
 class Absence(NamedTuple):
@@ -86,6 +89,7 @@
         self.absence: Absence | None = None
         self._known_until = 0.0
         self._ticked_at: float | None = None
+        self._stood_until = -math.inf
         self._silent_from: float | None = None
         self._heard_at = 0.0
         self._since: float | None = None
@@ -97,6 +101,7 @@
         if stood_s > STALL_S and self._silent_from is not None:
             self._silent_from = min(now, self._silent_from + stood_s)
             self._since = None
+            self._stood_until = now
 
     def note_answer(self, now: float) -> None:
         """Record that the store answered a call of this entry."""
@@ -152,6 +157,13 @@
             return Absence(self._known_until, self._known_until)
         return self.absence
 
+    def can_tell_removals(self, now: float) -> bool:
+        """Check whether others may rely on this entry to tell a removal from a lapse.
+
+        While the process stood still the store may have been away for any time.
+        """
+        return now - self._stood_until >= LIFE_S
+
     def get_report(self, now: float) -> ContactReport | None:
         """Return what to tell other entries; None where the store was not heard."""
         if self._since is None:
