Keep notices of targets whose record is still to come

What callers saw: nothing yet; found in review. An entry that lagged behind both a target's start and its drain used the target for as long as its own view lay between the two.

Cause: a notice of a target, or of a start of it, that the entry did not know yet was dropped.

Evidence: the new test fails before the change, for a new target and for a new start of a known one.

Why it works: the store's order does not matter for what is withdrawn, since a start never comes back from it.

--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -303,6 +303,7 @@
                 self.lapsed.pop(record.incarnation, None)
             target = self._targets[record.incarnation] = Target(record, cold_until)
             target.says_leaving = self._leaving.has(target.name, record.started_ms)
+            target.is_withdrawn = self._withdrawals.has(target.start)
             self._touch()
             return True
         self.lapsed.pop(target.name, None)
@@ -369,7 +370,11 @@
             Whether the target was usable until now.
         """
         target = self._targets.get(start.target)
-        if target is None or target.start != start or target.is_draining:
+        if target is None or target.start != start:
+            # Its record may come later than the notice.
+            self._withdrawals.add(start, view, until=until)
+            return False
+        if target.is_draining:
             return False
         self._withdrawals.add(start, view, until=until)
         target.is_withdrawn = True
--- a/halldoor/tests/test_withdrawn_target.py
+++ b/halldoor/tests/test_withdrawn_target.py
@@ -127,6 +127,18 @@
         assert self.list_usable(catalog) == {"t0", "t1"}
         assert catalog.release_withdrawn(StoreView("1", 12), 1.0) == []
 
+    @pytest.mark.parametrize(("name", "known"), [("t9", []), ("t1", [3])])
+    def test_a_record_that_comes_after_the_notice_makes_it_usable(self, catalog, name, known):
+        # Notices of targets, or of their starts, that an entry did not know yet were dropped.
+        for started_ms in known:
+            catalog.apply(TargetSeen(make_target(name)._replace(started_ms=started_ms)), 0.5)
+        start = TargetStart(name, 5)
+        assert not catalog.withdraw(start, FAR, until=HOLD_S)
+        catalog.apply(TargetSeen(make_target(name)._replace(started_ms=5)), 1.0)
+        assert not catalog.can_send(name)
+        assert start in catalog.release_withdrawn(FAR, 1.0)
+        assert catalog.can_send(name)
+
     def test_a_removal_is_no_lapse(self, catalog):
         hear_store_return(catalog, 10.0)
         catalog.apply(TargetGone("t0"), 10.0)
