--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -32,7 +32,7 @@
 from halldoor.core.targets.sharers import SharerTable
 from halldoor.core.targets.target import Target
 from halldoor.core.targets.timings import CatalogTimings
-from halldoor.core.targets.withdrawal import StoreView, WithdrawalTable
+from halldoor.core.targets.withdrawal import HOLDS_MOST, StoreView, WithdrawalTable
 
 LEFT_KEPT = 2000
 """Targets that left and are remembered, in case an older copy of the store names them again."""
@@ -264,6 +264,7 @@
                 self.lapsed.pop(record.incarnation, None)
             target = self._targets[record.incarnation] = Target(record, cold_until)
             target.says_leaving = self._leaving.has(target.name, record.started_ms)
+            target.is_withdrawn = self._withdrawals.has(target.start)
             self._touch()
             return True
         self.lapsed.pop(target.name, None)
@@ -330,7 +331,12 @@
             Whether the target was usable until now.
         """
         target = self._targets.get(start.target)
-        if target is None or target.start != start or target.is_draining:
+        if target is None or target.start != start:
+            # Its record may come later than the notice.
+            if len(self._withdrawals) < HOLDS_MOST:
+                self._withdrawals.add(start, view, until=until)
+            return False
+        if target.is_draining:
             return False
         self._withdrawals.add(start, view, until=until)
         target.is_withdrawn = True
@@ -356,6 +362,10 @@
                 self._touch()
         return usable
 
+    def count_withdrawals(self) -> int:
+        """Count the notices that hold."""
+        return len(self._withdrawals)
+
     def can_send(self, incarnation: str) -> bool:
         """Check whether a request may still be sent to a target that was chosen."""
         target = self._targets.get(incarnation)
--- a/halldoor/core/targets/withdrawal.py
+++ b/halldoor/core/targets/withdrawal.py
@@ -20,6 +20,9 @@
 """Time for which a notice holds where the own view never reaches its revision, in seconds."""
 WITHDRAWN_MOST = 16
 """Targets in one notice, so that it fits a datagram."""
+HOLDS_MOST = 2000
+"""Notices that are held, those of targets that are not known among them; beyond that, no further
+ones of these are kept."""
 NEAR_PEERS = 4
 """Entries of the own region that a notice is sent to at a time."""
 FAR_PEERS = 2
@@ -98,6 +101,10 @@
     def __init__(self) -> None:
         self._holds: dict[TargetStart, _Hold] = {}
 
+    def __len__(self) -> int:
+        """Return how many notices hold."""
+        return len(self._holds)
+
     def add(self, start: TargetStart, view: StoreView, *, until: float) -> None:
         """Add a target; the newest view counts."""
         known = self._holds.get(start)
--- a/halldoor/tests/test_withdrawn_target.py
+++ b/halldoor/tests/test_withdrawn_target.py
@@ -7,7 +7,7 @@
 import pytest
 
 from halldoor.core.targets.changes import TargetGone, TargetSeen, TargetStart
-from halldoor.core.targets.withdrawal import HOLD_S, StoreNotice, StoreView
+from halldoor.core.targets.withdrawal import HOLD_S, HOLDS_MOST, StoreNotice, StoreView
 from halldoor.tests.choicekit import hear_store_return, make_catalog, make_target
 from halldoor.tests.gatewaykit import GatewayKit
 from halldoor.tests.ratekit import RateFleet
@@ -127,6 +127,18 @@
         assert self.list_usable(catalog) == {"t0", "t1"}
         assert catalog.release_withdrawn(StoreView("1", 12), 1.0) == []
 
+    @pytest.mark.parametrize(("name", "known"), [("t9", []), ("t1", [3])])
+    def test_a_record_that_comes_after_the_notice_makes_it_usable(self, catalog, name, known):
+        # Notices of targets, or of their starts, that an entry did not know yet were dropped.
+        for started_ms in known:
+            catalog.apply(TargetSeen(make_target(name)._replace(started_ms=started_ms)), 0.5)
+        start = TargetStart(name, 5)
+        assert not catalog.withdraw(start, FAR, until=HOLD_S)
+        catalog.apply(TargetSeen(make_target(name)._replace(started_ms=5)), 1.0)
+        assert not catalog.can_send(name)
+        assert start in catalog.release_withdrawn(FAR, 1.0)
+        assert catalog.can_send(name)
+
     def test_the_own_view_may_take_the_removal_for_a_lapse(self, catalog):
         hear_store_return(catalog, 10.0)
         catalog.apply(TargetGone("t0"), 10.0)
@@ -135,6 +147,18 @@
         assert self.list_usable(catalog) == {"t0", "t1"}
 
 
+def test_notices_of_unknown_targets_are_held_without_a_bound():
+    """Anything may be named in them; targets that are known are withdrawn all the same."""
+    catalog = make_catalog(targets=2)
+    for i in range(HOLDS_MOST + 10):
+        catalog.withdraw(TargetStart(f"x{i}", 0), FAR, until=HOLD_S)
+    assert catalog.withdraw(TargetStart("t0", 0), FAR, until=HOLD_S)
+    assert not catalog.can_send("t0")
+    assert catalog.count_withdrawals() <= HOLDS_MOST + 1
+    assert catalog.release_withdrawn(FAR, 1.0) == [TargetStart("t0", 0)]
+    assert catalog.count_withdrawals() == 0
+
+
 class TestNews:
     """What an entry announces: what the store's records withdrew, once."""
 
