--- a/halldoor/core/targets/withdrawal.py
+++ b/halldoor/core/targets/withdrawal.py
@@ -20,6 +20,8 @@
 """Time for which a notice holds where the own view never reaches its revision, in seconds."""
 WITHDRAWN_MOST = 16
 """Targets in one notice, so that it fits a datagram."""
+ERA_LENGTH = 64
+"""Longest name of a copy of the store in a notice, in characters."""
 HOLDS_MOST = 2000
 """Notices that are held, those of targets that are not known among them; beyond that, no further
 ones of these are kept."""
@@ -79,7 +81,8 @@
     def is_valid(self) -> bool:
         """Whether an entry may send it."""
         is_dated = math.isfinite(self.age_s) and 0 <= self.age_s < HOLD_S
-        return is_dated and self.view.revision >= 0 and len(self.withdrawn) <= WITHDRAWN_MOST
+        is_sized = len(self.view.era) <= ERA_LENGTH and len(self.withdrawn) <= WITHDRAWN_MOST
+        return is_dated and is_sized and self.view.revision >= 0
 
 
 class _Hold(NamedTuple):
--- a/halldoor/tests/test_withdrawn_target.py
+++ b/halldoor/tests/test_withdrawn_target.py
@@ -193,3 +193,8 @@
 
 def test_a_notice_of_too_many_targets_is_not_valid():
     assert not StoreNotice(FAR, 0.0, [TargetStart(f"t{i}", 0) for i in range(17)]).is_valid
+
+
+def test_a_notice_of_an_endless_era_is_not_valid():
+    """A number of thousands of digits can't be compared."""
+    assert not StoreNotice(StoreView("1" * 5000, 9), 0.0, []).is_valid
