--- a/halldoor/tests/test_quick_rejections.py
+++ b/halldoor/tests/test_quick_rejections.py
@@ -8,6 +8,13 @@
 
 from halldoor.tests.ratekit import RateFleet
 
+BACK_SHARE = 0.4
+"""Part of others' requests that a target gets which no longer turns them away."""
+
+
+def count_since(target, since):
+    return sum(at >= since for at, _ in target.arrivals)
+
 
 @pytest.mark.parametrize("fields", [[], [(b"Retry-After", b"soon")]])
 def test_targets_that_reject_at_once_cost_requests_that_others_have_room_for(fields):
@@ -26,8 +33,9 @@
             back_at = fleet.now()
             await asking
             assert fleet.find_served(range(6), since=since) > 0.98
-            for target in fleet.targets[:2]:
-                late = [at for at, _ in target.arrivals if at >= back_at + 1.0]
-                assert len(late) > 10
+            late = [count_since(target, back_at + 1.0) for target in fleet.targets]
+            # A busy machine asks for less: what counts is their part of what others get.
+            others = sum(late[2:]) / len(late[2:])
+            assert others > 0 and min(late[:2]) > BACK_SHARE * others
 
     asyncio.run(check())
