Report when an entry can open no connection to any target

All fail: the entry logs 'reach: No target can be reached.' with the time and the causes; requests of that time carry unreached_ms; explain, report and the metrics show it.

--- a/halldoor/core/explaining/history.py
+++ b/halldoor/core/explaining/history.py
@@ -137,6 +137,8 @@
         f"key {fields.get('key') or '(none)'}, configuration {fields.get('version', 0)}, "
         f"last contact with the store {fields.get('store_age_ms', 0)} ms before.",
     ]
+    if fields.get("unreached_ms") is not None:
+        sentences.append(f"  No target could be reached for {fields['unreached_ms']} ms.")
     sentences += [f"  {text}" for text in _describe_team(fields)]
     sentences += [f"  {_describe_attempt(attempt)}" for attempt in fields.get("attempts", [])]
     sentences.append(f"  {_describe_outcome(fields)}")
@@ -220,6 +222,6 @@
         if line.entry != end.entry or not 0 <= age_s <= CONTEXT_WINDOW_S:
             continue
         is_about_target = line.part == "targets" and line.fields.get("target") in names
-        if is_about_target or line.part in ("store", "routing", "process", "relay"):
+        if is_about_target or line.part in ("store", "routing", "process", "relay", "reach"):
             detail = ", ".join(f"{k} {v}" for k, v in line.fields.items())
             yield f"{age_s:.2f} s before, {line.part}: {line.text} {detail}".rstrip()
--- a/halldoor/core/explaining/report.py
+++ b/halldoor/core/explaining/report.py
@@ -8,6 +8,11 @@
 from typing import Any, NamedTuple
 
 from halldoor.core.explaining.history import LogLine, add_times_since_start, find_warmth
+from halldoor.core.explaining.losses import (
+    UnreachedPeriod,
+    UnreachedTable,
+    describe_unreached,
+)
 from halldoor.core.explaining.moves import Moved, MoveTable, describe_moves
 from halldoor.core.explaining.withdrawals import (
     Withdrawal,
@@ -100,7 +105,8 @@
 
 
 class Report(NamedTuple):
-    """The report: tallies of requests and attempts, reasons, suspects, moves and withdrawals."""
+    """The report: tallies of requests and attempts, reasons, suspects, moves, and what is known of
+    withdrawn targets and of entries that reached none."""
 
     services: list[Tally]
     moments: list[Tally]
@@ -109,6 +115,7 @@
     suspects: list[Suspect]
     moves: list[Moved]
     withdrawals: list[Withdrawal]
+    unreached: list[UnreachedPeriod]
 
 
 class _Request(NamedTuple):
@@ -122,10 +129,12 @@
 
 def build_report(lines: Iterable[LogLine]) -> Report:
     """Build the report from the log lines of one or several entries."""
-    moves, withdrawals, requests = MoveTable(), WithdrawalTable(), []
+    moves, withdrawals, unreached = MoveTable(), WithdrawalTable(), UnreachedTable()
+    requests = []
     for line, since_start_s in add_times_since_start(lines):
         moves.add(line, since_start_s)
         withdrawals.add(line)
+        unreached.add(line, since_start_s)
         request = _read_request(line, since_start_s)
         if request is not None:
             requests.append(request)
@@ -138,6 +147,7 @@
         suspects=_list_suspects(requests),
         moves=moves.list_moves(),
         withdrawals=withdrawals.list_withdrawals(),
+        unreached=unreached.list_periods(),
     )
 
 
@@ -273,7 +283,8 @@
         lines.append(f"{left:>8}  for other reasons")
     lines += _describe_suspects(report.suspects)
     lines += describe_moves(report.moves)
-    return lines + describe_withdrawals(report.withdrawals)
+    lines += describe_withdrawals(report.withdrawals)
+    return lines + describe_unreached(report.unreached)
 
 
 def _describe_suspects(suspects: Sequence[Suspect]) -> list[str]:
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -11,6 +11,7 @@
 from halldoor.core.targets.load import LoadReport, LoadTable
 from halldoor.core.targets.observation import Observation
 from halldoor.core.targets.outlier import OutlierTable
+from halldoor.core.targets.reach import ReachMonitor
 from halldoor.core.targets.statement import TargetStatement
 from halldoor.core.targets.target import Target
 from halldoor.gateway.attempt import AttemptResult
@@ -52,14 +53,20 @@
         Kind of request; requests of one kind have similar latencies on all targets.
     key : str
         Affinity key of the request; empty if it has none.
+    started_at : float
+        When it began, on the loop's clock.
     stalled_s : float
         Sum of this process's stalls when it was sent, in seconds.
+    wait : int
+        Number of its wait for an answer; see `ReachMonitor.start_wait`.
     """
 
     choice: Choice
     kind: str
     key: str
+    started_at: float
     stalled_s: float
+    wait: int
 
 
 class TargetFeedback:
@@ -75,6 +82,8 @@
         Header names that targets use.
     stalls : StallMeter
         Measures the time in which this process did not run, which no target is ejected for.
+    reach : ReachMonitor
+        Receives whether the connection of each attempt opened and was answered.
 
     Attributes
     ----------
@@ -97,6 +106,7 @@
         pool: TargetPool,
         names: HeaderNames,
         stalls: StallMeter,
+        reach: ReachMonitor,
         log: EventLog,
     ) -> None:
         self._catalog = catalog
@@ -107,6 +117,7 @@
         self._pool = pool
         self._names = names
         self._stalls = stalls
+        self._reach = reach
         self._log = log
         self.on_observation: Callable[[Observation], None] | None = None
         self.on_statement: list[StatementReceiver] = []
@@ -138,33 +149,51 @@
         for apply_statement in self.on_any_statement:
             apply_statement(target, statement, now)
 
-    def measure_stalls(self, now: float) -> float:
-        """Return the sum of this process's stalls so far, in seconds."""
-        return self._stalls.measure(now)
+    def start_attempt(self, choice: Choice, kind: str, key: str, now: float) -> SentAttempt:
+        """Record that an attempt begins; `add_outcome` or `cancel_attempt` ends it."""
+        wait = self._reach.start_wait(now)
+        return SentAttempt(choice, kind, key, now, self._stalls.measure(now), wait)
+
+    def cancel_attempt(self, sent: SentAttempt) -> None:
+        """Record that the caller left during an attempt."""
+        self._reach.end_wait(sent.wait)
+
+    def describe_reach(self, now: float) -> dict[str, int]:
+        """Return the log field of a request in a period in which no target could be reached."""
+        loss = self._reach.loss
+        return {} if loss is None else {"unreached_ms": round((now - loss.since) * 1000)}
 
     def add_outcome(
-        self,
-        sent: SentAttempt,
-        outcome: Outcome,
-        connecting: Connecting,
-        now: float,
-        *,
-        took_s: float,
+        self, sent: SentAttempt, outcome: Outcome, connecting: Connecting, now: float
     ) -> tuple[AttemptResult, str]:
         """Update the models by one attempt; return its result and a detail for the log."""
-        target = sent.choice.target
-        name = target.name
+        target, took_s = sent.choice.target, now - sent.started_at
         stalled_s = self._stalls.measure(now) - sent.stalled_s
         is_own_delay = stalled_s > STALLED_SHARE * took_s
+        self._record_reach(sent, outcome, connecting, now, is_own_delay=is_own_delay)
         if connecting.took_s and not connecting.is_reused:
             self._latency.add_connect(target.record.hall, connecting.took_s)
         if isinstance(outcome, WholeAnswer | PartialAnswer):
             self._add_load(target, outcome, now)
+        if isinstance(outcome, WholeAnswer) and outcome.answer.status < SERVER_ERROR:
+            self._add_latency(sent, took_s - connecting.took_s)
+            self._check_slowness(target, None if is_own_delay else took_s - stalled_s, now)
+            self._report_observation(sent, outcome.answer, took_s=took_s - connecting.took_s)
+        return self._record_failure(target, outcome, now, is_own_delay=is_own_delay)
+
+    def _record_failure(
+        self, target: Target, outcome: Outcome, now: float, *, is_own_delay: bool
+    ) -> tuple[AttemptResult, str]:
+        """Count a failure of the target; return the attempt's result and a detail for the log.
+
+        Parameters
+        ----------
+        is_own_delay : bool
+            Whether this process was stalled for most of the attempt.
+        """
+        name = target.name
         match outcome:
             case WholeAnswer(answer) if answer.status < SERVER_ERROR:
-                self._add_latency(sent, took_s - connecting.took_s)
-                self._check_slowness(target, None if is_own_delay else took_s - stalled_s, now)
-                self._report_observation(sent, answer, took_s=took_s - connecting.took_s)
                 return AttemptResult.ANSWERED, str(answer.status)
             case WholeAnswer(answer):
                 is_slow = answer.status == GATEWAY_TIMEOUT
@@ -196,6 +225,29 @@
             case BodyFailed(detail):
                 return AttemptResult.BODY_FAILED, detail
 
+    def _record_reach(
+        self,
+        sent: SentAttempt,
+        outcome: Outcome,
+        connecting: Connecting,
+        now: float,
+        *,
+        is_own_delay: bool,
+    ) -> None:
+        """Record whether the connection of an attempt opened and was answered."""
+        self._reach.end_wait(sent.wait)
+        opened_at = sent.started_at + connecting.took_s
+        match outcome:
+            case WholeAnswer() | PartialAnswer() | Rejected():
+                if connecting.is_reused:
+                    self._reach.add_answer(now)
+                else:
+                    self._reach.add_answer(now, opened_at=opened_at)
+            case ConnectFailed(detail, is_refused) if is_refused or not is_own_delay:
+                self._reach.add_failure(sent.choice.target.name, detail, now)
+            case AnswerLost(detail, is_closed=True):
+                self._reach.add_failure(sent.choice.target.name, detail, now)
+
     def _add_latency(self, sent: SentAttempt, took_s: float) -> None:
         """Update the latency model by the duration of a successful answer."""
         target = sent.choice.target
--- a/halldoor/gateway/httpclient.py
+++ b/halldoor/gateway/httpclient.py
@@ -42,10 +42,13 @@
     ----------
     address : Address
         Address of the server.
+    connect_s : float, optional
+        Connect timeout, in seconds.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, *, connect_s: float = CONNECT_S) -> None:
         self._address = address
+        self._connect_s = connect_s
         self._idle: list[HttpConnection] = []
 
     async def call(
@@ -98,7 +101,7 @@
             connection.close()
         return await HttpConnection.open(
             self._address,
-            timeout_s=min(CONNECT_S, timeout_s),
+            timeout_s=min(self._connect_s, timeout_s),
             user_timeout_s=CONNECT_S,
         )
 
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -76,6 +76,11 @@
             "Health checks of targets while the store can't be reached, by outcome.",
             registry=registry,
         )
+        self._reach_probes = Counter(
+            "halldoor_reach_probes",
+            "Probes of targets while this entry may reach none of them, by outcome.",
+            registry=registry,
+        )
         self._bad_limits = Counter(
             "halldoor_bad_limits",
             "Answers of targets with a limit that could not be read.",
@@ -175,6 +180,10 @@
         """Count a health check of a target by its outcome."""
         self._health_checks.inc({"outcome": outcome})
 
+    def add_reach_probe(self, outcome: str) -> None:
+        """Count a probe of whether a target can be reached by its outcome."""
+        self._reach_probes.inc({"outcome": outcome})
+
     def add_bad_limit(self) -> None:
         """Count an answer with an unreadable rate limit."""
         self._bad_limits.inc({})
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -12,6 +12,7 @@
 from halldoor.core.targets.latency import LatencyModel
 from halldoor.core.targets.load import LoadTable
 from halldoor.core.targets.outlier import OutlierTable
+from halldoor.core.targets.reach import ReachMonitor
 from halldoor.core.targets.route import CallerLimits
 from halldoor.core.targets.split import Splitter
 from halldoor.core.teams.gate import QuotaGate
@@ -32,6 +33,7 @@
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.quotas import QuotaExchange
+from halldoor.gateway.reach import ReachProbe
 from halldoor.gateway.registration import Registration
 from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.request import RequestHandler
@@ -117,6 +119,15 @@
         outliers = OutlierTable(settings.outliers)
         loads, latency = LoadTable(), LatencyModel()
         self.stalls = StallMeter()
+        self.reach = ReachMonitor()
+        self.reach_probe = ReachProbe(
+            self.reach,
+            self.catalog,
+            names=names,
+            stalls=self.stalls,
+            log=self.log,
+            metrics=self.metrics,
+        )
         self.travel = RoundTripProbe(self.member, self.catalog, latency, log=self.log)
         self.chooser = Chooser(
             self.catalog,
@@ -138,6 +149,7 @@
             pool=self.pool,
             names=names,
             stalls=self.stalls,
+            reach=self.reach,
             log=self.log,
         )
         flows = RegionFlowCounter(
@@ -276,6 +288,7 @@
             "store_age_seconds": now - self.catalog.store_contact_at,
             "store_era": self.sync.era_number,
             **self.quarantine.get_figures(),
+            **self.reach_probe.get_figures(now),
         }
         return GatewayFigures(gauges, self.chooser.list_excluded(now))
 
@@ -312,6 +325,7 @@
             self.sync.run(),
             self.maintenance.run(),
             self.stalls.run(),
+            self.reach_probe.run(),
             self.travel.run(),
             self.quotas.run(),
             *self.exchanges.list_coroutines(),
--- /dev/null
+++ b/halldoor/gateway/reach.py
@@ -0,0 +1,151 @@
+"""Probes targets when this entry may have lost its way to all of them, and logs the result."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from halldoor.core.targets.catalog import Catalog
+from halldoor.core.targets.reach import Loss, ReachMonitor
+from halldoor.core.targets.target import Target
+from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.headers import HeaderNames
+from halldoor.gateway.httpclient import HttpCallError, HttpClient
+from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.pool import CONNECT_TIMEOUT_S
+from halldoor.gateway.stalls import StallMeter
+
+TICK_S = 0.05
+"""Period of checking whether probes are due, in seconds."""
+ANSWER_S = 0.35
+"""Time limit of a probe's answer, in seconds, connecting included."""
+RETURN_ANSWER_S = 1.0
+"""The same while no target can be reached: at a busy target the answer waits for a slot."""
+STALLED_S = 0.1
+"""Time of a round in which this process was stalled from which its failures don't count, in
+seconds."""
+
+
+NO_ANSWER = "no answer over a new connection"
+"""Cause of the failure of a probe whose connection opened."""
+
+
+class ReachProbe:
+    """Task that probes targets while `ReachMonitor` has a round due.
+
+    A probe requests a target's health answer over a new connection: on some networks connections
+    open, and break or carry no data.
+
+    Parameters
+    ----------
+    monitor : ReachMonitor
+        Decides when to probe, and by the results whether any target can be reached.
+    catalog : Catalog
+        Provides the targets and the paths of their health checks.
+    names : HeaderNames
+        Header names that targets use.
+    stalls : StallMeter
+        Measures the time in which this process did not run; failures in such a time don't count.
+
+    Attributes
+    ----------
+    on_loss, on_return : list of callable
+        Called with the `Loss` when it began, and when it ended.
+    """
+
+    def __init__(
+        self,
+        monitor: ReachMonitor,
+        catalog: Catalog,
+        *,
+        names: HeaderNames,
+        stalls: StallMeter,
+        log: EventLog,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._monitor = monitor
+        self._catalog = catalog
+        self._names = names
+        self._stalls = stalls
+        self._log = log
+        self._metrics = metrics
+        self._random = random.Random()
+        self.on_loss: list[Callable[[Loss], None]] = []
+        self.on_return: list[Callable[[Loss], None]] = []
+
+    def get_figures(self, now: float) -> dict[str, float]:
+        """Return the time since the loss of all targets, 0 if some are reached, for the metrics."""
+        loss = self._monitor.loss
+        return {"targets_unreached_seconds": 0.0 if loss is None else now - loss.since}
+
+    async def run(self) -> None:
+        """Probe targets when a round is due, until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(TICK_S)
+            if self._monitor.is_round_due(loop.time()):
+                await self._run_round()
+
+    async def _run_round(self) -> None:
+        """Probe some targets at the same time, and apply the results."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        stalled_s = self._stalls.measure(began_at)
+        usable = [t for t in self._catalog.list_targets() if not t.is_draining]
+        targets = self._monitor.choose_probes(usable, self._random)
+        causes = await asyncio.gather(*(self._probe(target) for target in targets))
+        now = loop.time()
+        results = {t.name: cause for t, cause in zip(targets, causes, strict=True)}
+        if self._monitor.last_answer_at >= began_at:
+            # Others answer meanwhile, so a target that accepts connections is busy.
+            results = {name: cause for name, cause in results.items() if cause != NO_ANSWER}
+        if self._stalls.measure(now) - stalled_s > STALLED_S:
+            results = {name: cause for name, cause in results.items() if not cause}
+        before = self._monitor.loss
+        if self._monitor.add_round(results, now, began_at=began_at):
+            self._report_change(before, now)
+
+    async def _probe(self, target: Target) -> str:
+        """Request a target's health answer; return the cause of a failure, empty if it answered."""
+        client = HttpClient(target.record.address, connect_s=CONNECT_TIMEOUT_S)
+        headers = [(self._names.expected_incarnation, target.name.encode())]
+        timeout_s = ANSWER_S if self._monitor.loss is None else RETURN_ANSWER_S
+        try:
+            path = self._find_health_path(target)
+            await client.call("GET", path, headers=headers, timeout_s=timeout_s)
+        except HttpCallError as exc:
+            self._metrics.add_reach_probe("failed")
+            return NO_ANSWER if isinstance(exc.__cause__, TimeoutError) else str(exc)
+        finally:
+            client.close()
+        self._metrics.add_reach_probe("reached")
+        return ""
+
+    def _find_health_path(self, target: Target) -> str:
+        """Return the path of a target's health check."""
+        routing = self._catalog.routing
+        service = routing.services.get(target.record.service) if routing is not None else None
+        return service.health_path if service is not None and service.health_path else "/health"
+
+    def _report_change(self, before: Loss | None, now: float) -> None:
+        """Log that a loss began or ended, and call the receivers."""
+        loss = self._monitor.loss
+        if loss is not None:
+            self._log.event(
+                "reach",
+                "No target can be reached.",
+                since_ms=round((now - loss.since) * 1000),
+                last_answer_ms=round((now - self._monitor.last_answer_at) * 1000)
+                if self._monitor.last_answer_at > 0
+                else None,
+                causes=dict(loss.causes),
+            )
+            for receive in self.on_loss:
+                receive(loss)
+        elif before is not None:
+            self._log.event(
+                "reach", "Targets can be reached again.", for_s=round(now - before.since, 2)
+            )
+            for receive in self.on_return:
+                receive(before)
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -42,7 +42,7 @@
     WholeAnswer,
     get_answer_head,
 )
-from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR, SentAttempt, TargetFeedback
+from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR, TargetFeedback
 from halldoor.gateway.flows import RegionFlowCounter
 from halldoor.gateway.headers import HeaderNames, drop_hop_by_hop, find
 from halldoor.gateway.metrics import GatewayMetrics
@@ -226,11 +226,12 @@
         started = loop.time()
         view = self._build_target_view(choice, state.key, started)
         kind = name_kind(state.service, state.route)
-        sent = SentAttempt(choice, kind, state.key, self._feedback.measure_stalls(started))
+        sent = self._feedback.start_attempt(choice, kind, state.key, started)
         self._flows.add(state.route, choice, started, is_retry=bool(state.attempts))
         try:
             outcome, connecting = await self._exchanger.send(outgoing, name, target.record.address)
         except asyncio.CancelledError:
+            self._feedback.cancel_attempt(sent)
             self._quarantine.record_unanswered(state.identity, target)
             self._log.event(
                 "request", "Caller left.", id=state.attempt_id, target=name, sent=state.sent_count
@@ -240,7 +241,7 @@
         now = loop.time()
         took_s = now - started
         statement = self._feedback.read_statement(target, *get_answer_head(outcome), now)
-        result, detail = self._feedback.add_outcome(sent, outcome, connecting, now, took_s=took_s)
+        result, detail = self._feedback.add_outcome(sent, outcome, connecting, now)
         state.attempts.append(
             Attempt(
                 name,
@@ -358,6 +359,7 @@
             attempts=[attempt.to_fields() for attempt in state.attempts],
             version=self._catalog.configuration_version,
             store_age_ms=self._get_store_age_ms(),
+            **self._feedback.describe_reach(now),
         )
 
     def _refuse_unadmitted(
