--- a/halldoor/tests/gatewaykit.py
+++ b/halldoor/tests/gatewaykit.py
@@ -40,7 +40,7 @@
 class GatewayKit:
     """A store, scripted targets and a gateway, with helpers to configure and call them."""
 
-    def __init__(self, settings, store=None):
+    def __init__(self, settings, store=None, codec=None):
         # Stopping waits until cached look-ups expire, which tests don't need.
         settings = {"lookup_ttl_s": 0.05} | settings
         self.store = store or MemoryStore()
@@ -61,7 +61,7 @@
                 | settings
             ),
             store=self.store,
-            codec=PlainCodec(),
+            codec=codec or PlainCodec(),
             lookups=PlainLookupFormat(),
             names=NAMES,
         )
@@ -71,10 +71,18 @@
     @classmethod
     @contextlib.asynccontextmanager
     async def open(
-        cls, *, targets=2, route=None, teams=(), is_configured=True, store=None, **settings
+        cls,
+        *,
+        targets=2,
+        route=None,
+        teams=(),
+        is_configured=True,
+        store=None,
+        codec=None,
+        **settings,
     ):
         """Start targets and a gateway, wait until it has read the store, and stop them at exit."""
-        kit = cls(settings, store)
+        kit = cls(settings, store, codec)
         if is_configured:
             kit.configure(teams=teams, **(route or {}))
         for i in range(targets):
--- /dev/null
+++ b/halldoor/tests/test_unreached_targets.py
@@ -0,0 +1,53 @@
+"""Entries that are cut off from all targets, and from nothing else, must still serve callers.
+
+Such an entry stayed ready and in the look-ups, tried and ejected target after target, and refused
+or lost nearly all requests, while its neighbours had room.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from halldoor.standins.targetlink import Cut
+from halldoor.tests.reachkit import ReachFleet
+
+NOTICE_S = 1.0
+"""Time after the begin of a cut from which requests must be served, in seconds."""
+LEAST_SERVED = 0.98
+PER_S = 100.0
+"""Requests per second to all entries."""
+
+SOME, MOST, HALL = (0, 1, 5), (0, 1, 2, 3, 4), (0, 3)
+"""Entries of six that are cut off: half of them, all but one, and all of a hall."""
+
+
+async def play(fleet, cut, entries, *, for_s=4.0):
+    """Cut entries off while callers send requests; return when the cut began and ended."""
+    asking = asyncio.ensure_future(fleet.send_requests(per_s=PER_S, for_s=for_s + 3.5))
+    await asyncio.sleep(1.5)
+    began = fleet.now()
+    await fleet.set_cut(cut, entries)
+    await asyncio.sleep(for_s)
+    await fleet.set_cut(None, entries)
+    ended = fleet.now()
+    await asking
+    await fleet.finish()
+    return began, ended
+
+
+@pytest.mark.parametrize("cut", Cut, ids=[cut.name.lower() for cut in Cut])
+@pytest.mark.parametrize("entries", [SOME, MOST, HALL], ids=["some", "most", "hall"])
+def test_first_tries_fail_at_entries_that_reach_no_target(cut, entries):
+    async def check():
+        async with ReachFleet.open(entries=6) as fleet:
+            began, ended = await play(fleet, cut, entries)
+            others = [i for i in range(6) if i not in entries]
+            since = began + NOTICE_S
+            assert fleet.find_served(entries, since=since, until=ended) >= LEAST_SERVED
+            assert fleet.find_served(others, since=began, until=ended) >= LEAST_SERVED
+            assert fleet.find_served(range(6), since=ended + 1.0) >= LEAST_SERVED
+            fleet.assert_rules_held()
+
+    asyncio.run(check())
