Don't eject targets that had less time to connect than a sound one may need

Callers with deadlines of 30 ms, and late retries, had sound targets 70 ms away ejected as unreachable for everybody: opening a connection was limited by what was left of the deadline, and its time-out counted as the target's. The class: an entry's own trouble booked as a target's.

--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -31,11 +31,14 @@
         Name of the error class.
     is_refused : bool, optional
         Whether no process listens at the address.
+    is_timeout : bool, optional
+        Whether the time limit passed.
     """
 
-    def __init__(self, cause: str, *, is_refused: bool = False) -> None:
+    def __init__(self, cause: str, *, is_refused: bool = False, is_timeout: bool = False) -> None:
         super().__init__(cause)
         self.is_refused = is_refused
+        self.is_timeout = is_timeout
 
 
 class ConnectionBrokenError(Exception):
@@ -96,8 +99,11 @@
             async with asyncio.timeout(timeout_s):
                 _, protocol = await loop.create_connection(cls, address.ip, address.port)
         except (OSError, TimeoutError) as exc:
-            is_refused = isinstance(exc, ConnectionRefusedError)
-            raise ConnectionFailedError(type(exc).__name__, is_refused=is_refused) from exc
+            raise ConnectionFailedError(
+                type(exc).__name__,
+                is_refused=isinstance(exc, ConnectionRefusedError),
+                is_timeout=isinstance(exc, TimeoutError),
+            ) from exc
         protocol._set_socket_options(user_timeout_s)
         return protocol
 
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -18,7 +18,7 @@
     PeerClosedError,
 )
 from halldoor.gateway.headers import HeaderNames, Headers, drop_hop_by_hop, find, replace
-from halldoor.gateway.pool import TargetPool
+from halldoor.gateway.pool import CONNECT_TIMEOUT_S, TargetPool
 
 BODY_BUFFER_BYTES = 524_288
 """Bytes of a body that are buffered before sending; the rest of a longer one is streamed.
@@ -230,6 +230,8 @@
                 # A slow target looks the same as a connection that lost its peer long ago.
                 self._pool.close_after_loss(incarnation, is_unacknowledged=False)
             return TimedOut(), connecting
+        except DeadlinePassedError:
+            return NotSent(), connecting
         except ConnectionFailedError as exc:
             self._pool.close_target(incarnation)
             return ConnectFailed(str(exc), exc.is_refused), connecting
@@ -272,7 +274,13 @@
         if kept is not None:
             return kept
         left_s = outgoing.expires_at - asyncio.get_running_loop().time()
-        return await self._pool.open(address, timeout_s=left_s)
+        try:
+            return await self._pool.open(address, timeout_s=left_s)
+        except ConnectionFailedError as exc:
+            if exc.is_timeout and left_s < CONNECT_TIMEOUT_S:
+                # The target had less time to accept than a sound one may need.
+                raise DeadlinePassedError from exc
+            raise
 
     async def _send_request(
         self, connection: HttpConnection, outgoing: OutgoingRequest, incarnation: str
