--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -18,6 +18,19 @@
     PeerClosedError,
 )
 from halldoor.gateway.headers import HeaderNames, Headers, drop_hop_by_hop, find, replace
+from halldoor.gateway.outcomes import (
+    AnswerLost,
+    BodyFailed,
+    ConnectFailed,
+    Connecting,
+    NotSent,
+    Outcome,
+    PartialAnswer,
+    Rejected,
+    TimedOut,
+    WholeAnswer,
+    Withdrawn,
+)
 from halldoor.gateway.pool import CONNECT_TIMEOUT_S, TargetPool
 
 BODY_BUFFER_BYTES = 524_288
@@ -64,99 +77,6 @@
     expires_at: float
 
 
-class Connecting(NamedTuple):
-    """How the connection for a request was obtained.
-
-    Attributes
-    ----------
-    took_s : float
-        Time to obtain it, in seconds.
-    is_reused : bool
-        Whether it was kept from an earlier exchange.
-    """
-
-    took_s: float = 0.0
-    is_reused: bool = False
-
-
-class WholeAnswer(NamedTuple):
-    """The target's complete answer."""
-
-    answer: Answer
-
-
-class PartialAnswer(NamedTuple):
-    """The beginning of a long answer; the rest is read from the connection."""
-
-    answer: Answer
-    connection: HttpConnection
-
-
-class Rejected(NamedTuple):
-    """The target rejected the request, or another incarnation did: it was not run."""
-
-    status: int
-    is_other_incarnation: bool
-    headers: Headers = []
-
-
-class ConnectFailed(NamedTuple):
-    """The connection could not be opened, so the request was not sent.
-
-    Attributes
-    ----------
-    is_refused : bool
-        Whether no process listens at the address any more.
-    """
-
-    detail: str
-    is_refused: bool = False
-
-
-class AnswerLost(NamedTuple):
-    """The request was sent but no valid answer arrived; it may have run.
-
-    Attributes
-    ----------
-    is_closed : bool
-        Whether the connection closed during the request: the target may have crashed.
-    """
-
-    detail: str
-    is_closed: bool = False
-
-
-class TimedOut(NamedTuple):
-    """The deadline passed after the request was sent; it may have run."""
-
-
-class NotSent(NamedTuple):
-    """The deadline passed before the request was sent."""
-
-
-class Withdrawn(NamedTuple):
-    """The target was withdrawn before the request was sent."""
-
-
-class BodyFailed(NamedTuple):
-    """The caller's body was incomplete or too long; the target's connection was closed."""
-
-    detail: str
-
-
-Outcome = (
-    WholeAnswer
-    | PartialAnswer
-    | Rejected
-    | ConnectFailed
-    | NotSent
-    | AnswerLost
-    | TimedOut
-    | Withdrawn
-    | BodyFailed
-)
-
-
 class DeadlinePassedError(Exception):
     """The deadline of a request passed before it was sent."""
 
@@ -370,16 +290,6 @@
         return WholeAnswer(Answer(status, headers, body, response.reason))
 
 
-def get_answer_head(outcome: Outcome) -> tuple[int, Headers]:
-    """Return status and headers of the target's answer; 0 and no headers if there was none."""
-    match outcome:
-        case WholeAnswer(answer) | PartialAnswer(answer):
-            return answer.status, answer.headers
-        case Rejected(status, False, headers):
-            return status, headers
-    return 0, []
-
-
 def _close_if_sending_failed(sender: asyncio.Task[None], connection: HttpConnection) -> None:
     """Close the connection if its request could not be sent completely."""
     if _find_sending_failure(sender) is not None:
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -17,7 +17,8 @@
 from halldoor.gateway.attempt import AttemptResult
 from halldoor.gateway.caller import Answer
 from halldoor.gateway.eventlog import EventLog
-from halldoor.gateway.exchange import (
+from halldoor.gateway.headers import HeaderNames, Headers, find
+from halldoor.gateway.outcomes import (
     AnswerLost,
     BodyFailed,
     ConnectFailed,
@@ -30,7 +31,6 @@
     WholeAnswer,
     Withdrawn,
 )
-from halldoor.gateway.headers import HeaderNames, Headers, find
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.stalls import StallMeter
 
--- a/halldoor/gateway/quarantine.py
+++ b/halldoor/gateway/quarantine.py
@@ -22,15 +22,15 @@
 from halldoor.gateway.attempt import RequestResult
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
-from halldoor.gateway.exchange import (
+from halldoor.gateway.feedback import SERVER_ERROR
+from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.outcomes import (
     AnswerLost,
     ConnectFailed,
     Outcome,
     TimedOut,
     WholeAnswer,
 )
-from halldoor.gateway.feedback import SERVER_ERROR
-from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.records import build_trial_key, encode_evidence
 from halldoor.gateway.store import LeaseGoneError, MetadataStore, StoreError
 
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -18,6 +18,7 @@
 from halldoor.core.targets.target import Target
 from halldoor.core.teams.admission import Refusal
 from halldoor.gateway.access import CallerAccess
+from halldoor.gateway.answers import forward_answer, stream_answer
 from halldoor.gateway.attempt import (
     Attempt,
     RequestResult,
@@ -30,22 +31,21 @@
 )
 from halldoor.gateway.body import read_request
 from halldoor.gateway.caller import Answer, CallerConnection, Head
-from halldoor.gateway.connection import ConnectionBrokenError, PeerClosedError
+from halldoor.gateway.connection import PeerClosedError
 from halldoor.gateway.eventlog import EventLog
-from halldoor.gateway.exchange import (
+from halldoor.gateway.exchange import OutgoingRequest, TargetExchanger
+from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR, TargetFeedback
+from halldoor.gateway.flows import RegionFlowCounter
+from halldoor.gateway.headers import HeaderNames, find
+from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.outcomes import (
     NotSent,
     Outcome,
-    OutgoingRequest,
     PartialAnswer,
-    TargetExchanger,
     TimedOut,
     WholeAnswer,
     get_answer_head,
 )
-from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR, TargetFeedback
-from halldoor.gateway.flows import RegionFlowCounter
-from halldoor.gateway.headers import HeaderNames, drop_hop_by_hop, find
-from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.retries import RetryGate
@@ -291,12 +291,7 @@
         self, caller: CallerConnection, state: RequestState, answer: Answer, target: Target
     ) -> RequestResult:
         """Forward a target's complete answer to the caller."""
-        headers = drop_hop_by_hop(answer.headers)
-        if state.head.method == b"HEAD":
-            caller.send_head(answer.status, headers, answer.reason)
-            caller.finish_answer()
-        else:
-            caller.send(answer._replace(headers=headers))
+        forward_answer(caller, state.head.method, answer)
         return RequestResult(answer.status, "answered", target.name)
 
     async def _stream_answer(
@@ -308,29 +303,20 @@
         target: Target,
     ) -> RequestResult:
         """Forward a long answer piece by piece; abort it if the target fails or time runs out."""
-        answer, connection = partial
-        headers = drop_hop_by_hop(answer.headers)
-        if not find(headers, b"content-length"):
-            headers = [*headers, (b"Transfer-Encoding", b"chunked")]
+        status = partial.answer.status
         try:
-            async with asyncio.timeout_at(outgoing.expires_at):
-                caller.send_head(answer.status, headers, answer.reason)
-                await caller.send_data(answer.body)
-                while not isinstance(event := await connection.receive(), h11.EndOfMessage):
-                    await caller.send_data(bytes(event.data))
-                caller.finish_answer()
-        except (ConnectionBrokenError, TimeoutError) as exc:
-            reason = str(exc) or "time ran out"
-            self._feedback.add_failure(target.name, asyncio.get_running_loop().time(), reason)
-            if isinstance(exc, PeerClosedError):
-                self._quarantine.record_crash(state.identity, target)
-            caller.abort()
-            return RequestResult(answer.status, f"broke off: {reason}", target.name)
+            failure = await stream_answer(caller, partial, expires_at=outgoing.expires_at)
         finally:
             # Closes the connection if the exchange did not complete.
-            self._pool.release(target.name, connection)
+            self._pool.release(target.name, partial.connection)
+        if failure is not None:
+            reason = str(failure) or "time ran out"
+            self._feedback.add_failure(target.name, asyncio.get_running_loop().time(), reason)
+            if isinstance(failure, PeerClosedError):
+                self._quarantine.record_crash(state.identity, target)
+            return RequestResult(status, f"broke off: {reason}", target.name)
         self._quarantine.record_successful_answer(state.identity)
-        return RequestResult(answer.status, "answered in pieces", target.name)
+        return RequestResult(status, "answered in pieces", target.name)
 
     def _finish(self, caller: CallerConnection, state: RequestState, result: RequestResult) -> None:
         """Send the gateway's own answer unless a target's was forwarded; log and count."""
