Forward requests to another entry while no target can be reached

Cause: what is known of a way is kept for each target alone, so an entry's own trouble is booked as failures of all targets, and a request has no way round it.

An entry whose probes of targets in several halls and services all fail now forwards requests over the port for other entries, one hop at most; the other entry admits and sends them as its own, so that rates, quotas, back-offs, drains and the quarantine hold there. Kept connections that were answered since are still used. An entry that reaches no target itself, is not ready or is full refuses at once as not run; then another is asked, and without any the entry goes on as before. Ejections of that time are revoked.

--- a/halldoor/core/targets/outlier.py
+++ b/halldoor/core/targets/outlier.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection
 from typing import NamedTuple
 
@@ -54,6 +55,8 @@
     ----------
     ejections : int
         Consecutive ejections; if above 0 when an ejection ended, a single failure ejects again.
+    ejected_at : float
+        Begin of the last ejection, on the steady clock.
     pause_doublings : int
         Consecutive refusals by the full target; each doubles the next pause, up to the longest.
     """
@@ -61,6 +64,7 @@
     def __init__(self) -> None:
         self.failures = 0.0
         self.ejections = 0
+        self.ejected_at = -math.inf
         self.pause_doublings = 0
         self.ejected_until = 0.0
         self.average_s = 0.0
@@ -140,11 +144,27 @@
             return False  # The request was sent before the ejection.
         results.failures = 0.0
         results.samples = 0
+        results.ejected_at = now
         results.ejected_until = now + min(EJECT_LIMIT_S, EJECT_S * 2**results.ejections)
         results.ejections += 1
         self._ejected[target] = results.ejected_until
         return True
 
+    def revoke_since(self, at: float) -> None:
+        """Revoke the ejections and failures of a period in which no target could be reached.
+
+        Parameters
+        ----------
+        at : float
+            Begin of the period; earlier ejections hold.
+        """
+        for target, results in self._results.items():
+            if results.ejected_at >= at:
+                results.failures = 0.0
+                results.ejections = 0
+                results.ejected_until = at
+                self._ejected.pop(target, None)
+
     def add_shed(self, target: str, now: float) -> None:
         """Record that a full target refused a request, and pause sending to it."""
         results = self._results.setdefault(target, _Results())
--- a/halldoor/core/targets/reach.py
+++ b/halldoor/core/targets/reach.py
@@ -47,11 +47,14 @@
     ----------
     since : float
         Time of the first failure.
+    probed_at : float
+        Begin of the probes that confirmed it; connections that were answered later still work.
     causes : Mapping of str to str
         Cause of the failure by target.
     """
 
     since: float
+    probed_at: float
     causes: Mapping[str, str]
 
 
@@ -191,7 +194,7 @@
     def _begin_loss(self, failures: Mapping[str, str], now: float, *, began_at: float) -> None:
         """Begin a period without connections."""
         since = min(self._failed_since, began_at, now)
-        self.loss = Loss(since, {**self._failed, **failures})
+        self.loss = Loss(since, began_at, {**self._failed, **failures})
         is_flapping = now - self._returned_at < FLAP_WINDOW_S
         self._hold_s = min(HOLD_LIMIT_S, max(HOLD_S, 2 * self._hold_s)) if is_flapping else 0.0
         self._reached_since = math.inf
--- a/halldoor/core/targets/sharers.py
+++ b/halldoor/core/targets/sharers.py
@@ -50,6 +50,10 @@
         """Check whether an address is one from which an entry sends notices."""
         return address in self._addresses.values()
 
+    def has_ip(self, ip: str) -> bool:
+        """Check whether an IP address is one of an entry."""
+        return any(a is not None and a.ip == ip for a in self._addresses.values())
+
     def list_names(self) -> set[str]:
         """Return the names of all entries that have a share."""
         return {*self._registered, *self._removed_at}
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -143,6 +143,31 @@
         }
 
 
+class Origin(NamedTuple):
+    """Where a request comes from.
+
+    Attributes
+    ----------
+    address : str
+        IP address of its caller; empty if it is unknown.
+    forwarded_by : str
+        Name of the entry that forwarded it; empty if its caller sent it here.
+    """
+
+    address: str
+    forwarded_by: str = ""
+
+    @classmethod
+    def from_mark(cls, mark: str) -> Origin:
+        """Parse the value of the field ``FORWARDED_BY``."""
+        name, _, address = mark.partition(" ")
+        return cls(address, name)
+
+    def to_mark(self, entry: str) -> bytes:
+        """Return the value of the field for a request that an entry forwards."""
+        return f"{entry} {self.address}".encode("latin-1")
+
+
 class RequestResult(NamedTuple):
     """Final result of a request: the answer's status and what is logged.
 
@@ -152,6 +177,8 @@
         Short description for the log and the body of the gateway's own answer.
     target : str
         The target whose answer was forwarded; empty if the gateway answered itself.
+    peer : str
+        The entry whose answer was forwarded; empty if there is none.
     retry_after_s : float
         Time after which the caller may retry, in seconds, if the request did not run.
     is_asked : bool
@@ -161,9 +188,15 @@
     status: int
     outcome: str
     target: str = ""
+    peer: str = ""
     retry_after_s: float = RETRY_AFTER_S
     is_asked: bool = False
 
+    @property
+    def is_forwarded(self) -> bool:
+        """Whether the answer of a target or of another entry was forwarded."""
+        return bool(self.target or self.peer)
+
 
 class RequestState:
     """Route, team, affinity key and attempts of one running request.
@@ -175,9 +208,17 @@
     """
 
     def __init__(
-        self, head: Head, admitted: AdmittedRequest, service: str, key: str, attempt_id: str
+        self,
+        head: Head,
+        admitted: AdmittedRequest,
+        service: str,
+        key: str,
+        attempt_id: str,
+        *,
+        origin: Origin,
     ) -> None:
         self.head = head
+        self.origin = origin
         self.route = admitted.route
         self.team = admitted.team
         self.service = service
--- a/halldoor/gateway/body.py
+++ b/halldoor/gateway/body.py
@@ -37,7 +37,7 @@
         return RequestResult(408, "body came too slowly")
     except BodyTooLongError:
         return RequestResult(413, "body too long")
-    state.identity = _identify(caller, state, bytes(body), is_whole=rest is None)
+    state.identity = _identify(state, bytes(body), is_whole=rest is None)
     return OutgoingRequest(
         state.head,
         headers,
@@ -49,14 +49,12 @@
     )
 
 
-def _identify(
-    caller: CallerConnection, state: RequestState, body: bytes, *, is_whole: bool
-) -> Identity:
+def _identify(state: RequestState, body: bytes, *, is_whole: bool) -> Identity:
     """Compute the identity of a request from its caller, head and buffered body."""
     head = state.head
     return identify_request(
         state.team,
-        caller.address,
+        state.origin.address,
         method=head.method,
         host=find(head.headers, b"host"),
         target=head.target,
--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -78,7 +78,7 @@
 
     @classmethod
     async def open(
-        cls, address: Address, *, timeout_s: float, user_timeout_s: float
+        cls, address: Address, *, timeout_s: float, user_timeout_s: float, local_ip: str = ""
     ) -> HttpConnection:
         """Open a connection.
 
@@ -88,6 +88,8 @@
             Timeout of connecting, in seconds.
         user_timeout_s : float
             Longest time that sent bytes may stay unacknowledged (TCP_USER_TIMEOUT), in seconds.
+        local_ip : str, optional
+            IP address to connect from; empty: the kernel chooses it.
 
         Raises
         ------
@@ -97,7 +99,12 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout_s):
-                _, protocol = await loop.create_connection(cls, address.ip, address.port)
+                _, protocol = await loop.create_connection(
+                    cls,
+                    address.ip,
+                    address.port,
+                    local_addr=(local_ip, 0) if local_ip else None,
+                )
         except (OSError, TimeoutError) as exc:
             raise ConnectionFailedError(
                 type(exc).__name__,
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -17,7 +17,14 @@
     HttpConnection,
     PeerClosedError,
 )
-from halldoor.gateway.headers import HeaderNames, Headers, drop_hop_by_hop, find, replace
+from halldoor.gateway.headers import (
+    FORWARDED_BY,
+    HeaderNames,
+    Headers,
+    drop_hop_by_hop,
+    find,
+    replace,
+)
 from halldoor.gateway.outcomes import (
     AnswerLost,
     BodyFailed,
@@ -113,7 +120,7 @@
             caller are not forwarded.
         """
         names = self._names
-        not_forwarded = {b"expect", names.deadline_ms, names.expected_incarnation}
+        not_forwarded = {b"expect", FORWARDED_BY, names.deadline_ms, names.expected_incarnation}
         if has_teams:
             not_forwarded |= {names.credentials, names.team}
         headers = [
--- /dev/null
+++ b/halldoor/gateway/figures.py
@@ -0,0 +1,32 @@
+"""Collects the current figures of a gateway for its metrics page."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from halldoor.gateway.pages import GatewayFigures
+
+if TYPE_CHECKING:
+    from halldoor.gateway.process import Gateway
+
+
+def collect_figures(gateway: Gateway, *, callers: int) -> GatewayFigures:
+    """Collect the current figures of a gateway with a number of callers' connections."""
+    now = asyncio.get_running_loop().time()
+    catalog = gateway.catalog
+    gauges = {
+        "running": gateway.requests.running,
+        "callers": callers,
+        "members": len(catalog.members),
+        "targets": len(catalog.list_targets()),
+        "watches_store": int(gateway.feed.watches_store),
+        "connections_opened": gateway.pool.opened,
+        "connections_kept": gateway.pool.count_idle(),
+        "configuration_version": catalog.configuration_version,
+        "store_age_seconds": now - catalog.store_contact_at,
+        "store_era": gateway.sync.era_number,
+        **gateway.quarantine.get_figures(),
+        **gateway.reach.probe.get_figures(now),
+    }
+    return GatewayFigures(gauges, gateway.chooser.list_excluded(now))
--- a/halldoor/gateway/headers.py
+++ b/halldoor/gateway/headers.py
@@ -24,6 +24,10 @@
 """Fields that are not forwarded (RFC 9110, 7.6.1)."""
 
 
+FORWARDED_BY = b"halldoor-forwarded-by"
+"""Field with the name of the entry that forwards a request, and the address of its caller."""
+
+
 class HeaderNames(NamedTuple):
     """Names of the header fields that the gateway reads or sets, in lower case."""
 
--- a/halldoor/gateway/maintenance.py
+++ b/halldoor/gateway/maintenance.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import Change, TargetRemoved
@@ -26,8 +26,10 @@
 
     Parameters
     ----------
-    catalog, pool : Catalog, TargetPool
-        Hold the records and connections that expire.
+    catalog : Catalog
+        Holds the records that expire.
+    pools : sequence of TargetPool
+        Hold the connections that expire.
     on_change : callable
         Called with each change that the housekeeping makes in the catalog.
     on_suspension : callable
@@ -37,14 +39,14 @@
     def __init__(
         self,
         catalog: Catalog,
-        pool: TargetPool,
+        pools: Sequence[TargetPool],
         *,
         on_change: Callable[[Change], None],
         on_suspension: Callable[[], None],
         log: EventLog,
     ) -> None:
         self._catalog = catalog
-        self._pool = pool
+        self._pools = pools
         self._on_change = on_change
         self._on_suspension = on_suspension
         self._log = log
@@ -77,7 +79,8 @@
             self._apply_due_changes(now)
             tick += 1
             if tick % SWEEP_TICKS == 0:
-                self._pool.sweep()
+                for pool in self._pools:
+                    pool.sweep()
 
     def _apply_due_changes(self, now: float) -> None:
         """Remove lapsed targets, apply postponed removals and drop expired leaving statements.
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -81,6 +81,11 @@
             "Probes of targets while this entry may reach none of them, by outcome.",
             registry=registry,
         )
+        self._forwarded = Counter(
+            "halldoor_forwarded_requests",
+            "Requests forwarded to other entries and received from them, by outcome.",
+            registry=registry,
+        )
         self._bad_limits = Counter(
             "halldoor_bad_limits",
             "Answers of targets with a limit that could not be read.",
@@ -184,6 +189,10 @@
         """Count a probe of whether a target can be reached by its outcome."""
         self._reach_probes.inc({"outcome": outcome})
 
+    def add_forwarded(self, direction: str, outcome: str) -> None:
+        """Count a forwarded request: ``sent`` or ``received``, with its status or refusal."""
+        self._forwarded.inc({"direction": direction, "outcome": outcome})
+
     def add_bad_limit(self) -> None:
         """Count an answer with an unreadable rate limit."""
         self._bad_limits.inc({})
--- a/halldoor/gateway/pool.py
+++ b/halldoor/gateway/pool.py
@@ -59,6 +59,8 @@
     ----------
     settings : ConnectionSettings, optional
         Rules for reuse.
+    local_ip : str, optional
+        IP address to connect from; empty: the kernel chooses it.
 
     Attributes
     ----------
@@ -66,7 +68,8 @@
         Number of connections opened since the start.
     """
 
-    def __init__(self, settings: ConnectionSettings | None = None) -> None:
+    def __init__(self, settings: ConnectionSettings | None = None, *, local_ip: str = "") -> None:
+        self._local_ip = local_ip
         self._settings = settings or ConnectionSettings()
         self._idle: dict[str, list[HttpConnection]] = {}
         self._swept_at = math.inf
@@ -88,6 +91,14 @@
             connection.close()
         return None
 
+    def has_answered_since(self, incarnation: str, kind: RequestKind, at: float) -> bool:
+        """Check whether `take_idle` would return a connection that was answered after a time."""
+        idle = self._idle.get(incarnation)
+        if not idle or not self._allows_reuse(kind):
+            return False
+        now = asyncio.get_running_loop().time()
+        return idle[-1].is_usable(now) and idle[-1].idle_since > at
+
     def _allows_reuse(self, kind: RequestKind) -> bool:
         """Check whether a request of this kind may use a kept connection."""
         if kind is RequestKind.REPEATABLE:
@@ -113,6 +124,7 @@
             address,
             timeout_s=min(CONNECT_TIMEOUT_S, timeout_s),
             user_timeout_s=USER_TIMEOUT_S,
+            local_ip=self._local_ip,
         )
         self.opened += 1
         return connection
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -12,8 +12,6 @@
 from halldoor.core.targets.latency import LatencyModel
 from halldoor.core.targets.load import LoadTable
 from halldoor.core.targets.outlier import OutlierTable
-from halldoor.core.targets.reach import ReachMonitor
-from halldoor.core.targets.route import CallerLimits
 from halldoor.core.targets.split import Splitter
 from halldoor.core.teams.gate import QuotaGate
 from halldoor.gateway import clock
@@ -23,17 +21,19 @@
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.exchanges import TargetExchanges
 from halldoor.gateway.feedback import TargetFeedback
+from halldoor.gateway.figures import collect_figures
 from halldoor.gateway.flows import RegionFlowCounter
 from halldoor.gateway.following import ChangeDispatcher
+from halldoor.gateway.forwarded import ForwardedRequests
 from halldoor.gateway.headers import HeaderNames
 from halldoor.gateway.lookup import LookupFormat
 from halldoor.gateway.maintenance import Maintenance
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pages import GatewayFigures, GatewayState, StatusPages
 from halldoor.gateway.pool import TargetPool
+from halldoor.gateway.ports import ServicePort, ServicePorts
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.quotas import QuotaExchange
-from halldoor.gateway.reach import ReachProbe
 from halldoor.gateway.registration import Registration
 from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.request import RequestHandler
@@ -43,6 +43,7 @@
 from halldoor.gateway.store import MetadataStore, RecordCodec
 from halldoor.gateway.storenotices import StoreNoticeExchange
 from halldoor.gateway.sync import StoreSync
+from halldoor.gateway.targetreach import TargetReach
 from halldoor.gateway.tasks import TaskSet, stop_task
 from halldoor.gateway.travel import RoundTripProbe
 
@@ -100,15 +101,13 @@
         self._build_store_tasks(store, codec)
         self.maintenance = Maintenance(
             self.catalog,
-            self.pool,
+            (self.pool, self.reach.forwarder.pool),
             on_change=self._dispatch_change,
             on_suspension=self._handle_suspension,
             log=self.log,
         )
-        self._pages = StatusPages(self._read_state, self._read_figures, lookups, self.metrics)
+        self._build_ports(lookups, names)
         self._callers: set[CallerConnection] = set()
-        self._service_connections: set[CallerConnection] = set()
-        self._servers: list[asyncio.Server] = []
         self._front: asyncio.Server | None = None
         self._tasks = TaskSet(self.log)
         self.is_stopping = False
@@ -119,10 +118,12 @@
         outliers = OutlierTable(settings.outliers)
         loads, latency = LoadTable(), LatencyModel()
         self.stalls = StallMeter()
-        self.reach = ReachMonitor()
-        self.reach_probe = ReachProbe(
-            self.reach,
-            self.catalog,
+        self.reach = TargetReach.from_config(
+            settings.forwarding,
+            own=self.member,
+            catalog=self.catalog,
+            pool=self.pool,
+            outliers=outliers,
             names=names,
             stalls=self.stalls,
             log=self.log,
@@ -149,7 +150,7 @@
             pool=self.pool,
             names=names,
             stalls=self.stalls,
-            reach=self.reach,
+            reach=self.reach.monitor,
             log=self.log,
         )
         flows = RegionFlowCounter(
@@ -183,6 +184,7 @@
             splitter=splitter,
             flows=flows,
             quarantine=self.quarantine,
+            forwarder=self.reach.forwarder,
         )
 
     def _build_access(self, splitter: Splitter, names: HeaderNames) -> None:
@@ -254,10 +256,36 @@
             log=self.log,
         )
 
+    def _build_ports(self, lookups: LookupFormat, names: HeaderNames) -> None:
+        """Create the ports for readiness, look-ups, metrics and other entries."""
+        settings = self.settings
+        forwarded = ForwardedRequests(
+            self.requests,
+            self.feed.answer,
+            self.reach.monitor,
+            self.catalog,
+            names=names,
+            settings=settings.forwarding,
+            stalls=self.stalls,
+            is_ready=lambda: self.is_ready,
+            metrics=self.metrics,
+        )
+        pages = StatusPages(self._read_state, self._read_figures, lookups, self.metrics)
+        self._ports = ServicePorts(
+            (
+                ServicePort(settings.ready, pages.answer_ready),
+                ServicePort(settings.directory, pages.answer_lookup),
+                ServicePort(settings.metrics, pages.answer_metrics),
+                ServicePort(settings.relay, forwarded.answer, forwarded.read_limits),
+            )
+        )
+
     @property
     def is_ready(self) -> bool:
         """Check whether callers should be sent here."""
-        return self.catalog.routing is not None and not self.is_unconfirmed and not self.is_stopping
+        has_left = self.settings.forwarding.leaves_lookups and self.reach.monitor.loss is not None
+        has_routing = self.catalog.routing is not None
+        return has_routing and not (self.is_unconfirmed or self.is_stopping or has_left)
 
     @property
     def is_unconfirmed(self) -> bool:
@@ -275,22 +303,7 @@
 
     def _read_figures(self) -> GatewayFigures:
         """Return the current figures for the metrics page."""
-        now = asyncio.get_running_loop().time()
-        gauges = {
-            "running": self.requests.running,
-            "callers": len(self._callers),
-            "members": len(self.catalog.members),
-            "targets": len(self.catalog.list_targets()),
-            "watches_store": int(self.feed.watches_store),
-            "connections_opened": self.pool.opened,
-            "connections_kept": self.pool.count_idle(),
-            "configuration_version": self.catalog.configuration_version,
-            "store_age_seconds": now - self.catalog.store_contact_at,
-            "store_era": self.sync.era_number,
-            **self.quarantine.get_figures(),
-            **self.reach_probe.get_figures(now),
-        }
-        return GatewayFigures(gauges, self.chooser.list_excluded(now))
+        return collect_figures(self, callers=len(self._callers))
 
     async def start(self) -> None:
         """Open the ports and start every task."""
@@ -304,28 +317,13 @@
             connections=self._callers,
             is_closing=lambda: self.is_stopping,
         )
-        for address, handler in (
-            (settings.ready, self._pages.answer_ready),
-            (settings.directory, self._pages.answer_lookup),
-            (settings.metrics, self._pages.answer_metrics),
-            (settings.relay, self.feed.answer),
-        ):
-            if address is None:
-                continue
-            server = await listen(
-                address.ip,
-                address.port,
-                handler,
-                read_limits=CallerLimits,
-                connections=self._service_connections,
-            )
-            self._servers.append(server)
+        await self._ports.start()
         await self.port.start()
         parts = (
             self.sync.run(),
             self.maintenance.run(),
             self.stalls.run(),
-            self.reach_probe.run(),
+            self.reach.probe.run(),
             self.travel.run(),
             self.quotas.run(),
             *self.exchanges.list_coroutines(),
@@ -389,10 +387,10 @@
     async def _shut_down(self) -> None:
         """Close the ports and stop the tasks."""
         self.log.event("process", "Stopped.", running=self.requests.running)
-        for server in self._servers:
-            server.close()
+        self._ports.close()
         await self._tasks.stop()
         self.pool.close()
+        self.reach.forwarder.pool.close()
         self.feed.close()
         self.port.close()
         self.log.close()
@@ -400,6 +398,7 @@
     def _handle_suspension(self) -> None:
         """Read the store again and drop pooled connections: both may be outdated."""
         self.pool.close()
+        self.reach.forwarder.pool.close()
         self.sync.invalidate("the process stood still")
 
     def _record_contact(self) -> None:
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -21,6 +21,7 @@
 from halldoor.gateway.answers import forward_answer, stream_answer
 from halldoor.gateway.attempt import (
     Attempt,
+    Origin,
     RequestResult,
     RequestState,
     TargetView,
@@ -36,6 +37,7 @@
 from halldoor.gateway.exchange import OutgoingRequest, TargetExchanger
 from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR, TargetFeedback
 from halldoor.gateway.flows import RegionFlowCounter
+from halldoor.gateway.forwarding import PeerForwarder
 from halldoor.gateway.headers import HeaderNames, find
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.outcomes import (
@@ -74,6 +76,8 @@
         Counts requests by the region in which they run.
     quarantine : RequestQuarantine
         Blocks requests that crash targets.
+    forwarder : PeerForwarder
+        Forwards requests to other entries while no target can be reached.
     """
 
     def __init__(
@@ -93,6 +97,7 @@
         splitter: Splitter,
         flows: RegionFlowCounter,
         quarantine: RequestQuarantine,
+        forwarder: PeerForwarder,
     ) -> None:
         self._catalog = catalog
         self._chooser = chooser
@@ -109,6 +114,7 @@
         self._splitter = splitter
         self._flows = flows
         self._quarantine = quarantine
+        self._forwarder = forwarder
         self._random = Random()
         self.running = 0
 
@@ -123,9 +129,13 @@
 
     async def handle(self, caller: CallerConnection, head: Head) -> None:
         """Process one request; answer 502 if the gateway itself fails."""
+        await self.handle_forwarded(caller, head, Origin(caller.address))
+
+    async def handle_forwarded(self, caller: CallerConnection, head: Head, origin: Origin) -> None:
+        """Process a request that another entry may have forwarded."""
         self.running += 1
         try:
-            await self._admit_and_send(caller, head)
+            await self._admit_and_send(caller, head, origin)
         except h11.RemoteProtocolError:
             raise  # The caller violated HTTP; its connection sends the error.
         except Exception as exc:
@@ -140,7 +150,7 @@
         finally:
             self.running -= 1
 
-    async def _admit_and_send(self, caller: CallerConnection, head: Head) -> None:
+    async def _admit_and_send(self, caller: CallerConnection, head: Head, origin: Origin) -> None:
         """Admit a request, choose its service and deadline, send it and finish it."""
         attempt_id = find(head.headers, self._names.attempt_id).decode("latin-1")
         admission = self._access.admit(head, head.received_at)
@@ -151,7 +161,7 @@
         key = find(head.headers, self._names.affinity_key).decode("latin-1")
         service = self._splitter.choose(route, key or attempt_id)
         state = RequestState(
-            head, admission, service, key if route.has_affinity else "", attempt_id
+            head, admission, service, key if route.has_affinity else "", attempt_id, origin=origin
         )
         caller_s = parse_deadline_s(find(head.headers, self._names.deadline_ms))
         expires_at = head.received_at + min(caller_s, route.timeout_s)
@@ -165,7 +175,7 @@
         result = await self._quarantine.admit(state.identity)
         if result is None:
             result = await self._send_until_answered(caller, state, outgoing)
-        if caller.is_body_too_long and not result.target:
+        if caller.is_body_too_long and not result.is_forwarded:
             result = RequestResult(413, "body too long")
         self._finish(caller, state, result)
 
@@ -182,6 +192,10 @@
             choice = self._chooser.choose(
                 state.route, state.service, state.key, now, tried=state.tried_targets
             )
+            if self._forwarder.is_needed(state, choice):
+                result = await self._forwarder.forward(caller, state, outgoing)
+                if result is not None:
+                    return result
             if isinstance(choice, NoTarget):
                 return state.build_unanswered_result(
                     str(choice), slot_free_after_s=choice.room_after_s, is_asked=choice.is_asked
@@ -320,7 +334,7 @@
 
     def _finish(self, caller: CallerConnection, state: RequestState, result: RequestResult) -> None:
         """Send the gateway's own answer unless a target's was forwarded; log and count."""
-        if not result.target:
+        if not result.is_forwarded:
             randomize = randomize_requested_backoff if result.is_asked else randomize_retry_after
             after_s = randomize(result.retry_after_s, self._random)
             caller.send(build_gateway_answer(result.status, result.outcome, retry_after_s=after_s))
@@ -340,6 +354,8 @@
             digest=state.identity.digest,
             caller=state.identity.caller,
             target=result.target,
+            peer=result.peer,
+            forwarded_by=state.origin.forwarded_by,
             took_ms=round(took_s * 1000),
             aim_ms=round(state.route.aim_s * 1000),
             attempts=[attempt.to_fields() for attempt in state.attempts],
--- a/halldoor/gateway/settings.py
+++ b/halldoor/gateway/settings.py
@@ -12,6 +12,7 @@
 from halldoor.core.targets.catalog import CatalogTimings
 from halldoor.core.targets.observation import SharingSettings
 from halldoor.core.targets.outlier import OutlierSettings
+from halldoor.core.targets.peers import ForwardingSettings
 from halldoor.core.targets.relay import RelaySettings
 from halldoor.core.targets.settings import ChoiceSettings
 from halldoor.core.teams.admission import AccessSettings
@@ -42,6 +43,7 @@
     "access",
     "sharing",
     "quarantine",
+    "forwarding",
 )
 """Settings that a policy file may change."""
 
@@ -88,6 +90,7 @@
     access: AccessSettings = AccessSettings()
     sharing: SharingSettings = SharingSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
+    forwarding: ForwardingSettings = ForwardingSettings()
 
     def apply_policy(self, policy: Mapping[str, Any], *, origin: str) -> GatewaySettings:
         """Return these settings with those of a policy file applied.
--- a/halldoor/standins/modelentry.py
+++ b/halldoor/standins/modelentry.py
@@ -185,7 +185,7 @@
         )
         self.maintenance = Maintenance(
             self.catalog,
-            TargetPool(),
+            (TargetPool(),),
             on_change=self._handle_change,
             on_suspension=lambda: self.sync.invalidate("the process stood still"),
             log=log,
--- a/halldoor/standins/targetlink.py
+++ b/halldoor/standins/targetlink.py
@@ -11,6 +11,7 @@
 from halldoor.core.targets.changes import Change, TargetSeen
 from halldoor.gateway.plain import PlainCodec
 from halldoor.gateway.store import StoredItem
+from halldoor.standins.sample import IP
 
 CHUNK_BYTES = 65_536
 CHECK_S = 0.02
@@ -50,7 +51,7 @@
 
     def __init__(self, target: Address) -> None:
         self._target = target
-        self.address = Address("127.0.0.1", 0)
+        self.address = Address(IP, 0)
         self.cut: Cut | None = None
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -59,7 +60,7 @@
     async def start(self) -> None:
         """Listen; the kernel chooses the port the first time."""
         self._server = await asyncio.start_server(self._serve, self.address.ip, self.address.port)
-        self.address = Address("127.0.0.1", self._server.sockets[0].getsockname()[1])
+        self.address = Address(IP, self._server.sockets[0].getsockname()[1])
 
     async def stop(self) -> None:
         """Stop listening and reset all connections."""
@@ -121,7 +122,10 @@
             return
         both = {writer, target_writer}
         self._writers |= both
-        await asyncio.gather(self._copy(reader, target_writer), self._copy(target_reader, writer))
+        with contextlib.suppress(asyncio.CancelledError):  # The loop ends.
+            await asyncio.gather(
+                self._copy(reader, target_writer), self._copy(target_reader, writer)
+            )
         self._writers -= both
 
     async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/halldoor/tests/test_relay.py
+++ b/halldoor/tests/test_relay.py
@@ -336,7 +336,7 @@
 
         async def check(fleet):
             dead = fleet.reader
-            for server in dead.gateway._servers:
+            for server in dead.gateway._ports._servers:
                 server.close()
             for connection in list(dead.gateway._service_connections):
                 connection.abort()
