Test what is no loss of all targets, and rules across the hop; throttle offers

A down service, a dark hall, an own stall, short deadlines and busy targets are not taken for it; no second hop, no circle, bodies up to 2 MB unchanged, full neighbours serve their own callers first.

--- a/halldoor/core/targets/peers.py
+++ b/halldoor/core/targets/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from collections.abc import Collection, Iterable
@@ -15,8 +16,11 @@
 BACKOFF_LIMIT_S = 4.0
 """Longest such pause, in seconds: an entry that returns must be used again soon."""
 HALL_REFUSALS = 2
-"""Entries of the own hall that are paused from which the hall is taken last: a hall that is cut off
-as a whole would refuse each request several times before another hall is asked."""
+"""Entries of a hall that are paused from which the hall is taken last: a hall that is cut off as a
+whole would refuse each request several times before another hall is asked."""
+ROW_REFUSALS = 12
+"""Refusals in a row from which one request in a pause is offered: two in each of six halls.  If the
+entries of all halls refuse, the targets themselves are probably down."""
 
 
 class ForwardingSettings(NamedTuple):
@@ -57,6 +61,8 @@
     def __init__(self, own: MemberRecord) -> None:
         self._own = own
         self._refusals: dict[str, _Refusals] = {}
+        self._refused_in_row = 0
+        self._offered_at = -math.inf
 
     def choose(
         self,
@@ -84,6 +90,9 @@
             None if there is no other entry that is not paused.
         """
         own = self._own
+        is_refused = self._refused_in_row >= ROW_REFUSALS
+        if is_refused and now < self._offered_at + BACKOFF_S:
+            return None
         usable: list[tuple[int, MemberRecord]] = []
         paused: Counter[str] = Counter()
         for member in members:
@@ -96,10 +105,10 @@
                 usable.append((self._find_distance(member), member))
         if not usable:
             return None
-        is_hall_lost = paused[own.hall] >= HALL_REFUSALS
-        rank = {0: 3 if is_hall_lost else 0, 1: 1, 2: 2}
-        nearest = min(rank[distance] for distance, _ in usable)
-        return source.choice([m for distance, m in usable if rank[distance] == nearest])
+        self._offered_at = now
+        ranked = [(paused[m.hall] >= HALL_REFUSALS, distance, m) for distance, m in usable]
+        first = min(rank[:2] for rank in ranked)
+        return source.choice([m for *rank, m in ranked if tuple(rank) == first])
 
     def _find_distance(self, member: MemberRecord) -> int:
         """Return 0 for an entry of the own hall, 1 for one of the own region, else 2."""
@@ -116,8 +125,10 @@
         """Record that an entry refused a request as not run, or couldn't be reached."""
         times = self._refusals[name].times + 1 if name in self._refusals else 1
         pause_s = min(BACKOFF_LIMIT_S, BACKOFF_S * 2 ** (times - 1))
+        self._refused_in_row += 1
         self._refusals[name] = _Refusals(times, now + pause_s)
 
     def add_answer(self, name: str) -> None:
         """Record that an entry answered a forwarded request."""
         self._refusals.pop(name, None)
+        self._refused_in_row = 0
--- a/halldoor/tests/reachkit.py
+++ b/halldoor/tests/reachkit.py
@@ -15,6 +15,7 @@
 from halldoor.core.targets.catalog import CatalogTimings
 from halldoor.gateway.headers import find
 from halldoor.gateway.plain import TargetModel
+from halldoor.gateway.settings import GatewaySettings
 from halldoor.standins.memorystore import MemoryStore
 from halldoor.standins.sample import IP, find_ports
 from halldoor.standins.targetlink import LinkedCodec, TargetLink
@@ -41,6 +42,12 @@
     outcome: bytes
 
 
+def build_settings(policy):
+    """Return the changed sections of settings as a policy file would set them."""
+    defaults = GatewaySettings._field_defaults
+    return {name: defaults[name]._replace(**values) for name, values in policy.items()}
+
+
 class ReachFleet:
     """Fleet of gateways in three halls, with targets of two services in each hall.
 
@@ -50,10 +57,10 @@
         All finished calls.
     """
 
-    def __init__(self, *, entries, seed=1, settings=None):
+    def __init__(self, *, entries, seed=1, policy=None):
         self.random = random.Random(seed)
         self.store = MemoryStore()
-        self.settings = settings or {}
+        self.settings = build_settings(policy or {})
         self.halls = [HALLS[i % len(HALLS)] for i in range(entries)]
         self.targets = {}
         self.kits = []
@@ -157,7 +164,7 @@
     async def call(self, entry, *, service="", **request):
         """Send one request over a new connection, and record how it ended."""
         service = service or self.random.choice(list(SERVICES))
-        attempt_id = f"a{next(self._ids)}"
+        attempt_id = request.pop("attempt_id", "") or f"a{next(self._ids)}"
         sent_at = self.now()
         options = {
             "key": str(self.random.randrange(KEYS)),
--- /dev/null
+++ b/halldoor/tests/test_forwarding.py
@@ -0,0 +1,346 @@
+"""Tests of what must not be taken for the loss of all targets, and of rules across the hop.
+
+Forwarding for the wrong reason would double the load of the entries that have room, and a request
+that travels twice could run twice or circle between entries that disagree.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import pytest
+
+from halldoor.core.settings import Address
+from halldoor.core.targets.changes import MemberRecord
+from halldoor.core.targets.peers import BACKOFF_S, PeerTable
+from halldoor.gateway.headers import FORWARDED_BY, find
+from halldoor.standins.targetlink import Cut
+from halldoor.tests.gatewaykit import NAMES
+from halldoor.tests.reachkit import HALLS, ReachFleet
+
+ALL = tuple(range(6))
+
+
+def count_forwarded(fleet, direction="sent"):
+    """Count the requests that entries forwarded, or received from others, by outcome."""
+    prefix = f'halldoor_forwarded_requests{{direction="{direction}",outcome="'
+    counts = {}
+    for kit in fleet.kits:
+        for line in kit.gateway.metrics.render().decode().splitlines():
+            if line.startswith(prefix):
+                outcome = line.removeprefix(prefix).partition('"')[0]
+                counts[outcome] = counts.get(outcome, 0) + int(float(line.split()[-1]))
+    return counts
+
+
+def list_lost(fleet):
+    """List the entries that believe that they reach no target."""
+    return [i for i, kit in enumerate(fleet.kits) if kit.gateway.reach.monitor.loss is not None]
+
+
+async def lose_targets(fleet, entries, *, cut=Cut.RESET):
+    """Cut entries off and send requests until each has noticed."""
+    await fleet.set_cut(cut, entries)
+    asking = asyncio.ensure_future(fleet.send_requests(per_s=80.0, for_s=30.0, entries=entries))
+    await fleet.kits[0].wait(lambda: set(list_lost(fleet)) == set(entries))
+    asking.cancel()
+    await fleet.finish()
+
+
+class TestOtherCauses:
+    """Failures of others that an entry must not take for the loss of its way to all targets."""
+
+    @pytest.mark.parametrize("cut", [Cut.HANG, Cut.RESET, Cut.BREAK])
+    @pytest.mark.parametrize("to", ["deck", "ams-a"], ids=["service", "hall"])
+    def test_targets_of_one_service_or_hall_are_lost_to_all(self, cut, to):
+        async def check():
+            async with ReachFleet.open(entries=6) as fleet:
+                asking = asyncio.ensure_future(fleet.send_requests(per_s=100.0, for_s=4.0))
+                await asyncio.sleep(1.0)
+                await fleet.set_cut(cut, ALL, to=to)
+                await asking
+                await fleet.finish()
+                assert list_lost(fleet) == []
+                assert count_forwarded(fleet) == {}
+                fleet.assert_rules_held()
+
+        asyncio.run(check())
+
+    @pytest.mark.parametrize("stall_s", [0.3, 0.6, 0.9])
+    def test_entries_stand_still(self, stall_s):
+        async def check():
+            async with ReachFleet.open(entries=3) as fleet:
+                loop = asyncio.get_running_loop()
+                for i in range(3):
+                    loop.call_later(0.5 + 1.2 * i, time.sleep, stall_s)
+                await fleet.send_requests(per_s=80.0, for_s=4.5)
+                await fleet.finish()
+                assert count_forwarded(fleet) == {}
+
+        asyncio.run(check())
+
+    def test_callers_with_short_deadlines(self):
+        async def check():
+            async with ReachFleet.open(entries=2) as fleet:
+                for _ in range(60):
+                    await asyncio.gather(*(fleet.call(i, deadline_ms=10) for i in range(2)))
+                assert list_lost(fleet) == []
+                assert count_forwarded(fleet) == {}
+
+        asyncio.run(check())
+
+    def test_targets_are_busy(self):
+        """Their answers, to health checks too, take longer than a probe waits."""
+
+        async def check():
+            async with ReachFleet.open(entries=2) as fleet:
+
+                async def work_long(target, request, writer):
+                    await asyncio.sleep(0.6)
+                    writer.write(target.build(request))
+
+                for target in fleet.targets.values():
+                    target.script = lambda r, w, target=target: work_long(target, r, w)
+                await fleet.send_requests(per_s=40.0, for_s=4.0)
+                await fleet.finish()
+                assert fleet.find_served(range(2), since=0.0) > 0.98
+                assert count_forwarded(fleet) == {}
+
+        asyncio.run(check())
+
+
+def test_all_entries_cut_off_refuse_without_forwarding_in_circles():
+    """Each asks others, which refuse at once; no request is taken, so none travels twice."""
+
+    async def check():
+        async with ReachFleet.open(entries=6) as fleet:
+            asking = asyncio.ensure_future(fleet.send_requests(per_s=100.0, for_s=6.0))
+            await asyncio.sleep(1.0)
+            await fleet.set_cut(Cut.RESET, ALL)
+            began = fleet.now()
+            await asyncio.sleep(1.0)
+            offered = sum(count_forwarded(fleet).values())
+            await asyncio.sleep(2.0)
+            offered = sum(count_forwarded(fleet).values()) - offered
+            await fleet.set_cut(None, ALL)
+            ended = fleet.now()
+            await asking
+            await fleet.finish()
+            # Those sent just before the end may be served after it.
+            calls = fleet.list_calls(ALL, since=began + 1.0, until=ended - 0.3)
+            assert {call.status for call in calls} == {503}
+            assert max(call.took_s for call in calls) < 0.3
+            assert offered < 0.5 * len(calls)
+            assert fleet.find_served(ALL, since=ended + 1.0) > 0.98
+            fleet.assert_rules_held()
+
+    asyncio.run(check())
+
+
+def test_entry_takes_no_request_that_is_forwarded_a_second_time():
+    """It lost its targets after the other entry chose it: it refuses instead of forwarding."""
+
+    async def check():
+        async with ReachFleet.open(entries=3) as fleet:
+            await lose_targets(fleet, (0, 1))
+            await fleet.send_requests(per_s=60.0, for_s=0.5, entries=(0, 1))
+            await fleet.finish()
+            received = count_forwarded(fleet, "received")
+            assert received.get("no target reached", 0) > 0
+            forwarded_by = [
+                find(r.headers, FORWARDED_BY)
+                for target in fleet.targets.values()
+                for r in target.received
+            ]
+            assert set(forwarded_by) == {b""}
+            fleet.assert_rules_held()
+
+    asyncio.run(check())
+
+
+def test_callers_cannot_forward_requests():
+    """The field of a caller is neither believed nor sent on."""
+
+    async def check():
+        async with ReachFleet.open(entries=2) as fleet:
+            extra = [(FORWARDED_BY.decode(), "e1 10.0.0.1")]
+            assert await fleet.call(0, extra=extra) == 200
+            received = [r for t in fleet.targets.values() for r in t.received]
+            assert all(not find(r.headers, FORWARDED_BY) for r in received)
+            assert count_forwarded(fleet, "received") == {}
+
+    asyncio.run(check())
+
+
+@pytest.mark.parametrize("period_s", [0.4, 1.0])
+def test_flapping_cut_costs_no_more_than_one(period_s):
+    async def check():
+        async with ReachFleet.open(entries=4) as fleet:
+            asking = asyncio.ensure_future(fleet.send_requests(per_s=80.0, for_s=14.0))
+            await asyncio.sleep(1.0)
+            for _ in range(int(12.0 / (2 * period_s))):
+                await fleet.set_cut(Cut.RESET, (0, 1))
+                await asyncio.sleep(period_s)
+                await fleet.set_cut(None, (0, 1))
+                await asyncio.sleep(period_s)
+            await asking
+            await fleet.finish()
+            began = min(call.sent_at for call in fleet.calls)
+            # Each loss that is noticed costs requests; the hold grows until it spans the pauses.
+            assert fleet.find_served((0, 1), since=began + 6.0) >= 0.95
+            assert fleet.find_served((2, 3), since=began) >= 0.98
+            fleet.assert_rules_held()
+
+    asyncio.run(check())
+
+
+@pytest.mark.parametrize("size", [10, 300_000, 2_000_000])
+def test_bodies_and_answers_are_forwarded_unchanged(size):
+    async def check():
+        async with ReachFleet.open(entries=2) as fleet:
+            await lose_targets(fleet, (0,))
+            body = random.Random(size).randbytes(size)
+
+            async def echo(target, request, writer):
+                writer.write(target.build(request, body=request.body))
+                await writer.drain()
+
+            for target in fleet.targets.values():
+                target.script = lambda r, w, target=target: echo(target, r, w)
+            reply = await fleet.kits[0].call(
+                method="POST", path="/order/7?x=1", body=body, attempt_id="big", deadline_ms=1500
+            )
+            assert reply.status == 200
+            assert reply.body == body
+            assert reply.find(NAMES.signature)
+            (request,) = [
+                r
+                for t in fleet.targets.values()
+                for r in t.received
+                if find(r.headers, NAMES.attempt_id) == b"big"
+            ]
+            assert (request.method, request.target) == (b"POST", b"/order/7?x=1")
+            assert request.body == body
+            assert 0 < int(find(request.headers, NAMES.deadline_ms)) <= 1500
+
+    asyncio.run(check())
+
+
+def test_full_neighbour_refuses_others_requests_and_serves_its_own():
+    async def check():
+        settings = {"forwarding": {"max_running": 2}}
+        async with ReachFleet.open(entries=2, policy=settings) as fleet:
+            await lose_targets(fleet, (0,))
+
+            async def work_long(target, request, writer):
+                await asyncio.sleep(0.3)
+                writer.write(target.build(request))
+
+            for target in fleet.targets.values():
+                target.script = lambda r, w, target=target: work_long(target, r, w)
+            began = fleet.now()
+            await fleet.send_requests(per_s=60.0, for_s=2.0)
+            await fleet.finish()
+            assert count_forwarded(fleet, "received")["full"] > 10
+            assert fleet.find_served((1,), since=began) > 0.98
+            fleet.assert_rules_held()
+
+    asyncio.run(check())
+
+
+def test_caller_that_leaves_ends_the_request_at_the_target():
+    async def check():
+        async with ReachFleet.open(entries=2) as fleet:
+            await lose_targets(fleet, (0,))
+            for target in fleet.targets.values():
+                target.script = target.hang
+            caller = await fleet.kits[0].connect()
+            await caller.send(path="/order/9", attempt_id="left", deadline_ms=1500)
+            await fleet.kits[0].wait(lambda: fleet.count_runs()["left"] == 1)
+            before = sum(target.cancelled for target in fleet.targets.values())
+            caller.close()
+            await fleet.kits[0].wait(
+                lambda: sum(t.cancelled for t in fleet.targets.values()) > before, limit_s=0.5
+            )
+
+    asyncio.run(check())
+
+
+def test_lost_entry_is_not_retried_elsewhere():
+    """The other entry's connection breaks after it sent the request on: it may have run."""
+
+    async def check():
+        async with ReachFleet.open(entries=3) as fleet:
+            await lose_targets(fleet, (0,))
+            for target in fleet.targets.values():
+                target.script = target.reset
+            for number in range(10):
+                await fleet.call(0, service="order", attempt_id=f"o{number}")
+            runs = fleet.count_runs()
+            assert {runs[f"o{number}"] for number in range(10)} == {1}
+            assert {c.status for c in fleet.calls if c.attempt_id[0] == "o"} == {502}
+
+    asyncio.run(check())
+
+
+class TestPeers:
+    def make_members(self, *, each=3):
+        return [
+            MemberRecord(
+                f"{hall}{i}", Address("127.0.0.1", 0), hall, hall[:3], Address("127.0.0.1", 9)
+            )
+            for hall in HALLS
+            for i in range(each)
+        ]
+
+    def choose(self, table, members, now=0.0, *, homes=(), tried=()):
+        return table.choose(members, now, homes=homes, tried=tried, source=random.Random(1))
+
+    def test_own_hall_is_preferred_then_own_region(self):
+        members = self.make_members()
+        table = PeerTable(members[0])
+        assert self.choose(table, members).hall == HALLS[0]
+        table.add_refusal(members[1].name, 0.0)
+        table.add_refusal(members[2].name, 0.0)
+        assert self.choose(table, members).hall == HALLS[1]
+
+    def test_request_with_homes_stays_in_them(self):
+        members = self.make_members()
+        table = PeerTable(members[0])
+        assert self.choose(table, members, homes=("grq",)).region == "grq"
+        assert self.choose(table, members, homes=("xxx",)) is None
+
+    def test_hall_that_refuses_is_taken_last(self):
+        """A large hall that is cut off as a whole must not use up every request's offers."""
+        members = self.make_members(each=30)
+        table = PeerTable(members[0])
+        for _ in range(2):
+            table.add_refusal(self.choose(table, members).name, 0.0)
+        assert self.choose(table, members).hall == HALLS[1]
+
+    def test_offers_are_rare_while_all_refuse(self):
+        members = self.make_members(each=100)
+        table, offers = PeerTable(members[0]), 0
+        for i in range(1000):
+            peer = self.choose(table, members, i / 100)
+            if peer is not None:
+                offers += 1
+                table.add_refusal(peer.name, i / 100)
+        assert offers <= 12 + 10.0 / BACKOFF_S
+
+    def test_pause_ends_and_doubles(self):
+        members = self.make_members(each=1)[:2]
+        table = PeerTable(members[0])
+        table.add_refusal(members[1].name, 0.0)
+        assert self.choose(table, members, BACKOFF_S / 2) is None
+        assert self.choose(table, members, BACKOFF_S) == members[1]
+        table.add_refusal(members[1].name, 1.0)
+        assert self.choose(table, members, 1.0 + BACKOFF_S) is None
+        table.add_answer(members[1].name)
+        assert self.choose(table, members, 1.0 + BACKOFF_S) == members[1]
+
+    def test_only_entry_has_nobody_to_forward_to(self):
+        (own,) = self.make_members(each=1)[:1]
+        assert self.choose(PeerTable(own), [own]) is None
