Don't eject targets for deadlines shorter than the time that they need

The same class as connecting: a time-out, or a target's 504, counted as slowness of the target although the deadline had left less time than its answer was expected to take. It counts only if the attempt took the expected time.

--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -179,10 +179,13 @@
             self._add_latency(sent, took_s - connecting.took_s)
             self._check_slowness(target, None if is_own_delay else took_s - stalled_s, now)
             self._report_observation(sent, outcome.answer, took_s=took_s - connecting.took_s)
-        return self._record_failure(target, outcome, now, is_own_delay=is_own_delay)
+        had_time = not is_own_delay and took_s >= sent.choice.estimate.time_s
+        return self._record_failure(
+            target, outcome, now, is_own_delay=is_own_delay, had_time=had_time
+        )
 
     def _record_failure(
-        self, target: Target, outcome: Outcome, now: float, *, is_own_delay: bool
+        self, target: Target, outcome: Outcome, now: float, *, is_own_delay: bool, had_time: bool
     ) -> tuple[AttemptResult, str]:
         """Count a failure of the target; return the attempt's result and a detail for the log.
 
@@ -190,6 +193,8 @@
         ----------
         is_own_delay : bool
             Whether this process was stalled for most of the attempt.
+        had_time : bool
+            Whether the target had the time that its answer was expected to take.
         """
         name = target.name
         match outcome:
@@ -197,7 +202,8 @@
                 return AttemptResult.ANSWERED, str(answer.status)
             case WholeAnswer(answer):
                 is_slow = answer.status == GATEWAY_TIMEOUT
-                self.add_failure(name, now, f"answered {answer.status}", is_slow=is_slow)
+                if had_time or not is_slow:
+                    self.add_failure(name, now, f"answered {answer.status}", is_slow=is_slow)
                 return AttemptResult.FAILED, str(answer.status)
             case PartialAnswer(answer):
                 return AttemptResult.ANSWERED, f"{answer.status}, more to come"
@@ -219,7 +225,7 @@
                 self.add_failure(name, now, detail)
                 return AttemptResult.ANSWER_LOST, detail
             case TimedOut():
-                if not is_own_delay:
+                if had_time:
                     self.add_failure(name, now, "no answer in time", is_slow=True)
                 return AttemptResult.TIMED_OUT, ""
             case BodyFailed(detail):
