Don't pass broken connections on as crashes when all targets break at once

In a cut by resets an entry recorded each request in flight as one under which a target crashed, and notified the other entries: 10 targets in the test (60 requests a second of 0.4 s), where three block a request. From the third target whose connection breaks within 50 ms, and while none is reached, such failures are no evidence: at most 2 now.

--- a/halldoor/core/targets/reach.py
+++ b/halldoor/core/targets/reach.py
@@ -28,6 +28,10 @@
 that reaches a target, since at a low rate of requests silence is usual."""
 SILENCE_PAUSE_LIMIT_S = 30.0
 """Longest such pause, in seconds."""
+BURST_S = 0.05
+"""Time in which the connections to `BURST_TARGETS` targets break if their common way is cut."""
+BURST_TARGETS = 3
+"""Targets that rarely crash together within `BURST_S`."""
 FAILURE_KEPT_S = 3.0
 """Time after the first failure in which others add to the same suspicion, in seconds."""
 ROUND_PAUSE_S = 0.5
@@ -74,6 +78,7 @@
         self.last_answer_at = -math.inf
         self._failed: dict[str, str] = {}
         self._failed_since = math.inf
+        self._broken_at: dict[str, float] = {}
         self._waiting: dict[int, float] = {}
         self._waits = 0
         self._rested_until = -math.inf
@@ -112,6 +117,8 @@
         if not self._failed:
             self._failed_since = now
         self._failed[target] = cause
+        self._broken_at = {n: at for n, at in self._broken_at.items() if now - at <= BURST_S}
+        self._broken_at[target] = now
         self._silence_pause_s = SILENCE_PAUSE_S
 
     def _clear_failures(self) -> None:
@@ -119,6 +126,11 @@
         self._failed = {}
         self._failed_since = math.inf
 
+    def is_common_cause(self, now: float) -> bool:
+        """Check whether a failure just now is more likely this entry's than a target's."""
+        recent = sum(now - at <= BURST_S for at in self._broken_at.values())
+        return self.loss is not None or recent >= BURST_TARGETS
+
     @property
     def is_suspected(self) -> bool:
         """Whether enough targets failed to doubt that any can be reached."""
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -29,16 +29,17 @@
 from halldoor.gateway.lookup import LookupFormat
 from halldoor.gateway.maintenance import Maintenance
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.pages import GatewayFigures, GatewayState, StatusPages
+from halldoor.gateway.pages import GatewayState, StatusPages
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.ports import ServicePort, ServicePorts
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.quotas import QuotaExchange
 from halldoor.gateway.registration import Registration
 from halldoor.gateway.relay import ChangeFeed
+from halldoor.gateway.reloading import apply_settings
 from halldoor.gateway.request import RequestHandler
 from halldoor.gateway.retries import RetryGate
-from halldoor.gateway.settings import LIVE_SETTINGS, GatewaySettings
+from halldoor.gateway.settings import GatewaySettings
 from halldoor.gateway.stalls import StallMeter
 from halldoor.gateway.store import MetadataStore, RecordCodec
 from halldoor.gateway.storenotices import StoreNoticeExchange
@@ -241,7 +242,7 @@
             log=self.log,
             metrics=self.metrics,
             is_loaded=self.sync.is_loaded,
-            on_contact=self._record_contact,
+            on_contact=lambda: self.catalog.record_answer(asyncio.get_running_loop().time()),
             on_return=self.sync.restart_watch,
         )
         self._dispatcher = ChangeDispatcher(
@@ -270,7 +271,12 @@
             is_ready=lambda: self.is_ready,
             metrics=self.metrics,
         )
-        pages = StatusPages(self._read_state, self._read_figures, lookups, self.metrics)
+        pages = StatusPages(
+            self._read_state,
+            lambda: collect_figures(self, callers=len(self._callers)),
+            lookups,
+            self.metrics,
+        )
         self._ports = ServicePorts(
             (
                 ServicePort(settings.ready, pages.answer_ready),
@@ -283,9 +289,9 @@
     @property
     def is_ready(self) -> bool:
         """Check whether callers should be sent here."""
-        has_left = self.settings.forwarding.leaves_lookups and self.reach.monitor.loss is not None
-        has_routing = self.catalog.routing is not None
-        return has_routing and not (self.is_unconfirmed or self.is_stopping or has_left)
+        is_leaving = self.settings.forwarding.leaves_lookups and self.reach.monitor.loss is not None
+        is_out = self.is_unconfirmed or self.is_stopping or is_leaving
+        return self.catalog.routing is not None and not is_out
 
     @property
     def is_unconfirmed(self) -> bool:
@@ -301,10 +307,6 @@
             lookup_ttl_s=self.settings.lookup_ttl_s,
         )
 
-    def _read_figures(self) -> GatewayFigures:
-        """Return the current figures for the metrics page."""
-        return collect_figures(self, callers=len(self._callers))
-
     async def start(self) -> None:
         """Open the ports and start every task."""
         settings = self.settings
@@ -339,19 +341,7 @@
 
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings; requests in progress are not affected."""
-        changed = self.settings.find_changes(settings)
-        live = {n: getattr(settings, n) for n in changed if n in LIVE_SETTINGS}
-        self.settings = self.settings._replace(**live)
-        self.catalog.timings = self.settings.timings
-        self.chooser.orders.regions = self.settings.regions
-        self.chooser.settings = self.settings.choice
-        self.retries.apply_settings(self.settings.retries)
-        self.access.settings = self.settings.access
-        self.quarantine.apply_settings(self.settings.quarantine)
-        self.feed.batch_s = self.settings.batch_s
-        self.feed.settings = self.settings.relaying
-        at_restart = [n for n in changed if n not in LIVE_SETTINGS]
-        self.log.event("process", "Reloaded.", changed=sorted(live), at_next_start=at_restart)
+        apply_settings(self, settings)
 
     async def stop(self) -> None:
         """Stop without aborting a request.
@@ -401,10 +391,6 @@
         self.reach.forwarder.pool.close()
         self.sync.invalidate("the process stood still")
 
-    def _record_contact(self) -> None:
-        """Record that the store answered."""
-        self.catalog.record_answer(asyncio.get_running_loop().time())
-
     def _dispatch_change(self, change: Change) -> None:
         """Dispatch a change of the catalog to the other components."""
         self._dispatcher.dispatch(change)
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -160,9 +160,8 @@
         route = admission.route
         key = find(head.headers, self._names.affinity_key).decode("latin-1")
         service = self._splitter.choose(route, key or attempt_id)
-        state = RequestState(
-            head, admission, service, key if route.has_affinity else "", attempt_id, origin=origin
-        )
+        affinity = key if route.has_affinity else ""
+        state = RequestState(head, admission, service, affinity, attempt_id, origin=origin)
         caller_s = parse_deadline_s(find(head.headers, self._names.deadline_ms))
         expires_at = head.received_at + min(caller_s, route.timeout_s)
         headers = self._exchanger.build_headers(
@@ -251,11 +250,12 @@
                 "request", "Caller left.", id=state.attempt_id, target=name, sent=state.sent_count
             )
             raise
-        self._quarantine.add_outcome(state.identity, target, outcome)
         now = loop.time()
         took_s = now - started
         statement = self._feedback.read_statement(target, *get_answer_head(outcome), now)
         result, detail = self._feedback.add_outcome(sent, outcome, connecting, now)
+        if not self._feedback.is_own_failure(outcome, now):
+            self._quarantine.add_outcome(state.identity, target, outcome)
         state.attempts.append(
             Attempt(
                 name,
