--- a/halldoor/core/targets/reach.py
+++ b/halldoor/core/targets/reach.py
@@ -19,11 +19,13 @@
 """Different targets that failed, without a connection to another one, from which probes start."""
 PROBES = 4
 """Targets in a round of probes: a crash, a full target or a dark hall affects fewer."""
-RETURN_PROBES = 2
-"""Targets in a round of probes while none can be reached."""
+FEW_PROBES = 2
+"""Targets in a round while none can be reached, or after mere silence, which is usual at times."""
 SILENCE_S = 0.4
 """Time without any byte from a target, although a request waits, after which probes start."""
-SILENCE_PAUSE_S = 2.0
+MANY_WAITING = 6
+"""Waiting requests with which such silence is unusual, so that no pause holds probes back."""
+SILENCE_PAUSE_S = 4.0
 """Shortest pause between two rounds after such silence, in seconds.  It doubles with each round
 that reaches a target, since at a low rate of requests silence is usual."""
 SILENCE_PAUSE_LIMIT_S = 30.0
@@ -144,7 +146,9 @@
 
     def _is_silent(self, now: float) -> bool:
         """Check whether a request waits and no target has sent anything for `SILENCE_S`."""
-        if not self._waiting or now < self._silence_rested_until:
+        if not self._waiting:
+            return False
+        if now < self._silence_rested_until and len(self._waiting) < MANY_WAITING:
             return False
         oldest = next(iter(self._waiting.values()))
         return now - max(oldest, self.last_answer_at) >= SILENCE_S
@@ -159,7 +163,8 @@
         source : random.Random
             Chooses among equal ones.
         """
-        count = PROBES if self.loss is None else RETURN_PROBES
+        has_failures = self.is_suspected and self.loss is None
+        count = PROBES if has_failures else FEW_PROBES
         # Enough for all halls and services; scanning thousands of targets would take too long.
         left = source.sample(list(targets), min(len(targets), 16 * PROBES))
         chosen: list[Target] = []
--- a/halldoor/tests/test_reach.py
+++ b/halldoor/tests/test_reach.py
@@ -14,7 +14,13 @@
 from halldoor.core.explaining.report import build_report, describe_report
 from halldoor.core.settings import Address
 from halldoor.core.targets.changes import TargetRecord
-from halldoor.core.targets.reach import FAILURE_KEPT_S, PROBES, ROUND_PAUSE_S, ReachMonitor
+from halldoor.core.targets.reach import (
+    FAILURE_KEPT_S,
+    FEW_PROBES,
+    PROBES,
+    ROUND_PAUSE_S,
+    ReachMonitor,
+)
 from halldoor.core.targets.target import Target
 
 
@@ -126,10 +132,19 @@
 @pytest.mark.parametrize("seed", range(5))
 def test_probes_are_of_all_halls_and_services(seed):
     monitor = ReachMonitor()
+    for name in ("000", "001"):
+        monitor.add_failure(name, "refused", 0.0)
     chosen = monitor.choose_probes(make_targets(), random.Random(seed))
     assert len({t.name for t in chosen}) == PROBES
     assert len({t.record.hall for t in chosen}) == 2
     assert len({t.record.service for t in chosen}) == 2
+    assert not {t.name for t in chosen} & {"000", "001"}
+
+
+def test_silence_alone_costs_few_probes():
+    chosen = ReachMonitor().choose_probes(make_targets(), random.Random(1))
+    assert len(chosen) == FEW_PROBES
+    assert len({t.record.hall for t in chosen}) == 2
 
 
 def test_report_lists_when_which_entry_reached_no_target():
