--- a/halldoor/standins/sample.py
+++ b/halldoor/standins/sample.py
@@ -9,19 +9,22 @@
 from typing import Any
 
 
-def _build_loopback_ip(process_id: int) -> str:
+def _build_loopback_ip(process_id: int, *, first: int = 64) -> str:
     """Return a loopback address unique to a process, so that processes never share a port.
 
     Concurrent test runs that shared one address sometimes got the same port, since a port is
     found free long before the process that it is for opens it.  Process ids have 22 bits; they
-    map to 127.64.0.0 to 127.127.255.255, which no relay or cut of a fleet uses.
+    map to 127.64.0.0 to 127.127.255.255, which no relay or cut of a fleet uses, or to as many
+    addresses from another second number on.
     """
     high, low = divmod(process_id % (1 << 22), 1 << 8)
-    return f"127.{64 + (high >> 8)}.{high & 255}.{low}"
+    return f"127.{first + (high >> 8)}.{high & 255}.{low}"
 
 
 IP = _build_loopback_ip(os.getpid())
 """Loopback address on which the processes that this one starts listen."""
+LINK_IP = _build_loopback_ip(os.getpid(), first=128)
+"""Loopback address on which links to targets listen, whose ports `find_ports` never returns."""
 _used_ports: set[int] = set()
 
 
--- a/halldoor/standins/targetlink.py
+++ b/halldoor/standins/targetlink.py
@@ -11,7 +11,7 @@
 from halldoor.core.targets.changes import Change, TargetSeen
 from halldoor.gateway.plain import PlainCodec
 from halldoor.gateway.store import StoredItem
-from halldoor.standins.sample import IP
+from halldoor.standins.sample import LINK_IP
 
 CHUNK_BYTES = 65_536
 CHECK_S = 0.02
@@ -51,7 +51,7 @@
 
     def __init__(self, target: Address) -> None:
         self._target = target
-        self.address = Address(IP, 0)
+        self.address = Address(LINK_IP, 0)
         self.cut: Cut | None = None
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -60,7 +60,7 @@
     async def start(self) -> None:
         """Listen; the kernel chooses the port the first time."""
         self._server = await asyncio.start_server(self._serve, self.address.ip, self.address.port)
-        self.address = Address(IP, self._server.sockets[0].getsockname()[1])
+        self.address = Address(LINK_IP, self._server.sockets[0].getsockname()[1])
 
     async def stop(self) -> None:
         """Stop listening and reset all connections."""
