--- a/halldoor/tests/test_relay.py
+++ b/halldoor/tests/test_relay.py
@@ -338,7 +338,7 @@
             dead = fleet.reader
             for server in dead.gateway._ports._servers:
                 server.close()
-            for connection in list(dead.gateway._service_connections):
+            for connection in list(dead.gateway._ports._connections):
                 connection.abort()
             fleet.configure(2)
             await fleet.wait(lambda: fleet.has_version(2), limit_s=SMALL.bound_s)
