--- a/halldoor/core/explaining/history.py
+++ b/halldoor/core/explaining/history.py
@@ -203,6 +203,8 @@
 
 def _describe_outcome(fields: dict[str, Any]) -> str:
     """Describe whether a request ran, from its status and target."""
+    if fields.get("peer"):
+        return f"Entry {fields['peer']} answered it; its line with this id says what became of it."
     if fields["status"] in (503, 429, 408) and not fields.get("target"):
         return "It did not run: no target received it. The caller may retry."
     if fields["status"] in (502, 504) and not fields.get("target"):
--- a/halldoor/gateway/forwarding.py
+++ b/halldoor/gateway/forwarding.py
@@ -24,6 +24,7 @@
 from halldoor.gateway.headers import FORWARDED_BY, HeaderNames, Headers, find
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.outcomes import (
+    AnswerLost,
     BodyFailed,
     ConnectFailed,
     NotSent,
@@ -32,6 +33,7 @@
     Rejected,
     TimedOut,
     WholeAnswer,
+    Withdrawn,
 )
 from halldoor.gateway.pool import TargetPool
 
@@ -194,5 +196,7 @@
                 return RequestResult(502, f"the caller's body failed: {detail}")
             case TimedOut():
                 return RequestResult(504, f"no answer of {peer.name} in time")
-            case _:
-                return RequestResult(502, f"lost the answer of {peer.name}: {outcome}")
+            case AnswerLost(detail):
+                return RequestResult(502, f"lost the answer of {peer.name}: {detail}")
+            case Withdrawn():
+                return None
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -13,7 +13,7 @@
 from halldoor.core.targets.choice import Choice, Chooser, NoTarget, name_kind
 from halldoor.core.targets.latency import LatencyModel
 from halldoor.core.targets.load import LoadTable
-from halldoor.core.targets.route import CallerLimits, RequestKind
+from halldoor.core.targets.route import CallerLimits
 from halldoor.core.targets.split import Splitter
 from halldoor.core.targets.target import Target
 from halldoor.core.teams.admission import Refusal
@@ -35,7 +35,7 @@
 from halldoor.gateway.connection import PeerClosedError
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.exchange import OutgoingRequest, TargetExchanger
-from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR, TargetFeedback
+from halldoor.gateway.feedback import TargetFeedback
 from halldoor.gateway.flows import RegionFlowCounter
 from halldoor.gateway.forwarding import PeerForwarder
 from halldoor.gateway.headers import HeaderNames, find
@@ -50,7 +50,7 @@
 )
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.quarantine import RequestQuarantine
-from halldoor.gateway.retries import RetryGate
+from halldoor.gateway.retries import RetryGate, is_worth_retry
 
 
 class RequestHandler:
@@ -183,7 +183,6 @@
     ) -> RequestResult:
         """Send the request to targets in turn until one answers or a retry is forbidden."""
         loop = asyncio.get_running_loop()
-        self._retries.add_request(state.service, loop.time())
         while True:
             now = loop.time()
             if now >= outgoing.expires_at:
@@ -195,6 +194,9 @@
                 result = await self._forwarder.forward(caller, state, outgoing)
                 if result is not None:
                     return result
+            if not state.attempts:
+                # The entry that a request is forwarded to counts it for the retry budget.
+                self._retries.add_request(state.service, now)
             if isinstance(choice, NoTarget):
                 return state.build_unanswered_result(
                     str(choice), slot_free_after_s=choice.room_after_s, is_asked=choice.is_asked
@@ -204,7 +206,7 @@
                 outcome = await self._attempt(state, outgoing, choice)
                 if isinstance(outcome, PartialAnswer):
                     return await self._stream_answer(caller, state, outgoing, outcome, target)
-            if isinstance(outcome, WholeAnswer) and not _is_worth_retry(state, outcome):
+            if isinstance(outcome, WholeAnswer) and not is_worth_retry(state, outcome):
                 return self._forward_answer(caller, state, outcome.answer, target)
             if isinstance(outcome, TimedOut | NotSent):
                 return state.build_unanswered_result("no answer in time", is_late=True)
@@ -389,12 +391,3 @@
         """Return the time since the last contact with the store, in milliseconds."""
         now = asyncio.get_running_loop().time()
         return round((now - self._catalog.store_contact_at) * 1000)
-
-
-def _is_worth_retry(state: RequestState, outcome: WholeAnswer) -> bool:
-    """Check whether another target may succeed after this target's error answer."""
-    return (
-        state.route.kind is RequestKind.REPEATABLE
-        and outcome.answer.status >= SERVER_ERROR
-        and outcome.answer.status != GATEWAY_TIMEOUT
-    )
--- a/halldoor/gateway/retries.py
+++ b/halldoor/gateway/retries.py
@@ -7,6 +7,8 @@
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.route import RequestKind
 from halldoor.gateway.attempt import RequestState
+from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR
+from halldoor.gateway.outcomes import WholeAnswer
 
 MAX_CONNECT_FAILURES_S = 0.8
 """Total time of failed connection attempts after which a request is refused, in seconds.
@@ -91,3 +93,12 @@
     unreached = [attempt for attempt in state.attempts if not attempt.result.was_sent]
     wasted_s = sum(attempt.took_ms for attempt in unreached) / 1000
     return wasted_s >= MAX_CONNECT_FAILURES_S or len(unreached) >= MAX_CONNECT_FAILURES
+
+
+def is_worth_retry(state: RequestState, outcome: WholeAnswer) -> bool:
+    """Check whether another target may succeed after this target's error answer."""
+    return (
+        state.route.kind is RequestKind.REPEATABLE
+        and outcome.answer.status >= SERVER_ERROR
+        and outcome.answer.status != GATEWAY_TIMEOUT
+    )
