--- a/halldoor/tests/test_suspension.py
+++ b/halldoor/tests/test_suspension.py
@@ -24,7 +24,7 @@
 from halldoor.standins import virtualtime
 from halldoor.standins.sample import IP, find_ports
 from halldoor.standins.storefleet import StoreFleet
-from halldoor.tests.gatewaykit import NAMES, GatewayKit
+from halldoor.tests.gatewaykit import HEALTH_PATH, NAMES, GatewayKit
 
 SUSPENSIONS_S = [5.0, 60.0]
 MAX_WAIT_S = 600.0
@@ -192,7 +192,8 @@
                 send = HttpConnection.send
 
                 async def record_and_send(connection, *events):
-                    if isinstance(events[0], h11.Request):
+                    is_request = isinstance(events[0], h11.Request)
+                    if is_request and events[0].target != HEALTH_PATH:
                         attempt_id = find(events[0].headers.raw_items(), NAMES.attempt_id).decode()
                         runs[attempt_id] += 1
                         if loop.time() > expires_at[attempt_id] + READ_DELAY_S:
