--- a/halldoor/core/targets/reach.py
+++ b/halldoor/core/targets/reach.py
@@ -190,14 +190,15 @@
         Parameters
         ----------
         causes : Mapping of str to str
-            Cause of the failure by target; empty for a target that was reached.
+            Cause of the failure by target; empty for a target that was reached.  If there are none,
+            the round said nothing, and the next one is due at once.
         began_at : float
             When the round began.
         """
-        self._rested_until = now + ROUND_PAUSE_S
-        failures = {name: cause for name, cause in causes.items() if cause}
         if not causes:
             return False
+        self._rested_until = now + ROUND_PAUSE_S
+        failures = {name: cause for name, cause in causes.items() if cause}
         if self.loss is not None:
             return self._apply_return(is_reached=not failures, now=now)
         if len(failures) == len(causes):
--- a/halldoor/standins/targetlink.py
+++ b/halldoor/standins/targetlink.py
@@ -56,6 +56,7 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._full: list[socket.socket] = []
+        self._changing = asyncio.Lock()
 
     async def start(self) -> None:
         """Listen; the kernel chooses the port the first time."""
@@ -70,6 +71,11 @@
 
     async def set_cut(self, cut: Cut | None) -> None:
         """Begin a cut, or end it; connections that it held up are reset then."""
+        async with self._changing:
+            await self._apply_cut(cut)
+
+    async def _apply_cut(self, cut: Cut | None) -> None:
+        """Change what happens to open and to new connections."""
         had_held = self.cut in (Cut.HANG, Cut.SILENCE)
         self.cut = cut
         if had_held or cut in (Cut.RESET, Cut.BREAK):
--- a/halldoor/tests/test_reach.py
+++ b/halldoor/tests/test_reach.py
@@ -101,8 +101,11 @@
     def test_round_without_results_changes_nothing(self):
         """The process stood still during the round, or no target is known."""
         monitor = ReachMonitor()
+        monitor.add_failure("t0", "refused", 0.0)
+        monitor.add_failure("t1", "refused", 0.1)
         assert not monitor.add_round({}, 1.0, began_at=0.7)
         assert monitor.loss is None
+        assert monitor.is_round_due(1.0)
 
     @pytest.mark.parametrize("period_s", [0.5, 1.0, 2.0])
     def test_flapping_costs_few_changes(self, period_s):
