Count connections as broken together only while they are in flight together

An entry that loses a forwarded request or doesn't answer in time is paused like one that refuses it; before, it kept being chosen (by reading).

--- a/halldoor/core/targets/reach.py
+++ b/halldoor/core/targets/reach.py
@@ -128,10 +128,16 @@
         self._failed = {}
         self._failed_since = math.inf
 
-    def is_common_cause(self, now: float) -> bool:
-        """Check whether a failure just now is more likely this entry's than a target's."""
-        recent = sum(now - at <= BURST_S for at in self._broken_at.values())
-        return self.loss is not None or recent >= BURST_TARGETS
+    def is_common_cause(self, now: float, *, started_at: float) -> bool:
+        """Check whether a failure just now is more likely this entry's than a target's.
+
+        Parameters
+        ----------
+        started_at : float
+            When the failed attempt began: only those that broke during it broke together with it.
+        """
+        together = sum(now - at <= BURST_S and at >= started_at for at in self._broken_at.values())
+        return together >= BURST_TARGETS
 
     @property
     def is_suspected(self) -> bool:
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -158,13 +158,13 @@
         """Record that the caller left during an attempt."""
         self._reach.end_wait(sent.wait)
 
-    def is_own_failure(self, outcome: Outcome, now: float) -> bool:
+    def is_own_failure(self, sent: SentAttempt, outcome: Outcome, now: float) -> bool:
         """Check whether an attempt failed with those at other targets, through this entry's link.
 
         Such an outcome is no evidence against the target or the request.
         """
         has_failed = isinstance(outcome, AnswerLost | ConnectFailed)
-        return has_failed and self._reach.is_common_cause(now)
+        return has_failed and self._reach.is_common_cause(now, started_at=sent.started_at)
 
     def describe_reach(self, now: float) -> dict[str, int]:
         """Return the log field of a request in a period in which no target could be reached."""
--- a/halldoor/gateway/forwarding.py
+++ b/halldoor/gateway/forwarding.py
@@ -160,10 +160,10 @@
         result = await self._finish(caller, state, outgoing, outcome, peer)
         self._metrics.add_forwarded("sent", "refused" if result is None else str(result.status))
         now = asyncio.get_running_loop().time()
-        if result is None:
-            self._peers.add_refusal(peer.name, now)
-        else:
+        if isinstance(outcome, WholeAnswer | PartialAnswer):
             self._peers.add_answer(peer.name)
+        elif not isinstance(outcome, NotSent | BodyFailed):
+            self._peers.add_refusal(peer.name, now)
         return result
 
     async def _finish(
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -256,7 +256,7 @@
         took_s = now - started
         statement = self._feedback.read_statement(target, *get_answer_head(outcome), now)
         result, detail = self._feedback.add_outcome(sent, outcome, connecting, now)
-        if not self._feedback.is_own_failure(outcome, now):
+        if not self._feedback.is_own_failure(sent, outcome, now):
             self._quarantine.add_outcome(state.identity, target, outcome)
         state.attempts.append(
             Attempt(
