--- a/halldoor/tests/test_forwarding.py
+++ b/halldoor/tests/test_forwarding.py
@@ -123,8 +123,9 @@
             offered = sum(count_forwarded(fleet).values())
             await asyncio.sleep(2.0)
             offered = sum(count_forwarded(fleet).values()) - offered
-            await fleet.set_cut(None, ALL)
             ended = fleet.now()
+            await fleet.set_cut(None, ALL)
+            returned = fleet.now()
             await asking
             await fleet.finish()
             # Those sent just before the end may be served after it.
@@ -132,7 +133,7 @@
             assert {call.status for call in calls} == {503}
             assert max(call.took_s for call in calls) < 0.3
             assert offered < 0.5 * len(calls)
-            assert fleet.find_served(ALL, since=ended + 1.0) > 0.98
+            assert fleet.find_served(ALL, since=returned + 1.0) > 0.98
             fleet.assert_rules_held()
 
     asyncio.run(check())
