--- a/halldoor/gateway/forwarding.py
+++ b/halldoor/gateway/forwarding.py
@@ -121,7 +121,7 @@
     ) -> RequestResult | None:
         """Forward a request and its answer; return None if no other entry takes it.
 
-        After None the request has not been sent, and its body is still to be read.
+        After None no entry has run it, and all of it is still buffered or unread.
         """
         tried: list[str] = []
         while len(tried) < MAX_ENTRIES:
--- a/halldoor/tests/reachkit.py
+++ b/halldoor/tests/reachkit.py
@@ -139,6 +139,16 @@
     def now(self):
         return asyncio.get_running_loop().time()
 
+    def make_slow(self, work_s):
+        """Make all targets need some time for each request, health checks included."""
+
+        async def work(target, request, writer):
+            await asyncio.sleep(work_s)
+            writer.write(target.build(request))
+
+        for target in self.targets.values():
+            target.script = lambda r, w, target=target: work(target, r, w)
+
     async def set_cut(self, cut, entries, *, to=""):
         """Cut entries off from all targets whose name contains `to`; None ends the cut."""
         for i in entries:
--- a/halldoor/tests/test_forwarding.py
+++ b/halldoor/tests/test_forwarding.py
@@ -95,13 +95,7 @@
 
         async def check():
             async with ReachFleet.open(entries=2) as fleet:
-
-                async def work_long(target, request, writer):
-                    await asyncio.sleep(0.6)
-                    writer.write(target.build(request))
-
-                for target in fleet.targets.values():
-                    target.script = lambda r, w, target=target: work_long(target, r, w)
+                fleet.make_slow(0.6)
                 await fleet.send_requests(per_s=40.0, for_s=4.0)
                 await fleet.finish()
                 assert fleet.find_served(range(2), since=0.0) > 0.98
@@ -270,13 +264,7 @@
         settings = {"forwarding": {"max_running": 2}}
         async with ReachFleet.open(entries=2, policy=settings) as fleet:
             await lose_targets(fleet, (0,))
-
-            async def work_long(target, request, writer):
-                await asyncio.sleep(0.3)
-                writer.write(target.build(request))
-
-            for target in fleet.targets.values():
-                target.script = lambda r, w, target=target: work_long(target, r, w)
+            fleet.make_slow(0.3)
             began = fleet.now()
             await fleet.send_requests(per_s=60.0, for_s=2.0)
             await fleet.finish()
@@ -310,13 +298,7 @@
 
     async def check():
         async with ReachFleet.open(entries=2) as fleet:
-
-            async def work_long(target, request, writer):
-                await asyncio.sleep(0.4)
-                writer.write(target.build(request))
-
-            for target in fleet.targets.values():
-                target.script = lambda r, w, target=target: work_long(target, r, w)
+            fleet.make_slow(0.4)
             asking = asyncio.ensure_future(fleet.send_requests(per_s=60.0, for_s=1.0, entries=(0,)))
             await asyncio.sleep(0.9)
             await fleet.set_cut(Cut.RESET, (0,))
