--- a/halldoor/tests/test_forged_notice.py
+++ b/halldoor/tests/test_forged_notice.py
@@ -34,7 +34,7 @@
 
 
 @pytest.mark.parametrize("kind", FORGED)
-@pytest.mark.parametrize("source", [IP, "127.0.0.1"])
+@pytest.mark.parametrize("source", [IP, "127.0.0.1"], ids=["own", "loopback"])
 def test_notices_of_unregistered_process_are_ignored(kind, source):
     """The sender knows the targets' names and an entry's address, but isn't registered."""
 
