Decode routes one by one, the kind download, and loads of four figures

Cause: a route of a kind unknown to the adapter raised KeyError in the decoder, so that each entry dropped the whole configuration and answered every request 503. Reports of four figures were dropped, so that entries fell back to one request at a time on each target. The fourth figure is the momentary work time; it decays within 0.3 s and moves the next request, not the key. Unreadable loads are counted in halldoor_bad_loads and logged once a second.

--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -215,6 +215,7 @@
             on_target=self._estimate_in_flight(target, now),
             position=position,
             now=now,
+            slowness=self._loads.get_slowness(target.name, now),
         )
         return Choice(target, estimate, position)
 
--- a/halldoor/core/targets/cost.py
+++ b/halldoor/core/targets/cost.py
@@ -86,6 +86,7 @@
         on_target: float,
         position: int,
         now: float,
+        slowness: float = 1.0,
     ) -> Estimate:
         """Estimate the cost of a request at a target.
 
@@ -95,10 +96,12 @@
             Requests on the target from all entries.
         position : int
             Position of the target in the key's order, from 0, not counting targets passed over.
+        slowness : float, optional
+            How long work takes there at the moment, in multiples of its usual time.
         """
         slots = max(1, target.record.slots)
-        wait_s = max(0.0, on_target - slots + 1) * levels.mean_s / slots
-        work_s = self._estimate_work(target, key, levels, position, now)
+        wait_s = max(0.0, on_target - slots + 1) * levels.mean_s / slots * slowness
+        work_s = self._estimate_work(target, key, levels, position, now) * slowness
         evenness_s = 0.0 if key else EVENNESS_WEIGHT * min(1.0, on_target / slots) * levels.mean_s
         return Estimate(
             on_target, self._latency.get_travel(target.record.hall), wait_s, work_s, evenness_s
--- a/halldoor/core/targets/latency.py
+++ b/halldoor/core/targets/latency.py
@@ -112,7 +112,15 @@
         return self._shortest_s.keys()
 
     def add_answer(
-        self, kind: str, target: str, hall: str, key: str, *, took_s: float, has_waited: bool
+        self,
+        kind: str,
+        target: str,
+        hall: str,
+        key: str,
+        *,
+        took_s: float,
+        has_waited: bool,
+        slowness: float = 1.0,
     ) -> None:
         """Record a successful answer.
 
@@ -123,10 +131,12 @@
         has_waited : bool
             Whether the target was full when it was chosen, so that the time includes a wait and is
             not used as a work time.
+        slowness : float, optional
+            How long work took there at the moment, in multiples of its usual time.
         """
         is_known = self.has_answered(target, key)
         if not has_waited:
-            work_s = max(0.0, took_s - self.get_travel(hall))
+            work_s = max(0.0, took_s - self.get_travel(hall)) / slowness
             self._samples.setdefault(kind, _Samples()).add(work_s, is_known_key=is_known)
         if key:
             self._pairs[(target, key)] = None
--- a/halldoor/core/targets/load.py
+++ b/halldoor/core/targets/load.py
@@ -25,8 +25,15 @@
 """Weight of the newest interval between reports of a service: about the last twenty count."""
 AVERAGE_WEIGHT = 0.2
 """Weight of the newest report in others' average requests: about the last five count."""
+SLOWNESS_DECAY_S = 0.3
+"""Time in which the weight of a reported work time falls to a third, in seconds: targets that share
+their hosts are slow for about twice as long, so that a later request must not be kept away."""
 PRESSURE_WEIGHT = 0.1
 """Weight of the newest report in a target's pressure: about the last ten count."""
+USUAL_WORK_PERCENT = 100
+"""Reported work time of a target that works as fast as usual, in percent."""
+MAX_FIGURE_DIGITS = 6
+"""Digits of a reported figure from which it is taken to be an error."""
 
 
 class LoadReport(NamedTuple):
@@ -38,20 +45,40 @@
         Requests that it ran, and that it had queued, the answered one included.
     slots : int
         Requests that it can run at a time.
+    work_percent : int
+        How long work takes there at the moment, in percent of the usual time.
     """
 
     running: int
     waiting: int
     slots: int
+    work_percent: int = USUAL_WORK_PERCENT
 
     @classmethod
     def from_text(cls, text: bytes) -> LoadReport | None:
-        """Parse ``running,waiting,slots``; None if the text is malformed."""
-        try:
-            running, waiting, slots = (int(part) for part in text.split(b","))
-        except ValueError:
+        """Parse ``running,waiting,slots`` and optionally ``,work_percent``.
+
+        Further figures are ignored, and so is a work time that is not a number above 0: the others
+        are of use without it.
+
+        Returns
+        -------
+        LoadReport or None
+            None if one of the first three figures is missing or out of range.
+        """
+        parts = text.split(b",")
+        if len(parts) < 3 or not all(map(_is_count, parts[:3])):
             return None
-        return cls(running, waiting, slots) if slots > 0 else None
+        running, waiting, slots = map(int, parts[:3])
+        if slots == 0:
+            return None
+        has_percent = len(parts) > 3 and _is_count(parts[3]) and int(parts[3]) > 0
+        return cls(running, waiting, slots, int(parts[3]) if has_percent else USUAL_WORK_PERCENT)
+
+    @property
+    def slowness(self) -> float:
+        """How long work takes at the moment, in multiples of its usual time."""
+        return self.work_percent / USUAL_WORK_PERCENT
 
     @property
     def load(self) -> float:
@@ -59,6 +86,12 @@
         return (self.running + self.waiting) / self.slots
 
 
+def _is_count(text: bytes) -> bool:
+    """Check whether a text is a whole number from 0 and of a plausible size."""
+    text = text.strip()
+    return text.isdigit() and len(text) <= MAX_FIGURE_DIGITS
+
+
 class DecayTimes(NamedTuple):
     """Decay times of a report.
 
@@ -127,6 +160,8 @@
         Requests of other entries at the last report.
     average : float
         Moving average of others' requests.
+    work_percent : int
+        Work time at the last report, in percent of the usual one.
     pressure : float
         Moving average of the reported load, in multiples of the slots.
     pace : _ReportPace
@@ -139,6 +174,7 @@
         self.others = 0.0
         self.average = 0.0
         self.pressure = pressure
+        self.work_percent = USUAL_WORK_PERCENT
         self.at = 0.0
 
 
@@ -183,6 +219,7 @@
             self._loads[target] = known
         known.pace.add(now)
         known.load = report.load
+        known.work_percent = report.work_percent
         known.others = others
         known.average += AVERAGE_WEIGHT * (others - known.average)
         known.pressure += PRESSURE_WEIGHT * (report.load - known.pressure)
@@ -205,6 +242,17 @@
         average = known.average * math.exp(-age_s / decay.habit_s)
         return average + (known.others - average) * math.exp(-age_s / decay.news_s)
 
+    def get_slowness(self, target: str, now: float) -> float:
+        """Return how long work takes at a target, in multiples of its usual time; 1 if unknown.
+
+        The last reported value decays to 1 with `SLOWNESS_DECAY_S`.
+        """
+        known = self._loads.get(target)
+        if known is None or known.work_percent == USUAL_WORK_PERCENT:
+            return 1.0
+        excess = known.work_percent / USUAL_WORK_PERCENT - 1
+        return 1.0 + excess * math.exp(-(now - known.at) / SLOWNESS_DECAY_S)
+
     def get_stale_after_s(self, target: str) -> float:
         """Return the age from which a target's report has little weight, in seconds."""
         known = self._loads.get(target)
--- a/halldoor/core/targets/observation.py
+++ b/halldoor/core/targets/observation.py
@@ -16,6 +16,7 @@
 
 from halldoor.core.placement import rank
 from halldoor.core.targets.changes import MemberRecord
+from halldoor.core.targets.load import USUAL_WORK_PERCENT, LoadReport
 
 
 class SharingSettings(NamedTuple):
@@ -52,7 +53,7 @@
         Time from sending to the whole answer on an open connection, in milliseconds.
     has_waited : bool
         Whether the target was full when it was chosen, so that the time includes a wait.
-    running, waiting, slots : int
+    running, waiting, slots, work_percent : int
         Load that the target reported, see `LoadReport`; slots are 0 if it reported none.
     """
 
@@ -64,6 +65,14 @@
     running: int = 0
     waiting: int = 0
     slots: int = 0
+    work_percent: int = USUAL_WORK_PERCENT
+
+    @property
+    def report(self) -> LoadReport | None:
+        """The load that the target reported; None if it reported none that can be used."""
+        if self.slots <= 0 or self.work_percent <= 0:
+            return None
+        return LoadReport(self.running, self.waiting, self.slots, self.work_percent)
 
 
 def choose_peers(
--- a/halldoor/core/targets/route.py
+++ b/halldoor/core/targets/route.py
@@ -47,6 +47,8 @@
         Regions that may serve the route; any region if empty.
     is_public : bool
         Whether callers need no API key; their requests then belong to no team.
+    fault : str
+        Why its requests can't be served, if its configuration could not be read; else empty.
     """
 
     name: str
@@ -61,6 +63,7 @@
     has_affinity: bool
     home_regions: tuple[str, ...] = ()
     is_public: bool = False
+    fault: str = ""
 
 
 class TargetService(NamedTuple):
@@ -99,6 +102,8 @@
     ----------
     teams : tuple of Team
         Teams that may call; if empty, anyone may.
+    faults : tuple of str
+        What could not be read in its routes, for the log.
     """
 
     version: int
@@ -106,12 +111,14 @@
     services: Mapping[str, TargetService]
     limits: CallerLimits
     teams: tuple[Team, ...] = ()
+    faults: tuple[str, ...] = ()
 
 
 def check_routing(routing: Routing) -> None:
     """Check that the parts of a configuration are valid and consistent.
 
-    An invalid configuration is refused as a whole, so that it never takes effect in part.
+    An inconsistent configuration is refused as a whole, so that it never takes effect in part.
+    Routes with a fault are not checked: their requests are refused, and all others are served.
 
     Raises
     ------
@@ -119,7 +126,8 @@
         If a part is invalid; the message names it.
     """
     for route in routing.routes:
-        _check_route(route, routing.services)
+        if not route.fault:
+            _check_route(route, routing.services)
     TeamTable(routing.teams)
 
 
--- a/halldoor/core/teams/admission.py
+++ b/halldoor/core/teams/admission.py
@@ -1,10 +1,10 @@
 """Admission of requests: check route, key, regions and quota before a target is chosen.
 
-The order of the checks is: a configuration is loaded (503), a route matches (404), the key belongs
-to a team (401), some region may serve both the route and the team (503), the team is within its
-quota (429).  The limit on the body is checked last (413), once it is read.  In this order a caller
-without a valid key learns only whether a route exists, and a request that is refused for another
-reason doesn't count against a quota.
+The order of the checks is: a configuration is loaded (503), a route matches (404) and is
+usable (503), the key belongs to a team (401), some region may serve both the route and the team
+(503), the team is within its quota (429).  The limit on the body is checked last (413), once it is
+read.  In this order a caller without a valid key learns only whether a route exists, and a request
+that is refused for another reason doesn't count against a quota.
 """
 
 from __future__ import annotations
@@ -29,6 +29,7 @@
     NO_CONFIGURATION = "no configuration yet"
     STOOD_STILL = "the entry stood still"
     NO_ROUTE = "no route"
+    UNUSABLE_ROUTE = "the route's configuration can't be read"
     UNKNOWN_KEY = "key unknown"
     OLD_CONFIGURATION = "configuration may be old"
     NO_COMMON_REGION = "no region may serve both route and team"
@@ -42,6 +43,7 @@
     RefusalReason.NO_CONFIGURATION: 503,
     RefusalReason.STOOD_STILL: 503,
     RefusalReason.NO_ROUTE: 404,
+    RefusalReason.UNUSABLE_ROUTE: 503,
     RefusalReason.UNKNOWN_KEY: 401,
     RefusalReason.OLD_CONFIGURATION: 503,
     RefusalReason.NO_COMMON_REGION: 503,
@@ -166,6 +168,8 @@
         is_stale = age_s > settings.stale_s
         if route is None:
             return Refusal(RefusalReason.OLD_CONFIGURATION if is_stale else RefusalReason.NO_ROUTE)
+        if route.fault:
+            return Refusal(RefusalReason.UNUSABLE_ROUTE)
         if route.is_public or not self.has_teams:
             return AdmittedRequest(route, "")
         if settings.is_strict and age_s > settings.revoked_s:
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -18,6 +19,7 @@
 from halldoor.gateway.caller import Answer
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.headers import HeaderNames, Headers, find
+from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.outcomes import (
     AnswerLost,
     BodyFailed,
@@ -40,6 +42,10 @@
 """Lowest status that counts as a failure of the target."""
 GATEWAY_TIMEOUT = 504
 """Status with which a target reports that the deadline passed."""
+BAD_LOAD_LOG_INTERVAL_S = 1.0
+"""Least time between two log lines on unreadable loads, in seconds."""
+BAD_LOAD_BYTES_LOGGED = 40
+"""Bytes of an unreadable load that are logged."""
 STALLED_SHARE = 0.5
 """Share of an attempt in which this process was stalled from which its duration says nothing."""
 
@@ -108,6 +114,7 @@
         stalls: StallMeter,
         reach: ReachMonitor,
         log: EventLog,
+        metrics: GatewayMetrics,
     ) -> None:
         self._catalog = catalog
         self._chooser = chooser
@@ -119,6 +126,8 @@
         self._stalls = stalls
         self._reach = reach
         self._log = log
+        self._metrics = metrics
+        self._bad_load_logged_at = -math.inf
         self.on_observation: Callable[[Observation], None] | None = None
         self.on_statement: list[StatementReceiver] = []
         self.on_any_statement: list[StatementReceiver] = []
@@ -181,12 +190,14 @@
         self._record_reach(sent, outcome, connecting, now, is_own_delay=is_own_delay)
         if connecting.took_s and not connecting.is_reused:
             self._latency.add_connect(target.record.hall, connecting.took_s)
+        report = None
         if isinstance(outcome, WholeAnswer | PartialAnswer):
-            self._add_load(target, outcome, now)
+            report = self._read_load(target, outcome.answer, now)
+            self._add_load(target, report, now)
         if isinstance(outcome, WholeAnswer) and outcome.answer.status < SERVER_ERROR:
-            self._add_latency(sent, took_s - connecting.took_s)
+            self._add_latency(sent, took_s - connecting.took_s, report)
             self._check_slowness(target, None if is_own_delay else took_s - stalled_s, now)
-            self._report_observation(sent, outcome.answer, took_s=took_s - connecting.took_s)
+            self._report_observation(sent, report, took_s=took_s - connecting.took_s)
         had_time = not is_own_delay and took_s >= sent.choice.estimate.time_s
         return self._record_failure(
             target, outcome, now, is_own_delay=is_own_delay, had_time=had_time
@@ -262,7 +273,7 @@
             case AnswerLost(detail, is_closed=True):
                 self._reach.add_failure(sent.choice.target.name, detail, now)
 
-    def _add_latency(self, sent: SentAttempt, took_s: float) -> None:
+    def _add_latency(self, sent: SentAttempt, took_s: float, report: LoadReport | None) -> None:
         """Update the latency model by the duration of a successful answer."""
         target = sent.choice.target
         self._latency.add_answer(
@@ -272,6 +283,7 @@
             sent.key,
             took_s=took_s,
             has_waited=sent.choice.estimate.wait_s > 0,
+            slowness=report.slowness if report is not None else 1.0,
         )
 
     def _check_slowness(self, target: Target, took_s: float | None, now: float) -> None:
@@ -287,11 +299,13 @@
         elif self._outliers.add_success(target.name, target.record.service, took_s, now):
             self._log.event("targets", "Ejected a slow target.", target=target.name)
 
-    def _report_observation(self, sent: SentAttempt, answer: Answer, *, took_s: float) -> None:
+    def _report_observation(
+        self, sent: SentAttempt, report: LoadReport | None, *, took_s: float
+    ) -> None:
         """Send the observation of a successful answer to other entries."""
         if self.on_observation is None:
             return
-        report = LoadReport.from_text(find(answer.headers, self._names.load))
+        load = report._asdict() if report is not None else {}
         self.on_observation(
             Observation(
                 sent.choice.target.name,
@@ -299,9 +313,7 @@
                 sent.key,
                 took_ms=round(took_s * 1000),
                 has_waited=sent.choice.estimate.wait_s > 0,
-                running=report.running if report is not None else 0,
-                waiting=report.waiting if report is not None else 0,
-                slots=report.slots if report is not None else 0,
+                **load,
             )
         )
 
@@ -310,12 +322,8 @@
         target = self._catalog.find_target(observation.target)
         if target is None:
             return
-        if observation.slots > 0 and self._chooser.settings.uses_reports:
-            report = LoadReport(observation.running, observation.waiting, observation.slots)
-            own_in_flight = self._chooser.in_flight[target.name]
-            self._loads.add(
-                target.name, report, now, own=own_in_flight, service=target.record.service
-            )
+        report = observation.report
+        self._add_load(target, report, now)
         self._latency.add_answer(
             observation.kind,
             target.name,
@@ -323,6 +331,7 @@
             observation.key,
             took_s=observation.took_ms / 1000,
             has_waited=observation.has_waited,
+            slowness=report.slowness if report is not None else 1.0,
         )
 
     def add_failure(
@@ -354,12 +363,25 @@
         self._latency.forget(name)
         self._chooser.forget(name)
 
-    def _add_load(self, target: Target, outcome: WholeAnswer | PartialAnswer, now: float) -> None:
-        """Apply the load report in a target's answer."""
-        if not self._chooser.settings.uses_reports:
-            return
-        report = LoadReport.from_text(find(outcome.answer.headers, self._names.load))
-        if report is not None:
+    def _read_load(self, target: Target, answer: Answer, now: float) -> LoadReport | None:
+        """Return the load report in a target's answer; count and log one that can't be read."""
+        text = find(answer.headers, self._names.load)
+        report = LoadReport.from_text(text) if text else None
+        if text and report is None:
+            self._metrics.add_bad_load()
+            if now - self._bad_load_logged_at >= BAD_LOAD_LOG_INTERVAL_S:
+                self._bad_load_logged_at = now
+                self._log.event(
+                    "targets",
+                    "A target sent an unreadable load.",
+                    target=target.name,
+                    load=text[:BAD_LOAD_BYTES_LOGGED].decode("latin-1"),
+                )
+        return report
+
+    def _add_load(self, target: Target, report: LoadReport | None, now: float) -> None:
+        """Apply a target's load report."""
+        if report is not None and self._chooser.settings.uses_reports:
             own_in_flight = self._chooser.in_flight[target.name]
             self._loads.add(
                 target.name, report, now, own=own_in_flight, service=target.record.service
--- a/halldoor/gateway/following.py
+++ b/halldoor/gateway/following.py
@@ -11,6 +11,7 @@
     EvidenceSeen,
     MemberRemoved,
     MemberSeen,
+    RoutingSeen,
     TargetRemoved,
     TargetSeen,
 )
@@ -21,6 +22,9 @@
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.registration import Registration
 
+FAULTS_LOGGED = 10
+"""Greatest number of unreadable fields that are listed in one log line."""
+
 
 class ChangeDispatcher:
     """Dispatcher of each change that was applied to the catalog.
@@ -67,6 +71,14 @@
                 self._dispatch_removal(record.incarnation)
             case TargetRemoved(incarnation) if self._catalog.find_target(incarnation) is None:
                 self._dispatch_removal(incarnation)
+            case RoutingSeen(routing) if routing.faults:
+                self._log.event(
+                    "configuration",
+                    "Some fields of routes can't be read.",
+                    version=routing.version,
+                    count=len(routing.faults),
+                    faults=list(routing.faults[:FAULTS_LOGGED]),
+                )
             case EvidenceSeen(evidence):
                 self._quarantine.apply_stored_record(evidence)
             case EvidenceRemoved(digest):
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -91,6 +91,11 @@
             "Answers of targets with a limit that could not be read.",
             registry=registry,
         )
+        self._bad_loads = Counter(
+            "halldoor_bad_loads",
+            "Answers of targets with a load that could not be read.",
+            registry=registry,
+        )
         self._bad_statements = Counter(
             "halldoor_bad_statements",
             "Answers with an unreadable field of the target's statement, by field.",
@@ -197,6 +202,10 @@
         """Count an answer with an unreadable rate limit."""
         self._bad_limits.inc({})
 
+    def add_bad_load(self) -> None:
+        """Count an answer with an unreadable load."""
+        self._bad_loads.inc({})
+
     def add_bad_statement(self, field: str) -> None:
         """Count a field of a target's statement that could not be read."""
         self._bad_statements.inc({"field": field})
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -153,6 +153,7 @@
             stalls=self.stalls,
             reach=self.reach.monitor,
             log=self.log,
+            metrics=self.metrics,
         )
         flows = RegionFlowCounter(
             settings.region, self.chooser.orders, self.catalog, log=self.log, metrics=self.metrics
