Split sending from request handling; add switches for queueing and hedging

Change: RequestSender sends admitted requests; StoreTasks builds the tasks of the store. The kind download is one of its own.

--- a/halldoor/core/targets/route.py
+++ b/halldoor/core/targets/route.py
@@ -10,12 +10,18 @@
 
 
 class RequestKind(StrEnum):
-    """Whether a request may be run more than once."""
+    """Whether a request may be run more than once, and whether its body or its answer is large."""
 
     REPEATABLE = "repeatable"
+    DOWNLOAD = "download"
     AT_MOST_ONCE = "at-most-once"
     UPLOAD = "upload"
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a request may run again after it may have run."""
+        return self in (RequestKind.REPEATABLE, RequestKind.DOWNLOAD)
+
 
 class SplitPart(NamedTuple):
     """A service and its weight in a split."""
@@ -47,6 +53,8 @@
         Regions that may serve the route; any region if empty.
     is_public : bool
         Whether callers need no API key; their requests then belong to no team.
+    is_hedged : bool
+        Whether a repeatable request that runs far longer than usual is sent to a second target.
     fault : str
         Why its requests can't be served, if its configuration could not be read; else empty.
     """
@@ -63,6 +71,7 @@
     has_affinity: bool
     home_regions: tuple[str, ...] = ()
     is_public: bool = False
+    is_hedged: bool = False
     fault: str = ""
 
 
@@ -77,6 +86,8 @@
         Time that a target stays cold after a start, in seconds.
     cold_rate_per_s : float
         Requests a second that a cold target can handle.
+    is_queued : bool
+        Whether requests wait at the entry, in order of urgency, while its targets have no room.
     """
 
     name: str
@@ -84,6 +95,7 @@
     max_connections: int
     cold_start_s: float
     cold_rate_per_s: float
+    is_queued: bool = False
 
 
 class CallerLimits(NamedTuple):
@@ -113,6 +125,11 @@
     teams: tuple[Team, ...] = ()
     faults: tuple[str, ...] = ()
 
+    @property
+    def has_downloads(self) -> bool:
+        """Whether a route has large answers."""
+        return any(route.kind is RequestKind.DOWNLOAD for route in self.routes)
+
 
 def check_routing(routing: Routing) -> None:
     """Check that the parts of a configuration are valid and consistent.
--- a/halldoor/gateway/plain.py
+++ b/halldoor/gateway/plain.py
@@ -56,7 +56,7 @@
     name: str
     host: str
     path_prefix: str = "/"
-    kind: Literal["repeatable", "at-most-once", "upload"]
+    kind: Literal["repeatable", "download", "at-most-once", "upload"]
     service: str = ""
     split: list[SplitModel] = []
     timeout_s: float = 10.0
@@ -66,6 +66,7 @@
     has_affinity: bool = True
     home_regions: list[str] = []
     is_public: bool = False
+    is_hedged: bool = False
 
 
 class TeamModel(_Model, frozen=True, kw_only=True):
@@ -88,6 +89,7 @@
     max_connections: int = 400
     cold_start_s: float = 0.0
     cold_rate_per_s: float = 1000.0
+    is_queued: bool = False
 
 
 class LimitsModel(_Model, frozen=True, kw_only=True):
@@ -156,6 +158,7 @@
         has_affinity=model.has_affinity,
         home_regions=tuple(model.home_regions),
         is_public=model.is_public,
+        is_hedged=model.is_hedged,
     )
 
 
--- a/halldoor/gateway/pool.py
+++ b/halldoor/gateway/pool.py
@@ -101,7 +101,7 @@
 
     def _allows_reuse(self, kind: RequestKind) -> bool:
         """Check whether a request of this kind may use a kept connection."""
-        if kind is RequestKind.REPEATABLE:
+        if kind.is_repeatable:
             return self._settings.reuse is not Reuse.NONE
         return kind is not RequestKind.UPLOAD and self._settings.reuse is Reuse.ALL_BUT_UPLOADS
 
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -19,6 +19,7 @@
 from halldoor.gateway.caller import CallerConnection, listen
 from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.exchange import TargetExchanger
 from halldoor.gateway.exchanges import TargetExchanges
 from halldoor.gateway.feedback import TargetFeedback
 from halldoor.gateway.figures import collect_figures
@@ -34,16 +35,14 @@
 from halldoor.gateway.ports import ServicePort, ServicePorts
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.quotas import QuotaExchange
-from halldoor.gateway.registration import Registration
-from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.reloading import apply_settings
 from halldoor.gateway.request import RequestHandler
 from halldoor.gateway.retries import RetryGate
+from halldoor.gateway.sender import RequestSender
 from halldoor.gateway.settings import GatewaySettings
 from halldoor.gateway.stalls import StallMeter
 from halldoor.gateway.store import MetadataStore, RecordCodec
-from halldoor.gateway.storenotices import StoreNoticeExchange
-from halldoor.gateway.sync import StoreSync
+from halldoor.gateway.storetasks import StoreTasks
 from halldoor.gateway.targetreach import TargetReach
 from halldoor.gateway.tasks import TaskSet, stop_task
 from halldoor.gateway.travel import RoundTripProbe
@@ -171,23 +170,34 @@
             log=self.log,
             metrics=self.metrics,
         )
-        self.requests = RequestHandler(
+        exchanger = TargetExchanger(self.pool, names, can_send=self.catalog.can_send)
+        sender = RequestSender(
             catalog=self.catalog,
             chooser=self.chooser,
             loads=loads,
             latency=latency,
             feedback=self.feedback,
             pool=self.pool,
-            names=names,
+            exchanger=exchanger,
             log=self.log,
             metrics=self.metrics,
             retries=self.retries,
-            access=self.access,
-            splitter=splitter,
             flows=flows,
             quarantine=self.quarantine,
             forwarder=self.reach.forwarder,
         )
+        self.requests = RequestHandler(
+            catalog=self.catalog,
+            sender=sender,
+            exchanger=exchanger,
+            feedback=self.feedback,
+            names=names,
+            log=self.log,
+            metrics=self.metrics,
+            access=self.access,
+            splitter=splitter,
+            quarantine=self.quarantine,
+        )
 
     def _build_access(self, splitter: Splitter, names: HeaderNames) -> None:
         """Create the components that admit requests (routes, teams, quotas) and allow retries."""
@@ -206,48 +216,20 @@
 
     def _build_store_tasks(self, store: MetadataStore, codec: RecordCodec) -> None:
         """Create the components that follow the store and register this entry in it."""
-        settings = self.settings
-        self.feed = ChangeFeed(
-            store,
-            self.member,
-            self.catalog,
-            settings=settings.relaying,
-            batch_s=settings.batch_s,
-            log=self.log,
-            metrics=self.metrics,
-        )
-        self.sync = StoreSync(
-            store,
-            codec,
-            self.catalog,
-            log=self.log,
-            metrics=self.metrics,
+        tasks = StoreTasks.from_config(
+            self.settings,
+            store=store,
+            codec=codec,
+            member=self.member,
+            catalog=self.catalog,
+            port=self.port,
             on_change=self._dispatch_change,
-            feed=self.feed,
-        )
-        self.store_notices = StoreNoticeExchange(
-            self.member,
-            self.catalog,
-            self.port,
-            get_view=lambda: self.sync.view,
-            skip_pause=self.feed.skip_pause,
-            renew_watch=self.sync.renew_watch,
-            log=self.log,
-            metrics=self.metrics,
-        )
-        self.sync.on_update.append(self.store_notices.queue_notices)
-        self.registration = Registration(
-            store,
-            codec,
-            self.member,
             log=self.log,
             metrics=self.metrics,
-            is_loaded=self.sync.is_loaded,
-            on_contact=lambda: self.catalog.record_answer(asyncio.get_running_loop().time()),
-            on_return=self.sync.restart_watch,
         )
+        self.feed, self.sync, self.store_notices, self.registration = tasks
         self._dispatcher = ChangeDispatcher(
-            settings.name,
+            self.settings.name,
             self.catalog,
             feedback=self.feedback,
             quarantine=self.quarantine,
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -1,4 +1,4 @@
-"""Admit a caller's request, send it to targets, retry it and answer the caller."""
+"""Admit a caller's request, have it sent to targets, and answer the caller."""
 
 from __future__ import annotations
 
@@ -8,113 +8,78 @@
 
 import h11
 
-from halldoor.core.retry import RetryObstacle
 from halldoor.core.targets.catalog import Catalog
-from halldoor.core.targets.choice import Choice, Chooser, NoTarget, name_kind
-from halldoor.core.targets.latency import LatencyModel
-from halldoor.core.targets.load import LoadTable
 from halldoor.core.targets.route import CallerLimits
 from halldoor.core.targets.split import Splitter
-from halldoor.core.targets.target import Target
 from halldoor.core.teams.admission import Refusal
 from halldoor.gateway.access import CallerAccess
-from halldoor.gateway.answers import forward_answer, stream_answer
 from halldoor.gateway.attempt import (
-    Attempt,
     Origin,
     RequestResult,
     RequestState,
-    TargetView,
     build_gateway_answer,
     parse_deadline_s,
     randomize_requested_backoff,
     randomize_retry_after,
 )
 from halldoor.gateway.body import read_request
-from halldoor.gateway.caller import Answer, CallerConnection, Head
-from halldoor.gateway.connection import PeerClosedError
+from halldoor.gateway.caller import CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
-from halldoor.gateway.exchange import OutgoingRequest, TargetExchanger
+from halldoor.gateway.exchange import TargetExchanger
 from halldoor.gateway.feedback import TargetFeedback
-from halldoor.gateway.flows import RegionFlowCounter
-from halldoor.gateway.forwarding import PeerForwarder
 from halldoor.gateway.headers import HeaderNames, find
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.outcomes import (
-    NotSent,
-    Outcome,
-    PartialAnswer,
-    TimedOut,
-    WholeAnswer,
-    get_answer_head,
-)
-from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.quarantine import RequestQuarantine
-from halldoor.gateway.retries import RetryGate, is_worth_retry
+from halldoor.gateway.sender import RequestSender
 
 
 class RequestHandler:
-    """Handler that admits, sends, retries and answers callers' requests.
+    """Handler that admits and answers callers' requests.
 
     Parameters
     ----------
-    catalog, chooser, loads, latency
-        Target records, target selection, load reports and latency estimates.
+    catalog : Catalog
+        The configuration, and the time of the last contact with the store.
+    sender : RequestSender
+        Sends admitted requests to targets.
+    exchanger : TargetExchanger
+        Builds the header fields that targets get.
     feedback : TargetFeedback
-        Updates loads, latencies and outlier counts by the results of attempts.
-    pool : TargetPool
-        Connections to targets.
+        Knows whether any target can be reached, for the log.
     names : HeaderNames
         Header names of callers and targets.
-    retries : RetryGate
-        Decides whether a failed request may be retried.
     access : CallerAccess
         Authorizes requests against routes, teams and quotas.
     splitter : Splitter
         Splits a route's requests between its services.
-    flows : RegionFlowCounter
-        Counts requests by the region in which they run.
     quarantine : RequestQuarantine
         Blocks requests that crash targets.
-    forwarder : PeerForwarder
-        Forwards requests to other entries while no target can be reached.
     """
 
     def __init__(
         self,
         *,
         catalog: Catalog,
-        chooser: Chooser,
-        loads: LoadTable,
-        latency: LatencyModel,
+        sender: RequestSender,
+        exchanger: TargetExchanger,
         feedback: TargetFeedback,
-        pool: TargetPool,
         names: HeaderNames,
         log: EventLog,
         metrics: GatewayMetrics,
-        retries: RetryGate,
         access: CallerAccess,
         splitter: Splitter,
-        flows: RegionFlowCounter,
         quarantine: RequestQuarantine,
-        forwarder: PeerForwarder,
     ) -> None:
         self._catalog = catalog
-        self._chooser = chooser
-        self._loads = loads
-        self._latency = latency
+        self._sender = sender
+        self._exchanger = exchanger
         self._feedback = feedback
-        self._pool = pool
         self._names = names
-        self._exchanger = TargetExchanger(pool, names, can_send=catalog.can_send)
         self._log = log
         self._metrics = metrics
-        self._retries = retries
         self._access = access
         self._splitter = splitter
-        self._flows = flows
         self._quarantine = quarantine
-        self._forwarder = forwarder
         self._random = Random()
         self.running = 0
 
@@ -125,7 +90,7 @@
 
     def count_in_flight(self, target: str) -> int:
         """Count this entry's requests on a target."""
-        return self._chooser.in_flight[target]
+        return self._sender.count_in_flight(target)
 
     async def handle(self, caller: CallerConnection, head: Head) -> None:
         """Process one request; answer 502 if the gateway itself fails."""
@@ -173,167 +138,11 @@
             return
         result = await self._quarantine.admit(state.identity)
         if result is None:
-            result = await self._send_until_answered(caller, state, outgoing)
+            result = await self._sender.send_until_answered(caller, state, outgoing)
         if caller.is_body_too_long and not result.is_forwarded:
             result = RequestResult(413, "body too long")
         self._finish(caller, state, result)
 
-    async def _send_until_answered(
-        self, caller: CallerConnection, state: RequestState, outgoing: OutgoingRequest
-    ) -> RequestResult:
-        """Send the request to targets in turn until one answers or a retry is forbidden."""
-        loop = asyncio.get_running_loop()
-        while True:
-            now = loop.time()
-            if now >= outgoing.expires_at:
-                return state.build_unanswered_result("time ran out", is_late=True)
-            choice = self._chooser.choose(
-                state.route, state.service, state.key, now, tried=state.tried_targets
-            )
-            if self._forwarder.is_needed(state, choice):
-                result = await self._forwarder.forward(caller, state, outgoing)
-                if result is not None:
-                    return result
-            if not state.attempts:
-                # The entry that a request is forwarded to counts it for the retry budget.
-                self._retries.add_request(state.service, now)
-            if isinstance(choice, NoTarget):
-                return state.build_unanswered_result(
-                    str(choice), slot_free_after_s=choice.room_after_s, is_asked=choice.is_asked
-                )
-            target = choice.target
-            with self._chooser.count_in_flight(target.name):
-                outcome = await self._attempt(state, outgoing, choice)
-                if isinstance(outcome, PartialAnswer):
-                    return await self._stream_answer(caller, state, outgoing, outcome, target)
-            if isinstance(outcome, WholeAnswer) and not is_worth_retry(state, outcome):
-                return self._forward_answer(caller, state, outcome.answer, target)
-            if isinstance(outcome, TimedOut | NotSent):
-                return state.build_unanswered_result("no answer in time", is_late=True)
-            obstacle = self._find_obstacle(state, outgoing)
-            if obstacle is not None:
-                if isinstance(outcome, WholeAnswer):
-                    return self._forward_answer(caller, state, outcome.answer, target)
-                backoff_s = self._chooser.find_backoff(
-                    self._catalog.list_usable(state.service), now
-                )
-                return state.build_failed_result(obstacle, backoff_s=backoff_s)
-
-    def _find_obstacle(
-        self, state: RequestState, outgoing: OutgoingRequest
-    ) -> RetryObstacle | None:
-        """Return what forbids another attempt; None if nothing does."""
-        if self._quarantine.is_blocked(state.identity):
-            return RetryObstacle.QUARANTINED
-        return self._retries.find_obstacle(
-            state,
-            asyncio.get_running_loop().time(),
-            can_resend=outgoing.rest is None,
-            expires_at=outgoing.expires_at,
-        )
-
-    async def _attempt(
-        self, state: RequestState, outgoing: OutgoingRequest, choice: Choice
-    ) -> Outcome:
-        """Send the request to one target and record the result in state, models and metrics."""
-        loop = asyncio.get_running_loop()
-        target, name = choice.target, choice.target.name
-        started = loop.time()
-        view = self._build_target_view(choice, state.key, started)
-        kind = name_kind(state.service, state.route)
-        sent = self._feedback.start_attempt(choice, kind, state.key, started)
-        self._flows.add(state.route, choice, started, is_retry=bool(state.attempts))
-        try:
-            outcome, connecting = await self._exchanger.send(outgoing, name, target.record.address)
-        except asyncio.CancelledError:
-            self._feedback.cancel_attempt(sent)
-            self._quarantine.record_unanswered(state.identity, target)
-            self._log.event(
-                "request", "Caller left.", id=state.attempt_id, target=name, sent=state.sent_count
-            )
-            raise
-        now = loop.time()
-        took_s = now - started
-        statement = self._feedback.read_statement(target, *get_answer_head(outcome), now)
-        result, detail = self._feedback.add_outcome(sent, outcome, connecting, now)
-        if not self._feedback.is_own_failure(sent, outcome, now):
-            self._quarantine.add_outcome(state.identity, target, outcome)
-        state.attempts.append(
-            Attempt(
-                name,
-                view,
-                result,
-                detail,
-                took_ms=round(took_s * 1000),
-                connect_ms=round(connecting.took_s * 1000),
-                is_reused=connecting.is_reused,
-                statement=statement,
-            )
-        )
-        self._metrics.add_attempt(
-            state.service,
-            result.value,
-            took_s=took_s,
-            connect_s=connecting.took_s,
-            travel_s=choice.estimate.travel_s,
-            distance=view.distance,
-            is_known_key=view.has_sent_key,
-        )
-        return outcome
-
-    def _build_target_view(self, choice: Choice, key: str, now: float) -> TargetView:
-        """Return this entry's current data on a target, for the log."""
-        target = choice.target
-        age_s = self._loads.get_report_age(target.name, now)
-        return TargetView(
-            # The count already includes this request.
-            in_flight=self._chooser.in_flight[target.name] - 1,
-            others=round(self._loads.estimate_others(target.name, now), 1),
-            load=round(self._loads.get_load(target.name), 2),
-            load_age_ms=None if age_s is None else round(age_s * 1000),
-            load_old_ms=round(self._loads.get_stale_after_s(target.name) * 1000),
-            pressure=round(self._loads.get_pressure(target.name), 2),
-            is_cold=target.is_cold(now),
-            limit_per_s=self._chooser.limits.get_limit(target.name, now),
-            state_age_ms=round((now - max(self._catalog.last_update_at, target.stated_at)) * 1000),
-            distance=self._chooser.orders.find_distance(target),
-            place=choice.place,
-            has_sent_key=self._latency.has_answered(target.name, key),
-            expected_ms=round(choice.estimate.time_s * 1000),
-            expected_wait_ms=round(choice.estimate.wait_s * 1000),
-        )
-
-    def _forward_answer(
-        self, caller: CallerConnection, state: RequestState, answer: Answer, target: Target
-    ) -> RequestResult:
-        """Forward a target's complete answer to the caller."""
-        forward_answer(caller, state.head.method, answer)
-        return RequestResult(answer.status, "answered", target.name)
-
-    async def _stream_answer(
-        self,
-        caller: CallerConnection,
-        state: RequestState,
-        outgoing: OutgoingRequest,
-        partial: PartialAnswer,
-        target: Target,
-    ) -> RequestResult:
-        """Forward a long answer piece by piece; abort it if the target fails or time runs out."""
-        status = partial.answer.status
-        try:
-            failure = await stream_answer(caller, partial, expires_at=outgoing.expires_at)
-        finally:
-            # Closes the connection if the exchange did not complete.
-            self._pool.release(target.name, partial.connection)
-        if failure is not None:
-            reason = str(failure) or "time ran out"
-            self._feedback.add_failure(target.name, asyncio.get_running_loop().time(), reason)
-            if isinstance(failure, PeerClosedError):
-                self._quarantine.record_crash(state.identity, target)
-            return RequestResult(status, f"broke off: {reason}", target.name)
-        self._quarantine.record_successful_answer(state.identity)
-        return RequestResult(status, "answered in pieces", target.name)
-
     def _finish(self, caller: CallerConnection, state: RequestState, result: RequestResult) -> None:
         """Send the gateway's own answer unless a target's was forwarded; log and count."""
         if not result.is_forwarded:
--- a/halldoor/gateway/retries.py
+++ b/halldoor/gateway/retries.py
@@ -5,7 +5,6 @@
 from halldoor.core.retry import RetryFacts, RetryObstacle, find_retry_obstacle
 from halldoor.core.targets.budget import RetrySettings, RetryShare
 from halldoor.core.targets.catalog import Catalog
-from halldoor.core.targets.route import RequestKind
 from halldoor.gateway.attempt import RequestState
 from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR
 from halldoor.gateway.outcomes import WholeAnswer
@@ -60,7 +59,7 @@
         """
         obstacle = find_retry_obstacle(
             RetryFacts(
-                is_repeatable=state.route.kind is RequestKind.REPEATABLE,
+                is_repeatable=state.route.kind.is_repeatable,
                 may_have_run=state.may_have_run,
                 can_resend=can_resend,
                 attempts=state.sent_count,
@@ -98,7 +97,7 @@
 def is_worth_retry(state: RequestState, outcome: WholeAnswer) -> bool:
     """Check whether another target may succeed after this target's error answer."""
     return (
-        state.route.kind is RequestKind.REPEATABLE
+        state.route.kind.is_repeatable
         and outcome.answer.status >= SERVER_ERROR
         and outcome.answer.status != GATEWAY_TIMEOUT
     )
