Send unusually slow repeatable requests to a second target

Change: after the 0.95 quantile of actual over expected time of its kind an attempt is hedged, within the retry budget, max_attempts and to a target with a free slot; the first success wins and the slower attempt is cancelled. Only for routes with is_hedged and requests that may repeat.

--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -42,6 +42,7 @@
     ANSWER_LOST = "answer lost"
     TIMED_OUT = "no answer in time"
     BODY_FAILED = "the caller's body failed"
+    SUPERSEDED = "another attempt was answered first"
 
     @property
     def was_sent(self) -> bool:
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -21,6 +21,7 @@
 from halldoor.gateway.headers import HeaderNames, Headers, find
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.outcomes import (
+    SERVER_ERROR,
     AnswerLost,
     BodyFailed,
     ConnectFailed,
@@ -38,8 +39,6 @@
 
 StatementReceiver = Callable[[Target, TargetStatement, float], None]
 
-SERVER_ERROR = 500
-"""Lowest status that counts as a failure of the target."""
 GATEWAY_TIMEOUT = 504
 """Status with which a target reports that the deadline passed."""
 BAD_LOAD_LOG_INTERVAL_S = 1.0
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -91,6 +91,11 @@
             "Answers of targets with a limit that could not be read.",
             registry=registry,
         )
+        self._hedges = Counter(
+            "halldoor_hedges",
+            "Requests sent to a second target beside a slow first one, and those that it answered.",
+            registry=registry,
+        )
         self._bad_loads = Counter(
             "halldoor_bad_loads",
             "Answers of targets with a load that could not be read.",
@@ -202,6 +207,10 @@
         """Count an answer with an unreadable rate limit."""
         self._bad_limits.inc({})
 
+    def add_hedge(self, outcome: str) -> None:
+        """Count a hedge: ``sent``, or ``won`` if its answer was the first."""
+        self._hedges.inc({"outcome": outcome})
+
     def add_bad_load(self) -> None:
         """Count an answer with an unreadable load."""
         self._bad_loads.inc({})
--- a/halldoor/gateway/outcomes.py
+++ b/halldoor/gateway/outcomes.py
@@ -8,6 +8,9 @@
 from halldoor.gateway.connection import HttpConnection
 from halldoor.gateway.headers import Headers
 
+SERVER_ERROR = 500
+"""Lowest status that counts as a failure of the target."""
+
 
 class Connecting(NamedTuple):
     """How the connection for a request was obtained.
@@ -102,6 +105,11 @@
 )
 
 
+def is_success(outcome: Outcome) -> bool:
+    """Check whether a target answered the request, and not with an error of its own."""
+    return isinstance(outcome, WholeAnswer | PartialAnswer) and outcome.answer.status < SERVER_ERROR
+
+
 def get_answer_head(outcome: Outcome) -> tuple[int, Headers]:
     """Return status and headers of the target's answer; 0 and no headers if there was none."""
     match outcome:
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -9,6 +9,7 @@
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import Change, MemberRecord
 from halldoor.core.targets.choice import Chooser
+from halldoor.core.targets.hedging import HedgeDelays
 from halldoor.core.targets.latency import LatencyModel
 from halldoor.core.targets.load import LoadTable
 from halldoor.core.targets.outlier import OutlierTable
@@ -27,6 +28,7 @@
 from halldoor.gateway.following import ChangeDispatcher
 from halldoor.gateway.forwarded import ForwardedRequests
 from halldoor.gateway.headers import HeaderNames
+from halldoor.gateway.hedging import RequestHedger
 from halldoor.gateway.lookup import LookupFormat
 from halldoor.gateway.maintenance import Maintenance
 from halldoor.gateway.metrics import GatewayMetrics
@@ -185,6 +187,14 @@
             flows=flows,
             quarantine=self.quarantine,
             forwarder=self.reach.forwarder,
+            hedger=RequestHedger(
+                HedgeDelays(settings.hedging),
+                chooser=self.chooser,
+                latency=latency,
+                retries=self.retries,
+                quarantine=self.quarantine,
+                metrics=self.metrics,
+            ),
         )
         self.requests = RequestHandler(
             catalog=self.catalog,
--- a/halldoor/gateway/quarantine.py
+++ b/halldoor/gateway/quarantine.py
@@ -22,9 +22,9 @@
 from halldoor.gateway.attempt import RequestResult
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
-from halldoor.gateway.feedback import SERVER_ERROR
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.outcomes import (
+    SERVER_ERROR,
     AnswerLost,
     ConnectFailed,
     Outcome,
--- a/halldoor/gateway/retries.py
+++ b/halldoor/gateway/retries.py
@@ -6,8 +6,8 @@
 from halldoor.core.targets.budget import RetrySettings, RetryShare
 from halldoor.core.targets.catalog import Catalog
 from halldoor.gateway.attempt import RequestState
-from halldoor.gateway.feedback import GATEWAY_TIMEOUT, SERVER_ERROR
-from halldoor.gateway.outcomes import WholeAnswer
+from halldoor.gateway.feedback import GATEWAY_TIMEOUT
+from halldoor.gateway.outcomes import SERVER_ERROR, WholeAnswer
 
 MAX_CONNECT_FAILURES_S = 0.8
 """Total time of failed connection attempts after which a request is refused, in seconds.
@@ -79,6 +79,11 @@
             return None
         return RetryObstacle.BUDGET
 
+    def reserve_hedge(self, state: RequestState, now: float) -> bool:
+        """Charge the budget for a second attempt beside the first; False if it is used up."""
+        entries = self._catalog.count_sharers(now)
+        return self._get_share(state.service).reserve_retry(now, entries=entries)
+
     def _get_share(self, service: str) -> RetryShare:
         """Return this entry's share of a service's retry budget, creating it if needed."""
         share = self._shares.get(service)
--- a/halldoor/gateway/sender.py
+++ b/halldoor/gateway/sender.py
@@ -11,7 +11,13 @@
 from halldoor.core.targets.load import LoadTable
 from halldoor.core.targets.target import Target
 from halldoor.gateway.answers import forward_answer, stream_answer
-from halldoor.gateway.attempt import Attempt, RequestResult, RequestState, TargetView
+from halldoor.gateway.attempt import (
+    Attempt,
+    AttemptResult,
+    RequestResult,
+    RequestState,
+    TargetView,
+)
 from halldoor.gateway.caller import Answer, CallerConnection
 from halldoor.gateway.connection import PeerClosedError
 from halldoor.gateway.eventlog import EventLog
@@ -19,6 +25,7 @@
 from halldoor.gateway.feedback import TargetFeedback
 from halldoor.gateway.flows import RegionFlowCounter
 from halldoor.gateway.forwarding import PeerForwarder
+from halldoor.gateway.hedging import RequestHedger, is_superseded
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.outcomes import (
     NotSent,
@@ -27,6 +34,7 @@
     TimedOut,
     WholeAnswer,
     get_answer_head,
+    is_success,
 )
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.quarantine import RequestQuarantine
@@ -54,6 +62,8 @@
         Blocks requests that crash targets.
     forwarder : PeerForwarder
         Forwards requests to other entries while no target can be reached.
+    hedger : RequestHedger
+        Sends a slow request to a second target.
     """
 
     def __init__(
@@ -72,6 +82,7 @@
         flows: RegionFlowCounter,
         quarantine: RequestQuarantine,
         forwarder: PeerForwarder,
+        hedger: RequestHedger,
     ) -> None:
         self._catalog = catalog
         self._chooser = chooser
@@ -86,6 +97,7 @@
         self._flows = flows
         self._quarantine = quarantine
         self._forwarder = forwarder
+        self._hedger = hedger
 
     def count_in_flight(self, target: str) -> int:
         """Count this entry's requests on a target."""
@@ -114,11 +126,16 @@
                 return state.build_unanswered_result(
                     str(choice), slot_free_after_s=choice.room_after_s, is_asked=choice.is_asked
                 )
-            target = choice.target
-            with self._chooser.count_in_flight(target.name):
-                outcome = await self._attempt(state, outgoing, choice)
-                if isinstance(outcome, PartialAnswer):
-                    return await self._stream_answer(caller, state, outgoing, outcome, target)
+            outcome, target = await self._hedger.run(
+                state,
+                outgoing,
+                choice,
+                attempt=lambda choice, is_hedge: self._attempt(
+                    state, outgoing, choice, is_hedge=is_hedge
+                ),
+            )
+            if isinstance(outcome, PartialAnswer):
+                return await self._stream_answer(caller, state, outgoing, outcome, target)
             if isinstance(outcome, WholeAnswer) and not is_worth_retry(state, outcome):
                 return self._forward_answer(caller, state, outcome.answer, target)
             if isinstance(outcome, TimedOut | NotSent):
@@ -146,20 +163,41 @@
         )
 
     async def _attempt(
-        self, state: RequestState, outgoing: OutgoingRequest, choice: Choice
+        self,
+        state: RequestState,
+        outgoing: OutgoingRequest,
+        choice: Choice,
+        *,
+        is_hedge: bool = False,
     ) -> Outcome:
         """Send the request to one target and record the result in state, models and metrics."""
+        with self._chooser.count_in_flight(choice.target.name):
+            return await self._attempt_counted(state, outgoing, choice, is_hedge=is_hedge)
+
+    async def _attempt_counted(
+        self, state: RequestState, outgoing: OutgoingRequest, choice: Choice, *, is_hedge: bool
+    ) -> Outcome:
+        """Send the request to one target, whose requests in flight include it already."""
         loop = asyncio.get_running_loop()
         target, name = choice.target, choice.target.name
         started = loop.time()
         view = self._build_target_view(choice, state.key, started)
         kind = name_kind(state.service, state.route)
         sent = self._feedback.start_attempt(choice, kind, state.key, started)
-        self._flows.add(state.route, choice, started, is_retry=bool(state.attempts))
+        self._flows.add(state.route, choice, started, is_retry=is_hedge or bool(state.attempts))
         try:
             outcome, connecting = await self._exchanger.send(outgoing, name, target.record.address)
-        except asyncio.CancelledError:
+        except asyncio.CancelledError as exc:
             self._feedback.cancel_attempt(sent)
+            if is_superseded(exc):
+                took_s = loop.time() - started
+                self._hedger.add_time(state, choice, took_s)
+                state.attempts.append(
+                    Attempt(
+                        name, view, AttemptResult.SUPERSEDED, "", round(took_s * 1000), 0, False
+                    )
+                )
+                raise
             self._quarantine.record_unanswered(state.identity, target)
             self._log.event(
                 "request", "Caller left.", id=state.attempt_id, target=name, sent=state.sent_count
@@ -167,6 +205,8 @@
             raise
         now = loop.time()
         took_s = now - started
+        if is_success(outcome):
+            self._hedger.add_time(state, choice, took_s)
         statement = self._feedback.read_statement(target, *get_answer_head(outcome), now)
         result, detail = self._feedback.add_outcome(sent, outcome, connecting, now)
         if not self._feedback.is_own_failure(sent, outcome, now):
@@ -234,7 +274,8 @@
         """Forward a long answer piece by piece; abort it if the target fails or time runs out."""
         status = partial.answer.status
         try:
-            failure = await stream_answer(caller, partial, expires_at=outgoing.expires_at)
+            with self._chooser.count_in_flight(target.name):
+                failure = await stream_answer(caller, partial, expires_at=outgoing.expires_at)
         finally:
             # Closes the connection if the exchange did not complete.
             self._pool.release(target.name, partial.connection)
--- a/halldoor/gateway/settings.py
+++ b/halldoor/gateway/settings.py
@@ -10,6 +10,7 @@
 from halldoor.core.settings import Address, parse
 from halldoor.core.targets.budget import RetrySettings
 from halldoor.core.targets.catalog import CatalogTimings
+from halldoor.core.targets.hedging import HedgeSettings
 from halldoor.core.targets.observation import SharingSettings
 from halldoor.core.targets.outlier import OutlierSettings
 from halldoor.core.targets.peers import ForwardingSettings
@@ -44,6 +45,7 @@
     "sharing",
     "quarantine",
     "forwarding",
+    "hedging",
 )
 """Settings that a policy file may change."""
 
@@ -91,6 +93,7 @@
     sharing: SharingSettings = SharingSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     forwarding: ForwardingSettings = ForwardingSettings()
+    hedging: HedgeSettings = HedgeSettings()
 
     def apply_policy(self, policy: Mapping[str, Any], *, origin: str) -> GatewaySettings:
         """Return these settings with those of a policy file applied.
