Let one entry watch the store in halls of three and more; keep notices' views

Cause: in halls of fewer than 8 entries each entry watched for itself, since a reader called the store 4.5 times a second where records change all the time. In addition, a notice of a configuration carried the sender's own view, which is newer by then, so that entries that had the configuration ended their pauses and passed the notice on.

Change: RelaySettings.least_entries is 3. A reader in a hall of fewer than large_hall_entries (8) pauses for up to 0.25 of the bound after changes, as far as the next watch's proof gets no older than 0.5 of it. Halls of 8 and more, and of one and two, read as before. A notice of a configuration keeps the view that it is of.

Tests: the size is stated as 3, not only by the setting's own value; Budget takes the longest pause, so that TestBudget checks every chain of CHANGE_PATHS with it, and the check of a working reader's proof covers every pause.

--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -35,12 +35,19 @@
 """The same for the first watch after changes, whose proof is older by the pause."""
 PAUSE_SHARE = 0.1
 """Pause of a reader after changes, as part of the bound, so that one call returns several."""
+LONG_PAUSE_SHARE = 0.25
+"""Longest pause of a reader with few followers, as part of the bound.
+
+While 10 records change a second, a reader calls the store 4.5 times a second with `PAUSE_SHARE` and
+a bound of 2 s, which is as much as four entries that watch for themselves.
+"""
+PROOF_SHARE = QUIET_SHARE + BUSY_SHARE + PAUSE_SHARE
+"""Age that a working reader's proof may reach, as part of the bound."""
 AGE_SHARE = 0.6
 """Age of the last proof, as part of the bound, from which state is too old to rely on.
 
-It is above the sum of `QUIET_SHARE`, `BUSY_SHARE` and `PAUSE_SHARE`, which is the age that a
-working reader's proof may reach.  The remainder of the bound is left for a poll's answer and the
-entry's own call to the store.
+It is above `PROOF_SHARE`.  The remainder of the bound is left for a poll's answer and the entry's
+own call to the store.
 """
 HANDOVER_SHARE = 0.25
 """Time that a reader waits for the requested copy of the store, as part of the bound."""
@@ -69,7 +76,7 @@
     own_pause_s : float
         Pause between two watches of an entry that has no followers, in seconds.
     reader_pause_s : float
-        Pause of a reader after changes, before its next watch, in seconds.
+        Longest pause of a reader after changes, before its next watch, in seconds.
     age_s : float
         Time for which a follower relies on a reader that it has lost, in seconds.
     handover_s : float
@@ -159,9 +166,13 @@
     Attributes
     ----------
     least_entries : int
-        Entries of a hall from which some of them read the store for the others.  Below it, the
-        reader's short watches cost more calls than they save: it makes 1.3 calls a second at a
-        bound of 3 s, while an entry without followers makes 0.2 to 0.8.
+        Entries of a hall from which some of them read the store for the others.  While records
+        change all the time, at a bound of 2 s, a reader with the long pause makes 1.9 calls a
+        second, and an entry without followers 1.2.  In a hall of two, the saving would not make up
+        for the reader's short watches while nothing changes.
+    large_hall_entries : int
+        Entries of a hall from which its readers keep the short pause: each of their calls serves
+        so many entries that knowing changes sooner costs little.
     followers_per_reader : int
         Entries for each reader.  A poll costs the reader about 1 ms of processor time, and each
         follower polls once per change or proof, one to three times a second.
@@ -180,7 +191,8 @@
         lifetime of a crashed reader's record.
     """
 
-    least_entries: int = 8
+    least_entries: int = 3
+    large_hall_entries: int = 8
     followers_per_reader: int = 32
     bound_s: float = 2.0
     answer_s: float = 0.3
@@ -195,7 +207,7 @@
 
     @property
     def pause_s(self) -> float:
-        """Pause of a reader after changes, in seconds."""
+        """Pause of a reader after changes in a large hall, in seconds; the shortest in others."""
         return PAUSE_SHARE * self.bound_s
 
     @property
@@ -218,7 +230,7 @@
         """Division of the bound among the steps by which a change reaches an entry."""
         return Budget(
             own_pause_s=self.own_pause_s,
-            reader_pause_s=self.pause_s,
+            reader_pause_s=LONG_PAUSE_SHARE * self.bound_s,
             age_s=self.age_limit_s,
             handover_s=self.answer_s,
         )
@@ -232,6 +244,24 @@
         """Return how long a reader's watch waits, in seconds; shorter if a pause aged its proof."""
         return (BUSY_SHARE if is_after_changes else QUIET_SHARE) * self.bound_s
 
+    def find_pause_s(self, age_s: float, *, entries: int) -> float:
+        """Return how long a reader pauses after changes, in seconds.
+
+        In a hall that is not large, the pause is as long as the next watch's proof allows: after a
+        watch that returned at once it is the longest, after one that waited its time the shortest.
+
+        Parameters
+        ----------
+        age_s : float
+            Age of the last proof, in seconds.
+        entries : int
+            Number of entries of the hall.
+        """
+        if entries >= self.large_hall_entries:
+            return self.pause_s
+        left_s = (PROOF_SHARE - BUSY_SHARE) * self.bound_s - age_s
+        return min(LONG_PAUSE_SHARE * self.bound_s, max(self.pause_s, left_s))
+
     def find_poll_s(self, age_s: float) -> float:
         """Return how long a poll may wait for changes, in seconds, by the last proof's age."""
         return max(self.poll_at_least_s, self.age_limit_s - age_s - self.answer_s)
@@ -242,6 +272,11 @@
         return min(self.answer_s, max(self.poll_at_least_s, left_s))
 
 
+def list_hall(members: Iterable[MemberRecord], hall: str) -> dict[str, MemberRecord]:
+    """Return the entries of a hall that can read the store for others, by name."""
+    return {m.name: m for m in members if m.hall == hall and m.relay is not None}
+
+
 def choose_readers(
     members: Iterable[MemberRecord], hall: str, settings: RelaySettings
 ) -> list[MemberRecord]:
@@ -252,7 +287,7 @@
     list of MemberRecord
         The first ones by rendezvous hash; empty if the hall is too small for readers.
     """
-    known = {m.name: m for m in members if m.hall == hall and m.relay is not None}
+    known = list_hall(members, hall)
     if len(known) < settings.least_entries:
         return []
     count = math.ceil(len(known) / settings.followers_per_reader)
@@ -353,46 +388,3 @@
             items=[item for batch in wanted for item in batch.items],
             is_difference=any(batch.is_difference for batch in wanted),
         )
-
-
-def find_watch_slot_wait(now: float, *, period_s: float, phase: float) -> float:
-    """Return the time until an entry's next watch slot, in seconds.
-
-    A change completes the watches of all entries at once.  With equal pauses they would all be
-    without a watch at the same time, and none of them could notify the others of the next change.
-
-    Parameters
-    ----------
-    period_s : float
-        Time between two slots, in seconds.
-    phase : float
-        Offset of this entry's slots within the period, from 0 to 1.
-    """
-    if period_s <= 0:
-        return 0.0
-    return period_s - (now - phase * period_s) % period_s
-
-
-def compute_watch_proof(
-    *, sent_at: float, wait_s: float, returned_at: float, has_changes: bool
-) -> float:
-    """Return the time up to which a watch's answer includes every change.
-
-    A watch without changes waited its whole time at the store first.  Of a watch with changes it is
-    only known that the store answered after it was sent.
-    """
-    waited = sent_at + wait_s
-    return sent_at if has_changes or returned_at < waited else waited
-
-
-def compute_poll_proof(*, sent_at: float, held_s: float, age_s: float) -> float:
-    """Return the time up to which a reader's answer to a poll includes every change.
-
-    Parameters
-    ----------
-    held_s : float
-        Time for which the reader held the poll before it answered, in seconds.
-    age_s : float
-        Age of the reader's own proof when it answered, in seconds.
-    """
-    return sent_at + held_s - age_s
--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -15,7 +15,8 @@
 
 import msgspec
 
-from halldoor.core.targets.relay import Batch, WantedEra, compute_poll_proof
+from halldoor.core.targets.proofs import compute_poll_proof
+from halldoor.core.targets.relay import Batch, WantedEra
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.gateway.store import StoredItem
 
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from halldoor.core.targets.contact import ContactReport, StoreContact, compute_contact_span
-from halldoor.core.targets.relay import Batch, compute_poll_proof
+from halldoor.core.targets.proofs import compute_poll_proof
+from halldoor.core.targets.relay import Batch
 from halldoor.gateway.handover import ReaderLostError, ReaderSilentError
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.gateway.store import Events, StoredItem
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -17,6 +17,7 @@
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import MemberRecord
+from halldoor.core.targets.proofs import compute_watch_proof, find_watch_slot_wait
 from halldoor.core.targets.relay import (
     Batch,
     ChangeHistory,
@@ -24,8 +25,7 @@
     WantedEra,
     choose_reader,
     choose_readers,
-    compute_watch_proof,
-    find_watch_slot_wait,
+    list_hall,
 )
 from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
@@ -106,6 +106,7 @@
         self._client: HttpClient | None = None
         self._reader: MemberRecord | None = None
         self._is_reader = False
+        self._hall_entries = 0
         self._members_version = -1
         self._direct_until = 0.0
         self._no_handover_until = 0.0
@@ -161,9 +162,12 @@
         """Wait after changes, so that several of them cost one call to the store."""
         if not (self._had_changes and self.watches_store):
             return
-        pause_s = self.settings.pause_s
-        if not self._is_reader:
-            pause_s = find_watch_slot_wait(_now(), period_s=self.batch_s, phase=self._phase)
+        now = _now()
+        if self._is_reader:
+            age_s = now - self._proven_at
+            pause_s = self.settings.find_pause_s(age_s, entries=self._hall_entries)
+        else:
+            pause_s = find_watch_slot_wait(now, period_s=self.batch_s, phase=self._phase)
         try:
             async with asyncio.timeout(pause_s):
                 await self._pause_skipped.wait()
@@ -179,7 +183,9 @@
         if self._members_version == self._catalog.members_version:
             return
         self._members_version = self._catalog.members_version
-        readers = choose_readers(self._catalog.members.values(), self._own.hall, self.settings)
+        members = self._catalog.members.values()
+        self._hall_entries = len(list_hall(members, self._own.hall))
+        readers = choose_readers(members, self._own.hall, self.settings)
         self._is_reader = self._own.name in {reader.name for reader in readers}
         reader = choose_reader(self._own.name, readers)
         if reader == self._reader:
--- a/halldoor/gateway/storenotices.py
+++ b/halldoor/gateway/storenotices.py
@@ -247,8 +247,11 @@
     """Build the messages for what is due, one for each view of the store."""
     by_view: dict[StoreView, list[TargetStart | None]] = {}
     for start, pending in due.items():
-        # Changes that the own view contains share that view, so that most fit one message.
-        view = own if own.has_reached(pending.view) else pending.view
+        # Withdrawals that the own view contains share that view, so that most fit one message.  A
+        # configuration keeps the view that it is of: with the own one, which grows with each
+        # change of any record, entries that have it already would end their pauses and relay it.
+        can_share = start is not None and own.has_reached(pending.view)
+        view = own if can_share else pending.view
         by_view.setdefault(view, []).append(start)
     for view, starts in by_view.items():
         age_s = max(now - due[start].learned_at for start in starts)
--- a/halldoor/tests/test_notices_in_release.py
+++ b/halldoor/tests/test_notices_in_release.py
@@ -93,3 +93,11 @@
     due = dict.fromkeys((None, start), _Pending(view, learned_at=1.0, due_at=1.0))
     notices = list(_build_notices(due, view, 1.0))
     assert notices == [StoreNotice(view, 0.0, []), StoreNotice(view, 0.0, [start])]
+
+
+def test_notice_of_configuration_keeps_its_view():
+    """With the sender's view, entries that had the configuration read the store again for it."""
+    view, own, start = StoreView("1", 9), StoreView("1", 30), TargetStart("t0", 0)
+    due = dict.fromkeys((None, start), _Pending(view, learned_at=1.0, due_at=1.0))
+    notices = list(_build_notices(due, own, 1.0))
+    assert notices == [StoreNotice(view, 0.0, []), StoreNotice(own, 0.0, [start])]
--- a/halldoor/tests/test_pause.py
+++ b/halldoor/tests/test_pause.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from halldoor.core.targets.relay import find_watch_slot_wait
+from halldoor.core.targets.proofs import find_watch_slot_wait
 from halldoor.standins import virtualtime
 from halldoor.standins.storefleet import StoreFleet
 
--- a/halldoor/tests/test_relay.py
+++ b/halldoor/tests/test_relay.py
@@ -13,15 +13,15 @@
 from halldoor.core.settings import Address
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.contact import ContactReport, compute_contact_span
+from halldoor.core.targets.proofs import compute_poll_proof, compute_watch_proof
 from halldoor.core.targets.relay import (
     CHANGE_PATHS,
+    PROOF_SHARE,
     Batch,
     ChangeHistory,
     RelaySettings,
     choose_reader,
     choose_readers,
-    compute_poll_proof,
-    compute_watch_proof,
 )
 from halldoor.gateway.store import MetadataStore, StoreError
 from halldoor.standins.memorystore import MemoryStore
@@ -62,6 +62,23 @@
         assert readers <= count / USUAL.followers_per_reader + 2
         assert max(followed.values()) <= 3 * USUAL.followers_per_reader
 
+    def test_one_entry_reads_from_three_entries_on_and_none_in_pairs(self):
+        """Each of the 35 entries of 6 halls watched for itself: the largest cost of such a fleet.
+
+        With two entries, the reader's short watches would cost more than the other's watch.
+        """
+        assert [len(choose_readers(list_members(n, "a"), "a", USUAL)) for n in (1, 2, 3, 5, 6)] == [
+            0,
+            0,
+            1,
+            1,
+            1,
+        ]
+
+    def test_reader_of_large_hall_keeps_its_short_pause(self):
+        pauses_s = [USUAL.find_pause_s(0.0, entries=n) for n in (3, 7, 8, 64)]
+        assert pauses_s == [0.5, 0.5, 0.2, 0.2]
+
     def test_entry_without_relay_address_is_no_reader(self):
         members = [m._replace(relay=None) for m in list_members(40)]
         assert choose_readers(members, "a", USUAL) == []
@@ -72,6 +89,10 @@
         quiet_s = settings.find_watch_s(is_after_changes=False)
         busy_s = settings.find_watch_s(is_after_changes=True)
         assert quiet_s + settings.pause_s + busy_s < settings.age_limit_s < bound_s
+        for waited_s, entries in ((0.0, 3), (quiet_s / 2, 3), (quiet_s, 7), (quiet_s, 8)):
+            pause_s = settings.find_pause_s(waited_s, entries=entries)
+            assert settings.pause_s <= pause_s <= settings.budget.reader_pause_s
+            assert waited_s + pause_s + busy_s <= PROOF_SHARE * bound_s + 1e-9
         assert settings.poll_at_least_s <= settings.find_poll_s(age_s)
         assert settings.find_poll_s(age_s) <= max(settings.poll_at_least_s, settings.age_limit_s)
 
