Weight look-up answers by the entries' capacity where there are downloads

Cause: a look-up named every entry of the caller's hall, so that 63 entries with links of 10 Mbit/s got 84 in 100 callers beside 12 with 200 Mbit/s.

Where the configuration has downloads, an answer names each entry with a probability in proportion to its weight, the largest always and two at least; elsewhere, and at a stop, all are named as before. A weight falls with the entry's stalls and requests in progress, which travel in MessageKind.LOAD once a second, and moves by at most 0.15 in 2 s. A record without capacity has the same bytes as before. Limits that can't be used count as not set, also where they are no numbers.

--- a/halldoor/core/targets/changes.py
+++ b/halldoor/core/targets/changes.py
@@ -61,6 +61,8 @@
         Address at which it serves callers.
     relay : Address or None
         Address at which it relays changes of the store to other entries; None if it doesn't.
+    cores, link_mbps : float or None
+        Processor in cores of usual speed, and network link in Mbit/s; None: not stated.
     """
 
     name: str
@@ -68,6 +70,8 @@
     hall: str
     region: str
     relay: Address | None = None
+    cores: float | None = None
+    link_mbps: float | None = None
 
 
 class RoutingSeen(NamedTuple):
--- a/halldoor/gateway/datagrams.py
+++ b/halldoor/gateway/datagrams.py
@@ -31,6 +31,7 @@
     LIMITS = 7
     LEAVING = 8
     STORE_NEWS = 9
+    LOAD = 10
 
 
 REGISTERED_ONLY = frozenset(
@@ -39,9 +40,11 @@
         MessageKind.LIMITS,
         MessageKind.LEAVING,
         MessageKind.STORE_NEWS,
+        MessageKind.LOAD,
     }
 )
-"""Kinds that are accepted from registered entries only: each can take a target out of use."""
+"""Kinds that are accepted from registered entries only: each can take a target out of
+use, or callers away from an entry."""
 
 
 class DatagramPort(asyncio.DatagramProtocol):
--- a/halldoor/gateway/figures.py
+++ b/halldoor/gateway/figures.py
@@ -29,4 +29,6 @@
         **gateway.quarantine.get_figures(),
         **gateway.reach.probe.get_figures(now),
     }
-    return GatewayFigures(gauges, gateway.chooser.list_excluded(now))
+    return GatewayFigures(
+        gauges, gateway.chooser.list_excluded(now), gateway.weighing.list_weights()
+    )
--- a/halldoor/gateway/lookup.py
+++ b/halldoor/gateway/lookup.py
@@ -4,13 +4,14 @@
 
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 from urllib.parse import parse_qsl, urlsplit
 
 import msgspec
 
 from halldoor.core.targets.changes import MemberRecord
+from halldoor.core.targets.entryweights import draw_entries
 
 MAX_ENTRIES = 64
 """Greatest number of entries in one answer."""
@@ -18,8 +19,45 @@
 """Number of entries in the caller's hall from which no others are returned: one may crash."""
 
 
+class Candidates(NamedTuple):
+    """Entries of which an answer may name some.
+
+    Attributes
+    ----------
+    group : str
+        Name of the hall or region whose entries they are, unique among both.
+    """
+
+    group: str
+    members: list[MemberRecord]
+
+    @classmethod
+    def from_hall(cls, members: Iterable[MemberRecord], hall: str) -> Candidates:
+        """Return those of a hall."""
+        return cls(f"hall/{hall}", [m for m in members if m.hall == hall])
+
+    @classmethod
+    def from_place(cls, members: Iterable[MemberRecord], *, hall: str, region: str) -> Candidates:
+        """Return those of a caller's hall, else of its region, else all."""
+        all_entries = list(members)
+        candidates = cls.from_hall(all_entries, hall)
+        if len(candidates.members) < ENOUGH_IN_HALL:
+            in_region = [m for m in all_entries if m.region == region]
+            candidates = cls(f"region/{region}", in_region)
+        return candidates if candidates.members else cls("", all_entries)
+
+
+Weigher = Callable[[Candidates], Mapping[str, float] | None]
+"""Returns the weights of entries by name; None where all are named."""
+
+
 def choose_entries(
-    members: Iterable[MemberRecord], *, hall: str, region: str, generator: random.Random
+    members: Iterable[MemberRecord],
+    *,
+    hall: str,
+    region: str,
+    generator: random.Random,
+    weigh: Weigher = lambda _: None,
 ) -> list[MemberRecord]:
     """Choose the entries for a caller: its hall's, else its region's, else all.
 
@@ -32,14 +70,15 @@
         Location of the caller; unknown ones are treated as far away.
     generator : random.Random
         Shuffles the answer, so that callers that use the first entry spread out.
+    weigh : callable, optional
+        Returns the weights by which each entry is named in a part of the answers.
     """
-    all_entries = list(members)
-    chosen = [m for m in all_entries if m.hall == hall]
-    if len(chosen) < ENOUGH_IN_HALL:
-        chosen = [m for m in all_entries if m.region == region]
-    if not chosen:
-        chosen = all_entries
+    candidates = Candidates.from_place(members, hall=hall, region=region)
+    chosen = candidates.members
+    weights = weigh(candidates)
     generator.shuffle(chosen)
+    if weights is not None:
+        chosen = draw_entries(chosen, weights, generator)
     return chosen[:MAX_ENTRIES]
 
 
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
@@ -68,6 +68,7 @@
             "halldoor_state", "Current values of this entry, by name.", registry=registry
         )
         self._targets_out = self._build_targets_out()
+        self._entry_weights = self._build_entry_weights()
 
     def _build_target_counters(self, registry: Registry) -> None:
         """Build the counters of health checks and of targets' unreadable statements."""
@@ -125,6 +126,11 @@
         text = "Targets that receive no or few requests, by reason."
         return Gauge("halldoor_target_out", text, registry=self.registry)
 
+    def _build_entry_weights(self) -> Gauge:
+        """Build an empty gauge of the weights of entries."""
+        text = "Weights of the hall's entries in look-up answers, as this entry computes them."
+        return Gauge("halldoor_entry_weight", text, registry=self.registry)
+
     def add_request(self, service: str, status: str, took_s: float) -> None:
         """Count a finished request and its duration."""
         self._requests.inc({"service": service, "status": status})
@@ -239,6 +245,13 @@
         for target, service, reason in targets:
             self._targets_out.set({"target": target, "service": service, "reason": reason}, 1)
 
+    def set_entry_weights(self, weights: Mapping[str, float]) -> None:
+        """Replace the weights in the gauge of entries' weights, by name of the entry."""
+        self.registry.deregister(self._entry_weights.name)
+        self._entry_weights = self._build_entry_weights()
+        for name, weight in weights.items():
+            self._entry_weights.set({"entry": name}, weight)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         content, _ = render(self.registry, ["text/plain"])
--- a/halldoor/gateway/pages.py
+++ b/halldoor/gateway/pages.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.choice import ExcludedTarget
 from halldoor.gateway.caller import Answer, CallerConnection, Head
-from halldoor.gateway.lookup import LookupFormat, choose_entries
+from halldoor.gateway.lookup import LookupFormat, Weigher, choose_entries
 from halldoor.gateway.metrics import GatewayMetrics
 
 NO_ENTRY_RETRY_S = 0.2
@@ -29,12 +29,15 @@
         The registered entries, with or without this one.
     lookup_ttl_s : float
         How long callers may keep a look-up's answer, in seconds.
+    weigh : callable, optional
+        Returns the weights of entries in answers; by default all entries are named.
     """
 
     is_ready: bool
     own: MemberRecord
     members: Iterable[MemberRecord]
     lookup_ttl_s: float
+    weigh: Weigher = lambda _: None
 
 
 class GatewayFigures(NamedTuple):
@@ -46,10 +49,13 @@
         Current values, by metric name.
     targets_out : iterable of ExcludedTarget
         Targets that get no requests, or only a few, with the reason.
+    entry_weights : mapping of str to float
+        Weights of the hall's entries in look-up answers; empty where they are not weighted.
     """
 
     gauges: dict[str, float]
     targets_out: Iterable[ExcludedTarget]
+    entry_weights: Mapping[str, float] = {}
 
 
 class StatusPages:
@@ -101,7 +107,11 @@
             caller.send(Answer(503, [(b"Retry-After", str(NO_ENTRY_RETRY_S).encode())]))
             return
         chosen = choose_entries(
-            members.values(), hall=query.hall, region=query.region, generator=self._random
+            members.values(),
+            hall=query.hall,
+            region=query.region,
+            generator=self._random,
+            weigh=state.weigh,
         )
         body = self._lookups.render(chosen, ttl_s=state.lookup_ttl_s)
         caller.send(Answer(200, [(b"Content-Type", b"application/json")], body))
@@ -112,5 +122,6 @@
         for name, value in figures.gauges.items():
             metrics.set(name, value)
         metrics.set_targets_out(figures.targets_out)
+        metrics.set_entry_weights(figures.entry_weights)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
         caller.send(Answer(200, [content_type], metrics.render()))
--- a/halldoor/gateway/plain.py
+++ b/halldoor/gateway/plain.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Literal, TypeVar
+from typing import Any, Literal, TypeVar
 
 import msgspec
 
@@ -18,6 +18,7 @@
     TargetRemoved,
     TargetSeen,
 )
+from halldoor.core.targets.entryweights import read_figure
 from halldoor.core.targets.route import (
     CallerLimits,
     RequestKind,
@@ -140,6 +141,14 @@
     hall: str
     region: str
     relay: Address | None = None
+    cores: Any = msgspec.UNSET
+    """Left out unless it is set: older entries reject a record with it."""
+    link_mbps: Any = msgspec.UNSET
+
+    def to_record(self, name: str) -> MemberRecord:
+        """Build the core's `MemberRecord`; an invalid capacity counts as not set."""
+        cores, link_mbps = read_figure(self.cores), read_figure(self.link_mbps)
+        return MemberRecord(name, self.front, self.hall, self.region, self.relay, cores, link_mbps)
 
 
 def _build_route(model: RouteModel) -> Route:
@@ -195,13 +204,18 @@
             if value is None:
                 return MemberRemoved(name)
             member = _read(key, value, MemberModel)
-            return MemberSeen(MemberRecord(name=name, **msgspec.structs.asdict(member)))
+            return MemberSeen(member.to_record(name))
         return None
 
     def encode_member(self, member: MemberRecord) -> StoredItem:
         """Encode this entry's record as an item of the store."""
         model = MemberModel(
-            front=member.front, hall=member.hall, region=member.region, relay=member.relay
+            front=member.front,
+            hall=member.hall,
+            region=member.region,
+            relay=member.relay,
+            cores=msgspec.UNSET if member.cores is None else member.cores,
+            link_mbps=msgspec.UNSET if member.link_mbps is None else member.link_mbps,
         )
         return StoredItem(MEMBER_PREFIX + member.name, msgspec.json.encode(model))
 
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -18,6 +18,7 @@
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.caller import CallerConnection, listen
 from halldoor.gateway.datagrams import DatagramPort
+from halldoor.gateway.entryweights import EntryWeighing
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.exchange import TargetExchanger
 from halldoor.gateway.exchanges import TargetExchanges
@@ -82,7 +83,12 @@
         self.metrics = GatewayMetrics()
         self.catalog = Catalog(settings.timings)
         self.member = MemberRecord(
-            settings.name, settings.front, settings.hall, settings.region, settings.relay
+            settings.name,
+            settings.front,
+            settings.hall,
+            settings.region,
+            settings.relay,
+            *settings.capacity.drop_invalid(),
         )
         self.pool = TargetPool(settings.connections)
         self.port = DatagramPort(
@@ -99,6 +105,17 @@
         )
         self._build_requests(names)
         self._build_store_tasks(store, codec)
+        self.weighing = EntryWeighing(
+            self.member,
+            self.catalog,
+            self.port,
+            stalls=self.stalls,
+            count_running=lambda: self.requests.running,
+            is_paused=lambda: self.is_stopping or self.is_unconfirmed,
+            settings=settings.weights,
+            sharing=settings.sharing,
+            log=self.log,
+        )
         self.maintenance = Maintenance(
             self.catalog,
             (self.pool, self.reach.forwarder.pool),
@@ -288,6 +305,7 @@
             own=self.member,
             members=() if self.is_unconfirmed else self.catalog.members.values(),
             lookup_ttl_s=self.settings.lookup_ttl_s,
+            weigh=self.weighing.weigh,
         )
 
     async def start(self) -> None:
@@ -308,6 +326,7 @@
             self.sync.run(),
             self.maintenance.run(),
             self.stalls.run(),
+            self.weighing.run(),
             self.reach.probe.run(),
             self.travel.run(),
             self.quotas.run(),
--- a/halldoor/gateway/settings.py
+++ b/halldoor/gateway/settings.py
@@ -10,6 +10,7 @@
 from halldoor.core.settings import Address, parse
 from halldoor.core.targets.budget import RetrySettings
 from halldoor.core.targets.catalog import CatalogTimings
+from halldoor.core.targets.entryweights import EntryCapacity, WeightSettings
 from halldoor.core.targets.observation import SharingSettings
 from halldoor.core.targets.outlier import OutlierSettings
 from halldoor.core.targets.peers import ForwardingSettings
@@ -44,6 +45,7 @@
     "sharing",
     "quarantine",
     "forwarding",
+    "weights",
 )
 """Settings that a policy file may change."""
 
@@ -67,6 +69,8 @@
         Pause between a change in the store and the next watch, in seconds.
     grace_s : float
         Time from the request to stop until the process is killed, in seconds.
+    capacity : EntryCapacity
+        Processor and link of the host, by which look-ups name this entry; not set by default.
     """
 
     name: str
@@ -91,6 +95,8 @@
     sharing: SharingSettings = SharingSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     forwarding: ForwardingSettings = ForwardingSettings()
+    weights: WeightSettings = WeightSettings()
+    capacity: EntryCapacity = EntryCapacity()
 
     def apply_policy(self, policy: Mapping[str, Any], *, origin: str) -> GatewaySettings:
         """Return these settings with those of a policy file applied.
