Read an entry's capacity from the settings of halldoor-gateway

The platform's settings file had limits, but the settings of halldoor-gateway had no field for the capacity by which look-ups name an entry. Bad figures count as not set, as on the platform. Checked by test_entry_weights.py.

--- a/halldoor/cli/gateway.py
+++ b/halldoor/cli/gateway.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from halldoor.core.errors import HalldoorError
+from halldoor.core.targets.entryweights import EntryCapacity
 from halldoor.files import load_settings
 from halldoor.gateway import clock
 from halldoor.gateway.filestore import FileStore, GatewayFileSettings, load_configuration
@@ -55,7 +56,8 @@
     data = msgspec.structs.asdict(checked)
     policy = data.pop("policy")
     del data["configuration"]
-    return GatewaySettings(**data).apply_policy(policy, origin="policy")
+    capacity = EntryCapacity(**msgspec.structs.asdict(data.pop("capacity")))
+    return GatewaySettings(**data, capacity=capacity).apply_policy(policy, origin="policy")
 
 
 def main() -> None:
--- a/halldoor/gateway/filestore.py
+++ b/halldoor/gateway/filestore.py
@@ -177,6 +177,13 @@
         """Do nothing: leases never expire here."""
 
 
+class CapacityModel(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Processor of the host in cores of usual speed, and its network link in Mbit/s."""
+
+    cores: Any = None
+    link_mbps: Any = None
+
+
 class GatewayFileSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Settings of ``halldoor-gateway``.
 
@@ -188,6 +195,8 @@
         Region of each hall.
     policy : dict
         Settings of the policy by section; docs/reference.md lists them.
+    capacity : CapacityModel
+        Processor and link of the host; not set by default.
     """
 
     name: str
@@ -202,3 +211,4 @@
     lookup_ttl_s: float = 1.0
     grace_s: float = 6.0
     policy: dict[str, dict[str, Any]] = {}
+    capacity: CapacityModel = CapacityModel()
--- a/halldoor/tests/test_entry_weights.py
+++ b/halldoor/tests/test_entry_weights.py
@@ -13,6 +13,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from halldoor.cli.gateway import build_settings
 from halldoor.core.settings import Address
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.entryweights import (
@@ -25,6 +26,7 @@
     read_figure,
 )
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
+from halldoor.gateway.filestore import GatewayFileSettings
 from halldoor.gateway.lookup import MAX_ENTRIES, Candidates, choose_entries
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.plain import PlainCodec
@@ -343,3 +345,12 @@
         port.datagram_received(data, ("127.0.0.1", 9))
         assert MessageKind.LOAD == 10 and not received
         assert 'halldoor_messages{kind="stranger"} 1' in metrics.render().decode()
+
+
+def test_capacity_of_the_settings_file_is_read():
+    address = {"ip": "127.0.0.1", "port": 1}
+    data = dict.fromkeys(("front", "ready", "directory"), address)
+    data |= {"name": "e1", "hall": "a", "region": "r", "configuration": "", "regions": {}}
+    for capacity, wanted in (({"cores": 2.15, "link_mbps": "much"}, (2.15, None)), ({}, UNSET)):
+        checked = msgspec.convert(data | {"capacity": capacity}, GatewayFileSettings)
+        assert build_settings(checked).capacity.drop_invalid() == wanted
