Handle pipelined repeatable requests beside each other

A connection read the next request only after the previous answer, so that four pipelined look-ups took four times as long as one.

While a repeatable request without a body is in progress, the connection now passes further bytes to a Pipeline. Each request that it reads has its own h11 parser, task and held answer; answers are sent in order. Requests that are not repeatable, have a body or an invalid head wait until all before them are answered. An answer that breaks off before its turn closes the connection after the answers before it. A connection also waits for its write buffer to drain before it reads the next request, so that a caller which reads nothing can't fill it. CallerRequest holds what the connection and a pipelined request have in common.

--- a/halldoor/core/teams/admission.py
+++ b/halldoor/core/teams/admission.py
@@ -137,6 +137,11 @@
         """Return the configured teams."""
         return self._teams
 
+    def is_repeatable(self, host: str, path: str) -> bool:
+        """Check whether a host and path belong to a usable route of repeatable requests."""
+        route = self._routes.find(host, path)
+        return route is not None and not route.fault and route.kind.is_repeatable
+
     def admit_request(
         self,
         host: str,
--- a/halldoor/gateway/access.py
+++ b/halldoor/gateway/access.py
@@ -71,6 +71,12 @@
             self.gate.set_limits(self._table.teams.get_limits())
         return self._table
 
+    def is_repeatable(self, head: Head) -> bool:
+        """Check whether a request belongs to a route whose requests may run more than once."""
+        table = self.find_table()
+        host = find(head.headers, b"host").decode("latin-1")
+        return table is not None and table.is_repeatable(host, head.target.decode("latin-1"))
+
     def admit(self, head: Head, now: float) -> AdmittedRequest | Refusal:
         """Admit a request by its head: return its route and team, or the refusal."""
         if self._is_confirming():
--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -1,22 +1,32 @@
 """Server side of an HTTP/1.1 connection: callers, look-ups, readiness and metrics.
 
-Each connection is one task.  When the caller disconnects, the task is cancelled wherever it
-waits, so that the target's work for it is cancelled too.
+Each connection is one task, and one more for each pipelined request (`Pipeline`).  When the caller
+disconnects, the tasks are cancelled wherever they wait, so that the targets' work for them is
+cancelled too.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable
-from http import HTTPStatus
-from typing import Any, NamedTuple
+from collections.abc import Callable
+from typing import Any
 
 import h11
 
 from halldoor.core.targets.route import CallerLimits
+from halldoor.gateway.callerrequest import (
+    Answer,
+    BodyTooLongError,
+    CallerRequest,
+    Handler,
+    Head,
+)
 from halldoor.gateway.flow import FlowProtocol
 from halldoor.gateway.headers import Headers, find
+from halldoor.gateway.pipeline import Pipeline, Pipelining
+
+__all__ = ["Answer", "BodyTooLongError", "CallerConnection", "Handler", "Head", "listen"]
 
 READ_AHEAD = 65_536
 """Bytes of later requests or of an unread body that are buffered before reading pauses."""
@@ -26,43 +36,12 @@
 IDLE_SLACK_S = 1.0
 """Time beyond the announced idle timeout, in seconds, so that a request already sent arrives."""
 
-_REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
-
-
-class BodyTooLongError(Exception):
-    """The caller's body exceeds the limit; the answer is 413."""
-
-
-class Head(NamedTuple):
-    """The head of a caller's request.
-
-    Attributes
-    ----------
-    received_at : float
-        When the head was complete, on the loop's clock.
-    """
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    received_at: float
-
 
-class Answer(NamedTuple):
-    """A complete answer without framing headers, which are added when it is sent."""
-
-    status: int
-    headers: Headers
-    body: bytes = b""
-    reason: bytes = b""
-
-
-Handler = Callable[["CallerConnection", Head], Awaitable[None]]
-
-
-class CallerConnection(FlowProtocol):
+class CallerConnection(CallerRequest, FlowProtocol):
     """Connection accepted from a caller, with the task that answers its requests.
 
+    To its handler, the connection is also the request in progress that was read first.
+
     Parameters
     ----------
     handler : callable
@@ -73,6 +52,8 @@
         Set that contains the connection while it is open.
     is_closing : callable
         Returns whether new connections close after one request.
+    pipelining : Pipelining, optional
+        How pipelined requests are handled; None: one after the other.
     """
 
     def __init__(
@@ -81,22 +62,29 @@
         read_limits: Callable[[], CallerLimits],
         connections: set[CallerConnection],
         is_closing: Callable[[], bool],
+        pipelining: Pipelining | None = None,
     ) -> None:
         super().__init__()
         self._handler = handler
         self._read_limits = read_limits
         self._connections = connections
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=read_limits().head_bytes + READ_AHEAD
-        )
+        self._h11 = self._new_parser()
         self._task: asyncio.Task[None] | None = None
         self._is_closed = False
         self._unread = 0
         self.is_closing = is_closing()
         self.is_busy = False
-        self.has_answered = False
-        self.is_body_too_long = False
         self._body_left = 0
+        self._pipelining = pipelining
+        self._head: Head | None = None
+        self._pipeline: Pipeline | None = None
+        self._ended_pipeline: Pipeline | None = None
+        self._has_pipelined = False
+
+    def _new_parser(self) -> h11.Connection:
+        """Create a parser of callers' requests."""
+        size = self._read_limits().head_bytes + READ_AHEAD
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=size)
 
     @property
     def address(self) -> str:
@@ -112,13 +100,27 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller, and pause reading when too many are unread."""
+        if self._pipeline is not None:
+            self._pipeline.receive(data)
+            return
         with contextlib.suppress(h11.RemoteProtocolError):
             self._h11.receive_data(data)
         self._unread += len(data)
         if self._unread > READ_AHEAD:
             self._transport.pause_reading()
+        if self.is_busy:
+            self._start_pipeline()
         self._wake_reader()
 
+    def _start_pipeline(self) -> None:
+        """Start to read requests behind the one in progress, if it may run beside others."""
+        if self._pipelining is None or self._head is None or self.is_closing:
+            return
+        if rest := self._pipelining.find_rest(self._head, self._h11):
+            self._has_pipelined = True
+            self._pipeline = Pipeline(self, self._handler, self._pipelining, self._new_parser)
+            self._pipeline.receive(rest)
+
     def eof_received(self) -> bool:
         """Handle the end of the caller's stream as a disconnect."""
         self._handle_disconnect()
@@ -129,14 +131,20 @@
         self._handle_disconnect()
 
     def _handle_disconnect(self) -> None:
-        """Mark the connection closed and cancel a running request, whose answer is not needed."""
+        """Mark the connection closed and cancel its requests, whose answers are not needed."""
         self._is_closed = True
         self._connections.discard(self)
         self._drained.set()
         self._wake_reader()
+        self._cancel_pipeline(is_by_caller=True)
         if self._task is not None and self.is_busy:
             self._task.cancel()
 
+    def _cancel_pipeline(self, *, is_by_caller: bool) -> None:
+        """Cancel the pipelined requests."""
+        if self._pipeline is not None:
+            self._pipeline.cancel(is_by_caller=is_by_caller)
+
     async def _next_event(self) -> Any:
         """Wait for the next h11 event; return None if the caller has disconnected."""
         while True:
@@ -173,49 +181,49 @@
         if event is None:
             # The caller disconnected: wait until this task is cancelled.
             await asyncio.sleep(3600)
+        self._start_pipeline()
         return None
 
-    def _write(self, *events: Any) -> None:
-        """Serialize h11 events and send them in one write, unless the caller disconnected."""
-        data = b"".join(self._h11.send(event) or b"" for event in events)
+    def write(self, data: bytes) -> None:
+        """Send serialized bytes, unless the caller disconnected."""
         if data and not self._is_closed:
             self._transport.write(data)
 
-    def send_head(self, status: int, headers: Headers, reason: bytes = b"") -> None:
-        """Send the head of an answer, with ``Connection: close`` if the connection will close."""
-        self._write(self._build_head(status, headers, reason))
-        self.has_answered = True
+    _send_bytes = write
 
-    def _build_head(self, status: int, headers: Headers, reason: bytes) -> h11.Response:
-        """Build the head of an answer, adding the reason phrase and ``Connection`` if needed."""
-        if self.is_closing or self._h11.their_state is not h11.DONE:
-            headers = [*headers, (b"Connection", b"close")]
-        if not reason and status in _REASONS:
-            reason = _REASONS[status]
-        return h11.Response(status_code=status, headers=headers, reason=reason)
+    def _is_last(self) -> bool:
+        """Check whether the connection closes after the answer of its own request."""
+        has_more = self._pipeline is not None and self._pipeline.has_read
+        return self.is_closing and not has_more
 
     async def send_data(self, data: bytes) -> None:
         """Send a piece of the body, and wait while the write buffer is full."""
         self._write(h11.Data(data=data))
-        await self._drained.wait()
+        await self.wait_until_drained()
 
-    def finish_answer(self) -> None:
-        """Mark the answer as complete on the wire."""
-        self._write(h11.EndOfMessage())
+    def set_unread(self, size: int) -> None:
+        """Set the number of bytes that are buffered unread, and pause reading if it is large."""
+        self._unread = size
+        if size > READ_AHEAD:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
-    def send(self, answer: Answer) -> None:
-        """Send a complete answer with its content length."""
-        headers = [(n, v) for n, v in answer.headers if n.lower() != b"content-length"]
-        headers.append((b"Content-Length", str(len(answer.body)).encode()))
-        head = self._build_head(answer.status, headers, answer.reason)
-        self._write(head, h11.Data(data=answer.body), h11.EndOfMessage())
-        self.has_answered = True
+    def is_head_too_long(self, headers: Headers) -> bool:
+        """Check whether the header fields of a request exceed the limit."""
+        return sum(len(n) + len(v) + 4 for n, v in headers) > self._read_limits().head_bytes
 
     def abort(self) -> None:
         """Abort the connection, so that a truncated answer doesn't look complete."""
         self._is_closed = True
+        self._cancel_pipeline(is_by_caller=False)
         self._transport.abort()
 
+    def close_truncated(self) -> None:
+        """Close the connection in an answer whose framing shows that it is incomplete."""
+        self._is_closed = True
+        self._transport.close()
+
     def close_if_idle(self) -> None:
         """Close now if no request is in progress, else after the current one."""
         self.is_closing = True
@@ -224,14 +232,23 @@
 
     async def _run(self) -> None:
         """Answer requests until either side closes the connection."""
+        try:
+            await self._serve_all()
+            self._cancel_pipeline(is_by_caller=self._is_closed)
+            if self._has_pipelined:
+                await self._linger_after_pipeline()
+        finally:
+            self._cancel_pipeline(is_by_caller=self._is_closed)
+            self._connections.discard(self)
+            self._transport.close()
+
+    async def _serve_all(self) -> None:
+        """Answer requests until one closes the connection or violates HTTP."""
         try:
             while not self._is_closed and await self._serve_one():
                 pass
         except h11.RemoteProtocolError as exc:
             self._answer_protocol_error(exc)
-        finally:
-            self._connections.discard(self)
-            self._transport.close()
 
     async def _serve_one(self) -> bool:
         """Read and answer one request; return False if the connection must close."""
@@ -244,10 +261,12 @@
         announced = int(find(head.headers, b"content-length") or 0)
         limit = self._read_limits().body_bytes
         self._body_left = limit if announced <= limit else -1
+        self._head = head
         try:
             await self._handler(self, head)
         finally:
             self.is_busy = False
+            self._head = None
         return await self._finish_request()
 
     async def _read_head(self) -> Head | None:
@@ -255,31 +274,39 @@
         limits = self._read_limits()
         loop = asyncio.get_running_loop()
         idle_s = limits.idle_timeout_s + IDLE_SLACK_S
+        pipeline, self._ended_pipeline = self._ended_pipeline, None
+        if pipeline is not None and pipeline.next_head is not None:
+            return pipeline.take_next_head()
+        head_at = None if pipeline is None else pipeline.head_at
         try:
             async with asyncio.timeout(idle_s) as timer:
-                event = await self._wait_for_request(
-                    lambda: timer.reschedule(loop.time() + limits.head_timeout_s)
-                )
+                event = await self._wait_for_request(timer, limits.head_timeout_s, head_at)
         except TimeoutError:
             if self._unread:
+                if self._pipelining is not None and self._has_pipelined:
+                    self._pipelining.add("bad head", 1)
                 self._send_error(408)
             return None
         if not isinstance(event, h11.Request):
             return None
         headers = list(event.headers.raw_items())
-        if sum(len(n) + len(v) + 4 for n, v in headers) > limits.head_bytes:
+        if self.is_head_too_long(headers):
             self._send_error(431)
             return None
         return Head(event.method, event.target, headers, loop.time())
 
-    async def _wait_for_request(self, on_start: Callable[[], None]) -> Any:
-        """Wait for the next h11 event; call `on_start` when its first bytes arrive."""
+    async def _wait_for_request(
+        self, timer: asyncio.Timeout, timeout_s: float, head_at: float | None
+    ) -> Any:
+        """Wait for the next h11 event; set its timer when bytes of it arrive, or `head_at`."""
+        loop = asyncio.get_running_loop()
         event = self._h11.next_event()
         while event is h11.NEED_DATA:
             if self._is_closed:
                 return None
             if self._h11.trailing_data[0]:
-                on_start()
+                timer.reschedule((head_at or loop.time()) + timeout_s)
+                head_at = None
             await self._wait_for_data()
             event = self._h11.next_event()
         self._unread = 0
@@ -294,8 +321,41 @@
             return False
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
             return False
-        self._h11.start_next_cycle()
-        return not self.is_closing or bool(self._h11.trailing_data[0])
+        pipeline = self._pipeline
+        if pipeline is None:
+            self._h11.start_next_cycle()
+        elif not await self._answer_pipelined(pipeline):
+            return False
+        # A caller that sends requests but reads no answers must not fill the write buffer.
+        await self.wait_until_drained()
+        has_next = pipeline is not None and pipeline.has_read
+        return not self.is_closing or has_next or bool(self._h11.trailing_data[0])
+
+    async def _answer_pipelined(self, pipeline: Pipeline) -> bool:
+        """Answer pipelined requests and take over their parser; False: the connection closes."""
+        self.is_busy = True
+        try:
+            if not await pipeline.answer_all() or self._is_closed:
+                return False
+        finally:
+            self.is_busy = False
+        self._h11 = pipeline.hand_over()
+        self._unread = len(self._h11.trailing_data[0])
+        self._pipeline, self._ended_pipeline = None, pipeline
+        return True
+
+    async def _linger_after_pipeline(self) -> None:
+        """Discard unread requests for `LINGER_S`, so that the caller can read the answers."""
+        pipeline, self._pipeline = self._pipeline, None
+        has_unread = self._h11.trailing_data[0] if pipeline is None else pipeline.has_bytes
+        if not has_unread or self._is_closed or self._transport.is_closing():
+            return
+        self._transport.write_eof()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LINGER_S):
+                while not self._is_closed:
+                    self._h11 = self._new_parser()
+                    await self._wait_for_data()
 
     async def _linger(self) -> None:
         """Discard the rest of the body for `LINGER_S` after an answer sent before its end."""
@@ -324,12 +384,13 @@
     read_limits: Callable[[], CallerLimits],
     connections: set[CallerConnection],
     is_closing: Callable[[], bool] = lambda: False,
+    pipelining: Pipelining | None = None,
     backlog: int = 1024,
 ) -> asyncio.Server:
     """Start a server for callers' connections; port 0 lets the kernel choose one."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: CallerConnection(handler, read_limits, connections, is_closing),
+        lambda: CallerConnection(handler, read_limits, connections, is_closing, pipelining),
         ip,
         port,
         backlog=backlog,
--- a/halldoor/gateway/flow.py
+++ b/halldoor/gateway/flow.py
@@ -23,6 +23,11 @@
         """Release waiting writers, since the write buffer has drained."""
         self._drained.set()
 
+    async def wait_until_drained(self) -> None:
+        """Wait while the write buffer is full."""
+        if not self._drained.is_set():
+            await self._drained.wait()
+
     def _wake_reader(self) -> None:
         """Wake the waiting reader, if there is one."""
         if self._waiter is not None and not self._waiter.done():
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -62,6 +62,12 @@
             "Polls of other entries that could not be decoded.",
             registry=registry,
         )
+        self._pipelining = Counter(
+            "halldoor_pipelining",
+            "Pipelined requests, pauses at a limit, requests cancelled behind a closing answer, "
+            "and bad heads.",
+            registry=registry,
+        )
         self._build_target_counters(registry)
         self._build_team_counters(registry)
         self._gauges = Gauge(
@@ -210,6 +216,10 @@
         """Count a field of a target's statement that could not be read."""
         self._bad_statements.inc({"field": field})
 
+    def add_pipelining(self, what: str, count: int) -> None:
+        """Count pipelined requests or events of pipelining."""
+        self._pipelining.add({"what": what}, count)
+
     def add_over_quota(self, team: str) -> None:
         """Count a request refused by its team's quota; past `TEAM_LABELS` teams as "other"."""
         if len(self._quota_teams) < TEAM_LABELS:
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -31,6 +31,7 @@
 from halldoor.gateway.maintenance import Maintenance
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pages import GatewayState, StatusPages
+from halldoor.gateway.pipeline import Pipelining
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.ports import ServicePort, ServicePorts
 from halldoor.gateway.quarantine import RequestQuarantine
@@ -301,6 +302,11 @@
             read_limits=self.requests.read_limits,
             connections=self._callers,
             is_closing=lambda: self.is_stopping,
+            pipelining=Pipelining(
+                self.access.is_repeatable,
+                lambda: self.settings.pipelining,
+                self.metrics.add_pipelining,
+            ),
         )
         await self._ports.start()
         await self.port.start()
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -172,6 +172,7 @@
             attempts=[attempt.to_fields() for attempt in state.attempts],
             version=self._catalog.configuration_version,
             store_age_ms=self._get_store_age_ms(),
+            **({"requests_ahead": caller.requests_ahead} if caller.requests_ahead else {}),
             **self._feedback.describe_reach(now),
         )
 
--- a/halldoor/gateway/settings.py
+++ b/halldoor/gateway/settings.py
@@ -16,6 +16,7 @@
 from halldoor.core.targets.relay import RelaySettings
 from halldoor.core.targets.settings import ChoiceSettings
 from halldoor.core.teams.admission import AccessSettings
+from halldoor.gateway.pipeline import PipelineSettings
 from halldoor.gateway.pool import ConnectionSettings
 from halldoor.gateway.sync import BATCH_S
 
@@ -30,6 +31,7 @@
     "relaying",
     "access",
     "quarantine",
+    "pipelining",
 )
 """Settings that a running process applies; addresses and names need a restart."""
 
@@ -44,6 +46,7 @@
     "sharing",
     "quarantine",
     "forwarding",
+    "pipelining",
 )
 """Settings that a policy file may change."""
 
@@ -91,6 +94,7 @@
     sharing: SharingSettings = SharingSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     forwarding: ForwardingSettings = ForwardingSettings()
+    pipelining: PipelineSettings = PipelineSettings()
 
     def apply_policy(self, policy: Mapping[str, Any], *, origin: str) -> GatewaySettings:
         """Return these settings with those of a policy file applied.
