Answer 408 to a head that was cut behind a request that runs alone

The count of unread bytes was reset when a request was read, also if the beginning of the next head had arrived with it. At the head timeout the connection then closed without an answer. The count is now set again when the connection goes on to the next request.

--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -326,10 +326,11 @@
             self._h11.start_next_cycle()
         elif not await self._answer_pipelined(pipeline):
             return False
+        self._unread = len(self._h11.trailing_data[0])
         # A caller that sends requests but reads no answers must not fill the write buffer.
         await self.wait_until_drained()
         has_next = pipeline is not None and pipeline.has_read
-        return not self.is_closing or has_next or bool(self._h11.trailing_data[0])
+        return not self.is_closing or has_next or self._unread > 0
 
     async def _answer_pipelined(self, pipeline: Pipeline) -> bool:
         """Answer pipelined requests and take over their parser; False: the connection closes."""
@@ -340,7 +341,6 @@
         finally:
             self.is_busy = False
         self._h11 = pipeline.hand_over()
-        self._unread = len(self._h11.trailing_data[0])
         self._pipeline, self._ended_pipeline = None, pipeline
         return True
 
--- a/halldoor/tests/test_pipeline.py
+++ b/halldoor/tests/test_pipeline.py
@@ -309,6 +309,15 @@
 
         asyncio.run(run())
 
+    def test_cut_head_behind_a_request_that_runs_alone_gets_408(self):
+        async def run():
+            async with open_kit(limits={"head_timeout_s": ONE_S}) as (_, caller):
+                first = caller.build("/a/0", method="POST", body=b"body")
+                caller.writer.write(first + caller.build("/b/0")[:-9])
+                assert [(await caller.receive())[0] for _ in range(2)] == [200, 408]
+
+        asyncio.run(run())
+
     def test_invalid_and_too_long_heads_are_answered_last(self):
         async def run():
             for status, data in ((400, b"GET x y z\r\n\r\n"), (431, b"A: " + b"b" * 90_000)):
