Discard further requests before a pipelined connection closes

A caller that pipelines may send while the gateway closes the connection. Closing a socket with unread bytes resets it, and the kernel drops answers that it has not sent yet.

--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -226,7 +226,12 @@
     def close_if_idle(self) -> None:
         """Close now if no request is in progress, else after the current one."""
         self.is_closing = True
-        if not self.is_busy and self._h11.our_state is h11.IDLE and self._unread == 0:
+        if self.is_busy or self._h11.our_state is not h11.IDLE or self._unread:
+            return
+        if self._has_pipelined:
+            # The connection's task closes it: more requests may be on their way.
+            self._wake_reader()
+        else:
             self._transport.close()
 
     async def _run(self) -> None:
@@ -301,9 +306,10 @@
         loop = asyncio.get_running_loop()
         event = self._h11.next_event()
         while event is h11.NEED_DATA:
-            if self._is_closed:
+            has_begun = bool(self._h11.trailing_data[0])
+            if self._is_closed or (self._has_pipelined and self.is_closing and not has_begun):
                 return None
-            if self._h11.trailing_data[0]:
+            if has_begun:
                 timer.reschedule((head_at or loop.time()) + timeout_s)
                 head_at = None
             await self._wait_for_data()
@@ -344,10 +350,12 @@
         return True
 
     async def _linger_after_pipeline(self) -> None:
-        """Discard unread requests for `LINGER_S`, so that the caller can read the answers."""
-        pipeline, self._pipeline = self._pipeline, None
-        has_unread = self._h11.trailing_data[0] if pipeline is None else pipeline.has_bytes
-        if not has_unread or self._is_closed or self._transport.is_closing():
+        """Discard further requests until the caller has read the answers, at most `LINGER_S`.
+
+        Closing a socket with unread bytes resets the connection, which destroys answers.
+        """
+        self._pipeline = None
+        if self._is_closed or self._transport.is_closing():
             return
         self._transport.write_eof()
         with contextlib.suppress(TimeoutError):
--- a/halldoor/tests/test_pipeline.py
+++ b/halldoor/tests/test_pipeline.py
@@ -433,3 +433,25 @@
                 assert list_received(kit) == [b"/a/1", b"/b/0.5", b"/once/0"]
 
         asyncio.run(run())
+
+    def test_request_sent_while_an_idle_connection_closes_destroys_no_answer(self):
+        """A socket closed with unread bytes resets the connection, and drops what was not sent."""
+
+        async def run():
+            async with open_kit() as (kit, caller):
+                caller.writer.transport.pause_reading()
+                caller.send("/a/0.2-200000", "/b/0-200000", "/c/0-200000", "/d/0-200000")
+                await kit.wait(lambda: len(kit.received) == 4)
+                await kit.wait(lambda: kit.gateway.requests.running == 0)
+                stopping = asyncio.create_task(kit.gateway.stop())
+                await kit.wait(lambda: not kit.gateway._front.is_serving())
+                await asyncio.sleep(0.06)
+                caller.send("/e/0")
+                await asyncio.sleep(0.06)
+                caller.writer.transport.resume_reading()
+                bodies = await caller.receive_bodies(4)
+                assert [len(b) for b in bodies] == [200_013, 200_011, 200_011, 200_011]
+                assert await caller.has_ended()
+                await stopping
+
+        asyncio.run(run())
