--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -167,12 +167,12 @@
             target=result.target,
             peer=result.peer,
             forwarded_by=state.origin.forwarded_by,
+            **({"requests_ahead": caller.requests_ahead} if caller.requests_ahead else {}),
             took_ms=round(took_s * 1000),
             aim_ms=round(state.route.aim_s * 1000),
             attempts=[attempt.to_fields() for attempt in state.attempts],
             version=self._catalog.configuration_version,
             store_age_ms=self._get_store_age_ms(),
-            **({"requests_ahead": caller.requests_ahead} if caller.requests_ahead else {}),
             **self._feedback.describe_reach(now),
         )
 
--- a/halldoor/gateway/settings.py
+++ b/halldoor/gateway/settings.py
@@ -28,10 +28,10 @@
     "timings",
     "choice",
     "retries",
+    "pipelining",
     "relaying",
     "access",
     "quarantine",
-    "pipelining",
 )
 """Settings that a running process applies; addresses and names need a restart."""
 
@@ -40,13 +40,13 @@
     "choice",
     "outliers",
     "connections",
+    "pipelining",
     "retries",
     "relaying",
     "access",
     "sharing",
     "quarantine",
     "forwarding",
-    "pipelining",
 )
 """Settings that a policy file may change."""
 
@@ -90,11 +90,11 @@
     relaying: RelaySettings = RelaySettings()
     outliers: OutlierSettings = OutlierSettings()
     connections: ConnectionSettings = ConnectionSettings()
+    pipelining: PipelineSettings = PipelineSettings()
     access: AccessSettings = AccessSettings()
     sharing: SharingSettings = SharingSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     forwarding: ForwardingSettings = ForwardingSettings()
-    pipelining: PipelineSettings = PipelineSettings()
 
     def apply_policy(self, policy: Mapping[str, Any], *, origin: str) -> GatewaySettings:
         """Return these settings with those of a policy file applied.
