--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -17,7 +17,7 @@
 from halldoor.core.teams.gate import QuotaGate
 from halldoor.gateway import clock
 from halldoor.gateway.access import CallerAccess
-from halldoor.gateway.caller import CallerConnection, listen
+from halldoor.gateway.caller import CallerConnection
 from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.entryweights import EntryWeighing
 from halldoor.gateway.eventlog import EventLog
@@ -34,8 +34,9 @@
 from halldoor.gateway.maintenance import Maintenance
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pages import GatewayState, StatusPages
+from halldoor.gateway.pipeline import Pipelining
 from halldoor.gateway.pool import TargetPool
-from halldoor.gateway.ports import ServicePort, ServicePorts
+from halldoor.gateway.ports import ServicePort, ServicePorts, listen
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.quotas import QuotaExchange
 from halldoor.gateway.reloading import apply_settings
@@ -329,6 +330,11 @@
             read_limits=self.requests.read_limits,
             connections=self._callers,
             is_closing=lambda: self.is_stopping,
+            pipelining=Pipelining(
+                self.access.is_repeatable,
+                lambda: self.settings.pipelining,
+                self.metrics.add_pipelining,
+            ),
         )
         await self._ports.start()
         await self.port.start()
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -167,6 +167,7 @@
             target=result.target,
             peer=result.peer,
             forwarded_by=state.origin.forwarded_by,
+            **({"requests_ahead": caller.requests_ahead} if caller.requests_ahead else {}),
             took_ms=round(took_s * 1000),
             aim_ms=round(state.route.aim_s * 1000),
             attempts=[attempt.to_fields() for attempt in state.attempts],
--- a/halldoor/gateway/settings.py
+++ b/halldoor/gateway/settings.py
@@ -18,6 +18,7 @@
 from halldoor.core.targets.relay import RelaySettings
 from halldoor.core.targets.settings import ChoiceSettings
 from halldoor.core.teams.admission import AccessSettings
+from halldoor.gateway.pipeline import PipelineSettings
 from halldoor.gateway.pool import ConnectionSettings
 from halldoor.gateway.sync import BATCH_S
 
@@ -29,6 +30,7 @@
     "timings",
     "choice",
     "retries",
+    "pipelining",
     "relaying",
     "access",
     "quarantine",
@@ -40,6 +42,7 @@
     "choice",
     "outliers",
     "connections",
+    "pipelining",
     "retries",
     "relaying",
     "access",
@@ -93,6 +96,7 @@
     relaying: RelaySettings = RelaySettings()
     outliers: OutlierSettings = OutlierSettings()
     connections: ConnectionSettings = ConnectionSettings()
+    pipelining: PipelineSettings = PipelineSettings()
     access: AccessSettings = AccessSettings()
     sharing: SharingSettings = SharingSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
