--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -15,13 +15,7 @@
 import h11
 
 from halldoor.core.targets.route import CallerLimits
-from halldoor.gateway.callerrequest import (
-    Answer,
-    BodyTooLongError,
-    CallerRequest,
-    Handler,
-    Head,
-)
+from halldoor.gateway.callerrequest import Answer, BodyTooLongError, CallerRequest, Handler, Head
 from halldoor.gateway.flow import FlowProtocol
 from halldoor.gateway.headers import Headers, find
 from halldoor.gateway.pipeline import Pipeline, Pipelining
