--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -17,7 +17,7 @@
 from halldoor.core.targets.route import CallerLimits
 from halldoor.gateway.callerrequest import Answer, BodyTooLongError, CallerRequest, Handler, Head
 from halldoor.gateway.flow import FlowProtocol
-from halldoor.gateway.headers import Headers, find
+from halldoor.gateway.headers import find, is_too_long
 from halldoor.gateway.pipeline import Pipeline, Pipelining
 
 __all__ = ["Answer", "BodyTooLongError", "CallerConnection", "Handler", "Head"]
@@ -202,9 +202,10 @@
         else:
             self._transport.resume_reading()
 
-    def is_head_too_long(self, headers: Headers) -> bool:
-        """Check whether the header fields of a request exceed the limit."""
-        return sum(len(n) + len(v) + 4 for n, v in headers) > self._read_limits().head_bytes
+    @property
+    def head_limit(self) -> int:
+        """Greatest size of a request's header fields, in bytes."""
+        return self._read_limits().head_bytes
 
     def abort(self) -> None:
         """Abort the connection, so that a truncated answer doesn't look complete."""
@@ -231,7 +232,11 @@
     async def _run(self) -> None:
         """Answer requests until either side closes the connection."""
         try:
-            await self._serve_all()
+            try:
+                while not self._is_closed and await self._serve_one():
+                    pass
+            except h11.RemoteProtocolError as exc:
+                self._answer_protocol_error(exc)
             self._cancel_pipeline(is_by_caller=self._is_closed)
             if self._has_pipelined:
                 await self._linger_after_pipeline()
@@ -240,14 +245,6 @@
             self._connections.discard(self)
             self._transport.close()
 
-    async def _serve_all(self) -> None:
-        """Answer requests until one closes the connection or violates HTTP."""
-        try:
-            while not self._is_closed and await self._serve_one():
-                pass
-        except h11.RemoteProtocolError as exc:
-            self._answer_protocol_error(exc)
-
     async def _serve_one(self) -> bool:
         """Read and answer one request; return False if the connection must close."""
         head = await self._read_head()
@@ -288,7 +285,7 @@
         if not isinstance(event, h11.Request):
             return None
         headers = list(event.headers.raw_items())
-        if self.is_head_too_long(headers):
+        if is_too_long(headers, limits.head_bytes):
             self._send_error(431)
             return None
         return Head(event.method, event.target, headers, loop.time())
@@ -300,10 +297,12 @@
         loop = asyncio.get_running_loop()
         event = self._h11.next_event()
         while event is h11.NEED_DATA:
-            has_begun = bool(self._h11.trailing_data[0])
-            if self._is_closed or (self._has_pipelined and self.is_closing and not has_begun):
+            begun = len(self._h11.trailing_data[0])
+            if self._is_closed or (self._has_pipelined and self.is_closing and not begun):
                 return None
-            if has_begun:
+            if begun:
+                # Bytes that arrived with the request before were not counted.
+                self._unread = max(self._unread, begun)
                 timer.reschedule((head_at or loop.time()) + timeout_s)
                 head_at = None
             await self._wait_for_data()
@@ -325,11 +324,12 @@
             self._h11.start_next_cycle()
         elif not await self._answer_pipelined(pipeline):
             return False
-        self._unread = len(self._h11.trailing_data[0])
-        # A caller that sends requests but reads no answers must not fill the write buffer.
-        await self.wait_until_drained()
+        if not self._drained.is_set():
+            # A caller that sends requests but reads no answers must not fill the write buffer.
+            self._unread = len(self._h11.trailing_data[0])
+            await self.wait_until_drained()
         has_next = pipeline is not None and pipeline.has_read
-        return not self.is_closing or has_next or self._unread > 0
+        return not self.is_closing or has_next or bool(self._h11.trailing_data[0])
 
     async def _answer_pipelined(self, pipeline: Pipeline) -> bool:
         """Answer pipelined requests and take over their parser; False: the connection closes."""
--- a/halldoor/gateway/headers.py
+++ b/halldoor/gateway/headers.py
@@ -74,3 +74,8 @@
 def replace(headers: Headers, name: bytes, value: bytes) -> Headers:
     """Return the fields with all fields of one name replaced by a single value."""
     return [*((n, v) for n, v in headers if n.lower() != name), (name, value)]
+
+
+def is_too_long(headers: Headers, limit: int) -> bool:
+    """Check whether header fields, as they are sent, exceed a limit in bytes."""
+    return sum(len(n) + len(v) + 4 for n, v in headers) > limit
--- a/halldoor/gateway/pipeline.py
+++ b/halldoor/gateway/pipeline.py
@@ -17,7 +17,7 @@
 import h11
 
 from halldoor.gateway.callerrequest import CallerRequest, Handler, Head
-from halldoor.gateway.headers import find
+from halldoor.gateway.headers import find, is_too_long
 
 if TYPE_CHECKING:
     from halldoor.gateway.caller import CallerConnection
@@ -292,7 +292,7 @@
     def _take(self, event: h11.Request) -> None:
         """Start to handle a request, or keep it until all before it are answered."""
         headers = list(event.headers.raw_items())
-        if self.connection.is_head_too_long(headers):
+        if is_too_long(headers, self.connection.head_limit):
             self._stop_at_fault(h11.RemoteProtocolError("head too long", error_status_hint=431))
             return
         now = asyncio.get_running_loop().time()
