--- a/halldoor/gateway/headers.py
+++ b/halldoor/gateway/headers.py
@@ -59,6 +59,11 @@
     return b""
 
 
+def is_too_long(headers: Headers, limit: int) -> bool:
+    """Check whether header fields, as they are sent, exceed a limit in bytes."""
+    return sum(len(n) + len(v) + 4 for n, v in headers) > limit
+
+
 def drop_hop_by_hop(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return the fields without hop-by-hop ones and without those that ``Connection`` lists."""
     fields = list(headers)
