--- a/halldoor/tests/test_entry_weights.py
+++ b/halldoor/tests/test_entry_weights.py
@@ -315,6 +315,17 @@
 
         asyncio.run(check())
 
+    def test_weights_stay_while_the_store_is_away(self):
+        async def check():
+            async with open_pair("download") as (one, _):
+                before = one.gateway.weighing.list_weights()
+                one.store.take_down()
+                await asyncio.sleep(1.5)
+                assert one.gateway.weighing.list_weights() == before
+                one.store.is_down = False
+
+        asyncio.run(check())
+
     def test_without_downloads_nothing_is_weighted_or_sent(self):
         async def check():
             async with open_pair("repeatable") as (one, two):
