--- a/halldoor/tests/test_forwarding.py
+++ b/halldoor/tests/test_forwarding.py
@@ -9,11 +9,14 @@
 import asyncio
 import random
 import time
+from types import SimpleNamespace
 from unittest import mock
 
 import pytest
 
 from halldoor.core.explaining.history import explain_request, parse_lines
+from halldoor.core.targets.peers import ForwardingSettings
+from halldoor.gateway.forwarded import BUSY_PERIOD_S, ForwardedRequests
 from halldoor.gateway.headers import FORWARDED_BY, find
 from halldoor.standins.targetlink import Cut
 from halldoor.tests.gatewaykit import NAMES
@@ -337,3 +340,38 @@
             assert 502 in statuses.values()
 
     asyncio.run(check())
+
+
+def test_entry_whose_process_stalls_takes_no_forwarded_requests():
+    """It would delay them, and its own callers' requests, further."""
+
+    class Stalls:
+        def __init__(self, share):
+            self.share = share
+
+        def measure(self, now):
+            return self.share * now
+
+    def make_taker(share):
+        unused = SimpleNamespace()
+        return ForwardedRequests(
+            unused,
+            unused,
+            SimpleNamespace(loss=None),
+            SimpleNamespace(sharers=SimpleNamespace(has_ip=lambda ip: True)),
+            names=NAMES,
+            settings=ForwardingSettings(),
+            stalls=Stalls(share),
+            is_ready=lambda: True,
+            metrics=unused,
+        )
+
+    async def check():
+        stalled, sound = make_taker(0.4), make_taker(0.2)
+        for taker in (stalled, sound):
+            assert taker._find_refusal("127.0.0.1") == ""
+        await asyncio.sleep(BUSY_PERIOD_S + 0.05)
+        assert stalled._find_refusal("127.0.0.1") == "full"
+        assert sound._find_refusal("127.0.0.1") == ""
+
+    asyncio.run(check())
