Log and count what is charged to the retry budget

Nothing told whether too many retries came from restarts, from entries that divide the slack by too few, or from attempts that were not charged. `retries: Budget used up.` names the counts in the window, the entries in use and how long the process has counted; `halldoor_retries` counts charged and refused attempts. Decisions are unchanged (test_forwarding, test_gateway_life and properties/test_budget.py pass).

--- a/halldoor/core/targets/budget.py
+++ b/halldoor/core/targets/budget.py
@@ -66,11 +66,16 @@
         Further retries per window that all entries together may send.
     window_s : float
         Length of the sliding window, in seconds.
+    began_at : float, optional
+        Time of the first request that is counted, in seconds.
     """
 
-    def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
+    def __init__(
+        self, *, ratio: float, slack: float, window_s: float, began_at: float = 0.0
+    ) -> None:
         self.ratio = ratio
         self.slack = slack
+        self._began_at = began_at
         self._requests = SlidingCount(window_s)
         self._retries = SlidingCount(window_s)
 
@@ -92,6 +97,14 @@
         self._retries.add(now)
         return True
 
+    def describe(self, now: float) -> dict[str, float]:
+        """Return the counts in the window and for how long this entry counts, for the log."""
+        return {
+            "requests": self._requests.count(now),
+            "retries": self._retries.count(now),
+            "counted_for_s": round(now - self._began_at, 2),
+        }
+
 
 class RateShare:
     """One entry's share of the requests that targets may get from all entries.
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -103,6 +103,11 @@
             "Requests sent to a second target beside a slow first one, and those that it answered.",
             registry=registry,
         )
+        self._retries = Counter(
+            "halldoor_retries",
+            "Attempts charged to the retry budget, and those that it refused, by service.",
+            registry=registry,
+        )
         self._bad_loads = Counter(
             "halldoor_bad_loads",
             "Answers of targets with a load that could not be read.",
@@ -223,6 +228,10 @@
         """Count a hedge: ``sent``, or ``won`` if its answer was the first."""
         self._hedges.inc({"outcome": outcome})
 
+    def add_retry(self, service: str, outcome: str) -> None:
+        """Count a charge to the retry budget (``retry`` or ``hedge``), or one that it refused."""
+        self._retries.inc({"service": service, "outcome": outcome})
+
     def add_bad_load(self) -> None:
         """Count an answer with an unreadable load."""
         self._bad_loads.inc({})
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -208,7 +208,7 @@
     def _build_access(self, splitter: Splitter, names: HeaderNames) -> None:
         """Create the components that admit requests (routes, teams, quotas) and allow retries."""
         settings = self.settings
-        self.retries = RetryGate(self.catalog, settings.retries)
+        self.retries = RetryGate(self.catalog, settings.retries, log=self.log, metrics=self.metrics)
         gate = QuotaGate(settings.name, secrets.randbits(32), Random().random)
         self.access = CallerAccess(
             self.catalog,
--- a/halldoor/gateway/retries.py
+++ b/halldoor/gateway/retries.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import math
+
 from halldoor.core.retry import RetryFacts, RetryObstacle, find_retry_obstacle
 from halldoor.core.targets.budget import RetrySettings, RetryShare
 from halldoor.core.targets.catalog import Catalog
 from halldoor.gateway.attempt import RequestState
+from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.feedback import GATEWAY_TIMEOUT
+from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.outcomes import SERVER_ERROR, WholeAnswer
 
 MAX_CONNECT_FAILURES_S = 0.8
@@ -15,6 +19,8 @@
 Crashed targets refuse within a millisecond, and the next one may run; if three connections hang,
 the network to the others is mostly broken too, and the caller needs time to try another entry.
 """
+LOG_INTERVAL_S = 1.0
+"""Least time between two log lines about a used-up budget of a service, in seconds."""
 MAX_CONNECT_FAILURES = 16
 """Failed connections after which a request is refused, so that its log line stays bounded."""
 
@@ -30,10 +36,20 @@
         Retry budget of all entries together.
     """
 
-    def __init__(self, catalog: Catalog, settings: RetrySettings) -> None:
+    def __init__(
+        self,
+        catalog: Catalog,
+        settings: RetrySettings,
+        *,
+        log: EventLog,
+        metrics: GatewayMetrics,
+    ) -> None:
         self._catalog = catalog
         self._settings = settings
+        self._log = log
+        self._metrics = metrics
         self._shares: dict[str, RetryShare] = {}
+        self._logged_at: dict[str, float] = {}
 
     def apply_settings(self, settings: RetrySettings) -> None:
         """Apply changed budget settings and keep the counts."""
@@ -43,7 +59,7 @@
 
     def add_request(self, service: str, now: float) -> None:
         """Count a caller's request; the retry budget is a fraction of this count."""
-        self._get_share(service).add_request(now)
+        self._get_share(service, now).add_request(now)
 
     def find_obstacle(
         self, state: RequestState, now: float, *, can_resend: bool, expires_at: float
@@ -74,21 +90,36 @@
         # An attempt that reached no target causes no load, so its retry is free.
         if not state.attempts[-1].result.was_sent:
             return None
-        entries = self._catalog.count_sharers(now)
-        if self._get_share(state.service).reserve_retry(now, entries=entries):
-            return None
-        return RetryObstacle.BUDGET
+        is_reserved = self._reserve(state.service, now, outcome="retry")
+        return None if is_reserved else RetryObstacle.BUDGET
 
     def reserve_hedge(self, state: RequestState, now: float) -> bool:
         """Charge the budget for a second attempt beside the first; False if it is used up."""
+        return self._reserve(state.service, now, outcome="hedge")
+
+    def _reserve(self, service: str, now: float, *, outcome: str) -> bool:
+        """Charge the budget for one attempt and count the outcome; False if it is used up."""
         entries = self._catalog.count_sharers(now)
-        return self._get_share(state.service).reserve_retry(now, entries=entries)
+        share = self._get_share(service, now)
+        is_reserved = share.reserve_retry(now, entries=entries)
+        self._metrics.add_retry(service, outcome if is_reserved else "refused")
+        if not is_reserved and now - self._logged_at.get(service, -math.inf) >= LOG_INTERVAL_S:
+            self._logged_at[service] = now
+            self._log.event(
+                "retries",
+                "Budget used up.",
+                service=service,
+                entries=entries,
+                **share.describe(now),
+            )
+        return is_reserved
 
-    def _get_share(self, service: str) -> RetryShare:
+    def _get_share(self, service: str, now: float) -> RetryShare:
         """Return this entry's share of a service's retry budget, creating it if needed."""
         share = self._shares.get(service)
         if share is None:
-            share = self._shares[service] = RetryShare(**self._settings._asdict())
+            share = RetryShare(**self._settings._asdict(), began_at=now)
+            self._shares[service] = share
         return share
 
 
