Add failing tests of the retry budget while entries restart

Callers' requests are sent again too often after entries restart. The property finds the smallest case: an entry that restarts uses its part of the slack again.

--- /dev/null
+++ b/halldoor/tests/budgetkit.py
@@ -0,0 +1,206 @@
+"""Test fleet of gateways that restart, with targets that record when each request arrives."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import random
+from bisect import bisect_right
+from typing import NamedTuple
+
+import msgspec
+
+from halldoor.core.settings import Address
+from halldoor.core.targets.budget import RetrySettings
+from halldoor.core.targets.catalog import CatalogTimings
+from halldoor.gateway.headers import find
+from halldoor.gateway.plain import TargetModel
+from halldoor.standins.memorystore import MemoryStore
+from halldoor.standins.sample import IP, find_ports
+from halldoor.standins.scripted import ScriptedTarget
+from halldoor.tests.gatewaykit import HEALTH_PATH, NAMES, GatewayKit
+
+
+class Excess(NamedTuple):
+    """The window in which the arrivals beyond the first exceed the budget most."""
+
+    by: float
+    retries: int
+    requests: int
+    ends_at: float
+
+
+def find_excess(requests, retries, settings):
+    """Return the window with the largest excess over the retry budget.
+
+    Requests are counted in the window, in the one before it or in the one half a window before it,
+    whichever has the most.
+
+    Parameters
+    ----------
+    requests, retries : list of float
+        Times at which callers sent requests, and of arrivals beyond the first of a request.
+    """
+    requests, retries = sorted(requests), sorted(retries)
+    length = settings.window_s
+
+    def count(times, end):
+        return bisect_right(times, end) - bisect_right(times, end - length)
+
+    worst = Excess(-settings.slack, 0, 0, 0.0)
+    for end in retries:
+        sent = max(count(requests, end - shift * length) for shift in (0.0, 0.5, 1.0))
+        repeated = count(retries, end)
+        excess = repeated - settings.ratio * sent - settings.slack
+        worst = max(worst, Excess(excess, repeated, sent, end))
+    return worst
+
+
+class RecordingTarget(ScriptedTarget):
+    """Target that records the time and the id of each arrival.
+
+    Attributes
+    ----------
+    sheds : bool
+        Whether it rejects all requests.
+    work_s : float
+        Time that it needs for a request, in seconds.
+    """
+
+    def __init__(self, name):
+        super().__init__(name, NAMES)
+        self.script = self.work
+        self.sheds = False
+        self.work_s = 0.0
+        self.arrivals = []
+
+    async def work(self, request, writer):
+        if request.target == HEALTH_PATH:
+            writer.write(self.build(request, is_signed=False))
+            return
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append((now, find(request.headers, NAMES.attempt_id)))
+        if self.sheds:
+            await self.shed(request, writer)
+            return
+        await asyncio.sleep(self.work_s)
+        await self.answer(request, writer)
+
+
+class BudgetFleet:
+    """Fleet of gateways with one store and the same targets.
+
+    Attributes
+    ----------
+    sent : list of float
+        Times at which callers sent requests.
+    """
+
+    def __init__(self, *, entries, budget, route=None, targets=6, seed=1):
+        self.budget = RetrySettings(**budget)
+        self.route = route or {}
+        self.random = random.Random(seed)
+        self.store = MemoryStore()
+        self.targets = [RecordingTarget(f"t{i}") for i in range(targets)]
+        self.kits = {}
+        self.sent = []
+        self._ports = find_ports(entries)
+        self._ids = itertools.count(1)
+        self._tasks = set()
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def open(cls, **options):
+        fleet = cls(**options)
+        try:
+            await fleet._start()
+            yield fleet
+        finally:
+            for task in fleet._tasks:
+                task.cancel()
+            for i in list(fleet.kits):
+                await fleet.stop(i)
+            for target in fleet.targets:
+                await target.stop()
+
+    async def _start(self):
+        kit = GatewayKit({}, self.store)
+        kit.configure(**self.route)
+        for target in self.targets:
+            await target.start()
+            model = TargetModel(service="deck", address=target.address, hall="ams-a", slots=50)
+            self.store.put(f"targets/{target.incarnation}", msgspec.json.encode(model))
+        for i in range(len(self._ports)):
+            await self.start(i)
+        for kit, _ in self.kits.values():
+            catalog = kit.gateway.catalog
+            await kit.wait(lambda catalog=catalog: len(catalog.members) == len(self._ports))
+
+    async def start(self, i):
+        """Start an entry under its own name and address."""
+        stack = contextlib.AsyncExitStack()
+        kit = GatewayKit.open(
+            name=f"e{i}",
+            relay=Address(IP, self._ports[i]),
+            store=self.store,
+            targets=0,
+            is_configured=False,
+            timings=CatalogTimings(young_s=0.0),
+            retries=self.budget,
+            grace_s=0.1,
+        )
+        self.kits[i] = (await stack.enter_async_context(kit), stack)
+
+    async def stop(self, i):
+        """Stop an entry."""
+        _, stack = self.kits.pop(i)
+        await stack.aclose()
+
+    async def restart(self, *entries):
+        """Restart some entries at the same moment."""
+
+        async def restart(i):
+            await self.stop(i)
+            await self.start(i)
+
+        await asyncio.gather(*(restart(i) for i in entries))
+
+    def set_shedding(self, sheds):
+        """Make all targets reject all requests, or none."""
+        for target in self.targets:
+            target.sheds = sheds
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    async def send_requests(self, *, per_s, for_s):
+        """Send requests to random running entries, at a rate and for a time."""
+        ends = self.now() + for_s
+        while self.now() < ends:
+            task = asyncio.ensure_future(self._call())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(self.random.expovariate(per_s))
+
+    async def _call(self):
+        self.sent.append(self.now())
+        if not self.kits:
+            return
+        kit, _ = self.random.choice(list(self.kits.values()))
+        with contextlib.suppress(OSError, TimeoutError):
+            await kit.call(key=str(next(self._ids)), attempt_id=f"r{next(self._ids)}")
+
+    def list_retries(self):
+        """List the times of arrivals beyond the first of their request, over all targets."""
+        seen, retries = set(), []
+        for at, attempt_id in sorted(a for t in self.targets for a in t.arrivals):
+            if attempt_id in seen:
+                retries.append(at)
+            seen.add(attempt_id)
+        return retries
+
+    def assert_within_budget(self):
+        """Assert that no window has more arrivals beyond the first than the budget allows."""
+        worst = find_excess(self.sent, self.list_retries(), self.budget)
+        assert worst.by <= 0, worst
--- a/properties/test_budget.py
+++ b/properties/test_budget.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from halldoor.core.placement import rank
-from halldoor.core.targets.budget import RateShare, RetryShare
+from halldoor.core.targets.budget import RateShare, RetrySettings, RetryShare
+from halldoor.core.targets.sharers import SharerTable
+from halldoor.tests.budgetkit import find_excess
 
 WINDOW_S = 10.0
 EVENTS = st.lists(
@@ -54,3 +56,77 @@
         if taken:
             sent.append(now)
         assert len([t for t in sent if t > now - 1.0]) <= limit
+
+
+class ShareFleet:
+    """Entries that restart, join and leave, each with its own share of the retry budget.
+
+    Attributes
+    ----------
+    requests, retries : list of float
+        Times of all requests, and of all retries that were allowed.
+    """
+
+    def __init__(self, entries, budget):
+        self.budget = budget
+        self.now = 0.0
+        self.requests = []
+        self.retries = []
+        self.sharers = SharerTable()
+        self.shares = {}
+        for _ in range(entries):
+            self.join("")
+
+    def apply(self, action, entry, times):
+        """Apply an action of an entry a number of times, at the current time."""
+        name = list(self.shares)[entry % len(self.shares)]
+        for _ in range(times):
+            getattr(self, action)(name)
+
+    def request(self, name):
+        self.shares[name].add_request(self.now)
+        self.requests.append(self.now)
+
+    def retry(self, name):
+        entries = self.sharers.count(self.now, young_s=0.0)
+        if self.shares[name].reserve_retry(self.now, entries=entries):
+            self.retries.append(self.now)
+
+    def restart(self, name):
+        self.shares[name] = RetryShare(**self.budget._asdict())
+
+    def restart_all(self, _):
+        for name in self.shares:
+            self.restart(name)
+
+    def join(self, _):
+        name = f"e{self.sharers.version}"
+        self.sharers.add(name)
+        self.restart(name)
+
+    def leave(self, name):
+        if len(self.shares) > 1 and name in self.shares:
+            del self.shares[name]
+            self.sharers.remove(name, self.now)
+
+
+ACTIONS = st.one_of(
+    st.tuples(st.just("request"), st.integers(1, 400)),
+    st.tuples(st.just("retry"), st.integers(1, 200)),
+    st.tuples(st.sampled_from(["restart", "restart_all", "join", "leave"]), st.just(1)),
+)
+
+
+@settings(max_examples=300)
+@given(
+    events=st.lists(
+        st.tuples(st.floats(0.0, 3.0), st.integers(0, 6), ACTIONS), min_size=1, max_size=40
+    ),
+    entries=st.integers(1, 4),
+)
+def test_retries_stay_within_the_budget_while_entries_restart(events, entries):
+    fleet = ShareFleet(entries, RetrySettings(ratio=0.2, slack=20.0, window_s=WINDOW_S))
+    for pause_s, entry, (action, times) in events:
+        fleet.now += pause_s
+        fleet.apply(action, entry, times)
+    assert find_excess(fleet.requests, fleet.retries, fleet.budget).by <= 0
