Keep the retry budget over all entries while they restart

Cause: each process limited its retries by a sliding window of its own, so that it could send the whole allowance of 10 s at any moment; its successor started with no counts and an allowance that its requests earned anew. Both lay in one window. Class: a bound over all entries that counts on an entry's memory, while the entry may lose it.

Change: the share is a token bucket that starts empty and saves little more than a part of the slack. A process sends at most what was saved before the window and what is added within it, so a restart can only lose tokens.

--- a/halldoor/core/targets/budget.py
+++ b/halldoor/core/targets/budget.py
@@ -6,8 +6,17 @@
 from collections import deque
 from typing import NamedTuple
 
-BUDGET_MARGIN = 0.8
-"""Part of the budget to use; the remainder covers entries that restart and lose their counts."""
+EARNED_PART = 0.8
+"""Part of the ratio that requests earn; the other part allows for savings and late arrivals."""
+SAVED_PART = 0.1
+"""Part of the ratio, for the requests of the last window, that may be saved up."""
+SAVED_SLACK_PART = 0.4
+"""Part of the slack that may be saved up."""
+REFILL_PART = 0.4
+"""Part of the slack that is added over a window.
+
+What both parts leave of the slack covers up to a fifth of the entries that others don't know.
+"""
 
 
 class SlidingCount:
@@ -56,7 +65,10 @@
     """One entry's share of the retries that a service may get from all entries.
 
     In any window, all entries together send at most ``ratio`` times the requests plus ``slack``
-    retries: each entry may use ``ratio`` times its own requests plus an equal part of the slack.
+    retries.  The share is a token bucket: requests and time add tokens, and a retry takes one.  It
+    starts empty and its capacity is small, so that the processes of an entry send at most what was
+    saved before the window and what is added within it.  So the sum holds without messages, also
+    if entries restart and lose their counts at any moment.
 
     Parameters
     ----------
@@ -66,34 +78,45 @@
         Further retries per window that all entries together may send.
     window_s : float
         Length of the sliding window, in seconds.
-    began_at : float, optional
-        Time of the first request that is counted, in seconds.
+    began_at : float
+        Start of this process, in seconds.
     """
 
-    def __init__(
-        self, *, ratio: float, slack: float, window_s: float, began_at: float = 0.0
-    ) -> None:
+    def __init__(self, *, ratio: float, slack: float, window_s: float, began_at: float) -> None:
         self.ratio = ratio
         self.slack = slack
+        self._window_s = window_s
         self._began_at = began_at
+        self._refilled_at = began_at
         self._requests = SlidingCount(window_s)
         self._retries = SlidingCount(window_s)
+        self._tokens = 0.0
 
     def add_request(self, now: float) -> None:
-        """Count a caller's request."""
+        """Count a caller's request, which earns a part of a token."""
         self._requests.add(now)
+        self._tokens += EARNED_PART * self.ratio
+
+    def cancel_request(self) -> None:
+        """Take back what a request earned, because another entry counts it."""
+        self._tokens -= EARNED_PART * self.ratio
 
     def reserve_retry(self, now: float, *, entries: int) -> bool:
-        """Count one retry against this entry's share; False if the share is used up.
+        """Take a token for one retry; False if there is none.
 
         Parameters
         ----------
         entries : int
             Live entries that share the slack.
         """
-        allowed = self.ratio * self._requests.count(now) + self.slack / max(1, entries)
-        if self._retries.count(now) + 1 > BUDGET_MARGIN * allowed:
+        slack_part = self.slack / max(1, entries)
+        refill_per_s = REFILL_PART * slack_part / self._window_s
+        added = max(0.0, now - self._refilled_at) * refill_per_s
+        self._refilled_at = now
+        self._tokens = min(self._tokens + added, self._find_capacity(now, slack_part))
+        if self._tokens < 1.0:
             return False
+        self._tokens -= 1.0
         self._retries.add(now)
         return True
 
@@ -105,6 +128,14 @@
             "counted_for_s": round(now - self._began_at, 2),
         }
 
+    def _find_capacity(self, now: float, slack_part: float) -> float:
+        """Return the number of tokens that may be saved up; below 1, no retry is possible."""
+        requests_part = self.ratio * self._requests.count(now)
+        saved_slack = SAVED_SLACK_PART * slack_part
+        # A whole token may be saved if all that is neither earned nor refilled covers it.
+        remainder = saved_slack + (1.0 - EARNED_PART) * requests_part
+        return max(saved_slack + SAVED_PART * requests_part, min(1.0, remainder))
+
 
 class RateShare:
     """One entry's share of the requests that targets may get from all entries.
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -301,6 +301,7 @@
         """Open the ports and start every task."""
         settings = self.settings
         self.chooser.start(asyncio.get_running_loop().time())
+        self.retries.start(asyncio.get_running_loop().time())
         self._front = await listen(
             settings.front.ip,
             settings.front.port,
--- a/halldoor/gateway/retries.py
+++ b/halldoor/gateway/retries.py
@@ -48,9 +48,14 @@
         self._settings = settings
         self._log = log
         self._metrics = metrics
+        self._began_at = 0.0
         self._shares: dict[str, RetryShare] = {}
         self._logged_at: dict[str, float] = {}
 
+    def start(self, now: float) -> None:
+        """Start saving up retries."""
+        self._began_at = now
+
     def apply_settings(self, settings: RetrySettings) -> None:
         """Apply changed budget settings and keep the counts."""
         self._settings = settings
@@ -59,7 +64,7 @@
 
     def add_request(self, service: str, now: float) -> None:
         """Count a caller's request; the retry budget is a fraction of this count."""
-        self._get_share(service, now).add_request(now)
+        self._get_share(service).add_request(now)
 
     def find_obstacle(
         self, state: RequestState, now: float, *, can_resend: bool, expires_at: float
@@ -100,7 +105,7 @@
     def _reserve(self, service: str, now: float, *, outcome: str) -> bool:
         """Charge the budget for one attempt and count the outcome; False if it is used up."""
         entries = self._catalog.count_sharers(now)
-        share = self._get_share(service, now)
+        share = self._get_share(service)
         is_reserved = share.reserve_retry(now, entries=entries)
         self._metrics.add_retry(service, outcome if is_reserved else "refused")
         if not is_reserved and now - self._logged_at.get(service, -math.inf) >= LOG_INTERVAL_S:
@@ -114,11 +119,11 @@
             )
         return is_reserved
 
-    def _get_share(self, service: str, now: float) -> RetryShare:
+    def _get_share(self, service: str) -> RetryShare:
         """Return this entry's share of a service's retry budget, creating it if needed."""
         share = self._shares.get(service)
         if share is None:
-            share = RetryShare(**self._settings._asdict(), began_at=now)
+            share = RetryShare(**self._settings._asdict(), began_at=self._began_at)
             self._shares[service] = share
         return share
 
--- a/halldoor/tests/budgetkit.py
+++ b/halldoor/tests/budgetkit.py
@@ -147,6 +147,7 @@
             targets=0,
             is_configured=False,
             timings=CatalogTimings(young_s=0.0),
+            ran_for_s=0.0,
             retries=self.budget,
             grace_s=0.1,
         )
