--- a/halldoor/core/targets/budget.py
+++ b/halldoor/core/targets/budget.py
@@ -37,6 +37,11 @@
         self._times.append(now)
         self._trim(now)
 
+    def cancel(self) -> None:
+        """Remove the latest event."""
+        if self._times:
+            self._times.pop()
+
     def count(self, now: float) -> int:
         """Return the number of events in the last ``window_s`` seconds."""
         self._trim(now)
@@ -98,7 +103,8 @@
         self._tokens += EARNED_PART * self.ratio
 
     def cancel_request(self) -> None:
-        """Take back what a request earned, because another entry counts it."""
+        """Take back a request and what it earned, because another entry counts it."""
+        self._requests.cancel()
         self._tokens -= EARNED_PART * self.ratio
 
     def reserve_retry(self, now: float, *, entries: int) -> bool:
--- a/halldoor/gateway/retries.py
+++ b/halldoor/gateway/retries.py
@@ -66,6 +66,10 @@
         """Count a caller's request; the retry budget is a fraction of this count."""
         self._get_share(service).add_request(now)
 
+    def cancel_request(self, service: str) -> None:
+        """Take back a counted request that another entry counts."""
+        self._get_share(service).cancel_request()
+
     def find_obstacle(
         self, state: RequestState, now: float, *, can_resend: bool, expires_at: float
     ) -> RetryObstacle | None:
--- a/halldoor/gateway/sender.py
+++ b/halldoor/gateway/sender.py
@@ -118,6 +118,8 @@
             if self._forwarder.is_needed(state, choice):
                 result = await self._forwarder.forward(caller, state, outgoing)
                 if result is not None:
+                    if state.attempts:
+                        self._retries.cancel_request(state.service)
                     return result
             if not state.attempts:
                 # The entry that a request is forwarded to counts it for the retry budget.
--- a/halldoor/tests/test_forwarding.py
+++ b/halldoor/tests/test_forwarding.py
@@ -241,6 +241,22 @@
     asyncio.run(check())
 
 
+def test_requests_tried_before_they_are_forwarded_earn_retries_twice():
+    """Requests that reached no target are forwarded once the loss of all targets is noticed."""
+
+    async def check():
+        async with ReachFleet.open(entries=2) as fleet:
+            await fleet.set_cut(Cut.HANG, (0,))
+            await fleet.send_requests(per_s=60.0, for_s=1.5, entries=(0,))
+            await fleet.finish()
+            assert count_forwarded(fleet)["200"] > 0
+            shares = [s for kit in fleet.kits for s in kit.gateway.retries._shares.values()]
+            counted = sum(share.describe(fleet.now())["requests"] for share in shares)
+            assert 0 < counted <= len(fleet.calls)
+
+    asyncio.run(check())
+
+
 def test_explain_leads_from_a_forwarded_request_to_the_other_entry(capfd):
     async def check():
         async with ReachFleet.open(entries=2) as fleet:
