Keep team quotas while all entries restart

Callers of teams with a quota may get 429 in the first 0.6 s of an entry, until a collector has answered it.

--- a/halldoor/core/teams/gate.py
+++ b/halldoor/core/teams/gate.py
@@ -29,10 +29,16 @@
 
 
 class EntryBucket:
-    """A token bucket that limits what one entry admits of one team."""
+    """A token bucket that limits what one entry admits of one team.
 
-    def __init__(self, now: float) -> None:
-        self._spent = 0.0
+    Parameters
+    ----------
+    spent : float, optional
+        Requests by which the bucket is below its burst at first.
+    """
+
+    def __init__(self, now: float, *, spent: float = 0.0) -> None:
+        self._spent = spent
         self._updated_at = now
 
     def take_token(self, limit: TeamLimit, now: float) -> float:
@@ -99,6 +105,7 @@
         self._entry = entry
         self._draw = draw
         self._life = life
+        self._began_at: float | None = None
         self._limits: Mapping[str, TeamLimit] = {}
         self._shares: dict[str, float] = {}
         self._answered_at: float | None = None
@@ -108,6 +115,14 @@
         self._equal_buckets: dict[str, EntryBucket] = {}
         self._limit_buckets: dict[str, EntryBucket] = {}
 
+    def start(self, now: float) -> None:
+        """Record the start of this process, from which equal parts are filled.
+
+        The earlier process of this entry may have used the burst just before it ended.  Without a
+        call, equal parts are full at first.
+        """
+        self._began_at = now
+
     def set_limits(self, limits: Mapping[str, TeamLimit]) -> None:
         """Set the limits of the teams, by name."""
         self._limits = limits
@@ -139,9 +154,8 @@
             admission = self._admit_shared(team, limit, now, age_s)
             if admission.is_admitted:
                 # Charge the entry's own bucket too, so that it is not full when answers stop.
-                _get_or_add_bucket(self._equal_buckets, team, now).charge(
-                    _compute_equal_limit(limit, entries), now
-                )
+                equal = _compute_equal_limit(limit, entries)
+                self._get_equal_bucket(team, equal, now).charge(equal, now)
         else:
             admission = self._admit_equal(team, limit, now, entries)
         if admission.is_admitted:
@@ -161,9 +175,20 @@
     def _admit_equal(self, team: str, limit: TeamLimit, now: float, entries: int) -> Admission:
         """Admit by this entry's equal part of the limit, when no answer is fresh."""
         equal = _compute_equal_limit(limit, entries)
-        wait_s = _get_or_add_bucket(self._equal_buckets, team, now).take_token(equal, now)
+        wait_s = self._get_equal_bucket(team, equal, now).take_token(equal, now)
         return Admission(min(MAX_RETRY_AFTER_S, wait_s), 1.0 / entries, None)
 
+    def _get_equal_bucket(self, team: str, equal: TeamLimit, now: float) -> EntryBucket:
+        """Return the bucket of a team's equal part, adding one that was empty at the start."""
+        bucket = self._equal_buckets.get(team)
+        if bucket is None:
+            if self._began_at is None:
+                bucket = EntryBucket(now)
+            else:
+                bucket = EntryBucket(self._began_at, spent=equal.burst)
+            self._equal_buckets[team] = bucket
+        return bucket
+
     def uncount(self, team: str) -> None:
         """Uncount a request that was admitted and then reached no target."""
         if team not in self._limits:
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -297,11 +297,16 @@
             weigh=self.weighing.weigh,
         )
 
+    def _start_shares(self, now: float) -> None:
+        """Record the start of this process, from which its shares of fleet-wide bounds count."""
+        self.chooser.start(now)
+        self.retries.start(now)
+        self.access.gate.start(now)
+
     async def start(self) -> None:
         """Open the ports and start every task."""
         settings = self.settings
-        self.chooser.start(asyncio.get_running_loop().time())
-        self.retries.start(asyncio.get_running_loop().time())
+        self._start_shares(asyncio.get_running_loop().time())
         self._front = await listen(
             settings.front.ip,
             settings.front.port,
--- a/halldoor/standins/quotafleet.py
+++ b/halldoor/standins/quotafleet.py
@@ -43,6 +43,8 @@
     restart_s : float
         Time at which the first collector, or the team's home entry, restarts with no state, in
         seconds.
+    restart_all_s : tuple of float
+        Times at which all entries and collectors restart with no state, in seconds.
     """
 
     loss: float = 0.0
@@ -53,6 +55,7 @@
     cut_from_s: float = 4.0
     cut_to_s: float = 9.0
     restart_s: float = 99.0
+    restart_all_s: tuple[float, ...] = ()
 
 
 class Run:
@@ -125,6 +128,8 @@
         """
         strategy.start(self)
         self.schedule(self._faults.restart_s, strategy.restart)
+        for when in self._faults.restart_all_s:
+            self.schedule(when, strategy.restart_all)
         now = QUIET_S
         all_entries = range(self.entries)
         while now < until_s:
@@ -183,6 +188,10 @@
         """Restart the first collector or the home entry, if there is one, with no state."""
         return
 
+    def restart_all(self, now: float) -> None:
+        """Restart all entries and collectors with no state, unless the strategy has none."""
+        self.restart(now)
+
     @abstractmethod
     def admit(self, now: float, entry: int) -> bool:
         """Return whether an entry admits a request."""
@@ -299,15 +308,25 @@
     def start(self, run: Run) -> None:
         """Create the gates and ledgers, and schedule each entry's first report."""
         super().start(run)
-        limits = {TEAM: run.limit}
-        self._gates = [QuotaGate(f"e{i}", i + 1, run.random.random) for i in range(run.entries)]
-        for gate in self._gates:
-            gate.set_limits(limits)
-        self._first_answer_at = [0.0] * run.entries
-        self._ledgers = [self._make_ledger(0.0) for _ in range(COLLECTORS)]
+        self._lives = itertools.count(1)
+        self.restart_all(0.0)
         for entry in range(run.entries):
             run.schedule(run.random.random() * find_period(run.entries), self._report, entry)
 
+    def restart_all(self, now: float) -> None:
+        """Restart all entries with new gates, and all collectors with empty ledgers."""
+        entries = self.run.entries
+        self._gates = [self._make_gate(f"e{i}", now) for i in range(entries)]
+        self._first_answer_at = [now] * entries
+        self._ledgers = [self._make_ledger(now) for _ in range(COLLECTORS)]
+
+    def _make_gate(self, name: str, now: float) -> QuotaGate:
+        """Create the gate of a newly started entry."""
+        gate = QuotaGate(name, next(self._lives), self.run.random.random)
+        gate.start(now)
+        gate.set_limits({TEAM: self.run.limit})
+        return gate
+
     def _make_ledger(self, now: float) -> QuotaLedger:
         """Create the ledger of a newly started collector."""
         ledger = QuotaLedger()
--- a/halldoor/tests/gatewaykit.py
+++ b/halldoor/tests/gatewaykit.py
@@ -24,8 +24,8 @@
 ATTEMPT_NUMBERS = itertools.count(1)
 """Source of attempt ids that are unique among all callers of the process."""
 HEALTH_PATH = b"/health"
-RETRIES_SAVED_S = 10.0
-"""Time after its start in which a gateway without requests saves up retries, in seconds."""
+SAVED_UP_AFTER_S = 10.0
+"""Time after its start in which a gateway without requests saves up retries and quotas, in s."""
 ROUTE = {
     "name": "r1",
     "host": "decks.example",
@@ -82,12 +82,12 @@
         is_configured=True,
         store=None,
         codec=None,
-        ran_for_s=RETRIES_SAVED_S,
+        ran_for_s=SAVED_UP_AFTER_S,
         **settings,
     ):
         """Start targets and a gateway, wait until it has read the store, and stop them at exit.
 
-        Its retry budget is that of a gateway that has run for `ran_for_s` seconds.
+        Its retry budget and quotas are those of a gateway that has run for `ran_for_s` seconds.
         """
         kit = cls(settings, store, codec)
         if is_configured:
@@ -95,7 +95,9 @@
         for i in range(targets):
             await kit.add_target(f"t{i}")
         await kit.gateway.start()
-        kit.gateway.retries.start(asyncio.get_running_loop().time() - ran_for_s)
+        began_at = asyncio.get_running_loop().time() - ran_for_s
+        kit.gateway.retries.start(began_at)
+        kit.gateway.access.gate.start(began_at)
         try:
             await kit.wait(lambda: kit.gateway.catalog.store_contact_at > 0)
             yield kit
--- a/properties/test_quotas.py
+++ b/properties/test_quotas.py
@@ -48,6 +48,22 @@
     assert run.find_worst_window() <= run.bound
 
 
+@settings(max_examples=25)
+@given(
+    entries=st.sampled_from([12, 24, 75]),
+    rate=RATES,
+    factor=st.sampled_from([1.0, 7.5]),
+    restarts=st.lists(st.sampled_from([4.0, 5.0, 5.5, 6.0, 7.0, 8.5]), min_size=1, unique=True),
+    seed=SEEDS,
+)
+def test_no_window_exceeds_the_bound_while_all_entries_restart(
+    entries, rate, factor, restarts, seed
+):
+    faults = Faults(restart_all_s=tuple(restarts))
+    run = simulate_team(entries, rate, factor, seed, faults=faults)
+    assert run.find_worst_window() <= run.bound
+
+
 def build_cut(entries, *, share, collectors, from_s):
     """Build faults that cut a share of the entries and some collectors off from the others."""
     return Faults(
