--- a/halldoor/tests/budgetkit.py
+++ b/halldoor/tests/budgetkit.py
@@ -6,8 +6,6 @@
 import contextlib
 import itertools
 import random
-from bisect import bisect_right
-from typing import NamedTuple
 
 import msgspec
 
@@ -17,46 +15,12 @@
 from halldoor.gateway.headers import find
 from halldoor.gateway.plain import TargetModel
 from halldoor.standins.memorystore import MemoryStore
+from halldoor.standins.repeats import find_excess, list_repeats
 from halldoor.standins.sample import IP, find_ports
 from halldoor.standins.scripted import ScriptedTarget
 from halldoor.tests.gatewaykit import HEALTH_PATH, NAMES, GatewayKit
 
 
-class Excess(NamedTuple):
-    """The window in which the arrivals beyond the first exceed the budget most."""
-
-    by: float
-    retries: int
-    requests: int
-    ends_at: float
-
-
-def find_excess(requests, retries, settings):
-    """Return the window with the largest excess over the retry budget.
-
-    Requests are counted in the window, in the one before it or in the one half a window before it,
-    whichever has the most.
-
-    Parameters
-    ----------
-    requests, retries : list of float
-        Times at which callers sent requests, and of arrivals beyond the first of a request.
-    """
-    requests, retries = sorted(requests), sorted(retries)
-    length = settings.window_s
-
-    def count(times, end):
-        return bisect_right(times, end) - bisect_right(times, end - length)
-
-    worst = Excess(-settings.slack, 0, 0, 0.0)
-    for end in retries:
-        sent = max(count(requests, end - shift * length) for shift in (0.0, 0.5, 1.0))
-        repeated = count(retries, end)
-        excess = repeated - settings.ratio * sent - settings.slack
-        worst = max(worst, Excess(excess, repeated, sent, end))
-    return worst
-
-
 class RecordingTarget(ScriptedTarget):
     """Target that records the time and the id of each arrival.
 
@@ -192,16 +156,11 @@
         with contextlib.suppress(OSError, TimeoutError):
             await kit.call(key=str(next(self._ids)), attempt_id=f"r{next(self._ids)}")
 
-    def list_retries(self):
+    def list_repeats(self):
         """List the times of arrivals beyond the first of their request, over all targets."""
-        seen, retries = set(), []
-        for at, attempt_id in sorted(a for t in self.targets for a in t.arrivals):
-            if attempt_id in seen:
-                retries.append(at)
-            seen.add(attempt_id)
-        return retries
+        return list_repeats(itertools.chain(*(target.arrivals for target in self.targets)))
 
     def assert_within_budget(self):
         """Assert that no window has more arrivals beyond the first than the budget allows."""
-        worst = find_excess(self.sent, self.list_retries(), self.budget)
+        worst = find_excess(self.sent, self.list_repeats(), self.budget)
         assert worst.by <= 0, worst
--- a/halldoor/tests/test_retry_budget.py
+++ b/halldoor/tests/test_retry_budget.py
@@ -47,6 +47,6 @@
             await fault(fleet)
             await sending
             fleet.assert_within_budget()
-            assert len(fleet.list_retries()) > 10
+            assert len(fleet.list_repeats()) > 10
 
     asyncio.run(check())
--- a/properties/test_budget.py
+++ b/properties/test_budget.py
@@ -10,7 +10,7 @@
 from halldoor.core.placement import rank
 from halldoor.core.targets.budget import RateShare, RetrySettings, RetryShare
 from halldoor.core.targets.sharers import SharerTable
-from halldoor.tests.budgetkit import find_excess
+from halldoor.standins.repeats import find_excess
 
 WINDOW_S = 10.0
 EVENTS = st.lists(
