Wait at a planned stop until slow readers have their answers

Cause: a connection that closes after its answer left the set of open connections as soon as the answer was handed to the transport, and the stop waits for that set only. It now stays in it until all bytes are sent and the socket is closed; the stop still ends at its deadline.

--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -242,7 +242,7 @@
                 await self._linger_after_pipeline()
         finally:
             self._cancel_pipeline(is_by_caller=self._is_closed)
-            self._connections.discard(self)
+            # `connection_lost` ends the connection, once all bytes are sent.
             self._transport.close()
 
     async def _serve_one(self) -> bool:
