Read on after the last answer of a connection that a stop closes

Cause: only connections with pipelined requests half-closed and read on before they closed, and while it stops an entry starts no pipeline. An idle connection whose caller still reads its last answer is not closed either.

--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -223,6 +223,8 @@
         self.is_closing = True
         if self.is_busy or self._h11.our_state is not h11.IDLE or self._unread:
             return
+        if self._transport.get_write_buffer_size():
+            return  # The caller is still reading its last answer.
         if self._has_pipelined:
             # The connection's task closes it: more requests may be on their way.
             self._wake_reader()
@@ -238,8 +240,8 @@
             except h11.RemoteProtocolError as exc:
                 self._answer_protocol_error(exc)
             self._cancel_pipeline(is_by_caller=self._is_closed)
-            if self._has_pipelined:
-                await self._linger_after_pipeline()
+            if self._has_pipelined or self.is_closing:
+                await self._linger_after_answers()
         finally:
             self._cancel_pipeline(is_by_caller=self._is_closed)
             # `connection_lost` ends the connection, once all bytes are sent.
@@ -343,20 +345,30 @@
         self._pipeline, self._ended_pipeline = None, pipeline
         return True
 
-    async def _linger_after_pipeline(self) -> None:
-        """Discard further requests until the caller has read the answers, at most `LINGER_S`.
+    async def _linger_after_answers(self) -> None:
+        """Discard further requests until the caller has read the answers.
 
-        Closing a socket with unread bytes resets the connection, which destroys answers.
+        Closing a socket with unread bytes resets the connection, which destroys answers.  What the
+        transport holds is sent first; the caller then has `LINGER_S` to read the rest.
         """
         self._pipeline = None
         if self._is_closed or self._transport.is_closing():
             return
         self._transport.write_eof()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LINGER_S):
-                while not self._is_closed:
-                    self._h11 = self._new_parser()
-                    await self._wait_for_data()
+        while not self._is_closed:
+            is_sent = not self._transport.get_write_buffer_size()
+            try:
+                async with asyncio.timeout(LINGER_S):
+                    await self._discard_input()
+            except TimeoutError:
+                if is_sent:
+                    return
+
+    async def _discard_input(self) -> None:
+        """Discard bytes from the caller until it disconnects."""
+        while not self._is_closed:
+            self._h11 = self._new_parser()
+            await self._wait_for_data()
 
     async def _linger(self) -> None:
         """Discard the rest of the body for `LINGER_S` after an answer sent before its end."""
