Test the retry budget with lost answers, hedges and entries that join

It now also has targets that lose every other answer, targets that stall so that requests are hedged, and entries that join while this lasts: 15 cases, counted at the targets.

--- a/halldoor/tests/budgetkit.py
+++ b/halldoor/tests/budgetkit.py
@@ -20,23 +20,24 @@
 from halldoor.standins.scripted import ScriptedTarget
 from halldoor.tests.gatewaykit import HEALTH_PATH, NAMES, GatewayKit
 
+WORK_S, STALL_S = 0.01, 0.4
+"""Usual time that targets need for a request, and that of one that stalls, in seconds."""
+
 
 class RecordingTarget(ScriptedTarget):
     """Target that records the time and the id of each arrival.
 
     Attributes
     ----------
-    sheds : bool
-        Whether it rejects all requests.
-    work_s : float
-        Time that it needs for a request, in seconds.
+    trouble : str
+        ``shed``: it rejects all requests; ``lose``: it resets the connection of every other one;
+        ``stall``: every other one takes `STALL_S`; empty: none.
     """
 
     def __init__(self, name):
         super().__init__(name, NAMES)
         self.script = self.work
-        self.sheds = False
-        self.work_s = 0.0
+        self.trouble = ""
         self.arrivals = []
 
     async def work(self, request, writer):
@@ -45,10 +46,14 @@
             return
         now = asyncio.get_running_loop().time()
         self.arrivals.append((now, find(request.headers, NAMES.attempt_id)))
-        if self.sheds:
+        if self.trouble == "shed":
             await self.shed(request, writer)
             return
-        await asyncio.sleep(self.work_s)
+        is_affected = len(self.arrivals) % 2
+        if self.trouble == "lose" and is_affected:
+            await self.reset(request, writer)
+            return
+        await asyncio.sleep(STALL_S if self.trouble == "stall" and is_affected else WORK_S)
         await self.answer(request, writer)
 
 
@@ -61,7 +66,7 @@
         Times at which callers sent requests.
     """
 
-    def __init__(self, *, entries, budget, route=None, targets=6, seed=1):
+    def __init__(self, *, entries, budget, spares=0, route=None, targets=6, seed=1):
         self.budget = RetrySettings(**budget)
         self.route = route or {}
         self.random = random.Random(seed)
@@ -69,7 +74,8 @@
         self.targets = [RecordingTarget(f"t{i}") for i in range(targets)]
         self.kits = {}
         self.sent = []
-        self._ports = find_ports(entries)
+        self._ports = find_ports(entries + spares)
+        self._entries = entries
         self._ids = itertools.count(1)
         self._tasks = set()
 
@@ -95,11 +101,20 @@
             await target.start()
             model = TargetModel(service="deck", address=target.address, hall="ams-a", slots=50)
             self.store.put(f"targets/{target.incarnation}", msgspec.json.encode(model))
-        for i in range(len(self._ports)):
-            await self.start(i)
+        for _ in range(self._entries):
+            await self.start_next()
         for kit, _ in self.kits.values():
             catalog = kit.gateway.catalog
-            await kit.wait(lambda catalog=catalog: len(catalog.members) == len(self._ports))
+            await kit.wait(lambda catalog=catalog: len(catalog.members) == self._entries)
+
+    @property
+    def can_start_more(self):
+        """Whether a spare entry is left."""
+        return len(self.kits) < len(self._ports)
+
+    async def start_next(self):
+        """Start an entry that did not run before."""
+        await self.start(len(self.kits))
 
     async def start(self, i):
         """Start an entry under its own name and address."""
@@ -131,10 +146,10 @@
 
         await asyncio.gather(*(restart(i) for i in entries))
 
-    def set_shedding(self, sheds):
-        """Make all targets reject all requests, or none."""
+    def set_trouble(self, trouble):
+        """Put all targets in trouble, or with an empty text in none."""
         for target in self.targets:
-            target.sheds = sheds
+            target.trouble = trouble
 
     def now(self):
         return asyncio.get_running_loop().time()
--- a/halldoor/tests/test_retry_budget.py
+++ b/halldoor/tests/test_retry_budget.py
@@ -10,6 +10,8 @@
 
 BUDGET = {"ratio": 0.2, "slack": 8.0, "window_s": 2.0}
 PER_S = 150.0
+LEAST_REPEATS = {"shed": 10, "lose": 3, "stall": 3}
+"""Arrivals beyond the first that each trouble causes at least."""
 
 
 async def keep_up(fleet):
@@ -34,19 +36,33 @@
         await fleet.restart(i)
 
 
-@pytest.mark.parametrize("fault", [keep_up, restart_all, restart_repeatedly, restart_in_turn])
-def test_retries_exceed_their_budget_after_entries_restart(fault):
-    """All targets shed after a calm time, and entries restart soon after."""
+async def start_more(fleet):
+    """Start further entries, one after the other."""
+    while fleet.can_start_more:
+        await fleet.start_next()
+        await asyncio.sleep(0.2)
+
+
+@pytest.mark.parametrize("trouble", ["shed", "lose", "stall"])
+@pytest.mark.parametrize(
+    "fault", [keep_up, restart_all, restart_repeatedly, restart_in_turn, start_more]
+)
+def test_retries_exceed_their_budget_after_entries_restart(fault, trouble):
+    """All targets are in trouble after a calm time, and entries start or restart soon after.
+
+    While targets stall, requests are hedged.
+    """
 
     async def check():
-        async with BudgetFleet.open(entries=4, budget=BUDGET) as fleet:
+        options = {"entries": 4, "spares": 4, "budget": BUDGET, "route": {"is_hedged": True}}
+        async with BudgetFleet.open(**options) as fleet:
             sending = asyncio.ensure_future(fleet.send_requests(per_s=PER_S, for_s=4.4))
             await asyncio.sleep(2.2)
-            fleet.set_shedding(True)
+            fleet.set_trouble(trouble)
             await asyncio.sleep(0.6)
             await fault(fleet)
             await sending
             fleet.assert_within_budget()
-            assert len(fleet.list_repeats()) > 10
+            assert len(fleet.list_repeats()) > LEAST_REPEATS[trouble]
 
     asyncio.run(check())
