Count only the slow request's own runs in the test of hedges

test_slow_request_is_answered_by_a_second_target failed at load: (2, 2) instead of (2, 1) runs and cancelled runs. Traced: in one of six traced runs at load 18 a quick request of the warm-up took unusually long, was hedged rightly, and its cancelled run was counted, too. The test now counts runs, cancelled runs and won hedges from the slow request on; what it demands is unchanged.

--- a/halldoor/tests/test_hedging.py
+++ b/halldoor/tests/test_hedging.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections import Counter
 
 import pytest
@@ -142,8 +143,18 @@
         assert (await kit.call(key="k")).status == 200
 
 
+def count_hedges_won(kit):
+    """Count the hedges of a gateway that were answered first."""
+    text = kit.gateway.metrics.render().decode()
+    found = re.search(r'^halldoor_hedges\{outcome="won"\} (\d+)', text, re.MULTILINE)
+    return int(found[1]) if found else 0
+
+
 def play(route=None, **settings):
-    """Call the key's first target, which is slow; return the reply, its time, runs and metrics."""
+    """Call the key's first target, which is slow.
+
+    Returns the reply, its time, and the call's runs, cancelled runs and hedges that won.
+    """
 
     async def check():
         async with GatewayKit.open(targets=2, route={"is_hedged": True} | (route or {})) as kit:
@@ -152,6 +163,9 @@
             first = Counter(r.connection for r in kit.targets["t0"].received)
             name = "t0" if sum(first.values()) > len(kit.targets["t1"].received) else "t1"
             await open_slow_target(kit, name)
+            # A quick request that takes unusually long on a busy machine is hedged, too.
+            won = count_hedges_won(kit)
+            cancelled = sum(t.cancelled for t in kit.targets.values())
             loop = asyncio.get_running_loop()
             began = loop.time()
             reply = await kit.call(path="/slow", key="k", attempt_id="slow")
@@ -159,8 +173,8 @@
             await kit.wait(lambda: not chooser.in_flight)
             await asyncio.sleep(0.1)  # The targets notice a closed connection within 0.01 s.
             runs = [r for r in kit.received if find(r.headers, NAMES.attempt_id) == b"slow"]
-            cancelled = sum(t.cancelled for t in kit.targets.values())
-            return reply, took_s, len(runs), cancelled, kit.gateway.metrics.render().decode()
+            cancelled = sum(t.cancelled for t in kit.targets.values()) - cancelled
+            return reply, took_s, len(runs), cancelled, count_hedges_won(kit) - won
 
     return asyncio.run(check())
 
@@ -168,10 +182,10 @@
 class TestGateway:
     def test_slow_request_is_answered_by_a_second_target(self):
         """Guards against requests that run into their route's timeout at one slow target."""
-        reply, took_s, runs, cancelled, metrics = play()
+        reply, took_s, runs, cancelled, won = play()
         assert reply.status == 200 and took_s < 0.7 * SLOW_S
         assert (runs, cancelled) == (2, 1)
-        assert 'halldoor_hedges{outcome="won"} 1' in metrics
+        assert won == 1
 
     @pytest.mark.parametrize(
         "route",
