Compare refusals with the requests that were sent in the test of back-offs

test_retry_after_covers_the_rest_when_all_targets_request_one failed at load 16 to 19: 85 refusals where more than 100 were expected. Traced in four runs at load 18: refusals and sent requests are equal (179, 107, 158, 130); the callers, in one process with six entries, send less than asked.

--- a/halldoor/tests/ratekit.py
+++ b/halldoor/tests/ratekit.py
@@ -146,6 +146,8 @@
         Time, entry and status of each answer.
     refusals : list of tuple
         Time and Retry-After in seconds of each answer with status 503.
+    sent : list of float
+        Time at which each request was sent.
     stated_at : dict of str to float
         Time at which each entry's callers first had an answer of a leaving target, by entry.
     """
@@ -160,6 +162,7 @@
         self.links = []
         self.statuses = []
         self.refusals = []
+        self.sent = []
         self.stated_at = {}
         self._tasks = set()
         self._stack = contextlib.AsyncExitStack()
@@ -271,6 +274,7 @@
 
     async def _call(self, entry, key=None):
         key = str(self.random.randrange(KEYS)) if key is None else key
+        self.sent.append(self.now())
         extra = [("x-entry", f"e{entry}"), ("x-sent", repr(self.now()))]
         with contextlib.suppress(OSError, TimeoutError):
             reply = await self.kits[entry].call(key=key, extra=extra)
