--- a/halldoor/core/targets/budget.py
+++ b/halldoor/core/targets/budget.py
@@ -103,12 +103,12 @@
         self._tokens += EARNED_PART * self.ratio
 
     def cancel_request(self) -> None:
-        """Take back a request and what it earned, because another entry counts it."""
+        """Uncount a request that another entry counts, and return what it earned."""
         self._requests.cancel()
         self._tokens -= EARNED_PART * self.ratio
 
     def reserve_retry(self, now: float, *, entries: int) -> bool:
-        """Take a token for one retry; False if there is none.
+        """Reserve one retry; False if there is no token for it.
 
         Parameters
         ----------
--- a/halldoor/gateway/retries.py
+++ b/halldoor/gateway/retries.py
@@ -67,7 +67,7 @@
         self._get_share(service).add_request(now)
 
     def cancel_request(self, service: str) -> None:
-        """Take back a counted request that another entry counts."""
+        """Uncount a request that another entry counts."""
         self._get_share(service).cancel_request()
 
     def find_obstacle(
