--- a/halldoor/core/targets/budget.py
+++ b/halldoor/core/targets/budget.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 EARNED_PART = 0.8
-"""Part of the ratio that requests earn; the other part allows for savings and late arrivals."""
+"""Part of the ratio that requests earn; the rest covers `SAVED_PART` and late arrivals."""
 SAVED_PART = 0.1
 """Part of the ratio, for the requests of the last window, that may be saved up."""
 SAVED_SLACK_PART = 0.4
--- a/halldoor/gateway/retries.py
+++ b/halldoor/gateway/retries.py
@@ -19,10 +19,10 @@
 Crashed targets refuse within a millisecond, and the next one may run; if three connections hang,
 the network to the others is mostly broken too, and the caller needs time to try another entry.
 """
-LOG_INTERVAL_S = 1.0
-"""Least time between two log lines about a used-up budget of a service, in seconds."""
 MAX_CONNECT_FAILURES = 16
 """Failed connections after which a request is refused, so that its log line stays bounded."""
+LOG_INTERVAL_S = 1.0
+"""Least time between two log lines about a used-up budget of a service, in seconds."""
 
 
 class RetryGate:
@@ -53,7 +53,7 @@
         self._logged_at: dict[str, float] = {}
 
     def start(self, now: float) -> None:
-        """Start saving up retries."""
+        """Record the start of this process, from which retries are saved up."""
         self._began_at = now
 
     def apply_settings(self, settings: RetrySettings) -> None:
