Close connections only after callers have their answers

Cause: a closing connection waited until its transport was empty and 0.5 s more, or not at all without a stop, while the kernel held up to 120 KB that the caller's window did not admit. Bytes that arrive at a closed socket reset it, and the kernel drops what it holds.

A connection that closes after an answer now stops sending, discards what arrives, and closes once the kernel has nothing unacknowledged (SIOCOUTQ) and nothing moved for 0.5 s. A caller that acknowledges nothing for the idle timeout is disconnected; it kept its connection before.

--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -16,7 +16,7 @@
 
 from halldoor.core.targets.route import CallerLimits
 from halldoor.gateway.callerrequest import Answer, BodyTooLongError, CallerRequest, Handler, Head
-from halldoor.gateway.flow import FlowProtocol
+from halldoor.gateway.delivery import LINGER_S, DeliveryProtocol
 from halldoor.gateway.headers import find, is_too_long
 from halldoor.gateway.pipeline import Pipeline, Pipelining
 
@@ -24,14 +24,11 @@
 
 READ_AHEAD = 65_536
 """Bytes of later requests or of an unread body that are buffered before reading pauses."""
-LINGER_S = 0.5
-"""Time to continue reading after an early answer, in seconds, so that closing the socket doesn't
-reset the connection before the caller has read the answer."""
 IDLE_SLACK_S = 1.0
 """Time beyond the announced idle timeout, in seconds, so that a request already sent arrives."""
 
 
-class CallerConnection(CallerRequest, FlowProtocol):
+class CallerConnection(CallerRequest, DeliveryProtocol):
     """Connection accepted from a caller, with the task that answers its requests.
 
     To its handler, the connection is also the request in progress that was read first.
@@ -64,7 +61,6 @@
         self._connections = connections
         self._h11 = self._new_parser()
         self._task: asyncio.Task[None] | None = None
-        self._is_closed = False
         self._unread = 0
         self.is_closing = is_closing()
         self.is_busy = False
@@ -93,6 +89,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller, and pause reading when too many are unread."""
+        if self.discards(data):
+            return
         if self._pipeline is not None:
             self._pipeline.receive(data)
             return
@@ -177,12 +175,9 @@
         self._start_pipeline()
         return None
 
-    def write(self, data: bytes) -> None:
-        """Send serialized bytes, unless the caller disconnected."""
-        if data and not self._is_closed:
-            self._transport.write(data)
-
-    _send_bytes = write
+    def _send_bytes(self, data: bytes) -> None:
+        """Send serialized bytes of the answer, unless the caller disconnected."""
+        self.write(data)
 
     def _is_last(self) -> bool:
         """Check whether the connection closes after the answer of its own request."""
@@ -219,16 +214,14 @@
         self._transport.close()
 
     def close_if_idle(self) -> None:
-        """Close now if no request is in progress, else after the current one."""
+        """Close now if no request is in progress and its answers are delivered, else later."""
         self.is_closing = True
         if self.is_busy or self._h11.our_state is not h11.IDLE or self._unread:
             return
-        if self._transport.get_write_buffer_size():
-            return  # The caller is still reading its last answer.
         if self._has_pipelined:
             # The connection's task closes it: more requests may be on their way.
             self._wake_reader()
-        else:
+        elif self.is_settled():
             self._transport.close()
 
     async def _run(self) -> None:
@@ -240,8 +233,8 @@
             except h11.RemoteProtocolError as exc:
                 self._answer_protocol_error(exc)
             self._cancel_pipeline(is_by_caller=self._is_closed)
-            if self._has_pipelined or self.is_closing:
-                await self._linger_after_answers()
+            self._pipeline = None
+            await self.linger(limit_s=self._read_limits().idle_timeout_s)
         finally:
             self._cancel_pipeline(is_by_caller=self._is_closed)
             # `connection_lost` ends the connection, once all bytes are sent.
@@ -345,31 +338,6 @@
         self._pipeline, self._ended_pipeline = None, pipeline
         return True
 
-    async def _linger_after_answers(self) -> None:
-        """Discard further requests until the caller has read the answers.
-
-        Closing a socket with unread bytes resets the connection, which destroys answers.  What the
-        transport holds is sent first; the caller then has `LINGER_S` to read the rest.
-        """
-        self._pipeline = None
-        if self._is_closed or self._transport.is_closing():
-            return
-        self._transport.write_eof()
-        while not self._is_closed:
-            is_sent = not self._transport.get_write_buffer_size()
-            try:
-                async with asyncio.timeout(LINGER_S):
-                    await self._discard_input()
-            except TimeoutError:
-                if is_sent:
-                    return
-
-    async def _discard_input(self) -> None:
-        """Discard bytes from the caller until it disconnects."""
-        while not self._is_closed:
-            self._h11 = self._new_parser()
-            await self._wait_for_data()
-
     async def _linger(self) -> None:
         """Discard the rest of the body for `LINGER_S` after an answer sent before its end."""
         with contextlib.suppress(TimeoutError, h11.RemoteProtocolError):
--- /dev/null
+++ b/halldoor/gateway/delivery.py
@@ -0,0 +1,97 @@
+"""Delivery of answers to the end before their connection closes.
+
+A socket resets its connection if it is closed with unread bytes or receives bytes after its close,
+and the kernel then drops what it has not sent.  So a connection stops sending first, and discards
+input until the peer's host has acknowledged all bytes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import fcntl
+import math
+import sys
+import termios
+from typing import Any
+
+from halldoor.gateway.flow import FlowProtocol
+
+LINGER_S = 0.5
+"""Time without bytes in either direction after which closing destroys no answer, in seconds.
+
+The peer may be a proxy, which has acknowledged bytes that its own peer has not read.
+"""
+CHECK_S = 0.1
+"""Period of checking what the peer has acknowledged, in seconds."""
+
+
+class DeliveryProtocol(FlowProtocol):
+    """Server side of a connection, which can close once its peer has received what was written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._is_closed = False
+        self._is_discarding = False
+        self._active_at = -math.inf
+
+    def write(self, data: bytes) -> None:
+        """Send bytes, unless the peer disconnected."""
+        if data and not self._is_closed:
+            self._active_at = asyncio.get_running_loop().time()
+            self._transport.write(data)
+
+    def count_undelivered(self) -> int:
+        """Return the number of bytes that the peer's host has not acknowledged yet.
+
+        Where the system does not tell what the kernel holds, only those that it has not got.
+        """
+        held = int(self._transport.get_write_buffer_size())
+        return held + _count_unacknowledged(self._transport.get_extra_info("socket"))
+
+    def is_settled(self) -> bool:
+        """Check whether closing the connection now would destroy no answer."""
+        now = asyncio.get_running_loop().time()
+        if self.count_undelivered():
+            self._active_at = now
+        return now - self._active_at >= LINGER_S
+
+    def discards(self, data: bytes) -> bool:
+        """Check whether received bytes are discarded, since the connection is closing."""
+        if self._is_discarding and data:
+            self._active_at = asyncio.get_running_loop().time()
+        return self._is_discarding
+
+    async def linger(self, *, limit_s: float) -> None:
+        """Stop sending, and discard input until the peer has received what was written.
+
+        Parameters
+        ----------
+        limit_s : float
+            Longest time in which the peer acknowledges nothing more, in seconds; a peer that
+            exceeds it is disconnected.
+        """
+        if self._is_closed or self._transport.is_closing() or self.is_settled():
+            return
+        self._is_discarding = True
+        self._transport.write_eof()
+        loop = asyncio.get_running_loop()
+        left, progress_at = self.count_undelivered(), loop.time()
+        while not (self._is_closed or self._transport.is_closing() or self.is_settled()):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_S):
+                    await self._wait_for_data()
+            undelivered = self.count_undelivered()
+            if undelivered < left:
+                left, progress_at = undelivered, loop.time()
+            elif loop.time() - progress_at >= limit_s:
+                self._transport.abort()
+
+
+def _count_unacknowledged(sock: Any) -> int:
+    """Return the number of bytes in a socket's send queue that its peer has not acknowledged."""
+    try:
+        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except (AttributeError, OSError, ValueError):
+        return 0  # The socket is closed, or the system does not tell.
+    return int.from_bytes(answer, sys.byteorder)
--- /dev/null
+++ b/halldoor/tests/test_delivery.py
@@ -0,0 +1,162 @@
+"""Answers that callers are still reading while their connection closes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+
+import pytest
+
+from halldoor.gateway.caller import READ_AHEAD
+from halldoor.tests.gatewaykit import GatewayKit
+from halldoor.tests.narrowkit import (
+    Download,
+    build_request,
+    connect_narrow,
+    send_on,
+    stop_and_exit,
+)
+
+WORK_S = 0.4
+STALL_S = 1.6
+"""Time for which callers read nothing, in seconds; longer than a closing connection lingers."""
+SIZES = [2_000, 30_000, 60_000, 90_000, 140_000]
+"""Sizes of answers, in bytes: those in the middle are held by the kernel, the last by the entry."""
+ROUTE = {"kind": "repeatable", "timeout_s": 6.0}
+
+
+def open_kit():
+    """Open a gateway with the grace time of a planned stop."""
+    return GatewayKit.open(route=ROUTE, grace_s=6.0)
+
+
+def answer_after(kit, size, *, work_s=WORK_S):
+    """Make all targets answer after `work_s` with a body of a size."""
+
+    async def work(target, request, writer):
+        await asyncio.sleep(work_s)
+        writer.write(target.build(request, body=b"s" * size))
+
+    for target in kit.targets.values():
+        target.script = lambda r, w, target=target: work(target, r, w)
+
+
+async def download_slowly(port, request, further, *, after_s):
+    """Send a request, and a further one while nothing is read; return the first answer."""
+    sock = connect_narrow(port)
+    try:
+        await asyncio.get_running_loop().sock_sendall(sock, request)
+        download = Download()
+        sending = asyncio.ensure_future(send_on(sock, further, after_s=after_s))
+        await download.read(sock, stall_s=STALL_S)
+        sending.cancel()
+        return download
+    finally:
+        sock.close()
+
+
+async def download_by_several(kit, *, count=4, extra=()):
+    """Run some slow downloads beside each other; return the bytes that each lacks."""
+    downloads = [
+        download_slowly(
+            kit.front_port,
+            build_request(b"first-%d" % i, extra=extra),
+            build_request(b"further-%d" % i),
+            after_s=WORK_S + 1.0,
+        )
+        for i in range(count)
+    ]
+    return [download.missing for download in await asyncio.gather(*downloads)]
+
+
+class TestKernelBuffer:
+    """Guards against resets that drop answers which lie in the kernel's send buffer."""
+
+    @pytest.mark.parametrize("size", SIZES)
+    def test_request_after_the_close_of_a_stop_drops_the_answer(self, size):
+        async def check():
+            async with open_kit() as kit:
+                answer_after(kit, size)
+                reading = asyncio.ensure_future(download_by_several(kit))
+                await kit.wait(lambda: len(kit.received) == 4)
+                stopping = asyncio.ensure_future(stop_and_exit(kit))
+                assert await reading == [0] * 4
+                await stopping
+
+        asyncio.run(check())
+
+    @pytest.mark.parametrize("size", SIZES)
+    def test_request_after_an_answer_that_closes_drops_it(self, size):
+        """The caller asks to close, and sends a further request all the same."""
+
+        async def check():
+            async with open_kit() as kit:
+                answer_after(kit, size)
+                extra = [b"Connection: close"]
+                assert await download_by_several(kit, extra=extra) == [0] * 4
+
+        asyncio.run(check())
+
+
+class TestBounds:
+    """Guards against stops that callers prolong, and memory that they fill."""
+
+    def test_idle_callers_do_not_prolong_a_stop(self):
+        async def check():
+            async with open_kit() as kit:
+                callers = [await kit.connect() for _ in range(20)]
+                for caller in callers[:10]:
+                    assert (await caller.call()).status == 200
+                await asyncio.sleep(1.0)
+                began = time.monotonic()
+                await kit.gateway.stop()
+                assert time.monotonic() - began < 1.5
+                for caller in callers:
+                    caller.close()
+
+        asyncio.run(check())
+
+    def test_callers_that_send_on_without_reading_are_bounded(self):
+        """A stop ends in its grace time, and what these callers send is not kept."""
+
+        async def check():
+            async with GatewayKit.open(route=ROUTE, grace_s=2.5) as kit:
+                answer_after(kit, 90_000)
+                sockets = [connect_narrow(kit.front_port) for _ in range(4)]
+                for i, sock in enumerate(sockets):
+                    await send_on(sock, build_request(b"first-%d" % i))
+                await kit.wait(lambda: len(kit.received) == 4)
+                callers = list(kit.gateway._callers)
+                began = time.monotonic()
+                stopping = asyncio.ensure_future(stop_and_exit(kit))
+                sent = 0
+                while not stopping.done():
+                    for sock in sockets:
+                        with contextlib.suppress(BlockingIOError, ConnectionError):
+                            sent += sock.send(build_request(b"further") * 100)
+                    await asyncio.sleep(0.01)
+                assert time.monotonic() - began < 2.5 + 0.5
+                assert sent > 1_000_000
+                for caller in callers:
+                    assert len(caller._h11.trailing_data[0]) <= 2 * READ_AHEAD
+                for sock in sockets:
+                    sock.close()
+
+        asyncio.run(check())
+
+    def test_caller_that_never_reads_is_dropped(self):
+        """Without a stop it keeps its connection for as long as an idle one."""
+
+        async def check():
+            async with GatewayKit.open(route=ROUTE, is_configured=False) as kit:
+                kit.configure(limits={"idle_timeout_s": 0.5}, **ROUTE)
+                await kit.wait(lambda: kit.gateway.catalog.routing is not None)
+                answer_after(kit, 200_000, work_s=0.05)
+                sock = connect_narrow(kit.front_port)
+                await send_on(sock, build_request(b"first", extra=[b"Connection: close"]))
+                await kit.wait(lambda: len(kit.received) == 1)
+                await kit.wait(lambda: not kit.gateway._callers, limit_s=4.0)
+                sock.close()
+
+        asyncio.run(check())
