--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -16,7 +16,7 @@
 
 from halldoor.core.targets.route import CallerLimits
 from halldoor.gateway.callerrequest import Answer, BodyTooLongError, CallerRequest, Handler, Head
-from halldoor.gateway.delivery import LINGER_S, DeliveryProtocol
+from halldoor.gateway.delivery import DeliveryProtocol
 from halldoor.gateway.headers import find, is_too_long
 from halldoor.gateway.pipeline import Pipeline, Pipelining
 
@@ -309,9 +309,6 @@
         """Prepare for the next request; return False if the connection must close."""
         if self._is_closed:
             return False
-        if self._h11.their_state is h11.SEND_BODY:
-            await self._linger()
-            return False
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
             return False
         pipeline = self._pipeline
@@ -338,13 +335,6 @@
         self._pipeline, self._ended_pipeline = None, pipeline
         return True
 
-    async def _linger(self) -> None:
-        """Discard the rest of the body for `LINGER_S` after an answer sent before its end."""
-        with contextlib.suppress(TimeoutError, h11.RemoteProtocolError):
-            async with asyncio.timeout(LINGER_S):
-                while isinstance(await self._next_event(), h11.Data):
-                    pass
-
     def _answer_protocol_error(self, exc: h11.RemoteProtocolError) -> None:
         """Send an error for invalid HTTP, unless an answer has started already."""
         if not self._is_closed and self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
--- a/halldoor/gateway/flow.py
+++ b/halldoor/gateway/flow.py
@@ -36,8 +36,10 @@
     async def _wait_for_data(self) -> None:
         """Resume reading from the socket, and wait for bytes or the end of the connection."""
         self._transport.resume_reading()
-        self._waiter = asyncio.get_running_loop().create_future()
+        waiter = self._waiter = asyncio.get_running_loop().create_future()
         try:
-            await self._waiter
+            await waiter
         finally:
-            self._waiter = None
+            # A cancelled reader may end after its successor has begun to wait.
+            if self._waiter is waiter:
+                self._waiter = None
--- a/halldoor/tests/test_delivery.py
+++ b/halldoor/tests/test_delivery.py
@@ -99,6 +99,40 @@
         asyncio.run(check())
 
 
+class TestUploads:
+    """Guards against resets that drop an answer which is sent before the end of a body."""
+
+    @pytest.mark.parametrize("size", SIZES)
+    @pytest.mark.parametrize(
+        ("pieces", "every_s"), [(1, 0.0), (12, 0.15)], ids=["at-once", "slowly"]
+    )
+    def test_rest_of_a_body_drops_the_early_answer(self, pieces, every_s, size):
+        async def check():
+            route = ROUTE | {"kind": "upload"}
+            async with GatewayKit.open(targets=1, route=route, grace_s=6.0) as kit:
+                target = kit.targets["t0"]
+                target.read_body = False
+
+                async def answer_early(request, writer):
+                    writer.write(target.build(request, body=b"s" * size))
+                    await asyncio.sleep(5.0)
+
+                target.script = answer_early
+                piece = b"u" * (1_200_000 // pieces)
+                length = b"Content-Length: %d" % (pieces * len(piece))
+                sock = connect_narrow(kit.front_port)
+                await send_on(sock, build_request(b"first", method=b"POST", extra=[length]))
+                for _ in range(pieces):
+                    await send_on(sock, piece)
+                    await asyncio.sleep(every_s)
+                download = Download()
+                await download.read(sock, stall_s=STALL_S)
+                sock.close()
+                assert download.missing == 0
+
+        asyncio.run(check())
+
+
 class TestBounds:
     """Guards against stops that callers prolong, and memory that they fill."""
 
