Continue a planned stop after a stall while requests run

A process that stalled for 0.3 s or more during a planned stop exited at once, and callers whose requests were at work got no answer.

Cause: the stop ended when 0.3 s had passed since its last check that found work, so that a late check took the stall for time without work. It now ends only if the present check finds none.

test_process_stalls_while_a_request_runs failed before, and passes.

--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -41,14 +41,13 @@
 from halldoor.gateway.retries import RetryGate
 from halldoor.gateway.settings import GatewaySettings
 from halldoor.gateway.stalls import StallMeter
+from halldoor.gateway.stopping import wait_until_finished
 from halldoor.gateway.store import MetadataStore, RecordCodec
 from halldoor.gateway.storetasks import StoreTasks
 from halldoor.gateway.targetreach import TargetReach
 from halldoor.gateway.tasks import TaskSet, stop_task
 from halldoor.gateway.travel import RoundTripProbe
 
-IDLE_S = 0.3
-"""Time without requests or connections after which a stopping process exits, in seconds."""
 STOP_MARGIN_S = 0.3
 """Time before the end of the grace period at which the process exits anyway, in seconds."""
 
@@ -349,14 +348,14 @@
         """Stop without aborting a request.
 
         The entry is not ready and leaves the look-ups at once.  Callers that use an earlier look-up
-        are served until it expires; then the process waits for the requests in progress.
+        are served until it expires; then the process waits until requests in progress are answered
+        and their callers have the answers, at most until the end of the grace time.
         """
         if self.is_stopping:
             return
         self.is_stopping = True
         loop = asyncio.get_running_loop()
-        began = loop.time()
-        deadline = began + self.settings.grace_s - STOP_MARGIN_S
+        deadline = loop.time() + self.settings.grace_s - STOP_MARGIN_S
         self.log.event("process", "Stopping.", running=self.requests.running)
         await stop_task(self._registering)
         for caller in list(self._callers):
@@ -366,13 +365,11 @@
         await asyncio.sleep(min(3 * self.settings.lookup_ttl_s, self.settings.grace_s / 2))
         if self._front is not None:
             self._front.close()
-        idle_since = loop.time()
-        while loop.time() < deadline and loop.time() - idle_since < IDLE_S:
-            for caller in list(self._callers):
-                caller.close_if_idle()
-            if self.requests.running or self._callers:
-                idle_since = loop.time()
-            await asyncio.sleep(0.02)
+        await wait_until_finished(
+            self._callers,
+            deadline=deadline,
+            count_running=lambda: self.requests.running,
+        )
         await stop_task(leaving)
         await self._shut_down()
 
--- /dev/null
+++ b/halldoor/gateway/stopping.py
@@ -0,0 +1,42 @@
+"""Waits at a planned stop until requests are answered and callers have their answers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Set
+
+from halldoor.gateway.caller import CallerConnection
+
+IDLE_S = 0.3
+"""Time without requests or connections after which a stopping process exits, in seconds."""
+CHECK_S = 0.02
+"""Period of checking whether a stopping process has finished, in seconds."""
+
+
+async def wait_until_finished(
+    callers: Set[CallerConnection],
+    *,
+    deadline: float,
+    count_running: Callable[[], int],
+) -> None:
+    """Close idle connections, and wait until nothing was in progress for `IDLE_S`.
+
+    Parameters
+    ----------
+    callers : set of CallerConnection
+        Open connections of callers.
+    deadline : float
+        End of the grace time, on the loop's clock, at which the wait ends in any case.
+    count_running : callable
+        Returns the number of requests in progress.
+    """
+    loop = asyncio.get_running_loop()
+    idle_since = loop.time()
+    while (now := loop.time()) < deadline:
+        for caller in list(callers):
+            caller.close_if_idle()
+        if count_running() or callers:
+            idle_since = now
+        elif now - idle_since >= IDLE_S:
+            return
+        await asyncio.sleep(min(CHECK_S, deadline - now))
--- a/halldoor/tests/test_delivery.py
+++ b/halldoor/tests/test_delivery.py
@@ -9,6 +9,7 @@
 import pytest
 
 from halldoor.gateway.caller import READ_AHEAD
+from halldoor.gateway.stopping import IDLE_S
 from halldoor.tests.gatewaykit import GatewayKit
 from halldoor.tests.narrowkit import (
     Download,
@@ -133,6 +134,28 @@
         asyncio.run(check())
 
 
+class TestStop:
+    """Guards against a planned stop that ends while callers lack a part of their answers."""
+
+    def test_process_stalls_while_a_request_runs(self):
+        """A stall of `IDLE_S` looked like a time without requests."""
+
+        async def check():
+            async with open_kit() as kit:
+                answer_after(kit, 2_000, work_s=1.5)
+                calling = asyncio.ensure_future(kit.call(deadline_ms=5000))
+                await kit.wait(lambda: kit.received)
+                stopping = asyncio.ensure_future(kit.gateway.stop())
+                await kit.wait(lambda: not kit.gateway._front.is_serving())
+                asyncio.get_running_loop().call_later(0.1, time.sleep, IDLE_S + 0.2)
+                await asyncio.wait([calling, stopping], return_when=asyncio.FIRST_COMPLETED)
+                assert calling.done()
+                assert len((await calling).body) == 2_000
+                await stopping
+
+        asyncio.run(check())
+
+
 class TestBounds:
     """Guards against stops that callers prolong, and memory that they fill."""
 
