Wait at a planned stop until other entries have forwarded answers

An entry that reads a forwarded answer slowly lacked 23,723 of 140,000 bytes if the entry that sent it stopped, and its caller got 502.

Cause: the stop waited for callers' connections, not for those of its other ports. It now also waits while answers there have not arrived; polls that wait there do not prolong it.

test_another_entry_reads_a_forwarded_answer_slowly[140000] failed before, and passes.

--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -55,6 +55,10 @@
                 )
                 self._servers.append(server)
 
+    def count_undelivered(self) -> int:
+        """Return the number of bytes of answers that have not arrived yet."""
+        return sum(connection.count_undelivered() for connection in self._connections)
+
     def close(self) -> None:
         """Close the ports; open connections live on."""
         for server in self._servers:
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -369,6 +369,7 @@
             self._callers,
             deadline=deadline,
             count_running=lambda: self.requests.running,
+            count_undelivered=self._ports.count_undelivered,
         )
         await stop_task(leaving)
         await self._shut_down()
--- a/halldoor/gateway/stopping.py
+++ b/halldoor/gateway/stopping.py
@@ -18,6 +18,7 @@
     *,
     deadline: float,
     count_running: Callable[[], int],
+    count_undelivered: Callable[[], int],
 ) -> None:
     """Close idle connections, and wait until nothing was in progress for `IDLE_S`.
 
@@ -29,13 +30,15 @@
         End of the grace time, on the loop's clock, at which the wait ends in any case.
     count_running : callable
         Returns the number of requests in progress.
+    count_undelivered : callable
+        Returns the number of bytes of answers at other ports that have not arrived yet.
     """
     loop = asyncio.get_running_loop()
     idle_since = loop.time()
     while (now := loop.time()) < deadline:
         for caller in list(callers):
             caller.close_if_idle()
-        if count_running() or callers:
+        if count_running() or callers or count_undelivered():
             idle_since = now
         elif now - idle_since >= IDLE_S:
             return
--- a/halldoor/tests/test_delivery.py
+++ b/halldoor/tests/test_delivery.py
@@ -8,8 +8,11 @@
 
 import pytest
 
+from halldoor.core.settings import Address
 from halldoor.gateway.caller import READ_AHEAD
+from halldoor.gateway.headers import FORWARDED_BY
 from halldoor.gateway.stopping import IDLE_S
+from halldoor.standins.sample import IP, find_ports
 from halldoor.tests.gatewaykit import GatewayKit
 from halldoor.tests.narrowkit import (
     Download,
@@ -137,6 +140,26 @@
 class TestStop:
     """Guards against a planned stop that ends while callers lack a part of their answers."""
 
+    @pytest.mark.parametrize("size", SIZES)
+    def test_another_entry_reads_a_forwarded_answer_slowly(self, size):
+        async def check():
+            relay = Address(IP, find_ports(1)[0])
+            async with GatewayKit.open(route=ROUTE, grace_s=6.0, relay=relay) as kit:
+                answer_after(kit, size)
+                await kit.wait(lambda: kit.gateway.catalog.sharers.has_ip(IP))
+                sock = connect_narrow(relay.port, ip=IP, source=IP)
+                mark = FORWARDED_BY + b": e2 127.0.0.1"
+                await send_on(sock, build_request(b"first", extra=[mark]))
+                await kit.wait(lambda: kit.received)
+                stopping = asyncio.ensure_future(stop_and_exit(kit))
+                download = Download()
+                await download.read(sock, stall_s=STALL_S)
+                sock.close()
+                assert download.missing == 0
+                await stopping
+
+        asyncio.run(check())
+
     def test_process_stalls_while_a_request_runs(self):
         """A stall of `IDLE_S` looked like a time without requests."""
 
