Wait at a planned stop for callers that closed their own side

A caller that closed its own side after an answer was written, and read on slowly, lacked 143,723 of 260,000 bytes if its entry stopped meanwhile.

Cause: the end of its stream took the connection out of the set that a stop waits for. It now leaves the set when its socket is closed; requests of a caller that leaves are cancelled at once as before.

test_caller_has_closed_its_own_side failed before, and passes.

--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -119,12 +119,12 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle the loss of the socket as a disconnect."""
+        self._connections.discard(self)
         self._handle_disconnect()
 
     def _handle_disconnect(self) -> None:
         """Mark the connection closed and cancel its requests, whose answers are not needed."""
         self._is_closed = True
-        self._connections.discard(self)
         self._drained.set()
         self._wake_reader()
         self._cancel_pipeline(is_by_caller=True)
--- a/halldoor/tests/test_delivery.py
+++ b/halldoor/tests/test_delivery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 
 import pytest
@@ -140,6 +141,25 @@
 class TestStop:
     """Guards against a planned stop that ends while callers lack a part of their answers."""
 
+    def test_caller_has_closed_its_own_side(self):
+        async def check():
+            async with open_kit() as kit:
+                answer_after(kit, 260_000, work_s=0.1)
+                sock = connect_narrow(kit.front_port)
+                await send_on(sock, build_request(b"first"))
+                await kit.wait(lambda: kit.received and not kit.gateway.requests.running)
+                connections = list(kit.gateway._callers)
+                sock.shutdown(socket.SHUT_WR)
+                await asyncio.sleep(0.05)
+                stopping = asyncio.ensure_future(stop_and_exit(kit, connections))
+                download = Download()
+                await download.read(sock, stall_s=STALL_S)
+                sock.close()
+                assert download.missing == 0
+                await stopping
+
+        asyncio.run(check())
+
     @pytest.mark.parametrize("size", SIZES)
     def test_another_entry_reads_a_forwarded_answer_slowly(self, size):
         async def check():
