Serve callers until the end of the grace time

A caller that took the rest of its answer 2.75 s after SIGTERM, with 3 s granted, lacked 23,742 of 140,000 bytes.

Cause: a stopping process exited 0.3 s before the end, whatever was in progress. It now exits at the end, and logs 0.3 s before what will be cut off ("process: The grace time ends.").

test_answer_is_read_in_the_last_moments_of_the_grace_time failed before, and passes.

--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -48,9 +48,6 @@
 from halldoor.gateway.tasks import TaskSet, stop_task
 from halldoor.gateway.travel import RoundTripProbe
 
-STOP_MARGIN_S = 0.3
-"""Time before the end of the grace period at which the process exits anyway, in seconds."""
-
 
 class Gateway:
     """A gateway process.
@@ -355,7 +352,7 @@
             return
         self.is_stopping = True
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + self.settings.grace_s - STOP_MARGIN_S
+        deadline = loop.time() + self.settings.grace_s
         self.log.event("process", "Stopping.", running=self.requests.running)
         await stop_task(self._registering)
         for caller in list(self._callers):
@@ -370,6 +367,7 @@
             deadline=deadline,
             count_running=lambda: self.requests.running,
             count_undelivered=self._ports.count_undelivered,
+            log=self.log,
         )
         await stop_task(leaving)
         await self._shut_down()
--- a/halldoor/gateway/stopping.py
+++ b/halldoor/gateway/stopping.py
@@ -6,11 +6,14 @@
 from collections.abc import Callable, Set
 
 from halldoor.gateway.caller import CallerConnection
+from halldoor.gateway.eventlog import EventLog
 
 IDLE_S = 0.3
 """Time without requests or connections after which a stopping process exits, in seconds."""
 CHECK_S = 0.02
 """Period of checking whether a stopping process has finished, in seconds."""
+REPORT_S = 0.3
+"""Time before the end of the grace time at which unfinished requests are logged, in seconds."""
 
 
 async def wait_until_finished(
@@ -19,6 +22,7 @@
     deadline: float,
     count_running: Callable[[], int],
     count_undelivered: Callable[[], int],
+    log: EventLog,
 ) -> None:
     """Close idle connections, and wait until nothing was in progress for `IDLE_S`.
 
@@ -35,6 +39,7 @@
     """
     loop = asyncio.get_running_loop()
     idle_since = loop.time()
+    is_reported = False
     while (now := loop.time()) < deadline:
         for caller in list(callers):
             caller.close_if_idle()
@@ -42,4 +47,13 @@
             idle_since = now
         elif now - idle_since >= IDLE_S:
             return
+        if not is_reported and deadline - now < REPORT_S:
+            is_reported = True
+            log.event(
+                "process",
+                "The grace time ends.",
+                running=count_running(),
+                callers=len(callers),
+                undelivered_bytes=sum(caller.count_undelivered() for caller in callers),
+            )
         await asyncio.sleep(min(CHECK_S, deadline - now))
--- a/halldoor/tests/test_delivery.py
+++ b/halldoor/tests/test_delivery.py
@@ -198,6 +198,22 @@
 
         asyncio.run(check())
 
+    def test_answer_is_read_in_the_last_moments_of_the_grace_time(self):
+        async def check():
+            async with GatewayKit.open(route=ROUTE, grace_s=3.0) as kit:
+                answer_after(kit, 140_000)
+                sock = connect_narrow(kit.front_port)
+                await send_on(sock, build_request(b"first"))
+                await kit.wait(lambda: kit.received)
+                stopping = asyncio.ensure_future(stop_and_exit(kit))
+                download = Download()
+                await download.read(sock, stall_s=2.75 - WORK_S)
+                sock.close()
+                assert download.missing == 0
+                await stopping
+
+        asyncio.run(check())
+
 
 class TestBounds:
     """Guards against stops that callers prolong, and memory that they fill."""
