Keep complete answers when a later one on the connection breaks off

A caller that paused while it read an answer lost it if the next answer on the connection missed its deadline meanwhile: 14,302 of 30,000 bytes were missing, 44,302 of 60,000, 74,302 of 90,000.

Cause: an answer that breaks off resets the connection, and the kernel drops the answers before it. If any may be unread, the connection now stops sending instead; the framing of the broken answer shows that it is incomplete. Callers of HTTP/1.0 are reset as before. Broken pipelined answers, which closed the socket at once, do the same.

--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -69,6 +69,7 @@
         self._pipeline: Pipeline | None = None
         self._ended_pipeline: Pipeline | None = None
         self._has_pipelined = False
+        self._has_unread_answers = False
 
     def _new_parser(self) -> h11.Connection:
         """Create a parser of callers' requests."""
@@ -203,15 +204,17 @@
         return self._read_limits().head_bytes
 
     def abort(self) -> None:
-        """Abort the connection, so that a truncated answer doesn't look complete."""
-        self._is_closed = True
-        self._cancel_pipeline(is_by_caller=False)
-        self._transport.abort()
+        """Break the answer off, so that it doesn't look complete.
 
-    def close_truncated(self) -> None:
-        """Close the connection in an answer whose framing shows that it is incomplete."""
+        A reset also drops answers before it that the caller has not read.  If there may be any, its
+        framing tells that it is incomplete, except to a caller of HTTP/1.0.
+        """
+        self._cancel_pipeline(is_by_caller=False)
+        if self._has_unread_answers and self._h11.their_http_version != b"1.0":
+            self.is_closing = True
+            return
         self._is_closed = True
-        self._transport.close()
+        self._transport.abort()
 
     def close_if_idle(self) -> None:
         """Close now if no request is in progress and its answers are delivered, else later."""
@@ -251,6 +254,7 @@
         announced = int(find(head.headers, b"content-length") or 0)
         limit = self._read_limits().body_bytes
         self._body_left = limit if announced <= limit else -1
+        self._has_unread_answers = not self.is_settled()
         self._head = head
         try:
             await self._handler(self, head)
--- a/halldoor/gateway/pipeline.py
+++ b/halldoor/gateway/pipeline.py
@@ -142,8 +142,6 @@
         self.is_aborted = True
         self._take_held()
         self._pipeline.cancel_behind(self)
-        if self.turn.is_set():
-            self._pipeline.connection.close_truncated()
 
     def start_turn(self) -> None:
         """Send what is held; from now on the answer is sent directly."""
--- a/halldoor/tests/test_delivery.py
+++ b/halldoor/tests/test_delivery.py
@@ -11,10 +11,10 @@
 
 from halldoor.core.settings import Address
 from halldoor.gateway.caller import READ_AHEAD
-from halldoor.gateway.headers import FORWARDED_BY
+from halldoor.gateway.headers import FORWARDED_BY, find
 from halldoor.gateway.stopping import IDLE_S
 from halldoor.standins.sample import IP, find_ports
-from halldoor.tests.gatewaykit import GatewayKit
+from halldoor.tests.gatewaykit import NAMES, GatewayKit
 from halldoor.tests.narrowkit import (
     Download,
     build_request,
@@ -138,6 +138,41 @@
         asyncio.run(check())
 
 
+class TestBrokenAnswer:
+    """Guards against resets by an answer that breaks off, which drop the answers before it."""
+
+    @pytest.mark.parametrize("size", SIZES)
+    @pytest.mark.parametrize("is_pipelined", [False, True], ids=["in-turn", "pipelined"])
+    def test_answer_that_breaks_off_drops_the_one_before_it(self, is_pipelined, size):
+        """The second answer misses its deadline while the caller reads nothing."""
+
+        async def check():
+            async with GatewayKit.open(targets=1, route=ROUTE) as kit:
+                target = kit.targets["t0"]
+
+                async def script(request, writer):
+                    is_first = find(request.headers, NAMES.attempt_id) == b"first"
+                    await asyncio.sleep(0.2 * is_first)
+                    writer.write(target.build(request, body=b"s" * (size if is_first else 900_000)))
+
+                target.script = script
+                sock = connect_narrow(kit.front_port)
+                await send_on(sock, build_request(b"first"))
+                if not is_pipelined:
+                    await kit.wait(lambda: kit.received and not kit.gateway.requests.running)
+                await send_on(sock, build_request(b"second", deadline_ms=800))
+                download = Download()
+                further = send_on(sock, build_request(b"third"), after_s=1.2)
+                sending = asyncio.ensure_future(further)
+                await download.read(sock, stall_s=STALL_S)
+                await sending
+                sock.close()
+                assert download.missing == 0
+                await kit.wait(lambda: not kit.gateway._callers, limit_s=3.0)
+
+        asyncio.run(check())
+
+
 class TestStop:
     """Guards against a planned stop that ends while callers lack a part of their answers."""
 
