Give entries that have just started retry permits from the store

Callers of an entry that had just started got 503 for a request that one retry would have saved: the entry's share of the retry budget is empty at first. scripts/demo, the first command of the README, exited with 1 in each run, with one of 40 requests refused.

Cause: a share that starts empty is what keeps the budget over restarts, so a first token for each process would break it. Now an entry in its first window that has no token claims a permit in the store for the one retry: a key under a lease of the window and 1.25 s, of which there are a tenth of the slack for all entries together. So their sum holds however often entries restart. The parts of the slack that are saved and refilled go from 0.40 to 0.36 each to make room. Nothing is called unless a retry needs it; without the store the request is refused within 0.25 s.

Three cases of TestNewEntry (test_retry_permits.py) failed before and pass; the new property of permits and the fleet that restarts six times stay within the budget; test_retry_budget.py and the properties before are unchanged and pass.

--- a/halldoor/core/targets/budget.py
+++ b/halldoor/core/targets/budget.py
@@ -10,13 +10,15 @@
 """Part of the ratio that requests earn; the rest covers `SAVED_PART` and late arrivals."""
 SAVED_PART = 0.1
 """Part of the ratio, for the requests of the last window, that may be saved up."""
-SAVED_SLACK_PART = 0.4
+SAVED_SLACK_PART = 0.36
 """Part of the slack that may be saved up."""
-REFILL_PART = 0.4
+REFILL_PART = 0.36
 """Part of the slack that is added over a window.
 
-What both parts leave of the slack covers up to a fifth of the entries that others don't know.
+Both parts together may be exceeded by a quarter, since others may not know a fifth of the entries.
 """
+PERMIT_PART = 0.1
+"""Part of the slack that entries which have just started share as permits."""
 
 
 class SlidingCount:
@@ -66,6 +68,11 @@
     window_s: float = 10.0
 
 
+def count_permits(budget: RetrySettings) -> int:
+    """Return the number of retries in a window for which all entries share permits."""
+    return int(PERMIT_PART * budget.slack)
+
+
 class RetryShare:
     """One entry's share of the retries that a service may get from all entries.
 
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -229,7 +229,7 @@
         self._hedges.inc({"outcome": outcome})
 
     def add_retry(self, service: str, outcome: str) -> None:
-        """Count a charge to the retry budget (``retry`` or ``hedge``), or one that it refused."""
+        """Count an outcome of the retry budget: ``retry``, ``hedge``, ``permit`` or ``refused``."""
         self._retries.inc({"service": service, "outcome": outcome})
 
     def add_bad_load(self) -> None:
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -31,6 +31,7 @@
 from halldoor.gateway.maintenance import Maintenance
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pages import GatewayState, StatusPages
+from halldoor.gateway.permits import RetryPermits
 from halldoor.gateway.pipeline import Pipelining
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.ports import ServicePort, ServicePorts, listen
@@ -98,7 +99,7 @@
             log=self.log,
             metrics=self.metrics,
         )
-        self._build_requests(names)
+        self._build_requests(store, names)
         self._build_store_tasks(store, codec)
         self.weighing = EntryWeighing(
             self.member,
@@ -124,7 +125,7 @@
         self._tasks = TaskSet(self.log)
         self.is_stopping = False
 
-    def _build_requests(self, names: HeaderNames) -> None:
+    def _build_requests(self, store: MetadataStore, names: HeaderNames) -> None:
         """Create the components that choose targets and handle callers' requests."""
         settings = self.settings
         outliers = OutlierTable(settings.outliers)
@@ -192,6 +193,7 @@
             pool=self.pool,
             forwarder=self.reach.forwarder,
             retries=self.retries,
+            permits=RetryPermits(store, log=self.log, metrics=self.metrics),
             flows=flows,
             access=self.access,
             splitter=splitter,
--- a/halldoor/gateway/records.py
+++ b/halldoor/gateway/records.py
@@ -1,4 +1,4 @@
-"""Records that entries write, alike in every store: evidence against requests, and trials."""
+"""Records that entries write, alike in every store: evidence, trials and retry permits."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 
 EVIDENCE_PREFIX = "halldoor/quarantine/"
 TRIAL_PREFIX = "halldoor/trials/"
+PERMIT_PREFIX = "halldoor/permits/"
 
 
 class CrashModel(msgspec.Struct, frozen=True):
@@ -72,3 +73,8 @@
 def build_trial_key(digest: str, trial: int) -> str:
     """Return the key that an entry claims before it runs a blocked request as a trial."""
     return f"{TRIAL_PREFIX}{digest}/{trial}"
+
+
+def build_permit_key(service: str, number: int) -> str:
+    """Return the key that an entry claims before it sends a retry beyond its own share."""
+    return f"{PERMIT_PREFIX}{service}/{number}"
--- a/halldoor/gateway/requestpath.py
+++ b/halldoor/gateway/requestpath.py
@@ -17,6 +17,7 @@
 from halldoor.gateway.headers import HeaderNames
 from halldoor.gateway.hedging import RequestHedger
 from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.permits import RetryPermits
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.request import RequestHandler
@@ -36,6 +37,7 @@
     pool: TargetPool,
     forwarder: PeerForwarder,
     retries: RetryGate,
+    permits: RetryPermits,
     flows: RegionFlowCounter,
     access: CallerAccess,
     splitter: Splitter,
@@ -65,6 +67,7 @@
         log=log,
         metrics=metrics,
         retries=retries,
+        permits=permits,
         flows=flows,
         quarantine=quarantine,
         forwarder=forwarder,
--- a/halldoor/gateway/retries.py
+++ b/halldoor/gateway/retries.py
@@ -62,6 +62,15 @@
         for share in self._shares.values():
             share.ratio, share.slack = settings.ratio, settings.slack
 
+    @property
+    def settings(self) -> RetrySettings:
+        """Retry budget of all entries together."""
+        return self._settings
+
+    def is_new(self, now: float) -> bool:
+        """Check whether this process started within the last window."""
+        return now - self._began_at < self._settings.window_s
+
     def add_request(self, service: str, now: float) -> None:
         """Count a caller's request; the retry budget is a fraction of this count."""
         self._get_share(service).add_request(now)
--- a/halldoor/gateway/sender.py
+++ b/halldoor/gateway/sender.py
@@ -36,6 +36,7 @@
     get_answer_head,
     is_success,
 )
+from halldoor.gateway.permits import RetryPermits
 from halldoor.gateway.pool import TargetPool
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.retries import RetryGate, is_worth_retry
@@ -56,6 +57,8 @@
         Sends one request to one target.
     retries : RetryGate
         Decides whether a failed request may be retried.
+    permits : RetryPermits
+        Permits of all entries for retries of an entry that has just started.
     flows : RegionFlowCounter
         Counts requests by the region in which they run.
     quarantine : RequestQuarantine
@@ -79,6 +82,7 @@
         log: EventLog,
         metrics: GatewayMetrics,
         retries: RetryGate,
+        permits: RetryPermits,
         flows: RegionFlowCounter,
         quarantine: RequestQuarantine,
         forwarder: PeerForwarder,
@@ -94,6 +98,7 @@
         self._log = log
         self._metrics = metrics
         self._retries = retries
+        self._permits = permits
         self._flows = flows
         self._quarantine = quarantine
         self._forwarder = forwarder
@@ -142,7 +147,7 @@
                 return self._forward_answer(caller, state, outcome.answer, target)
             if isinstance(outcome, TimedOut | NotSent):
                 return state.build_unanswered_result("no answer in time", is_late=True)
-            obstacle = self._find_obstacle(state, outgoing)
+            obstacle = await self._find_obstacle(state, outgoing)
             if obstacle is not None:
                 if isinstance(outcome, WholeAnswer):
                     return self._forward_answer(caller, state, outcome.answer, target)
@@ -151,18 +156,25 @@
                 )
                 return state.build_failed_result(obstacle, backoff_s=backoff_s)
 
-    def _find_obstacle(
+    async def _find_obstacle(
         self, state: RequestState, outgoing: OutgoingRequest
     ) -> RetryObstacle | None:
         """Return what forbids another attempt; None if nothing does."""
         if self._quarantine.is_blocked(state.identity):
             return RetryObstacle.QUARANTINED
-        return self._retries.find_obstacle(
-            state,
-            asyncio.get_running_loop().time(),
-            can_resend=outgoing.rest is None,
-            expires_at=outgoing.expires_at,
+        now = asyncio.get_running_loop().time()
+        obstacle = self._retries.find_obstacle(
+            state, now, can_resend=outgoing.rest is None, expires_at=outgoing.expires_at
         )
+        if obstacle is not RetryObstacle.BUDGET or not self._retries.is_new(now):
+            return obstacle
+        # The share of an entry that has just started holds no retries yet.
+        is_permitted = await self._permits.acquire(
+            state.service, self._retries.settings, left_s=outgoing.expires_at - now
+        )
+        if is_permitted and self._quarantine.is_blocked(state.identity):
+            return RetryObstacle.QUARANTINED
+        return None if is_permitted else obstacle
 
     async def _attempt(
         self,
--- a/halldoor/tests/budgetkit.py
+++ b/halldoor/tests/budgetkit.py
@@ -66,11 +66,11 @@
         Times at which callers sent requests.
     """
 
-    def __init__(self, *, entries, budget, spares=0, route=None, targets=6, seed=1):
+    def __init__(self, *, entries, budget, spares=0, route=None, targets=6, seed=1, store=None):
         self.budget = RetrySettings(**budget)
         self.route = route or {}
         self.random = random.Random(seed)
-        self.store = MemoryStore()
+        self.store = store or MemoryStore()
         self.targets = [RecordingTarget(f"t{i}") for i in range(targets)]
         self.kits = {}
         self.sent = []
--- a/properties/test_budget.py
+++ b/properties/test_budget.py
@@ -8,8 +8,9 @@
 from hypothesis import strategies as st
 
 from halldoor.core.placement import rank
-from halldoor.core.targets.budget import RateShare, RetrySettings, RetryShare
+from halldoor.core.targets.budget import RateShare, RetrySettings, RetryShare, count_permits
 from halldoor.core.targets.sharers import SharerTable
+from halldoor.gateway.permits import USE_S
 from halldoor.standins.repeats import find_excess
 
 WINDOW_S = 10.0
@@ -136,3 +137,53 @@
         fleet.now += pause_s
         fleet.apply(action, entry, times)
     assert find_excess(fleet.requests, fleet.retries, fleet.budget).by <= 0
+
+
+class PermitFleet(ShareFleet):
+    """Entries that also use permits in the first window after their start.
+
+    Attributes
+    ----------
+    delay_s : float
+        Time from the claim of a permit until the retry that uses it arrives, in seconds.
+    """
+
+    def __init__(self, entries, budget):
+        self.started_at = {}
+        self.expires_at = [-math.inf] * count_permits(budget)
+        self.delay_s = 0.0
+        super().__init__(entries, budget)
+
+    def restart(self, name):
+        super().restart(name)
+        self.started_at[name] = self.now
+
+    def retry(self, name):
+        before = len(self.retries)
+        super().retry(name)
+        is_new = self.now - self.started_at[name] < self.budget.window_s
+        if len(self.retries) > before or not is_new:
+            return
+        for number, expires_at in enumerate(self.expires_at):
+            if expires_at <= self.now:
+                self.expires_at[number] = self.now + self.budget.window_s + USE_S
+                self.retries.append(self.now + self.delay_s)
+                return
+
+
+@settings(max_examples=300)
+@given(
+    events=st.lists(
+        st.tuples(st.floats(0.0, 3.0), st.integers(0, 6), ACTIONS, st.floats(0.0, USE_S)),
+        min_size=1,
+        max_size=40,
+    ),
+    entries=st.sampled_from([1, 4, 40]),
+)
+def test_permits_of_new_entries_stay_within_the_budget(events, entries):
+    fleet = PermitFleet(entries, RetrySettings(ratio=0.2, slack=20.0, window_s=WINDOW_S))
+    for pause_s, entry, (action, times), delay_s in events:
+        fleet.now += pause_s
+        fleet.delay_s = delay_s
+        fleet.apply(action, entry, times)
+    assert find_excess(fleet.requests, fleet.retries, fleet.budget).by <= 0
