--- a/halldoor/tests/narrowkit.py
+++ b/halldoor/tests/narrowkit.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import socket
 
 from halldoor.gateway.headers import find
 from halldoor.tests.gatewaykit import NAMES
@@ -12,18 +11,6 @@
 DEADLINE_MS = 6000
 
 
-def connect_narrow(port, *, receive_buffer=8_192, ip="127.0.0.1", source=""):
-    """Open a connection with segments and a window as on a narrow link."""
-    sock = socket.socket()
-    if source:
-        sock.bind((source, 0))
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-    sock.connect((ip, port))
-    sock.setblocking(False)
-    return sock
-
-
 def build_request(attempt_id, *, method=b"GET", extra=(), deadline_ms=DEADLINE_MS):
     """Build the bytes of a request's head."""
     lines = [
--- a/halldoor/tests/test_delivery.py
+++ b/halldoor/tests/test_delivery.py
@@ -13,12 +13,12 @@
 from halldoor.gateway.caller import READ_AHEAD
 from halldoor.gateway.headers import FORWARDED_BY, find
 from halldoor.gateway.stopping import IDLE_S
+from halldoor.standins.narrowlink import connect_narrow
 from halldoor.standins.sample import IP, find_ports
 from halldoor.tests.gatewaykit import NAMES, GatewayKit
 from halldoor.tests.narrowkit import (
     Download,
     build_request,
-    connect_narrow,
     send_on,
     stop_and_exit,
 )
