Notice the loss of all targets also while the process stalls

Cause: failures in a round of probes in which the process stalled for over 0.1 s don't count, and the round is repeated. A process that stalls in every round never noticed. The round after such a one now allows as much time for stalls, up to 1 s, so that each probe still has 0.25 s in which it ran.

The cut of these tests now lasts 3 s from the moment by which it must have been noticed; with stalls that moment could lie behind its end, and no call was judged.

--- a/halldoor/gateway/reach.py
+++ b/halldoor/gateway/reach.py
@@ -24,7 +24,9 @@
 """The same while no target can be reached: at a busy target the answer waits for a slot."""
 STALLED_S = 0.1
 """Time of a round in which this process was stalled from which its failures don't count, in
-seconds."""
+seconds, beyond the time that the round allows for stalls."""
+ALLOWANCE_LIMIT_S = 1.0
+"""Longest time that a round allows for stalls, in seconds."""
 
 
 NO_ANSWER = "no answer over a new connection"
@@ -71,6 +73,7 @@
         self._log = log
         self._metrics = metrics
         self._random = random.Random()
+        self._allowance_s = 0.0
         self.on_loss: list[Callable[[Loss], None]] = []
         self.on_return: list[Callable[[Loss], None]] = []
 
@@ -88,7 +91,11 @@
                 await self._run_round()
 
     async def _run_round(self) -> None:
-        """Probe some targets at the same time, and apply the results."""
+        """Probe some targets at the same time, and apply the results.
+
+        After a round whose failures don't count, the next one allows as much time for stalls as
+        that one had, so that a process which always stalls notices a loss, too.
+        """
         loop = asyncio.get_running_loop()
         began_at = loop.time()
         stalled_s = self._stalls.measure(began_at)
@@ -100,20 +107,25 @@
         if self._monitor.last_answer_at >= began_at:
             # Others answer meanwhile, so a target that accepts connections is busy.
             results = {name: cause for name, cause in results.items() if cause != NO_ANSWER}
-        if self._stalls.measure(now) - stalled_s > STALLED_S:
+        stalled_s = self._stalls.measure(now) - stalled_s
+        if stalled_s > STALLED_S + self._allowance_s:
             results = {name: cause for name, cause in results.items() if not cause}
+            self._allowance_s = min(ALLOWANCE_LIMIT_S, stalled_s)
+        else:
+            self._allowance_s = 0.0
         before = self._monitor.loss
         if self._monitor.add_round(results, now, began_at=began_at):
             self._report_change(before, now)
 
     async def _probe(self, target: Target) -> str:
         """Request a target's health answer; return the cause of a failure, empty if it answered."""
-        client = HttpClient(target.record.address, connect_s=CONNECT_TIMEOUT_S)
+        connect_s = CONNECT_TIMEOUT_S + self._allowance_s
+        client = HttpClient(target.record.address, connect_s=connect_s)
         headers = [(self._names.expected_incarnation, target.name.encode())]
         timeout_s = ANSWER_S if self._monitor.loss is None else RETURN_ANSWER_S
         try:
             path = self._find_health_path(target)
-            await client.call("GET", path, headers=headers, timeout_s=timeout_s)
+            await client.call("GET", path, headers=headers, timeout_s=timeout_s + self._allowance_s)
         except HttpCallError as exc:
             self._metrics.add_reach_probe("failed")
             return NO_ANSWER if isinstance(exc.__cause__, TimeoutError) else str(exc)
--- a/halldoor/tests/test_unreached_targets.py
+++ b/halldoor/tests/test_unreached_targets.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import math
+import time
 
 import pytest
 
@@ -48,9 +49,10 @@
     -------
     tuple of float
         When the cut began, when it must have been noticed, and when it ended.  The time in which
-        the process of the test got no processor is added to the second.
+        the process of the test got no processor is added to the second; the cut lasts for
+        `for_s - NOTICE_S` beyond it in any case.
     """
-    asking = asyncio.ensure_future(fleet.send_requests(per_s=PER_S, for_s=for_s + 3.5))
+    asking = asyncio.ensure_future(fleet.send_requests(per_s=PER_S, for_s=math.inf))
     await asyncio.sleep(1.5)
     began = fleet.now()
     stalls = fleet.kits[0].gateway.stalls
@@ -61,10 +63,11 @@
     noticed = began + NOTICE_S
     if stalled_s > STALLED_S:
         noticed += stalled_s + ROUND_S
-    await asyncio.sleep(began + for_s - fleet.now())
+    await asyncio.sleep(noticed + for_s - NOTICE_S - fleet.now())
     await fleet.set_cut(None, entries)
     ended = fleet.now()
-    await asking
+    await asyncio.sleep(2.0)
+    asking.cancel()
     await fleet.finish()
     return began, noticed, ended
 
@@ -82,3 +85,32 @@
             fleet.assert_rules_held()
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize("cut", Cut, ids=[cut.name.lower() for cut in Cut])
+def test_entry_that_stalls_in_each_round_of_probes_never_notices(cut):
+    """Rounds in which the process stalled did not count, so that none ever did."""
+
+    async def check():
+        async with ReachFleet.open(entries=2) as fleet:
+            loop = asyncio.get_running_loop()
+            asking = asyncio.ensure_future(fleet.send_requests(per_s=20.0, for_s=math.inf))
+
+            async def stall():
+                while True:
+                    time.sleep(0.12)
+                    await asyncio.sleep(0.18)
+
+            stalling = asyncio.ensure_future(stall())
+            await asyncio.sleep(1.0)
+            await fleet.set_cut(cut, (0,))
+            began = loop.time()
+            monitor = fleet.kits[0].gateway.reach.monitor
+            await fleet.kits[0].wait(lambda: monitor.loss is not None, limit_s=5.0)
+            noticed_s = loop.time() - began
+            stalling.cancel()
+            asking.cancel()
+            await fleet.finish()
+            assert noticed_s < 4.0
+
+    asyncio.run(check())
