--- a/halldoor/tests/narrowkit.py
+++ b/halldoor/tests/narrowkit.py
@@ -61,6 +61,12 @@
             self.data += piece
             await asyncio.sleep(stall_s if is_first else every_s)
 
+    async def read_to_end(self, sock):
+        """Read until the connection ends."""
+        with contextlib.suppress(ConnectionResetError):
+            while piece := await asyncio.get_running_loop().sock_recv(sock, 30_000):
+                self.data += piece
+
 
 async def send_on(sock, data, *, after_s=0.0):
     """Send further bytes after a time, unless the connection is closed."""
--- a/halldoor/tests/test_delivery.py
+++ b/halldoor/tests/test_delivery.py
@@ -103,6 +103,35 @@
 
         asyncio.run(check())
 
+    @pytest.mark.parametrize("size", SIZES)
+    @pytest.mark.parametrize(
+        ("status", "further"),
+        [
+            (400, b"no request\r\n\r\n"),
+            (431, b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"b" * 90_000 + b"\r\n\r\n"),
+        ],
+    )
+    def test_error_behind_an_answer_drops_it(self, status, further, size):
+        """The connection closes after the error, and the caller sends on."""
+
+        async def check():
+            async with open_kit() as kit:
+                answer_after(kit, size, work_s=0.1)
+                sock = connect_narrow(kit.front_port)
+                await send_on(sock, build_request(b"first"))
+                await kit.wait(lambda: kit.received and not kit.gateway.requests.running)
+                sending = [send_on(sock, further), send_on(sock, further, after_s=1.0)]
+                sending = [asyncio.ensure_future(data) for data in sending]
+                download = Download()
+                await download.read(sock, stall_s=STALL_S)
+                assert download.missing == 0
+                await download.read_to_end(sock)
+                assert b"HTTP/1.1 %d" % status in download.data
+                await asyncio.gather(*sending)
+                sock.close()
+
+        asyncio.run(check())
+
 
 class TestUploads:
     """Guards against resets that drop an answer which is sent before the end of a body."""
