--- a/halldoor/gateway/delivery.py
+++ b/halldoor/gateway/delivery.py
@@ -56,8 +56,8 @@
             self._active_at = now
         return now - self._active_at >= LINGER_S
 
-    def discards(self, data: bytes) -> bool:
-        """Check whether received bytes are discarded, since the connection is closing."""
+    def discard(self, data: bytes) -> bool:
+        """Discard received bytes if the connection is closing; return whether it is."""
         if self._is_discarding and data:
             self._active_at = asyncio.get_running_loop().time()
         return self._is_discarding
