Reserve the ports of links while they are cut

A soak run with 40 gateways ended in an OSError: a link that a cut had closed found its port taken when the cut ended, since the kernel had given it to another link. The port stays bound meanwhile.

--- a/halldoor/standins/targetlink.py
+++ b/halldoor/standins/targetlink.py
@@ -56,17 +56,20 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._full: list[socket.socket] = []
+        self._reservation: socket.socket | None = None
         self._changing = asyncio.Lock()
 
     async def start(self) -> None:
         """Listen; the kernel chooses the port the first time."""
         self._server = await asyncio.start_server(self._serve, self.address.ip, self.address.port)
         self.address = Address(LINK_IP, self._server.sockets[0].getsockname()[1])
+        self._end_reservation()
 
     async def stop(self) -> None:
         """Stop listening and reset all connections."""
         await self.set_cut(None)
         await self._close_server()
+        self._end_reservation()
         self._reset_all()
 
     async def set_cut(self, cut: Cut | None) -> None:
@@ -91,16 +94,28 @@
             await self.start()
 
     async def _close_server(self) -> None:
-        """Stop listening; open connections live on."""
+        """Stop listening, and reserve the port; open connections live on."""
         if self._server is not None:
             self._server.close()
             self._server = None
+            self._reservation = self._bind()
+
+    def _bind(self) -> socket.socket:
+        """Return a socket bound to the port, at which another one may listen all the same."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((self.address.ip, self.address.port))
+        return sock
+
+    def _end_reservation(self) -> None:
+        """Release the port that is reserved while the link does not listen."""
+        if self._reservation is not None:
+            self._reservation.close()
+            self._reservation = None
 
     def _fill_backlog(self) -> None:
         """Listen with a full backlog, so that the kernel ignores further connections."""
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((self.address.ip, self.address.port))
+        listener = self._bind()
         listener.listen(0)
         self._full = [listener]
         for _ in range(2):
--- a/halldoor/tests/test_standins.py
+++ b/halldoor/tests/test_standins.py
@@ -1,5 +1,6 @@
 """Stand-ins use ports of their own, and count only requests that are in flight."""
 
+import asyncio
 import contextlib
 import socket
 import subprocess
@@ -8,9 +9,11 @@
 
 import pytest
 
+from halldoor.core.settings import Address
 from halldoor.standins.fleet import wait_until
-from halldoor.standins.sample import IP
+from halldoor.standins.sample import IP, find_ports
 from halldoor.standins.target import Behaviour, TargetStandin
+from halldoor.standins.targetlink import Cut, TargetLink
 
 
 def test_each_process_has_its_own_loopback_address():
@@ -75,3 +78,24 @@
             for thread in threads:
                 thread.join()
     assert standin._get_stats()["in_flight"] == 0
+
+
+def test_links_that_are_cut_lose_their_ports_to_others():
+    """With hundreds of links, the kernel chose the port of one that did not listen."""
+
+    async def check():
+        target = Address(IP, find_ports(1)[0])
+        links = [TargetLink(target) for _ in range(200)]
+        for link in links:
+            await link.start()
+            await link.set_cut(Cut.RESET)
+        others = [TargetLink(target) for _ in range(200)]
+        for other in others:
+            await other.start()
+        assert not {link.address for link in links} & {other.address for other in others}
+        for link in links:
+            await link.set_cut(None)
+        for link in [*links, *others]:
+            await link.stop()
+
+    asyncio.run(check())
