Don't use a retry permit after a suspension

A process that is suspended between the claim of a permit and its retry could send it when the permit is free again. A line of the class's docstring stood twice.

--- a/halldoor/gateway/permits.py
+++ b/halldoor/gateway/permits.py
@@ -27,7 +27,6 @@
 class RetryPermits:
     """Permits for single retries, of which all entries together have a few in each window.
 
-    A permit is a key in the store.  The entry that creates it may send one retry; the key stays for
     A permit is a key in the store.  The entry that creates it may send one retry; the key stays for
     the window of the retry budget, whether or not the entry runs.  So the number of these retries
     is bounded however often entries restart.
@@ -59,7 +58,8 @@
             Time left for the request, in seconds; at most a quarter of it is spent.
         """
         count = count_permits(budget)
-        now = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        now = loop.time()
         is_paused = now < self._paused_until.get(service, now)
         if not count or is_paused or self._running >= MAX_RUNNING:
             return False
@@ -75,7 +75,8 @@
             self._running -= 1
         if not is_acquired:
             self._paused_until[service] = now + PAUSE_S
-        return is_acquired
+        # A process that was suspended meanwhile must not use a permit that is free again.
+        return is_acquired and loop.time() - now < USE_S
 
     async def _claim_any(self, service: str, count: int, window_s: float) -> bool:
         """Claim one of a service's permits; return False if those tried are taken."""
