--- a/halldoor/gateway/permits.py
+++ b/halldoor/gateway/permits.py
@@ -12,9 +12,9 @@
 from halldoor.gateway.store import MetadataStore, StoreError
 
 TIMEOUT_S = 0.25
-"""Longest wait for a permit, in seconds: three calls to a store in a far region."""
+"""Longest wait for a permit, in seconds: four calls to a store in a far region."""
 MAX_CLAIMS = 2
-"""Most permits to try to claim for one retry, since another entry may hold the first."""
+"""Most permits to try to claim for one retry, since another entry may claim the first."""
 MAX_RUNNING = 4
 """Most retries that wait for a permit at a time."""
 PAUSE_S = 2.0
@@ -79,14 +79,21 @@
         return is_acquired and loop.time() - now < USE_S
 
     async def _claim_any(self, service: str, count: int, window_s: float) -> bool:
-        """Claim one of a service's permits; return False if those tried are taken."""
+        """Claim one of a service's permits; return False if all are taken."""
+        keys = [build_permit_key(service, number) for number in range(count)]
+        page = await self._store.read_range(build_permit_key(service, ""))
+        self._metrics.add_store_call("range", "ok")
+        taken = {item.key for item in page.items}
+        free = [key for key in keys if key not in taken]
+        if not free:
+            return False
         lease = await self._store.create_lease(window_s + USE_S + TIMEOUT_S)
         self._metrics.add_store_call("lease", "created")
-        for number in self._random.sample(range(count), min(count, MAX_CLAIMS)):
-            is_own = await self._store.claim(build_permit_key(service, number), lease=lease.name)
+        for key in self._random.sample(free, min(len(free), MAX_CLAIMS)):
+            is_own = await self._store.claim(key, lease=lease.name)
             self._metrics.add_store_call("claim", "ok" if is_own else "taken")
             if is_own:
                 self._metrics.add_retry(service, "permit")
-                self._log.event("retries", "Took a permit.", service=service, number=number)
+                self._log.event("retries", "Took a permit.", service=service, key=key)
                 return True
         return False
--- a/halldoor/gateway/records.py
+++ b/halldoor/gateway/records.py
@@ -75,6 +75,9 @@
     return f"{TRIAL_PREFIX}{digest}/{trial}"
 
 
-def build_permit_key(service: str, number: int) -> str:
-    """Return the key that an entry claims before it sends a retry beyond its own share."""
+def build_permit_key(service: str, number: int | str) -> str:
+    """Return the key that an entry claims before it sends a retry beyond its own share.
+
+    With an empty number, it is the prefix of all such keys of the service.
+    """
     return f"{PERMIT_PREFIX}{service}/{number}"
--- a/halldoor/tests/test_retry_permits.py
+++ b/halldoor/tests/test_retry_permits.py
@@ -52,7 +52,7 @@
 
         async def check():
             store = MemoryStore(has_expiry=True)
-            for _ in range(4):
+            for _ in range(count_permits(RetrySettings())):
                 async with open_new_kit(store) as kit:
                     shed_first(kit)
                     assert (await kit.call()).status == 200
