Reset the unread bytes of a connection after each request

A caller that kept such a connection got a 408 at the idle timeout, which no request waited for.

Cause: bytes of a body that came behind its head counted as unread for good, since the count was reset only where the parser ran out of data. After each request it is now what the parser holds.

Both cases of the new test failed before, and pass.

--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -320,10 +320,10 @@
             self._h11.start_next_cycle()
         elif not await self._answer_pipelined(pipeline):
             return False
-        if not self._drained.is_set():
-            # A caller that sends requests but reads no answers must not fill the write buffer.
-            self._unread = len(self._h11.trailing_data[0])
-            await self.wait_until_drained()
+        # What came with the request was read; only bytes of later ones are left.
+        self._unread = len(self._h11.trailing_data[0])
+        # A caller that sends requests but reads no answers must not fill the write buffer.
+        await self.wait_until_drained()
         has_next = pipeline is not None and pipeline.has_read
         return not self.is_closing or has_next or bool(self._h11.trailing_data[0])
 
--- a/halldoor/tests/test_delivery.py
+++ b/halldoor/tests/test_delivery.py
@@ -297,6 +297,33 @@
 
         asyncio.run(check())
 
+    @pytest.mark.parametrize("is_stopped", [True, False], ids=["stop", "idle-timeout"])
+    def test_connection_whose_body_came_behind_its_head_is_never_idle(self, is_stopped):
+        """Its bytes counted as unread: a stop waited for it, and an idle timeout sent 408."""
+
+        async def check():
+            async with open_kit() as kit:
+                kit.configure(limits={"idle_timeout_s": 0.5}, **ROUTE)
+                await kit.wait(lambda: kit.gateway.catalog.configuration_version == 2)
+                sock = connect_narrow(kit.front_port)
+                length = b"Content-Length: 5"
+                await send_on(sock, build_request(b"first", method=b"POST", extra=[length]))
+                await asyncio.sleep(0.2)
+                await send_on(sock, b"order")
+                download = Download()
+                await download.read(sock)
+                assert download.missing == 0
+                began = time.monotonic()
+                if is_stopped:
+                    await kit.gateway.stop()
+                whole = download.data
+                await download.read_to_end(sock)
+                assert time.monotonic() - began < 2.5
+                assert download.data == whole
+                sock.close()
+
+        asyncio.run(check())
+
     def test_callers_that_send_on_without_reading_are_bounded(self):
         """A stop ends in its grace time, and what these callers send is not kept."""
 
