--- a/halldoor/tests/test_stop_slow_readers.py
+++ b/halldoor/tests/test_stop_slow_readers.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 
 from halldoor.gateway.headers import find
+from halldoor.standins.narrowlink import connect_narrow
 from halldoor.tests.gatewaykit import NAMES, GatewayKit
+from halldoor.tests.narrowkit import build_request, stop_and_exit
 
 ANSWER_BYTES = 260_000
 WORK_S = 0.4
@@ -15,26 +16,6 @@
 ROUTE = {"kind": "repeatable", "timeout_s": 6.0}
 
 
-def connect_narrow(port, *, receive_buffer):
-    """Open a connection with segments and a window as on a narrow link."""
-    sock = socket.socket()
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-    sock.connect(("127.0.0.1", port))
-    sock.setblocking(False)
-    return sock
-
-
-def build_request(attempt_id):
-    lines = [
-        b"GET /1 HTTP/1.1",
-        b"Host: decks.example",
-        NAMES.attempt_id + b": " + attempt_id,
-        NAMES.deadline_ms + b": 6000",
-    ]
-    return b"\r\n".join(lines) + b"\r\n\r\n"
-
-
 async def read_answer(sock, *, stall_s, every_s):
     """Read an answer slowly, after a pause; return how much of its body is missing."""
     loop = asyncio.get_running_loop()
@@ -74,16 +55,9 @@
     return sockets
 
 
-async def stop_and_exit(kit):
-    """Stop a gateway, and drop what its process still holds, as its exit would."""
-    callers = list(kit.gateway._callers)
-    await kit.gateway.stop()
-    for caller in callers:
-        if caller._transport.get_write_buffer_size():
-            caller._transport.abort()
-
-
 def test_stop_cuts_off_answers_that_slow_readers_take():
+    """The process exited while its transports held parts of answers (``review/1``)."""
+
     async def check():
         async with GatewayKit.open(route=ROUTE, grace_s=GRACE_S) as kit:
             sockets = await open_downloads(kit, count=4, receive_buffer=8_192)
@@ -102,6 +76,8 @@
 
 
 def test_stop_resets_answers_on_a_further_pipelined_request():
+    """A request met a socket closed at once, and the reset dropped answers (``review/2``)."""
+
     async def check():
         async with GatewayKit.open(route=ROUTE, grace_s=GRACE_S) as kit:
             sockets = await open_downloads(kit, count=8, receive_buffer=16_384)
