--- a/halldoor/gateway/delivery.py
+++ b/halldoor/gateway/delivery.py
@@ -74,7 +74,10 @@
         if self._is_closed or self._transport.is_closing() or self.is_settled():
             return
         self._is_discarding = True
-        self._transport.write_eof()
+        try:
+            self._transport.write_eof()
+        except OSError:
+            return  # The peer has reset the connection; the transport is told next.
         loop = asyncio.get_running_loop()
         left, progress_at = self.count_undelivered(), loop.time()
         while not (self._is_closed or self._transport.is_closing() or self.is_settled()):
--- a/halldoor/tests/test_delivery.py
+++ b/halldoor/tests/test_delivery.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 import time
+from unittest import mock
 
 import pytest
 
 from halldoor.core.settings import Address
 from halldoor.gateway.caller import READ_AHEAD
+from halldoor.gateway.delivery import DeliveryProtocol
 from halldoor.gateway.headers import FORWARDED_BY, find
 from halldoor.gateway.stopping import IDLE_S
 from halldoor.standins.narrowlink import connect_narrow
@@ -132,6 +135,20 @@
 
         asyncio.run(check())
 
+    def test_reset_that_the_transport_does_not_know_of_yet_fails_the_connection(self):
+        async def check():
+            transport = mock.Mock()
+            transport.is_closing.return_value = False
+            transport.get_write_buffer_size.return_value = 1
+            transport.get_extra_info.return_value = None
+            transport.write_eof.side_effect = OSError(errno.ENOTCONN, "not connected")
+            protocol = DeliveryProtocol()
+            protocol._transport = transport
+            async with asyncio.timeout(1.0):
+                await protocol.linger(limit_s=5.0)
+
+        asyncio.run(check())
+
 
 class TestUploads:
     """Guards against resets that drop an answer which is sent before the end of a body."""
