--- a/halldoor/core/teams/gate.py
+++ b/halldoor/core/teams/gate.py
@@ -180,14 +180,9 @@
 
     def _get_equal_bucket(self, team: str, equal: TeamLimit, now: float) -> EntryBucket:
         """Return the bucket of a team's equal part, adding one that was empty at the start."""
-        bucket = self._equal_buckets.get(team)
-        if bucket is None:
-            if self._began_at is None:
-                bucket = EntryBucket(now)
-            else:
-                bucket = EntryBucket(self._began_at, spent=equal.burst)
-            self._equal_buckets[team] = bucket
-        return bucket
+        if self._began_at is None:
+            return _get_or_add_bucket(self._equal_buckets, team, now)
+        return _get_or_add_bucket(self._equal_buckets, team, self._began_at, spent=equal.burst)
 
     def uncount(self, team: str) -> None:
         """Uncount a request that was admitted and then reached no target."""
@@ -220,11 +215,13 @@
     return TeamLimit(limit.rate_per_s / entries, max(1.0, limit.burst / entries))
 
 
-def _get_or_add_bucket(buckets: dict[str, EntryBucket], team: str, now: float) -> EntryBucket:
-    """Return the bucket of a team, adding a full one if it has none."""
+def _get_or_add_bucket(
+    buckets: dict[str, EntryBucket], team: str, now: float, *, spent: float = 0.0
+) -> EntryBucket:
+    """Return the bucket of a team, adding one if it has none; for the rest see `EntryBucket`."""
     bucket = buckets.get(team)
     if bucket is None:
-        bucket = buckets[team] = EntryBucket(now)
+        bucket = buckets[team] = EntryBucket(now, spent=spent)
     return bucket
 
 
--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -90,7 +90,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller, and pause reading when too many are unread."""
-        if self.discard(data):
+        if self.discard_input():
             return
         if self._pipeline is not None:
             self._pipeline.receive(data)
--- a/halldoor/gateway/delivery.py
+++ b/halldoor/gateway/delivery.py
@@ -13,6 +13,7 @@
 import math
 import sys
 import termios
+from collections.abc import Iterable
 from typing import Any
 
 from halldoor.gateway.flow import FlowProtocol
@@ -56,12 +57,16 @@
             self._active_at = now
         return now - self._active_at >= LINGER_S
 
-    def discard(self, data: bytes) -> bool:
-        """Discard received bytes if the connection is closing; return whether it is."""
-        if self._is_discarding and data:
+    def discard_input(self) -> bool:
+        """Record that bytes were received; return whether they are discarded, at the close."""
+        if self._is_discarding:
             self._active_at = asyncio.get_running_loop().time()
         return self._is_discarding
 
+    def _has_ended(self) -> bool:
+        """Check whether the connection is closed, or closing it now would destroy no answer."""
+        return self._is_closed or self._transport.is_closing() or self.is_settled()
+
     async def linger(self, *, limit_s: float) -> None:
         """Stop sending, and discard input until the peer has received what was written.
 
@@ -71,7 +76,7 @@
             Longest time in which the peer acknowledges nothing more, in seconds; a peer that
             exceeds it is disconnected.
         """
-        if self._is_closed or self._transport.is_closing() or self.is_settled():
+        if self._has_ended():
             return
         self._is_discarding = True
         try:
@@ -80,7 +85,7 @@
             return  # The peer has reset the connection; the transport is told next.
         loop = asyncio.get_running_loop()
         left, progress_at = self.count_undelivered(), loop.time()
-        while not (self._is_closed or self._transport.is_closing() or self.is_settled()):
+        while not self._has_ended():
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(CHECK_S):
                     await self._wait_for_data()
@@ -91,6 +96,11 @@
                 self._transport.abort()
 
 
+def sum_undelivered(connections: Iterable[DeliveryProtocol]) -> int:
+    """Return the number of bytes that connections have sent and that have not arrived yet."""
+    return sum(connection.count_undelivered() for connection in connections)
+
+
 def _count_unacknowledged(sock: Any) -> int:
     """Return the number of bytes in a socket's send queue that its peer has not acknowledged."""
     try:
--- a/halldoor/gateway/permits.py
+++ b/halldoor/gateway/permits.py
@@ -8,7 +8,7 @@
 from halldoor.core.targets.budget import RetrySettings, count_permits
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.records import build_permit_key
+from halldoor.gateway.records import build_permit_prefix
 from halldoor.gateway.store import MetadataStore, StoreError
 
 TIMEOUT_S = 0.25
@@ -80,11 +80,11 @@
 
     async def _claim_any(self, service: str, count: int, window_s: float) -> bool:
         """Claim one of a service's permits; return False if all are taken."""
-        keys = [build_permit_key(service, number) for number in range(count)]
-        page = await self._store.read_range(build_permit_key(service, ""))
+        prefix = build_permit_prefix(service)
+        page = await self._store.read_range(prefix)
         self._metrics.add_store_call("range", "ok")
         taken = {item.key for item in page.items}
-        free = [key for key in keys if key not in taken]
+        free = [key for i in range(count) if (key := f"{prefix}{i}") not in taken]
         if not free:
             return False
         lease = await self._store.create_lease(window_s + USE_S + TIMEOUT_S)
--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -9,6 +9,7 @@
 from halldoor.core.settings import Address
 from halldoor.core.targets.route import CallerLimits
 from halldoor.gateway.caller import CallerConnection, Handler
+from halldoor.gateway.delivery import sum_undelivered
 from halldoor.gateway.pipeline import Pipelining
 
 
@@ -57,7 +58,7 @@
 
     def count_undelivered(self) -> int:
         """Return the number of bytes of answers that have not arrived yet."""
-        return sum(connection.count_undelivered() for connection in self._connections)
+        return sum_undelivered(self._connections)
 
     def close(self) -> None:
         """Close the ports; open connections live on."""
--- a/halldoor/gateway/records.py
+++ b/halldoor/gateway/records.py
@@ -75,9 +75,6 @@
     return f"{TRIAL_PREFIX}{digest}/{trial}"
 
 
-def build_permit_key(service: str, number: int | str) -> str:
-    """Return the key that an entry claims before it sends a retry beyond its own share.
-
-    With an empty number, it is the prefix of all such keys of the service.
-    """
-    return f"{PERMIT_PREFIX}{service}/{number}"
+def build_permit_prefix(service: str) -> str:
+    """Return the prefix of the keys, ended by a number, that permit retries of a service."""
+    return f"{PERMIT_PREFIX}{service}/"
--- a/halldoor/gateway/stopping.py
+++ b/halldoor/gateway/stopping.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Set
 
 from halldoor.gateway.caller import CallerConnection
+from halldoor.gateway.delivery import sum_undelivered
 from halldoor.gateway.eventlog import EventLog
 
 IDLE_S = 0.3
@@ -54,6 +55,6 @@
                 "The grace time ends.",
                 running=count_running(),
                 callers=len(callers),
-                undelivered_bytes=sum(caller.count_undelivered() for caller in callers),
+                undelivered_bytes=sum_undelivered(callers),
             )
         await asyncio.sleep(min(CHECK_S, deadline - now))
