--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from halldoor.core.targets.changes import (
     Change,
@@ -110,7 +110,12 @@
                 return True
 
     def apply_full_read(
-        self, changes: Sequence[Change], now: float, *, is_restored: bool = False
+        self,
+        changes: Sequence[Change],
+        now: float,
+        *,
+        is_restored: bool = False,
+        on_failure: Callable[[Change, Exception], None] | None = None,
     ) -> list[Change]:
         """Apply a full read of the store and remove everything that it doesn't contain.
 
@@ -120,6 +125,9 @@
             Whether the store was restored from an older copy.  Records that it lacks are kept
             until their writers had time to write them again, and targets that were removed after
             the copy was made are not added again.
+        on_failure : callable, optional
+            Called with each change that can't be applied, and the exception; the others are
+            applied.  By default the exception is raised.
 
         Returns
         -------
@@ -138,7 +146,16 @@
         if is_restored:
             self._restored_at = now
             removals = self._postponed.add(removals, due_at=now + self.timings.settle_s)
-        return [c for c in [*changes, *removals] if self.apply(c, now)]
+        applied: list[Change] = []
+        for change in [*changes, *removals]:
+            try:
+                if self.apply(change, now):
+                    applied.append(change)
+            except Exception as exc:
+                if on_failure is None:
+                    raise
+                on_failure(change, exc)
+        return applied
 
     def _was_removed(self, change: Change) -> bool:
         """Check whether a record is of a start of a target that was removed before."""
--- a/halldoor/gateway/coldstate.py
+++ b/halldoor/gateway/coldstate.py
@@ -86,6 +86,12 @@
         self._pending.pop(target, None)
         self._checked_at.pop(target, None)
 
+    def reset(self) -> None:
+        """Drop the queued notices, and check targets again."""
+        self._pending = {}
+        self._checks = {}
+        self._checked_at = {}
+
     async def run(self) -> None:
         """Send notices and check targets until cancelled."""
         try:
--- a/halldoor/gateway/datagrams.py
+++ b/halldoor/gateway/datagrams.py
@@ -14,10 +14,14 @@
 import msgspec
 
 from halldoor.core.settings import Address
+from halldoor.gateway.failures import FailureReporter
 from halldoor.gateway.metrics import GatewayMetrics
 
 Receiver = Callable[[Any, Address], None]
 
+MAX_PORT = 65_535
+"""Greatest port number; with a larger one the event loop would close the socket."""
+
 
 class MessageKind(IntEnum):
     """Kind of a message, sent as its first byte; it determines the type of the content."""
@@ -56,6 +60,8 @@
         Address to listen on; None: nothing is sent or received.
     is_entry : callable
         Returns whether an address belongs to a registered entry.
+    reporter : FailureReporter, optional
+        Reports messages on which a receiver fails, or that can't be sent.
     """
 
     def __init__(
@@ -64,11 +70,14 @@
         *,
         is_entry: Callable[[Address], bool],
         metrics: GatewayMetrics,
+        reporter: FailureReporter | None = None,
     ) -> None:
         self._address = address
         self._is_entry = is_entry
         self._metrics = metrics
+        self._reporter = reporter
         self._transport: asyncio.DatagramTransport | None = None
+        self._is_lost = asyncio.Event()
         self._receivers: dict[int, tuple[Any, Receiver]] = {}
 
     def register_receiver(self, kind: MessageKind, message_type: Any, receiver: Receiver) -> None:
@@ -82,6 +91,20 @@
             local = (self._address.ip, self._address.port)
             await loop.create_datagram_endpoint(lambda: self, local_addr=local)
 
+    async def run(self) -> None:
+        """Open the socket again whenever it was lost, until cancelled."""
+        while True:
+            await self._is_lost.wait()
+            await self.start()
+            self._is_lost.clear()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Have the socket opened again, unless it was closed on purpose."""
+        if exc is not None:
+            self._transport = None
+            self._report("The socket for messages was lost.", exc)
+            self._is_lost.set()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the opened socket."""
         # The event loop's datagram transports do not derive from `asyncio.DatagramTransport`.
@@ -96,12 +119,34 @@
         """Send a message to some addresses; drop it where it can't be sent now."""
         if self._transport is None:
             return
-        data = bytes([kind]) + msgspec.msgpack.encode(message)
+        try:
+            data = bytes([kind]) + msgspec.msgpack.encode(message)
+        except Exception as exc:
+            self._metrics.add_message("unsent")
+            self._report("A message can't be encoded.", exc, kind=kind.name.lower())
+            return
         for address in addresses:
-            if address is not None:
+            if address is None or self._transport is None:
+                continue
+            if 0 < address.port <= MAX_PORT:
                 self._transport.sendto(data, (address.ip, address.port))
+            else:
+                self._metrics.add_message("unsent")
+
+    def _report(self, text: str, exc: Exception, **fields: str) -> None:
+        """Report a failure."""
+        if self._reporter is not None:
+            self._reporter.report("datagrams", text, exc, **fields)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Pass a message to its receiver; count and drop one on which that fails."""
+        try:
+            self._receive(data, addr)
+        except Exception as exc:
+            self._metrics.add_message("failed")
+            self._report("A receiver of messages failed.", exc, sender=str(Address(*addr[:2])))
+
+    def _receive(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode a message and pass it to its receiver; count and drop an invalid one."""
         message_type, receiver = self._receivers.get(data[0] if data else 0, (None, None))
         if receiver is None:
--- a/halldoor/gateway/entryweights.py
+++ b/halldoor/gateway/entryweights.py
@@ -89,6 +89,12 @@
             return None
         return self._table.compute(candidates.group, candidates.members, _now())
 
+    def reset(self) -> None:
+        """Drop the loads of other entries and of this one; they are measured again."""
+        self._table.clear()
+        self._members_version = -1
+        self._was_paused = True
+
     async def run(self) -> None:
         """Share the own load once in each period, until cancelled."""
         while True:
--- a/halldoor/gateway/exchanges.py
+++ b/halldoor/gateway/exchanges.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Coroutine
-from typing import Any
-
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.choice import Chooser
@@ -20,6 +17,7 @@
 from halldoor.gateway.rests import BackoffReader
 from halldoor.gateway.settings import GatewaySettings
 from halldoor.gateway.sharing import ObservationSharing
+from halldoor.gateway.tasks import Part
 
 
 class TargetExchanges:
@@ -71,7 +69,11 @@
         feedback.on_statement.append(self.limits.apply_statement)
         feedback.on_any_statement += [self.leaving.apply_statement, backoffs.apply_statement]
 
-    def list_coroutines(self) -> list[Coroutine[Any, Any, None]]:
-        """Return the coroutines of the exchanges, each to be run until cancelled."""
-        parts = (self.sharing, self.cold_state, self.limits, self.leaving)
-        return [part.run() for part in parts]
+    def list_parts(self) -> list[Part]:
+        """Return the exchanges as tasks to be run until cancelled."""
+        return [
+            Part("observations", self.sharing.run, self.sharing.reset),
+            Part("cold state", self.cold_state.run, self.cold_state.reset),
+            Part("limits", self.limits.run, self.limits.reset),
+            Part("leaving", self.leaving.run, self.leaving.reset),
+        ]
--- a/halldoor/gateway/following.py
+++ b/halldoor/gateway/following.py
@@ -39,6 +39,8 @@
         Components that are notified.
     is_stopping : callable
         Returns whether this entry is stopping, so that the removal of its own record is expected.
+    notify : callable
+        Calls a component with arguments; one that fails must not affect others.
     """
 
     def __init__(
@@ -52,8 +54,10 @@
         cold_state: ColdStateExchange,
         limits: LimitExchange,
         is_stopping: Callable[[], bool],
+        notify: Callable[..., None],
         log: EventLog,
     ) -> None:
+        self._notify = notify
         self._own_name = own_name
         self._catalog = catalog
         self._feedback = feedback
@@ -80,20 +84,20 @@
                     faults=list(routing.faults[:FAULTS_LOGGED]),
                 )
             case EvidenceSeen(evidence):
-                self._quarantine.apply_stored_record(evidence)
+                self._notify(self._quarantine.apply_stored_record, evidence)
             case EvidenceRemoved(digest):
-                self._quarantine.remove_stored_record(digest)
+                self._notify(self._quarantine.remove_stored_record, digest)
             case MemberSeen():
-                self._quarantine.update_collectors()
+                self._notify(self._quarantine.update_collectors)
             case MemberRemoved(name) if name == self._own_name and not self._is_stopping():
                 self._log.event("membership", "Own record is gone; writing it again.")
                 self._registration.rewrite_record()
             case MemberRemoved():
-                self._quarantine.update_collectors()
+                self._notify(self._quarantine.update_collectors)
 
     def _dispatch_removal(self, incarnation: str) -> None:
         """Notify the components that one incarnation of a target was removed."""
-        self._feedback.forget_target(incarnation)
-        self._quarantine.record_target_removed(incarnation)
-        self._cold_state.forget(incarnation)
-        self._limits.forget(incarnation)
+        self._notify(self._feedback.forget_target, incarnation)
+        self._notify(self._quarantine.record_target_removed, incarnation)
+        self._notify(self._cold_state.forget, incarnation)
+        self._notify(self._limits.forget, incarnation)
--- a/halldoor/gateway/leaving.py
+++ b/halldoor/gateway/leaving.py
@@ -87,6 +87,10 @@
         if self._catalog.add_leaving(target.name, started_ms):
             self._record_leaving(target.name, started_ms, now, now, source="answer")
 
+    def reset(self) -> None:
+        """Drop the queued notices; statements that were applied stay in force."""
+        self._pending = {}
+
     async def run(self) -> None:
         """Send notices until cancelled."""
         while True:
--- a/halldoor/gateway/limits.py
+++ b/halldoor/gateway/limits.py
@@ -78,6 +78,11 @@
         self._queued.pop(target, None)
         self._queued_at.pop(target, None)
 
+    def reset(self) -> None:
+        """Drop the queued notices; targets repeat their limits in later answers."""
+        self._queued = {}
+        self._queued_at = {}
+
     async def run(self) -> None:
         """Send queued notices every `SEND_INTERVAL_S` until cancelled."""
         while True:
--- a/halldoor/gateway/maintenance.py
+++ b/halldoor/gateway/maintenance.py
@@ -65,7 +65,8 @@
     async def run(self) -> None:
         """Do the housekeeping until cancelled."""
         loop = asyncio.get_running_loop()
-        self._ticked_at = loop.time()
+        if self._ticked_at is None:
+            self._ticked_at = loop.time()
         tick = 0
         while True:
             await asyncio.sleep(TICK_S)
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -136,6 +136,11 @@
         self._unreadable = Counter(
             "halldoor_unreadable_records", "Records that could not be read.", registry=registry
         )
+        self._task_failures = Counter(
+            "halldoor_task_failures",
+            "Unexpected exceptions outside of requests, by task or kind of receiver.",
+            registry=registry,
+        )
 
     def _build_targets_out(self) -> Gauge:
         """Build an empty gauge of targets that receive no or few requests."""
@@ -262,6 +267,10 @@
         """Count a store record that could not be decoded."""
         self._unreadable.inc({})
 
+    def add_task_failure(self, task: str) -> None:
+        """Count an unexpected exception in a task or receiver."""
+        self._task_failures.inc({"task": task})
+
     def set(self, name: str, value: float) -> None:
         """Set the gauge ``halldoor_state`` for a name."""
         self._gauges.set({"name": name}, value)
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -21,6 +21,7 @@
 from halldoor.gateway.entryweights import EntryWeighing
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.exchanges import TargetExchanges
+from halldoor.gateway.failures import FailureReporter
 from halldoor.gateway.feedback import TargetFeedback
 from halldoor.gateway.figures import collect_figures
 from halldoor.gateway.flows import RegionFlowCounter
@@ -46,9 +47,13 @@
 from halldoor.gateway.store import MetadataStore, RecordCodec
 from halldoor.gateway.storetasks import StoreTasks
 from halldoor.gateway.targetreach import TargetReach
-from halldoor.gateway.tasks import TaskSet, stop_task
+from halldoor.gateway.tasks import GIVE_UP_S, Part, TaskSet, stop_task
 from halldoor.gateway.travel import RoundTripProbe
 
+MAINTENANCE_RESTART_LIMIT_S = 0.5
+"""Longest pause before the housekeeping is restarted, in seconds: without its ticks the process
+counts as suspended."""
+
 
 class Gateway:
     """A gateway process.
@@ -87,8 +92,12 @@
             *settings.capacity.drop_invalid(),
         )
         self.pool = TargetPool(settings.connections)
+        self._reporter = FailureReporter(self.log, self.metrics)
         self.port = DatagramPort(
-            settings.relay, is_entry=self.catalog.sharers.has_address, metrics=self.metrics
+            settings.relay,
+            is_entry=self.catalog.sharers.has_address,
+            metrics=self.metrics,
+            reporter=self._reporter,
         )
         self.quarantine = RequestQuarantine(
             self.member,
@@ -122,7 +131,8 @@
         self._build_ports(lookups, names)
         self._callers: set[CallerConnection] = set()
         self._front: asyncio.Server | None = None
-        self._tasks = TaskSet(self.log)
+        self.tasks = TaskSet(self.log, self.metrics)
+        self._registering: asyncio.Task[None] | None = None
         self.is_stopping = False
 
     def _build_requests(self, store: MetadataStore, names: HeaderNames) -> None:
@@ -241,6 +251,7 @@
             cold_state=self.exchanges.cold_state,
             limits=self.exchanges.limits,
             is_stopping=lambda: self.is_stopping,
+            notify=self.sync.notifier.notify,
             log=self.log,
         )
 
@@ -304,6 +315,7 @@
     async def start(self) -> None:
         """Open the ports and start every task."""
         settings = self.settings
+        asyncio.get_running_loop().set_exception_handler(self._reporter.handle_loop_exception)
         self._start_shares(asyncio.get_running_loop().time())
         self._front = await listen(
             settings.front.ip,
@@ -320,28 +332,48 @@
         )
         await self._ports.start()
         await self.port.start()
-        parts = (
-            self.sync.run(),
-            self.maintenance.run(),
-            self.stalls.run(),
-            self.weighing.run(),
-            self.reach.probe.run(),
-            self.travel.run(),
-            self.quotas.run(),
-            *self.exchanges.list_coroutines(),
-            self.store_notices.run(),
-            self.quarantine.run(),
+        for part in self._list_parts():
+            self.tasks.start(part)
+        registration = self.registration
+        self._registering = self.tasks.start(
+            Part("registration", registration.run, registration.reset)
         )
-        for part in parts:
-            self._tasks.start(part)
-        self._registering = self._tasks.start(self.registration.run())
         self.log.event("process", "Started.", hall=settings.hall, front=str(settings.front))
         if not clock.counts_suspensions():
             self.log.event("process", "This system's clock does not count suspensions.")
 
+    def _list_parts(self) -> list[Part]:
+        """Return the tasks that run until the process stops, without the registration."""
+        return [
+            Part("sync", self.sync.run, self.sync.reset, is_hopeless=self._is_outdated),
+            Part("maintenance", self.maintenance.run, limit_s=MAINTENANCE_RESTART_LIMIT_S),
+            Part("stalls", self.stalls.run, self.stalls.reset),
+            Part("weighing", self.weighing.run, self.weighing.reset),
+            Part("reach", self.reach.probe.run),
+            Part("travel", self.travel.run),
+            Part("quotas", self.quotas.run, self.quotas.reset),
+            *self.exchanges.list_parts(),
+            Part("store notices", self.store_notices.run, self.store_notices.reset),
+            Part("quarantine", self.quarantine.run, self.quarantine.reset),
+            Part("datagrams", self.port.run),
+        ]
+
+    def _is_outdated(self) -> bool:
+        """Check whether this entry lacks changes that others apply, and makes no progress.
+
+        Where no entry can read the store's changes, all serve from what they know.
+        """
+        is_stuck = asyncio.get_running_loop().time() - self.sync.updated_at >= GIVE_UP_S
+        return is_stuck and self.sync.is_loaded.is_set() and self.store_notices.is_behind
+
     def reload(self, settings: GatewaySettings) -> None:
-        """Apply changed settings; requests in progress are not affected."""
-        apply_settings(self, settings)
+        """Apply changed settings, or none of them; requests in progress are not affected."""
+        previous = self.settings
+        try:
+            apply_settings(self, settings)
+        except Exception:
+            apply_settings(self, previous)
+            raise
 
     async def stop(self) -> None:
         """Stop without aborting a request.
@@ -356,6 +388,9 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.grace_s
         self.log.event("process", "Stopping.", running=self.requests.running)
+        if self._registering is None:
+            await self._shut_down()  # It was still starting, so no caller was directed here.
+            return
         await stop_task(self._registering)
         for caller in list(self._callers):
             caller.is_closing = True
@@ -377,8 +412,10 @@
     async def _shut_down(self) -> None:
         """Close the ports and stop the tasks."""
         self.log.event("process", "Stopped.", running=self.requests.running)
+        if self._front is not None:
+            self._front.close()
         self._ports.close()
-        await self._tasks.stop()
+        await self.tasks.stop()
         self.pool.close()
         self.reach.forwarder.pool.close()
         self.feed.close()
--- a/halldoor/gateway/quarantine.py
+++ b/halldoor/gateway/quarantine.py
@@ -218,6 +218,10 @@
         if self._core.find_due() is not None:
             self._due_changed.set()
 
+    def reset(self) -> None:
+        """Create another lease for records; the evidence is kept, since it blocks requests."""
+        self._lease = ""
+
     async def run(self) -> None:
         """Repeat messages and store evidence when they are due, until cancelled."""
         while True:
@@ -271,6 +275,9 @@
             )
             self._core.retry_record(evidence.digest, _now() + RETRY_S)
             return
+        except Exception:
+            self._core.retry_record(evidence.digest, _now() + RETRY_S)
+            raise
         self._metrics.add_store_call("record", "ok")
         self._core.confirm_record(evidence)
 
--- a/halldoor/gateway/quotas.py
+++ b/halldoor/gateway/quotas.py
@@ -58,6 +58,13 @@
         port.register_receiver(MessageKind.QUOTA_REPORT, Report, self._receive_report)
         port.register_receiver(MessageKind.QUOTA_SHARES, Shares, self._receive_shares)
 
+    def reset(self) -> None:
+        """Drop the collected counts; entries report theirs again in the next period."""
+        self._ledger = QuotaLedger()
+        self._table = None
+        self._collectors = []
+        self._members_version = -1
+
     async def run(self) -> None:
         """Send a report in each period while any team has a limit, until cancelled."""
         while True:
--- a/halldoor/gateway/registration.py
+++ b/halldoor/gateway/registration.py
@@ -58,6 +58,11 @@
         self._has_failed = False
         self._wake = asyncio.Event()
 
+    def reset(self) -> None:
+        """Register again under another lease; the record stays until the old one expires."""
+        self._lease = None
+        self._is_written = False
+
     async def run(self) -> None:
         """Register once all records were read, and renew the lease until cancelled."""
         await self._is_loaded.wait()
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -115,6 +115,7 @@
         self._has_watched = False
         self._records = RecordTable()
         self._history: ChangeHistory[StoredItem] = ChangeHistory()
+        self._is_recording = False
         self._updated = asyncio.Event()
         self._pause_skipped = asyncio.Event()
         self.random = Random(own.name)
@@ -322,24 +323,36 @@
 
         If the records are of another copy of the store, followers have to fetch all of them.
         """
+        self._is_recording = True
         difference = self._records.find_difference(records)
         self._records.replace_all(records)
         self._has_watched = True
         if difference is not None:
             self._proven_at = max(self._proven_at, records.proven_at)
-            self._publish(difference)
-            return
-        self._history = ChangeHistory()
-        self._proven_at = records.proven_at
-        self._publish(Batch(records.revision, records.revision, []))
+        else:
+            self._history = ChangeHistory()
+            self._proven_at = records.proven_at
+            difference = Batch(records.revision, records.revision, [])
+        self._publish(difference)
+        self._is_recording = False
 
     def record_update(self, after: int, update: Update) -> None:
         """Record an update that was applied, and publish it to the followers that wait."""
+        self._is_recording = True
         events = update.events
         self._had_changes = bool(events.items)
         self._proven_at = max(self._proven_at, update.proven_at)
         self._records.apply(events.items, events.revision)
         self._publish(update.to_batch(after))
+        self._is_recording = False
+
+    def reset(self) -> None:
+        """Choose the reader again; drop the records if recording an update failed half way."""
+        self.close()
+        self._reader, self._members_version = None, -1
+        if self._is_recording:
+            self._records, self._history = RecordTable(), ChangeHistory()
+            self._is_recording = False
 
     def _publish(self, batch: Batch[StoredItem]) -> None:
         """Add a batch to the history, and wake the polls that wait for an update."""
--- a/halldoor/gateway/runner.py
+++ b/halldoor/gateway/runner.py
@@ -8,11 +8,15 @@
 from pathlib import Path
 
 from halldoor.core.errors import HalldoorError
+from halldoor.gateway.failures import describe_cause
 from halldoor.gateway.process import Gateway
 from halldoor.gateway.settings import GatewaySettings
+from halldoor.gateway.tasks import Part, stop_task
 
 CHECK_S = 1.0
 """Period of checking whether the settings file changed without a signal, in seconds."""
+EXIT_HOPELESS = 70
+"""Exit status after a planned stop because of a task that can't be repaired (EX_SOFTWARE)."""
 
 
 class SettingsFile:
@@ -35,7 +39,7 @@
         """Return the file's modification time in ns; None while it is missing."""
         try:
             return self._path.stat().st_mtime_ns
-        except FileNotFoundError:
+        except OSError:
             return None  # It may be being replaced; the next check finds the new one.
 
     def has_changed(self) -> bool:
@@ -49,17 +53,42 @@
 
 
 async def run_until_stopped(gateway: Gateway, file: SettingsFile) -> None:
-    """Run a gateway until SIGTERM or SIGINT, then stop it without cutting off a request."""
+    """Run a gateway until SIGTERM or SIGINT, then stop it without cutting off a request.
+
+    Raises
+    ------
+    SystemExit
+        With `EXIT_HOPELESS`, after such a stop, if a task can't be repaired.
+    """
     should_stop, should_reload = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, should_stop.set)
     loop.add_signal_handler(signal.SIGHUP, should_reload.set)
-    await gateway.start()
-    watching = loop.create_task(_follow_settings(gateway, file, should_reload))
-    await should_stop.wait()
-    watching.cancel()
+    gateway.tasks.on_hopeless = should_stop.set
+    if await _start(gateway, should_stop):
+        gateway.tasks.start(
+            Part("settings", lambda: _follow_settings(gateway, file, should_reload))
+        )
+        await should_stop.wait()
     await gateway.stop()
+    if gateway.tasks.hopeless:
+        raise SystemExit(EXIT_HOPELESS)
+
+
+async def _start(gateway: Gateway, should_stop: asyncio.Event) -> bool:
+    """Start a gateway; return False if a signal stops it before it has started."""
+    starting = asyncio.ensure_future(gateway.start())
+    signalled = asyncio.ensure_future(should_stop.wait())
+    try:
+        await asyncio.wait({starting, signalled}, return_when=asyncio.FIRST_COMPLETED)
+        if starting.done():
+            await starting
+            return True
+        return False
+    finally:
+        signalled.cancel()
+        await stop_task(starting)
 
 
 async def _follow_settings(
@@ -78,9 +107,11 @@
             file.has_changed()
         try:
             gateway.reload(file.load())
-        except (HalldoorError, OSError) as exc:
+        except Exception as exc:
+            # Whatever is wrong with the file, the next one may be sound.
+            is_expected = isinstance(exc, HalldoorError | OSError)
             gateway.log.event(
                 "process",
                 "Can't reload the settings; the previous ones stay in force.",
-                cause=str(exc),
+                cause=str(exc) if is_expected else describe_cause(exc),
             )
--- a/halldoor/gateway/sharing.py
+++ b/halldoor/gateway/sharing.py
@@ -51,6 +51,11 @@
         if len(self._pending) < self._settings.most:
             self._pending.append(observation)
 
+    def reset(self) -> None:
+        """Drop the queued observations, and choose the peers again."""
+        self._pending = []
+        self._members_version = -1
+
     async def run(self) -> None:
         """Send the queued observations to the peers once in each period, until cancelled."""
         while True:
--- a/halldoor/gateway/stalls.py
+++ b/halldoor/gateway/stalls.py
@@ -24,6 +24,10 @@
         """Return the sum of all stalls so far, in seconds, the present one included."""
         return self._total_s + max(0.0, now - self._due_at)
 
+    def reset(self) -> None:
+        """Stop measuring until the task runs again, so that its absence counts as no stall."""
+        self._due_at = math.inf
+
     async def run(self) -> None:
         """Measure until cancelled."""
         loop = asyncio.get_running_loop()
--- a/halldoor/gateway/storenotices.py
+++ b/halldoor/gateway/storenotices.py
@@ -111,11 +111,22 @@
         self._pending: dict[TargetStart | None, _Pending] = {}
         self._wake = asyncio.Event()
         self._newest = StoreView("", -1)
+        self._ahead = StoreView("", -1)
         self._has_first_update = False
         self._lag_check: asyncio.TimerHandle | None = None
         self._lag_factor = 1.0
         port.register_receiver(MessageKind.STORE_NEWS, list[StoreNotice], self._receive)
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether another entry applied urgent changes that this entry has not read yet."""
+        return self._get_view().is_behind(self._ahead)
+
+    def reset(self) -> None:
+        """Drop the notices that are still to be sent; the store tells other entries as well."""
+        self._pending = {}
+        self._wake.clear()
+
     def queue_notices(self, changes: Sequence[Change], view: StoreView) -> None:
         """Queue notices of the urgent changes in an update that was applied.
 
@@ -205,6 +216,7 @@
             )
         if not own.is_behind(view):
             return
+        self._ahead = view
         if notice.withdrawn:
             # The withdrawal is in force already; the next watch may wait for the pause to end.
             self._schedule_lag_check(view, WITHDRAWAL_LAG_S)
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Sequence
 
 from halldoor.core.targets.catalog import Catalog
@@ -20,8 +21,10 @@
 from halldoor.core.targets.withdrawal import StoreView
 from halldoor.gateway.backoff import Backoff
 from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.failures import FailureReporter
 from halldoor.gateway.handover import RecordSet
 from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.notifying import Notifier
 from halldoor.gateway.polls import ContactLostError, OtherEraError, Update
 from halldoor.gateway.reading import RecordReader
 from halldoor.gateway.relay import ChangeFeed
@@ -66,6 +69,10 @@
         Whether the process was suspended, and no call to the store has finished since.
     is_loaded : asyncio.Event
         Set once all records were read.
+    notifier : Notifier
+        Calls the receivers of changes and updates.
+    updated_at : float
+        When a full read or an update was applied last, on the loop's clock.
     """
 
     def __init__(
@@ -91,11 +98,15 @@
         self._reader = RecordReader(store, metrics=metrics, on_page=self._apply_withdrawals)
         self._revision: int | None = None
         self._era = ""
-        self._last_revision = 0
+        self._last_revision = self._begun_revision = 0
+        self._unreported: list[Change] = []
         self._has_lost_contact = False
         self.is_unconfirmed = False
         self.is_loaded = asyncio.Event()
         self._watch_task: asyncio.Task[Update] | None = None
+        self._reporter = FailureReporter(log, metrics)
+        self.notifier = Notifier(self._reporter)
+        self.updated_at = -math.inf
 
     @property
     def era_number(self) -> int:
@@ -134,6 +145,15 @@
                 self._record_failed_call(exc)
                 await asyncio.sleep(self._backoff.find_pause_s())
 
+    def reset(self) -> None:
+        """Read all records again after a failure, which may have left an update half applied.
+
+        What was applied stays valid meanwhile, as during any full read, so the entry stays ready.
+        """
+        self._revision = None
+        self._reader.clear()
+        self._feed.reset()
+
     def restart_watch(self, cause: str) -> None:
         """Record that contact is lost and open another watch: the current one may get no answer."""
         self._has_lost_contact = True
@@ -168,20 +188,30 @@
         is_restored = self.is_loaded.is_set() and before != records.era
         now = self._record_contact(records.proven_at)
         changes = [c for c in map(self._decode, records.items) if c is not None]
-        applied = self._catalog.apply_full_read(changes, now, is_restored=is_restored)
+        applied = self._catalog.apply_full_read(
+            changes, now, is_restored=is_restored, on_failure=self._report_unapplied
+        )
+        for change in applied:
+            self.notifier.notify(self._on_change, change)
+        self._unreported += applied
         if is_restored:
             self._log_restore(before, records)
         self._store.era = self._era = records.era
-        self._revision = self._last_revision = records.revision
+        self._last_revision = self._begun_revision = records.revision
         self._feed.reset_records(records)
+        self._revision, self.updated_at = records.revision, now
         self.is_loaded.set()
         self._reader.limit_s = self._feed.settings.page_limit_s
         self._log.event("store", "Read all.", revision=records.revision, changes=len(applied))
         self._log_full_read(applied, records.revision)
-        for change in applied:
-            self._on_change(change)
         self._catalog.contact.record_applied_until(records.proven_at)
-        self._call_receivers(applied, StoreView(records.era, max(records.revision, records.newest)))
+        self._call_receivers(StoreView(records.era, max(records.revision, records.newest)))
+
+    def _report_unapplied(self, change: Change, exc: Exception) -> None:
+        """Report a change that can't be applied; the state that it concerns stays as it was."""
+        self._metrics.add_unreadable_record()
+        kind = type(change).__name__
+        self._reporter.report("change", "A change can't be applied.", exc, kind=kind)
 
     def _log_full_read(self, applied: Sequence[Change], revision: int) -> None:
         """Log the changes of a full read that explain later routing: configurations, withdrawals.
@@ -224,7 +254,7 @@
 
     def _is_ahead_of(self, records: RecordSet) -> bool:
         """Check whether this entry applied changes that the records of its reader lack."""
-        return records.era == self._era and records.revision < self._last_revision
+        return records.era == self._era and records.revision < self._begun_revision
 
     def _apply_withdrawals(self, page: Page, era: str) -> None:
         """Apply the withdrawals of a page before the other pages are read.
@@ -243,10 +273,10 @@
                 continue
             if self._catalog.apply(change, now):
                 applied.append(change)
-                self._on_change(change)
+                self._record_applied(change)
         if applied:
             self._log_withdrawals(applied, page.revision)
-            self._call_receivers(applied, StoreView(era, page.revision))
+            self._call_receivers(StoreView(era, page.revision))
 
     async def _watch(self, revision: int) -> None:
         """Wait for changes and apply them."""
@@ -270,24 +300,30 @@
             now = self._record_substitute(update)
         else:
             now = self._record_contact(update.proven_at)
-        applied = []
+        self._begun_revision = events.revision
         for item in events.items:
             change = self._decode(item)
             if change is not None and self._catalog.apply(change, now):
-                applied.append(change)
+                self._record_applied(change)
                 self._log_change(change, events.revision)
-                self._on_change(change)
         # The store's own answer includes all removals up to its return, whenever it was sent.
         self._catalog.contact.record_applied_until(update.proven_at if update.is_relayed else now)
         self._revision = self._last_revision = events.revision
+        self.updated_at = now
         self._feed.record_update(revision, update)
-        self._call_receivers(applied, self.view)
+        self._call_receivers(self.view)
         await self._feed.pause()
 
-    def _call_receivers(self, changes: Sequence[Change], view: StoreView) -> None:
-        """Call the receivers of updates."""
+    def _record_applied(self, change: Change) -> None:
+        """Record a change that was applied, and notify the components that it concerns."""
+        self._unreported.append(change)
+        self.notifier.notify(self._on_change, change)
+
+    def _call_receivers(self, view: StoreView) -> None:
+        """Call the receivers of updates with all changes that were not reported yet."""
+        changes, self._unreported = self._unreported, []
         for receiver in self.on_update:
-            receiver(changes, view)
+            self.notifier.notify(receiver, changes, view)
 
     def _decode(self, item: StoredItem) -> Change | None:
         """Decode a record; treat one that can't be decoded as removed.
