--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -235,6 +235,8 @@
                     pass
             except h11.RemoteProtocolError as exc:
                 self._answer_protocol_error(exc)
+            except Exception as exc:
+                self._handle_failure(exc)
             self._cancel_pipeline(is_by_caller=self._is_closed)
             self._pipeline = None
             await self.linger(limit_s=self._read_limits().idle_timeout_s)
@@ -344,6 +346,17 @@
         if not self._is_closed and self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._send_error(exc.error_status_hint)
 
+    def _handle_failure(self, exc: Exception) -> None:
+        """Report a failure of the entry; answer 500, or break off the answer that has begun."""
+        context = {"message": "A connection failed.", "exception": exc, "protocol": self}
+        asyncio.get_running_loop().call_exception_handler(context)
+        if self._is_closed:
+            return
+        if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self._send_error(500)
+        else:
+            self.abort()
+
     def _send_error(self, status: int) -> None:
         """Send an error with an empty body outside of a request; mark the connection closing."""
         self.is_closing = True
