--- a/halldoor/gateway/eventlog.py
+++ b/halldoor/gateway/eventlog.py
@@ -30,6 +30,8 @@
 """Sustained limit in lines per second; a busy entry answers several hundred requests a second."""
 MAX_BURST_LINES = 400
 """Greatest burst, in lines."""
+TEXT_LIMIT = 1_000
+"""Greatest length of the text of a value that can't be rendered as JSON, in characters."""
 
 
 class EventLog:
@@ -103,26 +105,50 @@
         if self._dropped:
             entry["dropped_before"] = self._dropped
             self._dropped = 0
-        line = str(self._render(None, "", entry)).encode() + b"\n"
+        try:
+            line = str(self._render(None, "", entry)).encode() + b"\n"
+        except Exception:
+            line = str(self._render(None, "", self._make_printable(entry))).encode() + b"\n"
         try:
             self._queue.put_nowait(line)
         except queue.Full:
             self._dropped += 1
 
+    def _make_printable(self, entry: dict[str, Any]) -> dict[str, str]:
+        """Replace the values of a line by their text, and those without one by their type."""
+        printable = {}
+        for name, value in entry.items():
+            try:
+                printable[name] = str(value)[:TEXT_LIMIT].encode(errors="replace").decode()
+            except Exception:
+                printable[name] = f"<{type(value).__name__}>"
+        return printable
+
     def _write(self) -> None:
-        """Write queued lines in batches until the log is closed; runs in the thread."""
+        """Write queued lines until the log is closed; runs in the thread."""
         while True:
-            line = self._queue.get()
-            if line is None:
-                return
-            lines = [line]
-            while len(lines) < 64 and not self._queue.empty():
-                more = self._queue.get()
-                if more is None:
-                    _write_all(self._fd, b"".join(lines))
+            try:
+                if not self._write_batch():
                     return
-                lines.append(more)
-            _write_all(self._fd, b"".join(lines))
+            except Exception:
+                # The lines are lost, but the thread must go on: without it nothing is logged.
+                self._dropped += 1
+
+    def _write_batch(self) -> bool:
+        """Wait for a line and write it with those behind it; return False at the log's end."""
+        line = self._queue.get()
+        if line is None:
+            return False
+        lines = [line]
+        is_open = True
+        while len(lines) < 64 and not self._queue.empty():
+            more = self._queue.get()
+            if more is None:
+                is_open = False
+                break
+            lines.append(more)
+        _write_all(self._fd, b"".join(lines))
+        return is_open
 
     def close(self, *, timeout_s: float = 0.2) -> None:
         """Write the queued lines and stop the thread, waiting at most `timeout_s` seconds."""
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Iterable, Mapping
 
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from aioprometheus import Registry
 
 from halldoor.core.targets.choice import ExcludedTarget
+from halldoor.gateway.collectors import Counter, Gauge, Histogram, render
 
 BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0, 10.0]
 """Upper bounds of histogram buckets, in seconds: from a nearby read to the longest deadline."""
@@ -291,5 +292,4 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        content, _ = render(self.registry, ["text/plain"])
-        return content
+        return render(self.registry)
