--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -105,7 +105,8 @@
                     address.port,
                     local_addr=(local_ip, 0) if local_ip else None,
                 )
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, OverflowError, ValueError) as exc:
+            # The last two are of addresses that can't be of any host.
             raise ConnectionFailedError(
                 type(exc).__name__,
                 is_refused=isinstance(exc, ConnectionRefusedError),
--- a/halldoor/tests/test_supervision.py
+++ b/halldoor/tests/test_supervision.py
@@ -10,6 +10,7 @@
 
 from halldoor.core.settings import Address
 from halldoor.gateway import process, runner
+from halldoor.gateway.connection import ConnectionFailedError, HttpConnection
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.failures import FailureReporter
@@ -336,6 +337,17 @@
         asyncio.run(check())
 
 
+@pytest.mark.parametrize("address", [Address(IP, 70_000), Address(IP, -1), Address("\ud800", 9)])
+def test_impossible_address_raises_into_the_probe(address):
+    """One such target or entry made every round of probes fail."""
+
+    async def check():
+        with pytest.raises(ConnectionFailedError):
+            await HttpConnection.open(address, timeout_s=1.0, user_timeout_s=1.0)
+
+    asyncio.run(check())
+
+
 class TestNotifier:
     def test_failing_receiver_misses_no_change_and_sees_them_in_order(self):
         async def check():
