--- a/halldoor/gateway/failures.py
+++ b/halldoor/gateway/failures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from halldoor.gateway import clock
@@ -55,6 +56,13 @@
             **fields,
         )
 
+    def call(self, name: str, receiver: Callable[..., object], *args: Any) -> None:
+        """Call a receiver, and report its failure instead of raising it into the caller."""
+        try:
+            receiver(*args)
+        except Exception as exc:
+            self.report(name, "A receiver failed.", exc)
+
     def handle_loop_exception(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
     ) -> None:
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -18,6 +18,7 @@
 from halldoor.gateway.attempt import AttemptResult
 from halldoor.gateway.caller import Answer
 from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.failures import FailureReporter
 from halldoor.gateway.headers import HeaderNames, Headers, find
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.outcomes import (
@@ -126,6 +127,7 @@
         self._reach = reach
         self._log = log
         self._metrics = metrics
+        self._reporter = FailureReporter(log, metrics)
         self._bad_load_logged_at = -math.inf
         self.on_observation: Callable[[Observation], None] | None = None
         self.on_statement: list[StatementReceiver] = []
@@ -146,7 +148,7 @@
             return TargetStatement()
         statement = TargetStatement.from_answer(status, headers, self._statement_fields)
         for apply_statement in [*self.on_any_statement, *self.on_statement]:
-            apply_statement(target, statement, now)
+            self._reporter.call("statement", apply_statement, target, statement, now)
         return statement
 
     def read_health_statement(
@@ -155,7 +157,7 @@
         """Parse the target's statement in a health-check answer and notify receivers."""
         statement = TargetStatement.from_answer(status, headers, self._statement_fields)
         for apply_statement in self.on_any_statement:
-            apply_statement(target, statement, now)
+            self._reporter.call("statement", apply_statement, target, statement, now)
 
     def start_attempt(self, choice: Choice, kind: str, key: str, now: float) -> SentAttempt:
         """Record that an attempt begins; `add_outcome` or `cancel_attempt` ends it."""
--- a/halldoor/tests/test_supervision.py
+++ b/halldoor/tests/test_supervision.py
@@ -277,6 +277,23 @@
 
         asyncio.run(check())
 
+    @pytest.mark.parametrize("name", ["limits", "leaving"])
+    def test_receiver_of_statements_that_fails_costs_the_answer(self, name):
+        async def check():
+            async with GatewayKit.open() as kit:
+                feedback, calls = kit.gateway.feedback, []
+                receivers = feedback.on_statement if name == "limits" else feedback.on_any_statement
+
+                def fail(*args):
+                    calls.append(args)
+                    raise OverflowError
+
+                receivers.insert(0, fail)
+                assert (await kit.call()).status == 200
+                assert len(calls) == 1
+
+        asyncio.run(check())
+
     def test_failing_reload_leaves_half_of_the_settings_in_force(self, monkeypatch):
         async def check():
             async with GatewayKit.open() as kit:
