--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -32,6 +32,7 @@
 from halldoor.gateway.maintenance import Maintenance
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pages import GatewayState, StatusPages
+from halldoor.gateway.parts import build_registration, list_parts
 from halldoor.gateway.permits import RetryPermits
 from halldoor.gateway.pipeline import Pipelining
 from halldoor.gateway.pool import TargetPool
@@ -47,13 +48,9 @@
 from halldoor.gateway.store import MetadataStore, RecordCodec
 from halldoor.gateway.storetasks import StoreTasks
 from halldoor.gateway.targetreach import TargetReach
-from halldoor.gateway.tasks import GIVE_UP_S, Part, TaskSet, stop_task
+from halldoor.gateway.tasks import TaskSet, stop_task
 from halldoor.gateway.travel import RoundTripProbe
 
-MAINTENANCE_RESTART_LIMIT_S = 0.5
-"""Longest pause before the housekeeping is restarted, in seconds: without its ticks the process
-counts as suspended."""
-
 
 class Gateway:
     """A gateway process.
@@ -332,40 +329,13 @@
         )
         await self._ports.start()
         await self.port.start()
-        for part in self._list_parts():
+        for part in list_parts(self):
             self.tasks.start(part)
-        registration = self.registration
-        self._registering = self.tasks.start(
-            Part("registration", registration.run, registration.reset)
-        )
+        self._registering = self.tasks.start(build_registration(self))
         self.log.event("process", "Started.", hall=settings.hall, front=str(settings.front))
         if not clock.counts_suspensions():
             self.log.event("process", "This system's clock does not count suspensions.")
 
-    def _list_parts(self) -> list[Part]:
-        """Return the tasks that run until the process stops, without the registration."""
-        return [
-            Part("sync", self.sync.run, self.sync.reset, is_hopeless=self._is_outdated),
-            Part("maintenance", self.maintenance.run, limit_s=MAINTENANCE_RESTART_LIMIT_S),
-            Part("stalls", self.stalls.run, self.stalls.reset),
-            Part("weighing", self.weighing.run, self.weighing.reset),
-            Part("reach", self.reach.probe.run),
-            Part("travel", self.travel.run),
-            Part("quotas", self.quotas.run, self.quotas.reset),
-            *self.exchanges.list_parts(),
-            Part("store notices", self.store_notices.run, self.store_notices.reset),
-            Part("quarantine", self.quarantine.run, self.quarantine.reset),
-            Part("datagrams", self.port.run),
-        ]
-
-    def _is_outdated(self) -> bool:
-        """Check whether this entry lacks changes that others apply, and makes no progress.
-
-        Where no entry can read the store's changes, all serve from what they know.
-        """
-        is_stuck = asyncio.get_running_loop().time() - self.sync.updated_at >= GIVE_UP_S
-        return is_stuck and self.sync.is_loaded.is_set() and self.store_notices.is_behind
-
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings, or none of them; requests in progress are not affected."""
         previous = self.settings
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -10,16 +10,13 @@
 from halldoor.core.targets.changes import (
     Change,
     EvacuationSet,
-    MemberRemoved,
     MemberSeen,
-    RoutingSeen,
-    TargetRemoved,
     TargetSeen,
-    is_target_withdrawal,
 )
 from halldoor.core.targets.relay import WantedEra
 from halldoor.core.targets.withdrawal import StoreView
 from halldoor.gateway.backoff import Backoff
+from halldoor.gateway.changelog import ChangeLog
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.failures import FailureReporter
 from halldoor.gateway.handover import RecordSet
@@ -41,9 +38,6 @@
 """Usual pause between a change and the next watch, in seconds.  The store charges for each watch
 that returns; several changes within the pause cost one."""
 
-MAX_LOGGED_WITHDRAWALS = 100
-"""Draining or removed targets that are logged one by one after a full read; others are counted."""
-
 UpdateReceiver = Callable[[Sequence[Change], StoreView], None]
 
 
@@ -92,6 +86,7 @@
         self._catalog = catalog
         self._log = log
         self._metrics = metrics
+        self._changes = ChangeLog(catalog, log)
         self._on_change = on_change
         self._feed = feed
         self._backoff = Backoff(feed.random)
@@ -203,7 +198,7 @@
         self.is_loaded.set()
         self._reader.limit_s = self._feed.settings.page_limit_s
         self._log.event("store", "Read all.", revision=records.revision, changes=len(applied))
-        self._log_full_read(applied, records.revision)
+        self._changes.log_full_read(applied, records.revision)
         self._catalog.contact.record_applied_until(records.proven_at)
         self._call_receivers(StoreView(records.era, max(records.revision, records.newest)))
 
@@ -213,24 +208,6 @@
         kind = type(change).__name__
         self._reporter.report("change", "A change can't be applied.", exc, kind=kind)
 
-    def _log_full_read(self, applied: Sequence[Change], revision: int) -> None:
-        """Log the changes of a full read that explain later routing: configurations, withdrawals.
-
-        Targets that were added are not logged: all are new to an entry that starts.
-        """
-        for change in applied:
-            if isinstance(change, RoutingSeen):
-                self._log_change(change, revision)
-        self._log_withdrawals([c for c in applied if is_target_withdrawal(c)], revision)
-
-    def _log_withdrawals(self, withdrawn: Sequence[Change], revision: int) -> None:
-        """Log the targets that a read took out of use, up to `MAX_LOGGED_WITHDRAWALS` of them."""
-        for change in withdrawn[:MAX_LOGGED_WITHDRAWALS]:
-            self._log_change(change, revision)
-        if len(withdrawn) > MAX_LOGGED_WITHDRAWALS:
-            left = len(withdrawn) - MAX_LOGGED_WITHDRAWALS
-            self._log.event("targets", "More drain or are gone.", count=left, revision=revision)
-
     async def _read_records(self) -> RecordSet:
         """Read all records: from an entry that follows the store, or page by page from the store.
 
@@ -275,7 +252,7 @@
                 applied.append(change)
                 self._record_applied(change)
         if applied:
-            self._log_withdrawals(applied, page.revision)
+            self._changes.log_withdrawals(applied, page.revision)
             self._call_receivers(StoreView(era, page.revision))
 
     async def _watch(self, revision: int) -> None:
@@ -305,7 +282,7 @@
             change = self._decode(item)
             if change is not None and self._catalog.apply(change, now):
                 self._record_applied(change)
-                self._log_change(change, events.revision)
+                self._changes.log(change, events.revision)
         # The store's own answer includes all removals up to its return, whenever it was sent.
         self._catalog.contact.record_applied_until(update.proven_at if update.is_relayed else now)
         self._revision = self._last_revision = events.revision
@@ -342,7 +319,7 @@
         now = asyncio.get_running_loop().time()
         self._catalog.record_contact(proven_at)
         if self._has_lost_contact:
-            self._log.event("store", "Contact is restored.", store_away_ms=self._outage_ms)
+            self._log.event("store", "Contact is restored.", store_away_ms=self._changes.outage_ms)
         self._has_lost_contact = self.is_unconfirmed = False
         return now
 
@@ -353,12 +330,6 @@
         self._catalog.record_relay(now)
         return now
 
-    @property
-    def _outage_ms(self) -> int:
-        """Length of the store's outage as this entry knows it, in milliseconds; 0 without one."""
-        now = asyncio.get_running_loop().time()
-        return round(self._catalog.contact.find_outage(now).length_s * 1000)
-
     def _record_failed_call(self, exc: StoreError) -> None:
         """Record that the store did not answer; the cached state is used meanwhile."""
         self.is_unconfirmed = False
@@ -384,41 +355,6 @@
             revision=records.revision,
         )
 
-    def _log_change(self, change: Change, revision: int) -> None:
-        """Log a change that was applied, with the revision of the store that contains it."""
-        event = self._log.event
-        match change:
-            case RoutingSeen(routing):
-                event("routing", "In force.", version=routing.version, revision=revision)
-            case TargetSeen(record):
-                text = "Draining." if record.is_draining else "Seen."
-                event(
-                    "targets",
-                    text,
-                    target=record.incarnation,
-                    service=record.service,
-                    hall=record.hall,
-                    slots=record.slots,
-                    cold_left_s=record.cold_left_s,
-                    revision=revision,
-                )
-            case TargetRemoved(incarnation):
-                is_lapsed = incarnation in self._catalog.lapsed
-                event(
-                    "targets",
-                    "Record lapsed; used last." if is_lapsed else "Gone.",
-                    target=incarnation,
-                    store_away_ms=self._outage_ms,
-                    revision=revision,
-                )
-            case EvacuationSet(hall, is_evacuated):
-                text = "Hall evacuated." if is_evacuated else "Evacuation ended."
-                event("targets", text, hall=hall, revision=revision)
-            case MemberSeen(member):
-                event("membership", "Entry seen.", member=member.name, revision=revision)
-            case MemberRemoved(name):
-                event("membership", "Entry gone.", member=name, revision=revision)
-
 
 def is_withdrawal(change: Change) -> bool:
     """Check whether a change takes a target or a hall out of use."""
