--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -375,6 +375,7 @@
             count_running=lambda: self.requests.running,
             count_undelivered=self._ports.count_undelivered,
             log=self.log,
+            reporter=self._reporter,
         )
         await stop_task(leaving)
         await self._shut_down()
--- a/halldoor/gateway/stopping.py
+++ b/halldoor/gateway/stopping.py
@@ -8,6 +8,7 @@
 from halldoor.gateway.caller import CallerConnection
 from halldoor.gateway.delivery import sum_undelivered
 from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.failures import FailureReporter
 
 IDLE_S = 0.3
 """Time without requests or connections after which a stopping process exits, in seconds."""
@@ -24,6 +25,7 @@
     count_running: Callable[[], int],
     count_undelivered: Callable[[], int],
     log: EventLog,
+    reporter: FailureReporter,
 ) -> None:
     """Close idle connections, and wait until nothing was in progress for `IDLE_S`.
 
@@ -37,13 +39,15 @@
         Returns the number of requests in progress.
     count_undelivered : callable
         Returns the number of bytes of answers at other ports that have not arrived yet.
+    reporter : FailureReporter
+        Reports connections that fail to close; the others are waited for.
     """
     loop = asyncio.get_running_loop()
     idle_since = loop.time()
     is_reported = False
     while (now := loop.time()) < deadline:
         for caller in list(callers):
-            caller.close_if_idle()
+            reporter.call("stop", caller.close_if_idle)
         if count_running() or callers or count_undelivered():
             idle_since = now
         elif now - idle_since >= IDLE_S:
