--- a/halldoor/core/quarantine/evidence.py
+++ b/halldoor/core/quarantine/evidence.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import NamedTuple
 
 from halldoor.core.quarantine.settings import QuarantineSettings
@@ -104,6 +105,12 @@
         self._was_answered = True
         return has_changed
 
+    def refute(self, targets: Collection[str]) -> bool:
+        """Clear the crashes of targets that were found running; return False if none changes."""
+        refuted = self._crashes.keys() & set(targets) - self._cleared
+        self._cleared |= refuted
+        return bool(refuted)
+
     def merge(self, evidence: Evidence, now: float) -> bool:
         """Merge evidence of another entry; return False if it adds nothing new."""
         has_changed = False
@@ -142,6 +149,11 @@
             and evidence.was_sound >= self._was_answered
         )
 
+    def list_blamed_since(self, at: float) -> list[str]:
+        """List the targets whose crashes since a time the request is blamed for."""
+        crashes = self._crashes.items()
+        return [t for t, crash in crashes if crash.at >= at and t not in self._cleared]
+
     def _list_blamed(self) -> list[_Crash]:
         """List the crashes that the request is blamed for (not cleared), oldest first."""
         blamed = [crash for target, crash in self._crashes.items() if target not in self._cleared]
--- a/halldoor/core/quarantine/quarantine.py
+++ b/halldoor/core/quarantine/quarantine.py
@@ -10,13 +10,13 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterator, Sequence
-from enum import StrEnum
+from collections.abc import Callable, Collection, Iterator, Sequence
 from typing import NamedTuple
 
 from halldoor.core.quarantine.collectors import FLEET_COLLECTORS
 from halldoor.core.quarantine.evidence import CrashHistory, Evidence
 from halldoor.core.quarantine.identity import Identity
+from halldoor.core.quarantine.message import Audience, Message
 from halldoor.core.quarantine.settings import QuarantineSettings
 from halldoor.core.quarantine.watch import TrackedRequest
 
@@ -42,26 +42,6 @@
 targets may be fixed by then."""
 
 
-class Audience(StrEnum):
-    """Recipients of a broadcast."""
-
-    FLEET = "fleet"
-    HALL = "hall"
-
-
-class Message(NamedTuple):
-    """Evidence to send to other entries.
-
-    Attributes
-    ----------
-    to : tuple of str, or Audience
-        Names of the receiving entries, or all other entries of the fleet or of the own hall.
-    """
-
-    to: tuple[str, ...] | Audience
-    evidence: Evidence
-
-
 class Block(NamedTuple):
     """The block of a request: why it is not sent, and when it may run again.
 
@@ -188,6 +168,18 @@
         self._update_and_notify(tracked, now)
         return True
 
+    def list_blamed_since(self, at: float) -> set[str]:
+        """List the targets whose crashes since a time any request is blamed for."""
+        histories = [tracked.history for tracked in self._tracked.values()]
+        return {target for history in histories for target in history.list_blamed_since(at)}
+
+    def refute_crashes(self, targets: Collection[str], now: float) -> int:
+        """Clear the crashes of targets that were found running; return the number of requests."""
+        refuted = [tracked for tracked in self._tracked.values() if tracked.history.refute(targets)]
+        for tracked in refuted:
+            self._update_and_notify(tracked, now)
+        return len(refuted)
+
     def _find_recent_answer(self, digest: str, now: float) -> float | None:
         """Return when this entry last got an answer to a request; None if none is recent."""
         answered_at = self._answered_at.get(digest)
--- a/halldoor/gateway/quarantine.py
+++ b/halldoor/gateway/quarantine.py
@@ -7,11 +7,13 @@
 
 import asyncio
 import time
+from collections.abc import Collection
 
 from halldoor.core.quarantine.collectors import choose_collectors
 from halldoor.core.quarantine.evidence import Evidence
 from halldoor.core.quarantine.identity import Identity
-from halldoor.core.quarantine.quarantine import Audience, BlockChange, Message, Quarantine
+from halldoor.core.quarantine.message import Audience, Message
+from halldoor.core.quarantine.quarantine import BlockChange, Quarantine
 from halldoor.core.quarantine.record import EvidenceRecord, from_record, to_record
 from halldoor.core.quarantine.settings import QuarantineSettings
 from halldoor.core.quarantine.unanswered import UnansweredRequests
@@ -186,6 +188,23 @@
         for request, target, _ in self._unanswered.pop_crashed(incarnation, _now()):
             self.record_crash(request, target)
 
+    def list_blamed_since(self, at: float) -> list[Target]:
+        """List the known targets whose crashes since a time any request is blamed for."""
+        blamed = self._core.list_blamed_since(at)
+        return [t for t in self._catalog.list_targets() if _build_start_id(t) in blamed]
+
+    def refute_crashes(self, running: Collection[Target]) -> None:
+        """Clear all requests of the crashes of targets that were found running."""
+        requests = self._core.refute_crashes({_build_start_id(t) for t in running}, _now())
+        self._count_event("refuted")
+        self._log.event(
+            "quarantine",
+            "Targets that were blamed on requests are running.",
+            targets=sorted(target.name for target in running),
+            requests=requests,
+        )
+        self._send_due_messages()
+
     def _receive_collector_evidence(self, evidence: Evidence, sender: Address) -> None:
         """Apply evidence that an entry sent to this entry as a collector."""
         self._core.merge_evidence(evidence, _now())
--- a/halldoor/gateway/reach.py
+++ b/halldoor/gateway/reach.py
@@ -4,14 +4,14 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.reach import Loss, ReachMonitor
 from halldoor.core.targets.target import Target
 from halldoor.gateway.eventlog import EventLog
-from halldoor.gateway.headers import HeaderNames
-from halldoor.gateway.httpclient import HttpCallError, HttpClient
+from halldoor.gateway.headers import HeaderNames, find
+from halldoor.gateway.httpclient import HttpAnswer, HttpCallError, HttpClient
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pool import CONNECT_TIMEOUT_S
 from halldoor.gateway.stalls import StallMeter
@@ -28,6 +28,10 @@
 ALLOWANCE_LIMIT_S = 1.0
 """Longest time that a round allows for stalls, in seconds."""
 
+BLAMED_PROBED = 16
+"""Greatest number of targets that are probed after a loss since they seemed to crash in it."""
+LOSS_SLACK_S = 0.05
+"""Time before a loss in which connections that broke belong to it, in seconds."""
 
 NO_ANSWER = "no answer over a new connection"
 """Cause of the failure of a probe whose connection opened."""
@@ -54,6 +58,10 @@
     ----------
     on_loss, on_return : list of callable
         Called with the `Loss` when it began, and when it ended.
+    list_blamed_since : callable
+        Returns the targets that seemed to crash since a time.  After a loss each of them is probed.
+    on_running : callable
+        Called with those of them that run under their incarnation, and so did not crash.
     """
 
     def __init__(
@@ -76,6 +84,8 @@
         self._allowance_s = 0.0
         self.on_loss: list[Callable[[Loss], None]] = []
         self.on_return: list[Callable[[Loss], None]] = []
+        self.list_blamed_since: Callable[[float], Collection[Target]] = lambda at: ()
+        self.on_running: Callable[[Collection[Target]], None] = lambda targets: None
 
     def get_figures(self, now: float) -> dict[str, float]:
         """Return the time since the loss of all targets, 0 if some are reached, for the metrics."""
@@ -116,23 +126,50 @@
         before = self._monitor.loss
         if self._monitor.add_round(results, now, began_at=began_at):
             self._report_change(before, now)
+            if before is not None:
+                await self._refute_crashes(before)
+
+    async def _refute_crashes(self, loss: Loss) -> None:
+        """Find out which targets that seemed to crash in a loss are running."""
+        blamed = list(self.list_blamed_since(loss.since - LOSS_SLACK_S))[:BLAMED_PROBED]
+        are_running = await asyncio.gather(*(self._is_running(target) for target in blamed))
+        running = [t for t, is_running in zip(blamed, are_running, strict=True) if is_running]
+        if running:
+            self.on_running(running)
+
+    async def _is_running(self, target: Target) -> bool:
+        """Check whether a target's health answer names its incarnation."""
+        try:
+            answer = await self._request_health(target, timeout_s=RETURN_ANSWER_S)
+        except HttpCallError:
+            return False
+        return find(answer.headers, self._names.incarnation) == target.name.encode()
 
     async def _probe(self, target: Target) -> str:
         """Request a target's health answer; return the cause of a failure, empty if it answered."""
+        timeout_s = ANSWER_S if self._monitor.loss is None else RETURN_ANSWER_S
+        try:
+            await self._request_health(target, timeout_s=timeout_s)
+        except HttpCallError as exc:
+            return NO_ANSWER if isinstance(exc.__cause__, TimeoutError) else str(exc)
+        return ""
+
+    async def _request_health(self, target: Target, *, timeout_s: float) -> HttpAnswer:
+        """Request a target's health answer over a new connection; raise HttpCallError."""
         connect_s = CONNECT_TIMEOUT_S + self._allowance_s
         client = HttpClient(target.record.address, connect_s=connect_s)
         headers = [(self._names.expected_incarnation, target.name.encode())]
-        timeout_s = ANSWER_S if self._monitor.loss is None else RETURN_ANSWER_S
+        outcome = "failed"
         try:
             path = self._find_health_path(target)
-            await client.call("GET", path, headers=headers, timeout_s=timeout_s + self._allowance_s)
-        except HttpCallError as exc:
-            self._metrics.add_reach_probe("failed")
-            return NO_ANSWER if isinstance(exc.__cause__, TimeoutError) else str(exc)
+            answer = await client.call(
+                "GET", path, headers=headers, timeout_s=timeout_s + self._allowance_s
+            )
+            outcome = "reached"
+            return answer
         finally:
+            self._metrics.add_reach_probe(outcome)
             client.close()
-        self._metrics.add_reach_probe("reached")
-        return ""
 
     def _find_health_path(self, target: Target) -> str:
         """Return the path of a target's health check."""
--- a/halldoor/standins/crashways.py
+++ b/halldoor/standins/crashways.py
@@ -7,7 +7,8 @@
 from halldoor.core.quarantine.collectors import choose_collectors
 from halldoor.core.quarantine.evidence import CrashHistory, Evidence
 from halldoor.core.quarantine.identity import Identity
-from halldoor.core.quarantine.quarantine import Audience, Message, Quarantine
+from halldoor.core.quarantine.message import Audience, Message
+from halldoor.core.quarantine.quarantine import Quarantine
 from halldoor.core.quarantine.record import EvidenceRecord, from_record, to_record
 from halldoor.core.quarantine.settings import QuarantineSettings
 from halldoor.standins.crashfleet import CrashCounting, Run
--- a/halldoor/tests/test_unreached_targets.py
+++ b/halldoor/tests/test_unreached_targets.py
@@ -13,6 +13,7 @@
 import pytest
 
 from halldoor.standins.targetlink import Cut
+from halldoor.tests.gatewaykit import HEALTH_PATH, NAMES
 from halldoor.tests.reachkit import ReachFleet
 
 NOTICE_S = 1.0
@@ -114,3 +115,43 @@
             assert noticed_s < 4.0
 
     asyncio.run(check())
+
+
+def name_incarnations(fleet, suffix):
+    """Let targets name their incarnation, with a suffix, in health answers."""
+
+    async def answer(target, request, writer):
+        is_health = request.target == HEALTH_PATH
+        incarnation = f"{target.incarnation}{suffix}".encode()
+        extra = [(NAMES.incarnation, incarnation)] if is_health else None
+        writer.write(target.build(request, extra=extra))
+
+    for target in fleet.targets.values():
+        target.script = lambda r, w, target=target: answer(target, r, w)
+
+
+class TestBlamedInACut:
+    """All links break under a request that no target had answered yet."""
+
+    @pytest.mark.parametrize("is_restarted", [False, True])
+    def test_request_stays_blocked_after_a_cut_of_all_links(self, is_restarted):
+        """Only a target that still runs under its incarnation did not crash."""
+
+        async def check():
+            async with ReachFleet.open(entries=3) as fleet:
+                name_incarnations(fleet, suffix="-restarted" if is_restarted else "")
+                await fleet.set_cut(Cut.BREAK, range(3))
+                await fleet.send_requests(per_s=PER_S, for_s=1.0)
+                await fleet.finish()
+                gateways = [kit.gateway for kit in fleet.kits]
+                assert any(g.quarantine.get_figures()["blocked"] for g in gateways)
+                await fleet.set_cut(None, range(3))
+                # A round of probes, and the probes of the targets that seemed to crash.
+                await asyncio.sleep(2.5)
+                since = fleet.now()
+                await fleet.send_requests(per_s=PER_S, for_s=1.0)
+                await fleet.finish()
+                served = fleet.find_served(range(3), since=since)
+                assert served < 0.1 if is_restarted else served >= LEAST_SERVED
+
+        asyncio.run(check())
