--- a/halldoor/core/decoding.py
+++ b/halldoor/core/decoding.py
@@ -6,12 +6,10 @@
 
 from __future__ import annotations
 
-import base64
-import contextlib
+import binascii
 import math
 import re
 import zlib
-from collections.abc import Iterator
 from typing import Any, TypeVar
 
 import msgspec
@@ -43,9 +41,8 @@
         super().__init__(message, remedy=remedy)
 
 
-@contextlib.contextmanager
-def decoding(origin: str) -> Iterator[None]:
-    """Raise `DecodingError` for any exception of the code in the block.
+class decoding:
+    """Context that raises `DecodingError` for any exception of the code in it.
 
     For blocks that only decode and convert: whatever fails in them is a fault of the data.
 
@@ -54,15 +51,24 @@
     origin : str
         What is decoded, for error messages.
     """
-    try:
-        yield
-    except DecodingError as exc:
-        raise DecodingError(f"{origin}: {exc.message}", remedy=exc.remedy) from exc
-    except HalldoorError:
-        raise
-    except Exception as exc:
-        text = str(exc)[:200] or type(exc).__name__
-        raise DecodingError(f"{origin} can't be decoded: {text}.") from exc
+
+    __slots__ = ("_origin",)
+
+    def __init__(self, origin: str) -> None:
+        self._origin = origin
+
+    def __enter__(self) -> None:
+        """Enter the block."""
+
+    def __exit__(
+        self, kind: type[BaseException] | None, exc: BaseException | None, trace: object
+    ) -> None:
+        """Convert the exception that ended the block, if any."""
+        if isinstance(exc, DecodingError):
+            raise DecodingError(f"{self._origin}: {exc.message}", remedy=exc.remedy) from exc
+        if isinstance(exc, Exception) and not isinstance(exc, HalldoorError):
+            text = str(exc)[:200] or type(exc).__name__
+            raise DecodingError(f"{self._origin} can't be decoded: {text}.") from exc
 
 
 def decode_json(
@@ -104,7 +110,7 @@
 def decode_base64(text: str, *, origin: str) -> bytes:
     """Decode standard base64; raise `DecodingError` for any other text."""
     with decoding(origin):
-        return base64.b64decode(text, validate=True)
+        return binascii.a2b_base64(text, strict_mode=True)
 
 
 def decompress(data: bytes, *, origin: str, max_bytes: int = MAX_BYTES) -> bytes:
@@ -152,7 +158,8 @@
     """
     if data.count(b"[") + data.count(b"{") <= depth:
         return True
-    brackets = _STRING.sub(b"", data).translate(None, _NO_BRACKETS)
+    plain = _STRING.sub(b"", data) if b"\\" in data else b"".join(data.split(b'"')[::2])
+    brackets = plain.translate(None, _NO_BRACKETS)
     for _ in range(depth):
         if not brackets:
             return True
--- a/halldoor/core/settings.py
+++ b/halldoor/core/settings.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from halldoor.core.bounds import Port
+from halldoor.core.decoding import DecodingError, decoding
 from halldoor.core.errors import SettingsError
 
 T = TypeVar("T")
@@ -15,7 +17,7 @@
     """An IP address and a port; port 0 lets the kernel choose a port."""
 
     ip: str
-    port: int
+    port: Port
 
     def __str__(self) -> str:
         return f"{self.ip}:{self.port}"
@@ -92,6 +94,15 @@
     SettingsError
         If the data doesn't match; names the file, the path in it, the given and the expected value.
     """
+    try:
+        with decoding(origin):
+            return _convert(data, kind, origin=origin)
+    except DecodingError as exc:
+        raise SettingsError(exc.message, remedy="Check the file.") from exc
+
+
+def _convert(data: Any, kind: type[T], *, origin: str) -> T:
+    """Convert plain data; raise `SettingsError` with the value that was given."""
     try:
         return msgspec.convert(data, type=kind)
     except msgspec.ValidationError as exc:
--- a/halldoor/gateway/plain.py
+++ b/halldoor/gateway/plain.py
@@ -2,10 +2,24 @@
 
 from __future__ import annotations
 
+from ipaddress import ip_address
 from typing import Any, Literal, TypeVar
 
 import msgspec
 
+from halldoor.core.bounds import (
+    Bytes,
+    Count,
+    Rate,
+    Revision,
+    Seconds,
+    SignedSeconds,
+    Slots,
+    UnixMs,
+    Weight,
+    is_field_value,
+)
+from halldoor.core.decoding import DecodingError, decode_json
 from halldoor.core.settings import Address
 from halldoor.core.targets.changes import (
     Change,
@@ -30,7 +44,7 @@
 )
 from halldoor.core.teams.team import Team, TeamLimit
 from halldoor.gateway.records import EVIDENCE_PREFIX, decode_evidence
-from halldoor.gateway.store import RecordCodec, StoredItem, StoreError
+from halldoor.gateway.store import RecordCodec, StoredItem
 
 T = TypeVar("T")
 
@@ -48,7 +62,7 @@
     """A service and its weight in a route's split."""
 
     service: str
-    weight: float
+    weight: Weight
 
 
 class RouteModel(_Model, frozen=True, kw_only=True):
@@ -60,10 +74,10 @@
     kind: Literal["repeatable", "download", "at-most-once", "upload"]
     service: str = ""
     split: list[SplitModel] = []
-    timeout_s: float = 10.0
-    aim_s: float = 1.0
-    priority: int = 0
-    max_attempts: int = 2
+    timeout_s: Seconds = 10.0
+    aim_s: Seconds = 1.0
+    priority: Count = 0
+    max_attempts: Count = 2
     has_affinity: bool = True
     home_regions: list[str] = []
     is_public: bool = False
@@ -75,10 +89,10 @@
 
     name: str
     key_digests: list[str] = []
-    priority: int | None = None
-    rate_per_s: float = 0.0
+    priority: Count | None = None
+    rate_per_s: Rate = 0.0
     """Quota in requests per second; 0: no limit."""
-    burst: float = 0.0
+    burst: Rate = 0.0
     home_regions: list[str] = []
 
 
@@ -87,24 +101,24 @@
 
     name: str
     health_path: str = "/health"
-    max_connections: int = 400
-    cold_start_s: float = 0.0
-    cold_rate_per_s: float = 1000.0
+    max_connections: Count = 400
+    cold_start_s: Seconds = 0.0
+    cold_rate_per_s: Rate = 1000.0
 
 
 class LimitsModel(_Model, frozen=True, kw_only=True):
     """Limits on callers' requests and connections."""
 
-    head_bytes: int = 16_384
-    body_bytes: int = 67_108_864
-    head_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
+    head_bytes: Bytes = 16_384
+    body_bytes: Bytes = 67_108_864
+    head_timeout_s: Seconds = 3.0
+    idle_timeout_s: Seconds = 15.0
 
 
 class RoutingModel(_Model, frozen=True, kw_only=True):
     """One version of the configuration: routes, services, limits and teams."""
 
-    version: int
+    version: Revision
     routes: list[RouteModel]
     services: list[ServiceModel]
     limits: LimitsModel = LimitsModel()
@@ -127,10 +141,10 @@
     service: str
     address: Address
     hall: str
-    slots: int
+    slots: Slots
     is_draining: bool = False
-    cold_left_s: float = 0.0
-    started_ms: int = 0
+    cold_left_s: SignedSeconds = 0.0
+    started_ms: UnixMs = 0
 
 
 class MemberModel(_Model, frozen=True, kw_only=True):
@@ -184,26 +198,24 @@
 class PlainCodec(RecordCodec):
     """Codec of records as JSON under halldoor's own keys."""
 
-    def decode(self, item: StoredItem) -> Change | None:
+    def decode_item(self, item: StoredItem) -> Change | None:
         """Decode an item to a change; return None for an unknown key."""
         key, value = item
         kind, _, name = key.partition("/")
         if key.startswith(EVIDENCE_PREFIX):
-            return _decode_evidence(item)
+            return decode_evidence(item)
         if key == ROUTING_KEY:
-            return RoutingSeen(_read_routing(key, value)) if value else None
+            return RoutingSeen(_read(value, RoutingModel).to_routing()) if value else None
         if kind == "evacuated":
             return EvacuationSet(name, value is not None)
         if kind == "targets":
             if value is None:
                 return TargetRemoved(name)
-            target = _read(key, value, TargetModel)
-            return TargetSeen(TargetRecord(incarnation=name, **msgspec.structs.asdict(target)))
+            return TargetSeen(_build_target(name, _read(value, TargetModel)))
         if kind == "entries":
             if value is None:
                 return MemberRemoved(name)
-            member = _read(key, value, MemberModel)
-            return MemberSeen(member.to_record(name))
+            return MemberSeen(_read(value, MemberModel).to_record(name))
         return None
 
     def encode_member(self, member: MemberRecord) -> StoredItem:
@@ -219,27 +231,14 @@
         return StoredItem(MEMBER_PREFIX + member.name, msgspec.json.encode(model))
 
 
-def _decode_evidence(item: StoredItem) -> Change:
-    """Decode evidence against a request; raise `StoreError` if it is invalid."""
-    try:
-        return decode_evidence(item)
-    except msgspec.DecodeError as exc:
-        raise StoreError(f"{item.key}: {exc}.", remedy="The record is ignored.") from exc
-
-
-def _read_routing(key: str, value: bytes) -> Routing:
-    """Decode and check a configuration; raise `StoreError` if it is inconsistent."""
-    try:
-        return _read(key, value, RoutingModel).to_routing()
-    except ValueError as exc:
-        raise StoreError(
-            f"{key}: {exc}.", remedy="Correct it; the last valid one stays in force."
-        ) from exc
+def _build_target(incarnation: str, model: TargetModel) -> TargetRecord:
+    """Build a target's record; raise an error if requests can't be sent to it."""
+    if not is_field_value(incarnation):
+        raise DecodingError("Its name can't be sent in a header field.")
+    ip_address(model.address.ip)
+    return TargetRecord(incarnation=incarnation, **msgspec.structs.asdict(model))
 
 
-def _read(key: str, value: bytes, kind: type[T]) -> T:
-    """Decode JSON of a type; raise `StoreError` if it does not match."""
-    try:
-        return msgspec.json.decode(value, type=kind)
-    except msgspec.DecodeError as exc:
-        raise StoreError(f"{key}: {exc}.", remedy="Write it again in the documented form.") from exc
+def _read(value: bytes, kind: type[T]) -> T:
+    """Decode JSON of a type; raise `DecodingError` if it does not match."""
+    return decode_json(value, kind, origin="record")
--- a/halldoor/gateway/records.py
+++ b/halldoor/gateway/records.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from halldoor.core.bounds import UnixMs
+from halldoor.core.decoding import decode_json
 from halldoor.core.quarantine.record import EvidenceRecord, RecordedCrash
 from halldoor.core.targets.changes import Change, EvidenceRemoved, EvidenceSeen
 from halldoor.gateway.store import StoredItem
@@ -26,7 +28,7 @@
 
     target: str
     caller: str
-    at_ms: int
+    at_ms: UnixMs
 
 
 class EvidenceModel(msgspec.Struct, frozen=True):
@@ -59,13 +61,13 @@
 
     Raises
     ------
-    msgspec.DecodeError
+    DecodingError
         If the value can't be decoded.
     """
     digest = item.key.removeprefix(EVIDENCE_PREFIX)
     if item.value is None:
         return EvidenceRemoved(digest)
-    model = msgspec.json.decode(item.value, type=EvidenceModel)
+    model = decode_json(item.value, EvidenceModel, origin="evidence")
     ends = tuple(RecordedCrash(end.target, end.caller, end.at_ms) for end in model.ends)
     return EvidenceSeen(EvidenceRecord(digest, ends, tuple(model.cleared), model.was_sound))
 
--- a/halldoor/gateway/store.py
+++ b/halldoor/gateway/store.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+from halldoor.core.decoding import DecodingError, decoding
 from halldoor.core.errors import HalldoorError
 from halldoor.core.targets.changes import Change, MemberRecord
 
+MAX_SHOWN = 200
+"""Characters of a key that are shown in an error message."""
+
 
 class StoreError(HalldoorError):
     """The store refused a call, sent an invalid answer or can't be reached."""
@@ -67,6 +71,8 @@
 
     Attributes
     ----------
+    on_unreadable : callable
+        Called with the cause when an item of an answer has no readable key, and is skipped.
     era : str
         Identifies the copy of the store that sent the newest answer; it changes when the store is
         restored from a copy, and is empty where the store doesn't send it.  Revisions and leases
@@ -75,6 +81,9 @@
 
     era: str = ""
 
+    def __init__(self) -> None:
+        self.on_unreadable: Callable[[str], None] = lambda _: None
+
     @abstractmethod
     async def read_range(self, prefix: str, *, after: str = "") -> Page:
         """Read a page of the keys with a prefix, starting after the key `after`."""
@@ -131,7 +140,6 @@
 class RecordCodec(ABC):
     """Mapping between records and the store's keys and values."""
 
-    @abstractmethod
     def decode(self, item: StoredItem) -> Change | None:
         """Decode an item to a change; return None for a key that the gateway does not use.
 
@@ -140,6 +148,15 @@
         StoreError
             If the value can't be decoded.
         """
+        try:
+            with decoding(item.key[:MAX_SHOWN]):
+                return self.decode_item(item)
+        except DecodingError as exc:
+            raise StoreError(exc.message, remedy=exc.remedy) from exc
+
+    @abstractmethod
+    def decode_item(self, item: StoredItem) -> Change | None:
+        """Decode an item as `decode`; raise any error if the value can't be decoded."""
 
     @abstractmethod
     def encode_member(self, member: MemberRecord) -> StoredItem:
