--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -20,6 +20,7 @@
 
 from halldoor.core.placement import rank
 from halldoor.core.targets.changes import MemberRecord
+from halldoor.core.targets.era import parse_era
 
 T = TypeVar("T")
 
@@ -328,8 +329,10 @@
             return era != self.left
         if self.left is None:
             return False
-        known = (self.left, self.newest)
-        return era.isdecimal() and all(e.isdecimal() and int(e) < int(era) for e in known)
+        number, left, newest = map(parse_era, (era, self.left, self.newest))
+        if number is None or left is None or newest is None:
+            return False
+        return number > max(left, newest)
 
 
 class Batch(NamedTuple, Generic[T]):
--- a/halldoor/core/targets/withdrawal.py
+++ b/halldoor/core/targets/withdrawal.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 from halldoor.core.targets.changes import MemberRecord, TargetStart
+from halldoor.core.targets.era import parse_era
 
 WITHDRAWAL_NOTICE_S = 30.0
 """Time after which a notice expires if the own view never reaches its revision, in seconds."""
@@ -54,9 +55,8 @@
 
     def is_outdated_by(self, other: StoreView) -> bool:
         """Check whether another view is of a later copy of the store."""
-        if not (self.era.isdecimal() and other.era.isdecimal()):
-            return False
-        return int(self.era) < int(other.era)
+        own, others = parse_era(self.era), parse_era(other.era)
+        return own is not None and others is not None and own < others
 
 
 class StoreNotice(NamedTuple):
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -16,6 +16,7 @@
     TargetSeen,
     is_target_withdrawal,
 )
+from halldoor.core.targets.era import find_era_problem, parse_era
 from halldoor.core.targets.relay import WantedEra
 from halldoor.core.targets.withdrawal import StoreView
 from halldoor.gateway.backoff import Backoff
@@ -26,6 +27,7 @@
 from halldoor.gateway.reading import RecordReader
 from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.store import (
+    MAX_SHOWN,
     HistoryGoneError,
     MetadataStore,
     Page,
@@ -80,6 +82,7 @@
         feed: ChangeFeed,
     ) -> None:
         self.on_update: list[UpdateReceiver] = []
+        store.on_unreadable = self._record_unreadable
         self._store = store
         self._codec = codec
         self._catalog = catalog
@@ -100,7 +103,8 @@
     @property
     def era_number(self) -> int:
         """Number of the copy of the store in use; -1 where its era is not a number."""
-        return int(self._era) if self._era.isdecimal() else -1
+        number = parse_era(self._era)
+        return -1 if number is None else number
 
     @property
     def view(self) -> StoreView:
@@ -297,10 +301,14 @@
         try:
             return self._codec.decode(item)
         except StoreError as exc:
-            self._metrics.add_unreadable_record()
-            self._log.event("store", "Ignores a bad record.", key=item.key, error=str(exc))
+            self._record_unreadable(str(exc), key=item.key[:MAX_SHOWN])
             return self._codec.decode(StoredItem(item.key, None))
 
+    def _record_unreadable(self, cause: str, *, key: str = "") -> None:
+        """Log and count a record that can't be read."""
+        self._metrics.add_unreadable_record()
+        self._log.event("store", "Ignores a bad record.", key=key, error=cause)
+
     def _record_contact(self, proven_at: float) -> float:
         """Record contact with the store up to a moment, and return the time of the loop's clock."""
         now = asyncio.get_running_loop().time()
@@ -394,17 +402,6 @@
     return False
 
 
-def find_era_problem(before: str, era: str) -> str:
-    """Return why the era of a restored store is not as expected; empty where it rose."""
-    if not era:
-        return "the store no longer says which copy it is"
-    if not era.isdecimal():
-        return "it is not a number"
-    if before.isdecimal() and int(era) < int(before):
-        return "it is lower than before"
-    return ""
-
-
 def _is_cancelling() -> bool:
     """Check whether the running task itself is being cancelled."""
     task = asyncio.current_task()
