--- a/halldoor/admin/service.py
+++ b/halldoor/admin/service.py
@@ -9,6 +9,7 @@
 import structlog
 import urllib3
 
+from halldoor.client import PoolManager
 from halldoor.core.errors import HalldoorError, PlatformError
 from halldoor.core.steering.audit import AuditRecord, Difference, compare
 from halldoor.core.steering.configuration import Configuration, EntryHost, Team, to_display_data
@@ -43,7 +44,7 @@
     def __init__(self, store: ConfigurationStore, *, bootstrap_sha256: str) -> None:
         self._store = store
         self._bootstrap_sha256 = bootstrap_sha256
-        self._http = urllib3.PoolManager(retries=False, timeout=STATUS_TIMEOUT_S)
+        self._http = PoolManager(timeout=STATUS_TIMEOUT_S)
 
     def find_team(self, token: str) -> Team:
         """Return the team of a token; see `halldoor.core.steering.permission.find_team`."""
--- a/halldoor/cli/fleet.py
+++ b/halldoor/cli/fleet.py
@@ -11,6 +11,7 @@
 
 import urllib3
 
+from halldoor.client import PoolManager
 from halldoor.core.targets.choice import ExcludedTarget
 
 TIMEOUT_S = 2.0
@@ -80,7 +81,7 @@
     on_progress : callable, optional
         Called with the number of gateways that have answered or failed so far.
     """
-    pool = urllib3.PoolManager(len(addresses), retries=False, timeout=TIMEOUT_S)
+    pool = PoolManager(len(addresses), timeout=TIMEOUT_S)
     views: dict[int, GatewayView] = {}
     with pool, ThreadPoolExecutor(min(MAX_CONCURRENT_FETCHES, len(addresses))) as executor:
         asked = {executor.submit(_fetch_gateway, pool, a): i for i, a in enumerate(addresses)}
@@ -120,7 +121,7 @@
     return tuple((o, to, count) for o, to, count in counts if count)
 
 
-def _fetch_gateway(pool: urllib3.PoolManager, address: str) -> GatewayView:
+def _fetch_gateway(pool: PoolManager, address: str) -> GatewayView:
     """Fetch the metrics of one gateway; a failure is returned as the state's error."""
     try:
         response = pool.request("GET", f"http://{address}/")
--- a/halldoor/cli/operator.py
+++ b/halldoor/cli/operator.py
@@ -26,6 +26,7 @@
     show_progress,
 )
 from halldoor.cli.replay import describe_played, draw, load_pattern, load_policies, play_policies
+from halldoor.client import PoolManager
 from halldoor.core.errors import HalldoorError
 from halldoor.core.explaining.history import explain_request, parse_lines
 from halldoor.core.explaining.report import build_report, describe_report
@@ -296,13 +297,11 @@
     api = os.environ.get(API_VARIABLE, "http://127.0.0.1:7400").rstrip("/")
     headers = {"Authorization": f"Bearer {os.environ.get(TOKEN_VARIABLE, '')}"}
     try:
-        response = urllib3.request(
+        response = PoolManager(timeout=30.0).request(
             method,
             f"{api}/v1/{path}",
             body=msgspec.json.encode(body) if body is not None else None,
             headers=headers,
-            retries=False,
-            timeout=30.0,
         )
         answer = msgspec.json.decode(response.data)
     except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as exc:
--- /dev/null
+++ b/halldoor/client.py
@@ -0,0 +1,131 @@
+"""HTTP client connections, on urllib3, that reject incomplete and ambiguous answers.
+
+``http.client`` takes the end of the stream for the end of an answer's head, and reads a body whose
+length it can't parse up to the end of the connection.  Both make a broken answer look whole.
+"""
+
+from __future__ import annotations
+
+import io
+from http.client import HTTPException, HTTPResponse
+from typing import Any
+
+import urllib3
+from urllib3.connection import HTTPConnection as _HTTPConnection
+from urllib3.connection import HTTPSConnection as _HTTPSConnection
+from urllib3.util.response import assert_header_parsing
+
+from halldoor.core.decoding import DecodingError, parse_int
+
+MAX_BODY_BYTES = 1 << 62
+"""Greatest length that an answer may declare for its body, in bytes."""
+MAX_INFORMATIONAL_ANSWERS = 16
+"""Most informational answers (status 100 to 199) before the final one."""
+
+
+class AnswerError(HTTPException):
+    """An answer is cut short, or its length is ambiguous."""
+
+
+class _LineReader(io.BufferedReader):
+    """Reader whose lines must end before the stream does: heads, sizes of chunks and trailers."""
+
+    __slots__ = ()
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Read one line; raise `AnswerError` if the stream ends within or before it."""
+        line = super().readline(size)
+        if line[-1:] != b"\n" and (size is None or size < 0 or len(line) < size):
+            raise AnswerError("The connection was closed within the answer's head or framing.")
+        return line
+
+
+class StrictResponse(HTTPResponse):
+    """Answer whose head must be complete and must state clearly where the body ends."""
+
+    def __init__(self, sock: Any, *args: Any, **kwargs: Any) -> None:
+        super().__init__(sock, *args, **kwargs)
+        # The stubs of `http.client` don't say that `fp` is a buffered reader.
+        self.fp: Any = _LineReader(self.fp.detach())
+        self._heads = 0
+
+    def begin(self) -> None:
+        """Read the head of the final answer, and skip informational ones before it.
+
+        Raises
+        ------
+        AnswerError
+            If the connection ends within the head, the length of the body is ambiguous, or there
+            are more than `MAX_INFORMATIONAL_ANSWERS`.
+        """
+        super().begin()
+        while 100 <= self.status < 200:
+            self.headers = self.msg = None  # type: ignore[assignment]
+            super().begin()
+        assert_header_parsing(self.msg)
+        self._check_length()
+
+    def _read_status(self) -> Any:
+        """Read the status line of the next answer."""
+        self._heads += 1
+        if self._heads > MAX_INFORMATIONAL_ANSWERS + 1:
+            raise AnswerError("Informational answers came without end.")
+        return super()._read_status()  # type: ignore[misc]
+
+    def _check_length(self) -> None:
+        """Raise `AnswerError` unless it is clear where the body ends."""
+        lengths = self.headers.get_all("content-length")
+        coding = self.headers.get("transfer-encoding")
+        if coding is not None and not self.chunked:
+            raise AnswerError(f"The transfer encoding {coding[:40]!r} is not supported.")
+        if not lengths:
+            return
+        if coding is not None or len(lengths) > 1:
+            raise AnswerError("The answer states its length more than once.")
+        try:
+            parse_int(lengths[0], lowest=0, highest=MAX_BODY_BYTES, origin="Content-Length")
+        except DecodingError as exc:
+            raise AnswerError(str(exc)) from exc
+
+
+class HTTPConnection(_HTTPConnection):
+    """Connection whose answers are `StrictResponse` objects."""
+
+    response_class = StrictResponse
+
+
+class HTTPSConnection(_HTTPSConnection):
+    """Connection over TLS whose answers are `StrictResponse` objects."""
+
+    response_class = StrictResponse
+
+
+class _HTTPConnectionPool(urllib3.HTTPConnectionPool):
+    """Pool of connections to one host."""
+
+    ConnectionCls = HTTPConnection
+
+
+class _HTTPSConnectionPool(urllib3.HTTPSConnectionPool):
+    """Pool of connections over TLS to one host."""
+
+    ConnectionCls = HTTPSConnection
+
+
+class PoolManager(urllib3.PoolManager):
+    """Pools of connections by host, without retries and redirects.
+
+    Parameters
+    ----------
+    num_pools : int, optional
+        Most hosts whose connections are kept.
+    **options
+        Options of `urllib3.PoolManager`, such as ``timeout`` and ``maxsize``.
+    """
+
+    def __init__(self, num_pools: int = 10, **options: Any) -> None:
+        super().__init__(num_pools, retries=False, **options)
+        self.pool_classes_by_scheme = {
+            "http": _HTTPConnectionPool,
+            "https": _HTTPSConnectionPool,
+        }
--- a/halldoor/entry/probe.py
+++ b/halldoor/entry/probe.py
@@ -11,6 +11,7 @@
 import msgspec
 import urllib3
 
+from halldoor.client import PoolManager
 from halldoor.core.errors import PlatformError
 from halldoor.core.hall.membership import Member, TargetReport
 from halldoor.core.placement import rank
@@ -86,7 +87,7 @@
         self._history: dict[str, _ProbeHistory] = {}
         self._listed_leaving: frozenset[str] = frozenset()
         self._host_list_at = 0.0
-        self._pool = urllib3.PoolManager(num_pools=64, maxsize=1, retries=False)
+        self._pool = PoolManager(64, maxsize=1)
         self._workers = ThreadPoolExecutor(max_workers=4, thread_name_prefix="probe")
         self.probes = 0
 
--- a/halldoor/entry/targets.py
+++ b/halldoor/entry/targets.py
@@ -12,9 +12,9 @@
 from typing import Any
 
 import urllib3
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from halldoor.client import HTTPConnection
 from halldoor.core.steering.configuration import Target
 from halldoor.entry.request import Answer, Body, Request, build_broken_error, keep_end_to_end
 
--- a/halldoor/keyvalue/client.py
+++ b/halldoor/keyvalue/client.py
@@ -8,6 +8,7 @@
 import msgspec
 import urllib3
 
+from halldoor.client import PoolManager
 from halldoor.core.errors import PlatformError
 from halldoor.keyvalue.base import (
     MAX_VALUE_BYTES,
@@ -41,7 +42,7 @@
         self._timeout_s = timeout_s
         # The library must not retry: a write whose answer was lost may have taken effect.
         source = (source_ip, 0) if source_ip else None
-        self._pool = urllib3.PoolManager(maxsize=8, retries=False, source_address=source)
+        self._pool = PoolManager(maxsize=8, source_address=source)
 
     def get(self, key: str) -> Value | None:
         """Return the value of a key; None if the key doesn't exist."""
