--- a/halldoor/core/orders/claim.py
+++ b/halldoor/core/orders/claim.py
@@ -10,11 +10,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 from uuid import UUID
 
 import msgspec
 
+from halldoor.core.decoding import DecodingError, decode_msgpack
 from halldoor.core.placement import hash_key
 
 SHARDS = 64
@@ -41,10 +42,21 @@
         Claim by operation id.
     """
 
-    floor_ms: int = 0
+    floor_ms: Annotated[int, msgspec.Meta(ge=0, lt=1 << 48)] = 0
     claims: dict[str, Claim] = {}
 
 
+class _RawShard(msgspec.Struct):
+    """The stored value of a shard, with its claims still encoded."""
+
+    floor_ms: Annotated[int, msgspec.Meta(ge=0, lt=1 << 48)] = 0
+    claims: dict[str, msgspec.Raw] = {}
+
+
+UNKNOWN_CLAIM = Claim("", "")
+"""Claim of an id whose stored claim can't be decoded: no entry may issue a ticket for it."""
+
+
 class ClaimOutcome(NamedTuple):
     """The outcome of claiming ids in one shard."""
 
@@ -75,8 +87,32 @@
 
 
 def decode_shard(value: bytes | None) -> Shard:
-    """Decode a shard; a missing one (None) is empty."""
-    return Shard() if value is None else msgspec.msgpack.decode(value, type=Shard)
+    """Decode a shard; a missing one (None) is empty.
+
+    A claim that can't be decoded becomes `UNKNOWN_CLAIM`, so that its id never runs.
+
+    Raises
+    ------
+    DecodingError
+        If the shard itself can't be decoded.
+    """
+    if value is None:
+        return Shard()
+    try:
+        shard: Shard = decode_msgpack(value, Shard, origin="a shard of claims")
+    except DecodingError:
+        raw = decode_msgpack(value, _RawShard, origin="a shard of claims")
+        return Shard(raw.floor_ms, {op: _decode_claim(data) for op, data in raw.claims.items()})
+    return shard
+
+
+def _decode_claim(data: msgspec.Raw) -> Claim:
+    """Decode a claim; return `UNKNOWN_CLAIM` if that fails."""
+    try:
+        claim: Claim = decode_msgpack(bytes(data), Claim, origin="a claim")
+    except DecodingError:
+        return UNKNOWN_CLAIM
+    return claim
 
 
 def encode_shard(shard: Shard) -> bytes:
--- a/halldoor/core/settings.py
+++ b/halldoor/core/settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
@@ -10,12 +10,17 @@
 
 T = TypeVar("T")
 
+Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+"""A TCP port; 0 lets the kernel choose one."""
+Seconds = Annotated[float, msgspec.Meta(gt=0.0, le=86_400.0)]
+"""A time above 0 and up to a day, in seconds."""
+
 
 class Address(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """An IP address and a port; port 0 lets the kernel choose a port."""
 
     ip: str
-    port: int
+    port: Port
 
     def __str__(self) -> str:
         return f"{self.ip}:{self.port}"
@@ -50,14 +55,14 @@
     decision_key: str
     peers: list[Address] = []
     source_ip: str = ""
-    workers: int = 48
-    lookup_max_age_s: float = 3.0
-    ticket_lifetime_s: float = 60.0
-    gossip_period_s: float = 0.4
-    probe_period_s: float = 0.8
-    max_body_bytes: int = 268_435_456
-    caller_timeout_s: float = 10.0
-    queue_s: float = 0.05
+    workers: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 48
+    lookup_max_age_s: Annotated[float, msgspec.Meta(ge=0.0, le=86_400.0)] = 3.0
+    ticket_lifetime_s: Seconds = 60.0
+    gossip_period_s: Seconds = 0.4
+    probe_period_s: Seconds = 0.8
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=0, le=1 << 40)] = 268_435_456
+    caller_timeout_s: Seconds = 10.0
+    queue_s: Annotated[float, msgspec.Meta(ge=0.0, le=86_400.0)] = 0.05
     policy: str = "two-choices"
     rotate_relays: bool = False
     strict_invariants: bool = False
@@ -96,6 +101,11 @@
         return msgspec.convert(data, type=kind)
     except msgspec.ValidationError as exc:
         raise SettingsError(f"{origin}: {exc}.", remedy=_find_remedy(str(exc), data)) from exc
+    except Exception as exc:  # Such as nesting beyond the recursion limit.
+        raise SettingsError(
+            f"{origin}: it can't be read ({type(exc).__name__}).",
+            remedy="Check its nesting, and its figures for their length.",
+        ) from exc
 
 
 def _find_remedy(problem: str, data: Any) -> str:
@@ -106,7 +116,11 @@
         return "Remove the field or check its spelling in docs/reference.md."
     if "missing required field" in problem:
         return "Add the field; docs/reference.md lists them."
-    return f"Given: {str(given)[:80]!r}. Change it to the type that is wanted."
+    try:
+        shown = str(given)[:80]
+    except (ValueError, RecursionError):
+        shown = f"a very long {type(given).__name__}"
+    return f"Given: {shown!r}. Change it to the type that is wanted."
 
 
 def _get_at_path(data: Any, path: str) -> Any:
--- a/halldoor/core/steering/block.py
+++ b/halldoor/core/steering/block.py
@@ -7,12 +7,15 @@
 
 from __future__ import annotations
 
+import contextlib
+import re
 from array import array
 from bisect import bisect_left, bisect_right
 from collections.abc import Iterable, Iterator
 from ipaddress import IPv4Address, ip_network, summarize_address_range
 from typing import NamedTuple
 
+from halldoor.core.decoding import DecodingError
 from halldoor.core.errors import SettingsError
 
 CHUNK_BLOCKS = 8_192
@@ -21,6 +24,7 @@
 """Hall number of addresses that no block holds."""
 _ROW_BYTES = 6
 _ADDRESS_BITS = 32
+_RANGE = re.compile(r"([0-9a-f]{8})-([0-9]{1,2})")
 
 
 class BlockMatch(NamedTuple):
@@ -64,9 +68,16 @@
             Address range of the chunk, in the form returned by `pack_blocks`.
         data : bytes
             First addresses (uint32) and then hall numbers (uint16).
+
+        Raises
+        ------
+        DecodingError
+            If the name is no address range or the data has no whole number of rows.
         """
         first, end = parse_range(name)
-        count = len(data) // _ROW_BYTES
+        count, rest = divmod(len(data), _ROW_BYTES)
+        if rest:
+            raise DecodingError(f"Chunk {name} of the client blocks ends within a row.")
         view = memoryview(data)
         new = _Chunk(first, end, view[: count * 4].cast("I"), view[count * 4 :].cast("H"))
         kept = [c for c in self._chunks if c.end <= first or c.first >= end]
@@ -75,7 +86,10 @@
 
     def retain_chunks(self, names: Iterable[str]) -> None:
         """Remove all chunks except those with the given names."""
-        ranges = {parse_range(name) for name in names}
+        ranges = set()
+        for name in names:
+            with contextlib.suppress(DecodingError):
+                ranges.add(parse_range(name))
         self._set_chunks([c for c in self._chunks if (c.first, c.end) in ranges])
 
     def _set_chunks(self, chunks: list[_Chunk]) -> None:
@@ -104,10 +118,18 @@
 
 
 def parse_range(name: str) -> tuple[int, int]:
-    """Parse a chunk's name, ``START-BITS``, into its first address and its end (excluded)."""
-    start, _, bits = name.partition("-")
-    first = int(start, 16)
-    return first, first + (1 << int(bits))
+    """Parse a chunk's name, ``START-BITS``, into its first address and its end (excluded).
+
+    Raises
+    ------
+    DecodingError
+        If the name is anything else.
+    """
+    match = _RANGE.fullmatch(name)
+    if match is None or int(match[2]) > _ADDRESS_BITS:
+        raise DecodingError(f"{name[:40]!r} is no range of addresses.")
+    first = int(match[1], 16)
+    return first, first + (1 << int(match[2]))
 
 
 def pack_blocks(blocks: Iterable[tuple[str, int]]) -> dict[str, bytes]:
--- a/halldoor/core/steering/configuration.py
+++ b/halldoor/core/steering/configuration.py
@@ -9,13 +9,12 @@
 import msgspec
 
 from halldoor.core.errors import SettingsError
-from halldoor.core.settings import Address, parse
+from halldoor.core.settings import Address, Seconds, parse
 from halldoor.core.steering.block import pack_blocks
 from halldoor.core.steering.selector import LabelIndex, Selector
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
-Positive = Annotated[float, msgspec.Meta(gt=0.0)]
 
 
 class _Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -94,7 +93,7 @@
     methods: list[str]
     path: str = "/"
     repeatable: bool = False
-    deadline_s: Positive = 5.0
+    deadline_s: Seconds = 5.0
 
 
 class Service(_Model, frozen=True, kw_only=True):
@@ -150,7 +149,7 @@
 
     origin: Name
     destination: Name
-    latency_ms: Annotated[float, msgspec.Meta(ge=0.0)]
+    latency_ms: Annotated[float, msgspec.Meta(ge=0.0, le=3_600_000.0)]
     requests: Annotated[int, msgspec.Meta(ge=0)] = 1000
     bytes: Annotated[int, msgspec.Meta(ge=0)] = 100_000_000
 
--- a/halldoor/core/steering/revision.py
+++ b/halldoor/core/steering/revision.py
@@ -6,16 +6,26 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
 from hashlib import blake2b
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 
-from halldoor.core.errors import SettingsError
+from halldoor.core.decoding import DecodingError, decode_msgpack, decoding, parse_int
+from halldoor.core.errors import HalldoorError, SettingsError
 from halldoor.core.settings import parse
 from halldoor.core.steering.block import pack_blocks, unpack_blocks
-from halldoor.core.steering.configuration import Configuration, to_data
+from halldoor.core.steering.configuration import (
+    Configuration,
+    Link,
+    Service,
+    Shift,
+    Target,
+    Team,
+    to_data,
+)
+from halldoor.core.steering.selector import Selector
 
 HEAD_KEY = "config/head"
 PART_PREFIX = "config/part/"
@@ -24,7 +34,19 @@
 BLOCK_INDEX = "block_index"
 """Name of the part that lists the chunks of client blocks with their digests."""
 _TARGETS_PER_PART = 500
+MAX_REVISION = (1 << 31) - 1
+"""Greatest number of a revision: entries exchange it in 32 bits."""
+MAX_PARTS = 10_000
+"""Most parts of a revision."""
 _SECTIONS = ("regions", "halls", "services", "teams", "shifts", "links")
+_ROW_TYPES: dict[str, Any] = {
+    "targets": Target,
+    "services": Service,
+    "teams": Team,
+    "shifts": Shift,
+    "links": Link,
+}
+"""Type of the rows of each section of which a single row can be left out."""
 
 
 class Head(msgspec.Struct, frozen=True):
@@ -42,9 +64,9 @@
         Digest of the audit record of this change.
     """
 
-    revision: int
+    revision: Annotated[int, msgspec.Meta(ge=1, le=MAX_REVISION)]
     change_id: str
-    parts: dict[str, str]
+    parts: Annotated[dict[str, str], msgspec.Meta(max_length=MAX_PARTS)]
     audit: str = ""
 
 
@@ -55,6 +77,23 @@
     parts: dict[str, bytes]
 
 
+def decode_head(data: bytes) -> Head:
+    """Decode a head.
+
+    Raises
+    ------
+    DecodingError
+        If it can't be decoded, or a figure is out of bounds.
+    """
+    head: Head = decode_msgpack(data, Head, origin="the head of the configuration")
+    return head
+
+
+def encode_head(head: Head) -> bytes:
+    """Encode a head."""
+    return msgspec.msgpack.encode(head)
+
+
 def digest(data: bytes) -> str:
     """Return the digest under which a part is stored, in hexadecimal."""
     return blake2b(data, digest_size=16).hexdigest()
@@ -93,7 +132,11 @@
 
 
 def join_configuration(
-    head: Head, parts: Mapping[str, bytes], *, with_blocks: bool = False
+    head: Head,
+    parts: Mapping[str, bytes],
+    *,
+    with_blocks: bool = False,
+    on_odd: Callable[[str], None] | None = None,
 ) -> Configuration:
     """Build the configuration of a revision from its parts.
 
@@ -105,34 +148,100 @@
         Parts by digest.
     with_blocks : bool, optional
         Whether to rebuild the list of client blocks too; entries use the packed chunks.
+    on_odd : callable, optional
+        Called with the description of each row that can't be used and is left out; without it,
+        such a row raises.
 
     Raises
     ------
-    SettingsError
-        If a part is missing, damaged or wrong.
+    SettingsError, DecodingError
+        If a part is missing, damaged or wrong, or no row of a section can be used.
     """
-    data: dict[str, Any] = {name: _read_part(head, parts, name) for name in _SECTIONS}
+    data: dict[str, Any] = {name: _read_rows(head, parts, name) for name in _SECTIONS}
     data["targets"] = []
     for name in sorted((n for n in head.parts if n.startswith("targets/")), key=_get_number):
-        data["targets"] += _read_part(head, parts, name)
+        data["targets"] += _read_rows(head, parts, name)
     data["client_blocks"] = _list_client_blocks(head, parts, data["halls"]) if with_blocks else []
     # Names and selectors were checked before the commit, and digests detect changes since.
     # Checking them again at each entry would cost more than all its other control work.
-    return parse(data, Configuration, origin=f"revision {head.revision}")
+    origin = f"revision {head.revision}"
+    if on_odd is None:
+        return parse(data, Configuration, origin=origin)
+    try:
+        configuration = parse(data, Configuration, origin=origin)
+    except SettingsError:
+        usable = {name: _keep_usable_rows(data[name], name, on_odd) for name in _ROW_TYPES}
+        configuration = parse(data | usable, Configuration, origin=origin)
+    return _drop_dangling_rows(configuration, on_odd)
+
+
+def _keep_usable_rows(rows: list[Any], section: str, on_odd: Callable[[str], None]) -> list[Any]:
+    """Return the rows of a section that match its schema."""
+    usable = []
+    for i, row in enumerate(rows):
+        try:
+            parse(row, _ROW_TYPES[section], origin=f"{section}[{i}]")
+        except SettingsError as exc:
+            on_odd(str(exc))
+        else:
+            usable.append(row)
+    if rows and not usable:
+        raise DecodingError(f"None of the {len(rows)} rows of {section} can be used.")
+    return usable
+
+
+def _drop_dangling_rows(
+    configuration: Configuration, on_odd: Callable[[str], None]
+) -> Configuration:
+    """Leave out targets of unknown halls, and services and shifts with an invalid selector."""
+    halls = {h.name for h in configuration.halls}
+    problems = {
+        "targets": {
+            t.name: f"unknown hall {t.hall}" for t in configuration.targets if t.hall not in halls
+        },
+        "services": _list_selector_problems(
+            (s.name, (s.selector, s.failover)) for s in configuration.services
+        ),
+        "shifts": _list_selector_problems((s.name, (s.to,)) for s in configuration.shifts),
+    }
+    changes: dict[str, Any] = {}
+    for section, found in problems.items():
+        for name, problem in found.items():
+            on_odd(f"{section}.{name}: {problem}.")
+        if found:
+            rows = getattr(configuration, section)
+            changes[section] = [row for row in rows if row.name not in found]
+            if not changes[section]:
+                raise DecodingError(f"None of the {len(rows)} rows of {section} can be used.")
+    return msgspec.structs.replace(configuration, **changes) if changes else configuration
+
+
+def _list_selector_problems(rows: Iterable[tuple[str, tuple[str, ...]]]) -> dict[str, str]:
+    """Return the problem of each row with a selector that can't be parsed, by the row's name."""
+    problems = {}
+    for name, texts in rows:
+        try:
+            for text in texts:
+                Selector.from_text(text)
+        except HalldoorError as exc:
+            problems[name] = exc.message
+    return problems
 
 
 def _list_client_blocks(head: Head, parts: Mapping[str, bytes], halls: list[Any]) -> list[Any]:
     """Rebuild the operators' list of client blocks from the packed chunks."""
     index = read_block_index(head, parts)
     networks: dict[int, list[str]] = {}
-    for block, hall in unpack_blocks({name: parts[d] for name, d in index.items()}):
-        networks.setdefault(hall, []).append(block)
-    return [{"hall": halls[i]["name"], "networks": networks[i]} for i in sorted(networks)]
+    with decoding("the client blocks"):
+        for block, hall in unpack_blocks({name: parts[d] for name, d in index.items()}):
+            networks.setdefault(hall, []).append(block)
+        return [{"hall": halls[i]["name"], "networks": networks[i]} for i in sorted(networks)]
 
 
 def read_block_index(head: Head, parts: Mapping[str, bytes]) -> dict[str, str]:
     """Return the digests of the chunks of client blocks, by chunk name."""
-    return dict(_read_part(head, parts, BLOCK_INDEX))
+    index: dict[str, str] = _read_part(head, parts, BLOCK_INDEX, kind=dict[str, str])
+    return index
 
 
 def list_missing(head: Head, parts: Mapping[str, bytes]) -> list[str]:
@@ -147,16 +256,25 @@
 
 def _get_number(name: str) -> int:
     """Return the number of a chunk such as ``targets/3``."""
-    return int(name.rpartition("/")[2])
+    number = name.rpartition("/")[2]
+    return parse_int(number, lowest=0, highest=MAX_PARTS, origin=f"part {name[:40]}")
+
+
+def _read_rows(head: Head, parts: Mapping[str, bytes], name: str) -> list[Any]:
+    """Return the rows of a part; see `_read_part`."""
+    rows: list[Any] = _read_part(head, parts, name, kind=list[Any])
+    return rows
 
 
-def _read_part(head: Head, parts: Mapping[str, bytes], name: str) -> Any:
+def _read_part(head: Head, parts: Mapping[str, bytes], name: str, *, kind: Any) -> Any:
     """Check a part against its digest and decode it.
 
     Raises
     ------
     SettingsError
         If the part is missing or damaged.
+    DecodingError
+        If it is of another type.
     """
     wanted = head.parts.get(name, "")
     value = parts.get(wanted)
@@ -165,4 +283,4 @@
             f"Part {name} of revision {head.revision} is missing or damaged.",
             remedy="Fetch it again from the platform or a peer.",
         )
-    return msgspec.msgpack.decode(value)
+    return decode_msgpack(value, kind, origin=f"part {name[:40]} of revision {head.revision}")
--- a/halldoor/entry/claims.py
+++ b/halldoor/entry/claims.py
@@ -9,6 +9,7 @@
 
 from returns.result import Failure, Result, Success
 
+from halldoor.core.decoding import DecodingError
 from halldoor.core.errors import PlatformError
 from halldoor.core.orders.claim import (
     Claim,
@@ -72,6 +73,7 @@
         self._down_until = 0.0
         self.writes = 0
         self.claimed = 0
+        self.odd_shards = 0
 
     def request_claim(self, operation: str) -> HolderResult:
         """Claim an id and return its holder; ``Failure`` if the platform fails or is slow."""
@@ -97,6 +99,14 @@
             started = time.monotonic()
             try:
                 holders = self._claim(shard, operations)
+            except DecodingError as exc:
+                # Only orders with an id of this shard fail: the platform itself answers.
+                self.odd_shards += 1
+                self.log.warning("Orders are refused: a shard can't be read.", error=str(exc)[:300])
+                error = PlatformError(exc.message, remedy=exc.remedy)
+                for request in requests:
+                    request.reply.put(Failure(error))
+                continue
             except PlatformError as exc:
                 # Fail fast for half the failed call's time, so an instant failure blocks nothing.
                 now = time.monotonic()
@@ -148,8 +158,8 @@
             return Shard(), 0
         try:
             return decode_shard(value.data), value.version
-        except ValueError as exc:
-            raise PlatformError(
-                f"Shard {number} of the claims can't be read.",
+        except DecodingError as exc:
+            raise DecodingError(
+                f"Shard {number} of the claims can't be read: {exc.message}",
                 remedy="Look at the platform's value of that key; it must not be edited.",
             ) from exc
--- a/halldoor/entry/configuration.py
+++ b/halldoor/entry/configuration.py
@@ -13,9 +13,8 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-import msgspec
-
-from halldoor.core.errors import HalldoorError, PeerError, PlatformError
+from halldoor.core.decoding import DecodingError, decoding
+from halldoor.core.errors import HalldoorError, PeerError, PlatformError, SettingsError
 from halldoor.core.invariant import Invariants
 from halldoor.core.settings import Address
 from halldoor.core.steering.block import BlockTable
@@ -23,7 +22,9 @@
     HEAD_KEY,
     PART_PREFIX,
     Head,
+    decode_head,
     digest,
+    encode_head,
     is_newer,
     join_configuration,
     list_missing,
@@ -32,7 +33,8 @@
 from halldoor.core.steering.snapshot import Snapshot
 from halldoor.entry.gossip import GossipTask, find_entry
 from halldoor.entry.task import Task
-from halldoor.keyvalue.base import Platform
+from halldoor.keyvalue.base import Platform, Value
+from halldoor.threads import RestartingThread
 from halldoor.wire.client import PeerPool
 from halldoor.wire.protocol import idl
 
@@ -98,10 +100,11 @@
         self._parts: dict[str, bytes] = {}
         self._blocks = BlockTable()
         self._snapshot: Snapshot | None = None
-        self._watcher = threading.Thread(target=self._watch, name="watch", daemon=True)
+        self._watcher = RestartingThread("watch", self._watch, is_stopping=self._is_stopped.is_set)
         self._random = random.Random(entry_name)
         self.adopted_at = 0.0
         self.platform_calls = 0
+        self.odd_items = 0
 
     def start(self) -> None:
         """Start the task and its watch on the platform."""
@@ -127,14 +130,10 @@
                 )
                 self._gossip.set_flags(sees_platform=True)
                 if value is not None:
-                    head = msgspec.msgpack.decode(value.data, type=Head)
-                    is_new = self._adopt(head, self._fetch_from_platform)
-                    self._head_version = max(self._head_version, value.version)
-                    if is_new:
-                        self._announce(head)
+                    self._apply_watched(value)
                 elif self._head is None:
                     time.sleep(RETRY_S)
-            except (PlatformError, msgspec.MsgspecError) as exc:
+            except PlatformError as exc:
                 self._gossip.set_flags(sees_platform=False)
                 self.log.info(
                     "Could not read the configuration from the platform; will retry.",
@@ -142,11 +141,31 @@
                 )
                 time.sleep(RETRY_S * self._random.uniform(0.5, 1.5))
             except HalldoorError as exc:
-                self.log.warning(
-                    "A new configuration revision could not be applied.", error=str(exc)[:300]
-                )
+                self._log_rejected(exc)
                 time.sleep(RETRY_S)
 
+    def _apply_watched(self, value: Value) -> None:
+        """Apply a new head, and announce it; an odd one is skipped until the next is written."""
+        try:
+            head = decode_head(value.data)
+            is_new = self._adopt(head, self._fetch_from_platform)
+        except (DecodingError, SettingsError) as exc:
+            self._log_rejected(exc)
+            is_new = False
+        self._head_version = max(self._head_version, value.version)
+        if is_new:
+            self._announce(head)
+
+    def _log_rejected(self, exc: HalldoorError) -> None:
+        """Log and count a revision that can't be applied; the one in force stays."""
+        self.odd_items += 1
+        self.log.warning("A new configuration revision could not be applied.", error=str(exc)[:300])
+
+    def _log_odd(self, problem: str) -> None:
+        """Log and count an item of a revision that is left out."""
+        self.odd_items += 1
+        self.log.warning("Left out an odd item of the configuration.", item=problem[:300])
+
     def choose_relays(self) -> list[str]:
         """Choose the entries that watch the platform for this hall."""
         return self._gossip.choose_relays(self.revision if self._rotate_relays else 0)
@@ -187,24 +206,22 @@
                 message = connection.call("get_head", timeout_s=1.0)
                 if not message.data:
                     return
-                head = msgspec.msgpack.decode(message.data, type=Head)
+                head = decode_head(message.data)
 
                 def fetch(wanted: str) -> bytes:
                     data: bytes = connection.call("get_part", timeout_s=2.0, digest=wanted)
                     return data or self._fetch_from_platform(wanted)
 
                 self._adopt(head, fetch)
-                self._head_version = max(self._head_version, message.platform_version)
-        except (PeerError, PlatformError, msgspec.MsgspecError) as exc:
+                self._head_version = max(self._head_version, message.platform_version or 0)
+        except (PeerError, PlatformError) as exc:
             self.log.info(
                 "Could not fetch the configuration from a peer.",
                 peer=str(address),
                 error=str(exc)[:200],
             )
         except HalldoorError as exc:
-            self.log.warning(
-                "A new configuration revision could not be applied.", error=str(exc)[:300]
-            )
+            self._log_rejected(exc)
 
     def _adopt(self, head: Head, fetch: Callable[[str], bytes]) -> bool:
         """Put a newer head in force once all its parts are here; return whether it was newer."""
@@ -212,13 +229,14 @@
             current = self._head
             if not is_newer(head, current):
                 return False
-            for wanted in list_missing(head, self._parts):
-                self._parts[wanted] = _verify_digest(fetch(wanted), wanted)
+            try:
+                for wanted in list_missing(head, self._parts):
+                    self._parts[wanted] = _verify_digest(fetch(wanted), wanted)
+                snapshot = self._build_snapshot(head)
+            except (DecodingError, SettingsError):
+                self._drop_unused(current)
+                raise
             self._fetch_blocks(head, fetch)
-            configuration = join_configuration(head, self._parts)
-            snapshot = Snapshot.from_configuration(
-                configuration, revision=head.revision, hall=self._hall, blocks=self._blocks
-            )
             self._head = head
             self._snapshot = snapshot
             self._drop_unused(head)
@@ -235,6 +253,17 @@
         )
         return True
 
+    def _build_snapshot(self, head: Head) -> Snapshot:
+        """Build the snapshot of a head whose parts are here, without its odd rows."""
+        read_block_index(head, self._parts)
+        with decoding(f"revision {head.revision}"):
+            return Snapshot.from_configuration(
+                join_configuration(head, self._parts, on_odd=self._log_odd),
+                revision=head.revision,
+                hall=self._hall,
+                blocks=self._blocks,
+            )
+
     def _fetch_blocks(self, head: Head, fetch: Callable[[str], bytes]) -> None:
         """Replace changed chunks of the client block table one by one.
 
@@ -247,7 +276,10 @@
             if part not in self._parts:
                 data = _verify_digest(fetch(part), part)
                 self._parts[part] = data
-                self._blocks.replace_chunk(name, data)
+                try:
+                    self._blocks.replace_chunk(name, data)
+                except DecodingError as exc:
+                    self._log_odd(str(exc))
                 self._drop_replaced_chunk(name, wanted)
         self._blocks.retain_chunks(index)
 
@@ -260,9 +292,11 @@
         if old not in wanted:
             self._parts.pop(old, None)
 
-    def _drop_unused(self, head: Head) -> None:
+    def _drop_unused(self, head: Head | None) -> None:
         """Drop the parts that the head doesn't refer to."""
-        used = {*head.parts.values(), *read_block_index(head, self._parts).values()}
+        used = set()
+        if head is not None:
+            used = {*head.parts.values(), *read_block_index(head, self._parts).values()}
         for unused in set(self._parts) - used:
             del self._parts[unused]
 
@@ -286,7 +320,7 @@
         head = self._head
         if head is None:
             return idl.Head(revision=0, data=b"", platform_version=0)
-        data = msgspec.msgpack.encode(head)
+        data = encode_head(head)
         return idl.Head(revision=head.revision, data=data, platform_version=self._head_version)
 
     def get_part(self, wanted: str) -> bytes:
--- a/halldoor/entry/probe.py
+++ b/halldoor/entry/probe.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import contextlib
 import threading
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 import urllib3
 
 from halldoor.client import PoolManager
+from halldoor.core.decoding import DecodingError, decode_json
 from halldoor.core.errors import PlatformError
 from halldoor.core.hall.membership import Member, TargetReport
 from halldoor.core.placement import rank
@@ -22,6 +24,8 @@
 from halldoor.keyvalue.base import Platform
 
 PROBE_TIMEOUT_S = 0.5
+MAX_HEALTH_BYTES = 65_536
+"""Longest answer to a probe, in bytes."""
 PROBERS_PER_TARGET = 2
 """Number of entries that probe each target; the others use their reports in heartbeats."""
 UNHEALTHY_AFTER_FAILURES = 2
@@ -35,8 +39,29 @@
     """A target's answer to a probe: its state, its age in seconds and its load."""
 
     state: str = "ok"
-    age_s: float = 1e9
-    load: float = 0.0
+    age_s: Annotated[float, msgspec.Meta(ge=0.0, le=1e12)] = 1e9
+    load: Annotated[float, msgspec.Meta(ge=0.0, le=1e6)] = 0.0
+
+
+class _StateOnly(msgspec.Struct):
+    """A target's answer to a probe, without its figures."""
+
+    state: str = "ok"
+
+
+def decode_health(data: bytes) -> TargetHealth:
+    """Decode a target's answer to a probe; its figures are ignored if one can't be used.
+
+    Raises
+    ------
+    DecodingError
+        If its state can't be decoded.
+    """
+    origin, limit = "a health answer", MAX_HEALTH_BYTES
+    try:
+        return decode_json(data, TargetHealth, origin=origin, max_bytes=limit)
+    except DecodingError:
+        return TargetHealth(decode_json(data, _StateOnly, origin=origin, max_bytes=limit).state)
 
 
 class _ProbeHistory(NamedTuple):
@@ -124,9 +149,11 @@
                 f"http://{target.address}/health",
                 timeout=PROBE_TIMEOUT_S,
                 redirect=False,
+                preload_content=False,
             )
-            health = msgspec.json.decode(response.data, type=TargetHealth)
-        except (urllib3.exceptions.HTTPError, OSError, msgspec.MsgspecError):
+            with contextlib.closing(response):
+                health = decode_health(response.read(MAX_HEALTH_BYTES + 1))
+        except (urllib3.exceptions.HTTPError, OSError, DecodingError):
             health = TargetHealth(state="failing")
         self._record_probe(target.name, health)
 
--- a/halldoor/entry/task.py
+++ b/halldoor/entry/task.py
@@ -9,6 +9,8 @@
 
 import structlog
 
+from halldoor.threads import RestartingThread, failures
+
 M = TypeVar("M")
 
 
@@ -29,7 +31,7 @@
         self._period_s = period_s
         self._inbox: queue.Queue[M | None] = queue.Queue(maxsize=10_000)
         self._is_stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+        self._thread = RestartingThread(name, self._run, is_stopping=self._is_stopped.is_set)
 
     def start(self) -> None:
         """Start the thread."""
@@ -62,6 +64,7 @@
                     self.handle(messages)
                 self.tick()
             except Exception:
+                failures[self.name] += 1
                 self.log.exception("A task failed while handling messages; it continues.")
 
     def _collect(self, pause_s: float) -> list[M]:
--- a/halldoor/keyvalue/client.py
+++ b/halldoor/keyvalue/client.py
@@ -6,9 +6,11 @@
 from urllib.parse import quote
 
 import msgspec
+import structlog
 import urllib3
 
 from halldoor.client import PoolManager
+from halldoor.core.decoding import DecodingError, decode_json, parse_int
 from halldoor.core.errors import PlatformError
 from halldoor.keyvalue.base import (
     MAX_VALUE_BYTES,
@@ -19,7 +21,11 @@
     WriteConflictError,
 )
 
+log = structlog.get_logger(part="store")
+
 _REMEDY = "Check the platform; halldoor continues with its cached state."
+MAX_VERSION = (1 << 63) - 1
+"""Greatest version of a key: entries exchange it in 64 bits."""
 _MAX_ANSWER_BYTES = 4_000_000
 """Longest body of an answer that is accepted, in bytes."""
 
@@ -108,12 +114,7 @@
         """List running and leaving hosts, both entries and targets."""
         response = self._request("GET", "/hosts")
         _check_status(response, 200)
-        try:
-            return msgspec.json.decode(response.data, type=list[HostState])
-        except msgspec.MsgspecError as exc:
-            raise PlatformError(
-                "The platform's host list can't be decoded.", remedy=_REMEDY
-            ) from exc
+        return decode_hosts(response.data)
 
     def _request(self, method: str, path: str, *, timeout_s: float = 0.0, **options: Any) -> Any:
         """Send one request and return the complete answer; raise `PlatformError` for any fault."""
@@ -150,6 +151,31 @@
     version: str
 
 
+def decode_hosts(data: bytes) -> list[HostState]:
+    """Decode a host list, without the rows that can't be decoded.
+
+    Raises
+    ------
+    PlatformError
+        If it is no list.
+    """
+    try:
+        return decode_json(data, list[HostState], origin="the host list")
+    except DecodingError:
+        pass
+    try:
+        rows = decode_json(data, list[msgspec.Raw], origin="the host list")
+    except DecodingError as exc:
+        raise PlatformError("The platform's host list can't be decoded.", remedy=_REMEDY) from exc
+    hosts = []
+    for row in rows:
+        try:
+            hosts.append(decode_json(bytes(row), HostState, origin="a row of the host list"))
+        except DecodingError as exc:
+            log.warning("A row of the host list is ignored.", error=str(exc)[:300])
+    return hosts
+
+
 def _check_status(response: _Response, status: int) -> None:
     """Raise `PlatformError` if an answer doesn't have the expected status."""
     if response.status != status:
@@ -159,8 +185,8 @@
 def _read_version(response: _Response) -> int:
     """Return the version of the key from an answer's header."""
     try:
-        return int(response.version)
-    except ValueError as exc:
+        return parse_int(response.version, lowest=0, highest=MAX_VERSION, origin="Platform-Version")
+    except DecodingError as exc:
         raise PlatformError(
             "The platform's answer has no valid Platform-Version header.", remedy=_REMEDY
         ) from exc
--- a/halldoor/keyvalue/store.py
+++ b/halldoor/keyvalue/store.py
@@ -12,7 +12,9 @@
 from typing import NamedTuple
 
 import msgspec
+import structlog
 
+from halldoor.core.decoding import DecodingError, decode_msgpack
 from halldoor.core.errors import ConflictError, PlatformError
 from halldoor.core.steering.audit import AuditRecord, Difference, compare
 from halldoor.core.steering.configuration import (
@@ -25,13 +27,17 @@
     HEAD_KEY,
     PART_PREFIX,
     Head,
+    decode_head,
     digest,
+    encode_head,
     join_configuration,
     read_block_index,
     split_configuration,
 )
 from halldoor.keyvalue.base import Platform, UncertainWriteError, WriteConflictError
 
+log = structlog.get_logger(part="store")
+
 REFUSED_KEY = "audit/refused"
 """Key of the list of refused changes."""
 MAX_REFUSED_RECORDS = 500
@@ -201,7 +207,7 @@
                 self._put_part(name, data)
         head = Head(revision, change.id, bundle.names, digest(audit))
         try:
-            self._platform.put(HEAD_KEY, msgspec.msgpack.encode(head), expected=stored.version)
+            self._platform.put(HEAD_KEY, encode_head(head), expected=stored.version)
         except UncertainWriteError:
             self._check_head_written(head)
         return CommittedChange(revision, differences)
@@ -299,24 +305,48 @@
         return _decode_refused(value.data) if value else []
 
     def list_audit(self, head: Head, *, limit: int) -> Iterator[AuditRecord]:
-        """Yield the audit records of accepted changes, the newest first, starting at a head."""
+        """Yield the audit records of accepted changes, the newest first, starting at a head.
+
+        A record that can't be decoded ends them, since only it names the preceding one.
+        """
         wanted = head.audit
         while wanted and limit:
-            record = msgspec.msgpack.decode(self._get_part(wanted), type=AuditRecord)
+            try:
+                record = _decode_audit(self._get_part(wanted))
+            except DecodingError as exc:
+                log.warning("The audit trail ends at an odd record.", error=str(exc)[:300])
+                return
             yield record
             wanted, limit = record.previous, limit - 1
 
 
 def _decode_refused(data: bytes) -> list[AuditRecord]:
-    """Decode the list of refused changes."""
-    return msgspec.msgpack.decode(data, type=list[AuditRecord])
+    """Decode the list of refused changes, without the records that can't be decoded."""
+    try:
+        rows = decode_msgpack(data, list[msgspec.Raw], origin="the list of refused changes")
+    except DecodingError as exc:
+        log.warning("The list of refused changes is ignored.", error=str(exc)[:300])
+        return []
+    records = []
+    for row in rows:
+        try:
+            records.append(_decode_audit(bytes(row)))
+        except DecodingError as exc:
+            log.warning("A record of a refused change is ignored.", error=str(exc)[:300])
+    return records
+
+
+def _decode_audit(data: bytes) -> AuditRecord:
+    """Decode an audit record; raise `DecodingError` if that fails."""
+    record: AuditRecord = decode_msgpack(data, AuditRecord, origin="an audit record")
+    return record
 
 
 def _decode_head(data: bytes) -> Head:
-    """Decode the head of the configuration."""
+    """Decode the head of the configuration; raise `PlatformError` if that fails."""
     try:
-        return msgspec.msgpack.decode(data, type=Head)
-    except msgspec.MsgspecError as exc:
+        return decode_head(data)
+    except DecodingError as exc:
         raise PlatformError(
             "The head of the configuration can't be decoded.",
             remedy=f"Restore the platform's key {HEAD_KEY}.",
