--- a/halldoor/gateway/datagrams.py
+++ b/halldoor/gateway/datagrams.py
@@ -65,7 +65,7 @@
         is_entry: Callable[[Address], bool],
         metrics: GatewayMetrics,
     ) -> None:
-        self._address = address
+        self.address = address
         self._is_entry = is_entry
         self._metrics = metrics
         self._transport: asyncio.DatagramTransport | None = None
@@ -77,9 +77,9 @@
 
     async def start(self) -> None:
         """Open the socket."""
-        if self._address is not None:
+        if self.address is not None:
             loop = asyncio.get_running_loop()
-            local = (self._address.ip, self._address.port)
+            local = (self.address.ip, self.address.port)
             await loop.create_datagram_endpoint(lambda: self, local_addr=local)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- /dev/null
+++ b/halldoor/gateway/opening.py
@@ -0,0 +1,134 @@
+"""Opens ports, and waits for addresses that are in use or not the machine's yet."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+from collections.abc import Awaitable, Callable
+
+from halldoor.core.errors import SettingsError
+from halldoor.core.settings import Address
+from halldoor.gateway.eventlog import EventLog
+
+RETRY_S = 0.1
+"""Pause between two attempts to open a port, in seconds."""
+REPORT_S = 10.0
+"""Period of reporting a port that is still awaited, in seconds."""
+TRANSIENT_ERRORS = frozenset(
+    {
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENETDOWN,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
+)
+"""Errors that end without a change of the settings: another process holds the port, the address
+is not the machine's yet, or the machine lacks memory or descriptors."""
+
+
+class PortOpener:
+    """Opens ports; those that can't be opened yet are opened later, without holding up others.
+
+    Parameters
+    ----------
+    log : EventLog
+        Receives a line for each port that is awaited.
+    """
+
+    def __init__(self, log: EventLog) -> None:
+        self._log = log
+        self._waiting: set[asyncio.Task[None]] = set()
+
+    async def open(
+        self,
+        name: str,
+        address: Address,
+        open_port: Callable[[], Awaitable[None]],
+        *,
+        on_opened: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Open a port now, or start to wait for it.
+
+        Parameters
+        ----------
+        name, address
+            The port, for the log and for errors.
+        open_port : callable
+            Opens it; raises `OSError`.
+        on_opened : callable, optional
+            Called once it is open.
+
+        Raises
+        ------
+        SettingsError
+            If it can't be opened until the settings or the rights of the process are changed.
+        """
+        try:
+            await open_port()
+        except OSError as exc:
+            if exc.errno not in TRANSIENT_ERRORS:
+                raise SettingsError(
+                    f"The port {name} at {address} can't be opened: {describe(exc)}.",
+                    remedy="Change the address in the settings, or the rights of the process.",
+                ) from exc
+            waiting = self._wait(name, address, open_port, exc, on_opened)
+            task = asyncio.get_running_loop().create_task(waiting)
+            self._waiting.add(task)
+            task.add_done_callback(self._waiting.discard)
+        else:
+            on_opened()
+
+    async def _wait(
+        self,
+        name: str,
+        address: Address,
+        open_port: Callable[[], Awaitable[None]],
+        problem: OSError,
+        on_opened: Callable[[], None],
+    ) -> None:
+        """Retry until a port is open."""
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        reported_at = float("-inf")
+        is_open = False
+        while not is_open:
+            if loop.time() - reported_at >= REPORT_S:
+                reported_at = loop.time()
+                self._log.event(
+                    "process",
+                    "Waits for an address.",
+                    port=name,
+                    address=str(address),
+                    cause=describe(problem),
+                )
+            await asyncio.sleep(RETRY_S)
+            try:
+                await open_port()
+            except OSError as exc:
+                problem = exc
+            else:
+                is_open = True
+        waited_s = round(loop.time() - begun, 1)
+        self._log.event(
+            "process",
+            "Opened after waiting.",
+            port=name,
+            address=str(address),
+            waited_s=waited_s,
+        )
+        on_opened()
+
+    def close(self) -> None:
+        """Stop waiting."""
+        for task in self._waiting:
+            task.cancel()
+
+
+def describe(problem: OSError) -> str:
+    """Return the text of an error without the address that the library adds to it."""
+    is_system = problem.errno in errno.errorcode
+    return os.strerror(problem.errno) if is_system else problem.strerror or str(problem)
--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -1,16 +1,22 @@
-"""Ports of a gateway besides that for callers: readiness, look-ups, metrics and other entries."""
+"""Ports of a gateway: callers, readiness, look-ups, metrics and other entries."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import NamedTuple
 
 from halldoor.core.settings import Address
 from halldoor.core.targets.route import CallerLimits
 from halldoor.gateway.caller import CallerConnection, Handler
+from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.delivery import sum_undelivered
+from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.opening import PortOpener
 from halldoor.gateway.pipeline import Pipelining
+from halldoor.gateway.request import RequestHandler
 
 
 class ServicePort(NamedTuple):
@@ -18,54 +24,179 @@
 
     Attributes
     ----------
+    name : str
+        Name of the port in the settings.
     address : Address or None
         Address to listen at; None: the port is not opened.
     read_limits : callable, optional
         Returns the current limits on its callers.
     """
 
+    name: str
     address: Address | None
     handler: Handler
     read_limits: Callable[[], CallerLimits] = CallerLimits
 
 
+class FrontPort:
+    """The port for callers.
+
+    Parameters
+    ----------
+    address : Address
+        Address to listen at.
+    requests : RequestHandler
+        Answers the callers' requests.
+    connections, is_closing, pipelining
+        Passed to `listen`.
+
+    Attributes
+    ----------
+    opened : asyncio.Event
+        Set once callers can connect.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        requests: RequestHandler,
+        connections: set[CallerConnection],
+        *,
+        is_closing: Callable[[], bool],
+        pipelining: Pipelining,
+    ) -> None:
+        self.address = address
+        self.opened = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self._listen = partial(
+            listen,
+            address.ip,
+            address.port,
+            requests.handle,
+            read_limits=requests.read_limits,
+            connections=connections,
+            is_closing=is_closing,
+            pipelining=pipelining,
+        )
+
+    @property
+    def port(self) -> int:
+        """Port in use; valid once it is open."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def is_serving(self) -> bool:
+        """Check whether callers can connect."""
+        return self._server is not None and self._server.is_serving()
+
+    async def open(self) -> None:
+        """Start to listen."""
+        self._server = await self._listen()
+        self.opened.set()
+
+    def close(self) -> None:
+        """Stop listening; open connections live on."""
+        if self._server is not None:
+            self._server.close()
+
+
 class ServicePorts:
-    """The open ports.
+    """All ports of a gateway.
 
     Parameters
     ----------
+    front : FrontPort
+        The port for callers.
     ports : sequence of ServicePort
-        Ports to open.
+        The other ports that accept connections.
+    datagrams : DatagramPort
+        Socket for messages of other entries.
+    on_reachable : callable
+        Called with whether other entries reach this one at its address for them.
+    log : EventLog
+        Receives a line for each port that is awaited.
     """
 
-    def __init__(self, ports: Sequence[ServicePort]) -> None:
+    def __init__(
+        self,
+        front: FrontPort,
+        ports: Sequence[ServicePort],
+        *,
+        datagrams: DatagramPort,
+        on_reachable: Callable[[bool], None],
+        log: EventLog,
+    ) -> None:
+        self.front = front
         self._ports = ports
+        self._datagrams = datagrams
+        self._on_reachable = on_reachable
+        self._opener = PortOpener(log)
         self._connections: set[CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
+        self._closed_relays = 0
 
     async def start(self) -> None:
-        """Open the ports that have an address."""
-        for address, handler, read_limits in self._ports:
-            if address is not None:
-                server = await listen(
-                    address.ip,
-                    address.port,
-                    handler,
-                    read_limits=read_limits,
-                    connections=self._connections,
+        """Open the ports that have an address; wait in the background for those that are held.
+
+        Raises
+        ------
+        SettingsError
+            If a port can't be opened until the settings are changed.
+        """
+        await self._opener.open("front", self.front.address, self.front.open)
+        relay = self._datagrams.address
+        if relay is not None:
+            self._closed_relays = 2
+            await self._opener.open(
+                "relay (UDP)", relay, self._datagrams.start, on_opened=self._count_relay
+            )
+        for port in self._ports:
+            if port.address is not None:
+                on_opened = self._count_relay if port.address == relay else _ignore
+                await self._opener.open(
+                    port.name, port.address, partial(self._open, port), on_opened=on_opened
                 )
-                self._servers.append(server)
+        if self._closed_relays:
+            self._on_reachable(False)
+
+    async def _open(self, port: ServicePort) -> None:
+        """Open a port."""
+        assert port.address is not None
+        server = await listen(
+            port.address.ip,
+            port.address.port,
+            port.handler,
+            read_limits=port.read_limits,
+            connections=self._connections,
+        )
+        self._servers.append(server)
+
+    def _count_relay(self) -> None:
+        """Count an opened socket at the relay address, which has two."""
+        self._closed_relays -= 1
+        if not self._closed_relays:
+            self._on_reachable(True)
 
     def count_undelivered(self) -> int:
         """Return the number of bytes of answers that have not arrived yet."""
         return sum_undelivered(self._connections)
 
+    def stop_waiting(self) -> None:
+        """Stop waiting for ports that are held."""
+        self._opener.close()
+
     def close(self) -> None:
         """Close the ports; open connections live on."""
+        self.stop_waiting()
+        self.front.close()
         for server in self._servers:
             server.close()
 
 
+def _ignore() -> None:
+    """Do nothing once a port is open."""
+
+
 async def listen(
     ip: str,
     port: int,
@@ -77,11 +208,18 @@
     pipelining: Pipelining | None = None,
     backlog: int = 1024,
 ) -> asyncio.Server:
-    """Start a server for callers' connections; port 0 lets the kernel choose one."""
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(
+    """Start a server for callers' connections; port 0 lets the kernel choose one.
+
+    Raises
+    ------
+    OSError
+        If the port can't be opened.
+    """
+    # The event loop would keep a socket open that can't listen, and hides some causes.
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    sock = socket.create_server((ip, port), family=family, backlog=backlog)
+    return await asyncio.get_running_loop().create_server(
         lambda: CallerConnection(handler, read_limits, connections, is_closing, pipelining),
-        ip,
-        port,
+        sock=sock,
         backlog=backlog,
     )
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -34,7 +34,7 @@
 from halldoor.gateway.permits import RetryPermits
 from halldoor.gateway.pipeline import Pipelining
 from halldoor.gateway.pool import TargetPool
-from halldoor.gateway.ports import ServicePort, ServicePorts, listen
+from halldoor.gateway.ports import FrontPort, ServicePort, ServicePorts
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.quotas import QuotaExchange
 from halldoor.gateway.reloading import apply_settings
@@ -119,9 +119,8 @@
             on_suspension=self._handle_suspension,
             log=self.log,
         )
-        self._build_ports(lookups, names)
         self._callers: set[CallerConnection] = set()
-        self._front: asyncio.Server | None = None
+        self._build_ports(lookups, names)
         self._tasks = TaskSet(self.log)
         self.is_stopping = False
 
@@ -245,8 +244,20 @@
         )
 
     def _build_ports(self, lookups: LookupFormat, names: HeaderNames) -> None:
-        """Create the ports for readiness, look-ups, metrics and other entries."""
+        """Create the ports for callers, readiness, look-ups, metrics and other entries."""
         settings = self.settings
+        self._front = FrontPort(
+            settings.front,
+            self.requests,
+            self._callers,
+            is_closing=lambda: self.is_stopping,
+            pipelining=Pipelining(
+                self.access.is_repeatable,
+                lambda: self.settings.pipelining,
+                self.metrics.add_pipelining,
+            ),
+        )
+        self.registration.is_open = self._front.opened
         forwarded = ForwardedRequests(
             self.requests,
             self.feed.answer,
@@ -265,19 +276,24 @@
             self.metrics,
         )
         self._ports = ServicePorts(
+            self._front,
             (
-                ServicePort(settings.ready, pages.answer_ready),
-                ServicePort(settings.directory, pages.answer_lookup),
-                ServicePort(settings.metrics, pages.answer_metrics),
-                ServicePort(settings.relay, forwarded.answer, forwarded.read_limits),
-            )
+                ServicePort("ready", settings.ready, pages.answer_ready),
+                ServicePort("directory", settings.directory, pages.answer_lookup),
+                ServicePort("metrics", settings.metrics, pages.answer_metrics),
+                ServicePort("relay", settings.relay, forwarded.answer, forwarded.read_limits),
+            ),
+            datagrams=self.port,
+            on_reachable=self.registration.set_reachable,
+            log=self.log,
         )
 
     @property
     def is_ready(self) -> bool:
         """Check whether callers should be sent here."""
         is_leaving = self.settings.forwarding.leaves_lookups and self.reach.monitor.loss is not None
-        is_out = self.is_unconfirmed or self.is_stopping or is_leaving
+        is_closed = self.is_stopping or not self._front.opened.is_set()
+        is_out = self.is_unconfirmed or is_closed or is_leaving
         return self.catalog.routing is not None and not is_out
 
     @property
@@ -302,24 +318,10 @@
         self.access.gate.start(now)
 
     async def start(self) -> None:
-        """Open the ports and start every task."""
+        """Open the ports, or wait for those that are held, and start every task."""
         settings = self.settings
         self._start_shares(asyncio.get_running_loop().time())
-        self._front = await listen(
-            settings.front.ip,
-            settings.front.port,
-            self.requests.handle,
-            read_limits=self.requests.read_limits,
-            connections=self._callers,
-            is_closing=lambda: self.is_stopping,
-            pipelining=Pipelining(
-                self.access.is_repeatable,
-                lambda: self.settings.pipelining,
-                self.metrics.add_pipelining,
-            ),
-        )
         await self._ports.start()
-        await self.port.start()
         parts = (
             self.sync.run(),
             self.maintenance.run(),
@@ -353,6 +355,7 @@
         if self.is_stopping:
             return
         self.is_stopping = True
+        self._ports.stop_waiting()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.grace_s
         self.log.event("process", "Stopping.", running=self.requests.running)
@@ -360,10 +363,10 @@
         for caller in list(self._callers):
             caller.is_closing = True
         leaving = loop.create_task(self.registration.leave())
-        # Some callers keep a look-up's answer for three times its lifetime.
-        await asyncio.sleep(min(3 * self.settings.lookup_ttl_s, self.settings.grace_s / 2))
-        if self._front is not None:
-            self._front.close()
+        if self._front.opened.is_set():
+            # Some callers keep a look-up's answer for three times its lifetime.
+            await asyncio.sleep(min(3 * self.settings.lookup_ttl_s, self.settings.grace_s / 2))
+        self._front.close()
         await wait_until_finished(
             self._callers,
             deadline=deadline,
--- a/halldoor/gateway/registration.py
+++ b/halldoor/gateway/registration.py
@@ -30,6 +30,11 @@
         Called whenever the store accepted a registration or renewal.
     on_return : callable
         Called with a cause when the store answers after a failure, or was restored from a copy.
+
+    Attributes
+    ----------
+    is_open : asyncio.Event
+        Set once callers can connect to this entry; set by default.
     """
 
     def __init__(
@@ -55,11 +60,15 @@
         self._lease: Lease | None = None
         self._era = ""
         self._is_written = False
+        self._is_reachable = True
+        self.is_open = asyncio.Event()
+        self.is_open.set()
         self._has_failed = False
         self._wake = asyncio.Event()
 
     async def run(self) -> None:
         """Register once all records were read, and renew the lease until cancelled."""
+        await self.is_open.wait()
         await self._is_loaded.wait()
         while True:
             pause_s = RENEWAL_S
@@ -99,9 +108,11 @@
             self._metrics.add_store_call("lease", "renewed")
         self._check_era()
         if not self._is_written:
-            item = self._codec.encode_member(self._member)
+            is_reachable = self._is_reachable
+            member = self._member if is_reachable else self._member._replace(relay=None)
+            item = self._codec.encode_member(member)
             await self._store.write(item.key, item.value or b"", lease=self._lease.name)
-            self._is_written = True
+            self._is_written = is_reachable is self._is_reachable
             self._metrics.add_store_call("write", "ok")
             self._log.event("membership", "Registered.", lease=self._lease.name)
 
@@ -119,8 +130,13 @@
             self._on_return("the store was restored from a copy")
             raise LeaseGoneError("The store was restored.", remedy="Create another lease.")
 
+    def set_reachable(self, is_reachable: bool) -> None:
+        """Set whether other entries reach this one at the relay address that its record names."""
+        self._is_reachable = is_reachable
+        self.rewrite_record()
+
     def rewrite_record(self) -> None:
-        """Write this entry's record again: it was removed while the entry runs."""
+        """Write this entry's record again: it changed, or was removed while the entry runs."""
         if self._is_written:
             self._is_written = False
             self._wake.set()
--- a/halldoor/tests/gatewaykit.py
+++ b/halldoor/tests/gatewaykit.py
@@ -158,7 +158,7 @@
     @property
     def front_port(self):
         """Port on which the gateway accepts callers."""
-        return self.gateway._front.sockets[0].getsockname()[1]
+        return self.gateway._front.port
 
     async def connect(self, source="127.0.0.1"):
         """Open a caller's connection to the gateway from a source address."""
