--- a/halldoor/cli/admin.py
+++ b/halldoor/cli/admin.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
-import sys
 from pathlib import Path
 
 import defopt
 
 from halldoor.admin.api import serve
-from halldoor.cli.loading import load_or_exit
+from halldoor.cli.loading import wait_for_settings
 from halldoor.core.settings import AdminSettings
+from halldoor.startup import ExitStatus, describe_problem, exit_with_error, wait_for_ports
+
+PROGRAM = "halldoor-admin"
+"""Name of the program in its messages."""
 
 
 def run(settings: Path) -> None:
@@ -20,11 +23,13 @@
     settings : Path
         YAML file with the settings; docs/reference.md lists them.
     """
-    checked = load_or_exit(settings, AdminSettings, program="halldoor-admin")
+    checked = wait_for_settings(settings, AdminSettings, program=PROGRAM)
     try:
+        wait_for_ports((checked.http,), program=PROGRAM)
         serve(checked)
     except OSError as exc:
-        sys.exit(f"halldoor-admin: {exc}. Check the address in {settings}.")
+        problem = f"{describe_problem(exc)}. Check the address in {settings}."
+        exit_with_error(PROGRAM, problem, ExitStatus.SETTINGS)
 
 
 def main() -> None:
--- a/halldoor/cli/entry.py
+++ b/halldoor/cli/entry.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import signal
-import sys
 import threading
 from pathlib import Path
 
 import defopt
 
-from halldoor.cli.loading import load_or_exit
+from halldoor.cli.loading import wait_for_settings
 from halldoor.core.errors import HalldoorError
 from halldoor.core.settings import EntrySettings
 from halldoor.entry.process import EntryProcess
+from halldoor.startup import ExitStatus, exit_with_error, wait_for_ports
+
+PROGRAM = "halldoor-entry"
+"""Name of the program in its messages."""
 
 
 def run(settings: Path) -> None:
@@ -23,11 +26,12 @@
     settings : Path
         YAML file with the settings; docs/reference.md lists them.
     """
-    checked = load_or_exit(settings, EntrySettings, program="halldoor-entry")
+    checked = wait_for_settings(settings, EntrySettings, program=PROGRAM)
     try:
+        wait_for_ports((checked.wire, checked.http), program=PROGRAM)
         process = EntryProcess.from_config(checked)
     except (HalldoorError, OSError) as exc:
-        sys.exit(f"halldoor-entry: {exc}")
+        exit_with_error(PROGRAM, exc, ExitStatus.SETTINGS)
     should_stop = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: should_stop.set())
--- a/halldoor/cli/gateway.py
+++ b/halldoor/cli/gateway.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import sys
 from pathlib import Path
 
 import defopt
 import msgspec
 
-from halldoor.core.errors import HalldoorError
+from halldoor.core.errors import HalldoorError, SettingsError
 from halldoor.core.targets.entryweights import EntryCapacity
 from halldoor.files import load_settings
 from halldoor.gateway import clock
@@ -19,6 +18,10 @@
 from halldoor.gateway.process import Gateway
 from halldoor.gateway.runner import SettingsFile, run_until_stopped
 from halldoor.gateway.settings import GatewaySettings
+from halldoor.startup import ExitStatus, end_on_signals, exit_with_error, load_when_sound
+
+PROGRAM = "halldoor-gateway"
+"""Name of the program in its messages."""
 
 
 def run(settings: Path) -> None:
@@ -29,15 +32,29 @@
     settings
         YAML file with the settings; docs/reference.md lists them.
     """
+    end_on_signals()
+    file, checked = load_when_sound(lambda: load_file(settings), program=PROGRAM)
     try:
-        checked = load_settings(settings, GatewayFileSettings)
-        load_configuration(Path(checked.configuration))
-        file = SettingsFile(
-            settings, lambda: build_settings(load_settings(settings, GatewayFileSettings))
-        )
         clock.run(run_until_stopped(build_gateway(checked), file))
     except (HalldoorError, OSError) as exc:
-        sys.exit(f"halldoor-gateway: {exc}")
+        exit_with_error(PROGRAM, exc, ExitStatus.SETTINGS)
+
+
+def load_file(path: Path) -> tuple[SettingsFile, GatewayFileSettings]:
+    """Read the settings and the configuration that they name.
+
+    Raises
+    ------
+    HalldoorError
+        If they are not sound, or the settings changed while they were read.
+    """
+    file = SettingsFile(path, lambda: build_settings(load_settings(path, GatewayFileSettings)))
+    checked = load_settings(path, GatewayFileSettings)
+    build_settings(checked)
+    load_configuration(Path(checked.configuration))
+    if file.has_changed():
+        raise SettingsError(f"{path} changed while it was read.", remedy="It is read again.")
+    return file, checked
 
 
 def build_gateway(checked: GatewayFileSettings) -> Gateway:
--- a/halldoor/gateway/clock.py
+++ b/halldoor/gateway/clock.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import time
 from collections.abc import Coroutine
 from typing import Any
@@ -37,3 +38,5 @@
     """Run a coroutine to completion on a `GatewayLoop`."""
     with asyncio.Runner(loop_factory=GatewayLoop) as runner:
         runner.run(main)
+        # Closing the loop resets its handlers: a late signal would change the exit status.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGINT, signal.SIGTERM})
--- a/halldoor/gateway/opening.py
+++ b/halldoor/gateway/opening.py
@@ -3,31 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import errno
-import os
 from collections.abc import Awaitable, Callable
 
 from halldoor.core.errors import SettingsError
 from halldoor.core.settings import Address
 from halldoor.gateway.eventlog import EventLog
-
-RETRY_S = 0.1
-"""Pause between two attempts to open a port, in seconds."""
-REPORT_S = 10.0
-"""Period of reporting a port that is still awaited, in seconds."""
-TRANSIENT_ERRORS = frozenset(
-    {
-        errno.EADDRINUSE,
-        errno.EADDRNOTAVAIL,
-        errno.EMFILE,
-        errno.ENFILE,
-        errno.ENETDOWN,
-        errno.ENOBUFS,
-        errno.ENOMEM,
-    }
-)
-"""Errors that end without a change of the settings: another process holds the port, the address
-is not the machine's yet, or the machine lacks memory or descriptors."""
+from halldoor.startup import REPORT_S, RETRY_S, TRANSIENT_ERRORS, describe_problem
 
 
 class PortOpener:
@@ -72,7 +53,7 @@
         except OSError as exc:
             if exc.errno not in TRANSIENT_ERRORS:
                 raise SettingsError(
-                    f"The port {name} at {address} can't be opened: {describe(exc)}.",
+                    f"The port {name} at {address} can't be opened: {describe_problem(exc)}.",
                     remedy="Change the address in the settings, or the rights of the process.",
                 ) from exc
             waiting = self._wait(name, address, open_port, exc, on_opened)
@@ -103,7 +84,7 @@
                     "Waits for an address.",
                     port=name,
                     address=str(address),
-                    cause=describe(problem),
+                    cause=describe_problem(problem),
                 )
             await asyncio.sleep(RETRY_S)
             try:
@@ -126,9 +107,3 @@
         """Stop waiting."""
         for task in self._waiting:
             task.cancel()
-
-
-def describe(problem: OSError) -> str:
-    """Return the text of an error without the address that the library adds to it."""
-    is_system = problem.errno in errno.errorcode
-    return os.strerror(problem.errno) if is_system else problem.strerror or str(problem)
--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable, Sequence
 from functools import partial
 from typing import NamedTuple
@@ -17,6 +16,7 @@
 from halldoor.gateway.opening import PortOpener
 from halldoor.gateway.pipeline import Pipelining
 from halldoor.gateway.request import RequestHandler
+from halldoor.startup import open_listener
 
 
 class ServicePort(NamedTuple):
@@ -216,8 +216,7 @@
         If the port can't be opened.
     """
     # The event loop would keep a socket open that can't listen, and hides some causes.
-    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
-    sock = socket.create_server((ip, port), family=family, backlog=backlog)
+    sock = open_listener(Address(ip, port), backlog=backlog)
     return await asyncio.get_running_loop().create_server(
         lambda: CallerConnection(handler, read_limits, connections, is_closing, pipelining),
         sock=sock,
--- /dev/null
+++ b/halldoor/startup.py
@@ -0,0 +1,150 @@
+"""Start of a program: early signals, settings that are not sound yet, and ports that are held."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import os
+import signal
+import socket
+import sys
+import time
+from collections.abc import Callable, Iterable
+from enum import IntEnum
+from types import FrameType
+from typing import NoReturn, TypeVar
+
+from halldoor.core.errors import HalldoorError
+from halldoor.core.settings import Address
+
+T = TypeVar("T")
+
+RETRY_S = 0.1
+"""Pause between two attempts, in seconds."""
+REPORT_S = 10.0
+"""Period of reporting what is still awaited, in seconds."""
+CHANGED_S = 1.0
+"""Shortest time between two lines with different causes, in seconds."""
+TRANSIENT_ERRORS = frozenset(
+    {
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENETDOWN,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
+)
+"""Errors in opening a port that end without a change of the settings: another process holds it,
+the address is not the machine's yet, or the machine lacks memory or descriptors."""
+
+
+class ExitStatus(IntEnum):
+    """Exit statuses of processes that can't start."""
+
+    SETTINGS = 2
+    LIBRARIES = 3
+
+
+def end_on_signals() -> None:
+    """End with status 0 on SIGTERM and SIGINT and ignore SIGHUP, until other handlers are set."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _end)
+
+
+def _end(number: int, frame: FrameType | None) -> NoReturn:
+    """End the process, which has not begun to serve."""
+    os._exit(0)
+
+
+def exit_with_error(program: str, error: Exception | str, status: ExitStatus) -> NoReturn:
+    """Write an error in one line, and exit."""
+    write_line(program, str(error))
+    sys.exit(status)
+
+
+def write_line(program: str, text: str) -> None:
+    """Write one line to standard error."""
+    print(f"{program}: {' '.join(text.split())}", file=sys.stderr, flush=True)
+
+
+def load_when_sound(load: Callable[[], T], *, program: str) -> T:
+    """Load settings; while they are missing or not sound, wait and say so.
+
+    The process waits without end: ended, it would be started again with the same settings, and
+    it starts sooner after they are repaired.
+
+    Parameters
+    ----------
+    load : callable
+        Reads and checks the settings; raises any exception if they are not sound.
+    program : str
+        Name of the program, for its messages.
+    """
+    report = _Report(program, "Waits until the settings are sound.")
+    while True:
+        try:
+            return load()
+        except Exception as exc:
+            report.update(describe_problem(exc))
+        time.sleep(RETRY_S)
+
+
+def wait_for_ports(addresses: Iterable[Address], *, program: str) -> None:
+    """Wait until ports can be opened.
+
+    Raises
+    ------
+    OSError
+        If one can't be opened until the settings are changed.
+    """
+    for address in addresses:
+        report = _Report(program, f"Waits for the address {address}.")
+        while True:
+            with contextlib.ExitStack() as stack:
+                try:
+                    stack.enter_context(open_listener(address))
+                    break
+                except OSError as exc:
+                    if exc.errno not in TRANSIENT_ERRORS:
+                        raise
+                    report.update(f"{describe_problem(exc)}.")
+            time.sleep(RETRY_S)
+
+
+def open_listener(address: Address, *, backlog: int = 1024) -> socket.socket:
+    """Open a listening socket; raises `OSError`."""
+    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+    return socket.create_server((address.ip, address.port), family=family, backlog=backlog)
+
+
+def describe_problem(problem: Exception) -> str:
+    """Return a short text of an error, and its remedy if it names one."""
+    if isinstance(problem, HalldoorError):
+        return str(problem)
+    if isinstance(problem, OSError):
+        is_system = problem.errno in errno.errorcode
+        text = os.strerror(problem.errno or 0) if is_system else problem.strerror
+        if text:
+            return f"{problem.filename}: {text}" if problem.filename else text
+    return f"{type(problem).__name__}: {str(problem)[:200]}"
+
+
+class _Report:
+    """Writes what a program waits for: at once, when the cause changes, and every `REPORT_S`."""
+
+    def __init__(self, program: str, text: str) -> None:
+        self._program = program
+        self._text = text
+        self._cause = ""
+        self._written_at = 0.0
+
+    def update(self, cause: str) -> None:
+        """Write a line if it is due."""
+        now = time.monotonic()
+        due_s = REPORT_S if cause == self._cause else CHANGED_S
+        if not self._cause or now - self._written_at >= due_s:
+            self._cause, self._written_at = cause, now
+            write_line(self._program, f"{cause} {self._text}")
--- /dev/null
+++ b/halldoor/tests/test_program_start.py
@@ -0,0 +1,136 @@
+"""The start of the programs while their settings are not sound or their ports are held."""
+
+from __future__ import annotations
+
+import contextlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+import pytest
+import yaml
+
+from halldoor.standins.sample import IP, find_ports
+
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+PROGRAMS = {
+    "gateway": ("front", "ready", "directory", "metrics", "relay"),
+    "entry": ("http", "wire"),
+    "admin": ("http",),
+}
+
+
+def build_settings(folder, program):
+    """Return a program's example settings on free ports, and the ports."""
+    settings = yaml.safe_load((EXAMPLES / f"{program}.yaml").read_text())
+    names = [n for n in PROGRAMS[program] if n in settings]
+    ports = dict(zip(names, find_ports(len(names)), strict=True))
+    settings |= {name: {"ip": IP, "port": port} for name, port in ports.items()}
+    if program == "gateway":
+        settings["configuration"] = str(EXAMPLES / "gateway-routes.yaml")
+    else:
+        settings["platform"] = f"http://{IP}:1"
+    return settings, ports
+
+
+class Program:
+    """A program as a process, whose lines are collected."""
+
+    def __init__(self, name, path):
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", f"halldoor.cli.{name}", str(path)],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
+        self.lines = []
+        self._reader = threading.Thread(target=self._read)
+        self._reader.start()
+
+    def _read(self):
+        self.lines.extend(iter(self.process.stdout.readline, ""))
+
+    def wait_for(self, text, *, limit_s=15.0):
+        deadline = time.monotonic() + limit_s
+        while not any(text in line for line in list(self.lines)):
+            assert time.monotonic() < deadline, (text, self.lines)
+            time.sleep(0.02)
+
+    def stop(self):
+        self.process.send_signal(signal.SIGTERM)
+        status = self.process.wait(timeout=10.0)
+        self._reader.join()
+        assert not any("Traceback" in line for line in self.lines)
+        return status
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+        self._reader.join()
+        self.process.stdout.close()
+
+
+@contextlib.contextmanager
+def start_program(name, path):
+    program = Program(name, path)
+    try:
+        yield program
+    finally:
+        program.kill()
+
+
+@pytest.mark.parametrize("name", PROGRAMS)
+@pytest.mark.parametrize("content", [None, "[" * 20_000 + "]" * 20_000, "front: {"])
+def test_unsound_settings_end_the_program(name, content, tmp_path):
+    """A settings file that was missing or not sound at the start ended the program."""
+    path = tmp_path / "settings.yaml"
+    if content is not None:
+        path.write_text(content)
+    with start_program(name, path) as program:
+        program.wait_for("Waits until the settings are sound.")
+        path.write_text(yaml.safe_dump(build_settings(tmp_path, name)[0]))
+        program.wait_for("Started.")
+        assert program.stop() == 0
+
+
+@pytest.mark.parametrize(
+    ("name", "port"),
+    [("gateway", "front"), ("entry", "http"), ("entry", "wire"), ("admin", "http")],
+)
+def test_held_port_ends_the_program(name, port, tmp_path):
+    """A port that was held at the start ended the program."""
+    settings, ports = build_settings(tmp_path, name)
+    path = tmp_path / "settings.yaml"
+    path.write_text(yaml.safe_dump(settings))
+    with socket.create_server((IP, ports[port])) as holder, start_program(name, path) as program:
+        program.wait_for("Waits for")
+        program.wait_for(f"{IP}:{ports[port]}")
+        holder.close()
+        program.wait_for("Opened" if name == "gateway" else "Started.")
+        socket.create_connection((IP, ports[port]), timeout=5.0).close()
+        assert program.stop() == 0
+
+
+@pytest.mark.parametrize("name", PROGRAMS)
+def test_stop_while_waiting(name, tmp_path):
+    with start_program(name, tmp_path / "missing.yaml") as program:
+        program.wait_for("Waits until the settings are sound.")
+        program.process.send_signal(signal.SIGHUP)
+        assert program.stop() == 0
+
+
+@pytest.mark.parametrize("name", PROGRAMS)
+def test_address_that_can_not_be_opened(name, tmp_path):
+    """An error that waiting can't end has one line and its exit status."""
+    settings, ports = build_settings(tmp_path, name)
+    first = next(iter(ports))
+    path = tmp_path / "settings.yaml"
+    path.write_text(yaml.safe_dump(settings | {first: {"ip": "300.1.1.1", "port": 9}}))
+    with start_program(name, path) as program:
+        assert program.process.wait(timeout=15.0) == 2
+        program.wait_for(f"halldoor-{name}: ")
+        assert not any("Traceback" in line for line in program.lines)
