--- a/halldoor/core/settings.py
+++ b/halldoor/core/settings.py
@@ -12,8 +12,6 @@
 
 T = TypeVar("T")
 
-Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
-"""A TCP port; 0 lets the kernel choose one."""
 Seconds = Annotated[float, msgspec.Meta(gt=0.0, le=86_400.0)]
 """A time above 0 and up to a day, in seconds."""
 
