--- a/halldoor/standins/targetlink.py
+++ b/halldoor/standins/targetlink.py
@@ -40,6 +40,8 @@
     ----------
     target : Address
         Address of the target.
+    delay_s : float, optional
+        Delay of bytes in each direction, in seconds.
 
     Attributes
     ----------
@@ -49,8 +51,9 @@
         The cut in force.
     """
 
-    def __init__(self, target: Address) -> None:
+    def __init__(self, target: Address, *, delay_s: float = 0.0) -> None:
         self._target = target
+        self._delay_s = delay_s
         self.address = Address(LINK_IP, 0)
         self.cut: Cut | None = None
         self._server: asyncio.Server | None = None
@@ -151,12 +154,17 @@
 
     async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Copy one direction of a connection until it is closed or reset."""
+        loop = asyncio.get_running_loop()
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(CHUNK_BYTES):
                 while self.cut in (Cut.HANG, Cut.SILENCE) and not writer.is_closing():
                     await asyncio.sleep(CHECK_S)
+                if self._delay_s:
+                    loop.call_later(self._delay_s, writer.write, data)
+                    continue
                 writer.write(data)
                 await writer.drain()
+        await asyncio.sleep(self._delay_s)
         with contextlib.suppress(OSError, RuntimeError):
             if reader.exception() is not None:
                 writer.transport.abort()
