--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
-import asyncio
+import socket
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from halldoor.core.settings import Address
 from halldoor.core.targets.route import CallerLimits
+from halldoor.gateway.accepting import Acceptor
 from halldoor.gateway.caller import CallerConnection, Handler
 from halldoor.gateway.delivery import sum_undelivered
 from halldoor.gateway.pipeline import Pipelining
 
+RESERVED_SHARE, FRONT_RESERVED_SHARE = 0.1, 0.25
+"""Shares of the process's descriptors that connections leave free: at any port, for the store and
+messages, and at that for callers also for connections to targets and for the other ports."""
+
 
 class ServicePort(NamedTuple):
     """A port and the handler of its requests.
@@ -41,7 +46,7 @@
     def __init__(self, ports: Sequence[ServicePort]) -> None:
         self._ports = ports
         self._connections: set[CallerConnection] = set()
-        self._servers: list[asyncio.Server] = []
+        self._servers: list[Acceptor] = []
 
     async def start(self) -> None:
         """Open the ports that have an address."""
@@ -76,12 +81,12 @@
     is_closing: Callable[[], bool] = lambda: False,
     pipelining: Pipelining | None = None,
     backlog: int = 1024,
-) -> asyncio.Server:
-    """Start a server for callers' connections; port 0 lets the kernel choose one."""
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(
+    reserved_share: float = RESERVED_SHARE,
+) -> Acceptor:
+    """Start to accept callers' connections; port 0 lets the kernel choose one."""
+    return Acceptor(
+        socket.create_server((ip, port), backlog=backlog),
         lambda: CallerConnection(handler, read_limits, connections, is_closing, pipelining),
-        ip,
-        port,
         backlog=backlog,
+        reserved_share=reserved_share,
     )
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -15,6 +15,7 @@
 from halldoor.core.targets.split import Splitter
 from halldoor.core.teams.gate import QuotaGate
 from halldoor.gateway import clock
+from halldoor.gateway.accepting import Acceptor
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.caller import CallerConnection
 from halldoor.gateway.datagrams import DatagramPort
@@ -34,7 +35,7 @@
 from halldoor.gateway.permits import RetryPermits
 from halldoor.gateway.pipeline import Pipelining
 from halldoor.gateway.pool import TargetPool
-from halldoor.gateway.ports import ServicePort, ServicePorts, listen
+from halldoor.gateway.ports import FRONT_RESERVED_SHARE, ServicePort, ServicePorts, listen
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.quotas import QuotaExchange
 from halldoor.gateway.reloading import apply_settings
@@ -121,7 +122,7 @@
         )
         self._build_ports(lookups, names)
         self._callers: set[CallerConnection] = set()
-        self._front: asyncio.Server | None = None
+        self._front: Acceptor | None = None
         self._tasks = TaskSet(self.log)
         self.is_stopping = False
 
@@ -312,6 +313,7 @@
             read_limits=self.requests.read_limits,
             connections=self._callers,
             is_closing=lambda: self.is_stopping,
+            reserved_share=FRONT_RESERVED_SHARE,
             pipelining=Pipelining(
                 self.access.is_repeatable,
                 lambda: self.settings.pipelining,
