--- a/halldoor/gateway/accepting.py
+++ b/halldoor/gateway/accepting.py
@@ -39,6 +39,9 @@
         Greatest number of connections that are accepted in a row.
     reserved_share : float, optional
         Share of the process's descriptors that must stay free for other uses.
+    spare : callable, optional
+        Closes what can be spared, and returns the number of descriptors that it freed; called
+        before a connection is rejected.
 
     Attributes
     ----------
@@ -53,11 +56,13 @@
         *,
         backlog: int = 1024,
         reserved_share: float = 0.0,
+        spare: Callable[[], int] = lambda: 0,
     ) -> None:
         sock.setblocking(False)
         self._sock = sock
         self._build_protocol = build_protocol
         self._backlog = backlog
+        self._spare = spare
         self._loop = asyncio.get_running_loop()
         self._opening: set[asyncio.Task[Any]] = set()
         self._reserve: socket.socket | None = None
@@ -102,7 +107,7 @@
                 if not self._reject_next(exc):
                     return
                 continue
-            if conn.fileno() >= self._end:
+            if conn.fileno() >= self._end and not self._spare():
                 self._reject(conn)
                 continue
             conn.setblocking(False)
@@ -116,6 +121,8 @@
 
         If the system can't even accept it with the descriptor that is given up, pause.
         """
+        if self._spare():
+            return False  # They are free in the loop's next iteration.
         if self._reserve is not None:
             self._reserve.close()
             self._reserve = None
--- a/halldoor/gateway/pool.py
+++ b/halldoor/gateway/pool.py
@@ -143,6 +143,12 @@
         """Return the number of idle connections to all targets."""
         return sum(len(idle) for idle in self._idle.values())
 
+    def spare(self) -> int:
+        """Close all idle connections, and return their number."""
+        count = self.count_idle()
+        self.close()
+        return count
+
     def close_target(self, incarnation: str) -> None:
         """Close the idle connections to a target."""
         for connection in self._idle.pop(incarnation, []):
--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -82,6 +82,7 @@
     pipelining: Pipelining | None = None,
     backlog: int = 1024,
     reserved_share: float = RESERVED_SHARE,
+    spare: Callable[[], int] = lambda: 0,
 ) -> Acceptor:
     """Start to accept callers' connections; port 0 lets the kernel choose one."""
     return Acceptor(
@@ -89,4 +90,5 @@
         lambda: CallerConnection(handler, read_limits, connections, is_closing, pipelining),
         backlog=backlog,
         reserved_share=reserved_share,
+        spare=spare,
     )
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -314,6 +314,7 @@
             connections=self._callers,
             is_closing=lambda: self.is_stopping,
             reserved_share=FRONT_RESERVED_SHARE,
+            spare=self.pool.spare,
             pipelining=Pipelining(
                 self.access.is_repeatable,
                 lambda: self.settings.pipelining,
--- a/halldoor/tests/test_accepting.py
+++ b/halldoor/tests/test_accepting.py
@@ -15,12 +15,14 @@
 REQUEST = b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
+async def answer(caller: CallerConnection, head: Head) -> None:
+    """Answer a request."""
+    caller.send(Answer(200, [], b"answer"))
+
+
 async def open_port() -> Acceptor:
     """Listen at a free port, and answer every request."""
 
-    async def answer(caller: CallerConnection, head: Head) -> None:
-        caller.send(Answer(200, [], b"answer"))
-
     return await listen(IP, 0, answer, read_limits=CallerLimits, connections=set())
 
 
@@ -74,9 +76,6 @@
         sock.bind((IP, 0))
         sock.listen()
 
-        async def answer(caller: CallerConnection, head: Head) -> None:
-            caller.send(Answer(200, [], b"answer"))
-
         port = Acceptor(sock, lambda: CallerConnection(answer, CallerLimits, set(), lambda: False))
         caller = socket.create_connection(sock.getsockname())
         caller.sendall(REQUEST)
@@ -88,3 +87,24 @@
         port.close()
 
     asyncio.run(run())
+
+
+def test_idle_connections_to_targets_leave_no_room_for_callers():
+    """A caller was rejected although descriptors of idle connections could be spared."""
+
+    async def run() -> None:
+        spared = [3, 0]
+        port = Acceptor(
+            socket.create_server((IP, 0)),
+            lambda: CallerConnection(answer, CallerLimits, set(), lambda: False),
+            reserved_share=1.0,
+            spare=lambda: spared.pop(0),
+        )
+        for status in (b"200", b"503"):
+            caller = socket.create_connection(port.sockets[0].getsockname())
+            caller.sendall(REQUEST)
+            assert (await receive(caller)).startswith(b"HTTP/1.1 " + status)
+            caller.close()
+        port.close()
+
+    asyncio.run(run())
