--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -9,6 +9,7 @@
 
 from halldoor.core.settings import Address
 from halldoor.core.targets.route import CallerLimits
+from halldoor.gateway.accepting import Acceptor
 from halldoor.gateway.caller import CallerConnection, Handler
 from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.delivery import sum_undelivered
@@ -18,6 +19,10 @@
 from halldoor.gateway.request import RequestHandler
 from halldoor.startup import open_listener
 
+RESERVED_SHARE, FRONT_RESERVED_SHARE = 0.1, 0.25
+"""Shares of the process's descriptors that connections leave free: at any port, for the store and
+messages, and at that for callers also for connections to targets and for the other ports."""
+
 
 class ServicePort(NamedTuple):
     """A port and the handler of its requests.
@@ -47,7 +52,7 @@
         Address to listen at.
     requests : RequestHandler
         Answers the callers' requests.
-    connections, is_closing, pipelining
+    connections, is_closing, pipelining, spare
         Passed to `listen`.
 
     Attributes
@@ -64,10 +69,11 @@
         *,
         is_closing: Callable[[], bool],
         pipelining: Pipelining,
+        spare: Callable[[], int],
     ) -> None:
         self.address = address
         self.opened = asyncio.Event()
-        self._server: asyncio.Server | None = None
+        self._server: Acceptor | None = None
         self._listen = partial(
             listen,
             address.ip,
@@ -77,6 +83,8 @@
             connections=connections,
             is_closing=is_closing,
             pipelining=pipelining,
+            reserved_share=FRONT_RESERVED_SHARE,
+            spare=spare,
         )
 
     @property
@@ -132,7 +140,7 @@
         self._on_reachable = on_reachable
         self._opener = PortOpener(log)
         self._connections: set[CallerConnection] = set()
-        self._servers: list[asyncio.Server] = []
+        self._servers: list[Acceptor] = []
         self._closed_relays = 0
 
     async def start(self) -> None:
@@ -207,18 +215,20 @@
     is_closing: Callable[[], bool] = lambda: False,
     pipelining: Pipelining | None = None,
     backlog: int = 1024,
-) -> asyncio.Server:
-    """Start a server for callers' connections; port 0 lets the kernel choose one.
+    reserved_share: float = RESERVED_SHARE,
+    spare: Callable[[], int] = lambda: 0,
+) -> Acceptor:
+    """Start to accept callers' connections; port 0 lets the kernel choose one.
 
     Raises
     ------
     OSError
         If the port can't be opened.
     """
-    # The event loop would keep a socket open that can't listen, and hides some causes.
-    sock = open_listener(Address(ip, port), backlog=backlog)
-    return await asyncio.get_running_loop().create_server(
+    return Acceptor(
+        open_listener(Address(ip, port), backlog=backlog),
         lambda: CallerConnection(handler, read_limits, connections, is_closing, pipelining),
-        sock=sock,
         backlog=backlog,
+        reserved_share=reserved_share,
+        spare=spare,
     )
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -269,6 +269,7 @@
                 lambda: self.settings.pipelining,
                 self.metrics.add_pipelining,
             ),
+            spare=self.pool.spare,
         )
         self.registration.is_open = self._front.opened
         forwarded = ForwardedRequests(
