--- a/halldoor/gateway/datagrams.py
+++ b/halldoor/gateway/datagrams.py
@@ -72,7 +72,7 @@
         metrics: GatewayMetrics,
         reporter: FailureReporter | None = None,
     ) -> None:
-        self._address = address
+        self.address = address
         self._is_entry = is_entry
         self._metrics = metrics
         self._reporter = reporter
@@ -86,9 +86,9 @@
 
     async def start(self) -> None:
         """Open the socket."""
-        if self._address is not None:
+        if self.address is not None:
             loop = asyncio.get_running_loop()
-            local = (self._address.ip, self._address.port)
+            local = (self.address.ip, self.address.port)
             await loop.create_datagram_endpoint(lambda: self, local_addr=local)
 
     async def run(self) -> None:
