--- a/halldoor/gateway/accepting.py
+++ b/halldoor/gateway/accepting.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import errno
+import os
 import resource
 import socket
 from collections.abc import Callable
@@ -153,9 +155,9 @@
             conn.shutdown(socket.SHUT_WR)
             # Unread bytes would reset the connection, and drop the answer.
             conn.recv(READ_BYTES)
-        self._report(None)
+        self._report(OSError(errno.EMFILE, os.strerror(errno.EMFILE)))
 
-    def _report(self, exc: OSError | None) -> None:
+    def _report(self, exc: OSError) -> None:
         """Report that connections are rejected, at most once per `REPORT_S`."""
         now = self._loop.time()
         if now - self._reported_at < REPORT_S:
