--- a/halldoor/core/explaining/decision.py
+++ b/halldoor/core/explaining/decision.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from halldoor.core.decoding import DecodingError, decode_msgpack, decoding
 from halldoor.core.errors import HalldoorError
 
 _MAC_BYTES = 12
@@ -82,8 +83,9 @@
         If the text was not signed with this key.
     """
     try:
-        raw = urlsafe_b64decode(text.encode() + b"=" * (-len(text) % 4))
-    except ValueError as exc:
+        with decoding("a decision record"):
+            raw = urlsafe_b64decode(text.encode() + b"=" * (-len(text) % 4))
+    except DecodingError as exc:
         raise DecisionError(
             "This is not a decision record.",
             remedy="Copy the whole Halldoor-Decision-Record header.",
@@ -94,7 +96,22 @@
             "The decision record's signature is wrong.",
             remedy="Copy the whole header, and ask a host with the same decision_key.",
         )
-    return msgspec.msgpack.decode(raw[_MAC_BYTES:], type=Decision)
+    return decode_decision(raw[_MAC_BYTES:])
+
+
+def decode_decision(data: bytes) -> Decision:
+    """Decode a decision.
+
+    Raises
+    ------
+    DecisionError
+        If it can't be decoded.
+    """
+    try:
+        decision: Decision = decode_msgpack(data, Decision, origin="a decision")
+    except DecodingError as exc:
+        raise DecisionError(exc.message, remedy="Ask an entry of this version.") from exc
+    return decision
 
 
 class DecisionLog:
--- a/halldoor/core/orders/ticket.py
+++ b/halldoor/core/orders/ticket.py
@@ -15,8 +15,11 @@
 
 import msgspec
 
+from halldoor.core.decoding import DecodingError, decode_json, decoding
 from halldoor.core.errors import Ran, Reason, Refusal, refuse, refuse_unknown
 
+MAX_TICKET_BYTES = 8_192
+"""Longest content of a ticket, in bytes."""
 _MAC_BYTES = 16
 
 
@@ -98,11 +101,13 @@
         The ticket, its encoded payload and its MAC; None if the text is not a ticket.
     """
     try:
-        raw = urlsafe_b64decode(text.encode() + b"=" * (-len(text) % 4))
+        with decoding("a ticket"):
+            raw = urlsafe_b64decode(text.encode() + b"=" * (-len(text) % 4))
         payload = raw[_MAC_BYTES:]
-        return msgspec.json.decode(payload, type=Ticket), payload, raw[:_MAC_BYTES]
-    except (ValueError, msgspec.MsgspecError):
+        ticket = decode_json(payload, Ticket, origin="a ticket", max_bytes=MAX_TICKET_BYTES)
+    except DecodingError:
         return None
+    return ticket, payload, raw[:_MAC_BYTES]
 
 
 class Ledger:
--- a/halldoor/entry/process.py
+++ b/halldoor/entry/process.py
@@ -8,12 +8,11 @@
 from typing import Any
 
 import cherrypy
-import msgspec
 import structlog
 from cherrypy.process.servers import ServerAdapter
 
 from halldoor.core.errors import PeerError
-from halldoor.core.explaining.decision import Decision, DecisionLog
+from halldoor.core.explaining.decision import Decision, DecisionError, DecisionLog, decode_decision
 from halldoor.core.hall.membership import Member, Membership
 from halldoor.core.hall.policy import Policy
 from halldoor.core.invariant import Invariants
@@ -243,10 +242,10 @@
                     data = self.peers.call(
                         entry.wire, "find_decision", timeout_s=0.5, decision_id=decision_id
                     )
-                except PeerError:
-                    continue
-                if data:
-                    return msgspec.msgpack.decode(data, type=Decision)
+                    if data:
+                        return decode_decision(data)
+                except (PeerError, DecisionError) as exc:
+                    log.info("No decision from a peer.", peer=entry.name, error=str(exc)[:200])
         return None
 
     def start(self) -> None:
--- a/halldoor/entry/reader.py
+++ b/halldoor/entry/reader.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import re
 import time
 from collections.abc import Iterator
 from typing import Any
 from uuid import uuid4
 
+from halldoor.core.decoding import DecodingError, parse_int
 from halldoor.core.errors import Ran, Reason, Refusal, refuse
 from halldoor.core.steering.block import parse_address
 from halldoor.core.steering.configuration import Operation
@@ -21,6 +23,14 @@
 )
 
 PIECE_BYTES = 65_536
+MAX_DEADLINE_MS = 10**15
+"""Longest deadline that a caller may state, in milliseconds; that of the operation applies too."""
+MAX_LENGTH_BYTES = 1 << 62
+"""Longest body that a caller may announce, in bytes; the server's limit applies too."""
+
+_URI = re.compile(r"/[!-~]*")
+_HEADER_NAMES = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]*")
+_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 def read_request(
@@ -52,18 +62,21 @@
     if operation is None:
         return _refuse_operation(view, method, path)
     headers = _read_headers(environ)
+    sent_path = _find_sent_path(environ)
+    if sent_path is None or not _are_valid_headers(headers):
+        message = "Its path, or a header, has characters that HTTP doesn't allow. Escape them."
+        return refuse(Reason.BAD_REQUEST, message, retry_after_s=0.0)
     deadline_s = _read_deadline(headers, operation)
     length = _read_length(environ)
     if deadline_s is None or length is None:
         message = "Halldoor-Deadline-Ms and Content-Length take whole numbers above 0."
         return refuse(Reason.BAD_REQUEST, message, retry_after_s=0.0)
-    query = environ.get("QUERY_STRING", "")
     request = Request(
         id=uuid4().hex[:20],
         service=service,
         operation=operation.name,
         method=method,
-        path=path + (f"?{query}" if query else ""),
+        path=sent_path,
         headers=headers,
         deadline=time.monotonic() + deadline_s,
         length=length,
@@ -75,6 +88,26 @@
     return _read_body(environ["wsgi.input"], request)
 
 
+def _find_sent_path(environ: dict[str, Any]) -> str | None:
+    """Return path and query below the service as the caller sent them, with their escapes.
+
+    Returns None if they have characters that must be escaped.
+    """
+    uri = environ["REQUEST_URI"]
+    if not _URI.fullmatch(uri):
+        return None
+    path, mark, query = uri.partition("?")
+    below = path.split("/", 3)[3:]
+    return "/" + (below[0] if below else "") + (mark + query if query else "")
+
+
+def _are_valid_headers(headers: tuple[tuple[str, str], ...]) -> bool:
+    """Check whether the headers can be sent to a target."""
+    return not _CONTROL.search("".join([v for _, v in headers])) and bool(
+        _HEADER_NAMES.fullmatch("".join([k for k, _ in headers]))
+    )
+
+
 def refuse_service(service: str) -> Refusal:
     """Refuse an unknown service."""
     message = f"There is no service {service[:60]!r}. Check the name, or ask its operators."
@@ -125,9 +158,11 @@
     text = find_header(headers, "halldoor-deadline-ms")
     if not text:
         return operation.deadline_s
-    if not text.isascii() or not text.isdigit() or int(text) == 0:
+    try:
+        wanted_ms = parse_int(text, lowest=1, highest=MAX_DEADLINE_MS, origin="the deadline")
+    except DecodingError:
         return None
-    return min(operation.deadline_s, int(text) / 1000)
+    return min(operation.deadline_s, wanted_ms / 1000)
 
 
 def _read_length(environ: dict[str, Any]) -> int | None:
@@ -135,7 +170,10 @@
     if "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower():
         return -1
     text = environ.get("CONTENT_LENGTH") or "0"
-    return int(text) if text.isascii() and text.isdigit() else None
+    try:
+        return parse_int(text, lowest=0, highest=MAX_LENGTH_BYTES, origin="the length")
+    except DecodingError:
+        return None
 
 
 def _find_client(
