--- a/halldoor/core/hall/health.py
+++ b/halldoor/core/hall/health.py
@@ -16,6 +16,8 @@
 """Length of a target's first ejection, in seconds; each further one takes twice as long."""
 EJECT_LIMIT_S = 30.0
 """Longest ejection, in seconds."""
+MAX_DOUBLINGS = 16
+"""Most times that the length of an ejection doubles."""
 LEAVING_MEMORY_S = 4.0
 """Time for which a report that a target is leaving counts, in seconds."""
 REPORT_MEMORY_S = 5.0
@@ -92,7 +94,7 @@
         if health.failures >= FAILURES_TO_EJECT:
             health.failures = 0
             eject_s = min(EJECT_LIMIT_S, EJECT_S * 2**health.ejections)
-            health.ejections += 1
+            health.ejections = min(health.ejections + 1, MAX_DOUBLINGS)
             health.ejected_until = now + eject_s
 
     def add_shed(self, target: str, *, now: float) -> None:
--- a/halldoor/entry/cancel.py
+++ b/halldoor/entry/cancel.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+from halldoor.threads import RestartingThread
+
 STOP_CHECK_PERIOD_S = 1.0
 """Seconds between checks whether the thread must stop."""
 
@@ -24,7 +26,9 @@
         self._lock = threading.Lock()
         self._watched: dict[int, Callable[[], None]] = {}
         self._is_stopped = False
-        self._thread = threading.Thread(target=self._run, name="caller-watcher", daemon=True)
+        self._thread = RestartingThread(
+            "caller-watcher", self._run, is_stopping=lambda: self._is_stopped
+        )
 
     def start(self) -> None:
         """Start the thread."""
@@ -70,7 +74,8 @@
             look.register(number, select.POLLRDHUP)
             if not look.poll(0):
                 return None
-            self._epoll.unregister(number)
+            with contextlib.suppress(OSError):
+                self._epoll.unregister(number)
             return self._watched.pop(number)
 
     def _run(self) -> None:
--- a/halldoor/entry/gossip.py
+++ b/halldoor/entry/gossip.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from halldoor.core.decoding import DecodingError
 from halldoor.core.errors import PeerError
 from halldoor.core.hall.membership import SUSPECT_AFTER_S, Member, Membership, TargetReport
 from halldoor.core.settings import Address
@@ -90,6 +91,7 @@
         self.on_change: Callable[[], None] = lambda: None
         self._last_members: tuple[Any, ...] = ()
         self.messages_sent = 0
+        self.odd_items = 0
 
     def adopt(self, snapshot: Snapshot) -> None:
         """Publish a new revision in heartbeats; adapt the failure timeout to the hall's size."""
@@ -199,7 +201,7 @@
 
     def _merge(self, gossip: Any, address: Address | None) -> None:
         """Merge a peer's records, and report its target reports and a newer revision."""
-        members = [from_thrift_member(m) for m in gossip.members or []]
+        members = self._read_members(gossip)
         with self._lock:
             me = self._membership.me
             mine = [m for m in members if m.hall == me.hall]
@@ -207,9 +209,20 @@
         for member in mine:
             if member.reports and member.name != me.name:
                 self.on_reports(member)
-        if gossip.revision > me.revision and address is not None:
+        if (gossip.revision or 0) > me.revision and address is not None:
             self.on_revision(gossip.revision, address)
 
+    def _read_members(self, gossip: Any) -> list[Member]:
+        """Return the records of a peer's message; odd ones are left out, logged and counted."""
+        members = []
+        for message in gossip.members or []:
+            try:
+                members.append(from_thrift_member(message))
+            except DecodingError as exc:
+                self.odd_items += 1
+                self.log.warning("Left out an odd record.", error=str(exc)[:300])
+        return members
+
     def _detect_change(self) -> None:
         """Call `on_change` if the hall's live entries or the leaving entries changed."""
         now = time.monotonic()
--- a/halldoor/entry/metrics.py
+++ b/halldoor/entry/metrics.py
@@ -11,6 +11,7 @@
 from halldoor.entry.configuration import ConfigurationTask
 from halldoor.entry.dispatch import Dispatcher
 from halldoor.entry.hall import AdmissionController
+from halldoor.threads import failures
 
 BUCKETS = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0]
 
@@ -44,6 +45,8 @@
                 "revision_age_seconds": "Time since the revision in force was adopted.",
                 "draining_in_flight": "Requests that a leaving target still has from here.",
                 "invariant_violations": "Violated invariants by name; must be 0.",
+                "thread_failures": "Unexpected exceptions by thread; must be 0.",
+                "odd_items": "Items from outside that were left out, by kind.",
             }.items()
         }
         for collector in [self._requests, self._latency, self._lookups, *self._gauges.values()]:
@@ -77,6 +80,7 @@
     dispatcher: Dispatcher,
     configuration: ConfigurationTask,
     invariants: Invariants,
+    count_odd_items: Callable[[], dict[str, int]],
 ) -> None:
     """Set every gauge from the state of the process's components."""
     for target, count in controller.count_slots().items():
@@ -93,5 +97,9 @@
     if configuration.adopted_at:
         metrics.set("revision_age_seconds", {}, time.time() - configuration.adopted_at)
     metrics.set("invariant_violations", {"name": "any"}, sum(invariants.violations.values()))
+    for thread, count_ in failures.items():
+        metrics.set("thread_failures", {"thread": thread}, count_)
+    for kind, count_ in count_odd_items().items():
+        metrics.set("odd_items", {"kind": kind}, count_)
     for name, count_ in invariants.violations.items():
         metrics.set("invariant_violations", {"name": name}, count_)
--- a/halldoor/entry/process.py
+++ b/halldoor/entry/process.py
@@ -41,6 +41,7 @@
 from halldoor.keyvalue.base import Platform
 from halldoor.keyvalue.client import HttpPlatform
 from halldoor.server import HttpServer
+from halldoor.threads import failures
 from halldoor.wire.client import PeerPool
 from halldoor.wire.protocol import traffic
 from halldoor.wire.server import WireServer
@@ -171,6 +172,7 @@
             dispatcher=self.dispatcher,
             configuration=self.configuration,
             invariants=self.invariants,
+            count_odd_items=self.count_odd_items,
         )
         services = SessionComponents(
             room=self.controller,
@@ -310,6 +312,14 @@
         self.targets.close()
         log.info("Stopped.")
 
+    def count_odd_items(self) -> dict[str, int]:
+        """Count the items from outside that were left out, by kind."""
+        return {
+            "configuration": self.configuration.odd_items,
+            "members": self.gossip.odd_items,
+            "shards": self.claims.odd_shards,
+        }
+
     @property
     def state(self) -> str:
         """``starting``, ``serving`` or ``leaving``."""
@@ -353,6 +363,8 @@
                 "wire_frames": traffic.frames,
             },
             "violations": dict(self.invariants.violations),
+            "odd_items": self.count_odd_items(),
+            "thread_failures": dict(failures),
         }
 
 
--- a/halldoor/wire/convert.py
+++ b/halldoor/wire/convert.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
+import msgspec
+
+from halldoor.core.decoding import decoding
 from halldoor.core.errors import Ran, Reason, Refusal
 from halldoor.core.explaining.decision import PassedOver
 from halldoor.core.hall.membership import Member, TargetReport
@@ -11,6 +15,8 @@
 
 # Bits of TargetReport.flags.
 _HEALTHY, _LEAVING, _PROBED = 1, 2, 4
+MAX_RETRY_AFTER_S = 3_600.0
+"""Longest wait that is passed on from a peer's refusal, in seconds."""
 
 
 def to_thrift_refusal(refusal: Refusal) -> Any:
@@ -35,11 +41,23 @@
         reason = Reason(message.reason)
     except ValueError:
         reason = Reason.BROKEN
+    retry_after_s = message.retry_after_s or 0.0
+    if not math.isfinite(retry_after_s):
+        retry_after_s = MAX_RETRY_AFTER_S
     return Refusal(
-        reason, ran, message.message or "", message.retry_after_s or 0.0, message.ticket or ""
+        reason,
+        ran,
+        _to_text(message.message),
+        min(max(0.0, retry_after_s), MAX_RETRY_AFTER_S),
+        _to_text(message.ticket),
     )
 
 
+def _to_text(value: str | bytes | None) -> str:
+    """Return a string field as text: the codec leaves bytes that are not UTF-8 as they are."""
+    return value.decode(errors="replace") if isinstance(value, bytes) else value or ""
+
+
 def to_thrift_headers(headers: tuple[tuple[str, str], ...]) -> list[Any]:
     """Convert headers to thrift structs."""
     return [idl.Header(name=k, value=v) for k, v in headers]
@@ -80,19 +98,27 @@
 
 
 def from_thrift_member(message: Any) -> Member:
-    """Convert a membership record from its thrift struct."""
-    return Member(
-        message.name,
-        message.hall,
-        message.incarnation,
-        message.generation,
-        message.heartbeat,
-        message.version,
-        message.revision,
-        message.is_leaving,
-        message.sees_platform,
-        tuple(_from_thrift_report(r) for r in message.reports or []),
-    )
+    """Convert a membership record from its thrift struct.
+
+    Raises
+    ------
+    DecodingError
+        If a field is missing or of another type.
+    """
+    with decoding("a membership record"):
+        fields = (
+            message.name,
+            message.hall,
+            message.incarnation,
+            message.generation,
+            message.heartbeat,
+            message.version,
+            message.revision,
+            message.is_leaving,
+            bool(message.sees_platform),
+            [_from_thrift_report(r) for r in message.reports or []],
+        )
+        return msgspec.convert(fields, Member)
 
 
 def _pack_flags(report: TargetReport) -> int:
@@ -100,10 +126,10 @@
     return _HEALTHY * report.is_healthy + _LEAVING * report.is_leaving + _PROBED * report.is_probed
 
 
-def _from_thrift_report(message: Any) -> TargetReport:
-    """Convert a target report from its thrift struct."""
+def _from_thrift_report(message: Any) -> tuple[Any, ...]:
+    """Return the fields of a target report from its thrift struct."""
     flags = message.flags
-    return TargetReport(
+    return (
         message.target,
         message.free,
         bool(flags & _HEALTHY),
--- a/halldoor/wire/protocol.py
+++ b/halldoor/wire/protocol.py
@@ -27,6 +27,8 @@
 CHUNK_BYTES = 131_072
 """Approximate size of one chunk of a request or response body, in bytes."""
 
+_RESULT_FIELD = 0
+"""Number of the field with the result of a method that has one."""
 _LENGTH = struct.Struct("!I")
 """Length of a frame in bytes, as sent before it."""
 
@@ -184,7 +186,10 @@
             raise PeerError(f"The peer failed: {error.message}.", remedy="Look at the peer's log.")
         result = getattr(Service, f"{method}_result")()
         protocol.read_struct(result)
-        return getattr(result, "success", None)
+        success = getattr(result, "success", None)
+        if success is None and _RESULT_FIELD in result.thrift_spec:
+            raise PeerError(f"A reply to {method} is empty.", remedy="Look at the peer's log.")
+        return success
     except PeerError:
         raise
     except Exception as exc:  # The codec raises many types for a damaged frame.
--- a/halldoor/wire/server.py
+++ b/halldoor/wire/server.py
@@ -12,6 +12,7 @@
 
 from halldoor.core.errors import PeerError
 from halldoor.core.settings import Address
+from halldoor.threads import RestartingThread
 from halldoor.wire.protocol import FrameSocket, answer_call
 
 log = structlog.get_logger(part="wire")
@@ -49,7 +50,8 @@
         self.port: int = self._listener.getsockname()[1]
         self._lock = threading.Lock()
         self._open: set[FrameSocket] = set()
-        self._thread = threading.Thread(target=self._accept, name="wire", daemon=True)
+        self._is_stopping = False
+        self._thread = RestartingThread("wire", self._accept, is_stopping=lambda: self._is_stopping)
 
     def start(self) -> None:
         """Start accepting connections in a thread."""
@@ -57,6 +59,7 @@
 
     def stop(self) -> None:
         """Stop accepting and close every open connection."""
+        self._is_stopping = True
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
@@ -66,12 +69,9 @@
             frame.close()
 
     def _accept(self) -> None:
-        """Accept connections until the listener is closed."""
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                return
+        """Accept connections until the server stops."""
+        while not self._is_stopping:
+            sock, _ = self._listener.accept()
             with self._lock:
                 is_full = len(self._open) >= MAX_CONNECTIONS
             if is_full:
@@ -81,12 +81,20 @@
                 )
                 sock.close()
                 continue
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+            try:
+                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+            except RuntimeError:
+                sock.close()
+                raise
 
     def _serve(self, sock: socket.socket) -> None:
         """Answer the calls on one connection until it closes."""
-        frames = FrameSocket(sock)
-        frames.set_timeout(IDLE_TIMEOUT_S)
+        try:
+            frames = FrameSocket(sock)
+            frames.set_timeout(IDLE_TIMEOUT_S)
+        except OSError:  # The peer has closed it already.
+            sock.close()
+            return
         handler = self._make_handler(sock)
         with self._lock:
             self._open.add(frames)
