--- a/halldoor/core/bounds.py
+++ b/halldoor/core/bounds.py
@@ -24,15 +24,15 @@
 """Port of TCP or UDP."""
 Bytes = Annotated[int, Meta(ge=0, le=2**40)]
 """Size in bytes."""
-UnixMs = Annotated[int, Meta(ge=0, le=2**53)]
+UnixMs = Annotated[int, Meta(ge=0, le=10**13)]
 """Time of day in Unix milliseconds."""
-Milliseconds = Annotated[float, Meta(ge=0.0, le=1e11)]
-"""Duration in milliseconds, three years at most."""
-Seconds = Annotated[float, Meta(ge=0.0, le=1e8)]
-"""Duration in seconds, three years at most."""
-SignedMilliseconds = Annotated[float, Meta(ge=-1e11, le=1e11)]
+Milliseconds = Annotated[float, Meta(ge=0.0, le=1e13)]
+"""Duration in milliseconds."""
+Seconds = Annotated[float, Meta(ge=0.0, le=1e10)]
+"""Duration in seconds."""
+SignedMilliseconds = Annotated[float, Meta(ge=-1e13, le=1e13)]
 """Difference of two times in milliseconds."""
-SignedSeconds = Annotated[float, Meta(ge=-1e8, le=1e8)]
+SignedSeconds = Annotated[float, Meta(ge=-1e10, le=1e10)]
 """Difference of two times in seconds."""
 Rate = Annotated[float, Meta(ge=0.0, le=1e9)]
 """Requests a second, or a number of requests that need not be whole."""
--- a/halldoor/core/quarantine/evidence.py
+++ b/halldoor/core/quarantine/evidence.py
@@ -9,6 +9,7 @@
 
 from typing import NamedTuple
 
+from halldoor.core.bounds import SignedSeconds
 from halldoor.core.quarantine.settings import QuarantineSettings
 
 CRASHES_KEPT = 16
@@ -31,7 +32,7 @@
 
     target: str
     caller: str
-    age_s: float
+    age_s: SignedSeconds
 
 
 class Evidence(NamedTuple):
--- a/halldoor/core/targets/changes.py
+++ b/halldoor/core/targets/changes.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from halldoor.core.bounds import UnixMs
 from halldoor.core.quarantine.record import EvidenceRecord
 from halldoor.core.settings import Address
 from halldoor.core.targets.route import Routing
@@ -49,7 +50,7 @@
     """
 
     target: str
-    started_ms: int
+    started_ms: UnixMs
 
 
 class MemberRecord(NamedTuple):
--- a/halldoor/core/targets/contact.py
+++ b/halldoor/core/targets/contact.py
@@ -10,6 +10,8 @@
 import math
 from typing import NamedTuple
 
+from halldoor.core.bounds import SignedSeconds
+
 SUSPENSION_S = 1.0
 """Time between two ticks from which the process counts as suspended meanwhile, in seconds."""
 SILENCE_S = 2.0
@@ -73,8 +75,8 @@
         Time since the store's last answer, in seconds.
     """
 
-    since_s: float
-    heard_s: float
+    since_s: SignedSeconds
+    heard_s: SignedSeconds
 
 
 class StoreContact:
--- a/halldoor/core/targets/leaving.py
+++ b/halldoor/core/targets/leaving.py
@@ -11,6 +11,8 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
+from halldoor.core.bounds import SignedSeconds, UnixMs
+
 LEAVING_NOTICE_S = 30.0
 """Lifetime of a statement received from another entry, in seconds.  After it, the next answer to
 this entry shows whether the target is leaving, so that one named by mistake is used again."""
@@ -32,8 +34,8 @@
     """
 
     target: str
-    started_ms: int
-    age_s: float
+    started_ms: UnixMs
+    age_s: SignedSeconds
 
     @property
     def is_valid(self) -> bool:
--- a/halldoor/core/targets/limits.py
+++ b/halldoor/core/targets/limits.py
@@ -10,6 +10,7 @@
 import math
 from typing import NamedTuple
 
+from halldoor.core.bounds import Rate, SignedSeconds, UnixMs
 from halldoor.core.placement import hash_to_unit
 from halldoor.core.targets.statement import SEPARATOR
 
@@ -44,9 +45,9 @@
     """
 
     target: str
-    started_ms: int
-    limit_per_s: float | None
-    age_s: float
+    started_ms: UnixMs
+    limit_per_s: Rate | None
+    age_s: SignedSeconds
 
     @property
     def is_valid(self) -> bool:
--- a/halldoor/core/targets/notice.py
+++ b/halldoor/core/targets/notice.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from halldoor.core.bounds import SignedSeconds, UnixMs
 from halldoor.core.placement import rank
 from halldoor.core.targets.changes import MemberRecord
 
@@ -30,8 +31,8 @@
     """
 
     target: str
-    started_ms: int
-    cold_left_s: float
+    started_ms: UnixMs
+    cold_left_s: SignedSeconds
 
     @property
     def is_valid(self) -> bool:
--- a/halldoor/core/targets/observation.py
+++ b/halldoor/core/targets/observation.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from halldoor.core.bounds import Count
 from halldoor.core.placement import rank
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.load import USUAL_WORK_PERCENT, LoadReport
@@ -60,12 +61,12 @@
     target: str
     kind: str
     key: str
-    took_ms: int
+    took_ms: Count
     has_waited: bool
-    running: int = 0
-    waiting: int = 0
-    slots: int = 0
-    work_percent: int = USUAL_WORK_PERCENT
+    running: Count = 0
+    waiting: Count = 0
+    slots: Count = 0
+    work_percent: Count = USUAL_WORK_PERCENT
 
     @property
     def report(self) -> LoadReport | None:
--- a/halldoor/core/targets/withdrawal.py
+++ b/halldoor/core/targets/withdrawal.py
@@ -14,6 +14,7 @@
 from random import Random
 from typing import NamedTuple
 
+from halldoor.core.bounds import Revision, SignedSeconds
 from halldoor.core.targets.changes import MemberRecord, TargetStart
 from halldoor.core.targets.era import parse_era
 
@@ -43,7 +44,7 @@
     """
 
     era: str
-    revision: int
+    revision: Revision
 
     def has_reached(self, other: StoreView) -> bool:
         """Check whether this view includes every change that another one includes."""
@@ -73,7 +74,7 @@
     """
 
     view: StoreView
-    age_s: float
+    age_s: SignedSeconds
     withdrawn: Sequence[TargetStart]
 
     @property
--- a/halldoor/core/teams/quota.py
+++ b/halldoor/core/teams/quota.py
@@ -16,6 +16,8 @@
 
 from typing import NamedTuple
 
+from halldoor.core.bounds import Count, Part, Revision
+
 PERIOD_S = 0.3
 """Period of the reports of an entry of a fleet of up to `PERIOD_ENTRIES` entries, in seconds.
 
@@ -57,8 +59,8 @@
     """
 
     team: str
-    asked: int
-    admitted: int
+    asked: Count
+    admitted: Count
 
 
 class Period(NamedTuple):
@@ -70,7 +72,7 @@
         Number of the period since the entry's start, rising by 1.
     """
 
-    number: int
+    number: Revision
     counts: tuple[TeamCount, ...]
 
 
@@ -88,7 +90,7 @@
     """
 
     entry: str
-    life: int
+    life: Revision
     periods: tuple[Period, ...]
 
 
@@ -96,7 +98,7 @@
     """The fraction of a team's requests that each entry admits now, below 1."""
 
     team: str
-    part: float
+    part: Part
 
 
 class Shares(NamedTuple):
@@ -110,7 +112,7 @@
         Number of the newest period in the report.
     """
 
-    number: int
+    number: Revision
     shares: tuple[Share, ...]
 
 
--- a/halldoor/gateway/datagrams.py
+++ b/halldoor/gateway/datagrams.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from halldoor.core.decoding import DecodingError, decode_msgpack
 from halldoor.core.settings import Address
 from halldoor.gateway.metrics import GatewayMetrics
 
@@ -111,8 +112,8 @@
             self._metrics.add_message("stranger")
             return
         try:
-            message = msgspec.msgpack.decode(data[1:], type=message_type)
-        except msgspec.DecodeError:
+            message = decode_msgpack(data[1:], message_type, origin="message")
+        except DecodingError:
             self._metrics.add_message("unreadable")
             return
         self._metrics.add_message(MessageKind(data[0]).name.lower())
--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -11,13 +11,16 @@
 import zlib
 from collections.abc import Iterable
 from typing import NamedTuple
-from urllib.parse import parse_qsl, urlencode, urlsplit
+from urllib.parse import urlencode
 
 import msgspec
 
+from halldoor.core.bounds import Revision, SignedSeconds
+from halldoor.core.decoding import DecodingError, decode_msgpack, decompress
 from halldoor.core.targets.proofs import compute_poll_proof
 from halldoor.core.targets.relay import Batch, WantedEra
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
+from halldoor.gateway.query import parse_query
 from halldoor.gateway.store import StoredItem
 
 RECORDS_PATH = "/records"
@@ -70,9 +73,9 @@
     """
 
     items: msgspec.Raw
-    revision: int
+    revision: Revision
     era: str
-    age_s: float
+    age_s: SignedSeconds
 
 
 class RecordTable:
@@ -162,9 +165,8 @@
     if answer.status != 200:
         raise ReaderLostError(f"it answered {answer.status}")
     try:
-        records = msgspec.msgpack.decode(answer.body, type=RecordSetAnswer)
-        items = _decode_items(records.items)
-    except (msgspec.DecodeError, zlib.error) as exc:
+        records, items = decode_records(answer.body)
+    except DecodingError as exc:
         raise ReaderLostError(f"its answer can't be read: {exc}") from exc
     if not wanted.is_satisfied_by(records.era):
         raise ReaderLostError(f"its records are of copy {records.era!r} of the store")
@@ -172,23 +174,25 @@
     return RecordSet(items, records.revision, records.era, proven_at)
 
 
-def _decode_items(data: bytes | msgspec.Raw) -> list[StoredItem]:
-    """Decode records, compressed or not."""
-    items = msgspec.msgpack.decode(data, type=list[StoredItem] | bytes)
+def decode_records(body: bytes) -> tuple[RecordSetAnswer, list[StoredItem]]:
+    """Decode an answer with all records, compressed or not; raise `DecodingError` if it is none."""
+    answer = decode_msgpack(body, RecordSetAnswer, origin="records")
+    items = decode_msgpack(bytes(answer.items), list[StoredItem] | bytes, origin="records")
     if isinstance(items, bytes):
-        return msgspec.msgpack.decode(zlib.decompress(items), type=list[StoredItem])
-    return items
+        items = decode_msgpack(
+            decompress(items, origin="records"), list[StoredItem], origin="records"
+        )
+    return answer, items
 
 
 def accepts_packed(target: str) -> bool:
     """Check whether a request for all records accepts compressed ones."""
-    return dict(parse_qsl(urlsplit(target).query)).get(PACKED) == "1"
+    return parse_query(target).fields.get(PACKED) == "1"
 
 
 def parse_wanted_era(target: str) -> WantedEra | None:
     """Parse the target of a request for all records; None where it is not one."""
-    parts = urlsplit(target)
-    query = dict(parse_qsl(parts.query, keep_blank_values=True))
-    if parts.path != RECORDS_PATH or "newest" not in query:
+    path, fields = parse_query(target)
+    if path != RECORDS_PATH or "newest" not in fields:
         return None
-    return WantedEra(query["newest"], query.get("left"))
+    return WantedEra(fields["newest"], fields.get("left"))
--- a/halldoor/gateway/httpclient.py
+++ b/halldoor/gateway/httpclient.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from halldoor.core.decoding import MAX_BYTES
 from halldoor.core.settings import Address
 from halldoor.gateway.connection import (
     ConnectionBrokenError,
@@ -59,6 +60,7 @@
         body: bytes = b"",
         headers: Headers | None = None,
         timeout_s: float,
+        max_bytes: int = MAX_BYTES,
     ) -> HttpAnswer:
         """Send one request and return its answer.
 
@@ -68,18 +70,21 @@
             Additional header fields of the request.
         timeout_s : float
             Timeout of the call, connecting included, in seconds.
+        max_bytes : int, optional
+            Greatest size of the answer's body, in bytes.
 
         Raises
         ------
         HttpCallError
-            If no complete answer arrived in time.
+            If no complete answer of at most `max_bytes` arrived in time.
         """
         connection: HttpConnection | None = None
         is_kept = False
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._connect(timeout_s)
-                answer = await self._exchange(connection, method, target, body, headers or [])
+                head = await self._send(connection, method, target, body, headers or [])
+                answer = await _receive_answer(connection, head, max_bytes=max_bytes)
             is_kept = connection.can_be_reused() and len(self._idle) < MAX_IDLE
             if is_kept:
                 connection.mark_idle(asyncio.get_running_loop().time(), idle_limit_s=IDLE_LIMIT_S)
@@ -105,15 +110,15 @@
             user_timeout_s=CONNECT_S,
         )
 
-    async def _exchange(
+    async def _send(
         self,
         connection: HttpConnection,
         method: str,
         target: str,
         body: bytes,
         extra: Headers,
-    ) -> HttpAnswer:
-        """Send one request over a connection and read the complete answer."""
+    ) -> h11.Response:
+        """Send one request over a connection and read the head of its answer."""
         connection.start_exchange()
         headers: Headers = [
             (b"Host", str(self._address).encode()),
@@ -124,15 +129,24 @@
             headers.append((b"Content-Type", b"application/json"))
         request = h11.Request(method=method, target=target, headers=headers)
         await connection.send(request, h11.Data(data=body), h11.EndOfMessage())
-        response = await connection.receive()
-        pieces = []
-        while not isinstance(event := await connection.receive(), h11.EndOfMessage):
-            pieces.append(bytes(event.data))
-        fields = list(response.headers.raw_items())
-        return HttpAnswer(response.status_code, b"".join(pieces), fields)
+        return await connection.receive()
 
     def close(self) -> None:
         """Close the idle connections."""
         for connection in self._idle:
             connection.close()
         self._idle.clear()
+
+
+async def _receive_answer(
+    connection: HttpConnection, head: h11.Response, *, max_bytes: int
+) -> HttpAnswer:
+    """Receive the body after the head of an answer; raise HttpCallError if it is too large."""
+    pieces: list[bytes] = []
+    size = 0
+    while not isinstance(event := await connection.receive(), h11.EndOfMessage):
+        pieces.append(bytes(event.data))
+        size += len(pieces[-1])
+        if size > max_bytes:
+            raise HttpCallError(f"an answer of more than {max_bytes} bytes")
+    return HttpAnswer(head.status_code, b"".join(pieces), list(head.headers.raw_items()))
--- a/halldoor/gateway/lookup.py
+++ b/halldoor/gateway/lookup.py
@@ -6,12 +6,12 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
-from urllib.parse import parse_qsl, urlsplit
 
 import msgspec
 
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.entryweights import draw_entries
+from halldoor.gateway.query import parse_query
 
 MAX_ENTRIES = 64
 """Greatest number of entries in one answer."""
@@ -116,11 +116,10 @@
 
     def parse(self, target: str) -> LookupQuery | None:
         """Parse the target of a request; return None if it is not a look-up."""
-        parts = urlsplit(target)
-        if parts.path != "/entries":
+        path, fields = parse_query(target)
+        if path != "/entries":
             return None
-        query = dict(parse_qsl(parts.query))
-        return LookupQuery(query.get("hall", ""), query.get("region", ""))
+        return LookupQuery(fields.get("hall", ""), fields.get("region", ""))
 
     def render(self, entries: Sequence[MemberRecord], *, ttl_s: float) -> bytes:
         """Encode the answer as JSON, with the time that callers may cache it, in seconds."""
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -4,18 +4,25 @@
 
 import asyncio
 from typing import NamedTuple
-from urllib.parse import parse_qsl, urlencode, urlsplit
+from urllib.parse import urlencode
 
 import msgspec
 
+from halldoor.core.bounds import Revision, SignedSeconds
+from halldoor.core.decoding import DecodingError, decode_msgpack, parse_int
 from halldoor.core.targets.contact import ContactReport, StoreContact, compute_contact_span
 from halldoor.core.targets.proofs import compute_poll_proof
 from halldoor.core.targets.relay import Batch
 from halldoor.gateway.handover import ReaderLostError, ReaderSilentError
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
+from halldoor.gateway.query import parse_query
 from halldoor.gateway.store import Events, StoredItem
 
 CHANGES_PATH = "/changes"
+MAX_REVISION = 2**63 - 1
+"""Greatest revision of a poll that is accepted."""
+MAX_WAIT_MS = 3_600_000
+"""Greatest wait of a poll that is accepted, in milliseconds."""
 OTHER_ERA = 409
 """Status that answers a poll for changes of another copy of the store."""
 
@@ -44,9 +51,9 @@
     """
 
     items: list[StoredItem]
-    revision: int
-    age_s: float
-    held_s: float
+    revision: Revision
+    age_s: SignedSeconds
+    held_s: SignedSeconds
     is_difference: bool = False
     contact: ContactReport | None = None
 
@@ -54,7 +61,7 @@
 class NoChanges(msgspec.Struct, frozen=True):
     """Answer to a poll for changes that the answering entry does not have."""
 
-    held_s: float
+    held_s: SignedSeconds
     contact: ContactReport | None = None
 
 
@@ -113,19 +120,22 @@
 
 def parse_poll(target: str) -> Poll | None:
     """Parse the target of a poll; None where it is not one."""
-    parts = urlsplit(target)
-    if parts.path != CHANGES_PATH:
+    path, fields = parse_query(target)
+    if path != CHANGES_PATH:
         return None
-    query = dict(parse_qsl(parts.query))
     try:
-        return Poll(
-            int(query["after"]),
-            int(query["wait_ms"]) / 1000,
-            query.get("era", ""),
-            query.get("needs_contact") == "1",
-        )
-    except (KeyError, ValueError):
+        after = parse_int(fields.get("after", ""), lowest=0, highest=MAX_REVISION, origin="after")
+        wait_ms = parse_int(fields.get("wait_ms", ""), lowest=0, highest=MAX_WAIT_MS, origin="wait")
+    except DecodingError:
         return None
+    is_contact_needed = fields.get("needs_contact") == "1"
+    return Poll(after, wait_ms / 1000, fields.get("era", ""), is_contact_needed)
+
+
+def decode_poll_answer(status: int, body: bytes) -> RelayedChanges | NoChanges | None:
+    """Decode the answer to a poll; raise `DecodingError` if it is none."""
+    kind: type[RelayedChanges | NoChanges] = RelayedChanges if status == 200 else NoChanges
+    return decode_msgpack(body, kind, origin="poll") if body else None
 
 
 async def send_poll(
@@ -158,10 +168,9 @@
         )
     except HttpCallError as exc:
         raise ReaderSilentError(str(exc)) from exc
-    kind: type[RelayedChanges | NoChanges] = RelayedChanges if answer.status == 200 else NoChanges
     try:
-        changes = msgspec.msgpack.decode(answer.body, type=kind) if answer.body else None
-    except msgspec.DecodeError as exc:
+        changes = decode_poll_answer(answer.status, answer.body)
+    except DecodingError as exc:
         raise ReaderLostError(f"its answer can't be read: {exc}") from exc
     if changes is not None and changes.contact is not None:
         now = asyncio.get_running_loop().time()
