--- a/halldoor/core/targets/limits.py
+++ b/halldoor/core/targets/limits.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from halldoor.core.bounds import Rate, SignedSeconds, UnixMs
+from halldoor.core.decoding import parse_float
 from halldoor.core.placement import hash_to_unit
 from halldoor.core.targets.statement import SEPARATOR
 
@@ -25,6 +26,8 @@
 its share that shows whether the limit is still in force, in seconds."""
 PROBE_MIN_PER_S = 0.25
 """Probes a second that a target can handle from all entries together, however low its limit."""
+MAX_LIMIT_PER_S = 1e9
+"""Greatest limit that is read from an answer."""
 PROBE_SPREAD = 0.5
 """Largest part by which an entry's time to its first probe is prolonged, to spread the probes."""
 
@@ -158,15 +161,15 @@
 
     Raises
     ------
-    ValueError
-        If a value is not a finite number from 0.
+    DecodingError
+        If a value is not a number from 0 to `MAX_LIMIT_PER_S`.
     """
     if not value:
         return None
-    limit_per_s = min(map(float, value.split(SEPARATOR)))
-    if not _is_limit(limit_per_s):
-        raise ValueError(f"{limit_per_s} requests a second")
-    return limit_per_s
+    return min(
+        parse_float(text, lowest=0.0, highest=MAX_LIMIT_PER_S, origin="limit")
+        for text in value.split(SEPARATOR)
+    )
 
 
 def _find_probe_wait(limit_per_s: float, entries: int) -> float:
--- a/halldoor/core/targets/rests.py
+++ b/halldoor/core/targets/rests.py
@@ -8,18 +8,20 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Collection
 from email.utils import parsedate_to_datetime
 from typing import NamedTuple
 
-from halldoor.core.targets.statement import SEPARATOR
+from halldoor.core.decoding import DecodingError, decoding, parse_float
+from halldoor.core.targets.statement import SEPARATOR, SHOWN
 
 StartKey = tuple[str, int]
 """Key of one start of a target: its incarnation and its start time in Unix milliseconds."""
 
 BACKOFF_MAX_S = 3600.0
 """Longest back-off that is observed, in seconds."""
+PARSED_MAX_S = 1e15
+"""Longest back-off that is read, in seconds; a longer one is ignored."""
 PROBE_INTERVAL_S = 30.0
 """Time within a back-off between two requests that probe whether the target serves again, in
 seconds; a back-off that long may have been requested by mistake."""
@@ -143,7 +145,7 @@
 
     Raises
     ------
-    ValueError
+    DecodingError
         If a value is neither a date nor a finite number from 0.
     """
     texts = value.decode("latin-1").split(SEPARATOR.decode())
@@ -153,9 +155,7 @@
 def _parse_one(text: str, wall_s: float) -> float:
     """Parse one back-off, in seconds."""
     try:
-        seconds = float(text)
-    except ValueError:
-        return max(0.0, parsedate_to_datetime(text).timestamp() - wall_s)
-    if not math.isfinite(seconds) or seconds < 0:
-        raise ValueError(f"{seconds} s of back-off, expected a finite number from 0")
-    return seconds
+        return parse_float(text, lowest=0.0, highest=PARSED_MAX_S, origin="back-off")
+    except DecodingError:
+        with decoding(f"back-off {text[:SHOWN]!r}"):
+            return max(0.0, parsedate_to_datetime(text).timestamp() - wall_s)
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
+from halldoor.core.decoding import DecodingError, parse_float
 from halldoor.core.quarantine.identity import Identity
 from halldoor.core.retry import RetryObstacle
 from halldoor.core.targets.order import Distance
@@ -26,6 +27,8 @@
 MAX_RETRY_AFTER_S = 0.8
 """Greatest ``Retry-After`` unless targets requested a back-off, in seconds: a third of what callers
 have left of 2.5 s, after which they return in any case."""
+MAX_DEADLINE_MS = 1e12
+"""Greatest deadline that is read from a request, in milliseconds."""
 DEFAULT_DEADLINE_S = 30.0
 """Time for a request whose caller sends no deadline, in seconds."""
 NOT_RUN_STATUSES = (429, 503)
@@ -291,10 +294,15 @@
 
 def parse_deadline_s(value: bytes) -> float:
     """Parse a deadline header in milliseconds; return seconds, or the default if unreadable."""
+    if not value:
+        return DEFAULT_DEADLINE_S
     try:
-        return max(0.0, float(value) / 1000)
-    except ValueError:
+        left_ms = parse_float(
+            value, lowest=-MAX_DEADLINE_MS, highest=MAX_DEADLINE_MS, origin="deadline"
+        )
+    except DecodingError:
         return DEFAULT_DEADLINE_S
+    return max(0.0, left_ms / 1000)
 
 
 def randomize_retry_after(after_s: float, generator: Random) -> float:
--- a/halldoor/gateway/coldstate.py
+++ b/halldoor/gateway/coldstate.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Callable, Iterable
 
+from halldoor.core.decoding import DecodingError, parse_float
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.choice import Chooser
@@ -31,6 +32,8 @@
 other of the results."""
 CHECK_TIMEOUT_S = 1.0
 """Time limit of a health answer, in seconds; at the target it waits for a slot like a request."""
+MAX_COLD_MS = 1e9
+"""Longest time for which a target can say that it is cold, in milliseconds."""
 MAX_CHECKS = 24
 """Largest number of checks in progress at once."""
 
@@ -176,8 +179,12 @@
         if find(answer.headers, self._names.incarnation) != target.name.encode():
             return None
         try:
-            left_s = float(find(answer.headers, self._names.cold_ms) or b"0") / 1000
-        except ValueError:
+            left_ms = parse_float(
+                find(answer.headers, self._names.cold_ms) or b"0",
+                lowest=0.0,
+                highest=MAX_COLD_MS,
+                origin="cold state",
+            )
+        except DecodingError:
             return None
-        notice = ColdNotice(target.name, target.record.started_ms, left_s)
-        return notice if notice.is_valid else None
+        return ColdNotice(target.name, target.record.started_ms, left_ms / 1000)
--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from typing import Any
 
 import h11
 
+from halldoor.core.decoding import DecodingError, parse_int
 from halldoor.core.settings import Address
 from halldoor.gateway.flow import FlowProtocol
 from halldoor.gateway.headers import find
@@ -20,6 +22,8 @@
 """Unread bytes above which reading from the socket pauses."""
 HEAD_LIMIT = 65_536
 """Greatest length of an answer's head, in bytes."""
+MAX_TIMEOUT_S = 10**9
+"""Greatest time-out of an idle connection that is read from an answer, in seconds."""
 
 
 class ConnectionFailedError(Exception):
@@ -255,9 +259,11 @@
         self._peer_will_close = b"close" in find(response.headers, b"connection").lower()
         for parameter in find(response.headers, b"keep-alive").lower().split(b","):
             name, _, value = parameter.strip().partition(b"=")
-            if name == b"timeout" and value.isdigit():
-                # The peer may close up to a second before the timeout it announced.
-                self.idle_limit_s = max(0.0, int(value) - 1.0)
+            if name == b"timeout":
+                with contextlib.suppress(DecodingError):
+                    timeout_s = parse_int(value, lowest=0, highest=MAX_TIMEOUT_S, origin="timeout")
+                    # The peer may close up to a second before the timeout it announced.
+                    self.idle_limit_s = max(0.0, timeout_s - 1.0)
 
     def can_be_reused(self) -> bool:
         """Check whether both sides completed the exchange and the connection stays open."""
--- a/halldoor/gateway/limits.py
+++ b/halldoor/gateway/limits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from halldoor.core.decoding import DecodingError
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.limits import LimitNotice, LimitTable, parse_limit
@@ -60,10 +61,13 @@
             return  # Most answers have no limit.
         try:
             limit_per_s = parse_limit(value)
-        except ValueError as exc:
+        except DecodingError as exc:
             self._metrics.add_bad_limit()
             self._log.event(
-                "targets", "A target sent an unreadable limit.", target=target.name, cause=str(exc)
+                "targets",
+                "A target sent an unreadable limit.",
+                target=target.name,
+                cause=exc.message,
             )
             return
         has_changed = self._apply(target, limit_per_s, now, now, source="answer")
--- a/halldoor/gateway/rests.py
+++ b/halldoor/gateway/rests.py
@@ -4,6 +4,7 @@
 
 import time
 
+from halldoor.core.decoding import DecodingError
 from halldoor.core.targets.rests import BACKOFF_MAX_S, BackoffTable, parse_backoff
 from halldoor.core.targets.statement import TargetStatement
 from halldoor.core.targets.target import Target
@@ -40,8 +41,8 @@
             return
         try:
             backoff_s = parse_backoff(statement.retry_after, time.time())
-        except (ValueError, OverflowError) as exc:
-            self._report_bad_backoff(target, str(exc))
+        except DecodingError as exc:
+            self._report_bad_backoff(target, exc.message)
             return
         if backoff_s > BACKOFF_MAX_S:
             self._report_bad_backoff(
--- a/halldoor/tests/test_limits.py
+++ b/halldoor/tests/test_limits.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from halldoor.core.decoding import DecodingError
 from halldoor.core.targets.limits import PROBE_S, LimitNotice, LimitTable, parse_limit
 
 
@@ -61,8 +62,8 @@
 
 class TestParsing:
     @pytest.mark.parametrize("value", [b"none", b"-0.1", b"nan", b"inf", b"1,5"])
-    def test_invalid_limit_raises_value_error(self, value):
-        with pytest.raises(ValueError, match=r"convert|a second"):
+    def test_invalid_limit_raises_decoding_error(self, value):
+        with pytest.raises(DecodingError, match=r"not a number|is not from 0"):
             parse_limit(value)
 
     def test_missing_field_is_no_limit(self):
