--- a/halldoor/gateway/filestore.py
+++ b/halldoor/gateway/filestore.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from halldoor.core.bounds import Revision, Seconds
+from halldoor.core.decoding import decoding
 from halldoor.core.errors import HalldoorError, SettingsError
 from halldoor.core.settings import Address, parse
 from halldoor.files import load_yaml
@@ -53,7 +55,7 @@
         Entries that look-ups return.
     """
 
-    version: int
+    version: Revision
     routes: list[RouteModel]
     services: list[ServiceModel]
     targets: list[NamedTarget]
@@ -151,7 +153,8 @@
             changed_at = self._path.stat().st_mtime
             if changed_at == self._read_at:
                 return
-            self._records = load_configuration(self._path).to_records()
+            with decoding(str(self._path)):
+                self._records = load_configuration(self._path).to_records()
         except (HalldoorError, OSError) as exc:
             raise StoreError(
                 str(exc), remedy="Correct the file; the previous records stay in force."
@@ -208,7 +211,7 @@
     configuration: str
     regions: dict[str, str]
     metrics: Address | None = None
-    lookup_ttl_s: float = 1.0
-    grace_s: float = 6.0
+    lookup_ttl_s: Seconds = 1.0
+    grace_s: Seconds = 6.0
     policy: dict[str, dict[str, Any]] = {}
     capacity: CapacityModel = CapacityModel()
--- a/halldoor/gateway/settings.py
+++ b/halldoor/gateway/settings.py
@@ -53,6 +53,8 @@
     "weights",
 )
 """Settings that a policy file may change."""
+MAX_FIGURE = 1e12
+"""Greatest number that a policy file may set."""
 
 
 class GatewaySettings(NamedTuple):
@@ -129,6 +131,7 @@
             for name, value in values.items():
                 _check_name(name, hints, origin=f"{origin}, {section}")
                 typed = parse(value, hints[name], origin=f"{origin}, {section}.{name}")
+                _check_figure(typed, origin=f"{origin}, {section}.{name}")
                 known = known._replace(**{name: typed})
             sections[section] = known
         return self._replace(**sections)
@@ -138,6 +141,15 @@
         return [n for n in self._fields if getattr(self, n) != getattr(other, n)]
 
 
+def _check_figure(value: Any, *, origin: str) -> None:
+    """Raise `SettingsError` if a number is not finite or too large to calculate with."""
+    if isinstance(value, int | float) and not abs(value) <= MAX_FIGURE:
+        raise SettingsError(
+            f"{origin}: the number is not from {-MAX_FIGURE:g} to {MAX_FIGURE:g}.",
+            remedy="Correct it.",
+        )
+
+
 def _check_name(name: str, known: Iterable[str], *, origin: str) -> None:
     """Raise `SettingsError` if a name is not among the known ones."""
     if name not in known:
