--- a/halldoor/cli/gateway.py
+++ b/halldoor/cli/gateway.py
@@ -35,7 +35,7 @@
     end_on_signals()
     file, checked = load_when_sound(lambda: load_file(settings), program=PROGRAM)
     try:
-        clock.run(run_until_stopped(build_gateway(checked), file))
+        clock.run_program(run_until_stopped(build_gateway(checked), file))
     except (HalldoorError, OSError) as exc:
         exit_with_error(PROGRAM, exc, ExitStatus.SETTINGS)
 
--- a/halldoor/gateway/clock.py
+++ b/halldoor/gateway/clock.py
@@ -38,5 +38,16 @@
     """Run a coroutine to completion on a `GatewayLoop`."""
     with asyncio.Runner(loop_factory=GatewayLoop) as runner:
         runner.run(main)
-        # Closing the loop resets its handlers: a late signal would change the exit status.
-        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGINT, signal.SIGTERM})
+
+
+def run_program(main: Coroutine[Any, Any, None]) -> None:
+    """Run a program's coroutine; signals that arrive when it has finished are blocked.
+
+    Closing the loop resets its handlers, so that a late signal would change the exit status.
+    """
+    with asyncio.Runner(loop_factory=GatewayLoop) as runner:
+        try:
+            runner.run(main)
+        finally:
+            stops = {signal.SIGHUP, signal.SIGINT, signal.SIGTERM}
+            signal.pthread_sigmask(signal.SIG_BLOCK, stops)
--- a/halldoor/gateway/registration.py
+++ b/halldoor/gateway/registration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from halldoor.core.targets.changes import MemberRecord
@@ -14,6 +15,8 @@
 """Lifetime of the lease, in seconds: look-ups stop naming a crashed entry within it."""
 RENEWAL_S = 1.0
 """Period of renewals, in seconds: three in one lifetime, so that two may be lost."""
+SHORTEST_RENEWAL_S = 0.2
+"""Shortest period of renewals, in seconds, for a lease that is shorter than requested."""
 RETRY_S = 0.5
 """Pause after a failed call, in seconds."""
 
@@ -75,14 +78,17 @@
         """Register once all records were read, and renew the lease until cancelled."""
         await self.is_open.wait()
         await self._is_loaded.wait()
+        lapses = 0
         while True:
-            pause_s = RENEWAL_S
             try:
-                await self._renew()
+                pause_s = await self._renew()
             except LeaseGoneError:
-                self._log.event("membership", "Lease lapsed; registering again.")
                 self._lease = None
-                continue
+                lapses += 1
+                if lapses == 1:
+                    self._log.event("membership", "Lease lapsed; registering again.")
+                    continue
+                pause_s = RETRY_S
             except StoreError as exc:
                 self._metrics.add_store_call("lease", "failed")
                 if not self._has_failed:
@@ -90,6 +96,7 @@
                 self._has_failed = True
                 pause_s = RETRY_S
             else:
+                lapses = 0
                 self._on_contact()
                 if self._has_failed:
                     self._has_failed = False
@@ -101,10 +108,21 @@
             except TimeoutError:
                 continue
 
-    async def _renew(self) -> None:
-        """Renew the lease, or create one; write the own record where it is missing."""
+    async def _renew(self) -> float:
+        """Renew the lease, or create one; write the own record where it is missing.
+
+        Returns
+        -------
+        float
+            Time until the next renewal, in seconds.
+        """
         if self._lease is None:
-            self._lease = await self._store.create_lease(LEASE_S)
+            lease = await self._store.create_lease(LEASE_S)
+            if not 0.0 < lease.ttl_s < math.inf:
+                raise StoreError(
+                    f"The store granted a lease for {lease.ttl_s} s.", remedy="Check the store."
+                )
+            self._lease = lease
             self._era = self._store.era
             self._is_written = False
             self._metrics.add_store_call("lease", "created")
@@ -120,6 +138,7 @@
             self._is_written = is_reachable is self._is_reachable
             self._metrics.add_store_call("write", "ok")
             self._log.event("membership", "Registered.", lease=self._lease.name)
+        return max(SHORTEST_RENEWAL_S, min(RENEWAL_S, self._lease.ttl_s * RENEWAL_S / LEASE_S))
 
     def _check_era(self) -> None:
         """Reject a lease that was created before the store was restored from a copy.
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -51,7 +51,7 @@
     parse_poll,
     send_poll,
 )
-from halldoor.gateway.store import Events, MetadataStore, StoredItem
+from halldoor.gateway.store import Events, HistoryGoneError, MetadataStore, StoredItem
 from halldoor.gateway.substitute import SubstituteReader
 
 CONTACT_CHECK_S = 0.25
@@ -213,12 +213,17 @@
             wait_s = self.settings.direct_s  # Returns in time to follow a reader again.
         if not self.has_contact:
             wait_s = min(wait_s, self.settings.direct_s)  # Then looks for a substitute again.
+        if self._catalog.routing is None:
+            # The revision may be one that the store has not reached.
+            wait_s = min(wait_s, self.settings.find_watch_s(is_after_changes=False))
         if not self._has_watched:
             wait_s = min(wait_s, self.settings.resume_s)
         sent_at = _now()
         self._has_watched = False
         events = await self._watch_in_contact(revision, wait_s)
         self._has_watched = True
+        if events.revision < revision:
+            raise HistoryGoneError("The revision is not reached.", remedy="Read all again.")
         self._metrics.add_store_call("watch", "events" if events.items else "quiet")
         proven_at = compute_watch_proof(
             sent_at=sent_at, wait_s=wait_s, returned_at=_now(), has_changes=bool(events.items)
