--- a/halldoor/admin/api.py
+++ b/halldoor/admin/api.py
@@ -14,6 +14,7 @@
 from cherrypy.process.servers import ServerAdapter
 
 from halldoor.admin.service import Administration
+from halldoor.core.decoding import DecodingError, decode_json, parse_int
 from halldoor.core.errors import (
     ConflictError,
     HalldoorError,
@@ -31,7 +32,10 @@
 
 MAX_BODY_BYTES = 16_000_000
 """Longest request body, in bytes."""
+MAX_LISTED_CHANGES = 100_000
+"""Most changes that one request lists."""
 _STATUS: list[tuple[type[HalldoorError], int]] = [
+    (DecodingError, 400),
     (PermissionDeniedError, 403),
     (ConflictError, 409),
     (SettingsError, 422),
@@ -74,6 +78,14 @@
             value = method(self, *args, **kwargs)
         except (HalldoorError, msgspec.MsgspecError, TypeError) as exc:
             value = _build_error(exc)
+        except Exception:
+            log.exception("A request failed with an unexpected error.", path=method.__name__)
+            cherrypy.response.status = 500
+            value = {
+                "error": "The administration API failed.",
+                "remedy": "Its log says more.",
+                "kind": "failure",
+            }
         return value if isinstance(value, bytes) else msgspec.json.encode(value)
 
     wrapped.__doc__ = method.__doc__
@@ -154,9 +166,8 @@
     def audit(self, limit: str = "50") -> Any:
         """List accepted and refused changes, the newest first."""
         self._authenticate()
-        if not limit.isdigit():
-            raise SettingsError(f"limit is {limit!r}.", remedy="Pass a whole number.")
-        return [msgspec.to_builtins(r) for r in self._administration.list_audit(limit=int(limit))]
+        count = parse_int(limit, lowest=0, highest=MAX_LISTED_CHANGES, origin="limit")
+        return [msgspec.to_builtins(r) for r in self._administration.list_audit(limit=count)]
 
     @_expose_as_json
     def status(self) -> dict[str, Any]:
@@ -184,7 +195,8 @@
     if cherrypy.request.method != "POST":
         raise SettingsError("This path takes a JSON body.", remedy="Send it by POST.")
     # The server limits the body's length; CherryPy's own body parser handles only forms.
-    return msgspec.json.decode(cherrypy.request.rfile.read(), type=kind)
+    body = cherrypy.request.rfile.read()
+    return decode_json(body, kind, origin="the request", max_bytes=MAX_BODY_BYTES)
 
 
 def serve(settings: AdminSettings) -> None:
--- a/halldoor/admin/service.py
+++ b/halldoor/admin/service.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 import structlog
 import urllib3
 
 from halldoor.client import PoolManager
+from halldoor.core.decoding import DecodingError, decode_json, decoding
 from halldoor.core.errors import HalldoorError, PlatformError
 from halldoor.core.steering.audit import AuditRecord, Difference, compare
 from halldoor.core.steering.configuration import Configuration, EntryHost, Team, to_display_data
@@ -23,6 +24,53 @@
 """Longest wait for the answer of one entry, in seconds."""
 
 
+MAX_ANSWER_BYTES = 16_000_000
+"""Longest answer of an entry that is accepted, in bytes."""
+Count = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+
+
+class _TargetStatus(msgspec.Struct):
+    """State of a target in an entry's status."""
+
+    leaving: bool
+    in_flight: Count
+
+
+class _MoveStatus(msgspec.Struct):
+    """Moved requests of a service in an entry's status."""
+
+    service: str
+    cap_of: str
+    total: Count
+    moved: Count
+    cap: Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+
+
+class _EntryStatus(msgspec.Struct):
+    """Fields of an entry's status that the summaries use."""
+
+    name: str
+    state: str
+    revision: Count = 0
+    targets: dict[str, _TargetStatus] = {}
+    moves: list[_MoveStatus] = []
+
+
+def decode_status(data: bytes) -> dict[str, Any]:
+    """Decode an entry's status, and check the fields that the summaries use.
+
+    Raises
+    ------
+    DecodingError
+        If it can't be decoded or passed on, or one of these fields is of another type.
+    """
+    status: dict[str, Any] = decode_json(data, dict, origin="a status")
+    with decoding("a status"):
+        msgspec.convert(status, _EntryStatus)
+        msgspec.json.encode(status)
+    return status
+
+
 class Outcome(NamedTuple):
     """Accepted change: its revision, and its differences as text."""
 
@@ -166,11 +214,13 @@
     def _fetch_status(self, entry: EntryHost) -> dict[str, Any]:
         """Fetch the status of one entry; an entry that doesn't answer is ``unreachable``."""
         try:
-            response = self._http.request("GET", f"http://{entry.http}/v1/status")
-            status: dict[str, Any] = msgspec.json.decode(response.data)
-        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError):
+            answer = self._http.fetch(
+                "GET", f"http://{entry.http}/v1/status", max_bytes=MAX_ANSWER_BYTES
+            )
+            return decode_status(answer.data)
+        except (urllib3.exceptions.HTTPError, DecodingError) as exc:
+            log.info("No status from an entry.", entry=entry.name, error=str(exc)[:200])
             return {"name": entry.name, "state": "unreachable"}
-        return status
 
     def explain(self, query: str) -> tuple[int, bytes]:
         """Forward a query about a decision to the first entry that answers.
@@ -188,10 +238,14 @@
         )
         for entry in hosts:
             try:
-                response = self._http.request("GET", f"http://{entry.http}/v1/explain?{query}")
-            except urllib3.exceptions.HTTPError:
+                answer = self._http.fetch(
+                    "GET", f"http://{entry.http}/v1/explain?{query}", max_bytes=MAX_ANSWER_BYTES
+                )
+                decode_json(answer.data, dict, origin="an explanation")
+            except (urllib3.exceptions.HTTPError, DecodingError) as exc:
+                log.info("No explanation from an entry.", entry=entry.name, error=str(exc)[:200])
                 continue
-            return response.status, response.data
+            return answer.status, answer.data
         raise PlatformError("No entry can be reached.", remedy="Check that entries run.")
 
 
--- a/halldoor/cli/fleet.py
+++ b/halldoor/cli/fleet.py
@@ -12,6 +12,7 @@
 import urllib3
 
 from halldoor.client import PoolManager
+from halldoor.core.decoding import DecodingError, decoding, parse_float
 from halldoor.core.targets.choice import ExcludedTarget
 
 TIMEOUT_S = 2.0
@@ -20,6 +21,10 @@
 """Gateways fetched at the same time, so that 200 that don't answer cost one time-out together."""
 MAX_LISTED_LINES = 20
 """Lines shown of each list; further lines are only counted."""
+MAX_ANSWER_BYTES = 16_000_000
+"""Longest text of metrics that is accepted, in bytes."""
+MAX_FIGURE = 1e18
+"""Greatest absolute value of a metric."""
 LAG_LIMIT_S = 5.0
 """Age of the store's last message from which a gateway is listed as lagging, in seconds: the time
 in which a change must be in force everywhere."""
@@ -124,31 +129,46 @@
 def _fetch_gateway(pool: PoolManager, address: str) -> GatewayView:
     """Fetch the metrics of one gateway; a failure is returned as the state's error."""
     try:
-        response = pool.request("GET", f"http://{address}/")
+        answer = pool.fetch("GET", f"http://{address}/", max_bytes=MAX_ANSWER_BYTES)
     except urllib3.exceptions.HTTPError as exc:
         return GatewayView(address, error=type(exc).__name__)
-    if response.status != 200:
-        return GatewayView(address, error=f"answered {response.status}")
-    return parse_metrics(address, response.data.decode(errors="replace"))
+    if answer.status != 200:
+        return GatewayView(address, error=f"answered {answer.status}")
+    try:
+        return parse_metrics(address, answer.data.decode(errors="replace"))
+    except DecodingError as exc:
+        return GatewayView(address, error=f"odd metrics: {exc.message[:80]}")
 
 
 def parse_metrics(address: str, text: str) -> GatewayView:
-    """Parse the state of a gateway from the text of its metrics."""
+    """Parse the state of a gateway from the text of its metrics.
+
+    Raises
+    ------
+    DecodingError
+        If a figure or a label is missing or odd.
+    """
+    with decoding("its metrics"):
+        return _parse_metrics(address, text)
+
+
+def _parse_metrics(address: str, text: str) -> GatewayView:
+    """Parse the state of a gateway; raises many types for odd text."""
     state: dict[str, float] = {}
     out: list[ExcludedTarget] = []
     over_quota: list[tuple[str, int]] = []
     region_requests: Counter[tuple[str, str]] = Counter()
     for line in text.splitlines():
         if match := _STATE.match(line):
-            state[match[1]] = float(match[2])
+            state[match[1]] = _parse_figure(match[2])
         elif match := _TARGET_OUT.match(line):
             labels = dict(_LABEL.findall(match[1]))
             out.append(ExcludedTarget(labels["target"], labels["service"], labels["reason"]))
         elif match := _OVER_QUOTA.match(line):
-            over_quota.append((match[1], int(float(match[2]))))
+            over_quota.append((match[1], int(_parse_figure(match[2]))))
         elif match := _REGION_REQUESTS.match(line):
             labels = dict(_LABEL.findall(match[1]))
-            region_requests[(labels["from"], labels["to"])] += int(float(match[2]))
+            region_requests[(labels["from"], labels["to"])] += int(_parse_figure(match[2]))
     return GatewayView(
         address,
         version=int(state.get("configuration_version", 0)),
@@ -165,6 +185,13 @@
     )
 
 
+def _parse_figure(text: str) -> float:
+    """Return the value of a metric; an infinite one is `MAX_FIGURE`."""
+    if text in ("inf", "+Inf"):
+        return MAX_FIGURE
+    return parse_float(text, lowest=-MAX_FIGURE, highest=MAX_FIGURE, origin="a metric")
+
+
 def describe_fleet(gateways: Sequence[GatewayView]) -> list[str]:
     """Describe a fleet in lines of text: totals, lagging gateways, then excluded targets."""
     reached = [g for g in gateways if g.is_reached]
--- a/halldoor/cli/operator.py
+++ b/halldoor/cli/operator.py
@@ -25,10 +25,12 @@
     fetch_fleet,
     show_progress,
 )
+from halldoor.cli.logs import read_log_lines
 from halldoor.cli.replay import describe_played, draw, load_pattern, load_policies, play_policies
 from halldoor.client import PoolManager
-from halldoor.core.errors import HalldoorError
-from halldoor.core.explaining.history import explain_request, parse_lines
+from halldoor.core.decoding import DecodingError, decode_json, decoding
+from halldoor.core.errors import HalldoorError, SettingsError
+from halldoor.core.explaining.history import explain_request
 from halldoor.core.explaining.report import build_report, describe_report
 from halldoor.core.steering.configuration import Configuration
 from halldoor.files import load_yaml
@@ -37,6 +39,8 @@
 
 DONE, HAS_DIFFERENCES, BAD_INPUT, CONFLICT, NOT_ALLOWED, UNREACHABLE, REFUSED = range(7)
 _CODES = {400: BAD_INPUT, 422: BAD_INPUT, 409: CONFLICT, 403: NOT_ALLOWED, 503: UNREACHABLE}
+MAX_ANSWER_BYTES = 64_000_000
+"""Longest answer of the administration API that is accepted, in bytes."""
 MAX_OVER_S = 600.0
 """Longest value of ``fleet --over``, in seconds."""
 API_VARIABLE = "HALLDOOR_API"
@@ -79,9 +83,11 @@
     """
     _load_configuration(file)
     answer = _call("POST", "plan", {"configuration": load_yaml(file)})
-    lines = answer["differences"] or ["No differences."]
+    with decoding("the plan"):
+        differences = list(answer["differences"])
+    lines = differences or ["No differences."]
     _print(output, answer, lambda: [f"Against revision {answer['base']}:", *lines])
-    if check and answer["differences"]:
+    if check and differences:
         sys.exit(HAS_DIFFERENCES)
 
 
@@ -234,7 +240,7 @@
     """
     if not logs:
         _fail(BAD_INPUT, "No log was given. Pass files with log lines, or - for standard input.")
-    built = build_report(line for log in logs for line in parse_lines(_read_log(log)))
+    built = build_report(read_log_lines(logs))
     _print(output, built._asdict(), lambda: describe_report(built))
 
 
@@ -261,12 +267,9 @@
     output
         ``text`` or ``json``.
     """
-    try:
-        played = play_policies(load_pattern(pattern), load_policies(policy), seed=seed)
-        if plot is not None:
-            draw(played, plot)
-    except HalldoorError as exc:
-        _fail(BAD_INPUT, str(exc))
+    played = play_policies(load_pattern(pattern), load_policies(policy), seed=seed)
+    if plot is not None:
+        draw(played, plot)
     _print(output, [one.to_fields() for one in played], lambda: describe_played(played))
 
 
@@ -285,11 +288,8 @@
 
 
 def _load_configuration(file: Path) -> Configuration:
-    """Return a validated configuration from a file; exit with a message if it is invalid."""
-    try:
-        return Configuration.from_data(load_yaml(file), origin=str(file))
-    except HalldoorError as exc:
-        _fail(BAD_INPUT, str(exc))
+    """Return a validated configuration from a file; raise `SettingsError` if it is invalid."""
+    return Configuration.from_data(load_yaml(file), origin=str(file))
 
 
 def _call(method: str, path: str, body: Any = None) -> Any:
@@ -297,19 +297,21 @@
     api = os.environ.get(API_VARIABLE, "http://127.0.0.1:7400").rstrip("/")
     headers = {"Authorization": f"Bearer {os.environ.get(TOKEN_VARIABLE, '')}"}
     try:
-        response = PoolManager(timeout=30.0).request(
+        response = PoolManager(timeout=30.0).fetch(
             method,
             f"{api}/v1/{path}",
+            max_bytes=MAX_ANSWER_BYTES,
             body=msgspec.json.encode(body) if body is not None else None,
             headers=headers,
         )
-        answer = msgspec.json.decode(response.data)
-    except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as exc:
+        answer = decode_json(response.data, Any, origin="its answer")
+    except (urllib3.exceptions.HTTPError, DecodingError) as exc:
         message = f"The administration API at {api} can't be used: {type(exc).__name__}."
         _fail(UNREACHABLE, f"{message} Set {API_VARIABLE}, and check that halldoor-admin runs.")
     if response.status != 200:
-        text = answer.get("error") or answer.get("message") or str(answer)
-        _fail(_CODES.get(response.status, REFUSED), f"{text} {answer.get('remedy', '')}".strip())
+        fields = answer if isinstance(answer, dict) else {}
+        text = fields.get("error") or fields.get("message") or str(answer)
+        _fail(_CODES.get(response.status, REFUSED), f"{text} {fields.get('remedy', '')}".strip())
     return answer
 
 
@@ -321,10 +323,9 @@
 
 def _print(output: Output, value: Any, describe: Callable[[], list[str]]) -> None:
     """Print a value as JSON, or the lines that describe it."""
-    if output == "json":
-        print(msgspec.json.encode(value).decode())
-    else:
-        print("\n".join(describe()))
+    with decoding("the answer"):
+        text = msgspec.json.encode(value).decode() if output == "json" else "\n".join(describe())
+    print(text)
 
 
 def _print_outcome(output: Output, answer: Any) -> None:
@@ -368,19 +369,9 @@
     return [head, *(f"  was {b}\n  now {a}" for b, a in pairs)]
 
 
-def _read_log(log: Path) -> list[str]:
-    """Return the lines of a log file, or of standard input for ``-``."""
-    try:
-        text = sys.stdin.read() if str(log) == "-" else log.read_text(errors="replace")
-    except OSError as exc:
-        _fail(BAD_INPUT, f"{log}: {exc.strerror}. Check the path.")
-    return text.splitlines()
-
-
 def _explain_from_logs(attempt_id: str, logs: Sequence[Path], output: Output) -> None:
     """Print the explanation of a request from gateways' log lines."""
-    lines = (line for log in logs for line in parse_lines(_read_log(log)))
-    sentences = explain_request(lines, attempt_id)
+    sentences = explain_request(read_log_lines(logs), attempt_id)
     if not sentences:
         _fail(
             BAD_INPUT,
@@ -392,7 +383,11 @@
 
 def main() -> None:
     """Parse the command line and run its command."""
-    defopt.run([validate, plan, apply, shift, drain, status, fleet, explain, report, replay, audit])
+    commands = [validate, plan, apply, shift, drain, status, fleet, explain, report, replay, audit]
+    try:
+        defopt.run(commands)
+    except HalldoorError as exc:
+        _fail(BAD_INPUT if isinstance(exc, SettingsError) else REFUSED, str(exc))
 
 
 if __name__ == "__main__":
--- a/halldoor/client.py
+++ b/halldoor/client.py
@@ -8,11 +8,12 @@
 
 import io
 from http.client import HTTPException, HTTPResponse
-from typing import Any
+from typing import Any, NamedTuple
 
 import urllib3
 from urllib3.connection import HTTPConnection as _HTTPConnection
 from urllib3.connection import HTTPSConnection as _HTTPSConnection
+from urllib3.exceptions import ProtocolError
 from urllib3.util.response import assert_header_parsing
 
 from halldoor.core.decoding import DecodingError, parse_int
@@ -112,6 +113,14 @@
     ConnectionCls = HTTPSConnection
 
 
+class Answer(NamedTuple):
+    """A complete answer: status, headers and body."""
+
+    status: int
+    headers: urllib3.HTTPHeaderDict
+    data: bytes
+
+
 class PoolManager(urllib3.PoolManager):
     """Pools of connections by host, without retries and redirects.
 
@@ -129,3 +138,28 @@
             "http": _HTTPConnectionPool,
             "https": _HTTPSConnectionPool,
         }
+
+    def fetch(self, method: str, url: str, *, max_bytes: int, **options: Any) -> Answer:
+        """Send a request once and return the complete answer, also if it is a redirect.
+
+        Parameters
+        ----------
+        max_bytes : int
+            Longest body that is accepted, in bytes.
+        **options
+            Options of `urllib3.PoolManager.request`, such as ``body`` and ``timeout``.
+
+        Raises
+        ------
+        urllib3.exceptions.HTTPError
+            If no complete answer of that length arrived.
+        """
+        response = self.request(method, url, preload_content=False, redirect=False, **options)
+        try:
+            data = response.read(max_bytes + 1)
+            if len(data) > max_bytes:
+                raise ProtocolError(f"The answer is longer than {max_bytes} bytes.")
+        finally:
+            # After a complete answer the connection is back in the pool already.
+            response.close()
+        return Answer(response.status, response.headers, data)
--- a/halldoor/core/explaining/history.py
+++ b/halldoor/core/explaining/history.py
@@ -3,16 +3,24 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from enum import StrEnum
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
 
+import msgspec
+
+from halldoor.core.decoding import DecodingError, decoding, parse_float
 from halldoor.core.targets.load import DecayTimes
 
 CONTEXT_WINDOW_S = 10.0
 """Time before the end of a request in which changes of the entry's state are listed, in seconds."""
 
 
+MAX_FIGURE = 1e15
+"""Greatest absolute value of a figure in a log line."""
+Figure = Annotated[float, msgspec.Meta(ge=-MAX_FIGURE, le=MAX_FIGURE)]
+
+
 class LogLine(NamedTuple):
     """A parsed log line of a gateway.
 
@@ -41,6 +49,58 @@
     collected_at: float | None = None
 
 
+class _Fields(msgspec.Struct):
+    """Figures that are read from log lines of any part."""
+
+    revision: Figure = 0
+    target: str | None = None
+
+
+class _AttemptFields(msgspec.Struct):
+    """Figures that are read from an attempt in a log line."""
+
+    target: str = ""
+    took_ms: Figure = 0
+    connect_ms: Figure | None = 0
+    expected_ms: Figure | None = 0
+    place: Figure | None = 0
+    load_age_ms: Figure | None = 0
+    load_old_ms: Figure | None = 0
+
+
+class _RequestFields(_Fields):
+    """Figures that are read from the log line of a request."""
+
+    status: Annotated[int, msgspec.Meta(ge=0, le=999)] = 0
+    took_ms: Figure = 0
+    aim_ms: Figure = 0
+    stands_for: Annotated[float, msgspec.Meta(ge=0, le=MAX_FIGURE)] = 1
+    quota_part: Figure | None = 0
+    quota_age_s: Figure | None = 0
+    attempts: list[_AttemptFields] | None = None
+
+
+class _MoveFields(_Fields):
+    """Figures that are read from the log line of a move."""
+
+    version: Figure = 0
+    store_age_ms: Figure = 0
+    before: dict[str, Figure] | None = None
+    after: dict[str, Figure] | None = None
+
+
+class _ReachFields(_Fields):
+    """Figures that are read from the log lines of an entry that reaches no target."""
+
+    since_ms: Figure = 0
+    for_s: Figure = 0
+    causes: dict[str, str] | None = None
+
+
+_FIELDS = {"request": _RequestFields, "flow": _MoveFields, "reach": _ReachFields}
+"""Figures that are read from log lines, by part."""
+
+
 class Warmth(StrEnum):
     """Whether an entry expected a target to be warm for a key, and why; printed as its value."""
 
@@ -69,33 +129,55 @@
         yield line, line.at - started_at.setdefault(line.entry, line.at)
 
 
-def parse_lines(lines: Iterable[str]) -> Iterator[LogLine]:
+def parse_lines(
+    lines: Iterable[str], *, on_odd: Callable[[str], None] = lambda _: None
+) -> Iterator[LogLine]:
     """Yield the parsed log lines; lines that are not log lines of a gateway are skipped.
 
     A collector may have put the time in seconds before the JSON; other prefixes are ignored.
+
+    Parameters
+    ----------
+    on_odd : callable, optional
+        Called with the problem of each log line that is left out, since a figure in it is odd.
     """
     for line in lines:
         start = line.find("{")
         if start < 0:
             continue
         try:
-            fields = json.loads(line[start:])
-        except ValueError:
+            with decoding("a log line"):
+                parsed = _parse_line(line[start:], line[:start])
+        except DecodingError as exc:
+            on_odd(exc.message)
             continue
-        if not isinstance(fields, dict) or "event" not in fields:
-            continue
-        part, _, text = str(fields.pop("event")).partition(": ")
-        entry = str(fields.pop("entry", ""))
-        at = float(fields.pop("at", 0.0))
-        yield LogLine(part, text, entry, at, fields, _parse_time(line[:start]))
+        if parsed is not None:
+            yield parsed
+
+
+def _parse_line(data: str, prefix: str) -> LogLine | None:
+    """Parse the JSON of a log line; return None if it isn't a log line of a gateway."""
+    try:
+        fields = json.loads(data)
+    except json.JSONDecodeError:
+        return None
+    if not isinstance(fields, dict) or "event" not in fields:
+        return None
+    part, _, text = str(fields.pop("event")).partition(": ")
+    entry = str(fields.pop("entry", ""))
+    at = msgspec.convert(fields.pop("at", 0.0), Figure)
+    msgspec.convert(fields, _FIELDS.get(part, _Fields))
+    return LogLine(part, text, entry, at, fields, _parse_time(prefix))
 
 
 def _parse_time(prefix: str) -> float | None:
     """Return the time that a collector put before a line, in seconds; None if there is none."""
     words = prefix.split(maxsplit=1)
+    if not words:
+        return None
     try:
-        return float(words[0]) if words else None
-    except ValueError:
+        return parse_float(words[0], lowest=-MAX_FIGURE, highest=MAX_FIGURE, origin="the time")
+    except DecodingError:
         return None
 
 
@@ -116,7 +198,11 @@
     sentences: list[str] = []
     for line in all_lines:
         if line.fields.get("id") == attempt_id:
-            sentences += _describe_request(line)
+            try:
+                with decoding("its log line"):
+                    sentences += _describe_request(line)
+            except DecodingError as exc:
+                sentences.append(f"Entry {line.entry}: {exc.message}")
             sentences += [f"  {text}" for text in _describe_context(all_lines, line)]
     entries = sorted({line.entry for line in all_lines if line.fields.get("id") == attempt_id})
     if len(entries) > 1:
@@ -140,7 +226,7 @@
     if fields.get("unreached_ms") is not None:
         sentences.append(f"  No target could be reached for {fields['unreached_ms']} ms.")
     sentences += [f"  {text}" for text in _describe_team(fields)]
-    sentences += [f"  {_describe_attempt(attempt)}" for attempt in fields.get("attempts", [])]
+    sentences += [f"  {_describe_attempt(attempt)}" for attempt in fields.get("attempts") or []]
     sentences.append(f"  {_describe_outcome(fields)}")
     return sentences
 
@@ -218,7 +304,7 @@
 
 def _describe_context(lines: list[LogLine], end: LogLine) -> Iterator[str]:
     """Yield what the entry logged shortly before on the request's targets, routing and store."""
-    names = {attempt["target"] for attempt in end.fields.get("attempts", [])}
+    names = {attempt.get("target") for attempt in end.fields.get("attempts") or []}
     for line in lines:
         age_s = end.at - line.at
         if line.entry != end.entry or not 0 <= age_s <= CONTEXT_WINDOW_S:
--- a/halldoor/core/explaining/losses.py
+++ b/halldoor/core/explaining/losses.py
@@ -53,7 +53,7 @@
             )
         elif line.text == RETURNED and line.entry in self._open:
             i = self._open.pop(line.entry)
-            self._periods[i] = self._periods[i]._replace(for_s=float(line.fields["for_s"]))
+            self._periods[i] = self._periods[i]._replace(for_s=float(line.fields.get("for_s", 0.0)))
 
     def list_periods(self) -> list[UnreachedPeriod]:
         """Return the periods by entry and time."""
--- a/halldoor/core/explaining/report.py
+++ b/halldoor/core/explaining/report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Sequence
 from enum import StrEnum
@@ -156,14 +157,15 @@
     fields = line.fields
     if line.part != "request" or not fields.get("service") or "status" not in fields:
         return None
-    return _Request(line, int(fields.get("stands_for", 1)), _classify(fields), since_start_s)
+    stands_for = int(fields.get("stands_for", 1))
+    return _Request(line, stands_for, _classify(fields), since_start_s)
 
 
 def _classify(fields: dict[str, Any]) -> RequestOutcome:
     """Classify how a request finished from its status and time."""
     status = int(fields["status"])
     if status < 500:
-        is_late = fields["took_ms"] > fields.get("aim_ms", fields["took_ms"])
+        is_late = fields.get("took_ms", 0) > fields.get("aim_ms", math.inf)
         return RequestOutcome.LATE if is_late else RequestOutcome.IN_AIM
     return RequestOutcome.REFUSED if status == 503 else RequestOutcome.FAILED
 
@@ -180,7 +182,7 @@
         counts = dict.fromkeys(RequestOutcome, 0)
         for member in members:
             counts[member.ended] += member.stands_for
-        times = [(int(m.line.fields["took_ms"]), m.stands_for) for m in members]
+        times = [(int(m.line.fields.get("took_ms", 0)), m.stands_for) for m in members]
         tallies.append(Tally(group, counts, _find_quantile(times, 0.5), _find_quantile(times, 0.9)))
     return tallies
 
@@ -189,7 +191,7 @@
     """Count answered attempts by service, distance and expected warmth."""
     groups: defaultdict[tuple[str, ...], list[tuple[dict[str, Any], int]]] = defaultdict(list)
     for request in requests:
-        for attempt in request.line.fields.get("attempts", ()):
+        for attempt in request.line.fields.get("attempts") or ():
             if attempt.get("result") == "answered" and "distance" in attempt:
                 service = str(request.line.fields["service"])
                 warmth = find_warmth(attempt).name.lower().replace("_", " ")
@@ -200,7 +202,7 @@
             group,
             sum(weight for _, weight in attempts),
             *(
-                _find_quantile([(int(a[name]), weight) for a, weight in attempts], 0.5)
+                _find_quantile([(int(a.get(name) or 0), weight) for a, weight in attempts], 0.5)
                 for name in ("expected_ms", "took_ms", "connect_ms")
             ),
         )
@@ -231,7 +233,7 @@
             continue
         services[digest] = str(line.fields["service"])
         entries[digest].add(line.entry)
-        for attempt in line.fields.get("attempts", ()):
+        for attempt in line.fields.get("attempts") or ():
             if attempt.get("result") == "answer lost":
                 lost[digest].add(str(attempt["target"]))
             elif attempt.get("result") == "answered":
--- a/halldoor/core/explaining/withdrawals.py
+++ b/halldoor/core/explaining/withdrawals.py
@@ -152,10 +152,10 @@
         """Record when a request was sent to each target, from the durations of its attempts."""
         ended = line.at
         for attempt in reversed(line.fields.get("attempts") or ()):
-            ended -= int(attempt.get("took_ms", 0)) / 1000
+            ended -= int(attempt.get("took_ms") or 0) / 1000
             if attempt.get("result") == "not reached":
                 continue
-            sent_at = ended + int(attempt.get("connect_ms", 0)) / 1000
+            sent_at = ended + int(attempt.get("connect_ms") or 0) / 1000
             self._sent[str(attempt.get("target", ""))].append((run, sent_at))
 
     def list_withdrawals(self) -> list[Withdrawal]:
--- a/halldoor/core/orders/ticket.py
+++ b/halldoor/core/orders/ticket.py
@@ -11,7 +11,7 @@
 from base64 import urlsafe_b64decode, urlsafe_b64encode
 from enum import StrEnum
 from hashlib import sha256
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
@@ -40,7 +40,7 @@
 
     issuer: str
     incarnation: str
-    sequence: int
+    sequence: Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
     operation: str
 
 
--- a/halldoor/core/steering/audit.py
+++ b/halldoor/core/steering/audit.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
 import msgspec
 
+from halldoor.core.decoding import DecodingError, decode_msgpack
+
 
 class AuditRecord(msgspec.Struct, frozen=True):
     """The record of an accepted or refused change of the configuration.
@@ -38,6 +40,34 @@
     after: list[str]
 
 
+def decode_audit(data: bytes) -> AuditRecord:
+    """Decode an audit record; raise `DecodingError` if that fails."""
+    record: AuditRecord = decode_msgpack(data, AuditRecord, origin="an audit record")
+    return record
+
+
+def decode_refused(data: bytes, *, on_odd: Callable[[str], None]) -> list[AuditRecord]:
+    """Decode a list of refused changes.
+
+    Parameters
+    ----------
+    on_odd : callable
+        Called with the problem of each record, or of the whole list, that is left out.
+    """
+    records: list[AuditRecord] = []
+    try:
+        rows = decode_msgpack(data, list[msgspec.Raw], origin="the list of refused changes")
+    except DecodingError as exc:
+        on_odd(exc.message)
+        return records
+    for row in rows:
+        try:
+            records.append(decode_audit(bytes(row)))
+        except DecodingError as exc:
+            on_odd(exc.message)
+    return records
+
+
 class Difference(NamedTuple):
     """One value that differs between two configurations; None where it is absent."""
 
--- a/halldoor/entry/probe.py
+++ b/halldoor/entry/probe.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import threading
 import time
 from collections.abc import Callable
@@ -144,15 +143,13 @@
         """Send a health check to one target and record the result."""
         self.probes += 1
         try:
-            response = self._pool.request(
+            answer = self._pool.fetch(
                 "GET",
                 f"http://{target.address}/health",
+                max_bytes=MAX_HEALTH_BYTES,
                 timeout=PROBE_TIMEOUT_S,
-                redirect=False,
-                preload_content=False,
             )
-            with contextlib.closing(response):
-                health = decode_health(response.read(MAX_HEALTH_BYTES + 1))
+            health = decode_health(answer.data)
         except (urllib3.exceptions.HTTPError, OSError, DecodingError):
             health = TargetHealth(state="failing")
         self._record_probe(target.name, health)
--- a/halldoor/keyvalue/client.py
+++ b/halldoor/keyvalue/client.py
@@ -56,7 +56,7 @@
         if response.status == 404:
             return None
         _check_status(response, 200)
-        return Value(response.data, _read_version(response))
+        return Value(response.data, parse_version(response.version))
 
     def put(self, key: str, data: bytes, *, expected: int | None, lease: str = "") -> int:
         """Write a key by compare-and-swap."""
@@ -85,7 +85,7 @@
                 f"The platform answered a write of {key} with status {response.status}.",
                 remedy="Read the key back.",
             )
-        return _read_version(response)
+        return parse_version(response.version)
 
     def watch(self, key: str, *, after: int, timeout_s: float) -> Value | None:
         """Wait for a version of the key above ``after``; return None at the time-out."""
@@ -94,7 +94,7 @@
         if response.status in (204, 404):
             return None
         _check_status(response, 200)
-        return Value(response.data, _read_version(response))
+        return Value(response.data, parse_version(response.version))
 
     def create_lease(self, ttl_s: float) -> str:
         """Create a lease and return its id."""
@@ -119,28 +119,19 @@
     def _request(self, method: str, path: str, *, timeout_s: float = 0.0, **options: Any) -> Any:
         """Send one request and return the complete answer; raise `PlatformError` for any fault."""
         try:
-            response = self._pool.request(
+            answer = self._pool.fetch(
                 method,
                 self._url + path,
+                max_bytes=_MAX_ANSWER_BYTES,
                 timeout=urllib3.Timeout(total=timeout_s or self._timeout_s),
-                redirect=False,
-                preload_content=False,
                 **options,
             )
-            try:
-                data = response.read(_MAX_ANSWER_BYTES + 1)
-                if len(data) > _MAX_ANSWER_BYTES:
-                    raise PlatformError("The platform's answer is too long.", remedy=_REMEDY)
-            except BaseException:
-                response.close()
-                raise
-            response.release_conn()
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             raise PlatformError(
                 f"The platform did not answer {method} {path}: {type(exc).__name__}.",
                 remedy=_REMEDY,
             ) from exc
-        return _Response(response.status, data, response.headers.get("Platform-Version", ""))
+        return _Response(answer.status, answer.data, answer.headers.get("Platform-Version", ""))
 
 
 class _Response(msgspec.Struct):
@@ -182,10 +173,10 @@
         raise PlatformError(f"The platform answered with status {response.status}.", remedy=_REMEDY)
 
 
-def _read_version(response: _Response) -> int:
-    """Return the version of the key from an answer's header."""
+def parse_version(text: str) -> int:
+    """Parse the version of a key; raise `PlatformError` if it is none."""
     try:
-        return parse_int(response.version, lowest=0, highest=MAX_VERSION, origin="Platform-Version")
+        return parse_int(text, lowest=0, highest=MAX_VERSION, origin="Platform-Version")
     except DecodingError as exc:
         raise PlatformError(
             "The platform's answer has no valid Platform-Version header.", remedy=_REMEDY
--- a/halldoor/keyvalue/store.py
+++ b/halldoor/keyvalue/store.py
@@ -14,9 +14,15 @@
 import msgspec
 import structlog
 
-from halldoor.core.decoding import DecodingError, decode_msgpack
-from halldoor.core.errors import ConflictError, PlatformError
-from halldoor.core.steering.audit import AuditRecord, Difference, compare
+from halldoor.core.decoding import DecodingError
+from halldoor.core.errors import ConflictError, PlatformError, SettingsError
+from halldoor.core.steering.audit import (
+    AuditRecord,
+    Difference,
+    compare,
+    decode_audit,
+    decode_refused,
+)
 from halldoor.core.steering.configuration import (
     Configuration,
     Hall,
@@ -119,7 +125,13 @@
         if value is None:
             return StoredConfiguration(None, 0, None)
         head = _decode_head(value.data)
-        configuration = join_configuration(head, self._fetch_parts(head), with_blocks=True)
+        try:
+            configuration = join_configuration(head, self._fetch_parts(head), with_blocks=True)
+        except (DecodingError, SettingsError) as exc:
+            raise PlatformError(
+                f"The stored configuration can't be used: {exc.message}",
+                remedy="Restore the platform's keys under config/.",
+            ) from exc
         return StoredConfiguration(head, value.version, configuration)
 
     def _fetch_parts(self, head: Head) -> dict[str, bytes]:
@@ -290,7 +302,7 @@
         with contextlib.suppress(PlatformError):
             for _ in range(5):
                 value = self._platform.get(REFUSED_KEY)
-                records = _decode_refused(value.data) if value else []
+                records = decode_refused(value.data, on_odd=_log_odd) if value else []
                 kept = [*records, record][-MAX_REFUSED_RECORDS:]
                 try:
                     data = msgspec.msgpack.encode(kept)
@@ -302,7 +314,7 @@
     def list_refused(self) -> list[AuditRecord]:
         """List the last refused changes, the newest last."""
         value = self._platform.get(REFUSED_KEY)
-        return _decode_refused(value.data) if value else []
+        return decode_refused(value.data, on_odd=_log_odd) if value else []
 
     def list_audit(self, head: Head, *, limit: int) -> Iterator[AuditRecord]:
         """Yield the audit records of accepted changes, the newest first, starting at a head.
@@ -312,34 +324,17 @@
         wanted = head.audit
         while wanted and limit:
             try:
-                record = _decode_audit(self._get_part(wanted))
+                record = decode_audit(self._get_part(wanted))
             except DecodingError as exc:
-                log.warning("The audit trail ends at an odd record.", error=str(exc)[:300])
+                _log_odd(exc.message)
                 return
             yield record
             wanted, limit = record.previous, limit - 1
 
 
-def _decode_refused(data: bytes) -> list[AuditRecord]:
-    """Decode the list of refused changes, without the records that can't be decoded."""
-    try:
-        rows = decode_msgpack(data, list[msgspec.Raw], origin="the list of refused changes")
-    except DecodingError as exc:
-        log.warning("The list of refused changes is ignored.", error=str(exc)[:300])
-        return []
-    records = []
-    for row in rows:
-        try:
-            records.append(_decode_audit(bytes(row)))
-        except DecodingError as exc:
-            log.warning("A record of a refused change is ignored.", error=str(exc)[:300])
-    return records
-
-
-def _decode_audit(data: bytes) -> AuditRecord:
-    """Decode an audit record; raise `DecodingError` if that fails."""
-    record: AuditRecord = decode_msgpack(data, AuditRecord, origin="an audit record")
-    return record
+def _log_odd(problem: str) -> None:
+    """Log an audit record that can't be decoded and is left out."""
+    log.warning("Left out an odd audit record.", error=problem[:300])
 
 
 def _decode_head(data: bytes) -> Head:
--- a/halldoor/tests/test_odd_requests.py
+++ b/halldoor/tests/test_odd_requests.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from halldoor.standins.fleet import Fleet
+from halldoor.standins.fleet import TOKEN, Fleet
 from halldoor.standins.sample import IP, make_configuration
 from halldoor.tests.conftest import start_all
 
@@ -78,3 +78,27 @@
         assert send(fleet, f"/v1/lookup?{query}") in (200, 404)
     for query in (f"record={NESTED}", "record=%ff", "id=%00", f"id={LONG}"):
         assert send(fleet, f"/v1/explain?{query}") in (400, 404)
+
+
+ODD_CALLS = [
+    ("POST", "/v1/plan", b'{"configuration": {"a": ' + b"[" * 50_000),
+    ("POST", "/v1/apply", b'{"base": ' + b"9" * 5_000 + b', "configuration": {}}'),
+    ("POST", "/v1/shift", b'{"name": "s", "verb": "step", "position": 1e999}'),
+    ("POST", "/v1/drain", b"\xff"),
+    ("GET", f"/v1/audit?limit={LONG}", None),
+    ("GET", "/v1/audit?limit=%C2%B2", None),
+    ("GET", "/v1/audit?limit=-1", None),
+]
+
+
+@pytest.mark.parametrize(("method", "path", "body"), ODD_CALLS, ids=range(len(ODD_CALLS)))
+def test_odd_call_of_the_administration_api_ends_as_a_failure(fleet, method, path, body):
+    if not fleet.admin_port:
+        fleet.start_admin()
+    response = fleet.http.request(
+        method,
+        f"http://{IP}:{fleet.admin_port}{path}",
+        body=body,
+        headers={"Authorization": f"Bearer {TOKEN}"},
+    )
+    assert (response.status, sorted(response.json())) == (400, ["error", "kind", "remedy"])
--- a/halldoor/tests/test_report.py
+++ b/halldoor/tests/test_report.py
@@ -139,3 +139,26 @@
         assert "first choice" in done.stdout
         missing = subprocess.run(command, check=False, capture_output=True, text=True)
         assert missing.returncode == 2 and "No log was given" in missing.stderr
+
+
+ODD_LINES = [
+    '{"event": "a: b", "at": "x"}',
+    '{"event": "a: b", "at": [1]}',
+    '{"event": "a: b", "at": 1e999}',
+    '{"event": ' + "[" * 100_000,
+    '{"event": "request: Ended.", "service": "s", "status": "x"}',
+    '{"event": "request: Ended.", "service": "s", "status": ' + "9" * 5_000 + "}",
+    '{"event": "targets: Seen.", "revision": "x"}',
+    '{"event": "flow: Moved between regions.", "before": 5}',
+    '{"event": "request: Ended.", "service": "s", "status": 200, "took_ms": 5, "attempts": 5}',
+]
+
+
+@pytest.mark.parametrize("line", ODD_LINES, ids=range(len(ODD_LINES)))
+def test_odd_log_line_ends_the_report(line):
+    """It is left out and counted; the others are reported."""
+    sound = make_lost_line("d1", "t1")
+    odd = []
+    report = build_report(parse_lines([sound, line, sound], on_odd=odd.append))
+    assert describe_report(report) == describe_report(build_report(parse_lines([sound, sound])))
+    assert len(odd) == 1
