--- a/halldoor/core/targets/entryweights.py
+++ b/halldoor/core/targets/entryweights.py
@@ -13,6 +13,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
+from halldoor.core.bounds import Rate
 from halldoor.core.targets.changes import MemberRecord
 
 FIGURE_MAX = 1e6
@@ -85,8 +86,8 @@
         Part of the last second in which its process did not run, from 0 to 1.
     """
 
-    running_per_core: float
-    stalled: float
+    running_per_core: Rate
+    stalled: Rate
 
     @property
     def is_valid(self) -> bool:
