--- a/halldoor/core/targets/withdrawal.py
+++ b/halldoor/core/targets/withdrawal.py
@@ -14,7 +14,9 @@
 from random import Random
 from typing import NamedTuple
 
+from halldoor.core.bounds import Revision, SignedSeconds
 from halldoor.core.targets.changes import MemberRecord, TargetStart
+from halldoor.core.targets.era import parse_era
 
 WITHDRAWAL_NOTICE_S = 30.0
 """Time after which a notice expires if the own view never reaches its revision, in seconds."""
@@ -42,7 +44,7 @@
     """
 
     era: str
-    revision: int
+    revision: Revision
 
     def has_reached(self, other: StoreView) -> bool:
         """Check whether this view includes every change that another one includes."""
@@ -54,9 +56,8 @@
 
     def is_outdated_by(self, other: StoreView) -> bool:
         """Check whether another view is of a later copy of the store."""
-        if not (self.era.isdecimal() and other.era.isdecimal()):
-            return False
-        return int(self.era) < int(other.era)
+        own, others = parse_era(self.era), parse_era(other.era)
+        return own is not None and others is not None and own < others
 
 
 class StoreNotice(NamedTuple):
@@ -73,7 +74,7 @@
     """
 
     view: StoreView
-    age_s: float
+    age_s: SignedSeconds
     withdrawn: Sequence[TargetStart]
 
     @property
--- a/halldoor/gateway/limits.py
+++ b/halldoor/gateway/limits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from halldoor.core.decoding import DecodingError
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.limits import LimitNotice, LimitTable, parse_limit
@@ -60,10 +61,13 @@
             return  # Most answers have no limit.
         try:
             limit_per_s = parse_limit(value)
-        except ValueError as exc:
+        except DecodingError as exc:
             self._metrics.add_bad_limit()
             self._log.event(
-                "targets", "A target sent an unreadable limit.", target=target.name, cause=str(exc)
+                "targets",
+                "A target sent an unreadable limit.",
+                target=target.name,
+                cause=exc.message,
             )
             return
         has_changed = self._apply(target, limit_per_s, now, now, source="answer")
@@ -78,6 +82,11 @@
         self._queued.pop(target, None)
         self._queued_at.pop(target, None)
 
+    def reset(self) -> None:
+        """Drop the queued notices; targets repeat their limits in later answers."""
+        self._queued = {}
+        self._queued_at = {}
+
     async def run(self) -> None:
         """Send queued notices every `SEND_INTERVAL_S` until cancelled."""
         while True:
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -15,13 +15,13 @@
 from halldoor.core.targets.split import Splitter
 from halldoor.core.teams.gate import QuotaGate
 from halldoor.gateway import clock
-from halldoor.gateway.accepting import Acceptor
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.caller import CallerConnection
 from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.entryweights import EntryWeighing
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.exchanges import TargetExchanges
+from halldoor.gateway.failures import FailureReporter
 from halldoor.gateway.feedback import TargetFeedback
 from halldoor.gateway.figures import collect_figures
 from halldoor.gateway.flows import RegionFlowCounter
@@ -32,10 +32,11 @@
 from halldoor.gateway.maintenance import Maintenance
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pages import GatewayState, StatusPages
+from halldoor.gateway.parts import build_registration, list_parts
 from halldoor.gateway.permits import RetryPermits
 from halldoor.gateway.pipeline import Pipelining
 from halldoor.gateway.pool import TargetPool
-from halldoor.gateway.ports import FRONT_RESERVED_SHARE, ServicePort, ServicePorts, listen
+from halldoor.gateway.ports import FrontPort, ServicePort, ServicePorts
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.quotas import QuotaExchange
 from halldoor.gateway.reloading import apply_settings
@@ -88,8 +89,12 @@
             *settings.capacity.drop_invalid(),
         )
         self.pool = TargetPool(settings.connections)
+        self._reporter = FailureReporter(self.log, self.metrics)
         self.port = DatagramPort(
-            settings.relay, is_entry=self.catalog.sharers.has_address, metrics=self.metrics
+            settings.relay,
+            is_entry=self.catalog.sharers.has_address,
+            metrics=self.metrics,
+            reporter=self._reporter,
         )
         self.quarantine = RequestQuarantine(
             self.member,
@@ -101,6 +106,8 @@
             metrics=self.metrics,
         )
         self._build_requests(store, names)
+        self.reach.probe.list_blamed_since = self.quarantine.list_blamed_since
+        self.reach.probe.on_running = self.quarantine.refute_crashes
         self._build_store_tasks(store, codec)
         self.weighing = EntryWeighing(
             self.member,
@@ -120,10 +127,10 @@
             on_suspension=self._handle_suspension,
             log=self.log,
         )
-        self._build_ports(lookups, names)
         self._callers: set[CallerConnection] = set()
-        self._front: Acceptor | None = None
-        self._tasks = TaskSet(self.log)
+        self._build_ports(lookups, names)
+        self.tasks = TaskSet(self.log, self.metrics)
+        self._registering: asyncio.Task[None] | None = None
         self.is_stopping = False
 
     def _build_requests(self, store: MetadataStore, names: HeaderNames) -> None:
@@ -242,12 +249,26 @@
             cold_state=self.exchanges.cold_state,
             limits=self.exchanges.limits,
             is_stopping=lambda: self.is_stopping,
+            notify=self.sync.notifier.notify,
             log=self.log,
         )
 
     def _build_ports(self, lookups: LookupFormat, names: HeaderNames) -> None:
-        """Create the ports for readiness, look-ups, metrics and other entries."""
+        """Create the ports for callers, readiness, look-ups, metrics and other entries."""
         settings = self.settings
+        self._front = FrontPort(
+            settings.front,
+            self.requests,
+            self._callers,
+            is_closing=lambda: self.is_stopping,
+            pipelining=Pipelining(
+                self.access.is_repeatable,
+                lambda: self.settings.pipelining,
+                self.metrics.add_pipelining,
+            ),
+            spare=self.pool.spare,
+        )
+        self.registration.is_open = self._front.opened
         forwarded = ForwardedRequests(
             self.requests,
             self.feed.answer,
@@ -266,19 +287,24 @@
             self.metrics,
         )
         self._ports = ServicePorts(
+            self._front,
             (
-                ServicePort(settings.ready, pages.answer_ready),
-                ServicePort(settings.directory, pages.answer_lookup),
-                ServicePort(settings.metrics, pages.answer_metrics),
-                ServicePort(settings.relay, forwarded.answer, forwarded.read_limits),
-            )
+                ServicePort("ready", settings.ready, pages.answer_ready),
+                ServicePort("directory", settings.directory, pages.answer_lookup),
+                ServicePort("metrics", settings.metrics, pages.answer_metrics),
+                ServicePort("relay", settings.relay, forwarded.answer, forwarded.read_limits),
+            ),
+            datagrams=self.port,
+            on_reachable=self.registration.set_reachable,
+            log=self.log,
         )
 
     @property
     def is_ready(self) -> bool:
         """Check whether callers should be sent here."""
         is_leaving = self.settings.forwarding.leaves_lookups and self.reach.monitor.loss is not None
-        is_out = self.is_unconfirmed or self.is_stopping or is_leaving
+        is_closed = self.is_stopping or not self._front.opened.is_set()
+        is_out = self.is_unconfirmed or is_closed or is_leaving
         return self.catalog.routing is not None and not is_out
 
     @property
@@ -303,48 +329,26 @@
         self.access.gate.start(now)
 
     async def start(self) -> None:
-        """Open the ports and start every task."""
+        """Open the ports, or wait for those that are held, and start every task."""
         settings = self.settings
+        asyncio.get_running_loop().set_exception_handler(self._reporter.handle_loop_exception)
         self._start_shares(asyncio.get_running_loop().time())
-        self._front = await listen(
-            settings.front.ip,
-            settings.front.port,
-            self.requests.handle,
-            read_limits=self.requests.read_limits,
-            connections=self._callers,
-            is_closing=lambda: self.is_stopping,
-            reserved_share=FRONT_RESERVED_SHARE,
-            spare=self.pool.spare,
-            pipelining=Pipelining(
-                self.access.is_repeatable,
-                lambda: self.settings.pipelining,
-                self.metrics.add_pipelining,
-            ),
-        )
         await self._ports.start()
-        await self.port.start()
-        parts = (
-            self.sync.run(),
-            self.maintenance.run(),
-            self.stalls.run(),
-            self.weighing.run(),
-            self.reach.probe.run(),
-            self.travel.run(),
-            self.quotas.run(),
-            *self.exchanges.list_coroutines(),
-            self.store_notices.run(),
-            self.quarantine.run(),
-        )
-        for part in parts:
-            self._tasks.start(part)
-        self._registering = self._tasks.start(self.registration.run())
+        for part in list_parts(self):
+            self.tasks.start(part)
+        self._registering = self.tasks.start(build_registration(self))
         self.log.event("process", "Started.", hall=settings.hall, front=str(settings.front))
         if not clock.counts_suspensions():
             self.log.event("process", "This system's clock does not count suspensions.")
 
     def reload(self, settings: GatewaySettings) -> None:
-        """Apply changed settings; requests in progress are not affected."""
-        apply_settings(self, settings)
+        """Apply changed settings, or none of them; requests in progress are not affected."""
+        previous = self.settings
+        try:
+            apply_settings(self, settings)
+        except Exception:
+            apply_settings(self, previous)
+            raise
 
     async def stop(self) -> None:
         """Stop without aborting a request.
@@ -356,23 +360,28 @@
         if self.is_stopping:
             return
         self.is_stopping = True
+        self._ports.stop_waiting()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.grace_s
         self.log.event("process", "Stopping.", running=self.requests.running)
+        if self._registering is None:
+            await self._shut_down()  # It was still starting, so no caller was directed here.
+            return
         await stop_task(self._registering)
         for caller in list(self._callers):
             caller.is_closing = True
         leaving = loop.create_task(self.registration.leave())
-        # Some callers keep a look-up's answer for three times its lifetime.
-        await asyncio.sleep(min(3 * self.settings.lookup_ttl_s, self.settings.grace_s / 2))
-        if self._front is not None:
-            self._front.close()
+        if self._front.opened.is_set():
+            # Some callers keep a look-up's answer for three times its lifetime.
+            await asyncio.sleep(min(3 * self.settings.lookup_ttl_s, self.settings.grace_s / 2))
+        self._front.close()
         await wait_until_finished(
             self._callers,
             deadline=deadline,
             count_running=lambda: self.requests.running,
             count_undelivered=self._ports.count_undelivered,
             log=self.log,
+            reporter=self._reporter,
         )
         await stop_task(leaving)
         await self._shut_down()
@@ -381,7 +390,7 @@
         """Close the ports and stop the tasks."""
         self.log.event("process", "Stopped.", running=self.requests.running)
         self._ports.close()
-        await self._tasks.stop()
+        await self.tasks.stop()
         self.pool.close()
         self.reach.forwarder.pool.close()
         self.feed.close()
