--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -322,22 +322,18 @@
             weigh=self.weighing.weigh,
         )
 
-    def _start_shares(self, now: float) -> None:
-        """Record the start of this process, from which its shares of fleet-wide bounds count."""
-        self.chooser.start(now)
-        self.retries.start(now)
-        self.access.gate.start(now)
-
     async def start(self) -> None:
         """Open the ports, or wait for those that are held, and start every task."""
-        settings = self.settings
-        asyncio.get_running_loop().set_exception_handler(self._reporter.handle_loop_exception)
-        self._start_shares(asyncio.get_running_loop().time())
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._reporter.handle_loop_exception)
+        # Shares of fleet-wide bounds count from now on.
+        for part in (self.chooser, self.retries, self.access.gate):
+            part.start(loop.time())
         await self._ports.start()
-        for part in list_parts(self):
-            self.tasks.start(part)
+        for task in list_parts(self):
+            self.tasks.start(task)
         self._registering = self.tasks.start(build_registration(self))
-        self.log.event("process", "Started.", hall=settings.hall, front=str(settings.front))
+        self.log.event("process", "Started.", hall=self.member.hall, front=str(self.member.front))
         if not clock.counts_suspensions():
             self.log.event("process", "This system's clock does not count suspensions.")
 
@@ -360,7 +356,7 @@
         if self.is_stopping:
             return
         self.is_stopping = True
-        self._ports.stop_waiting()
+        self._reporter.call("stop", self._ports.stop_waiting)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.grace_s
         self.log.event("process", "Stopping.", running=self.requests.running)
@@ -374,7 +370,7 @@
         if self._front.opened.is_set():
             # Some callers keep a look-up's answer for three times its lifetime.
             await asyncio.sleep(min(3 * self.settings.lookup_ttl_s, self.settings.grace_s / 2))
-        self._front.close()
+        self._reporter.call("stop", self._front.close)
         await wait_until_finished(
             self._callers,
             deadline=deadline,
@@ -389,13 +385,10 @@
     async def _shut_down(self) -> None:
         """Close the ports and stop the tasks."""
         self.log.event("process", "Stopped.", running=self.requests.running)
-        self._ports.close()
+        self._reporter.call("stop", self._ports.close)
         await self.tasks.stop()
-        self.pool.close()
-        self.reach.forwarder.pool.close()
-        self.feed.close()
-        self.port.close()
-        self.log.close()
+        for part in (self.pool, self.reach.forwarder.pool, self.feed, self.port, self.log):
+            self._reporter.call("stop", part.close)
 
     def _handle_suspension(self) -> None:
         """Read the store again and drop pooled connections: both may be outdated."""
--- a/halldoor/tests/test_supervision.py
+++ b/halldoor/tests/test_supervision.py
@@ -315,6 +315,29 @@
 
         asyncio.run(check())
 
+    def test_stop_in_which_a_part_fails_cuts_a_request(self, monkeypatch):
+        async def check():
+            async with GatewayKit.open(targets=1, grace_s=3.0) as kit:
+                target = kit.targets["t0"]
+
+                async def answer_slowly(request, writer):
+                    await asyncio.sleep(0.6)
+                    await target.answer(request, writer)
+
+                def fail():
+                    raise RuntimeError
+
+                target.script = answer_slowly
+                calling = asyncio.ensure_future(kit.call())
+                await kit.wait(lambda: target.received)
+                for owner in (kit.gateway._ports, kit.gateway.pool, kit.gateway.feed):
+                    monkeypatch.setattr(owner, "close", fail)
+                monkeypatch.setattr(kit.gateway._front, "close", fail)
+                await kit.gateway.stop()
+                assert (await calling).status == 200
+
+        asyncio.run(check())
+
     def test_connection_whose_handler_fails_ends_without_an_answer(self, monkeypatch):
         async def check():
             metrics_at = Address(IP, find_ports(1)[0])
