--- a/halldoor/tests/test_supervision.py
+++ b/halldoor/tests/test_supervision.py
@@ -178,9 +178,10 @@
                 await kit.wait(lambda: len(catalog.list_usable("deck")) == 2)
                 await kit.wait(lambda: kit.store.list_keys("entries/"))
                 assert (await kit.call(path="/new/1")).status == 200
-                assert kit.gateway.is_ready
-                text = kit.gateway.metrics.render().decode()
-                assert f'halldoor_task_failures{{task="{name}"}} {times}' in text
+                metrics = kit.gateway.metrics
+                failed = f'halldoor_task_failures{{task="{name}"}} {times}'
+                await kit.wait(lambda: failed in metrics.render().decode())
+                await kit.wait(lambda: kit.gateway.is_ready)
 
         asyncio.run(check())
 
