--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -17,7 +17,7 @@
 from halldoor.core.targets.route import CallerLimits
 from halldoor.gateway.callerrequest import Answer, BodyTooLongError, CallerRequest, Handler, Head
 from halldoor.gateway.delivery import DeliveryProtocol
-from halldoor.gateway.headers import find, is_too_long
+from halldoor.gateway.headers import Headers, find, is_too_long
 from halldoor.gateway.pipeline import Pipeline, Pipelining
 
 __all__ = ["Answer", "BodyTooLongError", "CallerConnection", "Handler", "Head"]
@@ -185,6 +185,22 @@
         has_more = self._pipeline is not None and self._pipeline.has_read
         return self.is_closing and not has_more
 
+    def send_head(self, status: int, headers: Headers, reason: bytes = b"") -> None:
+        """Send the head of an answer; one without a length is reset if it doesn't end."""
+        if self._h11.their_http_version == b"1.0" and not find(headers, b"content-length"):
+            self.set_reset_at_close(True)
+        super().send_head(status, headers, reason)
+
+    def finish_answer(self) -> None:
+        """Mark the answer as complete on the wire."""
+        super().finish_answer()
+        self._allow_close()
+
+    def _allow_close(self) -> None:
+        """Let the connection close without a reset, unless a part of an answer is not sent."""
+        if not self._transport.get_write_buffer_size():
+            self.set_reset_at_close(False)
+
     async def send_data(self, data: bytes) -> None:
         """Send a piece of the body, and wait while the write buffer is full."""
         self._write(h11.Data(data=data))
@@ -239,7 +255,10 @@
                 self._handle_failure(exc)
             self._cancel_pipeline(is_by_caller=self._is_closed)
             self._pipeline = None
+            is_whole = self._h11.our_state is not h11.SEND_BODY
             await self.linger(limit_s=self._read_limits().idle_timeout_s)
+            if is_whole:
+                self._allow_close()
         finally:
             self._cancel_pipeline(is_by_caller=self._is_closed)
             # `connection_lost` ends the connection, once all bytes are sent.
--- a/halldoor/gateway/delivery.py
+++ b/halldoor/gateway/delivery.py
@@ -11,6 +11,8 @@
 import contextlib
 import fcntl
 import math
+import socket
+import struct
 import sys
 import termios
 from collections.abc import Iterable
@@ -35,6 +37,20 @@
         self._is_closed = False
         self._is_discarding = False
         self._active_at = -math.inf
+        self._is_reset_at_close = False
+
+    def set_reset_at_close(self, is_reset: bool) -> None:
+        """Set whether closing the socket, also by the end of the process, resets the connection.
+
+        The end of a stream that was closed looks like the end of an answer without a length.
+        """
+        if is_reset is self._is_reset_at_close:
+            return
+        self._is_reset_at_close = is_reset
+        linger = struct.pack("ii", int(is_reset), 0)
+        with contextlib.suppress(OSError):  # The peer has closed the connection.
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     def write(self, data: bytes) -> None:
         """Send bytes, unless the peer disconnected."""
