--- a/halldoor/tests/test_cut_answers.py
+++ b/halldoor/tests/test_cut_answers.py
@@ -10,9 +10,11 @@
 import pytest
 
 from halldoor.core.quarantine.settings import QuarantineSettings
+from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.outlier import OutlierSettings
 from halldoor.gateway.exchange import ANSWER_BUFFER_BYTES
 from halldoor.gateway.headers import find
+from halldoor.gateway.plain import PlainCodec
 from halldoor.tests.gatewaykit import ATTEMPT_NUMBERS, NAMES, GatewayKit
 
 BODY = b"body-of-answer"
@@ -90,6 +92,9 @@
 
     async def __call__(self, request, writer):
         attempt_id = find(request.headers, NAMES.attempt_id)
+        if not attempt_id:
+            writer.close()  # Another entry polls for changes.
+            return
         if request.target == b"/sound":
             writer.write(self.target.build(request, body=b"sound-" + attempt_id))
             return
@@ -152,7 +157,21 @@
         return (response.status_code if response else 0), [], received, False
 
 
-async def check_cuts(form, kind, end):
+async def add_peer(kit):
+    """Add another entry that takes all of the gateway's requests; return its stand-in."""
+    peer = await kit.add_target("peer")
+    kit.store.remove("targets/peer")
+    record = MemberRecord("e2", peer.address, "ams-a", "ams", peer.address)
+    item = PlainCodec().encode_member(record)
+    kit.store.put(item.key, item.value)
+    await kit.wait(lambda: "e2" in kit.gateway.catalog.members)
+    forwarder = kit.gateway.reach.forwarder
+    forwarder.is_needed = lambda state, choice: True
+    forwarder._peers.add_refusal = lambda *_: None
+    return peer
+
+
+async def check_cuts(form, kind, end, *, is_forwarded=False):
     """Send requests whose answers are cut at each byte; return what is wrong with what came."""
     wrong = []
     options = {
@@ -161,6 +180,8 @@
     }
     async with GatewayKit.open(targets=1, route={"kind": kind, "timeout_s": 3.0}, **options) as kit:
         (target,) = kit.targets.values()
+        if is_forwarded:
+            target = await add_peer(kit)
         target.read_body = form.method != b"POST"
         script = target.script = CutTarget(target, form)
         script.end = end
@@ -230,3 +251,11 @@
     """No caller gets an incomplete answer that looks complete, or the answer of another request."""
     wrong = asyncio.run(check_cuts(FORMS[name], kind, end))
     assert not wrong, f"{len(wrong)}: " + "\n".join(wrong[:12])
+
+
+@pytest.mark.parametrize("end", ["closed", "reset"])
+@pytest.mark.parametrize("name", [n for n in FORMS if n != "surplus"])
+def test_forwarded_answer_cut_at_each_byte_is_read_as_whole(name, end):
+    """The same for answers that another entry passes on; entries send no surplus ones."""
+    wrong = asyncio.run(check_cuts(FORMS[name], "at-most-once", end, is_forwarded=True))
+    assert not wrong, f"{len(wrong)}: " + "\n".join(wrong[:12])
