--- a/halldoor/entry/process.py
+++ b/halldoor/entry/process.py
@@ -8,12 +8,11 @@
 from typing import Any
 
 import cherrypy
-import msgspec
 import structlog
 from cherrypy.process.servers import ServerAdapter
 
 from halldoor.core.errors import PeerError
-from halldoor.core.explaining.decision import Decision, DecisionLog
+from halldoor.core.explaining.decision import Decision, DecisionError, DecisionLog, decode_decision
 from halldoor.core.hall.membership import Member, Membership
 from halldoor.core.hall.policy import Policy
 from halldoor.core.invariant import Invariants
@@ -42,6 +41,7 @@
 from halldoor.keyvalue.base import Platform
 from halldoor.keyvalue.client import HttpPlatform
 from halldoor.server import HttpServer
+from halldoor.threads import failures
 from halldoor.wire.client import PeerPool
 from halldoor.wire.protocol import traffic
 from halldoor.wire.server import WireServer
@@ -172,6 +172,7 @@
             dispatcher=self.dispatcher,
             configuration=self.configuration,
             invariants=self.invariants,
+            count_odd_items=self.count_odd_items,
         )
         services = SessionComponents(
             room=self.controller,
@@ -243,10 +244,10 @@
                     data = self.peers.call(
                         entry.wire, "find_decision", timeout_s=0.5, decision_id=decision_id
                     )
-                except PeerError:
-                    continue
-                if data:
-                    return msgspec.msgpack.decode(data, type=Decision)
+                    if data:
+                        return decode_decision(data)
+                except (PeerError, DecisionError) as exc:
+                    log.info("No decision from a peer.", peer=entry.name, error=str(exc)[:200])
         return None
 
     def start(self) -> None:
@@ -311,6 +312,14 @@
         self.targets.close()
         log.info("Stopped.")
 
+    def count_odd_items(self) -> dict[str, int]:
+        """Count the items from outside that were left out, by kind."""
+        return {
+            "configuration": self.configuration.odd_items,
+            "members": self.gossip.odd_items,
+            "shards": self.claims.odd_shards,
+        }
+
     @property
     def state(self) -> str:
         """``starting``, ``serving`` or ``leaving``."""
@@ -354,6 +363,8 @@
                 "wire_frames": traffic.frames,
             },
             "violations": dict(self.invariants.violations),
+            "odd_items": self.count_odd_items(),
+            "thread_failures": dict(failures),
         }
 
 
