--- a/halldoor/client.py
+++ b/halldoor/client.py
@@ -28,27 +28,47 @@
     """An answer is cut short, or its length is ambiguous."""
 
 
-class _LineReader(io.BufferedReader):
-    """Reader whose lines must end before the stream does: heads, sizes of chunks and trailers."""
+class _MessageStream(io.RawIOBase):
+    """Stream of a connection that must not end before the message on it.
 
-    __slots__ = ()
+    Attributes
+    ----------
+    may_end : bool
+        Whether the end of the stream is the end of the message.
+    """
+
+    def __init__(self, raw: io.RawIOBase) -> None:
+        self._raw = raw
+        self.may_end = False
+
+    def makefile(self, mode: str) -> io.BufferedReader:
+        """Return a buffered reader of the stream, as `http.client` opens it."""
+        return io.BufferedReader(self)
+
+    def readable(self) -> bool:
+        """Return whether the stream can be read."""
+        return True
+
+    def readinto(self, buffer: Any, /) -> int | None:
+        """Read into a buffer; raise `AnswerError` if the stream ends before the message."""
+        size: int | None = self._raw.readinto(buffer)  # type: ignore[attr-defined]
+        if size == 0 and not self.may_end:
+            raise AnswerError("The connection was closed before the end of the answer.")
+        return size
 
-    def readline(self, size: int | None = -1, /) -> bytes:
-        """Read one line; raise `AnswerError` if the stream ends within or before it."""
-        line = super().readline(size)
-        if line[-1:] != b"\n" and (size is None or size < 0 or len(line) < size):
-            raise AnswerError("The connection was closed within the answer's head or framing.")
-        return line
+    def close(self) -> None:
+        """Close the stream; the socket stays open for its connection."""
+        self._raw.close()
+        super().close()
 
 
 class StrictResponse(HTTPResponse):
     """Answer whose head must be complete and must state clearly where the body ends."""
 
     def __init__(self, sock: Any, *args: Any, **kwargs: Any) -> None:
-        super().__init__(sock, *args, **kwargs)
-        # The stubs of `http.client` don't say that `fp` is a buffered reader.
-        self.fp: Any = _LineReader(self.fp.detach())
+        self._stream = _MessageStream(sock.makefile("rb", buffering=0))
         self._heads = 0
+        super().__init__(self._stream, *args, **kwargs)  # type: ignore[arg-type]
 
     def begin(self) -> None:
         """Read the head of the final answer, and skip informational ones before it.
@@ -63,8 +83,10 @@
         while 100 <= self.status < 200:
             self.headers = self.msg = None  # type: ignore[assignment]
             super().begin()
-        assert_header_parsing(self.msg)
+        if self.msg.defects or self.msg.get_payload():
+            assert_header_parsing(self.msg)
         self._check_length()
+        self._stream.may_end = self.length is None and not self.chunked
 
     def _read_status(self) -> Any:
         """Read the status line of the next answer."""
@@ -75,13 +97,16 @@
 
     def _check_length(self) -> None:
         """Raise `AnswerError` unless it is clear where the body ends."""
-        lengths = self.headers.get_all("content-length")
-        coding = self.headers.get("transfer-encoding")
-        if coding is not None and not self.chunked:
-            raise AnswerError(f"The transfer encoding {coding[:40]!r} is not supported.")
+        lengths = []
+        for name, value in self.headers.raw_items():
+            match name.lower():
+                case "content-length":
+                    lengths.append(value)
+                case "transfer-encoding" if not self.chunked:
+                    raise AnswerError(f"The transfer encoding {value[:40]!r} is not supported.")
         if not lengths:
             return
-        if coding is not None or len(lengths) > 1:
+        if self.chunked or len(lengths) > 1:
             raise AnswerError("The answer states its length more than once.")
         try:
             parse_int(lengths[0], lowest=0, highest=MAX_BODY_BYTES, origin="Content-Length")
