--- a/halldoor/gateway/following.py
+++ b/halldoor/gateway/following.py
@@ -74,7 +74,7 @@
             case RoutingSeen(routing) if routing.faults:
                 self._log.event(
                     "configuration",
-                    "Some fields of routes can't be read.",
+                    "Some fields can't be read.",
                     version=routing.version,
                     count=len(routing.faults),
                     faults=list(routing.faults[:FAULTS_LOGGED]),
