--- a/halldoor/gateway/clock.py
+++ b/halldoor/gateway/clock.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import time
 from collections.abc import Coroutine
 from typing import Any
@@ -37,3 +38,16 @@
     """Run a coroutine to completion on a `GatewayLoop`."""
     with asyncio.Runner(loop_factory=GatewayLoop) as runner:
         runner.run(main)
+
+
+def run_program(main: Coroutine[Any, Any, None]) -> None:
+    """Run a program's coroutine; signals that arrive when it has finished are blocked.
+
+    Closing the loop resets its handlers, so that a late signal would change the exit status.
+    """
+    with asyncio.Runner(loop_factory=GatewayLoop) as runner:
+        try:
+            runner.run(main)
+        finally:
+            stops = {signal.SIGHUP, signal.SIGINT, signal.SIGTERM}
+            signal.pthread_sigmask(signal.SIG_BLOCK, stops)
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Iterable, Mapping
 
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from aioprometheus import Registry
 
 from halldoor.core.targets.choice import ExcludedTarget
+from halldoor.gateway.collectors import Counter, Gauge, Histogram, render
 
 BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0, 10.0]
 """Upper bounds of histogram buckets, in seconds: from a nearby read to the longest deadline."""
@@ -136,6 +137,11 @@
         self._unreadable = Counter(
             "halldoor_unreadable_records", "Records that could not be read.", registry=registry
         )
+        self._task_failures = Counter(
+            "halldoor_task_failures",
+            "Unexpected exceptions outside of requests, by task or kind of receiver.",
+            registry=registry,
+        )
 
     def _build_targets_out(self) -> Gauge:
         """Build an empty gauge of targets that receive no or few requests."""
@@ -262,6 +268,10 @@
         """Count a store record that could not be decoded."""
         self._unreadable.inc({})
 
+    def add_task_failure(self, task: str) -> None:
+        """Count an unexpected exception in a task or receiver."""
+        self._task_failures.inc({"task": task})
+
     def set(self, name: str, value: float) -> None:
         """Set the gauge ``halldoor_state`` for a name."""
         self._gauges.set({"name": name}, value)
@@ -282,5 +292,4 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        content, _ = render(self.registry, ["text/plain"])
-        return content
+        return render(self.registry)
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -51,7 +51,7 @@
     parse_poll,
     send_poll,
 )
-from halldoor.gateway.store import Events, MetadataStore, StoredItem
+from halldoor.gateway.store import Events, HistoryGoneError, MetadataStore, StoredItem
 from halldoor.gateway.substitute import SubstituteReader
 
 CONTACT_CHECK_S = 0.25
@@ -115,6 +115,7 @@
         self._has_watched = False
         self._records = RecordTable()
         self._history: ChangeHistory[StoredItem] = ChangeHistory()
+        self._is_recording = False
         self._updated = asyncio.Event()
         self._pause_skipped = asyncio.Event()
         self.random = Random(own.name)
@@ -212,12 +213,17 @@
             wait_s = self.settings.direct_s  # Returns in time to follow a reader again.
         if not self.has_contact:
             wait_s = min(wait_s, self.settings.direct_s)  # Then looks for a substitute again.
+        if self._catalog.routing is None:
+            # The revision may be one that the store has not reached.
+            wait_s = min(wait_s, self.settings.find_watch_s(is_after_changes=False))
         if not self._has_watched:
             wait_s = min(wait_s, self.settings.resume_s)
         sent_at = _now()
         self._has_watched = False
         events = await self._watch_in_contact(revision, wait_s)
         self._has_watched = True
+        if events.revision < revision:
+            raise HistoryGoneError("The revision is not reached.", remedy="Read all again.")
         self._metrics.add_store_call("watch", "events" if events.items else "quiet")
         proven_at = compute_watch_proof(
             sent_at=sent_at, wait_s=wait_s, returned_at=_now(), has_changes=bool(events.items)
@@ -322,24 +328,36 @@
 
         If the records are of another copy of the store, followers have to fetch all of them.
         """
+        self._is_recording = True
         difference = self._records.find_difference(records)
         self._records.replace_all(records)
         self._has_watched = True
         if difference is not None:
             self._proven_at = max(self._proven_at, records.proven_at)
-            self._publish(difference)
-            return
-        self._history = ChangeHistory()
-        self._proven_at = records.proven_at
-        self._publish(Batch(records.revision, records.revision, []))
+        else:
+            self._history = ChangeHistory()
+            self._proven_at = records.proven_at
+            difference = Batch(records.revision, records.revision, [])
+        self._publish(difference)
+        self._is_recording = False
 
     def record_update(self, after: int, update: Update) -> None:
         """Record an update that was applied, and publish it to the followers that wait."""
+        self._is_recording = True
         events = update.events
         self._had_changes = bool(events.items)
         self._proven_at = max(self._proven_at, update.proven_at)
         self._records.apply(events.items, events.revision)
         self._publish(update.to_batch(after))
+        self._is_recording = False
+
+    def reset(self) -> None:
+        """Choose the reader again; drop the records if recording an update failed half way."""
+        self.close()
+        self._reader, self._members_version = None, -1
+        if self._is_recording:
+            self._records, self._history = RecordTable(), ChangeHistory()
+            self._is_recording = False
 
     def _publish(self, batch: Batch[StoredItem]) -> None:
         """Add a batch to the history, and wake the polls that wait for an update."""
--- a/halldoor/keyvalue/client.py
+++ b/halldoor/keyvalue/client.py
@@ -6,8 +6,11 @@
 from urllib.parse import quote
 
 import msgspec
+import structlog
 import urllib3
 
+from halldoor.client import PoolManager
+from halldoor.core.decoding import DecodingError, decode_json, parse_int
 from halldoor.core.errors import PlatformError
 from halldoor.keyvalue.base import (
     MAX_VALUE_BYTES,
@@ -18,7 +21,11 @@
     WriteConflictError,
 )
 
+log = structlog.get_logger(part="store")
+
 _REMEDY = "Check the platform; halldoor continues with its cached state."
+MAX_VERSION = (1 << 63) - 1
+"""Greatest version of a key: entries exchange it in 64 bits."""
 _MAX_ANSWER_BYTES = 4_000_000
 """Longest body of an answer that is accepted, in bytes."""
 
@@ -41,7 +48,7 @@
         self._timeout_s = timeout_s
         # The library must not retry: a write whose answer was lost may have taken effect.
         source = (source_ip, 0) if source_ip else None
-        self._pool = urllib3.PoolManager(maxsize=8, retries=False, source_address=source)
+        self._pool = PoolManager(maxsize=8, source_address=source)
 
     def get(self, key: str) -> Value | None:
         """Return the value of a key; None if the key doesn't exist."""
@@ -49,7 +56,7 @@
         if response.status == 404:
             return None
         _check_status(response, 200)
-        return Value(response.data, _read_version(response))
+        return Value(response.data, parse_version(response.version))
 
     def put(self, key: str, data: bytes, *, expected: int | None, lease: str = "") -> int:
         """Write a key by compare-and-swap."""
@@ -78,7 +85,7 @@
                 f"The platform answered a write of {key} with status {response.status}.",
                 remedy="Read the key back.",
             )
-        return _read_version(response)
+        return parse_version(response.version)
 
     def watch(self, key: str, *, after: int, timeout_s: float) -> Value | None:
         """Wait for a version of the key above ``after``; return None at the time-out."""
@@ -87,7 +94,7 @@
         if response.status in (204, 404):
             return None
         _check_status(response, 200)
-        return Value(response.data, _read_version(response))
+        return Value(response.data, parse_version(response.version))
 
     def create_lease(self, ttl_s: float) -> str:
         """Create a lease and return its id."""
@@ -107,38 +114,24 @@
         """List running and leaving hosts, both entries and targets."""
         response = self._request("GET", "/hosts")
         _check_status(response, 200)
-        try:
-            return msgspec.json.decode(response.data, type=list[HostState])
-        except msgspec.MsgspecError as exc:
-            raise PlatformError(
-                "The platform's host list can't be decoded.", remedy=_REMEDY
-            ) from exc
+        return decode_hosts(response.data)
 
     def _request(self, method: str, path: str, *, timeout_s: float = 0.0, **options: Any) -> Any:
         """Send one request and return the complete answer; raise `PlatformError` for any fault."""
         try:
-            response = self._pool.request(
+            answer = self._pool.fetch(
                 method,
                 self._url + path,
+                max_bytes=_MAX_ANSWER_BYTES,
                 timeout=urllib3.Timeout(total=timeout_s or self._timeout_s),
-                redirect=False,
-                preload_content=False,
                 **options,
             )
-            try:
-                data = response.read(_MAX_ANSWER_BYTES + 1)
-                if len(data) > _MAX_ANSWER_BYTES:
-                    raise PlatformError("The platform's answer is too long.", remedy=_REMEDY)
-            except BaseException:
-                response.close()
-                raise
-            response.release_conn()
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             raise PlatformError(
                 f"The platform did not answer {method} {path}: {type(exc).__name__}.",
                 remedy=_REMEDY,
             ) from exc
-        return _Response(response.status, data, response.headers.get("Platform-Version", ""))
+        return _Response(answer.status, answer.data, answer.headers.get("Platform-Version", ""))
 
 
 class _Response(msgspec.Struct):
@@ -149,17 +142,42 @@
     version: str
 
 
+def decode_hosts(data: bytes) -> list[HostState]:
+    """Decode a host list, without the rows that can't be decoded.
+
+    Raises
+    ------
+    PlatformError
+        If it is no list.
+    """
+    try:
+        return decode_json(data, list[HostState], origin="the host list")
+    except DecodingError:
+        pass
+    try:
+        rows = decode_json(data, list[msgspec.Raw], origin="the host list")
+    except DecodingError as exc:
+        raise PlatformError("The platform's host list can't be decoded.", remedy=_REMEDY) from exc
+    hosts = []
+    for row in rows:
+        try:
+            hosts.append(decode_json(bytes(row), HostState, origin="a row of the host list"))
+        except DecodingError as exc:
+            log.warning("A row of the host list is ignored.", error=str(exc)[:300])
+    return hosts
+
+
 def _check_status(response: _Response, status: int) -> None:
     """Raise `PlatformError` if an answer doesn't have the expected status."""
     if response.status != status:
         raise PlatformError(f"The platform answered with status {response.status}.", remedy=_REMEDY)
 
 
-def _read_version(response: _Response) -> int:
-    """Return the version of the key from an answer's header."""
+def parse_version(text: str) -> int:
+    """Parse the version of a key; raise `PlatformError` if it is none."""
     try:
-        return int(response.version)
-    except ValueError as exc:
+        return parse_int(text, lowest=0, highest=MAX_VERSION, origin="Platform-Version")
+    except DecodingError as exc:
         raise PlatformError(
             "The platform's answer has no valid Platform-Version header.", remedy=_REMEDY
         ) from exc
--- a/halldoor/keyvalue/store.py
+++ b/halldoor/keyvalue/store.py
@@ -12,9 +12,17 @@
 from typing import NamedTuple
 
 import msgspec
-
-from halldoor.core.errors import ConflictError, PlatformError
-from halldoor.core.steering.audit import AuditRecord, Difference, compare
+import structlog
+
+from halldoor.core.decoding import DecodingError
+from halldoor.core.errors import ConflictError, PlatformError, SettingsError
+from halldoor.core.steering.audit import (
+    AuditRecord,
+    Difference,
+    compare,
+    decode_audit,
+    decode_refused,
+)
 from halldoor.core.steering.configuration import (
     Configuration,
     Hall,
@@ -25,13 +33,17 @@
     HEAD_KEY,
     PART_PREFIX,
     Head,
+    decode_head,
     digest,
+    encode_head,
     join_configuration,
     read_block_index,
     split_configuration,
 )
 from halldoor.keyvalue.base import Platform, UncertainWriteError, WriteConflictError
 
+log = structlog.get_logger(part="store")
+
 REFUSED_KEY = "audit/refused"
 """Key of the list of refused changes."""
 MAX_REFUSED_RECORDS = 500
@@ -113,7 +125,13 @@
         if value is None:
             return StoredConfiguration(None, 0, None)
         head = _decode_head(value.data)
-        configuration = join_configuration(head, self._fetch_parts(head), with_blocks=True)
+        try:
+            configuration = join_configuration(head, self._fetch_parts(head), with_blocks=True)
+        except (DecodingError, SettingsError) as exc:
+            raise PlatformError(
+                f"The stored configuration can't be used: {exc.message}",
+                remedy="Restore the platform's keys under config/.",
+            ) from exc
         return StoredConfiguration(head, value.version, configuration)
 
     def _fetch_parts(self, head: Head) -> dict[str, bytes]:
@@ -201,7 +219,7 @@
                 self._put_part(name, data)
         head = Head(revision, change.id, bundle.names, digest(audit))
         try:
-            self._platform.put(HEAD_KEY, msgspec.msgpack.encode(head), expected=stored.version)
+            self._platform.put(HEAD_KEY, encode_head(head), expected=stored.version)
         except UncertainWriteError:
             self._check_head_written(head)
         return CommittedChange(revision, differences)
@@ -284,7 +302,7 @@
         with contextlib.suppress(PlatformError):
             for _ in range(5):
                 value = self._platform.get(REFUSED_KEY)
-                records = _decode_refused(value.data) if value else []
+                records = decode_refused(value.data, on_odd=_log_odd) if value else []
                 kept = [*records, record][-MAX_REFUSED_RECORDS:]
                 try:
                     data = msgspec.msgpack.encode(kept)
@@ -296,27 +314,34 @@
     def list_refused(self) -> list[AuditRecord]:
         """List the last refused changes, the newest last."""
         value = self._platform.get(REFUSED_KEY)
-        return _decode_refused(value.data) if value else []
+        return decode_refused(value.data, on_odd=_log_odd) if value else []
 
     def list_audit(self, head: Head, *, limit: int) -> Iterator[AuditRecord]:
-        """Yield the audit records of accepted changes, the newest first, starting at a head."""
+        """Yield the audit records of accepted changes, the newest first, starting at a head.
+
+        A record that can't be decoded ends them, since only it names the preceding one.
+        """
         wanted = head.audit
         while wanted and limit:
-            record = msgspec.msgpack.decode(self._get_part(wanted), type=AuditRecord)
+            try:
+                record = decode_audit(self._get_part(wanted))
+            except DecodingError as exc:
+                _log_odd(exc.message)
+                return
             yield record
             wanted, limit = record.previous, limit - 1
 
 
-def _decode_refused(data: bytes) -> list[AuditRecord]:
-    """Decode the list of refused changes."""
-    return msgspec.msgpack.decode(data, type=list[AuditRecord])
+def _log_odd(problem: str) -> None:
+    """Log an audit record that can't be decoded and is left out."""
+    log.warning("Left out an odd audit record.", error=problem[:300])
 
 
 def _decode_head(data: bytes) -> Head:
-    """Decode the head of the configuration."""
+    """Decode the head of the configuration; raise `PlatformError` if that fails."""
     try:
-        return msgspec.msgpack.decode(data, type=Head)
-    except msgspec.MsgspecError as exc:
+        return decode_head(data)
+    except DecodingError as exc:
         raise PlatformError(
             "The head of the configuration can't be decoded.",
             remedy=f"Restore the platform's key {HEAD_KEY}.",
