--- a/halldoor/gateway/httpclient.py
+++ b/halldoor/gateway/httpclient.py
@@ -22,6 +22,9 @@
 MAX_IDLE = 2
 """Greatest number of idle connections: one for the watch, one for other calls."""
 
+MAX_BYTES = 32 * 1024 * 1024
+"""Greatest size of an answer's body, in bytes."""
+
 
 class HttpAnswer(NamedTuple):
     """A complete answer of the server."""
@@ -125,14 +128,26 @@
         request = h11.Request(method=method, target=target, headers=headers)
         await connection.send(request, h11.Data(data=body), h11.EndOfMessage())
         response = await connection.receive()
-        pieces = []
-        while not isinstance(event := await connection.receive(), h11.EndOfMessage):
-            pieces.append(bytes(event.data))
+        content = await _receive_body(connection)
         fields = list(response.headers.raw_items())
-        return HttpAnswer(response.status_code, b"".join(pieces), fields)
+        return HttpAnswer(response.status_code, content, fields)
 
     def close(self) -> None:
         """Close the idle connections."""
         for connection in self._idle:
             connection.close()
         self._idle.clear()
+
+
+async def _receive_body(connection: HttpConnection) -> bytes:
+    """Read the rest of an answer; raise ConnectionBrokenError if it exceeds `MAX_BYTES`."""
+    body = bytearray()
+    try:
+        while not isinstance(event := await connection.receive(), h11.EndOfMessage):
+            body += event.data
+            if len(body) > MAX_BYTES:
+                raise ConnectionBrokenError(f"The answer has more than {MAX_BYTES} bytes.")
+        return bytes(body)
+    finally:
+        # The traceback of an exception would keep it until garbage is collected.
+        body.clear()
