--- a/halldoor/core/quarantine/evidence.py
+++ b/halldoor/core/quarantine/evidence.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
+from halldoor.core.bounds import SignedSeconds
 from halldoor.core.quarantine.settings import QuarantineSettings
 
 CRASHES_KEPT = 16
@@ -32,7 +33,7 @@
 
     target: str
     caller: str
-    age_s: float
+    age_s: SignedSeconds
 
 
 class Evidence(NamedTuple):
--- a/halldoor/tests/test_endless_answer.py
+++ b/halldoor/tests/test_endless_answer.py
@@ -6,8 +6,9 @@
 
 import pytest
 
+from halldoor.core.decoding import MAX_BYTES
 from halldoor.core.settings import Address
-from halldoor.gateway.httpclient import MAX_BYTES, HttpCallError, HttpClient
+from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.standins.sample import IP
 
 BLOCK = b"10000\r\n" + b"x" * 65_536 + b"\r\n"
