--- a/halldoor/gateway/eventlog.py
+++ b/halldoor/gateway/eventlog.py
@@ -30,6 +30,8 @@
 """Sustained limit in lines per second; a busy entry answers several hundred requests a second."""
 MAX_BURST_LINES = 400
 """Greatest burst, in lines."""
+TEXT_SHARE = 0.75
+"""Share of both limits that lines with the same text may use, so that others are written too."""
 TEXT_LIMIT = 1_000
 """Greatest length of the text of a value that can't be rendered as JSON, in characters."""
 
@@ -48,8 +50,8 @@
     def __init__(self, name: str, *, fd: int = 1) -> None:
         self._fd = fd
         self._queue: queue.Queue[bytes | None] = queue.Queue(QUEUE_LIMIT)
-        self._credit = float(MAX_BURST_LINES)
-        self._credit_at = clock.read_seconds()
+        self._credit = _Credit(LINES_PER_S, MAX_BURST_LINES)
+        self._text_credits: dict[str, _Credit] = {}
         self._dropped = 0
         self._success_rate = _SuccessRate()
         self._render = structlog.processors.JSONRenderer()
@@ -94,13 +96,13 @@
     def _enqueue(self, text: str, fields: dict[str, Any]) -> None:
         """Queue a line, or count it as dropped if the rate limit or the queue is exhausted."""
         now = clock.read_seconds()
-        gained = (now - self._credit_at) * LINES_PER_S
-        self._credit = min(float(MAX_BURST_LINES), self._credit + gained)
-        self._credit_at = now
-        if self._credit < 1.0:
+        credit = self._text_credits.get(text)
+        if credit is None:
+            credit = _Credit(TEXT_SHARE * LINES_PER_S, TEXT_SHARE * MAX_BURST_LINES)
+            self._text_credits[text] = credit
+        if not credit.use(now) or not self._credit.use(now):
             self._dropped += 1
             return
-        self._credit -= 1.0
         entry = {"event": text, "at": round(now, 3), "entry": self._name, **fields}
         if self._dropped:
             entry["dropped_before"] = self._dropped
@@ -159,6 +161,25 @@
         self._writer.join(timeout_s)
 
 
+class _Credit:
+    """Lines that may be written: a burst, and a number per second after it."""
+
+    def __init__(self, lines_per_s: float, burst: float) -> None:
+        self._lines_per_s = lines_per_s
+        self._burst = self._left = burst
+        self._at = clock.read_seconds()
+
+    def use(self, now: float) -> bool:
+        """Count one line; return False if none may be written now."""
+        gained = (now - self._at) * self._lines_per_s
+        self._left = min(self._burst, self._left + gained)
+        self._at = now
+        if self._left < 1.0:
+            return False
+        self._left -= 1.0
+        return True
+
+
 class _SuccessRate:
     """Exponentially averaged rate of ordinary successes per second."""
 
--- a/halldoor/tests/test_eventlog.py
+++ b/halldoor/tests/test_eventlog.py
@@ -46,3 +46,18 @@
         )
         assert {"id1000", "id1001"} <= {line["id"] for line in lines}
         assert lines[-1]["stands_for"] == 1
+
+
+def test_flood_of_one_line_displaces_others():
+    """10,000 odd records took the log's whole rate: no other line was written for 100 s."""
+    read_end, write_end = os.pipe()
+    log = EventLog("e1", fd=write_end)
+    for i in range(10_000):
+        log.event("store", "Ignores a bad record.", key=f"servers/odd{i}")
+    log.event("process", "A task failed.")
+    log.close(timeout_s=2.0)
+    os.close(write_end)
+    with os.fdopen(read_end) as lines:
+        written = [json.loads(line) for line in lines]
+    assert written[-1]["event"] == "process: A task failed."
+    assert sum(line.get("dropped_before", 0) for line in written) == 10_001 - len(written)
