--- a/halldoor/gateway/httpclient.py
+++ b/halldoor/gateway/httpclient.py
@@ -142,11 +142,13 @@
     connection: HttpConnection, head: h11.Response, *, max_bytes: int
 ) -> HttpAnswer:
     """Receive the body after the head of an answer; raise HttpCallError if it is too large."""
-    pieces: list[bytes] = []
-    size = 0
-    while not isinstance(event := await connection.receive(), h11.EndOfMessage):
-        pieces.append(bytes(event.data))
-        size += len(pieces[-1])
-        if size > max_bytes:
-            raise HttpCallError(f"an answer of more than {max_bytes} bytes")
-    return HttpAnswer(head.status_code, b"".join(pieces), list(head.headers.raw_items()))
+    body = bytearray()
+    try:
+        while not isinstance(event := await connection.receive(), h11.EndOfMessage):
+            body += event.data
+            if len(body) > max_bytes:
+                raise HttpCallError(f"an answer of more than {max_bytes} bytes")
+        return HttpAnswer(head.status_code, bytes(body), list(head.headers.raw_items()))
+    finally:
+        # The traceback of an exception would keep it until garbage is collected.
+        body.clear()
