--- a/halldoor/gateway/reading.py
+++ b/halldoor/gateway/reading.py
@@ -88,7 +88,11 @@
             If the store can't be read; call again to resume.
         """
         while self._pages[-1].has_more and self._pages[-1].items:
-            await self._read_page(after=self._pages[-1].items[-1].key)
+            after = self._pages[-1].items[-1].key
+            if any(page.items[-1].key == after for page in self._pages[:-1]):
+                self.clear()
+                raise StoreError("The store repeats a page.", remedy="Check the store.")
+            await self._read_page(after=after)
         items = [item for page in self._pages for item in page.items]
         revisions = [page.revision for page in self._pages]
         self.clear()
--- a/halldoor/tests/test_reading.py
+++ b/halldoor/tests/test_reading.py
@@ -12,9 +12,12 @@
 from halldoor.core.settings import Address
 from halldoor.core.targets.relay import RETRY_S
 from halldoor.gateway.backoff import BACKOFF_LIMIT_S, Backoff
+from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.plain import TargetModel
-from halldoor.gateway.store import StoreError
+from halldoor.gateway.reading import RecordReader
+from halldoor.gateway.store import Page, StoreError
 from halldoor.standins import virtualtime
+from halldoor.standins.memorystore import MemoryStore
 from halldoor.standins.storefleet import StoreFleet
 
 BOUND_S = 3.0
@@ -310,3 +313,25 @@
         assert backoff.find_pause_s() == BACKOFF_LIMIT_S
     backoff.reset()
     assert backoff.find_pause_s() <= RETRY_S
+
+
+def test_repeated_page_is_read_without_end():
+    """A store that repeated a page was read 550 times a second, and all pages were kept."""
+
+    class RepeatingStore(MemoryStore):
+        async def read_range(self, prefix: str, *, after: str = "") -> Page:
+            assert self.ranges < 10
+            return await super().read_range(prefix)
+
+    async def run() -> None:
+        store = RepeatingStore(page_items=2)
+        for i in range(3):
+            store.put(f"targets/{i}", b"")
+        metrics = GatewayMetrics()
+        reader = RecordReader(store, metrics=metrics, on_page=lambda page, era: None)
+        await reader.read_first()
+        with pytest.raises(StoreError, match="repeats"):
+            await reader.read_remaining()
+        assert not reader.has_pages
+
+    virtualtime.run(run())
