--- a/halldoor/gateway/httpclient.py
+++ b/halldoor/gateway/httpclient.py
@@ -36,6 +36,10 @@
     """No complete answer arrived in time; the server may have processed the call."""
 
 
+class AnswerTooLargeError(HttpCallError):
+    """The answer is larger than the caller allows."""
+
+
 class HttpClient:
     """Client for calls to one server.
 
@@ -141,13 +145,13 @@
 async def _receive_answer(
     connection: HttpConnection, head: h11.Response, *, max_bytes: int
 ) -> HttpAnswer:
-    """Receive the body after the head of an answer; raise HttpCallError if it is too large."""
+    """Receive the body after the head of an answer; raise an error if it is too large."""
     body = bytearray()
     try:
         while not isinstance(event := await connection.receive(), h11.EndOfMessage):
             body += event.data
             if len(body) > max_bytes:
-                raise HttpCallError(f"an answer of more than {max_bytes} bytes")
+                raise AnswerTooLargeError(f"an answer of more than {max_bytes} bytes")
         return HttpAnswer(head.status_code, bytes(body), list(head.headers.raw_items()))
     finally:
         # The traceback of an exception would keep it until garbage is collected.
--- a/halldoor/tests/test_endless_answer.py
+++ b/halldoor/tests/test_endless_answer.py
@@ -35,5 +35,6 @@
             await client.call("GET", "/kv-watch", timeout_s=30.0)
         client.close()
         server.close()
+        await asyncio.sleep(0.05)  # The handlers end.
 
     asyncio.run(run())
