--- a/halldoor/cli/gateway.py
+++ b/halldoor/cli/gateway.py
@@ -18,7 +18,13 @@
 from halldoor.gateway.process import Gateway
 from halldoor.gateway.runner import SettingsFile, run_until_stopped
 from halldoor.gateway.settings import GatewaySettings
-from halldoor.startup import ExitStatus, end_on_signals, exit_with_error, load_when_sound
+from halldoor.startup import (
+    ExitStatus,
+    end_on_signals,
+    exit_with_error,
+    load_when_sound,
+    set_descriptor_limit,
+)
 
 PROGRAM = "halldoor-gateway"
 """Name of the program in its messages."""
@@ -34,6 +40,7 @@
     """
     end_on_signals()
     file, checked = load_when_sound(lambda: load_file(settings), program=PROGRAM)
+    set_descriptor_limit()
     try:
         clock.run_program(run_until_stopped(build_gateway(checked), file))
     except (HalldoorError, OSError) as exc:
--- a/halldoor/gateway/opening.py
+++ b/halldoor/gateway/opening.py
@@ -68,7 +68,7 @@
         name: str,
         address: Address,
         open_port: Callable[[], Awaitable[None]],
-        problem: OSError,
+        problem: Exception,
         on_opened: Callable[[], None],
     ) -> None:
         """Retry until a port is open."""
@@ -89,7 +89,8 @@
             await asyncio.sleep(RETRY_S)
             try:
                 await open_port()
-            except OSError as exc:
+            except Exception as exc:
+                # Whatever it is, the wait goes on: nothing else would open the port.
                 problem = exc
             else:
                 is_open = True
--- a/halldoor/startup.py
+++ b/halldoor/startup.py
@@ -5,6 +5,7 @@
 import contextlib
 import errno
 import os
+import resource
 import signal
 import socket
 import sys
@@ -40,6 +41,12 @@
 the address is not the machine's yet, or the machine lacks memory or descriptors."""
 
 
+MAX_DESCRIPTORS = 65_536
+"""Descriptors of a process for which neither settings nor the system say less."""
+MIN_DESCRIPTORS = 256
+"""Descriptors with fewer of which an entry can hardly serve."""
+
+
 class ExitStatus(IntEnum):
     """Exit statuses of processes that can't start."""
 
@@ -114,6 +121,24 @@
             time.sleep(RETRY_S)
 
 
+def set_descriptor_limit(wanted: int | None = None) -> None:
+    """Set how many descriptors this process may open, within the hard limit of the system.
+
+    Parameters
+    ----------
+    wanted : int, optional
+        Number that the machine allows the process; as many as the hard limit by default, up to
+        `MAX_DESCRIPTORS`.  One below `MIN_DESCRIPTORS` counts as not set.
+    """
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    limit = MAX_DESCRIPTORS if wanted is None or wanted < MIN_DESCRIPTORS else wanted
+    if hard != resource.RLIM_INFINITY:
+        limit = min(limit, hard)
+    # Where the system refuses it, the limit stays as it is.
+    with contextlib.suppress(OSError, ValueError):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
+
+
 def open_listener(address: Address, *, backlog: int = 1024) -> socket.socket:
     """Open a listening socket; raises `OSError`."""
     family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
