--- a/properties/decoders.py
+++ b/properties/decoders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 import msgspec
 from halldoor_platform.interface import PlatformLookupFormat
@@ -37,22 +37,7 @@
 from halldoor.gateway.polls import NoChanges, RelayedChanges, decode_poll_answer, parse_poll
 from halldoor.gateway.records import encode_evidence
 from halldoor.gateway.store import RecordCodec, StoredItem
-
-
-class Decoder(NamedTuple):
-    """A decoder and an example that it accepts.
-
-    Attributes
-    ----------
-    decode : callable
-        Returns a value, or raises `HalldoorError`.
-    example : bytes
-        JSON, MessagePack or text.
-    """
-
-    decode: Callable[[bytes], Any]
-    example: bytes
-
+from properties.oddvalues import Decoder
 
 ADDRESS = Address("127.0.0.1", 8080)
 PLATFORM, PLAIN = PlatformCodec(), PlainCodec()
--- a/properties/entry_decoders.py
+++ b/properties/entry_decoders.py
@@ -5,7 +5,7 @@
 import base64
 import io
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 import msgspec
 
@@ -44,22 +44,7 @@
 from halldoor.standins.sample import make_configuration
 from halldoor.wire.convert import from_thrift_member, from_thrift_refusal
 from halldoor.wire.protocol import idl
-
-
-class Decoder(NamedTuple):
-    """A decoder and an example that it accepts.
-
-    Attributes
-    ----------
-    decode : callable
-        Returns a value, or raises `HalldoorError`.
-    example : bytes
-        JSON, MessagePack or text.
-    """
-
-    decode: Callable[[bytes], Any]
-    example: bytes
-
+from properties.oddvalues import Decoder
 
 KEY = b"key" * 6
 ID = "01890a5d-ac96-774b-bcce-b302099a8057"
