--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -349,9 +349,8 @@
     async def stop(self) -> None:
         """Stop without aborting a request.
 
-        The entry is not ready and leaves the look-ups at once.  Callers that use an earlier look-up
-        are served until it expires; then the process waits until requests in progress are answered
-        and their callers have the answers, at most until the end of the grace time.
+        The entry leaves the look-ups at once.  Callers that use an earlier look-up are served until
+        it expires, and requests in progress until the end of the grace time.
         """
         if self.is_stopping:
             return
@@ -397,5 +396,5 @@
         self.sync.invalidate("the process stood still")
 
     def _dispatch_change(self, change: Change) -> None:
-        """Dispatch a change of the catalog to the other components."""
+        """Dispatch a change of the catalog."""
         self._dispatcher.dispatch(change)
