--- a/halldoor/core/decoding.py
+++ b/halldoor/core/decoding.py
@@ -10,6 +10,7 @@
 import math
 import re
 import zlib
+from collections.abc import Callable, Iterable
 from typing import Any, TypeVar
 
 import msgspec
@@ -17,6 +18,7 @@
 from halldoor.core.errors import HalldoorError
 
 T = TypeVar("T")
+Row = TypeVar("Row")
 
 MAX_DEPTH = 32
 """Greatest nesting of lists and objects in JSON."""
@@ -107,6 +109,27 @@
         return msgspec.msgpack.decode(data, type=kind)
 
 
+def decode_each(
+    rows: Iterable[Row], decode: Callable[[Row], T], *, on_odd: Callable[[DecodingError], None]
+) -> list[T]:
+    """Decode rows one by one, so that an odd one costs only itself.
+
+    Parameters
+    ----------
+    decode : callable
+        Decodes a row; raises `DecodingError` if that fails.
+    on_odd : callable
+        Called with the error of each row, which is left out.
+    """
+    decoded = []
+    for row in rows:
+        try:
+            decoded.append(decode(row))
+        except DecodingError as exc:
+            on_odd(exc)
+    return decoded
+
+
 def decode_base64(text: str, *, origin: str) -> bytes:
     """Decode standard base64; raise `DecodingError` for any other text."""
     with decoding(origin):
--- a/halldoor/core/steering/audit.py
+++ b/halldoor/core/steering/audit.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from halldoor.core.decoding import DecodingError, decode_msgpack
+from halldoor.core.decoding import DecodingError, decode_each, decode_msgpack
 
 
 class AuditRecord(msgspec.Struct, frozen=True):
@@ -54,18 +54,14 @@
     on_odd : callable
         Called with the problem of each record, or of the whole list, that is left out.
     """
-    records: list[AuditRecord] = []
     try:
         rows = decode_msgpack(data, list[msgspec.Raw], origin="the list of refused changes")
     except DecodingError as exc:
         on_odd(exc.message)
-        return records
-    for row in rows:
-        try:
-            records.append(decode_audit(bytes(row)))
-        except DecodingError as exc:
-            on_odd(exc.message)
-    return records
+        return []
+    return decode_each(
+        rows, lambda row: decode_audit(bytes(row)), on_odd=lambda exc: on_odd(exc.message)
+    )
 
 
 class Difference(NamedTuple):
--- a/halldoor/entry/gossip.py
+++ b/halldoor/entry/gossip.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from halldoor.core.decoding import DecodingError
+from halldoor.core.decoding import DecodingError, decode_each
 from halldoor.core.errors import PeerError
 from halldoor.core.hall.membership import SUSPECT_AFTER_S, Member, Membership, TargetReport
 from halldoor.core.settings import Address
@@ -214,14 +214,12 @@
 
     def _read_members(self, gossip: Any) -> list[Member]:
         """Return the records of a peer's message; odd ones are left out, logged and counted."""
-        members = []
-        for message in gossip.members or []:
-            try:
-                members.append(from_thrift_member(message))
-            except DecodingError as exc:
-                self.odd_items += 1
-                self.log.warning("Left out an odd record.", error=str(exc)[:300])
-        return members
+        return decode_each(gossip.members or [], from_thrift_member, on_odd=self._log_odd)
+
+    def _log_odd(self, exc: DecodingError) -> None:
+        """Log and count a record that is left out."""
+        self.odd_items += 1
+        self.log.warning("Left out an odd record.", error=str(exc)[:300])
 
     def _detect_change(self) -> None:
         """Call `on_change` if the hall's live entries or the leaving entries changed."""
--- a/halldoor/keyvalue/client.py
+++ b/halldoor/keyvalue/client.py
@@ -10,7 +10,7 @@
 import urllib3
 
 from halldoor.client import PoolManager
-from halldoor.core.decoding import DecodingError, decode_json, parse_int
+from halldoor.core.decoding import DecodingError, decode_each, decode_json, parse_int
 from halldoor.core.errors import PlatformError
 from halldoor.keyvalue.base import (
     MAX_VALUE_BYTES,
@@ -158,13 +158,11 @@
         rows = decode_json(data, list[msgspec.Raw], origin="the host list")
     except DecodingError as exc:
         raise PlatformError("The platform's host list can't be decoded.", remedy=_REMEDY) from exc
-    hosts = []
-    for row in rows:
-        try:
-            hosts.append(decode_json(bytes(row), HostState, origin="a row of the host list"))
-        except DecodingError as exc:
-            log.warning("A row of the host list is ignored.", error=str(exc)[:300])
-    return hosts
+    return decode_each(
+        rows,
+        lambda row: decode_json(bytes(row), HostState, origin="a row of the host list"),
+        on_odd=lambda exc: log.warning("A row of the host list is ignored.", error=str(exc)[:300]),
+    )
 
 
 def _check_status(response: _Response, status: int) -> None:
