--- a/halldoor/core/bounds.py
+++ b/halldoor/core/bounds.py
@@ -14,13 +14,18 @@
 MAX_NAME = 1024
 """Greatest length of a name that is sent in a header field, in characters."""
 
-Revision = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+MAX_REVISION = 2**63 - 1
+"""Greatest number of a version, revision, lease or start."""
+MAX_PORT = 65_535
+"""Greatest port of TCP or UDP."""
+
+Revision = Annotated[int, Meta(ge=0, le=MAX_REVISION)]
 """Number of a version, revision, lease or start."""
 Slots = Annotated[int, Meta(ge=1, le=1_000_000)]
 """Requests that a target can run at a time."""
 Count = Annotated[int, Meta(ge=0, le=1_000_000_000)]
 """Number of requests, connections, attempts or milliseconds."""
-Port = Annotated[int, Meta(ge=0, le=65_535)]
+Port = Annotated[int, Meta(ge=0, le=MAX_PORT)]
 """Port of TCP or UDP."""
 Bytes = Annotated[int, Meta(ge=0, le=2**40)]
 """Size in bytes."""
@@ -30,6 +35,8 @@
 """Duration in milliseconds."""
 Seconds = Annotated[float, Meta(ge=0.0, le=1e10)]
 """Duration in seconds."""
+PositiveSeconds = Annotated[float, Meta(gt=0.0, le=86_400.0)]
+"""Period, deadline or lifetime of up to a day, in seconds."""
 SignedMilliseconds = Annotated[float, Meta(ge=-1e13, le=1e13)]
 """Difference of two times in milliseconds."""
 SignedSeconds = Annotated[float, Meta(ge=-1e10, le=1e10)]
--- a/halldoor/core/orders/claim.py
+++ b/halldoor/core/orders/claim.py
@@ -31,6 +31,10 @@
     incarnation: str
 
 
+FloorMs = Annotated[int, msgspec.Meta(ge=0, lt=1 << 48)]
+"""Unix time in milliseconds, in as many bits as an operation id has for it."""
+
+
 class Shard(msgspec.Struct, frozen=True):
     """The stored value of a shard.
 
@@ -42,14 +46,14 @@
         Claim by operation id.
     """
 
-    floor_ms: Annotated[int, msgspec.Meta(ge=0, lt=1 << 48)] = 0
+    floor_ms: FloorMs = 0
     claims: dict[str, Claim] = {}
 
 
 class _RawShard(msgspec.Struct):
     """The stored value of a shard, with its claims still encoded."""
 
-    floor_ms: Annotated[int, msgspec.Meta(ge=0, lt=1 << 48)] = 0
+    floor_ms: FloorMs = 0
     claims: dict[str, msgspec.Raw] = {}
 
 
--- a/halldoor/core/orders/ticket.py
+++ b/halldoor/core/orders/ticket.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from halldoor.core.bounds import MAX_REVISION
 from halldoor.core.decoding import DecodingError, decode_json, decoding
 from halldoor.core.errors import Ran, Reason, Refusal, refuse, refuse_unknown
 
@@ -40,7 +41,7 @@
 
     issuer: str
     incarnation: str
-    sequence: Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+    sequence: Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
     operation: str
 
 
--- a/halldoor/core/settings.py
+++ b/halldoor/core/settings.py
@@ -6,15 +6,12 @@
 
 import msgspec
 
-from halldoor.core.bounds import Port
+from halldoor.core.bounds import Bytes, Port, PositiveSeconds
 from halldoor.core.decoding import DecodingError, decoding
 from halldoor.core.errors import SettingsError
 
 T = TypeVar("T")
 
-Seconds = Annotated[float, msgspec.Meta(gt=0.0, le=86_400.0)]
-"""A time above 0 and up to a day, in seconds."""
-
 
 class Address(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """An IP address and a port; port 0 lets the kernel choose a port."""
@@ -57,11 +54,11 @@
     source_ip: str = ""
     workers: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 48
     lookup_max_age_s: Annotated[float, msgspec.Meta(ge=0.0, le=86_400.0)] = 3.0
-    ticket_lifetime_s: Seconds = 60.0
-    gossip_period_s: Seconds = 0.4
-    probe_period_s: Seconds = 0.8
-    max_body_bytes: Annotated[int, msgspec.Meta(ge=0, le=1 << 40)] = 268_435_456
-    caller_timeout_s: Seconds = 10.0
+    ticket_lifetime_s: PositiveSeconds = 60.0
+    gossip_period_s: PositiveSeconds = 0.4
+    probe_period_s: PositiveSeconds = 0.8
+    max_body_bytes: Bytes = 268_435_456
+    caller_timeout_s: PositiveSeconds = 10.0
     queue_s: Annotated[float, msgspec.Meta(ge=0.0, le=86_400.0)] = 0.05
     policy: str = "two-choices"
     rotate_relays: bool = False
--- a/halldoor/core/steering/configuration.py
+++ b/halldoor/core/steering/configuration.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
+from halldoor.core.bounds import PositiveSeconds
 from halldoor.core.errors import SettingsError
-from halldoor.core.settings import Address, Seconds, parse
+from halldoor.core.settings import Address, parse
 from halldoor.core.steering.block import pack_blocks
 from halldoor.core.steering.selector import LabelIndex, Selector
 
@@ -93,7 +94,7 @@
     methods: list[str]
     path: str = "/"
     repeatable: bool = False
-    deadline_s: Seconds = 5.0
+    deadline_s: PositiveSeconds = 5.0
 
 
 class Service(_Model, frozen=True, kw_only=True):
--- a/halldoor/gateway/datagrams.py
+++ b/halldoor/gateway/datagrams.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from halldoor.core.bounds import MAX_PORT
 from halldoor.core.decoding import DecodingError, decode_msgpack
 from halldoor.core.settings import Address
 from halldoor.gateway.failures import FailureReporter
@@ -20,9 +21,6 @@
 
 Receiver = Callable[[Any, Address], None]
 
-MAX_PORT = 65_535
-"""Greatest port number; with a larger one the event loop would close the socket."""
-
 
 class MessageKind(IntEnum):
     """Kind of a message, sent as its first byte; it determines the type of the content."""
@@ -129,6 +127,7 @@
         for address in addresses:
             if address is None or self._transport is None:
                 continue
+            # With a larger port the event loop would close the socket.
             if 0 < address.port <= MAX_PORT:
                 self._transport.sendto(data, (address.ip, address.port))
             else:
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from halldoor.core.bounds import Revision, SignedSeconds
+from halldoor.core.bounds import MAX_REVISION, Revision, SignedSeconds
 from halldoor.core.decoding import DecodingError, decode_msgpack, parse_int
 from halldoor.core.targets.contact import ContactReport, StoreContact, compute_contact_span
 from halldoor.core.targets.proofs import compute_poll_proof
@@ -19,8 +19,6 @@
 from halldoor.gateway.store import Events, StoredItem
 
 CHANGES_PATH = "/changes"
-MAX_REVISION = 2**63 - 1
-"""Greatest revision of a poll that is accepted."""
 MAX_WAIT_MS = 3_600_000
 """Greatest wait of a poll that is accepted, in milliseconds."""
 OTHER_ERA = 409
--- a/halldoor/keyvalue/client.py
+++ b/halldoor/keyvalue/client.py
@@ -10,6 +10,7 @@
 import urllib3
 
 from halldoor.client import PoolManager
+from halldoor.core.bounds import MAX_REVISION
 from halldoor.core.decoding import DecodingError, decode_each, decode_json, parse_int
 from halldoor.core.errors import PlatformError
 from halldoor.keyvalue.base import (
@@ -24,8 +25,6 @@
 log = structlog.get_logger(part="store")
 
 _REMEDY = "Check the platform; halldoor continues with its cached state."
-MAX_VERSION = (1 << 63) - 1
-"""Greatest version of a key: entries exchange it in 64 bits."""
 _MAX_ANSWER_BYTES = 4_000_000
 """Longest body of an answer that is accepted, in bytes."""
 
@@ -174,7 +173,7 @@
 def parse_version(text: str) -> int:
     """Parse the version of a key; raise `PlatformError` if it is none."""
     try:
-        return parse_int(text, lowest=0, highest=MAX_VERSION, origin="Platform-Version")
+        return parse_int(text, lowest=0, highest=MAX_REVISION, origin="Platform-Version")
     except DecodingError as exc:
         raise PlatformError(
             "The platform's answer has no valid Platform-Version header.", remedy=_REMEDY
