--- a/halldoor/gateway/opening.py
+++ b/halldoor/gateway/opening.py
@@ -29,8 +29,6 @@
         name: str,
         address: Address,
         open_port: Callable[[], Awaitable[None]],
-        *,
-        on_opened: Callable[[], None] = lambda: None,
     ) -> None:
         """Open a port now, or start to wait for it.
 
@@ -40,8 +38,6 @@
             The port, for the log and for errors.
         open_port : callable
             Opens it; raises `OSError`.
-        on_opened : callable, optional
-            Called once it is open.
 
         Raises
         ------
@@ -56,12 +52,10 @@
                     f"The port {name} at {address} can't be opened: {describe_problem(exc)}.",
                     remedy="Change the address in the settings, or the rights of the process.",
                 ) from exc
-            waiting = self._wait(name, address, open_port, exc, on_opened)
+            waiting = self._wait(name, address, open_port, exc)
             task = asyncio.get_running_loop().create_task(waiting)
             self._waiting.add(task)
             task.add_done_callback(self._waiting.discard)
-        else:
-            on_opened()
 
     async def _wait(
         self,
@@ -69,7 +63,6 @@
         address: Address,
         open_port: Callable[[], Awaitable[None]],
         problem: Exception,
-        on_opened: Callable[[], None],
     ) -> None:
         """Retry until a port is open."""
         loop = asyncio.get_running_loop()
@@ -102,7 +95,6 @@
             address=str(address),
             waited_s=waited_s,
         )
-        on_opened()
 
     def close(self) -> None:
         """Stop waiting."""
--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -155,15 +155,10 @@
         relay = self._datagrams.address
         if relay is not None:
             self._closed_relays = 2
-            await self._opener.open(
-                "relay (UDP)", relay, self._datagrams.start, on_opened=self._count_relay
-            )
+            await self._opener.open("relay (UDP)", relay, self._open_datagrams)
         for port in self._ports:
             if port.address is not None:
-                on_opened = self._count_relay if port.address == relay else _ignore
-                await self._opener.open(
-                    port.name, port.address, partial(self._open, port), on_opened=on_opened
-                )
+                await self._opener.open(port.name, port.address, partial(self._open, port))
         if self._closed_relays:
             self._on_reachable(False)
 
@@ -178,6 +173,13 @@
             connections=self._connections,
         )
         self._servers.append(server)
+        if port.address == self._datagrams.address:
+            self._count_relay()
+
+    async def _open_datagrams(self) -> None:
+        """Open the socket for messages of other entries."""
+        await self._datagrams.start()
+        self._count_relay()
 
     def _count_relay(self) -> None:
         """Count an opened socket at the relay address, which has two."""
@@ -201,10 +203,6 @@
             server.close()
 
 
-def _ignore() -> None:
-    """Do nothing once a port is open."""
-
-
 async def listen(
     ip: str,
     port: int,
