--- a/halldoor/cli/gateway.py
+++ b/halldoor/cli/gateway.py
@@ -7,7 +7,7 @@
 import defopt
 import msgspec
 
-from halldoor.core.errors import HalldoorError, SettingsError
+from halldoor.core.errors import HalldoorError
 from halldoor.core.targets.entryweights import EntryCapacity
 from halldoor.files import load_settings
 from halldoor.gateway import clock
@@ -56,12 +56,15 @@
         If they are not sound, or the settings changed while they were read.
     """
     file = SettingsFile(path, lambda: build_settings(load_settings(path, GatewayFileSettings)))
+    return file, file.read_unchanged(lambda: _load_checked(path))
+
+
+def _load_checked(path: Path) -> GatewayFileSettings:
+    """Read the settings; raise an error if they or the configuration are not sound."""
     checked = load_settings(path, GatewayFileSettings)
     build_settings(checked)
     load_configuration(Path(checked.configuration))
-    if file.has_changed():
-        raise SettingsError(f"{path} changed while it was read.", remedy="It is read again.")
-    return file, checked
+    return checked
 
 
 def build_gateway(checked: GatewayFileSettings) -> Gateway:
--- a/halldoor/core/settings.py
+++ b/halldoor/core/settings.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from halldoor.core.bounds import Bytes, Port, PositiveSeconds
-from halldoor.core.decoding import DecodingError, decoding
 from halldoor.core.errors import SettingsError
 
 T = TypeVar("T")
@@ -94,15 +93,6 @@
     SettingsError
         If the data doesn't match; names the file, the path in it, the given and the expected value.
     """
-    try:
-        with decoding(origin):
-            return _convert(data, kind, origin=origin)
-    except DecodingError as exc:
-        raise SettingsError(exc.message, remedy="Check the file.") from exc
-
-
-def _convert(data: Any, kind: type[T], *, origin: str) -> T:
-    """Convert plain data; raise `SettingsError` with the value that was given."""
     try:
         return msgspec.convert(data, type=kind)
     except msgspec.ValidationError as exc:
--- a/halldoor/files.py
+++ b/halldoor/files.py
@@ -70,7 +70,7 @@
         raise SettingsError(
             f"{origin}: not YAML{where}.", remedy="Check the indentation and quotes there."
         ) from exc
-    values = _measure(data, MAX_DEPTH, {}).values
+    values = _find_extent(data, MAX_DEPTH, {}).values
     if len(text) > MAX_BYTES or values > max(MAX_ALIASED, len(text)):
         raise DecodingError("Too large.")
     return data
@@ -83,15 +83,15 @@
     levels: int
 
 
-def _measure(data: Any, depth: int, known: dict[int, _Extent]) -> _Extent:
-    """Measure YAML data.
+def _find_extent(data: Any, depth: int, known: dict[int, _Extent]) -> _Extent:
+    """Return the extent of YAML data.
 
     Parameters
     ----------
     depth : int
         Levels of nesting that are allowed.
     known : dict of int to _Extent
-        Extents of the lists and objects that were measured before, by identity.
+        Extents of the lists and objects that are known, by identity.
     """
     if not isinstance(data, dict | list):
         return _Extent(1, 0)
@@ -100,7 +100,7 @@
         raise DecodingError(f"Nested more than {MAX_DEPTH} deep.")
     if extent is None:
         children = data.values() if isinstance(data, dict) else data
-        parts = [_measure(child, depth - 1, known) for child in children]
+        parts = [_find_extent(child, depth - 1, known) for child in children]
         levels = 1 + max((part.levels for part in parts), default=0)
         extent = known[id(data)] = _Extent(1 + sum(part.values for part in parts), levels)
     return extent
--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -197,8 +197,8 @@
         self._allow_close()
 
     def _allow_close(self) -> None:
-        """Let the connection close without a reset, unless a part of an answer is not sent."""
-        if not self._transport.get_write_buffer_size():
+        """Allow the connection to close without a reset, once all of an answer is sent."""
+        if self._is_reset_at_close and not self._transport.get_write_buffer_size():
             self.set_reset_at_close(False)
 
     async def send_data(self, data: bytes) -> None:
--- a/halldoor/gateway/clock.py
+++ b/halldoor/gateway/clock.py
@@ -45,9 +45,13 @@
 
     Closing the loop resets its handlers, so that a late signal would change the exit status.
     """
-    with asyncio.Runner(loop_factory=GatewayLoop) as runner:
-        try:
-            runner.run(main)
-        finally:
-            stops = {signal.SIGHUP, signal.SIGINT, signal.SIGTERM}
-            signal.pthread_sigmask(signal.SIG_BLOCK, stops)
+    run(_block_late_signals(main))
+
+
+async def _block_late_signals(main: Coroutine[Any, Any, None]) -> None:
+    """Await a coroutine, and block the signals that end or reload a program after it."""
+    try:
+        await main
+    finally:
+        stops = {signal.SIGHUP, signal.SIGINT, signal.SIGTERM}
+        signal.pthread_sigmask(signal.SIG_BLOCK, stops)
--- a/halldoor/gateway/collectors.py
+++ b/halldoor/gateway/collectors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import aioprometheus
@@ -13,10 +14,7 @@
 
     def add(self, labels: Any, value: Any) -> None:
         """Add a value."""
-        try:
-            aioprometheus.Counter.add(self, labels, value)
-        except TypeError:
-            aioprometheus.Counter.add(self, _replace_unencodable(labels), value)
+        _record(super().add, labels, value)
 
 
 class Gauge(aioprometheus.Gauge):  # type: ignore[misc]
@@ -24,10 +22,7 @@
 
     def set(self, labels: Any, value: Any) -> None:
         """Set the value."""
-        try:
-            aioprometheus.Gauge.set(self, labels, value)
-        except TypeError:
-            aioprometheus.Gauge.set(self, _replace_unencodable(labels), value)
+        _record(super().set, labels, value)
 
 
 class Histogram(aioprometheus.Histogram):  # type: ignore[misc]
@@ -35,10 +30,7 @@
 
     def observe(self, labels: Any, value: Any) -> None:
         """Add an observation."""
-        try:
-            aioprometheus.Histogram.add(self, labels, value)
-        except TypeError:
-            aioprometheus.Histogram.add(self, _replace_unencodable(labels), value)
+        _record(super().add, labels, value)
 
 
 def render(registry: aioprometheus.Registry) -> bytes:
@@ -55,6 +47,14 @@
         return str(super()._format_line(name, escaped, value, const_labels))
 
 
+def _record(method: Callable[[Any, Any], None], labels: Any, value: Any) -> None:
+    """Call a method of a collector, with other labels if it can't encode them."""
+    try:
+        method(labels, value)
+    except TypeError:
+        method(_replace_unencodable(labels), value)
+
+
 def _escape(value: str) -> str:
     """Escape a label's value."""
     return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
--- a/halldoor/gateway/runner.py
+++ b/halldoor/gateway/runner.py
@@ -6,13 +6,16 @@
 import signal
 from collections.abc import Callable
 from pathlib import Path
+from typing import TypeVar
 
-from halldoor.core.errors import HalldoorError
+from halldoor.core.errors import HalldoorError, SettingsError
 from halldoor.gateway.failures import describe_cause
 from halldoor.gateway.process import Gateway
 from halldoor.gateway.settings import GatewaySettings
 from halldoor.gateway.tasks import Part, stop_task
 
+T = TypeVar("T")
+
 CHECK_S = 1.0
 """Period of checking whether the settings file changed without a signal, in seconds."""
 EXIT_HOPELESS = 70
@@ -51,6 +54,21 @@
         """Read and check the file."""
         return self._load()
 
+    def read_unchanged(self, read: Callable[[], T]) -> T:
+        """Return what a function reads from the file.
+
+        Raises
+        ------
+        SettingsError
+            If the file changed meanwhile.
+        """
+        value = read()
+        if self.has_changed():
+            raise SettingsError(
+                f"{self._path} changed while it was read.", remedy="It is read again."
+            )
+        return value
+
 
 async def run_until_stopped(gateway: Gateway, file: SettingsFile) -> None:
     """Run a gateway until SIGTERM or SIGINT, then stop it without cutting off a request.
