--- a/halldoor/entry/claims.py
+++ b/halldoor/entry/claims.py
@@ -119,6 +119,11 @@
             for request in requests:
                 request.reply.put(Success(holders[request.operation]))
 
+    def reject(self, message: ClaimRequest) -> None:
+        """Fail a claim at once; its id stays claimed if that was written."""
+        error = PlatformError("An id can't be claimed here.", remedy="Repeat the same id.")
+        message.reply.put(Failure(error))
+
     def _claim(self, number: int, operations: set[str]) -> dict[str, Claim | None]:
         """Claim ids of one shard by compare-and-swap, and return their holders.
 
--- a/halldoor/entry/task.py
+++ b/halldoor/entry/task.py
@@ -59,13 +59,27 @@
         """Handle messages in batches, and call `tick` after each batch or pause."""
         while not self.is_stopping:
             messages = self._collect(self.get_pause_s())
+            if messages:
+                self._handle_batch(messages)
             try:
-                if messages:
-                    self.handle(messages)
                 self.tick()
             except Exception:
                 failures[self.name] += 1
-                self.log.exception("A task failed while handling messages; it continues.")
+                self.log.exception("Periodic work of a task failed; it continues.")
+
+    def _handle_batch(self, messages: list[M]) -> None:
+        """Handle a batch; if that fails, handle its messages singly and reject the odd ones."""
+        try:
+            self.handle(messages)
+        except Exception as exc:
+            if len(messages) > 1:
+                self.log.warning("A batch failed; handles its messages singly.", error=repr(exc))
+                for message in messages:
+                    self._handle_batch([message])
+                return
+            failures[self.name] += 1
+            self.log.exception("A task failed while handling a message; it continues.")
+            self.reject(messages[0])
 
     def _collect(self, pause_s: float) -> list[M]:
         """Wait for a message, and return it with all others in the queue."""
@@ -85,7 +99,14 @@
 
     @abstractmethod
     def handle(self, messages: list[M]) -> None:
-        """Handle all messages that arrived since the last call."""
+        """Handle all messages that arrived since the last call.
+
+        If it raises it is called again for each of these messages, so a message that it has
+        handled before must change nothing.
+        """
+
+    def reject(self, message: M) -> None:
+        """Answer whoever waits for a message that can't be handled."""
 
     def tick(self) -> None:
         """Do periodic work."""
--- a/halldoor/tests/test_threads.py
+++ b/halldoor/tests/test_threads.py
@@ -6,12 +6,15 @@
 import time
 
 import pytest
+from returns.result import Failure
 
 from halldoor.core.errors import PeerError, Ran, Reason
 from halldoor.core.hall.health import HealthTable
 from halldoor.core.hall.membership import Member, Membership
+from halldoor.core.orders.claim import Claim
 from halldoor.core.settings import Address
 from halldoor.entry.cancel import CallerWatcher
+from halldoor.entry.claims import ClaimTask
 from halldoor.entry.gossip import GossipTask
 from halldoor.entry.task import Task
 from halldoor.standins.fleet import wait_until
@@ -111,6 +114,32 @@
     task.stop()
 
 
+def test_failing_message_drops_the_others_of_its_batch():
+    task, before = OddTask(), failures["odd-task"]
+    for number in (1, 2, 3, 4):
+        task.enqueue(number)
+    task.start()
+    wait_until(lambda: task.handled == [2, 4], what="even messages handled", limit_s=3.0)
+    assert failures["odd-task"] - before == 3
+    task.stop()
+
+
+class FailingPlatform:
+    """Key-value service whose client raises an error that is none of its own."""
+
+    def get(self, key):
+        raise ZeroDivisionError(key)
+
+
+def test_claim_that_fails_unexpectedly_waits_for_its_timeout():
+    claims = ClaimTask(FailingPlatform(), Claim("e1", "1"))
+    claims.start()
+    started = time.monotonic()
+    assert isinstance(claims.request_claim("01890a5d-ac96-774b-bcce-b302099a8057"), Failure)
+    assert time.monotonic() - started < 1.5
+    claims.stop()
+
+
 def build_member(name, **changes):
     return to_thrift_member(Member(name, "h", "i", 1, 1, 0, 1, False)._replace(**changes))
 
