--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -30,6 +30,7 @@
 from halldoor.core.targets.removals import PostponedRemovals, list_removals
 from halldoor.core.targets.route import Routing
 from halldoor.core.targets.sharers import SharerTable
+from halldoor.core.targets.starts import EarlierStarts
 from halldoor.core.targets.target import Target
 from halldoor.core.targets.timings import CatalogTimings
 from halldoor.core.targets.withdrawal import NOTICES_MAX, StoreView, WithdrawalTable
@@ -81,6 +82,7 @@
         self._withdrawals = WithdrawalTable()
         self._newly_withdrawn: list[TargetStart] = []
         self._postponed = PostponedRemovals()
+        self._earlier_starts = EarlierStarts()
         self.version = 0
         self.members_version = 0
         self.store_contact_at = 0.0
@@ -90,8 +92,8 @@
         """Apply one change; return whether it changed anything."""
         self._postponed.cancel_for(change)
         match change:
-            case RoutingSeen(routing):
-                return self._apply_routing(routing)
+            case RoutingSeen(routing, is_newest):
+                return self._apply_routing(routing, is_newest=is_newest)
             case TargetSeen(record):
                 return self._apply_target(record, now)
             case TargetRemoved(incarnation):
@@ -165,8 +167,12 @@
         return self._removed_starts.get(record.incarnation) == record.started_ms
 
     def apply_postponed(self, now: float) -> list[Change]:
-        """Apply the postponed removals that are due, except of records that were written again."""
-        return [change for change in self._postponed.pop_due(now) if self.apply(change, now)]
+        """Apply the postponed changes that are due, except of records that were written again."""
+        starts: list[Change] = []
+        for record in self._earlier_starts.pop_due(now):
+            self._start_target(record, now)
+            starts.append(TargetSeen(record))
+        return starts + [c for c in self._postponed.pop_due(now) if self.apply(c, now)]
 
     @property
     def configuration_version(self) -> int:
@@ -259,13 +265,16 @@
         self.version += 1
         self._by_service = None
 
-    def _apply_routing(self, routing: Routing) -> bool:
+    def _apply_routing(self, routing: Routing, *, is_newest: bool) -> bool:
         """Apply a configuration unless it is older than the known one, or equal to it.
 
         A different one of the same version is applied: a restored store may have lost the other.
+        So is the store's newest one: operators may have written a wrong version before.
         """
         known = self.routing
-        if known is not None and (routing.version < known.version or routing == known):
+        if routing == known:
+            return False
+        if known is not None and routing.version < known.version and not is_newest:
             return False
         self.routing = routing
         self._mark_changed()
@@ -273,24 +282,19 @@
 
     def _apply_target(self, record: TargetRecord, now: float) -> bool:
         """Apply a target's record; return whether it changed anything."""
-        cold_until = now + record.cold_left_s if record.cold_left_s > 0 else -math.inf
         target = self._targets.get(record.incarnation)
         if target is not None and record.started_ms < target.record.started_ms:
-            return False  # The record is of an earlier start.
+            self._earlier_starts.add(record, due_at=now + self.timings.settle_s)
+            return False
+        self._earlier_starts.cancel(record.incarnation)
         if target is None or record.started_ms > target.record.started_ms > 0:
-            if target is not None:
-                self._restarted.add(record.incarnation)
-                self.lapsed.pop(record.incarnation, None)
-            target = self._targets[record.incarnation] = Target(record, cold_until)
-            target.has_stated_leaving = self._leaving.has(target.name, record.started_ms)
-            target.is_withdrawn = self._withdrawals.has(target.start)
-            self._mark_changed()
+            self._start_target(record, now)
             return True
         self.lapsed.pop(target.name, None)
         is_changed = record._replace(cold_left_s=0.0) != target.record._replace(cold_left_s=0.0)
         # A record never shortens the cold time: the target may have written it before turning cold.
         was_cold = target.is_cold(now)
-        target.cold_until = max(target.cold_until, cold_until)
+        target.cold_until = max(target.cold_until, _find_cold_until(record, now))
         # A draining target never returns to service without a restart.
         is_draining = record.is_draining or target.record.is_draining
         if is_draining and not target.is_draining:
@@ -301,6 +305,16 @@
             self._mark_changed()
         return is_changed or is_cold != was_cold
 
+    def _start_target(self, record: TargetRecord, now: float) -> None:
+        """Add a target, or another start of a known one, whose old state is invalid."""
+        if record.incarnation in self._targets:
+            self._restarted.add(record.incarnation)
+            self.lapsed.pop(record.incarnation, None)
+        target = self._targets[record.incarnation] = Target(record, _find_cold_until(record, now))
+        target.has_stated_leaving = self._leaving.has(target.name, record.started_ms)
+        target.is_withdrawn = self._withdrawals.has(target.start)
+        self._mark_changed()
+
     def apply_cold_notice(self, notice: ColdNotice, now: float) -> bool:
         """Apply a target's statement on whether it is cold; return whether it became cold by it.
 
@@ -396,6 +410,7 @@
 
     def _remove_target(self, incarnation: str, now: float) -> bool:
         """Apply the removal of a target's record; return whether it changed anything."""
+        self._earlier_starts.cancel(incarnation)
         target = self._targets.get(incarnation)
         if target is None:
             return False
@@ -453,3 +468,8 @@
         self.sharers.remove(name, now)
         self.members_version += 1
         return True
+
+
+def _find_cold_until(record: TargetRecord, now: float) -> float:
+    """Return the time until which a record that just arrived says that its target is cold."""
+    return now + record.cold_left_s if record.cold_left_s > 0 else -math.inf
--- a/halldoor/core/targets/changes.py
+++ b/halldoor/core/targets/changes.py
@@ -76,9 +76,16 @@
 
 
 class RoutingSeen(NamedTuple):
-    """The operators' configuration was written."""
+    """The operators' configuration was written.
+
+    Attributes
+    ----------
+    is_newest : bool
+        Whether the store holds no later one, so that it is in force whatever its version.
+    """
 
     routing: Routing
+    is_newest: bool = False
 
 
 class TargetSeen(NamedTuple):
--- a/halldoor/gateway/maintenance.py
+++ b/halldoor/gateway/maintenance.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Sequence
 
 from halldoor.core.targets.catalog import Catalog
-from halldoor.core.targets.changes import Change, TargetRemoved
+from halldoor.core.targets.changes import Change, TargetRemoved, TargetSeen
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.pool import TargetPool
 
@@ -87,7 +87,8 @@
         """Remove lapsed targets, apply postponed removals and drop expired leaving statements.
 
         A target has lapsed if its record expired in an outage of the store.  It is removed unless
-        the record is written again in time after the outage.
+        the record is written again in time after the outage.  An earlier start of a target is used
+        if its record is the store's last.
         """
         lapses = dict(self._catalog.lapsed)
         for name in self._catalog.drop_lapsed(now):
@@ -95,6 +96,9 @@
             self._log.event("targets", "Record stayed away.", target=name, store_away_ms=away_ms)
             self._on_change(TargetRemoved(name))
         for change in self._catalog.apply_postponed(now):
+            if isinstance(change, TargetSeen):
+                name, started_ms = change.record.incarnation, change.record.started_ms
+                self._log.event("targets", "Earlier start.", target=name, started_ms=started_ms)
             self._on_change(change)
         for name in self._catalog.expire_leaving(now):
             self._log.event("targets", "Leaving statement expired.", target=name)
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import (
@@ -15,6 +15,7 @@
 )
 from halldoor.core.targets.era import find_era_problem, parse_era
 from halldoor.core.targets.relay import WantedEra
+from halldoor.core.targets.sequence import RoutingSequence
 from halldoor.core.targets.withdrawal import StoreView
 from halldoor.gateway.backoff import Backoff
 from halldoor.gateway.changelog import ChangeLog
@@ -90,6 +91,7 @@
         self._log = log
         self._metrics = metrics
         self._changes = ChangeLog(catalog, log)
+        self._sequence = RoutingSequence()
         self._on_change = on_change
         self._feed = feed
         self._backoff = Backoff(feed.random)
@@ -186,7 +188,13 @@
         before = self._era
         is_restored = self.is_loaded.is_set() and before != records.era
         now = self._record_contact(records.proven_at)
-        changes = [c for c in map(self._decode, records.items) if c is not None]
+        newest = max(records.revision, records.newest)
+        changes = self._sequence.mark_read(
+            self._decode_all(records.items),
+            StoreView(records.era, records.revision),
+            newest=newest,
+            in_force=self._catalog.routing,
+        )
         applied = self._catalog.apply_full_read(
             changes, now, is_restored=is_restored, on_failure=self._report_unapplied
         )
@@ -204,7 +212,7 @@
         self._log.event("store", "Read all.", revision=records.revision, changes=len(applied))
         self._changes.log_full_read(applied, records.revision)
         self._catalog.contact.record_applied_until(records.proven_at)
-        self._call_receivers(StoreView(records.era, max(records.revision, records.newest)))
+        self._call_receivers(StoreView(records.era, newest))
 
     def _report_unapplied(self, change: Change, exc: Exception) -> None:
         """Report a change that can't be applied; the state that it concerns stays as it was."""
@@ -282,9 +290,9 @@
         else:
             now = self._record_contact(update.proven_at)
         self._begun_revision = events.revision
-        for item in events.items:
-            change = self._decode(item)
-            if change is not None and self._catalog.apply(change, now):
+        changes = self._decode_all(events.items)
+        for change in self._sequence.mark_events(changes, events.revision):
+            if self._catalog.apply(change, now):
                 self._record_applied(change)
                 self._changes.log(change, events.revision)
         # The store's own answer includes all removals up to its return, whenever it was sent.
@@ -306,6 +314,10 @@
         for receiver in self.on_update:
             self.notifier.notify(receiver, changes, view)
 
+    def _decode_all(self, items: Iterable[StoredItem]) -> list[Change]:
+        """Decode records, without those that the gateway does not use."""
+        return [change for change in map(self._decode, items) if change is not None]
+
     def _decode(self, item: StoredItem) -> Change | None:
         """Decode a record; treat one that can't be decoded as removed.
 
--- a/halldoor/tests/test_restart.py
+++ b/halldoor/tests/test_restart.py
@@ -48,6 +48,24 @@
         apply_record(catalog, 2.5, started_ms=200)
         assert catalog.drop_lapsed(10.0) == [] and is_usable(catalog)
 
+    def test_record_with_a_start_in_the_future_pins_its_target(self):
+        catalog = make_catalog(targets=1)
+        apply_record(catalog, 1.0, started_ms=10**13, is_draining=True)
+        apply_record(catalog, 2.0, started_ms=100)
+        apply_record(catalog, 3.9, started_ms=100, slots=7)
+        assert catalog.apply_postponed(3.9) == [] and not is_usable(catalog)
+        (change,) = catalog.apply_postponed(4.0)
+        assert is_usable(catalog) and change.record.slots == 7 and catalog.pop_restart("t0")
+
+    def test_earlier_start_is_not_used_while_the_later_one_writes(self):
+        catalog = make_catalog(targets=1)
+        for second in range(1, 20, 2):
+            apply_record(catalog, float(second), started_ms=200)
+            apply_record(catalog, second + 0.5, started_ms=100, is_draining=True)
+            assert catalog.apply_postponed(second + 1.0) == [] and is_usable(catalog)
+        catalog.apply(TargetRemoved("t0"), 20.0)
+        assert catalog.apply_postponed(30.0) == [] and catalog.find_target("t0") is None
+
 
 class TestGateway:
     def test_restart_drops_the_results_and_connections_of_the_earlier_start(self):
