--- a/halldoor/core/targets/changes.py
+++ b/halldoor/core/targets/changes.py
@@ -152,3 +152,14 @@
             return True
         case _:
             return False
+
+
+def is_withdrawal(change: Change) -> bool:
+    """Check whether a change takes a target or a hall out of use by a record that remains."""
+    match change:
+        case TargetSeen(record):
+            return record.is_draining
+        case EvacuationSet(_, is_evacuated):
+            return is_evacuated
+        case _:
+            return False
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -111,7 +111,7 @@
         self._direct_until = 0.0
         self._no_handover_until = 0.0
         self._proven_at = -math.inf
-        self._had_changes = False
+        self._is_hasty = self._is_pause_due = False
         self._has_watched = False
         self._records = RecordTable()
         self._history: ChangeHistory[StoredItem] = ChangeHistory()
@@ -160,8 +160,11 @@
         return await self._watch(revision)
 
     async def pause(self) -> None:
-        """Wait after changes, so that several of them cost one call to the store."""
-        if not (self._had_changes and self.watches_store):
+        """Wait after changes, so that several of them cost one call to the store.
+
+        A watch that the store answered at once without changes counts the same.
+        """
+        if not (self._is_pause_due and self.watches_store):
             return
         now = _now()
         if self._is_reader:
@@ -208,7 +211,7 @@
         """Watch the store; a reader waits shorter, as each return proves its state to followers."""
         wait_s = WATCH_S
         if self._is_reader:
-            wait_s = self.settings.find_watch_s(is_after_changes=self._had_changes)
+            wait_s = self.settings.find_watch_s(is_after_changes=self._is_pause_due)
         elif self._reader is not None:
             wait_s = self.settings.direct_s  # Returns in time to follow a reader again.
         if not self.has_contact:
@@ -219,9 +222,10 @@
         if not self._has_watched:
             wait_s = min(wait_s, self.settings.resume_s)
         sent_at = _now()
-        self._has_watched = False
+        self._has_watched = self._is_hasty = False
         events = await self._watch_in_contact(revision, wait_s)
         self._has_watched = True
+        self._is_hasty = _now() - sent_at < min(wait_s / 2, self.settings.own_pause_s)
         if events.revision < revision:
             raise HistoryGoneError("The revision is not reached.", remedy="Read all again.")
         self._metrics.add_store_call("watch", "events" if events.items else "quiet")
@@ -254,7 +258,7 @@
         assert self._reader is not None and self._reader.relay is not None
         if self._client is None:
             self._client = self._open_client(self._reader.relay)
-        self._has_watched = False
+        self._has_watched = self._is_hasty = False
         sent_at = _now()
         age_s = sent_at - self._proven_at
         wait_s = self.settings.find_poll_s(age_s)
@@ -345,7 +349,7 @@
         """Record an update that was applied, and publish it to the followers that wait."""
         self._is_recording = True
         events = update.events
-        self._had_changes = bool(events.items)
+        self._is_pause_due = bool(events.items) or self._is_hasty
         self._proven_at = max(self._proven_at, update.proven_at)
         self._records.apply(events.items, events.revision)
         self._publish(update.to_batch(after))
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -7,12 +7,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from halldoor.core.targets.catalog import Catalog
-from halldoor.core.targets.changes import (
-    Change,
-    EvacuationSet,
-    MemberSeen,
-    TargetSeen,
-)
+from halldoor.core.targets.changes import Change, MemberSeen, is_withdrawal
 from halldoor.core.targets.era import find_era_problem, parse_era
 from halldoor.core.targets.relay import WantedEra
 from halldoor.core.targets.sequence import RoutingSequence
@@ -95,6 +90,7 @@
         self._on_change = on_change
         self._feed = feed
         self._backoff = Backoff(feed.random)
+        self._watch_backoff = Backoff(feed.random)
         self._reader = RecordReader(store, metrics=metrics, on_page=self._apply_withdrawals)
         self._revision: int | None = None
         self._era = ""
@@ -129,14 +125,14 @@
                     self._apply_records(await self._read_records())
                 else:
                     await self._watch(self._revision)
+                    self._watch_backoff.reset()
                 self._backoff.reset()
             except HistoryGoneError:
                 self._metrics.add_store_call("watch", "history gone")
                 self._log.event("store", "Its history is gone; reading all again.")
                 self._catalog.contact.record_answer(asyncio.get_running_loop().time())
-                self._revision = None
                 self._backoff.reset()
-                await asyncio.sleep(self._backoff.draw_spread_s())
+                await asyncio.sleep(self._find_reading_pause_s())
             except OtherEraError:
                 await self._resolve_other_era()
             except ContactLostError:
@@ -173,6 +169,16 @@
         self._reader.clear()
         self.restart_watch(cause)
 
+    def _find_reading_pause_s(self) -> float:
+        """Mark the history as gone, and return the pause before all records are read again.
+
+        It grows while each watch after a full read fails, so that the store is not flooded.
+        """
+        if self._revision is None:
+            return self._backoff.draw_spread_s()  # A full read was interrupted.
+        self._revision = None
+        return self._watch_backoff.find_pause_s()
+
     async def _resolve_other_era(self) -> None:
         """Switch to the copy of the store that the reader follows, or stop following the reader."""
         self._log.event("store", "The reader follows another copy of the store.")
@@ -376,16 +382,6 @@
         )
 
 
-def is_withdrawal(change: Change) -> bool:
-    """Check whether a change takes a target or a hall out of use."""
-    match change:
-        case TargetSeen(record):
-            return record.is_draining
-        case EvacuationSet(_, is_evacuated):
-            return is_evacuated
-    return False
-
-
 def _is_cancelling() -> bool:
     """Check whether the running task itself is being cancelled."""
     task = asyncio.current_task()
