--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -4,17 +4,13 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from halldoor.core.targets.catalog import Catalog
-from halldoor.core.targets.changes import (
-    Change,
-    EvacuationSet,
-    MemberSeen,
-    TargetSeen,
-)
+from halldoor.core.targets.changes import Change, MemberSeen, is_withdrawal
 from halldoor.core.targets.era import find_era_problem, parse_era
 from halldoor.core.targets.relay import WantedEra
+from halldoor.core.targets.sequence import RoutingSequence
 from halldoor.core.targets.withdrawal import StoreView
 from halldoor.gateway.backoff import Backoff
 from halldoor.gateway.changelog import ChangeLog
@@ -90,9 +86,11 @@
         self._log = log
         self._metrics = metrics
         self._changes = ChangeLog(catalog, log)
+        self._sequence = RoutingSequence()
         self._on_change = on_change
         self._feed = feed
         self._backoff = Backoff(feed.random)
+        self._watch_backoff = Backoff(feed.random)
         self._reader = RecordReader(store, metrics=metrics, on_page=self._apply_withdrawals)
         self._revision: int | None = None
         self._era = ""
@@ -127,14 +125,14 @@
                     self._apply_records(await self._read_records())
                 else:
                     await self._watch(self._revision)
+                    self._watch_backoff.reset()
                 self._backoff.reset()
             except HistoryGoneError:
                 self._metrics.add_store_call("watch", "history gone")
                 self._log.event("store", "Its history is gone; reading all again.")
                 self._catalog.contact.record_answer(asyncio.get_running_loop().time())
-                self._revision = None
                 self._backoff.reset()
-                await asyncio.sleep(self._backoff.draw_spread_s())
+                await asyncio.sleep(self._find_reading_pause_s())
             except OtherEraError:
                 await self._resolve_other_era()
             except ContactLostError:
@@ -171,6 +169,16 @@
         self._reader.clear()
         self.restart_watch(cause)
 
+    def _find_reading_pause_s(self) -> float:
+        """Mark the history as gone, and return the pause before all records are read again.
+
+        It grows while each watch after a full read fails, so that the store is not flooded.
+        """
+        if self._revision is None:
+            return self._backoff.draw_spread_s()  # A full read was interrupted.
+        self._revision = None
+        return self._watch_backoff.find_pause_s()
+
     async def _resolve_other_era(self) -> None:
         """Switch to the copy of the store that the reader follows, or stop following the reader."""
         self._log.event("store", "The reader follows another copy of the store.")
@@ -186,7 +194,13 @@
         before = self._era
         is_restored = self.is_loaded.is_set() and before != records.era
         now = self._record_contact(records.proven_at)
-        changes = [c for c in map(self._decode, records.items) if c is not None]
+        newest = max(records.revision, records.newest)
+        changes = self._sequence.mark_read(
+            self._decode_all(records.items),
+            StoreView(records.era, records.revision),
+            newest=newest,
+            in_force=self._catalog.routing,
+        )
         applied = self._catalog.apply_full_read(
             changes, now, is_restored=is_restored, on_failure=self._report_unapplied
         )
@@ -204,7 +218,7 @@
         self._log.event("store", "Read all.", revision=records.revision, changes=len(applied))
         self._changes.log_full_read(applied, records.revision)
         self._catalog.contact.record_applied_until(records.proven_at)
-        self._call_receivers(StoreView(records.era, max(records.revision, records.newest)))
+        self._call_receivers(StoreView(records.era, newest))
 
     def _report_unapplied(self, change: Change, exc: Exception) -> None:
         """Report a change that can't be applied; the state that it concerns stays as it was."""
@@ -282,9 +296,9 @@
         else:
             now = self._record_contact(update.proven_at)
         self._begun_revision = events.revision
-        for item in events.items:
-            change = self._decode(item)
-            if change is not None and self._catalog.apply(change, now):
+        changes = self._decode_all(events.items)
+        for change in self._sequence.mark_events(changes, events.revision):
+            if self._catalog.apply(change, now):
                 self._record_applied(change)
                 self._changes.log(change, events.revision)
         # The store's own answer includes all removals up to its return, whenever it was sent.
@@ -306,6 +320,10 @@
         for receiver in self.on_update:
             self.notifier.notify(receiver, changes, view)
 
+    def _decode_all(self, items: Iterable[StoredItem]) -> list[Change]:
+        """Decode records, without those that the gateway does not use."""
+        return [change for change in map(self._decode, items) if change is not None]
+
     def _decode(self, item: StoredItem) -> Change | None:
         """Decode a record; treat one that can't be decoded as removed.
 
@@ -364,16 +382,6 @@
         )
 
 
-def is_withdrawal(change: Change) -> bool:
-    """Check whether a change takes a target or a hall out of use."""
-    match change:
-        case TargetSeen(record):
-            return record.is_draining
-        case EvacuationSet(_, is_evacuated):
-            return is_evacuated
-    return False
-
-
 def _is_cancelling() -> bool:
     """Check whether the running task itself is being cancelled."""
     task = asyncio.current_task()
