--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -24,6 +24,8 @@
 """Greatest length of an answer's head, in bytes."""
 MAX_TIMEOUT_S = 10**9
 """Greatest time-out of an idle connection that is read from an answer, in seconds."""
+MAX_INFORMATIONAL_ANSWERS = 16
+"""Informational answers (1xx) that are skipped; a server that sends more is faulty."""
 
 
 class ConnectionFailedError(Exception):
@@ -231,6 +233,20 @@
                 self._read_keep_alive(event)
             return event
 
+    async def receive_head(self) -> h11.Response:
+        """Wait for the head of the answer, and skip informational answers before it.
+
+        Raises
+        ------
+        ConnectionBrokenError
+            If the connection broke before, or there are too many informational answers.
+        """
+        for _ in range(MAX_INFORMATIONAL_ANSWERS + 1):
+            head = await self.receive()
+            if not isinstance(head, h11.InformationalResponse):
+                return head
+        raise ConnectionBrokenError("too many informational answers")
+
     def can_skip_answer(self) -> bool:
         """Check whether a surplus answer to an earlier exchange can be skipped.
 
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -55,8 +55,6 @@
 
 A faulty target sends one surplus answer at a time; more mean that the connection is out of sync.
 """
-MAX_INFORMATIONAL_ANSWERS = 16
-"""Informational answers (1xx) that are skipped; a target that sends more is faulty."""
 ANSWER_SLACK_S = 0.1
 """Time to wait beyond the deadline sent to a target, for its last answer to arrive, in seconds.
 
@@ -264,14 +262,9 @@
         A faulty target may answer an earlier request of the connection twice, so late that the
         second answer arrives in place of the next request's answer.
         """
-        surplus = informational = 0
+        surplus = 0
         while True:
-            response = await connection.receive()
-            if isinstance(response, h11.InformationalResponse):
-                informational += 1
-                if informational > MAX_INFORMATIONAL_ANSWERS:
-                    raise ConnectionBrokenError("too many informational answers")
-                continue
+            response = await connection.receive_head()
             is_own_answer = find(response.headers, self._names.attempt_id) == outgoing.attempt_id
             # h11 derives from the request's method whether an answer has a body, and loses that
             # information after a skipped answer: so answers to HEAD are not skipped.
--- a/halldoor/gateway/forwarding.py
+++ b/halldoor/gateway/forwarding.py
@@ -52,9 +52,7 @@
         self, connection: HttpConnection, outgoing: OutgoingRequest
     ) -> h11.Response:
         """Read the head of the answer; entries send no surplus ones."""
-        while isinstance(response := await connection.receive(), h11.InformationalResponse):
-            pass
-        return response
+        return await connection.receive_head()
 
 
 class PeerForwarder:
--- a/halldoor/gateway/httpclient.py
+++ b/halldoor/gateway/httpclient.py
@@ -80,15 +80,18 @@
         Raises
         ------
         HttpCallError
-            If no complete answer of at most `max_bytes` arrived in time.
+            If no complete answer of at most `max_bytes` arrived in time, or HTTP can't express the
+            request.
         """
+        request = self._build_request(method, target, body, headers or [])
         connection: HttpConnection | None = None
         is_kept = False
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._connect(timeout_s)
-                head = await self._send(connection, method, target, body, headers or [])
-                answer = await _receive_answer(connection, head, max_bytes=max_bytes)
+                connection.start_exchange()
+                await connection.send(request, h11.Data(data=body), h11.EndOfMessage())
+                answer = await _receive_answer(connection, max_bytes=max_bytes)
             is_kept = connection.can_be_reused() and len(self._idle) < MAX_IDLE
             if is_kept:
                 connection.mark_idle(asyncio.get_running_loop().time(), idle_limit_s=IDLE_LIMIT_S)
@@ -114,16 +117,8 @@
             user_timeout_s=CONNECT_S,
         )
 
-    async def _send(
-        self,
-        connection: HttpConnection,
-        method: str,
-        target: str,
-        body: bytes,
-        extra: Headers,
-    ) -> h11.Response:
-        """Send one request over a connection and read the head of its answer."""
-        connection.start_exchange()
+    def _build_request(self, method: str, target: str, body: bytes, extra: Headers) -> h11.Request:
+        """Build the head of a request; raise HttpCallError if HTTP can't express it."""
         headers: Headers = [
             (b"Host", str(self._address).encode()),
             (b"Content-Length", str(len(body)).encode()),
@@ -131,9 +126,10 @@
         ]
         if body:
             headers.append((b"Content-Type", b"application/json"))
-        request = h11.Request(method=method, target=target, headers=headers)
-        await connection.send(request, h11.Data(data=body), h11.EndOfMessage())
-        return await connection.receive()
+        try:
+            return h11.Request(method=method, target=target, headers=headers)
+        except (h11.LocalProtocolError, ValueError) as exc:
+            raise HttpCallError(f"not a request: {exc}") from exc
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -142,10 +138,9 @@
         self._idle.clear()
 
 
-async def _receive_answer(
-    connection: HttpConnection, head: h11.Response, *, max_bytes: int
-) -> HttpAnswer:
-    """Receive the body after the head of an answer; raise an error if it is too large."""
+async def _receive_answer(connection: HttpConnection, *, max_bytes: int) -> HttpAnswer:
+    """Receive an answer; raise an error if its body is too large."""
+    head = await connection.receive_head()
     body = bytearray()
     try:
         while not isinstance(event := await connection.receive(), h11.EndOfMessage):
