--- a/halldoor/core/teams/admission.py
+++ b/halldoor/core/teams/admission.py
@@ -28,6 +28,7 @@
 
     NO_CONFIGURATION = "no configuration yet"
     STOOD_STILL = "the entry stood still"
+    NO_TUNNEL = "CONNECT is not supported"
     NO_ROUTE = "no route"
     UNUSABLE_ROUTE = "the route's configuration can't be read"
     UNKNOWN_KEY = "key unknown"
@@ -42,6 +43,7 @@
 _STATUSES = {
     RefusalReason.NO_CONFIGURATION: 503,
     RefusalReason.STOOD_STILL: 503,
+    RefusalReason.NO_TUNNEL: 501,
     RefusalReason.NO_ROUTE: 404,
     RefusalReason.UNUSABLE_ROUTE: 503,
     RefusalReason.UNKNOWN_KEY: 401,
--- a/halldoor/gateway/access.py
+++ b/halldoor/gateway/access.py
@@ -82,6 +82,9 @@
         if self._is_confirming():
             # The request may have waited unread during the suspension; its caller may have left.
             return Refusal(RefusalReason.STOOD_STILL)
+        if head.method == b"CONNECT":
+            # A target's success would be the beginning of a tunnel.
+            return Refusal(RefusalReason.NO_TUNNEL)
         table = self.find_table()
         if table is None:
             return Refusal(RefusalReason.NO_CONFIGURATION)
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -123,9 +123,8 @@
         not_forwarded = {b"expect", FORWARDED_BY, names.deadline_ms, names.expected_incarnation}
         if has_teams:
             not_forwarded |= {names.credentials, names.team}
-        headers = [
-            (n, v) for n, v in drop_hop_by_hop(head.headers) if n.lower() not in not_forwarded
-        ]
+        forwarded = drop_hop_by_hop(head.headers, kept=(b"host", names.attempt_id))
+        headers = [(n, v) for n, v in forwarded if n.lower() not in not_forwarded]
         return [*headers, (names.team, team.encode())] if team else headers
 
     async def send(
--- a/halldoor/gateway/headers.py
+++ b/halldoor/gateway/headers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 Headers = list[tuple[bytes, bytes]]
@@ -64,16 +64,29 @@
     return sum(len(n) + len(v) + 4 for n, v in headers) > limit
 
 
-def drop_hop_by_hop(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
-    """Return the fields without hop-by-hop ones and without those that ``Connection`` lists."""
-    fields = list(headers)
-    named = {
+def drop_hop_by_hop(
+    headers: Iterable[tuple[bytes, bytes]], *, kept: Collection[bytes] = ()
+) -> Headers:
+    """Return the fields that are forwarded.
+
+    Hop-by-hop fields and those that ``Connection`` lists are dropped, and so is a length beside
+    ``Transfer-Encoding``, which overrides it (RFC 9112, 6.3).
+
+    Parameters
+    ----------
+    kept : collection of bytes, optional
+        Names of fields that are forwarded even if ``Connection`` lists them, in lower case.
+    """
+    fields = [(name, value, name.lower()) for name, value in headers]
+    dropped = {
         token.strip().lower()
-        for name, value in fields
-        if name.lower() == b"connection"
+        for _, value, key in fields
+        if key == b"connection"
         for token in value.split(b",")
-    }
-    return [(n, v) for n, v in fields if n.lower() not in HOP_BY_HOP and n.lower() not in named]
+    }.difference(kept)
+    if any(key == b"transfer-encoding" for *_, key in fields):
+        dropped.add(b"content-length")
+    return [(n, v) for n, v, key in fields if key not in HOP_BY_HOP and key not in dropped]
 
 
 def replace(headers: Headers, name: bytes, value: bytes) -> Headers:
