--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -206,6 +206,10 @@
         self._write(h11.Data(data=data))
         await self.wait_until_drained()
 
+    async def wait_for_caller(self) -> None:
+        """Wait while whole answers fill the write buffer, for the idle timeout at most."""
+        await self.wait_until_taken(limit_s=self._read_limits().idle_timeout_s)
+
     def set_unread(self, size: int) -> None:
         """Set the number of bytes that are buffered unread, and pause reading if it is large."""
         self._unread = size
@@ -344,7 +348,7 @@
         # What came with the request was read; only bytes of later ones are left.
         self._unread = len(self._h11.trailing_data[0])
         # A caller that sends requests but reads no answers must not fill the write buffer.
-        await self.wait_until_drained()
+        await self.wait_for_caller()
         has_next = pipeline is not None and pipeline.has_read
         return not self.is_closing or has_next or bool(self._h11.trailing_data[0])
 
--- a/halldoor/gateway/delivery.py
+++ b/halldoor/gateway/delivery.py
@@ -15,7 +15,7 @@
 import struct
 import sys
 import termios
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 from halldoor.gateway.flow import FlowProtocol
@@ -79,6 +79,18 @@
             self._active_at = asyncio.get_running_loop().time()
         return self._is_discarding
 
+    async def wait_until_taken(self, *, limit_s: float) -> None:
+        """Wait while the write buffer is full.
+
+        Parameters
+        ----------
+        limit_s : float
+            Longest time in which the peer acknowledges nothing more, in seconds; a peer that
+            exceeds it is disconnected.
+        """
+        if not self._drained.is_set():
+            await self._watch_delivery(self._drained.is_set, self._drained.wait, limit_s=limit_s)
+
     def _has_ended(self) -> bool:
         """Check whether the connection is closed, or closing it now would destroy no answer."""
         return self._is_closed or self._transport.is_closing() or self.is_settled()
@@ -99,12 +111,18 @@
             self._transport.write_eof()
         except OSError:
             return  # The peer has reset the connection; the transport is told next.
+        await self._watch_delivery(self._has_ended, self._wait_for_data, limit_s=limit_s)
+
+    async def _watch_delivery(
+        self, is_done: Callable[[], bool], wait: Callable[[], Awaitable[object]], *, limit_s: float
+    ) -> None:
+        """Wait until something is done; disconnect a peer that acknowledges nothing meanwhile."""
         loop = asyncio.get_running_loop()
         left, progress_at = self.count_undelivered(), loop.time()
-        while not self._has_ended():
+        while not is_done():
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(CHECK_S):
-                    await self._wait_for_data()
+                    await wait()
             undelivered = self.count_undelivered()
             if undelivered < left:
                 left, progress_at = undelivered, loop.time()
--- a/halldoor/gateway/pipeline.py
+++ b/halldoor/gateway/pipeline.py
@@ -323,7 +323,7 @@
         self.read()
         while self._requests:
             request = self._requests[0]
-            await self.connection.wait_until_drained()
+            await self.connection.wait_for_caller()
             if request.is_aborted:
                 return False
             request.start_turn()
