--- a/halldoor/core/bounds.py
+++ b/halldoor/core/bounds.py
@@ -13,12 +13,18 @@
 
 MAX_NAME = 1024
 """Greatest length of a name that is sent in a header field, in characters."""
+MAX_KEY = 128
+"""Greatest length of an affinity key that is kept as it is, in characters."""
 
 MAX_REVISION = 2**63 - 1
 """Greatest number of a version, revision, lease or start."""
 MAX_PORT = 65_535
 """Greatest port of TCP or UDP."""
 
+Key = Annotated[str, Meta(max_length=MAX_KEY)]
+"""Affinity key."""
+Kind = Annotated[str, Meta(max_length=4 * MAX_NAME)]
+"""Kind of request, named by its service and route."""
 Revision = Annotated[int, Meta(ge=0, le=MAX_REVISION)]
 """Number of a version, revision, lease or start."""
 Slots = Annotated[int, Meta(ge=1, le=1_000_000)]
--- a/halldoor/core/targets/latency.py
+++ b/halldoor/core/targets/latency.py
@@ -25,6 +25,8 @@
 """Weight of a connect time longer than the average; a shorter one replaces the average at once."""
 WORK_PRIOR_S = 0.1
 """Work assumed for a kind of request before its first answer, in seconds."""
+KINDS_KEPT = 4_096
+"""Kinds of request whose work is remembered, the first ones of the process."""
 KEY_PAIRS_KEPT = 20_000
 """Pairs of target and key that are remembered; about 3 MB."""
 
@@ -135,7 +137,7 @@
             How long work took there at the moment, in multiples of its usual time.
         """
         is_known = self.has_answered(target, key)
-        if not has_waited:
+        if not has_waited and (kind in self._samples or len(self._samples) < KINDS_KEPT):
             work_s = max(0.0, took_s - self.get_travel(hall)) / slowness
             self._samples.setdefault(kind, _Samples()).add(work_s, is_known_key=is_known)
         if key:
--- a/halldoor/core/targets/observation.py
+++ b/halldoor/core/targets/observation.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from halldoor.core.bounds import Count
+from halldoor.core.bounds import Count, Key, Kind
 from halldoor.core.placement import rank
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.load import USUAL_WORK_PERCENT, LoadReport
@@ -59,8 +59,8 @@
     """
 
     target: str
-    kind: str
-    key: str
+    kind: Kind
+    key: Key
     took_ms: Count
     has_waited: bool
     running: Count = 0
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import hashlib
 from enum import StrEnum
 from random import Random
 from typing import Any, NamedTuple
 
+from halldoor.core.bounds import MAX_KEY
 from halldoor.core.decoding import DecodingError, parse_float
 from halldoor.core.quarantine.identity import Identity
 from halldoor.core.retry import RetryObstacle
@@ -305,6 +307,13 @@
     return max(0.0, left_ms / 1000)
 
 
+def parse_affinity_key(value: bytes) -> str:
+    """Return an affinity key; a long one, which would fill caches and messages, as its digest."""
+    if len(value) > MAX_KEY:
+        return hashlib.sha256(value).hexdigest()
+    return value.decode("latin-1")
+
+
 def randomize_retry_after(after_s: float, generator: Random) -> float:
     """Randomize a retry time in both directions, so that callers don't return together."""
     return after_s * generator.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
--- a/halldoor/gateway/eventlog.py
+++ b/halldoor/gateway/eventlog.py
@@ -33,7 +33,8 @@
 TEXT_SHARE = 0.75
 """Share of both limits that lines with the same text may use, so that others are written too."""
 TEXT_LIMIT = 1_000
-"""Greatest length of the text of a value that can't be rendered as JSON, in characters."""
+"""Greatest length of a text, and of one for a value that can't be rendered as JSON, in
+characters."""
 
 
 class EventLog:
@@ -103,7 +104,10 @@
         if not credit.use(now) or not self._credit.use(now):
             self._dropped += 1
             return
-        entry = {"event": text, "at": round(now, 3), "entry": self._name, **fields}
+        entry = {"event": text, "at": round(now, 3), "entry": self._name}
+        for name, value in fields.items():
+            # Callers send some of the texts, such as ids.
+            entry[name] = value[:TEXT_LIMIT] if isinstance(value, str) else value
         if self._dropped:
             entry["dropped_before"] = self._dropped
             self._dropped = 0
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -18,6 +18,7 @@
     RequestResult,
     RequestState,
     build_gateway_answer,
+    parse_affinity_key,
     parse_deadline_s,
     randomize_requested_backoff,
     randomize_retry_after,
@@ -123,7 +124,7 @@
             self._refuse_unadmitted(caller, attempt_id, admission)
             return
         route = admission.route
-        key = find(head.headers, self._names.affinity_key).decode("latin-1")
+        key = parse_affinity_key(find(head.headers, self._names.affinity_key))
         service = self._splitter.choose(route, key or attempt_id)
         affinity = key if route.has_affinity else ""
         state = RequestState(head, admission, service, affinity, attempt_id, origin=origin)
--- a/halldoor/tests/test_odd_callers.py
+++ b/halldoor/tests/test_odd_callers.py
@@ -37,7 +37,7 @@
         (b"CONNECT /1\r\n", b"501"),
     ],
 )
-def test_odd_request_ejects_sound_targets(head, status, capsys):
+def test_odd_request_ejects_sound_targets(head, status, capfd):
     """Sound targets counted as failing, and the request as one that crashes them."""
 
     async def run():
@@ -47,7 +47,7 @@
             assert [(await kit.call()).status for _ in range(5)] == [200] * 5
 
     asyncio.run(run())
-    log = capsys.readouterr().out
+    log = capfd.readouterr().out
     assert "Ejected" not in log
     assert "crashed" not in log
 
