--- a/halldoor/cli/admin.py
+++ b/halldoor/cli/admin.py
@@ -23,7 +23,7 @@
     settings : Path
         YAML file with the settings; docs/reference.md lists them.
     """
-    checked = wait_for_settings(settings, AdminSettings, program=PROGRAM)
+    checked = wait_for_settings(settings, AdminSettings, program=PROGRAM).value
     try:
         wait_for_ports((checked.http,), program=PROGRAM)
         serve(checked)
--- a/halldoor/cli/entry.py
+++ b/halldoor/cli/entry.py
@@ -26,10 +26,10 @@
     settings : Path
         YAML file with the settings; docs/reference.md lists them.
     """
-    checked = wait_for_settings(settings, EntrySettings, program=PROGRAM)
+    checked, unread = wait_for_settings(settings, EntrySettings, program=PROGRAM)
     try:
         wait_for_ports((checked.wire, checked.http), program=PROGRAM)
-        process = EntryProcess.from_config(checked)
+        process = EntryProcess.from_config(checked, unread_settings=len(unread))
     except (HalldoorError, OSError) as exc:
         exit_with_error(PROGRAM, exc, ExitStatus.SETTINGS)
     should_stop = threading.Event()
--- a/halldoor/cli/gateway.py
+++ b/halldoor/cli/gateway.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import NamedTuple
 
 import defopt
 import msgspec
 
 from halldoor.core.errors import HalldoorError
+from halldoor.core.fields import Fields
 from halldoor.core.targets.entryweights import EntryCapacity
-from halldoor.files import load_settings
+from halldoor.files import load_fields
 from halldoor.gateway import clock
 from halldoor.gateway.filestore import FileStore, GatewayFileSettings, load_configuration
 from halldoor.gateway.headers import HeaderNames
@@ -39,15 +41,57 @@
         YAML file with the settings; docs/reference.md lists them.
     """
     end_on_signals()
-    file, checked = load_when_sound(lambda: load_file(settings), program=PROGRAM)
+    loader = SettingsLoader(settings)
+    file, loaded = load_when_sound(lambda: load_file(settings, loader), program=PROGRAM)
     set_descriptor_limit()
     try:
-        clock.run_program(run_until_stopped(build_gateway(checked), file))
+        clock.run_program(run_until_stopped(build_gateway(loaded), file))
     except (HalldoorError, OSError) as exc:
         exit_with_error(PROGRAM, exc, ExitStatus.SETTINGS)
 
 
-def load_file(path: Path) -> tuple[SettingsFile, GatewayFileSettings]:
+class LoadedSettings(NamedTuple):
+    """Settings of a gateway, and the contents of the file that they are from."""
+
+    gateway: GatewaySettings
+    file: GatewayFileSettings
+
+
+class SettingsLoader:
+    """Reads the settings again and again; what can't be read keeps its previous value.
+
+    Parameters
+    ----------
+    path : Path
+        The settings file.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._current: LoadedSettings | None = None
+
+    def load(self) -> LoadedSettings:
+        """Read the settings.
+
+        Raises
+        ------
+        SettingsError
+            If the file can't be read, or lacks what the gateway can't serve without.
+        """
+        before = self._current
+        file = load_fields(self._path, GatewayFileSettings, before.file if before else None)
+        gateway = build_settings(file, before.gateway if before else None)
+        self._current = LoadedSettings(gateway, file.value)
+        return self._current
+
+    def load_all(self) -> LoadedSettings:
+        """Read the settings; raise an error also if the configuration is not sound."""
+        loaded = self.load()
+        load_configuration(Path(loaded.file.configuration))
+        return loaded
+
+
+def load_file(path: Path, loader: SettingsLoader) -> tuple[SettingsFile, LoadedSettings]:
     """Read the settings and the configuration that they name.
 
     Raises
@@ -55,36 +99,31 @@
     HalldoorError
         If they are not sound, or the settings changed while they were read.
     """
-    file = SettingsFile(path, lambda: build_settings(load_settings(path, GatewayFileSettings)))
-    return file, file.read_unchanged(lambda: _load_checked(path))
-
-
-def _load_checked(path: Path) -> GatewayFileSettings:
-    """Read the settings; raise an error if they or the configuration are not sound."""
-    checked = load_settings(path, GatewayFileSettings)
-    build_settings(checked)
-    load_configuration(Path(checked.configuration))
-    return checked
+    file = SettingsFile(path, lambda: loader.load().gateway)
+    return file, file.read_unchanged(loader.load_all)
 
 
-def build_gateway(checked: GatewayFileSettings) -> Gateway:
-    """Build a gateway from validated settings."""
+def build_gateway(loaded: LoadedSettings) -> Gateway:
+    """Build a gateway from settings."""
     return Gateway(
-        build_settings(checked),
-        store=FileStore(Path(checked.configuration)),
+        loaded.gateway,
+        store=FileStore(Path(loaded.file.configuration)),
         codec=PlainCodec(),
         lookups=PlainLookupFormat(),
         names=HeaderNames(),
     )
 
 
-def build_settings(checked: GatewayFileSettings) -> GatewaySettings:
+def build_settings(
+    fields: Fields[GatewayFileSettings], previous: GatewaySettings | None = None
+) -> GatewaySettings:
     """Build the gateway's settings from the settings file, with its policy applied."""
-    data = msgspec.structs.asdict(checked)
+    data = msgspec.structs.asdict(fields.value)
     policy = data.pop("policy")
     del data["configuration"]
     capacity = EntryCapacity(**msgspec.structs.asdict(data.pop("capacity")))
-    return GatewaySettings(**data, capacity=capacity).apply_policy(policy, origin="policy")
+    settings = GatewaySettings(**data, capacity=capacity, unread=fields.unread)
+    return settings.apply_readable_policy(policy, previous, origin="policy")
 
 
 def main() -> None:
--- a/halldoor/core/settings.py
+++ b/halldoor/core/settings.py
@@ -76,7 +76,7 @@
     log_format: str = "json"
 
 
-def parse(data: Any, kind: type[T], *, origin: str) -> T:
+def parse(data: Any, kind: type[T], *, origin: str, strict: bool = True) -> T:
     """Convert plain data to a type, and check it against the type's schema.
 
     Parameters
@@ -87,6 +87,8 @@
         Type that defines the schema.
     origin : str
         Name of the file, for error messages.
+    strict : bool, optional
+        Whether numbers may not be written as strings.
 
     Raises
     ------
@@ -94,7 +96,7 @@
         If the data doesn't match; names the file, the path in it, the given and the expected value.
     """
     try:
-        return msgspec.convert(data, type=kind)
+        return msgspec.convert(data, type=kind, strict=strict)
     except msgspec.ValidationError as exc:
         raise SettingsError(f"{origin}: {exc}.", remedy=_find_remedy(str(exc), data)) from exc
     except Exception as exc:  # Such as nesting beyond the recursion limit.
--- a/halldoor/entry/process.py
+++ b/halldoor/entry/process.py
@@ -63,10 +63,15 @@
         Validated settings.
     platform : Platform
         The key-value service.
+    unread_settings : int, optional
+        Number of settings that can't be read and have their defaults.
     """
 
-    def __init__(self, settings: EntrySettings, platform: Platform) -> None:
+    def __init__(
+        self, settings: EntrySettings, platform: Platform, *, unread_settings: int = 0
+    ) -> None:
         self.settings = settings
+        self._unread_settings = unread_settings
         self.incarnation = secrets.token_hex(8)
         self.invariants = Invariants(strict=settings.strict_invariants, on_violation=_log_violation)
         self.snapshot: Snapshot | None = None
@@ -83,10 +88,10 @@
         self._connect_components()
 
     @classmethod
-    def from_config(cls, settings: EntrySettings) -> EntryProcess:
+    def from_config(cls, settings: EntrySettings, *, unread_settings: int = 0) -> EntryProcess:
         """Build the process from its settings."""
         platform = HttpPlatform(settings.platform, source_ip=settings.source_ip)
-        return cls(settings, platform)
+        return cls(settings, platform, unread_settings=unread_settings)
 
     def _build_control(self, platform: Platform) -> None:
         """Create membership, configuration, loans, admission and probes."""
@@ -318,6 +323,7 @@
             "configuration": self.configuration.odd_items,
             "members": self.gossip.odd_items,
             "shards": self.claims.odd_shards,
+            "settings": self._unread_settings,
         }
 
     @property
--- a/halldoor/files.py
+++ b/halldoor/files.py
@@ -9,6 +9,7 @@
 
 from halldoor.core.decoding import MAX_BYTES, MAX_DEPTH, DecodingError, decoding
 from halldoor.core.errors import SettingsError
+from halldoor.core.fields import Fields, parse_fields
 from halldoor.core.settings import parse
 
 T = TypeVar("T")
@@ -109,3 +110,19 @@
 def load_settings(path: Path, kind: type[T]) -> T:
     """Read a YAML settings file and validate it against a class."""
     return parse(load_yaml(path), kind, origin=str(path))
+
+
+def load_fields(path: Path, kind: type[T], previous: T | None = None) -> Fields[T]:
+    """Read a YAML settings file; optional fields that can't be read are left out.
+
+    Parameters
+    ----------
+    previous : struct, optional
+        Settings in force, whose values such fields keep.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read, or lacks a required field.
+    """
+    return parse_fields(load_yaml(path), kind, origin=str(path), previous=previous)
--- a/halldoor/gateway/figures.py
+++ b/halldoor/gateway/figures.py
@@ -26,6 +26,7 @@
         "configuration_version": catalog.configuration_version,
         "store_age_seconds": now - catalog.store_contact_at,
         "store_era": gateway.sync.era_number,
+        "unread_settings": len(gateway.settings.unread),
         **gateway.quarantine.get_figures(),
         **gateway.reach.probe.get_figures(now),
     }
--- a/halldoor/gateway/filestore.py
+++ b/halldoor/gateway/filestore.py
@@ -213,5 +213,5 @@
     metrics: Address | None = None
     lookup_ttl_s: Seconds = 1.0
     grace_s: Seconds = 6.0
-    policy: dict[str, dict[str, Any]] = {}
+    policy: dict[str, Any] = {}
     capacity: CapacityModel = CapacityModel()
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -14,7 +14,6 @@
 from halldoor.core.targets.outlier import OutlierTable
 from halldoor.core.targets.split import Splitter
 from halldoor.core.teams.gate import QuotaGate
-from halldoor.gateway import clock
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.caller import CallerConnection
 from halldoor.gateway.datagrams import DatagramPort
@@ -39,7 +38,7 @@
 from halldoor.gateway.ports import FrontPort, ServicePort, ServicePorts
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.quotas import QuotaExchange
-from halldoor.gateway.reloading import apply_settings
+from halldoor.gateway.reloading import apply_settings, report_start
 from halldoor.gateway.requestpath import build_request_handler
 from halldoor.gateway.retries import RetryGate
 from halldoor.gateway.settings import GatewaySettings
@@ -333,9 +332,7 @@
         for task in list_parts(self):
             self.tasks.start(task)
         self._registering = self.tasks.start(build_registration(self))
-        self.log.event("process", "Started.", hall=self.member.hall, front=str(self.member.front))
-        if not clock.counts_suspensions():
-            self.log.event("process", "This system's clock does not count suspensions.")
+        report_start(self)
 
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings, or none of them; requests in progress are not affected."""
--- a/halldoor/gateway/reloading.py
+++ b/halldoor/gateway/reloading.py
@@ -1,15 +1,26 @@
-"""Applies changed settings to a running gateway."""
+"""Reports the settings of a gateway that starts, and applies changed ones to a running gateway."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from halldoor.core.fields import describe_fields
+from halldoor.gateway import clock
 from halldoor.gateway.settings import LIVE_SETTINGS, GatewaySettings
 
 if TYPE_CHECKING:
     from halldoor.gateway.process import Gateway
 
 
+def report_start(gateway: Gateway) -> None:
+    """Log the start, and what of the settings and the system it had to do without."""
+    member = gateway.member
+    gateway.log.event("process", "Started.", hall=member.hall, front=str(member.front))
+    _report_unread(gateway, "Some settings can't be read; defaults are used.")
+    if not clock.counts_suspensions():
+        gateway.log.event("process", "This system's clock does not count suspensions.")
+
+
 def apply_settings(gateway: Gateway, settings: GatewaySettings) -> None:
     """Apply the settings that need no restart, and log which of the changed ones do."""
     changed = gateway.settings.find_changes(settings)
@@ -23,5 +34,14 @@
     gateway.quarantine.apply_settings(gateway.settings.quarantine)
     gateway.feed.batch_s = gateway.settings.batch_s
     gateway.feed.settings = gateway.settings.relaying
-    at_restart = [n for n in changed if n not in LIVE_SETTINGS]
+    at_restart = [n for n in changed if n not in LIVE_SETTINGS and n != "unread"]
+    gateway.settings = gateway.settings._replace(unread=settings.unread)
     gateway.log.event("process", "Reloaded.", changed=sorted(live), at_next_start=at_restart)
+    text = "Some settings can't be read; their previous values stay in force."
+    _report_unread(gateway, text)
+
+
+def _report_unread(gateway: Gateway, text: str) -> None:
+    """Log the settings that can't be read, if there are any."""
+    if unread := gateway.settings.unread:
+        gateway.log.event("process", text, settings=describe_fields(unread))
--- a/halldoor/gateway/settings.py
+++ b/halldoor/gateway/settings.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple, get_type_hints
 
 from halldoor.core.errors import SettingsError
+from halldoor.core.fields import NAME_CHARS
 from halldoor.core.quarantine.settings import QuarantineSettings
 from halldoor.core.settings import Address, parse
 from halldoor.core.targets.budget import RetrySettings
@@ -78,6 +79,8 @@
         Time from the request to stop until the process is killed, in seconds.
     capacity : EntryCapacity
         Processor and link of the host, by which look-ups name this entry; not set by default.
+    unread : tuple of str
+        Settings that can't be read, and whose previous values or defaults are used.
     """
 
     name: str
@@ -106,6 +109,7 @@
     hedging: HedgeSettings = HedgeSettings()
     weights: WeightSettings = WeightSettings()
     capacity: EntryCapacity = EntryCapacity()
+    unread: tuple[str, ...] = ()
 
     def apply_policy(self, policy: Mapping[str, Any], *, origin: str) -> GatewaySettings:
         """Return these settings with those of a policy file applied.
@@ -123,18 +127,59 @@
             If a section or setting is unknown, or has a wrong type.
         """
         checked = parse(policy, dict[str, dict[str, Any]], origin=origin)
-        sections: dict[str, Any] = {}
+        settings = self
         for section, values in checked.items():
             _check_name(section, POLICY_SECTIONS, origin=origin)
-            known = getattr(self, section)
-            hints = get_type_hints(type(known))
             for name, value in values.items():
-                _check_name(name, hints, origin=f"{origin}, {section}")
-                typed = parse(value, hints[name], origin=f"{origin}, {section}.{name}")
-                _check_figure(typed, origin=f"{origin}, {section}.{name}")
-                known = known._replace(**{name: typed})
-            sections[section] = known
-        return self._replace(**sections)
+                settings = settings._replace_setting(section, name, value, origin=origin)
+        return settings
+
+    def apply_readable_policy(
+        self, policy: Any, previous: GatewaySettings | None, *, origin: str
+    ) -> GatewaySettings:
+        """Return these settings with all of a policy file applied that can be read.
+
+        A setting that can't be read keeps its value of `previous`, or takes its default if there
+        are no previous settings; it is added to `unread`.  Other parameters as of `apply_policy`.
+
+        Raises
+        ------
+        SettingsError
+            If the policy is not a table.
+        """
+        settings, unread = self, list(self.unread)
+        for section, values in parse(policy, dict[str, Any], origin=origin).items():
+            if section not in POLICY_SECTIONS or not isinstance(values, dict):
+                unread.append(f"policy.{section[:NAME_CHARS]}")
+                if previous is not None and section in POLICY_SECTIONS:
+                    settings = settings._replace(**{section: getattr(previous, section)})
+                continue
+            for name, value in values.items():
+                try:
+                    settings = settings._replace_setting(section, name, value, origin=origin)
+                except SettingsError:
+                    unread.append(f"policy.{section}.{str(name)[:NAME_CHARS]}")
+                    settings = settings._keep(section, name, previous)
+        return settings._replace(unread=tuple(unread))
+
+    def _replace_setting(
+        self, section: str, name: str, value: Any, *, origin: str
+    ) -> GatewaySettings:
+        """Return these settings with one of them replaced; raise `SettingsError` if it is odd."""
+        known = getattr(self, section)
+        hints = get_type_hints(type(known))
+        _check_name(name, hints, origin=f"{origin}, {section}")
+        typed = parse(value, hints[name], origin=f"{origin}, {section}.{name}")
+        _check_figure(typed, origin=f"{origin}, {section}.{name}")
+        return self._replace(**{section: known._replace(**{name: typed})})
+
+    def _keep(self, section: str, name: str, previous: GatewaySettings | None) -> GatewaySettings:
+        """Return these settings with the previous value of one of them, if there is one."""
+        known = getattr(self, section)
+        if previous is None or name not in known._fields:
+            return self
+        value = getattr(getattr(previous, section), name)
+        return self._replace(**{section: known._replace(**{name: value})})
 
     def find_changes(self, other: GatewaySettings) -> list[str]:
         """Return the names of the settings that differ from other settings."""
