--- a/halldoor/cli/admin.py
+++ b/halldoor/cli/admin.py
@@ -9,7 +9,7 @@
 from halldoor.admin.api import serve
 from halldoor.cli.loading import wait_for_settings
 from halldoor.core.settings import AdminSettings
-from halldoor.startup import ExitStatus, describe_problem, exit_with_error, wait_for_ports
+from halldoor.startup import ExitStatus, describe_problem, exit_with_error
 
 PROGRAM = "halldoor-admin"
 """Name of the program in its messages."""
@@ -23,10 +23,9 @@
     settings : Path
         YAML file with the settings; docs/reference.md lists them.
     """
-    checked = wait_for_settings(settings, AdminSettings, program=PROGRAM).value
     try:
-        wait_for_ports((checked.http,), program=PROGRAM)
-        serve(checked)
+        fields = wait_for_settings(settings, AdminSettings, lambda s: (s.http,), program=PROGRAM)
+        serve(fields.value)
     except OSError as exc:
         problem = f"{describe_problem(exc)}. Check the address in {settings}."
         exit_with_error(PROGRAM, problem, ExitStatus.SETTINGS)
--- a/halldoor/cli/entry.py
+++ b/halldoor/cli/entry.py
@@ -12,7 +12,7 @@
 from halldoor.core.errors import HalldoorError
 from halldoor.core.settings import EntrySettings
 from halldoor.entry.process import EntryProcess
-from halldoor.startup import ExitStatus, exit_with_error, wait_for_ports
+from halldoor.startup import ExitStatus, exit_with_error
 
 PROGRAM = "halldoor-entry"
 """Name of the program in its messages."""
@@ -26,9 +26,10 @@
     settings : Path
         YAML file with the settings; docs/reference.md lists them.
     """
-    checked, unread = wait_for_settings(settings, EntrySettings, program=PROGRAM)
     try:
-        wait_for_ports((checked.wire, checked.http), program=PROGRAM)
+        checked, unread = wait_for_settings(
+            settings, EntrySettings, lambda s: (s.wire, s.http), program=PROGRAM
+        )
         process = EntryProcess.from_config(checked, unread_settings=len(unread))
     except (HalldoorError, OSError) as exc:
         exit_with_error(PROGRAM, exc, ExitStatus.SETTINGS)
--- a/halldoor/gateway/datagrams.py
+++ b/halldoor/gateway/datagrams.py
@@ -113,6 +113,7 @@
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def send(self, kind: MessageKind, message: Any, *addresses: Address | None) -> None:
         """Send a message to some addresses; drop it where it can't be sent now."""
--- a/halldoor/gateway/opening.py
+++ b/halldoor/gateway/opening.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 from halldoor.core.errors import SettingsError
 from halldoor.core.settings import Address
@@ -22,13 +23,13 @@
 
     def __init__(self, log: EventLog) -> None:
         self._log = log
-        self._waiting: set[asyncio.Task[None]] = set()
+        self._waiting: dict[str, asyncio.Task[None]] = {}
 
     async def open(
         self,
         name: str,
         address: Address,
-        open_port: Callable[[], Awaitable[None]],
+        open_port: Callable[[Address], Awaitable[None]],
     ) -> None:
         """Open a port now, or start to wait for it.
 
@@ -37,7 +38,7 @@
         name, address
             The port, for the log and for errors.
         open_port : callable
-            Opens it; raises `OSError`.
+            Opens it at an address; raises `OSError`.
 
         Raises
         ------
@@ -45,43 +46,51 @@
             If it can't be opened until the settings or the rights of the process are changed.
         """
         try:
-            await open_port()
+            await open_port(address)
         except OSError as exc:
             if exc.errno not in TRANSIENT_ERRORS:
                 raise SettingsError(
                     f"The port {name} at {address} can't be opened: {describe_problem(exc)}.",
                     remedy="Change the address in the settings, or the rights of the process.",
                 ) from exc
-            waiting = self._wait(name, address, open_port, exc)
-            task = asyncio.get_running_loop().create_task(waiting)
-            self._waiting.add(task)
-            task.add_done_callback(self._waiting.discard)
+            self._start_waiting(name, self._wait(name, address, open_port, exc))
+
+    def is_waiting(self, name: str) -> bool:
+        """Check whether a port is awaited."""
+        return name in self._waiting and not self._waiting[name].done()
+
+    def reopen(
+        self, name: str, address: Address, open_port: Callable[[Address], Awaitable[None]]
+    ) -> None:
+        """Open a port at another address, and no longer wait for it at the previous one."""
+        if name in self._waiting:
+            self._waiting[name].cancel()
+        self._start_waiting(name, self._wait(name, address, open_port, None))
+
+    def _start_waiting(self, name: str, waiting: Coroutine[Any, Any, None]) -> None:
+        """Run a wait in the background."""
+        self._waiting[name] = asyncio.get_running_loop().create_task(waiting)
 
     async def _wait(
         self,
         name: str,
         address: Address,
-        open_port: Callable[[], Awaitable[None]],
-        problem: Exception,
+        open_port: Callable[[Address], Awaitable[None]],
+        problem: Exception | None,
     ) -> None:
-        """Retry until a port is open."""
+        """Retry until a port is open; at once if no problem is known."""
         loop = asyncio.get_running_loop()
         begun = loop.time()
         reported_at = float("-inf")
         is_open = False
         while not is_open:
-            if loop.time() - reported_at >= REPORT_S:
-                reported_at = loop.time()
-                self._log.event(
-                    "process",
-                    "Waits for an address.",
-                    port=name,
-                    address=str(address),
-                    cause=describe_problem(problem),
-                )
-            await asyncio.sleep(RETRY_S)
+            if problem is not None:
+                if loop.time() - reported_at >= REPORT_S:
+                    reported_at = loop.time()
+                    self._report(name, address, problem)
+                await asyncio.sleep(RETRY_S)
             try:
-                await open_port()
+                await open_port(address)
             except Exception as exc:
                 # Whatever it is, the wait goes on: nothing else would open the port.
                 problem = exc
@@ -96,7 +105,17 @@
             waited_s=waited_s,
         )
 
+    def _report(self, name: str, address: Address, problem: Exception) -> None:
+        """Log that a port is awaited."""
+        self._log.event(
+            "process",
+            "Waits for an address.",
+            port=name,
+            address=str(address),
+            cause=describe_problem(problem),
+        )
+
     def close(self) -> None:
         """Stop waiting."""
-        for task in self._waiting:
+        for task in self._waiting.values():
             task.cancel()
--- a/halldoor/gateway/pool.py
+++ b/halldoor/gateway/pool.py
@@ -69,7 +69,7 @@
     """
 
     def __init__(self, settings: ConnectionSettings | None = None, *, local_ip: str = "") -> None:
-        self._local_ip = local_ip
+        self.local_ip = local_ip
         self._settings = settings or ConnectionSettings()
         self._idle: dict[str, list[HttpConnection]] = {}
         self._swept_at = math.inf
@@ -124,7 +124,7 @@
             address,
             timeout_s=min(CONNECT_TIMEOUT_S, timeout_s),
             user_timeout_s=USER_TIMEOUT_S,
-            local_ip=self._local_ip,
+            local_ip=self.local_ip,
         )
         self.opened += 1
         return connection
--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -19,6 +19,8 @@
 from halldoor.gateway.request import RequestHandler
 from halldoor.startup import open_listener
 
+FRONT, RELAY, DATAGRAMS = "front", "relay", "relay (UDP)"
+"""Names of the port for callers and of the two for other entries."""
 RESERVED_SHARE, FRONT_RESERVED_SHARE = 0.1, 0.25
 """Shares of the process's descriptors that connections leave free: at any port, for the store and
 messages, and at that for callers also for connections to targets and for the other ports."""
@@ -49,7 +51,7 @@
     Parameters
     ----------
     address : Address
-        Address to listen at.
+        Address to listen at, unless it is opened at another one.
     requests : RequestHandler
         Answers the callers' requests.
     connections, is_closing, pipelining, spare
@@ -76,9 +78,7 @@
         self._server: Acceptor | None = None
         self._listen = partial(
             listen,
-            address.ip,
-            address.port,
-            requests.handle,
+            handler=requests.handle,
             read_limits=requests.read_limits,
             connections=connections,
             is_closing=is_closing,
@@ -97,9 +97,9 @@
         """Check whether callers can connect."""
         return self._server is not None and self._server.is_serving()
 
-    async def open(self) -> None:
+    async def open(self, address: Address) -> None:
         """Start to listen."""
-        self._server = await self._listen()
+        self._server = await self._listen(address.ip, address.port)
         self.opened.set()
 
     def close(self) -> None:
@@ -141,6 +141,7 @@
         self._opener = PortOpener(log)
         self._connections: set[CallerConnection] = set()
         self._servers: list[Acceptor] = []
+        self._relay_server: Acceptor | None = None
         self._closed_relays = 0
 
     async def start(self) -> None:
@@ -151,33 +152,59 @@
         SettingsError
             If a port can't be opened until the settings are changed.
         """
-        await self._opener.open("front", self.front.address, self.front.open)
+        await self._opener.open(FRONT, self.front.address, self.front.open)
         relay = self._datagrams.address
         if relay is not None:
             self._closed_relays = 2
-            await self._opener.open("relay (UDP)", relay, self._open_datagrams)
+            await self._opener.open(DATAGRAMS, relay, self._open_datagrams)
         for port in self._ports:
             if port.address is not None:
                 await self._opener.open(port.name, port.address, partial(self._open, port))
         if self._closed_relays:
             self._on_reachable(False)
 
-    async def _open(self, port: ServicePort) -> None:
+    def is_waiting(self, name: str) -> bool:
+        """Check whether a port is awaited, or one of the two at the relay address."""
+        is_relay = name == RELAY and self._opener.is_waiting(DATAGRAMS)
+        return is_relay or self._opener.is_waiting(name)
+
+    def move(self, name: str, address: Address) -> None:
+        """Open a port that is awaited at another address."""
+        if name == FRONT:
+            self._opener.reopen(name, address, self.front.open)
+        for port in self._ports:
+            if port.name == name:
+                if name == RELAY:
+                    self._move_datagrams(address)
+                self._opener.reopen(name, address, partial(self._open, port))
+
+    def _move_datagrams(self, address: Address) -> None:
+        """Close what is open at the relay address, and open its socket for messages at another."""
+        if self._relay_server is not None:
+            self._relay_server.close()
+            self._servers.remove(self._relay_server)
+            self._relay_server = None
+        self._closed_relays = 2
+        self._datagrams.close()
+        self._opener.reopen(DATAGRAMS, address, self._open_datagrams)
+
+    async def _open(self, port: ServicePort, address: Address) -> None:
         """Open a port."""
-        assert port.address is not None
         server = await listen(
-            port.address.ip,
-            port.address.port,
+            address.ip,
+            address.port,
             port.handler,
             read_limits=port.read_limits,
             connections=self._connections,
         )
         self._servers.append(server)
-        if port.address == self._datagrams.address:
+        if port.name == RELAY:
+            self._relay_server = server
             self._count_relay()
 
-    async def _open_datagrams(self) -> None:
+    async def _open_datagrams(self, address: Address) -> None:
         """Open the socket for messages of other entries."""
+        self._datagrams.address = address
         await self._datagrams.start()
         self._count_relay()
 
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -35,7 +35,7 @@
 from halldoor.gateway.permits import RetryPermits
 from halldoor.gateway.pipeline import Pipelining
 from halldoor.gateway.pool import TargetPool
-from halldoor.gateway.ports import FrontPort, ServicePort, ServicePorts
+from halldoor.gateway.ports import RELAY, FrontPort, ServicePort, ServicePorts
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.quotas import QuotaExchange
 from halldoor.gateway.reloading import apply_settings, report_start
@@ -285,13 +285,13 @@
             lookups,
             self.metrics,
         )
-        self._ports = ServicePorts(
+        self.ports = ServicePorts(
             self._front,
             (
                 ServicePort("ready", settings.ready, pages.answer_ready),
                 ServicePort("directory", settings.directory, pages.answer_lookup),
                 ServicePort("metrics", settings.metrics, pages.answer_metrics),
-                ServicePort("relay", settings.relay, forwarded.answer, forwarded.read_limits),
+                ServicePort(RELAY, settings.relay, forwarded.answer, forwarded.read_limits),
             ),
             datagrams=self.port,
             on_reachable=self.registration.set_reachable,
@@ -328,7 +328,7 @@
         # Shares of fleet-wide bounds count from now on.
         for part in (self.chooser, self.retries, self.access.gate):
             part.start(loop.time())
-        await self._ports.start()
+        await self.ports.start()
         for task in list_parts(self):
             self.tasks.start(task)
         self._registering = self.tasks.start(build_registration(self))
@@ -352,7 +352,7 @@
         if self.is_stopping:
             return
         self.is_stopping = True
-        self._reporter.call("stop", self._ports.stop_waiting)
+        self._reporter.call("stop", self.ports.stop_waiting)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.grace_s
         self.log.event("process", "Stopping.", running=self.requests.running)
@@ -371,7 +371,7 @@
             self._callers,
             deadline=deadline,
             count_running=lambda: self.requests.running,
-            count_undelivered=self._ports.count_undelivered,
+            count_undelivered=self.ports.count_undelivered,
             log=self.log,
             reporter=self._reporter,
         )
@@ -381,7 +381,7 @@
     async def _shut_down(self) -> None:
         """Close the ports and stop the tasks."""
         self.log.event("process", "Stopped.", running=self.requests.running)
-        self._reporter.call("stop", self._ports.close)
+        self._reporter.call("stop", self.ports.close)
         await self.tasks.stop()
         for part in (self.pool, self.reach.forwarder.pool, self.feed, self.port, self.log):
             self._reporter.call("stop", part.close)
--- a/halldoor/gateway/registration.py
+++ b/halldoor/gateway/registration.py
@@ -159,6 +159,11 @@
         self._is_reachable = is_reachable
         self.rewrite_record()
 
+    def set_member(self, member: MemberRecord) -> None:
+        """Set what this entry's record says."""
+        self._member = member
+        self.rewrite_record()
+
     def rewrite_record(self) -> None:
         """Write this entry's record again: it changed, or was removed while the entry runs."""
         if self._is_written:
--- a/halldoor/startup.py
+++ b/halldoor/startup.py
@@ -90,35 +90,46 @@
     program : str
         Name of the program, for its messages.
     """
-    report = _Report(program, "Waits until the settings are sound.")
+    report = _Report(program)
     while True:
         try:
             return load()
         except Exception as exc:
-            report.update(describe_problem(exc))
+            report.update(f"{describe_problem(exc)} Waits until the settings are sound.")
         time.sleep(RETRY_S)
 
 
-def wait_for_ports(addresses: Iterable[Address], *, program: str) -> None:
+def wait_for_ports(read_addresses: Callable[[], Iterable[Address]], *, program: str) -> None:
     """Wait until ports can be opened.
 
+    Parameters
+    ----------
+    read_addresses : callable
+        Returns the addresses; called before each attempt, since the settings may change.
+    program : str
+        Name of the program, for its messages.
+
     Raises
     ------
     OSError
         If one can't be opened until the settings are changed.
     """
+    report = _Report(program)
+    while (problem := _find_held_port(read_addresses())) is not None:
+        report.update(problem)
+        time.sleep(RETRY_S)
+
+
+def _find_held_port(addresses: Iterable[Address]) -> str | None:
+    """Return why a port can't be opened yet; None if all can."""
     for address in addresses:
-        report = _Report(program, f"Waits for the address {address}.")
-        while True:
-            with contextlib.ExitStack() as stack:
-                try:
-                    stack.enter_context(open_listener(address))
-                    break
-                except OSError as exc:
-                    if exc.errno not in TRANSIENT_ERRORS:
-                        raise
-                    report.update(f"{describe_problem(exc)}.")
-            time.sleep(RETRY_S)
+        try:
+            open_listener(address).close()
+        except OSError as exc:
+            if exc.errno not in TRANSIENT_ERRORS:
+                raise
+            return f"{describe_problem(exc)}. Waits for the address {address}."
+    return None
 
 
 def set_descriptor_limit(wanted: int | None = None) -> None:
@@ -160,16 +171,15 @@
 class _Report:
     """Writes what a program waits for: at once, when the cause changes, and every `REPORT_S`."""
 
-    def __init__(self, program: str, text: str) -> None:
+    def __init__(self, program: str) -> None:
         self._program = program
-        self._text = text
-        self._cause = ""
+        self._text = ""
         self._written_at = 0.0
 
-    def update(self, cause: str) -> None:
+    def update(self, text: str) -> None:
         """Write a line if it is due."""
         now = time.monotonic()
-        due_s = REPORT_S if cause == self._cause else CHANGED_S
-        if not self._cause or now - self._written_at >= due_s:
-            self._cause, self._written_at = cause, now
-            write_line(self._program, f"{cause} {self._text}")
+        due_s = REPORT_S if text == self._text else CHANGED_S
+        if not self._text or now - self._written_at >= due_s:
+            self._text, self._written_at = text, now
+            write_line(self._program, text)
--- a/halldoor/tests/narrowkit.py
+++ b/halldoor/tests/narrowkit.py
@@ -83,7 +83,7 @@
     connections : iterable of CallerConnection, optional
         Connections that are open, beside those of callers that the gateway knows.
     """
-    held = {*kit.gateway._callers, *kit.gateway._ports._connections, *connections}
+    held = {*kit.gateway._callers, *kit.gateway.ports._connections, *connections}
     await kit.gateway.stop()
     for connection in held:
         if connection._transport.get_write_buffer_size():
--- a/halldoor/tests/test_entry_weights.py
+++ b/halldoor/tests/test_entry_weights.py
@@ -296,7 +296,7 @@
                 item = PlainCodec().encode_member(third._replace(name="e3"))
                 one.store.put(item.key, item.value)
                 await one.wait(lambda: len(one.gateway.catalog.members) == 3)
-                port = one.gateway._ports._servers[1].sockets[0].getsockname()[1]
+                port = one.gateway.ports._servers[1].sockets[0].getsockname()[1]
                 named = [len(await look_up(port)) for _ in range(40)]
                 # Mostly the large one and one of the others; before, all three.
                 assert min(named) == 2 and named.count(3) < 10
--- a/halldoor/tests/test_program_start.py
+++ b/halldoor/tests/test_program_start.py
@@ -134,3 +134,20 @@
         assert program.process.wait(timeout=15.0) == 2
         program.wait_for(f"halldoor-{name}: ")
         assert not any("Traceback" in line for line in program.lines)
+
+
+@pytest.mark.parametrize(
+    ("name", "port"), [("entry", "http"), ("entry", "wire"), ("admin", "http")]
+)
+def test_port_is_awaited_at_an_address_that_the_settings_no_longer_name(name, port, tmp_path):
+    """Until the next start the program waited for an address that nobody gave it any more."""
+    settings, ports = build_settings(tmp_path, name)
+    path = tmp_path / "settings.yaml"
+    path.write_text(yaml.safe_dump(settings))
+    with socket.create_server((IP, ports[port])), start_program(name, path) as program:
+        program.wait_for(f"Waits for the address {IP}:{ports[port]}")
+        (other,) = find_ports(1)
+        path.write_text(yaml.safe_dump(settings | {port: {"ip": IP, "port": other}}))
+        program.wait_for("Started.")
+        socket.create_connection((IP, other), timeout=5.0).close()
+        assert program.stop() == 0
--- a/halldoor/tests/test_relay.py
+++ b/halldoor/tests/test_relay.py
@@ -357,9 +357,9 @@
 
         async def check(fleet):
             dead = fleet.reader
-            for server in dead.gateway._ports._servers:
+            for server in dead.gateway.ports._servers:
                 server.close()
-            for connection in list(dead.gateway._ports._connections):
+            for connection in list(dead.gateway.ports._connections):
                 connection.abort()
             fleet.configure(2)
             await fleet.wait(lambda: fleet.has_version(2), limit_s=SMALL.bound_s)
--- a/halldoor/tests/test_supervision.py
+++ b/halldoor/tests/test_supervision.py
@@ -305,7 +305,7 @@
             async def start_ports():
                 await asyncio.sleep(60)
 
-            monkeypatch.setattr(kit.gateway._ports, "start", start_ports)
+            monkeypatch.setattr(kit.gateway.ports, "start", start_ports)
             should_stop = asyncio.Event()
             starting = asyncio.ensure_future(runner._start(kit.gateway, should_stop))
             await asyncio.sleep(0.05)
@@ -331,7 +331,7 @@
                 target.script = answer_slowly
                 calling = asyncio.ensure_future(kit.call())
                 await kit.wait(lambda: target.received)
-                for owner in (kit.gateway._ports, kit.gateway.pool, kit.gateway.feed):
+                for owner in (kit.gateway.ports, kit.gateway.pool, kit.gateway.feed):
                     monkeypatch.setattr(owner, "close", fail)
                 monkeypatch.setattr(kit.gateway._front, "close", fail)
                 await kit.gateway.stop()
