--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -14,7 +14,6 @@
 from halldoor.core.targets.outlier import OutlierTable
 from halldoor.core.targets.split import Splitter
 from halldoor.core.teams.gate import QuotaGate
-from halldoor.gateway import clock
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.caller import CallerConnection
 from halldoor.gateway.datagrams import DatagramPort
@@ -36,10 +35,10 @@
 from halldoor.gateway.permits import RetryPermits
 from halldoor.gateway.pipeline import Pipelining
 from halldoor.gateway.pool import TargetPool
-from halldoor.gateway.ports import FrontPort, ServicePort, ServicePorts
+from halldoor.gateway.ports import RELAY, FrontPort, ServicePort, ServicePorts
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.quotas import QuotaExchange
-from halldoor.gateway.reloading import apply_settings
+from halldoor.gateway.reloading import apply_settings, report_start
 from halldoor.gateway.requestpath import build_request_handler
 from halldoor.gateway.retries import RetryGate
 from halldoor.gateway.settings import GatewaySettings
@@ -286,13 +285,13 @@
             lookups,
             self.metrics,
         )
-        self._ports = ServicePorts(
+        self.ports = ServicePorts(
             self._front,
             (
                 ServicePort("ready", settings.ready, pages.answer_ready),
                 ServicePort("directory", settings.directory, pages.answer_lookup),
                 ServicePort("metrics", settings.metrics, pages.answer_metrics),
-                ServicePort("relay", settings.relay, forwarded.answer, forwarded.read_limits),
+                ServicePort(RELAY, settings.relay, forwarded.answer, forwarded.read_limits),
             ),
             datagrams=self.port,
             on_reachable=self.registration.set_reachable,
@@ -329,13 +328,11 @@
         # Shares of fleet-wide bounds count from now on.
         for part in (self.chooser, self.retries, self.access.gate):
             part.start(loop.time())
-        await self._ports.start()
+        await self.ports.start()
         for task in list_parts(self):
             self.tasks.start(task)
         self._registering = self.tasks.start(build_registration(self))
-        self.log.event("process", "Started.", hall=self.member.hall, front=str(self.member.front))
-        if not clock.counts_suspensions():
-            self.log.event("process", "This system's clock does not count suspensions.")
+        report_start(self)
 
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings, or none of them; requests in progress are not affected."""
@@ -355,7 +352,7 @@
         if self.is_stopping:
             return
         self.is_stopping = True
-        self._reporter.call("stop", self._ports.stop_waiting)
+        self._reporter.call("stop", self.ports.stop_waiting)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.grace_s
         self.log.event("process", "Stopping.", running=self.requests.running)
@@ -374,7 +371,7 @@
             self._callers,
             deadline=deadline,
             count_running=lambda: self.requests.running,
-            count_undelivered=self._ports.count_undelivered,
+            count_undelivered=self.ports.count_undelivered,
             log=self.log,
             reporter=self._reporter,
         )
@@ -384,7 +381,7 @@
     async def _shut_down(self) -> None:
         """Close the ports and stop the tasks."""
         self.log.event("process", "Stopped.", running=self.requests.running)
-        self._reporter.call("stop", self._ports.close)
+        self._reporter.call("stop", self.ports.close)
         await self.tasks.stop()
         for part in (self.pool, self.reach.forwarder.pool, self.feed, self.port, self.log):
             self._reporter.call("stop", part.close)
--- a/halldoor/tests/test_entry_weights.py
+++ b/halldoor/tests/test_entry_weights.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies as st
 
 from halldoor.cli.gateway import build_settings
+from halldoor.core.fields import parse_fields
 from halldoor.core.settings import Address
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.entryweights import (
@@ -295,7 +296,7 @@
                 item = PlainCodec().encode_member(third._replace(name="e3"))
                 one.store.put(item.key, item.value)
                 await one.wait(lambda: len(one.gateway.catalog.members) == 3)
-                port = one.gateway._ports._servers[1].sockets[0].getsockname()[1]
+                port = one.gateway.ports._servers[1].sockets[0].getsockname()[1]
                 named = [len(await look_up(port)) for _ in range(40)]
                 # Mostly the large one and one of the others; before, all three.
                 assert min(named) == 2 and named.count(3) < 10
@@ -363,5 +364,5 @@
     data = dict.fromkeys(("front", "ready", "directory"), address)
     data |= {"name": "e1", "hall": "a", "region": "r", "configuration": "", "regions": {}}
     for capacity, wanted in (({"cores": 2.15, "link_mbps": "much"}, (2.15, None)), ({}, UNSET)):
-        checked = msgspec.convert(data | {"capacity": capacity}, GatewayFileSettings)
-        assert build_settings(checked).capacity.drop_invalid() == wanted
+        fields = parse_fields(data | {"capacity": capacity}, GatewayFileSettings, origin="file")
+        assert build_settings(fields).capacity.drop_invalid() == wanted
