--- a/halldoor/core/quarantine/quarantine.py
+++ b/halldoor/core/quarantine/quarantine.py
@@ -278,9 +278,10 @@
 
     def _broadcast_if_collector(self, tracked: TrackedRequest, now: float) -> None:
         """Broadcast the evidence if this entry is a collector and it is new and sufficient."""
-        is_collector = self._own_name in self._find_collectors(tracked.history.digest)
         is_enough = tracked.history.count_crashes() >= MIN_CRASHES or tracked.last_sent is not None
-        if not is_collector or not is_enough or self._is_informed(tracked, tracked.last_sent):
+        if not is_enough or self._is_informed(tracked, tracked.last_sent):
+            return
+        if self._own_name not in self._find_collectors(tracked.history.digest):
             return
         self._broadcast(tracked, now)
         if tracked.is_blocked:
--- a/halldoor/gateway/quarantine.py
+++ b/halldoor/gateway/quarantine.py
@@ -216,14 +216,17 @@
         self._send_due_messages()
 
     def apply_stored_record(self, record: EvidenceRecord) -> None:
-        """Apply evidence read from the store."""
+        """Apply evidence read from the store.
+
+        The task sends what follows from it, once for all records of an update.
+        """
         self._core.merge_record(from_record(record, _read_clock_ms()), _now())
-        self._send_due_messages()
+        self._due_changed.set()
 
     def remove_stored_record(self, digest: str) -> None:
         """Record that the store no longer holds the evidence on a request."""
         self._core.handle_removed_record(digest, _now())
-        self._send_due_messages()
+        self._due_changed.set()
 
     def update_collectors(self) -> None:
         """Recompute the collectors of each request after the set of entries changed."""
