--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -35,6 +35,9 @@
 from halldoor.core.targets.timings import CatalogTimings
 from halldoor.core.targets.withdrawal import NOTICES_MAX, StoreView, WithdrawalTable
 
+COLD_LIMIT_S = 60.0
+"""Longest time for which one record or statement makes a target cold, in seconds: targets that stay
+cold say so again much earlier."""
 REMOVED_KEPT = 2000
 """Removed targets that are remembered, in case an older copy of the store names them again."""
 
@@ -327,7 +330,8 @@
         if notice.cold_left_s <= 0:
             return False
         was_cold = target.is_cold(now)
-        target.cold_until = max(target.cold_until, now + notice.cold_left_s)
+        cold_until = now + min(notice.cold_left_s, COLD_LIMIT_S)
+        target.cold_until = max(target.cold_until, cold_until)
         if not was_cold:
             self._mark_changed()
         return not was_cold
@@ -472,4 +476,4 @@
 
 def _find_cold_until(record: TargetRecord, now: float) -> float:
     """Return the time until which a record that just arrived says that its target is cold."""
-    return now + record.cold_left_s if record.cold_left_s > 0 else -math.inf
+    return now + min(record.cold_left_s, COLD_LIMIT_S) if record.cold_left_s > 0 else -math.inf
--- a/halldoor/tests/test_choice.py
+++ b/halldoor/tests/test_choice.py
@@ -8,6 +8,7 @@
 
 from halldoor.core.targets.changes import EvacuationSet, RoutingSeen, TargetRemoved, TargetSeen
 from halldoor.core.targets.choice import NoTarget
+from halldoor.core.targets.notice import ColdNotice
 from halldoor.core.targets.order import OrderSettings
 from halldoor.core.targets.route import (
     RequestKind,
@@ -242,6 +243,15 @@
         catalog.apply(TargetSeen(make_target("t0")), 2.0)
         assert [t.name for t in catalog.list_usable("deck")] == ["t1"]
 
+    def test_odd_cold_time_makes_a_target_cold_for_good(self):
+        catalog = make_catalog(1)
+        catalog.apply(TargetSeen(make_target("t0", cold_left_s=1e10)), 1.0)
+        catalog.apply(TargetSeen(make_target("t0")), 2.0)
+        target = catalog.find_target("t0")
+        assert target.is_cold(60.0) and not target.is_cold(61.1)
+        catalog.apply_cold_notice(ColdNotice("t0", 0, 1e10), 70.0)
+        assert target.is_cold(129.0) and not target.is_cold(130.1)
+
     def test_targets_whose_records_expired_in_an_outage_are_kept_for_settle_s(self):
         catalog = make_catalog(2)
         record_store_return(catalog, 10.0)
