--- a/halldoor/cli/gateway.py
+++ b/halldoor/cli/gateway.py
@@ -25,6 +25,7 @@
     end_on_signals,
     exit_with_error,
     load_when_sound,
+    open_standard_streams,
     set_descriptor_limit,
 )
 
@@ -41,6 +42,7 @@
         YAML file with the settings; docs/reference.md lists them.
     """
     end_on_signals()
+    open_standard_streams()
     loader = SettingsLoader(settings)
     file, loaded = load_when_sound(lambda: load_file(settings, loader), program=PROGRAM)
     set_descriptor_limit()
--- a/halldoor/cli/loading.py
+++ b/halldoor/cli/loading.py
@@ -12,7 +12,12 @@
 from halldoor.core.settings import Address, AdminSettings, EntrySettings
 from halldoor.files import load_fields
 from halldoor.logs import configure_logs
-from halldoor.startup import end_on_signals, load_when_sound, wait_for_ports
+from halldoor.startup import (
+    end_on_signals,
+    load_when_sound,
+    open_standard_streams,
+    wait_for_ports,
+)
 
 S = TypeVar("S", AdminSettings, EntrySettings)
 
@@ -33,6 +38,7 @@
         If a port can't be opened until the settings are changed.
     """
     end_on_signals()
+    open_standard_streams()
     settings = _WatchedSettings(path, kind, program)
     wait_for_ports(lambda: list_addresses(settings.read().value), program=program)
     fields = settings.read()
--- a/halldoor/gateway/eventlog.py
+++ b/halldoor/gateway/eventlog.py
@@ -7,18 +7,14 @@
 from __future__ import annotations
 
 import math
-import os
-import queue
-import threading
 import zlib
 from typing import Any
 
 import structlog
 
 from halldoor.gateway import clock
+from halldoor.lines import LineWriter
 
-QUEUE_LIMIT = 2_000
-"""Greatest number of queued lines; about 600 kB."""
 SUCCESS_LINES_PER_S = 16.0
 """Lines per second for successes within their latency aim; above this rate they are sampled.
 
@@ -48,16 +44,13 @@
     """
 
     def __init__(self, name: str, *, fd: int = 1) -> None:
-        self._fd = fd
-        self._queue: queue.Queue[bytes | None] = queue.Queue(QUEUE_LIMIT)
+        self._writer = LineWriter(fd)
         self._credit = _Credit(LINES_PER_S, MAX_BURST_LINES)
         self._text_credits: dict[str, _Credit] = {}
         self._dropped = 0
         self._success_rate = _SuccessRate()
         self._render = structlog.processors.JSONRenderer()
         self._name = name
-        self._writer = threading.Thread(target=self._write, name="log", daemon=True)
-        self._writer.start()
 
     def event(self, part: str, text: str, **fields: Any) -> None:
         """Log a change of cached state or of the process's state.
@@ -104,6 +97,7 @@
             self._dropped += 1
             return
         entry = {"event": text, "at": round(now, 3), "entry": self._name, **fields}
+        self._dropped += self._writer.count_dropped()
         if self._dropped:
             entry["dropped_before"] = self._dropped
             self._dropped = 0
@@ -111,10 +105,7 @@
             line = str(self._render(None, "", entry)).encode() + b"\n"
         except Exception:
             line = str(self._render(None, "", self._make_printable(entry))).encode() + b"\n"
-        try:
-            self._queue.put_nowait(line)
-        except queue.Full:
-            self._dropped += 1
+        self._writer.put(line)
 
     def _make_printable(self, entry: dict[str, Any]) -> dict[str, str]:
         """Replace the values of a line by their text, and those without one by their type."""
@@ -126,39 +117,9 @@
                 printable[name] = f"<{type(value).__name__}>"
         return printable
 
-    def _write(self) -> None:
-        """Write queued lines until the log is closed; runs in the thread."""
-        while True:
-            try:
-                if not self._write_batch():
-                    return
-            except Exception:
-                # The lines are lost, but the thread must go on: without it nothing is logged.
-                self._dropped += 1
-
-    def _write_batch(self) -> bool:
-        """Wait for a line and write it with those behind it; return False at the log's end."""
-        line = self._queue.get()
-        if line is None:
-            return False
-        lines = [line]
-        is_open = True
-        while len(lines) < 64 and not self._queue.empty():
-            more = self._queue.get()
-            if more is None:
-                is_open = False
-                break
-            lines.append(more)
-        _write_all(self._fd, b"".join(lines))
-        return is_open
-
     def close(self, *, timeout_s: float = 0.2) -> None:
         """Write the queued lines and stop the thread, waiting at most `timeout_s` seconds."""
-        try:
-            self._queue.put_nowait(None)
-        except queue.Full:
-            return
-        self._writer.join(timeout_s)
+        self._writer.close(timeout_s=timeout_s)
 
 
 class _Credit:
@@ -197,13 +158,3 @@
 def _is_sampled(attempt_id: str, stands_for: int) -> bool:
     """Check whether a success is logged; the result is the same on all entries for one id."""
     return zlib.crc32(attempt_id.encode()) % max(1, stands_for) == 0
-
-
-def _write_all(fd: int, data: bytes) -> None:
-    """Write all data to a file descriptor; drop the rest if it is closed."""
-    while data:
-        try:
-            data = data[os.write(fd, data) :]
-        except OSError:
-            # Standard output is closed, so the error can't be reported anywhere.
-            return
--- a/halldoor/logs.py
+++ b/halldoor/logs.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import atexit
 import logging
-import sys
+from typing import TextIO, cast
 
 import structlog
 
+from halldoor.lines import LineWriter
+
 
 def configure_logs(log_format: str, *, level: int = logging.INFO) -> None:
     """Set up structlog to write to standard error.
@@ -30,11 +33,26 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=cast("TextIO", _StandardError())),
         cache_logger_on_first_use=True,
     )
 
 
+class _StandardError:
+    """Standard error as the file of a logger, which never waits and never fails."""
+
+    def __init__(self) -> None:
+        self._writer = LineWriter(2)
+        atexit.register(self._writer.close)
+
+    def write(self, text: str) -> None:
+        """Queue a line."""
+        self._writer.put(text.encode(errors="replace"))
+
+    def flush(self) -> None:
+        """Do nothing: the thread writes lines at once."""
+
+
 def _add_prefix(
     logger: object, name: str, event: structlog.typing.EventDict
 ) -> structlog.typing.EventDict:
--- a/halldoor/startup.py
+++ b/halldoor/startup.py
@@ -6,6 +6,7 @@
 import errno
 import os
 import resource
+import select
 import signal
 import socket
 import sys
@@ -17,6 +18,7 @@
 
 from halldoor.core.errors import HalldoorError
 from halldoor.core.settings import Address
+from halldoor.lines import write_all
 
 T = TypeVar("T")
 
@@ -41,6 +43,10 @@
 the address is not the machine's yet, or the machine lacks memory or descriptors."""
 
 
+STANDARD_ERROR = 2
+"""File descriptor of standard error."""
+LINE_BYTES = select.PIPE_BUF
+"""Greatest length of a line; a pipe that can be written to takes as much without waiting."""
 MAX_DESCRIPTORS = 65_536
 """Descriptors of a process for which neither settings nor the system say less."""
 MIN_DESCRIPTORS = 256
@@ -73,8 +79,24 @@
 
 
 def write_line(program: str, text: str) -> None:
-    """Write one line to standard error."""
-    print(f"{program}: {' '.join(text.split())}", file=sys.stderr, flush=True)
+    """Write one line to standard error; drop it if that is broken, full or not read."""
+    line = f"{program}: {' '.join(text.split())}\n".encode(errors="replace")
+    poll = select.poll()
+    poll.register(STANDARD_ERROR, select.POLLOUT)
+    if any(event & select.POLLOUT for _, event in poll.poll(0)):
+        write_all(STANDARD_ERROR, line[:LINE_BYTES])
+
+
+def open_standard_streams() -> None:
+    """Open the null device at standard streams that are closed.
+
+    Otherwise the next sockets get their numbers, and what is printed would be sent to them.
+    """
+    for number in range(STANDARD_ERROR + 1):
+        try:
+            os.fstat(number)
+        except OSError:
+            os.open(os.devnull, os.O_RDWR)  # Gets the lowest number that is free.
 
 
 def load_when_sound(load: Callable[[], T], *, program: str) -> T:
