--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -49,6 +49,7 @@
 from halldoor.gateway.targetreach import TargetReach
 from halldoor.gateway.tasks import TaskSet, stop_task
 from halldoor.gateway.travel import RoundTripProbe
+from halldoor.startup import ReportLimit
 
 
 class Gateway:
@@ -77,6 +78,7 @@
     ) -> None:
         self.settings = settings
         self.log = EventLog(settings.name)
+        self.reloads = ReportLimit()
         self.metrics = GatewayMetrics()
         self.catalog = Catalog(settings.timings)
         self.member = MemberRecord(
--- a/halldoor/gateway/reloading.py
+++ b/halldoor/gateway/reloading.py
@@ -14,6 +14,7 @@
 
 PORTS = (FRONT, "ready", "directory", "metrics", RELAY)
 """Names of the ports in the settings."""
+UNREAD_AT_RELOAD = "Some settings can't be read; their previous values stay in force."
 
 
 def report_start(gateway: Gateway) -> None:
@@ -41,9 +42,9 @@
     gateway.feed.settings = gateway.settings.relaying
     at_restart = [n for n in changed if n not in live and n != "unread"]
     gateway.settings = gateway.settings._replace(unread=settings.unread)
-    gateway.log.event("process", "Reloaded.", changed=sorted(live), at_next_start=at_restart)
-    text = "Some settings can't be read; their previous values stay in force."
-    _report_unread(gateway, text)
+    if live or gateway.reloads.is_due((at_restart, settings.unread)):
+        gateway.log.event("process", "Reloaded.", changed=sorted(live), at_next_start=at_restart)
+        _report_unread(gateway, UNREAD_AT_RELOAD)
 
 
 def _move_ports(gateway: Gateway, settings: GatewaySettings) -> set[str]:
--- a/halldoor/gateway/runner.py
+++ b/halldoor/gateway/runner.py
@@ -13,11 +13,14 @@
 from halldoor.gateway.process import Gateway
 from halldoor.gateway.settings import GatewaySettings
 from halldoor.gateway.tasks import Part, stop_task
+from halldoor.startup import ReportLimit
 
 T = TypeVar("T")
 
 CHECK_S = 1.0
 """Period of checking whether the settings file changed without a signal, in seconds."""
+RELOAD_PAUSE_S = 0.1
+"""Pause after a reload, in seconds: many signals must not keep the event loop from requests."""
 EXIT_HOPELESS = 70
 """Exit status after a planned stop because of a task that can't be repaired (EX_SOFTWARE)."""
 
@@ -113,6 +116,7 @@
     gateway: Gateway, file: SettingsFile, should_reload: asyncio.Event
 ) -> None:
     """Reload the settings on SIGHUP, and when the file changes without a signal."""
+    limit = ReportLimit()
     while True:
         try:
             async with asyncio.timeout(CHECK_S):
@@ -128,8 +132,8 @@
         except Exception as exc:
             # Whatever is wrong with the file, the next one may be sound.
             is_expected = isinstance(exc, HalldoorError | OSError)
-            gateway.log.event(
-                "process",
-                "Can't reload the settings; the previous ones stay in force.",
-                cause=str(exc) if is_expected else describe_cause(exc),
-            )
+            cause = str(exc) if is_expected else describe_cause(exc)
+            if limit.is_due(cause):
+                text = "Can't reload the settings; the previous ones stay in force."
+                gateway.log.event("process", text, cause=cause)
+        await asyncio.sleep(RELOAD_PAUSE_S)
--- a/halldoor/startup.py
+++ b/halldoor/startup.py
@@ -112,12 +112,14 @@
     program : str
         Name of the program, for its messages.
     """
-    report = _Report(program)
+    limit = ReportLimit(changed_s=CHANGED_S)
     while True:
         try:
             return load()
         except Exception as exc:
-            report.update(f"{describe_problem(exc)} Waits until the settings are sound.")
+            problem = describe_problem(exc)
+            if limit.is_due(problem):
+                write_line(program, f"{problem} Waits until the settings are sound.")
         time.sleep(RETRY_S)
 
 
@@ -136,9 +138,10 @@
     OSError
         If one can't be opened until the settings are changed.
     """
-    report = _Report(program)
+    limit = ReportLimit(changed_s=CHANGED_S)
     while (problem := _find_held_port(read_addresses())) is not None:
-        report.update(problem)
+        if limit.is_due(problem):
+            write_line(program, problem)
         time.sleep(RETRY_S)
 
 
@@ -190,18 +193,25 @@
     return f"{type(problem).__name__}: {str(problem)[:200]}"
 
 
-class _Report:
-    """Writes what a program waits for: at once, when the cause changes, and every `REPORT_S`."""
+class ReportLimit:
+    """Limits how often the same report is written, and how often any is.
 
-    def __init__(self, program: str) -> None:
-        self._program = program
-        self._text = ""
-        self._written_at = 0.0
+    Parameters
+    ----------
+    changed_s : float, optional
+        Shortest time between two different reports, in seconds.
+    """
+
+    def __init__(self, *, changed_s: float = 0.0) -> None:
+        self._changed_s = changed_s
+        self._last: object = None
+        self._written_at = float("-inf")
 
-    def update(self, text: str) -> None:
-        """Write a line if it is due."""
+    def is_due(self, report: object) -> bool:
+        """Check whether to write a report: it is the first, differs, or `REPORT_S` have passed."""
         now = time.monotonic()
-        due_s = REPORT_S if text == self._text else CHANGED_S
-        if not self._text or now - self._written_at >= due_s:
-            self._text, self._written_at = text, now
-            write_line(self._program, text)
+        due_s = REPORT_S if report == self._last else self._changed_s
+        if now - self._written_at < due_s:
+            return False
+        self._last, self._written_at = report, now
+        return True
