--- a/halldoor/gateway/hedging.py
+++ b/halldoor/gateway/hedging.py
@@ -187,10 +187,15 @@
                     returned = task
                     return task.result()
     finally:
-        await _cancel(tasks)
-        for task in tasks:
-            if task is not returned and not task.cancelled() and task.exception() is None:
-                discard(task.result())
+        try:
+            await _cancel(tasks)
+        except asyncio.CancelledError:
+            returned = None  # The caller left meanwhile.
+            raise
+        finally:
+            for task in tasks:
+                if task is not returned and not task.cancelled() and task.exception() is None:
+                    discard(task.result())
 
 
 def _discard(outcome: Outcome) -> None:
--- a/halldoor/tests/test_hedging.py
+++ b/halldoor/tests/test_hedging.py
@@ -104,6 +104,40 @@
         returned = asyncio.run(check())
         assert {returned, *discarded} == {"a", "b"} and len(discarded) == 1
 
+    def test_caller_that_leaves_keeps_the_connection_of_a_result(self):
+        """A result whose race was cancelled while the other attempt ended was never released."""
+        discarded = []
+
+        async def succeed():
+            return "a"
+
+        async def check():
+            is_ending = asyncio.Event()
+
+            async def end_slowly():
+                try:
+                    await asyncio.sleep(5)
+                finally:
+                    is_ending.set()
+                    await asyncio.sleep(5)
+
+            task = asyncio.ensure_future(
+                race(
+                    end_slowly(),
+                    succeed,
+                    delay_s=0.0,
+                    is_success=lambda _: True,
+                    discard=discarded.append,
+                )
+            )
+            await is_ending.wait()
+            task.cancel()
+            await asyncio.wait([task])
+            return task.cancelled()
+
+        assert asyncio.run(check())
+        assert discarded == ["a"]
+
     def test_no_second_attempt(self):
         assert self.run(0.1, 0.0, has_second=False) == ("first", [])
 
