--- a/halldoor/entry/hall.py
+++ b/halldoor/entry/hall.py
@@ -247,7 +247,11 @@
         if hold is None:
             return None
         with self._lock:
-            return self._record_admission(hold.key.target, hold)
+            # The target may have been removed during the call.
+            if self._snapshot and hold.key.target in self._snapshot.hall_targets.keys() & names:
+                return self._record_admission(hold.key.target, hold)
+        self._give_back(hold, 0.0)
+        return None
 
     def _record_admission(self, name: str, hold: Hold) -> Admission:
         """Count a request as in flight on a target, and return its admission."""
@@ -296,8 +300,7 @@
             for name in targets:
                 if self.health.is_leaving(name, now):
                     continue
-                loan = self.slots.lend(name, borrower, duration_s=duration_s, now=now)
-                if loan is not None:
+                if loan := self.slots.lend(name, borrower, duration_s=duration_s, now=now):
                     return loan
         return None
 
--- a/halldoor/entry/local.py
+++ b/halldoor/entry/local.py
@@ -65,6 +65,10 @@
         )
         return result.alt(lambda no: HallRefusal(no.refusal, no.passed_over))
 
+    def cancel_admission(self, admission: Admission) -> None:
+        """Release the slot of an admitted request that is not sent."""
+        self._controller.release(admission)
+
     def send_admitted(
         self,
         admission: Admission,
--- a/halldoor/entry/sessions.py
+++ b/halldoor/entry/sessions.py
@@ -11,7 +11,7 @@
 
 import structlog
 from msgspec import msgpack
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from halldoor.core.errors import Reason, Refusal, refuse, refuse_unknown
 from halldoor.core.explaining.decision import DecisionLog
@@ -57,6 +57,13 @@
     get_snapshot: Callable[[], Snapshot | None]
 
 
+class _Prepared(NamedTuple):
+    """A forwarded request that may run; either function is to be called."""
+
+    send: Callable[[Body], Any]
+    cancel: Callable[[], None]
+
+
 class Session(ConnectionHandler):
     """Handles one connection from another entry; public methods implement the Thrift service.
 
@@ -88,38 +95,61 @@
             )
         self._cancellation = Cancellation()
         request = _to_request(head, self._cancellation)
-        run = self._prepare(head, request)
-        if isinstance(run, Failure):
-            return _build_failure_reply(run.failure())
-        self._mark_running()
         if whole:
             with self._components.watcher.watch(self._sock, self._cancellation.cancel):
-                return self._run(run.unwrap(), Body(body))
-        self._body_index = 0
-        self._chunks = queue.Queue(MAX_QUEUED_CHUNKS)
-        streamed = Body(remainder=self._iterate_body(self._chunks, request))
-        threading.Thread(
-            target=lambda: self._result.put(self._run(run.unwrap(), streamed)),
+                prepared = self._prepare(head, request)
+                if isinstance(prepared, Failure):
+                    return _build_failure_reply(prepared.failure())
+                self._mark_running()
+                return self._run(prepared.unwrap().send, Body(body))
+        prepared = self._prepare(head, request)
+        if isinstance(prepared, Failure):
+            return _build_failure_reply(prepared.failure())
+        return self._start_streamed(prepared.unwrap(), request)
+
+    def _start_streamed(self, prepared: _Prepared, request: Request) -> Any:
+        """Run a request in a thread, which gets the body as it arrives."""
+        chunks: queue.Queue[bytes | None] = queue.Queue(MAX_QUEUED_CHUNKS)
+        streamed = Body(remainder=self._iterate_body(chunks, request))
+        thread = threading.Thread(
+            target=lambda: self._result.put(self._run(prepared.send, streamed)),
             name="forwarded",
             daemon=True,
-        ).start()
+        )
+        self._body_index = 0
+        self._chunks = chunks
+        self._mark_running()
+        try:
+            thread.start()
+        except RuntimeError:
+            self._chunks = None
+            self._mark_finished()
+            prepared.cancel()
+            log.exception("A forwarded request could not get a thread.")
+            message = "The entry can't start a thread. Retry in a second."
+            return _build_refusal_reply(refuse(Reason.NO_ROOM, message))
         return idl.Started(admitted=True, passed_over=[])
 
-    def _prepare(self, head: Any, request: Request) -> Any:
-        """Reserve a slot if the request is for a target, and return a function that runs it."""
+    def _prepare(self, head: Any, request: Request) -> Result[_Prepared, HallRefusal]:
+        """Reserve a slot if the request is for a target."""
         services = self._components
         if head.kind == TO_ISSUER:
             ticket = head.ticket or ""
-            return Success(lambda body: services.orders.run_forwarded(request, body, ticket))
+            return Success(
+                _Prepared(
+                    lambda body: services.orders.run_forwarded(request, body, ticket),
+                    cancel=lambda: None,
+                )
+            )
         targets = self._select(head.selector or "")
         is_spill = bool(head.is_spill)
         admitted = services.local.admit(targets, request, is_spill=is_spill)
-        if isinstance(admitted, Failure):
-            return admitted
-        admission = admitted.unwrap()
-        return Success(
-            lambda body: services.local.send_admitted(
-                admission, targets, request, body, is_spill=is_spill
+        return admitted.map(
+            lambda admission: _Prepared(
+                lambda body: services.local.send_admitted(
+                    admission, targets, request, body, is_spill=is_spill
+                ),
+                cancel=lambda: services.local.cancel_admission(admission),
             )
         )
 
