--- a/halldoor/core/bounds.py
+++ b/halldoor/core/bounds.py
@@ -21,6 +21,10 @@
 MAX_PORT = 65_535
 """Greatest port of TCP or UDP."""
 
+Name = Annotated[str, Meta(max_length=MAX_NAME)]
+"""Name of a target, an entry or a team."""
+Digest = Annotated[str, Meta(max_length=128)]
+"""Digest in hexadecimal."""
 Key = Annotated[str, Meta(max_length=MAX_KEY)]
 """Affinity key."""
 Kind = Annotated[str, Meta(max_length=4 * MAX_NAME)]
--- a/halldoor/core/quarantine/evidence.py
+++ b/halldoor/core/quarantine/evidence.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
-from halldoor.core.bounds import SignedSeconds
+from halldoor.core.bounds import Digest, Name, SignedSeconds
 from halldoor.core.quarantine.settings import QuarantineSettings
 
 CRASHES_KEPT = 16
@@ -31,8 +31,8 @@
         Time since the crash, in seconds.
     """
 
-    target: str
-    caller: str
+    target: Name
+    caller: Digest
     age_s: SignedSeconds
 
 
@@ -51,9 +51,9 @@
         Whether a target has answered the request recently.
     """
 
-    digest: str
+    digest: Digest
     ends: tuple[TargetCrash, ...]
-    cleared: tuple[str, ...] = ()
+    cleared: tuple[Name, ...] = ()
     was_sound: bool = False
 
 
--- a/halldoor/core/teams/ledger.py
+++ b/halldoor/core/teams/ledger.py
@@ -27,6 +27,8 @@
 
 An entry that is cut off still serves callers; one that crashed is dropped after this time.
 """
+REPORTERS_KEPT = 4_096
+"""Entries whose reports are kept, the first ones that reported."""
 MAX_DEBT_S = 2.0
 """Lowest level of a bucket, in seconds of its rate below 0: any lower, and a team would still be
 refused long after it stopped exceeding its quota."""
@@ -150,6 +152,8 @@
     def add_report(self, report: Report, now: float) -> None:
         """Add an entry's report; periods that an earlier report held are not counted again."""
         reporter = self._reporters.get(report.entry)
+        if reporter is None and len(self._reporters) >= REPORTERS_KEPT:
+            return
         if reporter is None or reporter.life != report.life:
             reporter = self._reporters[report.entry] = _Reporter(report.life, now)
         if now - reporter.reported_at > NEW_AFTER_S:
@@ -161,9 +165,18 @@
         for period in report.periods:
             if period.number > reporter.last_number:
                 reporter.last_number = period.number
-                reporter.last_counts = period.counts
+                counts = {c.team: c for c in period.counts if c.team in self._limits}
+                reporter.last_counts = tuple(counts.values())
                 self._add(period.counts, now)
 
+    def _drop_silent(self, now: float) -> None:
+        """Drop the entries that have not reported for long."""
+        self._reporters = {
+            name: reporter
+            for name, reporter in self._reporters.items()
+            if now - reporter.reported_at <= SILENT_ENTRY_S
+        }
+
     def _add(self, counts: Iterable[TeamCount], now: float) -> None:
         """Add the counts of one period to the teams' buckets."""
         for count in counts:
@@ -262,16 +275,12 @@
         A silent entry admits its equal part.  A registered entry that never reported counts as
         silent, since it may have been cut off since its start.
         """
-        fresh = 0
-        for name, reporter in list(self._reporters.items()):
-            age_s = now - reporter.reported_at
-            if age_s > SILENT_ENTRY_S:
-                del self._reporters[name]
-            elif (
-                age_s <= FRESH_PERIODS * period_s
-                and now - reporter.reporting_since >= WARM_UP_PERIODS * period_s
-            ):
-                # An entry that has just begun to report has incomplete counts.
-                fresh += 1
+        self._drop_silent(now)
+        # An entry that has just begun to report has incomplete counts.
+        fresh = sum(
+            now - reporter.reported_at <= FRESH_PERIODS * period_s
+            and now - reporter.reporting_since >= WARM_UP_PERIODS * period_s
+            for reporter in self._reporters.values()
+        )
         expected_entries = max(entries, len(self._reporters), 1)
         return fresh / expected_entries
--- a/halldoor/core/teams/quota.py
+++ b/halldoor/core/teams/quota.py
@@ -16,7 +16,7 @@
 
 from typing import NamedTuple
 
-from halldoor.core.bounds import Count, Part, Revision
+from halldoor.core.bounds import Count, Name, Part, Revision
 
 PERIOD_S = 0.3
 """Period of the reports of an entry of a fleet of up to `PERIOD_ENTRIES` entries, in seconds.
@@ -58,7 +58,7 @@
         Requests that were received, and those of them that were admitted.
     """
 
-    team: str
+    team: Name
     asked: Count
     admitted: Count
 
@@ -89,7 +89,7 @@
         Last periods, at most `PERIODS_SENT`, oldest first.
     """
 
-    entry: str
+    entry: Name
     life: Revision
     periods: tuple[Period, ...]
 
--- a/halldoor/tests/test_long_keys.py
+++ b/halldoor/tests/test_long_keys.py
@@ -1,11 +1,14 @@
-"""Long affinity keys and ids of one caller, in what all requests share."""
+"""Long keys, ids and names of one caller or sender, in what all requests share."""
 
 from __future__ import annotations
 
 import asyncio
 import itertools
 
+import msgspec
+
 from halldoor.core.targets.latency import LatencyModel
+from halldoor.gateway.datagrams import MessageKind
 from halldoor.tests.gatewaykit import GatewayKit, open_pair
 
 LENGTH = 9_000
@@ -76,3 +79,35 @@
         model.add_answer(f"s/{i}", "t", "h", "", took_s=0.1, has_waited=False)
     assert model.get_levels("s/1").is_known
     assert len(model._samples) <= 5_000
+
+
+def deliver(kit, kind, content):
+    """Let a gateway receive a message of a stranger."""
+    data = bytes([kind]) + msgspec.msgpack.encode(content)
+    kit.gateway.port.datagram_received(data, ("127.0.0.1", 9))
+
+
+def test_evidence_of_a_stranger_fills_the_memory():
+    """The names of targets in evidence were of any length, 16 for each of 4,096 requests."""
+
+    async def run():
+        async with GatewayKit.open() as kit:
+            for i in range(200):
+                ends = [(build_key(8 * i + j), "c", 1.0) for j in range(6)]
+                deliver(kit, MessageKind.EVIDENCE_FOR_ALL, (f"d{i}", ends))
+            tracked = kit.gateway.quarantine._core._tracked.values()
+            assert sum(len(name) for t in tracked for name in t.history._crashes) < 200 * 6 * 1_100
+
+    asyncio.run(run())
+
+
+def test_reports_of_strangers_fill_the_memory():
+    """Each name was kept, where no team has a limit for as long as the process ran."""
+
+    async def run():
+        async with GatewayKit.open() as kit:
+            for i in range(10_000):
+                deliver(kit, MessageKind.QUOTA_REPORT, (f"e{i}", 1, ()))
+            assert len(kit.gateway.quotas._ledger._reporters) <= 5_000
+
+    asyncio.run(run())
