--- a/halldoor/tests/budgetkit.py
+++ b/halldoor/tests/budgetkit.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import random
+from collections import Counter
 
 import msgspec
 
@@ -65,6 +66,8 @@
     ----------
     sent : list of float
         Times at which callers sent requests.
+    answered : Counter
+        Number of answers that each entry's callers had, by entry.
     """
 
     def __init__(self, *, entries, budget, spares=0, route=None, targets=6, seed=1, store=None):
@@ -75,6 +78,7 @@
         self.targets = [RecordingTarget(f"t{i}") for i in range(targets)]
         self.kits = {}
         self.sent = []
+        self.answered = Counter()
         self._ports = find_ports(entries + spares)
         self._entries = entries
         self._ids = itertools.count(1)
@@ -153,13 +157,21 @@
             task.add_done_callback(self._tasks.discard)
             await asyncio.sleep(self.random.expovariate(per_s))
 
+    async def wait(self, condition, *, limit_s=10.0):
+        """Wait until a condition holds, at most `limit_s` seconds."""
+        async with asyncio.timeout(limit_s):
+            while not condition():
+                await asyncio.sleep(0.02)
+
     async def _call(self):
         self.sent.append(self.now())
         if not self.kits:
             return
-        kit, _ = self.random.choice(list(self.kits.values()))
+        i = self.random.choice(list(self.kits))
+        kit, _ = self.kits[i]
         with contextlib.suppress(OSError, TimeoutError):
             await kit.call(key=str(next(self._ids)), attempt_id=f"r{next(self._ids)}")
+            self.answered[i] += 1
 
     def list_repeats(self):
         """List the times of arrivals beyond the first of their request, over all targets."""
--- a/halldoor/tests/test_retry_budget.py
+++ b/halldoor/tests/test_retry_budget.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import pytest
 
+from halldoor.core.targets.hedging import LEAST_RATIOS
 from halldoor.tests.budgetkit import BudgetFleet
 
 BUDGET = {"ratio": 0.2, "slack": 8.0, "window_s": 2.0}
 PER_S = 150.0
 LEAST_REPEATS = {"shed": 10, "lose": 3, "stall": 3}
-"""Arrivals beyond the first that each trouble causes at least."""
+"""Arrivals beyond the first that each trouble causes at least, before the entries restart."""
+CALM_S, TROUBLE_S = 2.2, 2.2
+"""Least time before the trouble, and time from its begin to the last request, in seconds."""
+RESTART_AFTER_S = 0.6
+"""Least time from the begin of the trouble to the restarts, in seconds."""
 
 
 async def keep_up(fleet):
@@ -50,19 +56,23 @@
 def test_retries_exceed_their_budget_after_entries_restart(fault, trouble):
     """All targets are in trouble after a calm time, and entries start or restart soon after.
 
-    While targets stall, requests are hedged.
+    While targets stall, requests are hedged, by entries that had enough answers before; that takes
+    longer where the process of all entries, targets and callers is slow.
     """
 
     async def check():
         options = {"entries": 4, "spares": 4, "budget": BUDGET, "route": {"is_hedged": True}}
         async with BudgetFleet.open(**options) as fleet:
-            sending = asyncio.ensure_future(fleet.send_requests(per_s=PER_S, for_s=4.4))
-            await asyncio.sleep(2.2)
+            sending = asyncio.ensure_future(fleet.send_requests(per_s=PER_S, for_s=math.inf))
+            await asyncio.sleep(CALM_S)
+            await fleet.wait(lambda: min(fleet.answered[i] for i in range(4)) > LEAST_RATIOS)
             fleet.set_trouble(trouble)
-            await asyncio.sleep(0.6)
+            ends = fleet.now() + TROUBLE_S
+            await asyncio.sleep(RESTART_AFTER_S)
+            await fleet.wait(lambda: len(fleet.list_repeats()) > LEAST_REPEATS[trouble])
             await fault(fleet)
-            await sending
+            await asyncio.sleep(ends - fleet.now())
+            sending.cancel()
             fleet.assert_within_budget()
-            assert len(fleet.list_repeats()) > LEAST_REPEATS[trouble]
 
     asyncio.run(check())
