--- a/halldoor/tests/test_cut_answers.py
+++ b/halldoor/tests/test_cut_answers.py
@@ -157,10 +157,12 @@
         return (response.status_code if response else 0), [], received, False
 
 
-async def add_peer(kit):
-    """Add another entry that takes all of the gateway's requests; return its stand-in."""
+async def replace_targets_by_peer(kit):
+    """Add another entry as the only way of the gateway's requests; return its stand-in."""
     peer = await kit.add_target("peer")
-    kit.store.remove("targets/peer")
+    for name in kit.targets:
+        kit.store.remove(f"targets/{name}")
+    await kit.wait(lambda: not kit.gateway.catalog.list_targets())
     record = MemberRecord("e2", peer.address, "ams-a", "ams", peer.address)
     item = PlainCodec().encode_member(record)
     kit.store.put(item.key, item.value)
@@ -181,7 +183,7 @@
     async with GatewayKit.open(targets=1, route={"kind": kind, "timeout_s": 3.0}, **options) as kit:
         (target,) = kit.targets.values()
         if is_forwarded:
-            target = await add_peer(kit)
+            target = await replace_targets_by_peer(kit)
         target.read_body = form.method != b"POST"
         script = target.script = CutTarget(target, form)
         script.end = end
