--- a/halldoor/core/targets/unproven.py
+++ b/halldoor/core/targets/unproven.py
@@ -124,11 +124,6 @@
         """Check whether a target has never answered, and failed to."""
         return target.name in self._get_service(target).failed
 
-    def is_doubtful(self, target: Target) -> bool:
-        """Check whether a target's failure says more of its record than of the way to targets."""
-        has_proven = any(service.proven for service in self._services.values())
-        return has_proven and not self.is_proven(target)
-
     def list_most_reliable(self, targets: Collection[Target], least: int) -> list[Target]:
         """List the proven ones of some targets, and others up to a number that have not failed.
 
--- a/halldoor/gateway/checks.py
+++ b/halldoor/gateway/checks.py
@@ -8,7 +8,6 @@
 from halldoor.core.targets.target import Target
 from halldoor.core.targets.unproven import UnprovenTargets
 from halldoor.gateway.eventlog import EventLog
-from halldoor.gateway.feedback import TargetFeedback
 from halldoor.gateway.headers import HeaderNames, find
 from halldoor.gateway.httpclient import HttpAnswer, HttpCallError, HttpClient
 from halldoor.gateway.metrics import GatewayMetrics
@@ -33,8 +32,6 @@
         Provides the paths of the health checks.
     unproven : UnprovenTargets
         Decides which targets are checked, and receives the results.
-    feedback : TargetFeedback
-        Reads what the answers say of their targets.
     names : HeaderNames
         Header names that targets use.
     """
@@ -43,7 +40,6 @@
         self,
         catalog: Catalog,
         unproven: UnprovenTargets,
-        feedback: TargetFeedback,
         *,
         names: HeaderNames,
         log: EventLog,
@@ -51,7 +47,6 @@
     ) -> None:
         self._catalog = catalog
         self._unproven = unproven
-        self._feedback = feedback
         self._names = names
         self._log = log
         self._metrics = metrics
@@ -78,7 +73,6 @@
 
     async def _check(self, target: Target) -> None:
         """Request a target's health answer, and record whether it answered."""
-        loop = asyncio.get_running_loop()
         client = HttpClient(target.record.address, connect_s=CONNECT_TIMEOUT_S)
         headers = [(self._names.expected_incarnation, target.name.encode())]
         path = find_health_path(self._catalog, target)
@@ -94,7 +88,6 @@
             return
         self._metrics.add_target_check("ok")
         self._unproven.add_answer(target)
-        self._feedback.read_health_statement(target, answer.status, answer.headers, loop.time())
 
     def _add_failure(self, target: Target, cause: str) -> None:
         """Record and log that a target did not answer a check."""
--- a/halldoor/gateway/exchanges.py
+++ b/halldoor/gateway/exchanges.py
@@ -64,9 +64,7 @@
             log=log,
             metrics=metrics,
         )
-        self.checks = TargetChecks(
-            catalog, chooser.unproven, feedback, names=names, log=log, metrics=metrics
-        )
+        self.checks = TargetChecks(catalog, chooser.unproven, names=names, log=log, metrics=metrics)
         self.limits = LimitExchange(catalog, chooser.limits, sender, port, log=log, metrics=metrics)
         self.leaving = LeavingExchange(catalog, sender, port, log=log, metrics=metrics)
         backoffs = BackoffReader(chooser.backoffs, log=log, metrics=metrics)
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -245,8 +245,6 @@
                     self._reach.add_answer(now)
                 else:
                     self._reach.add_answer(now, opened_at=opened_at)
-            case _ if self._chooser.unproven.is_doubtful(target):
-                pass
             case ConnectFailed(detail, is_refused) if is_refused or not is_own_delay:
                 self._reach.add_failure(target.name, detail, now)
             case AnswerLost(detail, is_closed=True):
