--- a/halldoor/cli/fleet.py
+++ b/halldoor/cli/fleet.py
@@ -13,7 +13,7 @@
 
 from halldoor.client import PoolManager
 from halldoor.core.decoding import DecodingError, decoding, parse_float
-from halldoor.core.targets.choice import ExcludedTarget
+from halldoor.core.targets.excluded import ExcludedTarget
 
 TIMEOUT_S = 2.0
 """Longest wait for the answer of one gateway, in seconds."""
--- a/halldoor/core/targets/choice.py
+++ b/halldoor/core/targets/choice.py
@@ -16,6 +16,7 @@
 
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.cost import CostModel, Estimate
+from halldoor.core.targets.excluded import ExcludedTarget, Exclusions
 from halldoor.core.targets.latency import LatencyModel, WorkLevels
 from halldoor.core.targets.limits import LimitTable
 from halldoor.core.targets.load import LoadTable
@@ -26,6 +27,7 @@
 from halldoor.core.targets.route import Route
 from halldoor.core.targets.settings import ChoiceSettings
 from halldoor.core.targets.target import Target
+from halldoor.core.targets.unproven import UnprovenTargets
 
 IN_USE_S = 1.0
 """Time after the last request to a target for which it counts as in use, in seconds."""
@@ -73,14 +75,6 @@
     place: int
 
 
-class ExcludedTarget(NamedTuple):
-    """A target that gets no requests, or fewer than its share, and the reason."""
-
-    target: str
-    service: str
-    reason: str
-
-
 class Chooser:
     """Chooses targets and counts this entry's requests in flight on each.
 
@@ -133,6 +127,8 @@
         self._ranks = EntryRanks(catalog, own_name)
         self.limits = LimitTable(own_name)
         self.backoffs = BackoffTable()
+        self.unproven = UnprovenTargets(catalog)
+        self._exclusions = Exclusions(catalog, outliers, self.backoffs, self.unproven)
         self.in_flight: Counter[str] = Counter()
         self._rates = TargetRates(catalog, self._ranks, self.limits, self.backoffs, self.in_flight)
         self._chosen_at: dict[str, float] = {}
@@ -159,8 +155,9 @@
         if not order:
             return NoTarget("no target", {})
         passed: Counter[str] = Counter()
+        withheld: list[Target] = []
         candidates = self._number_positions(
-            order[0], self._iterate_candidates(order, now, tried, passed), tried
+            order[0], self._iterate_candidates(order, now, tried, passed, withheld), tried
         )
         levels = self._costs.get_levels(name_kind(service, route))
         self._loads.update_decay(service, targets=len(order), work_s=levels.mean_s)
@@ -185,6 +182,11 @@
         for place, target in candidates:
             if self._is_spare(target, now) and self._reserve_request(target, now):
                 return self._estimate(target, key, levels, place, now)
+        for target in withheld:
+            choice = self._estimate(target, key, levels, len(order), now)
+            has_slot = self._has_free_slot(target, choice.estimate.on_target)
+            if has_slot and self._reserve_request(target, now):
+                return choice
         backoff_s = self.find_backoff(order, now)
         if backoff_s > 0:
             return NoTarget("all rest", passed, backoff_s, is_asked=True)
@@ -261,34 +263,20 @@
 
     def list_excluded(self, now: float) -> list[ExcludedTarget]:
         """List the targets that get no requests, or fewer than their share, for operators."""
-        found = []
-        for target in self._catalog.list_targets():
-            reason = self._find_exclusion_reason(target, now)
-            if reason:
-                found.append(ExcludedTarget(target.name, target.record.service, reason))
-        return found
-
-    def _find_exclusion_reason(self, target: Target, now: float) -> str:
-        """Return why a target gets less than its share of requests; empty if it gets its share."""
-        if target.is_draining:
-            return "draining"
-        if target.record.hall in self._catalog.evacuated:
-            return "hall evacuated"
-        if target.name in self._catalog.lapsed:
-            return "record lapsed"
-        if self._outliers.is_ejected(target.name, now):
-            return "ejected"
-        if self.backoffs.find_wait(target.start, now) > 0:
-            return "asked for rest"
-        return "cold" if target.is_cold(now) else ""
+        return self._exclusions.list_targets(now)
 
     @contextmanager
     def count_in_flight(self, target: str) -> Iterator[None]:
         """Count a request as in flight on a target while the context is open."""
         self.in_flight[target] += 1
+        found = self._catalog.find_target(target)
+        if found is not None:
+            self.unproven.start_trial(found)
         try:
             yield
         finally:
+            if found is not None:
+                self.unproven.end_trial(found)
             self.in_flight[target] -= 1
             if self.in_flight[target] <= 0:
                 del self.in_flight[target]
@@ -296,13 +284,21 @@
     def forget(self, target: str) -> None:
         """Drop the counts of a target that was removed."""
         self._rates.forget(target)
+        self.unproven.forget(target)
         self._chosen_at.pop(target, None)
 
     def _iterate_candidates(
-        self, order: Sequence[Target], now: float, tried: Collection[str], passed: Counter[str]
+        self,
+        order: Sequence[Target],
+        now: float,
+        tried: Collection[str],
+        passed: Counter[str],
+        withheld: list[Target],
     ) -> Iterator[Target]:
         """Yield the targets that may be tried, in order; unhealthy ones only if there is no other.
 
+        Unproven ones that are withheld are added to `withheld` instead.
+
         Most choices use one of the first two, and the others are not evaluated: the cost of a
         choice for a key whose order is cached does not grow with the number of targets.
         """
@@ -310,8 +306,10 @@
         is_widespread = False
         if unhealthy:
             # If most targets look broken, the measurement is more likely wrong than the targets.
-            count = sum(target.name in unhealthy for target in order)
-            is_widespread = count > self.settings.ejected_share * len(order)
+            # Of one that never answered, the record is as likely wrong.
+            known = [target for target in order if not self.unproven.has_failed(target)]
+            count = sum(target.name in unhealthy for target in known)
+            is_widespread = count > self.settings.ejected_share * len(known)
         excluded = {*unhealthy, *self.backoffs.list_backed_off(now)} if self.backoffs else unhealthy
         if not is_widespread and self.settings.region_fill > 0 and order[0].name in excluded:
             order = self.orders.substitute_first(order, excluded)
@@ -331,6 +329,9 @@
                 # the key before this one returned are next, and warm.  Counting it would refuse
                 # requests that they could serve.
                 passed[reason] += 1
+            elif self.unproven.is_withheld(target, now):
+                passed["unproven"] += 1
+                withheld.append(target)
             else:
                 has_healthy = True
                 yield target
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -9,6 +9,7 @@
 from halldoor.core.decoding import DecodingError, parse_float
 from halldoor.core.quarantine.identity import Identity
 from halldoor.core.retry import RetryObstacle
+from halldoor.core.targets.choice import Choice
 from halldoor.core.targets.order import Distance
 from halldoor.core.targets.statement import TargetStatement
 from halldoor.core.teams.admission import AdmittedRequest
@@ -147,6 +148,31 @@
         }
 
 
+class SentAttempt(NamedTuple):
+    """One attempt: the chosen target and what was sent to it.
+
+    Attributes
+    ----------
+    kind : str
+        Kind of request; requests of one kind have similar latencies on all targets.
+    key : str
+        Affinity key of the request; empty if it has none.
+    started_at : float
+        When it began, on the loop's clock.
+    stalled_s : float
+        Sum of this process's stalls when it was sent, in seconds.
+    wait : int
+        Number of its wait for an answer; see `ReachMonitor.start_wait`.
+    """
+
+    choice: Choice
+    kind: str
+    key: str
+    started_at: float
+    stalled_s: float
+    wait: int
+
+
 class Origin(NamedTuple):
     """Where a request comes from.
 
--- a/halldoor/gateway/exchanges.py
+++ b/halldoor/gateway/exchanges.py
@@ -5,6 +5,7 @@
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.choice import Chooser
+from halldoor.gateway.checks import TargetChecks
 from halldoor.gateway.coldstate import ColdStateExchange
 from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.eventlog import EventLog
@@ -63,6 +64,7 @@
             log=log,
             metrics=metrics,
         )
+        self.checks = TargetChecks(catalog, chooser.unproven, names=names, log=log, metrics=metrics)
         self.limits = LimitExchange(catalog, chooser.limits, sender, port, log=log, metrics=metrics)
         self.leaving = LeavingExchange(catalog, sender, port, log=log, metrics=metrics)
         backoffs = BackoffReader(chooser.backoffs, log=log, metrics=metrics)
@@ -74,6 +76,7 @@
         return [
             Part("observations", self.sharing.run, self.sharing.reset),
             Part("cold state", self.cold_state.run, self.cold_state.reset),
+            Part("target checks", self.checks.run, self.checks.reset),
             Part("limits", self.limits.run, self.limits.reset),
             Part("leaving", self.leaving.run, self.leaving.reset),
         ]
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -4,7 +4,6 @@
 
 import math
 from collections.abc import Callable
-from typing import NamedTuple
 
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.choice import Choice, Chooser
@@ -15,7 +14,7 @@
 from halldoor.core.targets.reach import ReachMonitor
 from halldoor.core.targets.statement import TargetStatement
 from halldoor.core.targets.target import Target
-from halldoor.gateway.attempt import AttemptResult
+from halldoor.gateway.attempt import AttemptResult, SentAttempt
 from halldoor.gateway.caller import Answer
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.failures import FailureReporter
@@ -50,31 +49,6 @@
 """Share of an attempt in which this process was stalled from which its duration says nothing."""
 
 
-class SentAttempt(NamedTuple):
-    """One attempt: the chosen target and what was sent to it.
-
-    Attributes
-    ----------
-    kind : str
-        Kind of request; requests of one kind have similar latencies on all targets.
-    key : str
-        Affinity key of the request; empty if it has none.
-    started_at : float
-        When it began, on the loop's clock.
-    stalled_s : float
-        Sum of this process's stalls when it was sent, in seconds.
-    wait : int
-        Number of its wait for an answer; see `ReachMonitor.start_wait`.
-    """
-
-    choice: Choice
-    kind: str
-    key: str
-    started_at: float
-    stalled_s: float
-    wait: int
-
-
 class TargetFeedback:
     """Receiver of attempt outcomes that updates the models of the targets.
 
@@ -262,17 +236,19 @@
     ) -> None:
         """Record whether the connection of an attempt opened and was answered."""
         self._reach.end_wait(sent.wait)
+        target = sent.choice.target
         opened_at = sent.started_at + connecting.took_s
         match outcome:
             case WholeAnswer() | PartialAnswer() | Rejected():
+                self._chooser.unproven.add_answer(target)
                 if connecting.is_reused:
                     self._reach.add_answer(now)
                 else:
                     self._reach.add_answer(now, opened_at=opened_at)
             case ConnectFailed(detail, is_refused) if is_refused or not is_own_delay:
-                self._reach.add_failure(sent.choice.target.name, detail, now)
+                self._reach.add_failure(target.name, detail, now)
             case AnswerLost(detail, is_closed=True):
-                self._reach.add_failure(sent.choice.target.name, detail, now)
+                self._reach.add_failure(target.name, detail, now)
 
     def _add_latency(self, sent: SentAttempt, took_s: float, report: LoadReport | None) -> None:
         """Update the latency model by the duration of a successful answer."""
@@ -324,6 +300,7 @@
         if target is None:
             return
         report = observation.report
+        self._chooser.unproven.add_answer(target)
         self._add_load(target, report, now)
         self._latency.add_answer(
             observation.kind,
@@ -346,6 +323,8 @@
     ) -> None:
         """Count a failure of a target, and log it if the target is ejected.
 
+        One that has never answered is checked before it gets requests again.
+
         Parameters
         ----------
         is_unreachable : bool, optional
@@ -353,6 +332,9 @@
         is_slow : bool, optional
             Whether the target was too slow instead of failing.
         """
+        target = self._catalog.find_target(name)
+        if target is not None:
+            self._chooser.unproven.add_failure(target, now)
         if self._outliers.add_failure(name, now, is_unreachable=is_unreachable, is_slow=is_slow):
             self._log.event("targets", "Ejected a failing target.", target=name, cause=detail)
 
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -6,7 +6,7 @@
 
 from aioprometheus import Registry
 
-from halldoor.core.targets.choice import ExcludedTarget
+from halldoor.core.targets.excluded import ExcludedTarget
 from halldoor.gateway.collectors import Counter, Gauge, Histogram, render
 
 BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0, 10.0]
@@ -84,6 +84,11 @@
             "Health checks of targets while the store can't be reached, by outcome.",
             registry=registry,
         )
+        self._target_checks = Counter(
+            "halldoor_target_checks",
+            "Checks of targets that have never answered this entry, by outcome.",
+            registry=registry,
+        )
         self._reach_probes = Counter(
             "halldoor_reach_probes",
             "Probes of targets while this entry may reach none of them, by outcome.",
@@ -218,6 +223,10 @@
         """Count a health check of a target by its outcome."""
         self._health_checks.inc({"outcome": outcome})
 
+    def add_target_check(self, outcome: str) -> None:
+        """Count a check of a target that has never answered by its outcome."""
+        self._target_checks.inc({"outcome": outcome})
+
     def add_reach_probe(self, outcome: str) -> None:
         """Count a probe of whether a target can be reached by its outcome."""
         self._reach_probes.inc({"outcome": outcome})
--- a/halldoor/gateway/pages.py
+++ b/halldoor/gateway/pages.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from halldoor.core.targets.changes import MemberRecord
-from halldoor.core.targets.choice import ExcludedTarget
+from halldoor.core.targets.excluded import ExcludedTarget
 from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.lookup import LookupFormat, Weigher, choose_entries
 from halldoor.gateway.metrics import GatewayMetrics
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -106,8 +106,7 @@
             metrics=self.metrics,
         )
         self._build_requests(store, names)
-        self.reach.probe.list_blamed_since = self.quarantine.list_blamed_since
-        self.reach.probe.on_running = self.quarantine.refute_crashes
+        self.reach.connect(self.chooser, self.quarantine)
         self._build_store_tasks(store, codec)
         self.weighing = EntryWeighing(
             self.member,
--- a/halldoor/gateway/reach.py
+++ b/halldoor/gateway/reach.py
@@ -9,6 +9,7 @@
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.reach import Loss, ReachMonitor
 from halldoor.core.targets.target import Target
+from halldoor.gateway.checks import find_health_path
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.headers import HeaderNames, find
 from halldoor.gateway.httpclient import HttpAnswer, HttpCallError, HttpClient
@@ -60,6 +61,8 @@
         Called with the `Loss` when it began, and when it ended.
     list_blamed_since : callable
         Returns the targets that seemed to crash since a time.  After a loss each of them is probed.
+    list_reliable : callable
+        Returns those of some targets that are probed: ones that have answered, if there are any.
     on_running : callable
         Called with those of them that run under their incarnation, and so did not crash.
     """
@@ -85,6 +88,7 @@
         self.on_loss: list[Callable[[Loss], None]] = []
         self.on_return: list[Callable[[Loss], None]] = []
         self.list_blamed_since: Callable[[float], Collection[Target]] = lambda at: ()
+        self.list_reliable: Callable[[Collection[Target]], list[Target]] = list
         self.on_running: Callable[[Collection[Target]], None] = lambda targets: None
 
     def get_figures(self, now: float) -> dict[str, float]:
@@ -110,7 +114,8 @@
         began_at = loop.time()
         stalled_s = self._stalls.measure(began_at)
         usable = [t for t in self._catalog.list_targets() if not t.is_draining]
-        targets = self._monitor.choose_probes(usable, self._random)
+        reliable = self.list_reliable(usable)
+        targets = self._monitor.choose_probes(reliable, self._random)
         causes = await asyncio.gather(*(self._probe(target) for target in targets))
         now = loop.time()
         results = {t.name: cause for t, cause in zip(targets, causes, strict=True)}
@@ -161,7 +166,7 @@
         headers = [(self._names.expected_incarnation, target.name.encode())]
         outcome = "failed"
         try:
-            path = self._find_health_path(target)
+            path = find_health_path(self._catalog, target)
             answer = await client.call(
                 "GET", path, headers=headers, timeout_s=timeout_s + self._allowance_s
             )
@@ -171,12 +176,6 @@
             self._metrics.add_reach_probe(outcome)
             client.close()
 
-    def _find_health_path(self, target: Target) -> str:
-        """Return the path of a target's health check."""
-        routing = self._catalog.routing
-        service = routing.services.get(target.record.service) if routing is not None else None
-        return service.health_path if service is not None and service.health_path else "/health"
-
     def _report_change(self, before: Loss | None, now: float) -> None:
         """Log that a loss began or ended, and call the receivers."""
         loss = self._monitor.loss
--- a/halldoor/gateway/targetreach.py
+++ b/halldoor/gateway/targetreach.py
@@ -4,14 +4,16 @@
 
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import MemberRecord
+from halldoor.core.targets.choice import Chooser
 from halldoor.core.targets.outlier import OutlierTable
 from halldoor.core.targets.peers import ForwardingSettings
-from halldoor.core.targets.reach import Loss, ReachMonitor
+from halldoor.core.targets.reach import PROBES, Loss, ReachMonitor
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.forwarding import PeerForwarder
 from halldoor.gateway.headers import HeaderNames
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pool import TargetPool
+from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.reach import ReachProbe
 from halldoor.gateway.stalls import StallMeter
 
@@ -62,3 +64,10 @@
             own, catalog, monitor, pool, names=names, settings=settings, metrics=metrics
         )
         return cls(monitor, probe, forwarder)
+
+    def connect(self, chooser: Chooser, quarantine: RequestQuarantine) -> None:
+        """Connect the probes with what is known of targets and of those that seemed to crash."""
+        unproven = chooser.unproven
+        self.probe.list_reliable = lambda targets: unproven.list_most_reliable(targets, PROBES)
+        self.probe.list_blamed_since = quarantine.list_blamed_since
+        self.probe.on_running = quarantine.refute_crashes
