--- a/halldoor/standins/memorystore.py
+++ b/halldoor/standins/memorystore.py
@@ -74,8 +74,18 @@
         self.calls = 0
         self.ranges = 0
 
-    def put(self, key: str, value: bytes) -> None:
-        """Write a key."""
+    def put(self, key: str, value: bytes, *, lease: str = "") -> None:
+        """Write a key, by default without a lease.
+
+        Parameters
+        ----------
+        lease : str, optional
+            Name of the key's lease, which is created if it does not exist.
+        """
+        for keys in self._leases.values():
+            keys.discard(key)
+        if lease:
+            self._leases.setdefault(lease, set()).add(key)
         self._values[key] = value
         self._record(StoredItem(key, value))
 
@@ -200,10 +210,7 @@
         self._count_call()
         if lease not in self._leases:
             raise LeaseGoneError("No such lease.", remedy="Create another.")
-        for keys in self._leases.values():
-            keys.discard(key)
-        self._leases[lease].add(key)
-        self.put(key, value)
+        self.put(key, value, lease=lease)
 
     async def claim(self, key: str, *, lease: str) -> bool:
         """Write a key under a lease unless the key exists; return whether it was written."""
@@ -251,6 +258,10 @@
         for key in self._leases.pop(lease, set()):
             self.remove(key)
 
+    def find_lease(self, key: str) -> str:
+        """Return the name of a key's lease; empty if it has none."""
+        return next((name for name, keys in self._leases.items() if key in keys), "")
+
     def list_leases(self) -> list[str]:
         """List the leases that have not expired."""
         return list(self._leases)
