--- a/halldoor/core/targets/unproven.py
+++ b/halldoor/core/targets/unproven.py
@@ -32,6 +32,9 @@
 """Pause after a failed check, in seconds; it doubles with each further one."""
 PAUSE_LIMIT_S = 8.0
 """Longest such pause, in seconds: that of an ejection."""
+START_S = 3.0
+"""Time from the first request of a service in which its unproven targets aren't limited, in seconds,
+unless one of them failed: an entry that has just started has no answer of most targets."""
 MAX_DOUBLINGS = 8
 """Doublings of the pause that are counted; it has reached its limit long before."""
 
@@ -103,8 +106,8 @@
     """Which targets have answered, and the trials and checks of those that have not.
 
     The requests that wait for unproven targets of a service, and its unproven targets that failed,
-    are together at most `TRIALS_PER_PROVEN` of the proven ones.  Where none is proven, as after a
-    start, there is no limit.
+    are together at most `TRIALS_PER_PROVEN` of the proven ones.  There is no limit where none is
+    proven, and for `START_S` after the first request unless an unproven target failed.
 
     Parameters
     ----------
@@ -172,10 +175,11 @@
         One that is withheld for long is checked.
         """
         service = self._get_service(target)
+        service.asked_at = min(service.asked_at, now)
         if target.name in service.proven:
             return False
-        if not service.proven:
-            service.asked_at = min(service.asked_at, now)
+        is_starting = not service.failed and now - service.asked_at < START_S
+        if not service.proven or is_starting:
             return False
         limit = max(MIN_TRIALS, TRIALS_PER_PROVEN * len(service.proven))
         is_exhausted = service.trials.total() + len(service.failed) >= limit
--- a/halldoor/tests/test_unproven.py
+++ b/halldoor/tests/test_unproven.py
@@ -8,12 +8,21 @@
 
 from halldoor.core.targets.changes import TargetRemoved, TargetSeen
 from halldoor.core.targets.reach import PROBES, ReachMonitor
-from halldoor.core.targets.unproven import CHECK_AFTER_S, MIN_TRIALS, PAUSE_LIMIT_S, PAUSE_S
+from halldoor.core.targets.unproven import (
+    CHECK_AFTER_S,
+    MIN_TRIALS,
+    PAUSE_LIMIT_S,
+    PAUSE_S,
+    START_S,
+)
 from halldoor.tests.choicekit import make_catalog, make_chooser, make_route, make_target
 
 
-def make_kit(*, proven=3, others=30):
-    """Return a chooser, its catalog, and its targets that have answered and that have not."""
+def make_kit(*, proven=3, others=30, asked_at=1.0 - START_S):
+    """Return a chooser, its catalog, and its targets that have answered and that have not.
+
+    Where any has answered, the first request was sent at `asked_at`.
+    """
     catalog = make_catalog(targets=0)
     names = [*(f"p{i}" for i in range(proven)), *(f"u{i}" for i in range(others))]
     for name in names:
@@ -22,6 +31,8 @@
     targets = [catalog.find_target(name) for name in names]
     for target in targets[:proven]:
         chooser.unproven.add_answer(target)
+    if proven:
+        chooser.choose(make_route(), "deck", "k", asked_at)
     return chooser, catalog, targets[:proven], targets[proven:]
 
 
@@ -90,6 +101,18 @@
     assert len(choose_names(chooser, 1.0)) > 10
 
 
+def test_entry_that_starts_sends_few_requests_to_most_targets():
+    """All is as before any target is proven, unless one fails."""
+    chooser, _, _, others = make_kit(asked_at=1.0)
+    names = {target.name for target in others}
+    for target in others[:10]:
+        chooser.unproven.start_trial(target)
+    assert choose_names(chooser, 0.9 + START_S) & names
+    assert not choose_names(chooser, 1.0 + START_S) & names
+    fail(chooser, others[0], 1.1)
+    assert not choose_names(chooser, 1.2) & names
+
+
 def test_failed_target_is_checked_and_returns_when_it_answers():
     chooser, _, _, others = make_kit(others=1)
     unproven, target = chooser.unproven, others[0]
