--- a/halldoor/core/targets/unproven.py
+++ b/halldoor/core/targets/unproven.py
@@ -33,8 +33,8 @@
 PAUSE_LIMIT_S = 8.0
 """Longest such pause, in seconds: that of an ejection."""
 START_S = 3.0
-"""Time from the first request of a service in which its unproven targets aren't limited, in seconds,
-unless one of them failed: an entry that has just started has no answer of most targets."""
+"""Time from the first request of a service in which the targets that were there then are not
+limited, in seconds, unless one failed: an entry that has just started has no answer of most."""
 MAX_DOUBLINGS = 8
 """Doublings of the pause that are counted; it has reached its limit long before."""
 
@@ -69,6 +69,8 @@
         Targets that are to be checked.
     asked_at : float
         Time of the first choice of a target.
+    first : frozenset of str
+        Targets that were there then.
     """
 
     def __init__(self) -> None:
@@ -77,6 +79,11 @@
         self.trials: Counter[str] = Counter()
         self.checks: dict[str, _Check] = {}
         self.asked_at = math.inf
+        self.first: frozenset[str] = frozenset()
+
+    def is_starting(self, now: float) -> bool:
+        """Check whether most targets had no occasion to answer yet."""
+        return not self.failed and now - self.asked_at < START_S
 
     def request_check(self, target: Target, due_at: float) -> None:
         """Have a target checked, unless it is already to be."""
@@ -107,7 +114,7 @@
 
     The requests that wait for unproven targets of a service, and its unproven targets that failed,
     are together at most `TRIALS_PER_PROVEN` of the proven ones.  There is no limit where none is
-    proven, and for `START_S` after the first request unless an unproven target failed.
+    proven, and on the first targets for `START_S` unless one failed.
 
     Parameters
     ----------
@@ -175,11 +182,13 @@
         One that is withheld for long is checked.
         """
         service = self._get_service(target)
-        service.asked_at = min(service.asked_at, now)
-        if target.name in service.proven:
+        if math.isinf(service.asked_at):
+            service.asked_at = now
+            known = self._catalog.list_usable(target.record.service)
+            service.first = frozenset(t.name for t in known)
+        if target.name in service.proven or not service.proven:
             return False
-        is_starting = not service.failed and now - service.asked_at < START_S
-        if not service.proven or is_starting:
+        if target.name in service.first and service.is_starting(now):
             return False
         limit = max(MIN_TRIALS, TRIALS_PER_PROVEN * len(service.proven))
         is_exhausted = service.trials.total() + len(service.failed) >= limit
@@ -198,6 +207,8 @@
         for name, service in self._services.items():
             if not service.proven and math.isfinite(service.asked_at):
                 service.request_first_checks(self._catalog.list_usable(name), now)
+            elif service.is_starting(now):
+                self._check_waited_for(service, now)
         checks = [
             check
             for service in self._services.values()
@@ -209,6 +220,13 @@
             check.due_at = now + PAUSE_LIMIT_S
         return [check.target for check in checks[:most]]
 
+    def _check_waited_for(self, service: _Service, now: float) -> None:
+        """Have the targets checked that requests wait for, except cold ones."""
+        for name in service.trials:
+            target = self._catalog.find_target(name)
+            if target is not None and not target.is_cold(now):
+                service.request_check(target, now + CHECK_AFTER_S)
+
     def add_check_failure(self, target: Target, now: float) -> bool:
         """Record that a target did not answer a check, and have it checked again after a pause.
 
