--- a/halldoor/entry/local.py
+++ b/halldoor/entry/local.py
@@ -141,7 +141,7 @@
                 admission.target, request, body, may_send=may_send
             )
         except TargetFault as exc:
-            may_be_busy = exc.fault is Fault.MAYBE_RAN
+            may_be_busy = exc.fault in (Fault.MAYBE_RAN, Fault.BODY)
             controller.release(admission, busy_until=request.deadline if may_be_busy else 0.0)
             self._record_fault(name, exc.fault, request)
             raise RequestError(_to_refusal(exc, request)) from exc
@@ -166,10 +166,10 @@
             raise
 
     def _record_fault(self, name: str, fault: Fault, request: Request) -> None:
-        """Record a fault in the target's health, unless the caller's cancellation caused it."""
+        """Record a fault in the target's health, unless its caller caused it."""
         if fault is Fault.SHED:
             self._controller.record_shed(name)
-        elif not request.cancellation.is_cancelled:
+        elif fault is not Fault.BODY and not request.cancellation.is_cancelled:
             self._controller.record_result(name, is_good=False)
 
 
@@ -187,6 +187,10 @@
             "The target did not answer in time. Allow more time with Halldoor-Deadline-Ms.",
             retry_after_s=1.0 if request.is_repeatable else 0.0,
         )
+    if fault.fault is Fault.BODY:
+        return refuse_unknown(
+            Reason.BAD_REQUEST, f"The request's body broke off: {fault}. Send it again."
+        )
     return refuse_unknown(
         Reason.BROKEN,
         f"The target broke off: {fault}.",
--- a/halldoor/entry/targets.py
+++ b/halldoor/entry/targets.py
@@ -42,6 +42,7 @@
     NOT_SENT = "not sent"
     SHED = "shed"
     MAYBE_RAN = "maybe ran"
+    BODY = "the caller's body broke off"
 
 
 class TargetFault(Exception):
@@ -249,7 +250,7 @@
     body: Body, request: Request, connection: HTTPConnection
 ) -> Iterator[bytes]:
     """Yield the pieces of a streamed body; raise `TimeoutError` after the deadline."""
-    for piece in body.read():
+    for piece in _read_body(body):
         remaining_s = request.get_remaining_s()
         if remaining_s <= 0 or connection.sock is None:
             raise TimeoutError("deadline passed while the body was sent")
@@ -257,6 +258,15 @@
         yield piece
 
 
+def _read_body(body: Body) -> Iterator[bytes]:
+    """Yield the pieces of a body; raise `TargetFault` if it breaks off."""
+    try:
+        yield from body.read()
+    except (OSError, ValueError) as exc:
+        # A part of it was sent, so the target may be at work.
+        raise TargetFault(Fault.BODY, type(exc).__name__) from exc
+
+
 def _read_pieces(response: Any, sock: Any, request: Request) -> Iterator[bytes]:
     """Yield the pieces of an answer's body; a truncated body raises `RequestError`."""
     stall_s = request.get_remaining_s() * (STALL_SHARE if request.is_repeatable else 1.0)
--- a/halldoor/tests/test_odd_requests.py
+++ b/halldoor/tests/test_odd_requests.py
@@ -2,12 +2,20 @@
 
 import base64
 import socket
+import time
 
+import msgspec
 import pytest
 
+from halldoor.core.errors import Ran
+from halldoor.core.settings import Address
+from halldoor.entry.local import LocalHall
+from halldoor.entry.request import Body
+from halldoor.entry.targets import TargetClient
 from halldoor.standins.fleet import TOKEN, Fleet
 from halldoor.standins.sample import IP, make_configuration
 from halldoor.tests.conftest import start_all
+from halldoor.tests.test_room import build_controller, make_read
 
 READ = "/s/decks/read/x"
 NESTED = base64.urlsafe_b64encode(b"m" * 16 + b"[" * 20_000).decode()
@@ -102,3 +110,35 @@
         headers={"Authorization": f"Bearer {TOKEN}"},
     )
     assert (response.status, sorted(response.json())) == (400, ["error", "kind", "remedy"])
+
+
+def test_body_that_breaks_off_is_blamed_on_its_target():
+    """The caller was told that the target broke off, and the target counted as failing."""
+    controller = build_controller(targets=1)
+    results = []
+    controller.record_result = lambda *args, **options: results.append(options)
+
+    class Client(TargetClient):
+        def send(self, target, *args, **options):
+            address = Address(*listener.getsockname())
+            return super().send(msgspec.structs.replace(target, address=address), *args, **options)
+
+    def break_off():
+        yield b"b" * 70_000
+        raise ValueError("Bad chunked transfer size")
+
+    with socket.create_server((IP, 0)) as listener:
+        request = make_read(time.monotonic() + 60)._replace(method="PUT", length=-1)
+        local = LocalHall(controller, Client())
+        refused = local.serve(["a1-t1"], request, Body(remainder=break_off()), is_spill=False)
+    refusal = refused.failure().refusal
+    assert (refusal.status, refusal.ran) == (400, Ran.UNKNOWN)
+    assert results == []
+
+
+def test_upload_with_a_broken_chunk_fails_as_a_fault_of_the_target(fleet):
+    data = b"11170\r\n" + b"b" * 70_000 + b"\r\nzz\r\n"
+    lines = "PUT /s/decks/upload HTTP/1.1\r\nHost: e\r\nTransfer-Encoding: chunked\r\n\r\n"
+    with socket.create_connection((IP, fleet.find_port("a1-e1")), 5.0) as sock:
+        sock.sendall(lines.encode() + data)
+        assert sock.makefile("rb").readline().split()[1] == b"400"
