--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -186,6 +186,11 @@
         """Check whether an earlier exchange used this connection."""
         return self.exchanges > 1
 
+    @property
+    def lacks_body(self) -> bool:
+        """Check whether the peer takes the body of a request faster than it is sent."""
+        return self._h11.our_state is h11.SEND_BODY and self._drained.is_set()
+
     @property
     def has_ack_timeout(self) -> bool:
         """Check whether the connection failed because the peer stopped acknowledging bytes."""
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -144,6 +144,7 @@
                     # Connecting takes up to `CONNECT_TIMEOUT_S`.
                     return Withdrawn(), connecting
                 outcome = await self._exchange(connection, outgoing, incarnation)
+            connecting = connecting._replace(lacked_body=connection.lacks_body)
             if not isinstance(outcome, PartialAnswer):
                 # Closes the connection if the exchange did not complete.
                 self._pool.release(incarnation, connection)
@@ -155,7 +156,7 @@
             if connecting.is_reused:
                 # A slow target looks the same as a connection that lost its peer long ago.
                 self._pool.close_after_loss(incarnation, is_unacknowledged=False)
-            return TimedOut(), connecting
+            return TimedOut(), connecting._replace(lacked_body=connection.lacks_body)
         except DeadlinePassedError:
             return NotSent(), connecting
         except ConnectionFailedError as exc:
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -199,7 +199,8 @@
             self._add_latency(sent, took_s - connecting.took_s, report)
             self._check_slowness(target, None if is_own_delay else took_s - stalled_s, now)
             self._report_observation(sent, report, took_s=took_s - connecting.took_s)
-        had_time = not is_own_delay and took_s >= sent.choice.estimate.time_s
+        is_late = is_own_delay or connecting.lacked_body
+        had_time = not is_late and took_s >= sent.choice.estimate.time_s
         return self._record_failure(
             target, outcome, now, is_own_delay=is_own_delay, had_time=had_time
         )
--- a/halldoor/gateway/outcomes.py
+++ b/halldoor/gateway/outcomes.py
@@ -13,7 +13,7 @@
 
 
 class Connecting(NamedTuple):
-    """How the connection for a request was obtained.
+    """How the connection for a request was obtained and used.
 
     Attributes
     ----------
@@ -21,10 +21,13 @@
         Time to obtain it, in seconds.
     is_reused : bool
         Whether it was kept from an earlier exchange.
+    lacked_body : bool
+        Whether the target had taken all that had come of the caller's body, and some was missing.
     """
 
     took_s: float = 0.0
     is_reused: bool = False
+    lacked_body: bool = False
 
 
 class WholeAnswer(NamedTuple):
--- a/halldoor/tests/test_odd_callers.py
+++ b/halldoor/tests/test_odd_callers.py
@@ -85,3 +85,29 @@
             assert (reply.status, reply.body) == (200, body)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("script", ["hang", "answer_at_deadline"])
+@pytest.mark.parametrize("framing", [b"Transfer-Encoding: chunked", b"Content-Length: 1000000"])
+def test_stalled_upload_ejects_sound_targets(framing, script, capfd):
+    """Targets counted as too slow for a body that its caller did not send."""
+    begun = b"%x\r\n" % (BODY_BUFFER_BYTES + 1_000) if b"chunked" in framing else b""
+    body = begun + b"u" * (BODY_BUFFER_BYTES + 1_000)
+    head = b"POST /1\r\nConnection: close\r\n%s: 300\r\n%s\r\n" % (NAMES.deadline_ms, framing)
+
+    async def run():
+        async with GatewayKit.open(targets=3, route={"kind": "at-most-once"}) as kit:
+            for target in kit.targets.values():
+                target.read_body = False
+
+                async def answer_at_deadline(request, writer, target=target):
+                    await asyncio.sleep(0.3)
+                    writer.write(target.build(request, status=b"504 Late", is_signed=False))
+
+                is_hanging = script == "hang"
+                target.script = target.hang if is_hanging else answer_at_deadline
+            answers = [await send_raw(kit, head, body) for _ in range(10)]
+            assert {answer[9:12] for answer in answers} == {b"504"}
+
+    asyncio.run(run())
+    assert "Ejected" not in capfd.readouterr().out
