--- a/halldoor/core/nesting.py
+++ b/halldoor/core/nesting.py
@@ -56,7 +56,7 @@
 
 
 def drop_nested(data: bytes, *, depth: int = MAX_DEPTH) -> bytes:
-    """Replace what is nested deeper than `decode_json` allows by null; errors as above."""
+    """Replace what is nested more than `depth` deep by null; errors as of `replace_nested`."""
     return replace_nested(data, depth, lambda _: b"null")
 
 
