--- a/halldoor/admin/api.py
+++ b/halldoor/admin/api.py
@@ -27,6 +27,7 @@
 from halldoor.keyvalue.client import HttpPlatform
 from halldoor.keyvalue.store import ConfigurationStore
 from halldoor.server import HttpServer
+from halldoor.startup import ignore_signals
 
 log = structlog.get_logger(part="admin")
 
@@ -209,8 +210,8 @@
     http = HttpServer(settings.http, cherrypy.tree, threads=8, body_limit=MAX_BODY_BYTES)
     cherrypy.engine.autoreload.unsubscribe()
     cherrypy.server.unsubscribe()
-    bound = (settings.http.ip, settings.http.port)
-    ServerAdapter(cherrypy.engine, http, bound).subscribe()
+    # Without the address: a stop must not wait until no other process listens there.
+    ServerAdapter(cherrypy.engine, http).subscribe()
     should_stop = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: should_stop.set())
@@ -219,3 +220,4 @@
     while not should_stop.wait(0.5):
         pass
     cherrypy.engine.exit()
+    ignore_signals()
--- a/halldoor/cli/entry.py
+++ b/halldoor/cli/entry.py
@@ -12,7 +12,7 @@
 from halldoor.core.errors import HalldoorError
 from halldoor.core.settings import EntrySettings
 from halldoor.entry.process import EntryProcess
-from halldoor.startup import ExitStatus, exit_with_error
+from halldoor.startup import ExitStatus, exit_with_error, ignore_signals
 
 PROGRAM = "halldoor-entry"
 """Name of the program in its messages."""
@@ -40,6 +40,7 @@
     while not should_stop.wait(0.5):
         pass
     process.stop()
+    ignore_signals()
 
 
 def main() -> None:
--- a/halldoor/entry/process.py
+++ b/halldoor/entry/process.py
@@ -265,8 +265,8 @@
         # CherryPy's own default server would take port 8080.
         cherrypy.server.unsubscribe()
         cherrypy.log.screen = False
-        bound = (self.settings.http.ip, self.settings.http.port)
-        ServerAdapter(cherrypy.engine, self.http, bound).subscribe()
+        # Without the address: a stop must not wait until no other process listens there.
+        ServerAdapter(cherrypy.engine, self.http).subscribe()
         cherrypy.engine.start()
         log.info(
             "Started.",
--- a/halldoor/startup.py
+++ b/halldoor/startup.py
@@ -67,6 +67,15 @@
         signal.signal(number, _end)
 
 
+def ignore_signals() -> None:
+    """Ignore the signals that end or reload a program, which has stopped.
+
+    While Python ends, it resets handlers, so that a late signal would change the exit status.
+    """
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _end(number: int, frame: FrameType | None) -> NoReturn:
     """End the process, which has not begun to serve."""
     os._exit(0)
--- a/halldoor/tests/test_program_start.py
+++ b/halldoor/tests/test_program_start.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import signal
 import socket
 import subprocess
@@ -151,3 +152,44 @@
         program.wait_for("Started.")
         socket.create_connection((IP, other), timeout=5.0).close()
         assert program.stop() == 0
+
+
+@pytest.mark.parametrize("name", ["entry", "admin"])
+def test_next_process_at_the_port_ends_the_stop_with_an_error(name, tmp_path):
+    """The stop ended with status 70 if another process listened at its port within a second."""
+    settings, ports = build_settings(tmp_path, name)
+    path = tmp_path / "settings.yaml"
+    path.write_text(yaml.safe_dump(settings))
+    with start_program(name, path) as program:
+        program.wait_for("Started.")
+        program.process.send_signal(signal.SIGTERM)
+        with listen_when_free(ports["http"]):
+            assert program.process.wait(timeout=10.0) == 0
+
+
+def listen_when_free(port, *, limit_s=10.0):
+    """Return a listening socket as soon as the port is free."""
+    deadline = time.monotonic() + limit_s
+    while True:
+        try:
+            return socket.create_server((IP, port))
+        except OSError:
+            assert time.monotonic() < deadline
+            time.sleep(0.001)
+
+
+@pytest.mark.parametrize("name", PROGRAMS)
+def test_signals_during_the_end_change_the_exit_status(name, tmp_path):
+    """The status was -15 or -2 if a signal came while Python ended."""
+    path = tmp_path / "settings.yaml"
+    path.write_text(yaml.safe_dump(build_settings(tmp_path, name)[0]))
+    numbers = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
+    with start_program(name, path) as program:
+        program.wait_for("Started.")
+        deadline = time.monotonic() + 10.0
+        for number in itertools.cycle(numbers):
+            if program.process.poll() is not None or time.monotonic() > deadline:
+                break
+            program.process.send_signal(number)
+            time.sleep(0.001)
+        assert program.process.poll() == 0
