--- a/halldoor/tests/test_program_start.py
+++ b/halldoor/tests/test_program_start.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
+import os
 import signal
 import socket
 import subprocess
 import sys
 import threading
 import time
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -151,3 +154,60 @@
         program.wait_for("Started.")
         socket.create_connection((IP, other), timeout=5.0).close()
         assert program.stop() == 0
+
+
+@pytest.mark.parametrize("name", ["entry", "admin"])
+def test_next_process_at_the_port_ends_the_stop_with_an_error(name, tmp_path):
+    """The stop ended with status 70 if another process listened at its port within a second."""
+    settings, ports = build_settings(tmp_path, name)
+    path = tmp_path / "settings.yaml"
+    path.write_text(yaml.safe_dump(settings))
+    with start_program(name, path) as program:
+        program.wait_for("Started.")
+        program.process.send_signal(signal.SIGTERM)
+        with listen_when_free(ports["http"]):
+            assert program.process.wait(timeout=10.0) == 0
+
+
+def listen_when_free(port, *, limit_s=10.0):
+    """Return a listening socket as soon as the port is free."""
+    deadline = time.monotonic() + limit_s
+    while True:
+        try:
+            return socket.create_server((IP, port))
+        except OSError:
+            assert time.monotonic() < deadline
+            time.sleep(0.001)
+
+
+@pytest.mark.parametrize("name", PROGRAMS)
+def test_signals_during_the_end_change_the_exit_status(name, tmp_path):
+    """The status was -15 or -2 if a signal came while Python ended."""
+    path = tmp_path / "settings.yaml"
+    path.write_text(yaml.safe_dump(build_settings(tmp_path, name)[0]))
+    numbers = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
+    with start_program(name, path) as program:
+        program.wait_for("Started.")
+        deadline = time.monotonic() + 10.0
+        for number in itertools.cycle(numbers):
+            if program.process.poll() is not None or time.monotonic() > deadline:
+                break
+            program.process.send_signal(number)
+            time.sleep(0.001)
+        assert program.process.poll() == 0
+
+
+@pytest.mark.parametrize("name", PROGRAMS)
+def test_signal_while_a_program_loads_ends_it(name, tmp_path):
+    """SIGHUP ended it with status -1 until all of its libraries were loaded."""
+    sending = "import os, signal, sys\nos.kill(os.getpid(), signal.SIGHUP)\nsys.exit(7)\n"
+    (tmp_path / "defopt.py").write_text(sending)
+    project = tomllib.loads((EXAMPLES.parent / "pyproject.toml").read_text())["project"]
+    module, function = project["scripts"][f"halldoor-{name}"].split(":")
+    done = subprocess.run(
+        [sys.executable, "-c", f"from {module} import {function}; {function}()"],
+        check=False,
+        env=os.environ | {"PYTHONPATH": str(tmp_path)},
+        timeout=20.0,
+    )
+    assert done.returncode == 7
