--- a/halldoor/standins/targetlink.py
+++ b/halldoor/standins/targetlink.py
@@ -134,18 +134,23 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Relay one connection until both directions are closed."""
-        if self.cut is Cut.BREAK:
+        if self.cut in (Cut.RESET, Cut.BREAK):
+            # With `RESET`, it was accepted just before the cut.
             writer.transport.abort()
             return
+        self._writers.add(writer)
         try:
             target_reader, target_writer = await asyncio.open_connection(
                 self._target.ip, self._target.port
             )
         except OSError:
+            self._writers.discard(writer)
             writer.transport.abort()
             return
         both = {writer, target_writer}
         self._writers |= both
+        if writer.transport.is_closing():
+            target_writer.transport.abort()  # It was reset while it opened.
         with contextlib.suppress(asyncio.CancelledError):  # The loop ends.
             await asyncio.gather(
                 self._copy(reader, target_writer), self._copy(target_reader, writer)
--- a/halldoor/tests/test_standins.py
+++ b/halldoor/tests/test_standins.py
@@ -10,8 +10,10 @@
 import pytest
 
 from halldoor.core.settings import Address
+from halldoor.gateway.headers import HeaderNames
 from halldoor.standins.fleet import wait_until
 from halldoor.standins.sample import IP, find_ports
+from halldoor.standins.scripted import ScriptedTarget
 from halldoor.standins.target import Behaviour, TargetStandin
 from halldoor.standins.targetlink import Cut, TargetLink
 
@@ -99,3 +101,34 @@
             await link.stop()
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize("cut", [Cut.RESET, Cut.BREAK])
+def test_connection_that_opens_as_its_link_is_cut_works_on(cut):
+    """The cut reset only connections that were relayed already; entries used the others."""
+
+    async def answer(target, link, *, steps):
+        """Connect, let the loop run some steps, cut the link and return what is answered."""
+        reader, writer = await asyncio.open_connection(link.address.ip, link.address.port)
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        await link.set_cut(cut)
+        try:
+            writer.write(b"GET / HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\r\n")
+            return await asyncio.wait_for(reader.read(), 5.0)
+        except ConnectionError:
+            return b""
+        finally:
+            writer.transport.abort()
+            await link.set_cut(None)
+
+    async def check():
+        target = ScriptedTarget("t0", HeaderNames())
+        await target.start()
+        link = TargetLink(target.address)
+        await link.start()
+        assert [await answer(target, link, steps=steps) for steps in range(10)] == [b""] * 10
+        await link.stop()
+        await target.stop()
+
+    asyncio.run(check())
