--- a/halldoor/tests/test_fields.py
+++ b/halldoor/tests/test_fields.py
@@ -39,9 +39,7 @@
         loader = SettingsLoader(file)
         loader.load()
         section, _, name = path.partition(".")
-        odd = {"retries": {"slack": 8}, section: {name: "much"} if name else 7}
-        if section != "choice" or name == "none":
-            odd = {"choice": {"region_fill": 1.1}} | odd
+        odd = policy | {"retries": {"slack": 8}, section: {name: "much"} if name else 7}
         file.write_text(yaml.safe_dump(gateway | {"policy": odd}))
         settings = loader.load().gateway
         assert settings.unread == (f"policy.{path}",)
