--- a/halldoor/gateway/runner.py
+++ b/halldoor/gateway/runner.py
@@ -13,7 +13,6 @@
 from halldoor.gateway.process import Gateway
 from halldoor.gateway.settings import GatewaySettings
 from halldoor.gateway.tasks import Part, stop_task
-from halldoor.startup import ReportLimit
 
 T = TypeVar("T")
 
@@ -116,7 +115,6 @@
     gateway: Gateway, file: SettingsFile, should_reload: asyncio.Event
 ) -> None:
     """Reload the settings on SIGHUP, and when the file changes without a signal."""
-    limit = ReportLimit()
     while True:
         try:
             async with asyncio.timeout(CHECK_S):
@@ -133,7 +131,7 @@
             # Whatever is wrong with the file, the next one may be sound.
             is_expected = isinstance(exc, HalldoorError | OSError)
             cause = str(exc) if is_expected else describe_cause(exc)
-            if limit.is_due(cause):
+            if gateway.reloads.is_due(cause):
                 text = "Can't reload the settings; the previous ones stay in force."
                 gateway.log.event("process", text, cause=cause)
         await asyncio.sleep(RELOAD_PAUSE_S)
