--- a/halldoor/core/targets/unproven.py
+++ b/halldoor/core/targets/unproven.py
@@ -16,8 +16,9 @@
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.target import Target
 
-TRIALS_PER_PROVEN = 0.5
-"""Requests that may wait for unproven targets of a service at a time, by proven target."""
+TRIALS_PER_TARGET = 0.5
+"""Requests that may wait for unproven targets of a service at a time, for each of its targets that
+is proven, or was there at the first request and has not failed."""
 MIN_TRIALS = 2
 """The same, however few are proven."""
 CHECK_AFTER_S = 0.1
@@ -33,8 +34,8 @@
 PAUSE_LIMIT_S = 8.0
 """Longest such pause, in seconds: that of an ejection."""
 START_S = 3.0
-"""Time from the first request of a service in which the targets that were there then are not
-limited, in seconds, unless one failed: an entry that has just started has no answer of most."""
+"""Time from the first request of a service in which targets that requests wait for are checked, in
+seconds: an entry that has just started can't tell sound targets from others."""
 MAX_DOUBLINGS = 8
 """Doublings of the pause that are counted; it has reached its limit long before."""
 
@@ -80,6 +81,17 @@
         self.checks: dict[str, _Check] = {}
         self.asked_at = math.inf
         self.first: frozenset[str] = frozenset()
+        self._credible: int | None = None
+
+    def count_credible(self) -> int:
+        """Return how many targets are proven, or were there first and have not failed."""
+        if self._credible is None:
+            self._credible = len(self.proven | (self.first - self.failed))
+        return self._credible
+
+    def invalidate(self) -> None:
+        """Count again after a change of the sets of targets."""
+        self._credible = None
 
     def is_starting(self, now: float) -> bool:
         """Check whether most targets had no occasion to answer yet."""
@@ -113,8 +125,9 @@
     """Which targets have answered, and the trials and checks of those that have not.
 
     The requests that wait for unproven targets of a service, and its unproven targets that failed,
-    are together at most `TRIALS_PER_PROVEN` of the proven ones.  There is no limit where none is
-    proven, and on the first targets for `START_S` unless one failed.
+    are together at most `TRIALS_PER_TARGET` of the targets that are proven or were there at the
+    first request and have not failed: an entry of a large fleet has no answer of most for long.
+    Where none is proven, there is no limit.
 
     Parameters
     ----------
@@ -152,6 +165,7 @@
             return
         service.proven.add(target.name)
         service.failed.discard(target.name)
+        service.invalidate()
         service.trials.pop(target.name, None)
         service.checks.pop(target.name, None)
 
@@ -161,6 +175,7 @@
         if target.name in service.proven or not self._is_known(target):
             return
         service.failed.add(target.name)
+        service.invalidate()
         service.request_check(target, now + PAUSE_S)
 
     def start_trial(self, target: Target) -> None:
@@ -186,11 +201,10 @@
             service.asked_at = now
             known = self._catalog.list_usable(target.record.service)
             service.first = frozenset(t.name for t in known)
+            service.invalidate()
         if target.name in service.proven or not service.proven:
             return False
-        if target.name in service.first and service.is_starting(now):
-            return False
-        limit = max(MIN_TRIALS, TRIALS_PER_PROVEN * len(service.proven))
+        limit = max(MIN_TRIALS, TRIALS_PER_TARGET * service.count_credible())
         is_exhausted = service.trials.total() + len(service.failed) >= limit
         if is_exhausted:
             service.request_check(target, now + CHECK_AFTER_S)
@@ -241,6 +255,7 @@
             return False  # It answered a request, or was removed meanwhile.
         is_first = target.name not in service.failed
         service.failed.add(target.name)
+        service.invalidate()
         check.due_at = now + min(PAUSE_LIMIT_S, PAUSE_S * 2**check.doublings)
         check.doublings = min(MAX_DOUBLINGS, check.doublings + 1)
         return is_first
@@ -250,6 +265,8 @@
         for service in self._services.values():
             service.proven.discard(name)
             service.failed.discard(name)
+            service.first -= {name}
+            service.invalidate()
             service.trials.pop(name, None)
             service.checks.pop(name, None)
 
--- a/halldoor/tests/test_unproven.py
+++ b/halldoor/tests/test_unproven.py
@@ -13,27 +13,31 @@
     MIN_TRIALS,
     PAUSE_LIMIT_S,
     PAUSE_S,
-    START_S,
 )
 from halldoor.tests.choicekit import make_catalog, make_chooser, make_route, make_target
 
 
-def make_kit(*, proven=3, others=30, asked_at=1.0 - START_S):
+def make_kit(*, proven=3, others=30, are_first=False):
     """Return a chooser, its catalog, and its targets that have answered and that have not.
 
-    Where any has answered, the first request was sent at `asked_at`.
+    The others appear after the first request, unless `are_first`.
     """
     catalog = make_catalog(targets=0)
-    names = [*(f"p{i}" for i in range(proven)), *(f"u{i}" for i in range(others))]
-    for name in names:
-        catalog.apply(TargetSeen(make_target(name)), 0.0)
     chooser = make_chooser(catalog)
-    targets = [catalog.find_target(name) for name in names]
-    for target in targets[:proven]:
+    names = [f"p{i}" for i in range(proven)], [f"u{i}" for i in range(others)]
+
+    def add(group):
+        for name in group:
+            catalog.apply(TargetSeen(make_target(name)), 0.0)
+        return [catalog.find_target(name) for name in group]
+
+    sound = add(names[0])
+    unproven = add(names[1]) if are_first else []
+    for target in sound:
         chooser.unproven.add_answer(target)
     if proven:
-        chooser.choose(make_route(), "deck", "k", asked_at)
-    return chooser, catalog, targets[:proven], targets[proven:]
+        chooser.choose(make_route(), "deck", "k", 0.9)
+    return chooser, catalog, sound, unproven or add(names[1])
 
 
 def fail(chooser, target, now):
@@ -102,17 +106,17 @@
 
 
 def test_entry_that_starts_sends_few_requests_to_most_targets():
-    """All is as before any target is proven, unless one fails."""
-    chooser, catalog, _, others = make_kit(asked_at=1.0)
+    """Few targets have answered an entry of a large fleet; only later records are doubted."""
+    chooser, catalog, proven, others = make_kit(are_first=True)
     names = {target.name for target in others}
     for target in others[:10]:
         chooser.unproven.start_trial(target)
-    assert choose_names(chooser, 0.9 + START_S) & names
-    catalog.apply(TargetSeen(make_target("later")), 1.1)
-    assert "later" not in choose_names(chooser, 1.1)
-    assert not choose_names(chooser, 1.0 + START_S) & names
-    fail(chooser, others[0], 1.1)
-    assert not choose_names(chooser, 1.2) & names
+    assert choose_names(chooser, 60.0) & names
+    for target in others[:12]:
+        fail(chooser, target, 60.0)
+    assert choose_names(chooser, 60.1) <= {target.name for target in proven}
+    catalog.apply(TargetSeen(make_target("later")), 60.1)
+    assert "later" not in choose_names(chooser, 60.1)
 
 
 def test_failed_target_is_checked_and_returns_when_it_answers():
