Show that a large configuration never arrives over a narrow link

Callers were refused routes that operators had added a minute before. Each call has one time limit for the whole answer, and the next one begins anew.

The simulated network gives each node a link with a bandwidth in either direction, which the bodies of answers share.

--- a/halldoor/standins/modelentry.py
+++ b/halldoor/standins/modelentry.py
@@ -23,7 +23,7 @@
 from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.storenotices import StoreNoticeExchange
 from halldoor.gateway.sync import StoreSync
-from halldoor.standins.modelnetwork import Location, Node, start_task_on
+from halldoor.standins.modelnetwork import Link, Location, Node, start_task_on
 from halldoor.standins.storelink import StoreLink
 
 if TYPE_CHECKING:
@@ -99,6 +99,7 @@
         answering.result()
         self._fleet.answer_bytes += len(caller.answer.body)
         await self._fleet.network.transmit(node, own)
+        await self._fleet.network.transmit_body(node, own, len(caller.answer.body))
         return HttpAnswer(caller.answer.status, caller.answer.body)
 
     def close(self) -> None:
@@ -145,6 +146,9 @@
 
     def __init__(self, fleet: StoreFleet, member: MemberRecord) -> None:
         self.node = fleet.nodes[member.front.port] = Node(Location(member.hall, member.region))
+        if member.link_mbps is not None:
+            rate = member.link_mbps * 1e6 / 8
+            self.node.inwards, self.node.outwards = Link(rate), Link(rate)
         self.link = StoreLink(fleet.server, self.node)
         self.events = CountingLog()
         log = cast(EventLog, self.events)
--- a/halldoor/standins/modelnetwork.py
+++ b/halldoor/standins/modelnetwork.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextvars
+import math
 from collections.abc import Callable, Coroutine, Generator
 from random import Random
 from typing import Any, NamedTuple
@@ -13,6 +14,9 @@
 RETRANSMISSION_S = 0.2
 """Time until a lost segment of a call is retransmitted, in seconds; it doubles each time."""
 
+CHUNK_BYTES = 16_384
+"""Bytes after which another transmission gets its turn on a link."""
+
 MAX_RETRANSMISSIONS = 8
 """Most times that a lost segment of a call is retransmitted."""
 
@@ -38,6 +42,29 @@
         return self.hall_s if a.hall == b.hall else self.region_s
 
 
+class Link:
+    """One direction of a node's link; transmissions share its bandwidth.
+
+    Attributes
+    ----------
+    rate : float
+        Bandwidth, in bytes per second.
+    carried : int
+        Bytes that were carried.
+    """
+
+    def __init__(self, rate: float = math.inf) -> None:
+        self.rate = rate
+        self.carried = 0
+        self._free_at = 0.0
+
+    def reserve(self, size: int, now: float) -> float:
+        """Reserve the next free time for some bytes; return when they have passed."""
+        self.carried += size
+        self._free_at = max(self._free_at, now) + size / self.rate
+        return self._free_at
+
+
 class Node:
     """An entry or the store, as the network sees it.
 
@@ -49,6 +76,8 @@
         Share of the messages from and to it that are lost.
     is_isolated : bool
         No message from or to it arrives.
+    inwards, outwards : Link
+        The two directions of its link, which carry the bodies of answers.
     """
 
     def __init__(self, location: Location) -> None:
@@ -56,6 +85,7 @@
         self.slow_s = 0.0
         self.loss = 0.0
         self.is_isolated = False
+        self.inwards, self.outwards = Link(), Link()
         self._resumed: asyncio.Event | None = None
         self._unread: list[Callable[[], None]] = []
 
@@ -116,6 +146,18 @@
         while sender.is_isolated or receiver.is_isolated:
             await asyncio.sleep(CUT_CHECK_S)
 
+    async def transmit_body(self, sender: Node, receiver: Node, size: int) -> None:
+        """Transmit the body of an answer, in bytes, over the links of both nodes."""
+        loop = asyncio.get_running_loop()
+        for first in range(0, size, CHUNK_BYTES):
+            chunk, now = min(CHUNK_BYTES, size - first), loop.time()
+            passed_at = max(
+                link.reserve(chunk, now) for link in (sender.outwards, receiver.inwards)
+            )
+            await asyncio.sleep(passed_at - now)
+            while sender.is_isolated or receiver.is_isolated:
+                await asyncio.sleep(CUT_CHECK_S)
+
     def send_datagram(self, sender: Node, receiver: Node, receive: Callable[[], None]) -> None:
         """Send a datagram, which may be lost."""
         is_cut = sender.is_isolated or receiver.is_isolated
--- a/halldoor/standins/storefleet.py
+++ b/halldoor/standins/storefleet.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from random import Random
 
 import msgspec
@@ -52,6 +52,8 @@
         One-way delays of messages, and the store's processing time for a call, in seconds.
     has_expiry : bool, optional
         Leases that are not renewed expire.
+    links_mbps : dict of int to float, optional
+        Bandwidth of entries' links by port, in Mbit/s; the other links are not limited.
 
     Attributes
     ----------
@@ -79,6 +81,7 @@
         delays: Delays | None = None,
         answer_s: float = 0.0,
         has_expiry: bool = False,
+        links_mbps: Mapping[int, float] | None = None,
     ) -> None:
         self.store = MemoryStore(page_items=page_items, has_expiry=has_expiry)
         self.store.era = "0"
@@ -90,6 +93,7 @@
         self.nodes: dict[int, Node] = {}
         self.targets = targets
         self._halls, self._regions = halls, regions
+        self._links_mbps = links_mbps or {}
         self.server = StoreServer(
             self.store,
             Location("h0", "r0"),
@@ -110,17 +114,37 @@
     def _build_member(self, port: int, hall: int) -> MemberRecord:
         """Build the member record of the entry with a port, in the hall with a number."""
         address = Address(IP, port)
-        return MemberRecord(f"e{port}", address, f"h{hall}", f"r{hall % self._regions}", address)
+        return MemberRecord(
+            f"e{port}",
+            address,
+            f"h{hall}",
+            f"r{hall % self._regions}",
+            address,
+            link_mbps=self._links_mbps.get(port),
+        )
 
     @property
     def calls(self) -> list[tuple[float, str]]:
         """Calls to the store: time and kind of each."""
         return self.server.calls
 
-    def configure(self, version: int) -> None:
-        """Write a configuration with a version number to the store."""
-        data = {"version": version, "routes": [], "services": []}
-        self.store.put("routing", msgspec.json.encode(data))
+    def configure(self, version: int, *, routes: int = 0) -> int:
+        """Write a configuration to the store; return its size there, in bytes.
+
+        Parameters
+        ----------
+        routes : int, optional
+            Number of routes, about 180 bytes each.
+        """
+        source = Random(version)
+        data = {
+            "version": version,
+            "routes": [build_route(number, source) for number in range(routes)],
+            "services": [{"name": SERVICE, "cold_start_s": 0.0}] if routes else [],
+        }
+        value = msgspec.json.encode(data)
+        self.store.put("routing", value)
+        return 4 * len(value) // 3
 
     def find_hall(self, number: int) -> str:
         """Return the hall of a target that was written at the start."""
@@ -209,6 +233,20 @@
             entry.stop()
 
 
+def build_route(number: int, source: Random) -> dict[str, object]:
+    """Build a route whose host and path are drawn at random."""
+    return {
+        "name": f"route-{number:05}",
+        "host": f"{source.randbytes(4).hex()}.example",
+        "path_prefix": f"/{source.randbytes(5).hex()}/",
+        "kind": "repeatable",
+        "service": SERVICE,
+        "timeout_s": source.randint(2, 40) / 10,
+        "aim_s": source.randint(20, 400) / 1000,
+        "max_attempts": source.randint(1, 3),
+    }
+
+
 def name_target(number: int) -> str:
     """Return a target's name."""
     return f"t{number:05}"
--- a/halldoor/standins/storelink.py
+++ b/halldoor/standins/storelink.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import math
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator, Coroutine, Sequence
 from contextlib import asynccontextmanager
 from random import Random
 from typing import Any
 
-from halldoor.gateway.store import Events, Lease, MetadataStore, Page, StoreError
+from halldoor.gateway.store import Events, Lease, MetadataStore, Page, StoredItem, StoreError
 from halldoor.standins.memorystore import MemoryStore
 from halldoor.standins.modelnetwork import Location, Network, Node
 
@@ -18,6 +18,8 @@
 READ_TIMEOUT_S = 3.0
 """Timeout for reading a page of a range, in seconds."""
 
+ITEM_BYTES = 150
+"""Size of an item of an answer beside its value, in bytes."""
 MAX_SILENCE_S = 60.0
 """Longest time for which a silent watch waits, in seconds; longer than any watch's timeout."""
 
@@ -134,16 +136,25 @@
         while self.is_silent:
             await asyncio.sleep(CALL_TIMEOUT_S)
 
+    async def _receive(self, items: Sequence[StoredItem]) -> None:
+        """Receive the items of an answer, whose values are in base64."""
+        size = sum(ITEM_BYTES + 4 * len(item.value or b"") // 3 for item in items)
+        await self._server.network.transmit_body(self._server.node, self._node, size)
+
     async def read_range(self, prefix: str, *, after: str = "") -> Page:
         """Return one page of the keys with a prefix."""
         async with self._call("range", limit_s=READ_TIMEOUT_S) as store:
-            return await store.read_range(prefix, after=after)
+            page = await store.read_range(prefix, after=after)
+            await self._receive(page.items)
+            return page
 
     async def watch(self, prefix: str, *, after: int, wait_s: float) -> Events:
         """Wait for changes after a revision, for ``wait_s`` seconds at most."""
         async with self._call("watch", limit_s=wait_s + CALL_TIMEOUT_S) as store:
             watch = store.watch(prefix, after=after, wait_s=wait_s)
-            return await self._wait_for_watch(watch)
+            events = await self._wait_for_watch(watch)
+            await self._receive(events.items)
+            return events
 
     async def _wait_for_watch(self, watch: Coroutine[Any, Any, Events]) -> Events:
         """Wait for a watch's answer; fail once a silenced connection is detected as dead."""
