--- /dev/null
+++ b/halldoor/gateway/publishing.py
@@ -0,0 +1,164 @@
+"""Publishes an entry's records and changes of the store to the entries that poll it."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+
+import msgspec
+
+from halldoor.core.targets.catalog import Catalog
+from halldoor.core.targets.relay import Batch, ChangeHistory, RelaySettings
+from halldoor.gateway.caller import Answer, CallerConnection, Head
+from halldoor.gateway.handover import (
+    RECORDS_PATH,
+    RecordSet,
+    RecordTable,
+    accepts_packed,
+    parse_wanted_era,
+)
+from halldoor.gateway.metrics import GatewayMetrics
+from halldoor.gateway.polls import OTHER_ERA, NoChanges, RelayedChanges, Update, parse_poll
+from halldoor.gateway.store import StoredItem
+
+
+class ChangePublisher:
+    """Records and latest changes of the store, as this entry applied them.
+
+    Parameters
+    ----------
+    catalog : Catalog
+        Holds this entry's contact with the store.
+    has_contact : callable
+        Returns whether the store answered this entry or its reader lately.
+
+    Attributes
+    ----------
+    settings : RelaySettings
+        Decide for how long polls are held.
+    records : RecordTable
+        All records.
+    proven_at : float
+        Moment up to which every change is included, on the loop's clock.
+    """
+
+    def __init__(
+        self,
+        catalog: Catalog,
+        *,
+        settings: RelaySettings,
+        metrics: GatewayMetrics,
+        has_contact: Callable[[], bool],
+    ) -> None:
+        self.settings = settings
+        self.records = RecordTable()
+        self.proven_at = -math.inf
+        self._catalog = catalog
+        self._metrics = metrics
+        self._has_contact = has_contact
+        self._history: ChangeHistory[StoredItem] = ChangeHistory()
+        self._updated = asyncio.Event()
+        self._is_recording = False
+
+    def reset_records(self, records: RecordSet) -> None:
+        """Replace the records with those of a full read, and publish the difference to followers.
+
+        If the records are of another copy of the store, followers have to fetch all of them.
+        """
+        self._is_recording = True
+        difference = self.records.find_difference(records)
+        self.records.replace_all(records)
+        if difference is not None:
+            self.proven_at = max(self.proven_at, records.proven_at)
+        else:
+            self._history = ChangeHistory()
+            self.proven_at = records.proven_at
+            difference = Batch(records.revision, records.revision, [])
+        self._publish(difference)
+        self._is_recording = False
+
+    def record_update(self, after: int, update: Update) -> None:
+        """Record an update that was applied, and publish it to the followers that wait."""
+        self._is_recording = True
+        self.proven_at = max(self.proven_at, update.proven_at)
+        self.records.apply(update.events.items, update.events.revision)
+        self._publish(update.to_batch(after))
+        self._is_recording = False
+
+    def reset(self) -> None:
+        """Drop the records if recording an update failed half way."""
+        if self._is_recording:
+            self.records, self._history = RecordTable(), ChangeHistory()
+            self._is_recording = False
+
+    def _publish(self, batch: Batch[StoredItem]) -> None:
+        """Add a batch to the history, and wake the polls that wait for an update."""
+        self._history.add(batch)
+        self._updated.set()
+        self._updated = asyncio.Event()
+
+    async def answer(self, caller: CallerConnection, head: Head) -> None:
+        """Answer a follower's poll for changes, or its request for all records."""
+        target = head.target.decode("latin-1")
+        if target.startswith(RECORDS_PATH):
+            await self._send_records(caller, target)
+            return
+        poll = parse_poll(target)
+        if poll is None:
+            self._metrics.add_bad_poll()
+            caller.send(Answer(404, []))
+            return
+        if poll.needs_contact and not self._has_contact():
+            caller.send(Answer(503, []))
+            return
+        if poll.era == self.records.era and not self._history.has_changes_after(poll.after):
+            await self._wait_for_update(poll.wait_s)
+        batch = self._history.collect(poll.after)
+        now = _now()
+        held_s, contact = now - head.received_at, self._catalog.contact.get_report(now)
+        if poll.era != self.records.era or batch is None:
+            # Revisions of two copies of the store can't be compared.
+            status = OTHER_ERA if poll.era != self.records.era else 503
+            body = msgspec.msgpack.encode(NoChanges(held_s, contact))
+            caller.send(Answer(status, [], body))
+            return
+        changes = RelayedChanges(
+            list(batch.items),
+            batch.revision,
+            age_s=now - self.proven_at,
+            held_s=held_s,
+            is_difference=batch.is_difference,
+            contact=contact,
+        )
+        caller.send(Answer(200, [], msgspec.msgpack.encode(changes)))
+
+    async def _send_records(self, caller: CallerConnection, target: str) -> None:
+        """Send all records, once they are of the requested copy of the store."""
+        wanted = parse_wanted_era(target)
+        if wanted is None:
+            self._metrics.add_bad_poll()
+            caller.send(Answer(404, []))
+            return
+        deadline = _now() + self.settings.handover_wait_s
+        while not self.records.satisfies(wanted) and _now() < deadline:
+            await self._wait_for_update(deadline - _now())
+        if not self.records.satisfies(wanted):
+            caller.send(Answer(503, []))
+            return
+        is_packed = accepts_packed(target)
+        body = self.records.encode(_now() - self.proven_at, is_packed=is_packed)
+        caller.send(Answer(200, [], body))
+
+    async def _wait_for_update(self, wait_s: float) -> None:
+        """Wait for the next update, with or without changes, up to a limit."""
+        try:
+            async with asyncio.timeout(min(wait_s, self.settings.age_limit_s)):
+                await self._updated.wait()
+        except TimeoutError:
+            return  # The answer carries the state's age, which the follower checks.
+
+
+def _now() -> float:
+    """Return the time of the loop's clock."""
+    return asyncio.get_running_loop().time()
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -8,50 +8,34 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Callable, Iterable
 from random import Random
 
-import msgspec
-
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.proofs import compute_watch_proof, find_watch_slot_wait
 from halldoor.core.targets.relay import (
-    Batch,
-    ChangeHistory,
     RelaySettings,
     WantedEra,
     choose_reader,
     choose_readers,
     list_hall,
 )
-from halldoor.gateway.caller import Answer, CallerConnection, Head
+from halldoor.gateway.caller import CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.handover import (
-    RECORDS_PATH,
     ReaderLostError,
     ReaderSilentError,
     RecordSet,
     RecordTable,
-    accepts_packed,
-    parse_wanted_era,
     request_records,
 )
 from halldoor.gateway.httpclient import HttpClient
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.polls import (
-    OTHER_ERA,
-    ContactLostError,
-    NoChanges,
-    Poll,
-    RelayedChanges,
-    Update,
-    parse_poll,
-    send_poll,
-)
-from halldoor.gateway.store import Events, HistoryGoneError, MetadataStore, StoredItem
+from halldoor.gateway.polls import ContactLostError, Poll, Update, send_poll
+from halldoor.gateway.publishing import ChangePublisher
+from halldoor.gateway.store import Events, HistoryGoneError, MetadataStore
 from halldoor.gateway.substitute import SubstituteReader
 
 CONTACT_CHECK_S = 0.25
@@ -99,7 +83,6 @@
         self._store = store
         self._own = own
         self._catalog = catalog
-        self.settings = settings
         self.batch_s = batch_s
         self._log = log
         self._metrics = metrics
@@ -110,13 +93,11 @@
         self._members_version = -1
         self._direct_until = 0.0
         self._no_handover_until = 0.0
-        self._proven_at = -math.inf
         self._is_hasty = self._is_pause_due = False
         self._has_watched = False
-        self._records = RecordTable()
-        self._history: ChangeHistory[StoredItem] = ChangeHistory()
-        self._is_recording = False
-        self._updated = asyncio.Event()
+        self._publisher = ChangePublisher(
+            catalog, settings=settings, metrics=metrics, has_contact=lambda: self.has_contact
+        )
         self._pause_skipped = asyncio.Event()
         self.random = Random(own.name)
         self._phase = self.random.random()
@@ -124,6 +105,20 @@
             own, catalog, settings=settings, log=log, metrics=metrics, open_client=open_client
         )
 
+    @property
+    def settings(self) -> RelaySettings:
+        """When a reader is followed, and for how long its state may be old."""
+        return self._publisher.settings
+
+    @settings.setter
+    def settings(self, settings: RelaySettings) -> None:
+        self._publisher.settings = settings
+
+    @property
+    def _records(self) -> RecordTable:
+        """All records of the store."""
+        return self._publisher.records
+
     @property
     def has_contact(self) -> bool:
         """Whether the store answered this entry or its reader within the contact limit."""
@@ -168,7 +163,7 @@
             return
         now = _now()
         if self._is_reader:
-            age_s = now - self._proven_at
+            age_s = now - self._publisher.proven_at
             pause_s = self.settings.find_pause_s(age_s, entries=self._hall_entries)
         else:
             pause_s = find_watch_slot_wait(now, period_s=self.batch_s, phase=self._phase)
@@ -260,7 +255,7 @@
             self._client = self._open_client(self._reader.relay)
         self._has_watched = self._is_hasty = False
         sent_at = _now()
-        age_s = sent_at - self._proven_at
+        age_s = sent_at - self._publisher.proven_at
         wait_s = self.settings.find_poll_s(age_s)
         poll = Poll(revision, wait_s, self._records.era)
         update = await send_poll(
@@ -332,102 +327,23 @@
 
         If the records are of another copy of the store, followers have to fetch all of them.
         """
-        self._is_recording = True
-        difference = self._records.find_difference(records)
-        self._records.replace_all(records)
         self._has_watched = True
-        if difference is not None:
-            self._proven_at = max(self._proven_at, records.proven_at)
-        else:
-            self._history = ChangeHistory()
-            self._proven_at = records.proven_at
-            difference = Batch(records.revision, records.revision, [])
-        self._publish(difference)
-        self._is_recording = False
+        self._publisher.reset_records(records)
 
     def record_update(self, after: int, update: Update) -> None:
         """Record an update that was applied, and publish it to the followers that wait."""
-        self._is_recording = True
-        events = update.events
-        self._is_pause_due = bool(events.items) or self._is_hasty
-        self._proven_at = max(self._proven_at, update.proven_at)
-        self._records.apply(events.items, events.revision)
-        self._publish(update.to_batch(after))
-        self._is_recording = False
+        self._is_pause_due = bool(update.events.items) or self._is_hasty
+        self._publisher.record_update(after, update)
 
     def reset(self) -> None:
         """Choose the reader again; drop the records if recording an update failed half way."""
         self.close()
         self._reader, self._members_version = None, -1
-        if self._is_recording:
-            self._records, self._history = RecordTable(), ChangeHistory()
-            self._is_recording = False
-
-    def _publish(self, batch: Batch[StoredItem]) -> None:
-        """Add a batch to the history, and wake the polls that wait for an update."""
-        self._history.add(batch)
-        self._updated.set()
-        self._updated = asyncio.Event()
+        self._publisher.reset()
 
     async def answer(self, caller: CallerConnection, head: Head) -> None:
         """Answer a follower's poll for changes, or its request for all records."""
-        target = head.target.decode("latin-1")
-        if target.startswith(RECORDS_PATH):
-            await self._send_records(caller, target)
-            return
-        poll = parse_poll(target)
-        if poll is None:
-            self._metrics.add_bad_poll()
-            caller.send(Answer(404, []))
-            return
-        if poll.needs_contact and not self.has_contact:
-            caller.send(Answer(503, []))
-            return
-        if poll.era == self._records.era and not self._history.has_changes_after(poll.after):
-            await self._wait_for_update(poll.wait_s)
-        batch = self._history.collect(poll.after)
-        now = _now()
-        held_s, contact = now - head.received_at, self._catalog.contact.get_report(now)
-        if poll.era != self._records.era or batch is None:
-            # Revisions of two copies of the store can't be compared.
-            status = OTHER_ERA if poll.era != self._records.era else 503
-            body = msgspec.msgpack.encode(NoChanges(held_s, contact))
-            caller.send(Answer(status, [], body))
-            return
-        changes = RelayedChanges(
-            list(batch.items),
-            batch.revision,
-            age_s=now - self._proven_at,
-            held_s=held_s,
-            is_difference=batch.is_difference,
-            contact=contact,
-        )
-        caller.send(Answer(200, [], msgspec.msgpack.encode(changes)))
-
-    async def _send_records(self, caller: CallerConnection, target: str) -> None:
-        """Send all records, once they are of the requested copy of the store."""
-        wanted = parse_wanted_era(target)
-        if wanted is None:
-            self._metrics.add_bad_poll()
-            caller.send(Answer(404, []))
-            return
-        deadline = _now() + self.settings.handover_wait_s
-        while not self._records.satisfies(wanted) and _now() < deadline:
-            await self._wait_for_update(deadline - _now())
-        if not self._records.satisfies(wanted):
-            caller.send(Answer(503, []))
-            return
-        is_packed = accepts_packed(target)
-        body = self._records.encode(_now() - self._proven_at, is_packed=is_packed)
-        caller.send(Answer(200, [], body))
-
-    async def _wait_for_update(self, wait_s: float) -> None:
-        """Wait for the next update, with or without changes, up to a limit."""
-        try:
-            async with asyncio.timeout(min(wait_s, self.settings.age_limit_s)):
-                await self._updated.wait()
-        except TimeoutError:
-            return  # The answer carries the state's age, which the follower checks.
+        await self._publisher.answer(caller, head)
 
     def close(self) -> None:
         """Close the connections to other entries."""
