Limit large answers by their progress instead of their whole time

Entries on narrow links never received a large configuration, nor any change after it: each call for it ended at its time limit, what had arrived was dropped, and the next call began anew, so that the link carried nothing else.

The time limit of watches, pages, polls and handed records now holds for the head of the answer. Neither a notice that other entries are ahead nor lost contact cancels a watch whose answer is arriving.

--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -19,6 +19,7 @@
 from halldoor.core.decoding import DecodingError, decode_msgpack, decompress
 from halldoor.core.targets.proofs import compute_poll_proof
 from halldoor.core.targets.relay import Batch, WantedEra
+from halldoor.gateway.arrivals import Arrival
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.gateway.query import parse_query
 from halldoor.gateway.store import StoredItem
@@ -148,7 +149,7 @@
     Parameters
     ----------
     timeout_s : float
-        Time limit of the answer, in seconds; includes the other entry's wait for the store.
+        Time limit of the answer's head, in seconds; includes the other entry's wait for the store.
 
     Raises
     ------
@@ -159,7 +160,12 @@
     query[PACKED] = "1"
     sent_at = asyncio.get_running_loop().time()
     try:
-        answer = await client.call("GET", f"{RECORDS_PATH}?{urlencode(query)}", timeout_s=timeout_s)
+        answer = await client.call(
+            "GET",
+            f"{RECORDS_PATH}?{urlencode(query)}",
+            timeout_s=timeout_s,
+            arrival=Arrival(),
+        )
     except HttpCallError as exc:
         raise ReaderSilentError(str(exc)) from exc
     if answer.status != 200:
--- a/halldoor/gateway/httpclient.py
+++ b/halldoor/gateway/httpclient.py
@@ -9,6 +9,7 @@
 
 from halldoor.core.decoding import MAX_BYTES
 from halldoor.core.settings import Address
+from halldoor.gateway.arrivals import Arrival
 from halldoor.gateway.connection import (
     ConnectionBrokenError,
     ConnectionFailedError,
@@ -65,6 +66,7 @@
         headers: Headers | None = None,
         timeout_s: float,
         max_bytes: int = MAX_BYTES,
+        arrival: Arrival | None = None,
     ) -> HttpAnswer:
         """Send one request and return its answer.
 
@@ -76,6 +78,9 @@
             Timeout of the call, connecting included, in seconds.
         max_bytes : int, optional
             Greatest size of the answer's body, in bytes.
+        arrival : Arrival, optional
+            Records the answer's progress.  Its body may take longer than `timeout_s` as long as
+            enough of it arrives.
 
         Raises
         ------
@@ -87,18 +92,22 @@
         connection: HttpConnection | None = None
         is_kept = False
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
                 connection = await self._connect(timeout_s)
                 connection.start_exchange()
                 await connection.send(request, h11.Data(data=body), h11.EndOfMessage())
-                answer = await _receive_answer(connection, max_bytes=max_bytes)
+                answer = await _receive_answer(
+                    connection, max_bytes=max_bytes, limit=limit, arrival=arrival
+                )
             is_kept = connection.can_be_reused() and len(self._idle) < MAX_IDLE
             if is_kept:
                 connection.mark_idle(asyncio.get_running_loop().time(), idle_limit_s=IDLE_LIMIT_S)
                 self._idle.append(connection)
             return answer
         except (TimeoutError, ConnectionFailedError, ConnectionBrokenError) as exc:
-            raise HttpCallError(f"{type(exc).__name__} {exc}".strip()) from exc
+            part = f"after {arrival.received} bytes" if arrival and arrival.received else ""
+            cause = " ".join(filter(None, (type(exc).__name__, str(exc), part)))
+            raise HttpCallError(cause) from exc
         finally:
             if connection is not None and not is_kept:
                 connection.close()
@@ -138,13 +147,23 @@
         self._idle.clear()
 
 
-async def _receive_answer(connection: HttpConnection, *, max_bytes: int) -> HttpAnswer:
+async def _receive_answer(
+    connection: HttpConnection,
+    *,
+    max_bytes: int,
+    limit: asyncio.Timeout,
+    arrival: Arrival | None,
+) -> HttpAnswer:
     """Receive an answer; raise an error if its body is too large."""
     head = await connection.receive_head()
+    if arrival is not None:
+        arrival.extend(limit)
     body = bytearray()
     try:
         while not isinstance(event := await connection.receive(), h11.EndOfMessage):
             body += event.data
+            if arrival is not None:
+                arrival.extend(limit, count=len(event.data))
             if len(body) > max_bytes:
                 raise AnswerTooLargeError(f"an answer of more than {max_bytes} bytes")
         return HttpAnswer(head.status_code, bytes(body), list(head.headers.raw_items()))
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -13,6 +13,7 @@
 from halldoor.core.targets.contact import ContactReport, StoreContact, compute_contact_span
 from halldoor.core.targets.proofs import compute_poll_proof
 from halldoor.core.targets.relay import Batch
+from halldoor.gateway.arrivals import Arrival
 from halldoor.gateway.handover import ReaderLostError, ReaderSilentError
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.gateway.query import parse_query
@@ -137,7 +138,13 @@
 
 
 async def send_poll(
-    client: HttpClient, poll: Poll, contact: StoreContact, *, sent_at: float, answer_s: float
+    client: HttpClient,
+    poll: Poll,
+    contact: StoreContact,
+    *,
+    sent_at: float,
+    answer_s: float,
+    arrival: Arrival | None = None,
 ) -> Update:
     """Send a poll and read its answer.
 
@@ -148,7 +155,9 @@
     sent_at : float
         When the poll is sent, on the loop's clock.
     answer_s : float
-        Time limit of the answer in addition to the poll's wait, in seconds.
+        Time limit of the answer's head in addition to the poll's wait, in seconds.
+    arrival : Arrival, optional
+        Records the answer's progress.
 
     Raises
     ------
@@ -162,7 +171,10 @@
         query["needs_contact"] = 1
     try:
         answer = await client.call(
-            "GET", f"{CHANGES_PATH}?{urlencode(query)}", timeout_s=poll.wait_s + answer_s
+            "GET",
+            f"{CHANGES_PATH}?{urlencode(query)}",
+            timeout_s=poll.wait_s + answer_s,
+            arrival=arrival if arrival is not None else Arrival(),
         )
     except HttpCallError as exc:
         raise ReaderSilentError(str(exc)) from exc
--- a/halldoor/gateway/reading.py
+++ b/halldoor/gateway/reading.py
@@ -116,7 +116,7 @@
         self._on_page(page, era)
 
     async def _call(self, after: str) -> Page:
-        """Read a page within a time limit.
+        """Read a page within a time limit for the head of the store's answer.
 
         The limit doubles after each timeout, so that a slow link or store answers in the end.
 
@@ -128,13 +128,17 @@
         loop = asyncio.get_running_loop()
         limit_s = max(self.limit_s, self._adaptive_limit_s)
         sent_at = loop.time()
+        call = asyncio.ensure_future(self._store.read_range("", after=after))
         try:
-            async with asyncio.timeout(limit_s):
-                page = await self._store.read_range("", after=after)
-        except TimeoutError as exc:
-            self._adaptive_limit_s = TIMEOUT_FACTOR * limit_s
-            raise StoreError(
-                f"No page within {limit_s:.2f} s.", remedy="Check the store and the link to it."
-            ) from exc
+            await asyncio.wait([call], timeout=None if math.isinf(limit_s) else limit_s)
+            arrival = self._store.page_arrival
+            if not call.done() and not (arrival is not None and arrival.has_begun):
+                self._adaptive_limit_s = TIMEOUT_FACTOR * limit_s
+                raise StoreError(
+                    f"No page within {limit_s:.2f} s.", remedy="Check the store and the link to it."
+                )
+            page = await call
+        finally:
+            call.cancel()
         self._adaptive_limit_s = TIMEOUT_FACTOR * (loop.time() - sent_at)
         return page
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -124,6 +124,12 @@
         """Whether the store answered this entry or its reader within the contact limit."""
         return _now() - self._catalog.store_contact_at <= self.settings.contact_limit_s
 
+    @property
+    def is_answer_arriving(self) -> bool:
+        """Whether the answer to a watch of the store is arriving."""
+        arrival = self._store.watch_arrival
+        return arrival is not None and arrival.has_begun
+
     @property
     def watches_store(self) -> bool:
         """Check whether this entry watches the store."""
@@ -242,7 +248,8 @@
         try:
             while not watch.done():
                 await asyncio.wait([watch], timeout=CONTACT_CHECK_S)
-                if had_contact and not self.has_contact and not watch.done():
+                is_cut = had_contact and not self.has_contact and not self.is_answer_arriving
+                if is_cut and not watch.done():
                     raise ContactLostError
             return watch.result()
         finally:
--- a/halldoor/gateway/store.py
+++ b/halldoor/gateway/store.py
@@ -9,6 +9,7 @@
 from halldoor.core.decoding import DecodingError, decoding
 from halldoor.core.errors import HalldoorError
 from halldoor.core.targets.changes import Change, MemberRecord
+from halldoor.gateway.arrivals import Arrival
 
 MAX_SHOWN = 200
 """Characters of a key that are shown in an error message."""
@@ -77,9 +78,14 @@
         Identifies the copy of the store that sent the newest answer; it changes when the store is
         restored from a copy, and is empty where the store doesn't send it.  Revisions and leases
         of another era are invalid.
+    watch_arrival, page_arrival : Arrival or None
+        Progress of the answer to the present watch, and to the present read of a page; None while
+        there is none, or where it is not known.
     """
 
     era: str = ""
+    watch_arrival: Arrival | None = None
+    page_arrival: Arrival | None = None
 
     def __init__(self) -> None:
         self.on_unreadable: Callable[[str], None] = lambda _: None
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -157,7 +157,12 @@
         self.renew_watch(cause)
 
     def renew_watch(self, cause: str) -> None:
-        """Cancel the current watch, which returns no changes, and open another one."""
+        """Cancel the current watch, unless its answer is arriving, and open another one."""
+        if not self._feed.is_answer_arriving:
+            self._cancel_watch(cause)
+
+    def _cancel_watch(self, cause: str) -> None:
+        """Cancel the current watch, and open another one."""
         self._log.event("store", "Opens another watch.", cause=cause)
         if self._watch_task is not None:
             self._watch_task.cancel()
@@ -167,7 +172,8 @@
         self.is_unconfirmed = True
         self._revision = None
         self._reader.clear()
-        self.restart_watch(cause)
+        self._has_lost_contact = True
+        self._cancel_watch(cause)
 
     def _find_reading_pause_s(self) -> float:
         """Mark the history as gone, and return the pause before all records are read again.
--- a/halldoor/standins/modelentry.py
+++ b/halldoor/standins/modelentry.py
@@ -10,6 +10,7 @@
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog, CatalogTimings
 from halldoor.core.targets.changes import Change, MemberRecord, MemberRemoved
+from halldoor.gateway.arrivals import Arrival
 from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.eventlog import EventLog
@@ -73,16 +74,24 @@
         self._own = own
 
     async def call(
-        self, method: str, target: str, *, body: bytes = b"", timeout_s: float
+        self,
+        method: str,
+        target: str,
+        *,
+        body: bytes = b"",
+        timeout_s: float,
+        arrival: Arrival | None = None,
     ) -> HttpAnswer:
         """Call the other entry, and return its answer."""
         try:
-            async with asyncio.timeout(timeout_s):
-                return await self._call(method, target)
+            async with asyncio.timeout(timeout_s) as limit:
+                return await self._call(method, target, limit, arrival)
         except TimeoutError:
             raise HttpCallError("no answer in time") from None
 
-    async def _call(self, method: str, target: str) -> HttpAnswer:
+    async def _call(
+        self, method: str, target: str, limit: asyncio.Timeout, arrival: Arrival | None
+    ) -> HttpAnswer:
         """Send the call to the other entry, if it is up, and wait for its answer."""
         node = self._fleet.nodes[self._address.port]
         own = self._own if self._own is not None else Node(node.location)
@@ -99,7 +108,15 @@
         answering.result()
         self._fleet.answer_bytes += len(caller.answer.body)
         await self._fleet.network.transmit(node, own)
-        await self._fleet.network.transmit_body(node, own, len(caller.answer.body))
+        if arrival is not None:
+            arrival.extend(limit)
+
+        def extend(count: int) -> None:
+            if arrival is not None:
+                arrival.extend(limit, count=count)
+
+        size = len(caller.answer.body)
+        await self._fleet.network.transmit_body(node, own, size, on_part=extend)
         return HttpAnswer(caller.answer.status, caller.answer.body)
 
     def close(self) -> None:
--- a/halldoor/standins/modelnetwork.py
+++ b/halldoor/standins/modelnetwork.py
@@ -146,8 +146,16 @@
         while sender.is_isolated or receiver.is_isolated:
             await asyncio.sleep(CUT_CHECK_S)
 
-    async def transmit_body(self, sender: Node, receiver: Node, size: int) -> None:
-        """Transmit the body of an answer, in bytes, over the links of both nodes."""
+    async def transmit_body(
+        self, sender: Node, receiver: Node, size: int, *, on_part: Callable[[int], None]
+    ) -> None:
+        """Transmit the body of an answer, in bytes, over the links of both nodes.
+
+        Parameters
+        ----------
+        on_part : callable
+            Called with the size of each part when it arrives, in bytes.
+        """
         loop = asyncio.get_running_loop()
         for first in range(0, size, CHUNK_BYTES):
             chunk, now = min(CHUNK_BYTES, size - first), loop.time()
@@ -157,6 +165,7 @@
             await asyncio.sleep(passed_at - now)
             while sender.is_isolated or receiver.is_isolated:
                 await asyncio.sleep(CUT_CHECK_S)
+            on_part(chunk)
 
     def send_datagram(self, sender: Node, receiver: Node, receive: Callable[[], None]) -> None:
         """Send a datagram, which may be lost."""
