Compress the changes that entries relay to each other

A reader sent a megabyte uncompressed to each of its followers, over links that carry 590 kB/s. An update of 4 kB or more is now compressed once for all entries that poll for it. Polls say that they accept it, so entries of the release before get, and send, changes as before.

--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -374,16 +374,23 @@
             last = self._batches.pop()
             self._batches.append(last._replace(revision=batch.revision))
 
+    def select(self, after: int) -> list[Batch[T]] | None:
+        """Return the batches with changes after a revision; None if the history lacks some."""
+        if not self._batches or after < self._batches[0].after:
+            return None
+        wanted = [batch for batch in self._batches if batch.revision > after]
+        if wanted and wanted[0].is_difference and wanted[0].after < after:
+            return None
+        return wanted
+
     def collect(self, after: int) -> Batch[T] | None:
         """Return all changes after a revision; None if the history lacks some of them.
 
         A follower that is ahead of its reader gets an empty batch.  If the revision lies within a
         batch, changes up to it are repeated: applied in order they lead to the same state.
         """
-        if not self._batches or after < self._batches[0].after:
-            return None
-        wanted = [batch for batch in self._batches if batch.revision > after]
-        if wanted and wanted[0].is_difference and wanted[0].after < after:
+        wanted = self.select(after)
+        if wanted is None:
             return None
         return Batch(
             after=after,
--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -26,7 +26,7 @@
 
 RECORDS_PATH = "/records"
 PACKED = "packed"
-"""Query field by which an entry asks for compressed records."""
+"""Query field by which an entry accepts compressed records or changes."""
 COMPRESSION_LEVEL = 1
 
 
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -3,18 +3,32 @@
 from __future__ import annotations
 
 import asyncio
+import zlib
+from collections.abc import Iterable
+from functools import cached_property
 from typing import NamedTuple
 from urllib.parse import urlencode
 
 import msgspec
 
 from halldoor.core.bounds import MAX_REVISION, Revision, SignedSeconds
-from halldoor.core.decoding import DecodingError, decode_msgpack, parse_int
+from halldoor.core.decoding import (
+    MAX_BYTES,
+    DecodingError,
+    decode_msgpack,
+    decompress,
+    parse_int,
+)
 from halldoor.core.targets.contact import ContactReport, StoreContact, compute_contact_span
 from halldoor.core.targets.proofs import compute_poll_proof
 from halldoor.core.targets.relay import Batch
 from halldoor.gateway.arrivals import Arrival
-from halldoor.gateway.handover import ReaderLostError, ReaderSilentError
+from halldoor.gateway.handover import (
+    COMPRESSION_LEVEL,
+    PACKED,
+    ReaderLostError,
+    ReaderSilentError,
+)
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.gateway.query import parse_query
 from halldoor.gateway.store import Events, StoredItem
@@ -22,6 +36,8 @@
 CHANGES_PATH = "/changes"
 MAX_WAIT_MS = 3_600_000
 """Greatest wait of a poll that is accepted, in milliseconds."""
+LARGE_BYTES = 4_096
+"""Size of the values of an update from which it is compressed, in bytes."""
 OTHER_ERA = 409
 """Status that answers a poll for changes of another copy of the store."""
 
@@ -34,11 +50,48 @@
     """No answer or report of the store arrived for too long while a watch waited."""
 
 
+class ItemBlock(list[StoredItem]):
+    """Changes that are encoded once for all entries that poll for them."""
+
+    @property
+    def is_large(self) -> bool:
+        """Whether the changes are worth compressing."""
+        return sum(len(item.value or b"") for item in self) >= LARGE_BYTES
+
+    @cached_property
+    def packed(self) -> bytes:
+        """The changes in MessagePack, compressed with zlib."""
+        return zlib.compress(msgspec.msgpack.encode(list(self)), COMPRESSION_LEVEL)
+
+
+def unpack_items(items: Iterable[StoredItem | bytes]) -> list[StoredItem]:
+    """Replace the compressed blocks among changes by their changes.
+
+    Raises
+    ------
+    DecodingError
+        If a block can't be decoded, or if all of them have more than `MAX_BYTES`.
+    """
+    plain: list[StoredItem] = []
+    left = MAX_BYTES
+    for item in items:
+        if isinstance(item, bytes):
+            data = decompress(item, origin="changes", max_bytes=max(1, left))
+            left -= len(data)
+            plain += decode_msgpack(data, list[StoredItem], origin="changes")
+        else:
+            plain.append(item)
+    return plain
+
+
 class RelayedChanges(msgspec.Struct, frozen=True):
     """Answer to a poll, with the changes after its revision.
 
     Attributes
     ----------
+    items : list of StoredItem or bytes
+        The changes in their order.  Bytes are several of them, as `ItemBlock.packed`; they are sent
+        only to an entry whose poll accepts them.
     age_s : float
         Time since the moment up to which the sender's state is complete, in seconds.
     held_s : float
@@ -49,7 +102,7 @@
         The answering entry's contact with the store.
     """
 
-    items: list[StoredItem]
+    items: list[StoredItem | bytes]
     revision: Revision
     age_s: SignedSeconds
     held_s: SignedSeconds
@@ -109,12 +162,15 @@
         Copy of the store that the revision belongs to.
     needs_contact : bool
         Whether only an entry in contact with the store may answer, whatever the age of its state.
+    accepts_packed : bool
+        Whether the answer may contain compressed changes.
     """
 
     after: int
     wait_s: float
     era: str
     needs_contact: bool = False
+    accepts_packed: bool = True
 
 
 def parse_poll(target: str) -> Poll | None:
@@ -127,8 +183,13 @@
         wait_ms = parse_int(fields.get("wait_ms", ""), lowest=0, highest=MAX_WAIT_MS, origin="wait")
     except DecodingError:
         return None
-    is_contact_needed = fields.get("needs_contact") == "1"
-    return Poll(after, wait_ms / 1000, fields.get("era", ""), is_contact_needed)
+    return Poll(
+        after,
+        wait_ms / 1000,
+        fields.get("era", ""),
+        needs_contact=fields.get("needs_contact") == "1",
+        accepts_packed=fields.get(PACKED) == "1",
+    )
 
 
 def decode_poll_answer(status: int, body: bytes) -> RelayedChanges | NoChanges | None:
@@ -167,6 +228,8 @@
         If the other entry follows another copy of the store.
     """
     query = {"after": poll.after, "wait_ms": round(poll.wait_s * 1000), "era": poll.era}
+    if poll.accepts_packed:
+        query[PACKED] = 1
     if poll.needs_contact:
         query["needs_contact"] = 1
     try:
@@ -180,6 +243,7 @@
         raise ReaderSilentError(str(exc)) from exc
     try:
         changes = decode_poll_answer(answer.status, answer.body)
+        items = unpack_items(changes.items) if isinstance(changes, RelayedChanges) else []
     except DecodingError as exc:
         raise ReaderLostError(f"its answer can't be read: {exc}") from exc
     if changes is not None and changes.contact is not None:
@@ -193,5 +257,5 @@
     if not isinstance(changes, RelayedChanges):
         raise ReaderLostError(f"it answered {answer.status}")
     proven_at = compute_poll_proof(sent_at=sent_at, held_s=changes.held_s, age_s=changes.age_s)
-    events = Events(changes.items, changes.revision)
+    events = Events(items, changes.revision)
     return Update(events, proven_at, is_relayed=True, is_difference=changes.is_difference)
--- a/halldoor/gateway/publishing.py
+++ b/halldoor/gateway/publishing.py
@@ -19,7 +19,15 @@
     parse_wanted_era,
 )
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.polls import OTHER_ERA, NoChanges, RelayedChanges, Update, parse_poll
+from halldoor.gateway.polls import (
+    OTHER_ERA,
+    ItemBlock,
+    NoChanges,
+    Poll,
+    RelayedChanges,
+    Update,
+    parse_poll,
+)
 from halldoor.gateway.store import StoredItem
 
 
@@ -94,7 +102,7 @@
 
     def _publish(self, batch: Batch[StoredItem]) -> None:
         """Add a batch to the history, and wake the polls that wait for an update."""
-        self._history.add(batch)
+        self._history.add(batch._replace(items=ItemBlock(batch.items)))
         self._updated.set()
         self._updated = asyncio.Event()
 
@@ -124,7 +132,7 @@
             caller.send(Answer(status, [], body))
             return
         changes = RelayedChanges(
-            list(batch.items),
+            self._pack_changes(poll) if poll.accepts_packed else list(batch.items),
             batch.revision,
             age_s=now - self.proven_at,
             held_s=held_s,
@@ -133,6 +141,17 @@
         )
         caller.send(Answer(200, [], msgspec.msgpack.encode(changes)))
 
+    def _pack_changes(self, poll: Poll) -> list[StoredItem | bytes]:
+        """Return the changes after a poll's revision; each large update in its compressed form."""
+        items: list[StoredItem | bytes] = []
+        for batch in self._history.select(poll.after) or []:
+            block = batch.items
+            if isinstance(block, ItemBlock) and block.is_large:
+                items.append(block.packed)
+            else:
+                items += block
+        return items
+
     async def _send_records(self, caller: CallerConnection, target: str) -> None:
         """Send all records, once they are of the requested copy of the store."""
         wanted = parse_wanted_era(target)
--- a/halldoor/tests/test_relay.py
+++ b/halldoor/tests/test_relay.py
@@ -6,10 +6,12 @@
 import contextlib
 from collections import Counter
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from halldoor.core.decoding import MAX_BYTES, DecodingError
 from halldoor.core.settings import Address
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.contact import ContactReport, compute_contact_span
@@ -23,7 +25,15 @@
     choose_reader,
     choose_readers,
 )
-from halldoor.gateway.store import MetadataStore, StoreError
+from halldoor.gateway.polls import (
+    ItemBlock,
+    Poll,
+    RelayedChanges,
+    decode_poll_answer,
+    parse_poll,
+    unpack_items,
+)
+from halldoor.gateway.store import MetadataStore, StoredItem, StoreError
 from halldoor.standins.memorystore import MemoryStore
 from halldoor.standins.sample import IP, find_ports
 from halldoor.tests.gatewaykit import GatewayKit
@@ -115,6 +125,34 @@
     return {key: value for key, value in values.items() if value is not None}
 
 
+class TestPackedChanges:
+    def test_order_of_changes_is_kept_and_large_update_is_packed_once(self):
+        """The changes of a follower's poll were sent uncompressed, a megabyte to each."""
+        large = [StoredItem("op", b"route " * 50_000), StoredItem("a", b"1")]
+        blocks = [ItemBlock([StoredItem("a", b"0")]), ItemBlock(large)]
+        assert [block.is_large for block in blocks] == [False, True]
+        assert blocks[1].packed is blocks[1].packed
+        assert len(blocks[1].packed) < 10_000
+        sent = [*blocks[0], blocks[1].packed, StoredItem("op", None)]
+        assert unpack_items(sent) == [*blocks[0], *large, StoredItem("op", None)]
+
+    def test_earlier_release_gets_plain_changes(self):
+        assert parse_poll("/changes?after=3&wait_ms=5&era=0") == Poll(
+            3, 0.005, "0", accepts_packed=False
+        )
+        plain = msgspec.msgpack.encode(RelayedChanges([StoredItem("k", b"v")], 3, 0.0, 0.0))
+        changes = decode_poll_answer(200, plain)
+        assert unpack_items(changes.items) == [StoredItem("k", b"v")]
+
+    def test_blocks_that_unpack_to_too_much_are_rejected(self):
+        block = ItemBlock([StoredItem("k", bytes(MAX_BYTES // 2))]).packed
+        assert len(unpack_items([block])) == 1
+        with pytest.raises(DecodingError, match="larger"):
+            unpack_items([block] * 2)
+        with pytest.raises(DecodingError):
+            unpack_items([b"rubbish"])
+
+
 class TestChangeHistory:
     @given(
         sizes=st.lists(st.integers(0, 3), min_size=1, max_size=20),
--- a/properties/decoders.py
+++ b/properties/decoders.py
@@ -34,7 +34,14 @@
 from halldoor.gateway.handover import RecordSet, RecordTable, decode_records, parse_wanted_era
 from halldoor.gateway.lookup import PlainLookupFormat
 from halldoor.gateway.plain import PlainCodec
-from halldoor.gateway.polls import NoChanges, RelayedChanges, decode_poll_answer, parse_poll
+from halldoor.gateway.polls import (
+    ItemBlock,
+    NoChanges,
+    RelayedChanges,
+    decode_poll_answer,
+    parse_poll,
+    unpack_items,
+)
 from halldoor.gateway.records import encode_evidence
 from halldoor.gateway.store import RecordCodec, StoredItem
 from properties.oddvalues import Decoder
@@ -147,6 +154,14 @@
     "lease": Decoder(decode_lease, b'{"leaseId":3,"ttlMs":6000}'),
     "settings": Decoder(parse_settings, SETTINGS),
 }
+
+
+def decode_changes(data: bytes) -> list[StoredItem]:
+    """Decode the changes of a poll's answer."""
+    changes = decode_poll_answer(200, data)
+    return unpack_items(changes.items) if isinstance(changes, RelayedChanges) else []
+
+
 MESSAGEPACK: dict[str, Decoder] = {
     "changes": Decoder(
         lambda data: decode_poll_answer(200, data),
@@ -154,6 +169,12 @@
             RelayedChanges([StoredItem("k", b"v")], 3, 1.0, 0.5, contact=CONTACT)
         ),
     ),
+    "packed changes": Decoder(
+        decode_changes,
+        msgspec.msgpack.encode(
+            RelayedChanges([ItemBlock([StoredItem("k", b"v")]).packed], 3, 1.0, 0.5)
+        ),
+    ),
     "no changes": Decoder(
         lambda data: decode_poll_answer(503, data), msgspec.msgpack.encode(NoChanges(0.5, CONTACT))
     ),
