Prefer entries with wide links as readers and substitutes

An entry with 10 Mbit/s could be the reader of its hall: it received each megabyte over its own link and sent it to all others of the hall, although entries with 200 Mbit/s stood beside it.

Readers are the entries with the widest links, by halvings of the widest one, and among about equal ones the first by rendezvous hash as before. The links stand in the entries' records, so every entry chooses the same. A substitute is looked for among the widest first, and then anywhere.

--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -286,13 +286,30 @@
     Returns
     -------
     list of MemberRecord
-        The first ones by rendezvous hash; empty if the hall is too small for readers.
+        Those with the widest links, and among about equal ones the first by rendezvous hash; empty
+        if the hall is too small for readers.
     """
     known = list_hall(members, hall)
     if len(known) < settings.least_entries:
         return []
     count = math.ceil(len(known) / settings.followers_per_reader)
-    return [known[name] for name in rank(hall, known)[:count]]
+    return sort_by_link([known[name] for name in rank(hall, known)])[:count]
+
+
+def sort_by_link(members: Sequence[MemberRecord]) -> list[MemberRecord]:
+    """Sort entries by the width of their links, the widest first; about equal ones stay in order.
+
+    Links are about equal if they lie between the same two halvings of the widest.  One that is not
+    stated counts as the widest.
+    """
+    widest = max((m.link_mbps for m in members if m.link_mbps is not None), default=1.0)
+
+    def count_halvings(member: MemberRecord) -> int:
+        if member.link_mbps is None:
+            return 0
+        return math.floor(math.log2(widest) - math.log2(member.link_mbps))
+
+    return sorted(members, key=count_halvings)
 
 
 def choose_reader(own_name: str, readers: Sequence[MemberRecord]) -> MemberRecord | None:
--- a/halldoor/gateway/substitute.py
+++ b/halldoor/gateway/substitute.py
@@ -13,7 +13,7 @@
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import MemberRecord
-from halldoor.core.targets.relay import RelaySettings
+from halldoor.core.targets.relay import RelaySettings, sort_by_link
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.handover import ReaderLostError
 from halldoor.gateway.httpclient import HttpClient
@@ -77,13 +77,19 @@
             return None
 
     async def _find_substitute(self, revision: int, era: str) -> Update | None:
-        """Poll other entries, `CANDIDATES` at a time, and follow the first that answers."""
+        """Poll other entries, `CANDIDATES` at a time, and follow the first that answers.
+
+        Those with wide links are asked first, as an answer may be large.
+        """
         members = [
             member
             for member in self._catalog.members.values()
             if member.relay is not None and member.name != self._own.name
         ]
         self._random.shuffle(members)
+        # Only the first group by their links: all with wide links may be cut off together.
+        first_group = sort_by_link(members)[:CANDIDATES]
+        members = first_group + [member for member in members if member not in first_group]
         poll = Poll(revision, 0.0, era, needs_contact=True)
         for first in range(0, min(len(members), MAX_GROUPS * CANDIDATES), CANDIDATES):
             update = await self._poll_candidates(members[first : first + CANDIDATES], poll)
--- a/halldoor/tests/test_relay.py
+++ b/halldoor/tests/test_relay.py
@@ -89,6 +89,24 @@
         pauses_s = [USUAL.find_pause_s(0.0, entries=n) for n in (3, 7, 8, 64)]
         assert pauses_s == [0.5, 0.5, 0.2, 0.2]
 
+    @given(st.lists(st.sampled_from([None, 10.0, 12.0, 100.0, 200.0, 1e-300, 1e300]), min_size=3))
+    def test_entry_with_narrow_link_reads_for_others(self, links):
+        """An entry with 10 Mbit/s received each megabyte first, and sent it to all others."""
+        members = [
+            m._replace(hall="a", link_mbps=link)
+            for m, link in zip(list_members(len(links)), links, strict=True)
+        ]
+        (reader, *others) = choose_readers(members, "a", USUAL)
+        assert choose_readers(members[::-1], "a", USUAL) == [reader, *others]
+        assert len(others) == (len(links) - 1) // USUAL.followers_per_reader
+        widest = max((link for link in links if link is not None), default=0.0)
+        assert reader.link_mbps is None or reader.link_mbps > widest / 2
+
+    def test_entries_with_about_equal_links_keep_their_order(self):
+        usual = choose_readers(list_members(80), "a", USUAL)
+        members = [m._replace(link_mbps=10.0 + i % 3) for i, m in enumerate(list_members(80))]
+        assert [m.name for m in choose_readers(members, "a", USUAL)] == [m.name for m in usual]
+
     def test_entry_without_relay_address_is_no_reader(self):
         members = [m._replace(relay=None) for m in list_members(40)]
         assert choose_readers(members, "a", USUAL) == []
--- a/halldoor/tests/test_substitute.py
+++ b/halldoor/tests/test_substitute.py
@@ -16,7 +16,7 @@
 from halldoor.gateway.httpclient import HttpAnswer
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.polls import RelayedChanges
-from halldoor.gateway.substitute import SubstituteReader
+from halldoor.gateway.substitute import CANDIDATES, SubstituteReader
 from halldoor.standins.storefleet import CountingLog
 
 ENTRIES = 10
@@ -38,14 +38,15 @@
         pass
 
 
-def make_reader(in_contact):
+def make_reader(in_contact, links=()):
     catalog = Catalog(CatalogTimings())
     members = [
         MemberRecord(f"e{i}", Address("127.0.0.1", i), "h", "r", Address("127.0.0.1", i))
         for i in range(1, ENTRIES + 1)
     ]
-    for member in members:
-        catalog.apply(MemberSeen(member), 0.0)
+    for i, member in enumerate(members, 1):
+        link_mbps = 200.0 if i in links else 10.0
+        catalog.apply(MemberSeen(member._replace(link_mbps=link_mbps)), 0.0)
     return SubstituteReader(
         members[0],
         catalog,
@@ -67,5 +68,15 @@
     asyncio.run(check())
 
 
+def test_entry_with_wide_link_is_found_first():
+    async def check():
+        for _ in range(20):
+            reader = make_reader(set(range(2, ENTRIES + 1)), links=range(2, 2 + CANDIDATES))
+            await reader.poll(7, "")
+            assert int(reader._name.removeprefix("e")) in range(2, 2 + CANDIDATES)
+
+    asyncio.run(check())
+
+
 def test_no_substitute_is_found_if_no_entry_has_contact():
     assert asyncio.run(make_reader(set()).poll(7, "")) is None
