Ask other entries while an answer of the store arrives slowly

An entry whose own watch brought a large answer waited for all of it, although other entries held the changes, and got no other change meanwhile. An answer of a reader that arrived late was dropped for its age.

A watch whose answer is not whole 0.1 s after its head goes on beside polls of other entries, those with wide links first, one at a time. Whichever brings the changes first ends the other; an update that is proven to a moment after the answer's head has all of it. A poll whose answer arrives slowly goes on beside the entry's own watch in the same way. Changes of a reader are applied at any age, and it is left as before.

--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -14,18 +14,13 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from collections.abc import Iterable, Sequence
-from typing import Generic, NamedTuple, TypeVar
+from typing import NamedTuple
 
 from halldoor.core.placement import rank
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.era import parse_era
 
-T = TypeVar("T")
-
-BATCHES_KEPT = 64
-"""Batches of changes that an entry keeps for its followers: 20 s at three batches a second."""
 OWN_PAUSE_SHARE = 0.42
 """Time between two watch slots of an entry without followers, as part of the bound."""
 OWN_PAUSE_LIMIT_S = 1.3
@@ -350,68 +345,3 @@
         if number is None or left is None or newest is None:
             return False
         return number > max(left, newest)
-
-
-class Batch(NamedTuple, Generic[T]):
-    """The changes of one update.
-
-    Attributes
-    ----------
-    after, revision : int
-        The batch contains all changes after the first revision up to the second.
-    is_difference : bool
-        Whether changes undone between the two revisions are left out, so that the batch can be
-        applied only to the state at the first revision, not to one in between.
-    """
-
-    after: int
-    revision: int
-    items: Sequence[T]
-    is_difference: bool = False
-
-
-class ChangeHistory(Generic[T]):
-    """The last changes that an entry applied, in order and without a gap."""
-
-    def __init__(self) -> None:
-        self._batches: deque[Batch[T]] = deque(maxlen=BATCHES_KEPT)
-
-    def has_changes_after(self, after: int) -> bool:
-        """Check whether a follower at a revision gets its answer at once, without waiting."""
-        return not self._batches or self._batches[-1].revision > after
-
-    def add(self, batch: Batch[T]) -> None:
-        """Add a batch; one that does not follow the last one starts a new history."""
-        if self._batches and self._batches[-1].revision != batch.after:
-            self._batches.clear()
-        can_extend = self._batches and not self._batches[-1].is_difference
-        if batch.items or batch.is_difference or not can_extend:
-            self._batches.append(batch)
-        else:
-            last = self._batches.pop()
-            self._batches.append(last._replace(revision=batch.revision))
-
-    def select(self, after: int) -> list[Batch[T]] | None:
-        """Return the batches with changes after a revision; None if the history lacks some."""
-        if not self._batches or after < self._batches[0].after:
-            return None
-        wanted = [batch for batch in self._batches if batch.revision > after]
-        if wanted and wanted[0].is_difference and wanted[0].after < after:
-            return None
-        return wanted
-
-    def collect(self, after: int) -> Batch[T] | None:
-        """Return all changes after a revision; None if the history lacks some of them.
-
-        A follower that is ahead of its reader gets an empty batch.  If the revision lies within a
-        batch, changes up to it are repeated: applied in order they lead to the same state.
-        """
-        wanted = self.select(after)
-        if wanted is None:
-            return None
-        return Batch(
-            after=after,
-            revision=max(after, self._batches[-1].revision),
-            items=[item for batch in wanted for item in batch.items],
-            is_difference=any(batch.is_difference for batch in wanted),
-        )
--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import zlib
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -17,8 +18,9 @@
 
 from halldoor.core.bounds import Revision, SignedSeconds
 from halldoor.core.decoding import DecodingError, decode_msgpack, decompress
+from halldoor.core.targets.history import Batch
 from halldoor.core.targets.proofs import compute_poll_proof
-from halldoor.core.targets.relay import Batch, WantedEra
+from halldoor.core.targets.relay import WantedEra
 from halldoor.gateway.arrivals import Arrival
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.gateway.query import parse_query
@@ -143,13 +145,18 @@
         return msgspec.msgpack.encode(answer)
 
 
-async def request_records(client: HttpClient, wanted: WantedEra, *, timeout_s: float) -> RecordSet:
+async def request_records(
+    client: HttpClient, wanted: WantedEra, *, timeout_s: float, age_limit_s: float = math.inf
+) -> RecordSet:
     """Request all records from another entry.
 
     Parameters
     ----------
     timeout_s : float
         Time limit of the answer's head, in seconds; includes the other entry's wait for the store.
+    age_limit_s : float, optional
+        Greatest age of the records when they are sent, in seconds.  They may get older on the way,
+        as the next call brings the changes since.
 
     Raises
     ------
@@ -176,6 +183,8 @@
         raise ReaderLostError(f"its answer can't be read: {exc}") from exc
     if not wanted.is_satisfied_by(records.era):
         raise ReaderLostError(f"its records are of copy {records.era!r} of the store")
+    if records.age_s > age_limit_s:
+        raise ReaderLostError(f"its state is {records.age_s:.2f} s old")
     proven_at = compute_poll_proof(sent_at=sent_at, held_s=0.0, age_s=records.age_s)
     return RecordSet(items, records.revision, records.era, proven_at)
 
--- a/halldoor/gateway/httpclient.py
+++ b/halldoor/gateway/httpclient.py
@@ -56,6 +56,7 @@
         self._address = address
         self._connect_s = connect_s
         self._idle: list[HttpConnection] = []
+        self._is_closed = False
 
     async def call(
         self,
@@ -99,7 +100,8 @@
                 answer = await _receive_answer(
                     connection, max_bytes=max_bytes, limit=limit, arrival=arrival
                 )
-            is_kept = connection.can_be_reused() and len(self._idle) < MAX_IDLE
+            has_room = len(self._idle) < MAX_IDLE and not self._is_closed
+            is_kept = has_room and connection.can_be_reused()
             if is_kept:
                 connection.mark_idle(asyncio.get_running_loop().time(), idle_limit_s=IDLE_LIMIT_S)
                 self._idle.append(connection)
@@ -141,7 +143,8 @@
             raise HttpCallError(f"not a request: {exc}") from exc
 
     def close(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections; the others are closed when their calls end."""
+        self._is_closed = True
         for connection in self._idle:
             connection.close()
         self._idle.clear()
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -20,8 +20,8 @@
     parse_int,
 )
 from halldoor.core.targets.contact import ContactReport, StoreContact, compute_contact_span
+from halldoor.core.targets.history import Batch
 from halldoor.core.targets.proofs import compute_poll_proof
-from halldoor.core.targets.relay import Batch
 from halldoor.gateway.arrivals import Arrival
 from halldoor.gateway.handover import (
     COMPRESSION_LEVEL,
--- a/halldoor/gateway/publishing.py
+++ b/halldoor/gateway/publishing.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from halldoor.core.targets.catalog import Catalog
-from halldoor.core.targets.relay import Batch, ChangeHistory, RelaySettings
+from halldoor.core.targets.history import Batch, ChangeHistory
+from halldoor.core.targets.relay import RelaySettings
 from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.handover import (
     RECORDS_PATH,
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -22,6 +22,7 @@
     choose_readers,
     list_hall,
 )
+from halldoor.gateway.arrivals import Arrival
 from halldoor.gateway.caller import CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.handover import (
@@ -32,14 +33,13 @@
     request_records,
 )
 from halldoor.gateway.httpclient import HttpClient
+from halldoor.gateway.keptcall import HELP_PAUSE_S, HELP_S, CallKeeper, KeptCall, discard
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.polls import ContactLostError, Poll, Update, send_poll
+from halldoor.gateway.polls import Poll, Update, send_poll
 from halldoor.gateway.publishing import ChangePublisher
-from halldoor.gateway.store import Events, HistoryGoneError, MetadataStore
+from halldoor.gateway.store import HistoryGoneError, MetadataStore
 from halldoor.gateway.substitute import SubstituteReader
 
-CONTACT_CHECK_S = 0.25
-"""Period of checking for contact with the store while a watch waits, in seconds."""
 WATCH_S = 28.0
 """Longest wait of a watch by an entry without followers, in seconds; the store allows 30."""
 
@@ -88,6 +88,7 @@
         self._metrics = metrics
         self._client: HttpClient | None = None
         self._reader: MemberRecord | None = None
+        self._keeper = CallKeeper()
         self._is_reader = False
         self._hall_entries = 0
         self._members_version = -1
@@ -145,6 +146,14 @@
         """
         self._select_reader()
         self._pause_skipped.clear()
+        while True:
+            kept = self._keeper.kept
+            update = await (self._wait_beside(kept, revision) if kept else self._call(revision))
+            if update is not None:
+                return update
+
+    async def _call(self, revision: int) -> Update | None:
+        """Make one call for changes; None if it is kept, as its answer arrives slowly."""
         if not self.watches_store:
             try:
                 return await self._poll(revision)
@@ -165,7 +174,7 @@
 
         A watch that the store answered at once without changes counts the same.
         """
-        if not (self._is_pause_due and self.watches_store):
+        if not (self._is_pause_due and self.watches_store) or self._keeper.kept is not None:
             return
         now = _now()
         if self._is_reader:
@@ -195,20 +204,47 @@
         reader = choose_reader(self._own.name, readers)
         if reader == self._reader:
             return
-        self.close()
+        self._close_clients()
         self._reader, self._direct_until = reader, 0.0
         name = reader.name if reader is not None else ""
         self._log.event("relay", "Follows." if name else "Watches the store.", reader=name)
 
     def leave_reader(self, cause: str) -> None:
         """Stop following the reader, and watch the store for `direct_s` seconds."""
-        self.close()
+        self._close_clients()
         self._metrics.add_relay_loss()
         name = self._reader.name if self._reader is not None else ""
         self._log.event("relay", "Lost the reader; watches the store.", reader=name, cause=cause)
         self._direct_until = _now() + self.settings.direct_s
 
-    async def _watch(self, revision: int) -> Update:
+    async def _wait_beside(self, kept: KeptCall, revision: int) -> Update | None:
+        """Wait for a kept call or for changes from elsewhere; None if another call is due.
+
+        While the store's answer takes long, other entries may have its changes already.
+        """
+        if kept.is_watch:
+            other = asyncio.ensure_future(
+                self._substitute.poll(revision, self._records.era, wait_s=HELP_S, at_once=1)
+            )
+        else:
+            other = asyncio.ensure_future(self._call(revision))
+        try:
+            await asyncio.wait([kept.task, other], return_when=asyncio.FIRST_COMPLETED)
+            if kept.task.done():
+                self._keeper.drop()
+                return kept.find_update(revision)
+            update = await other
+        finally:
+            discard(other)
+        if update is None:
+            await asyncio.wait([kept.task], timeout=HELP_PAUSE_S)
+        elif kept.is_superseded_by(update):
+            self._keeper.drop()
+        elif kept.is_watch:
+            self._substitute.close()  # It does not have these changes either.
+        return update
+
+    async def _watch(self, revision: int) -> Update | None:
         """Watch the store; a reader waits shorter, as each return proves its state to followers."""
         wait_s = WATCH_S
         if self._is_reader:
@@ -222,9 +258,20 @@
             wait_s = min(wait_s, self.settings.find_watch_s(is_after_changes=False))
         if not self._has_watched:
             wait_s = min(wait_s, self.settings.resume_s)
+        had_contact = self.has_contact
+        return await self._keeper.run(
+            self._watch_store(revision, wait_s),
+            lambda: self._store.watch_arrival,
+            is_watch=True,
+            # A watch over a cut link would never return.
+            is_cut=lambda: had_contact and not self.has_contact,
+        )
+
+    async def _watch_store(self, revision: int, wait_s: float) -> Update:
+        """Watch the store for a time, in seconds."""
         sent_at = _now()
         self._has_watched = self._is_hasty = False
-        events = await self._watch_in_contact(revision, wait_s)
+        events = await self._store.watch("", after=revision, wait_s=wait_s)
         self._has_watched = True
         self._is_hasty = _now() - sent_at < min(wait_s / 2, self.settings.own_pause_s)
         if events.revision < revision:
@@ -235,46 +282,37 @@
         )
         return Update(events, proven_at)
 
-    async def _watch_in_contact(self, revision: int, wait_s: float) -> Events:
-        """Watch the store until contact is lost: a watch over a cut link would never return.
-
-        Raises
-        ------
-        ContactLostError
-            If contact with the store is lost meanwhile.
-        """
-        had_contact = self.has_contact
-        watch = asyncio.ensure_future(self._store.watch("", after=revision, wait_s=wait_s))
-        try:
-            while not watch.done():
-                await asyncio.wait([watch], timeout=CONTACT_CHECK_S)
-                is_cut = had_contact and not self.has_contact and not self.is_answer_arriving
-                if is_cut and not watch.done():
-                    raise ContactLostError
-            return watch.result()
-        finally:
-            watch.cancel()
-
-    async def _poll(self, revision: int) -> Update:
-        """Poll the reader once for changes after a revision."""
+    async def _poll(self, revision: int) -> Update | None:
+        """Poll the reader once for changes after a revision; None if its answer arrives slowly."""
         assert self._reader is not None and self._reader.relay is not None
         if self._client is None:
             self._client = self._open_client(self._reader.relay)
         self._has_watched = self._is_hasty = False
-        sent_at = _now()
-        age_s = sent_at - self._publisher.proven_at
-        wait_s = self.settings.find_poll_s(age_s)
-        poll = Poll(revision, wait_s, self._records.era)
-        update = await send_poll(
+        age_s = _now() - self._publisher.proven_at
+        arrival = Arrival()
+        call = send_poll(
             self._client,
-            poll,
+            Poll(revision, self.settings.find_poll_s(age_s), self._records.era),
             self._catalog.contact,
-            sent_at=sent_at,
+            sent_at=_now(),
             answer_s=self.settings.find_answer_s(age_s),
+            arrival=arrival,
         )
-        self._check_age(update.proven_at)
-        self._metrics.add_relayed(len(update.events.items), _now() - update.proven_at)
-        return update
+        too_old_at = self._publisher.proven_at + self.settings.age_limit_s
+        update = await self._keeper.run(call, lambda: arrival, not_before=too_old_at)
+        if update is None:
+            self.leave_reader("its answer takes long")
+            return None
+        age_s = _now() - update.proven_at
+        self._metrics.add_relayed(len(update.events.items), age_s)
+        if age_s <= self.settings.age_limit_s:
+            return update
+        cause = f"its state is {age_s:.2f} s old"
+        if not update.events.items:
+            raise ReaderLostError(cause)
+        self.leave_reader(cause)
+        self.skip_pause()
+        return update._replace(is_substitute=True)
 
     async def fetch_records(
         self, wanted: WantedEra, members: Iterable[MemberRecord] | None = None
@@ -297,17 +335,14 @@
             if members is not None or wanted.left is not None:
                 # The reader may have to read this copy of the store first.
                 timeout_s += self.settings.handover_wait_s
-            records = await request_records(client, wanted, timeout_s=timeout_s)
-            self._check_age(records.proven_at)
+            age_limit_s = self.settings.age_limit_s
+            records = await request_records(
+                client, wanted, timeout_s=timeout_s, age_limit_s=age_limit_s
+            )
         except ReaderLostError as exc:
             self._metrics.add_relay_loss()
-            cause = str(exc)
-            self._log.event(
-                "relay",
-                "Can't get the records from a reader; reads the store.",
-                reader=reader.name,
-                cause=cause,
-            )
+            text = "Can't get the records from a reader; reads the store."
+            self._log.event("relay", text, reader=reader.name, cause=str(exc))
             self._direct_until = self._no_handover_until = _now() + self.settings.direct_s
             return None
         finally:
@@ -323,17 +358,12 @@
         )
         return records
 
-    def _check_age(self, proven_at: float) -> None:
-        """Raise where a reader's state is too old to rely on."""
-        age_s = _now() - proven_at
-        if age_s > self.settings.age_limit_s:
-            raise ReaderLostError(f"its state is {age_s:.2f} s old")
-
     def reset_records(self, records: RecordSet) -> None:
         """Replace the records with those of a full read, and publish the difference to followers.
 
         If the records are of another copy of the store, followers have to fetch all of them.
         """
+        self._keeper.drop()
         self._has_watched = True
         self._publisher.reset_records(records)
 
@@ -353,6 +383,11 @@
         await self._publisher.answer(caller, head)
 
     def close(self) -> None:
+        """Cancel the kept call, and close the connections to other entries."""
+        self._keeper.drop()
+        self._close_clients()
+
+    def _close_clients(self) -> None:
         """Close the connections to other entries."""
         self._substitute.close()
         if self._client is not None:
--- a/halldoor/gateway/substitute.py
+++ b/halldoor/gateway/substitute.py
@@ -62,10 +62,21 @@
         self._name = ""
         self._random = random.Random()
 
-    async def poll(self, revision: int, era: str) -> Update | None:
-        """Return the changes after a revision; None where no entry in contact was found."""
+    async def poll(
+        self, revision: int, era: str, *, wait_s: float = 0.0, at_once: int = CANDIDATES
+    ) -> Update | None:
+        """Return the changes after a revision; None where no entry in contact was found.
+
+        Parameters
+        ----------
+        wait_s : float, optional
+            Time for which the first poll of an entry waits for changes, in seconds.
+        at_once : int, optional
+            Number of entries that are polled in parallel.
+        """
         if self._client is None:
-            return await self._find_substitute(revision, era)
+            poll = Poll(revision, wait_s, era, needs_contact=True)
+            return await self._find_substitute(poll, at_once)
         try:
             return await self._send_poll(
                 self._client, Poll(revision, WAIT_S, era, needs_contact=True)
@@ -76,8 +87,8 @@
             self.close()
             return None
 
-    async def _find_substitute(self, revision: int, era: str) -> Update | None:
-        """Poll other entries, `CANDIDATES` at a time, and follow the first that answers.
+    async def _find_substitute(self, poll: Poll, at_once: int) -> Update | None:
+        """Poll other entries, some at a time, and follow the first that answers.
 
         Those with wide links are asked first, as an answer may be large.
         """
@@ -90,9 +101,8 @@
         # Only the first group by their links: all with wide links may be cut off together.
         first_group = sort_by_link(members)[:CANDIDATES]
         members = first_group + [member for member in members if member not in first_group]
-        poll = Poll(revision, 0.0, era, needs_contact=True)
-        for first in range(0, min(len(members), MAX_GROUPS * CANDIDATES), CANDIDATES):
-            update = await self._poll_candidates(members[first : first + CANDIDATES], poll)
+        for first in range(0, min(len(members), MAX_GROUPS * CANDIDATES), at_once):
+            update = await self._poll_candidates(members[first : first + at_once], poll)
             if update is not None:
                 return update
         return None
--- a/halldoor/standins/modelentry.py
+++ b/halldoor/standins/modelentry.py
@@ -252,4 +252,5 @@
         """Cancel all tasks at once, like a killed process."""
         for task in [*self.tasks, *self._serving]:
             task.cancel()
+        self.feed.close()
         self.tasks = []
--- a/halldoor/tests/test_large_configuration.py
+++ b/halldoor/tests/test_large_configuration.py
@@ -60,3 +60,35 @@
             assert await fleet.wait_until_synchronized(2, limit_s=60.0) <= BOUND_S
 
     virtualtime.run(run())
+
+
+def test_follower_without_reader_waits_for_slow_answer_of_the_store():
+    """Its own watch took 2.6 s for the answer, while all other entries had the configuration."""
+
+    async def run():
+        async with open_fleet() as fleet:
+            fleet.entries.pop(fleet.list_readers()[0]).stop()
+            fleet.configure(2, routes=7_000)
+            async with asyncio.timeout(BOUND_S / 2):
+                while any(e.catalog.configuration_version != 2 for e in fleet.entries.values()):
+                    await asyncio.sleep(0.01)
+
+    virtualtime.run(run())
+
+
+def test_answer_that_arrives_is_given_up_after_notice():
+    """Each notice of a configuration ended the watch that was bringing it."""
+
+    async def run():
+        async with open_fleet(has_wide=False) as fleet:
+            (port, *_) = fleet.list_readers()
+            entry = fleet.entries[port]
+            fleet.configure(2, routes=7_000)
+            await asyncio.sleep(0.5)
+            arrival = entry.link.watch_arrival
+            assert entry.feed.is_answer_arriving
+            entry.sync.renew_watch("other entries are ahead")
+            await asyncio.sleep(0.5)
+            assert entry.link.watch_arrival is arrival
+
+    virtualtime.run(run())
