Tell followers when their reader receives a large answer for long

Where all links are narrow, the followers of a reader waited 1.8 s for its changes, and only then began to fetch the configuration themselves.

A reader whose answer of the store still needs more than a quarter of the bound, by its rate and length, answers the polls of its followers at once, and they watch the store themselves. It does not where another entry has a wider link, which will bring the changes sooner. Entries of the release before, and those that look for a substitute, are not answered early: they would poll again at once.

--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -57,6 +57,11 @@
 A store that is about to drop its history may accept such a watch, and answer it only at the next
 change.
 """
+RECEIVE_SHARE = 0.25
+"""Time that a reader may need for an answer of the store, as part of the bound, before followers
+watch the store themselves: what the reader receives it still has to send to each of them."""
+WATCH_S = 28.0
+"""Longest wait of a watch by an entry without followers, in seconds; the store allows 30."""
 RETRY_S = 0.05
 """Longest pause before the first retry of a call to the store, in seconds.  Pauses differ, so that
 entries whose calls failed together retry at different times."""
@@ -221,6 +226,11 @@
         """Time limit for a page of the store, in seconds, before slower pages were measured."""
         return PAGE_SHARE * self.bound_s
 
+    @property
+    def receive_limit_s(self) -> float:
+        """Time for an answer of the store for which followers wait, in seconds."""
+        return RECEIVE_SHARE * self.bound_s
+
     @property
     def budget(self) -> Budget:
         """Division of the bound among the steps by which a change reaches an entry."""
@@ -240,6 +250,39 @@
         """Return how long a reader's watch waits, in seconds; shorter if a pause aged its proof."""
         return (BUSY_SHARE if is_after_changes else QUIET_SHARE) * self.bound_s
 
+    def find_watch_wait_s(
+        self,
+        *,
+        is_reader: bool,
+        is_after_changes: bool,
+        has_reader: bool,
+        is_unsettled: bool,
+        has_contact: bool,
+        is_resumed: bool,
+    ) -> float:
+        """Return how long a watch waits for changes, in seconds.
+
+        Parameters
+        ----------
+        is_reader, has_reader : bool
+            Whether the entry reads for others, or lost its reader, which it follows again later.
+        is_unsettled : bool
+            Whether the revision may be one that the store has not reached.
+        has_contact : bool
+            Whether the store answered lately; otherwise a substitute is looked for again soon.
+        is_resumed : bool
+            Whether the watch is the first one after a cut one or a poll.
+        """
+        wait_s = WATCH_S
+        if is_reader:
+            # Shorter, as each return proves the reader's state to its followers.
+            wait_s = self.find_watch_s(is_after_changes=is_after_changes)
+        elif has_reader or not has_contact:
+            wait_s = self.direct_s
+        if is_unsettled:
+            wait_s = min(wait_s, self.find_watch_s(is_after_changes=False))
+        return min(wait_s, self.resume_s) if is_resumed else wait_s
+
     def find_pause_s(self, age_s: float, *, entries: int) -> float:
         """Return how long a reader pauses after changes, in seconds.
 
@@ -307,6 +350,14 @@
     return sorted(members, key=count_halvings)
 
 
+def has_wider_link(members: Iterable[MemberRecord], own: MemberRecord) -> bool:
+    """Check whether an entry has a link of more than twice the width of the own one."""
+    if own.link_mbps is None:
+        return False
+    limit = 2 * own.link_mbps
+    return any(m.link_mbps is not None and m.link_mbps > limit for m in members)
+
+
 def choose_reader(own_name: str, readers: Sequence[MemberRecord]) -> MemberRecord | None:
     """Choose the reader that an entry follows; None if it reads the store itself."""
     by_name = {reader.name: reader for reader in readers}
--- a/halldoor/gateway/arrivals.py
+++ b/halldoor/gateway/arrivals.py
@@ -26,10 +26,13 @@
         When the head of the answer arrived, on the loop's clock; None before.
     received : int
         Bytes of the body that have arrived.
+    size : int or None
+        Bytes of the whole body; None if the head does not state them.
     """
 
     def __init__(self) -> None:
         self.head_at: float | None = None
+        self.size: int | None = None
         self.received = 0
         self._last_at = 0.0
 
@@ -53,6 +56,12 @@
         earned_s = self.received / LEAST_RATE
         return min(self._last_at, self.head_at + earned_s) + SILENCE_S
 
+    def estimate_left_s(self, now: float) -> float:
+        """Estimate when the answer is whole by its rate so far, in seconds; 0 if that is open."""
+        if self.head_at is None or self.size is None or not self.received:
+            return 0.0
+        return (now - self.head_at) * (self.size / self.received - 1.0)
+
     def extend(self, limit: asyncio.Timeout, *, count: int = 0) -> None:
         """Record the head, or bytes of the body, and move the limit of the call to match.
 
--- a/halldoor/gateway/httpclient.py
+++ b/halldoor/gateway/httpclient.py
@@ -15,7 +15,7 @@
     ConnectionFailedError,
     HttpConnection,
 )
-from halldoor.gateway.headers import Headers
+from halldoor.gateway.headers import Headers, find
 
 CONNECT_S = 1.0
 """Connect timeout, in seconds; one lost packet costs about one second."""
@@ -160,6 +160,7 @@
     """Receive an answer; raise an error if its body is too large."""
     head = await connection.receive_head()
     if arrival is not None:
+        arrival.size = _read_length(head)
         arrival.extend(limit)
     body = bytearray()
     try:
@@ -173,3 +174,9 @@
     finally:
         # The traceback of an exception would keep it until garbage is collected.
         body.clear()
+
+
+def _read_length(head: h11.Response) -> int | None:
+    """Read the length of an answer's body; None if the head does not state it."""
+    length = find(head.headers.raw_items(), b"content-length")
+    return int(length) if length else None
--- a/halldoor/gateway/keptcall.py
+++ b/halldoor/gateway/keptcall.py
@@ -26,6 +26,8 @@
 
     Parameters
     ----------
+    arrival : Arrival
+        Progress of the answer.
     is_watch : bool
         Whether the store answers; otherwise another entry does.
     """
@@ -33,7 +35,12 @@
     def __init__(self, task: asyncio.Task[Update], arrival: Arrival, *, is_watch: bool) -> None:
         self.task = task
         self.is_watch = is_watch
-        self._arrival = arrival
+        self.arrival = arrival
+
+    def takes_longer_than(self, limit_s: float) -> bool:
+        """Check whether the store's answer will take longer than a time, in seconds."""
+        now = asyncio.get_running_loop().time()
+        return self.is_watch and self.arrival.estimate_left_s(now) > limit_s
 
     def find_update(self, revision: int) -> Update | None:
         """Return the call's changes after a revision; None if it has none, or failed.
@@ -51,7 +58,7 @@
 
     def is_superseded_by(self, update: Update) -> bool:
         """Check whether an update has all changes of the answer, which was sent before its head."""
-        head_at = self._arrival.head_at
+        head_at = self.arrival.head_at
         return head_at is not None and update.proven_at >= head_at
 
 
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -100,6 +100,9 @@
         Whether changes that were undone before the newest revision may be left out.
     contact : ContactReport or None
         The answering entry's contact with the store.
+    is_receiving : bool
+        Whether the sender is about to receive changes for so long that a follower gets them sooner
+        from the store.
     """
 
     items: list[StoredItem | bytes]
@@ -108,6 +111,7 @@
     held_s: SignedSeconds
     is_difference: bool = False
     contact: ContactReport | None = None
+    is_receiving: bool = False
 
 
 class NoChanges(msgspec.Struct, frozen=True):
@@ -131,6 +135,8 @@
         this one has no contact with the store.
     is_difference : bool
         Whether changes that were undone before the newest revision may be left out.
+    is_receiving : bool
+        Whether the entry that sent the changes waits long for the next ones.
     """
 
     events: Events
@@ -138,6 +144,7 @@
     is_relayed: bool = False
     is_substitute: bool = False
     is_difference: bool = False
+    is_receiving: bool = False
 
     def to_batch(self, after: int) -> Batch[StoredItem]:
         """Return the changes after a revision as a batch for followers."""
@@ -258,4 +265,10 @@
         raise ReaderLostError(f"it answered {answer.status}")
     proven_at = compute_poll_proof(sent_at=sent_at, held_s=changes.held_s, age_s=changes.age_s)
     events = Events(items, changes.revision)
-    return Update(events, proven_at, is_relayed=True, is_difference=changes.is_difference)
+    return Update(
+        events,
+        proven_at,
+        is_relayed=True,
+        is_difference=changes.is_difference,
+        is_receiving=changes.is_receiving,
+    )
--- a/halldoor/gateway/publishing.py
+++ b/halldoor/gateway/publishing.py
@@ -39,13 +39,15 @@
     ----------
     catalog : Catalog
         Holds this entry's contact with the store.
+    get_settings : callable
+        Returns the settings, which decide for how long polls are held.
     has_contact : callable
         Returns whether the store answered this entry or its reader lately.
+    is_receiving : callable
+        Returns whether followers get the next changes sooner from the store than from this entry.
 
     Attributes
     ----------
-    settings : RelaySettings
-        Decide for how long polls are held.
     records : RecordTable
         All records.
     proven_at : float
@@ -56,20 +58,27 @@
         self,
         catalog: Catalog,
         *,
-        settings: RelaySettings,
         metrics: GatewayMetrics,
+        get_settings: Callable[[], RelaySettings],
         has_contact: Callable[[], bool],
+        is_receiving: Callable[[], bool],
     ) -> None:
-        self.settings = settings
         self.records = RecordTable()
         self.proven_at = -math.inf
         self._catalog = catalog
         self._metrics = metrics
+        self._get_settings = get_settings
         self._has_contact = has_contact
+        self._is_receiving = is_receiving
         self._history: ChangeHistory[StoredItem] = ChangeHistory()
         self._updated = asyncio.Event()
         self._is_recording = False
 
+    def wake_followers(self) -> None:
+        """Answer the polls that wait, since followers should not wait for the next changes."""
+        self._updated.set()
+        self._updated = asyncio.Event()
+
     def reset_records(self, records: RecordSet) -> None:
         """Replace the records with those of a full read, and publish the difference to followers.
 
@@ -104,8 +113,7 @@
     def _publish(self, batch: Batch[StoredItem]) -> None:
         """Add a batch to the history, and wake the polls that wait for an update."""
         self._history.add(batch._replace(items=ItemBlock(batch.items)))
-        self._updated.set()
-        self._updated = asyncio.Event()
+        self.wake_followers()
 
     async def answer(self, caller: CallerConnection, head: Head) -> None:
         """Answer a follower's poll for changes, or its request for all records."""
@@ -121,7 +129,12 @@
         if poll.needs_contact and not self._has_contact():
             caller.send(Answer(503, []))
             return
-        if poll.era == self.records.era and not self._history.has_changes_after(poll.after):
+        # An entry of an earlier release, or one that needs a substitute, would poll again at once.
+        can_leave = poll.accepts_packed and not poll.needs_contact
+        is_answered = self._history.has_changes_after(poll.after) or (
+            can_leave and self._is_receiving()
+        )
+        if poll.era == self.records.era and not is_answered:
             await self._wait_for_update(poll.wait_s)
         batch = self._history.collect(poll.after)
         now = _now()
@@ -139,6 +152,7 @@
             held_s=held_s,
             is_difference=batch.is_difference,
             contact=contact,
+            is_receiving=can_leave and self._is_receiving(),
         )
         caller.send(Answer(200, [], msgspec.msgpack.encode(changes)))
 
@@ -160,7 +174,7 @@
             self._metrics.add_bad_poll()
             caller.send(Answer(404, []))
             return
-        deadline = _now() + self.settings.handover_wait_s
+        deadline = _now() + self._get_settings().handover_wait_s
         while not self.records.satisfies(wanted) and _now() < deadline:
             await self._wait_for_update(deadline - _now())
         if not self.records.satisfies(wanted):
@@ -173,7 +187,7 @@
     async def _wait_for_update(self, wait_s: float) -> None:
         """Wait for the next update, with or without changes, up to a limit."""
         try:
-            async with asyncio.timeout(min(wait_s, self.settings.age_limit_s)):
+            async with asyncio.timeout(min(wait_s, self._get_settings().age_limit_s)):
                 await self._updated.wait()
         except TimeoutError:
             return  # The answer carries the state's age, which the follower checks.
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -20,6 +20,7 @@
     WantedEra,
     choose_reader,
     choose_readers,
+    has_wider_link,
     list_hall,
 )
 from halldoor.gateway.arrivals import Arrival
@@ -40,9 +41,6 @@
 from halldoor.gateway.store import HistoryGoneError, MetadataStore
 from halldoor.gateway.substitute import SubstituteReader
 
-WATCH_S = 28.0
-"""Longest wait of a watch by an entry without followers, in seconds; the store allows 30."""
-
 
 class ChangeFeed:
     """Source of the store's changes after a revision: the store itself or a reader of it.
@@ -83,6 +81,7 @@
         self._store = store
         self._own = own
         self._catalog = catalog
+        self.settings = settings
         self.batch_s = batch_s
         self._log = log
         self._metrics = metrics
@@ -97,7 +96,11 @@
         self._is_hasty = self._is_pause_due = False
         self._has_watched = False
         self._publisher = ChangePublisher(
-            catalog, settings=settings, metrics=metrics, has_contact=lambda: self.has_contact
+            catalog,
+            metrics=metrics,
+            get_settings=lambda: self.settings,
+            has_contact=lambda: self.has_contact,
+            is_receiving=self._is_receiving,
         )
         self._pause_skipped = asyncio.Event()
         self.random = Random(own.name)
@@ -106,15 +109,6 @@
             own, catalog, settings=settings, log=log, metrics=metrics, open_client=open_client
         )
 
-    @property
-    def settings(self) -> RelaySettings:
-        """When a reader is followed, and for how long its state may be old."""
-        return self._publisher.settings
-
-    @settings.setter
-    def settings(self, settings: RelaySettings) -> None:
-        self._publisher.settings = settings
-
     @property
     def _records(self) -> RecordTable:
         """All records of the store."""
@@ -131,6 +125,13 @@
         arrival = self._store.watch_arrival
         return arrival is not None and arrival.has_begun
 
+    def _is_receiving(self) -> bool:
+        """Check whether an answer of the store takes this entry, and each other, long."""
+        kept = self._keeper.kept
+        if kept is None or not kept.takes_longer_than(self.settings.receive_limit_s):
+            return False
+        return not has_wider_link(self._catalog.members.values(), self._own)
+
     @property
     def watches_store(self) -> bool:
         """Check whether this entry watches the store."""
@@ -245,27 +246,26 @@
         return update
 
     async def _watch(self, revision: int) -> Update | None:
-        """Watch the store; a reader waits shorter, as each return proves its state to followers."""
-        wait_s = WATCH_S
-        if self._is_reader:
-            wait_s = self.settings.find_watch_s(is_after_changes=self._is_pause_due)
-        elif self._reader is not None:
-            wait_s = self.settings.direct_s  # Returns in time to follow a reader again.
-        if not self.has_contact:
-            wait_s = min(wait_s, self.settings.direct_s)  # Then looks for a substitute again.
-        if self._catalog.routing is None:
-            # The revision may be one that the store has not reached.
-            wait_s = min(wait_s, self.settings.find_watch_s(is_after_changes=False))
-        if not self._has_watched:
-            wait_s = min(wait_s, self.settings.resume_s)
+        """Watch the store once; None if its answer arrives slowly."""
+        wait_s = self.settings.find_watch_wait_s(
+            is_reader=self._is_reader,
+            is_after_changes=self._is_pause_due,
+            has_reader=self._reader is not None,
+            is_unsettled=self._catalog.routing is None,
+            has_contact=self.has_contact,
+            is_resumed=not self._has_watched,
+        )
         had_contact = self.has_contact
-        return await self._keeper.run(
+        update = await self._keeper.run(
             self._watch_store(revision, wait_s),
             lambda: self._store.watch_arrival,
             is_watch=True,
             # A watch over a cut link would never return.
             is_cut=lambda: had_contact and not self.has_contact,
         )
+        if update is None and self._is_receiving():
+            self._publisher.wake_followers()
+        return update
 
     async def _watch_store(self, revision: int, wait_s: float) -> Update:
         """Watch the store for a time, in seconds."""
@@ -305,9 +305,12 @@
             return None
         age_s = _now() - update.proven_at
         self._metrics.add_relayed(len(update.events.items), age_s)
-        if age_s <= self.settings.age_limit_s:
+        if age_s > self.settings.age_limit_s:
+            cause = f"its state is {age_s:.2f} s old"
+        elif update.is_receiving:
+            cause = "it receives a large answer"
+        else:
             return update
-        cause = f"its state is {age_s:.2f} s old"
         if not update.events.items:
             raise ReaderLostError(cause)
         self.leave_reader(cause)
@@ -349,13 +352,8 @@
             client.close()
         count, age_s = len(records.items), _now() - records.proven_at
         self._metrics.add_relayed(count, age_s)
-        self._log.event(
-            "relay",
-            "Received all records from a reader.",
-            reader=reader.name,
-            records=count,
-            age_ms=round(age_s * 1000),
-        )
+        shown = {"reader": reader.name, "records": count, "age_ms": round(age_s * 1000)}
+        self._log.event("relay", "Received all records from a reader.", **shown)
         return records
 
     def reset_records(self, records: RecordSet) -> None:
--- a/halldoor/standins/modelentry.py
+++ b/halldoor/standins/modelentry.py
@@ -108,14 +108,15 @@
         answering.result()
         self._fleet.answer_bytes += len(caller.answer.body)
         await self._fleet.network.transmit(node, own)
+        size = len(caller.answer.body)
         if arrival is not None:
+            arrival.size = size
             arrival.extend(limit)
 
         def extend(count: int) -> None:
             if arrival is not None:
                 arrival.extend(limit, count=count)
 
-        size = len(caller.answer.body)
         await self._fleet.network.transmit_body(node, own, size, on_part=extend)
         return HttpAnswer(caller.answer.status, caller.answer.body)
 
--- a/halldoor/standins/storelink.py
+++ b/halldoor/standins/storelink.py
@@ -144,6 +144,7 @@
         size = sum(ITEM_BYTES + 4 * len(item.value or b"") // 3 for item in items)
         if not size:
             return
+        arrival.size = size
         arrival.extend(limit)
         await self._server.network.transmit_body(
             self._server.node,
--- a/halldoor/tests/test_large_configuration.py
+++ b/halldoor/tests/test_large_configuration.py
@@ -9,7 +9,7 @@
 
 from halldoor.core.targets.relay import RelaySettings
 from halldoor.standins import virtualtime
-from halldoor.standins.storefleet import StoreFleet
+from halldoor.standins.storefleet import IP, Address, ModelClient, StoreFleet
 
 BOUND_S = 3.0
 """Time in which a configuration has to be in force everywhere, in seconds."""
@@ -19,6 +19,7 @@
 WIDE_MBPS = 200.0
 TARGETS = 130
 ROUTES = 5_000
+WAIT_S = 0.2
 
 
 def list_links(*, has_wide):
@@ -92,3 +93,24 @@
             assert entry.link.watch_arrival is arrival
 
     virtualtime.run(run())
+
+
+def test_entry_of_earlier_release_polls_busily_during_long_answer():
+    """A reader tells at once that it receives for long; an earlier release does not read that."""
+
+    async def run():
+        async with open_fleet(has_wide=False) as fleet:
+            (port, *_) = fleet.list_readers()
+            entry = fleet.entries[port]
+            fleet.configure(2, routes=7_000)
+            await asyncio.sleep(0.8)
+            client = ModelClient(fleet, Address(IP, port))
+            polls = {"": WAIT_S, "&packed=1": 0.0, "&packed=1&needs_contact=1": WAIT_S}
+            for query, held_s in polls.items():
+                began = asyncio.get_running_loop().time()
+                after = f"after={entry.sync.view.revision}&wait_ms={WAIT_S * 1000:.0f}"
+                await client.call("GET", f"/changes?{after}&era=0{query}", timeout_s=1.0)
+                took_s = asyncio.get_running_loop().time() - began
+                assert held_s <= took_s < held_s + 0.1
+
+    virtualtime.run(run())
