--- a/halldoor/gateway/keptcall.py
+++ b/halldoor/gateway/keptcall.py
@@ -17,7 +17,7 @@
 """Time for which a poll of another entry waits for changes meanwhile, in seconds."""
 HELP_PAUSE_S = 0.1
 """Pause after a poll that nobody answered, in seconds."""
-CHECK_S = 0.25
+CHECK_S = 0.1
 """Period of checking a call, in seconds."""
 
 
