Log where a configuration in force came from, and what it holds

Whether the configuration came by a page, a watch or another entry, how large it was and what was left out of it could not be told, and `store: Ignores a bad record.` didn't say what stayed in force.

Change: the line names source (store pages, store watch, a reader or substitute by name; with 'copy of the store' after a restore), era, version before, numbers of routes, services, teams and faults, the first 10 faults, the record's size and the time from the head of its answer to its end. The catalog keeps this arrival. A record that is rejected as a whole names the version that stays in force, and so does a configuration that is older than the one in force (`routing: Not applied: outdated.`).

--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -10,6 +10,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Sequence
 
+from halldoor.core.targets.arrival import Arrival
 from halldoor.core.targets.changes import (
     Change,
     EvacuationSet,
@@ -65,6 +66,8 @@
         steady clock.
     relayed_at : float
         Time at which an entry in contact with the store last passed on changes.
+    arrival : Arrival or None
+        How the configuration in force arrived; None if there is none, or it was not recorded.
     """
 
     def __init__(self, timings: CatalogTimings) -> None:
@@ -76,6 +79,7 @@
         self.contact = StoreContact()
         self._restored_at = -math.inf
         self.routing: Routing | None = None
+        self.arrival: Arrival | None = None
         self.evacuated: set[str] = set()
         self.members: dict[str, MemberRecord] = {}
         self.sharers = SharerTable()
@@ -182,6 +186,14 @@
         """Version of the configuration in force; 0 if there is none."""
         return self.routing.version if self.routing is not None else 0
 
+    def find_proof_age_s(self, now: float) -> float | None:
+        """Return the time since the moment up to which every change is known, in seconds.
+
+        None before the first full read.
+        """
+        proven_at = self.contact.applied_until
+        return now - proven_at if proven_at > 0 else None
+
     def record_contact(self, answered_at: float) -> None:
         """Record a contact with the store, direct or through another entry."""
         self.store_contact_at = max(self.store_contact_at, answered_at)
--- a/halldoor/core/targets/changes.py
+++ b/halldoor/core/targets/changes.py
@@ -82,10 +82,13 @@
     ----------
     is_newest : bool
         Whether the store holds no later one, so that it is in force whatever its version.
+    size_bytes : int
+        Size of its record, for the log.
     """
 
     routing: Routing
     is_newest: bool = False
+    size_bytes: int = 0
 
 
 class TargetSeen(NamedTuple):
--- a/halldoor/core/targets/contact.py
+++ b/halldoor/core/targets/contact.py
@@ -150,6 +150,11 @@
         """Record the time up to which every change has been applied."""
         self._applied_until = max(self._applied_until, until)
 
+    @property
+    def applied_until(self) -> float:
+        """Time up to which every change has been applied; 0 before the first full read."""
+        return self._applied_until
+
     def find_outage(self, now: float) -> Outage:
         """Return the outage in which a record whose removal arrives now may have expired.
 
--- a/halldoor/gateway/changelog.py
+++ b/halldoor/gateway/changelog.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Sequence
 
+from halldoor.core.targets.arrival import Arrival
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import (
     Change,
@@ -16,10 +18,15 @@
     TargetSeen,
     is_target_withdrawal,
 )
+from halldoor.core.targets.era import find_era_problem
+from halldoor.core.targets.withdrawal import StoreView
 from halldoor.gateway.eventlog import EventLog
 
 MAX_LOGGED_WITHDRAWALS = 100
 """Draining or removed targets that are logged one by one after a full read; others are counted."""
+FAULTS_LOGGED, FAULT_LENGTH = 10, 160
+"""Greatest number of a configuration's faults that are listed in a line, and the greatest length of
+each, in characters."""
 
 
 class ChangeLog:
@@ -34,31 +41,91 @@
     def __init__(self, catalog: Catalog, log: EventLog) -> None:
         self._catalog = catalog
         self._log = log
+        self._version = 0
 
-    def log_full_read(self, applied: Sequence[Change], revision: int) -> None:
+    def log_full_read(
+        self, changes: Sequence[Change], applied: Sequence[Change], arrival: Arrival
+    ) -> None:
         """Log the changes of a full read that explain later routing: configurations, withdrawals.
 
         Targets that were added are not logged: all are new to an entry that starts.
         """
         for change in applied:
             if isinstance(change, RoutingSeen):
-                self.log(change, revision)
-        self.log_withdrawals([c for c in applied if is_target_withdrawal(c)], revision)
+                self.log(change, arrival)
+        for change in changes:
+            self.log_ignored(change, arrival)
+        self.log_withdrawals([c for c in applied if is_target_withdrawal(c)], arrival.revision)
+
+    def _log_routing(self, change: RoutingSeen, arrival: Arrival) -> None:
+        """Log and record how a configuration arrived that is in force now, and what it holds."""
+        routing, before = change.routing, self._version
+        self._version, self._catalog.arrival = routing.version, arrival
+        took_s = arrival.took_s
+        self._log.event(
+            "routing",
+            "In force.",
+            version=routing.version,
+            revision=arrival.revision,
+            era=arrival.era,
+            version_before=before,
+            source=arrival.source,
+            routes=len(routing.routes),
+            services=len(routing.services),
+            teams=len(routing.teams),
+            faults=len(routing.faults),
+            faulty=[fault[:FAULT_LENGTH] for fault in routing.faults[:FAULTS_LOGGED]],
+            bytes=change.size_bytes,
+            took_ms=None if took_s is None else round(took_s * 1000),
+            unix_s=round(time.time(), 3),
+        )
+
+    def log_ignored(self, change: Change, arrival: Arrival) -> None:
+        """Log a configuration that is not applied, since a later one is in force."""
+        in_force = self._catalog.configuration_version
+        if not isinstance(change, RoutingSeen) or change.routing.version >= in_force:
+            return
+        self._log.event(
+            "routing",
+            "Not applied: outdated.",
+            version=change.routing.version,
+            revision=arrival.revision,
+            era=arrival.era,
+            version_in_force=in_force,
+            source=arrival.source,
+        )
 
     def log_withdrawals(self, withdrawn: Sequence[Change], revision: int) -> None:
         """Log the targets that a read took out of use, up to `MAX_LOGGED_WITHDRAWALS` of them."""
         for change in withdrawn[:MAX_LOGGED_WITHDRAWALS]:
-            self.log(change, revision)
+            self._log_change(change, revision)
         if len(withdrawn) > MAX_LOGGED_WITHDRAWALS:
             left = len(withdrawn) - MAX_LOGGED_WITHDRAWALS
             self._log.event("targets", "More drain or are gone.", count=left, revision=revision)
 
-    def log(self, change: Change, revision: int) -> None:
-        """Log a change that was applied, with the revision of the store that contains it."""
+    def log_restore(self, before: StoreView, after: StoreView) -> None:
+        """Log that the store was restored from a copy, and its eras and revisions."""
+        self._log.event(
+            "store",
+            "Came back from a copy; read all again.",
+            era_before=before.era,
+            era=after.era,
+            problem=find_era_problem(before.era, after.era),
+            revision_before=before.revision,
+            revision=after.revision,
+        )
+
+    def log(self, change: Change, arrival: Arrival) -> None:
+        """Log a change that was applied, with its arrival if it is a configuration."""
+        if isinstance(change, RoutingSeen):
+            self._log_routing(change, arrival)
+        else:
+            self._log_change(change, arrival.revision)
+
+    def _log_change(self, change: Change, revision: int) -> None:
+        """Log a change of anything else, with the revision of the store that contains it."""
         event = self._log.event
         match change:
-            case RoutingSeen(routing):
-                event("routing", "In force.", version=routing.version, revision=revision)
             case TargetSeen(record):
                 text = "Draining." if record.is_draining else "Seen."
                 event(
--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -50,6 +50,10 @@
         Moment up to which every change is included, on the loop's clock.
     newest : int
         Revision of the newest page; no page holds a later change.
+    source : str
+        What sent the records, for the log.
+    took_s : float or None
+        Time that they took to arrive, in seconds; None if it is not known.
     """
 
     items: list[StoredItem]
@@ -57,6 +61,8 @@
     era: str
     proven_at: float
     newest: int = 0
+    source: str = ""
+    took_s: float | None = None
 
 
 class RecordSetAnswer(msgspec.Struct, frozen=True):
@@ -171,7 +177,7 @@
     if not wanted.is_satisfied_by(records.era):
         raise ReaderLostError(f"its records are of copy {records.era!r} of the store")
     proven_at = compute_poll_proof(sent_at=sent_at, held_s=0.0, age_s=records.age_s)
-    return RecordSet(items, records.revision, records.era, proven_at)
+    return RecordSet(items, records.revision, records.era, proven_at, took_s=answer.transfer_s)
 
 
 def decode_records(body: bytes) -> tuple[RecordSetAnswer, list[StoredItem]]:
--- a/halldoor/gateway/httpclient.py
+++ b/halldoor/gateway/httpclient.py
@@ -25,11 +25,18 @@
 
 
 class HttpAnswer(NamedTuple):
-    """A complete answer of the server."""
+    """A complete answer of the server.
+
+    Attributes
+    ----------
+    transfer_s : float
+        Time between its head and its end, in seconds.
+    """
 
     status: int
     body: bytes
     headers: Headers = []
+    transfer_s: float = 0.0
 
 
 class HttpCallError(Exception):
@@ -141,13 +148,15 @@
 async def _receive_answer(connection: HttpConnection, *, max_bytes: int) -> HttpAnswer:
     """Receive an answer; raise an error if its body is too large."""
     head = await connection.receive_head()
-    body = bytearray()
+    loop = asyncio.get_running_loop()
+    body, began_at = bytearray(), loop.time()
     try:
         while not isinstance(event := await connection.receive(), h11.EndOfMessage):
             body += event.data
             if len(body) > max_bytes:
                 raise AnswerTooLargeError(f"an answer of more than {max_bytes} bytes")
-        return HttpAnswer(head.status_code, bytes(body), list(head.headers.raw_items()))
+        headers = list(head.headers.raw_items())
+        return HttpAnswer(head.status_code, bytes(body), headers, loop.time() - began_at)
     finally:
         # The traceback of an exception would keep it until garbage is collected.
         body.clear()
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -77,6 +77,8 @@
         this one has no contact with the store.
     is_difference : bool
         Whether changes that were undone before the newest revision may be left out.
+    source : str
+        What sent the changes, for the log.
     """
 
     events: Events
@@ -84,6 +86,7 @@
     is_relayed: bool = False
     is_substitute: bool = False
     is_difference: bool = False
+    source: str = ""
 
     def to_batch(self, after: int) -> Batch[StoredItem]:
         """Return the changes after a revision as a batch for followers."""
@@ -181,5 +184,5 @@
     if not isinstance(changes, RelayedChanges):
         raise ReaderLostError(f"it answered {answer.status}")
     proven_at = compute_poll_proof(sent_at=sent_at, held_s=changes.held_s, age_s=changes.age_s)
-    events = Events(changes.items, changes.revision)
+    events = Events(changes.items, changes.revision, answer.transfer_s)
     return Update(events, proven_at, is_relayed=True, is_difference=changes.is_difference)
--- a/halldoor/gateway/reading.py
+++ b/halldoor/gateway/reading.py
@@ -10,6 +10,7 @@
 import math
 from collections.abc import Callable
 
+from halldoor.core.targets.arrival import STORE_PAGES
 from halldoor.gateway.handover import RecordSet
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.store import HistoryGoneError, MetadataStore, Page, StoreError
@@ -96,7 +97,15 @@
         items = [item for page in self._pages for item in page.items]
         revisions = [page.revision for page in self._pages]
         self.clear()
-        return RecordSet(items, min(revisions), self._era, self._began_at, newest=max(revisions))
+        return RecordSet(
+            items,
+            min(revisions),
+            self._era,
+            self._began_at,
+            newest=max(revisions),
+            source=STORE_PAGES,
+            took_s=asyncio.get_running_loop().time() - self._began_at,
+        )
 
     async def _read_page(self, *, after: str) -> None:
         """Read the page after a key, and append it to the kept pages."""
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from halldoor.core.settings import Address
+from halldoor.core.targets.arrival import STORE_WATCH
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.proofs import compute_watch_proof, find_watch_slot_wait
@@ -232,7 +233,7 @@
         proven_at = compute_watch_proof(
             sent_at=sent_at, wait_s=wait_s, returned_at=_now(), has_changes=bool(events.items)
         )
-        return Update(events, proven_at)
+        return Update(events, proven_at, source=STORE_WATCH)
 
     async def _watch_in_contact(self, revision: int, wait_s: float) -> Events:
         """Watch the store until contact is lost: a watch over a cut link would never return.
@@ -272,7 +273,7 @@
         )
         self._check_age(update.proven_at)
         self._metrics.add_relayed(len(update.events.items), _now() - update.proven_at)
-        return update
+        return update._replace(source=f"reader {self._reader.name}")
 
     async def fetch_records(
         self, wanted: WantedEra, members: Iterable[MemberRecord] | None = None
@@ -319,7 +320,7 @@
             records=count,
             age_ms=round(age_s * 1000),
         )
-        return records
+        return records._replace(source=f"reader {reader.name}")
 
     def _check_age(self, proven_at: float) -> None:
         """Raise where a reader's state is too old to rely on."""
--- a/halldoor/gateway/store.py
+++ b/halldoor/gateway/store.py
@@ -50,10 +50,17 @@
 
 
 class Events(NamedTuple):
-    """Changes that a watch returned, and the revision at which to continue."""
+    """Changes that a watch returned, and the revision at which to continue.
+
+    Attributes
+    ----------
+    transfer_s : float or None
+        Time between the head of the answer and its end, in seconds; None if it is not known.
+    """
 
     items: Sequence[StoredItem]
     revision: int
+    transfer_s: float | None = None
 
 
 class Lease(NamedTuple):
--- a/halldoor/gateway/substitute.py
+++ b/halldoor/gateway/substitute.py
@@ -68,7 +68,7 @@
             return await self._find_substitute(revision, era)
         try:
             return await self._send_poll(
-                self._client, Poll(revision, WAIT_S, era, needs_contact=True)
+                self._client, Poll(revision, WAIT_S, era, needs_contact=True), self._name
             )
         except (ReaderLostError, OtherEraError) as exc:
             self._metrics.add_relay_loss()
@@ -111,7 +111,7 @@
         assert member.relay is not None
         client = self._open_client(member.relay)
         try:
-            update = await self._send_poll(client, poll)
+            update = await self._send_poll(client, poll, member.name)
         except (ReaderLostError, OtherEraError):
             client.close()
             return None
@@ -125,8 +125,8 @@
         self._log.event("relay", "Follows a substitute for the store.", reader=member.name)
         return update
 
-    async def _send_poll(self, client: HttpClient, poll: Poll) -> Update:
-        """Send one poll, and return its answer as an update of a substitute."""
+    async def _send_poll(self, client: HttpClient, poll: Poll, name: str) -> Update:
+        """Send one poll to an entry, and return its answer as an update of a substitute."""
         sent_at = asyncio.get_running_loop().time()
         update = await send_poll(
             client,
@@ -137,7 +137,7 @@
         )
         age_s = asyncio.get_running_loop().time() - update.proven_at
         self._metrics.add_relayed(len(update.events.items), age_s)
-        return update._replace(is_substitute=True)
+        return update._replace(is_substitute=True, source=f"substitute {name}")
 
     def close(self) -> None:
         """Stop following the substitute."""
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -6,9 +6,10 @@
 import math
 from collections.abc import Callable, Iterable, Sequence
 
+from halldoor.core.targets.arrival import Arrival
 from halldoor.core.targets.catalog import Catalog
-from halldoor.core.targets.changes import Change, MemberSeen, is_withdrawal
-from halldoor.core.targets.era import find_era_problem, parse_era
+from halldoor.core.targets.changes import Change, MemberSeen, RoutingSeen, is_withdrawal
+from halldoor.core.targets.era import parse_era
 from halldoor.core.targets.relay import WantedEra
 from halldoor.core.targets.sequence import RoutingSequence
 from halldoor.core.targets.withdrawal import StoreView
@@ -216,7 +217,9 @@
         self.is_loaded.set()
         self._reader.limit_s = self._feed.settings.page_limit_s
         self._log.event("store", "Read all.", revision=records.revision, changes=len(applied))
-        self._changes.log_full_read(applied, records.revision)
+        source = f"{records.source}, copy of the store" if is_restored else records.source
+        arrival = Arrival(source, records.revision, records.era, now, records.took_s)
+        self._changes.log_full_read(changes, applied, arrival)
         self._catalog.contact.record_applied_until(records.proven_at)
         self._call_receivers(StoreView(records.era, newest))
 
@@ -296,11 +299,14 @@
         else:
             now = self._record_contact(update.proven_at)
         self._begun_revision = events.revision
+        arrival = Arrival(update.source, events.revision, self._era, now, events.transfer_s)
         changes = self._decode_all(events.items)
         for change in self._sequence.mark_events(changes, events.revision):
             if self._catalog.apply(change, now):
                 self._record_applied(change)
-                self._changes.log(change, events.revision)
+                self._changes.log(change, arrival)
+            else:
+                self._changes.log_ignored(change, arrival)
         # The store's own answer includes all removals up to its return, whenever it was sent.
         self._catalog.contact.record_applied_until(update.proven_at if update.is_relayed else now)
         self._revision = self._last_revision = events.revision
@@ -330,15 +336,22 @@
         An overwritten record is unused until its owner writes it; a configuration stays in force.
         """
         try:
-            return self._codec.decode(item)
+            change = self._codec.decode(item)
         except StoreError as exc:
-            self._record_unreadable(str(exc), key=item.key[:MAX_SHOWN])
-            return self._codec.decode(StoredItem(item.key, None))
-
-    def _record_unreadable(self, cause: str, *, key: str = "") -> None:
-        """Log and count a record that can't be read."""
+            removal = self._codec.decode(StoredItem(item.key, None))
+            # Only a configuration has no removal: the one before stays in force.
+            version = self._catalog.configuration_version if removal is None else None
+            self._record_unreadable(str(exc), key=item.key[:MAX_SHOWN], version=version)
+            return removal
+        if isinstance(change, RoutingSeen):
+            return change._replace(size_bytes=len(item.value or b""))
+        return change
+
+    def _record_unreadable(self, cause: str, *, key: str = "", version: int | None = None) -> None:
+        """Log and count a record that can't be read, and the version that it leaves in force."""
         self._metrics.add_unreadable_record()
-        self._log.event("store", "Ignores a bad record.", key=key, error=cause)
+        fields = {} if version is None else {"version_in_force": version}
+        self._log.event("store", "Ignores a bad record.", key=key, error=cause, **fields)
 
     def _record_contact(self, proven_at: float) -> float:
         """Record contact with the store up to a moment, and return the time of the loop's clock."""
@@ -369,17 +382,10 @@
             self._log.event("store", "Contact is lost.", cause=cause)
 
     def _log_restore(self, before: str, records: RecordSet) -> None:
-        """Log that the store was restored from a copy, and its eras and revisions."""
+        """Count and log that the store was restored from a copy."""
         self._metrics.add_store_call("range", "restored")
-        self._log.event(
-            "store",
-            "Came back from a copy; read all again.",
-            era_before=before,
-            era=records.era,
-            problem=find_era_problem(before, records.era),
-            revision_before=self._last_revision,
-            revision=records.revision,
-        )
+        after = StoreView(records.era, records.revision)
+        self._changes.log_restore(StoreView(before, self._last_revision), after)
 
 
 def _is_cancelling() -> bool:
