Tell and count how much of an answer had arrived when its call failed

Seen: in the incident the watches of 23 entries ended with TimeoutError while their links were full. Whether the answers arrived in part, and how much of the link they took, stood nowhere.

Cause: the client drops what it received; calls that are cancelled from outside, such as a page after its limit, left no trace at all.

Change: the client reports each call without a complete answer, cancelled ones too, with the bytes received and the time.

--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -62,6 +62,8 @@
     ----------
     exchanges : int
         Number of exchanges started on the connection, including the current one.
+    received_bytes : int
+        Bytes received in the current exchange.
     has_sent : bool
         Whether any bytes of the current exchange were sent.
     idle_since : float
@@ -78,6 +80,7 @@
         self._is_idle = True
         self._peer_will_close = False
         self.exchanges = 0
+        self.received_bytes = 0
         self.has_sent = False
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
@@ -146,6 +149,7 @@
         if self._is_idle:
             self.close()
             return
+        self.received_bytes += len(data)
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as exc:
@@ -179,6 +183,7 @@
         """Start an exchange: one request and its answer."""
         self._is_idle = False
         self.has_sent = False
+        self.received_bytes = 0
         self.exchanges += 1
 
     @property
--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -167,7 +167,7 @@
     try:
         answer = await client.call("GET", f"{RECORDS_PATH}?{urlencode(query)}", timeout_s=timeout_s)
     except HttpCallError as exc:
-        raise ReaderSilentError(str(exc)) from exc
+        raise ReaderSilentError(exc.detail) from exc
     if answer.status != 200:
         raise ReaderLostError(f"it answered {answer.status}")
     try:
--- a/halldoor/gateway/httpclient.py
+++ b/halldoor/gateway/httpclient.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
@@ -39,8 +40,43 @@
     transfer_s: float = 0.0
 
 
+class LostAnswer(NamedTuple):
+    """What had arrived of an answer when its call failed or was cancelled.
+
+    Attributes
+    ----------
+    path : str
+        Path of the call, without its query.
+    took_s : float
+        Time since the call, in seconds.
+    """
+
+    path: str
+    received_bytes: int
+    took_s: float
+
+
 class HttpCallError(Exception):
-    """No complete answer arrived in time; the server may have processed the call."""
+    """No complete answer arrived in time; the server may have processed the call.
+
+    Parameters
+    ----------
+    cause : str
+        What went wrong.
+    loss : LostAnswer, optional
+        What had arrived.
+    """
+
+    def __init__(self, cause: str, loss: LostAnswer | None = None) -> None:
+        super().__init__(cause)
+        self.loss = loss
+
+    @property
+    def detail(self) -> str:
+        """The cause, with what had arrived."""
+        if self.loss is None:
+            return str(self)
+        return f"{self}, {self.loss.received_bytes} bytes in {self.loss.took_s:.2f} s"
 
 
 class AnswerTooLargeError(HttpCallError):
@@ -56,9 +92,15 @@
         Address of the server.
     connect_s : float, optional
         Connect timeout, in seconds.
+
+    Attributes
+    ----------
+    on_loss : callable
+        Called after each call without a complete answer, also if it was cancelled.
     """
 
     def __init__(self, address: Address, *, connect_s: float = CONNECT_S) -> None:
+        self.on_loss: Callable[[LostAnswer], None] = lambda _: None
         self._address = address
         self._connect_s = connect_s
         self._idle: list[HttpConnection] = []
@@ -92,7 +134,16 @@
         """
         request = self._build_request(method, target, body, headers or [])
         connection: HttpConnection | None = None
+        answer: HttpAnswer | None = None
         is_kept = False
+        began_at = asyncio.get_running_loop().time()
+
+        def describe_loss() -> LostAnswer:
+            """Return what arrived of the answer so far."""
+            received = connection.received_bytes if connection is not None else 0
+            took_s = asyncio.get_running_loop().time() - began_at
+            return LostAnswer(target.partition("?")[0], received, took_s)
+
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._connect(timeout_s)
@@ -105,8 +156,10 @@
                 self._idle.append(connection)
             return answer
         except (TimeoutError, ConnectionFailedError, ConnectionBrokenError) as exc:
-            raise HttpCallError(f"{type(exc).__name__} {exc}".strip()) from exc
+            raise HttpCallError(f"{type(exc).__name__} {exc}".strip(), describe_loss()) from exc
         finally:
+            if answer is None:
+                self.on_loss(describe_loss())
             if connection is not None and not is_kept:
                 connection.close()
 
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -49,6 +49,11 @@
         self._store_calls = Counter(
             "halldoor_store_calls", "Store calls by kind and outcome.", registry=registry
         )
+        self._wasted = Counter(
+            "halldoor_wasted_bytes",
+            "Bytes received of answers that did not arrive as a whole, by kind of call.",
+            registry=registry,
+        )
         self._relayed = Counter(
             "halldoor_relayed_changes", "Changes received from another entry.", registry=registry
         )
@@ -213,6 +218,10 @@
         """Count a call to the store."""
         self._store_calls.inc({"kind": kind, "outcome": outcome})
 
+    def add_wasted(self, kind: str, received_bytes: int) -> None:
+        """Count the bytes of an answer that did not arrive as a whole."""
+        self._wasted.add({"kind": kind}, received_bytes)
+
     def add_relayed(self, changes: int, age_s: float) -> None:
         """Count changes relayed by another entry, and record the age of their proof in seconds."""
         self._relayed.add({}, changes)
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -168,7 +168,7 @@
             "GET", f"{CHANGES_PATH}?{urlencode(query)}", timeout_s=poll.wait_s + answer_s
         )
     except HttpCallError as exc:
-        raise ReaderSilentError(str(exc)) from exc
+        raise ReaderSilentError(exc.detail) from exc
     try:
         changes = decode_poll_answer(answer.status, answer.body)
     except DecodingError as exc:
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -10,6 +10,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Iterable
+from functools import partial
 from random import Random
 
 import msgspec
@@ -41,8 +42,10 @@
     request_records,
 )
 from halldoor.gateway.httpclient import HttpClient
+from halldoor.gateway.losses import LossLog
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.polls import (
+    CHANGES_PATH,
     OTHER_ERA,
     ContactLostError,
     NoChanges,
@@ -57,6 +60,7 @@
 
 CONTACT_CHECK_S = 0.25
 """Period of checking for contact with the store while a watch waits, in seconds."""
+_KINDS = {CHANGES_PATH: "poll", RECORDS_PATH: "records"}
 WATCH_S = 28.0
 """Longest wait of a watch by an entry without followers, in seconds; the store allows 30."""
 
@@ -96,7 +100,8 @@
         metrics: GatewayMetrics,
         open_client: Callable[[Address], HttpClient] = HttpClient,
     ) -> None:
-        self._open_client = open_client
+        losses = LossLog("relay", log=log, metrics=metrics)
+        self._open_client = partial(_open_counted, open_client, losses)
         self._store = store
         self._own = own
         self._catalog = catalog
@@ -122,7 +127,12 @@
         self.random = Random(own.name)
         self._phase = self.random.random()
         self._substitute = SubstituteReader(
-            own, catalog, settings=settings, log=log, metrics=metrics, open_client=open_client
+            own,
+            catalog,
+            settings=settings,
+            log=log,
+            metrics=metrics,
+            open_client=self._open_client,
         )
 
     @property
@@ -438,6 +448,15 @@
             self._client = None
 
 
+def _open_counted(
+    open_client: Callable[[Address], HttpClient], losses: LossLog, address: Address
+) -> HttpClient:
+    """Open a client whose lost answers are recorded."""
+    client = open_client(address)
+    client.on_loss = lambda loss: losses.record(_KINDS.get(loss.path, "other"), loss)
+    return client
+
+
 def _now() -> float:
     """Return the time of the loop's clock."""
     return asyncio.get_running_loop().time()
--- a/halldoor/gateway/store.py
+++ b/halldoor/gateway/store.py
@@ -9,6 +9,7 @@
 from halldoor.core.decoding import DecodingError, decoding
 from halldoor.core.errors import HalldoorError
 from halldoor.core.targets.changes import Change, MemberRecord
+from halldoor.gateway.httpclient import LostAnswer
 
 MAX_SHOWN = 200
 """Characters of a key that are shown in an error message."""
@@ -80,6 +81,9 @@
     ----------
     on_unreadable : callable
         Called with the cause when an item of an answer has no readable key, and is skipped.
+    on_lost_answer : callable
+        Called with the kind of a call, ``range``, ``watch`` or ``other``, and with what had arrived
+        of its answer, if the call failed or was cancelled.
     era : str
         Identifies the copy of the store that sent the newest answer; it changes when the store is
         restored from a copy, and is empty where the store doesn't send it.  Revisions and leases
@@ -90,6 +94,7 @@
 
     def __init__(self) -> None:
         self.on_unreadable: Callable[[str], None] = lambda _: None
+        self.on_lost_answer: Callable[[str, LostAnswer], None] = lambda *_: None
 
     @abstractmethod
     async def read_range(self, prefix: str, *, after: str = "") -> Page:
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -18,6 +18,7 @@
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.failures import FailureReporter
 from halldoor.gateway.handover import RecordSet
+from halldoor.gateway.losses import LossLog
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.notifying import Notifier
 from halldoor.gateway.polls import ContactLostError, OtherEraError, Update
@@ -81,6 +82,7 @@
     ) -> None:
         self.on_update: list[UpdateReceiver] = []
         store.on_unreadable = self._record_unreadable
+        store.on_lost_answer = LossLog("store", log=log, metrics=metrics).record
         self._store = store
         self._codec = codec
         self._catalog = catalog
