Add metrics of the configuration's age, proof, routes and faults

Seen: `store_age_seconds` was below 2 s at entries that had received no change for 6 s, as any answer of the store resets it.

Change: halldoor_state has proven_age_seconds (since the moment up to which every change is known; inf before the first full read), configuration_age_seconds, routes and configuration_faults.

--- a/halldoor/gateway/figures.py
+++ b/halldoor/gateway/figures.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
+from halldoor.core.targets.catalog import Catalog
 from halldoor.gateway.pages import GatewayFigures
 
 if TYPE_CHECKING:
@@ -24,6 +26,7 @@
         "connections_opened": gateway.pool.opened,
         "connections_kept": gateway.pool.count_idle(),
         "configuration_version": catalog.configuration_version,
+        **_describe_configuration(catalog, now),
         "store_age_seconds": now - catalog.store_contact_at,
         "store_era": gateway.sync.era_number,
         "unread_settings": len(gateway.settings.unread),
@@ -33,3 +36,15 @@
     return GatewayFigures(
         gauges, gateway.chooser.list_excluded(now), gateway.weighing.list_weights()
     )
+
+
+def _describe_configuration(catalog: Catalog, now: float) -> dict[str, float]:
+    """Return the figures of the configuration in force: its size, faults, age and proof."""
+    routing, arrival = catalog.routing, catalog.arrival
+    proof_age_s = catalog.find_proof_age_s(now)
+    return {
+        "proven_age_seconds": math.inf if proof_age_s is None else proof_age_s,
+        "configuration_age_seconds": 0.0 if arrival is None else now - arrival.at,
+        "routes": 0 if routing is None else len(routing.routes),
+        "configuration_faults": 0 if routing is None else len(routing.faults),
+    }
--- a/halldoor/tests/test_arrival.py
+++ b/halldoor/tests/test_arrival.py
@@ -5,6 +5,10 @@
 import asyncio
 import json
 
+import pytest
+
+from halldoor.core.targets.catalog import Catalog, CatalogTimings
+from halldoor.gateway.figures import collect_figures
 from halldoor.tests.gatewaykit import GatewayKit
 from halldoor.tests.test_relay import Fleet
 from halldoor.tests.test_substitute import make_reader
@@ -58,3 +62,21 @@
     asyncio.run(check())
     (line,) = read_lines(capfd.readouterr().out, "store: Ignores a bad record.")
     assert line["version_in_force"] == 1
+
+
+@pytest.mark.parametrize("is_configured", [True, False])
+def test_metrics_do_not_tell_how_old_a_configuration_and_its_proof_are(is_configured):
+    async def check():
+        async with GatewayKit.open(targets=0, is_configured=is_configured) as kit:
+            await kit.wait(kit.gateway.sync.is_loaded.is_set)
+            gauges = collect_figures(kit.gateway, callers=0).gauges
+            count = int(is_configured)
+            assert (gauges["routes"], gauges["configuration_faults"]) == (count, 0)
+            assert 0 <= gauges["proven_age_seconds"] < 5
+            assert 0 <= gauges["configuration_age_seconds"] < 5
+
+    asyncio.run(check())
+
+
+def test_entry_that_has_read_nothing_has_a_proof():
+    assert Catalog(CatalogTimings()).find_proof_age_s(5.0) is None
