Warn of different configurations and old proofs in 'halldoor fleet'

Seen: `halldoor fleet` listed an entry as lagging by the age of the store's last message, which stays recent while no change arrives.

Change: it warns in one line each when gateways have different configurations in force, with the number of gateways by version, and when some may lack changes of the last 5 s; these are listed with the age of their proof. Three expectations of test_fleet.py name the new line before the ones that they check.

Measured: test_old_proof_is_hidden_by_a_recent_contact fails before and passes, with the other tests of test_fleet.py and test_operators.py.

--- a/halldoor/cli/fleet.py
+++ b/halldoor/cli/fleet.py
@@ -25,6 +25,8 @@
 """Longest text of metrics that is accepted, in bytes."""
 MAX_FIGURE = 1e18
 """Greatest absolute value of a metric."""
+VERSIONS_SHOWN = 8
+"""Newest versions that are listed where gateways differ; the others are counted."""
 LAG_LIMIT_S = 5.0
 """Age of the store's last message from which a gateway is listed as lagging, in seconds: the time
 in which a change must be in force everywhere."""
@@ -43,6 +45,8 @@
     ----------
     store_age_s : float
         Time since its last message from the store, in seconds.
+    proven_age_s : float
+        Time since the moment up to which it knows every change, in seconds.
     store_era : int
         Number of the store's copy that it uses, which rises when the store is restored; -1 if the
         store has no such number.
@@ -59,6 +63,7 @@
     address: str
     version: int = 0
     store_age_s: float = 0.0
+    proven_age_s: float = 0.0
     store_era: int = -1
     members: int = 0
     targets: int = 0
@@ -173,6 +178,7 @@
         address,
         version=int(state.get("configuration_version", 0)),
         store_age_s=state.get("store_age_seconds", 0.0),
+        proven_age_s=state.get("proven_age_seconds", 0.0),
         store_era=int(state.get("store_era", -1)),
         members=int(state.get("members", 0)),
         targets=int(state.get("targets", 0)),
@@ -201,6 +207,7 @@
         f"{sum(g.watches_store for g in reached)} watch the store; "
         f"{sum(g.running for g in reached)} requests running."
     ]
+    lines += _describe_versions(reached)
     lines += _truncate_lines([f"{g.address}: not reached ({g.error})" for g in gateways if g.error])
     lines += _truncate_lines(_describe_lag(g, newest) for g in reached if _is_lagging(g, newest))
     lines += _truncate_lines(_describe_eras(reached))
@@ -211,18 +218,42 @@
 
 
 def _is_lagging(gateway: GatewayView, newest: int) -> bool:
-    """Check whether a gateway has an old configuration or has lost contact with the store."""
-    return gateway.version < newest or gateway.store_age_s > LAG_LIMIT_S
+    """Check whether a gateway's configuration, contact with the store or proof is old."""
+    age_s = max(gateway.store_age_s, gateway.proven_age_s)
+    return gateway.version < newest or age_s > LAG_LIMIT_S
 
 
 def _describe_lag(gateway: GatewayView, newest: int) -> str:
     """Describe a lagging gateway."""
     behind = f"configuration {gateway.version} of {newest}"
+    proof = "no proof yet"
+    if gateway.proven_age_s < MAX_FIGURE:
+        proof = f"all changes known until {gateway.proven_age_s:.1f} s ago"
     return (
-        f"{gateway.address}: {behind}, last message from the store {gateway.store_age_s:.1f} s ago"
+        f"{gateway.address}: {behind}, last message from the store {gateway.store_age_s:.1f} s ago,"
+        f" {proof}"
     )
 
 
+def _describe_versions(reached: Sequence[GatewayView]) -> list[str]:
+    """Warn if gateways have different configurations or old proofs; empty if they don't."""
+    lines = []
+    versions = Counter(g.version for g in reached)
+    if len(versions) > 1:
+        shown = sorted(versions.items(), reverse=True)[:VERSIONS_SHOWN]
+        counts = ", ".join(f"{version} at {count}" for version, count in shown)
+        rest = len(versions) - len(shown)
+        counts += f", {rest} others" if rest else ""
+        lines.append(f"WARNING: different configurations are in force: {counts}")
+    old = sum(g.proven_age_s > LAG_LIMIT_S for g in reached)
+    if old:
+        lines.append(
+            f"WARNING: {old} of {len(reached)} gateways may lack changes of the last "
+            f"{LAG_LIMIT_S:g} s, and may refuse proper requests"
+        )
+    return lines
+
+
 def _describe_eras(reached: Sequence[GatewayView]) -> list[str]:
     """Describe the gateways that use another copy of the store than the newest in use."""
     newest = max((g.store_era for g in reached), default=-1)
--- a/halldoor/tests/test_fleet.py
+++ b/halldoor/tests/test_fleet.py
@@ -39,7 +39,7 @@
                     views = await asyncio.to_thread(fetch_fleet, [f"{IP}:{port}"])
                 (view,) = views
                 assert (view.version, view.is_reached, view.watches_store) == (1, True, True)
-                assert view.store_age_s < 60
+                assert view.store_age_s < 60 and view.proven_age_s < 60
                 reasons = {out.target: out.reason for out in view.targets_out}
                 assert reasons == {"t0": "draining", "t1": "cold"}
 
@@ -72,16 +72,34 @@
         assert described[0].startswith(
             "2 of 3 gateways answered; configuration 7; 1 watch the store; 3"
         )
-        assert described[1] == "c:1: not reached (ConnectTimeoutError)"
-        assert described[2].startswith(
+        assert described[1].startswith("WARNING: different configurations")
+        assert described[2] == "c:1: not reached (ConnectTimeoutError)"
+        assert described[3].startswith(
             "b:1: configuration 6 of 7, last message from the store 9.0 s ago"
         )
-        assert described[3] == "t1 of deck: ejected at 2 of 2"
+        assert described[4] == "t1 of deck: ejected at 2 of 2"
+
+    def test_old_proof_is_hidden_by_a_recent_contact(self):
+        texts = [
+            'halldoor_state{name="configuration_version"} 15',
+            'halldoor_state{name="configuration_version"} 8\n'
+            'halldoor_state{name="proven_age_seconds"} 6.2',
+            'halldoor_state{name="configuration_version"} 15\n'
+            'halldoor_state{name="proven_age_seconds"} inf',
+        ]
+        described = describe_fleet(
+            [parse_metrics(f"{n}:1", t) for n, t in zip("abc", texts, strict=True)]
+        )
+        assert described[1] == "WARNING: different configurations are in force: 15 at 2, 8 at 1"
+        assert described[2].startswith("WARNING: 2 of 3 gateways may lack changes of the last 5 s")
+        assert described[3].endswith("all changes known until 6.2 s ago")
+        assert described[4].endswith("no proof yet")
 
     def test_long_lists_are_truncated_with_a_count(self):
         views = [GatewayView(f"10.0.0.{i}:1", version=i) for i in range(100)]
         described = describe_fleet(views)
-        assert len(described) == 22 and described[-1] == "... and 79 more"
+        assert described[1].startswith("WARNING: ") and described[1].endswith(" 92 others")
+        assert len(described) == 23 and described[-1] == "... and 79 more"
 
     def test_200_silent_gateways_are_reported_within_the_limit(self):
         with socket.create_server((IP, 0), backlog=400) as silent:
