--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -24,6 +24,9 @@
         self._requests = Counter(
             "halldoor_requests", "Requests by service and status.", registry=registry
         )
+        self._refusals = Counter(
+            "halldoor_refusals", "Requests refused by this entry.", registry=registry
+        )
         self._latency = Histogram(
             "halldoor_request_seconds", "Time to the answer.", buckets=BUCKETS, registry=registry
         )
@@ -46,6 +49,11 @@
         self._store_calls = Counter(
             "halldoor_store_calls", "Store calls by kind and outcome.", registry=registry
         )
+        self._wasted = Counter(
+            "halldoor_wasted_bytes",
+            "Bytes received of answers that did not arrive as a whole, by kind of call.",
+            registry=registry,
+        )
         self._relayed = Counter(
             "halldoor_relayed_changes", "Changes received from another entry.", registry=registry
         )
@@ -163,6 +171,10 @@
         self._requests.inc({"service": service, "status": status})
         self._latency.observe({"service": service}, took_s)
 
+    def add_refusal(self, status: str, reason: str) -> None:
+        """Count a request that this entry refused, by one of a bounded number of reasons."""
+        self._refusals.inc({"status": status, "reason": reason})
+
     def add_attempt(
         self,
         service: str,
@@ -206,6 +218,10 @@
         """Count a call to the store."""
         self._store_calls.inc({"kind": kind, "outcome": outcome})
 
+    def add_wasted(self, kind: str, received_bytes: int) -> None:
+        """Count the bytes of an answer that did not arrive as a whole."""
+        self._wasted.add({"kind": kind}, received_bytes)
+
     def add_relayed(self, changes: int, age_s: float) -> None:
         """Count changes relayed by another entry, and record the age of their proof in seconds."""
         self._relayed.add({}, changes)
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -10,11 +10,13 @@
 import asyncio
 import math
 from collections.abc import Callable, Iterable
+from functools import partial
 from random import Random
 
 import msgspec
 
 from halldoor.core.settings import Address
+from halldoor.core.targets.arrival import STORE_WATCH
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.proofs import compute_watch_proof, find_watch_slot_wait
@@ -40,8 +42,10 @@
     request_records,
 )
 from halldoor.gateway.httpclient import HttpClient
+from halldoor.gateway.losses import LossLog
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.polls import (
+    CHANGES_PATH,
     OTHER_ERA,
     ContactLostError,
     NoChanges,
@@ -56,6 +60,7 @@
 
 CONTACT_CHECK_S = 0.25
 """Period of checking for contact with the store while a watch waits, in seconds."""
+_KINDS = {CHANGES_PATH: "poll", RECORDS_PATH: "records"}
 WATCH_S = 28.0
 """Longest wait of a watch by an entry without followers, in seconds; the store allows 30."""
 
@@ -95,7 +100,8 @@
         metrics: GatewayMetrics,
         open_client: Callable[[Address], HttpClient] = HttpClient,
     ) -> None:
-        self._open_client = open_client
+        losses = LossLog("relay", log=log, metrics=metrics)
+        self._open_client = partial(_open_counted, open_client, losses)
         self._store = store
         self._own = own
         self._catalog = catalog
@@ -121,7 +127,12 @@
         self.random = Random(own.name)
         self._phase = self.random.random()
         self._substitute = SubstituteReader(
-            own, catalog, settings=settings, log=log, metrics=metrics, open_client=open_client
+            own,
+            catalog,
+            settings=settings,
+            log=log,
+            metrics=metrics,
+            open_client=self._open_client,
         )
 
     @property
@@ -232,7 +243,7 @@
         proven_at = compute_watch_proof(
             sent_at=sent_at, wait_s=wait_s, returned_at=_now(), has_changes=bool(events.items)
         )
-        return Update(events, proven_at)
+        return Update(events, proven_at, source=STORE_WATCH)
 
     async def _watch_in_contact(self, revision: int, wait_s: float) -> Events:
         """Watch the store until contact is lost: a watch over a cut link would never return.
@@ -272,7 +283,7 @@
         )
         self._check_age(update.proven_at)
         self._metrics.add_relayed(len(update.events.items), _now() - update.proven_at)
-        return update
+        return update._replace(source=f"reader {self._reader.name}")
 
     async def fetch_records(
         self, wanted: WantedEra, members: Iterable[MemberRecord] | None = None
@@ -319,7 +330,7 @@
             records=count,
             age_ms=round(age_s * 1000),
         )
-        return records
+        return records._replace(source=f"reader {reader.name}")
 
     def _check_age(self, proven_at: float) -> None:
         """Raise where a reader's state is too old to rely on."""
@@ -437,6 +448,15 @@
             self._client = None
 
 
+def _open_counted(
+    open_client: Callable[[Address], HttpClient], losses: LossLog, address: Address
+) -> HttpClient:
+    """Open a client whose lost answers are recorded."""
+    client = open_client(address)
+    client.on_loss = lambda loss: losses.record(_KINDS.get(loss.path, "other"), loss)
+    return client
+
+
 def _now() -> float:
     """Return the time of the loop's clock."""
     return asyncio.get_running_loop().time()
