Refuse unknown routes and keys by the age of the proof, not of the last contact

Callers got 404 for routes in force, and 401 for keys, from entries whose state was 4 to 10 s old; strict entries served revoked keys. Cause: the age that decided was that of any answer of the store, and a renewed lease is one, while the watch was stuck or its answer still on the way.

The age is now that of the moment up to which the state is proven to include every change (`StateProof`), or a notice of a newer configuration that no proof refutes. An entry that watches for itself hears nothing for 28 s in a quiet store, so a refusal that depends on the age asks the store for its revision (`StateConfirmer`): a page of no key, once in 0.75 of the limit at most.

--- a/benchmarks/access.py
+++ b/benchmarks/access.py
@@ -7,7 +7,12 @@
 
 from benchmarks.common import format_table, write_result
 from halldoor.core.targets.route import CallerLimits, Routing
-from halldoor.core.teams.admission import AccessSettings, AccessTable, AdmittedRequest
+from halldoor.core.teams.admission import (
+    AccessSettings,
+    AccessTable,
+    AdmittedRequest,
+    ConfigurationAge,
+)
 from halldoor.core.teams.gate import QuotaGate
 from halldoor.core.teams.team import Team, TeamLimit, digest_key
 from halldoor.tests.choicekit import SERVICE, make_route
@@ -41,7 +46,7 @@
                 field,
                 gate=gate,
                 now=1.0,
-                age_s=0.1,
+                age=ConfigurationAge(0.1),
                 entries=75,
                 settings=AccessSettings(),
             )
--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -27,6 +27,7 @@
 from halldoor.core.targets.contact import Lapse, StoreContact
 from halldoor.core.targets.leaving import LeavingTable
 from halldoor.core.targets.notice import ColdNotice
+from halldoor.core.targets.proofs import StateProof
 from halldoor.core.targets.removals import PostponedRemovals, list_removals
 from halldoor.core.targets.route import Routing
 from halldoor.core.targets.sharers import SharerTable
@@ -60,9 +61,11 @@
         Targets whose record expired in an outage of the store, and may be written again.
     contact : StoreContact
         Times at which the store answered.
+    proof : StateProof
+        Moment up to which this view includes every change.
     store_contact_at : float
         Time of the last contact with the store, direct or through another entry, in seconds of the
-        steady clock.
+        steady clock.  The view may be older: see `proof`.
     relayed_at : float
         Time at which an entry in contact with the store last passed on changes.
     """
@@ -74,6 +77,7 @@
         self._restarted: set[str] = set()
         self.lapsed: dict[str, Lapse] = {}
         self.contact = StoreContact()
+        self.proof = StateProof()
         self._restored_at = -math.inf
         self.routing: Routing | None = None
         self.evacuated: set[str] = set()
--- a/halldoor/core/teams/admission.py
+++ b/halldoor/core/teams/admission.py
@@ -36,7 +36,15 @@
     NO_COMMON_REGION = "no region may serve both route and team"
     OVER_QUOTA = "team over its quota"
 
+    @property
+    def depends_on_age(self) -> bool:
+        """Whether the status depends on the age of the configuration."""
+        return self in (self.NO_ROUTE, self.UNKNOWN_KEY, self.OLD_CONFIGURATION)
+
 
+CONFIRMED_SHARE = 0.75
+"""Part of the greatest age of a configuration from which it is confirmed, so that the answer
+arrives before that age."""
 DIGEST_DIGITS_LOGGED = 12
 """Hexadecimal digits of a key's digest in a log: enough to compare, too few to guess the key."""
 
@@ -100,20 +108,45 @@
     Attributes
     ----------
     stale_s : float
-        Age of the last contact with the store, in seconds, from which an unknown route or key may
-        be one that was added since: the request is then refused with 503 as not run, so that the
-        caller retries at another entry.
+        Age of the configuration, in seconds, from which an unknown route or key may be one that
+        was added since: the request is then refused with 503 as not run, so that the caller
+        retries at another entry.
     is_strict : bool
         Whether keys are refused once they may have been revoked without this entry knowing.
     revoked_s : float
         Time in which a revoked key must stop working, in seconds.  With `is_strict`, an entry
-        whose last contact with the store is older refuses every key.
+        whose configuration is older refuses every key.
     """
 
     stale_s: float = 3.0
     is_strict: bool = False
     revoked_s: float = 5.0
 
+    @property
+    def confirmed_s(self) -> float:
+        """Age from which the configuration is confirmed before it gets too old, in seconds."""
+        limit_s = min(self.stale_s, self.revoked_s) if self.is_strict else self.stale_s
+        return CONFIRMED_SHARE * limit_s
+
+
+class ConfigurationAge(NamedTuple):
+    """What is known about the age of a configuration.
+
+    Attributes
+    ----------
+    age_s : float
+        Time since the moment up to which it is proven to be the newest, in seconds.
+    is_behind : bool
+        Whether other entries are known to have read a newer one.
+    """
+
+    age_s: float
+    is_behind: bool = False
+
+    def is_stale(self, limit_s: float) -> bool:
+        """Check whether a route or key may have been added too long ago to be unknown."""
+        return self.is_behind or self.age_s > limit_s
+
 
 class AccessTable:
     """Admission by the routes and teams of one configuration.
@@ -152,7 +185,7 @@
         *,
         gate: QuotaGate,
         now: float,
-        age_s: float,
+        age: ConfigurationAge,
         entries: int,
         settings: AccessSettings,
     ) -> AdmittedRequest | Refusal:
@@ -164,22 +197,24 @@
             Host and path that the request asks for, and its ``Authorization`` header's value.
         gate : QuotaGate
             Quotas at this entry.
-        now, age_s : float
-            Monotonic time and age of the last contact with the store, in seconds.
+        now : float
+            Monotonic time, in seconds.
+        age : ConfigurationAge
+            Age of this configuration.
         entries : int
             Number of entries that share the quotas.
         settings : AccessSettings
-            Limits on ``age_s``.
+            Limits on the age.
         """
         route = self._routes.find(host, path)
-        is_stale = age_s > settings.stale_s
+        is_stale = age.is_stale(settings.stale_s)
         if route is None:
             return Refusal(RefusalReason.OLD_CONFIGURATION if is_stale else RefusalReason.NO_ROUTE)
         if route.fault:
             return Refusal(RefusalReason.UNUSABLE_ROUTE)
         if route.is_public or not self.has_teams:
             return AdmittedRequest(route, "")
-        if settings.is_strict and age_s > settings.revoked_s:
+        if settings.is_strict and age.age_s > settings.revoked_s:
             return Refusal(RefusalReason.OLD_CONFIGURATION)
         key = read_bearer(credentials)
         team = self._teams.find(key)
--- a/halldoor/gateway/access.py
+++ b/halldoor/gateway/access.py
@@ -11,6 +11,7 @@
     AccessSettings,
     AccessTable,
     AdmittedRequest,
+    ConfigurationAge,
     Refusal,
     RefusalReason,
 )
@@ -33,6 +34,11 @@
         Notified when the set of routes changes.
     is_confirming : callable
         Returns whether the process was suspended and has not reached the store since.
+
+    Attributes
+    ----------
+    confirm : callable
+        Called to confirm the configuration where a refusal depends on its age.
     """
 
     def __init__(
@@ -52,6 +58,7 @@
         self.settings = settings
         self._random = Random()
         self._is_confirming = is_confirming
+        self.confirm: Callable[[], None] = lambda: None
         self._table: AccessTable | None = None
 
     @property
@@ -60,6 +67,11 @@
         table = self.find_table()
         return table is not None and table.has_teams
 
+    @property
+    def is_strict(self) -> bool:
+        """Check whether callers' keys are refused where the configuration may be old."""
+        return self.settings.is_strict and self.has_teams
+
     def find_table(self) -> AccessTable | None:
         """Return the current routes and teams; None before a configuration was received."""
         routing = self._catalog.routing
@@ -88,16 +100,20 @@
         table = self.find_table()
         if table is None:
             return Refusal(RefusalReason.NO_CONFIGURATION)
-        return table.admit_request(
+        proof = self._catalog.proof
+        admission = table.admit_request(
             find(head.headers, b"host").decode("latin-1"),
             head.target.decode("latin-1"),
             find(head.headers, self._names.credentials),
             gate=self.gate,
             now=now,
-            age_s=now - self._catalog.store_contact_at,
+            age=ConfigurationAge(now - proof.proven_at, proof.is_behind),
             entries=self._catalog.count_sharers(now),
             settings=self.settings,
         )
+        if isinstance(admission, Refusal) and admission.reason.depends_on_age:
+            self.confirm()
+        return admission
 
     def build_answer(self, refusal: Refusal) -> Answer:
         """Build the answer to a refused request, with the quota's retry time if it has one."""
--- a/halldoor/gateway/parts.py
+++ b/halldoor/gateway/parts.py
@@ -29,6 +29,7 @@
         Part("quotas", quotas.run, quotas.reset),
         *gateway.exchanges.list_parts(),
         Part("store notices", notices.run, notices.reset),
+        Part("confirmer", gateway.confirmer.run, gateway.confirmer.reset),
         Part("quarantine", gateway.quarantine.run, gateway.quarantine.reset),
         Part("datagrams", gateway.port.run),
     ]
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -16,6 +16,7 @@
 from halldoor.core.teams.gate import QuotaGate
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.caller import CallerConnection
+from halldoor.gateway.confirming import StateConfirmer
 from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.entryweights import EntryWeighing
 from halldoor.gateway.eventlog import EventLog
@@ -228,7 +229,7 @@
 
     def _build_store_tasks(self, store: MetadataStore, codec: RecordCodec) -> None:
         """Create the components that follow the store and register this entry in it."""
-        tasks = StoreTasks.from_config(
+        self.feed, self.sync, self.store_notices, self.registration = StoreTasks.from_config(
             self.settings,
             store=store,
             codec=codec,
@@ -239,7 +240,7 @@
             log=self.log,
             metrics=self.metrics,
         )
-        self.feed, self.sync, self.store_notices, self.registration = tasks
+        self.confirmer = StateConfirmer(store, self.catalog.proof, self.access, self.metrics)
         self._dispatcher = ChangeDispatcher(
             self.settings.name,
             self.catalog,
--- a/halldoor/gateway/storenotices.py
+++ b/halldoor/gateway/storenotices.py
@@ -221,6 +221,7 @@
             # The withdrawal is in force already; the next watch may wait for the pause to end.
             self._schedule_lag_check(view, WITHDRAWAL_LAG_S)
             return
+        self._catalog.proof.record_announcement(view, now)
         self._skip_pause()
         self._schedule_lag_check(view, LAG_S)
         if not self._newest.has_reached(view):
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -121,6 +121,7 @@
             try:
                 if self._era != self._store.era:
                     self._revision = None
+                    self._catalog.proof.withdraw()
                 if self._revision is None:
                     self._apply_records(await self._read_records())
                 else:
@@ -218,6 +219,7 @@
         self._log.event("store", "Read all.", revision=records.revision, changes=len(applied))
         self._changes.log_full_read(applied, records.revision)
         self._catalog.contact.record_applied_until(records.proven_at)
+        self._catalog.proof.record_update(self.view, records.proven_at)
         self._call_receivers(StoreView(records.era, newest))
 
     def _report_unapplied(self, change: Change, exc: Exception) -> None:
@@ -304,6 +306,7 @@
         # The store's own answer includes all removals up to its return, whenever it was sent.
         self._catalog.contact.record_applied_until(update.proven_at if update.is_relayed else now)
         self._revision = self._last_revision = events.revision
+        self._catalog.proof.record_update(self.view, update.proven_at)
         self.updated_at = now
         self._feed.record_update(revision, update)
         self._call_receivers(self.view)
--- a/halldoor/tests/test_admission.py
+++ b/halldoor/tests/test_admission.py
@@ -9,6 +9,7 @@
     AccessSettings,
     AccessTable,
     AdmittedRequest,
+    ConfigurationAge,
     RefusalReason,
 )
 from halldoor.core.teams.gate import QuotaGate
@@ -35,7 +36,7 @@
             f"Bearer {key}".encode(),
             gate=self.gate,
             now=1.0,
-            age_s=age_s,
+            age=ConfigurationAge(age_s),
             entries=1,
             settings=AccessSettings(**settings),
         )
@@ -103,3 +104,7 @@
     def test_known_key_is_admitted_when_stale_unless_strict(self):
         assert isinstance(Access().request(age_s=9.0), AdmittedRequest)
         assert Access().request(age_s=9.0, is_strict=True).status == 503
+
+    def test_route_is_stale_while_others_are_known_to_have_a_newer_configuration(self):
+        assert ConfigurationAge(0.1, is_behind=True).is_stale(3.0)
+        assert not ConfigurationAge(0.1).is_stale(3.0)
