Offer a forwarded request to the next entry where one does not admit it

Callers of an entry that reaches no target got 404, 401 or 503 though that entry had admitted the request. Cause: the entry that a request is forwarded to admits it anew, by a configuration that may be older, and its refusal was passed on like a target's answer.

It now answers 503 with the field that says that the request was not run, by which entries of the release before go on as well, and one that says that it takes other requests, so that it is not paused. A refusal in the form of the release before is recognized by the lack of the request's id, which each answer of a target carries.

--- a/halldoor/gateway/answers.py
+++ b/halldoor/gateway/answers.py
@@ -6,11 +6,16 @@
 
 import h11
 
+from halldoor.core.teams.admission import RefusalReason
 from halldoor.gateway.caller import Answer, CallerConnection
 from halldoor.gateway.connection import ConnectionBrokenError
-from halldoor.gateway.headers import drop_hop_by_hop, find
+from halldoor.gateway.headers import UNADMITTED, HeaderNames, Headers, drop_hop_by_hop, find
 from halldoor.gateway.outcomes import PartialAnswer
 
+_REFUSED_STATUSES = (401, 404, 429)
+"""Statuses of an entry's own answers, other than 503, that only the admission gives."""
+_REFUSED_BODIES = frozenset(f"halldoor: {reason}\n".encode() for reason in RefusalReason)
+
 
 def forward_answer(caller: CallerConnection, method: bytes, answer: Answer) -> None:
     """Forward a complete answer to a request with a method."""
@@ -47,3 +52,32 @@
         caller.abort()
         return exc
     return None
+
+
+def build_not_run_answer(
+    attempt_id: bytes, reason: str, names: HeaderNames, *, is_unadmitted: bool = False
+) -> Answer:
+    """Build the answer to another entry's request that this one does not take.
+
+    Parameters
+    ----------
+    is_unadmitted : bool, optional
+        Whether only the configuration of this entry refuses the request, so that it takes others.
+    """
+    headers: Headers = [(names.attempt_id, attempt_id), (names.not_run, b"1")]
+    if is_unadmitted:
+        headers.append((UNADMITTED, b"1"))
+    return Answer(503, headers, f"halldoor: {reason}\n".encode())
+
+
+def is_unadmitted(answer: Answer, names: HeaderNames) -> bool:
+    """Check whether an entry's answer is its own refusal to admit a request, which did not run.
+
+    Entries of earlier releases answer forwarded requests as those of callers: their own answers
+    lack the request's id, which each answer of a target carries.
+    """
+    if find(answer.headers, names.attempt_id) or find(answer.headers, names.signature):
+        return False
+    if answer.status in _REFUSED_STATUSES:
+        return True
+    return answer.status == 503 and answer.body in _REFUSED_BODIES
--- a/halldoor/gateway/forwarded.py
+++ b/halldoor/gateway/forwarded.py
@@ -10,9 +10,10 @@
 from halldoor.core.targets.peers import ForwardingSettings
 from halldoor.core.targets.reach import ReachMonitor
 from halldoor.core.targets.route import CallerLimits
+from halldoor.gateway.answers import build_not_run_answer
 from halldoor.gateway.attempt import Origin
-from halldoor.gateway.caller import Answer, CallerConnection, Handler, Head
-from halldoor.gateway.headers import FORWARDED_BY, HeaderNames, Headers, find
+from halldoor.gateway.caller import CallerConnection, Handler, Head
+from halldoor.gateway.headers import FORWARDED_BY, HeaderNames, find
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.request import RequestHandler
 from halldoor.gateway.stalls import StallMeter
@@ -89,8 +90,7 @@
         self._metrics.add_forwarded("received", reason or "taken")
         if reason:
             attempt_id = find(head.headers, self._names.attempt_id)
-            headers: Headers = [(self._names.attempt_id, attempt_id), (self._names.not_run, b"1")]
-            caller.send(Answer(503, headers, f"halldoor: {reason}\n".encode()))
+            caller.send(build_not_run_answer(attempt_id, reason, self._names))
             return
         self.running += 1
         try:
--- a/halldoor/gateway/forwarding.py
+++ b/halldoor/gateway/forwarding.py
@@ -1,7 +1,8 @@
 """Forwards requests to another entry while this one can open no connection to any target.
 
 The other entry handles a forwarded request as one of its own callers: it admits it, chooses the
-target and keeps the bounds on targets, teams and retries.  A request travels one hop at most.
+target and keeps the bounds on targets, teams and retries.  A request travels one hop at most.  One
+that the other entry does not admit is offered to the next: its configuration may be older.
 """
 
 from __future__ import annotations
@@ -16,12 +17,12 @@
 from halldoor.core.targets.choice import Choice, NoTarget
 from halldoor.core.targets.peers import ForwardingSettings, PeerTable
 from halldoor.core.targets.reach import ReachMonitor
-from halldoor.gateway.answers import forward_answer, stream_answer
+from halldoor.gateway.answers import forward_answer, is_unadmitted, stream_answer
 from halldoor.gateway.attempt import RequestResult, RequestState
 from halldoor.gateway.caller import CallerConnection
 from halldoor.gateway.connection import HttpConnection
 from halldoor.gateway.exchange import OutgoingRequest, TargetExchanger
-from halldoor.gateway.headers import FORWARDED_BY, HeaderNames, Headers, find
+from halldoor.gateway.headers import FORWARDED_BY, UNADMITTED, HeaderNames, Headers, find
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.outcomes import (
     AnswerLost,
@@ -155,9 +156,13 @@
         outcome, _ = await self._exchanger.send(
             outgoing._replace(headers=headers), peer.name, peer.relay
         )
+        if isinstance(outcome, WholeAnswer) and is_unadmitted(outcome.answer, self._names):
+            outcome = Rejected(outcome.answer.status, False, [(UNADMITTED, b"1")])
         result = await self._finish(caller, state, outgoing, outcome, peer)
         self._metrics.add_forwarded("sent", "refused" if result is None else str(result.status))
         now = asyncio.get_running_loop().time()
+        if isinstance(outcome, Rejected) and find(outcome.headers, UNADMITTED):
+            return result  # It takes requests of other routes.
         if isinstance(outcome, WholeAnswer | PartialAnswer):
             self._peers.add_answer(peer.name)
         elif not isinstance(outcome, NotSent | BodyFailed):
--- a/halldoor/gateway/headers.py
+++ b/halldoor/gateway/headers.py
@@ -26,6 +26,8 @@
 
 FORWARDED_BY = b"halldoor-forwarded-by"
 """Field with the name of the entry that forwards a request, and the address of its caller."""
+UNADMITTED = b"halldoor-unadmitted"
+"""Field by which an entry says that only its own configuration refuses a forwarded request."""
 
 
 class HeaderNames(NamedTuple):
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -13,6 +13,7 @@
 from halldoor.core.targets.split import Splitter
 from halldoor.core.teams.admission import Refusal
 from halldoor.gateway.access import CallerAccess
+from halldoor.gateway.answers import build_not_run_answer
 from halldoor.gateway.attempt import (
     Origin,
     RequestResult,
@@ -24,7 +25,7 @@
     randomize_retry_after,
 )
 from halldoor.gateway.body import read_request
-from halldoor.gateway.caller import CallerConnection, Head
+from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.exchange import TargetExchanger
 from halldoor.gateway.feedback import TargetFeedback
@@ -121,7 +122,7 @@
         attempt_id = find(head.headers, self._names.attempt_id).decode("latin-1")
         admission = self._access.admit(head, head.received_at)
         if isinstance(admission, Refusal):
-            self._refuse_unadmitted(caller, attempt_id, admission)
+            self._refuse_unadmitted(caller, attempt_id, admission, origin)
             return
         route = admission.route
         key = parse_affinity_key(find(head.headers, self._names.affinity_key))
@@ -178,10 +179,10 @@
         )
 
     def _refuse_unadmitted(
-        self, caller: CallerConnection, attempt_id: str, refusal: Refusal
+        self, caller: CallerConnection, attempt_id: str, refusal: Refusal, origin: Origin
     ) -> None:
         """Answer, log and count a request that was not admitted."""
-        caller.send(self._access.build_answer(refusal))
+        caller.send(self._build_refusal(refusal, attempt_id, origin))
         self._metrics.add_request("", str(refusal.status), 0.0)
         fields: dict[str, Any] = {}
         if refusal.quota is not None:
@@ -198,6 +199,17 @@
             **fields,
         )
 
+    def _build_refusal(self, refusal: Refusal, attempt_id: str, origin: Origin) -> Answer:
+        """Build the answer to a request that is not admitted.
+
+        A forwarded one was admitted by the other entry, whose configuration may be newer.
+        """
+        if origin.forwarded_by:
+            return build_not_run_answer(
+                attempt_id.encode("latin-1"), refusal.reason, self._names, is_unadmitted=True
+            )
+        return self._access.build_answer(refusal)
+
     def _get_store_age_ms(self) -> int:
         """Return the time since the last contact with the store, in milliseconds."""
         now = asyncio.get_running_loop().time()
