--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -28,6 +28,7 @@
 from halldoor.core.targets.contact import Lapse, StoreContact
 from halldoor.core.targets.leaving import LeavingTable
 from halldoor.core.targets.notice import ColdNotice
+from halldoor.core.targets.proofs import StateProof
 from halldoor.core.targets.removals import PostponedRemovals, list_removals
 from halldoor.core.targets.route import Routing
 from halldoor.core.targets.sharers import SharerTable
@@ -61,9 +62,11 @@
         Targets whose record expired in an outage of the store, and may be written again.
     contact : StoreContact
         Times at which the store answered.
+    proof : StateProof
+        Moment up to which this view includes every change.
     store_contact_at : float
         Time of the last contact with the store, direct or through another entry, in seconds of the
-        steady clock.
+        steady clock.  The view may be older: see `proof`.
     relayed_at : float
         Time at which an entry in contact with the store last passed on changes.
     arrival : Arrival or None
@@ -77,6 +80,7 @@
         self._restarted: set[str] = set()
         self.lapsed: dict[str, Lapse] = {}
         self.contact = StoreContact()
+        self.proof = StateProof()
         self._restored_at = -math.inf
         self.routing: Routing | None = None
         self.arrival: Arrival | None = None
@@ -191,8 +195,8 @@
 
         None before the first full read.
         """
-        proven_at = self.contact.applied_until
-        return now - proven_at if proven_at > 0 else None
+        age_s = now - self.proof.proven_at
+        return age_s if math.isfinite(age_s) else None
 
     def record_contact(self, answered_at: float) -> None:
         """Record a contact with the store, direct or through another entry."""
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -12,6 +12,7 @@
 from halldoor.core.targets.split import Splitter
 from halldoor.core.teams.admission import Refusal
 from halldoor.gateway.access import CallerAccess
+from halldoor.gateway.answers import build_not_run_answer
 from halldoor.gateway.attempt import (
     Origin,
     RequestResult,
@@ -23,7 +24,7 @@
     randomize_retry_after,
 )
 from halldoor.gateway.body import read_request
-from halldoor.gateway.caller import CallerConnection, Head
+from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.exchange import TargetExchanger
 from halldoor.gateway.feedback import TargetFeedback
@@ -196,7 +197,7 @@
         self, caller: CallerConnection, head: Head, origin: Origin, refusal: Refusal
     ) -> None:
         """Answer, log and count a request that was not admitted."""
-        caller.send(self._access.build_answer(refusal))
+        caller.send(self._build_refusal(refusal, head, origin))
         self._metrics.add_request("", str(refusal.status), 0.0)
         quota = refusal.quota._asdict() if refusal.quota is not None else {}
         if quota:
@@ -213,3 +214,13 @@
                 **{f"quota_{name}": value for name, value in quota.items()},
             },
         )
+
+    def _build_refusal(self, refusal: Refusal, head: Head, origin: Origin) -> Answer:
+        """Build the answer to a request that is not admitted.
+
+        A forwarded one was admitted by the other entry, whose configuration may be newer.
+        """
+        if origin.forwarded_by:
+            attempt_id = find(head.headers, self._names.attempt_id)
+            return build_not_run_answer(attempt_id, refusal.reason, self._names, is_unadmitted=True)
+        return self._access.build_answer(refusal)
