Take no quiet watch of the store for an old proof in 'halldoor fleet'

Change: for an entry that watches the store, the proof counts as old from 32 s; for a follower, whose polls return within a second, from 5 s as before.

--- a/halldoor/cli/fleet.py
+++ b/halldoor/cli/fleet.py
@@ -25,6 +25,9 @@
 """Longest text of metrics that is accepted, in bytes."""
 MAX_FIGURE = 1e18
 """Greatest absolute value of a metric."""
+WATCH_LIMIT_S = 32.0
+"""Age of the proof from which a gateway that watches the store is listed as lagging, in seconds: a
+quiet watch lasts up to 30 s."""
 VERSIONS_SHOWN = 8
 """Newest versions that are listed where gateways differ; the others are counted."""
 LAG_LIMIT_S = 5.0
@@ -219,8 +222,13 @@
 
 def _is_lagging(gateway: GatewayView, newest: int) -> bool:
     """Check whether a gateway's configuration, contact with the store or proof is old."""
-    age_s = max(gateway.store_age_s, gateway.proven_age_s)
-    return gateway.version < newest or age_s > LAG_LIMIT_S
+    is_behind = gateway.version < newest or gateway.store_age_s > LAG_LIMIT_S
+    return is_behind or _has_old_proof(gateway)
+
+
+def _has_old_proof(gateway: GatewayView) -> bool:
+    """Check whether a gateway may lack changes; a watch proves nothing until it returns."""
+    return gateway.proven_age_s > (WATCH_LIMIT_S if gateway.watches_store else LAG_LIMIT_S)
 
 
 def _describe_lag(gateway: GatewayView, newest: int) -> str:
@@ -245,7 +253,7 @@
         rest = len(versions) - len(shown)
         counts += f", {rest} others" if rest else ""
         lines.append(f"WARNING: different configurations are in force: {counts}")
-    old = sum(g.proven_age_s > LAG_LIMIT_S for g in reached)
+    old = sum(map(_has_old_proof, reached))
     if old:
         lines.append(
             f"WARNING: {old} of {len(reached)} gateways may lack changes of the last "
