Judge refusals by the configurations of all entries in 'explain' and 'report'

Seen: `halldoor explain` said of right and wrong refusals alike that "the configuration in force had no route for it", and `halldoor report` left refused requests out, as they have no service.

It is wrong where other entries had a newer version in force for longer than the bound, unless one of them refused the same path by it. Versions in force come from `routing: In force.` and, where that line is missing, from the lines of requests; their times from the collector, or from `unix_s`. Too little evidence is NOT KNOWN. The refused host and path, the source and the ages stand in the explanation. `halldoor report` lists refusals by reason, entry and version.

--- a/halldoor/cli/operator.py
+++ b/halldoor/cli/operator.py
@@ -31,6 +31,7 @@
 from halldoor.core.decoding import DecodingError, decode_json, decoding
 from halldoor.core.errors import HalldoorError, SettingsError
 from halldoor.core.explaining.history import explain_request
+from halldoor.core.explaining.refusals import judge_refusals
 from halldoor.core.explaining.report import build_report, describe_report
 from halldoor.core.steering.configuration import Configuration
 from halldoor.files import load_yaml
@@ -371,7 +372,8 @@
 
 def _explain_from_logs(attempt_id: str, logs: Sequence[Path], output: Output) -> None:
     """Print the explanation of a request from gateways' log lines."""
-    sentences = explain_request(read_log_lines(logs), attempt_id)
+    lines = list(read_log_lines(logs))
+    sentences = explain_request(lines, attempt_id) + judge_refusals(lines, attempt_id)
     if not sentences:
         _fail(
             BAD_INPUT,
--- a/halldoor/core/explaining/history.py
+++ b/halldoor/core/explaining/history.py
@@ -77,9 +77,21 @@
     stands_for: Annotated[float, msgspec.Meta(ge=0, le=MAX_FIGURE)] = 1
     quota_part: Figure | None = 0
     quota_age_s: Figure | None = 0
+    version: Figure = 0
+    limit_ms: Figure | None = 0
+    in_force_ms: Figure | None = 0
+    proven_age_ms: Figure | None = 0
+    unix_s: Figure | None = 0
     attempts: list[_AttemptFields] | None = None
 
 
+class _RoutingFields(_Fields):
+    """Figures that are read from the log line of a configuration."""
+
+    version: Figure = 0
+    unix_s: Figure | None = 0
+
+
 class _MoveFields(_Fields):
     """Figures that are read from the log line of a move."""
 
@@ -97,7 +109,12 @@
     causes: dict[str, str] | None = None
 
 
-_FIELDS = {"request": _RequestFields, "flow": _MoveFields, "reach": _ReachFields}
+_FIELDS = {
+    "request": _RequestFields,
+    "routing": _RoutingFields,
+    "flow": _MoveFields,
+    "reach": _ReachFields,
+}
 """Figures that are read from log lines, by part."""
 
 
@@ -223,6 +240,7 @@
         f"key {fields.get('key') or '(none)'}, configuration {fields.get('version', 0)}, "
         f"last contact with the store {fields.get('store_age_ms', 0)} ms before.",
     ]
+    sentences += [f"  {text}" for text in _describe_admission(fields)]
     if fields.get("unreached_ms") is not None:
         sentences.append(f"  No target could be reached for {fields['unreached_ms']} ms.")
     sentences += [f"  {text}" for text in _describe_team(fields)]
@@ -231,6 +249,19 @@
     return sentences
 
 
+def _describe_admission(fields: dict[str, Any]) -> Iterator[str]:
+    """Describe what a refused request asked for, and the configuration that was in force."""
+    if fields.get("host") or fields.get("path"):
+        yield f"It asked for host {fields.get('host')}, path {fields.get('path')}."
+    if fields.get("source"):
+        yield (
+            f"This configuration came by {fields['source']}, and was in force here for "
+            f"{fields.get('in_force_ms')} ms."
+        )
+    if "proven_age_ms" in fields:
+        yield f"All changes were known here until {fields['proven_age_ms']} ms before."
+
+
 def _describe_team(fields: dict[str, Any]) -> Iterator[str]:
     """Describe the team of a request, and the quota's decision about it."""
     if fields.get("key_digest"):
@@ -296,7 +327,7 @@
     if fields["status"] in (502, 504) and not fields.get("target"):
         return "It may have run: a target received it and no valid answer came back."
     if fields["status"] == 404 and not fields.get("target"):
-        return "It did not run: the configuration in force had no route for it."
+        return f"It did not run: configuration {fields.get('version', 0)} has no route for it."
     if fields["status"] < 500 and not fields.get("target"):
         return "It did not run: this entry refused it."
     return "A target answered it."
--- a/halldoor/core/explaining/report.py
+++ b/halldoor/core/explaining/report.py
@@ -15,6 +15,7 @@
     describe_unreached,
 )
 from halldoor.core.explaining.moves import Moved, MoveTable, describe_moves
+from halldoor.core.explaining.refusals import RefusalCount, RefusalTable, describe_refusals
 from halldoor.core.explaining.withdrawals import (
     Withdrawal,
     WithdrawalTable,
@@ -106,8 +107,8 @@
 
 
 class Report(NamedTuple):
-    """The report: tallies of requests and attempts, reasons, suspects, moves, and what is known of
-    withdrawn targets and of entries that reached none."""
+    """The report: tallies of requests and attempts, reasons, suspects, moves, what is known of
+    withdrawn targets and of entries that reached none, and refusals by the entries."""
 
     services: list[Tally]
     moments: list[Tally]
@@ -117,6 +118,7 @@
     moves: list[Moved]
     withdrawals: list[Withdrawal]
     unreached: list[UnreachedPeriod]
+    refusals: list[RefusalCount]
 
 
 class _Request(NamedTuple):
@@ -131,11 +133,13 @@
 def build_report(lines: Iterable[LogLine]) -> Report:
     """Build the report from the log lines of one or several entries."""
     moves, withdrawals, unreached = MoveTable(), WithdrawalTable(), UnreachedTable()
+    refusals = RefusalTable()
     requests = []
     for line, since_start_s in add_times_since_start(lines):
         moves.add(line, since_start_s)
         withdrawals.add(line)
         unreached.add(line, since_start_s)
+        refusals.add(line)
         request = _read_request(line, since_start_s)
         if request is not None:
             requests.append(request)
@@ -149,6 +153,7 @@
         moves=moves.list_moves(),
         withdrawals=withdrawals.list_withdrawals(),
         unreached=unreached.list_periods(),
+        refusals=refusals.list_counts(),
     )
 
 
@@ -283,6 +288,7 @@
     left = sum(count for _, _, count in report.reasons[REASONS_SHOWN:])
     if left:
         lines.append(f"{left:>8}  for other reasons")
+    lines += describe_refusals(report.refusals)
     lines += _describe_suspects(report.suspects)
     lines += describe_moves(report.moves)
     lines += describe_withdrawals(report.withdrawals)
