Judge no refusal right while some entries' configurations are not known

Change: a refusal is RIGHT only if the lines tell what each other running entry had in force; else it is NOT KNOWN.

The two cases added to test_refusal_verdicts.py: one fails before; both pass.

--- a/halldoor/core/explaining/refusals.py
+++ b/halldoor/core/explaining/refusals.py
@@ -94,9 +94,10 @@
                 holdings.append(Holding(entry, version, at - since, is_whole))
         return holdings
 
-    def count_others(self, but: str) -> int:
-        """Return the number of other entries that the lines name."""
-        return len(self._changes.keys() - {but})
+    def count_unknown(self, at: float, *, but: str) -> int:
+        """Return the number of other entries whose lines begin later, while they ran."""
+        firsts = [c[0] for entry, c in self._changes.items() if c and entry != but]
+        return sum(since > at and version != 0 for since, version, _ in firsts)
 
 
 def _find_version(line: LogLine) -> int | None:
@@ -176,20 +177,18 @@
             f"entries since their start.{proof}",
         )
     others = f"{len(holdings)} other entries"
-    unknown = table.count_others(entry) - len(holdings)
+    unknown = table.count_unknown(at, but=entry) if at is not None else 0
     others += f" ({unknown} more are not known)" if unknown else ""
-    if not newer:
+    if not newer and not unknown:
         text = f"none of {others} had a newer configuration than {version}.{proof}"
         return Judgement(Verdict.RIGHT, text)
-    longest_s = max(holding.for_s for holding in newer)
+    longest_s = max((holding.for_s for holding in newer), default=0.0)
     text = f"{len(newer)} of {others} had a newer configuration than {version}"
-    if all(holding.is_whole for holding in newer):
+    if not unknown and all(holding.is_whole for holding in newer):
         text += f", for {longest_s:.1f} s at most, within the bound of {bound_s:g} s."
         return Judgement(Verdict.RIGHT, text + proof)
-    text += (
-        f", for {longest_s:.1f} s or longer; the bound is {bound_s:g} s. Pass logs that have its "
-        f"lines 'routing: In force.'.{proof}"
-    )
+    since = f", for {longest_s:.1f} s or longer; the bound is {bound_s:g} s" if newer else ""
+    text += f"{since}. Pass logs that have each entry's 'routing: In force.' lines.{proof}"
     return Judgement(Verdict.UNKNOWN, text)
 
 
--- a/halldoor/tests/test_refusal_verdicts.py
+++ b/halldoor/tests/test_refusal_verdicts.py
@@ -70,7 +70,9 @@
             "NOT KNOWN",
             "2.4 s or longer",
         ),
-        ([*BEFORE, write(30.0, "e2", "process: Stopped.")], "RIGHT", "none of 1 other entries (1 "),
+        ([*BEFORE, write(30.0, "e2", "process: Stopped.")], "RIGHT", "none of 1 other entries had"),
+        ([*BEFORE, write_routing(50.0, "e4", 15)], "NOT KNOWN", "(1 more are not known)"),
+        ([*BEFORE, write(50.0, "e4", "process: Started.")], "RIGHT", "none of 2 other entries"),
         (BEFORE[:1], "NOT KNOWN", "Pass the logs of all"),
     ],
 )
