Start with no older configuration than the first page of the store holds

An entry that starts reads the first page of the store, then takes all records over from another entry.

The first page now replaces its part of records of an earlier revision; as with the pages of a full read, events from the records' revision on are repeated. No call more.

--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -16,6 +16,7 @@
 from halldoor.gateway.changelog import ChangeLog
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.failures import FailureReporter
+from halldoor.gateway.firstpage import add_first_page
 from halldoor.gateway.handover import RecordSet
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.notifying import Notifier
@@ -231,7 +232,8 @@
     async def _read_records(self) -> RecordSet:
         """Read all records: from an entry that follows the store, or page by page from the store.
 
-        For an entry that starts, the first page lists the entries of its hall.  After a suspension
+        For an entry that starts, the first page lists the entries of its hall; the other entry's
+        state may be older than that page.  After a suspension
         an entry reads the store itself, since another entry's state may be old as well.
         """
         if self.is_loaded.is_set() and not self.is_unconfirmed and not self._reader.has_pages:
@@ -246,7 +248,7 @@
             records = await self._feed.fetch_records(WantedEra(self._store.era), members)
             if records is not None:
                 self._reader.clear()
-                return records
+                return add_first_page(records, page)
         return await self._reader.read_remaining()
 
     def _is_ahead_of(self, records: RecordSet) -> bool:
