Refuse callers of routes that can't be read as not run

Callers of a route that operators list got 404, which is final, from every entry once its host or prefix could not be read, its specification was no object, or its resource had no readable kind.

The route was left out of the table of routes, and an unknown path counted as a request without a route. The routing now states which hosts may have further routes, and unknown paths there get 503. That follows from the configuration alone, so that entries with another past answer the same.

--- a/halldoor/core/targets/route.py
+++ b/halldoor/core/targets/route.py
@@ -104,6 +104,27 @@
     idle_timeout_s: float = 15.0
 
 
+class Unread(NamedTuple):
+    """What could not be read in a configuration that is in force nevertheless.
+
+    It is a property of the configuration, not of the entry: all entries refuse the same requests.
+
+    Attributes
+    ----------
+    hosts : frozenset of str
+        Hosts, in lower case, of routes whose path prefix can't be read.
+    has_routes : bool
+        Whether there may be routes whose host can't be read.
+    """
+
+    hosts: frozenset[str] = frozenset()
+    has_routes: bool = False
+
+    def may_have_route(self, host: str) -> bool:
+        """Check whether a request for a host may belong to a route that can't be read."""
+        return self.has_routes or _fold_host(host) in self.hosts
+
+
 class Routing(NamedTuple):
     """One version of the operators' configuration of the request path.
 
@@ -112,7 +133,9 @@
     teams : tuple of Team
         Teams that may call; if empty, anyone may.
     faults : tuple of str
-        What could not be read in its routes, for the log.
+        What could not be read in its resources, for the log.
+    unread : Unread
+        Routes that are not among `routes` because they can't be read.
     """
 
     version: int
@@ -121,6 +144,7 @@
     limits: CallerLimits
     teams: tuple[Team, ...] = ()
     faults: tuple[str, ...] = ()
+    unread: Unread = Unread()
 
     @property
     def has_downloads(self) -> bool:
@@ -185,7 +209,7 @@
         path : str
             Path of the request, with or without its query.
         """
-        prefixes = self._by_host.get(host.partition(":")[0].lower())
+        prefixes = self._by_host.get(_fold_host(host))
         if prefixes is None:
             return None
         path = path.partition("?")[0]
@@ -196,3 +220,8 @@
                 return route
             end = path.rfind("/", 0, end)
         return None
+
+
+def _fold_host(host: str) -> str:
+    """Return the name in a ``Host`` header, without its port and in lower case."""
+    return host.partition(":")[0].lower()
--- a/halldoor/core/teams/admission.py
+++ b/halldoor/core/teams/admission.py
@@ -1,10 +1,11 @@
 """Admission of requests: check route, key, regions and quota before a target is chosen.
 
-The order of the checks is: a configuration is loaded (503), a route matches (404) and is
-usable (503), the key belongs to a team (401), some region may serve both the route and the team
-(503), the team is within its quota (429).  The limit on the body is checked last (413), once it is
-read.  In this order a caller without a valid key learns only whether a route exists, and a request
-that is refused for another reason doesn't count against a quota.
+The order of the checks is: a configuration is loaded (503), a route matches (404; 503 if it may
+be one that can't be read) and is usable (503), the key belongs to a team (401), some region may
+serve both the route and the team (503), the team is within its quota (429).  The limit on the body
+is checked last (413), once it is read.  In this order a caller without a valid key learns only
+whether a route exists, and a request that is refused for another reason doesn't count against a
+quota.
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
     STOOD_STILL = "the entry stood still"
     NO_TUNNEL = "CONNECT is not supported"
     NO_ROUTE = "no route"
+    UNREAD_ROUTE = "no route among those that can be read"
     UNUSABLE_ROUTE = "the route's configuration can't be read"
     UNKNOWN_KEY = "key unknown"
     OLD_CONFIGURATION = "configuration may be old"
@@ -45,6 +47,7 @@
     RefusalReason.STOOD_STILL: 503,
     RefusalReason.NO_TUNNEL: 501,
     RefusalReason.NO_ROUTE: 404,
+    RefusalReason.UNREAD_ROUTE: 503,
     RefusalReason.UNUSABLE_ROUTE: 503,
     RefusalReason.UNKNOWN_KEY: 401,
     RefusalReason.OLD_CONFIGURATION: 503,
@@ -174,6 +177,8 @@
         route = self._routes.find(host, path)
         is_stale = age_s > settings.stale_s
         if route is None:
+            if self.routing.unread.may_have_route(host):
+                return Refusal(RefusalReason.UNREAD_ROUTE)
             return Refusal(RefusalReason.OLD_CONFIGURATION if is_stale else RefusalReason.NO_ROUTE)
         if route.fault:
             return Refusal(RefusalReason.UNUSABLE_ROUTE)
