Refuse as not run what a rejected configuration may allow

Callers of a route that operators added in a configuration which entries reject as a whole got 404 from entries that kept the one before.

An entry that rejects the store's last configuration knows that its own is older, but decided as if it were the last. Unknown paths and keys now get 503 until a configuration takes effect again; the log tells of it.

--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -18,6 +18,7 @@
     MemberRecord,
     MemberRemoved,
     MemberSeen,
+    RoutingRejected,
     RoutingSeen,
     TargetRecord,
     TargetRemoved,
@@ -56,6 +57,8 @@
         Entries among which rates are divided.
     version, members_version : int
         Incremented with each change that affects choices, and with each change of entries.
+    has_rejected_routing : bool
+        Whether the store's last configuration can't be used, so that the one in force is older.
     lapsed : dict of str to Lapse
         Targets whose record expired in an outage of the store, and may be written again.
     contact : StoreContact
@@ -76,6 +79,7 @@
         self.contact = StoreContact()
         self._restored_at = -math.inf
         self.routing: Routing | None = None
+        self.has_rejected_routing = False
         self.evacuated: set[str] = set()
         self.members: dict[str, MemberRecord] = {}
         self.sharers = SharerTable()
@@ -97,6 +101,9 @@
         match change:
             case RoutingSeen(routing, is_newest):
                 return self._apply_routing(routing, is_newest=is_newest)
+            case RoutingRejected():
+                was_rejected, self.has_rejected_routing = self.has_rejected_routing, True
+                return not was_rejected
             case TargetSeen(record):
                 return self._apply_target(record, now)
             case TargetRemoved(incarnation):
@@ -275,9 +282,11 @@
         So is the store's newest one: operators may have written a wrong version before.
         """
         known = self.routing
-        if routing == known:
+        is_older = known is not None and routing.version < known.version
+        if is_older and not is_newest:
             return False
-        if known is not None and routing.version < known.version and not is_newest:
+        self.has_rejected_routing = False
+        if routing == known:
             return False
         self.routing = routing
         self._mark_changed()
--- a/halldoor/core/targets/changes.py
+++ b/halldoor/core/targets/changes.py
@@ -88,6 +88,10 @@
     is_newest: bool = False
 
 
+class RoutingRejected(NamedTuple):
+    """The operators wrote a configuration that can't be read as a whole, or is inconsistent."""
+
+
 class TargetSeen(NamedTuple):
     """A target's record was written."""
 
@@ -133,6 +137,7 @@
 
 Change = (
     RoutingSeen
+    | RoutingRejected
     | TargetSeen
     | TargetRemoved
     | EvacuationSet
--- a/halldoor/core/teams/admission.py
+++ b/halldoor/core/teams/admission.py
@@ -158,6 +158,7 @@
         age_s: float,
         entries: int,
         settings: AccessSettings,
+        is_outdated: bool = False,
     ) -> AdmittedRequest | Refusal:
         """Decide whether a request is admitted, and count it against its team's quota if it is.
 
@@ -173,9 +174,12 @@
             Number of entries that share the quotas.
         settings : AccessSettings
             Limits on ``age_s``.
+        is_outdated : bool, optional
+            Whether a later configuration is known to exist: what it may allow is not refused for
+            good.
         """
         route = self._routes.find(host, path)
-        is_stale = age_s > settings.stale_s
+        is_stale = is_outdated or age_s > settings.stale_s
         if route is None:
             if self.routing.unread.may_have_route(host):
                 return Refusal(RefusalReason.UNREAD_ROUTE)
--- a/halldoor/gateway/access.py
+++ b/halldoor/gateway/access.py
@@ -97,6 +97,7 @@
             age_s=now - self._catalog.store_contact_at,
             entries=self._catalog.count_sharers(now),
             settings=self.settings,
+            is_outdated=self._catalog.has_rejected_routing,
         )
 
     def build_answer(self, refusal: Refusal) -> Answer:
--- a/halldoor/gateway/changelog.py
+++ b/halldoor/gateway/changelog.py
@@ -11,6 +11,7 @@
     EvacuationSet,
     MemberRemoved,
     MemberSeen,
+    RoutingRejected,
     RoutingSeen,
     TargetRemoved,
     TargetSeen,
@@ -41,7 +42,7 @@
         Targets that were added are not logged: all are new to an entry that starts.
         """
         for change in applied:
-            if isinstance(change, RoutingSeen):
+            if isinstance(change, RoutingSeen | RoutingRejected):
                 self.log(change, revision)
         self.log_withdrawals([c for c in applied if is_target_withdrawal(c)], revision)
 
@@ -59,6 +60,9 @@
         match change:
             case RoutingSeen(routing):
                 event("routing", "In force.", version=routing.version, revision=revision)
+            case RoutingRejected():
+                version = self._catalog.configuration_version
+                event("routing", "The last one is rejected.", in_force=version, revision=revision)
             case TargetSeen(record):
                 text = "Draining." if record.is_draining else "Seen."
                 event(
--- a/halldoor/gateway/store.py
+++ b/halldoor/gateway/store.py
@@ -154,6 +154,13 @@
         except DecodingError as exc:
             raise StoreError(exc.message, remedy=exc.remedy) from exc
 
+    def decode_rejected(self, item: StoredItem) -> Change | None:
+        """Return the change that stands for an item whose value can't be decoded.
+
+        By default it is treated as removed.
+        """
+        return self.decode(item._replace(value=None))
+
     @abstractmethod
     def decode_item(self, item: StoredItem) -> Change | None:
         """Decode an item as `decode`; raise any error if the value can't be decoded."""
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -325,7 +325,7 @@
         return [change for change in map(self._decode, items) if change is not None]
 
     def _decode(self, item: StoredItem) -> Change | None:
-        """Decode a record; treat one that can't be decoded as removed.
+        """Decode a record, or the change for one that can't be decoded.
 
         An overwritten record is unused until its owner writes it; a configuration stays in force.
         """
@@ -333,7 +333,7 @@
             return self._codec.decode(item)
         except StoreError as exc:
             self._record_unreadable(str(exc), key=item.key[:MAX_SHOWN])
-            return self._codec.decode(StoredItem(item.key, None))
+            return self._codec.decode_rejected(item)
 
     def _record_unreadable(self, cause: str, *, key: str = "") -> None:
         """Log and count a record that can't be read."""
