Serve the consistent part of a configuration at a start

An entry that was started beside an inconsistent configuration (a prefix without a final slash, a service that is not configured, no weight) refused all requests with 503 for as long as it stayed.

It rejected the configuration as a whole and held no other. An entry without a configuration now serves the consistent part; inconsistent routes and unknown paths get 503. Running entries keep the whole one of before, so a configuration never takes effect in part where another is in force.

--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -101,9 +101,8 @@
         match change:
             case RoutingSeen(routing, is_newest):
                 return self._apply_routing(routing, is_newest=is_newest)
-            case RoutingRejected():
-                was_rejected, self.has_rejected_routing = self.has_rejected_routing, True
-                return not was_rejected
+            case RoutingRejected(part):
+                return self._apply_rejection(part)
             case TargetSeen(record):
                 return self._apply_target(record, now)
             case TargetRemoved(incarnation):
@@ -292,6 +291,15 @@
         self._mark_changed()
         return True
 
+    def _apply_rejection(self, part: Routing | None) -> bool:
+        """Record that a configuration was rejected; use a part of it if there is no other."""
+        was_rejected, self.has_rejected_routing = self.has_rejected_routing, True
+        if self.routing is not None or part is None:
+            return not was_rejected
+        self.routing = part
+        self._mark_changed()
+        return True
+
     def _apply_target(self, record: TargetRecord, now: float) -> bool:
         """Apply a target's record; return whether it changed anything."""
         target = self._targets.get(record.incarnation)
--- a/halldoor/core/targets/changes.py
+++ b/halldoor/core/targets/changes.py
@@ -89,7 +89,15 @@
 
 
 class RoutingRejected(NamedTuple):
-    """The operators wrote a configuration that can't be read as a whole, or is inconsistent."""
+    """The operators wrote a configuration that can't be read as a whole, or is inconsistent.
+
+    Attributes
+    ----------
+    part : Routing or None
+        What an entry without a configuration may serve of it; None if it can't be read.
+    """
+
+    part: Routing | None = None
 
 
 class TargetSeen(NamedTuple):
--- a/halldoor/core/targets/route.py
+++ b/halldoor/core/targets/route.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from halldoor.core.teams.team import Team, TeamTable
+from halldoor.core.teams.team import Team, TeamTable, drop_shared_keys
 
 
 class RequestKind(StrEnum):
@@ -155,7 +155,8 @@
 def check_routing(routing: Routing) -> None:
     """Check that the parts of a configuration are valid and consistent.
 
-    An inconsistent configuration is refused as a whole, so that it never takes effect in part.
+    An inconsistent configuration is rejected as a whole by an entry that holds another one, so that
+    it never takes effect in part: see `keep_consistent_part`.
     Routes with a fault are not checked: their requests are refused, and all others are served.
 
     Raises
@@ -169,10 +170,39 @@
     TeamTable(routing.teams)
 
 
+def keep_consistent_part(routing: Routing) -> Routing:
+    """Return a configuration whose inconsistent parts refuse their requests as not run.
+
+    It is for an entry that holds no other configuration.  Routes get a fault, or are left out if
+    their prefix is invalid, and teams that share a key lose it.
+    """
+    routes: list[Route] = []
+    hosts = set(routing.unread.hosts)
+    for route in routing.routes:
+        try:
+            check_routing(routing._replace(routes=(route,), teams=()))
+            routes.append(route)
+        except ValueError as exc:
+            if _is_prefix(route.path_prefix):
+                routes.append(route._replace(fault=str(exc)))
+            else:
+                hosts.add(_fold_host(route.host))
+    return routing._replace(
+        routes=tuple(routes),
+        teams=drop_shared_keys(routing.teams),
+        unread=routing.unread._replace(hosts=frozenset(hosts)),
+    )
+
+
+def _is_prefix(prefix: str) -> bool:
+    """Check whether a path prefix begins and ends with a slash."""
+    return prefix.startswith("/") and prefix.endswith("/")
+
+
 def _check_route(route: Route, services: Mapping[str, TargetService]) -> None:
     """Check one route's prefix and services; raise ValueError if one is invalid."""
     prefix = route.path_prefix
-    if not (prefix.startswith("/") and prefix.endswith("/")):
+    if not _is_prefix(prefix):
         raise ValueError(f"route {route.name}: prefix {prefix!r} must begin and end with a slash")
     for part in route.parts:
         if part.service not in services:
--- a/halldoor/core/teams/team.py
+++ b/halldoor/core/teams/team.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from hashlib import sha256
 from typing import NamedTuple
@@ -107,6 +108,16 @@
         return {t.name: t.limit for t in self.by_name.values() if t.limit is not None}
 
 
+def drop_shared_keys(teams: Iterable[Team]) -> tuple[Team, ...]:
+    """Return teams without the keys that several of them hold, which belong to none."""
+    teams = tuple(teams)
+    holders = Counter(digest for team in teams for digest in set(team.key_digests))
+    return tuple(
+        team._replace(key_digests=tuple(d for d in team.key_digests if holders[d] == 1))
+        for team in teams
+    )
+
+
 def intersect_home_regions(route: tuple[str, ...], team: tuple[str, ...]) -> tuple[str, ...] | None:
     """Return the home regions that both a route and a team allow.
 
--- a/halldoor/gateway/changelog.py
+++ b/halldoor/gateway/changelog.py
@@ -60,9 +60,11 @@
         match change:
             case RoutingSeen(routing):
                 event("routing", "In force.", version=routing.version, revision=revision)
-            case RoutingRejected():
+            case RoutingRejected(part):
+                is_part = part is not None and part is self._catalog.routing
                 version = self._catalog.configuration_version
-                event("routing", "The last one is rejected.", in_force=version, revision=revision)
+                text = "The last one is rejected."
+                event("routing", text, in_force=version, is_part=is_part, revision=revision)
             case TargetSeen(record):
                 text = "Draining." if record.is_draining else "Seen."
                 event(
