--- a/halldoor/core/targets/route.py
+++ b/halldoor/core/targets/route.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from halldoor.core.teams.team import Team, TeamTable
+from halldoor.core.teams.team import Team, TeamTable, drop_shared_keys
 
 
 class RequestKind(StrEnum):
@@ -104,6 +104,27 @@
     idle_timeout_s: float = 15.0
 
 
+class Unread(NamedTuple):
+    """What could not be read in a configuration that is in force nevertheless.
+
+    It is a property of the configuration, not of the entry: all entries refuse the same requests.
+
+    Attributes
+    ----------
+    hosts : frozenset of str
+        Hosts, in lower case, of routes whose path prefix can't be read.
+    has_routes : bool
+        Whether there may be routes whose host can't be read.
+    """
+
+    hosts: frozenset[str] = frozenset()
+    has_routes: bool = False
+
+    def may_have_route(self, host: str) -> bool:
+        """Check whether a request for a host may belong to a route that can't be read."""
+        return self.has_routes or _fold_host(host) in self.hosts
+
+
 class Routing(NamedTuple):
     """One version of the operators' configuration of the request path.
 
@@ -112,7 +133,9 @@
     teams : tuple of Team
         Teams that may call; if empty, anyone may.
     faults : tuple of str
-        What could not be read in its routes, for the log.
+        What could not be read in its resources, for the log.
+    unread : Unread
+        Routes that are not among `routes` because they can't be read.
     """
 
     version: int
@@ -121,6 +144,7 @@
     limits: CallerLimits
     teams: tuple[Team, ...] = ()
     faults: tuple[str, ...] = ()
+    unread: Unread = Unread()
 
     @property
     def has_downloads(self) -> bool:
@@ -131,7 +155,8 @@
 def check_routing(routing: Routing) -> None:
     """Check that the parts of a configuration are valid and consistent.
 
-    An inconsistent configuration is refused as a whole, so that it never takes effect in part.
+    An inconsistent configuration is rejected as a whole by an entry that holds another one, so that
+    it never takes effect in part: see `keep_consistent_part`.
     Routes with a fault are not checked: their requests are refused, and all others are served.
 
     Raises
@@ -145,10 +170,39 @@
     TeamTable(routing.teams)
 
 
+def keep_consistent_part(routing: Routing) -> Routing:
+    """Return a configuration whose inconsistent parts refuse their requests as not run.
+
+    It is for an entry that holds no other configuration.  Routes get a fault, or are left out if
+    their prefix is invalid, and teams that share a key lose it.
+    """
+    routes: list[Route] = []
+    hosts = set(routing.unread.hosts)
+    for route in routing.routes:
+        try:
+            check_routing(routing._replace(routes=(route,), teams=()))
+            routes.append(route)
+        except ValueError as exc:
+            if _is_prefix(route.path_prefix):
+                routes.append(route._replace(fault=str(exc)))
+            else:
+                hosts.add(_fold_host(route.host))
+    return routing._replace(
+        routes=tuple(routes),
+        teams=drop_shared_keys(routing.teams),
+        unread=routing.unread._replace(hosts=frozenset(hosts)),
+    )
+
+
+def _is_prefix(prefix: str) -> bool:
+    """Check whether a path prefix begins and ends with a slash."""
+    return prefix.startswith("/") and prefix.endswith("/")
+
+
 def _check_route(route: Route, services: Mapping[str, TargetService]) -> None:
     """Check one route's prefix and services; raise ValueError if one is invalid."""
     prefix = route.path_prefix
-    if not (prefix.startswith("/") and prefix.endswith("/")):
+    if not _is_prefix(prefix):
         raise ValueError(f"route {route.name}: prefix {prefix!r} must begin and end with a slash")
     for part in route.parts:
         if part.service not in services:
@@ -185,7 +239,7 @@
         path : str
             Path of the request, with or without its query.
         """
-        prefixes = self._by_host.get(host.partition(":")[0].lower())
+        prefixes = self._by_host.get(_fold_host(host))
         if prefixes is None:
             return None
         path = path.partition("?")[0]
@@ -196,3 +250,8 @@
                 return route
             end = path.rfind("/", 0, end)
         return None
+
+
+def _fold_host(host: str) -> str:
+    """Return the name in a ``Host`` header, without its port and in lower case."""
+    return host.partition(":")[0].lower()
--- a/halldoor/gateway/access.py
+++ b/halldoor/gateway/access.py
@@ -101,13 +101,14 @@
         if table is None:
             return Refusal(RefusalReason.NO_CONFIGURATION)
         proof = self._catalog.proof
+        is_behind = proof.is_behind or self._catalog.has_rejected_routing
         admission = table.admit_request(
             find(head.headers, b"host").decode("latin-1"),
             head.target.decode("latin-1"),
             find(head.headers, self._names.credentials),
             gate=self.gate,
             now=now,
-            age=ConfigurationAge(now - proof.proven_at, proof.is_behind),
+            age=ConfigurationAge(now - proof.proven_at, is_behind),
             entries=self._catalog.count_sharers(now),
             settings=self.settings,
         )
--- a/halldoor/gateway/changelog.py
+++ b/halldoor/gateway/changelog.py
@@ -13,6 +13,7 @@
     EvacuationSet,
     MemberRemoved,
     MemberSeen,
+    RoutingRejected,
     RoutingSeen,
     TargetRemoved,
     TargetSeen,
@@ -51,7 +52,7 @@
         Targets that were added are not logged: all are new to an entry that starts.
         """
         for change in applied:
-            if isinstance(change, RoutingSeen):
+            if isinstance(change, RoutingSeen | RoutingRejected):
                 self.log(change, arrival)
         for change in changes:
             self.log_ignored(change, arrival)
@@ -126,6 +127,11 @@
         """Log a change of anything else, with the revision of the store that contains it."""
         event = self._log.event
         match change:
+            case RoutingRejected(part):
+                is_part = part is not None and part is self._catalog.routing
+                version = self._catalog.configuration_version
+                text = "The last one is rejected."
+                event("routing", text, in_force=version, is_part=is_part, revision=revision)
             case TargetSeen(record):
                 text = "Draining." if record.is_draining else "Seen."
                 event(
--- a/halldoor/gateway/store.py
+++ b/halldoor/gateway/store.py
@@ -8,7 +8,7 @@
 
 from halldoor.core.decoding import DecodingError, decoding
 from halldoor.core.errors import HalldoorError
-from halldoor.core.targets.changes import Change, MemberRecord
+from halldoor.core.targets.changes import Change, MemberRecord, RoutingRejected
 from halldoor.gateway.httpclient import LostAnswer
 
 MAX_SHOWN = 200
@@ -166,6 +166,14 @@
         except DecodingError as exc:
             raise StoreError(exc.message, remedy=exc.remedy) from exc
 
+    def decode_rejected(self, item: StoredItem) -> Change | None:
+        """Return the change that stands for an item whose value can't be decoded.
+
+        By default it is treated as removed.  Only a configuration can't be: the one before stays in
+        force.
+        """
+        return self.decode(item._replace(value=None)) or RoutingRejected()
+
     @abstractmethod
     def decode_item(self, item: StoredItem) -> Change | None:
         """Decode an item as `decode`; raise any error if the value can't be decoded."""
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -8,7 +8,13 @@
 
 from halldoor.core.targets.arrival import Arrival
 from halldoor.core.targets.catalog import Catalog
-from halldoor.core.targets.changes import Change, MemberSeen, RoutingSeen, is_withdrawal
+from halldoor.core.targets.changes import (
+    Change,
+    MemberSeen,
+    RoutingRejected,
+    RoutingSeen,
+    is_withdrawal,
+)
 from halldoor.core.targets.era import parse_era
 from halldoor.core.targets.relay import WantedEra
 from halldoor.core.targets.sequence import RoutingSequence
@@ -338,18 +344,17 @@
         return [change for change in map(self._decode, items) if change is not None]
 
     def _decode(self, item: StoredItem) -> Change | None:
-        """Decode a record; treat one that can't be decoded as removed.
+        """Decode a record, or the change for one that can't be decoded.
 
         An overwritten record is unused until its owner writes it; a configuration stays in force.
         """
         try:
             change = self._codec.decode(item)
         except StoreError as exc:
-            removal = self._codec.decode(StoredItem(item.key, None))
-            # Only a configuration has no removal: the one before stays in force.
-            version = self._catalog.configuration_version if removal is None else None
+            change = self._codec.decode_rejected(item)
+            is_routing = isinstance(change, RoutingRejected)
+            version = self._catalog.configuration_version if is_routing else None
             self._record_unreadable(str(exc), key=item.key[:MAX_SHOWN], version=version)
-            return removal
         if isinstance(change, RoutingSeen):
             return change._replace(size_bytes=len(item.value or b""))
         return change
