--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -19,13 +19,14 @@
 from halldoor.core.decoding import DecodingError, decode_msgpack, decompress
 from halldoor.core.targets.proofs import compute_poll_proof
 from halldoor.core.targets.relay import Batch, WantedEra
+from halldoor.gateway.arrivals import Arrival
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.gateway.query import parse_query
 from halldoor.gateway.store import StoredItem
 
 RECORDS_PATH = "/records"
 PACKED = "packed"
-"""Query field by which an entry asks for compressed records."""
+"""Query field by which an entry accepts compressed records or changes."""
 COMPRESSION_LEVEL = 1
 
 
@@ -154,7 +155,7 @@
     Parameters
     ----------
     timeout_s : float
-        Time limit of the answer, in seconds; includes the other entry's wait for the store.
+        Time limit of the answer's head, in seconds; includes the other entry's wait for the store.
 
     Raises
     ------
@@ -165,7 +166,12 @@
     query[PACKED] = "1"
     sent_at = asyncio.get_running_loop().time()
     try:
-        answer = await client.call("GET", f"{RECORDS_PATH}?{urlencode(query)}", timeout_s=timeout_s)
+        answer = await client.call(
+            "GET",
+            f"{RECORDS_PATH}?{urlencode(query)}",
+            timeout_s=timeout_s,
+            arrival=Arrival(),
+        )
     except HttpCallError as exc:
         raise ReaderSilentError(exc.detail) from exc
     if answer.status != 200:
