Log whether an entry knows that it is behind, beside the age of its proof

Seen: since a request is refused with 503 also while other entries are known to have read a newer configuration; the line of the refusal didn't say so, and a proof of some ms beside `configuration may be old` could not be explained.

--- a/halldoor/gateway/refusals.py
+++ b/halldoor/gateway/refusals.py
@@ -111,6 +111,7 @@
             "in_force_ms": round((now - arrival.at) * 1000),
         }
     fields["proven_age_ms"] = None if proof_age_s is None else round(proof_age_s * 1000)
+    fields["is_behind"] = catalog.proof.is_behind
     fields["store_age_ms"] = round((now - catalog.store_contact_at) * 1000)
     return fields
 
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -213,7 +213,9 @@
             self.notifier.notify(self._on_change, change)
         self._unreported += applied
         if is_restored:
-            self._log_restore(before, records)
+            self._metrics.add_store_call("range", "restored")
+            view = StoreView(records.era, records.revision)
+            self._changes.log_restore(StoreView(before, self._last_revision), view)
         self._store.era = self._era = records.era
         self._last_revision = self._begun_revision = records.revision
         self._feed.reset_records(records)
@@ -388,12 +390,6 @@
             self._has_lost_contact = True
             self._log.event("store", "Contact is lost.", cause=cause)
 
-    def _log_restore(self, before: str, records: RecordSet) -> None:
-        """Count and log that the store was restored from a copy."""
-        self._metrics.add_store_call("range", "restored")
-        after = StoreView(records.era, records.revision)
-        self._changes.log_restore(StoreView(before, self._last_revision), after)
-
 
 def _is_cancelling() -> bool:
     """Check whether the running task itself is being cancelled."""
--- a/halldoor/tests/test_refusal_lines.py
+++ b/halldoor/tests/test_refusal_lines.py
@@ -54,6 +54,7 @@
 def test_line_of_a_refusal_does_not_tell_which_configuration_decided(capfd):
     line, _ = refuse(capfd, extra=bearer("secret"))
     assert (line["version"], line["source"]) == (1, "store pages")
+    assert line["is_behind"] is False
     assert 0 <= line["proven_age_ms"] < 5_000 and 0 <= line["in_force_ms"] < 5_000
 
 
