Compare versions by the store's revisions when refusals are judged

Seen: since the configuration written last is in force whatever its version, an entry that stays at a version too great by mistake (9000, while others have 16) would be judged RIGHT, as no other version is greater.

Change: where both lines name a revision of the same copy of the store, the version that came into force by the later revision is the newer one; else the greater one.

--- a/halldoor/core/explaining/refusals.py
+++ b/halldoor/core/explaining/refusals.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from enum import StrEnum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from halldoor.core.explaining.history import LogLine
 from halldoor.core.teams.admission import RefusalReason
@@ -35,6 +35,38 @@
     reason: str
 
 
+class Version(NamedTuple):
+    """A version of the configuration, as a log line names it.
+
+    Attributes
+    ----------
+    number : int
+        Version that operators gave it; 0 for none.
+    era, revision : str, int or None
+        Copy of the store, and revision from which an entry had it in force; None if the line
+        doesn't name it.
+    """
+
+    number: int
+    era: str = ""
+    revision: int | None = None
+
+    @classmethod
+    def from_fields(cls, fields: Mapping[str, Any]) -> Version:
+        """Return the version that a line's fields name."""
+        revision = fields.get("revision")
+        number, era = int(fields.get("version", 0)), str(fields.get("era") or "")
+        return cls(number, era, None if revision is None else int(revision))
+
+    def is_newer_than(self, other: Version) -> bool:
+        """Check whether operators wrote this version later, whatever the numbers if possible."""
+        if self.number == other.number:
+            return False
+        if self.revision is None or other.revision is None or self.era != other.era:
+            return self.number > other.number
+        return self.revision > other.revision
+
+
 class Holding(NamedTuple):
     """A version that an entry had in force at some moment, and for how long at least.
 
@@ -47,7 +79,7 @@
     """
 
     entry: str
-    version: int
+    version: Version
     for_s: float
     is_whole: bool
 
@@ -76,20 +108,21 @@
     """
 
     def __init__(self, lines: Iterable[LogLine], *, is_collected: bool) -> None:
-        self._changes: defaultdict[str, list[tuple[float, int, bool]]] = defaultdict(list)
+        self._changes: defaultdict[str, list[tuple[float, Version, bool]]] = defaultdict(list)
         for line in lines:
             at, version = find_time(line, is_collected=is_collected), _find_version(line)
             changes = self._changes[line.entry]
-            if at is None or version is None or (changes and changes[-1][1] == version):
+            if at is None or version is None:
                 continue
-            changes.append((at, version, line.part == "routing"))
+            if not changes or changes[-1][1].number != version.number:
+                changes.append((at, version, line.part == "routing"))
 
     def list_holdings(self, at: float, *, but: str) -> list[Holding]:
         """Return what the entries but one had in force at a time, without those that had none."""
         holdings = []
         for entry, changes in sorted(self._changes.items()):
             earlier = [change for change in changes if change[0] <= at]
-            if entry != but and earlier and earlier[-1][1]:
+            if entry != but and earlier and earlier[-1][1].number:
                 since, version, is_whole = earlier[-1]
                 holdings.append(Holding(entry, version, at - since, is_whole))
         return holdings
@@ -97,18 +130,18 @@
     def count_unknown(self, at: float, *, but: str) -> int:
         """Return the number of other entries whose lines begin later, while they ran."""
         firsts = [c[0] for entry, c in self._changes.items() if c and entry != but]
-        return sum(since > at and version != 0 for since, version, _ in firsts)
+        return sum(since > at and version.number != 0 for since, version, _ in firsts)
 
 
-def _find_version(line: LogLine) -> int | None:
+def _find_version(line: LogLine) -> Version | None:
     """Return the version in force by a line, 0 without one; None if the line doesn't tell.
 
     The lines of requests and moves count as well, since the line of a configuration may be missing.
     """
     if line.part == "process" and line.text in {"Started.", "Stopped."}:
-        return 0
+        return Version(0)
     if line.text == "In force." or (line.part in {"request", "flow"} and "version" in line.fields):
-        return int(line.fields.get("version", 0))
+        return Version.from_fields(line.fields)
     return None
 
 
@@ -149,14 +182,14 @@
     fields = refused.fields
     if fields.get("outcome") not in _BY_CONFIGURATION:
         return None
-    entry, version = refused.entry, int(fields.get("version", 0))
+    entry, held = refused.entry, Version.from_fields(fields)
     bound_s = float(fields.get("limit_ms") or BOUND_S * 1000) / 1000
     is_collected = refused.collected_at is not None
     at = find_time(refused, is_collected=is_collected)
     table = ConfigurationTable(lines, is_collected=is_collected)
     holdings = table.list_holdings(at, but=entry) if at is not None else []
-    newer = [holding for holding in holdings if holding.version > version]
-    newest = max((holding.version for holding in newer), default=version)
+    newer = [holding for holding in holdings if holding.version.is_newer_than(held)]
+    version, newest = held.number, _find_newest(newer, held).number
     witness = _find_same_refusal(lines, refused, newest)
     late = [holding for holding in newer if holding.for_s > bound_s]
     if newer and witness is not None:
@@ -192,10 +225,18 @@
     return Judgement(Verdict.UNKNOWN, text)
 
 
+def _find_newest(holdings: Iterable[Holding], held: Version) -> Version:
+    """Return the newest version of some entries and of the one that refused."""
+    newest = held
+    for holding in holdings:
+        newest = holding.version if holding.version.is_newer_than(newest) else newest
+    return newest
+
+
 def _describe_late(refused: LogLine, late: Sequence[Holding], bound_s: float) -> str:
     """Describe the entries that had a newer configuration in force for longer than the bound."""
     longest = sorted(late, key=lambda holding: -holding.for_s)
-    shown = [f"{h.entry} {h.version} for {h.for_s:.1f} s" for h in longest[:ENTRIES_SHOWN]]
+    shown = [f"{h.entry} {h.version.number} for {h.for_s:.1f} s" for h in longest[:ENTRIES_SHOWN]]
     rest = len(late) - len(shown)
     shown += [f"{rest} more"] if rest else []
     return (
--- a/halldoor/tests/test_refusal_verdicts.py
+++ b/halldoor/tests/test_refusal_verdicts.py
@@ -81,6 +81,19 @@
     assert found == verdict and reason in text
 
 
+def test_refusal_by_a_version_that_is_too_great_looks_newest():
+    """Operators wrote 9000 by mistake, then 16: the configuration written last is in force."""
+    lines = [
+        write_routing(at, entry, version, revision=revision)
+        for at, entry, version, revision in [(9, "e1", 9000, 90), (9, "e2", 9000, 90)]
+    ]
+    later = write_routing(20.0, "e2", 16, revision=120)
+    verdict, reason = judge(*lines, later, refuse(42.4, "e1", 9000, revision=90))
+    assert verdict == "WRONG" and "(e2 16 for 22.4 s)" in reason
+    verdict, _ = judge(*lines, later, refuse(42.4, "e1", 16, revision=121))
+    assert verdict == "RIGHT"
+
+
 def test_refusal_for_another_reason_is_judged_by_the_configuration():
     line = refuse(42.4, "e1", 8, status=413, outcome="body too long")
     assert judge_refusals(list(parse_lines([*BEFORE, line])), "denied") == []
