Refuse callers of teams that can't be read as not run

Callers of a team whose keys, quota, home regions or name could not be read got 401, which is final, and so did callers without a key of a route whose 'public' could not be read. Where the kind of the only team's resource could not be read, callers needed no key.

A team that can't be read has no keys, so its callers looked like strangers. A key that no team holds now gets 503 while there may be keys that can't be read; nobody is let in, and no key at all gets 401.

--- a/halldoor/core/targets/route.py
+++ b/halldoor/core/targets/route.py
@@ -53,6 +53,8 @@
         Regions that may serve the route; any region if empty.
     is_public : bool
         Whether callers need no API key; their requests then belong to no team.
+    may_be_public : bool
+        Whether it can't be read if callers need a key: those without one are refused as not run.
     is_hedged : bool
         Whether a repeatable request that runs far longer than usual is sent to a second target.
     fault : str
@@ -73,6 +75,7 @@
     is_public: bool = False
     is_hedged: bool = False
     fault: str = ""
+    may_be_public: bool = False
 
 
 class TargetService(NamedTuple):
@@ -115,10 +118,13 @@
         Hosts, in lower case, of routes whose path prefix can't be read.
     has_routes : bool
         Whether there may be routes whose host can't be read.
+    has_keys : bool
+        Whether teams may have keys that can't be read.
     """
 
     hosts: frozenset[str] = frozenset()
     has_routes: bool = False
+    has_keys: bool = False
 
     def may_have_route(self, host: str) -> bool:
         """Check whether a request for a host may belong to a route that can't be read."""
@@ -135,7 +141,7 @@
     faults : tuple of str
         What could not be read in its resources, for the log.
     unread : Unread
-        Routes that are not among `routes` because they can't be read.
+        Routes and keys that are not in `routes` and `teams` because they can't be read.
     """
 
     version: int
--- a/halldoor/core/teams/admission.py
+++ b/halldoor/core/teams/admission.py
@@ -1,11 +1,11 @@
 """Admission of requests: check route, key, regions and quota before a target is chosen.
 
 The order of the checks is: a configuration is loaded (503), a route matches (404; 503 if it may
-be one that can't be read) and is usable (503), the key belongs to a team (401), some region may
-serve both the route and the team (503), the team is within its quota (429).  The limit on the body
-is checked last (413), once it is read.  In this order a caller without a valid key learns only
-whether a route exists, and a request that is refused for another reason doesn't count against a
-quota.
+be one that can't be read) and is usable (503), the key belongs to a team (401; 503 if it may be one
+that can't be read), some region may serve both the route and the team (503), the team is within its
+quota (429).  The limit on the body is checked last (413), once it is read.  In this order a caller
+without a valid key learns only whether a route exists, and a request that is refused for another
+reason doesn't count against a quota.
 """
 
 from __future__ import annotations
@@ -34,6 +34,7 @@
     UNREAD_ROUTE = "no route among those that can be read"
     UNUSABLE_ROUTE = "the route's configuration can't be read"
     UNKNOWN_KEY = "key unknown"
+    UNREAD_KEY = "no key among those that can be read"
     OLD_CONFIGURATION = "configuration may be old"
     NO_COMMON_REGION = "no region may serve both route and team"
     OVER_QUOTA = "team over its quota"
@@ -50,6 +51,7 @@
     RefusalReason.UNREAD_ROUTE: 503,
     RefusalReason.UNUSABLE_ROUTE: 503,
     RefusalReason.UNKNOWN_KEY: 401,
+    RefusalReason.UNREAD_KEY: 503,
     RefusalReason.OLD_CONFIGURATION: 503,
     RefusalReason.NO_COMMON_REGION: 503,
     RefusalReason.OVER_QUOTA: 429,
@@ -194,6 +196,8 @@
         team = self._teams.find(key)
         if team is None:
             reason = RefusalReason.OLD_CONFIGURATION if is_stale else RefusalReason.UNKNOWN_KEY
+            if route.may_be_public or (key and self.routing.unread.has_keys):
+                reason = RefusalReason.UNREAD_KEY
             return Refusal(
                 reason, key_digest=digest_key(key).hex()[:DIGEST_DIGITS_LOGGED] if key else ""
             )
