Refuse by limits that may be old as not run

Callers whose requests operators allow got 431 or 413, which are final, from entries without a configuration (default limits), from those whose configuration may be old or was followed by a rejected one, where the limits could not be read, and on kept connections after the head limit had grown.

Limits were applied whatever their age; a connection read them before it waited for a request and its parser kept the first ones. Such limits now refuse with 503, or 502 if a target got the beginning of the body. The limit in force decides on a head; a body is refused only if the limit at its head and the one in force refuse it.

--- a/halldoor/core/targets/route.py
+++ b/halldoor/core/targets/route.py
@@ -99,12 +99,19 @@
 
 
 class CallerLimits(NamedTuple):
-    """Limits on the size of a caller's request, in bytes, and on its times, in seconds."""
+    """Limits on the size of a caller's request, in bytes, and on its times, in seconds.
+
+    Attributes
+    ----------
+    may_be_wrong : bool
+        Whether operators may allow more, so that a request beyond them is refused as not run.
+    """
 
     head_bytes: int = 16_384
     body_bytes: int = 67_108_864
     head_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
+    may_be_wrong: bool = False
 
 
 class Unread(NamedTuple):
--- a/halldoor/gateway/access.py
+++ b/halldoor/gateway/access.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from random import Random
 
@@ -71,6 +72,14 @@
             self.gate.set_limits(self._table.teams.get_limits())
         return self._table
 
+    def may_be_outdated(self) -> bool:
+        """Check whether operators may have allowed since what this entry would refuse."""
+        catalog = self._catalog
+        if catalog.routing is None or catalog.has_rejected_routing or self._is_confirming():
+            return True
+        now = asyncio.get_running_loop().time()
+        return now - catalog.store_contact_at > self.settings.stale_s
+
     def is_repeatable(self, head: Head) -> bool:
         """Check whether a request belongs to a route whose requests may run more than once."""
         table = self.find_table()
--- a/halldoor/gateway/body.py
+++ b/halldoor/gateway/body.py
@@ -36,7 +36,7 @@
     except TimeoutError:
         return RequestResult(408, "body came too slowly")
     except BodyTooLongError:
-        return RequestResult(413, "body too long")
+        return build_too_long_result(caller, state)
     state.identity = _identify(state, bytes(body), is_whole=rest is None)
     return OutgoingRequest(
         state.head,
@@ -49,6 +49,16 @@
     )
 
 
+def build_too_long_result(caller: CallerConnection, state: RequestState) -> RequestResult:
+    """Build the result of a request whose body exceeds the limit: final only if operators set it.
+
+    A target that received the beginning of a body may have run the request.
+    """
+    if not caller.limits_may_be_wrong:
+        return RequestResult(413, "body too long")
+    return state.build_unanswered_result("body beyond limits that may be old")
+
+
 def _identify(state: RequestState, body: bytes, *, is_whole: bool) -> Identity:
     """Compute the identity of a request from its caller, head and buffered body."""
     head = state.head
--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -15,7 +15,14 @@
 import h11
 
 from halldoor.core.targets.route import CallerLimits
-from halldoor.gateway.callerrequest import Answer, BodyTooLongError, CallerRequest, Handler, Head
+from halldoor.gateway.callerrequest import (
+    Answer,
+    BodySize,
+    BodyTooLongError,
+    CallerRequest,
+    Handler,
+    Head,
+)
 from halldoor.gateway.delivery import DeliveryProtocol
 from halldoor.gateway.headers import Headers, find, is_too_long
 from halldoor.gateway.pipeline import Pipeline, Pipelining
@@ -59,12 +66,13 @@
         self._handler = handler
         self._read_limits = read_limits
         self._connections = connections
+        self._parser_head_bytes = 0
         self._h11 = self._new_parser()
         self._task: asyncio.Task[None] | None = None
         self._unread = 0
         self.is_closing = is_closing()
         self.is_busy = False
-        self._body_left = 0
+        self._body_size = BodySize(lambda: self._read_limits().body_bytes)
         self._pipelining = pipelining
         self._pipeline: Pipeline | None = None
         self._ended_pipeline: Pipeline | None = None
@@ -73,8 +81,8 @@
 
     def _new_parser(self) -> h11.Connection:
         """Create a parser of callers' requests."""
-        size = self._read_limits().head_bytes + READ_AHEAD
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=size)
+        self._parser_head_bytes = size = self._read_limits().head_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=size + READ_AHEAD)
 
     @property
     def address(self) -> str:
@@ -158,17 +166,12 @@
         BodyTooLongError
             If the body or its announced length exceeds the limit.
         """
-        if self._body_left < 0:
-            self.is_body_too_long = True
-            raise BodyTooLongError
+        self._check_body_size(0)
         if self._h11.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
         event = await self._next_event()
         if isinstance(event, h11.Data):
-            self._body_left -= len(event.data)
-            if self._body_left < 0:
-                self.is_body_too_long = True
-                raise BodyTooLongError
+            self._check_body_size(len(event.data))
             return bytes(event.data)
         if event is None:
             # The caller disconnected: wait until this task is cancelled.
@@ -176,6 +179,12 @@
         self._start_pipeline()
         return None
 
+    def _check_body_size(self, size: int) -> None:
+        """Count bytes of the body; raise `BodyTooLongError` beyond the limit."""
+        self.is_body_too_long = self._body_size.add(size)
+        if self.is_body_too_long:
+            raise BodyTooLongError
+
     def _send_bytes(self, data: bytes) -> None:
         """Send serialized bytes of the answer, unless the caller disconnected."""
         self.write(data)
@@ -223,6 +232,11 @@
         """Greatest size of a request's header fields, in bytes."""
         return self._read_limits().head_bytes
 
+    @property
+    def limits_may_be_wrong(self) -> bool:
+        """Whether operators may allow more than the limits in force."""
+        return self._read_limits().may_be_wrong
+
     def abort(self) -> None:
         """Break the answer off, so that it doesn't look complete.
 
@@ -276,9 +290,7 @@
         self.is_busy = True
         self.has_answered = False
         self.is_body_too_long = False
-        announced = int(find(head.headers, b"content-length") or 0)
-        limit = self._read_limits().body_bytes
-        self._body_left = limit if announced <= limit else -1
+        self._body_size.start(int(find(head.headers, b"content-length") or 0))
         self._has_unread_answers = not self.is_settled()
         self._head = head
         try:
@@ -291,14 +303,12 @@
     async def _read_head(self) -> Head | None:
         """Read the head of the next request; return None if none arrives or it is refused."""
         limits = self._read_limits()
-        loop = asyncio.get_running_loop()
-        idle_s = limits.idle_timeout_s + IDLE_SLACK_S
         pipeline, self._ended_pipeline = self._ended_pipeline, None
         if pipeline is not None and pipeline.next_head is not None:
             return pipeline.take_next_head()
         head_at = None if pipeline is None else pipeline.head_at
         try:
-            async with asyncio.timeout(idle_s) as timer:
+            async with asyncio.timeout(limits.idle_timeout_s + IDLE_SLACK_S) as timer:
                 event = await self._wait_for_request(timer, limits.head_timeout_s, head_at)
         except TimeoutError:
             if self._unread:
@@ -309,10 +319,10 @@
         if not isinstance(event, h11.Request):
             return None
         headers = list(event.headers.raw_items())
-        if is_too_long(headers, limits.head_bytes):
-            self._send_error(431)
+        if is_too_long(headers, self.head_limit):
+            self._send_error(503 if self.limits_may_be_wrong else 431)
             return None
-        return Head(event.method, event.target, headers, loop.time())
+        return Head(event.method, event.target, headers, asyncio.get_running_loop().time())
 
     async def _wait_for_request(
         self, timer: asyncio.Timeout, timeout_s: float, head_at: float | None
@@ -367,7 +377,9 @@
     def _answer_protocol_error(self, exc: h11.RemoteProtocolError) -> None:
         """Send an error for invalid HTTP, unless an answer has started already."""
         if not self._is_closed and self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self._send_error(exc.error_status_hint)
+            status = exc.error_status_hint
+            is_old = self.limits_may_be_wrong or self.head_limit > self._parser_head_bytes
+            self._send_error(503 if status == 431 and is_old else status)
 
     def _handle_failure(self, exc: Exception) -> None:
         """Report a failure of the entry; answer 500, or break off the answer that has begun."""
--- a/halldoor/gateway/callerrequest.py
+++ b/halldoor/gateway/callerrequest.py
@@ -15,7 +15,31 @@
 
 
 class BodyTooLongError(Exception):
-    """The caller's body exceeds the limit; the answer is 413."""
+    """The caller's body exceeds the limit."""
+
+
+class BodySize:
+    """Size of a request's body, and its limit: that at its head, or a greater one in force since.
+
+    Parameters
+    ----------
+    read_limit : callable
+        Returns the current limit, in bytes.
+    """
+
+    def __init__(self, read_limit: Callable[[], int]) -> None:
+        self._read_limit = read_limit
+        self._limit = self._announced = self._size = 0
+
+    def start(self, announced: int) -> None:
+        """Start a request whose head announces a number of bytes."""
+        self._limit, self._announced, self._size = self._read_limit(), announced, 0
+
+    def add(self, size: int) -> bool:
+        """Add bytes that were read; return whether what was read or announced is too long."""
+        self._size += size
+        total = max(self._announced, self._size)
+        return total > self._limit and total > self._read_limit()
 
 
 class Head(NamedTuple):
--- a/halldoor/gateway/forwarded.py
+++ b/halldoor/gateway/forwarded.py
@@ -77,6 +77,7 @@
         return CallerLimits(
             head_bytes=max(limits.head_bytes, CallerLimits().head_bytes) + ADDED_HEAD_BYTES,
             body_bytes=limits.body_bytes,
+            may_be_wrong=limits.may_be_wrong,
         )
 
     async def answer(self, caller: CallerConnection, head: Head) -> None:
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -23,7 +23,7 @@
     randomize_requested_backoff,
     randomize_retry_after,
 )
-from halldoor.gateway.body import read_request
+from halldoor.gateway.body import build_too_long_result, read_request
 from halldoor.gateway.caller import CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.exchange import TargetExchanger
@@ -87,7 +87,8 @@
     def read_limits(self) -> CallerLimits:
         """Return the limits on callers in the current configuration, or the defaults."""
         routing = self._catalog.routing
-        return routing.limits if routing is not None else CallerLimits()
+        limits = routing.limits if routing is not None else CallerLimits()
+        return limits._replace(may_be_wrong=True) if self._access.may_be_outdated() else limits
 
     def count_in_flight(self, target: str) -> int:
         """Count this entry's requests on a target."""
@@ -141,7 +142,7 @@
         if result is None:
             result = await self._sender.send_until_answered(caller, state, outgoing)
         if caller.is_body_too_long and not result.is_forwarded:
-            result = RequestResult(413, "body too long")
+            result = build_too_long_result(caller, state)
         self._finish(caller, state, result)
 
     def _finish(self, caller: CallerConnection, state: RequestState, result: RequestResult) -> None:
