--- a/halldoor/gateway/refusals.py
+++ b/halldoor/gateway/refusals.py
@@ -25,6 +25,7 @@
     431: "head too long",
     500: "failed inside",
     501: "transfer coding not supported",
+    503: "head beyond limits that may be old",
 }
 """Reasons of answers outside of a request.  A parser's own text may quote a key."""
 
