Replace a watch that hears nothing while the store is ahead

An entry whose watch was stuck while its renewals succeeded noticed after 28 s, or by a notice of another entry. Once its age makes it refuse callers, it asks the store for its revision; where that is ahead, and stays so for 8 s, it opens another watch.

--- a/halldoor/core/targets/proofs.py
+++ b/halldoor/core/targets/proofs.py
@@ -98,21 +98,22 @@
         if self._asked is not None:
             self.record_revision(*self._asked)
 
-    def record_revision(self, view: StoreView, sent_at: float) -> None:
+    def record_revision(self, view: StoreView, sent_at: float) -> bool:
         """Record the store's revision, as the answer to a call names it.
 
-        Once the state has reached it, it includes every change up to the call.
+        Once the state has reached it, it includes every change up to the call.  Return whether it
+        has.
 
         Parameters
         ----------
         sent_at : float
             When the call was sent, in seconds of the steady clock.
         """
-        if self._view.has_reached(view):
-            self._asked = None
+        is_reached = self._view.has_reached(view)
+        self._asked = None if is_reached else _Sighting(view, sent_at)
+        if is_reached:
             self._extend(sent_at)
-        else:
-            self._asked = _Sighting(view, sent_at)
+        return is_reached
 
     def _extend(self, proven_at: float) -> None:
         """Move the proof to a later moment."""
--- a/halldoor/gateway/confirming.py
+++ b/halldoor/gateway/confirming.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from halldoor.core.targets.proofs import StateProof
 from halldoor.core.targets.withdrawal import StoreView
@@ -32,6 +33,11 @@
         Records the revision.
     access : CallerAccess
         Provides the limits on the state's age, and requests confirmations.
+
+    Attributes
+    ----------
+    on_behind : callable
+        Called with the store's view where the state has not reached it.
     """
 
     def __init__(
@@ -46,6 +52,7 @@
         self._access = access
         self._metrics = metrics
         self._requested = asyncio.Event()
+        self.on_behind: Callable[[StoreView], None] = lambda _: None
         access.confirm = self.request
 
     def request(self) -> None:
@@ -95,4 +102,6 @@
             self._metrics.add_store_call("revision", "failed")
             return
         self._metrics.add_store_call("revision", "ok")
-        self._proof.record_revision(StoreView(self._store.era, page.revision), now)
+        view = StoreView(self._store.era, page.revision)
+        if not self._proof.record_revision(view, now):
+            self.on_behind(view)
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -241,6 +241,7 @@
             metrics=self.metrics,
         )
         self.confirmer = StateConfirmer(store, self.catalog.proof, self.access, self.metrics)
+        self.confirmer.on_behind = self.store_notices.expect
         self._dispatcher = ChangeDispatcher(
             self.settings.name,
             self.catalog,
@@ -355,8 +356,7 @@
             return
         self.is_stopping = True
         self._reporter.call("stop", self.ports.stop_waiting)
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + self.settings.grace_s
+        deadline = asyncio.get_running_loop().time() + self.settings.grace_s
         self.log.event("process", "Stopping.", running=self.requests.running)
         if self._registering is None:
             await self._shut_down()  # It was still starting, so no caller was directed here.
@@ -364,7 +364,7 @@
         await stop_task(self._registering)
         for caller in list(self._callers):
             caller.is_closing = True
-        leaving = loop.create_task(self.registration.leave())
+        leaving = asyncio.create_task(self.registration.leave())
         if self._front.opened.is_set():
             # Some callers keep a look-up's answer for three times its lifetime.
             await asyncio.sleep(min(3 * self.settings.lookup_ttl_s, self.settings.grace_s / 2))
--- a/halldoor/tests/test_refusals.py
+++ b/halldoor/tests/test_refusals.py
@@ -8,10 +8,12 @@
 
 import asyncio
 import hashlib
+from unittest import mock
 
 import pytest
 
 from halldoor.core.teams.admission import AccessSettings
+from halldoor.gateway import storenotices
 from halldoor.tests.gatewaykit import GatewayKit
 
 STALE_S = 1.5
@@ -52,6 +54,21 @@
     run(check)
 
 
+def test_stuck_watch_is_replaced_once_it_makes_the_entry_refuse():
+    """It was open for up to 28 s."""
+
+    async def check(kit):
+        kit.store.open_gap()
+        kit.configure(path_prefix="/new/")
+        await asyncio.sleep(STALE_S + 0.5)
+        renewing = mock.patch.object(kit.gateway.store_notices, "_renew_watch")
+        with renewing as renew, mock.patch.object(storenotices, "STUCK_LAG_S", 0.3):
+            assert (await kit.call(path="/new/1")).status == 503
+            await kit.wait(lambda: renew.called, limit_s=1.0)
+
+    run(check)
+
+
 def test_entry_that_renews_its_lease_refuses_a_key_it_has_not_read():
     """Regression: 401."""
 
