Take over no records that are older than a page that was read

A full read whose pages differ in their revisions counted as read up to the oldest one only. Where the history was lost again before the next watch returned, an entry took over the records of another entry that were older than its newest page, and the configuration went back.

The newest page decides now. test_entry_takes_no_records_over_that_are_older_than_a_page_it_read failed before, passes.

--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -212,7 +212,7 @@
         if is_restored:
             self._log_restore(before, records)
         self._store.era = self._era = records.era
-        self._last_revision = self._begun_revision = records.revision
+        self._last_revision, self._begun_revision = records.revision, newest
         self._feed.reset_records(records)
         self._revision, self.updated_at = records.revision, now
         self.is_loaded.set()
@@ -299,7 +299,7 @@
             now = self._record_substitute(update)
         else:
             now = self._record_contact(update.proven_at)
-        self._begun_revision = events.revision
+        self._begun_revision = max(self._begun_revision, events.revision)
         changes = self._decode_all(events.items)
         for change in self._sequence.mark_events(changes, events.revision):
             if self._catalog.apply(change, now):
--- a/halldoor/tests/test_start_records.py
+++ b/halldoor/tests/test_start_records.py
@@ -30,6 +30,25 @@
         assert (combined.revision, combined.newest, combined.proven_at) == (5, 9, 1.0)
 
 
+def test_entry_takes_no_records_over_that_are_older_than_a_page_it_read():
+    """Regression: the oldest page decided, so that a newer configuration was taken back."""
+
+    async def check():
+        async with open_fleet(entries=1) as fleet:
+            (entry,) = fleet.entries.values()
+            read = await entry.sync._read_records()
+            older = read._replace(revision=read.revision - 1)
+            entry.sync._apply_records(read._replace(revision=older.revision - 1))
+
+            async def fetch_records(*_):
+                return older
+
+            entry.feed.fetch_records = fetch_records
+            assert (await entry.sync._read_records()).revision >= read.newest
+
+    virtualtime.run(check())
+
+
 def test_starting_entry_has_the_configuration_that_it_read():
     """Regression: it began with its reader's, which was older, and refused the new routes."""
 
