--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -229,7 +229,7 @@
             view = StoreView(records.era, records.revision)
             self._changes.log_restore(StoreView(before, self._last_revision), view)
         self._store.era = self._era = records.era
-        self._last_revision = self._begun_revision = records.revision
+        self._last_revision, self._begun_revision = records.revision, newest
         self._feed.reset_records(records)
         self._revision, self.updated_at = records.revision, now
         self.is_loaded.set()
@@ -318,7 +318,7 @@
             now = self._record_substitute(update)
         else:
             now = self._record_contact(update.proven_at)
-        self._begun_revision = events.revision
+        self._begun_revision = max(self._begun_revision, events.revision)
         arrival = Arrival(update.source, events.revision, self._era, now, events.transfer_s)
         changes = self._decode_all(events.items)
         for change in self._sequence.mark_events(changes, events.revision):
@@ -330,7 +330,8 @@
         # The store's own answer includes all removals up to its return, whenever it was sent.
         self._catalog.contact.record_applied_until(update.proven_at if update.is_relayed else now)
         self._revision = self._last_revision = events.revision
-        self._catalog.proof.record_update(self.view, update.proven_at)
+        proven_at = -math.inf if self._sequence.is_repeating else update.proven_at
+        self._catalog.proof.record_update(self.view, proven_at)
         self.updated_at = now
         self._feed.record_update(revision, update)
         self._call_receivers(self.view)
