Judge refusals beside odd log lines

Seen by the property test of decoders, extended by lines of refusals and of configurations: a refusal whose outcome is a list ended `halldoor explain` with TypeError.

Change: the outcome is compared as text, and only the routing part's lines name a configuration in force.

Measured: the test fails before (TypeError: unhashable type) and passes; properties/test_decoders.py and test_entry_decoders.py, 169 tests, pass.

--- a/halldoor/core/explaining/refusals.py
+++ b/halldoor/core/explaining/refusals.py
@@ -140,7 +140,8 @@
     """
     if line.part == "process" and line.text in {"Started.", "Stopped."}:
         return Version(0)
-    if line.text == "In force." or (line.part in {"request", "flow"} and "version" in line.fields):
+    is_routing = line.part == "routing" and line.text == "In force."
+    if is_routing or (line.part in {"request", "flow"} and "version" in line.fields):
         return Version.from_fields(line.fields)
     return None
 
@@ -180,7 +181,7 @@
     which callers retry elsewhere.
     """
     fields = refused.fields
-    if fields.get("outcome") not in _BY_CONFIGURATION:
+    if str(fields.get("outcome")) not in _BY_CONFIGURATION:
         return None
     entry, held = refused.entry, Version.from_fields(fields)
     bound_s = float(fields.get("limit_ms") or BOUND_S * 1000) / 1000
--- a/properties/entry_decoders.py
+++ b/properties/entry_decoders.py
@@ -4,6 +4,7 @@
 
 import base64
 import io
+import json
 from collections.abc import Callable
 from typing import Any
 
@@ -20,6 +21,7 @@
     sign_decision,
 )
 from halldoor.core.explaining.history import explain_request, parse_lines
+from halldoor.core.explaining.refusals import judge_refusals
 from halldoor.core.explaining.report import build_report, describe_report
 from halldoor.core.orders.claim import Claim, Shard, decode_shard, encode_shard, parse_time_ms
 from halldoor.core.orders.ticket import Ticket, decode_ticket, encode_ticket
@@ -82,6 +84,11 @@
 ATTEMPT |= {"load": 0.5, "distance": "near", "expected_ms": 8, "expected_wait_ms": 1, "place": 0}
 REQUEST = {"event": "request: Ended.", "at": 5.0, "entry": "e1", "id": "a1", "service": "s"}
 REQUEST |= {"status": 200, "took_ms": 9, "aim_ms": 20, "stands_for": 2, "attempts": [ATTEMPT]}
+REFUSED = {"event": "request: Ended.", "at": 5.0, "entry": "e1", "id": "a1", "status": 404}
+REFUSED |= {"outcome": "no route", "host": "h", "path": "/", "version": 3, "revision": 4, "era": ""}
+REFUSED |= {"proven_age_ms": 3, "limit_ms": 3000, "unix_s": 9.0, "stands_for": 2}
+ROUTING = {"event": "routing: In force.", "at": 5.0, "entry": "e2", "version": 4, "revision": 5}
+ROUTING |= {"era": "", "unix_s": 3.0}
 MOVE = {"event": "flow: Moved between regions.", "at": 5.0, "entry": "e1", "origin": "a"}
 MOVE |= {"version": 3, "store_age_ms": 4, "before": {"a": 3}, "after": {"b": 3}}
 REACH = {
@@ -124,7 +131,12 @@
 def decode_log(data: bytes) -> Any:
     """Decode a log line, as the commands do."""
     lines = list(parse_lines([data.decode(errors="replace")]))
-    return describe_report(build_report(lines)), explain_request(lines, "a1")
+    others = list(parse_lines(json.dumps(line) for line in (REFUSED, ROUTING)))
+    return (
+        describe_report(build_report(lines)),
+        explain_request(lines, "a1"),
+        judge_refusals([*lines, *others], "a1"),
+    )
 
 
 def decode_request(**fields: str) -> Callable[[bytes], Any]:
@@ -201,6 +213,8 @@
             SETTINGS,
         ),
         ("log of a request", decode_log, REQUEST),
+        ("log of a refusal", decode_log, REFUSED),
+        ("log of a configuration", decode_log, ROUTING),
         ("log of a move", decode_log, MOVE),
         ("log of unreached targets", decode_log, REACH),
         ("log of a target", decode_log, SEEN),
