--- a/halldoor/core/targets/changes.py
+++ b/halldoor/core/targets/changes.py
@@ -91,6 +91,18 @@
     size_bytes: int = 0
 
 
+class RoutingRejected(NamedTuple):
+    """The operators wrote a configuration that can't be read as a whole, or is inconsistent.
+
+    Attributes
+    ----------
+    part : Routing or None
+        What an entry without a configuration may serve of it; None if it can't be read.
+    """
+
+    part: Routing | None = None
+
+
 class TargetSeen(NamedTuple):
     """A target's record was written."""
 
@@ -136,6 +148,7 @@
 
 Change = (
     RoutingSeen
+    | RoutingRejected
     | TargetSeen
     | TargetRemoved
     | EvacuationSet
--- a/halldoor/gateway/access.py
+++ b/halldoor/gateway/access.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from random import Random
 
@@ -83,6 +84,19 @@
             self.gate.set_limits(self._table.teams.get_limits())
         return self._table
 
+    def may_be_outdated(self) -> bool:
+        """Check whether operators may have allowed since what this entry would refuse."""
+        if self._catalog.routing is None or self._is_confirming():
+            return True
+        now = asyncio.get_running_loop().time()
+        return self.find_age(now).is_stale(self.settings.stale_s)
+
+    def find_age(self, now: float) -> ConfigurationAge:
+        """Return the age of the configuration in force."""
+        proof = self._catalog.proof
+        is_behind = proof.is_behind or self._catalog.has_rejected_routing
+        return ConfigurationAge(now - proof.proven_at, is_behind)
+
     def is_repeatable(self, head: Head) -> bool:
         """Check whether a request belongs to a route whose requests may run more than once."""
         table = self.find_table()
@@ -100,14 +114,13 @@
         table = self.find_table()
         if table is None:
             return Refusal(RefusalReason.NO_CONFIGURATION)
-        proof = self._catalog.proof
         admission = table.admit_request(
             find(head.headers, b"host").decode("latin-1"),
             head.target.decode("latin-1"),
             find(head.headers, self._names.credentials),
             gate=self.gate,
             now=now,
-            age=ConfigurationAge(now - proof.proven_at, proof.is_behind),
+            age=self.find_age(now),
             entries=self._catalog.count_sharers(now),
             settings=self.settings,
         )
--- a/halldoor/gateway/confirming.py
+++ b/halldoor/gateway/confirming.py
@@ -14,11 +14,6 @@
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.store import MetadataStore, StoreError
 
-UNUSED_PREFIX = "unused/"
-"""Prefix of no key: a page of it names the store's revision and holds nothing, so that it also
-passes a link that is busy with a large answer."""
-
-
 SHORTEST_PAUSE_S = 0.05
 """Shortest time between two checks of the state's age, in seconds."""
 
@@ -90,9 +85,9 @@
         """Ask the store for its revision, and record it."""
         try:
             async with asyncio.timeout(limit_s):
-                page = await self._store.read_range(UNUSED_PREFIX)
+                revision = await self._store.read_revision()
         except (StoreError, TimeoutError):
             self._metrics.add_store_call("revision", "failed")
             return
         self._metrics.add_store_call("revision", "ok")
-        self._proof.record_revision(StoreView(self._store.era, page.revision), now)
+        self._proof.record_revision(StoreView(self._store.era, revision), now)
--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -83,7 +83,7 @@
             connections=connections,
             is_closing=is_closing,
             pipelining=pipelining,
-            on_error=requests.refusals.record_error,
+            on_error=requests.record_error,
             reserved_share=FRONT_RESERVED_SHARE,
             spare=spare,
         )
--- a/halldoor/gateway/store.py
+++ b/halldoor/gateway/store.py
@@ -8,9 +8,12 @@
 
 from halldoor.core.decoding import DecodingError, decoding
 from halldoor.core.errors import HalldoorError
-from halldoor.core.targets.changes import Change, MemberRecord
+from halldoor.core.targets.changes import Change, MemberRecord, RoutingRejected
+from halldoor.gateway.arrivals import Arrival
 from halldoor.gateway.httpclient import LostAnswer
 
+UNUSED_PREFIX = "unused/"
+"""Prefix of no key."""
 MAX_SHOWN = 200
 """Characters of a key that are shown in an error message."""
 
@@ -88,9 +91,14 @@
         Identifies the copy of the store that sent the newest answer; it changes when the store is
         restored from a copy, and is empty where the store doesn't send it.  Revisions and leases
         of another era are invalid.
+    watch_arrival, page_arrival : Arrival or None
+        Progress of the answer to the present watch, and to the present read of a page; None while
+        there is none, or where it is not known.
     """
 
     era: str = ""
+    watch_arrival: Arrival | None = None
+    page_arrival: Arrival | None = None
 
     def __init__(self) -> None:
         self.on_unreadable: Callable[[str], None] = lambda _: None
@@ -100,6 +108,13 @@
     async def read_range(self, prefix: str, *, after: str = "") -> Page:
         """Read a page of the keys with a prefix, starting after the key `after`."""
 
+    async def read_revision(self) -> int:
+        """Read the store's revision; raise `StoreError` if it can't be read.
+
+        A page of no key names it, which also passes a link that is busy with a large answer.
+        """
+        return (await self.read_range(UNUSED_PREFIX)).revision
+
     @abstractmethod
     async def watch(self, prefix: str, *, after: int, wait_s: float) -> Events:
         """Wait up to `wait_s` seconds for changes after a revision to keys with a prefix.
@@ -166,6 +181,14 @@
         except DecodingError as exc:
             raise StoreError(exc.message, remedy=exc.remedy) from exc
 
+    def decode_rejected(self, item: StoredItem) -> Change | None:
+        """Return the change that stands for an item whose value can't be decoded.
+
+        By default it is treated as removed.  Only a configuration can't be: the one before stays in
+        force.
+        """
+        return self.decode(item._replace(value=None)) or RoutingRejected()
+
     @abstractmethod
     def decode_item(self, item: StoredItem) -> Change | None:
         """Decode an item as `decode`; raise any error if the value can't be decoded."""
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -8,7 +8,13 @@
 
 from halldoor.core.targets.arrival import Arrival
 from halldoor.core.targets.catalog import Catalog
-from halldoor.core.targets.changes import Change, MemberSeen, RoutingSeen, is_withdrawal
+from halldoor.core.targets.changes import (
+    Change,
+    MemberSeen,
+    RoutingRejected,
+    RoutingSeen,
+    is_withdrawal,
+)
 from halldoor.core.targets.era import parse_era
 from halldoor.core.targets.relay import WantedEra
 from halldoor.core.targets.sequence import RoutingSequence
@@ -162,7 +168,12 @@
         self.renew_watch(cause)
 
     def renew_watch(self, cause: str) -> None:
-        """Cancel the current watch, which returns no changes, and open another one."""
+        """Cancel the current watch, unless its answer is arriving, and open another one."""
+        if not self._feed.is_answer_arriving:
+            self._cancel_watch(cause)
+
+    def _cancel_watch(self, cause: str) -> None:
+        """Cancel the current watch, and open another one."""
         self._log.event("store", "Opens another watch.", cause=cause)
         if self._watch_task is not None:
             self._watch_task.cancel()
@@ -172,7 +183,8 @@
         self.is_unconfirmed = True
         self._revision = None
         self._reader.clear()
-        self.restart_watch(cause)
+        self._has_lost_contact = True
+        self._cancel_watch(cause)
 
     def _find_reading_pause_s(self) -> float:
         """Mark the history as gone, and return the pause before all records are read again.
@@ -340,18 +352,17 @@
         return [change for change in map(self._decode, items) if change is not None]
 
     def _decode(self, item: StoredItem) -> Change | None:
-        """Decode a record; treat one that can't be decoded as removed.
+        """Decode a record, or the change for one that can't be decoded.
 
         An overwritten record is unused until its owner writes it; a configuration stays in force.
         """
         try:
             change = self._codec.decode(item)
         except StoreError as exc:
-            removal = self._codec.decode(StoredItem(item.key, None))
-            # Only a configuration has no removal: the one before stays in force.
-            version = self._catalog.configuration_version if removal is None else None
+            change = self._codec.decode_rejected(item)
+            is_routing = isinstance(change, RoutingRejected)
+            version = self._catalog.configuration_version if is_routing else None
             self._record_unreadable(str(exc), key=item.key[:MAX_SHOWN], version=version)
-            return removal
         if isinstance(change, RoutingSeen):
             return change._replace(size_bytes=len(item.value or b""))
         return change
