Set the limit on silence in the test of a lost reader, too

Polls are limited by the progress of their answer now, so the call ended after SILENCE_S.

Change: the test sets that limit, as does for the store's. The check of the text and of the bytes is unchanged.

--- a/halldoor/tests/test_losses.py
+++ b/halldoor/tests/test_losses.py
@@ -52,7 +52,9 @@
     asyncio.run(check())
 
 
-def test_cause_of_a_lost_reader_does_not_name_what_arrived():
+def test_cause_of_a_lost_reader_does_not_name_what_arrived(monkeypatch):
+    monkeypatch.setattr("halldoor.gateway.arrivals.SILENCE_S", 0.3)
+
     async def check():
         async with open_client() as (client, _):
             poll = Poll(1, 0.1, "")
