Call where a configuration came from its provenance

Two classes had the name Arrival: the progress of an answer's body in gateway/arrivals.py, and the source of a configuration in force. The latter is Provenance now, and the catalog's attribute 'provenance'.

--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -10,7 +10,6 @@
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Sequence
 
-from halldoor.core.targets.arrival import Arrival
 from halldoor.core.targets.changes import (
     Change,
     EvacuationSet,
@@ -30,6 +29,7 @@
 from halldoor.core.targets.leaving import LeavingTable
 from halldoor.core.targets.notice import ColdNotice
 from halldoor.core.targets.proofs import StateProof
+from halldoor.core.targets.provenance import Provenance
 from halldoor.core.targets.removals import PostponedRemovals, list_removals
 from halldoor.core.targets.route import Routing
 from halldoor.core.targets.sharers import SharerTable
@@ -72,7 +72,7 @@
         steady clock.  The view may be older: see `proof`.
     relayed_at : float
         Time at which an entry in contact with the store last passed on changes.
-    arrival : Arrival or None
+    provenance : Provenance or None
         How the configuration in force arrived; None if there is none, or it was not recorded.
     """
 
@@ -86,7 +86,7 @@
         self.proof = StateProof()
         self._restored_at = -math.inf
         self.routing: Routing | None = None
-        self.arrival: Arrival | None = None
+        self.provenance: Provenance | None = None
         self.has_rejected_routing = False
         self.evacuated: set[str] = set()
         self.members: dict[str, MemberRecord] = {}
--- a/halldoor/core/targets/arrival.py
+++ b/halldoor/core/targets/provenance.py
@@ -8,8 +8,8 @@
 """Sources of what an entry reads from the store itself."""
 
 
-class Arrival(NamedTuple):
-    """The arrival of changes of the store at an entry.
+class Provenance(NamedTuple):
+    """Where changes of the store came from, and when they were applied here.
 
     Attributes
     ----------
--- a/halldoor/gateway/changelog.py
+++ b/halldoor/gateway/changelog.py
@@ -6,7 +6,6 @@
 import time
 from collections.abc import Sequence
 
-from halldoor.core.targets.arrival import Arrival
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import (
     Change,
@@ -20,6 +19,7 @@
     is_target_withdrawal,
 )
 from halldoor.core.targets.era import find_era_problem
+from halldoor.core.targets.provenance import Provenance
 from halldoor.core.targets.withdrawal import StoreView
 from halldoor.gateway.eventlog import EventLog
 
@@ -45,7 +45,7 @@
         self._version = 0
 
     def log_full_read(
-        self, changes: Sequence[Change], applied: Sequence[Change], arrival: Arrival
+        self, changes: Sequence[Change], applied: Sequence[Change], provenance: Provenance
     ) -> None:
         """Log the changes of a full read that explain later routing: configurations, withdrawals.
 
@@ -53,24 +53,24 @@
         """
         for change in applied:
             if isinstance(change, RoutingSeen | RoutingRejected):
-                self.log(change, arrival)
+                self.log(change, provenance)
         for change in changes:
-            self.log_ignored(change, arrival)
-        self.log_withdrawals([c for c in applied if is_target_withdrawal(c)], arrival.revision)
+            self.log_ignored(change, provenance)
+        self.log_withdrawals([c for c in applied if is_target_withdrawal(c)], provenance.revision)
 
-    def _log_routing(self, change: RoutingSeen, arrival: Arrival) -> None:
+    def _log_routing(self, change: RoutingSeen, provenance: Provenance) -> None:
         """Log and record how a configuration arrived that is in force now, and what it holds."""
         routing, before = change.routing, self._version
-        self._version, self._catalog.arrival = routing.version, arrival
-        took_s = arrival.took_s
+        self._version, self._catalog.provenance = routing.version, provenance
+        took_s = provenance.took_s
         self._log.event(
             "routing",
             "In force.",
             version=routing.version,
-            revision=arrival.revision,
-            era=arrival.era,
+            revision=provenance.revision,
+            era=provenance.era,
             version_before=before,
-            source=arrival.source,
+            source=provenance.source,
             routes=len(routing.routes),
             services=len(routing.services),
             teams=len(routing.teams),
@@ -81,7 +81,7 @@
             unix_s=round(time.time(), 3),
         )
 
-    def log_ignored(self, change: Change, arrival: Arrival) -> None:
+    def log_ignored(self, change: Change, provenance: Provenance) -> None:
         """Log a configuration that is not applied, since a later one is in force."""
         in_force = self._catalog.configuration_version
         if not isinstance(change, RoutingSeen) or change.routing.version >= in_force:
@@ -90,10 +90,10 @@
             "routing",
             "Not applied: outdated.",
             version=change.routing.version,
-            revision=arrival.revision,
-            era=arrival.era,
+            revision=provenance.revision,
+            era=provenance.era,
             version_in_force=in_force,
-            source=arrival.source,
+            source=provenance.source,
         )
 
     def log_withdrawals(self, withdrawn: Sequence[Change], revision: int) -> None:
@@ -116,12 +116,12 @@
             revision=after.revision,
         )
 
-    def log(self, change: Change, arrival: Arrival) -> None:
-        """Log a change that was applied, with its arrival if it is a configuration."""
+    def log(self, change: Change, provenance: Provenance) -> None:
+        """Log a change that was applied, with its provenance if it is a configuration."""
         if isinstance(change, RoutingSeen):
-            self._log_routing(change, arrival)
+            self._log_routing(change, provenance)
         else:
-            self._log_change(change, arrival.revision)
+            self._log_change(change, provenance.revision)
 
     def _log_change(self, change: Change, revision: int) -> None:
         """Log a change of anything else, with the revision of the store that contains it."""
--- a/halldoor/gateway/figures.py
+++ b/halldoor/gateway/figures.py
@@ -40,12 +40,12 @@
 
 def _describe_configuration(catalog: Catalog, now: float) -> dict[str, float]:
     """Return the figures of the configuration in force: its size, faults, age and proof."""
-    routing, arrival = catalog.routing, catalog.arrival
+    routing, provenance = catalog.routing, catalog.provenance
     proof_age_s = catalog.find_proof_age_s(now)
     return {
         "proven_age_seconds": math.inf if proof_age_s is None else proof_age_s,
         "is_behind": int(catalog.proof.is_behind),
-        "configuration_age_seconds": 0.0 if arrival is None else now - arrival.at,
+        "configuration_age_seconds": 0.0 if provenance is None else now - provenance.at,
         "routes": 0 if routing is None else len(routing.routes),
         "configuration_faults": 0 if routing is None else len(routing.faults),
     }
--- a/halldoor/gateway/reading.py
+++ b/halldoor/gateway/reading.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Callable
 
-from halldoor.core.targets.arrival import STORE_PAGES
+from halldoor.core.targets.provenance import STORE_PAGES
 from halldoor.gateway.handover import RecordSet
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.store import HistoryGoneError, MetadataStore, Page, StoreError
--- a/halldoor/gateway/refusals.py
+++ b/halldoor/gateway/refusals.py
@@ -102,14 +102,14 @@
 
 def describe_configuration(catalog: Catalog, now: float) -> dict[str, Any]:
     """Return the log fields of the configuration in force: where it is from, and its ages in ms."""
-    arrival, proof_age_s = catalog.arrival, catalog.find_proof_age_s(now)
+    provenance, proof_age_s = catalog.provenance, catalog.find_proof_age_s(now)
     fields: dict[str, Any] = {"version": catalog.configuration_version}
-    if arrival is not None:
+    if provenance is not None:
         fields |= {
-            "revision": arrival.revision,
-            "era": arrival.era,
-            "source": arrival.source,
-            "in_force_ms": round((now - arrival.at) * 1000),
+            "revision": provenance.revision,
+            "era": provenance.era,
+            "source": provenance.source,
+            "in_force_ms": round((now - provenance.at) * 1000),
         }
     fields["proven_age_ms"] = None if proof_age_s is None else round(proof_age_s * 1000)
     fields["is_behind"] = catalog.proof.is_behind
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -13,10 +13,10 @@
 from random import Random
 
 from halldoor.core.settings import Address
-from halldoor.core.targets.arrival import STORE_WATCH
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.proofs import compute_watch_proof, find_watch_slot_wait
+from halldoor.core.targets.provenance import STORE_WATCH
 from halldoor.core.targets.relay import (
     RelaySettings,
     WantedEra,
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -6,7 +6,6 @@
 import math
 from collections.abc import Callable, Iterable, Sequence
 
-from halldoor.core.targets.arrival import Arrival
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import (
     Change,
@@ -16,6 +15,7 @@
     is_withdrawal,
 )
 from halldoor.core.targets.era import parse_era
+from halldoor.core.targets.provenance import Provenance
 from halldoor.core.targets.relay import WantedEra
 from halldoor.core.targets.sequence import RoutingSequence
 from halldoor.core.targets.withdrawal import StoreView
@@ -236,8 +236,8 @@
         self._reader.limit_s = self._feed.settings.page_limit_s
         self._log.event("store", "Read all.", revision=records.revision, changes=len(applied))
         source = f"{records.source}, copy of the store" if is_restored else records.source
-        arrival = Arrival(source, records.revision, records.era, now, records.took_s)
-        self._changes.log_full_read(changes, applied, arrival)
+        provenance = Provenance(source, records.revision, records.era, now, records.took_s)
+        self._changes.log_full_read(changes, applied, provenance)
         self._catalog.contact.record_applied_until(records.proven_at)
         self._catalog.proof.record_update(self.view, records.proven_at)
         self._call_receivers(StoreView(records.era, newest))
@@ -319,14 +319,14 @@
         else:
             now = self._record_contact(update.proven_at)
         self._begun_revision = events.revision
-        arrival = Arrival(update.source, events.revision, self._era, now, events.transfer_s)
+        provenance = Provenance(update.source, events.revision, self._era, now, events.transfer_s)
         changes = self._decode_all(events.items)
         for change in self._sequence.mark_events(changes, events.revision):
             if self._catalog.apply(change, now):
                 self._record_applied(change)
-                self._changes.log(change, arrival)
+                self._changes.log(change, provenance)
             else:
-                self._changes.log_ignored(change, arrival)
+                self._changes.log_ignored(change, provenance)
         # The store's own answer includes all removals up to its return, whenever it was sent.
         self._catalog.contact.record_applied_until(update.proven_at if update.is_relayed else now)
         self._revision = self._last_revision = events.revision
--- a/halldoor/tests/test_losses.py
+++ b/halldoor/tests/test_losses.py
@@ -15,7 +15,7 @@
 from halldoor.gateway.losses import LossLog
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.polls import Poll, send_poll
-from halldoor.tests.test_arrival import read_lines
+from halldoor.tests.test_provenance import read_lines
 
 PART = b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + b"x" * 40_000
 
--- a/halldoor/tests/test_refusal_lines.py
+++ b/halldoor/tests/test_refusal_lines.py
@@ -11,7 +11,7 @@
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.refusals import describe_head
 from halldoor.tests.gatewaykit import GatewayKit
-from halldoor.tests.test_arrival import read_lines
+from halldoor.tests.test_provenance import read_lines
 from halldoor.tests.test_teams import bearer, team
 
 LONG = ("X-Long", "x" * 20_000)
