Log a part of a rejected configuration that is in force as such

Change: the part has its line, with its faults, and its provenance is kept. OPERATIONS.md names `routing: The last one is rejected.`.

Measured: test_part_of_a_rejected_configuration_is_in_force_without_a_line fails before and passes.

--- a/halldoor/gateway/changelog.py
+++ b/halldoor/gateway/changelog.py
@@ -20,6 +20,7 @@
 )
 from halldoor.core.targets.era import find_era_problem
 from halldoor.core.targets.provenance import Provenance
+from halldoor.core.targets.route import Routing
 from halldoor.core.targets.withdrawal import StoreView
 from halldoor.gateway.eventlog import EventLog
 
@@ -120,15 +121,22 @@
         """Log a change that was applied, with its provenance if it is a configuration."""
         if isinstance(change, RoutingSeen):
             self._log_routing(change, provenance)
-        else:
-            self._log_change(change, provenance.revision)
+            return
+        self._log_change(change, provenance.revision)
+        if isinstance(change, RoutingRejected) and self._is_in_force(change.part):
+            assert change.part is not None
+            self._log_routing(RoutingSeen(change.part), provenance)
+
+    def _is_in_force(self, part: Routing | None) -> bool:
+        """Check whether a part of a rejected configuration is in force."""
+        return part is not None and part is self._catalog.routing
 
     def _log_change(self, change: Change, revision: int) -> None:
         """Log a change of anything else, with the revision of the store that contains it."""
         event = self._log.event
         match change:
             case RoutingRejected(part):
-                is_part = part is not None and part is self._catalog.routing
+                is_part = self._is_in_force(part)
                 version = self._catalog.configuration_version
                 text = "The last one is rejected."
                 event("routing", text, in_force=version, is_part=is_part, revision=revision)
--- a/halldoor/tests/test_provenance.py
+++ b/halldoor/tests/test_provenance.py
@@ -8,6 +8,11 @@
 import pytest
 
 from halldoor.core.targets.catalog import Catalog, CatalogTimings
+from halldoor.core.targets.changes import RoutingRejected
+from halldoor.core.targets.provenance import Provenance
+from halldoor.core.targets.route import CallerLimits, Routing
+from halldoor.gateway.changelog import ChangeLog
+from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.figures import collect_figures
 from halldoor.tests.gatewaykit import GatewayKit
 from halldoor.tests.test_relay import Fleet
@@ -78,5 +83,17 @@
     asyncio.run(check())
 
 
+def test_part_of_a_rejected_configuration_is_in_force_without_a_line(capfd):
+    part = Routing(3, (), {}, CallerLimits(), faults=("route r1: no host",))
+    catalog, log = Catalog(CatalogTimings()), EventLog("e1")
+    change = RoutingRejected(part)
+    assert catalog.apply(change, 5.0)
+    ChangeLog(catalog, log).log(change, Provenance("store pages", 7, "", 5.0))
+    log.close(timeout_s=2.0)
+    (line,) = read_lines(capfd.readouterr().out, "routing: In force.")
+    assert (line["version"], line["source"], line["faults"]) == (3, "store pages", 1)
+    assert catalog.provenance is not None
+
+
 def test_entry_that_has_read_nothing_has_a_proof():
     assert Catalog(CatalogTimings()).find_proof_age_s(5.0) is None
