--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -19,6 +19,7 @@
 from halldoor.core.decoding import DecodingError, decode_msgpack, decompress
 from halldoor.core.targets.proofs import compute_poll_proof
 from halldoor.core.targets.relay import Batch, WantedEra
+from halldoor.core.targets.withdrawal import StoreView
 from halldoor.gateway.arrivals import Arrival
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.gateway.query import parse_query
@@ -65,6 +66,11 @@
     source: str = ""
     took_s: float | None = None
 
+    @property
+    def view(self) -> StoreView:
+        """Era and revision up to which every change is included."""
+        return StoreView(self.era, self.revision)
+
 
 class RecordSetAnswer(msgspec.Struct, frozen=True):
     """Answer to a request for all records.
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -40,6 +40,7 @@
     StoredItem,
     StoreError,
 )
+from halldoor.gateway.tasks import is_cancelling
 
 BATCH_S = 0.6
 """Usual pause between a change and the next watch, in seconds.  The store charges for each watch
@@ -211,13 +212,10 @@
         before = self._era
         is_restored = self.is_loaded.is_set() and before != records.era
         now = self._record_contact(records.proven_at)
-        newest = max(records.revision, records.newest)
-        changes = self._sequence.mark_read(
-            self._decode_all(records.items),
-            StoreView(records.era, records.revision),
-            newest=newest,
-            in_force=self._catalog.routing,
-        )
+        view, newest = records.view, max(records.revision, records.newest)
+        changes = self._decode_all(records.items)
+        in_force = self._catalog.routing
+        changes = self._sequence.mark_read(changes, view, newest=newest, in_force=in_force)
         applied = self._catalog.apply_full_read(
             changes, now, is_restored=is_restored, on_failure=self._report_unapplied
         )
@@ -226,7 +224,6 @@
         self._unreported += applied
         if is_restored:
             self._metrics.add_store_call("range", "restored")
-            view = StoreView(records.era, records.revision)
             self._changes.log_restore(StoreView(before, self._last_revision), view)
         self._store.era = self._era = records.era
         self._last_revision = self._begun_revision = records.revision
@@ -303,7 +300,7 @@
         try:
             update = await task
         except asyncio.CancelledError:
-            if not task.cancelled() or _is_cancelling():
+            if not task.cancelled() or is_cancelling():
                 raise
             return
         finally:
@@ -400,9 +397,3 @@
         if not self._has_lost_contact:
             self._has_lost_contact = True
             self._log.event("store", "Contact is lost.", cause=cause)
-
-
-def _is_cancelling() -> bool:
-    """Check whether the running task itself is being cancelled."""
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
--- a/halldoor/gateway/tasks.py
+++ b/halldoor/gateway/tasks.py
@@ -139,12 +139,17 @@
         failure = TaskEndedError("It returned.")
     except (Exception, asyncio.CancelledError) as exc:
         failure = exc
-    task = asyncio.current_task()
-    if task is not None and task.cancelling():
+    if is_cancelling():
         raise asyncio.CancelledError from failure
     return failure
 
 
+def is_cancelling() -> bool:
+    """Check whether the running task itself is being cancelled."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 async def stop_task(task: asyncio.Task[None]) -> None:
     """Cancel a task and wait until it finishes; a failure of it is ignored."""
     task.cancel()
