Log that an entry waits for a configuration that can be read

An entry that started beside a configuration nested too deeply never got ready, without a word in its log that it waited, and for what.

Measured: no such line before, one after; the entry is ready once a sound configuration is written.

--- a/halldoor/gateway/changelog.py
+++ b/halldoor/gateway/changelog.py
@@ -64,6 +64,8 @@
                 is_part = part is not None and part is self._catalog.routing
                 version = self._catalog.configuration_version
                 text = "The last one is rejected."
+                if self._catalog.routing is None:
+                    text = "Not ready: no configuration can be read."
                 event("routing", text, in_force=version, is_part=is_part, revision=revision)
             case TargetSeen(record):
                 text = "Draining." if record.is_draining else "Seen."
