--- a/halldoor/gateway/changelog.py
+++ b/halldoor/gateway/changelog.py
@@ -139,6 +139,8 @@
                 is_part = self._is_in_force(part)
                 version = self._catalog.configuration_version
                 text = "The last one is rejected."
+                if self._catalog.routing is None:
+                    text = "Not ready: no configuration can be read."
                 event("routing", text, in_force=version, is_part=is_part, revision=revision)
             case TargetSeen(record):
                 text = "Draining." if record.is_draining else "Seen."
