--- a/halldoor/gateway/httpclient.py
+++ b/halldoor/gateway/httpclient.py
@@ -16,7 +16,7 @@
     ConnectionFailedError,
     HttpConnection,
 )
-from halldoor.gateway.headers import Headers
+from halldoor.gateway.headers import Headers, find
 
 CONNECT_S = 1.0
 """Connect timeout, in seconds; one lost packet costs about one second."""
@@ -105,6 +105,7 @@
         self._address = address
         self._connect_s = connect_s
         self._idle: list[HttpConnection] = []
+        self._is_closed = False
 
     async def call(
         self,
@@ -157,7 +158,8 @@
                 answer = await _receive_answer(
                     connection, max_bytes=max_bytes, limit=limit, arrival=arrival
                 )
-            is_kept = connection.can_be_reused() and len(self._idle) < MAX_IDLE
+            has_room = len(self._idle) < MAX_IDLE and not self._is_closed
+            is_kept = has_room and connection.can_be_reused()
             if is_kept:
                 connection.mark_idle(asyncio.get_running_loop().time(), idle_limit_s=IDLE_LIMIT_S)
                 self._idle.append(connection)
@@ -199,7 +201,8 @@
             raise HttpCallError(f"not a request: {exc}") from exc
 
     def close(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections; the others are closed when their calls end."""
+        self._is_closed = True
         for connection in self._idle:
             connection.close()
         self._idle.clear()
@@ -217,6 +220,7 @@
     loop = asyncio.get_running_loop()
     body, began_at = bytearray(), loop.time()
     if arrival is not None:
+        arrival.size = _read_length(head)
         arrival.extend(limit)
     try:
         while not isinstance(event := await connection.receive(), h11.EndOfMessage):
@@ -230,3 +234,9 @@
     finally:
         # The traceback of an exception would keep it until garbage is collected.
         body.clear()
+
+
+def _read_length(head: h11.Response) -> int | None:
+    """Read the length of an answer's body; None if the head does not state it."""
+    length = find(head.headers.raw_items(), b"content-length")
+    return int(length) if length else None
