--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -10,6 +10,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Sequence
 
+from halldoor.core.targets.arrival import Arrival
 from halldoor.core.targets.changes import (
     Change,
     EvacuationSet,
@@ -18,6 +19,7 @@
     MemberRecord,
     MemberRemoved,
     MemberSeen,
+    RoutingRejected,
     RoutingSeen,
     TargetRecord,
     TargetRemoved,
@@ -27,6 +29,7 @@
 from halldoor.core.targets.contact import Lapse, StoreContact
 from halldoor.core.targets.leaving import LeavingTable
 from halldoor.core.targets.notice import ColdNotice
+from halldoor.core.targets.proofs import StateProof
 from halldoor.core.targets.removals import PostponedRemovals, list_removals
 from halldoor.core.targets.route import Routing
 from halldoor.core.targets.sharers import SharerTable
@@ -56,15 +59,21 @@
         Entries among which rates are divided.
     version, members_version : int
         Incremented with each change that affects choices, and with each change of entries.
+    has_rejected_routing : bool
+        Whether the store's last configuration can't be used, so that the one in force is older.
     lapsed : dict of str to Lapse
         Targets whose record expired in an outage of the store, and may be written again.
     contact : StoreContact
         Times at which the store answered.
+    proof : StateProof
+        Moment up to which this view includes every change.
     store_contact_at : float
         Time of the last contact with the store, direct or through another entry, in seconds of the
-        steady clock.
+        steady clock.  The view may be older: see `proof`.
     relayed_at : float
         Time at which an entry in contact with the store last passed on changes.
+    arrival : Arrival or None
+        How the configuration in force arrived; None if there is none, or it was not recorded.
     """
 
     def __init__(self, timings: CatalogTimings) -> None:
@@ -74,8 +83,11 @@
         self._restarted: set[str] = set()
         self.lapsed: dict[str, Lapse] = {}
         self.contact = StoreContact()
+        self.proof = StateProof()
         self._restored_at = -math.inf
         self.routing: Routing | None = None
+        self.arrival: Arrival | None = None
+        self.has_rejected_routing = False
         self.evacuated: set[str] = set()
         self.members: dict[str, MemberRecord] = {}
         self.sharers = SharerTable()
@@ -97,6 +109,8 @@
         match change:
             case RoutingSeen(routing, is_newest):
                 return self._apply_routing(routing, is_newest=is_newest)
+            case RoutingRejected(part):
+                return self._apply_rejection(part)
             case TargetSeen(record):
                 return self._apply_target(record, now)
             case TargetRemoved(incarnation):
@@ -182,6 +196,14 @@
         """Version of the configuration in force; 0 if there is none."""
         return self.routing.version if self.routing is not None else 0
 
+    def find_proof_age_s(self, now: float) -> float | None:
+        """Return the time since the moment up to which every change is known, in seconds.
+
+        None before the first full read.
+        """
+        age_s = now - self.proof.proven_at
+        return age_s if math.isfinite(age_s) else None
+
     def record_contact(self, answered_at: float) -> None:
         """Record a contact with the store, direct or through another entry."""
         self.store_contact_at = max(self.store_contact_at, answered_at)
@@ -275,14 +297,25 @@
         So is the store's newest one: operators may have written a wrong version before.
         """
         known = self.routing
-        if routing == known:
+        is_older = known is not None and routing.version < known.version
+        if is_older and not is_newest:
             return False
-        if known is not None and routing.version < known.version and not is_newest:
+        self.has_rejected_routing = False
+        if routing == known:
             return False
         self.routing = routing
         self._mark_changed()
         return True
 
+    def _apply_rejection(self, part: Routing | None) -> bool:
+        """Record that a configuration was rejected; use a part of it if there is no other."""
+        was_rejected, self.has_rejected_routing = self.has_rejected_routing, True
+        if self.routing is not None or part is None:
+            return not was_rejected
+        self.routing = part
+        self._mark_changed()
+        return True
+
     def _apply_target(self, record: TargetRecord, now: float) -> bool:
         """Apply a target's record; return whether it changed anything."""
         target = self._targets.get(record.incarnation)
--- a/halldoor/core/targets/route.py
+++ b/halldoor/core/targets/route.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from halldoor.core.teams.team import Team, TeamTable
+from halldoor.core.teams.team import Team, TeamTable, drop_shared_keys
 
 
 class RequestKind(StrEnum):
@@ -53,6 +53,8 @@
         Regions that may serve the route; any region if empty.
     is_public : bool
         Whether callers need no API key; their requests then belong to no team.
+    may_be_public : bool
+        Whether it can't be read if callers need a key: those without one are refused as not run.
     is_hedged : bool
         Whether a repeatable request that runs far longer than usual is sent to a second target.
     fault : str
@@ -73,6 +75,7 @@
     is_public: bool = False
     is_hedged: bool = False
     fault: str = ""
+    may_be_public: bool = False
 
 
 class TargetService(NamedTuple):
@@ -96,12 +99,43 @@
 
 
 class CallerLimits(NamedTuple):
-    """Limits on the size of a caller's request, in bytes, and on its times, in seconds."""
+    """Limits on the size of a caller's request, in bytes, and on its times, in seconds.
+
+    Attributes
+    ----------
+    may_be_wrong : bool
+        Whether operators may allow more, so that a request beyond them is refused as not run.
+    """
 
     head_bytes: int = 16_384
     body_bytes: int = 67_108_864
     head_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
+    may_be_wrong: bool = False
+
+
+class Unread(NamedTuple):
+    """What could not be read in a configuration that is in force nevertheless.
+
+    It is a property of the configuration, not of the entry: all entries refuse the same requests.
+
+    Attributes
+    ----------
+    hosts : frozenset of str
+        Hosts, in lower case, of routes whose path prefix can't be read.
+    has_routes : bool
+        Whether there may be routes whose host can't be read.
+    has_keys : bool
+        Whether teams may have keys that can't be read.
+    """
+
+    hosts: frozenset[str] = frozenset()
+    has_routes: bool = False
+    has_keys: bool = False
+
+    def may_have_route(self, host: str) -> bool:
+        """Check whether a request for a host may belong to a route that can't be read."""
+        return self.has_routes or _fold_host(host) in self.hosts
 
 
 class Routing(NamedTuple):
@@ -112,7 +146,9 @@
     teams : tuple of Team
         Teams that may call; if empty, anyone may.
     faults : tuple of str
-        What could not be read in its routes, for the log.
+        What could not be read in its resources, for the log.
+    unread : Unread
+        Routes and keys that are not in `routes` and `teams` because they can't be read.
     """
 
     version: int
@@ -121,6 +157,7 @@
     limits: CallerLimits
     teams: tuple[Team, ...] = ()
     faults: tuple[str, ...] = ()
+    unread: Unread = Unread()
 
     @property
     def has_downloads(self) -> bool:
@@ -131,7 +168,8 @@
 def check_routing(routing: Routing) -> None:
     """Check that the parts of a configuration are valid and consistent.
 
-    An inconsistent configuration is refused as a whole, so that it never takes effect in part.
+    An inconsistent configuration is rejected as a whole by an entry that holds another one, so that
+    it never takes effect in part: see `keep_consistent_part`.
     Routes with a fault are not checked: their requests are refused, and all others are served.
 
     Raises
@@ -145,10 +183,39 @@
     TeamTable(routing.teams)
 
 
+def keep_consistent_part(routing: Routing) -> Routing:
+    """Return a configuration whose inconsistent parts refuse their requests as not run.
+
+    It is for an entry that holds no other configuration.  Routes get a fault, or are left out if
+    their prefix is invalid, and teams that share a key lose it.
+    """
+    routes: list[Route] = []
+    hosts = set(routing.unread.hosts)
+    for route in routing.routes:
+        try:
+            check_routing(routing._replace(routes=(route,), teams=()))
+            routes.append(route)
+        except ValueError as exc:
+            if _is_prefix(route.path_prefix):
+                routes.append(route._replace(fault=str(exc)))
+            else:
+                hosts.add(_fold_host(route.host))
+    return routing._replace(
+        routes=tuple(routes),
+        teams=drop_shared_keys(routing.teams),
+        unread=routing.unread._replace(hosts=frozenset(hosts)),
+    )
+
+
+def _is_prefix(prefix: str) -> bool:
+    """Check whether a path prefix begins and ends with a slash."""
+    return prefix.startswith("/") and prefix.endswith("/")
+
+
 def _check_route(route: Route, services: Mapping[str, TargetService]) -> None:
     """Check one route's prefix and services; raise ValueError if one is invalid."""
     prefix = route.path_prefix
-    if not (prefix.startswith("/") and prefix.endswith("/")):
+    if not _is_prefix(prefix):
         raise ValueError(f"route {route.name}: prefix {prefix!r} must begin and end with a slash")
     for part in route.parts:
         if part.service not in services:
@@ -185,7 +252,7 @@
         path : str
             Path of the request, with or without its query.
         """
-        prefixes = self._by_host.get(host.partition(":")[0].lower())
+        prefixes = self._by_host.get(_fold_host(host))
         if prefixes is None:
             return None
         path = path.partition("?")[0]
@@ -196,3 +263,8 @@
                 return route
             end = path.rfind("/", 0, end)
         return None
+
+
+def _fold_host(host: str) -> str:
+    """Return the name in a ``Host`` header, without its port and in lower case."""
+    return host.partition(":")[0].lower()
--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -19,13 +19,14 @@
 from halldoor.core.decoding import DecodingError, decode_msgpack, decompress
 from halldoor.core.targets.proofs import compute_poll_proof
 from halldoor.core.targets.relay import Batch, WantedEra
+from halldoor.gateway.arrivals import Arrival
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.gateway.query import parse_query
 from halldoor.gateway.store import StoredItem
 
 RECORDS_PATH = "/records"
 PACKED = "packed"
-"""Query field by which an entry asks for compressed records."""
+"""Query field by which an entry accepts compressed records or changes."""
 COMPRESSION_LEVEL = 1
 
 
@@ -50,6 +51,10 @@
         Moment up to which every change is included, on the loop's clock.
     newest : int
         Revision of the newest page; no page holds a later change.
+    source : str
+        What sent the records, for the log.
+    took_s : float or None
+        Time that they took to arrive, in seconds; None if it is not known.
     """
 
     items: list[StoredItem]
@@ -57,6 +62,8 @@
     era: str
     proven_at: float
     newest: int = 0
+    source: str = ""
+    took_s: float | None = None
 
 
 class RecordSetAnswer(msgspec.Struct, frozen=True):
@@ -148,7 +155,7 @@
     Parameters
     ----------
     timeout_s : float
-        Time limit of the answer, in seconds; includes the other entry's wait for the store.
+        Time limit of the answer's head, in seconds; includes the other entry's wait for the store.
 
     Raises
     ------
@@ -159,9 +166,14 @@
     query[PACKED] = "1"
     sent_at = asyncio.get_running_loop().time()
     try:
-        answer = await client.call("GET", f"{RECORDS_PATH}?{urlencode(query)}", timeout_s=timeout_s)
+        answer = await client.call(
+            "GET",
+            f"{RECORDS_PATH}?{urlencode(query)}",
+            timeout_s=timeout_s,
+            arrival=Arrival(),
+        )
     except HttpCallError as exc:
-        raise ReaderSilentError(str(exc)) from exc
+        raise ReaderSilentError(exc.detail) from exc
     if answer.status != 200:
         raise ReaderLostError(f"it answered {answer.status}")
     try:
@@ -171,7 +183,7 @@
     if not wanted.is_satisfied_by(records.era):
         raise ReaderLostError(f"its records are of copy {records.era!r} of the store")
     proven_at = compute_poll_proof(sent_at=sent_at, held_s=0.0, age_s=records.age_s)
-    return RecordSet(items, records.revision, records.era, proven_at)
+    return RecordSet(items, records.revision, records.era, proven_at, took_s=answer.transfer_s)
 
 
 def decode_records(body: bytes) -> tuple[RecordSetAnswer, list[StoredItem]]:
