--- a/halldoor/gateway/confirming.py
+++ b/halldoor/gateway/confirming.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from halldoor.core.targets.proofs import StateProof
 from halldoor.core.targets.withdrawal import StoreView
@@ -17,6 +18,9 @@
 SHORTEST_PAUSE_S = 0.05
 """Shortest time between two checks of the state's age, in seconds."""
 
+TEAMS_CHECK_S = 0.25
+"""Time between two checks for teams, in seconds; there are none before the first configuration."""
+
 
 class StateConfirmer:
     """Task that asks the store for its revision where a refusal depends on the state's age.
@@ -27,6 +31,11 @@
         Records the revision.
     access : CallerAccess
         Provides the limits on the state's age, and requests confirmations.
+
+    Attributes
+    ----------
+    on_behind : callable
+        Called with the store's view where the state has not reached it.
     """
 
     def __init__(
@@ -41,6 +50,7 @@
         self._access = access
         self._metrics = metrics
         self._requested = asyncio.Event()
+        self.on_behind: Callable[[StoreView], None] = lambda _: None
         access.confirm = self.request
 
     def request(self) -> None:
@@ -69,17 +79,23 @@
 
         A request that came during the last confirmation was answered by it.
         """
-        timeout_s = None
-        if self._access.is_strict:
-            due_at = self._proof.proven_at + self._access.settings.confirmed_s
-            timeout_s = max(SHORTEST_PAUSE_S, due_at - asyncio.get_running_loop().time())
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._requested.wait()
-        except TimeoutError:
-            return
-        finally:
-            self._requested.clear()
+        while not self._requested.is_set():
+            try:
+                async with asyncio.timeout(self._find_wait_s()):
+                    await self._requested.wait()
+            except TimeoutError:
+                if self._access.is_strict:
+                    break
+        self._requested.clear()
+
+    def _find_wait_s(self) -> float | None:
+        """Return how long to wait for a request, in seconds; None without a limit."""
+        if not self._access.settings.is_strict:
+            return None
+        if not self._access.has_teams:
+            return TEAMS_CHECK_S
+        due_at = self._proof.proven_at + self._access.settings.confirmed_s
+        return max(SHORTEST_PAUSE_S, due_at - asyncio.get_running_loop().time())
 
     async def _confirm(self, now: float, *, limit_s: float) -> None:
         """Ask the store for its revision, and record it."""
@@ -90,4 +106,6 @@
             self._metrics.add_store_call("revision", "failed")
             return
         self._metrics.add_store_call("revision", "ok")
-        self._proof.record_revision(StoreView(self._store.era, revision), now)
+        view = StoreView(self._store.era, revision)
+        if not self._proof.record_revision(view, now):
+            self.on_behind(view)
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -6,7 +6,6 @@
 import math
 from collections.abc import Callable, Iterable, Sequence
 
-from halldoor.core.targets.arrival import Arrival
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import (
     Change,
@@ -16,6 +15,7 @@
     is_withdrawal,
 )
 from halldoor.core.targets.era import parse_era
+from halldoor.core.targets.provenance import Provenance
 from halldoor.core.targets.relay import WantedEra
 from halldoor.core.targets.sequence import RoutingSequence
 from halldoor.core.targets.withdrawal import StoreView
@@ -40,6 +40,7 @@
     StoredItem,
     StoreError,
 )
+from halldoor.gateway.tasks import is_cancelling
 
 BATCH_S = 0.6
 """Usual pause between a change and the next watch, in seconds.  The store charges for each watch
@@ -211,13 +212,10 @@
         before = self._era
         is_restored = self.is_loaded.is_set() and before != records.era
         now = self._record_contact(records.proven_at)
-        newest = max(records.revision, records.newest)
-        changes = self._sequence.mark_read(
-            self._decode_all(records.items),
-            StoreView(records.era, records.revision),
-            newest=newest,
-            in_force=self._catalog.routing,
-        )
+        view, newest = records.view, max(records.revision, records.newest)
+        changes = self._decode_all(records.items)
+        in_force = self._catalog.routing
+        changes = self._sequence.mark_read(changes, view, newest=newest, in_force=in_force)
         applied = self._catalog.apply_full_read(
             changes, now, is_restored=is_restored, on_failure=self._report_unapplied
         )
@@ -226,18 +224,17 @@
         self._unreported += applied
         if is_restored:
             self._metrics.add_store_call("range", "restored")
-            view = StoreView(records.era, records.revision)
             self._changes.log_restore(StoreView(before, self._last_revision), view)
         self._store.era = self._era = records.era
-        self._last_revision = self._begun_revision = records.revision
+        self._last_revision, self._begun_revision = records.revision, newest
         self._feed.reset_records(records)
         self._revision, self.updated_at = records.revision, now
         self.is_loaded.set()
         self._reader.limit_s = self._feed.settings.page_limit_s
         self._log.event("store", "Read all.", revision=records.revision, changes=len(applied))
         source = f"{records.source}, copy of the store" if is_restored else records.source
-        arrival = Arrival(source, records.revision, records.era, now, records.took_s)
-        self._changes.log_full_read(changes, applied, arrival)
+        provenance = Provenance(source, records.revision, records.era, now, records.took_s)
+        self._changes.log_full_read(changes, applied, provenance)
         self._catalog.contact.record_applied_until(records.proven_at)
         self._catalog.proof.record_update(self.view, records.proven_at)
         self._call_receivers(StoreView(records.era, newest))
@@ -303,7 +300,7 @@
         try:
             update = await task
         except asyncio.CancelledError:
-            if not task.cancelled() or _is_cancelling():
+            if not task.cancelled() or is_cancelling():
                 raise
             return
         finally:
@@ -318,19 +315,20 @@
             now = self._record_substitute(update)
         else:
             now = self._record_contact(update.proven_at)
-        self._begun_revision = events.revision
-        arrival = Arrival(update.source, events.revision, self._era, now, events.transfer_s)
+        self._begun_revision = max(self._begun_revision, events.revision)
+        provenance = Provenance(update.source, events.revision, self._era, now, events.transfer_s)
         changes = self._decode_all(events.items)
         for change in self._sequence.mark_events(changes, events.revision):
             if self._catalog.apply(change, now):
                 self._record_applied(change)
-                self._changes.log(change, arrival)
+                self._changes.log(change, provenance)
             else:
-                self._changes.log_ignored(change, arrival)
+                self._changes.log_ignored(change, provenance)
         # The store's own answer includes all removals up to its return, whenever it was sent.
         self._catalog.contact.record_applied_until(update.proven_at if update.is_relayed else now)
         self._revision = self._last_revision = events.revision
-        self._catalog.proof.record_update(self.view, update.proven_at)
+        proven_at = -math.inf if self._sequence.is_repeating else update.proven_at
+        self._catalog.proof.record_update(self.view, proven_at)
         self.updated_at = now
         self._feed.record_update(revision, update)
         self._call_receivers(self.view)
@@ -400,9 +398,3 @@
         if not self._has_lost_contact:
             self._has_lost_contact = True
             self._log.event("store", "Contact is lost.", cause=cause)
-
-
-def _is_cancelling() -> bool:
-    """Check whether the running task itself is being cancelled."""
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
--- a/halldoor/tests/test_losses.py
+++ b/halldoor/tests/test_losses.py
@@ -15,7 +15,7 @@
 from halldoor.gateway.losses import LossLog
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.polls import Poll, send_poll
-from halldoor.tests.test_arrival import read_lines
+from halldoor.tests.test_provenance import read_lines
 
 PART = b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + b"x" * 40_000
 
@@ -52,7 +52,9 @@
     asyncio.run(check())
 
 
-def test_cause_of_a_lost_reader_does_not_name_what_arrived():
+def test_cause_of_a_lost_reader_does_not_name_what_arrived(monkeypatch):
+    monkeypatch.setattr("halldoor.gateway.arrivals.SILENCE_S", 0.3)
+
     async def check():
         async with open_client() as (client, _):
             poll = Poll(1, 0.1, "")
