--- a/halldoor/gateway/access.py
+++ b/halldoor/gateway/access.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from random import Random
 
@@ -11,6 +12,7 @@
     AccessSettings,
     AccessTable,
     AdmittedRequest,
+    ConfigurationAge,
     Refusal,
     RefusalReason,
 )
@@ -33,6 +35,11 @@
         Notified when the set of routes changes.
     is_confirming : callable
         Returns whether the process was suspended and has not reached the store since.
+
+    Attributes
+    ----------
+    confirm : callable
+        Called to confirm the configuration where a refusal depends on its age.
     """
 
     def __init__(
@@ -52,6 +59,7 @@
         self.settings = settings
         self._random = Random()
         self._is_confirming = is_confirming
+        self.confirm: Callable[[], None] = lambda: None
         self._table: AccessTable | None = None
 
     @property
@@ -60,6 +68,11 @@
         table = self.find_table()
         return table is not None and table.has_teams
 
+    @property
+    def is_strict(self) -> bool:
+        """Check whether callers' keys are refused where the configuration may be old."""
+        return self.settings.is_strict and self.has_teams
+
     def find_table(self) -> AccessTable | None:
         """Return the current routes and teams; None before a configuration was received."""
         routing = self._catalog.routing
@@ -71,6 +84,19 @@
             self.gate.set_limits(self._table.teams.get_limits())
         return self._table
 
+    def may_be_outdated(self) -> bool:
+        """Check whether operators may have allowed since what this entry would refuse."""
+        if self._catalog.routing is None or self._is_confirming():
+            return True
+        now = asyncio.get_running_loop().time()
+        return self.find_age(now).is_stale(self.settings.stale_s)
+
+    def find_age(self, now: float) -> ConfigurationAge:
+        """Return the age of the configuration in force."""
+        proof = self._catalog.proof
+        is_behind = proof.is_behind or self._catalog.has_rejected_routing
+        return ConfigurationAge(now - proof.proven_at, is_behind)
+
     def is_repeatable(self, head: Head) -> bool:
         """Check whether a request belongs to a route whose requests may run more than once."""
         table = self.find_table()
@@ -88,16 +114,19 @@
         table = self.find_table()
         if table is None:
             return Refusal(RefusalReason.NO_CONFIGURATION)
-        return table.admit_request(
+        admission = table.admit_request(
             find(head.headers, b"host").decode("latin-1"),
             head.target.decode("latin-1"),
             find(head.headers, self._names.credentials),
             gate=self.gate,
             now=now,
-            age_s=now - self._catalog.store_contact_at,
+            age=self.find_age(now),
             entries=self._catalog.count_sharers(now),
             settings=self.settings,
         )
+        if isinstance(admission, Refusal) and admission.reason.depends_on_age:
+            self.confirm()
+        return admission
 
     def build_answer(self, refusal: Refusal) -> Answer:
         """Build the answer to a refused request, with the quota's retry time if it has one."""
--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -21,6 +21,7 @@
 from halldoor.core.targets.history import Batch
 from halldoor.core.targets.proofs import compute_poll_proof
 from halldoor.core.targets.relay import WantedEra
+from halldoor.core.targets.withdrawal import StoreView
 from halldoor.gateway.arrivals import Arrival
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.gateway.query import parse_query
@@ -53,6 +54,10 @@
         Moment up to which every change is included, on the loop's clock.
     newest : int
         Revision of the newest page; no page holds a later change.
+    source : str
+        What sent the records, for the log.
+    took_s : float or None
+        Time that they took to arrive, in seconds; None if it is not known.
     """
 
     items: list[StoredItem]
@@ -60,6 +65,13 @@
     era: str
     proven_at: float
     newest: int = 0
+    source: str = ""
+    took_s: float | None = None
+
+    @property
+    def view(self) -> StoreView:
+        """Era and revision up to which every change is included."""
+        return StoreView(self.era, self.revision)
 
 
 class RecordSetAnswer(msgspec.Struct, frozen=True):
@@ -174,7 +186,7 @@
             arrival=Arrival(),
         )
     except HttpCallError as exc:
-        raise ReaderSilentError(str(exc)) from exc
+        raise ReaderSilentError(exc.detail) from exc
     if answer.status != 200:
         raise ReaderLostError(f"it answered {answer.status}")
     try:
@@ -186,7 +198,7 @@
     if records.age_s > age_limit_s:
         raise ReaderLostError(f"its state is {records.age_s:.2f} s old")
     proven_at = compute_poll_proof(sent_at=sent_at, held_s=0.0, age_s=records.age_s)
-    return RecordSet(items, records.revision, records.era, proven_at)
+    return RecordSet(items, records.revision, records.era, proven_at, took_s=answer.transfer_s)
 
 
 def decode_records(body: bytes) -> tuple[RecordSetAnswer, list[StoredItem]]:
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -137,6 +137,8 @@
         Whether changes that were undone before the newest revision may be left out.
     is_receiving : bool
         Whether the entry that sent the changes waits long for the next ones.
+    source : str
+        What sent the changes, for the log.
     """
 
     events: Events
@@ -145,6 +147,7 @@
     is_substitute: bool = False
     is_difference: bool = False
     is_receiving: bool = False
+    source: str = ""
 
     def to_batch(self, after: int) -> Batch[StoredItem]:
         """Return the changes after a revision as a batch for followers."""
@@ -247,7 +250,7 @@
             arrival=arrival if arrival is not None else Arrival(),
         )
     except HttpCallError as exc:
-        raise ReaderSilentError(str(exc)) from exc
+        raise ReaderSilentError(exc.detail) from exc
     try:
         changes = decode_poll_answer(answer.status, answer.body)
         items = unpack_items(changes.items) if isinstance(changes, RelayedChanges) else []
@@ -264,7 +267,7 @@
     if not isinstance(changes, RelayedChanges):
         raise ReaderLostError(f"it answered {answer.status}")
     proven_at = compute_poll_proof(sent_at=sent_at, held_s=changes.held_s, age_s=changes.age_s)
-    events = Events(items, changes.revision)
+    events = Events(items, changes.revision, answer.transfer_s)
     return Update(
         events,
         proven_at,
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -16,6 +16,7 @@
 from halldoor.core.teams.gate import QuotaGate
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.caller import CallerConnection
+from halldoor.gateway.confirming import StateConfirmer
 from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.entryweights import EntryWeighing
 from halldoor.gateway.eventlog import EventLog
@@ -228,7 +229,7 @@
 
     def _build_store_tasks(self, store: MetadataStore, codec: RecordCodec) -> None:
         """Create the components that follow the store and register this entry in it."""
-        tasks = StoreTasks.from_config(
+        self.feed, self.sync, self.store_notices, self.registration = StoreTasks.from_config(
             self.settings,
             store=store,
             codec=codec,
@@ -239,7 +240,8 @@
             log=self.log,
             metrics=self.metrics,
         )
-        self.feed, self.sync, self.store_notices, self.registration = tasks
+        self.confirmer = StateConfirmer(store, self.catalog.proof, self.access, self.metrics)
+        self.confirmer.on_behind = self.store_notices.expect
         self._dispatcher = ChangeDispatcher(
             self.settings.name,
             self.catalog,
@@ -354,8 +356,7 @@
             return
         self.is_stopping = True
         self._reporter.call("stop", self.ports.stop_waiting)
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + self.settings.grace_s
+        deadline = asyncio.get_running_loop().time() + self.settings.grace_s
         self.log.event("process", "Stopping.", running=self.requests.running)
         if self._registering is None:
             await self._shut_down()  # It was still starting, so no caller was directed here.
@@ -363,7 +364,7 @@
         await stop_task(self._registering)
         for caller in list(self._callers):
             caller.is_closing = True
-        leaving = loop.create_task(self.registration.leave())
+        leaving = asyncio.create_task(self.registration.leave())
         if self._front.opened.is_set():
             # Some callers keep a look-up's answer for three times its lifetime.
             await asyncio.sleep(min(3 * self.settings.lookup_ttl_s, self.settings.grace_s / 2))
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -9,12 +9,14 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from functools import partial
 from random import Random
 
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.proofs import compute_watch_proof, find_watch_slot_wait
+from halldoor.core.targets.provenance import STORE_WATCH
 from halldoor.core.targets.relay import (
     RelaySettings,
     WantedEra,
@@ -27,6 +29,7 @@
 from halldoor.gateway.caller import CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.handover import (
+    RECORDS_PATH,
     ReaderLostError,
     ReaderSilentError,
     RecordSet,
@@ -35,12 +38,15 @@
 )
 from halldoor.gateway.httpclient import HttpClient
 from halldoor.gateway.keptcall import HELP_PAUSE_S, HELP_S, CallKeeper, KeptCall, discard
+from halldoor.gateway.losses import LossLog
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.polls import Poll, Update, send_poll
+from halldoor.gateway.polls import CHANGES_PATH, Poll, Update, send_poll
 from halldoor.gateway.publishing import ChangePublisher
 from halldoor.gateway.store import HistoryGoneError, MetadataStore
 from halldoor.gateway.substitute import SubstituteReader
 
+_KINDS = {CHANGES_PATH: "poll", RECORDS_PATH: "records"}
+
 
 class ChangeFeed:
     """Source of the store's changes after a revision: the store itself or a reader of it.
@@ -77,7 +83,8 @@
         metrics: GatewayMetrics,
         open_client: Callable[[Address], HttpClient] = HttpClient,
     ) -> None:
-        self._open_client = open_client
+        losses = LossLog("relay", log=log, metrics=metrics)
+        self._open_client = partial(_open_counted, open_client, losses)
         self._store = store
         self._own = own
         self._catalog = catalog
@@ -106,7 +113,12 @@
         self.random = Random(own.name)
         self._phase = self.random.random()
         self._substitute = SubstituteReader(
-            own, catalog, settings=settings, log=log, metrics=metrics, open_client=open_client
+            own,
+            catalog,
+            settings=settings,
+            log=log,
+            metrics=metrics,
+            open_client=self._open_client,
         )
 
     @property
@@ -280,7 +292,7 @@
         proven_at = compute_watch_proof(
             sent_at=sent_at, wait_s=wait_s, returned_at=_now(), has_changes=bool(events.items)
         )
-        return Update(events, proven_at)
+        return Update(events, proven_at, source=STORE_WATCH)
 
     async def _poll(self, revision: int) -> Update | None:
         """Poll the reader once for changes after a revision; None if its answer arrives slowly."""
@@ -303,6 +315,7 @@
         if update is None:
             self.leave_reader("its answer takes long")
             return None
+        update = update._replace(source=f"reader {self._reader.name}")
         age_s = _now() - update.proven_at
         self._metrics.add_relayed(len(update.events.items), age_s)
         if age_s > self.settings.age_limit_s:
@@ -354,7 +367,7 @@
         self._metrics.add_relayed(count, age_s)
         shown = {"reader": reader.name, "records": count, "age_ms": round(age_s * 1000)}
         self._log.event("relay", "Received all records from a reader.", **shown)
-        return records
+        return records._replace(source=f"reader {reader.name}")
 
     def reset_records(self, records: RecordSet) -> None:
         """Replace the records with those of a full read, and publish the difference to followers.
@@ -393,6 +406,15 @@
             self._client = None
 
 
+def _open_counted(
+    open_client: Callable[[Address], HttpClient], losses: LossLog, address: Address
+) -> HttpClient:
+    """Open a client whose lost answers are recorded."""
+    client = open_client(address)
+    client.on_loss = lambda loss: losses.record(_KINDS.get(loss.path, "other"), loss)
+    return client
+
+
 def _now() -> float:
     """Return the time of the loop's clock."""
     return asyncio.get_running_loop().time()
