--- a/benchmarks/refusals.py
+++ b/benchmarks/refusals.py
@@ -29,7 +29,7 @@
 from halldoor.gateway.httpclient import HttpClient
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.polls import OtherEraError, Poll, Update, send_poll
-from halldoor.gateway.store import MetadataStore, Page, StoreError
+from halldoor.gateway.store import MetadataStore, StoreError
 from halldoor.gateway.storenotices import StoreNoticeExchange
 from halldoor.standins.modelentry import ModelClient, ModelEntry
 from halldoor.standins.storefleet import IP, StoreFleet
@@ -158,7 +158,7 @@
     def _build_neighbour(self, entry: ModelEntry) -> SimpleNamespace:
         """Return a source of the revision that a neighbour holds, and records its proof."""
 
-        async def read_range(prefix: str) -> Page:
+        async def read_revision() -> int:
             ports = [p for p, e in self.fleet.entries.items() if e is not entry]
             address = Address(IP, self.random.choice(ports))
             client = ModelClient(self.fleet, address, entry.node)
@@ -177,7 +177,7 @@
             entry.catalog.proof.record_revision(view, update.proven_at)
             raise StoreError("The neighbour's proof is older than its answer.", remedy="")
 
-        return SimpleNamespace(read_range=read_range, era="")
+        return SimpleNamespace(read_revision=read_revision, era="")
 
     async def ask_new(self, port: int, until: float) -> None:
         """Request routes of the newest configuration at an entry."""
--- a/halldoor/core/targets/changes.py
+++ b/halldoor/core/targets/changes.py
@@ -82,10 +82,25 @@
     ----------
     is_newest : bool
         Whether the store holds no later one, so that it is in force whatever its version.
+    size_bytes : int
+        Size of its record, for the log.
     """
 
     routing: Routing
     is_newest: bool = False
+    size_bytes: int = 0
+
+
+class RoutingRejected(NamedTuple):
+    """The operators wrote a configuration that can't be read as a whole, or is inconsistent.
+
+    Attributes
+    ----------
+    part : Routing or None
+        What an entry without a configuration may serve of it; None if it can't be read.
+    """
+
+    part: Routing | None = None
 
 
 class TargetSeen(NamedTuple):
@@ -133,6 +148,7 @@
 
 Change = (
     RoutingSeen
+    | RoutingRejected
     | TargetSeen
     | TargetRemoved
     | EvacuationSet
--- a/halldoor/core/targets/relay.py
+++ b/halldoor/core/targets/relay.py
@@ -14,18 +14,13 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from collections.abc import Iterable, Sequence
-from typing import Generic, NamedTuple, TypeVar
+from typing import NamedTuple
 
 from halldoor.core.placement import rank
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.era import parse_era
 
-T = TypeVar("T")
-
-BATCHES_KEPT = 64
-"""Batches of changes that an entry keeps for its followers: 20 s at three batches a second."""
 OWN_PAUSE_SHARE = 0.42
 """Time between two watch slots of an entry without followers, as part of the bound."""
 OWN_PAUSE_LIMIT_S = 1.3
@@ -62,6 +57,11 @@
 A store that is about to drop its history may accept such a watch, and answer it only at the next
 change.
 """
+RECEIVE_SHARE = 0.25
+"""Time that a reader may need for an answer of the store, as part of the bound, before followers
+watch the store themselves: what the reader receives it still has to send to each of them."""
+WATCH_S = 28.0
+"""Longest wait of a watch by an entry without followers, in seconds; the store allows 30."""
 RETRY_S = 0.05
 """Longest pause before the first retry of a call to the store, in seconds.  Pauses differ, so that
 entries whose calls failed together retry at different times."""
@@ -226,6 +226,11 @@
         """Time limit for a page of the store, in seconds, before slower pages were measured."""
         return PAGE_SHARE * self.bound_s
 
+    @property
+    def receive_limit_s(self) -> float:
+        """Time for an answer of the store for which followers wait, in seconds."""
+        return RECEIVE_SHARE * self.bound_s
+
     @property
     def budget(self) -> Budget:
         """Division of the bound among the steps by which a change reaches an entry."""
@@ -245,6 +250,39 @@
         """Return how long a reader's watch waits, in seconds; shorter if a pause aged its proof."""
         return (BUSY_SHARE if is_after_changes else QUIET_SHARE) * self.bound_s
 
+    def find_watch_wait_s(
+        self,
+        *,
+        is_reader: bool,
+        is_after_changes: bool,
+        has_reader: bool,
+        is_unsettled: bool,
+        has_contact: bool,
+        is_resumed: bool,
+    ) -> float:
+        """Return how long a watch waits for changes, in seconds.
+
+        Parameters
+        ----------
+        is_reader, has_reader : bool
+            Whether the entry reads for others, or lost its reader, which it follows again later.
+        is_unsettled : bool
+            Whether the revision may be one that the store has not reached.
+        has_contact : bool
+            Whether the store answered lately; otherwise a substitute is looked for again soon.
+        is_resumed : bool
+            Whether the watch is the first one after a cut one or a poll.
+        """
+        wait_s = WATCH_S
+        if is_reader:
+            # Shorter, as each return proves the reader's state to its followers.
+            wait_s = self.find_watch_s(is_after_changes=is_after_changes)
+        elif has_reader or not has_contact:
+            wait_s = self.direct_s
+        if is_unsettled:
+            wait_s = min(wait_s, self.find_watch_s(is_after_changes=False))
+        return min(wait_s, self.resume_s) if is_resumed else wait_s
+
     def find_pause_s(self, age_s: float, *, entries: int) -> float:
         """Return how long a reader pauses after changes, in seconds.
 
@@ -286,13 +324,38 @@
     Returns
     -------
     list of MemberRecord
-        The first ones by rendezvous hash; empty if the hall is too small for readers.
+        Those with the widest links, and among about equal ones the first by rendezvous hash; empty
+        if the hall is too small for readers.
     """
     known = list_hall(members, hall)
     if len(known) < settings.least_entries:
         return []
     count = math.ceil(len(known) / settings.followers_per_reader)
-    return [known[name] for name in rank(hall, known)[:count]]
+    return sort_by_link([known[name] for name in rank(hall, known)])[:count]
+
+
+def sort_by_link(members: Sequence[MemberRecord]) -> list[MemberRecord]:
+    """Sort entries by the width of their links, the widest first; about equal ones stay in order.
+
+    Links are about equal if they lie between the same two halvings of the widest.  One that is not
+    stated counts as the widest.
+    """
+    widest = max((m.link_mbps for m in members if m.link_mbps is not None), default=1.0)
+
+    def count_halvings(member: MemberRecord) -> int:
+        if member.link_mbps is None:
+            return 0
+        return math.floor(math.log2(widest) - math.log2(member.link_mbps))
+
+    return sorted(members, key=count_halvings)
+
+
+def has_wider_link(members: Iterable[MemberRecord], own: MemberRecord) -> bool:
+    """Check whether an entry has a link of more than twice the width of the own one."""
+    if own.link_mbps is None:
+        return False
+    limit = 2 * own.link_mbps
+    return any(m.link_mbps is not None and m.link_mbps > limit for m in members)
 
 
 def choose_reader(own_name: str, readers: Sequence[MemberRecord]) -> MemberRecord | None:
@@ -333,61 +396,3 @@
         if number is None or left is None or newest is None:
             return False
         return number > max(left, newest)
-
-
-class Batch(NamedTuple, Generic[T]):
-    """The changes of one update.
-
-    Attributes
-    ----------
-    after, revision : int
-        The batch contains all changes after the first revision up to the second.
-    is_difference : bool
-        Whether changes undone between the two revisions are left out, so that the batch can be
-        applied only to the state at the first revision, not to one in between.
-    """
-
-    after: int
-    revision: int
-    items: Sequence[T]
-    is_difference: bool = False
-
-
-class ChangeHistory(Generic[T]):
-    """The last changes that an entry applied, in order and without a gap."""
-
-    def __init__(self) -> None:
-        self._batches: deque[Batch[T]] = deque(maxlen=BATCHES_KEPT)
-
-    def has_changes_after(self, after: int) -> bool:
-        """Check whether a follower at a revision gets its answer at once, without waiting."""
-        return not self._batches or self._batches[-1].revision > after
-
-    def add(self, batch: Batch[T]) -> None:
-        """Add a batch; one that does not follow the last one starts a new history."""
-        if self._batches and self._batches[-1].revision != batch.after:
-            self._batches.clear()
-        can_extend = self._batches and not self._batches[-1].is_difference
-        if batch.items or batch.is_difference or not can_extend:
-            self._batches.append(batch)
-        else:
-            last = self._batches.pop()
-            self._batches.append(last._replace(revision=batch.revision))
-
-    def collect(self, after: int) -> Batch[T] | None:
-        """Return all changes after a revision; None if the history lacks some of them.
-
-        A follower that is ahead of its reader gets an empty batch.  If the revision lies within a
-        batch, changes up to it are repeated: applied in order they lead to the same state.
-        """
-        if not self._batches or after < self._batches[0].after:
-            return None
-        wanted = [batch for batch in self._batches if batch.revision > after]
-        if wanted and wanted[0].is_difference and wanted[0].after < after:
-            return None
-        return Batch(
-            after=after,
-            revision=max(after, self._batches[-1].revision),
-            items=[item for batch in wanted for item in batch.items],
-            is_difference=any(batch.is_difference for batch in wanted),
-        )
--- a/halldoor/gateway/confirming.py
+++ b/halldoor/gateway/confirming.py
@@ -15,14 +15,12 @@
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.store import MetadataStore, StoreError
 
-UNUSED_PREFIX = "unused/"
-"""Prefix of no key: a page of it names the store's revision and holds nothing, so that it also
-passes a link that is busy with a large answer."""
-
-
 SHORTEST_PAUSE_S = 0.05
 """Shortest time between two checks of the state's age, in seconds."""
 
+TEAMS_CHECK_S = 0.25
+"""Time between two checks for teams, in seconds; there are none before the first configuration."""
+
 
 class StateConfirmer:
     """Task that asks the store for its revision where a refusal depends on the state's age.
@@ -81,27 +79,33 @@
 
         A request that came during the last confirmation was answered by it.
         """
-        timeout_s = None
-        if self._access.is_strict:
-            due_at = self._proof.proven_at + self._access.settings.confirmed_s
-            timeout_s = max(SHORTEST_PAUSE_S, due_at - asyncio.get_running_loop().time())
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._requested.wait()
-        except TimeoutError:
-            return
-        finally:
-            self._requested.clear()
+        while not self._requested.is_set():
+            try:
+                async with asyncio.timeout(self._find_wait_s()):
+                    await self._requested.wait()
+            except TimeoutError:
+                if self._access.is_strict:
+                    break
+        self._requested.clear()
+
+    def _find_wait_s(self) -> float | None:
+        """Return how long to wait for a request, in seconds; None without a limit."""
+        if not self._access.settings.is_strict:
+            return None
+        if not self._access.has_teams:
+            return TEAMS_CHECK_S
+        due_at = self._proof.proven_at + self._access.settings.confirmed_s
+        return max(SHORTEST_PAUSE_S, due_at - asyncio.get_running_loop().time())
 
     async def _confirm(self, now: float, *, limit_s: float) -> None:
         """Ask the store for its revision, and record it."""
         try:
             async with asyncio.timeout(limit_s):
-                page = await self._store.read_range(UNUSED_PREFIX)
+                revision = await self._store.read_revision()
         except (StoreError, TimeoutError):
             self._metrics.add_store_call("revision", "failed")
             return
         self._metrics.add_store_call("revision", "ok")
-        view = StoreView(self._store.era, page.revision)
+        view = StoreView(self._store.era, revision)
         if not self._proof.record_revision(view, now):
             self.on_behind(view)
--- a/halldoor/gateway/handover.py
+++ b/halldoor/gateway/handover.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import zlib
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -17,15 +18,18 @@
 
 from halldoor.core.bounds import Revision, SignedSeconds
 from halldoor.core.decoding import DecodingError, decode_msgpack, decompress
+from halldoor.core.targets.history import Batch
 from halldoor.core.targets.proofs import compute_poll_proof
-from halldoor.core.targets.relay import Batch, WantedEra
+from halldoor.core.targets.relay import WantedEra
+from halldoor.core.targets.withdrawal import StoreView
+from halldoor.gateway.arrivals import Arrival
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.gateway.query import parse_query
 from halldoor.gateway.store import StoredItem
 
 RECORDS_PATH = "/records"
 PACKED = "packed"
-"""Query field by which an entry asks for compressed records."""
+"""Query field by which an entry accepts compressed records or changes."""
 COMPRESSION_LEVEL = 1
 
 
@@ -50,6 +54,10 @@
         Moment up to which every change is included, on the loop's clock.
     newest : int
         Revision of the newest page; no page holds a later change.
+    source : str
+        What sent the records, for the log.
+    took_s : float or None
+        Time that they took to arrive, in seconds; None if it is not known.
     """
 
     items: list[StoredItem]
@@ -57,6 +65,13 @@
     era: str
     proven_at: float
     newest: int = 0
+    source: str = ""
+    took_s: float | None = None
+
+    @property
+    def view(self) -> StoreView:
+        """Era and revision up to which every change is included."""
+        return StoreView(self.era, self.revision)
 
 
 class RecordSetAnswer(msgspec.Struct, frozen=True):
@@ -142,13 +157,18 @@
         return msgspec.msgpack.encode(answer)
 
 
-async def request_records(client: HttpClient, wanted: WantedEra, *, timeout_s: float) -> RecordSet:
+async def request_records(
+    client: HttpClient, wanted: WantedEra, *, timeout_s: float, age_limit_s: float = math.inf
+) -> RecordSet:
     """Request all records from another entry.
 
     Parameters
     ----------
     timeout_s : float
-        Time limit of the answer, in seconds; includes the other entry's wait for the store.
+        Time limit of the answer's head, in seconds; includes the other entry's wait for the store.
+    age_limit_s : float, optional
+        Greatest age of the records when they are sent, in seconds.  They may get older on the way,
+        as the next call brings the changes since.
 
     Raises
     ------
@@ -159,9 +179,14 @@
     query[PACKED] = "1"
     sent_at = asyncio.get_running_loop().time()
     try:
-        answer = await client.call("GET", f"{RECORDS_PATH}?{urlencode(query)}", timeout_s=timeout_s)
+        answer = await client.call(
+            "GET",
+            f"{RECORDS_PATH}?{urlencode(query)}",
+            timeout_s=timeout_s,
+            arrival=Arrival(),
+        )
     except HttpCallError as exc:
-        raise ReaderSilentError(str(exc)) from exc
+        raise ReaderSilentError(exc.detail) from exc
     if answer.status != 200:
         raise ReaderLostError(f"it answered {answer.status}")
     try:
@@ -170,8 +195,10 @@
         raise ReaderLostError(f"its answer can't be read: {exc}") from exc
     if not wanted.is_satisfied_by(records.era):
         raise ReaderLostError(f"its records are of copy {records.era!r} of the store")
+    if records.age_s > age_limit_s:
+        raise ReaderLostError(f"its state is {records.age_s:.2f} s old")
     proven_at = compute_poll_proof(sent_at=sent_at, held_s=0.0, age_s=records.age_s)
-    return RecordSet(items, records.revision, records.era, proven_at)
+    return RecordSet(items, records.revision, records.era, proven_at, took_s=answer.transfer_s)
 
 
 def decode_records(body: bytes) -> tuple[RecordSetAnswer, list[StoredItem]]:
--- a/halldoor/gateway/reading.py
+++ b/halldoor/gateway/reading.py
@@ -10,6 +10,7 @@
 import math
 from collections.abc import Callable
 
+from halldoor.core.targets.provenance import STORE_PAGES
 from halldoor.gateway.handover import RecordSet
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.store import HistoryGoneError, MetadataStore, Page, StoreError
@@ -96,7 +97,15 @@
         items = [item for page in self._pages for item in page.items]
         revisions = [page.revision for page in self._pages]
         self.clear()
-        return RecordSet(items, min(revisions), self._era, self._began_at, newest=max(revisions))
+        return RecordSet(
+            items,
+            min(revisions),
+            self._era,
+            self._began_at,
+            newest=max(revisions),
+            source=STORE_PAGES,
+            took_s=asyncio.get_running_loop().time() - self._began_at,
+        )
 
     async def _read_page(self, *, after: str) -> None:
         """Read the page after a key, and append it to the kept pages."""
@@ -116,7 +125,7 @@
         self._on_page(page, era)
 
     async def _call(self, after: str) -> Page:
-        """Read a page within a time limit.
+        """Read a page within a time limit for the head of the store's answer.
 
         The limit doubles after each timeout, so that a slow link or store answers in the end.
 
@@ -128,13 +137,17 @@
         loop = asyncio.get_running_loop()
         limit_s = max(self.limit_s, self._adaptive_limit_s)
         sent_at = loop.time()
+        call = asyncio.ensure_future(self._store.read_range("", after=after))
         try:
-            async with asyncio.timeout(limit_s):
-                page = await self._store.read_range("", after=after)
-        except TimeoutError as exc:
-            self._adaptive_limit_s = TIMEOUT_FACTOR * limit_s
-            raise StoreError(
-                f"No page within {limit_s:.2f} s.", remedy="Check the store and the link to it."
-            ) from exc
+            await asyncio.wait([call], timeout=None if math.isinf(limit_s) else limit_s)
+            arrival = self._store.page_arrival
+            if not call.done() and not (arrival is not None and arrival.has_begun):
+                self._adaptive_limit_s = TIMEOUT_FACTOR * limit_s
+                raise StoreError(
+                    f"No page within {limit_s:.2f} s.", remedy="Check the store and the link to it."
+                )
+            page = await call
+        finally:
+            call.cancel()
         self._adaptive_limit_s = TIMEOUT_FACTOR * (loop.time() - sent_at)
         return page
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -8,26 +8,25 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Callable, Iterable
+from functools import partial
 from random import Random
 
-import msgspec
-
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.proofs import compute_watch_proof, find_watch_slot_wait
+from halldoor.core.targets.provenance import STORE_WATCH
 from halldoor.core.targets.relay import (
-    Batch,
-    ChangeHistory,
     RelaySettings,
     WantedEra,
     choose_reader,
     choose_readers,
+    has_wider_link,
     list_hall,
 )
-from halldoor.gateway.caller import Answer, CallerConnection, Head
+from halldoor.gateway.arrivals import Arrival
+from halldoor.gateway.caller import CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.handover import (
     RECORDS_PATH,
@@ -35,29 +34,18 @@
     ReaderSilentError,
     RecordSet,
     RecordTable,
-    accepts_packed,
-    parse_wanted_era,
     request_records,
 )
 from halldoor.gateway.httpclient import HttpClient
+from halldoor.gateway.keptcall import HELP_PAUSE_S, HELP_S, CallKeeper, KeptCall, discard
+from halldoor.gateway.losses import LossLog
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.polls import (
-    OTHER_ERA,
-    ContactLostError,
-    NoChanges,
-    Poll,
-    RelayedChanges,
-    Update,
-    parse_poll,
-    send_poll,
-)
-from halldoor.gateway.store import Events, HistoryGoneError, MetadataStore, StoredItem
+from halldoor.gateway.polls import CHANGES_PATH, Poll, Update, send_poll
+from halldoor.gateway.publishing import ChangePublisher
+from halldoor.gateway.store import HistoryGoneError, MetadataStore
 from halldoor.gateway.substitute import SubstituteReader
 
-CONTACT_CHECK_S = 0.25
-"""Period of checking for contact with the store while a watch waits, in seconds."""
-WATCH_S = 28.0
-"""Longest wait of a watch by an entry without followers, in seconds; the store allows 30."""
+_KINDS = {CHANGES_PATH: "poll", RECORDS_PATH: "records"}
 
 
 class ChangeFeed:
@@ -95,7 +83,8 @@
         metrics: GatewayMetrics,
         open_client: Callable[[Address], HttpClient] = HttpClient,
     ) -> None:
-        self._open_client = open_client
+        losses = LossLog("relay", log=log, metrics=metrics)
+        self._open_client = partial(_open_counted, open_client, losses)
         self._store = store
         self._own = own
         self._catalog = catalog
@@ -105,30 +94,56 @@
         self._metrics = metrics
         self._client: HttpClient | None = None
         self._reader: MemberRecord | None = None
+        self._keeper = CallKeeper()
         self._is_reader = False
         self._hall_entries = 0
         self._members_version = -1
         self._direct_until = 0.0
         self._no_handover_until = 0.0
-        self._proven_at = -math.inf
         self._is_hasty = self._is_pause_due = False
         self._has_watched = False
-        self._records = RecordTable()
-        self._history: ChangeHistory[StoredItem] = ChangeHistory()
-        self._is_recording = False
-        self._updated = asyncio.Event()
+        self._publisher = ChangePublisher(
+            catalog,
+            metrics=metrics,
+            get_settings=lambda: self.settings,
+            has_contact=lambda: self.has_contact,
+            is_receiving=self._is_receiving,
+        )
         self._pause_skipped = asyncio.Event()
         self.random = Random(own.name)
         self._phase = self.random.random()
         self._substitute = SubstituteReader(
-            own, catalog, settings=settings, log=log, metrics=metrics, open_client=open_client
+            own,
+            catalog,
+            settings=settings,
+            log=log,
+            metrics=metrics,
+            open_client=self._open_client,
         )
 
+    @property
+    def _records(self) -> RecordTable:
+        """All records of the store."""
+        return self._publisher.records
+
     @property
     def has_contact(self) -> bool:
         """Whether the store answered this entry or its reader within the contact limit."""
         return _now() - self._catalog.store_contact_at <= self.settings.contact_limit_s
 
+    @property
+    def is_answer_arriving(self) -> bool:
+        """Whether the answer to a watch of the store is arriving."""
+        arrival = self._store.watch_arrival
+        return arrival is not None and arrival.has_begun
+
+    def _is_receiving(self) -> bool:
+        """Check whether an answer of the store takes this entry, and each other, long."""
+        kept = self._keeper.kept
+        if kept is None or not kept.takes_longer_than(self.settings.receive_limit_s):
+            return False
+        return not has_wider_link(self._catalog.members.values(), self._own)
+
     @property
     def watches_store(self) -> bool:
         """Check whether this entry watches the store."""
@@ -144,6 +159,14 @@
         """
         self._select_reader()
         self._pause_skipped.clear()
+        while True:
+            kept = self._keeper.kept
+            update = await (self._wait_beside(kept, revision) if kept else self._call(revision))
+            if update is not None:
+                return update
+
+    async def _call(self, revision: int) -> Update | None:
+        """Make one call for changes; None if it is kept, as its answer arrives slowly."""
         if not self.watches_store:
             try:
                 return await self._poll(revision)
@@ -164,11 +187,11 @@
 
         A watch that the store answered at once without changes counts the same.
         """
-        if not (self._is_pause_due and self.watches_store):
+        if not (self._is_pause_due and self.watches_store) or self._keeper.kept is not None:
             return
         now = _now()
         if self._is_reader:
-            age_s = now - self._proven_at
+            age_s = now - self._publisher.proven_at
             pause_s = self.settings.find_pause_s(age_s, entries=self._hall_entries)
         else:
             pause_s = find_watch_slot_wait(now, period_s=self.batch_s, phase=self._phase)
@@ -194,36 +217,73 @@
         reader = choose_reader(self._own.name, readers)
         if reader == self._reader:
             return
-        self.close()
+        self._close_clients()
         self._reader, self._direct_until = reader, 0.0
         name = reader.name if reader is not None else ""
         self._log.event("relay", "Follows." if name else "Watches the store.", reader=name)
 
     def leave_reader(self, cause: str) -> None:
         """Stop following the reader, and watch the store for `direct_s` seconds."""
-        self.close()
+        self._close_clients()
         self._metrics.add_relay_loss()
         name = self._reader.name if self._reader is not None else ""
         self._log.event("relay", "Lost the reader; watches the store.", reader=name, cause=cause)
         self._direct_until = _now() + self.settings.direct_s
 
-    async def _watch(self, revision: int) -> Update:
-        """Watch the store; a reader waits shorter, as each return proves its state to followers."""
-        wait_s = WATCH_S
-        if self._is_reader:
-            wait_s = self.settings.find_watch_s(is_after_changes=self._is_pause_due)
-        elif self._reader is not None:
-            wait_s = self.settings.direct_s  # Returns in time to follow a reader again.
-        if not self.has_contact:
-            wait_s = min(wait_s, self.settings.direct_s)  # Then looks for a substitute again.
-        if self._catalog.routing is None:
-            # The revision may be one that the store has not reached.
-            wait_s = min(wait_s, self.settings.find_watch_s(is_after_changes=False))
-        if not self._has_watched:
-            wait_s = min(wait_s, self.settings.resume_s)
+    async def _wait_beside(self, kept: KeptCall, revision: int) -> Update | None:
+        """Wait for a kept call or for changes from elsewhere; None if another call is due.
+
+        While the store's answer takes long, other entries may have its changes already.
+        """
+        if kept.is_watch:
+            other = asyncio.ensure_future(
+                self._substitute.poll(revision, self._records.era, wait_s=HELP_S, at_once=1)
+            )
+        else:
+            other = asyncio.ensure_future(self._call(revision))
+        try:
+            await asyncio.wait([kept.task, other], return_when=asyncio.FIRST_COMPLETED)
+            if kept.task.done():
+                self._keeper.drop()
+                return kept.find_update(revision)
+            update = await other
+        finally:
+            discard(other)
+        if update is None:
+            await asyncio.wait([kept.task], timeout=HELP_PAUSE_S)
+        elif kept.is_superseded_by(update):
+            self._keeper.drop()
+        elif kept.is_watch:
+            self._substitute.close()  # It does not have these changes either.
+        return update
+
+    async def _watch(self, revision: int) -> Update | None:
+        """Watch the store once; None if its answer arrives slowly."""
+        wait_s = self.settings.find_watch_wait_s(
+            is_reader=self._is_reader,
+            is_after_changes=self._is_pause_due,
+            has_reader=self._reader is not None,
+            is_unsettled=self._catalog.routing is None,
+            has_contact=self.has_contact,
+            is_resumed=not self._has_watched,
+        )
+        had_contact = self.has_contact
+        update = await self._keeper.run(
+            self._watch_store(revision, wait_s),
+            lambda: self._store.watch_arrival,
+            is_watch=True,
+            # A watch over a cut link would never return.
+            is_cut=lambda: had_contact and not self.has_contact,
+        )
+        if update is None and self._is_receiving():
+            self._publisher.wake_followers()
+        return update
+
+    async def _watch_store(self, revision: int, wait_s: float) -> Update:
+        """Watch the store for a time, in seconds."""
         sent_at = _now()
         self._has_watched = self._is_hasty = False
-        events = await self._watch_in_contact(revision, wait_s)
+        events = await self._store.watch("", after=revision, wait_s=wait_s)
         self._has_watched = True
         self._is_hasty = _now() - sent_at < min(wait_s / 2, self.settings.own_pause_s)
         if events.revision < revision:
@@ -232,47 +292,43 @@
         proven_at = compute_watch_proof(
             sent_at=sent_at, wait_s=wait_s, returned_at=_now(), has_changes=bool(events.items)
         )
-        return Update(events, proven_at)
-
-    async def _watch_in_contact(self, revision: int, wait_s: float) -> Events:
-        """Watch the store until contact is lost: a watch over a cut link would never return.
+        return Update(events, proven_at, source=STORE_WATCH)
 
-        Raises
-        ------
-        ContactLostError
-            If contact with the store is lost meanwhile.
-        """
-        had_contact = self.has_contact
-        watch = asyncio.ensure_future(self._store.watch("", after=revision, wait_s=wait_s))
-        try:
-            while not watch.done():
-                await asyncio.wait([watch], timeout=CONTACT_CHECK_S)
-                if had_contact and not self.has_contact and not watch.done():
-                    raise ContactLostError
-            return watch.result()
-        finally:
-            watch.cancel()
-
-    async def _poll(self, revision: int) -> Update:
-        """Poll the reader once for changes after a revision."""
+    async def _poll(self, revision: int) -> Update | None:
+        """Poll the reader once for changes after a revision; None if its answer arrives slowly."""
         assert self._reader is not None and self._reader.relay is not None
         if self._client is None:
             self._client = self._open_client(self._reader.relay)
         self._has_watched = self._is_hasty = False
-        sent_at = _now()
-        age_s = sent_at - self._proven_at
-        wait_s = self.settings.find_poll_s(age_s)
-        poll = Poll(revision, wait_s, self._records.era)
-        update = await send_poll(
+        age_s = _now() - self._publisher.proven_at
+        arrival = Arrival()
+        call = send_poll(
             self._client,
-            poll,
+            Poll(revision, self.settings.find_poll_s(age_s), self._records.era),
             self._catalog.contact,
-            sent_at=sent_at,
+            sent_at=_now(),
             answer_s=self.settings.find_answer_s(age_s),
+            arrival=arrival,
         )
-        self._check_age(update.proven_at)
-        self._metrics.add_relayed(len(update.events.items), _now() - update.proven_at)
-        return update
+        too_old_at = self._publisher.proven_at + self.settings.age_limit_s
+        update = await self._keeper.run(call, lambda: arrival, not_before=too_old_at)
+        if update is None:
+            self.leave_reader("its answer takes long")
+            return None
+        update = update._replace(source=f"reader {self._reader.name}")
+        age_s = _now() - update.proven_at
+        self._metrics.add_relayed(len(update.events.items), age_s)
+        if age_s > self.settings.age_limit_s:
+            cause = f"its state is {age_s:.2f} s old"
+        elif update.is_receiving:
+            cause = "it receives a large answer"
+        else:
+            return update
+        if not update.events.items:
+            raise ReaderLostError(cause)
+        self.leave_reader(cause)
+        self.skip_pause()
+        return update._replace(is_substitute=True)
 
     async def fetch_records(
         self, wanted: WantedEra, members: Iterable[MemberRecord] | None = None
@@ -295,141 +351,54 @@
             if members is not None or wanted.left is not None:
                 # The reader may have to read this copy of the store first.
                 timeout_s += self.settings.handover_wait_s
-            records = await request_records(client, wanted, timeout_s=timeout_s)
-            self._check_age(records.proven_at)
+            age_limit_s = self.settings.age_limit_s
+            records = await request_records(
+                client, wanted, timeout_s=timeout_s, age_limit_s=age_limit_s
+            )
         except ReaderLostError as exc:
             self._metrics.add_relay_loss()
-            cause = str(exc)
-            self._log.event(
-                "relay",
-                "Can't get the records from a reader; reads the store.",
-                reader=reader.name,
-                cause=cause,
-            )
+            text = "Can't get the records from a reader; reads the store."
+            self._log.event("relay", text, reader=reader.name, cause=str(exc))
             self._direct_until = self._no_handover_until = _now() + self.settings.direct_s
             return None
         finally:
             client.close()
         count, age_s = len(records.items), _now() - records.proven_at
         self._metrics.add_relayed(count, age_s)
-        self._log.event(
-            "relay",
-            "Received all records from a reader.",
-            reader=reader.name,
-            records=count,
-            age_ms=round(age_s * 1000),
-        )
-        return records
-
-    def _check_age(self, proven_at: float) -> None:
-        """Raise where a reader's state is too old to rely on."""
-        age_s = _now() - proven_at
-        if age_s > self.settings.age_limit_s:
-            raise ReaderLostError(f"its state is {age_s:.2f} s old")
+        shown = {"reader": reader.name, "records": count, "age_ms": round(age_s * 1000)}
+        self._log.event("relay", "Received all records from a reader.", **shown)
+        return records._replace(source=f"reader {reader.name}")
 
     def reset_records(self, records: RecordSet) -> None:
         """Replace the records with those of a full read, and publish the difference to followers.
 
         If the records are of another copy of the store, followers have to fetch all of them.
         """
-        self._is_recording = True
-        difference = self._records.find_difference(records)
-        self._records.replace_all(records)
+        self._keeper.drop()
         self._has_watched = True
-        if difference is not None:
-            self._proven_at = max(self._proven_at, records.proven_at)
-        else:
-            self._history = ChangeHistory()
-            self._proven_at = records.proven_at
-            difference = Batch(records.revision, records.revision, [])
-        self._publish(difference)
-        self._is_recording = False
+        self._publisher.reset_records(records)
 
     def record_update(self, after: int, update: Update) -> None:
         """Record an update that was applied, and publish it to the followers that wait."""
-        self._is_recording = True
-        events = update.events
-        self._is_pause_due = bool(events.items) or self._is_hasty
-        self._proven_at = max(self._proven_at, update.proven_at)
-        self._records.apply(events.items, events.revision)
-        self._publish(update.to_batch(after))
-        self._is_recording = False
+        self._is_pause_due = bool(update.events.items) or self._is_hasty
+        self._publisher.record_update(after, update)
 
     def reset(self) -> None:
         """Choose the reader again; drop the records if recording an update failed half way."""
         self.close()
         self._reader, self._members_version = None, -1
-        if self._is_recording:
-            self._records, self._history = RecordTable(), ChangeHistory()
-            self._is_recording = False
-
-    def _publish(self, batch: Batch[StoredItem]) -> None:
-        """Add a batch to the history, and wake the polls that wait for an update."""
-        self._history.add(batch)
-        self._updated.set()
-        self._updated = asyncio.Event()
+        self._publisher.reset()
 
     async def answer(self, caller: CallerConnection, head: Head) -> None:
         """Answer a follower's poll for changes, or its request for all records."""
-        target = head.target.decode("latin-1")
-        if target.startswith(RECORDS_PATH):
-            await self._send_records(caller, target)
-            return
-        poll = parse_poll(target)
-        if poll is None:
-            self._metrics.add_bad_poll()
-            caller.send(Answer(404, []))
-            return
-        if poll.needs_contact and not self.has_contact:
-            caller.send(Answer(503, []))
-            return
-        if poll.era == self._records.era and not self._history.has_changes_after(poll.after):
-            await self._wait_for_update(poll.wait_s)
-        batch = self._history.collect(poll.after)
-        now = _now()
-        held_s, contact = now - head.received_at, self._catalog.contact.get_report(now)
-        if poll.era != self._records.era or batch is None:
-            # Revisions of two copies of the store can't be compared.
-            status = OTHER_ERA if poll.era != self._records.era else 503
-            body = msgspec.msgpack.encode(NoChanges(held_s, contact))
-            caller.send(Answer(status, [], body))
-            return
-        changes = RelayedChanges(
-            list(batch.items),
-            batch.revision,
-            age_s=now - self._proven_at,
-            held_s=held_s,
-            is_difference=batch.is_difference,
-            contact=contact,
-        )
-        caller.send(Answer(200, [], msgspec.msgpack.encode(changes)))
-
-    async def _send_records(self, caller: CallerConnection, target: str) -> None:
-        """Send all records, once they are of the requested copy of the store."""
-        wanted = parse_wanted_era(target)
-        if wanted is None:
-            self._metrics.add_bad_poll()
-            caller.send(Answer(404, []))
-            return
-        deadline = _now() + self.settings.handover_wait_s
-        while not self._records.satisfies(wanted) and _now() < deadline:
-            await self._wait_for_update(deadline - _now())
-        if not self._records.satisfies(wanted):
-            caller.send(Answer(503, []))
-            return
-        is_packed = accepts_packed(target)
-        body = self._records.encode(_now() - self._proven_at, is_packed=is_packed)
-        caller.send(Answer(200, [], body))
-
-    async def _wait_for_update(self, wait_s: float) -> None:
-        """Wait for the next update, with or without changes, up to a limit."""
-        try:
-            async with asyncio.timeout(min(wait_s, self.settings.age_limit_s)):
-                await self._updated.wait()
-        except TimeoutError:
-            return  # The answer carries the state's age, which the follower checks.
+        await self._publisher.answer(caller, head)
 
     def close(self) -> None:
+        """Cancel the kept call, and close the connections to other entries."""
+        self._keeper.drop()
+        self._close_clients()
+
+    def _close_clients(self) -> None:
         """Close the connections to other entries."""
         self._substitute.close()
         if self._client is not None:
@@ -437,6 +406,15 @@
             self._client = None
 
 
+def _open_counted(
+    open_client: Callable[[Address], HttpClient], losses: LossLog, address: Address
+) -> HttpClient:
+    """Open a client whose lost answers are recorded."""
+    client = open_client(address)
+    client.on_loss = lambda loss: losses.record(_KINDS.get(loss.path, "other"), loss)
+    return client
+
+
 def _now() -> float:
     """Return the time of the loop's clock."""
     return asyncio.get_running_loop().time()
--- a/halldoor/gateway/substitute.py
+++ b/halldoor/gateway/substitute.py
@@ -13,7 +13,7 @@
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import MemberRecord
-from halldoor.core.targets.relay import RelaySettings
+from halldoor.core.targets.relay import RelaySettings, sort_by_link
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.handover import ReaderLostError
 from halldoor.gateway.httpclient import HttpClient
@@ -62,13 +62,24 @@
         self._name = ""
         self._random = random.Random()
 
-    async def poll(self, revision: int, era: str) -> Update | None:
-        """Return the changes after a revision; None where no entry in contact was found."""
+    async def poll(
+        self, revision: int, era: str, *, wait_s: float = 0.0, at_once: int = CANDIDATES
+    ) -> Update | None:
+        """Return the changes after a revision; None where no entry in contact was found.
+
+        Parameters
+        ----------
+        wait_s : float, optional
+            Time for which the first poll of an entry waits for changes, in seconds.
+        at_once : int, optional
+            Number of entries that are polled in parallel.
+        """
         if self._client is None:
-            return await self._find_substitute(revision, era)
+            poll = Poll(revision, wait_s, era, needs_contact=True)
+            return await self._find_substitute(poll, at_once)
         try:
             return await self._send_poll(
-                self._client, Poll(revision, WAIT_S, era, needs_contact=True)
+                self._client, Poll(revision, WAIT_S, era, needs_contact=True), self._name
             )
         except (ReaderLostError, OtherEraError) as exc:
             self._metrics.add_relay_loss()
@@ -76,17 +87,22 @@
             self.close()
             return None
 
-    async def _find_substitute(self, revision: int, era: str) -> Update | None:
-        """Poll other entries, `CANDIDATES` at a time, and follow the first that answers."""
+    async def _find_substitute(self, poll: Poll, at_once: int) -> Update | None:
+        """Poll other entries, some at a time, and follow the first that answers.
+
+        Those with wide links are asked first, as an answer may be large.
+        """
         members = [
             member
             for member in self._catalog.members.values()
             if member.relay is not None and member.name != self._own.name
         ]
         self._random.shuffle(members)
-        poll = Poll(revision, 0.0, era, needs_contact=True)
-        for first in range(0, min(len(members), MAX_GROUPS * CANDIDATES), CANDIDATES):
-            update = await self._poll_candidates(members[first : first + CANDIDATES], poll)
+        # Only the first group by their links: all with wide links may be cut off together.
+        first_group = sort_by_link(members)[:CANDIDATES]
+        members = first_group + [member for member in members if member not in first_group]
+        for first in range(0, min(len(members), MAX_GROUPS * CANDIDATES), at_once):
+            update = await self._poll_candidates(members[first : first + at_once], poll)
             if update is not None:
                 return update
         return None
@@ -111,7 +127,7 @@
         assert member.relay is not None
         client = self._open_client(member.relay)
         try:
-            update = await self._send_poll(client, poll)
+            update = await self._send_poll(client, poll, member.name)
         except (ReaderLostError, OtherEraError):
             client.close()
             return None
@@ -125,8 +141,8 @@
         self._log.event("relay", "Follows a substitute for the store.", reader=member.name)
         return update
 
-    async def _send_poll(self, client: HttpClient, poll: Poll) -> Update:
-        """Send one poll, and return its answer as an update of a substitute."""
+    async def _send_poll(self, client: HttpClient, poll: Poll, name: str) -> Update:
+        """Send one poll to an entry, and return its answer as an update of a substitute."""
         sent_at = asyncio.get_running_loop().time()
         update = await send_poll(
             client,
@@ -137,7 +153,7 @@
         )
         age_s = asyncio.get_running_loop().time() - update.proven_at
         self._metrics.add_relayed(len(update.events.items), age_s)
-        return update._replace(is_substitute=True)
+        return update._replace(is_substitute=True, source=f"substitute {name}")
 
     def close(self) -> None:
         """Stop following the substitute."""
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -7,8 +7,15 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from halldoor.core.targets.catalog import Catalog
-from halldoor.core.targets.changes import Change, MemberSeen, is_withdrawal
-from halldoor.core.targets.era import find_era_problem, parse_era
+from halldoor.core.targets.changes import (
+    Change,
+    MemberSeen,
+    RoutingRejected,
+    RoutingSeen,
+    is_withdrawal,
+)
+from halldoor.core.targets.era import parse_era
+from halldoor.core.targets.provenance import Provenance
 from halldoor.core.targets.relay import WantedEra
 from halldoor.core.targets.sequence import RoutingSequence
 from halldoor.core.targets.withdrawal import StoreView
@@ -18,6 +25,7 @@
 from halldoor.gateway.failures import FailureReporter
 from halldoor.gateway.firstpage import add_first_page
 from halldoor.gateway.handover import RecordSet
+from halldoor.gateway.losses import LossLog
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.notifying import Notifier
 from halldoor.gateway.polls import ContactLostError, OtherEraError, Update
@@ -32,6 +40,7 @@
     StoredItem,
     StoreError,
 )
+from halldoor.gateway.tasks import is_cancelling
 
 BATCH_S = 0.6
 """Usual pause between a change and the next watch, in seconds.  The store charges for each watch
@@ -81,6 +90,7 @@
     ) -> None:
         self.on_update: list[UpdateReceiver] = []
         store.on_unreadable = self._record_unreadable
+        store.on_lost_answer = LossLog("store", log=log, metrics=metrics).record
         self._store = store
         self._codec = codec
         self._catalog = catalog
@@ -159,7 +169,12 @@
         self.renew_watch(cause)
 
     def renew_watch(self, cause: str) -> None:
-        """Cancel the current watch, which returns no changes, and open another one."""
+        """Cancel the current watch, unless its answer is arriving, and open another one."""
+        if not self._feed.is_answer_arriving:
+            self._cancel_watch(cause)
+
+    def _cancel_watch(self, cause: str) -> None:
+        """Cancel the current watch, and open another one."""
         self._log.event("store", "Opens another watch.", cause=cause)
         if self._watch_task is not None:
             self._watch_task.cancel()
@@ -169,7 +184,8 @@
         self.is_unconfirmed = True
         self._revision = None
         self._reader.clear()
-        self.restart_watch(cause)
+        self._has_lost_contact = True
+        self._cancel_watch(cause)
 
     def _find_reading_pause_s(self) -> float:
         """Mark the history as gone, and return the pause before all records are read again.
@@ -196,13 +212,10 @@
         before = self._era
         is_restored = self.is_loaded.is_set() and before != records.era
         now = self._record_contact(records.proven_at)
-        newest = max(records.revision, records.newest)
-        changes = self._sequence.mark_read(
-            self._decode_all(records.items),
-            StoreView(records.era, records.revision),
-            newest=newest,
-            in_force=self._catalog.routing,
-        )
+        view, newest = records.view, max(records.revision, records.newest)
+        changes = self._decode_all(records.items)
+        in_force = self._catalog.routing
+        changes = self._sequence.mark_read(changes, view, newest=newest, in_force=in_force)
         applied = self._catalog.apply_full_read(
             changes, now, is_restored=is_restored, on_failure=self._report_unapplied
         )
@@ -210,7 +223,8 @@
             self.notifier.notify(self._on_change, change)
         self._unreported += applied
         if is_restored:
-            self._log_restore(before, records)
+            self._metrics.add_store_call("range", "restored")
+            self._changes.log_restore(StoreView(before, self._last_revision), view)
         self._store.era = self._era = records.era
         self._last_revision, self._begun_revision = records.revision, newest
         self._feed.reset_records(records)
@@ -218,7 +232,9 @@
         self.is_loaded.set()
         self._reader.limit_s = self._feed.settings.page_limit_s
         self._log.event("store", "Read all.", revision=records.revision, changes=len(applied))
-        self._changes.log_full_read(applied, records.revision)
+        source = f"{records.source}, copy of the store" if is_restored else records.source
+        provenance = Provenance(source, records.revision, records.era, now, records.took_s)
+        self._changes.log_full_read(changes, applied, provenance)
         self._catalog.contact.record_applied_until(records.proven_at)
         self._catalog.proof.record_update(self.view, records.proven_at)
         self._call_receivers(StoreView(records.era, newest))
@@ -232,9 +248,8 @@
     async def _read_records(self) -> RecordSet:
         """Read all records: from an entry that follows the store, or page by page from the store.
 
-        For an entry that starts, the first page lists the entries of its hall; the other entry's
-        state may be older than that page.  After a suspension
-        an entry reads the store itself, since another entry's state may be old as well.
+        For an entry that starts, the first page lists the entries of its hall; another entry's
+        records may be older than that page, and also than the state before a suspension.
         """
         if self.is_loaded.is_set() and not self.is_unconfirmed and not self._reader.has_pages:
             left = self._era if self._era != self._store.era else None
@@ -284,7 +299,7 @@
         try:
             update = await task
         except asyncio.CancelledError:
-            if not task.cancelled() or _is_cancelling():
+            if not task.cancelled() or is_cancelling():
                 raise
             return
         finally:
@@ -300,11 +315,14 @@
         else:
             now = self._record_contact(update.proven_at)
         self._begun_revision = max(self._begun_revision, events.revision)
+        provenance = Provenance(update.source, events.revision, self._era, now, events.transfer_s)
         changes = self._decode_all(events.items)
         for change in self._sequence.mark_events(changes, events.revision):
             if self._catalog.apply(change, now):
                 self._record_applied(change)
-                self._changes.log(change, events.revision)
+                self._changes.log(change, provenance)
+            else:
+                self._changes.log_ignored(change, provenance)
         # The store's own answer includes all removals up to its return, whenever it was sent.
         self._catalog.contact.record_applied_until(update.proven_at if update.is_relayed else now)
         self._revision = self._last_revision = events.revision
@@ -331,20 +349,26 @@
         return [change for change in map(self._decode, items) if change is not None]
 
     def _decode(self, item: StoredItem) -> Change | None:
-        """Decode a record; treat one that can't be decoded as removed.
+        """Decode a record, or the change for one that can't be decoded.
 
         An overwritten record is unused until its owner writes it; a configuration stays in force.
         """
         try:
-            return self._codec.decode(item)
+            change = self._codec.decode(item)
         except StoreError as exc:
-            self._record_unreadable(str(exc), key=item.key[:MAX_SHOWN])
-            return self._codec.decode(StoredItem(item.key, None))
-
-    def _record_unreadable(self, cause: str, *, key: str = "") -> None:
-        """Log and count a record that can't be read."""
+            change = self._codec.decode_rejected(item)
+            is_routing = isinstance(change, RoutingRejected)
+            version = self._catalog.configuration_version if is_routing else None
+            self._record_unreadable(str(exc), key=item.key[:MAX_SHOWN], version=version)
+        if isinstance(change, RoutingSeen):
+            return change._replace(size_bytes=len(item.value or b""))
+        return change
+
+    def _record_unreadable(self, cause: str, *, key: str = "", version: int | None = None) -> None:
+        """Log and count a record that can't be read, and the version that it leaves in force."""
         self._metrics.add_unreadable_record()
-        self._log.event("store", "Ignores a bad record.", key=key, error=cause)
+        fields = {} if version is None else {"version_in_force": version}
+        self._log.event("store", "Ignores a bad record.", key=key, error=cause, **fields)
 
     def _record_contact(self, proven_at: float) -> float:
         """Record contact with the store up to a moment, and return the time of the loop's clock."""
@@ -373,22 +397,3 @@
         if not self._has_lost_contact:
             self._has_lost_contact = True
             self._log.event("store", "Contact is lost.", cause=cause)
-
-    def _log_restore(self, before: str, records: RecordSet) -> None:
-        """Log that the store was restored from a copy, and its eras and revisions."""
-        self._metrics.add_store_call("range", "restored")
-        self._log.event(
-            "store",
-            "Came back from a copy; read all again.",
-            era_before=before,
-            era=records.era,
-            problem=find_era_problem(before, records.era),
-            revision_before=self._last_revision,
-            revision=records.revision,
-        )
-
-
-def _is_cancelling() -> bool:
-    """Check whether the running task itself is being cancelled."""
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
--- a/halldoor/standins/modelentry.py
+++ b/halldoor/standins/modelentry.py
@@ -10,6 +10,7 @@
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog, CatalogTimings
 from halldoor.core.targets.changes import Change, MemberRecord, MemberRemoved
+from halldoor.gateway.arrivals import Arrival
 from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.eventlog import EventLog
@@ -23,7 +24,7 @@
 from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.storenotices import StoreNoticeExchange
 from halldoor.gateway.sync import StoreSync
-from halldoor.standins.modelnetwork import Location, Node, start_task_on
+from halldoor.standins.modelnetwork import Link, Location, Node, start_task_on
 from halldoor.standins.storelink import StoreLink
 
 if TYPE_CHECKING:
@@ -73,16 +74,24 @@
         self._own = own
 
     async def call(
-        self, method: str, target: str, *, body: bytes = b"", timeout_s: float
+        self,
+        method: str,
+        target: str,
+        *,
+        body: bytes = b"",
+        timeout_s: float,
+        arrival: Arrival | None = None,
     ) -> HttpAnswer:
         """Call the other entry, and return its answer."""
         try:
-            async with asyncio.timeout(timeout_s):
-                return await self._call(method, target)
+            async with asyncio.timeout(timeout_s) as limit:
+                return await self._call(method, target, limit, arrival)
         except TimeoutError:
             raise HttpCallError("no answer in time") from None
 
-    async def _call(self, method: str, target: str) -> HttpAnswer:
+    async def _call(
+        self, method: str, target: str, limit: asyncio.Timeout, arrival: Arrival | None
+    ) -> HttpAnswer:
         """Send the call to the other entry, if it is up, and wait for its answer."""
         node = self._fleet.nodes[self._address.port]
         own = self._own if self._own is not None else Node(node.location)
@@ -99,6 +108,16 @@
         answering.result()
         self._fleet.answer_bytes += len(caller.answer.body)
         await self._fleet.network.transmit(node, own)
+        size = len(caller.answer.body)
+        if arrival is not None:
+            arrival.size = size
+            arrival.extend(limit)
+
+        def extend(count: int) -> None:
+            if arrival is not None:
+                arrival.extend(limit, count=count)
+
+        await self._fleet.network.transmit_body(node, own, size, on_part=extend)
         return HttpAnswer(caller.answer.status, caller.answer.body)
 
     def close(self) -> None:
@@ -145,6 +164,9 @@
 
     def __init__(self, fleet: StoreFleet, member: MemberRecord) -> None:
         self.node = fleet.nodes[member.front.port] = Node(Location(member.hall, member.region))
+        if member.link_mbps is not None:
+            rate = member.link_mbps * 1e6 / 8
+            self.node.inwards, self.node.outwards = Link(rate), Link(rate)
         self.link = StoreLink(fleet.server, self.node)
         self.events = CountingLog()
         log = cast(EventLog, self.events)
@@ -231,4 +253,5 @@
         """Cancel all tasks at once, like a killed process."""
         for task in [*self.tasks, *self._serving]:
             task.cancel()
+        self.feed.close()
         self.tasks = []
--- a/halldoor/tests/test_forwarded_refusals.py
+++ b/halldoor/tests/test_forwarded_refusals.py
@@ -46,7 +46,7 @@
 
 def answer_as_before(kit):
     """Let an entry answer forwarded requests as the release before: with its own refusals."""
-    kit.gateway.requests._build_refusal = lambda refusal, attempt_id, origin: (
+    kit.gateway.requests._build_refusal = lambda refusal, head, origin: (
         kit.gateway.access.build_answer(refusal)
     )
 
--- /dev/null
+++ b/halldoor/tests/test_large_configuration.py
@@ -0,0 +1,118 @@
+"""Configurations that take an entry's link longer than a small answer, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from halldoor.core.targets.relay import RelaySettings
+from halldoor.standins import virtualtime
+from halldoor.standins.storefleet import IP, Address, ModelClient, StoreFleet
+
+BOUND_S = 3.0
+"""Time in which a configuration has to be in force everywhere, in seconds."""
+HALLS = (6, 6, 6, 6, 6, 5)
+NARROW_MBPS = 4.72
+"""Bandwidth that callers leave of a narrow link, in Mbit/s: 590 kB/s."""
+WIDE_MBPS = 200.0
+TARGETS = 130
+ROUTES = 5_000
+WAIT_S = 0.2
+
+
+def list_links(*, has_wide):
+    """Return the links of all entries by port: two of each hall are wide, or none."""
+    places = [i for count in HALLS for i in range(count)]
+    return {
+        port: WIDE_MBPS if has_wide and place < 2 else NARROW_MBPS
+        for port, place in enumerate(places, 1)
+    }
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(*, has_wide=True):
+    """Start entries that have a small configuration, of version 1."""
+    fleet = StoreFleet(
+        entries=HALLS,
+        halls=len(HALLS),
+        targets=TARGETS,
+        settings=RelaySettings(bound_s=BOUND_S),
+        links_mbps=list_links(has_wide=has_wide),
+    )
+    fleet.configure(1)
+    await fleet.start(within_s=0.5)
+    await fleet.wait_until_synchronized(1)
+    await asyncio.sleep(2 * fleet.settings.direct_s)
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+@pytest.mark.parametrize("has_wide", [True, False])
+def test_large_configuration_never_arrives_over_narrow_link(has_wide):
+    """Each call for it was given up after a second or less, and made again from the start."""
+
+    async def run():
+        async with open_fleet(has_wide=has_wide) as fleet:
+            assert fleet.configure(2, routes=ROUTES) > 1_000_000
+            assert await fleet.wait_until_synchronized(2, limit_s=60.0) <= BOUND_S
+
+    virtualtime.run(run())
+
+
+def test_follower_without_reader_waits_for_slow_answer_of_the_store():
+    """Its own watch took 2.6 s for the answer, while all other entries had the configuration."""
+
+    async def run():
+        async with open_fleet() as fleet:
+            fleet.entries.pop(fleet.list_readers()[0]).stop()
+            fleet.configure(2, routes=7_000)
+            async with asyncio.timeout(BOUND_S / 2):
+                while any(e.catalog.configuration_version != 2 for e in fleet.entries.values()):
+                    await asyncio.sleep(0.01)
+
+    virtualtime.run(run())
+
+
+def test_answer_that_arrives_is_given_up_after_notice():
+    """Each notice of a configuration ended the watch that was bringing it."""
+
+    async def run():
+        async with open_fleet(has_wide=False) as fleet:
+            (port, *_) = fleet.list_readers()
+            entry = fleet.entries[port]
+            fleet.configure(2, routes=7_000)
+            await asyncio.sleep(0.5)
+            arrival = entry.link.watch_arrival
+            assert entry.feed.is_answer_arriving
+            entry.sync.renew_watch("other entries are ahead")
+            await asyncio.sleep(0.5)
+            assert entry.link.watch_arrival is arrival
+
+    virtualtime.run(run())
+
+
+def test_entry_of_earlier_release_polls_busily_during_long_answer():
+    """A reader tells at once that it receives for long; an earlier release does not read that."""
+
+    async def run():
+        async with open_fleet(has_wide=False) as fleet:
+            (port, *_) = fleet.list_readers()
+            entry = fleet.entries[port]
+            fleet.configure(2, routes=7_000)
+            await asyncio.sleep(0.8)
+            client = ModelClient(fleet, Address(IP, port))
+            loop = asyncio.get_running_loop()
+            for query in ("", "&packed=1&needs_contact=1"):
+                polls, until = 0, loop.time() + 0.6
+                while loop.time() < until:
+                    after = f"after={entry.sync.view.revision}&wait_ms={WAIT_S * 1000:.0f}"
+                    await client.call("GET", f"/changes?{after}&era=0{query}", timeout_s=1.0)
+                    polls += 1
+                assert polls <= 15  # Without a pause they are 74.
+            assert entry.feed.is_answer_arriving
+
+    virtualtime.run(run())
