--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -248,9 +248,8 @@
     async def _read_records(self) -> RecordSet:
         """Read all records: from an entry that follows the store, or page by page from the store.
 
-        For an entry that starts, the first page lists the entries of its hall; the other entry's
-        state may be older than that page.  After a suspension
-        an entry reads the store itself, since another entry's state may be old as well.
+        For an entry that starts, the first page lists the entries of its hall; another entry's
+        records may be older than that page, and also than the state before a suspension.
         """
         if self.is_loaded.is_set() and not self.is_unconfirmed and not self._reader.has_pages:
             left = self._era if self._era != self._store.era else None
