Refuse unknown services as not run while a newer revision may exist

Callers of halldoor-entry got 404 for a service, and 400 for an operation, that operators may have added: from entries whose hall doesn't reach the platform, that know of a newer revision, or that rejected one.

Any revision in force was taken for the newest one. The configuration task now says whether there may be a newer one; what that may allow is refused with 503. A service that is removed after a request was read gives 503 too, as its text ('Retry later') said.

--- a/halldoor/core/errors.py
+++ b/halldoor/core/errors.py
@@ -73,6 +73,7 @@
     BROKEN = "connection broken"
     SHED = "target shed"
     STARTING = "entry starting"
+    OLD_CONFIGURATION = "configuration may be old"
 
 
 _STATUS = {
--- a/halldoor/core/hall/membership.py
+++ b/halldoor/core/hall/membership.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Any, NamedTuple
 
 from halldoor.core.placement import rank
@@ -161,6 +161,11 @@
         """Forget what was sent to a peer, so that complete records are sent to it again."""
         self._sent.pop(peer, None)
 
+    def sees_platform(self, relays: Collection[str], *, now: float) -> bool:
+        """Check whether one of the relays reached the platform when it last asked."""
+        members = [self.me, *self.list_alive(now)]
+        return any(m.sees_platform for m in members if m.name in relays)
+
     def choose_relays(self, revision: int, *, now: float, count: int = 2) -> list[str]:
         """Choose the entries that watch the platform for the hall, for one revision.
 
--- a/halldoor/entry/configuration.py
+++ b/halldoor/entry/configuration.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import threading
 import time
@@ -41,6 +42,8 @@
 WATCH_TIMEOUT_S = 15.0
 """Seconds after which a watch call on the platform returns without a change."""
 RETRY_S = 0.5
+NEWER_KNOWN_S = 10.0
+"""Seconds for which a newer revision that a peer names is believed to exist; gossip repeats it."""
 CHECK_PERIOD_S = 0.25
 """Seconds between checks whether this entry has become a relay."""
 
@@ -105,6 +108,8 @@
         self.adopted_at = 0.0
         self.platform_calls = 0
         self.odd_items = 0
+        self._has_rejected = False
+        self._newer_until = -math.inf
 
     def start(self) -> None:
         """Start the task and its watch on the platform."""
@@ -117,6 +122,15 @@
         head = self._head
         return head.revision if head is not None else 0
 
+    def may_be_outdated(self) -> bool:
+        """Check whether there may be a newer revision than the one in force.
+
+        One was rejected here, a peer names one, or no relay of the hall reaches the platform.
+        """
+        if self._has_rejected or time.monotonic() < self._newer_until:
+            return True
+        return not self._gossip.sees_platform(self.choose_relays())
+
     def _watch(self) -> None:
         """Watch the platform while this entry is a relay."""
         while not self.is_stopping:
@@ -159,6 +173,7 @@
     def _log_rejected(self, exc: HalldoorError) -> None:
         """Log and count a revision that can't be applied; the one in force stays."""
         self.odd_items += 1
+        self._has_rejected = True
         self.log.warning("A new configuration revision could not be applied.", error=str(exc)[:300])
 
     def _log_odd(self, problem: str) -> None:
@@ -185,12 +200,14 @@
         snapshot = self._snapshot
         entry = find_entry(snapshot, sender) if snapshot is not None else None
         if revision > self.revision and entry is not None:
+            self._newer_until = time.monotonic() + NEWER_KNOWN_S
             self.enqueue(NewerRevision(revision, entry.wire))
         return self.revision
 
     def receive_gossip(self, revision: int, address: Address) -> None:
         """Queue a fetch from a peer whose gossip message carried a newer revision."""
         if revision > self.revision:
+            self._newer_until = time.monotonic() + NEWER_KNOWN_S
             self.enqueue(NewerRevision(revision, address))
 
     def handle(self, messages: list[NewerRevision]) -> None:
@@ -245,6 +262,7 @@
                 head.revision > before, "revision-rises", f"{before} to {head.revision}"
             )
             self.adopted_at = time.time()
+            self._has_rejected, self._newer_until = False, -math.inf
             self._on_snapshot(snapshot)
         self.log.info(
             "A new configuration revision is in force.",
--- a/halldoor/entry/dispatch.py
+++ b/halldoor/entry/dispatch.py
@@ -124,7 +124,7 @@
         if snapshot is None or view is None:
             # The request was read under another revision, or by an entry that has another one.
             refusal = refuse(
-                Reason.UNKNOWN_SERVICE, "The service is not known here now. Retry later."
+                Reason.OLD_CONFIGURATION, "The service is not known here now. Retry later."
             )
             decision = self._build_decision(request, progress, snapshot, refusal.reason.value)
             return Failure(Refused(refusal, decision))
--- a/halldoor/entry/gossip.py
+++ b/halldoor/entry/gossip.py
@@ -6,7 +6,7 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any, NamedTuple
 
 from halldoor.core.decoding import DecodingError, decode_each
@@ -258,6 +258,11 @@
             is_near = member.hall == self._membership.me.hall
             return is_near and not self._membership.is_alive(name, now)
 
+    def sees_platform(self, relays: Collection[str]) -> bool:
+        """Check whether one of the relays reached the platform when it last asked."""
+        with self._lock:
+            return self._membership.sees_platform(relays, now=time.monotonic())
+
     def choose_relays(self, revision: int) -> list[str]:
         """Choose the entries that watch the platform for this hall."""
         with self._lock:
--- a/halldoor/entry/process.py
+++ b/halldoor/entry/process.py
@@ -202,6 +202,7 @@
                 get_lookups=lambda: self._lookups,
                 get_status=self.get_status,
                 find_decision=self.find_decision,
+                is_outdated=self.configuration.may_be_outdated,
                 decision_key=s.decision_key.encode(),
             )
         )
--- a/halldoor/entry/reader.py
+++ b/halldoor/entry/reader.py
@@ -4,7 +4,7 @@
 
 import re
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 from uuid import uuid4
 
@@ -34,7 +34,10 @@
 
 
 def read_request(
-    environ: dict[str, Any], snapshot: Snapshot | None
+    environ: dict[str, Any],
+    snapshot: Snapshot | None,
+    *,
+    is_outdated: Callable[[], bool] = lambda: False,
 ) -> tuple[Request, Body] | Refusal:
     """Parse a request's head, and read its body if it is small.
 
@@ -44,6 +47,8 @@
         WSGI environment.
     snapshot : Snapshot or None
         The revision in force.
+    is_outdated : callable, optional
+        Returns whether there may be a newer revision: what that may allow is refused as not run.
 
     Returns
     -------
@@ -56,10 +61,12 @@
     path = "/" + (rest[0] if rest else "")
     view = snapshot.services.get(service)
     if view is None:
-        return refuse_service(service)
+        return refuse_service(service, is_outdated=is_outdated())
     method = environ["REQUEST_METHOD"]
     operation = view.find_operation(method, path)
     if operation is None:
+        if is_outdated():
+            return _refuse_as_outdated()
         return _refuse_operation(view, method, path)
     headers = _read_headers(environ)
     sent_path = _find_sent_path(environ)
@@ -108,12 +115,20 @@
     )
 
 
-def refuse_service(service: str) -> Refusal:
-    """Refuse an unknown service."""
+def refuse_service(service: str, *, is_outdated: bool) -> Refusal:
+    """Refuse an unknown service; as not run where a newer revision may have it."""
+    if is_outdated:
+        return _refuse_as_outdated()
     message = f"There is no service {service[:60]!r}. Check the name, or ask its operators."
     return refuse(Reason.UNKNOWN_SERVICE, message, retry_after_s=0.0)
 
 
+def _refuse_as_outdated() -> Refusal:
+    """Refuse what a newer revision may allow."""
+    message = "This entry may lack the newest configuration. Use another entry, or retry later."
+    return refuse(Reason.OLD_CONFIGURATION, message)
+
+
 def _refuse_operation(view: ServiceView, method: str, path: str) -> Refusal:
     """Refuse a request whose method and path match no operation of the service."""
     known = ", ".join(f"{'|'.join(o.methods)} {o.path}" for o in view.service.operations)
--- a/halldoor/entry/web.py
+++ b/halldoor/entry/web.py
@@ -58,6 +58,7 @@
     get_lookups: Callable[[], LookupTable | None]
     get_status: Callable[[], dict[str, Any]]
     find_decision: Callable[[str], Decision | None]
+    is_outdated: Callable[[], bool]
     decision_key: bytes
 
 
@@ -100,7 +101,8 @@
         client = query.get("client", [environ.get("REMOTE_ADDR", "")])[0]
         body = table.find(service, client)
         if body is None:
-            return to_reply(refuse_service(service))
+            is_outdated = self._components.is_outdated()
+            return to_reply(refuse_service(service, is_outdated=is_outdated))
         self._components.metrics.add_lookup(service)
         return Reply(200, body)
 
@@ -175,7 +177,8 @@
     def _serve_uncounted(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
         """Read a request for a service, run it, and start its answer."""
         started = time.monotonic()
-        read = read_request(environ, self._components.dispatcher.snapshot)
+        snapshot = self._components.dispatcher.snapshot
+        read = read_request(environ, snapshot, is_outdated=self._components.is_outdated)
         if isinstance(read, Refusal):
             return _send(start, to_reply(mark_outcome_unknown(read, environ), close=True))
         request, body = read
