Admit a request that waited by the age at its turn

A caller whose pipelined request waited behind others could get 404 or 401 from an entry that lost the store meanwhile.

The age of the configuration was computed for the time at which the head was read.

--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -120,7 +120,8 @@
     async def _admit_and_send(self, caller: CallerConnection, head: Head, origin: Origin) -> None:
         """Admit a request, choose its service and deadline, send it and finish it."""
         attempt_id = find(head.headers, self._names.attempt_id).decode("latin-1")
-        admission = self._access.admit(head, head.received_at)
+        # It may have waited behind others since its head was read.
+        admission = self._access.admit(head, asyncio.get_running_loop().time())
         if isinstance(admission, Refusal):
             self._refuse_unadmitted(caller, attempt_id, admission)
             return
