Read all again while an entry holds no configuration

An entry that started beside a store with nonsense in its answers could stay not ready, with 503 for all callers, for good after they were sound again.

A page of which no item could be read, but whose revision could, was taken to be empty: the entry watched from that revision on, and the configuration written before never came.

--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -307,6 +307,9 @@
         self.updated_at = now
         self._feed.record_update(revision, update)
         self._call_receivers(self.view)
+        if self._catalog.routing is None:
+            # The last full read may have been wrong: every store has a configuration.
+            self._revision = None
         await self._feed.pause()
 
     def _record_applied(self, change: Change) -> None:
