Stop halldoor-entry and halldoor-admin by a second signal in a row

A second SIGTERM or SIGINT within microseconds of the first hung the stop, so that the process needed SIGKILL; many ended it with status 70. The handlers called threading.Event.set, whose lock isn't reentrant: a signal within a handler, or within Event.wait, made the main thread wait for itself, until further signals on top ended in a RecursionError.

StopSignals passes signals through queue.SimpleQueue, which may be interrupted by itself, and ignores them once the stop has begun. Used by both programs and by halldoor-standin.

Ruled out: handlers reset at the end of Python, the port of the next process.

--- a/halldoor/admin/api.py
+++ b/halldoor/admin/api.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import signal
-import threading
 from collections.abc import Callable
 from typing import Any
 from uuid import uuid4
@@ -27,7 +25,7 @@
 from halldoor.keyvalue.client import HttpPlatform
 from halldoor.keyvalue.store import ConfigurationStore
 from halldoor.server import HttpServer
-from halldoor.startup import ignore_signals
+from halldoor.startup import StopSignals
 
 log = structlog.get_logger(part="admin")
 
@@ -212,12 +210,8 @@
     cherrypy.server.unsubscribe()
     # Without the address: a stop must not wait until no other process listens there.
     ServerAdapter(cherrypy.engine, http).subscribe()
-    should_stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: should_stop.set())
+    signals = StopSignals()
     cherrypy.engine.start()
     log.info("Started.", http=str(settings.http))
-    while not should_stop.wait(0.5):
-        pass
+    signals.wait()
     cherrypy.engine.exit()
-    ignore_signals()
--- a/halldoor/cli/entry.py
+++ b/halldoor/cli/entry.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import signal
-import threading
 from pathlib import Path
 
 import defopt
@@ -12,7 +10,7 @@
 from halldoor.core.errors import HalldoorError
 from halldoor.core.settings import EntrySettings
 from halldoor.entry.process import EntryProcess
-from halldoor.startup import ExitStatus, exit_with_error, ignore_signals
+from halldoor.startup import ExitStatus, StopSignals, exit_with_error
 
 PROGRAM = "halldoor-entry"
 """Name of the program in its messages."""
@@ -33,14 +31,10 @@
         process = EntryProcess.from_config(checked, unread_settings=len(unread))
     except (HalldoorError, OSError) as exc:
         exit_with_error(PROGRAM, exc, ExitStatus.SETTINGS)
-    should_stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: should_stop.set())
+    signals = StopSignals()
     process.start()
-    while not should_stop.wait(0.5):
-        pass
+    signals.wait()
     process.stop()
-    ignore_signals()
 
 
 def main() -> None:
--- a/halldoor/cli/standin.py
+++ b/halldoor/cli/standin.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 import threading
 from collections.abc import Callable
 from typing import Any
@@ -14,6 +13,7 @@
 from halldoor.server import HttpServer
 from halldoor.standins.platform import PlatformStandin
 from halldoor.standins.target import Behaviour, TargetStandin
+from halldoor.startup import StopSignals
 
 
 def platform(*, port: int, ip: str = "127.0.0.1") -> None:
@@ -68,13 +68,10 @@
 def _run_all(servers: list[HttpServer]) -> None:
     """Run HTTP servers until SIGTERM or SIGINT."""
     configure_logs("console")
-    should_stop = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: should_stop.set())
-    signal.signal(signal.SIGINT, lambda *_: should_stop.set())
+    signals = StopSignals()
     for server in servers:
         threading.Thread(target=server.safe_start, daemon=True).start()
-    while not should_stop.wait(0.5):
-        pass
+    signals.wait()
     for server in servers:
         server.stop()
 
--- a/halldoor/startup.py
+++ b/halldoor/startup.py
@@ -5,6 +5,7 @@
 import contextlib
 import errno
 import os
+import queue
 import resource
 import select
 import signal
@@ -28,6 +29,8 @@
 """Period of reporting what is still awaited, in seconds."""
 CHANGED_S = 1.0
 """Shortest time between two lines with different causes, in seconds."""
+SIGNAL_WAIT_S = 0.5
+"""Longest wait in one piece for a signal, in seconds."""
 TRANSIENT_ERRORS = frozenset(
     {
         errno.EADDRINUSE,
@@ -67,13 +70,31 @@
         signal.signal(number, _end)
 
 
-def ignore_signals() -> None:
-    """Ignore the signals that end or reload a program, which has stopped.
+class StopSignals:
+    """SIGTERM and SIGINT to a program whose main thread waits for them.
 
-    While Python ends, it resets handlers, so that a late signal would change the exit status.
+    They are kept from the construction on.  A handler interrupts the main thread anywhere, even
+    in a handler, so that it must not take a lock: `threading.Event` has one that isn't reentrant.
     """
-    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, signal.SIG_IGN)
+
+    def __init__(self) -> None:
+        self._received: queue.SimpleQueue[int] = queue.SimpleQueue()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda number, _: self._received.put(number))
+
+    def wait(self) -> None:
+        """Wait for a signal, and ignore all further ones.
+
+        While Python ends, it resets handlers, so that a late signal would change the exit status.
+        """
+        is_received = False
+        while not is_received:
+            # A signal that comes just before the wait doesn't end it.
+            with contextlib.suppress(queue.Empty):
+                self._received.get(timeout=SIGNAL_WAIT_S)
+                is_received = True
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, signal.SIG_IGN)
 
 
 def _end(number: int, frame: FrameType | None) -> NoReturn:
--- a/halldoor/tests/test_program_start.py
+++ b/halldoor/tests/test_program_start.py
@@ -26,6 +26,26 @@
     "admin": ("http",),
 }
 
+INTERRUPT_HANDLERS = """
+import os, signal, sys
+
+def interrupt(frame, event, argument):
+    os.kill(os.getpid(), signal.SIGINT)
+    return interrupt
+
+def set_interrupted(number, handler):
+    def handle(*arguments):
+        if sys.gettrace() is not None:
+            return handler(*arguments)
+        sys.settrace(interrupt)
+        handler(*arguments)
+        sys.settrace(None)
+    return set_handler(number, handle if callable(handler) else handler)
+
+set_handler, signal.signal = signal.signal, set_interrupted
+"""
+"""Code that sends SIGINT at each line of a signal handler."""
+
 
 def build_settings(folder, program):
     """Return a program's example settings on free ports, and the ports."""
@@ -43,9 +63,12 @@
 class Program:
     """A program as a process, whose lines are collected."""
 
-    def __init__(self, name, path):
+    def __init__(self, name, path, *, before=""):
+        module = f"halldoor.cli.{name}"
+        script = f"{before}\nfrom {module} import main\nmain()"
+        run = ["-c", script] if before else ["-m", module]
         self.process = subprocess.Popen(
-            [sys.executable, "-m", f"halldoor.cli.{name}", str(path)],
+            [sys.executable, *run, str(path)],
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
             text=True,
@@ -78,8 +101,8 @@
 
 
 @contextlib.contextmanager
-def start_program(name, path):
-    program = Program(name, path)
+def start_program(name, path, *, before=""):
+    program = Program(name, path, before=before)
     try:
         yield program
     finally:
@@ -197,6 +220,16 @@
         assert program.process.poll() == 0
 
 
+@pytest.mark.parametrize("name", PROGRAMS)
+def test_signal_while_a_signal_is_handled_hangs_the_stop(name, tmp_path):
+    """The handler waited for a lock that its own thread held."""
+    path = tmp_path / "settings.yaml"
+    path.write_text(yaml.safe_dump(build_settings(tmp_path, name)[0]))
+    with start_program(name, path, before=INTERRUPT_HANDLERS) as program:
+        program.wait_for("Started.")
+        assert program.stop() == 0
+
+
 @pytest.mark.parametrize("name", PROGRAMS)
 def test_signal_while_a_program_loads_ends_it(name, tmp_path):
     """SIGHUP ended it with status -1 until all of its libraries were loaded."""
