--- a/halldoor/gateway/permits.py
+++ b/halldoor/gateway/permits.py
@@ -86,6 +86,7 @@
         taken = {item.key for item in page.items}
         free = [key for i in range(count) if (key := f"{prefix}{i}") not in taken]
         if not free:
+            self._log.event("retries", "All permits are taken.", service=service, permits=count)
             return False
         lease = await self._store.create_lease(window_s + USE_S + TIMEOUT_S)
         self._metrics.add_store_call("lease", "created")
--- a/halldoor/tests/test_retry_permits.py
+++ b/halldoor/tests/test_retry_permits.py
@@ -59,6 +59,21 @@
 
         asyncio.run(check())
 
+    def test_no_permit_is_left(self, capfd):
+        """The log did not tell that permits were used up from that none was tried."""
+
+        async def check():
+            store = MemoryStore(has_expiry=True)
+            for _ in range(count_permits(RetrySettings()) + 1):
+                async with open_new_kit(store) as kit:
+                    shed_first(kit)
+                    reply = await kit.call()
+            assert reply.status == 503
+
+        asyncio.run(check())
+        lines = capfd.readouterr().out.splitlines()
+        assert sum("All permits are taken." in line for line in lines) == 1
+
     @pytest.mark.parametrize("fault", ["down", "slow"])
     def test_store_does_not_answer(self, fault):
         """The request is refused soon, as not run."""
