Log once that the store's answer takes long, not each poll beside it

While a watch's answer arrived slowly, each poll of another entry beside it was logged as if that entry were followed in place of the store. One line says that the answer takes long.

--- a/halldoor/gateway/keptcall.py
+++ b/halldoor/gateway/keptcall.py
@@ -13,8 +13,6 @@
 
 SLOW_S = 0.1
 """Time after the head of an answer from which it counts as slow, in seconds."""
-HELP_S = 0.3
-"""Time for which a poll of another entry waits for changes meanwhile, in seconds."""
 HELP_PAUSE_S = 0.1
 """Pause after a poll that nobody answered, in seconds."""
 CHECK_S = 0.1
@@ -123,6 +121,31 @@
             if self.kept is None or self.kept.task is not task:
                 task.cancel()
 
+    async def wait_beside(
+        self, kept: KeptCall, call: Coroutine[Any, Any, Update | None], revision: int
+    ) -> Update | None:
+        """Wait for the kept call or another one, whichever brings changes first.
+
+        Returns
+        -------
+        Update or None
+            Changes after the revision; None if the call that ended brought none.
+        """
+        other = asyncio.ensure_future(call)
+        try:
+            await asyncio.wait([kept.task, other], return_when=asyncio.FIRST_COMPLETED)
+            if kept.task.done():
+                self.drop()
+                return kept.find_update(revision)
+            update = await other
+        finally:
+            discard(other)
+        if update is None:
+            await asyncio.wait([kept.task], timeout=HELP_PAUSE_S)
+        elif kept.is_superseded_by(update):
+            self.drop()
+        return update
+
     def drop(self) -> None:
         """Cancel the kept call, if any."""
         if self.kept is not None:
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import cached_property
 from typing import NamedTuple
 from urllib.parse import urlencode
@@ -19,6 +19,7 @@
     decompress,
     parse_int,
 )
+from halldoor.core.settings import Address
 from halldoor.core.targets.contact import ContactReport, StoreContact, compute_contact_span
 from halldoor.core.targets.history import Batch
 from halldoor.core.targets.proofs import compute_poll_proof
@@ -26,10 +27,12 @@
 from halldoor.gateway.handover import (
     COMPRESSION_LEVEL,
     PACKED,
+    RECORDS_PATH,
     ReaderLostError,
     ReaderSilentError,
 )
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
+from halldoor.gateway.losses import LossLog
 from halldoor.gateway.query import parse_query
 from halldoor.gateway.store import Events, StoredItem
 
@@ -41,6 +44,8 @@
 OTHER_ERA = 409
 """Status that answers a poll for changes of another copy of the store."""
 
+_KINDS = {CHANGES_PATH: "poll", RECORDS_PATH: "records"}
+
 
 class OtherEraError(Exception):
     """The reader follows another copy of the store: all records have to be read again."""
@@ -275,3 +280,12 @@
         is_difference=changes.is_difference,
         is_receiving=changes.is_receiving,
     )
+
+
+def open_counted(
+    open_client: Callable[[Address], HttpClient], losses: LossLog, address: Address
+) -> HttpClient:
+    """Open a client whose lost answers are recorded."""
+    client = open_client(address)
+    client.on_loss = lambda loss: losses.record(_KINDS.get(loss.path, "other"), loss)
+    return client
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -29,7 +29,6 @@
 from halldoor.gateway.caller import CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.handover import (
-    RECORDS_PATH,
     ReaderLostError,
     ReaderSilentError,
     RecordSet,
@@ -37,16 +36,14 @@
     request_records,
 )
 from halldoor.gateway.httpclient import HttpClient
-from halldoor.gateway.keptcall import HELP_PAUSE_S, HELP_S, CallKeeper, KeptCall, discard
+from halldoor.gateway.keptcall import CallKeeper, KeptCall
 from halldoor.gateway.losses import LossLog
 from halldoor.gateway.metrics import GatewayMetrics
-from halldoor.gateway.polls import CHANGES_PATH, Poll, Update, send_poll
+from halldoor.gateway.polls import Poll, Update, open_counted, send_poll
 from halldoor.gateway.publishing import ChangePublisher
 from halldoor.gateway.store import HistoryGoneError, MetadataStore
 from halldoor.gateway.substitute import SubstituteReader
 
-_KINDS = {CHANGES_PATH: "poll", RECORDS_PATH: "records"}
-
 
 class ChangeFeed:
     """Source of the store's changes after a revision: the store itself or a reader of it.
@@ -84,7 +81,7 @@
         open_client: Callable[[Address], HttpClient] = HttpClient,
     ) -> None:
         losses = LossLog("relay", log=log, metrics=metrics)
-        self._open_client = partial(_open_counted, open_client, losses)
+        self._open_client = partial(open_counted, open_client, losses)
         self._store = store
         self._own = own
         self._catalog = catalog
@@ -231,29 +228,13 @@
         self._direct_until = _now() + self.settings.direct_s
 
     async def _wait_beside(self, kept: KeptCall, revision: int) -> Update | None:
-        """Wait for a kept call or for changes from elsewhere; None if another call is due.
-
-        While the store's answer takes long, other entries may have its changes already.
-        """
-        if kept.is_watch:
-            other = asyncio.ensure_future(
-                self._substitute.poll(revision, self._records.era, wait_s=HELP_S, at_once=1)
-            )
-        else:
-            other = asyncio.ensure_future(self._call(revision))
-        try:
-            await asyncio.wait([kept.task, other], return_when=asyncio.FIRST_COMPLETED)
-            if kept.task.done():
-                self._keeper.drop()
-                return kept.find_update(revision)
-            update = await other
-        finally:
-            discard(other)
-        if update is None:
-            await asyncio.wait([kept.task], timeout=HELP_PAUSE_S)
-        elif kept.is_superseded_by(update):
-            self._keeper.drop()
-        elif kept.is_watch:
+        """Wait for a kept call or for changes from elsewhere; None if another call is due."""
+        if not kept.is_watch:
+            return await self._keeper.wait_beside(kept, self._call(revision), revision)
+        # While the store's answer takes long, other entries may have its changes already.
+        call = self._substitute.poll(revision, self._records.era, is_beside_store=True)
+        update = await self._keeper.wait_beside(kept, call, revision)
+        if self._keeper.kept is kept:
             self._substitute.close()  # It does not have these changes either.
         return update
 
@@ -275,8 +256,10 @@
             # A watch over a cut link would never return.
             is_cut=lambda: had_contact and not self.has_contact,
         )
-        if update is None and self._is_receiving():
-            self._publisher.wake_followers()
+        if update is None:
+            self._log.event("relay", "The store's answer takes long; asks other entries as well.")
+            if self._is_receiving():
+                self._publisher.wake_followers()
         return update
 
     async def _watch_store(self, revision: int, wait_s: float) -> Update:
@@ -406,15 +389,6 @@
             self._client = None
 
 
-def _open_counted(
-    open_client: Callable[[Address], HttpClient], losses: LossLog, address: Address
-) -> HttpClient:
-    """Open a client whose lost answers are recorded."""
-    client = open_client(address)
-    client.on_loss = lambda loss: losses.record(_KINDS.get(loss.path, "other"), loss)
-    return client
-
-
 def _now() -> float:
     """Return the time of the loop's clock."""
     return asyncio.get_running_loop().time()
--- a/halldoor/gateway/substitute.py
+++ b/halldoor/gateway/substitute.py
@@ -22,6 +22,8 @@
 
 WAIT_S = 1.0
 """Time for which a poll waits for changes, in seconds."""
+HELP_S = 0.3
+"""Time for which a poll waits while the store's own answer is arriving, in seconds."""
 CANDIDATES = 4
 """Entries that are polled in parallel; the first to answer is followed."""
 MAX_GROUPS = 3
@@ -63,20 +65,23 @@
         self._random = random.Random()
 
     async def poll(
-        self, revision: int, era: str, *, wait_s: float = 0.0, at_once: int = CANDIDATES
+        self, revision: int, era: str, *, is_beside_store: bool = False
     ) -> Update | None:
         """Return the changes after a revision; None where no entry in contact was found.
 
         Parameters
         ----------
-        wait_s : float, optional
-            Time for which the first poll of an entry waits for changes, in seconds.
-        at_once : int, optional
-            Number of entries that are polled in parallel.
+        is_beside_store : bool, optional
+            Whether the store's own answer is arriving: then one entry is polled at a time, as
+            several large answers would share the link, and its poll waits for changes.
         """
         if self._client is None:
+            wait_s, at_once = (HELP_S, 1) if is_beside_store else (0.0, CANDIDATES)
             poll = Poll(revision, wait_s, era, needs_contact=True)
-            return await self._find_substitute(poll, at_once)
+            update = await self._find_substitute(poll, at_once)
+            if update is not None and not is_beside_store:
+                self._log.event("relay", "Follows a substitute for the store.", reader=self._name)
+            return update
         try:
             return await self._send_poll(
                 self._client, Poll(revision, WAIT_S, era, needs_contact=True), self._name
@@ -138,7 +143,6 @@
             client.close()
             return None
         self._client, self._name = client, member.name
-        self._log.event("relay", "Follows a substitute for the store.", reader=member.name)
         return update
 
     async def _send_poll(self, client: HttpClient, poll: Poll, name: str) -> Update:
