--- a/halldoor/tests/test_waiting_admission.py
+++ b/halldoor/tests/test_waiting_admission.py
@@ -27,7 +27,7 @@
         async with GatewayKit.open() as kit:
             gateway = kit.gateway
             now = asyncio.get_running_loop().time()
-            gateway.catalog.store_contact_at = now - 5.0
+            gateway.catalog.proof.proven_at = now - 5.0
             caller = RecordingCaller()
             head = Head(b"GET", b"/1", [(b"Host", b"other.example")], now - 5.0)
             await gateway.requests.handle(caller, head)
