Take a failure without the request's id for a refusal by its text only

Callers of an entry that reaches no target could have an at-most-once request run up to four times: a target's 401, 404 or 429 without the request's id (its caller sent none, or the target named the field as one of the connection only) was taken for a refusal by an entry of the release before, and the request was offered to the next entry, which sent it to a target again.

Such an answer now counts as a refusal only with an entry's own text, or where the request may run more than once.

--- a/halldoor/gateway/answers.py
+++ b/halldoor/gateway/answers.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from halldoor.core.targets.route import RequestKind
 from halldoor.core.teams.admission import RefusalReason
 from halldoor.gateway.caller import Answer, CallerConnection
 from halldoor.gateway.connection import ConnectionBrokenError
@@ -70,14 +71,15 @@
     return Answer(503, headers, f"halldoor: {reason}\n".encode())
 
 
-def is_unadmitted(answer: Answer, names: HeaderNames) -> bool:
+def is_unadmitted(answer: Answer, names: HeaderNames, kind: RequestKind) -> bool:
     """Check whether an entry's answer is its own refusal to admit a request, which did not run.
 
-    Entries of earlier releases answer forwarded requests as those of callers: their own answers
-    lack the request's id, which each answer of a target carries.
+    Entries of earlier releases answer forwarded requests as those of callers: with a text of their
+    own, and without the request's id.  A target's answer may lack the id as well, so that without
+    the text only a repeatable request counts as refused.
     """
     if find(answer.headers, names.attempt_id) or find(answer.headers, names.signature):
         return False
-    if answer.status in _REFUSED_STATUSES:
-        return True
-    return answer.status == 503 and answer.body in _REFUSED_BODIES
+    if answer.body in _REFUSED_BODIES:
+        return answer.status in (*_REFUSED_STATUSES, 503)
+    return kind.is_repeatable and answer.status in _REFUSED_STATUSES
--- a/halldoor/gateway/forwarding.py
+++ b/halldoor/gateway/forwarding.py
@@ -156,7 +156,9 @@
         outcome, _ = await self._exchanger.send(
             outgoing._replace(headers=headers), peer.name, peer.relay
         )
-        if isinstance(outcome, WholeAnswer) and is_unadmitted(outcome.answer, self._names):
+        if isinstance(outcome, WholeAnswer) and is_unadmitted(
+            outcome.answer, self._names, state.route.kind
+        ):
             outcome = Rejected(outcome.answer.status, False, [(UNADMITTED, b"1")])
         result = await self._finish(caller, state, outgoing, outcome, peer)
         self._metrics.add_forwarded("sent", "refused" if result is None else str(result.status))
