Refuse as not run beside a rejected configuration without the platform

A gateway on halldoor's own records treated a configuration that it rejects as none, and answered 404 and 401 by the one before.

Its codec reports the rejection, as that of the platform does. The test of old limits writes such a configuration instead of setting the mark.

--- a/halldoor/gateway/plain.py
+++ b/halldoor/gateway/plain.py
@@ -27,6 +27,7 @@
     MemberRecord,
     MemberRemoved,
     MemberSeen,
+    RoutingRejected,
     RoutingSeen,
     TargetRecord,
     TargetRemoved,
@@ -218,6 +219,10 @@
             return MemberSeen(_read(value, MemberModel).to_record(name))
         return None
 
+    def decode_rejected(self, item: StoredItem) -> Change | None:
+        """Return the change for an item that can't be decoded: an older configuration stays."""
+        return RoutingRejected() if item.key == ROUTING_KEY else super().decode_rejected(item)
+
     def encode_member(self, member: MemberRecord) -> StoredItem:
         """Encode this entry's record as an item of the store."""
         model = MemberModel(
--- a/halldoor/tests/test_old_limits.py
+++ b/halldoor/tests/test_old_limits.py
@@ -16,14 +16,15 @@
 POST = {"method": "POST", "body": b"x" * 20_000}
 
 
-def make_stale(kit):
+async def make_stale(kit):
     """Let the gateway consider its configuration old."""
     kit.gateway.access.settings = AccessSettings(stale_s=-1.0)
 
 
-def reject(kit):
-    """Let the gateway know that it rejected a later configuration."""
-    kit.gateway.catalog.has_rejected_routing = True
+async def reject(kit):
+    """Write a later configuration that the gateway rejects."""
+    kit.store.put("routing", b'{"version":9}')
+    await kit.wait(lambda: kit.gateway.catalog.has_rejected_routing)
 
 
 def test_entry_without_a_configuration_refuses_a_long_head_for_good():
@@ -44,7 +45,7 @@
             await kit.wait(lambda: kit.gateway.catalog.configuration_version == 2)
             assert (await kit.call(extra=LONG)).status == 431
             assert (await kit.call(**POST)).status == 413
-            make_old(kit)
+            await make_old(kit)
             assert (await kit.call(extra=LONG)).status == 503
             assert (await kit.call(**POST)).status == 503
             assert (await kit.call()).status == 200
