Keep the mark of a rejected configuration while events are repeated

Callers could get 404 for routes of a configuration that an entry had rejected: an event that a full read may contain already and is repeated brought the configuration before it again, after the rejection. A batch that ends with a rejected configuration now drops what was repeated. test_rejected_order.py failed before and passes; properties pass.

--- a/halldoor/core/targets/sequence.py
+++ b/halldoor/core/targets/sequence.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Sequence
 
-from halldoor.core.targets.changes import Change, RoutingSeen
+from halldoor.core.targets.changes import Change, RoutingRejected, RoutingSeen
 from halldoor.core.targets.route import Routing
 from halldoor.core.targets.withdrawal import StoreView
 
@@ -61,6 +61,10 @@
         last = _find_last(changes)
         if last is not None:
             self._outdated = None
+        if _ends_rejected(changes):
+            # What was repeated before is not the newest.
+            self._repeated = None
+            return _replace_routings(changes, last, is_newest=revision >= self._repeats_until)
         last = last or self._repeated
         if revision < self._repeats_until:
             self._repeated = last
@@ -74,6 +78,13 @@
     return next((c for c in reversed(changes) if isinstance(c, RoutingSeen)), None)
 
 
+def _ends_rejected(changes: Sequence[Change]) -> bool:
+    """Check whether the last configuration of some changes is one that was rejected."""
+    kinds = (RoutingSeen, RoutingRejected)
+    last = next((c for c in reversed(changes) if isinstance(c, kinds)), None)
+    return isinstance(last, RoutingRejected)
+
+
 def _replace_routings(
     changes: Sequence[Change], last: RoutingSeen | None, *, is_newest: bool
 ) -> list[Change]:
