Tell changes of the file store by revision, not by what was read last

A file that operators edited within 0.2 s of a call for the revision never took effect: that call read the file, and the watch compared with what was read last.

--- a/halldoor/gateway/filestore.py
+++ b/halldoor/gateway/filestore.py
@@ -26,8 +26,18 @@
     TargetModel,
     TeamModel,
 )
-from halldoor.gateway.store import Events, Lease, MetadataStore, Page, StoredItem, StoreError
+from halldoor.gateway.store import (
+    Events,
+    HistoryGoneError,
+    Lease,
+    MetadataStore,
+    Page,
+    StoredItem,
+    StoreError,
+)
 
+REVISIONS_KEPT = 8
+"""Revisions of the file from which changes can be told."""
 POLL_S = 0.2
 """Period of checking the file for changes, in seconds."""
 
@@ -125,6 +135,7 @@
         self._records: dict[str, bytes] = {}
         self._read_at = 0.0
         self._revision = 0
+        self._history = {0: self._records}
 
     async def read_range(self, prefix: str, *, after: str = "") -> Page:
         """Read all records with a prefix, as a single page."""
@@ -133,20 +144,25 @@
         return Page(items, False, self._revision)
 
     async def watch(self, prefix: str, *, after: int, wait_s: float) -> Events:
-        """Wait until the file changes, and return the changed records."""
+        """Wait until the file differs from a revision, and return the changed records."""
         loop = asyncio.get_running_loop()
         ends = loop.time() + wait_s
         while loop.time() < ends:
-            before = dict(self._records)
             self._read()
-            changed = [k for k in self._records if self._records[k] != before.get(k)]
-            items = [StoredItem(k, self._records[k]) for k in changed]
-            items += [StoredItem(k, None) for k in before if k not in self._records]
-            if items:
-                return Events(items, self._revision)
+            if self._revision > after:
+                return self._find_changes(after)
             await asyncio.sleep(POLL_S)
         return Events([], self._revision)
 
+    def _find_changes(self, after: int) -> Events:
+        """Return the records that changed since a revision."""
+        before = self._history.get(after)
+        if before is None:
+            raise HistoryGoneError("The revision is not kept.", remedy="Read all records again.")
+        items = [StoredItem(k, v) for k, v in self._records.items() if v != before.get(k)]
+        items += [StoredItem(k, None) for k in before if k not in self._records]
+        return Events(items, self._revision)
+
     def _read(self) -> None:
         """Read the file if it changed; an invalid one leaves the records unchanged."""
         try:
@@ -161,6 +177,8 @@
             ) from exc
         self._read_at = changed_at
         self._revision += 1
+        self._history[self._revision] = self._records
+        self._history.pop(self._revision - REVISIONS_KEPT, None)
 
     async def write(self, key: str, value: bytes, *, lease: str) -> None:
         """Do nothing: the file lists the entries."""
