Run a forwarded request on the service that the first entry chose

The mark of a forwarded request names the service. An entry whose route does not lead there answers that it did not run, and the next one is asked. Entries of the release before ignore it.

--- a/halldoor/core/targets/route.py
+++ b/halldoor/core/targets/route.py
@@ -77,6 +77,10 @@
     fault: str = ""
     may_be_public: bool = False
 
+    def has_service(self, name: str) -> bool:
+        """Check whether requests may go to a service."""
+        return any(part.service == name and part.weight > 0 for part in self.parts)
+
 
 class TargetService(NamedTuple):
     """Settings of all targets of a service.
--- a/halldoor/core/teams/admission.py
+++ b/halldoor/core/teams/admission.py
@@ -36,6 +36,7 @@
     UNKNOWN_KEY = "key unknown"
     UNREAD_KEY = "no key among those that can be read"
     OLD_CONFIGURATION = "configuration may be old"
+    OTHER_SERVICE = "another configuration has another service"
     NO_COMMON_REGION = "no region may serve both route and team"
     OVER_QUOTA = "team over its quota"
 
@@ -61,6 +62,7 @@
     RefusalReason.UNKNOWN_KEY: 401,
     RefusalReason.UNREAD_KEY: 503,
     RefusalReason.OLD_CONFIGURATION: 503,
+    RefusalReason.OTHER_SERVICE: 503,
     RefusalReason.NO_COMMON_REGION: 503,
     RefusalReason.OVER_QUOTA: 429,
 }
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from random import Random
 from typing import Any, NamedTuple
+from urllib.parse import quote, unquote
 
 from halldoor.core.bounds import MAX_KEY
 from halldoor.core.decoding import DecodingError, parse_float
@@ -184,20 +185,23 @@
         IP address of its caller; empty if it is unknown.
     forwarded_by : str
         Name of the entry that forwarded it; empty if its caller sent it here.
+    service : str
+        Service that the forwarding entry chose; empty if an earlier release forwarded it.
     """
 
     address: str
     forwarded_by: str = ""
+    service: str = ""
 
     @classmethod
     def from_mark(cls, mark: str) -> Origin:
         """Parse the value of the field ``FORWARDED_BY``."""
-        name, _, address = mark.partition(" ")
-        return cls(address, name)
+        name, address, service = [*mark.split(" ", 2), "", ""][:3]
+        return cls(address, name, unquote(service))
 
-    def to_mark(self, entry: str) -> bytes:
-        """Return the value of the field for a request that an entry forwards."""
-        return f"{entry} {self.address}".encode("latin-1")
+    def to_mark(self, entry: str, service: str) -> bytes:
+        """Return the value of the field for a request that an entry forwards to a service."""
+        return f"{entry} {self.address} {quote(service, safe='')}".encode("latin-1")
 
 
 class RequestResult(NamedTuple):
--- a/halldoor/gateway/forwarding.py
+++ b/halldoor/gateway/forwarding.py
@@ -148,7 +148,7 @@
     ) -> RequestResult | None:
         """Forward a request to one entry; return None if that did not take it."""
         assert peer.relay is not None
-        mark = state.origin.to_mark(self._own.name)
+        mark = state.origin.to_mark(self._own.name, state.service)
         headers = [*outgoing.headers, (FORWARDED_BY, mark)]
         credentials = find(state.head.headers, self._names.credentials)
         if credentials and not find(headers, self._names.credentials):
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -10,7 +10,7 @@
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.route import CallerLimits
 from halldoor.core.targets.split import Splitter
-from halldoor.core.teams.admission import Refusal
+from halldoor.core.teams.admission import Refusal, RefusalReason
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.answers import build_not_run_answer
 from halldoor.gateway.attempt import (
@@ -136,7 +136,12 @@
         attempt_id = find(head.headers, self._names.attempt_id).decode("latin-1")
         route = admission.route
         key = parse_affinity_key(find(head.headers, self._names.affinity_key))
-        service = self._splitter.choose(route, key or attempt_id)
+        if origin.service and not route.has_service(origin.service):
+            self._access.gate.uncount(admission.team)
+            refusal = Refusal(RefusalReason.OTHER_SERVICE, admission.team)
+            self._refuse_unadmitted(caller, head, origin, refusal)
+            return
+        service = origin.service or self._splitter.choose(route, key or attempt_id)
         affinity = key if route.has_affinity else ""
         state = RequestState(head, admission, service, affinity, attempt_id, origin=origin)
         caller_s = parse_deadline_s(find(head.headers, self._names.deadline_ms))
--- a/halldoor/tests/test_forwarded_refusals.py
+++ b/halldoor/tests/test_forwarded_refusals.py
@@ -23,16 +23,24 @@
 NO_ROUTE = RefusalReason.NO_ROUTE
 
 
+def move_paths(data):
+    """Move the routes to other paths."""
+    for route in data["routes"]:
+        route["path_prefix"] = f"/new{route['path_prefix']}"
+
+
 @contextlib.asynccontextmanager
-async def open_fleet(*, entries, behind):
-    """Open a fleet whose first entry reaches no target; entries behind lack the routes' paths."""
+async def open_fleet(*, entries, behind, change=None):
+    """Open a fleet whose first entry reaches no target; entries behind lack a change of the routes.
+
+    By default the routes' paths change.
+    """
     async with ReachFleet.open(entries=entries) as fleet:
         await lose_targets(fleet, (0,))
         for i in behind:
             fleet.kits[i].gateway.catalog._apply_routing = lambda *_, **__: False
         data = msgspec.json.decode(fleet.store._values["routing"])
-        for route in data["routes"]:
-            route["path_prefix"] = f"/new{route['path_prefix']}"
+        (change or move_paths)(data)
         fleet.store.put("routing", msgspec.json.encode(data | {"version": 2}))
         catalogs = [k.gateway.catalog for i, k in enumerate(fleet.kits) if i not in behind]
         await fleet.kits[0].wait(lambda: {c.configuration_version for c in catalogs} == {2})
@@ -40,6 +48,12 @@
         yield fleet
 
 
+def move(data):
+    """Move the routes to each other's services."""
+    for route in data["routes"]:
+        route["service"] = "order" if route["service"] == "deck" else "deck"
+
+
 async def call_new(fleet, **request):
     return await fleet.call(0, service="deck", path="/new/deck/1", **request)
 
@@ -136,3 +150,22 @@
             assert all(isinstance(outcome, Rejected) for outcome in outcomes)
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize("entries", [2, 4])
+def test_forwarded_request_runs_on_the_service_of_an_older_configuration(entries):
+    """Regression: a neighbour that was behind ran it by its own route, at the old service."""
+
+    async def check():
+        async with open_fleet(entries=entries, behind=(1,), change=move) as fleet:
+            for target in fleet.targets.values():
+                target.received.clear()
+            order = {"service": "order", "method": "GET"}
+            statuses = {await fleet.call(0, **order) for _ in range(REQUESTS)}
+            assert statuses == ({503} if entries == 2 else {200})
+            for name, target in fleet.targets.items():
+                ran = [r for r in target.received if r.target.startswith(b"/order/")]
+                assert not ran or name.startswith("deck")
+            fleet.assert_rules_held()
+
+    asyncio.run(check())
