Prove nothing by a revision below the own one

A store that was restored from a copy and does not state its era named a lower revision, which extended the proof of the state before the restore, so that unknown routes got 404 by it. Found by a reviewer; the test fails before and passes now.

--- a/halldoor/core/targets/proofs.py
+++ b/halldoor/core/targets/proofs.py
@@ -95,25 +95,28 @@
             self.proven_at = -math.inf
         self._view = view
         self._extend(proven_at)
-        if self._asked is not None:
-            self.record_revision(*self._asked)
+        if self._asked is not None and view.has_reached(self._asked.view):
+            self._extend(self._asked.seen_at)
+            self._asked = None
 
     def record_revision(self, view: StoreView, sent_at: float) -> bool:
         """Record the store's revision, as the answer to a call names it.
 
         Once the state has reached it, it includes every change up to the call.  Return whether it
-        has.
+        has.  A lower revision proves nothing: the store may have been restored from a copy.
 
         Parameters
         ----------
         sent_at : float
             When the call was sent, in seconds of the steady clock.
         """
-        is_reached = self._view.has_reached(view)
-        self._asked = None if is_reached else _Sighting(view, sent_at)
-        if is_reached:
+        if not self._view.has_reached(view):
+            self._asked = _Sighting(view, sent_at)
+            return False
+        if view.has_reached(self._view):
+            self._asked = None
             self._extend(sent_at)
-        return is_reached
+        return True
 
     def _extend(self, proven_at: float) -> None:
         """Move the proof to a later moment."""
--- a/halldoor/tests/test_proofs.py
+++ b/halldoor/tests/test_proofs.py
@@ -36,6 +36,12 @@
         proof.record_update(StoreView("1", 3), 0.5)
         assert proof.proven_at == 0.5
 
+    def test_lower_revision_of_a_restored_store_proves_the_state_before(self):
+        """Regression: such a store may not state its era, and the proof went on growing."""
+        proof = make_proof()
+        proof.record_revision(StoreView("0", 4), 9.0)
+        assert proof.proven_at == 1.0
+
     def test_restored_store_withdraws_the_proof(self):
         proof = make_proof()
         proof.withdraw()
