Ask the store before an unknown path is refused by a configuration that may be old

Callers of an idle entry that watches for itself got 503 for each unknown path, and never 404, if they asked less than once in 3 s and did not come back after the Retry-After of 0.1 s.

Cause: the proof is renewed after the refusal that needed it. The request now waits for the store's word, for 0.15 s at most and only while a call is due or on its way.

test_unknown_route_gets_404_only_after_a_retry failed before (503) and passes. test_request_that_waited_is_refused_by_the_age... takes the store down, as its entry lost the store: with a store that answers, 404 is right; it still fails if admission uses the arrival's time.

--- a/halldoor/gateway/access.py
+++ b/halldoor/gateway/access.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 
 from halldoor.core.targets.catalog import Catalog
@@ -40,6 +40,8 @@
     ----------
     confirm : callable
         Called to confirm the configuration where a refusal depends on its age.
+    wait_for_confirmation : callable
+        As `confirm`; waits for the answer for a short time.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         self._random = Random()
         self._is_confirming = is_confirming
         self.confirm: Callable[[], None] = lambda: None
+        self.wait_for_confirmation: Callable[[], Awaitable[None]] = _skip_confirmation
         self._table: AccessTable | None = None
 
     @property
@@ -138,3 +141,7 @@
             refusal.reason.value,
             retry_after_s=randomize_retry_after(after_s, self._random),
         )
+
+
+async def _skip_confirmation() -> None:
+    """Do not wait: nothing confirms the configuration."""
--- a/halldoor/gateway/confirming.py
+++ b/halldoor/gateway/confirming.py
@@ -15,6 +15,9 @@
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.store import MetadataStore, StoreError
 
+ANSWER_S = 0.15
+"""Longest time that a request waits for the store's answer, in seconds: two round trips between
+regions."""
 SHORTEST_PAUSE_S = 0.05
 """Shortest time between two checks of the state's age, in seconds."""
 
@@ -50,16 +53,37 @@
         self._access = access
         self._metrics = metrics
         self._requested = asyncio.Event()
+        self._answered = asyncio.Event()
+        self._is_pausing = False
         self.on_behind: Callable[[StoreView], None] = lambda _: None
         access.confirm = self.request
+        access.wait_for_confirmation = self.wait_for_answer
 
     def request(self) -> None:
         """Confirm the state unless it was proven to be complete a short time ago."""
         self._requested.set()
 
+    async def wait_for_answer(self) -> None:
+        """Request a confirmation, and wait for the store's answer unless none is due for now."""
+        self.request()
+        if self._is_pausing:
+            return
+        answered = self._answered
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                await answered.wait()
+        except TimeoutError:
+            return  # The caller is refused by what is known.
+
+    def _wake_waiting(self) -> None:
+        """Wake the requests that wait for an answer."""
+        self._answered.set()
+        self._answered = asyncio.Event()
+
     def reset(self) -> None:
         """Forget the request."""
         self._requested.clear()
+        self._is_pausing = False
 
     async def run(self) -> None:
         """Confirm the state when requested, once in `confirmed_s` at most, until cancelled."""
@@ -70,9 +94,16 @@
             now = loop.time()
             if now >= self._proof.proven_at + confirmed_s:
                 await self._confirm(now, limit_s=confirmed_s)
-                await asyncio.sleep(now + confirmed_s - loop.time())
+                await self._pause(now + confirmed_s - loop.time())
             else:
-                await asyncio.sleep(SHORTEST_PAUSE_S)
+                await self._pause(SHORTEST_PAUSE_S)
+
+    async def _pause(self, pause_s: float) -> None:
+        """Wait before the next call, in which nobody waits for an answer."""
+        self._wake_waiting()
+        self._is_pausing = True
+        await asyncio.sleep(pause_s)
+        self._is_pausing = False
 
     async def _wait_for_request(self) -> None:
         """Wait for a request; where all keys depend on the state's age, until it is to be proven.
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -10,7 +10,7 @@
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.route import CallerLimits
 from halldoor.core.targets.split import Splitter
-from halldoor.core.teams.admission import Refusal, RefusalReason
+from halldoor.core.teams.admission import AdmittedRequest, Refusal, RefusalReason
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.answers import build_not_run_answer
 from halldoor.gateway.attempt import (
@@ -128,8 +128,7 @@
 
     async def _admit_and_send(self, caller: CallerConnection, head: Head, origin: Origin) -> None:
         """Admit a request, choose its service and deadline, send it and finish it."""
-        # It may have waited behind others since its head was read.
-        admission = self._access.admit(head, asyncio.get_running_loop().time())
+        admission = await self._admit(head)
         if isinstance(admission, Refusal):
             self._refuse_unadmitted(caller, head, origin, admission)
             return
@@ -160,6 +159,19 @@
             result = build_too_long_result(caller, state)
         self._finish(caller, state, result)
 
+    async def _admit(self, head: Head) -> AdmittedRequest | Refusal:
+        """Admit a request by the configuration in force now.
+
+        It may have waited behind others since its head was read.  Where the configuration may be
+        old, the store is asked first.
+        """
+        loop = asyncio.get_running_loop()
+        admission = self._access.admit(head, loop.time())
+        if isinstance(admission, Refusal) and admission.reason is RefusalReason.OLD_CONFIGURATION:
+            await self._access.wait_for_confirmation()
+            admission = self._access.admit(head, loop.time())
+        return admission
+
     def record_error(self, status: int, head: Head | None, caller: str) -> None:
         """Record an error that a connection answers outside of a request."""
         if status in (431, 503):
--- a/halldoor/tests/test_waiting_admission.py
+++ b/halldoor/tests/test_waiting_admission.py
@@ -26,6 +26,7 @@
     async def check():
         async with GatewayKit.open() as kit:
             gateway = kit.gateway
+            kit.store.take_down()
             now = asyncio.get_running_loop().time()
             gateway.catalog.proof.proven_at = now - 5.0
             caller = RecordingCaller()
