Test that repeated events prove nothing where the store is followed

The property stated the law on its own copy of the line, so that StoreSync could lose it unseen (a reviewer's mutation). The test fails without the line and passes with it.

--- a/halldoor/tests/test_refusals.py
+++ b/halldoor/tests/test_refusals.py
@@ -144,3 +144,17 @@
                 await asyncio.sleep(0.7 * STALE_S)
 
         run(check, teams=[TEAM], is_strict=True, revoked_s=STALE_S)
+
+
+def test_event_that_a_full_read_may_contain_already_proves_the_state():
+    """Regression: versions decide meanwhile, so that a replaced configuration may be in force."""
+
+    async def check(kit):
+        gateway = kit.gateway
+        gateway.sync._sequence._repeats_until = 1_000_000
+        before = gateway.catalog.proof.proven_at
+        kit.configure(path_prefix="/new/")
+        await kit.wait(lambda: gateway.catalog.configuration_version == kit.version)
+        assert gateway.catalog.proof.proven_at == before
+
+    run(check)
