--- a/halldoor/core/targets/proofs.py
+++ b/halldoor/core/targets/proofs.py
@@ -99,7 +99,14 @@
             self._extend(self._asked.seen_at)
             self._asked = None
 
-    def record_revision(self, view: StoreView, sent_at: float) -> bool:
+    @property
+    def view(self) -> StoreView:
+        """Era and revision of the state."""
+        return self._view
+
+    def record_revision(
+        self, view: StoreView, sent_at: float, *, known: StoreView | None = None
+    ) -> bool:
         """Record the store's revision, as the answer to a call names it.
 
         Once the state has reached it, it includes every change up to the call.  Return whether it
@@ -109,11 +116,13 @@
         ----------
         sent_at : float
             When the call was sent, in seconds of the steady clock.
+        known : StoreView, optional
+            The own view when the call was sent; the present one by default.
         """
         if not self._view.has_reached(view):
             self._asked = _Sighting(view, sent_at)
             return False
-        if view.has_reached(self._view):
+        if view.has_reached(known or self._view):
             self._asked = None
             self._extend(sent_at)
         return True
--- a/halldoor/gateway/answers.py
+++ b/halldoor/gateway/answers.py
@@ -71,15 +71,16 @@
     return Answer(503, headers, f"halldoor: {reason}\n".encode())
 
 
-def is_unadmitted(answer: Answer, names: HeaderNames, kind: RequestKind) -> bool:
+def is_unadmitted(answer: Answer, names: HeaderNames, method: bytes, kind: RequestKind) -> bool:
     """Check whether an entry's answer is its own refusal to admit a request, which did not run.
 
     Entries of earlier releases answer forwarded requests as those of callers: with a text of their
-    own, and without the request's id.  A target's answer may lack the id as well, so that without
-    the text only a repeatable request counts as refused.
+    own, and without the request's id.  The answer to HEAD has no text, and a target's answer may
+    lack the id as well, so that it counts as a refusal only where the request is repeatable.
     """
     if find(answer.headers, names.attempt_id) or find(answer.headers, names.signature):
         return False
     if answer.body in _REFUSED_BODIES:
         return answer.status in (*_REFUSED_STATUSES, 503)
-    return kind.is_repeatable and answer.status in _REFUSED_STATUSES
+    is_head = method == b"HEAD" and kind.is_repeatable
+    return is_head and answer.status in _REFUSED_STATUSES
--- a/halldoor/gateway/confirming.py
+++ b/halldoor/gateway/confirming.py
@@ -130,6 +130,7 @@
 
     async def _confirm(self, now: float, *, limit_s: float) -> None:
         """Ask the store for its revision, and record it."""
+        known = self._proof.view
         try:
             async with asyncio.timeout(limit_s):
                 revision = await self._store.read_revision()
@@ -138,5 +139,5 @@
             return
         self._metrics.add_store_call("revision", "ok")
         view = StoreView(self._store.era, revision)
-        if not self._proof.record_revision(view, now):
+        if not self._proof.record_revision(view, now, known=known):
             self.on_behind(view)
--- a/halldoor/gateway/forwarding.py
+++ b/halldoor/gateway/forwarding.py
@@ -157,7 +157,7 @@
             outgoing._replace(headers=headers), peer.name, peer.relay
         )
         if isinstance(outcome, WholeAnswer) and is_unadmitted(
-            outcome.answer, self._names, state.route.kind
+            outcome.answer, self._names, state.head.method, state.route.kind
         ):
             outcome = Rejected(outcome.answer.status, False, [(UNADMITTED, b"1")])
         result = await self._finish(caller, state, outgoing, outcome, peer)
--- a/halldoor/tests/test_forwarded_twice.py
+++ b/halldoor/tests/test_forwarded_twice.py
@@ -26,11 +26,11 @@
         return h11.Request(method=built.method, target=built.target, headers=headers)
 
 
-async def write_target(fleet, port):
-    """Send the at-most-once route to one further target."""
+async def write_target(fleet, port, name):
+    """Send a route to one further target."""
     routing = msgspec.json.decode(fleet.store._values["routing"])
     for route in routing["routes"]:
-        if route["name"] == "order":
+        if route["name"] == name:
             route["service"] = "plain"
     routing["services"].append({"name": "plain"})
     model = TargetModel(service="plain", address=Address(IP, port), hall="ams-a", slots=6)
@@ -42,9 +42,14 @@
 
 @pytest.mark.parametrize("caller_type", [AnonymousCaller, Caller], ids=["no id", "hop-by-hop id"])
 @pytest.mark.parametrize("status", [401, 404, 429])
-def test_request_that_a_target_failed_runs_again_by_way_of_another_entry(status, caller_type):
+@pytest.mark.parametrize("method", ["POST", "GET"])
+def test_request_that_a_target_failed_runs_again_by_way_of_another_entry(
+    method, status, caller_type
+):
     """The first entry takes the target's answer for a refusal by an entry of the release before."""
     runs = []
+    name = "order" if method == "POST" else "deck"
+    start = f"{method} /{name}/".encode()
 
     def answer(head):
         fields = [f"HTTP/1.1 {status} Own", "Content-Length: 0"]
@@ -56,8 +61,8 @@
 
     async def handle(reader, writer):
         try:
-            while (head := await reader.readuntil(b"\r\n\r\n")).startswith(b"POST /order/"):
-                await reader.readexactly(1)
+            while (head := await reader.readuntil(b"\r\n\r\n")).startswith(start):
+                await reader.readexactly(1 if method == "POST" else 0)
                 runs.append(head)
                 writer.write(answer(head))
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -68,10 +73,11 @@
         server = await asyncio.start_server(handle, IP, 0)
         async with ReachFleet.open(entries=4) as fleet:
             await lose_targets(fleet, (0,))
-            await write_target(fleet, server.sockets[0].getsockname()[1])
+            await write_target(fleet, server.sockets[0].getsockname()[1], name)
             connected = await asyncio.open_connection("127.0.0.1", fleet.kits[0].front_port)
             caller = caller_type(*connected)
-            await caller.call(method="POST", path="/order/1", body=b"x", deadline_ms=1400)
+            body = b"x" if method == "POST" else b""
+            await caller.call(method=method, path=f"/{name}/1", body=body, deadline_ms=1400)
             caller.close()
             server.close()
             assert len(runs) == 1
--- a/halldoor/tests/test_proofs.py
+++ b/halldoor/tests/test_proofs.py
@@ -42,6 +42,13 @@
         proof.record_revision(StoreView("0", 4), 9.0)
         assert proof.proven_at == 1.0
 
+    def test_change_that_arrives_during_the_call_spoils_its_proof(self):
+        proof = make_proof()
+        known = proof.view
+        proof.record_update(StoreView("0", 6), 1.0)
+        proof.record_revision(StoreView("0", 5), 9.0, known=known)
+        assert proof.proven_at == 9.0
+
     def test_restored_store_withdraws_the_proof(self):
         proof = make_proof()
         proof.withdraw()
