Send a follower that is behind only the configuration that takes effect

Cause: `ChangePublisher` sent all updates since the follower's revision, with configurations that later ones in the same answer supersede; `ChangeHistory` was bounded by count only. Change: a configuration that can be read drops those before it from what is kept for followers. The reader knows that it can be read, as it applied it; after one that was rejected nothing is dropped. All other changes stay in their order: no removal or drain is lost or delayed. `ChangeHistory` keeps 8 MB at most; a follower from before that gets 503 and watches the store, as from before the 64 updates. The property that a follower from any revision reaches its reader's state holds, and fails if a rejected configuration drops those before it.

--- a/halldoor/core/targets/history.py
+++ b/halldoor/core/targets/history.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Generic, NamedTuple, TypeVar
 
 T = TypeVar("T")
 
 BATCHES_KEPT = 64
 """Batches of changes that an entry keeps for its followers: 20 s at three batches a second."""
+HISTORY_BYTES = 8_000_000
+"""Size of the changes that it keeps for them, in bytes; the last batch is kept in any case."""
 
 
 class Batch(NamedTuple, Generic[T]):
@@ -31,9 +33,16 @@
 
 
 class ChangeHistory(Generic[T]):
-    """The last changes that an entry applied, in order and without a gap."""
+    """The last changes that an entry applied, in order and without a gap.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    measure : callable, optional
+        Returns the size of the changes of a batch, in bytes.
+    """
+
+    def __init__(self, measure: Callable[[Sequence[T]], int] = lambda _: 0) -> None:
+        self._measure = measure
         self._batches: deque[Batch[T]] = deque(maxlen=BATCHES_KEPT)
 
     def has_changes_after(self, after: int) -> bool:
@@ -50,6 +59,17 @@
         else:
             last = self._batches.pop()
             self._batches.append(last._replace(revision=batch.revision))
+        while len(self._batches) > 1 and self._count_bytes() > HISTORY_BYTES:
+            self._batches.popleft()
+
+    def _count_bytes(self) -> int:
+        """Return the size of all changes, in bytes."""
+        return sum(self._measure(batch.items) for batch in self._batches)
+
+    def replace_items(self, replace: Callable[[Sequence[T]], Sequence[T]]) -> None:
+        """Replace the changes of each batch by what a function returns for them."""
+        for i, batch in enumerate(self._batches):
+            self._batches[i] = batch._replace(items=replace(batch.items))
 
     def select(self, after: int) -> list[Batch[T]] | None:
         """Return the batches with changes after a revision; None if the history lacks some."""
--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -58,10 +58,15 @@
 class ItemBlock(list[StoredItem]):
     """Changes that are encoded once for all entries that poll for them."""
 
+    @cached_property
+    def size(self) -> int:
+        """Size of the values, in bytes."""
+        return sum(len(item.value or b"") for item in self)
+
     @property
     def is_large(self) -> bool:
         """Whether the changes are worth compressing."""
-        return sum(len(item.value or b"") for item in self) >= LARGE_BYTES
+        return self.size >= LARGE_BYTES
 
     @cached_property
     def packed(self) -> bytes:
--- a/halldoor/gateway/publishing.py
+++ b/halldoor/gateway/publishing.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import cast
 
 import msgspec
 
@@ -45,6 +46,8 @@
         Returns whether the store answered this entry or its reader lately.
     is_receiving : callable
         Returns whether followers get the next changes sooner from the store than from this entry.
+    routing_key : str
+        Key of the configuration.
 
     Attributes
     ----------
@@ -62,6 +65,7 @@
         get_settings: Callable[[], RelaySettings],
         has_contact: Callable[[], bool],
         is_receiving: Callable[[], bool],
+        routing_key: str,
     ) -> None:
         self.records = RecordTable()
         self.proven_at = -math.inf
@@ -70,7 +74,8 @@
         self._get_settings = get_settings
         self._has_contact = has_contact
         self._is_receiving = is_receiving
-        self._history: ChangeHistory[StoredItem] = ChangeHistory()
+        self._routing_key = routing_key
+        self._history = self._create_history()
         self._updated = asyncio.Event()
         self._is_recording = False
 
@@ -90,7 +95,7 @@
         if difference is not None:
             self.proven_at = max(self.proven_at, records.proven_at)
         else:
-            self._history = ChangeHistory()
+            self._history = self._create_history()
             self.proven_at = records.proven_at
             difference = Batch(records.revision, records.revision, [])
         self._publish(difference)
@@ -107,14 +112,36 @@
     def reset(self) -> None:
         """Drop the records if recording an update failed half way."""
         if self._is_recording:
-            self.records, self._history = RecordTable(), ChangeHistory()
+            self.records, self._history = RecordTable(), self._create_history()
             self._is_recording = False
 
+    @staticmethod
+    def _create_history() -> ChangeHistory[StoredItem]:
+        """Create a history without changes."""
+        return ChangeHistory(lambda items: cast(ItemBlock, items).size)
+
     def _publish(self, batch: Batch[StoredItem]) -> None:
-        """Add a batch to the history, and wake the polls that wait for an update."""
-        self._history.add(batch._replace(items=ItemBlock(batch.items)))
+        """Add a batch to the history, and wake the polls that wait for an update.
+
+        A follower that is behind gets no configuration that a later one supersedes.
+        """
+        items = ItemBlock(batch.items)
+        written = [
+            i for i, item in enumerate(items) if item.key == self._routing_key and item.value
+        ]
+        if written and not self._catalog.has_rejected_routing:
+            self._history.replace_items(self._drop_routing)
+            last = written[-1]
+            items = ItemBlock([*self._drop_routing(items[:last]), *items[last:]])
+        self._history.add(batch._replace(items=items))
         self.wake_followers()
 
+    def _drop_routing(self, items: Sequence[StoredItem]) -> Sequence[StoredItem]:
+        """Return changes without those of the configuration."""
+        if all(item.key != self._routing_key for item in items):
+            return items
+        return ItemBlock(item for item in items if item.key != self._routing_key)
+
     async def answer(self, caller: CallerConnection, head: Head) -> None:
         """Answer a follower's poll for changes, or its request for all records."""
         target = head.target.decode("latin-1")
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -59,6 +59,8 @@
     batch_s : float
         Longest pause after changes for an entry that watches the store without followers, in
         seconds.
+    routing_key : str
+        Key of the configuration in the store.
     open_client : callable, optional
         Opens a client of another entry.
 
@@ -78,6 +80,7 @@
         batch_s: float,
         log: EventLog,
         metrics: GatewayMetrics,
+        routing_key: str,
         open_client: Callable[[Address], HttpClient] = HttpClient,
     ) -> None:
         losses = LossLog("relay", log=log, metrics=metrics)
@@ -105,6 +108,7 @@
             get_settings=lambda: self.settings,
             has_contact=lambda: self.has_contact,
             is_receiving=self._is_receiving,
+            routing_key=routing_key,
         )
         self._pause_skipped = asyncio.Event()
         self.random = Random(own.name)
--- a/halldoor/gateway/storetasks.py
+++ b/halldoor/gateway/storetasks.py
@@ -58,6 +58,7 @@
             batch_s=settings.batch_s,
             log=log,
             metrics=metrics,
+            routing_key=codec.routing_key,
         )
         sync = StoreSync(
             store,
--- a/halldoor/standins/modelentry.py
+++ b/halldoor/standins/modelentry.py
@@ -183,6 +183,7 @@
             batch_s=fleet.batch_s,
             log=log,
             metrics=metrics,
+            routing_key=codec.routing_key,
             open_client=lambda a: cast(HttpClient, ModelClient(fleet, a, self.node)),
         )
         self.sync = StoreSync(
--- a/halldoor/tests/test_superseded.py
+++ b/halldoor/tests/test_superseded.py
@@ -7,9 +7,11 @@
 
 import pytest
 
+from halldoor.core.targets.history import HISTORY_BYTES
 from halldoor.gateway.plain import ROUTING_KEY, PlainCodec
+from halldoor.gateway.polls import decode_poll_answer, unpack_items
 from halldoor.standins import virtualtime
-from halldoor.standins.storefleet import StoreFleet
+from halldoor.standins.storefleet import IP, Address, ModelClient, StoreFleet
 
 
 @contextlib.asynccontextmanager
@@ -93,3 +95,79 @@
             assert entry.events.counts["store: Ignores a bad record."] == 1
 
     virtualtime.run(check())
+
+
+class TestReader:
+    """What a reader sends a follower that is behind."""
+
+    @staticmethod
+    @contextlib.asynccontextmanager
+    async def open_reader():
+        """Start a hall of three entries; yield the fleet, its reader and the revision so far."""
+        fleet = StoreFleet(entries=3, halls=1, targets=10)
+        fleet.configure(1)
+        await fleet.start(within_s=0.1)
+        await fleet.wait_until_synchronized(1)
+        await asyncio.sleep(2 * fleet.settings.direct_s)
+        (port,) = fleet.list_readers()
+        try:
+            yield fleet, port, fleet.entries[port].sync.view.revision
+        finally:
+            fleet.stop()
+
+    @staticmethod
+    async def poll(fleet, port, after):
+        """Poll an entry for the changes after a revision, and return them."""
+        client = ModelClient(fleet, Address(IP, port))
+        query = f"after={after}&wait_ms=0&era=0&packed=1"
+        answer = await client.call("GET", f"/changes?{query}", timeout_s=1.0)
+        changes = decode_poll_answer(answer.status, answer.body)
+        assert changes.revision == fleet.entries[port].sync.view.revision
+        return unpack_items(changes.items)
+
+    def test_follower_that_is_behind_gets_each_configuration(self):
+        """Two of a megabyte took a narrow link twice as long; only the second takes effect."""
+
+        async def check():
+            async with self.open_reader() as (fleet, port, after):
+                for version in (2, 3, 4):
+                    fleet.configure(version, routes=500)
+                    fleet.remove_target(version)
+                    await fleet.wait_until_synchronized(version)
+                await asyncio.sleep(fleet.settings.bound_s)
+                items = await self.poll(fleet, port, after)
+                sizes = [len(item.value) for item in items if item.key == ROUTING_KEY]
+                assert len(sizes) == 1 and sizes[0] > 50_000
+                removed = [item.key for item in items if item.value is None]
+                assert removed == [f"targets/t0000{version}" for version in (2, 3, 4)]
+
+        virtualtime.run(check())
+
+    def test_configuration_before_one_that_cannot_be_read_is_sent(self):
+        """The follower would keep the one before both."""
+
+        async def check():
+            async with self.open_reader() as (fleet, port, after):
+                fleet.configure(2)
+                await fleet.wait_until_synchronized(2)
+                fleet.store.put(ROUTING_KEY, b'{"version": "odd"')
+                await asyncio.sleep(fleet.settings.bound_s)
+                items = await self.poll(fleet, port, after)
+                assert [item.key for item in items].count(ROUTING_KEY) == 2
+
+        virtualtime.run(check())
+
+    def test_history_of_large_changes_fills_the_memory(self):
+        """Sixty-four configurations of a megabyte that can't be read were kept for followers."""
+
+        async def check():
+            async with self.open_reader() as (fleet, port, _):
+                for number in range(40):
+                    fleet.store.put(ROUTING_KEY, b"{%d" % number + bytes(500_000))
+                    await asyncio.sleep(fleet.settings.bound_s)
+                history = fleet.entries[port].feed._publisher._history
+                sizes = [len(item.value or b"") for b in history._batches for item in b.items]
+                assert 500_000 <= sum(sizes) <= HISTORY_BYTES
+                assert await self.poll(fleet, port, fleet.store._revision - 1)
+
+        virtualtime.run(check())
--- a/properties/test_superseded.py
+++ b/properties/test_superseded.py
@@ -10,14 +10,18 @@
 
 from halldoor.core.settings import Address
 from halldoor.core.targets.catalog import Catalog
+from halldoor.core.targets.relay import RelaySettings
 from halldoor.core.targets.sequence import RoutingSequence
 from halldoor.core.targets.timings import CatalogTimings
 from halldoor.core.targets.withdrawal import StoreView
 from halldoor.gateway.decoder import RecordDecoder
 from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.handover import RecordSet
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.plain import ROUTING_KEY, TARGET_PREFIX, PlainCodec, TargetModel
-from halldoor.gateway.store import StoredItem
+from halldoor.gateway.polls import Update
+from halldoor.gateway.publishing import ChangePublisher
+from halldoor.gateway.store import Events, StoredItem
 from halldoor.standins.modelentry import CountingLog
 
 
@@ -79,3 +83,29 @@
         all_decoded.apply([[item] for item in items], revision)
         last_decoded.apply([items], revision)
         assert last_decoded.state == all_decoded.state
+
+
+@given(st.lists(ITEMS, min_size=1, max_size=6), st.data())
+def test_follower_from_any_revision_reaches_the_state_of_its_reader(updates, data):
+    """Whatever its reader left out: removals, drains and rejected configurations included."""
+    reader, follower = Entry(), Entry()
+    publisher = ChangePublisher(
+        reader.catalog,
+        metrics=GatewayMetrics(),
+        get_settings=RelaySettings,
+        has_contact=lambda: True,
+        is_receiving=lambda: False,
+        routing_key=ROUTING_KEY,
+    )
+    publisher.reset_records(RecordSet([], 0, "1", 0.0))
+    reached = 0
+    for revision, items in enumerate(updates, 1):
+        reader.apply([items], revision)
+        publisher.record_update(revision - 1, Update(Events(items, revision), 0.0))
+        if data.draw(st.booleans()) or revision == len(updates):
+            batch = publisher._history.collect(reached)
+            assert batch is not None and batch.revision == revision
+            follower.apply([list(batch.items)], reached := revision)
+            assert follower.state == reader.state
+            configurations = [item.value for item in batch.items if item.key == ROUTING_KEY]
+            assert reader.catalog.has_rejected_routing or sum(map(bool, configurations)) <= 1
