Take all records from a reader after a suspension

And an entry that was suspended while a reader's records were on their way served by them at once, though they were older by the whole suspension. Cause: after a suspension entries asked nobody but the store, out of caution: another entry's records may be old. Their age was checked by the sender alone, when they were sent, and any records that arrived ended the confirmation that follows a suspension. Change: a suspended entry asks its reader first, as after a lost history, and uses records only if their proof is within the age on which a follower relies when they arrive; otherwise it reads the store as before.

--- a/halldoor/gateway/publishing.py
+++ b/halldoor/gateway/publishing.py
@@ -195,7 +195,10 @@
         return items
 
     async def _send_records(self, caller: CallerConnection, target: str) -> None:
-        """Send all records, once they are of the requested copy of the store."""
+        """Send all records, once they are of the requested copy of the store.
+
+        An entry that is receiving a large answer refuses: the store has newer records, and sooner.
+        """
         wanted = parse_wanted_era(target)
         if wanted is None:
             self._metrics.add_bad_poll()
@@ -204,7 +207,7 @@
         deadline = _now() + self._get_settings().handover_wait_s
         while not self.records.satisfies(wanted) and _now() < deadline:
             await self._wait_for_update(deadline - _now())
-        if not self.records.satisfies(wanted):
+        if not self.records.satisfies(wanted) or self._is_receiving():
             caller.send(Answer(503, []))
             return
         is_packed = accepts_packed(target)
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import (
     Change,
+    MemberRecord,
     MemberSeen,
     is_withdrawal,
 )
@@ -199,7 +200,7 @@
     async def _resolve_other_era(self) -> None:
         """Switch to the copy of the store that the reader follows, or stop following the reader."""
         self._log.event("store", "The reader follows another copy of the store.")
-        records = await self._feed.fetch_records(WantedEra(self._store.era, self._era))
+        records = await self._fetch_records(WantedEra(self._store.era, self._era))
         if records is not None:
             self._apply_records(records)
         else:
@@ -248,23 +249,36 @@
         """Read all records: from an entry that follows the store, or page by page from the store.
 
         For an entry that starts, the first page lists the entries of its hall; another entry's
-        records may be older than that page, and also than the state before a suspension.
+        records may be older than that page.
         """
-        if self.is_loaded.is_set() and not self.is_unconfirmed and not self._reader.has_pages:
+        if self.is_loaded.is_set() and not self._reader.has_pages:
             left = self._era if self._era != self._store.era else None
-            records = await self._feed.fetch_records(WantedEra(self._store.era, left))
+            records = await self._fetch_records(WantedEra(self._store.era, left))
             if records is not None and not self._is_ahead_of(records):
                 return records
         page = await self._reader.read_first()
         if page.has_more and not self.is_loaded.is_set():
             seen = self._decoder.decode_without_routing(page.items)
             members = [change.member for change in seen if isinstance(change, MemberSeen)]
-            records = await self._feed.fetch_records(WantedEra(self._store.era), members)
+            records = await self._fetch_records(WantedEra(self._store.era), members)
             if records is not None:
                 self._reader.clear()
                 return add_first_page(records, page)
         return await self._reader.read_remaining()
 
+    async def _fetch_records(
+        self, wanted: WantedEra, members: Iterable[MemberRecord] | None = None
+    ) -> RecordSet | None:
+        """Fetch all records from a reader as `ChangeFeed.fetch_records`.
+
+        Those that were sent before a suspension are used only if they are recent after it.
+        """
+        records = await self._feed.fetch_records(wanted, members)
+        if records is None or not self.is_unconfirmed:
+            return records
+        age_s = asyncio.get_running_loop().time() - records.proven_at
+        return records if age_s <= self._feed.settings.age_limit_s else None
+
     def _is_ahead_of(self, records: RecordSet) -> bool:
         """Check whether this entry applied changes that the records of its reader lack."""
         return records.era == self._era and records.revision < self._begun_revision
--- a/halldoor/tests/test_large_configuration.py
+++ b/halldoor/tests/test_large_configuration.py
@@ -116,3 +116,59 @@
             assert entry.feed.is_answer_arriving
 
     virtualtime.run(run())
+
+
+def find_follower(fleet, *, has_wide=True):
+    """Return the first entry with a narrow link that follows a reader."""
+    readers, links = fleet.list_readers(), list_links(has_wide=has_wide)
+    ports = (p for p, mbps in links.items() if mbps == NARROW_MBPS and p not in readers)
+    return fleet.entries[next(ports)]
+
+
+def test_entry_that_was_suspended_reads_a_large_configuration_from_the_store():
+    """Its pages took a narrow link 1.9 s, while its reader had all records in 0.13 MB."""
+
+    async def run():
+        async with open_fleet() as fleet:
+            entry = find_follower(fleet)
+            fleet.configure(2, routes=ROUTES)
+            await fleet.wait_until_synchronized(2)
+            entry.node.suspend(5.0)
+            await asyncio.sleep(2.0)
+            fleet.configure(3, routes=ROUTES)
+            await asyncio.sleep(3.0)
+            async with asyncio.timeout(BOUND_S / 4):
+                while entry.sync.is_unconfirmed or entry.catalog.configuration_version != 3:
+                    await asyncio.sleep(0.01)
+
+    virtualtime.run(run())
+
+
+def test_records_that_were_sent_before_a_suspension_confirm_the_state_after_it():
+    """The entry served by them at once, though they were older by the whole suspension."""
+
+    async def run():
+        async with open_fleet() as fleet:
+            entry = find_follower(fleet)
+            fetch_records = entry.feed.fetch_records
+
+            async def fetch_and_suspend(*args):
+                entry.feed.fetch_records = fetch_records
+                records = await fetch_records(*args)
+                entry.node.suspend(5.0)
+                fleet.configure(2, routes=ROUTES)
+                await asyncio.sleep(5.05)
+                return records
+
+            revision = entry.sync.view.revision
+            entry.feed.fetch_records = fetch_and_suspend
+            entry.sync.reset()
+            entry.sync.renew_watch("all records are read again")
+            async with asyncio.timeout(10.0):
+                while (version := entry.catalog.configuration_version) != 2:
+                    is_late = fleet.store._revision > revision and not entry.node.is_suspended
+                    is_used = not (entry.sync.is_unconfirmed or entry.maintenance.was_suspended())
+                    assert not (is_late and is_used), version
+                    await asyncio.sleep(0.001)
+
+    virtualtime.run(run())
