Read again where the first page was dropped before the others

Seen, reading the code: an entry that starts and is suspended while it asks a reader for all records has its kept page dropped by `StoreSync.invalidate`; if the reader has none for it, `RecordReader.read_remaining` failed with an IndexError, which failed the task. Cause: `clear` was expected during the read of a page, not between two. Change: it raises `HistoryGoneError` there, as in the middle of a page, after which all is read again. Result: the new test failed with the IndexError before; test_reading, test_handover and test_relay pass.

--- a/halldoor/gateway/reading.py
+++ b/halldoor/gateway/reading.py
@@ -84,10 +84,12 @@
         Raises
         ------
         HistoryGoneError
-            If the store was restored from a copy meanwhile.
+            If the store was restored from a copy meanwhile, or the first page was dropped.
         StoreError
             If the store can't be read; call again to resume.
         """
+        if not self._pages:
+            raise HistoryGoneError("The first page was dropped.", remedy="Read again.")
         while self._pages[-1].has_more and self._pages[-1].items:
             after = self._pages[-1].items[-1].key
             if any(page.items[-1].key == after for page in self._pages[:-1]):
--- a/halldoor/tests/test_reading.py
+++ b/halldoor/tests/test_reading.py
@@ -15,7 +15,7 @@
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.plain import TargetModel
 from halldoor.gateway.reading import RecordReader
-from halldoor.gateway.store import Page, StoreError
+from halldoor.gateway.store import HistoryGoneError, Page, StoreError
 from halldoor.standins import virtualtime
 from halldoor.standins.memorystore import MemoryStore
 from halldoor.standins.storefleet import StoreFleet
@@ -335,3 +335,19 @@
         assert not reader.has_pages
 
     virtualtime.run(run())
+
+
+def test_first_page_that_is_dropped_before_the_others_are_read_fails_the_task():
+    """An entry that started was suspended while it asked a reader for the records: IndexError."""
+
+    async def run() -> None:
+        store = MemoryStore(page_items=2)
+        for i in range(3):
+            store.put(f"targets/{i}", b"")
+        reader = RecordReader(store, metrics=GatewayMetrics(), on_page=lambda page, era: None)
+        await reader.read_first()
+        reader.clear()
+        with pytest.raises(HistoryGoneError):
+            await reader.read_remaining()
+
+    virtualtime.run(run())
