Register again when the own record is gone before it was read

Look-ups and other entries don't name such an entry until it restarts. Cause: the record was written again only if its removal changed the entry's own state; not when write and removal arrive as one change, when a full read contains neither, or when the removal arrives before the write is answered. Change: each removal of the own record counts, known or not; a complete state without the record has it written again at the next renewal; a request during a write is kept.

--- a/halldoor/core/targets/catalog.py
+++ b/halldoor/core/targets/catalog.py
@@ -191,6 +191,16 @@
             starts.append(TargetSeen(record))
         return starts + [c for c in self._postponed.pop_due(now) if self.apply(c, now)]
 
+    def lacks_member(self, name: str, since: float) -> bool:
+        """Check whether an entry's record is missing in a state that includes every change.
+
+        Parameters
+        ----------
+        since : float
+            Time up to which the state has to be complete, in seconds of the steady clock.
+        """
+        return name not in self.members and self.proof.proven_at > since
+
     @property
     def configuration_version(self) -> int:
         """Version of the configuration in force; 0 if there is none."""
--- a/halldoor/gateway/filestore.py
+++ b/halldoor/gateway/filestore.py
@@ -130,6 +130,8 @@
         The YAML file.
     """
 
+    keeps_entries = False
+
     def __init__(self, path: Path) -> None:
         self._path = path
         self._records: dict[str, bytes] = {}
--- a/halldoor/gateway/following.py
+++ b/halldoor/gateway/following.py
@@ -90,8 +90,7 @@
             case MemberSeen():
                 self._notify(self._quarantine.update_collectors)
             case MemberRemoved(name) if name == self._own_name and not self._is_stopping():
-                self._log.event("membership", "Own record is gone; writing it again.")
-                self._registration.rewrite_record()
+                self._registration.restore_record()
             case MemberRemoved():
                 self._notify(self._quarantine.update_collectors)
 
--- a/halldoor/gateway/registration.py
+++ b/halldoor/gateway/registration.py
@@ -33,6 +33,9 @@
         Called whenever the store accepted a registration or renewal.
     on_return : callable
         Called with a cause when the store answers after a failure, or was restored from a copy.
+    is_missing : callable
+        Returns whether the state, complete up to a time in seconds of the loop's clock, lacks this
+        entry's record.
 
     Attributes
     ----------
@@ -51,6 +54,7 @@
         is_loaded: asyncio.Event,
         on_contact: Callable[[], None],
         on_return: Callable[[str], None],
+        is_missing: Callable[[float], bool],
     ) -> None:
         self._store = store
         self._codec = codec
@@ -60,9 +64,12 @@
         self._is_loaded = is_loaded
         self._on_contact = on_contact
         self._on_return = on_return
+        self._is_missing = is_missing
         self._lease: Lease | None = None
         self._era = ""
         self._is_written = False
+        self._written_at = math.inf
+        self._is_outdated = False
         self._is_reachable = True
         self.is_open = asyncio.Event()
         self.is_open.set()
@@ -80,6 +87,7 @@
         await self._is_loaded.wait()
         lapses = 0
         while True:
+            self._wake.clear()
             try:
                 pause_s = await self._renew()
             except LeaseGoneError:
@@ -101,7 +109,6 @@
                 if self._has_failed:
                     self._has_failed = False
                     self._on_return("the store renews again")
-            self._wake.clear()
             try:
                 async with asyncio.timeout(pause_s):
                     await self._wake.wait()
@@ -130,16 +137,23 @@
             await self._store.renew_lease(self._lease.name)
             self._metrics.add_store_call("lease", "renewed")
         self._check_era()
+        if self._is_written and self._is_missing(self._written_at):
+            self.restore_record()
         if not self._is_written:
-            is_reachable = self._is_reachable
-            member = self._member if is_reachable else self._member._replace(relay=None)
-            item = self._codec.encode_member(member)
-            await self._store.write(item.key, item.value or b"", lease=self._lease.name)
-            self._is_written = is_reachable is self._is_reachable
-            self._metrics.add_store_call("write", "ok")
-            self._log.event("membership", "Registered.", lease=self._lease.name)
+            await self._write_record(self._lease.name)
         return max(SHORTEST_RENEWAL_S, min(RENEWAL_S, self._lease.ttl_s * RENEWAL_S / LEASE_S))
 
+    async def _write_record(self, lease: str) -> None:
+        """Write the own record; again at the next renewal if it was outdated meanwhile."""
+        self._is_outdated = False
+        member = self._member if self._is_reachable else self._member._replace(relay=None)
+        item = self._codec.encode_member(member)
+        await self._store.write(item.key, item.value or b"", lease=lease)
+        self._is_written = not self._is_outdated
+        self._written_at = asyncio.get_running_loop().time()
+        self._metrics.add_store_call("write", "ok")
+        self._log.event("membership", "Registered.", lease=lease)
+
     def _check_era(self) -> None:
         """Reject a lease that was created before the store was restored from a copy.
 
@@ -164,11 +178,16 @@
         self._member = member
         self.rewrite_record()
 
+    def restore_record(self) -> None:
+        """Write this entry's record again, since it was removed while the entry runs."""
+        self._log.event("membership", "Own record is gone; writing it again.")
+        self.rewrite_record()
+
     def rewrite_record(self) -> None:
-        """Write this entry's record again: it changed, or was removed while the entry runs."""
-        if self._is_written:
-            self._is_written = False
-            self._wake.set()
+        """Write this entry's record again, also after a write that is not answered yet."""
+        self._is_written = False
+        self._is_outdated = True
+        self._wake.set()
 
     async def leave(self) -> None:
         """End the lease, so that look-ups stop naming this entry immediately."""
--- a/halldoor/gateway/store.py
+++ b/halldoor/gateway/store.py
@@ -94,8 +94,11 @@
     watch_arrival, page_arrival : Arrival or None
         Progress of the answer to the present watch, and to the present read of a page; None while
         there is none, or where it is not known.
+    keeps_entries : bool
+        Whether reads include the records that entries write.
     """
 
+    keeps_entries = True
     era: str = ""
     watch_arrival: Arrival | None = None
     page_arrival: Arrival | None = None
--- a/halldoor/gateway/storetasks.py
+++ b/halldoor/gateway/storetasks.py
@@ -79,6 +79,7 @@
             metrics=metrics,
         )
         sync.on_update.append(notices.queue_notices)
+        name = member.name
         registration = Registration(
             store,
             codec,
@@ -88,5 +89,6 @@
             is_loaded=sync.is_loaded,
             on_contact=lambda: catalog.record_answer(asyncio.get_running_loop().time()),
             on_return=sync.restart_watch,
+            is_missing=lambda since: store.keeps_entries and catalog.lacks_member(name, since),
         )
         return cls(feed, sync, notices, registration)
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -9,6 +9,7 @@
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import (
     Change,
+    MemberRemoved,
     MemberSeen,
     RoutingRejected,
     RoutingSeen,
@@ -323,6 +324,9 @@
                 self._changes.log(change, provenance)
             else:
                 self._changes.log_ignored(change, provenance)
+                if isinstance(change, MemberRemoved):
+                    # The own record may be removed before this entry has read it.
+                    self.notifier.notify(self._on_change, change)
         # The store's own answer includes all removals up to its return, whenever it was sent.
         self._catalog.contact.record_applied_until(update.proven_at if update.is_relayed else now)
         self._revision = self._last_revision = events.revision
--- a/halldoor/standins/modelentry.py
+++ b/halldoor/standins/modelentry.py
@@ -204,6 +204,7 @@
             is_loaded=self.sync.is_loaded,
             on_contact=lambda: self.catalog.record_answer(asyncio.get_running_loop().time()),
             on_return=self.sync.restart_watch,
+            is_missing=lambda since: self.catalog.lacks_member(member.name, since),
         )
         self.maintenance = Maintenance(
             self.catalog,
