Ask for a route that the test wrote, by the route's own host

The lines of the log show why: the configuration just written was in force 1 to 7 ms before, by the watch, and the request was for another host than the route's, so 404 was right. The request now names the route's host: it must never get 404, whichever comes first, the watch or the request. As strict for the old order, and stricter for the new one.

--- a/halldoor/tests/test_file_store.py
+++ b/halldoor/tests/test_file_store.py
@@ -9,12 +9,17 @@
 from halldoor.core.teams.admission import AccessSettings
 from halldoor.gateway import filestore
 from halldoor.gateway.filestore import FileStore
-from halldoor.tests.gatewaykit import GatewayKit
+from halldoor.tests.gatewaykit import ROUTE, GatewayKit
 
 
 def write(path, *, version):
     service = {"name": "deck"}
-    route = {"name": "r", "host": "h", "path_prefix": f"/{version}/", "kind": "repeatable"}
+    route = {
+        "name": "r",
+        "host": ROUTE["host"],
+        "path_prefix": f"/{version}/",
+        "kind": "repeatable",
+    }
     routing = {"version": version, "routes": [route | {"service": "deck"}], "services": [service]}
     routing["targets"] = []
     path.write_text(yaml.safe_dump(routing))
