Relax the limits on progress after an answer that was given up

Seen: over a link share of 25 kB/s, below the 32 kB/s that an answer has to make, a page with a configuration of 150 kB was read again and again, given up after 4 s each time; not in force after 60 s (virtual time). The callers' view: the older configuration, and 503 for its new routes. Change: the limits of a server's answers are doubled after each answer that was given up, to 16 times at most, until an answer as large arrives without that. A server that doesn't answer gains nothing.

--- a/halldoor/gateway/arrivals.py
+++ b/halldoor/gateway/arrivals.py
@@ -15,11 +15,18 @@
 
 A server that sends a body slower, piece by piece, would hold up the changes that come after it.
 """
+MOST_LENIENT = 16.0
+"""Greatest factor by which the limits are relaxed."""
 
 
 class Arrival:
     """The body of an answer as it arrives.
 
+    Parameters
+    ----------
+    leniency : float, optional
+        Factor by which the limits on silence and rate are relaxed.
+
     Attributes
     ----------
     head_at : float or None
@@ -28,9 +35,13 @@
         Bytes of the body that have arrived.
     size : int or None
         Bytes of the whole body; None if the head does not state them.
+    needed_leniency : bool
+        Whether the body would have been given up without leniency.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, leniency: float = 1.0) -> None:
+        self._leniency = leniency
+        self.needed_leniency = False
         self.head_at: float | None = None
         self.size: int | None = None
         self.received = 0
@@ -42,6 +53,7 @@
 
     def add(self, count: int, now: float) -> None:
         """Record that bytes of the body arrived."""
+        self.needed_leniency = self.needed_leniency or now > self._find_limit(1.0)
         self.received += count
         self._last_at = now
 
@@ -52,9 +64,17 @@
 
     def find_limit(self) -> float:
         """Return when the answer is given up unless more of it arrives, on the loop's clock."""
+        return self._find_limit(self._leniency)
+
+    def _find_limit(self, leniency: float) -> float:
+        """Return the limit with a leniency."""
         assert self.head_at is not None
-        earned_s = self.received / LEAST_RATE
-        return min(self._last_at, self.head_at + earned_s) + SILENCE_S
+        earned_s = leniency * self.received / LEAST_RATE
+        return min(self._last_at, self.head_at + earned_s) + leniency * SILENCE_S
+
+    def is_overdue(self, now: float) -> bool:
+        """Check whether the body has begun, and too little of it arrived."""
+        return self.has_begun and now >= self.find_limit()
 
     def estimate_left_s(self, now: float) -> float:
         """Estimate when the answer is whole by its rate so far, in seconds; 0 if that is open."""
@@ -74,3 +94,36 @@
         before = limit.when()
         if before is not None and not limit.expired():
             limit.reschedule(max(before, self.find_limit()))
+
+
+class ProgressLimits:
+    """Limits on the answers of one server, relaxed while none of them arrives.
+
+    An answer that was given up is requested again.  With the same limits it would be given up each
+    time over a link that is slower than they allow.
+    """
+
+    def __init__(self) -> None:
+        self._leniency = 1.0
+        self._lost_bytes = 0
+
+    def open(self) -> Arrival:
+        """Return the progress of the next answer, with the present limits."""
+        return Arrival(self._leniency)
+
+    def record_failure(self, arrival: Arrival, now: float) -> None:
+        """Record a failed call; relax the limits if its answer was given up.
+
+        Parameters
+        ----------
+        now : float
+            Time of the loop's clock, in seconds.
+        """
+        if arrival.is_overdue(now):
+            self._leniency = min(MOST_LENIENT, 2.0 * self._leniency)
+            self._lost_bytes = max(self._lost_bytes, arrival.received)
+
+    def record_success(self, arrival: Arrival) -> None:
+        """Record a whole answer; restore the limits if one as large does not need more."""
+        if arrival.received > self._lost_bytes and not arrival.needed_leniency:
+            self._leniency, self._lost_bytes = 1.0, 0
--- a/halldoor/gateway/store.py
+++ b/halldoor/gateway/store.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Sequence
-from typing import NamedTuple
+from collections.abc import Callable, Iterator, Sequence
+from typing import Literal, NamedTuple
 
 from halldoor.core.decoding import DecodingError, decoding
 from halldoor.core.errors import HalldoorError
 from halldoor.core.targets.changes import Change, MemberRecord, RoutingRejected
-from halldoor.gateway.arrivals import Arrival
+from halldoor.gateway.arrivals import Arrival, ProgressLimits
 from halldoor.gateway.httpclient import LostAnswer
 
 UNUSED_PREFIX = "unused/"
@@ -18,6 +20,9 @@
 """Characters of a key that are shown in an error message."""
 
 
+ArrivalKind = Literal["watch_arrival", "page_arrival"]
+
+
 class StoreError(HalldoorError):
     """The store refused a call, sent an invalid answer or can't be reached."""
 
@@ -106,6 +111,29 @@
     def __init__(self) -> None:
         self.on_unreadable: Callable[[str], None] = lambda _: None
         self.on_lost_answer: Callable[[str, LostAnswer], None] = lambda *_: None
+        self._progress = ProgressLimits()
+
+    @contextlib.contextmanager
+    def _follow_arrival(self, kind: ArrivalKind) -> Iterator[Arrival]:
+        """Follow the progress of the answer to a call that is made in the context.
+
+        Parameters
+        ----------
+        kind : ArrivalKind
+            Attribute that holds the progress meanwhile.
+        """
+        arrival = self._progress.open()
+        setattr(self, kind, arrival)
+        try:
+            yield arrival
+        except StoreError:
+            self._progress.record_failure(arrival, asyncio.get_running_loop().time())
+            raise
+        else:
+            self._progress.record_success(arrival)
+        finally:
+            if getattr(self, kind) is arrival:
+                setattr(self, kind, None)
 
     @abstractmethod
     async def read_range(self, prefix: str, *, after: str = "") -> Page:
--- a/halldoor/standins/storelink.py
+++ b/halldoor/standins/storelink.py
@@ -83,6 +83,7 @@
     """
 
     def __init__(self, server: StoreServer, node: Node) -> None:
+        super().__init__()
         self._server = server
         self._node = node
         self.is_cut = False
@@ -155,28 +156,20 @@
 
     async def read_range(self, prefix: str, *, after: str = "") -> Page:
         """Return one page of the keys with a prefix."""
-        arrival = self.page_arrival = Arrival()
-        try:
+        with self._follow_arrival("page_arrival") as arrival:
             async with self._call("range", limit_s=READ_TIMEOUT_S) as (store, limit):
                 page = await store.read_range(prefix, after=after)
                 await self._receive(page.items, limit, arrival)
                 return page
-        finally:
-            if self.page_arrival is arrival:
-                self.page_arrival = None
 
     async def watch(self, prefix: str, *, after: int, wait_s: float) -> Events:
         """Wait for changes after a revision, for ``wait_s`` seconds at most."""
-        arrival = self.watch_arrival = Arrival()
-        try:
+        with self._follow_arrival("watch_arrival") as arrival:
             async with self._call("watch", limit_s=wait_s + CALL_TIMEOUT_S) as (store, limit):
                 watch = store.watch(prefix, after=after, wait_s=wait_s)
                 events = await self._wait_for_watch(watch)
                 await self._receive(events.items, limit, arrival)
                 return events
-        finally:
-            if self.watch_arrival is arrival:
-                self.watch_arrival = None
 
     async def _wait_for_watch(self, watch: Coroutine[Any, Any, Events]) -> Events:
         """Wait for a watch's answer; fail once a silenced connection is detected as dead."""
--- a/halldoor/tests/test_arrivals.py
+++ b/halldoor/tests/test_arrivals.py
@@ -7,7 +7,7 @@
 import pytest
 
 from halldoor.core.settings import Address
-from halldoor.gateway.arrivals import LEAST_RATE, SILENCE_S, Arrival
+from halldoor.gateway.arrivals import LEAST_RATE, SILENCE_S, Arrival, ProgressLimits
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
 from halldoor.standins.sample import IP
 
@@ -76,3 +76,35 @@
     assert arrival.find_limit() == 10.5 + SILENCE_S
     arrival.add(1, 200.0)
     assert arrival.find_limit() == pytest.approx(110.0 + SILENCE_S, abs=0.01)
+
+
+def arrive(limits, *, size, took_s):
+    """Have an answer arrive evenly, or until it is given up; return whether it arrived."""
+    arrival = limits.open()
+    arrival.begin(0.0)
+    for part in range(1, 101):
+        now = part * took_s / 100
+        if arrival.is_overdue(now):
+            limits.record_failure(arrival, now)
+            return False
+        arrival.add(size // 100, now)
+    limits.record_success(arrival)
+    return True
+
+
+def test_slow_answer_is_given_up_each_time():
+    """At 4 kB/s, an eighth of the rate, the fourth one arrives and so do those after it."""
+    limits = ProgressLimits()
+    slow = {"size": 400_000, "took_s": 100.0}
+    assert [arrive(limits, **slow) for _ in range(6)] == [False] * 3 + [True] * 3
+    assert arrive(limits, size=2_000, took_s=0.1)
+    assert arrive(limits, **slow)
+    assert arrive(limits, size=400_000, took_s=5.0)
+    assert not arrive(limits, **slow)
+
+
+def test_call_without_an_answer_relaxes_limits():
+    """An unreachable server would be granted a trickle afterwards."""
+    limits = ProgressLimits()
+    limits.record_failure(limits.open(), 100.0)
+    assert not arrive(limits, size=400_000, took_s=14.0)
--- a/halldoor/tests/test_large_configuration.py
+++ b/halldoor/tests/test_large_configuration.py
@@ -116,3 +116,23 @@
             assert entry.feed.is_answer_arriving
 
     virtualtime.run(run())
+
+
+@pytest.mark.parametrize("entries", [1, 3])
+def test_configuration_is_read_again_and_again_over_link_below_progress_limit(entries):
+    """A link share of 25 kB/s: each read of the page was given up after 4 s."""
+
+    async def run():
+        fleet = StoreFleet(entries=(entries,), halls=1, targets=5, links_mbps={1: 0.2})
+        fleet.configure(1)
+        await fleet.start(within_s=0.5)
+        await fleet.wait_until_synchronized(1)
+        try:
+            fleet.store.open_gap()
+            assert 140_000 < fleet.configure(2, routes=700) < 160_000
+            fleet.store.close_gap()
+            assert await fleet.wait_until_synchronized(2, limit_s=60.0) <= 20.0
+        finally:
+            fleet.stop()
+
+    virtualtime.run(run())
