Say in a refusal's line that a query was left out

Seen: the line of a refusal and `halldoor explain` hold no query, since, but nothing said that there was one, so that an operator may look for a path that was never asked for alone. Change: `has_query` in the line, and in the sentence of `explain`. No other line of a gateway holds a refused path.

--- a/halldoor/core/explaining/history.py
+++ b/halldoor/core/explaining/history.py
@@ -252,7 +252,8 @@
 def _describe_admission(fields: dict[str, Any]) -> Iterator[str]:
     """Describe what a refused request asked for, and the configuration that was in force."""
     if fields.get("host") or fields.get("path"):
-        yield f"It asked for host {fields.get('host')}, path {fields.get('path')}."
+        query = ", with a query, which is not logged" if fields.get("has_query") else ""
+        yield f"It asked for host {fields.get('host')}, path {fields.get('path')}{query}."
     if fields.get("source"):
         yield (
             f"This configuration came by {fields['source']}, and was in force here for "
--- a/halldoor/gateway/refusals.py
+++ b/halldoor/gateway/refusals.py
@@ -117,15 +117,17 @@
     return fields
 
 
-def describe_head(head: Head | None) -> dict[str, str]:
+def describe_head(head: Head | None) -> dict[str, Any]:
     """Return host and path of a request for the log, escaped and cut; empty if it can't be read.
 
-    The query and a user's name and password are left out, since they may be secret.
+    The query and a user's name and password are left out, since they may be secret; ``has_query``
+    says that there was a query.
     """
     if head is None:
         return {"host": "", "path": ""}
     host = find(head.headers, b"host")[:READ_BYTES].rpartition(b"@")[2]
-    return {"host": _escape(host), "path": _escape(_find_path(head.target[:READ_BYTES]))}
+    fields = {"host": _escape(host), "path": _escape(_find_path(head.target[:READ_BYTES]))}
+    return fields | ({"has_query": True} if b"?" in head.target else {})
 
 
 def _find_path(target: bytes) -> bytes:
