Test the law of refusals on the product's own task

Seen: properties/test_refusals.py had its own copies of what StoreSync does with a read and with events (when the events prove the state), and of the age that admits. Change: the entry of the property applies reads and events by StoreSync and admits by CallerAccess; the law and its steps are the same. An entry that has to read all records again gets no events, as in the product. Nothing may fail inside.

--- a/properties/test_refusals.py
+++ b/properties/test_refusals.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
+from collections.abc import Coroutine
 from random import Random
+from types import SimpleNamespace
+from typing import Any, cast
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from halldoor.core.targets.catalog import Catalog
-from halldoor.core.targets.changes import RoutingSeen
+from halldoor.core.targets.changes import Change, RoutingSeen
+from halldoor.core.targets.relay import RelaySettings
 from halldoor.core.targets.route import (
     CallerLimits,
     RequestKind,
@@ -18,19 +24,25 @@
     SplitPart,
     TargetService,
 )
-from halldoor.core.targets.sequence import RoutingSequence
+from halldoor.core.targets.split import Splitter
 from halldoor.core.targets.timings import CatalogTimings
 from halldoor.core.targets.withdrawal import StoreView
-from halldoor.core.teams.admission import (
-    AccessSettings,
-    AccessTable,
-    AdmittedRequest,
-    ConfigurationAge,
-)
+from halldoor.core.teams.admission import AccessSettings, AdmittedRequest
 from halldoor.core.teams.gate import QuotaGate
+from halldoor.gateway.access import CallerAccess
+from halldoor.gateway.callerrequest import Head
+from halldoor.gateway.handover import RecordSet
+from halldoor.gateway.headers import HeaderNames
+from halldoor.gateway.polls import Update
+from halldoor.gateway.relay import ChangeFeed
+from halldoor.gateway.store import Events, MetadataStore, RecordCodec, StoredItem
+from halldoor.gateway.sync import StoreSync
 
 STALE_S = 3.0
 PATHS = ("/a/", "/b/", "/c/")
+ROUTINGS: list[Routing] = []
+"""Configurations of all stores."""
+LOOP = asyncio.new_event_loop()
 SERVICES = {"deck": TargetService("deck", "/health", 8, 0.0, 10.0)}
 
 
@@ -114,49 +126,105 @@
         return [frozenset(r.name for r in x.routes) for _, until, x in self.spans if until >= since]
 
 
+class Codec:
+    """Decoder of configurations, which the test's records hold by their place in `ROUTINGS`."""
+
+    def decode(self, item: StoredItem) -> Change:
+        assert item.value is not None
+        return RoutingSeen(ROUTINGS[int(item.value)])
+
+
+def encode_routing(routing: Routing) -> StoredItem:
+    """Return the record of a configuration."""
+    ROUTINGS.append(routing)
+    return StoredItem("routing", b"%d" % (len(ROUTINGS) - 1))
+
+
+class Feed:
+    """Source of the updates of one entry."""
+
+    def __init__(self) -> None:
+        self.settings = RelaySettings()
+        self.random = Random(1)
+        self.update: Update | None = None
+
+    async def wait(self, revision: int) -> Update:
+        assert self.update is not None
+        return self.update
+
+    async def pause(self) -> None: ...
+
+    def reset_records(self, records: RecordSet) -> None: ...
+
+    def record_update(self, after: int, update: Update) -> None: ...
+
+
 class Entry:
-    """An entry's view of the store."""
+    """An entry's view of the store, kept by the product's task, and its admission of requests."""
 
     def __init__(self) -> None:
-        self.catalog, self.sequence = Catalog(CatalogTimings()), RoutingSequence()
-        self.view = StoreView("", -1)
+        self.catalog = Catalog(CatalogTimings())
+        self.feed = Feed()
+        self.metrics = mock.MagicMock()
+        self.sync = StoreSync(
+            cast(MetadataStore, SimpleNamespace(era="")),
+            cast(RecordCodec, Codec()),
+            self.catalog,
+            log=mock.MagicMock(),
+            metrics=self.metrics,
+            on_change=lambda _: None,
+            feed=cast(ChangeFeed, self.feed),
+        )
+        self.access = CallerAccess(
+            self.catalog,
+            QuotaGate("e1", 1, Random(1).random),
+            Splitter(),
+            names=HeaderNames(),
+            settings=AccessSettings(stale_s=STALE_S),
+            is_confirming=lambda: False,
+        )
+
+    @property
+    def view(self) -> StoreView:
+        """Era and revision of the entry's state."""
+        return self.sync.view
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether the entry waits for events, rather than for a full read."""
+        return self.sync._revision is not None
 
     def read(self, store: Store, revisions: list[int]) -> None:
         """Read all records: the oldest page, that of the configuration and the newest one."""
         begun, page, newest = revisions
-        self.view = StoreView(str(store.era), begun)
         routing = store.find_routing(page)
-        changes = [] if routing is None else [RoutingSeen(routing)]
-        in_force = self.catalog.routing
-        seen = self.sequence.mark_read(changes, self.view, newest=newest, in_force=in_force)
-        self.catalog.apply_full_read(seen, store.now)
-        self.catalog.proof.record_update(self.view, store.find_proof(begun))
+        items = [] if routing is None else [encode_routing(routing)]
+        proven_at = store.find_proof(begun)
+
+        async def apply() -> None:
+            records = RecordSet(items, begun, str(store.era), proven_at, newest=newest)
+            self.sync._apply_records(records)
+
+        self._run(apply())
 
     def apply_events(self, store: Store, until: int) -> None:
         """Apply the events up to a revision, as a watch or another entry sends them."""
-        written = store.written[self.view.revision : until]
-        events = [RoutingSeen(routing) for _, routing in written if routing is not None]
-        for change in self.sequence.mark_events(events, until):
-            self.catalog.apply(change, store.now)
-        self.view = self.view._replace(revision=until)
-        proven_at = -math.inf if self.sequence.is_repeating else store.find_proof(until)
-        self.catalog.proof.record_update(self.view, proven_at)
+        revision = self.view.revision
+        written = store.written[revision:until]
+        items = [encode_routing(routing) for _, routing in written if routing is not None]
+        self.feed.update = Update(Events(items, until), store.find_proof(until))
+        self._run(self.sync._watch(revision))
+
+    def _run(self, step: Coroutine[Any, Any, None]) -> None:
+        """Run a step of the entry's task, in which nothing may fail."""
+        LOOP.run_until_complete(step)
+        self.metrics.add_task_failure.assert_not_called()
+        self.metrics.add_unreadable_record.assert_not_called()
 
     def ask(self, path: str, now: float) -> int:
         """Return the status for a request; 200 if it is admitted."""
-        routing, proof = self.catalog.routing, self.catalog.proof
-        if routing is None:
-            return 503
-        admission = AccessTable(routing).admit_request(
-            "decks.example",
-            path,
-            b"",
-            gate=QuotaGate("e1", 1, Random(1).random),
-            now=now,
-            age=ConfigurationAge(now - proof.proven_at, proof.is_behind),
-            entries=1,
-            settings=AccessSettings(stale_s=STALE_S),
-        )
+        head = Head(b"GET", path.encode(), [(b"host", b"decks.example")], now)
+        admission = self.access.admit(head, now)
         return 200 if isinstance(admission, AdmittedRequest) else admission.status
 
 
@@ -193,7 +261,12 @@
             revisions = st.integers(oldest, store.revision)
             drawn = st.lists(revisions, min_size=3, max_size=3)
             entry.read(store, sorted(data.draw(drawn)))
-        elif step == "events" and is_followed and entry.view.revision < store.revision:
+        elif (
+            step == "events"
+            and is_followed
+            and entry.is_watching
+            and entry.view.revision < store.revision
+        ):
             until = st.integers(entry.view.revision + 1, store.revision)
             entry.apply_events(store, data.draw(until))
         elif step == "ask":
