Measure the ways to refuse again, with requests that wait

Seen: the tables were measured when a request got 503 at once while its entry asked the store. Change: in benchmarks/refusals.py a request that would get 503 waits for whom its entry asks, as in the product; one whose route comes into force meanwhile is served.

--- a/benchmarks/refusals.py
+++ b/benchmarks/refusals.py
@@ -131,18 +131,31 @@
         now = _now()
         return max(version for at, version in self.written if at <= now - BOUND_S)
 
-    def refuse(self, entry: ModelEntry) -> int:
-        """Return the status with which an entry refuses a route that it does not know."""
-        proof, now = entry.catalog.proof, _now()
+    async def refuse(self, entry: ModelEntry) -> int:
+        """Return the status with which an entry refuses a route that it does not know.
+
+        Where its state may be old, the request waits for the answer of whom the entry asks.
+        """
+        status = self._decide(entry)
+        if self.way.asks:
+            access = self._find_access(entry)
+            if status == 404:
+                access.confirm()
+            else:
+                await access.wait_for_confirmation()
+                status = self._decide(entry)
+        return status
+
+    def _decide(self, entry: ModelEntry) -> int:
+        """Return the status by what is known now."""
+        proof = entry.catalog.proof
         is_proof = self.way.age == "proof"
         since = proof.proven_at if is_proof else entry.catalog.store_contact_at
-        if self.way.asks:
-            self._confirm(entry)
         is_behind = self.way.heeds_notices and proof.is_behind
-        return 503 if is_behind or now - since > BOUND_S else 404
+        return 503 if is_behind or _now() - since > BOUND_S else 404
 
-    def _confirm(self, entry: ModelEntry) -> None:
-        """Request the confirmation of an entry's state."""
+    def _find_access(self, entry: ModelEntry) -> SimpleNamespace:
+        """Return what confirms an entry's state; it is created at the first call."""
         if entry not in self._access:
             access = self._access[entry] = SimpleNamespace(settings=ACCESS, is_strict=False)
             store = cast(MetadataStore, self._build_neighbour(entry))
@@ -155,7 +168,7 @@
             if self.way.asks == "store":
                 confirmer.on_behind = cast(StoreNoticeExchange, entry.exchanges[0]).expect
             self._tasks.append(asyncio.ensure_future(confirmer.run()))
-        self._access[entry].confirm()
+        return self._access[entry]
 
     def _build_neighbour(self, entry: ModelEntry) -> SimpleNamespace:
         """Return a source of the revision that a neighbour holds, and records its proof."""
@@ -191,14 +204,16 @@
             if not held:
                 continue
             self.counts["new"] += 1
-            required = self.find_required()
             newest = max(version for _, version in self.written)
             if held >= newest:
                 continue
-            status = self.refuse(entry)
+            status = await self.refuse(entry)
+            held = entry.catalog.configuration_version
+            if held >= newest:
+                continue  # It came into force while the request waited.
             if status == 503:
                 self.counts["new 503"] += 1
-            elif held < required:
+            elif held < self.find_required():
                 self.counts["new 404"] += 1
 
     async def ask_unknown(self, port: int, until: float) -> None:
@@ -211,7 +226,7 @@
             self.counts["unknown"] += 1
             asked_at = _now()
             for number in range(TRIES):
-                if self.refuse(self.fleet.entries[port]) == 404:
+                if await self.refuse(self.fleet.entries[port]) == 404:
                     self.longest_s = max(self.longest_s, _now() - asked_at)
                     break
                 self.counts["unknown 503"] += number == 0
