Test that a forwarded body waits for the store as a caller's does

The port for other entries confirms limits as well, which no test asked for. Without it the new test gets 503.

--- a/halldoor/tests/test_confirmed_limits.py
+++ b/halldoor/tests/test_confirmed_limits.py
@@ -13,9 +13,12 @@
 
 from halldoor.core.teams.admission import AccessSettings
 from halldoor.gateway import confirming
+from halldoor.gateway.attempt import Origin
 from halldoor.gateway.caller import READ_AHEAD
 from halldoor.gateway.exchange import BODY_BUFFER_BYTES
-from halldoor.tests.gatewaykit import NAMES, GatewayKit
+from halldoor.gateway.headers import FORWARDED_BY
+from halldoor.standins.sample import IP
+from halldoor.tests.gatewaykit import NAMES, Caller, GatewayKit, open_pair
 
 STALE_S = 1.5
 """Longer than the time between two renewals of the lease, in seconds."""
@@ -233,6 +236,27 @@
     return line
 
 
+def test_forwarded_body_is_refused_without_confirmation():
+    async def check():
+        async with open_pair() as (one, two):
+            one.configure(limits=LOW)
+            await two.wait(lambda: two.gateway.catalog.configuration_version == one.version)
+            await two.wait(lambda: two.gateway.is_ready)
+            two.gateway.catalog.proof.proven_at -= 2 * UNPROVEN_S
+            assert two.gateway.requests.read_limits().may_be_wrong
+            relay = two.gateway.settings.relay
+            streams = await asyncio.open_connection(relay.ip, relay.port, local_addr=(IP, 0))
+            caller = Caller(*streams)
+            mark = Origin("192.0.2.1").to_mark("e1", "deck")
+            with mock.patch.object(confirming, "ANSWER_S", WAIT_S):
+                body = b"x" * 5_000
+                reply = await caller.call(method="POST", body=body, extra=[(FORWARDED_BY, mark)])
+            assert (reply.status, reply.body) == (413, b"halldoor: body too long\n")
+            caller.close()
+
+    asyncio.run(check())
+
+
 @pytest.mark.parametrize("name", ["head", "announced"])
 def test_refusal_of_a_caller_that_left_is_awaited(name):
     async def check():
