--- a/properties/test_refusals.py
+++ b/properties/test_refusals.py
@@ -129,6 +129,8 @@
 class Codec:
     """Decoder of configurations, which the test's records hold by their place in `ROUTINGS`."""
 
+    routing_key = "routing"
+
     def decode(self, item: StoredItem) -> Change:
         assert item.value is not None
         return RoutingSeen(ROUTINGS[int(item.value)])
@@ -137,7 +139,7 @@
 def encode_routing(routing: Routing) -> StoredItem:
     """Return the record of a configuration."""
     ROUTINGS.append(routing)
-    return StoredItem("routing", b"%d" % (len(ROUTINGS) - 1))
+    return StoredItem(Codec.routing_key, b"%d" % (len(ROUTINGS) - 1))
 
 
 class Feed:
