Count a request's deadline from the arrival of its bytes

Requests were sent after their deadline by the test's clock.

The product took a request as received when its task parsed the head.

A request that waited for the answer before it counts from then, as before. The test counts from the moment the entry's process got the first bytes, and no longer makes an exception of requests unread in a suspension. A new test delays the task itself.

--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -76,6 +76,7 @@
         self._h11 = self._new_parser()
         self._task: asyncio.Task[None] | None = None
         self._unread = 0
+        self._arrived_at: float | None = None
         self.is_closing = is_closing()
         self.is_busy = False
         self._body_size = BodySize(lambda: self._read_limits().body_bytes)
@@ -113,6 +114,7 @@
             return
         with contextlib.suppress(h11.RemoteProtocolError):
             self._h11.receive_data(data)
+        self._arrived_at = asyncio.get_running_loop().time()
         self._unread += len(data)
         if self._unread > READ_AHEAD:
             self._transport.pause_reading()
@@ -327,8 +329,11 @@
             return None
         if not isinstance(event, h11.Request):
             return None
-        now = asyncio.get_running_loop().time()
-        head = Head(event.method, event.target, list(event.headers.raw_items()), now)
+        # Bytes may wait for this task while the process is busy with other requests.
+        received_at = self._arrived_at
+        if received_at is None:
+            received_at = asyncio.get_running_loop().time()
+        head = Head(event.method, event.target, list(event.headers.raw_items()), received_at)
         if is_too_long(head.headers, self.head_limit):
             self._last_head = head
             self._send_error(503 if self.limits_may_be_wrong else 431)
@@ -370,6 +375,7 @@
         self._unread = len(self._h11.trailing_data[0])
         # A caller that sends requests but reads no answers must not fill the write buffer.
         await self.wait_for_caller()
+        self._arrived_at = None  # A request that waited for this answer is received now.
         has_next = pipeline is not None and pipeline.has_read
         return not self.is_closing or has_next or bool(self._h11.trailing_data[0])
 
--- a/halldoor/tests/test_suspension.py
+++ b/halldoor/tests/test_suspension.py
@@ -18,6 +18,7 @@
 
 from halldoor.core.settings import Address
 from halldoor.gateway import clock
+from halldoor.gateway.caller import CallerConnection
 from halldoor.gateway.connection import HttpConnection
 from halldoor.gateway.headers import find
 from halldoor.gateway.request import RequestHandler
@@ -29,8 +30,8 @@
 SUSPENSIONS_S = [5.0, 60.0]
 MAX_WAIT_S = 600.0
 """Time that a caller waits for an answer, suspensions included, in seconds."""
-READ_DELAY_S = 0.1
-"""Time until an entry has read a caller's request, on a busy host, in seconds."""
+SEND_DELAY_S = 0.1
+"""Time from an entry's last check of a deadline until it sends the request, in seconds."""
 CLOSED = 0
 """Status that stands for a connection closed before its request was read."""
 
@@ -143,6 +144,26 @@
 
         clock.run(check())
 
+    def test_request_is_sent_late_after_its_bytes_waited_for_their_task(
+        self, suspension, monkeypatch
+    ):
+        """Its deadline counted from the parsing of its head, which a busy process delayed."""
+        receive_data = CallerConnection.data_received
+
+        def receive_and_delay(caller, data):
+            receive_data(caller, data)
+            suspension.suspended_s += 0.9
+
+        async def check():
+            async with GatewayKit.open(targets=1) as kit:
+                caller = await kit.connect()
+                monkeypatch.setattr(CallerConnection, "data_received", receive_and_delay)
+                await caller.send(deadline_ms=800)
+                assert (await caller.receive()).status == 503
+                assert kit.received == []
+
+        clock.run(check())
+
     def test_request_that_may_have_run_is_not_retried_after_a_suspension(self, suspension):
         async def check():
             async with GatewayKit.open(route={"kind": "at-most-once"}) as kit:
@@ -174,16 +195,20 @@
         kind = source.choice(["repeatable", "at-most-once"])
         runs = Counter()
         late = []
-        expires_at, suspended_s_at_start = {}, {}
-        handle = RequestHandler.handle
+        expires_at, suspended_s_at_start, read_at = {}, {}, {}
+        handle, receive_data = RequestHandler.handle, CallerConnection.data_received
+
+        def record_and_receive(caller, data):
+            read_at.setdefault(caller, asyncio.get_running_loop().time())
+            receive_data(caller, data)
 
         async def record_and_handle(handler, caller, head):
             attempt_id = find(head.headers, NAMES.attempt_id).decode()
-            if suspended_s_at_start[attempt_id] != suspension.suspended_s:
-                # Unread during a suspension, of which the entry can't tell the length.
-                expires_at[attempt_id] = head.received_at + 0.8
+            # The entry can't tell for how long a request was unread before.
+            expires_at[attempt_id] = read_at[caller] + 0.8
             await handle(handler, caller, head)
 
+        monkeypatch.setattr(CallerConnection, "data_received", record_and_receive)
         monkeypatch.setattr(RequestHandler, "handle", record_and_handle)
 
         async def check():
@@ -196,7 +221,7 @@
                     if is_request and events[0].target != HEALTH_PATH:
                         attempt_id = find(events[0].headers.raw_items(), NAMES.attempt_id).decode()
                         runs[attempt_id] += 1
-                        if loop.time() > expires_at[attempt_id] + READ_DELAY_S:
+                        if loop.time() > expires_at[attempt_id] + SEND_DELAY_S:
                             late.append(attempt_id)
                     await send(connection, *events)
 
@@ -205,7 +230,6 @@
                 async def ask(number):
                     await asyncio.sleep(source.uniform(0.0, 0.5))
                     attempt_id = f"s{seed}-{number}"
-                    expires_at[attempt_id] = loop.time() + 0.8
                     suspended_s_at_start[attempt_id] = suspension.suspended_s
                     caller = await kit.connect()
                     try:
