--- a/halldoor/gateway/polls.py
+++ b/halldoor/gateway/polls.py
@@ -58,10 +58,15 @@
 class ItemBlock(list[StoredItem]):
     """Changes that are encoded once for all entries that poll for them."""
 
+    @cached_property
+    def size(self) -> int:
+        """Size of the values, in bytes."""
+        return sum(len(item.value or b"") for item in self)
+
     @property
     def is_large(self) -> bool:
         """Whether the changes are worth compressing."""
-        return sum(len(item.value or b"") for item in self) >= LARGE_BYTES
+        return self.size >= LARGE_BYTES
 
     @cached_property
     def packed(self) -> bytes:
@@ -221,6 +226,7 @@
     sent_at: float,
     answer_s: float,
     arrival: Arrival | None = None,
+    source: str = "",
 ) -> Update:
     """Send a poll and read its answer.
 
@@ -234,6 +240,8 @@
         Time limit of the answer's head in addition to the poll's wait, in seconds.
     arrival : Arrival, optional
         Records the answer's progress.
+    source : str, optional
+        What the log calls the other entry.
 
     Raises
     ------
@@ -279,6 +287,7 @@
         is_relayed=True,
         is_difference=changes.is_difference,
         is_receiving=changes.is_receiving,
+        source=source,
     )
 
 
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -59,6 +59,8 @@
     batch_s : float
         Longest pause after changes for an entry that watches the store without followers, in
         seconds.
+    routing_key : str
+        Key of the configuration in the store.
     open_client : callable, optional
         Opens a client of another entry.
 
@@ -78,6 +80,7 @@
         batch_s: float,
         log: EventLog,
         metrics: GatewayMetrics,
+        routing_key: str,
         open_client: Callable[[Address], HttpClient] = HttpClient,
     ) -> None:
         losses = LossLog("relay", log=log, metrics=metrics)
@@ -105,6 +108,7 @@
             get_settings=lambda: self.settings,
             has_contact=lambda: self.has_contact,
             is_receiving=self._is_receiving,
+            routing_key=routing_key,
         )
         self._pause_skipped = asyncio.Event()
         self.random = Random(own.name)
@@ -292,13 +296,13 @@
             sent_at=_now(),
             answer_s=self.settings.find_answer_s(age_s),
             arrival=arrival,
+            source=f"reader {self._reader.name}",
         )
         too_old_at = self._publisher.proven_at + self.settings.age_limit_s
         update = await self._keeper.run(call, lambda: arrival, not_before=too_old_at)
         if update is None:
             self.leave_reader("its answer takes long")
             return None
-        update = update._replace(source=f"reader {self._reader.name}")
         age_s = _now() - update.proven_at
         self._metrics.add_relayed(len(update.events.items), age_s)
         if age_s > self.settings.age_limit_s:
--- a/halldoor/gateway/sync.py
+++ b/halldoor/gateway/sync.py
@@ -9,9 +9,9 @@
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import (
     Change,
+    MemberRecord,
+    MemberRemoved,
     MemberSeen,
-    RoutingRejected,
-    RoutingSeen,
     is_withdrawal,
 )
 from halldoor.core.targets.era import parse_era
@@ -21,6 +21,7 @@
 from halldoor.core.targets.withdrawal import StoreView
 from halldoor.gateway.backoff import Backoff
 from halldoor.gateway.changelog import ChangeLog
+from halldoor.gateway.decoder import RecordDecoder
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.failures import FailureReporter
 from halldoor.gateway.firstpage import add_first_page
@@ -32,12 +33,10 @@
 from halldoor.gateway.reading import RecordReader
 from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.store import (
-    MAX_SHOWN,
     HistoryGoneError,
     MetadataStore,
     Page,
     RecordCodec,
-    StoredItem,
     StoreError,
 )
 from halldoor.gateway.tasks import is_cancelling
@@ -89,10 +88,12 @@
         feed: ChangeFeed,
     ) -> None:
         self.on_update: list[UpdateReceiver] = []
-        store.on_unreadable = self._record_unreadable
+        self._decoder = RecordDecoder(
+            codec, log=log, metrics=metrics, get_version=lambda: catalog.configuration_version
+        )
+        store.on_unreadable = self._decoder.report_unreadable
         store.on_lost_answer = LossLog("store", log=log, metrics=metrics).record
         self._store = store
-        self._codec = codec
         self._catalog = catalog
         self._log = log
         self._metrics = metrics
@@ -200,7 +201,7 @@
     async def _resolve_other_era(self) -> None:
         """Switch to the copy of the store that the reader follows, or stop following the reader."""
         self._log.event("store", "The reader follows another copy of the store.")
-        records = await self._feed.fetch_records(WantedEra(self._store.era, self._era))
+        records = await self._fetch_records(WantedEra(self._store.era, self._era))
         if records is not None:
             self._apply_records(records)
         else:
@@ -213,7 +214,7 @@
         is_restored = self.is_loaded.is_set() and before != records.era
         now = self._record_contact(records.proven_at)
         view, newest = records.view, max(records.revision, records.newest)
-        changes = self._decode_all(records.items)
+        changes = self._decoder.decode_all(records.items)
         in_force = self._catalog.routing
         changes = self._sequence.mark_read(changes, view, newest=newest, in_force=in_force)
         applied = self._catalog.apply_full_read(
@@ -249,23 +250,36 @@
         """Read all records: from an entry that follows the store, or page by page from the store.
 
         For an entry that starts, the first page lists the entries of its hall; another entry's
-        records may be older than that page, and also than the state before a suspension.
+        records may be older than that page.
         """
-        if self.is_loaded.is_set() and not self.is_unconfirmed and not self._reader.has_pages:
+        if self.is_loaded.is_set() and not self._reader.has_pages:
             left = self._era if self._era != self._store.era else None
-            records = await self._feed.fetch_records(WantedEra(self._store.era, left))
+            records = await self._fetch_records(WantedEra(self._store.era, left))
             if records is not None and not self._is_ahead_of(records):
                 return records
         page = await self._reader.read_first()
         if page.has_more and not self.is_loaded.is_set():
-            seen = [c for c in map(self._decode, page.items) if isinstance(c, MemberSeen)]
-            members = [change.member for change in seen]
-            records = await self._feed.fetch_records(WantedEra(self._store.era), members)
+            seen = self._decoder.decode_without_routing(page.items)
+            members = [change.member for change in seen if isinstance(change, MemberSeen)]
+            records = await self._fetch_records(WantedEra(self._store.era), members)
             if records is not None:
                 self._reader.clear()
                 return add_first_page(records, page)
         return await self._reader.read_remaining()
 
+    async def _fetch_records(
+        self, wanted: WantedEra, members: Iterable[MemberRecord] | None = None
+    ) -> RecordSet | None:
+        """Fetch all records from a reader as `ChangeFeed.fetch_records`.
+
+        Those that were sent before a suspension are used only if they are recent after it.
+        """
+        records = await self._feed.fetch_records(wanted, members)
+        if records is None or not self.is_unconfirmed:
+            return records
+        age_s = asyncio.get_running_loop().time() - records.proven_at
+        return records if age_s <= self._feed.settings.age_limit_s else None
+
     def _is_ahead_of(self, records: RecordSet) -> bool:
         """Check whether this entry applied changes that the records of its reader lack."""
         return records.era == self._era and records.revision < self._begun_revision
@@ -282,10 +296,8 @@
         if not self.is_loaded.is_set() or era != self._era:
             return
         applied = []
-        for change in map(self._decode, page.items):
-            if change is None or not is_withdrawal(change):
-                continue
-            if self._catalog.apply(change, now):
+        for change in self._decoder.decode_without_routing(page.items):
+            if is_withdrawal(change) and self._catalog.apply(change, now):
                 applied.append(change)
                 self._record_applied(change)
         if applied:
@@ -316,13 +328,16 @@
             now = self._record_contact(update.proven_at)
         self._begun_revision = max(self._begun_revision, events.revision)
         provenance = Provenance(update.source, events.revision, self._era, now, events.transfer_s)
-        changes = self._decode_all(events.items)
+        changes = self._decoder.decode_all(events.items)
         for change in self._sequence.mark_events(changes, events.revision):
             if self._catalog.apply(change, now):
                 self._record_applied(change)
                 self._changes.log(change, provenance)
             else:
                 self._changes.log_ignored(change, provenance)
+                if isinstance(change, MemberRemoved):
+                    # The own record may be removed before this entry has read it.
+                    self.notifier.notify(self._on_change, change)
         # The store's own answer includes all removals up to its return, whenever it was sent.
         self._catalog.contact.record_applied_until(update.proven_at if update.is_relayed else now)
         self._revision = self._last_revision = events.revision
@@ -347,32 +362,6 @@
         for receiver in self.on_update:
             self.notifier.notify(receiver, changes, view)
 
-    def _decode_all(self, items: Iterable[StoredItem]) -> list[Change]:
-        """Decode records, without those that the gateway does not use."""
-        return [change for change in map(self._decode, items) if change is not None]
-
-    def _decode(self, item: StoredItem) -> Change | None:
-        """Decode a record, or the change for one that can't be decoded.
-
-        An overwritten record is unused until its owner writes it; a configuration stays in force.
-        """
-        try:
-            change = self._codec.decode(item)
-        except StoreError as exc:
-            change = self._codec.decode_rejected(item)
-            is_routing = isinstance(change, RoutingRejected)
-            version = self._catalog.configuration_version if is_routing else None
-            self._record_unreadable(str(exc), key=item.key[:MAX_SHOWN], version=version)
-        if isinstance(change, RoutingSeen):
-            return change._replace(size_bytes=len(item.value or b""))
-        return change
-
-    def _record_unreadable(self, cause: str, *, key: str = "", version: int | None = None) -> None:
-        """Log and count a record that can't be read, and the version that it leaves in force."""
-        self._metrics.add_unreadable_record()
-        fields = {} if version is None else {"version_in_force": version}
-        self._log.event("store", "Ignores a bad record.", key=key, error=cause, **fields)
-
     def _record_contact(self, proven_at: float) -> float:
         """Record contact with the store up to a moment, and return the time of the loop's clock."""
         now = asyncio.get_running_loop().time()
--- a/halldoor/standins/modelentry.py
+++ b/halldoor/standins/modelentry.py
@@ -183,6 +183,7 @@
             batch_s=fleet.batch_s,
             log=log,
             metrics=metrics,
+            routing_key=codec.routing_key,
             open_client=lambda a: cast(HttpClient, ModelClient(fleet, a, self.node)),
         )
         self.sync = StoreSync(
@@ -204,6 +205,7 @@
             is_loaded=self.sync.is_loaded,
             on_contact=lambda: self.catalog.record_answer(asyncio.get_running_loop().time()),
             on_return=self.sync.restart_watch,
+            is_missing=lambda since: self.catalog.lacks_member(member.name, since),
         )
         self.maintenance = Maintenance(
             self.catalog,
