--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -78,7 +79,7 @@
         self._h11 = self.sizes.new_parser()
         self._task: asyncio.Task[None] | None = None
         self._unread = 0
-        self._arrived_at: float | None = None
+        self._arrived_at = math.inf
         self.is_closing = is_closing()
         self.is_busy = False
         self._pipelining = pipelining
@@ -313,9 +314,7 @@
         if not isinstance(event, h11.Request):
             return None
         # Bytes may wait for this task while the process is busy with other requests.
-        received_at = self._arrived_at
-        if received_at is None:
-            received_at = asyncio.get_running_loop().time()
+        received_at = min(self._arrived_at, asyncio.get_running_loop().time())
         head = Head.from_event(event, received_at)
         self._last_head = head
         status = await self.sizes.find_head_status(head.headers)
@@ -367,7 +366,7 @@
         self._unread = len(self._h11.trailing_data[0])
         # A caller that sends requests but reads no answers must not fill the write buffer.
         await self.wait_for_caller()
-        self._arrived_at = None  # A request that waited for this answer is received now.
+        self._arrived_at = math.inf  # A request that waited for this answer is received now.
         has_next = pipeline is not None and pipeline.has_read
         return not self.is_closing or has_next or bool(self._h11.trailing_data[0])
 
