--- a/halldoor/gateway/access.py
+++ b/halldoor/gateway/access.py
@@ -17,9 +17,10 @@
     RefusalReason,
 )
 from halldoor.core.teams.gate import QuotaGate
-from halldoor.gateway.attempt import RETRY_AFTER_S, build_gateway_answer, randomize_retry_after
+from halldoor.gateway.attempt import build_gateway_answer
 from halldoor.gateway.caller import Answer, Head
 from halldoor.gateway.headers import HeaderNames, find
+from halldoor.gateway.retryafter import RETRY_AFTER_S, randomize_retry_after
 
 
 class CallerAccess:
@@ -94,6 +95,19 @@
         now = asyncio.get_running_loop().time()
         return self.find_age(now).is_stale(self.settings.stale_s)
 
+    async def confirm_limits(self) -> None:
+        """Confirm the limits that a request exceeds; wait for a short time where they may be old.
+
+        Before the first configuration, and after a suspension, all records are read in any case.
+        """
+        if self._catalog.routing is None or self._is_confirming():
+            return
+        now = asyncio.get_running_loop().time()
+        if self.find_age(now).is_stale(self.settings.stale_s):
+            await self.wait_for_confirmation()
+        else:
+            self.confirm()
+
     def find_age(self, now: float) -> ConfigurationAge:
         """Return the age of the configuration in force."""
         proof = self._catalog.proof
--- a/halldoor/gateway/relay.py
+++ b/halldoor/gateway/relay.py
@@ -1,8 +1,8 @@
 """Relays changes of the store between the entries of a hall, as MessagePack over HTTP.
 
 A follower polls its reader as it would watch the store: for the changes after a revision.  The poll
-is answered at the reader's next update, with or without changes.  A follower whose state gets too
-old (reader crashed, frozen, cut off, or connection lost) watches the store itself.
+is answered at the reader's next update that has changes or a newer proof of age.  A follower whose
+state gets too old (reader crashed, frozen, cut off, or connection lost) watches the store itself.
 """
 
 from __future__ import annotations
@@ -296,13 +296,13 @@
             sent_at=_now(),
             answer_s=self.settings.find_answer_s(age_s),
             arrival=arrival,
+            source=f"reader {self._reader.name}",
         )
         too_old_at = self._publisher.proven_at + self.settings.age_limit_s
         update = await self._keeper.run(call, lambda: arrival, not_before=too_old_at)
         if update is None:
             self.leave_reader("its answer takes long")
             return None
-        update = update._replace(source=f"reader {self._reader.name}")
         age_s = _now() - update.proven_at
         self._metrics.add_relayed(len(update.events.items), age_s)
         if age_s > self.settings.age_limit_s:
--- a/halldoor/tests/test_large_configuration.py
+++ b/halldoor/tests/test_large_configuration.py
@@ -8,6 +8,7 @@
 import pytest
 
 from halldoor.core.targets.relay import RelaySettings
+from halldoor.gateway.substitute import HELP_S
 from halldoor.standins import virtualtime
 from halldoor.standins.storefleet import IP, Address, ModelClient, StoreFleet
 
@@ -118,6 +119,49 @@
     virtualtime.run(run())
 
 
+@pytest.mark.parametrize("entries", [1, 3])
+def test_configuration_is_read_again_and_again_over_link_below_progress_limit(entries):
+    """A link share of 25 kB/s: each read of the page was given up after 4 s."""
+
+    async def run():
+        fleet = StoreFleet(entries=(entries,), halls=1, targets=5, links_mbps={1: 0.2})
+        fleet.configure(1)
+        await fleet.start(within_s=0.5)
+        await fleet.wait_until_synchronized(1)
+        try:
+            fleet.store.open_gap()
+            assert 140_000 < fleet.configure(2, routes=700) < 160_000
+            fleet.store.close_gap()
+            assert await fleet.wait_until_synchronized(2, limit_s=60.0) <= 20.0
+        finally:
+            fleet.stop()
+
+    virtualtime.run(run())
+
+
+def test_entries_that_wait_for_long_answers_wake_each_other():
+    """Each update without news answered the polls of others, which published it in turn."""
+
+    async def run():
+        async with open_fleet(has_wide=False) as fleet:
+            fleet.configure(2, routes=7_000)
+            await asyncio.sleep(0.8)
+            updates = 0
+
+            def count_update(*_):
+                nonlocal updates
+                updates += 1
+
+            for entry in fleet.entries.values():
+                entry.sync.on_update.append(count_update)
+            await asyncio.sleep(4 * HELP_S)
+            assert all(entry.feed.is_answer_arriving for entry in fleet.entries.values())
+            # One for each wait of a poll that nothing answers, and one that was under way.
+            assert updates <= 5 * len(fleet.entries)
+
+    virtualtime.run(run())
+
+
 def find_follower(fleet, *, has_wide=True):
     """Return the first entry with a narrow link that follows a reader."""
     readers, links = fleet.list_readers(), list_links(has_wide=has_wide)
