Show four faults: slow records, late bodies, own record, relaxed limits

The new tests fail on; no product code is changed. Each names its fault: records dropped after a suspension, 408 for a body that waited unread, an own record that can't be read written without a pause, limits that stay relaxed.

--- a/halldoor/tests/test_arrivals.py
+++ b/halldoor/tests/test_arrivals.py
@@ -108,3 +108,21 @@
     limits = ProgressLimits()
     limits.record_failure(limits.open(), 100.0)
     assert not arrive(limits, size=400_000, took_s=14.0)
+
+
+def test_limits_stay_relaxed_after_an_answer_larger_than_all_later_ones():
+    """Its bytes came another way, so that the store never sent as many again."""
+    limits, now = ProgressLimits(), 0.0
+    for received in [1_000_000] * 4 + [900_000] * 100:
+        arrival = limits.open()
+        arrival.begin(now)
+        arrival.add(received, now + 0.1)
+        if received == 1_000_000:
+            now = arrival.find_limit()
+            limits.record_failure(arrival, now)
+        else:
+            limits.record_success(arrival)
+            now += 1.0
+    last = limits.open()
+    last.begin(now)
+    assert last.find_limit() - now == pytest.approx(SILENCE_S)
--- a/halldoor/tests/test_large_configuration.py
+++ b/halldoor/tests/test_large_configuration.py
@@ -216,3 +216,35 @@
                     await asyncio.sleep(0.001)
 
     virtualtime.run(run())
+
+
+def test_records_that_arrive_slowly_after_a_suspension_are_dropped():
+    """They were sent after it; the store's pages, ten times as large, took 18 s in their place."""
+
+    async def run():
+        fleet = StoreFleet(
+            entries=(6,),
+            halls=1,
+            targets=TARGETS,
+            settings=RelaySettings(bound_s=BOUND_S),
+            links_mbps={port: WIDE_MBPS if port <= 2 else 0.5 for port in range(1, 7)},
+        )
+        fleet.configure(1)
+        await fleet.start(within_s=0.5)
+        await fleet.wait_until_synchronized(1)
+        await asyncio.sleep(2 * fleet.settings.direct_s)
+        try:
+            fleet.configure(2, routes=ROUTES)
+            await fleet.wait_until_synchronized(2, limit_s=60.0)
+            await asyncio.sleep(2 * fleet.settings.direct_s)
+            (port, *_) = (p for p in range(3, 7) if p not in fleet.list_readers())
+            entry = fleet.entries[port]
+            entry.node.suspend(5.0)
+            await asyncio.sleep(5.0)
+            async with asyncio.timeout(BOUND_S):
+                while entry.maintenance.was_suspended() or entry.sync.is_unconfirmed:
+                    await asyncio.sleep(0.01)
+        finally:
+            fleet.stop()
+
+    virtualtime.run(run())
--- a/halldoor/tests/test_registration.py
+++ b/halldoor/tests/test_registration.py
@@ -34,6 +34,20 @@
             await asyncio.sleep(0.2)
 
 
+class UnreadableStore(MemoryStore):
+    """Store that returns the entry's record in a form that can't be read."""
+
+    writes = renewals = 0
+
+    async def write(self, key, value, *, lease):
+        self.writes += key == KEY
+        await super().write(key, b"-" if key == KEY else value, lease=lease)
+
+    async def renew_lease(self, lease):
+        self.renewals += 1
+        await super().renew_lease(lease)
+
+
 def run_entry(store, disturb, output):
     """Run an entry until its record is in the store, disturb it, and wait for the record."""
 
@@ -81,3 +95,16 @@
         await asyncio.sleep(1.0)
 
     run_entry(SlowWritingStore(), disturb, capfd)
+
+
+def test_entry_whose_record_cannot_be_read_writes_it_without_a_pause():
+    """Each write was answered by another one, and the lease was never renewed."""
+    store = UnreadableStore()
+
+    async def run():
+        async with GatewayKit.open(store=store):
+            await asyncio.sleep(5.0)
+
+    asyncio.run(run())
+    assert store.writes <= 7
+    assert store.renewals >= 2
--- a/halldoor/tests/test_short_deadline.py
+++ b/halldoor/tests/test_short_deadline.py
@@ -7,11 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import time
 
 import pytest
 
+from halldoor.gateway.caller import CallerConnection
 from halldoor.gateway.headers import find
 from halldoor.tests.gatewaykit import NAMES, GatewayKit
+from halldoor.tests.narrowkit import build_request
 
 WORK_S = 0.25
 """Time that a target needs for a request, in seconds."""
@@ -65,3 +69,33 @@
             assert [e.target for e in excluded if e.reason == "ejected"] == []
 
     asyncio.run(check())
+
+
+def test_body_that_is_unread_while_the_entry_is_busy_came_too_slowly(monkeypatch):
+    """Its caller, which had sent all of it in time, got 408, where others get 503."""
+    head = build_request(b"a1", method=b"POST", deadline_ms=400, extra=[b"Content-Length: 5"])
+    receive_data = CallerConnection.data_received
+    is_first = [True]
+
+    def receive_and_delay(caller, data):
+        receive_data(caller, data)
+        if is_first and is_first.pop():
+            time.sleep(0.6)
+
+    def send_in_two_parts(address):
+        with socket.create_connection(address, timeout=5.0) as sock:
+            sock.sendall(head + b"he")
+            time.sleep(0.05)
+            sock.sendall(b"llo")
+            return sock.recv(65_536)
+
+    async def check():
+        async with GatewayKit.open() as kit:
+            caller = await kit.connect()
+            address = caller.writer.get_extra_info("peername")
+            caller.close()
+            monkeypatch.setattr(CallerConnection, "data_received", receive_and_delay)
+            answer = await asyncio.to_thread(send_in_two_parts, address)
+            assert answer.split()[1] in (b"200", b"503")
+
+    asyncio.run(check())
