Answer 503 where a deadline passed before the entry read the body

Seen by a reviewer: 408 'body came too slowly', without Retry-After, for a caller that had sent its body in time to an entry that was busy for 0.6 s, beyond a deadline of 0.4 s. Change: such a request has run out of time, not run: 503. Result: test_body_that_is_unread_while_the_entry_is_busy_came_too_slowly failed before, and passes.

--- a/halldoor/gateway/body.py
+++ b/halldoor/gateway/body.py
@@ -23,6 +23,9 @@
     expires_at : float
         Deadline for the answer, on the loop's clock.
     """
+    if asyncio.get_running_loop().time() >= expires_at:
+        # The bytes waited in this process, and the rest of them may be unread.
+        return state.build_unanswered_result("time ran out", is_late=True)
     body = bytearray()
     rest: CallerConnection | None = caller
     try:
