Restore the limits on progress after some whole answers

Seen by a reviewer, at unit level: after an answer of 1 MB was given up four times, 100 prompt answers of 0.9 MB left the limits relaxed: 16 s of silence allowed instead of 1 s, for the life of the process. Cause: only an answer larger than the one given up restored them; the configuration may have come another way. Change: each whole answer that needs no leniency halves the size from which one restores them.

--- a/halldoor/gateway/arrivals.py
+++ b/halldoor/gateway/arrivals.py
@@ -124,6 +124,12 @@
             self._lost_bytes = max(self._lost_bytes, arrival.received)
 
     def record_success(self, arrival: Arrival) -> None:
-        """Record a whole answer; restore the limits if one as large does not need more."""
-        if arrival.received > self._lost_bytes and not arrival.needed_leniency:
+        """Record a whole answer; restore the limits once they let a large one or some others pass.
+
+        Each whole answer halves the size from which one counts as large.
+        """
+        if arrival.needed_leniency:
+            return
+        self._lost_bytes //= 2
+        if arrival.received > self._lost_bytes:
             self._leniency, self._lost_bytes = 1.0, 0
