--- a/halldoor/standins/storefleet.py
+++ b/halldoor/standins/storefleet.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from random import Random
+from typing import Any, Self
 
 import msgspec
 
@@ -163,6 +165,30 @@
         """Remove a target's record."""
         self.store.remove(f"{TARGET_PREFIX}{name_target(number)}")
 
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def open(cls, *, within_s: float = 0.5, **options: Any) -> AsyncIterator[Self]:
+        """Start a fleet that has a configuration of version 1, and stop it at exit.
+
+        Entries that lost their reader during the start follow one again.
+
+        Parameters
+        ----------
+        within_s : float, optional
+            Period in which the entries start, in seconds.
+        **options
+            Parameters of the fleet.
+        """
+        fleet = cls(**options)
+        fleet.configure(1)
+        await fleet.start(within_s=within_s)
+        await fleet.wait_until_synchronized(1)
+        await asyncio.sleep(2 * fleet.settings.direct_s)
+        try:
+            yield fleet
+        finally:
+            fleet.stop()
+
     async def start(self, *, within_s: float) -> None:
         """Create and start every entry, each at a random moment within a period in seconds."""
         loop = asyncio.get_running_loop()
--- a/halldoor/tests/test_handover.py
+++ b/halldoor/tests/test_handover.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 
 import msgspec
 import pytest
@@ -37,18 +36,8 @@
 """Number of pages that the records of targets and entries fill."""
 
 
-@contextlib.asynccontextmanager
-async def open_fleet(*, entries=16, targets=TARGETS):
-    fleet = StoreFleet(entries=entries, halls=HALLS, targets=targets, page_items=50)
-    fleet.configure(1)
-    await fleet.start(within_s=0.5)
-    await fleet.wait_until_synchronized(1)
-    # Until entries that lost their reader at the start follow one again.
-    await asyncio.sleep(2 * fleet.settings.direct_s)
-    try:
-        yield fleet
-    finally:
-        fleet.stop()
+def open_fleet(*, entries=16, targets=TARGETS):
+    return StoreFleet.open(entries=entries, halls=HALLS, targets=targets, page_items=50)
 
 
 def list_readers(fleet):
--- a/halldoor/tests/test_large_configuration.py
+++ b/halldoor/tests/test_large_configuration.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 
 import pytest
 
@@ -32,24 +31,15 @@
     }
 
 
-@contextlib.asynccontextmanager
-async def open_fleet(*, has_wide=True):
+def open_fleet(*, has_wide=True):
     """Start entries that have a small configuration, of version 1."""
-    fleet = StoreFleet(
+    return StoreFleet.open(
         entries=HALLS,
         halls=len(HALLS),
         targets=TARGETS,
         settings=RelaySettings(bound_s=BOUND_S),
         links_mbps=list_links(has_wide=has_wide),
     )
-    fleet.configure(1)
-    await fleet.start(within_s=0.5)
-    await fleet.wait_until_synchronized(1)
-    await asyncio.sleep(2 * fleet.settings.direct_s)
-    try:
-        yield fleet
-    finally:
-        fleet.stop()
 
 
 @pytest.mark.parametrize("has_wide", [True, False])
@@ -124,17 +114,12 @@
     """A link share of 25 kB/s: each read of the page was given up after 4 s."""
 
     async def run():
-        fleet = StoreFleet(entries=(entries,), halls=1, targets=5, links_mbps={1: 0.2})
-        fleet.configure(1)
-        await fleet.start(within_s=0.5)
-        await fleet.wait_until_synchronized(1)
-        try:
+        options = {"entries": (entries,), "halls": 1, "targets": 5, "links_mbps": {1: 0.2}}
+        async with StoreFleet.open(**options) as fleet:
             fleet.store.open_gap()
             assert 140_000 < fleet.configure(2, routes=700) < 160_000
             fleet.store.close_gap()
             assert await fleet.wait_until_synchronized(2, limit_s=60.0) <= 20.0
-        finally:
-            fleet.stop()
 
     virtualtime.run(run())
 
@@ -222,18 +207,13 @@
     """They were sent after it; the store's pages, ten times as large, took 18 s in their place."""
 
     async def run():
-        fleet = StoreFleet(
+        async with StoreFleet.open(
             entries=(6,),
             halls=1,
             targets=TARGETS,
             settings=RelaySettings(bound_s=BOUND_S),
             links_mbps={port: WIDE_MBPS if port <= 2 else 0.5 for port in range(1, 7)},
-        )
-        fleet.configure(1)
-        await fleet.start(within_s=0.5)
-        await fleet.wait_until_synchronized(1)
-        await asyncio.sleep(2 * fleet.settings.direct_s)
-        try:
+        ) as fleet:
             fleet.configure(2, routes=ROUTES)
             await fleet.wait_until_synchronized(2, limit_s=60.0)
             await asyncio.sleep(2 * fleet.settings.direct_s)
@@ -244,7 +224,5 @@
             async with asyncio.timeout(BOUND_S):
                 while entry.maintenance.was_suspended() or entry.sync.is_unconfirmed:
                     await asyncio.sleep(0.01)
-        finally:
-            fleet.stop()
 
     virtualtime.run(run())
--- a/halldoor/tests/test_provenance.py
+++ b/halldoor/tests/test_provenance.py
@@ -62,19 +62,14 @@
     async def check():
         options = {"targets": 130, "settings": RelaySettings(bound_s=3.0)}
         links = {port: 200.0 if port <= 2 else 1.0 for port in range(1, 7)}
-        fleet = StoreFleet(entries=(6,), halls=1, links_mbps=links, **options)
-        fleet.configure(1)
-        await fleet.start(within_s=0.5)
-        await fleet.wait_until_synchronized(1)
-        await asyncio.sleep(2 * fleet.settings.direct_s)
-        entries = fleet.entries.values()
-        readers = {fleet.entries[port].name for port in fleet.list_readers()}
-        fleet.configure(2, routes=7_000)
-        kept = set()
-        while any(entry.catalog.configuration_version != 2 for entry in entries):
-            kept |= {entry for entry in entries if entry.feed._keeper.kept is not None}
-            await asyncio.sleep(0.05)
-        fleet.stop()
+        async with StoreFleet.open(entries=(6,), halls=1, links_mbps=links, **options) as fleet:
+            entries = fleet.entries.values()
+            readers = {fleet.entries[port].name for port in fleet.list_readers()}
+            fleet.configure(2, routes=7_000)
+            kept = set()
+            while any(entry.catalog.configuration_version != 2 for entry in entries):
+                kept |= {entry for entry in entries if entry.feed._keeper.kept is not None}
+                await asyncio.sleep(0.05)
         assert len(kept) == 4
         for entry in kept:
             word, name = entry.catalog.provenance.source.split(" ")
--- a/halldoor/tests/test_publishing.py
+++ b/halldoor/tests/test_publishing.py
@@ -21,16 +21,9 @@
 @contextlib.asynccontextmanager
 async def open_hall(**options):
     """Start the entries of a hall; yield the fleet, and the port of its reader."""
-    settings = RelaySettings(bound_s=BOUND_S)
-    fleet = StoreFleet(entries=(6,), halls=1, targets=10, settings=settings, **options)
-    fleet.configure(1)
-    await fleet.start(within_s=0.5)
-    await fleet.wait_until_synchronized(1)
-    await asyncio.sleep(2 * settings.direct_s)
-    try:
+    options |= {"settings": RelaySettings(bound_s=BOUND_S)}
+    async with StoreFleet.open(entries=(6,), halls=1, targets=10, **options) as fleet:
         yield fleet, fleet.list_readers()[0]
-    finally:
-        fleet.stop()
 
 
 async def poll(fleet, port):
--- a/halldoor/tests/test_reading.py
+++ b/halldoor/tests/test_reading.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from random import Random
 
 import msgspec
@@ -30,17 +29,8 @@
 PAGES = 3
 
 
-@contextlib.asynccontextmanager
-async def open_fleet(*, entries=1, halls=1, targets=TARGETS, page_items=50):
-    fleet = StoreFleet(entries=entries, halls=halls, targets=targets, page_items=page_items)
-    fleet.configure(1)
-    await fleet.start(within_s=0.5)
-    await fleet.wait_until_synchronized(1)
-    await asyncio.sleep(2 * fleet.settings.direct_s)
-    try:
-        yield fleet
-    finally:
-        fleet.stop()
+def open_fleet(*, entries=1, halls=1, targets=TARGETS, page_items=50):
+    return StoreFleet.open(entries=entries, halls=halls, targets=targets, page_items=page_items)
 
 
 def drain(fleet, number, hall="h0"):
--- a/halldoor/tests/test_superseded.py
+++ b/halldoor/tests/test_superseded.py
@@ -14,18 +14,9 @@
 from halldoor.standins.storefleet import IP, Address, ModelClient, StoreFleet
 
 
-@contextlib.asynccontextmanager
-async def open_fleet():
+def open_fleet():
     """Start an entry that has a configuration of version 1, and more than a page of targets."""
-    fleet = StoreFleet(entries=1, halls=1, targets=130, page_items=50)
-    fleet.configure(1)
-    await fleet.start(within_s=0.1)
-    await fleet.wait_until_synchronized(1)
-    await asyncio.sleep(2 * fleet.settings.direct_s)
-    try:
-        yield fleet
-    finally:
-        fleet.stop()
+    return StoreFleet.open(within_s=0.1, entries=1, halls=1, targets=130, page_items=50)
 
 
 @pytest.fixture
@@ -104,16 +95,9 @@
     @contextlib.asynccontextmanager
     async def open_reader():
         """Start a hall of three entries; yield the fleet, its reader and the revision so far."""
-        fleet = StoreFleet(entries=3, halls=1, targets=10)
-        fleet.configure(1)
-        await fleet.start(within_s=0.1)
-        await fleet.wait_until_synchronized(1)
-        await asyncio.sleep(2 * fleet.settings.direct_s)
-        (port,) = fleet.list_readers()
-        try:
+        async with StoreFleet.open(within_s=0.1, entries=3, halls=1, targets=10) as fleet:
+            (port,) = fleet.list_readers()
             yield fleet, port, fleet.entries[port].sync.view.revision
-        finally:
-            fleet.stop()
 
     @staticmethod
     async def poll(fleet, port, after):
--- a/halldoor/tests/test_withdrawn_during_gap.py
+++ b/halldoor/tests/test_withdrawn_during_gap.py
@@ -53,17 +53,8 @@
             await asyncio.sleep(REQUEST_PERIOD_S)
 
 
-@contextlib.asynccontextmanager
-async def open_fleet(*, entries, halls=1):
-    fleet = StoreFleet(entries=entries, halls=halls, targets=2)
-    fleet.configure(1)
-    await fleet.start(within_s=0.1)
-    await fleet.wait_until_synchronized(1)
-    await asyncio.sleep(2 * fleet.settings.direct_s)
-    try:
-        yield fleet
-    finally:
-        fleet.stop()
+def open_fleet(*, entries, halls=1):
+    return StoreFleet.open(within_s=0.1, entries=entries, halls=halls, targets=2)
 
 
 @contextlib.contextmanager
