Check the size of a body in one place

CallerConnection kept the flag that RequestSizes computes, and led it through two of its methods; PipelinedRequest, which has no body, had it as well. RequestSizes.check_body counts, confirms and raises; the flag is derived.

--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -173,12 +173,12 @@
         BodyTooLongError
             If the body or its announced length exceeds the limit.
         """
-        await self._check_body_size(0)
+        await self.sizes.check_body(0)
         if self._h11.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
         event = await self._next_event()
         if isinstance(event, h11.Data):
-            await self._check_body_size(len(event.data))
+            await self.sizes.check_body(len(event.data))
             return bytes(event.data)
         if event is None:
             # The caller disconnected: wait until this task is cancelled.
@@ -186,13 +186,10 @@
         self._start_pipeline()
         return None
 
-    async def _check_body_size(self, size: int) -> None:
-        """Count bytes of the body; raise `BodyTooLongError` beyond the limit."""
-        self.is_body_too_long = self.sizes.add_body(size)
-        if self.is_body_too_long:
-            self.is_body_too_long = await self.sizes.confirm_body()
-        if self.is_body_too_long:
-            raise BodyTooLongError
+    @property
+    def is_body_too_long(self) -> bool:
+        """Whether the body exceeded the limit."""
+        return self.sizes.is_body_too_long
 
     def _send_bytes(self, data: bytes) -> None:
         """Send serialized bytes of the answer, unless the caller disconnected."""
@@ -283,7 +280,6 @@
             return False
         self.is_busy = True
         self.has_answered = False
-        self.is_body_too_long = False
         self.sizes.start_body(int(find(head.headers, b"content-length") or 0))
         self._has_unread_answers = not self.is_settled()
         self._head = self._last_head = head
--- a/halldoor/gateway/callerrequest.py
+++ b/halldoor/gateway/callerrequest.py
@@ -61,8 +61,6 @@
     ----------
     has_answered : bool
         Whether an answer was begun.
-    is_body_too_long : bool
-        Whether the body exceeded the limit.
     requests_ahead : int
         Number of requests of its connection that were in progress when it was read.
     """
@@ -74,7 +72,11 @@
         super().__init__()
         self._head: Head | None = None
         self.has_answered = False
-        self.is_body_too_long = False
+
+    @property
+    def is_body_too_long(self) -> bool:
+        """Whether the body exceeded the limit; a pipelined request has none."""
+        return False
 
     @property
     @abstractmethod
--- a/halldoor/gateway/sizes.py
+++ b/halldoor/gateway/sizes.py
@@ -10,6 +10,7 @@
 import h11
 
 from halldoor.core.targets.route import CallerLimits
+from halldoor.gateway.callerrequest import BodyTooLongError
 from halldoor.gateway.headers import Headers, is_too_long
 
 READ_AHEAD = 65_536
@@ -34,6 +35,8 @@
 
     Attributes
     ----------
+    is_body_too_long : bool
+        Whether the last body exceeds the limit; true as well while that is confirmed.
     may_be_wrong : bool
         Whether operators may allow a longer body than the limit that the last one exceeded.
     """
@@ -45,7 +48,7 @@
         self._confirm = confirm
         self._parser_head_bytes = 0
         self._body_limit = self._announced = self._body = 0
-        self.may_be_wrong = False
+        self.is_body_too_long = self.may_be_wrong = False
 
     @property
     def head_limit(self) -> int:
@@ -82,16 +85,21 @@
         """Start a body whose head announces a number of bytes."""
         self._body_limit = self._read_limits().body_bytes
         self._announced, self._body = announced, 0
+        self.is_body_too_long = False
 
-    def add_body(self, size: int) -> bool:
-        """Add bytes that were read; return whether what was read or announced is too long."""
+    async def check_body(self, size: int) -> None:
+        """Add bytes that were read; raise `BodyTooLongError` beyond the confirmed limit."""
         self._body += size
+        self.is_body_too_long = self._is_beyond_limit()
+        if self.is_body_too_long:
+            self.may_be_wrong = True
+            await self._confirm()
+            self.may_be_wrong = self._read_limits().may_be_wrong
+            self.is_body_too_long = self._is_beyond_limit()
+        if self.is_body_too_long:
+            raise BodyTooLongError
+
+    def _is_beyond_limit(self) -> bool:
+        """Check whether what was read of the body, or announced, is too long."""
         total = max(self._announced, self._body)
         return total > self._body_limit and total > self._read_limits().body_bytes
-
-    async def confirm_body(self) -> bool:
-        """Confirm the limit that a body exceeds; return whether it is too long."""
-        self.may_be_wrong = True
-        await self._confirm()
-        self.may_be_wrong = self._read_limits().may_be_wrong
-        return self.add_body(0)
