Check in one place whether the configuration may be old

CallerAccess.may_be_outdated and confirm_limits computed the same, and access and sizes each had an empty confirmation. No behaviour changes.

--- a/halldoor/gateway/access.py
+++ b/halldoor/gateway/access.py
@@ -21,6 +21,7 @@
 from halldoor.gateway.caller import Answer, Head
 from halldoor.gateway.headers import HeaderNames, find
 from halldoor.gateway.retryafter import RETRY_AFTER_S, randomize_retry_after
+from halldoor.gateway.sizes import skip_confirmation
 
 
 class CallerAccess:
@@ -63,7 +64,7 @@
         self._random = Random()
         self._is_confirming = is_confirming
         self.confirm: Callable[[], None] = lambda: None
-        self.wait_for_confirmation: Callable[[], Awaitable[None]] = _skip_confirmation
+        self.wait_for_confirmation: Callable[[], Awaitable[None]] = skip_confirmation
         self._table: AccessTable | None = None
 
     @property
@@ -90,24 +91,29 @@
 
     def may_be_outdated(self) -> bool:
         """Check whether operators may have allowed since what this entry would refuse."""
-        if self._catalog.routing is None or self._is_confirming():
-            return True
-        now = asyncio.get_running_loop().time()
-        return self.find_age(now).is_stale(self.settings.stale_s)
+        return self._is_unsettled() or self._is_stale()
 
     async def confirm_limits(self) -> None:
         """Confirm the limits that a request exceeds; wait for a short time where they may be old.
 
         Before the first configuration, and after a suspension, all records are read in any case.
         """
-        if self._catalog.routing is None or self._is_confirming():
+        if self._is_unsettled():
             return
-        now = asyncio.get_running_loop().time()
-        if self.find_age(now).is_stale(self.settings.stale_s):
+        if self._is_stale():
             await self.wait_for_confirmation()
         else:
             self.confirm()
 
+    def _is_unsettled(self) -> bool:
+        """Check whether no configuration was read yet, or since a suspension."""
+        return self._catalog.routing is None or self._is_confirming()
+
+    def _is_stale(self) -> bool:
+        """Check whether the configuration may be old."""
+        now = asyncio.get_running_loop().time()
+        return self.find_age(now).is_stale(self.settings.stale_s)
+
     def find_age(self, now: float) -> ConfigurationAge:
         """Return the age of the configuration in force."""
         proof = self._catalog.proof
@@ -152,7 +158,3 @@
             refusal.reason.value,
             retry_after_s=randomize_retry_after(after_s, self._random),
         )
-
-
-async def _skip_confirmation() -> None:
-    """Do not wait: nothing confirms the configuration."""
--- a/halldoor/gateway/sizes.py
+++ b/halldoor/gateway/sizes.py
@@ -18,7 +18,7 @@
 
 
 async def skip_confirmation() -> None:
-    """Do not wait: nothing confirms the limits."""
+    """Do not wait: nothing confirms the configuration."""
 
 
 class RequestSizes:
