--- a/properties/test_refusals.py
+++ b/properties/test_refusals.py
@@ -16,14 +16,7 @@
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import Change, RoutingSeen
 from halldoor.core.targets.relay import RelaySettings
-from halldoor.core.targets.route import (
-    CallerLimits,
-    RequestKind,
-    Route,
-    Routing,
-    SplitPart,
-    TargetService,
-)
+from halldoor.core.targets.route import CallerLimits, Routing
 from halldoor.core.targets.split import Splitter
 from halldoor.core.targets.timings import CatalogTimings
 from halldoor.core.targets.withdrawal import StoreView
@@ -37,36 +30,19 @@
 from halldoor.gateway.relay import ChangeFeed
 from halldoor.gateway.store import Events, MetadataStore, RecordCodec, StoredItem
 from halldoor.gateway.sync import StoreSync
+from halldoor.tests.choicekit import SERVICE, make_route
 
 STALE_S = 3.0
 PATHS = ("/a/", "/b/", "/c/")
 ROUTINGS: list[Routing] = []
 """Configurations of all stores."""
 LOOP = asyncio.new_event_loop()
-SERVICES = {"deck": TargetService("deck", "/health", 8, 0.0, 10.0)}
 
 
 def build_routing(version: int, paths: frozenset[str]) -> Routing:
     """Build a configuration with a route for each path."""
-    routes = tuple(
-        Route(
-            name=path,
-            host="decks.example",
-            path_prefix=path,
-            kind=RequestKind.REPEATABLE,
-            parts=(SplitPart("deck", 1.0),),
-            timeout_s=1.0,
-            aim_s=1.0,
-            priority=0,
-            max_attempts=2,
-            has_affinity=False,
-            home_regions=(),
-            is_public=False,
-            is_hedged=False,
-        )
-        for path in sorted(paths)
-    )
-    return Routing(version, routes, SERVICES, CallerLimits())
+    routes = tuple(make_route(name=path, path_prefix=path) for path in sorted(paths))
+    return Routing(version, routes, {"deck": SERVICE}, CallerLimits())
 
 
 class Store:
