--- a/review/kit2/world.py
+++ b/review/kit2/world.py
@@ -48,6 +48,9 @@
 }
 
 
+_used_ports: set[int] = set()
+
+
 class CannotRunError(Exception):
     """The case can't run here."""
 
@@ -74,16 +77,23 @@
 
 
 def find_free_ports(ip: str, count: int) -> list[int]:
-    """Return consecutive free ports."""
-    for first in range(20000 + os.getpid() % 10000, 60000, count):
+    """Return consecutive free ports, none of them twice in this process.
+
+    They are below the ports that outgoing connections get.
+    """
+    for first in range(10000 + os.getpid() % 1000 * 10, 32000, count):
+        ports = list(range(first, first + count))
+        if _used_ports.intersection(ports):
+            continue
         socks: list[socket.socket] = []
         try:
-            for port in range(first, first + count):
+            for port in ports:
                 socks.append(socket.create_server((ip, port)))
         except OSError:
             continue
         else:
-            return list(range(first, first + count))
+            _used_ports.update(ports)
+            return ports
         finally:
             for sock in socks:
                 sock.close()
@@ -103,6 +113,7 @@
         folder: Path,
         record: Record,
         bounds: dict[str, Any] | None = None,
+        memory_mb: int = 300,
     ) -> None:
         self.name, self.zone, self.ip = name, zone, ip
         self.record = record
@@ -126,7 +137,7 @@
                 "limits": {
                     "cpuShare": 0.86,
                     "cores": 1,
-                    "memoryMb": 300,
+                    "memoryMb": memory_mb,
                     "maxFds": 4100,
                     "linkMbps": 1000.0,
                     "diskMb": 0,
