--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,198 +1,180 @@
-"""Uploads to endpoints that read slowly, at an entry that is stopped as planned."""
+"""Clients that pipeline downloads and read slowly, at entries whose memory is limited."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
+import random
 import signal
 import socket
 import sys
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
-from typing import NamedTuple
 
-from kit2.http import parse_head, read_answer
+from kit2.endpoint import Endpoint
+from kit2.http import Call
 from kit2.store import Store
 from kit2.world import CannotRunError, Entry, Record, encode_config, encode_endpoint
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 IP = "127.0.0.1"
-ENDPOINTS, SLOTS = 3, 3
-UPLOADS, BODY_BYTES = 6, 360_000
-DEADLINE_S, GRACE_S = 3.0, 6.0
-TERM_AFTER_S = 0.3
-PIECE_BYTES = 65_536
-PAUSE_S = 1.2
-WORK_S = 0.5
-
-
-class Run(NamedTuple):
-    """A request at an endpoint, by the seconds since the start; None: it did not get there."""
-
-    began: float
-    broken: float | None
-    ended: float | None
-
-
-class Endpoint:
-    """An endpoint that works on an upload from its head on, and reads the body in pieces."""
-
-    def __init__(self, name: str, record: Record) -> None:
-        self.name, self.record = name, record
-        self.runs: dict[str, Run] = {}
-        self.sock = socket.create_server((IP, 0))
-        self.sock.setblocking(False)
-        self.address = self.sock.getsockname()[:2]
-        self.tasks: set[asyncio.Task[None]] = set()
-
-    async def serve(self) -> None:
-        """Accept connections until cancelled."""
-        loop = asyncio.get_running_loop()
+ENDPOINTS, SLOTS, WORK_S = 51, 6, 0.3
+ANSWER_BYTES = 540_000
+CLIENTS, PIPELINING_CLIENTS, BATCH = 120, 84, 8
+DEADLINE_S = 8.24
+SLOW_BYTES_PER_S = 128_000
+SEGMENT_BYTES, WINDOW_BYTES, READ_BYTES = 1460, 65_536, 16_384
+MEMORY_MB = 200
+RESTART_S = 0.5
+TRAFFIC_S = 95.0
+ENDS_ALLOWED = 2
+BODY = bytes(ANSWER_BYTES)
+
+
+class Platform:
+    """What the platform does to processes: one over its memory is killed, and started again."""
+
+    def __init__(self, entries: list[Entry], record: Record) -> None:
+        self.entries, self.record = entries, record
+        self.peaks: Counter[str] = Counter()
+        self.ends: Counter[str] = Counter()
+
+    async def watch(self, entry: Entry) -> None:
+        """Watch one process until cancelled."""
         while True:
-            conn, _ = await loop.sock_accept(self.sock)
-            conn.setblocking(False)
-            task = loop.create_task(self._serve(conn))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-
-    async def _serve(self, conn: socket.socket) -> None:
-        """Answer the requests of a connection."""
+            await asyncio.sleep(0.05)
+            assert entry.process is not None
+            used_kb = read_own_memory_kb(entry.process.pid)
+            self.peaks[entry.name] = max(self.peaks[entry.name], used_kb // 1024)
+            if used_kb > MEMORY_MB * 1024:
+                self.record.add(f"entry {entry.name} uses {used_kb // 1024} MB of {MEMORY_MB} MB")
+                entry.send_signal(signal.SIGKILL)
+                entry.process.wait()
+            if entry.process.poll() is not None:
+                self.ends[entry.name] += 1
+                self.record.add(f"entry {entry.name} has ended ({self.ends[entry.name]})")
+                await asyncio.sleep(RESTART_S)
+                entry.start()
+
+    @property
+    def has_fault(self) -> bool:
+        """Check whether two processes or more ended by themselves three times."""
+        return sum(count > ENDS_ALLOWED for count in self.ends.values()) >= 2
+
+
+def read_own_memory_kb(pid: int) -> int:
+    """Return the anonymous memory of a process, without libraries and what the kernel holds."""
+    with contextlib.suppress(OSError):
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("RssAnon:"):
+                return int(line.split()[1])
+    return 0
+
+
+async def connect(entry: Entry) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect with the segments of Ethernet and a small window, as from afar."""
+    sock = socket.socket()
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+    try:
+        await asyncio.get_running_loop().sock_connect(sock, entry.front)
+    except OSError:
+        sock.close()
+        raise
+    return await asyncio.open_connection(sock=sock, limit=READ_BYTES)
+
+
+async def read_batch(
+    reader: asyncio.StreamReader, size: int, *, is_slow: bool, until: float
+) -> int:
+    """Read answers up to their whole size; return the number of bytes."""
+    received = 0
+    while received < size and time.monotonic() < until:
+        async with asyncio.timeout(until - time.monotonic()):
+            piece = await reader.read(READ_BYTES)
+        if not piece:
+            break
+        received += len(piece)
+        if is_slow:
+            await asyncio.sleep(len(piece) / SLOW_BYTES_PER_S)
+    return received
+
+
+async def send_batches(number: int, entries: list[Entry], record: Record, seen: Counter) -> None:
+    """Send batches of downloads until cancelled, one in `DEADLINE_S`.
+
+    A client either pipelines them, and with the trouble reads slowly, or sends them one by one.
+    """
+    source = random.Random(number)
+    pipelines = number < PIPELINING_CLIENTS
+    is_slow = pipelines and HAS_TROUBLE
+    size = ANSWER_BYTES * (BATCH if pipelines else 1)
+    await asyncio.sleep(source.random() * DEADLINE_S)
+    batch = 0
+    while True:
+        batch += 1
+        until = time.monotonic() + DEADLINE_S
+        entry = source.choice(entries)
         try:
-            while await self._serve_one(conn):
-                pass
-        except ConnectionError:
-            return
-        finally:
-            conn.close()
-
-    async def _serve_one(self, conn: socket.socket) -> bool:
-        """Answer one request; return whether another may follow."""
-        loop = asyncio.get_running_loop()
-        data = b""
-        while b"\r\n\r\n" not in data:
-            piece = await loop.sock_recv(conn, 4096)
-            if not piece:
-                return False
-            data += piece
-        head, _, body = data.partition(b"\r\n\r\n")
-        words, headers = parse_head(head)
-        fields = f"X-Instance-Id: {self.name}\r\nX-Backend-Load: 1,0,{SLOTS}\r\n"
-        if words[1] == "/health":
-            text = f"HTTP/1.1 200 OK\r\n{fields}Content-Length: 0\r\n\r\n"
-            await loop.sock_sendall(conn, text.encode())
-            return True
-        attempt = headers.get("x-attempt-id", "")
-        if headers.get("x-expect-instance", self.name) != self.name:
-            text = f"HTTP/1.1 421 X\r\nX-Attempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n"
-            await loop.sock_sendall(conn, text.encode())
-            return True
-        now = self.record.now
-        self.runs[attempt] = Run(now(), None, None)
-        self.record.add(f"endpoint {self.name} begins work on {attempt}")
-        left = int(headers["content-length"]) - len(body)
-        has_paused = not HAS_TROUBLE
+            reader, writer = await connect(entry)
+        except OSError:
+            seen["connection refused"] += 1
+            await asyncio.sleep(0.2)
+            continue
+        heads = [
+            f"GET /scans/{number}-{batch}-{k} HTTP/1.1\r\nHost: archive.example\r\n"
+            f"X-Attempt-Id: a{number}-{batch}-{k}\r\n"
+            f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n\r\n"
+            for k in range(BATCH)
+        ]
+        parts = ["".join(heads)] if pipelines else heads
+        received = 0
+        text = f"client {number}, batch {batch}"
+        record.add(f"{text}: {BATCH} to {entry.name}, {'pipelined' if pipelines else 'in turn'}")
         try:
-            while left > 0:
-                if left < BODY_BYTES - PIECE_BYTES and not has_paused:
-                    has_paused = True
-                    self.record.add(
-                        f"endpoint {self.name} works on what it has read of {attempt}"
-                        f" and reads on in {PAUSE_S} s; {left} bytes are left"
-                    )
-                    await asyncio.sleep(PAUSE_S)
-                piece = await loop.sock_recv(conn, min(left, PIECE_BYTES))
-                if not piece:
-                    raise ConnectionResetError
-                left -= len(piece)
-            await asyncio.sleep(WORK_S + (0.0 if HAS_TROUBLE else PAUSE_S))
-            text = (
-                f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n{fields}"
-                f"X-Response-Signature: {self.name}.{attempt}\r\nContent-Length: 2\r\n\r\nok"
-            )
-            await loop.sock_sendall(conn, text.encode())
+            for part in parts:
+                writer.write(part.encode())
+                seen["requests sent"] += BATCH // len(parts)
+                received += await read_batch(reader, size, is_slow=is_slow, until=until)
+            record.add(f"{text}: {received} bytes of answers")
+        except TimeoutError:
+            record.add(f"{text}: its time is over")
         except ConnectionError:
-            self.runs[attempt] = self.runs[attempt]._replace(broken=now())
-            self.record.add(f"endpoint {self.name}: the entry broke off {attempt}, {left} unread")
-            raise
-        self.runs[attempt] = self.runs[attempt]._replace(ended=now())
-        self.record.add(f"endpoint {self.name} answered {attempt} with 200")
-        return True
-
-
-class Outcome(NamedTuple):
-    """What a client got, by the seconds since the start; status 0: no whole answer."""
-
-    sent: float
-    status: int
-    is_signed: bool
-    at: float
-
-
-async def upload(entry: Entry, attempt: str, record: Record) -> Outcome:
-    """Send one upload and read its answer."""
-    reader, writer = await asyncio.open_connection(*entry.front)
-    sent = record.now()
-    record.add(f"client sends {attempt}, {BODY_BYTES} bytes, to {entry.name}")
-    head = (
-        f"POST /sets/{attempt} HTTP/1.1\r\nHost: cards.example\r\nX-Attempt-Id: {attempt}\r\n"
-        f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
-    )
-    writer.write(head.encode() + b"s" * BODY_BYTES)
-    try:
-        answer = await asyncio.wait_for(read_answer(reader), DEADLINE_S + 1.0)
-    except TimeoutError:
-        answer = None
-    at = record.now()
-    writer.transport.abort()
-    if answer is None or not answer.is_whole:
-        record.add(f"client gets no whole answer to {attempt}")
-        return Outcome(sent, 0, False, at)
-    is_signed = "x-response-signature" in answer.headers
-    signed = "with" if is_signed else "without"
-    record.add(f"client gets {answer.status} to {attempt}, {signed} signature: {answer.body!r}")
-    return Outcome(sent, answer.status, is_signed, at)
-
-
-def judge(
-    outcomes: dict[str, Outcome], endpoints: list[Endpoint], term: float, record: Record
-) -> bool:
-    """Check LOST: no request that its endpoint works on is broken off at a planned stop."""
-    is_broken = False
-    for attempt, outcome in outcomes.items():
-        runs = [e.runs[attempt] for e in endpoints if attempt in e.runs]
-        used = (outcome.at - outcome.sent) / DEADLINE_S
-        if not runs or (outcome.status and outcome.is_signed):
-            continue
-        in_time = used < 0.7 and outcome.at < term + GRACE_S * 5 / 6
-        if outcome.at >= term and in_time and all(run.ended is None for run in runs):
-            record.add(
-                f"LOST: {attempt} was broken off {outcome.at - term:.2f} s after SIGTERM, at"
-                f" {used:.0%} of its time, while its endpoint was at work"
-            )
-            is_broken = True
-    return is_broken
+            seen["connections reset"] += 1
+            record.add(f"{text}: connection reset")
+        writer.transport.abort()
+        await asyncio.sleep(max(0.1, until - time.monotonic()))
 
 
 async def play(folder: Path, record: Record) -> bool:
     """Play the case; return whether the rule was broken."""
     store = Store()
     await store.start()
-    endpoints = [Endpoint(f"i-{n}", record) for n in range(1, ENDPOINTS + 1)]
-    tasks = [asyncio.create_task(e.serve()) for e in endpoints]
-    tasks.append(asyncio.create_task(store.expire_leases()))
+
+    async def work(call: Call) -> bytes:
+        """Work on a request."""
+        await asyncio.sleep(WORK_S)
+        return BODY
+
+    endpoints = [Endpoint(f"i-{n}", SLOTS, work, record) for n in range(ENDPOINTS)]
+    for endpoint in endpoints:
+        await endpoint.start()
     spec = {
-        "hostname": "cards.example",
-        "pathPrefix": "/sets/",
-        "kind": "upload",
-        "service": "scanbak",
-        "targetLatencyMs": 400,
-        "priority": 1,
+        "hostname": "archive.example",
+        "pathPrefix": "/scans/",
+        "kind": "download",
+        "service": "licence-desk",
+        "targetLatencyMs": 824,
+        "priority": 0,
         "maxAttempts": 2,
-        "affinity": True,
+        "affinity": False,
         "homeRegions": [],
     }
-    store.put("op/config", encode_config(1, {"set-upload": spec}, ["scanbak"]))
+    store.put("op/config", encode_config(1, {"scan-download": spec}, ["licence-desk"]))
     born = int(time.time() * 1000)
 
     async def beat() -> None:
@@ -202,35 +184,44 @@
             sequence += 1
             for e in endpoints:
                 value = encode_endpoint(
-                    "scanbak", e.address, "ams-a", slots=SLOTS, sequence=sequence, born=born
+                    "licence-desk", e.address, "ams-a", slots=SLOTS, sequence=sequence, born=born
                 )
                 store.put(f"servers/{e.name}", value)
             await asyncio.sleep(1.5)
 
-    tasks.append(asyncio.create_task(beat()))
+    tasks = [asyncio.create_task(beat()), asyncio.create_task(store.expire_leases())]
     entries = [
-        Entry(f"edge-ams-a-{n}", "ams-a", IP, store, folder=folder, record=record) for n in (1, 2)
+        Entry(f"edge-{n}", "ams-a", IP, store, folder=folder, record=record, memory_mb=MEMORY_MB)
+        for n in (1, 2)
     ]
+    platform = Platform(entries, record)
+    seen: Counter[str] = Counter()
     try:
         for entry in entries:
             entry.start()
         for entry in entries:
             await entry.wait_until_ready()
-        await asyncio.sleep(5.0)
-        stopped = entries[0]
-        uploads = {f"u{n}": upload(stopped, f"u{n}", record) for n in range(UPLOADS)}
-        sending = [asyncio.create_task(u) for u in uploads.values()]
-        await asyncio.sleep(TERM_AFTER_S)
-        term = record.now()
-        stopped.send_signal(signal.SIGTERM)
-        outcomes = dict(zip(uploads, await asyncio.gather(*sending), strict=True))
-        await stopped.wait_until_ended(GRACE_S + 1.0)
-        return judge(outcomes, endpoints, term, record)
+        await asyncio.sleep(4.0)
+        tasks += [asyncio.create_task(platform.watch(entry)) for entry in entries]
+        record.add(f"{CLIENTS} clients begin; at most {MEMORY_MB} MB for each process")
+        tasks += [
+            asyncio.create_task(send_batches(n, entries, record, seen)) for n in range(CLIENTS)
+        ]
+        until = time.monotonic() + TRAFFIC_S
+        while time.monotonic() < until and not platform.has_fault:
+            await asyncio.sleep(0.1)
+        record.add(f"clients saw {dict(seen)}")
+        record.add(f"runs at endpoints: {sum(len(e.runs) for e in endpoints)}")
+        record.add(f"largest memory in MB: {dict(platform.peaks)}; ends: {dict(platform.ends)}")
+        if platform.has_fault:
+            record.add("Fault: the processes of both machines ended by themselves three times")
+        return platform.has_fault
     finally:
-        for entry in entries:
-            entry.kill()
         for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for entry in entries:
+            entry.kill()
 
 
 def main() -> int:
