--- a/review/4/run.py
+++ b/review/4/run.py
@@ -17,7 +17,14 @@
 from kit2.endpoint import Endpoint
 from kit2.http import Call
 from kit2.store import Store
-from kit2.world import CannotRunError, Entry, Record, encode_config, encode_endpoint
+from kit2.world import (
+    CannotRunError,
+    Entry,
+    Record,
+    encode_config,
+    encode_endpoint,
+    end_on_sigterm,
+)
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 IP = "127.0.0.1"
@@ -226,6 +233,7 @@
 
 def main() -> int:
     """Play the case; return 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+    end_on_sigterm()
     record = Record(Path(__file__).resolve().parent / "record.txt")
     record.add(f"TROUBLE={int(HAS_TROUBLE)}")
     status = 2
--- a/review/kit2/world.py
+++ b/review/kit2/world.py
@@ -55,6 +55,11 @@
     """The case can't run here."""
 
 
+def end_on_sigterm() -> None:
+    """Have SIGTERM end the script as an exception does, so that it ends its processes."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
+
 class Record:
     """What was sent, answered and run, with the seconds since the start."""
 
