--- a/review/kit3/world.py
+++ b/review/kit3/world.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -19,6 +20,8 @@
 import tempfile
 import time
 import tomllib
+import traceback
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -59,6 +62,11 @@
 }
 
 
+LONGEST_S = 110.0
+COULD_NOT_RUN = 2
+_GIVEN: set[int] = set()
+
+
 class Result(NamedTuple):
     """One try of a client.
 
@@ -83,22 +91,24 @@
     note: str = ""
 
 
-def find_ports(count: int) -> list[int]:
-    """Return free ports; the sockets that found them are closed together."""
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in held]
-    for sock in held:
-        sock.close()
-    return ports
+def is_free(port: int) -> bool:
+    """Check whether nobody listens at a port of the loopback address."""
+    with contextlib.suppress(OSError):
+        socket.create_server(("127.0.0.1", port)).close()
+        return True
+    return False
 
 
-def find_port_pair() -> int:
-    """Return a free port whose next one is free, too."""
-    while True:
-        (port,) = find_ports(1)
-        with contextlib.suppress(OSError, OverflowError):
-            socket.create_server(("127.0.0.1", port + 1)).close()
-            return port
+def find_ports(count: int, *, in_a_row: int = 1) -> list[int]:
+    """Return the first ports of free rows, below those that outgoing connections get."""
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(20_000, 32_000)
+        row = range(port, port + in_a_row)
+        if not _GIVEN.intersection(row) and all(map(is_free, row)):
+            found.append(port)
+            _GIVEN.update(row)
+    return found
 
 
 class World:
@@ -153,7 +163,7 @@
                 "front": front,
                 "ready": ready,
                 "directory": directory,
-                "pair": find_port_pair(),
+                "pair": find_ports(1, in_a_row=2)[0],
             }
         ports = self.entries[name]
         listen = {k: f"127.0.0.1:{ports[k]}" for k in ("front", "ready", "directory")}
@@ -353,3 +363,28 @@
         await reader.readexactly(size + 2)
         if not size:
             return True
+
+
+def run_case(folder: Path, play: Callable[[World], Awaitable[int]]) -> int:
+    """Play a case in a world of its own; return the exit status, 2 if it couldn't run.
+
+    The processes are ended in any case, also after SIGTERM, an error or `LONGEST_S`.
+    """
+
+    async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        world = World(folder)
+        try:
+            async with asyncio.timeout(LONGEST_S):
+                return await play(world)
+        finally:
+            world.close()
+
+    try:
+        return asyncio.run(run())
+    except BaseException:
+        traceback.print_exc()
+        return COULD_NOT_RUN
