--- a/review/8/run.py
+++ b/review/8/run.py
@@ -18,7 +18,7 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "kit3"))
 
-from world import World, ask  # noqa: E402
+from world import COULD_NOT_RUN, World, ask, run_case  # noqa: E402
 
 HOST = "a.example"
 ROUTE = {
@@ -93,7 +93,8 @@
     late, lasting, still = 0, 0, 0
     runs: dict[str, float] = {}
     ends: dict[str, float] = {}
-    for line in world.read_endpoint_log():
+    lines = world.read_endpoint_log()
+    for line in lines:
         request = line["id"]
         if request not in left:
             continue
@@ -115,39 +116,38 @@
     ):
         world.write(text)
         print(text)
+    if not any(line["what"] == "done" for line in lines):
+        print("no request reached an endpoint")
+        return COULD_NOT_RUN
     return int(is_broken)
 
 
-async def play() -> int:
+async def play(world: World) -> int:
     """Play the case; return the exit status."""
-    world = World(HERE)
-    try:
-        world.start_store()
-        await world.wait_for_store()
-        world.start_endpoints(
-            [
-                {
-                    "id": f"i-deck-{i}",
-                    "service": "deckreader",
-                    "zone": "ams-a" if i < 3 else "ams-b",
-                    "slots": 6,
-                    "work_s": WORK_S,
-                }
-                for i in range(6)
-            ]
-        )
-        await world.write_config([ROUTE], ["deckreader"])
-        world.start_entry("edge-1", "ams-a")
-        world.start_entry("edge-2", "ams-b")
-        if not await world.wait_until_ready():
-            print("the entries did not get ready")
-            return 2
-        await asyncio.sleep(3.0)
-        left = await send_all(world, has_trouble=os.environ.get("TROUBLE") != "0")
-        return judge(world, left)
-    finally:
-        world.close()
+    world.start_store()
+    await world.wait_for_store()
+    world.start_endpoints(
+        [
+            {
+                "id": f"i-deck-{i}",
+                "service": "deckreader",
+                "zone": "ams-a" if i < 3 else "ams-b",
+                "slots": 6,
+                "work_s": WORK_S,
+            }
+            for i in range(6)
+        ]
+    )
+    await world.write_config([ROUTE], ["deckreader"])
+    world.start_entry("edge-1", "ams-a")
+    world.start_entry("edge-2", "ams-b")
+    if not await world.wait_until_ready():
+        print("the entries did not get ready")
+        return COULD_NOT_RUN
+    await asyncio.sleep(3.0)
+    left = await send_all(world, has_trouble=os.environ.get("TROUBLE") != "0")
+    return judge(world, left)
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(play()))
+    sys.exit(run_case(HERE, play))
