--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 import sys
 
 root = pathlib.Path(sys.argv[1])
-for folder in ("kit2", "4", "5", "6", "7", "8"):
+for folder in ("kit2", "kit3", "4", "5", "6", "7", "8"):
     for path in sorted((root / folder).glob("*.py")):
         compile(path.read_text(), str(path), "exec")
 END
