Keep the case of answers without end inside its site's limits

A second reading of the issue: the trouble lasted 20 s where garble lasts 5 s, the routes' times were of two sites, the lengths were not quoted, and the stand-ins' heartbeats changed their entries in the store.

--- a/review/7/run.py
+++ b/review/7/run.py
@@ -20,61 +20,63 @@
 from world import COULD_NOT_RUN, Result, World, ask, run_case  # noqa: E402
 
 HOST = "a.example"
-TIMEOUT_MS = {"read": 6000, "seal": 1000}
+DEADLINE_MS = 6000
+TIMEOUT_MS = 2000
+SPELLS_S, SPELL_S = (2.0, 11.0), 5.0
 DURATION_S = 20.0
 PER_S = 90.0
 SHARE_OF_ANSWERS = 0.05
 LATE_S = 0.5
 
 
-def build_endpoints(*, has_trouble: bool) -> list[dict[str, object]]:
-    """Return the rows of the endpoints."""
+def build_endpoints(flag: Path) -> list[dict[str, object]]:
+    """Return the rows of the endpoints; those that may be faulty heed the flag."""
     rows: list[dict[str, object]] = []
-    for service in ("desk", "sceau"):
+    for service in ("records-desk", "intake-desk"):
         for i in range(4):
-            is_faulty = has_trouble and service == "desk" and i % 2 == 0
-            rows.append(
-                {
-                    "id": f"i-{service}-{i}",
-                    "service": service,
-                    "zone": "ams-a" if i < 2 else "ams-b",
-                    "slots": 6,
-                    "work_s": 0.1,
-                    "endless": SHARE_OF_ANSWERS if is_faulty else 0.0,
-                }
-            )
+            row: dict[str, object] = {
+                "id": f"i-{service}-{i}",
+                "service": service,
+                "zone": "ams-a" if i < 2 else "ams-b",
+                "slots": 6,
+                "work_s": 0.1,
+            }
+            if service == "records-desk" and i % 2 == 0:
+                row |= {"flag": str(flag), "endless": SHARE_OF_ANSWERS}
+            rows.append(row)
     return rows
 
 
 def build_routes() -> list[dict[str, object]]:
     """Return the routes."""
-    common = {"hostname": HOST, "targetLatencyMs": 250, "maxAttempts": 2}
+    common = {"hostname": HOST, "targetLatencyMs": 800}
     return [
         common
         | {
-            "name": "status-read",
-            "pathPrefix": "/read/",
-            "kind": "idempotent",
-            "service": "desk",
-            "timeoutMs": TIMEOUT_MS["read"],
+            "name": "record-download",
+            "pathPrefix": "/download/",
+            "kind": "download",
+            "service": "records-desk",
+            "maxAttempts": 2,
         },
         common
         | {
-            "name": "deed-seal",
-            "pathPrefix": "/seal/",
+            "name": "crew-closeout",
+            "pathPrefix": "/closeout/",
             "kind": "non_idempotent",
-            "service": "sceau",
-            "timeoutMs": TIMEOUT_MS["seal"],
+            "service": "intake-desk",
+            "timeoutMs": TIMEOUT_MS,
+            "maxAttempts": 2,
         },
     ]
 
 
 async def send_all(world: World) -> list[Result]:
-    """Send seals and reads by turns, at an even rate, and await the answers."""
+    """Send both kinds by turns, at an even rate, and await the answers."""
     tasks = []
     began_at = time.monotonic()
     for n in range(int(DURATION_S * PER_S)):
-        kind = "read" if n % 2 else "seal"
+        kind = "download" if n % 2 else "closeout"
         tasks.append(
             asyncio.create_task(
                 ask(
@@ -84,9 +86,8 @@
                     host=HOST,
                     path=f"/{kind}/{n}",
                     kind=kind,
-                    deadline_ms=TIMEOUT_MS[kind],
-                    method="POST" if kind == "seal" else "GET",
-                    body=b"x" * 300 if kind == "seal" else b"",
+                    deadline_ms=DEADLINE_MS,
+                    method="DELETE" if kind == "closeout" else "GET",
                 )
             )
         )
@@ -99,11 +100,10 @@
     unanswered, still = [], []
     for result in results:
         waited_s = (result.begun_at or result.ended_at) - result.sent_at
-        limit_s = TIMEOUT_MS[result.kind] / 1000
-        if waited_s > limit_s:
+        if result.kind == "closeout" and waited_s > TIMEOUT_MS / 1000:
             unanswered.append(result)
-        if waited_s > limit_s + LATE_S:
-            still.append(result)
+            if waited_s > TIMEOUT_MS / 1000 + LATE_S:
+                still.append(result)
     lines = world.read_endpoint_log()
     endless = sum(line["what"] == "endless" for line in lines)
     longest_s = max((r.begun_at or r.ended_at) - r.sent_at for r in results)
@@ -127,15 +127,20 @@
     """Play the case; return the exit status."""
     world.start_store()
     await world.wait_for_store()
-    world.start_endpoints(build_endpoints(has_trouble=os.environ.get("TROUBLE") != "0"))
-    await world.write_config(build_routes(), ["desk", "sceau"])
+    world.start_endpoints(build_endpoints(world.flag))
+    await world.write_config(build_routes(), ["records-desk", "intake-desk"])
     world.start_entry("edge-1", "ams-a")
     world.start_entry("edge-2", "ams-b")
     if not await world.wait_until_ready():
         print("the entries did not get ready")
         return COULD_NOT_RUN
     await asyncio.sleep(3.0)
-    return judge(world, await send_all(world))
+    spells = asyncio.create_task(
+        world.make_spells(SPELLS_S if os.environ.get("TROUBLE") != "0" else (), SPELL_S)
+    )
+    results = await send_all(world)
+    await spells
+    return judge(world, results)
 
 
 if __name__ == "__main__":
--- a/review/kit3/endpoint.py
+++ b/review/kit3/endpoint.py
@@ -3,8 +3,9 @@
 One process runs the endpoints of a JSON file.  Each works on a number of requests at a time, keeps
 its entry in the store, and writes each request that it ran into the log, one JSON line each.
 
-An endpoint may be faulty: ``endless`` is the share of its answers that never end.  Such an answer
-has a sound head, and a body in small chunks that comes until the caller closes.
+An endpoint may be faulty: ``endless`` is the share of its answers that never end, while the file
+``flag`` is there.  Such an answer has a sound head, and a body in small chunks that comes until the
+caller closes.
 """
 
 from __future__ import annotations
@@ -20,7 +21,6 @@
 from typing import Any, TextIO
 from urllib.parse import quote
 
-BEAT_S = 1.5
 PIECES_AT_ONCE = 20_000
 
 
@@ -30,24 +30,22 @@
     def __init__(self, row: dict[str, Any], store: str, log: TextIO) -> None:
         self.row, self.store, self.log = row, store, log
         self.slots = asyncio.Semaphore(row["slots"])
-        self.running = self.waiting = self.sequence = 0
+        self.running = self.waiting = 0
         self.born = round(time.time() * 1000)
         self.draw = random.Random(row["id"])
 
     async def run(self) -> None:
-        """Serve, and write the entry about every 1.5 s, until cancelled."""
+        """Serve until cancelled; the entry, whose sequence alone would change, is written once."""
         ip, _, port = self.row["address"].rpartition(":")
         server = await asyncio.start_server(self.serve, ip, int(port), limit=1 << 20, backlog=512)
         async with server:
-            while True:
-                await self.beat()
-                await asyncio.sleep(BEAT_S)
+            await self.write_entry()
+            await server.serve_forever()
 
-    async def beat(self) -> None:
+    async def write_entry(self) -> None:
         """Write the entry into the store."""
-        self.sequence += 1
         info = {key: self.row[key] for key in ("service", "zone", "slots")} | {"version": "v1"}
-        status = {"state": "ready", "sequence": self.sequence, "coldLeftMs": 0}
+        status = {"state": "ready", "sequence": 1, "coldLeftMs": 0}
         entry = {
             "address": self.row["address"],
             "info": info,
@@ -136,7 +134,8 @@
         """Send the answer of a request that was run; return whether the connection stays open."""
         data = hashlib.sha256(request.encode()).hexdigest().encode() * 16
         common += f"X-Response-Signature: {hashlib.md5(data).hexdigest()}\r\n"
-        if self.draw.random() >= self.row.get("endless", 0.0):
+        is_faulty = "flag" in self.row and Path(self.row["flag"]).exists()
+        if not is_faulty or self.draw.random() >= self.row["endless"]:
             await send(writer, 200, common, data)
             return True
         self.note("endless", request)
--- a/review/kit3/world.py
+++ b/review/kit3/world.py
@@ -229,6 +229,22 @@
         await put(self.store, "op%2Fconfig", value)
         self.write(f"configuration {self.version} acknowledged")
 
+    @property
+    def flag(self) -> Path:
+        """File that is there during a spell of trouble."""
+        return self.temporary / "trouble"
+
+    async def make_spells(self, begins_s: tuple[float, ...], length_s: float) -> None:
+        """Set the flag for some spells, whose begins count from now."""
+        began_at = time.monotonic()
+        for begin_s in begins_s:
+            await asyncio.sleep(began_at + begin_s - time.monotonic())
+            self.flag.touch()
+            self.write("a spell of trouble begins")
+            await asyncio.sleep(length_s)
+            self.flag.unlink()
+            self.write("a spell of trouble ends")
+
     async def wait_for_store(self) -> None:
         """Wait until the store takes connections."""
         ip, _, port = self.store.rpartition(":")
