--- a/review/8/run.py
+++ b/review/8/run.py
@@ -1,9 +1,9 @@
 """Clients that leave early: does the work for their requests end, and is nothing sent after it?
 
-Two entries, six endpoints, idempotent requests with a body of 100 KB.  A part of the clients leaves
-at half of the latency objective; endpoints that run a request stop when its connection closes.  The
-rule GONE is judged by when the clients closed and by what the endpoints still had half a second
-later.
+Two entries, six endpoints, idempotent requests with a body of 100 KB.  In three spells of 4 s, a
+part of the clients leaves at half of the latency objective; endpoints that run a request stop when
+its connection closes.  The rule GONE is judged by when the clients closed and by what the endpoints
+still had half a second later.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
     "pathPrefix": "/read/",
     "kind": "idempotent",
     "service": "deckreader",
-    "timeoutMs": 6644,
+    "timeoutMs": 2500,
     "targetLatencyMs": 886,
     "maxAttempts": 2,
 }
@@ -35,6 +35,7 @@
 WORK_S = 1.32
 LEAVES_AFTER_S = 0.443
 SHARE = 0.3
+SPELLS_S, SPELL_S = (2.0, 8.0, 14.0), 4.0
 STILL_S = 0.5
 BODY = b"x" * 100_000
 PER_S = 12.0
@@ -66,7 +67,8 @@
     began_at = time.monotonic()
     for n in range(int(DURATION_S * PER_S)):
         entry, request = f"edge-{1 + n % 2}", f"q{n:06d}"
-        if has_trouble and n % 10 < 10 * SHARE:
+        is_spell = any(at <= n / PER_S < at + SPELL_S for at in SPELLS_S)
+        if has_trouble and is_spell and n % 10 < 10 * SHARE:
             left[request] = asyncio.create_task(leave(world, entry, request))
         else:
             call = ask(
