Count the bytes that an entry buffers, by kind

Nothing told which buffers hold the memory: write buffers of callers, answers behind earlier ones, unread bytes of targets, or bodies.

--- a/halldoor/gateway/answers.py
+++ b/halldoor/gateway/answers.py
@@ -46,8 +46,10 @@
         async with asyncio.timeout_at(expires_at):
             caller.send_head(answer.status, headers, answer.reason)
             await caller.send_data(answer.body)
+            connection.pass_on(answer.body)
             while not isinstance(event := await connection.receive(), h11.EndOfMessage):
                 await caller.send_data(bytes(event.data))
+                connection.pass_on(event.data)
             caller.finish_answer()
     except (ConnectionBrokenError, TimeoutError) as exc:
         caller.abort()
--- a/halldoor/gateway/body.py
+++ b/halldoor/gateway/body.py
@@ -36,6 +36,9 @@
                     rest = None
                     break
                 body += piece
+                # Kept to be sent again, and in the write buffer of a target's connection.
+                if state.body_buffer is not None:
+                    state.body_buffer.add(2 * len(piece))
     except TimeoutError:
         if caller.is_body_too_long:
             return build_too_long_result(caller, state)
@@ -51,6 +54,7 @@
         rest,
         state.route.kind,
         expires_at,
+        state.answer_buffer,
     )
 
 
--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -15,6 +15,7 @@
 
 import h11
 
+from halldoor.core.buffers import BufferBudget, BufferKind
 from halldoor.core.targets.route import CallerLimits
 from halldoor.gateway.callerrequest import (
     Answer,
@@ -57,6 +58,8 @@
     on_error : callable, optional
         Called with the status of each error outside of a request, the head if it is known, and the
         caller's address.
+    buffers : BufferBudget, optional
+        Counts what is buffered for the connection.
     """
 
     def __init__(
@@ -69,8 +72,12 @@
         *,
         confirm_limits: Callable[[], Awaitable[None]] = skip_confirmation,
         on_error: ErrorReceiver = lambda *_: None,
+        buffers: BufferBudget | None = None,
     ) -> None:
         super().__init__()
+        if buffers is not None:
+            self.charge(buffers)
+        self._unread_buffer = self.account.open(BufferKind.UNREAD)
         self._handler = handler
         self._read_limits = read_limits
         self._connections = connections
@@ -78,7 +85,6 @@
         self.sizes = RequestSizes(read_limits, self._confirm_limits)
         self._h11 = self.sizes.new_parser()
         self._task: asyncio.Task[None] | None = None
-        self._unread = 0
         self._arrived_at = math.inf
         self.is_closing = is_closing()
         self.is_busy = False
@@ -90,6 +96,16 @@
         self._on_error = on_error
         self._last_head: Head | None = None
 
+    @property
+    def _unread(self) -> int:
+        """Number of bytes that are buffered unread."""
+        return self._unread_buffer.size
+
+    @_unread.setter
+    def _unread(self, size: int) -> None:
+        """Set the number of bytes that are buffered unread."""
+        self._unread_buffer.set(size)
+
     @property
     def address(self) -> str:
         """IP address of the caller; empty if the socket does not provide it."""
@@ -137,6 +153,8 @@
         """Handle the loss of the socket as a disconnect."""
         self._connections.discard(self)
         self._handle_disconnect()
+        self._unsent.close()
+        self._unread_buffer.close()
 
     def _handle_disconnect(self) -> None:
         """Mark the connection closed and cancel its requests, whose answers are not needed."""
--- a/halldoor/gateway/callerrequest.py
+++ b/halldoor/gateway/callerrequest.py
@@ -10,6 +10,7 @@
 
 import h11
 
+from halldoor.core.buffers import BufferAccount
 from halldoor.gateway.headers import Headers
 from halldoor.gateway.retryafter import (
     RETRY_AFTER_S,
@@ -63,8 +64,11 @@
         Whether an answer was begun.
     requests_ahead : int
         Number of requests of its connection that were in progress when it was read.
+    account : BufferAccount
+        Counts what is buffered for its connection.
     """
 
+    account: BufferAccount
     _h11: h11.Connection
     requests_ahead = 0
 
--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -13,6 +13,7 @@
 
 import h11
 
+from halldoor.core.buffers import AnswerBuffer
 from halldoor.core.decoding import DecodingError, parse_int
 from halldoor.core.settings import Address
 from halldoor.gateway.flow import FlowProtocol
@@ -79,6 +80,9 @@
         self._is_closed = False
         self._is_idle = True
         self._peer_will_close = False
+        self._unread = 0
+        self._buffer: AnswerBuffer | None = None
+        self._counted = 0
         self.exchanges = 0
         self.received_bytes = 0
         self.has_sent = False
@@ -150,11 +154,13 @@
             self.close()
             return
         self.received_bytes += len(data)
+        self._unread += len(data)
+        self._count(len(data))
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as exc:
             self._error = exc
-        if len(self._h11.trailing_data[0]) > READ_LIMIT:
+        if self._unread > READ_LIMIT:
             self._transport.pause_reading()
         self._wake_reader()
 
@@ -179,12 +185,34 @@
         self._drained.set()
         self._wake_reader()
 
-    def start_exchange(self) -> None:
-        """Start an exchange: one request and its answer."""
+    def start_exchange(self, buffer: AnswerBuffer | None = None) -> None:
+        """Start an exchange: one request and its answer.
+
+        Parameters
+        ----------
+        buffer : AnswerBuffer, optional
+            Counts what is buffered of the answer, until the exchange ends or it is passed on.
+        """
         self._is_idle = False
         self.has_sent = False
-        self.received_bytes = 0
+        self.received_bytes = self._unread = 0
         self.exchanges += 1
+        self._buffer = buffer
+
+    def _count(self, count: int) -> None:
+        """Add a number of bytes to those that are buffered of the answer."""
+        if self._buffer is not None:
+            self._counted += count
+            self._buffer.add(count)
+
+    def pass_on(self, data: bytes) -> None:
+        """Count a part of the answer's body as no longer buffered."""
+        self._count(-len(data))
+
+    def _stop_counting(self) -> None:
+        """Count nothing of the answer as buffered any longer."""
+        self._count(-self._counted)
+        self._buffer = None
 
     @property
     def is_reused(self) -> bool:
@@ -233,13 +261,18 @@
                     raise PeerClosedError("closed before the answer was whole") from exc
                 raise ConnectionBrokenError(f"not HTTP: {exc}") from exc
             if event is h11.NEED_DATA:
+                # Only framing is left.
+                self._count(-self._unread)
+                self._unread = 0
                 if self._error is not None or self._is_closed:
                     raise PeerClosedError("closed before the answer was whole")
                 await self._wait_for_data()
                 continue
             if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 raise PeerClosedError("closed without an answer")
-            if isinstance(event, h11.Response):
+            if isinstance(event, h11.Data):
+                self._unread -= len(event.data)
+            elif isinstance(event, h11.Response):
                 self._read_keep_alive(event)
             return event
 
@@ -274,8 +307,8 @@
         ConnectionBrokenError
             If the connection broke before the answer was complete.
         """
-        while not isinstance(await self.receive(), h11.EndOfMessage):
-            pass
+        while not isinstance(event := await self.receive(), h11.EndOfMessage):
+            self.pass_on(event.data)
         try:
             self._h11.start_next_cycle()
         except h11.LocalProtocolError as exc:
@@ -312,6 +345,7 @@
             Greatest idle time, in seconds; a shorter one announced by the peer takes precedence.
         """
         self._h11.start_next_cycle()
+        self._stop_counting()
         self._is_idle = True
         self.idle_since = now
         self.idle_limit_s = min(idle_limit_s, self.idle_limit_s or idle_limit_s)
@@ -327,6 +361,7 @@
     def close(self) -> None:
         """Abort the connection, so that the peer can cancel its work."""
         self._is_closed = True
+        self._stop_counting()
         self._wake_reader()
         if self._transport is not None:
             self._transport.abort()
--- a/halldoor/gateway/delivery.py
+++ b/halldoor/gateway/delivery.py
@@ -18,6 +18,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
+from halldoor.core.buffers import BufferAccount, BufferBudget, BufferKind
 from halldoor.gateway.flow import FlowProtocol
 
 LINGER_S = 0.5
@@ -30,15 +31,36 @@
 
 
 class DeliveryProtocol(FlowProtocol):
-    """Server side of a connection, which can close once its peer has received what was written."""
+    """Server side of a connection, which can close once its peer has received what was written.
+
+    Attributes
+    ----------
+    account : BufferAccount
+        Counts what is buffered for the connection.
+    """
 
     def __init__(self) -> None:
         super().__init__()
+        self.charge(BufferBudget())
         self._is_closed = False
         self._is_discarding = False
         self._active_at = -math.inf
         self._is_reset_at_close = False
 
+    def charge(self, budget: BufferBudget) -> None:
+        """Count what is buffered from now on against a budget."""
+        self.account = BufferAccount(budget)
+        self._unsent = self.account.open(BufferKind.UNSENT)
+
+    def _count_unsent(self) -> None:
+        """Count what the write buffer holds."""
+        self._unsent.set(int(self._transport.get_write_buffer_size()))
+
+    def resume_writing(self) -> None:
+        """Release waiting writers, since the write buffer has drained."""
+        self._count_unsent()
+        super().resume_writing()
+
     def set_reset_at_close(self, is_reset: bool) -> None:
         """Set whether closing the socket, also by the end of the process, resets the connection.
 
@@ -57,6 +79,7 @@
         if data and not self._is_closed:
             self._active_at = asyncio.get_running_loop().time()
             self._transport.write(data)
+            self._count_unsent()
 
     def _allow_close(self) -> None:
         """Allow the connection to close without a reset, once all of an answer is sent."""
@@ -129,6 +152,7 @@
                 async with asyncio.timeout(CHECK_S):
                     await wait()
             undelivered = self.count_undelivered()
+            self._count_unsent()
             if undelivered < left:
                 left, progress_at = undelivered, loop.time()
             elif loop.time() - progress_at >= limit_s:
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from halldoor.core.buffers import AnswerBuffer
 from halldoor.core.settings import Address
 from halldoor.core.targets.route import RequestKind
 from halldoor.gateway.caller import Answer, CallerConnection, Head
@@ -73,6 +74,8 @@
         Connection from which the rest of a long body is read; None if `body` is whole.
     expires_at : float
         Deadline for the answer, on the loop's clock.
+    buffer : AnswerBuffer or None
+        Counts what is buffered of the answer.
     """
 
     head: Head
@@ -82,6 +85,7 @@
     rest: CallerConnection | None
     kind: RequestKind
     expires_at: float
+    buffer: AnswerBuffer | None = None
 
 
 class DeadlinePassedError(Exception):
@@ -176,7 +180,7 @@
         self, connection: HttpConnection, outgoing: OutgoingRequest, incarnation: str
     ) -> Outcome:
         """Send and receive concurrently: a target may answer before it has read the whole body."""
-        connection.start_exchange()
+        connection.start_exchange(outgoing.buffer)
         sender = asyncio.get_running_loop().create_task(
             self._send_request(connection, outgoing, incarnation)
         )
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -6,6 +6,7 @@
 
 from aioprometheus import Registry
 
+from halldoor.core.buffers import BufferKind
 from halldoor.core.targets.excluded import ExcludedTarget
 from halldoor.gateway.collectors import Counter, Gauge, Histogram, render
 
@@ -82,6 +83,11 @@
         self._gauges = Gauge(
             "halldoor_state", "Current values of this entry, by name.", registry=registry
         )
+        self._buffered = Gauge(
+            "halldoor_buffered_bytes",
+            "Bytes that are buffered or reserved for all connections together, by kind.",
+            registry=registry,
+        )
         self._targets_out = self._build_targets_out()
         self._entry_weights = self._build_entry_weights()
 
@@ -301,6 +307,11 @@
         """Set the gauge ``halldoor_state`` for a name."""
         self._gauges.set({"name": name}, value)
 
+    def set_buffered(self, sizes: Mapping[BufferKind, int]) -> None:
+        """Set the gauge of the bytes that are buffered, by kind."""
+        for kind in BufferKind:
+            self._buffered.set({"kind": kind.value}, sizes.get(kind, 0))
+
     def set_targets_out(self, targets: Iterable[ExcludedTarget]) -> None:
         """Replace the targets in the gauge of those that receive no or few requests."""
         self.registry.deregister(self._targets_out.name)
--- a/halldoor/gateway/pages.py
+++ b/halldoor/gateway/pages.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
+from halldoor.core.buffers import BufferKind
 from halldoor.core.targets.changes import MemberRecord
 from halldoor.core.targets.excluded import ExcludedTarget
 from halldoor.gateway.caller import Answer, CallerConnection, Head
@@ -51,11 +52,14 @@
         Targets that get no requests, or only a few, with the reason.
     entry_weights : mapping of str to float
         Weights of the hall's entries in look-up answers; empty where they are not weighted.
+    buffered : mapping of BufferKind to int
+        Bytes that are buffered, by kind.
     """
 
     gauges: dict[str, float]
     targets_out: Iterable[ExcludedTarget]
     entry_weights: Mapping[str, float] = {}
+    buffered: Mapping[BufferKind, int] = {}
 
 
 class StatusPages:
@@ -123,5 +127,6 @@
             metrics.set(name, value)
         metrics.set_targets_out(figures.targets_out)
         metrics.set_entry_weights(figures.entry_weights)
+        metrics.set_buffered(figures.buffered)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
         caller.send(Answer(200, [content_type], metrics.render()))
--- a/halldoor/gateway/pipeline.py
+++ b/halldoor/gateway/pipeline.py
@@ -16,6 +16,7 @@
 
 import h11
 
+from halldoor.core.buffers import BufferKind
 from halldoor.gateway.callerrequest import CallerRequest, Handler, Head
 from halldoor.gateway.headers import find, is_too_long
 
@@ -96,6 +97,7 @@
     ) -> None:
         super().__init__()
         self._pipeline = pipeline
+        self.account = pipeline.connection.account
         self._h11 = parser
         self._head: Head = head
         self.requests_ahead = requests_ahead
@@ -151,9 +153,14 @@
     def _take_held(self) -> list[bytes]:
         """Remove and return what is held."""
         held, self._held = self._held, []
-        self._pipeline.held_bytes -= sum(map(len, held))
+        self._pipeline.held.add(-sum(map(len, held)))
         return held
 
+    def cancel(self) -> None:
+        """Cancel the request and drop what is held of its answer."""
+        self._take_held()
+        self.task.cancel()
+
     def _send_bytes(self, data: bytes) -> None:
         """Send bytes if all answers before are sent, else hold them."""
         if self.is_aborted:
@@ -162,7 +169,7 @@
             self._pipeline.connection.write(data)
         else:
             self._held.append(data)
-            self._pipeline.held_bytes += len(data)
+            self._pipeline.held.add(len(data))
 
     def _is_last(self) -> bool:
         """Check whether the connection closes after this answer."""
@@ -192,8 +199,8 @@
         Head that is too long.
     head_at : float or None
         When the last bytes of an incomplete head arrived, on the loop's clock.
-    held_bytes : int
-        Size of the answers that are held, in bytes.
+    held : Buffer
+        Counts the answers that are held.
     """
 
     def __init__(
@@ -211,7 +218,7 @@
         self.next_head: Head | h11.RemoteProtocolError | None = None
         self.refused_head: Head | None = None
         self.head_at: float | None = None
-        self.held_bytes = 0
+        self.held = connection.account.open(BufferKind.PIPELINED)
         self._buffer = bytearray()
         self._requests: deque[PipelinedRequest] = deque()
         # The request of the connection itself, which is before all others.
@@ -224,6 +231,11 @@
         """Check whether a request was read that is not answered yet."""
         return bool(self._requests) or isinstance(self.next_head, Head)
 
+    @property
+    def held_bytes(self) -> int:
+        """Size of the answers that are held, in bytes."""
+        return self.held.size
+
     @property
     def is_holding_enough(self) -> bool:
         """Check whether no more answers should be held."""
@@ -360,7 +372,7 @@
         """Cancel the requests behind one that closes the connection, and read no further."""
         self._is_ended = True
         while self._requests and self._requests[-1] is not request:
-            self._requests.pop().task.cancel()
+            self._requests.pop().cancel()
             self.pipelining.add("cancelled", 1)
 
     def cancel(self, *, is_by_caller: bool) -> None:
@@ -376,7 +388,7 @@
         for request in self._requests:
             # One whose turn has come or that broke off is the one that closes the connection.
             count += not (request.turn.is_set() or request.is_aborted)
-            request.task.cancel()
+            request.cancel()
         self._requests.clear()
         if count and not is_by_caller:
             self.pipelining.add("cancelled", count)
--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import NamedTuple
 
+from halldoor.core.buffers import BufferBudget
 from halldoor.core.settings import Address
 from halldoor.core.targets.route import CallerLimits
 from halldoor.gateway.accepting import Acceptor
@@ -57,7 +58,7 @@
         Address to listen at, unless it is opened at another one.
     requests : RequestHandler
         Answers the callers' requests.
-    connections, is_closing, pipelining, spare
+    connections, is_closing, pipelining, spare, buffers
         Passed to `listen`.
 
     Attributes
@@ -75,6 +76,7 @@
         is_closing: Callable[[], bool],
         pipelining: Pipelining,
         spare: Callable[[], int],
+        buffers: BufferBudget,
     ) -> None:
         self.address = address
         self.opened = asyncio.Event()
@@ -90,6 +92,7 @@
             on_error=requests.record_error,
             reserved_share=FRONT_RESERVED_SHARE,
             spare=spare,
+            buffers=buffers,
         )
 
     @property
@@ -128,6 +131,8 @@
         Called with whether other entries reach this one at its address for them.
     log : EventLog
         Receives a line for each port that is awaited.
+    buffers : BufferBudget
+        Counts what is buffered for connections.
     """
 
     def __init__(
@@ -138,8 +143,10 @@
         datagrams: DatagramPort,
         on_reachable: Callable[[bool], None],
         log: EventLog,
+        buffers: BufferBudget,
     ) -> None:
         self.front = front
+        self._buffers = buffers
         self._ports = ports
         self._datagrams = datagrams
         self._on_reachable = on_reachable
@@ -202,6 +209,7 @@
             read_limits=port.read_limits,
             confirm_limits=port.confirm_limits,
             connections=self._connections,
+            buffers=self._buffers,
         )
         self._servers.append(server)
         if port.name == RELAY:
@@ -250,6 +258,7 @@
     backlog: int = 1024,
     reserved_share: float = RESERVED_SHARE,
     spare: Callable[[], int] = lambda: 0,
+    buffers: BufferBudget | None = None,
 ) -> Acceptor:
     """Start to accept callers' connections; port 0 lets the kernel choose one.
 
@@ -268,6 +277,7 @@
             pipelining,
             confirm_limits=confirm_limits,
             on_error=on_error,
+            buffers=buffers,
         ),
         backlog=backlog,
         reserved_share=reserved_share,
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -6,6 +6,7 @@
 import secrets
 from random import Random
 
+from halldoor.core.buffers import BufferBudget
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import Change, MemberRecord
 from halldoor.core.targets.choice import Chooser
@@ -81,6 +82,7 @@
         self.log = EventLog(settings.name)
         self.reloads = ReportLimit()
         self.metrics = GatewayMetrics()
+        self.buffers = BufferBudget()
         self.catalog = Catalog(settings.timings)
         self.member = MemberRecord(
             settings.name,
@@ -269,6 +271,7 @@
                 self.metrics.add_pipelining,
             ),
             spare=self.pool.spare,
+            buffers=self.buffers,
         )
         self.registration.is_open = self._front.opened
         forwarded = ForwardedRequests(
@@ -299,6 +302,7 @@
             datagrams=self.port,
             on_reachable=self.registration.set_reachable,
             log=self.log,
+            buffers=self.buffers,
         )
 
     @property
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -146,6 +146,15 @@
         service = origin.service or self._splitter.choose(route, key or attempt_id)
         affinity = key if route.has_affinity else ""
         state = RequestState(head, admission, service, affinity, attempt_id, origin=origin)
+        state.open_buffers(caller.account)
+        try:
+            await self._send_and_finish(caller, state)
+        finally:
+            state.close_buffers()
+
+    async def _send_and_finish(self, caller: CallerConnection, state: RequestState) -> None:
+        """Read an admitted request, send it to targets and answer it."""
+        head, route = state.head, state.route
         caller_s = parse_deadline_s(find(head.headers, self._names.deadline_ms))
         expires_at = head.received_at + min(caller_s, route.timeout_s)
         headers = self._exchanger.build_headers(
