Bound what an entry buffers for all its callers together

Cause: every bound stood for one connection or one request, and memoryMb was not used. At 201 MB halldoor_buffered_bytes showed 101 MB received and not passed on, 71 MB of them held behind earlier answers, 10 MB in write buffers.

Change: a budget for the process, a share of its memory. Room for the usual answer of its kind is reserved before a request begins; without room it is refused at once and has not run. A connection may hold a thirty-second of what is free (dynamic thresholds): beyond it reading from targets pauses and pipelined requests wait. The beginning of a streamed answer is no longer kept until its end; sockets are read in pieces of 64 KB, or 16 KB while full.

Why it works: the threshold falls as buffers fill, so slow readers can't take what quick ones need, whatever their number.

--- a/halldoor/core/buffers.py
+++ b/halldoor/core/buffers.py
@@ -11,6 +11,19 @@
 from collections import Counter
 from enum import StrEnum
 
+THRESHOLD_SHARE = 1 / 32
+"""Share of the free bytes that one account may hold."""
+LARGE_BYTES = 16_384
+"""Size from which an answer or a body counts as large."""
+LARGE_SHARE = 0.8
+"""Share of the budget within which requests with large answers or bodies begin."""
+MAX_EXPECTED_BYTES = 131_072
+"""Most that is reserved for an answer: what a connection buffers while its peer does not read."""
+SIZE_WEIGHT = 0.1
+"""Weight of an answer smaller than expected; a larger one replaces the expectation at once."""
+KINDS_KEPT = 4_096
+"""Kinds of request whose answers' sizes are remembered, the first ones of the process."""
+
 
 class BufferKind(StrEnum):
     """What buffered bytes are."""
@@ -18,7 +31,7 @@
     ANSWER = "answer"
     """Received from targets or other entries, and not passed on."""
     EXPECTED = "expected"
-    """Reserved for answers that have not arrived."""
+    """Reserved for answers and bodies that have not arrived."""
     PIPELINED = "pipelined"
     """Answers held behind earlier ones of their connection."""
     UNSENT = "unsent"
@@ -59,6 +72,18 @@
         self.held_bytes += count
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
 
+    def find_threshold(self) -> float:
+        """Return the number of bytes that one account may hold now."""
+        return THRESHOLD_SHARE * max(0.0, self.limit_bytes - self.held_bytes)
+
+    def has_room(self, size: int) -> bool:
+        """Check whether a request may begin that needs a number of bytes.
+
+        Large ones leave a part of the budget to the others.
+        """
+        share = 1.0 if size < LARGE_BYTES else LARGE_SHARE
+        return self.held_bytes + size <= share * self.limit_bytes
+
 
 class BufferAccount:
     """The bytes that are buffered for one connection.
@@ -80,13 +105,23 @@
         self.held_bytes += count
         self._budget.add(kind, count)
 
+    @property
+    def is_full(self) -> bool:
+        """Check whether the account holds its share of the budget, or all of that is in use."""
+        return not self.can_hold(0)
+
+    def can_hold(self, size: int) -> bool:
+        """Check whether a number of bytes, or those held now if more, are within its share."""
+        is_within = max(size, self.held_bytes) <= self._budget.find_threshold()
+        return is_within and self._budget.has_room(LARGE_BYTES)
+
     def open(self, kind: BufferKind) -> Buffer:
         """Open a buffer of one kind."""
         return Buffer(self, kind)
 
-    def reserve(self, expected: int) -> AnswerBuffer:
-        """Open the buffer of an answer that is expected to have a number of bytes."""
-        return AnswerBuffer(self, expected)
+    def reserve(self, kind: BufferKind, expected: int) -> ReservedBuffer:
+        """Open a buffer of one kind that is expected to hold a number of bytes."""
+        return ReservedBuffer(self, kind, expected)
 
 
 class Buffer:
@@ -105,6 +140,11 @@
         self._kind = kind
         self.size = 0
 
+    @property
+    def is_full(self) -> bool:
+        """Check whether the connection holds its share of the budget, or all of that is in use."""
+        return self._account.is_full
+
     def add(self, count: int) -> None:
         """Add a number of bytes, negative for bytes that are no longer buffered."""
         self.size += count
@@ -120,19 +160,25 @@
         self.set(0)
 
 
-class AnswerBuffer(Buffer):
-    """Bytes of a request's answer that are buffered, and what is reserved until they arrive.
+class ReservedBuffer(Buffer):
+    """Bytes that are buffered, and what is reserved until they arrive.
 
     Parameters
     ----------
     expected : int
-        Expected size of the answer, in bytes.
+        Number of bytes that are reserved.
+
+    Attributes
+    ----------
+    received : int
+        Bytes that were buffered so far.
     """
 
-    __slots__ = ("_reserved",)
+    __slots__ = ("_reserved", "received")
 
-    def __init__(self, account: BufferAccount, expected: int) -> None:
-        super().__init__(account, BufferKind.ANSWER)
+    def __init__(self, account: BufferAccount, kind: BufferKind, expected: int) -> None:
+        super().__init__(account, kind)
+        self.received = 0
         self._reserved = Buffer(account, BufferKind.EXPECTED)
         self._reserved.set(expected)
 
@@ -140,9 +186,29 @@
         """Add a number of bytes, negative for bytes that are no longer buffered."""
         super().add(count)
         if count > 0:
+            self.received += count
             self._reserved.set(max(0, self._reserved.size - count))
 
     def close(self) -> None:
         """Count no bytes any longer."""
         super().close()
         self._reserved.close()
+
+
+class ExpectedSizes:
+    """Expected sizes of answers, by kind of request."""
+
+    def __init__(self) -> None:
+        self._sizes: dict[str, float] = {}
+
+    def add(self, kind: str, size: int) -> None:
+        """Add the size of an answer, in bytes."""
+        known = self._sizes.get(kind)
+        if known is None and len(self._sizes) >= KINDS_KEPT:
+            return
+        lower = size if known is None else known + SIZE_WEIGHT * (size - known)
+        self._sizes[kind] = min(MAX_EXPECTED_BYTES, max(size, lower))
+
+    def find(self, kind: str, *, default: int) -> int:
+        """Return the expected size of an answer, in bytes."""
+        return math.ceil(self._sizes.get(kind, default))
--- a/halldoor/gateway/answers.py
+++ b/halldoor/gateway/answers.py
@@ -9,7 +9,7 @@
 from halldoor.core.targets.route import RequestKind
 from halldoor.core.teams.admission import RefusalReason
 from halldoor.gateway.caller import Answer, CallerConnection
-from halldoor.gateway.connection import ConnectionBrokenError
+from halldoor.gateway.connection import ConnectionBrokenError, HttpConnection
 from halldoor.gateway.headers import UNADMITTED, HeaderNames, Headers, drop_hop_by_hop, find
 from halldoor.gateway.outcomes import PartialAnswer
 
@@ -38,18 +38,17 @@
     expires_at : float
         Deadline for the whole answer, on the loop's clock.
     """
-    answer, connection = partial
+    answer, connection, beginning = partial
     headers = drop_hop_by_hop(answer.headers)
     if not find(headers, b"content-length"):
         headers = [*headers, (b"Transfer-Encoding", b"chunked")]
     try:
         async with asyncio.timeout_at(expires_at):
             caller.send_head(answer.status, headers, answer.reason)
-            await caller.send_data(answer.body)
-            connection.pass_on(answer.body)
+            while beginning:
+                await _forward_data(caller, connection, beginning.pop(0))
             while not isinstance(event := await connection.receive(), h11.EndOfMessage):
-                await caller.send_data(bytes(event.data))
-                connection.pass_on(event.data)
+                await _forward_data(caller, connection, bytes(event.data))
             caller.finish_answer()
     except (ConnectionBrokenError, TimeoutError) as exc:
         caller.abort()
@@ -57,6 +56,14 @@
     return None
 
 
+async def _forward_data(caller: CallerConnection, connection: HttpConnection, data: bytes) -> None:
+    """Forward a part of an answer's body, and wait until more of it may be sent."""
+    caller.write_data(data)
+    connection.pass_on(data)
+    del data  # It is buffered in the connection now.
+    await caller.wait_for_room()
+
+
 def build_not_run_answer(
     attempt_id: bytes, reason: str, names: HeaderNames, *, is_unadmitted: bool = False
 ) -> Answer:
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -8,7 +8,7 @@
 from urllib.parse import quote, unquote
 
 from halldoor.core.bounds import MAX_KEY
-from halldoor.core.buffers import AnswerBuffer, Buffer, BufferAccount, BufferKind
+from halldoor.core.buffers import BufferAccount, BufferKind, ReservedBuffer
 from halldoor.core.decoding import DecodingError, parse_float
 from halldoor.core.quarantine.identity import Identity
 from halldoor.core.retry import RetryObstacle
@@ -228,7 +228,7 @@
     ----------
     identity : Identity
         Digest and caller that the quarantine recognizes it by; empty until its body is read.
-    answer_buffer, body_buffer : AnswerBuffer or None, Buffer or None
+    answer_buffer, body_buffer : ReservedBuffer or None
         Count what is buffered of its answer and of its body.
     """
 
@@ -251,13 +251,13 @@
         self.attempt_id = attempt_id
         self.identity = Identity("", "")
         self.attempts: list[Attempt] = []
-        self.answer_buffer: AnswerBuffer | None = None
-        self.body_buffer: Buffer | None = None
+        self.answer_buffer: ReservedBuffer | None = None
+        self.body_buffer: ReservedBuffer | None = None
 
-    def open_buffers(self, account: BufferAccount) -> None:
-        """Count what is buffered of the request and its answer in an account."""
-        self.answer_buffer = account.reserve(0)
-        self.body_buffer = account.open(BufferKind.BODY)
+    def open_buffers(self, account: BufferAccount, *, answer: int, body: int) -> None:
+        """Count what is buffered of the answer and of the body, whose expected sizes are given."""
+        self.answer_buffer = account.reserve(BufferKind.ANSWER, answer)
+        self.body_buffer = account.reserve(BufferKind.BODY, body)
 
     def close_buffers(self) -> None:
         """Count nothing as buffered any longer."""
--- a/halldoor/gateway/body.py
+++ b/halldoor/gateway/body.py
@@ -10,6 +10,11 @@
 from halldoor.gateway.exchange import BODY_BUFFER_BYTES, OutgoingRequest
 from halldoor.gateway.headers import Headers, find
 
+LEAST_BODY_BUFFER_BYTES = 16_384
+"""Bytes of a body that are buffered even if the connection holds its share of all buffers."""
+BODY_COPIES = 2
+"""Copies of a buffered body: one to send again, one in the write buffer of a connection."""
+
 
 async def read_request(
     caller: CallerConnection, state: RequestState, headers: Headers, expires_at: float
@@ -30,15 +35,14 @@
     rest: CallerConnection | None = caller
     try:
         async with asyncio.timeout_at(expires_at):
-            while len(body) <= BODY_BUFFER_BYTES:
+            while not _is_enough(len(body), caller):
                 piece = await caller.read_body()
                 if piece is None:
                     rest = None
                     break
                 body += piece
-                # Kept to be sent again, and in the write buffer of a target's connection.
                 if state.body_buffer is not None:
-                    state.body_buffer.add(2 * len(piece))
+                    state.body_buffer.add(BODY_COPIES * len(piece))
     except TimeoutError:
         if caller.is_body_too_long:
             return build_too_long_result(caller, state)
@@ -68,6 +72,12 @@
     return state.build_unanswered_result("body beyond limits that may be old")
 
 
+def _is_enough(size: int, caller: CallerConnection) -> bool:
+    """Check whether no more of a body should be buffered before it is sent."""
+    is_full = caller.account.is_full and size >= LEAST_BODY_BUFFER_BYTES
+    return is_full or size > BODY_BUFFER_BYTES
+
+
 def _identify(state: RequestState, body: bytes, *, is_whole: bool) -> Identity:
     """Compute the identity of a request from its caller, head and buffered body."""
     head = state.head
--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -129,7 +129,7 @@
             self._h11.receive_data(data)
         self._arrived_at = asyncio.get_running_loop().time()
         self._unread += len(data)
-        if self._unread > READ_AHEAD:
+        if self._unread > READ_AHEAD or (self.is_busy and self._is_full()):
             self._transport.pause_reading()
         if self.is_busy:
             self._start_pipeline()
@@ -229,9 +229,8 @@
         super().finish_answer()
         self._allow_close()
 
-    async def send_data(self, data: bytes) -> None:
-        """Send a piece of the body, and wait while the write buffer is full."""
-        self._write(h11.Data(data=data))
+    async def wait_for_room(self) -> None:
+        """Wait while the write buffer is full."""
         await self.wait_until_drained()
 
     async def wait_for_caller(self) -> None:
--- a/halldoor/gateway/callerrequest.py
+++ b/halldoor/gateway/callerrequest.py
@@ -91,9 +91,13 @@
     async def read_body(self) -> bytes | None:
         """Wait for the next piece of the body; return None at its end."""
 
+    def write_data(self, data: bytes) -> None:
+        """Send a piece of the body; `wait_for_room` returns when the next one may be sent."""
+        self._write(h11.Data(data=data))
+
     @abstractmethod
-    async def send_data(self, data: bytes) -> None:
-        """Send a piece of the body, and wait until more of it may be sent."""
+    async def wait_for_room(self) -> None:
+        """Wait until more of the body may be sent."""
 
     @abstractmethod
     def abort(self) -> None:
--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -13,14 +13,14 @@
 
 import h11
 
-from halldoor.core.buffers import AnswerBuffer
+from halldoor.core.buffers import ReservedBuffer
 from halldoor.core.decoding import DecodingError, parse_int
 from halldoor.core.settings import Address
 from halldoor.gateway.flow import FlowProtocol
 from halldoor.gateway.headers import find
 
-READ_LIMIT = 262_144
-"""Unread bytes above which reading from the socket pauses."""
+READ_LIMIT = 16_384
+"""Unread bytes above which reading from the socket pauses; the last read adds `READ_BYTES`."""
 HEAD_LIMIT = 65_536
 """Greatest length of an answer's head, in bytes."""
 MAX_TIMEOUT_S = 10**9
@@ -81,7 +81,7 @@
         self._is_idle = True
         self._peer_will_close = False
         self._unread = 0
-        self._buffer: AnswerBuffer | None = None
+        self._buffer: ReservedBuffer | None = None
         self._counted = 0
         self.exchanges = 0
         self.received_bytes = 0
@@ -160,7 +160,7 @@
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as exc:
             self._error = exc
-        if self._unread > READ_LIMIT:
+        if self._unread > READ_LIMIT or self._is_full():
             self._transport.pause_reading()
         self._wake_reader()
 
@@ -185,12 +185,12 @@
         self._drained.set()
         self._wake_reader()
 
-    def start_exchange(self, buffer: AnswerBuffer | None = None) -> None:
+    def start_exchange(self, buffer: ReservedBuffer | None = None) -> None:
         """Start an exchange: one request and its answer.
 
         Parameters
         ----------
-        buffer : AnswerBuffer, optional
+        buffer : ReservedBuffer, optional
             Counts what is buffered of the answer, until the exchange ends or it is passed on.
         """
         self._is_idle = False
@@ -199,6 +199,10 @@
         self.exchanges += 1
         self._buffer = buffer
 
+    def _is_full(self) -> bool:
+        """Check whether little more should be buffered."""
+        return self._buffer is not None and self._buffer.is_full
+
     def _count(self, count: int) -> None:
         """Add a number of bytes to those that are buffered of the answer."""
         if self._buffer is not None:
--- a/halldoor/gateway/delivery.py
+++ b/halldoor/gateway/delivery.py
@@ -52,6 +52,10 @@
         self.account = BufferAccount(budget)
         self._unsent = self.account.open(BufferKind.UNSENT)
 
+    def _is_full(self) -> bool:
+        """Check whether little more should be buffered."""
+        return self.account.is_full
+
     def _count_unsent(self) -> None:
         """Count what the write buffer holds."""
         self._unsent.set(int(self._transport.get_write_buffer_size()))
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from halldoor.core.buffers import AnswerBuffer
+from halldoor.core.buffers import ReservedBuffer
 from halldoor.core.settings import Address
 from halldoor.core.targets.route import RequestKind
 from halldoor.gateway.caller import Answer, CallerConnection, Head
@@ -51,6 +51,8 @@
 
 If the connection breaks within them, the request can still be retried or answered with an error.
 """
+LEAST_ANSWER_BUFFER_BYTES = 16_384
+"""Bytes that are buffered even if the caller's connection holds its share of all buffers."""
 MAX_SURPLUS_ANSWERS = 3
 """Answers of earlier exchanges that are skipped while waiting for a request's own.
 
@@ -74,7 +76,7 @@
         Connection from which the rest of a long body is read; None if `body` is whole.
     expires_at : float
         Deadline for the answer, on the loop's clock.
-    buffer : AnswerBuffer or None
+    buffer : ReservedBuffer or None
         Counts what is buffered of the answer.
     """
 
@@ -85,7 +87,7 @@
     rest: CallerConnection | None
     kind: RequestKind
     expires_at: float
-    buffer: AnswerBuffer | None = None
+    buffer: ReservedBuffer | None = None
 
 
 class DeadlinePassedError(Exception):
@@ -250,13 +252,13 @@
         if fault:
             return AnswerLost(fault)
         body = bytearray()
-        while len(body) <= ANSWER_BUFFER_BYTES:
+        while not _is_enough(len(body), outgoing):
             event = await connection.receive()
             if isinstance(event, h11.EndOfMessage):
                 return self._classify_answer(response, headers, bytes(body))
             body += event.data
-        answer = Answer(response.status_code, headers, bytes(body), response.reason)
-        return PartialAnswer(answer, connection)
+        answer = Answer(response.status_code, headers, reason=response.reason)
+        return PartialAnswer(answer, connection, [bytes(body)])
 
     async def _read_head(
         self, connection: HttpConnection, outgoing: OutgoingRequest
@@ -299,6 +301,14 @@
         return WholeAnswer(Answer(status, headers, body, response.reason))
 
 
+def _is_enough(size: int, outgoing: OutgoingRequest) -> bool:
+    """Check whether no more of an answer's body should be buffered before its head is forwarded."""
+    if size > ANSWER_BUFFER_BYTES:
+        return True
+    is_full = outgoing.buffer is not None and outgoing.buffer.is_full
+    return is_full and size >= LEAST_ANSWER_BUFFER_BYTES
+
+
 def _close_if_sending_failed(sender: asyncio.Task[None], connection: HttpConnection) -> None:
     """Close the connection if its request could not be sent completely."""
     if _find_sending_failure(sender) is not None:
--- a/halldoor/gateway/figures.py
+++ b/halldoor/gateway/figures.py
@@ -30,6 +30,7 @@
         "store_age_seconds": now - catalog.store_contact_at,
         "store_era": gateway.sync.era_number,
         "unread_settings": len(gateway.settings.unread),
+        "buffered_bytes_limit": gateway.buffers.limit_bytes,
         "buffered_bytes_peak": gateway.buffers.peak_bytes,
         **gateway.quarantine.get_figures(),
         **gateway.reach.probe.get_figures(now),
--- a/halldoor/gateway/outcomes.py
+++ b/halldoor/gateway/outcomes.py
@@ -37,10 +37,19 @@
 
 
 class PartialAnswer(NamedTuple):
-    """The beginning of a long answer; the rest is read from the connection."""
+    """The beginning of a long answer; the rest is read from the connection.
+
+    Attributes
+    ----------
+    answer : Answer
+        The answer without its body.
+    beginning : list of bytes
+        The beginning of the body, from which is removed what is forwarded.
+    """
 
     answer: Answer
     connection: HttpConnection
+    beginning: list[bytes]
 
 
 class Rejected(NamedTuple):
--- a/halldoor/gateway/pipeline.py
+++ b/halldoor/gateway/pipeline.py
@@ -16,7 +16,7 @@
 
 import h11
 
-from halldoor.core.buffers import BufferKind
+from halldoor.core.buffers import MAX_EXPECTED_BYTES, BufferKind
 from halldoor.gateway.callerrequest import CallerRequest, Handler, Head
 from halldoor.gateway.headers import find, is_too_long
 
@@ -127,9 +127,8 @@
         """Return None, since a pipelined request has no body."""
         return None
 
-    async def send_data(self, data: bytes) -> None:
-        """Send a piece of the body; wait for the answers before it once too much is held."""
-        self._write(h11.Data(data=data))
+    async def wait_for_room(self) -> None:
+        """Wait for the answers before this one once too much is held, or for the write buffer."""
         if not self.turn.is_set() and self._pipeline.is_holding_enough:
             await self.turn.wait()
         if self.turn.is_set():
@@ -239,7 +238,13 @@
     @property
     def is_holding_enough(self) -> bool:
         """Check whether no more answers should be held."""
-        return self.held_bytes >= max(1, self.pipelining.read_settings().max_held_bytes)
+        most = max(1, self.pipelining.read_settings().max_held_bytes)
+        return self.held_bytes >= most or self.connection.account.is_full
+
+    def _has_room(self, count: int) -> bool:
+        """Check whether the connection may hold the answers to a number of requests."""
+        can_hold = self.connection.account.can_hold(count * MAX_EXPECTED_BYTES)
+        return can_hold and not self.is_holding_enough
 
     def has_read_after(self, request: PipelinedRequest) -> bool:
         """Check whether a request was read after a pipelined one."""
@@ -274,7 +279,7 @@
             return False
         running = self._own_count + len(self._requests)
         is_full = running >= self.pipelining.read_settings().max_requests
-        is_paused = is_full or self.is_holding_enough
+        is_paused = is_full or (running > 0 and not self._has_room(running + 1))
         if is_paused and not self._is_paused and self.has_bytes:
             self.pipelining.add("paused", 1)
             self._is_paused = True
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -82,7 +82,7 @@
         self.log = EventLog(settings.name)
         self.reloads = ReportLimit()
         self.metrics = GatewayMetrics()
-        self.buffers = BufferBudget()
+        self.buffers = BufferBudget(settings.memory.find_limit_bytes())
         self.catalog = Catalog(settings.timings)
         self.member = MemberRecord(
             settings.name,
@@ -210,6 +210,7 @@
             splitter=splitter,
             quarantine=self.quarantine,
             names=names,
+            buffers=self.buffers,
             log=self.log,
             metrics=self.metrics,
         )
--- a/halldoor/gateway/reloading.py
+++ b/halldoor/gateway/reloading.py
@@ -38,6 +38,7 @@
     gateway.retries.apply_settings(gateway.settings.retries)
     gateway.access.settings = gateway.settings.access
     gateway.quarantine.apply_settings(gateway.settings.quarantine)
+    gateway.buffers.limit_bytes = gateway.settings.memory.find_limit_bytes()
     gateway.feed.batch_s = gateway.settings.batch_s
     gateway.feed.settings = gateway.settings.relaying
     at_restart = [n for n in changed if n not in live and n != "unread"]
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -31,6 +31,7 @@
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.refusals import RefusalLog
 from halldoor.gateway.retryafter import randomize_requested_backoff, randomize_retry_after
+from halldoor.gateway.room import RequestRoom
 from halldoor.gateway.sender import RequestSender
 
 
@@ -55,6 +56,8 @@
         Splits a route's requests between its services.
     quarantine : RequestQuarantine
         Blocks requests that crash targets.
+    room : RequestRoom
+        Reserves room in the buffers.
 
     Attributes
     ----------
@@ -75,6 +78,7 @@
         access: CallerAccess,
         splitter: Splitter,
         quarantine: RequestQuarantine,
+        room: RequestRoom,
     ) -> None:
         self._catalog = catalog
         self._sender = sender
@@ -86,6 +90,7 @@
         self._access = access
         self._splitter = splitter
         self._quarantine = quarantine
+        self._room = room
         self.refusals = RefusalLog(
             catalog, names, read_settings=lambda: access.settings, log=log, metrics=metrics
         )
@@ -146,14 +151,16 @@
         service = origin.service or self._splitter.choose(route, key or attempt_id)
         affinity = key if route.has_affinity else ""
         state = RequestState(head, admission, service, affinity, attempt_id, origin=origin)
-        state.open_buffers(caller.account)
         try:
-            await self._send_and_finish(caller, state)
+            result = self._room.reserve(caller.account, state)
+            if result is None:
+                result = await self._send(caller, state)
+            self._finish(caller, state, result)
         finally:
             state.close_buffers()
 
-    async def _send_and_finish(self, caller: CallerConnection, state: RequestState) -> None:
-        """Read an admitted request, send it to targets and answer it."""
+    async def _send(self, caller: CallerConnection, state: RequestState) -> RequestResult:
+        """Read an admitted request, and send it to targets."""
         head, route = state.head, state.route
         caller_s = parse_deadline_s(find(head.headers, self._names.deadline_ms))
         expires_at = head.received_at + min(caller_s, route.timeout_s)
@@ -162,14 +169,13 @@
         )
         outgoing = await read_request(caller, state, headers, expires_at)
         if isinstance(outgoing, RequestResult):
-            self._finish(caller, state, outgoing)
-            return
+            return outgoing
         result = await self._quarantine.admit(state.identity)
         if result is None:
             result = await self._sender.send_until_answered(caller, state, outgoing)
         if caller.is_body_too_long and not result.is_forwarded:
             result = build_too_long_result(caller, state)
-        self._finish(caller, state, result)
+        return result
 
     async def _admit(self, head: Head) -> AdmittedRequest | Refusal:
         """Admit a request by the configuration in force now.
@@ -197,6 +203,7 @@
             randomize = randomize_requested_backoff if result.is_asked else randomize_retry_after
             after_s = randomize(result.retry_after_s, self._random)
             caller.send(build_gateway_answer(result.status, result.outcome, retry_after_s=after_s))
+        self._room.record_answer(state, result)
         if not state.may_have_run:
             self._access.gate.uncount(state.team)
         now = asyncio.get_running_loop().time()
--- a/halldoor/gateway/requestpath.py
+++ b/halldoor/gateway/requestpath.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from halldoor.core.buffers import BufferBudget
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.choice import Chooser
 from halldoor.core.targets.hedging import HedgeDelays
@@ -22,6 +23,7 @@
 from halldoor.gateway.quarantine import RequestQuarantine
 from halldoor.gateway.request import RequestHandler
 from halldoor.gateway.retries import RetryGate
+from halldoor.gateway.room import RequestRoom
 from halldoor.gateway.sender import RequestSender
 from halldoor.gateway.settings import GatewaySettings
 
@@ -43,6 +45,7 @@
     splitter: Splitter,
     quarantine: RequestQuarantine,
     names: HeaderNames,
+    buffers: BufferBudget,
     log: EventLog,
     metrics: GatewayMetrics,
 ) -> RequestHandler:
@@ -84,4 +87,5 @@
         access=access,
         splitter=splitter,
         quarantine=quarantine,
+        room=RequestRoom(buffers, metrics),
     )
--- a/halldoor/gateway/settings.py
+++ b/halldoor/gateway/settings.py
@@ -21,6 +21,7 @@
 from halldoor.core.teams.admission import AccessSettings
 from halldoor.gateway.pipeline import PipelineSettings
 from halldoor.gateway.pool import ConnectionSettings
+from halldoor.gateway.room import MemorySettings
 from halldoor.gateway.sync import BATCH_S
 
 LIVE_SETTINGS = (
@@ -35,6 +36,7 @@
     "relaying",
     "access",
     "quarantine",
+    "memory",
 )
 """Settings that a running process applies; addresses and names need a restart."""
 
@@ -52,6 +54,7 @@
     "forwarding",
     "hedging",
     "weights",
+    "memory",
 )
 """Settings that a policy file may change."""
 MAX_FIGURE = 1e12
@@ -108,6 +111,7 @@
     forwarding: ForwardingSettings = ForwardingSettings()
     hedging: HedgeSettings = HedgeSettings()
     weights: WeightSettings = WeightSettings()
+    memory: MemorySettings = MemorySettings()
     capacity: EntryCapacity = EntryCapacity()
     unread: tuple[str, ...] = ()
 
