Bound the work of one connection in a turn of the event loop

Cause: HttpConnection.receive returns without suspending while parsed bytes are there. A read of 256 KB has 43,690 pieces, each of which was parsed and sent on in the same step of the loop. Uploads, health answers and answers of the store and of other entries had the same loop.

Change: PieceReader joins up to 64 pieces, then gives way. An answer whose framing exceeds its content by 64 KB is a fault of its target and is broken off.

--- a/halldoor/gateway/answers.py
+++ b/halldoor/gateway/answers.py
@@ -48,7 +48,7 @@
             while beginning:
                 await _forward_data(caller, connection, beginning.pop(0))
             while not isinstance(event := await connection.receive(), h11.EndOfMessage):
-                await _forward_data(caller, connection, bytes(event.data))
+                await _forward_data(caller, connection, event.data)
             caller.finish_answer()
     except (ConnectionBrokenError, TimeoutError) as exc:
         caller.abort()
--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -27,6 +27,7 @@
 )
 from halldoor.gateway.delivery import DeliveryProtocol
 from halldoor.gateway.headers import Headers, find
+from halldoor.gateway.pieces import PieceReader
 from halldoor.gateway.pipeline import Pipeline, Pipelining
 from halldoor.gateway.sizes import READ_AHEAD, RequestSizes, skip_confirmation
 
@@ -84,6 +85,7 @@
         self._confirm = confirm_limits
         self.sizes = RequestSizes(read_limits, self._confirm_limits)
         self._h11 = self.sizes.new_parser()
+        self._pieces = PieceReader()
         self._task: asyncio.Task[None] | None = None
         self._arrived_at = math.inf
         self.is_closing = is_closing()
@@ -173,9 +175,10 @@
     async def _next_event(self) -> Any:
         """Wait for the next h11 event; return None if the caller has disconnected."""
         while True:
+            await self._pieces.give_way()
             if self._is_closed:
                 return None
-            event = self._h11.next_event()
+            event = self._pieces.read(self._h11)
             if event is not h11.NEED_DATA:
                 return event
             self._unread = 0
@@ -197,7 +200,7 @@
         event = await self._next_event()
         if isinstance(event, h11.Data):
             await self.sizes.check_body(len(event.data))
-            return bytes(event.data)
+            return event.data
         if event is None:
             # The caller disconnected: wait until this task is cancelled.
             await asyncio.sleep(3600)
@@ -297,6 +300,7 @@
             return False
         self.is_busy = True
         self.has_answered = False
+        self._pieces.clear()
         self.sizes.start_body(int(find(head.headers, b"content-length") or 0))
         self._has_unread_answers = not self.is_settled()
         self._head = self._last_head = head
--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -18,6 +18,7 @@
 from halldoor.core.settings import Address
 from halldoor.gateway.flow import FlowProtocol
 from halldoor.gateway.headers import find
+from halldoor.gateway.pieces import PieceReader
 
 READ_LIMIT = 16_384
 """Unread bytes above which reading from the socket pauses; the last read adds `READ_BYTES`."""
@@ -81,6 +82,7 @@
         self._is_idle = True
         self._peer_will_close = False
         self._unread = 0
+        self._pieces = PieceReader()
         self._buffer: ReservedBuffer | None = None
         self._counted = 0
         self.exchanges = 0
@@ -197,6 +199,7 @@
         self.has_sent = False
         self.received_bytes = self._unread = 0
         self.exchanges += 1
+        self._pieces.clear()
         self._buffer = buffer
 
     def _is_full(self) -> bool:
@@ -255,11 +258,13 @@
         Raises
         ------
         ConnectionBrokenError
-            If the connection broke before the answer was complete.
+            If the connection broke before the answer was complete, or the framing of its body
+            outweighs the content by far.
         """
         while True:
+            await self._pieces.give_way()
             try:
-                event = self._h11.next_event()
+                event: Any = self._pieces.read(self._h11)
             except h11.RemoteProtocolError as exc:
                 if self._is_closed:
                     raise PeerClosedError("closed before the answer was whole") from exc
@@ -276,6 +281,8 @@
                 raise PeerClosedError("closed without an answer")
             if isinstance(event, h11.Data):
                 self._unread -= len(event.data)
+                if self._pieces.has_excessive_framing:
+                    raise ConnectionBrokenError("more framing than content")
             elif isinstance(event, h11.Response):
                 self._read_keep_alive(event)
             return event
@@ -313,6 +320,7 @@
         """
         while not isinstance(event := await self.receive(), h11.EndOfMessage):
             self.pass_on(event.data)
+        self._pieces.clear()
         try:
             self._h11.start_next_cycle()
         except h11.LocalProtocolError as exc:
