Tell a delay that the process made itself from a suspension

Cause: only the time between two ticks was compared with the limit.

Change: RunMeter takes off the processor time of the loop's thread. A process that waits for a processor counts as suspended, as before. The log tells both apart (worked_s; "Was busy.").

--- a/halldoor/gateway/clock.py
+++ b/halldoor/gateway/clock.py
@@ -11,11 +11,29 @@
 import signal
 import time
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, NamedTuple
 
 _BOOT_TIME: int | None = getattr(time, "CLOCK_BOOTTIME", None)
 
 
+class RunTime(NamedTuple):
+    """A period of an event loop's thread.
+
+    Attributes
+    ----------
+    elapsed_s, worked_s : float
+        Its length, and the processor time that the thread used in it, in seconds.
+    """
+
+    elapsed_s: float
+    worked_s: float
+
+    @property
+    def suspended_s(self) -> float:
+        """Time in which the thread did not run, in seconds."""
+        return self.elapsed_s - self.worked_s
+
+
 def counts_suspensions() -> bool:
     """Check whether the clock includes suspensions; without CLOCK_BOOTTIME it is monotonic."""
     return _BOOT_TIME is not None
@@ -26,6 +44,42 @@
     return time.monotonic() if _BOOT_TIME is None else time.clock_gettime(_BOOT_TIME)
 
 
+def read_processor_seconds() -> float:
+    """Return the processor time that this thread has used, in seconds."""
+    return time.thread_time()
+
+
+class RunMeter:
+    """Measures how long an event loop's thread did not run, apart from its own work.
+
+    A thread that computes for seconds reads its sockets late, too, but has kept its state.
+    """
+
+    def __init__(self) -> None:
+        self._marked_at: float | None = None
+        self._worked_s = 0.0
+
+    @property
+    def is_marked(self) -> bool:
+        """Check whether it measures."""
+        return self._marked_at is not None
+
+    def mark(self, now: float) -> None:
+        """Start to measure."""
+        self._marked_at, self._worked_s = now, read_processor_seconds()
+
+    def was_suspended(self, now: float, *, limit_s: float) -> bool:
+        """Check whether the thread did not run for longer than a limit since the start."""
+        is_long = self._marked_at is not None and now - self._marked_at > limit_s
+        return is_long and self.measure(now).suspended_s > limit_s
+
+    def measure(self, now: float) -> RunTime:
+        """Return the time since the start, and the part of it in which the thread worked."""
+        if self._marked_at is None:
+            return RunTime(0.0, 0.0)
+        return RunTime(now - self._marked_at, read_processor_seconds() - self._worked_s)
+
+
 class GatewayLoop(asyncio.SelectorEventLoop):
     """An event loop on this clock: after a suspension all timers that expired in it fire."""
 
--- a/halldoor/gateway/maintenance.py
+++ b/halldoor/gateway/maintenance.py
@@ -8,13 +8,14 @@
 
 from halldoor.core.targets.catalog import Catalog
 from halldoor.core.targets.changes import Change, TargetRemoved, TargetSeen
+from halldoor.gateway.clock import RunMeter
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.pool import TargetPool
 
 TICK_S = 0.1
 """Period of the housekeeping, in seconds."""
 SUSPENSION_S = 1.0
-"""Time between two ticks above which the process counts as suspended, in seconds."""
+"""Time without running between two ticks above which the process was suspended, in seconds."""
 BACKLOG_S = 0.2
 """Time after a suspension within which all data queued meanwhile is read, in seconds."""
 SWEEP_TICKS = 10
@@ -50,32 +51,26 @@
         self._on_change = on_change
         self._on_suspension = on_suspension
         self._log = log
-        self._ticked_at: float | None = None
+        self._meter = RunMeter()
         self._resumed_at = -math.inf
 
     def was_suspended(self) -> bool:
         """Check whether the process was suspended just now, also before a tick detects it."""
         now = asyncio.get_running_loop().time()
-        return self._is_late(now) or now - self._resumed_at < BACKLOG_S
-
-    def _is_late(self, now: float) -> bool:
-        """Check whether the next tick is too late to be explained by load alone."""
-        return self._ticked_at is not None and now - self._ticked_at > SUSPENSION_S
+        is_resumed = now - self._resumed_at < BACKLOG_S
+        return is_resumed or self._meter.was_suspended(now, limit_s=SUSPENSION_S)
 
     async def run(self) -> None:
         """Do the housekeeping until cancelled."""
         loop = asyncio.get_running_loop()
-        if self._ticked_at is None:
-            self._ticked_at = loop.time()
+        if not self._meter.is_marked:
+            self._meter.mark(loop.time())
         tick = 0
         while True:
             await asyncio.sleep(TICK_S)
             now = loop.time()
-            if self._is_late(now):
-                self._log.event("process", "Stood still.", for_s=round(now - self._ticked_at, 2))
-                self._resumed_at = now
-                self._on_suspension()
-            self._ticked_at = now
+            self._check_run_time(now)
+            self._meter.mark(now)
             self._catalog.contact.record_tick(now)
             self._apply_due_changes(now)
             tick += 1
@@ -83,6 +78,22 @@
                 for pool in self._pools:
                     pool.sweep()
 
+    def _check_run_time(self, now: float) -> None:
+        """Log a long time between two ticks, and react if the process was suspended in it."""
+        run_time = self._meter.measure(now)
+        if run_time.elapsed_s <= SUSPENSION_S:
+            return
+        is_suspended = run_time.suspended_s > SUSPENSION_S
+        self._log.event(
+            "process",
+            "Stood still." if is_suspended else "Was busy.",
+            for_s=round(run_time.elapsed_s, 2),
+            worked_s=round(run_time.worked_s, 2),
+        )
+        if is_suspended:
+            self._resumed_at = now
+            self._on_suspension()
+
     def _apply_due_changes(self, now: float) -> None:
         """Remove lapsed targets, apply postponed removals and drop expired leaving statements.
 
--- a/halldoor/gateway/pool.py
+++ b/halldoor/gateway/pool.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from enum import StrEnum
 from typing import NamedTuple
 
 from halldoor.core.settings import Address
 from halldoor.core.targets.route import RequestKind
+from halldoor.gateway.clock import RunMeter
 from halldoor.gateway.connection import HttpConnection
 
 CONNECT_TIMEOUT_S = 0.3
@@ -21,8 +21,8 @@
 IDLE_LIMIT_S = 4.0
 """Greatest idle time of a connection whose target announces none, in seconds."""
 MAX_SWEEP_AGE_S = 2.5
-"""Time since the last sweep after which all idle connections are closed, in seconds: sweeps run
-every second unless the process was suspended."""
+"""Time without running since the last sweep after which all idle connections are closed, in
+seconds: sweeps run every second unless the process was suspended."""
 MAX_IDLE_PER_TARGET = 8
 """Greatest number of idle connections per target."""
 
@@ -72,7 +72,7 @@
         self.local_ip = local_ip
         self._settings = settings or ConnectionSettings()
         self._idle: dict[str, list[HttpConnection]] = {}
-        self._swept_at = math.inf
+        self._since_sweep = RunMeter()
         self.opened = 0
 
     def take_idle(self, incarnation: str, kind: RequestKind) -> HttpConnection | None:
@@ -80,7 +80,7 @@
         if not self._allows_reuse(kind):
             return None
         now = asyncio.get_running_loop().time()
-        if now - self._swept_at > MAX_SWEEP_AGE_S:
+        if self._since_sweep.was_suspended(now, limit_s=MAX_SWEEP_AGE_S):
             # The host was suspended, and the check for suspensions has not run yet.
             self.close()
         idle = self._idle.get(incarnation, [])
@@ -156,7 +156,8 @@
 
     def sweep(self) -> None:
         """Close idle connections that passed their idle limit or broke."""
-        now = self._swept_at = asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        self._since_sweep.mark(now)
         for name, idle in list(self._idle.items()):
             for connection in idle:
                 if not connection.is_usable(now):
--- a/halldoor/tests/test_suspension.py
+++ b/halldoor/tests/test_suspension.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import random
+import time
 from collections import Counter
 
 import h11
@@ -128,6 +129,34 @@
 
         clock.run(check())
 
+    @pytest.mark.parametrize("worked_s", [0.0, 3.0])
+    def test_own_work_counts_as_a_suspension(self, suspension, monkeypatch, worked_s):
+        """A delay that the process made itself closed its connections and cost callers 503."""
+
+        async def check():
+            async with GatewayKit.open(targets=1) as kit:
+                await kit.call()
+                events, read = Counter(), time.thread_time
+                event = kit.gateway.log.event
+
+                def record(part, text, **fields):
+                    events[text] += 1
+                    event(part, text, **fields)
+
+                monkeypatch.setattr(kit.gateway.log, "event", record)
+                monkeypatch.setattr(time, "thread_time", lambda: read() + worked_s)
+                suspension.suspended_s = 3.0
+                statuses = [(await kit.call(deadline_ms=8000)).status for _ in range(3)]
+                await asyncio.sleep(0.3)  # The next tick has come.
+                was_suspended = not worked_s
+                assert (503 in statuses) is was_suspended
+                assert events["Stood still."] == was_suspended
+                while (await kit.call()).status != 200:
+                    await asyncio.sleep(0.02)
+                assert kit.received[-1].connection == 1 + was_suspended
+
+        clock.run(check())
+
     def test_request_is_not_sent_after_its_deadline(self, suspension):
         async def check():
             async with GatewayKit.open(targets=1) as kit:
