Bound what is read of a health answer

Reported by other operators: bytes without end from a faulty endpoint end the process that called it. Answers to requests are bounded here, health answers were not: up to 32 checks at a time could each keep 64 MB for 0.5 s.

Cause: HttpClient had one limit of 64 MB for all calls.

Change: 64 KB for health answers, whose bodies are not used, and 16 MB for answers of other entries.

--- a/halldoor/gateway/checks.py
+++ b/halldoor/gateway/checks.py
@@ -9,7 +9,12 @@
 from halldoor.core.targets.unproven import UnprovenTargets
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.headers import HeaderNames, find
-from halldoor.gateway.httpclient import HttpAnswer, HttpCallError, HttpClient
+from halldoor.gateway.httpclient import (
+    MAX_HEALTH_BYTES,
+    HttpAnswer,
+    HttpCallError,
+    HttpClient,
+)
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pool import CONNECT_TIMEOUT_S
 
@@ -77,7 +82,9 @@
         headers = [(self._names.expected_incarnation, target.name.encode())]
         path = find_health_path(self._catalog, target)
         try:
-            answer = await client.call("GET", path, headers=headers, timeout_s=ANSWER_S)
+            answer = await client.call(
+                "GET", path, headers=headers, timeout_s=ANSWER_S, max_bytes=MAX_HEALTH_BYTES
+            )
         except HttpCallError as exc:
             self._add_failure(target, str(exc))
             return
--- a/halldoor/gateway/coldstate.py
+++ b/halldoor/gateway/coldstate.py
@@ -19,7 +19,12 @@
 from halldoor.gateway.datagrams import DatagramPort, MessageKind
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.headers import HeaderNames, Headers, find
-from halldoor.gateway.httpclient import HttpAnswer, HttpCallError, HttpClient
+from halldoor.gateway.httpclient import (
+    MAX_HEALTH_BYTES,
+    HttpAnswer,
+    HttpCallError,
+    HttpClient,
+)
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.notices import NoticeSender
 
@@ -158,7 +163,13 @@
         client = HttpClient(target.record.address)
         headers = [(self._names.expected_incarnation, target.name.encode())]
         try:
-            answer = await client.call("GET", path, headers=headers, timeout_s=CHECK_TIMEOUT_S)
+            answer = await client.call(
+                "GET",
+                path,
+                headers=headers,
+                timeout_s=CHECK_TIMEOUT_S,
+                max_bytes=MAX_HEALTH_BYTES,
+            )
         except HttpCallError as exc:
             self._metrics.add_health_check("failed")
             self._log.event("targets", "Health check failed.", target=target.name, cause=str(exc))
--- a/halldoor/gateway/httpclient.py
+++ b/halldoor/gateway/httpclient.py
@@ -8,7 +8,6 @@
 
 import h11
 
-from halldoor.core.decoding import MAX_BYTES
 from halldoor.core.settings import Address
 from halldoor.gateway.arrivals import Arrival
 from halldoor.gateway.connection import (
@@ -22,6 +21,10 @@
 """Connect timeout, in seconds; one lost packet costs about one second."""
 IDLE_LIMIT_S = 5.0
 """Greatest idle time of a kept connection, in seconds."""
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Greatest size of the body of another entry's answer, unless a call sets its own."""
+MAX_HEALTH_BYTES = 65_536
+"""Greatest size of the body of a target's health answer, which is not used."""
 MAX_IDLE = 2
 """Greatest number of idle connections: one for the watch, one for other calls."""
 
@@ -115,7 +118,7 @@
         body: bytes = b"",
         headers: Headers | None = None,
         timeout_s: float,
-        max_bytes: int = MAX_BYTES,
+        max_bytes: int = MAX_ANSWER_BYTES,
         arrival: Arrival | None = None,
     ) -> HttpAnswer:
         """Send one request and return its answer.
--- a/halldoor/gateway/reach.py
+++ b/halldoor/gateway/reach.py
@@ -12,7 +12,12 @@
 from halldoor.gateway.checks import find_health_path
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.headers import HeaderNames, find
-from halldoor.gateway.httpclient import HttpAnswer, HttpCallError, HttpClient
+from halldoor.gateway.httpclient import (
+    MAX_HEALTH_BYTES,
+    HttpAnswer,
+    HttpCallError,
+    HttpClient,
+)
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.pool import CONNECT_TIMEOUT_S
 from halldoor.gateway.stalls import StallMeter
@@ -168,7 +173,11 @@
         try:
             path = find_health_path(self._catalog, target)
             answer = await client.call(
-                "GET", path, headers=headers, timeout_s=timeout_s + self._allowance_s
+                "GET",
+                path,
+                headers=headers,
+                timeout_s=timeout_s + self._allowance_s,
+                max_bytes=MAX_HEALTH_BYTES,
             )
             outcome = "reached"
             return answer
