Refuse answers whose status is not one of HTTP

Reported by other operators: an answer with the status 000 reached clients. Here 000 and other malformed ones got 502 before; signed answers with 600, 666 and 999 reached callers unchanged.

Cause: h11 and http.client accept three digits from 100 on; RFC 9110, 15, ends at 599.

Change: one check where heads are read, in both HTTP clients: a fault of the target, so a repeatable request goes to another one and others get 502.

--- a/halldoor/client.py
+++ b/halldoor/client.py
@@ -22,6 +22,8 @@
 """Greatest length that an answer may declare for its body, in bytes."""
 MAX_INFORMATIONAL_ANSWERS = 16
 """Most informational answers (status 100 to 199) before the final one."""
+MAX_STATUS = 599
+"""Greatest status of an answer; ``http.client`` rejects those below 100."""
 
 
 class AnswerError(HTTPException):
@@ -76,13 +78,15 @@
         Raises
         ------
         AnswerError
-            If the connection ends within the head, the length of the body is ambiguous, or there
-            are more than `MAX_INFORMATIONAL_ANSWERS`.
+            If the connection ends within the head, the length of the body is ambiguous, there are
+            more than `MAX_INFORMATIONAL_ANSWERS`, or the status is not one of HTTP (RFC 9110, 15).
         """
         super().begin()
         while 100 <= self.status < 200:
             self.headers = self.msg = None  # type: ignore[assignment]
             super().begin()
+        if self.status > MAX_STATUS:
+            raise AnswerError(f"The status {self.status} is not one of HTTP.")
         if self.msg.defects or self.msg.get_payload():
             assert_header_parsing(self.msg)
         self._check_length()
--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -29,6 +29,9 @@
 MAX_INFORMATIONAL_ANSWERS = 16
 """Informational answers (1xx) that are skipped; a server that sends more is faulty."""
 
+MAX_STATUS = 599
+"""Greatest status of an answer; h11 rejects those below 100."""
+
 
 class ConnectionFailedError(Exception):
     """The connection could not be opened; nothing was sent.
@@ -293,12 +296,16 @@
         Raises
         ------
         ConnectionBrokenError
-            If the connection broke before, or there are too many informational answers.
+            If the connection broke before, there are too many informational answers, or the status
+            is not one of HTTP (RFC 9110, 15).
         """
         for _ in range(MAX_INFORMATIONAL_ANSWERS + 1):
             head = await self.receive()
-            if not isinstance(head, h11.InformationalResponse):
-                return head
+            if isinstance(head, h11.InformationalResponse):
+                continue
+            if head.status_code > MAX_STATUS:
+                raise ConnectionBrokenError(f"status {head.status_code}")
+            return head
         raise ConnectionBrokenError("too many informational answers")
 
     def can_skip_answer(self) -> bool:
