Notice the close of a connection that was kept while reading was paused

Cause: reading pauses above READ_LIMIT and is resumed only where the parser needs more; an answer that arrives in one read is parsed without that.

Evidence: test_connection_kept_while_reading_is_paused_hides_its_close, 1 of 3 failed before (502). Change: a connection that is kept resumes reading.

--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -365,6 +365,8 @@
         """
         self._h11.start_next_cycle()
         self._stop_counting()
+        # While reading is paused, the peer's close would not be noticed.
+        self._transport.resume_reading()
         self._is_idle = True
         self.idle_since = now
         self.idle_limit_s = min(idle_limit_s, self.idle_limit_s or idle_limit_s)
--- a/halldoor/tests/test_kept_connections.py
+++ b/halldoor/tests/test_kept_connections.py
@@ -113,3 +113,23 @@
                 assert kit.gateway.pool.count_idle() == 0
 
         asyncio.run(check())
+
+    @pytest.mark.parametrize("size", [1_000, 60_000, 200_000])
+    def test_connection_kept_while_reading_is_paused_hides_its_close(self, size):
+        """The next request was sent on a connection that the target had closed long before."""
+
+        async def check():
+            async with GatewayKit.open(targets=1, route=build_route_changes("at-most-once")) as kit:
+                target = kit.targets["t0"]
+
+                async def answer_and_close(request, writer):
+                    writer.write(target.build(request, body=b"a" * size))
+                    asyncio.get_running_loop().call_later(0.1, writer.close)
+
+                target.script = answer_and_close
+                for _ in range(4):
+                    assert (await kit.call(method="POST", body=b"x")).status == 200
+                    await asyncio.sleep(0.3)
+                assert len({r.connection for r in kit.received}) == 4
+
+        asyncio.run(check())
