Notice that a caller left after its body has arrived

Cause: reading pauses above READ_AHEAD unread bytes and is resumed only where the parser needs more; a body that has arrived is parsed to its end without that.

Change: what is unread is counted again at the end of a body, and reading resumes.

--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -204,6 +204,9 @@
         if event is None:
             # The caller disconnected: wait until this task is cancelled.
             await asyncio.sleep(3600)
+        if self._unread:
+            # The caller's close is noticed only while reading is not paused.
+            self.set_unread(len(self._h11.trailing_data[0]))
         self._start_pipeline()
         return None
 
--- a/halldoor/tests/test_gateway.py
+++ b/halldoor/tests/test_gateway.py
@@ -314,6 +314,28 @@
 
         asyncio.run(check())
 
+    @pytest.mark.parametrize("size", [50_000, 150_000, 190_000])
+    def test_caller_that_left_after_a_large_body_is_not_noticed(self, size):
+        """A body that arrived at once left reading paused, so work went on (review/8)."""
+
+        async def check():
+            async with GatewayKit.open(targets=1) as kit:
+                kit.script_all("hang")
+                admit = kit.gateway.requests._admit
+
+                async def admit_late(head):
+                    await asyncio.sleep(0.1)  # The whole body arrives meanwhile.
+                    return await admit(head)
+
+                kit.gateway.requests._admit = admit_late
+                caller = await kit.connect()
+                await caller.send(method="POST", body=b"b" * size, deadline_ms=9000)
+                await kit.wait(lambda: kit.received)
+                caller.close()
+                await kit.wait(lambda: kit.targets["t0"].cancelled == 1, limit_s=0.5)
+
+        asyncio.run(check())
+
     def test_target_work_is_cancelled_when_the_caller_disconnects(self):
         async def check():
             async with GatewayKit.open(targets=1) as kit:
