Wait for a target that pauses reading a body that can't be sent again

Cause: TCP_USER_TIMEOUT of 0.7 s, meant for hosts that acknowledge nothing. Linux applies it while the peer's window is empty as well.

Change: a request that runs only once and has a body above 16 KB has until its deadline, since giving its target up gains nothing; a kept connection has 0.7 s again. A host that dies under an upload is noticed at the deadline.

--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -84,6 +84,8 @@
         self._is_closed = False
         self._is_idle = True
         self._peer_will_close = False
+        self._user_timeout_s = 0.0
+        self._has_long_timeout = False
         self._unread = 0
         self._pieces = PieceReader()
         self._buffer: ReservedBuffer | None = None
@@ -130,9 +132,25 @@
                 is_refused=isinstance(exc, ConnectionRefusedError),
                 is_timeout=isinstance(exc, TimeoutError),
             ) from exc
+        protocol._user_timeout_s = user_timeout_s
         protocol._set_socket_options(user_timeout_s)
         return protocol
 
+    def set_user_timeout(self, timeout_s: float) -> None:
+        """Set the longest time that sent bytes may stay unacknowledged, until the exchange ends.
+
+        The kernel applies it as well while the peer acknowledges, but reads nothing (RFC 5482).
+        """
+        self._has_long_timeout = True
+        self._set_user_timeout(timeout_s)
+
+    def _set_user_timeout(self, timeout_s: float) -> None:
+        """Set the socket option."""
+        sock = self._transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):  # The peer has closed the connection.
+            milliseconds = max(1, int(timeout_s * 1000))
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
     def _set_socket_options(self, user_timeout_s: float) -> None:
         """Set TCP options that detect dead peers: user timeout, and keep-alive while idle."""
         sock = self._transport.get_extra_info("socket")
@@ -365,6 +383,9 @@
         """
         self._h11.start_next_cycle()
         self._stop_counting()
+        if self._has_long_timeout:
+            self._has_long_timeout = False
+            self._set_user_timeout(self._user_timeout_s)
         # While reading is paused, the peer's close would not be noticed.
         self._transport.resume_reading()
         self._is_idle = True
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -58,6 +58,8 @@
 
 A faulty target sends one surplus answer at a time; more mean that the connection is out of sync.
 """
+LEAST_WINDOW_BYTES = 16_384
+"""Bytes of a body that a target's host takes even if the target reads nothing."""
 ANSWER_SLACK_S = 0.1
 """Time to wait beyond the deadline sent to a target, for its last answer to arrive, in seconds.
 
@@ -236,6 +238,10 @@
         request = h11.Request(
             method=outgoing.head.method, target=outgoing.head.target, headers=headers
         )
+        is_long = outgoing.rest is not None or len(outgoing.body) > LEAST_WINDOW_BYTES
+        if is_long and not outgoing.kind.is_repeatable:
+            # It can't be sent to another target, so nothing is gained by giving this one up.
+            connection.set_user_timeout(left_ms / 1000)
         if outgoing.rest is None:
             await connection.send(request, h11.Data(data=outgoing.body), h11.EndOfMessage())
             return
