Count a request as read only once its handler has read it

PieceReader parses the end of a body with its last pieces, so that a connection went on where its handler had refused the body as too long (413): callers that wait for its close waited until they gave up.

In virtual time the processor time of the simulation counted as work of one entry, so that its suspension was missed (two tests of test_large_configuration.py failed, and pass now): the loop in virtual time has a processor clock of its own.

--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -224,6 +224,10 @@
         has_more = self._pipeline is not None and self._pipeline.has_read
         return self.is_closing and not has_more
 
+    def _is_read(self) -> bool:
+        """Check whether the whole request was read, also by its handler."""
+        return super()._is_read() and not self._pieces.has_next
+
     def send_head(self, status: int, headers: Headers, reason: bytes = b"") -> None:
         """Send the head of an answer; one without a length is reset if it doesn't end."""
         if self._h11.their_http_version == b"1.0" and not find(headers, b"content-length"):
@@ -375,7 +379,7 @@
         """Prepare for the next request; return False if the connection must close."""
         if self._is_closed:
             return False
-        if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
+        if self._h11.our_state is not h11.DONE or not self._is_read():
             return False
         pipeline = self._pipeline
         if pipeline is None:
--- a/halldoor/gateway/callerrequest.py
+++ b/halldoor/gateway/callerrequest.py
@@ -111,6 +111,10 @@
     def _is_last(self) -> bool:
         """Check whether the connection closes after this answer."""
 
+    def _is_read(self) -> bool:
+        """Check whether the whole request was read."""
+        return self._h11.their_state is h11.DONE
+
     def _write(self, *events: Any) -> None:
         """Serialize h11 events and send them in one write."""
         data = b"".join(self._h11.send(event) or b"" for event in events)
@@ -119,7 +123,7 @@
 
     def _build_head(self, status: int, headers: Headers, reason: bytes) -> h11.Response:
         """Build the head of an answer, adding the reason phrase and ``Connection`` if needed."""
-        if self._is_last() or self._h11.their_state is not h11.DONE:
+        if self._is_last() or not self._is_read():
             headers = [*headers, (b"Connection", b"close")]
         if not reason and status in _REASONS:
             reason = _REASONS[status]
--- a/halldoor/gateway/clock.py
+++ b/halldoor/gateway/clock.py
@@ -45,8 +45,12 @@
 
 
 def read_processor_seconds() -> float:
-    """Return the processor time that this thread has used, in seconds."""
-    return time.thread_time()
+    """Return the processor time that this thread has used, in seconds, by the loop's own clock.
+
+    In virtual time work takes none.
+    """
+    read = getattr(asyncio.get_running_loop(), "processor_time", time.thread_time)
+    return float(read())
 
 
 class RunMeter:
--- a/halldoor/gateway/pieces.py
+++ b/halldoor/gateway/pieces.py
@@ -56,6 +56,11 @@
         self._next, self._has_more = None, False
         self._pieces = self._content = 0
 
+    @property
+    def has_next(self) -> bool:
+        """Check whether an event was parsed that is not read yet."""
+        return self._next is not None
+
     @property
     def has_excessive_framing(self) -> bool:
         """Check whether the framing of the body outweighs its content by far."""
--- a/halldoor/standins/virtualtime.py
+++ b/halldoor/standins/virtualtime.py
@@ -37,6 +37,10 @@
         """Return the virtual time, in seconds."""
         return self._virtual.now
 
+    def processor_time(self) -> float:
+        """Return the virtual time for which the thread has worked, which is none."""
+        return 0.0
+
     def suspend(self, for_s: float) -> None:
         """Advance the clock without running any task, as on a suspended machine."""
         self._virtual.now += for_s
