Leave garbage collections out of a turn's time; read both answers of one read

- test_small_pieces [10-1]: a turn of 0.101 s, 0.1 is allowed.
In a process with 600,000 more objects half of the longest turn (0.031 and 0.033 s) was garbage collection (0.016 and 0.017 without).
LoopMeter leaves it out; the bound is as it was.
- test_waiting_admission, second test: the caller's read of the first answer may return both; failed on too (1 of 5 beside load).
It looks at both places.
- test_waiting_admission, first test: 404 in place of 503, on too (1 of 5).

--- a/halldoor/tests/test_small_pieces.py
+++ b/halldoor/tests/test_small_pieces.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 import socket
 import threading
 import time
@@ -70,16 +71,22 @@
 
 
 class LoopMeter:
-    """The longest time that the event loop's thread computed in one turn, in seconds."""
+    """The longest time that the event loop's thread computed in one turn, in seconds.
+
+    Garbage collections are left out: they take as long as the objects of all tests before demand.
+    """
 
     def __init__(self):
         self.longest_s = 0.0
 
     async def __aenter__(self):
+        gc.collect()
+        gc.disable()
         self._task = asyncio.create_task(self._measure())
         return self
 
     async def __aexit__(self, *_):
+        gc.enable()
         self._task.cancel()
 
     async def _measure(self):
--- a/halldoor/tests/test_waiting_admission.py
+++ b/halldoor/tests/test_waiting_admission.py
@@ -54,7 +54,9 @@
             await asyncio.sleep(0.1)
             kit.configure(path_prefix="/new/")
             assert (await caller.receive()).status == 200
-            assert b" 200 " in await caller.reader.readline()
+            # Both answers may have come in one read.
+            rest = caller._h11.trailing_data[0] or await caller.reader.readline()
+            assert b" 200 " in rest.partition(b"\r\n")[0]
             assert [find(r.headers, b"halldoor-attempt") for r in kit.received][-1] == b"a9"
             caller.close()
 
