Limit what clients send before it is read

Callers lost the requests of a whole process: it ran out of memory under clients that send large bodies and stay open.

Cause: nothing bounded the bytes that arrive before the process reads them, which count as its memory. A client that is not read from fills 64 KB; one that was refused is read from quickly, so that its answer is delivered, and the kernel widens its window to megabytes.

Evidence: test_client_crowds, 400 clients at a machine of 64 MB: 31 to 196 MB were unread at once (/proc/net/tcp), 30 to 63 MB in the process. 13 of its tests failed before.

The windows of all connections together now fit into a part of the memory, a fifth by default; bodies that have room get wide ones, and connections whose input is discarded the smallest. The bound does not depend on how quickly the process reads, since the kernel enforces it.

--- a/halldoor/core/buffers.py
+++ b/halldoor/core/buffers.py
@@ -38,6 +38,8 @@
     """Written to connections whose peers have not taken them."""
     UNREAD = "unread"
     """Received from callers or other entries, and not read."""
+    WINDOW = "window"
+    """Receive windows of connections that send a body: what may arrive before it is read."""
     BODY = "body"
     """Bodies of requests, kept until they are answered."""
 
@@ -110,6 +112,12 @@
         """Check whether the account holds its share of the budget, or all of that is in use."""
         return not self.can_hold(0)
 
+    def find_room(self) -> float:
+        """Return the number of bytes by which the account may grow within its share."""
+        if not self._budget.has_room(LARGE_BYTES):
+            return 0.0
+        return max(0.0, self._budget.find_threshold() - self.held_bytes)
+
     def can_hold(self, size: int) -> bool:
         """Check whether a number of bytes, or those held now if more, are within its share."""
         is_within = max(size, self.held_bytes) <= self._budget.find_threshold()
@@ -146,6 +154,10 @@
         """Check whether the connection holds its share of the budget, or all of that is in use."""
         return self._account.is_full
 
+    def find_room(self) -> float:
+        """Return the number of bytes by which the buffer may grow now."""
+        return self._account.find_room()
+
     def add(self, count: int) -> None:
         """Add a number of bytes, negative for bytes that are no longer buffered."""
         if not self._is_closed:
--- a/halldoor/gateway/accepting.py
+++ b/halldoor/gateway/accepting.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import errno
+import math
 import os
 import resource
 import socket
@@ -24,6 +25,12 @@
 )
 
 
+def find_descriptor_end(reserved_share: float) -> float:
+    """Return the number of descriptors that connections may use."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return limit * (1 - reserved_share) if limit >= 0 else math.inf
+
+
 class Acceptor:
     """Accepts the connections of a listening socket.
 
@@ -69,11 +76,10 @@
         self._opening: set[asyncio.Task[Any]] = set()
         self._reserve: socket.socket | None = None
         self._pause: asyncio.TimerHandle | None = None
-        self._reported_at = float("-inf")
+        self._reported_at = -math.inf
         self.rejected = 0
-        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         # The kernel gives the lowest free number, so a higher one tells how many are in use.
-        self._end = limit * (1 - reserved_share) if limit >= 0 else float("inf")
+        self._end = find_descriptor_end(reserved_share)
         self._keep_reserve()
         self._loop.add_reader(sock, self._accept)
 
--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -15,7 +15,7 @@
 
 import h11
 
-from halldoor.core.buffers import BufferBudget, BufferKind
+from halldoor.core.buffers import BufferBudget
 from halldoor.core.targets.route import CallerLimits
 from halldoor.gateway.callerrequest import (
     Answer,
@@ -25,11 +25,12 @@
     Handler,
     Head,
 )
-from halldoor.gateway.delivery import DeliveryProtocol
 from halldoor.gateway.headers import Headers, find
 from halldoor.gateway.pieces import PieceReader
 from halldoor.gateway.pipeline import Pipeline, Pipelining
+from halldoor.gateway.receiving import ReceivingProtocol
 from halldoor.gateway.sizes import READ_AHEAD, RequestSizes, skip_confirmation
+from halldoor.gateway.windows import ReceiveWindow
 
 __all__ = ["Answer", "BodyTooLongError", "CallerConnection", "Handler", "Head"]
 
@@ -37,7 +38,7 @@
 """Time beyond the announced idle timeout, in seconds, so that a request already sent arrives."""
 
 
-class CallerConnection(CallerRequest, DeliveryProtocol):
+class CallerConnection(CallerRequest, ReceivingProtocol):
     """Connection accepted from a caller, with the task that answers its requests.
 
     To its handler, the connection is also the request in progress that was read first.
@@ -61,6 +62,8 @@
         caller's address.
     buffers : BufferBudget, optional
         Counts what is buffered for the connection.
+    window : ReceiveWindow, optional
+        Receive windows of the port's connections.
     """
 
     def __init__(
@@ -74,11 +77,13 @@
         confirm_limits: Callable[[], Awaitable[None]] = skip_confirmation,
         on_error: ErrorReceiver = lambda *_: None,
         buffers: BufferBudget | None = None,
+        window: ReceiveWindow | None = None,
     ) -> None:
         super().__init__()
         if buffers is not None:
             self.charge(buffers)
-        self._unread_buffer = self.account.open(BufferKind.UNREAD)
+        if window is not None:
+            self._window = window
         self._handler = handler
         self._read_limits = read_limits
         self._connections = connections
@@ -98,16 +103,6 @@
         self._on_error = on_error
         self._last_head: Head | None = None
 
-    @property
-    def _unread(self) -> int:
-        """Number of bytes that are buffered unread."""
-        return self._unread_buffer.size
-
-    @_unread.setter
-    def _unread(self, size: int) -> None:
-        """Set the number of bytes that are buffered unread."""
-        self._unread_buffer.set(size)
-
     @property
     def address(self) -> str:
         """IP address of the caller; empty if the socket does not provide it."""
@@ -155,8 +150,7 @@
         """Handle the loss of the socket as a disconnect."""
         self._connections.discard(self)
         self._handle_disconnect()
-        self._unsent.close()
-        self._unread_buffer.close()
+        self._close_buffers()
 
     def _handle_disconnect(self) -> None:
         """Mark the connection closed and cancel its requests, whose answers are not needed."""
@@ -182,7 +176,7 @@
             if event is not h11.NEED_DATA:
                 return event
             self._unread = 0
-            await self._wait_for_data()
+            await self._wait_for_body()
 
     async def read_body(self) -> bytes | None:
         """Wait for the next piece of the body; return None at its end.
@@ -247,14 +241,6 @@
         """Wait while whole answers fill the write buffer, for the idle timeout at most."""
         await self.wait_until_taken(limit_s=self._read_limits().idle_timeout_s)
 
-    def set_unread(self, size: int) -> None:
-        """Set the number of bytes that are buffered unread, and pause reading if it is large."""
-        self._unread = size
-        if size > READ_AHEAD:
-            self._transport.pause_reading()
-        else:
-            self._transport.resume_reading()
-
     def abort(self) -> None:
         """Break the answer off, so that it doesn't look complete.
 
@@ -390,6 +376,7 @@
         self._unread = len(self._h11.trailing_data[0])
         # A caller that sends requests but reads no answers must not fill the write buffer.
         await self.wait_for_caller()
+        self._end_body()
         self._arrived_at = math.inf  # A request that waited for this answer is received now.
         has_next = pipeline is not None and pipeline.has_read
         return not self.is_closing or has_next or bool(self._h11.trailing_data[0])
--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -7,10 +7,9 @@
 from functools import partial
 from typing import NamedTuple
 
-from halldoor.core.buffers import BufferBudget
 from halldoor.core.settings import Address
 from halldoor.core.targets.route import CallerLimits
-from halldoor.gateway.accepting import Acceptor
+from halldoor.gateway.accepting import Acceptor, find_descriptor_end
 from halldoor.gateway.caller import CallerConnection, Handler
 from halldoor.gateway.callerrequest import ErrorReceiver
 from halldoor.gateway.datagrams import DatagramPort
@@ -19,7 +18,9 @@
 from halldoor.gateway.opening import PortOpener
 from halldoor.gateway.pipeline import Pipelining
 from halldoor.gateway.request import RequestHandler
+from halldoor.gateway.resources import SharedResources
 from halldoor.gateway.sizes import skip_confirmation
+from halldoor.gateway.windows import ReceiveWindow
 from halldoor.startup import open_listener
 
 FRONT, RELAY, DATAGRAMS = "front", "relay", "relay (UDP)"
@@ -58,7 +59,7 @@
         Address to listen at, unless it is opened at another one.
     requests : RequestHandler
         Answers the callers' requests.
-    connections, is_closing, pipelining, spare, buffers
+    connections, is_closing, pipelining, resources
         Passed to `listen`.
 
     Attributes
@@ -75,8 +76,7 @@
         *,
         is_closing: Callable[[], bool],
         pipelining: Pipelining,
-        spare: Callable[[], int],
-        buffers: BufferBudget,
+        resources: SharedResources,
     ) -> None:
         self.address = address
         self.opened = asyncio.Event()
@@ -91,8 +91,7 @@
             confirm_limits=requests.confirm_limits,
             on_error=requests.record_error,
             reserved_share=FRONT_RESERVED_SHARE,
-            spare=spare,
-            buffers=buffers,
+            resources=resources,
         )
 
     @property
@@ -131,8 +130,8 @@
         Called with whether other entries reach this one at its address for them.
     log : EventLog
         Receives a line for each port that is awaited.
-    buffers : BufferBudget
-        Counts what is buffered for connections.
+    resources : SharedResources
+        Passed to `listen`.
     """
 
     def __init__(
@@ -143,10 +142,10 @@
         datagrams: DatagramPort,
         on_reachable: Callable[[bool], None],
         log: EventLog,
-        buffers: BufferBudget,
+        resources: SharedResources,
     ) -> None:
         self.front = front
-        self._buffers = buffers
+        self._resources = resources
         self._ports = ports
         self._datagrams = datagrams
         self._on_reachable = on_reachable
@@ -209,7 +208,7 @@
             read_limits=port.read_limits,
             confirm_limits=port.confirm_limits,
             connections=self._connections,
-            buffers=self._buffers,
+            resources=self._resources,
         )
         self._servers.append(server)
         if port.name == RELAY:
@@ -257,18 +256,29 @@
     on_error: ErrorReceiver = lambda *_: None,
     backlog: int = 1024,
     reserved_share: float = RESERVED_SHARE,
-    spare: Callable[[], int] = lambda: 0,
-    buffers: BufferBudget | None = None,
+    resources: SharedResources | None = None,
 ) -> Acceptor:
     """Start to accept callers' connections; port 0 lets the kernel choose one.
 
+    Parameters
+    ----------
+    reserved_share : float, optional
+        Share of the process's descriptors that connections leave free.
+    resources : SharedResources, optional
+        Memory and descriptors that all connections share; unlimited by default.
+
     Raises
     ------
     OSError
         If the port can't be opened.
     """
+    resources = resources or SharedResources()
+    listener = open_listener(Address(ip, port), backlog=backlog)
+    most = find_descriptor_end(reserved_share) + backlog
+    window = ReceiveWindow.from_memory(resources.unread_bytes, connections=most)
+    window.prepare(listener)
     return Acceptor(
-        open_listener(Address(ip, port), backlog=backlog),
+        listener,
         lambda: CallerConnection(
             handler,
             read_limits,
@@ -277,9 +287,10 @@
             pipelining,
             confirm_limits=confirm_limits,
             on_error=on_error,
-            buffers=buffers,
+            buffers=resources.buffers,
+            window=window,
         ),
         backlog=backlog,
         reserved_share=reserved_share,
-        spare=spare,
+        spare=resources.spare_descriptors,
     )
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -42,6 +42,7 @@
 from halldoor.gateway.quotas import QuotaExchange
 from halldoor.gateway.reloading import apply_settings, report_start
 from halldoor.gateway.requestpath import build_request_handler
+from halldoor.gateway.resources import SharedResources
 from halldoor.gateway.retries import RetryGate
 from halldoor.gateway.settings import GatewaySettings
 from halldoor.gateway.stalls import StallMeter
@@ -261,6 +262,9 @@
     def _build_ports(self, lookups: LookupFormat, names: HeaderNames) -> None:
         """Create the ports for callers, readiness, look-ups, metrics and other entries."""
         settings = self.settings
+        resources = SharedResources(
+            self.buffers, settings.memory.find_unread_bytes(), self.pool.spare
+        )
         self._front = FrontPort(
             settings.front,
             self.requests,
@@ -271,8 +275,7 @@
                 lambda: self.settings.pipelining,
                 self.metrics.add_pipelining,
             ),
-            spare=self.pool.spare,
-            buffers=self.buffers,
+            resources=resources,
         )
         self.registration.is_open = self._front.opened
         forwarded = ForwardedRequests(
@@ -303,7 +306,7 @@
             datagrams=self.port,
             on_reachable=self.registration.set_reachable,
             log=self.log,
-            buffers=self.buffers,
+            resources=resources,
         )
 
     @property
--- a/halldoor/gateway/room.py
+++ b/halldoor/gateway/room.py
@@ -39,17 +39,28 @@
         Memory that the process may use, in MB; 0: all of the machine's.
     buffer_share : float
         Share of it that buffers may take; allocations and the rest of the process need the others.
+    unread_share : float
+        Share of it that bytes may take which have arrived from clients and are not read yet; it
+        applies to ports that are opened afterwards.
     """
 
     limit_mb: float = 0.0
     buffer_share: float = 0.3
+    unread_share: float = 0.2
 
     def find_limit_bytes(self) -> float:
         """Return the most bytes that may be buffered."""
-        memory = self.limit_mb * 1024 * 1024
-        if memory <= 0:
-            memory = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
-        return self.buffer_share * memory
+        return self.buffer_share * self._find_memory_bytes()
+
+    def find_unread_bytes(self) -> float:
+        """Return the most bytes that may arrive before they are read."""
+        return self.unread_share * self._find_memory_bytes()
+
+    def _find_memory_bytes(self) -> float:
+        """Return the memory that the process may use, in bytes."""
+        if self.limit_mb > 0:
+            return self.limit_mb * 1024 * 1024
+        return float(os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES"))
 
 
 class RequestRoom:
