Leave half of the targets' slots to requests that have arrived

Cause: a body of over 512 KB, or over 16 KB while buffers are scarce, is sent on while it arrives, so its request occupies a slot until its client has sent the rest.

Evidence: the reasons of the refusals in the entry's log; test_streams, which failed before: four unfinished uploads left an ordinary one none of four slots.

Such requests now take at most half of a service's slots at an entry, and the next one is refused at once; nothing of it was sent. A body that fits into its reservation is no longer sent on early.

No upload of the users' sites is longer than 360 KB, so none of them is counted in calm.

--- a/halldoor/core/buffers.py
+++ b/halldoor/core/buffers.py
@@ -197,6 +197,11 @@
         self._reserved = Buffer(account, BufferKind.EXPECTED)
         self._reserved.set(expected)
 
+    @property
+    def has_reserve(self) -> bool:
+        """Whether bytes are reserved that have not arrived."""
+        return self._reserved.size > 0
+
     def add(self, count: int) -> None:
         """Add a number of bytes, negative for bytes that are no longer buffered."""
         super().add(count)
--- a/halldoor/gateway/body.py
+++ b/halldoor/gateway/body.py
@@ -35,7 +35,7 @@
     rest: CallerConnection | None = caller
     try:
         async with asyncio.timeout_at(expires_at):
-            while not _is_enough(len(body), caller):
+            while not _is_enough(len(body), caller, state):
                 piece = await caller.read_body()
                 if piece is None:
                     rest = None
@@ -72,9 +72,10 @@
     return state.build_unanswered_result("body beyond limits that may be old")
 
 
-def _is_enough(size: int, caller: CallerConnection) -> bool:
+def _is_enough(size: int, caller: CallerConnection, state: RequestState) -> bool:
     """Check whether no more of a body should be buffered before it is sent."""
-    is_full = caller.account.is_full and size >= LEAST_BODY_BUFFER_BYTES
+    is_reserved = state.body_buffer is not None and state.body_buffer.has_reserve
+    is_full = caller.account.is_full and size >= LEAST_BODY_BUFFER_BYTES and not is_reserved
     return is_full or size > BODY_BUFFER_BYTES
 
 
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -24,7 +24,7 @@
 from halldoor.gateway.body import build_too_long_result, read_request
 from halldoor.gateway.caller import Answer, CallerConnection, Head
 from halldoor.gateway.eventlog import EventLog
-from halldoor.gateway.exchange import TargetExchanger
+from halldoor.gateway.exchange import OutgoingRequest, TargetExchanger
 from halldoor.gateway.feedback import TargetFeedback
 from halldoor.gateway.headers import HeaderNames, find
 from halldoor.gateway.metrics import GatewayMetrics
@@ -33,6 +33,10 @@
 from halldoor.gateway.retryafter import randomize_requested_backoff, randomize_retry_after
 from halldoor.gateway.room import RequestRoom
 from halldoor.gateway.sender import RequestSender
+from halldoor.gateway.streams import BodyStreams
+
+TOO_MANY_STREAMS = "too many bodies are still arriving"
+"""Reason of a refusal."""
 
 
 class RequestHandler:
@@ -58,6 +62,8 @@
         Blocks requests that crash targets.
     room : RequestRoom
         Reserves room in the buffers.
+    streams : BodyStreams
+        Bounds the requests whose bodies are still arriving when they are sent.
 
     Attributes
     ----------
@@ -79,6 +85,7 @@
         splitter: Splitter,
         quarantine: RequestQuarantine,
         room: RequestRoom,
+        streams: BodyStreams,
     ) -> None:
         self._catalog = catalog
         self._sender = sender
@@ -91,6 +98,7 @@
         self._splitter = splitter
         self._quarantine = quarantine
         self._room = room
+        self._streams = streams
         self.refusals = RefusalLog(
             catalog, names, read_settings=lambda: access.settings, log=log, metrics=metrics
         )
@@ -171,12 +179,24 @@
         if isinstance(outgoing, RequestResult):
             return outgoing
         result = await self._quarantine.admit(state.identity)
-        if result is None:
+        if result is None and outgoing.rest is None:
             result = await self._sender.send_until_answered(caller, state, outgoing)
+        elif result is None:
+            result = await self._stream(caller, state, outgoing)
         if caller.is_body_too_long and not result.is_forwarded:
             result = build_too_long_result(caller, state)
         return result
 
+    async def _stream(
+        self, caller: CallerConnection, state: RequestState, outgoing: OutgoingRequest
+    ) -> RequestResult:
+        """Send a request whose body is still arriving, unless too many such are under way."""
+        async with self._streams.enter(caller, state.service) as may_begin:
+            if may_begin:
+                return await self._sender.send_until_answered(caller, state, outgoing)
+        self._metrics.add_refusal("503", TOO_MANY_STREAMS)
+        return RequestResult(503, TOO_MANY_STREAMS)
+
     async def _admit(self, head: Head) -> AdmittedRequest | Refusal:
         """Admit a request by the configuration in force now.
 
--- a/halldoor/gateway/requestpath.py
+++ b/halldoor/gateway/requestpath.py
@@ -26,6 +26,7 @@
 from halldoor.gateway.room import RequestRoom
 from halldoor.gateway.sender import RequestSender
 from halldoor.gateway.settings import GatewaySettings
+from halldoor.gateway.streams import BodyStreams
 
 
 def build_request_handler(
@@ -88,4 +89,5 @@
         splitter=splitter,
         quarantine=quarantine,
         room=RequestRoom(buffers, metrics),
+        streams=BodyStreams(catalog),
     )
