Let clients that make no progress give way to the next request

Callers were refused with 503 while clients that stood still kept what they had been given: 8 of 96 ordinary uploads were answered beside 200 clients whose chunked bodies stop one byte short (users' measurement), and every new connection was rejected beside 600 that only connect.

Cause: room in the buffers, descriptors and slots stay with a connection until it leaves or its deadline passes. A body without a length reserved nothing, connections and requests themselves were not counted, and the one that came last paid.

Where a request or a connection would be refused, connections that wait for their clients are evicted now, the longest time without progress first, 1 s at least. Requests that have arrived are never evicted, so answers are delivered; an unfinished one is answered 408, since nothing of it has run. In calm nothing is evicted.

--- a/halldoor/core/buffers.py
+++ b/halldoor/core/buffers.py
@@ -17,10 +17,19 @@
 """Size from which an answer or a body counts as large."""
 LARGE_SHARE = 0.8
 """Share of the budget within which requests with large answers or bodies begin."""
+GROWTH_SHARE = 0.75
+"""Share of the budget within which buffers grow beyond what was reserved; requests that begin find
+room beyond it."""
+OPTIONAL_SHARE = 0.5
+"""Share of the budget within which buffers grow that only make a connection faster."""
 MAX_EXPECTED_BYTES = 131_072
 """Most that is reserved for an answer: what a connection buffers while its peer does not read."""
 SIZE_WEIGHT = 0.1
 """Weight of an answer smaller than expected; a larger one replaces the expectation at once."""
+CONNECTION_BYTES = 8_192
+"""Memory of an open connection without a request."""
+REQUEST_BYTES = 32_768
+"""Memory of a request under way, and of its connection to a target."""
 KINDS_KEPT = 4_096
 """Kinds of request whose answers' sizes are remembered, the first ones of the process."""
 
@@ -38,6 +47,10 @@
     """Written to connections whose peers have not taken them."""
     UNREAD = "unread"
     """Received from callers or other entries, and not read."""
+    CONNECTION = "connection"
+    """Open connections, at the size of one without a request."""
+    REQUEST = "request"
+    """Requests under way, at the size of one without answer and body."""
     WINDOW = "window"
     """Receive windows of connections that send a body: what may arrive before it is read."""
     BODY = "body"
@@ -74,17 +87,33 @@
         self.held_bytes += count
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
 
+    def open(self, kind: BufferKind) -> Buffer:
+        """Open a buffer that belongs to no connection's share."""
+        return BufferAccount(self).open(kind)
+
     def find_threshold(self) -> float:
         """Return the number of bytes that one account may hold now."""
-        return THRESHOLD_SHARE * max(0.0, self.limit_bytes - self.held_bytes)
+        return THRESHOLD_SHARE * max(0.0, GROWTH_SHARE * self.limit_bytes - self.held_bytes)
 
-    def has_room(self, size: int) -> bool:
-        """Check whether a request may begin that needs a number of bytes.
+    def has_room(self, size: int, *, fixed: int = 0) -> bool:
+        """Check whether a request may begin that buffers a number of bytes.
 
         Large ones leave a part of the budget to the others.
+
+        Parameters
+        ----------
+        fixed : int, optional
+            Bytes that it needs besides, as each request does.
         """
-        share = 1.0 if size < LARGE_BYTES else LARGE_SHARE
-        return self.held_bytes + size <= share * self.limit_bytes
+        return self.held_bytes + fixed + size <= self._find_share(size)
+
+    def can_fit(self, size: int, *, fixed: int = 0) -> bool:
+        """Check whether a request has room, for the parameters see there, if it is alone."""
+        return fixed + size <= self._find_share(size)
+
+    def _find_share(self, size: int) -> float:
+        """Return the part of the budget in which a request finds room."""
+        return self.limit_bytes * (1.0 if size < LARGE_BYTES else LARGE_SHARE)
 
 
 class BufferAccount:
@@ -112,11 +141,10 @@
         """Check whether the account holds its share of the budget, or all of that is in use."""
         return not self.can_hold(0)
 
-    def find_room(self) -> float:
-        """Return the number of bytes by which the account may grow within its share."""
-        if not self._budget.has_room(LARGE_BYTES):
-            return 0.0
-        return max(0.0, self._budget.find_threshold() - self.held_bytes)
+    def find_optional_room(self) -> float:
+        """Return the number of bytes by which the account may grow for speed alone."""
+        free = OPTIONAL_SHARE * self._budget.limit_bytes - self._budget.held_bytes
+        return max(0.0, THRESHOLD_SHARE * free - self.held_bytes)
 
     def can_hold(self, size: int) -> bool:
         """Check whether a number of bytes, or those held now if more, are within its share."""
@@ -154,9 +182,9 @@
         """Check whether the connection holds its share of the budget, or all of that is in use."""
         return self._account.is_full
 
-    def find_room(self) -> float:
-        """Return the number of bytes by which the buffer may grow now."""
-        return self._account.find_room()
+    def find_optional_room(self) -> float:
+        """Return the number of bytes by which the buffer may grow for speed alone."""
+        return self._account.find_optional_room()
 
     def add(self, count: int) -> None:
         """Add a number of bytes, negative for bytes that are no longer buffered."""
--- a/halldoor/gateway/accepting.py
+++ b/halldoor/gateway/accepting.py
@@ -51,6 +51,8 @@
     spare : callable, optional
         Closes what can be spared, and returns the number of descriptors that it freed; called
         before a connection is rejected.
+    has_room : callable, optional
+        Returns whether there is memory for another connection.
 
     Attributes
     ----------
@@ -66,12 +68,14 @@
         backlog: int = 1024,
         reserved_share: float = 0.0,
         spare: Callable[[], int] = lambda: 0,
+        has_room: Callable[[], bool] = lambda: True,
     ) -> None:
         sock.setblocking(False)
         self._sock = sock
         self._build_protocol = build_protocol
         self._backlog = backlog
         self._spare = spare
+        self._has_room = has_room
         self._loop = asyncio.get_running_loop()
         self._opening: set[asyncio.Task[Any]] = set()
         self._reserve: socket.socket | None = None
@@ -115,7 +119,7 @@
                 if not self._reject_next(exc):
                     return
                 continue
-            if conn.fileno() >= self._end and not self._spare():
+            if (conn.fileno() >= self._end and not self._spare()) or not self._has_room():
                 self._reject(conn)
                 continue
             conn.setblocking(False)
--- a/halldoor/gateway/attempt.py
+++ b/halldoor/gateway/attempt.py
@@ -8,7 +8,14 @@
 from urllib.parse import quote, unquote
 
 from halldoor.core.bounds import MAX_KEY
-from halldoor.core.buffers import BufferAccount, BufferKind, ReservedBuffer
+from halldoor.core.buffers import (
+    REQUEST_BYTES,
+    Buffer,
+    BufferAccount,
+    BufferBudget,
+    BufferKind,
+    ReservedBuffer,
+)
 from halldoor.core.decoding import DecodingError, parse_float
 from halldoor.core.quarantine.identity import Identity
 from halldoor.core.retry import RetryObstacle
@@ -253,15 +260,20 @@
         self.attempts: list[Attempt] = []
         self.answer_buffer: ReservedBuffer | None = None
         self.body_buffer: ReservedBuffer | None = None
+        self._fixed: Buffer | None = None
 
-    def open_buffers(self, account: BufferAccount, *, answer: int, body: int) -> None:
-        """Count what is buffered of the answer and of the body, whose expected sizes are given."""
+    def open_buffers(
+        self, account: BufferAccount, budget: BufferBudget, *, answer: int, body: int
+    ) -> None:
+        """Count the request, and what is buffered of its answer and body of expected sizes."""
+        self._fixed = budget.open(BufferKind.REQUEST)
+        self._fixed.set(REQUEST_BYTES)
         self.answer_buffer = account.reserve(BufferKind.ANSWER, answer)
         self.body_buffer = account.reserve(BufferKind.BODY, body)
 
     def close_buffers(self) -> None:
         """Count nothing as buffered any longer."""
-        for buffer in (self.answer_buffer, self.body_buffer):
+        for buffer in (self.answer_buffer, self.body_buffer, self._fixed):
             if buffer is not None:
                 buffer.close()
 
--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -25,10 +25,10 @@
     Handler,
     Head,
 )
+from halldoor.gateway.evictable import EvictableProtocol
 from halldoor.gateway.headers import Headers, find
 from halldoor.gateway.pieces import PieceReader
 from halldoor.gateway.pipeline import Pipeline, Pipelining
-from halldoor.gateway.receiving import ReceivingProtocol
 from halldoor.gateway.sizes import READ_AHEAD, RequestSizes, skip_confirmation
 from halldoor.gateway.windows import ReceiveWindow
 
@@ -38,7 +38,7 @@
 """Time beyond the announced idle timeout, in seconds, so that a request already sent arrives."""
 
 
-class CallerConnection(CallerRequest, ReceivingProtocol):
+class CallerConnection(CallerRequest, EvictableProtocol):
     """Connection accepted from a caller, with the task that answers its requests.
 
     To its handler, the connection is also the request in progress that was read first.
@@ -113,18 +113,21 @@
         """Register the connection and start its task."""
         self._transport = transport
         self._connections.add(self)
+        self._start_counting()
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller, and pause reading when too many are unread."""
         if self.discard_input():
             return
+        now = asyncio.get_running_loop().time()
+        self.progress.add(len(data), now)
         if self._pipeline is not None:
             self._pipeline.receive(data)
             return
         with contextlib.suppress(h11.RemoteProtocolError):
             self._h11.receive_data(data)
-        self._arrived_at = asyncio.get_running_loop().time()
+        self._arrived_at = now
         self._unread += len(data)
         if self._unread > READ_AHEAD or (self.is_busy and self._is_full()):
             self._transport.pause_reading()
@@ -254,6 +257,12 @@
         self._is_closed = True
         self._transport.abort()
 
+    def _waits_for_client(self) -> bool:
+        """Check whether nothing happens until the client sends more."""
+        if self._is_discarding or not self.is_busy:
+            return self._pipeline is None
+        return not (self._is_read() or self.has_answered or self._pipeline is not None)
+
     def close_if_idle(self) -> None:
         """Close now if no request is in progress and its answers are delivered, else later."""
         self.is_closing = True
@@ -377,6 +386,7 @@
         # A caller that sends requests but reads no answers must not fill the write buffer.
         await self.wait_for_caller()
         self._end_body()
+        self.progress.restart(asyncio.get_running_loop().time())
         self._arrived_at = math.inf  # A request that waited for this answer is received now.
         has_next = pipeline is not None and pipeline.has_read
         return not self.is_closing or has_next or bool(self._h11.trailing_data[0])
--- a/halldoor/gateway/metrics.py
+++ b/halldoor/gateway/metrics.py
@@ -72,6 +72,11 @@
             "Polls of other entries that could not be decoded.",
             registry=registry,
         )
+        self._evictions = Counter(
+            "halldoor_evictions",
+            "Connections closed while they waited for their clients, by what was scarce.",
+            registry=registry,
+        )
         self._pipelining = Counter(
             "halldoor_pipelining",
             "Pipelined requests, pauses at a limit, requests cancelled behind a closing answer, "
@@ -281,6 +286,10 @@
         """Count pipelined requests or events of pipelining."""
         self._pipelining.add({"what": what}, count)
 
+    def add_evictions(self, cause: str, count: int) -> None:
+        """Count connections that were evicted, by what was scarce."""
+        self._evictions.add({"scarce": cause}, count)
+
     def add_over_quota(self, team: str) -> None:
         """Count a request refused by its team's quota; past `TEAM_LABELS` teams as "other"."""
         if len(self._quota_teams) < TEAM_LABELS:
--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -80,6 +80,7 @@
     ) -> None:
         self.address = address
         self.opened = asyncio.Event()
+        resources.watch(connections)
         self._server: Acceptor | None = None
         self._listen = partial(
             listen,
@@ -151,6 +152,7 @@
         self._on_reachable = on_reachable
         self._opener = PortOpener(log)
         self._connections: set[CallerConnection] = set()
+        resources.watch(self._connections)
         self._servers: list[Acceptor] = []
         self._relay_server: Acceptor | None = None
         self._closed_relays = 0
@@ -293,4 +295,5 @@
         backlog=backlog,
         reserved_share=reserved_share,
         spare=resources.spare_descriptors,
+        has_room=resources.has_room,
     )
--- a/halldoor/gateway/process.py
+++ b/halldoor/gateway/process.py
@@ -21,6 +21,7 @@
 from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.entryweights import EntryWeighing
 from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.eviction import ConnectionEvictor
 from halldoor.gateway.exchanges import TargetExchanges
 from halldoor.gateway.failures import FailureReporter
 from halldoor.gateway.feedback import TargetFeedback
@@ -84,6 +85,7 @@
         self.reloads = ReportLimit()
         self.metrics = GatewayMetrics()
         self.buffers = BufferBudget(settings.memory.find_limit_bytes())
+        self.evictor = ConnectionEvictor(self.buffers, log=self.log, metrics=self.metrics)
         self.catalog = Catalog(settings.timings)
         self.member = MemberRecord(
             settings.name,
@@ -212,6 +214,7 @@
             quarantine=self.quarantine,
             names=names,
             buffers=self.buffers,
+            evictor=self.evictor,
             log=self.log,
             metrics=self.metrics,
         )
@@ -263,7 +266,7 @@
         """Create the ports for callers, readiness, look-ups, metrics and other entries."""
         settings = self.settings
         resources = SharedResources(
-            self.buffers, settings.memory.find_unread_bytes(), self.pool.spare
+            self.buffers, settings.memory.find_unread_bytes(), self.pool.spare, self.evictor
         )
         self._front = FrontPort(
             settings.front,
--- a/halldoor/gateway/request.py
+++ b/halldoor/gateway/request.py
@@ -160,7 +160,7 @@
         affinity = key if route.has_affinity else ""
         state = RequestState(head, admission, service, affinity, attempt_id, origin=origin)
         try:
-            result = self._room.reserve(caller.account, state)
+            result = await self._room.reserve(caller.account, state)
             if result is None:
                 result = await self._send(caller, state)
             self._finish(caller, state, result)
--- a/halldoor/gateway/requestpath.py
+++ b/halldoor/gateway/requestpath.py
@@ -11,6 +11,7 @@
 from halldoor.core.targets.split import Splitter
 from halldoor.gateway.access import CallerAccess
 from halldoor.gateway.eventlog import EventLog
+from halldoor.gateway.eviction import ConnectionEvictor
 from halldoor.gateway.exchange import TargetExchanger
 from halldoor.gateway.feedback import TargetFeedback
 from halldoor.gateway.flows import RegionFlowCounter
@@ -47,6 +48,7 @@
     quarantine: RequestQuarantine,
     names: HeaderNames,
     buffers: BufferBudget,
+    evictor: ConnectionEvictor,
     log: EventLog,
     metrics: GatewayMetrics,
 ) -> RequestHandler:
@@ -88,6 +90,6 @@
         access=access,
         splitter=splitter,
         quarantine=quarantine,
-        room=RequestRoom(buffers, metrics),
-        streams=BodyStreams(catalog),
+        room=RequestRoom(buffers, evictor, metrics),
+        streams=BodyStreams(catalog, evictor),
     )
--- a/halldoor/gateway/room.py
+++ b/halldoor/gateway/room.py
@@ -8,6 +8,7 @@
 from halldoor.core.buffers import (
     LARGE_BYTES,
     MAX_EXPECTED_BYTES,
+    REQUEST_BYTES,
     BufferAccount,
     BufferBudget,
     ExpectedSizes,
@@ -16,7 +17,8 @@
 from halldoor.core.targets.choice import name_kind
 from halldoor.core.targets.route import RequestKind
 from halldoor.gateway.attempt import RequestResult, RequestState
-from halldoor.gateway.body import BODY_COPIES
+from halldoor.gateway.body import BODY_COPIES, LEAST_BODY_BUFFER_BYTES
+from halldoor.gateway.eviction import ConnectionEvictor
 from halldoor.gateway.flow import READ_BYTES
 from halldoor.gateway.headers import find
 from halldoor.gateway.metrics import GatewayMetrics
@@ -70,16 +72,21 @@
     ----------
     budget : BufferBudget
         The process's buffers.
+    evictor : ConnectionEvictor
+        Makes room at the cost of clients that make no progress.
     metrics : GatewayMetrics
         Counts the requests that find no room.
     """
 
-    def __init__(self, budget: BufferBudget, metrics: GatewayMetrics) -> None:
+    def __init__(
+        self, budget: BufferBudget, evictor: ConnectionEvictor, metrics: GatewayMetrics
+    ) -> None:
         self._budget = budget
+        self._evictor = evictor
         self._metrics = metrics
         self._sizes = ExpectedSizes()
 
-    def reserve(self, account: BufferAccount, state: RequestState) -> RequestResult | None:
+    async def reserve(self, account: BufferAccount, state: RequestState) -> RequestResult | None:
         """Reserve room for a request, or return the result of one that finds none."""
         is_download = state.route.kind is RequestKind.DOWNLOAD
         expected = self._sizes.find(
@@ -87,10 +94,12 @@
             default=MAX_EXPECTED_BYTES if is_download else LARGE_BYTES - 1,
         )
         body = min((BODY_COPIES + 1) * _read_body_size(state), MAX_BODY_RESERVE_BYTES)
-        if not self._budget.has_room(expected + body):
+        size = expected + body
+        has_room = self._budget.has_room(size, fixed=REQUEST_BYTES)
+        if not has_room and not await self._evictor.make_room(size):
             self._metrics.add_refusal("503", NO_ROOM)
             return RequestResult(503, NO_ROOM)
-        state.open_buffers(account, answer=expected, body=body)
+        state.open_buffers(account, self._budget, answer=expected, body=body)
         return None
 
     def record_answer(self, state: RequestState, result: RequestResult) -> None:
@@ -101,8 +110,10 @@
 
 
 def _read_body_size(state: RequestState) -> int:
-    """Return the size of a body that its head announces, in bytes."""
+    """Return the size of a body that its head announces, in bytes; the least for one in chunks."""
     length = find(state.head.headers, b"content-length")
+    if not length and find(state.head.headers, b"transfer-encoding"):
+        return LEAST_BODY_BUFFER_BYTES
     try:
         return parse_int(length or b"0", lowest=0, highest=MAX_LENGTH, origin="length")
     except DecodingError:
--- a/halldoor/gateway/streams.py
+++ b/halldoor/gateway/streams.py
@@ -8,7 +8,8 @@
 from collections.abc import AsyncIterator
 
 from halldoor.core.targets.catalog import Catalog
-from halldoor.gateway.delivery import DeliveryProtocol
+from halldoor.gateway.evictable import EvictableProtocol
+from halldoor.gateway.eviction import ConnectionEvictor
 
 STREAM_SHARE = 0.5
 """Share of a service's slots that requests may take before their bodies have arrived."""
@@ -23,11 +24,14 @@
     ----------
     catalog : Catalog
         Targets of each service.
+    evictor : ConnectionEvictor
+        Ends streams whose clients make no progress.
     """
 
-    def __init__(self, catalog: Catalog) -> None:
+    def __init__(self, catalog: Catalog, evictor: ConnectionEvictor) -> None:
         self._catalog = catalog
-        self._open: defaultdict[str, set[DeliveryProtocol]] = defaultdict(set)
+        self._evictor = evictor
+        self._open: defaultdict[str, set[EvictableProtocol]] = defaultdict(set)
 
     def _count_allowed(self, service: str) -> int:
         """Return the number of streams that a service may have at a time."""
@@ -35,10 +39,12 @@
         return max(1, math.ceil(STREAM_SHARE * slots))
 
     @contextlib.asynccontextmanager
-    async def enter(self, caller: DeliveryProtocol, service: str) -> AsyncIterator[bool]:
+    async def enter(self, caller: EvictableProtocol, service: str) -> AsyncIterator[bool]:
         """Count a stream within the context; yields whether it may begin."""
         streams = self._open[service]
-        if len(streams) >= self._count_allowed(service):
+        allowed = self._count_allowed(service)
+        may_begin = len(streams) < allowed or await self._evictor.make_way(streams, allowed)
+        if not may_begin:
             yield False
             return
         streams.add(caller)
--- a/halldoor/gateway/windows.py
+++ b/halldoor/gateway/windows.py
@@ -52,7 +52,7 @@
         """Widen a connection's window for a body, as far as its share of the buffers allows."""
         if not self.is_limited or buffer.size:
             return
-        size = min(WIDE_BYTES, int(buffer.find_room()))
+        size = min(WIDE_BYTES, int(buffer.find_optional_room()))
         if size > self.start_bytes:
             buffer.set(size)
             _set(sock, size)
