Keep a reserve of descriptors from connections to targets

Callers got 502 and 503 once connections to targets had used up the descriptors: sound targets looked unreachable.

Cause: callers' connections leave a quarter of the descriptors free, what requests open to targets had no bound, and the system's refusal (EMFILE) counted as a failure of the target.

A connection to a target now leaves the same tenth free as those at other ports: idle connections give way, else the request is refused with 503 before anything is sent, and no target is blamed.

--- a/halldoor/gateway/accepting.py
+++ b/halldoor/gateway/accepting.py
@@ -7,12 +7,12 @@
 import errno
 import math
 import os
-import resource
 import socket
 from collections.abc import Callable
 from typing import Any
 
 from halldoor.gateway.delivery import DeliveryProtocol
+from halldoor.gateway.descriptors import find_descriptor_end
 
 PAUSE_S = 0.1
 """Pause after the system could not accept a connection for another reason, in seconds."""
@@ -25,12 +25,6 @@
 )
 
 
-def find_descriptor_end(reserved_share: float) -> float:
-    """Return the number of descriptors that connections may use."""
-    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return limit * (1 - reserved_share) if limit >= 0 else math.inf
-
-
 class Acceptor:
     """Accepts the connections of a listening socket.
 
@@ -82,7 +76,6 @@
         self._pause: asyncio.TimerHandle | None = None
         self._reported_at = -math.inf
         self.rejected = 0
-        # The kernel gives the lowest free number, so a higher one tells how many are in use.
         self._end = find_descriptor_end(reserved_share)
         self._keep_reserve()
         self._loop.add_reader(sock, self._accept)
--- a/halldoor/gateway/connection.py
+++ b/halldoor/gateway/connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 from typing import Any
 
@@ -52,6 +53,13 @@
         self.is_timeout = is_timeout
 
 
+class NoDescriptorError(ConnectionFailedError):
+    """This process has no descriptor for the connection; its target may be sound."""
+
+    def __init__(self) -> None:
+        super().__init__("no free descriptor")
+
+
 class ConnectionBrokenError(Exception):
     """The connection broke, or the peer violated HTTP; a sent request may have run."""
 
@@ -126,6 +134,8 @@
                     local_addr=(local_ip, 0) if local_ip else None,
                 )
         except (OSError, TimeoutError, OverflowError, ValueError) as exc:
+            if isinstance(exc, OSError) and exc.errno in (errno.EMFILE, errno.ENFILE):
+                raise NoDescriptorError from exc
             # The last two are of addresses that can't be of any host.
             raise ConnectionFailedError(
                 type(exc).__name__,
@@ -136,6 +146,11 @@
         protocol._set_socket_options(user_timeout_s)
         return protocol
 
+    @property
+    def descriptor(self) -> int:
+        """Number of the socket's descriptor; negative if it is closed."""
+        return int(self._transport.get_extra_info("socket").fileno())
+
     def set_user_timeout(self, timeout_s: float) -> None:
         """Set the longest time that sent bytes may stay unacknowledged, until the exchange ends.
 
--- a/halldoor/gateway/exchange.py
+++ b/halldoor/gateway/exchange.py
@@ -16,6 +16,7 @@
     ConnectionBrokenError,
     ConnectionFailedError,
     HttpConnection,
+    NoDescriptorError,
     PeerClosedError,
 )
 from halldoor.gateway.headers import (
@@ -167,6 +168,8 @@
             return TimedOut(), connecting._replace(lacked_body=connection.lacks_body)
         except DeadlinePassedError:
             return NotSent(), connecting
+        except NoDescriptorError as exc:
+            return NotSent(str(exc)), connecting
         except ConnectionFailedError as exc:
             self._pool.close_target(incarnation)
             return ConnectFailed(str(exc), exc.is_refused), connecting
--- a/halldoor/gateway/feedback.py
+++ b/halldoor/gateway/feedback.py
@@ -212,8 +212,8 @@
                 if is_refused or not is_own_delay:
                     self.add_failure(name, now, detail, is_unreachable=True)
                 return AttemptResult.NOT_REACHED, detail
-            case NotSent():
-                return AttemptResult.NOT_REACHED, "no time left"
+            case NotSent(cause):
+                return AttemptResult.NOT_REACHED, cause
             case Withdrawn():
                 return AttemptResult.NOT_REACHED, "withdrawn"
             case AnswerLost(detail):
--- a/halldoor/gateway/forwarding.py
+++ b/halldoor/gateway/forwarding.py
@@ -195,8 +195,8 @@
                 return RequestResult(503, f"{peer.name} refused it while its body was sent")
             case Rejected() | ConnectFailed():
                 return None
-            case NotSent():
-                return RequestResult(503, "no time to forward it")
+            case NotSent(cause):
+                return RequestResult(503, f"not forwarded: {cause}")
             case BodyFailed(detail):
                 return RequestResult(502, f"the caller's body failed: {detail}")
             case TimedOut():
--- a/halldoor/gateway/outcomes.py
+++ b/halldoor/gateway/outcomes.py
@@ -91,7 +91,15 @@
 
 
 class NotSent(NamedTuple):
-    """The deadline passed before the request was sent."""
+    """The request was not sent, for a reason that lies with this process or the deadline.
+
+    Attributes
+    ----------
+    cause : str
+        What prevented it.
+    """
+
+    cause: str = "no time left"
 
 
 class Withdrawn(NamedTuple):
--- a/halldoor/gateway/pool.py
+++ b/halldoor/gateway/pool.py
@@ -9,7 +9,8 @@
 from halldoor.core.settings import Address
 from halldoor.core.targets.route import RequestKind
 from halldoor.gateway.clock import RunMeter
-from halldoor.gateway.connection import HttpConnection
+from halldoor.gateway.connection import HttpConnection, NoDescriptorError
+from halldoor.gateway.descriptors import RESERVED_SHARE, find_descriptor_end
 
 CONNECT_TIMEOUT_S = 0.3
 """Connect timeout, in seconds: four round trips between far regions."""
@@ -66,6 +67,8 @@
     ----------
     opened : int
         Number of connections opened since the start.
+    descriptor_end : float or None
+        Number from which descriptors are reserved for other uses; None until the first connection.
     """
 
     def __init__(self, settings: ConnectionSettings | None = None, *, local_ip: str = "") -> None:
@@ -74,6 +77,7 @@
         self._idle: dict[str, list[HttpConnection]] = {}
         self._since_sweep = RunMeter()
         self.opened = 0
+        self.descriptor_end: float | None = None
 
     def take_idle(self, incarnation: str, kind: RequestKind) -> HttpConnection | None:
         """Remove and return a usable idle connection; None if there is none for the kind."""
@@ -119,7 +123,15 @@
         self.close_target(incarnation)
 
     async def open(self, address: Address, *, timeout_s: float) -> HttpConnection:
-        """Open a new connection to a target."""
+        """Open a new connection to a target; idle ones give way where descriptors are scarce.
+
+        Raises
+        ------
+        ConnectionFailedError
+            If it could not be opened.
+        NoDescriptorError
+            If only the reserve of descriptors for other uses is left.
+        """
         connection = await HttpConnection.open(
             address,
             timeout_s=min(CONNECT_TIMEOUT_S, timeout_s),
@@ -127,6 +139,11 @@
             local_ip=self.local_ip,
         )
         self.opened += 1
+        if self.descriptor_end is None:
+            self.descriptor_end = find_descriptor_end(RESERVED_SHARE)
+        if connection.descriptor >= self.descriptor_end and not self.spare():
+            connection.close()
+            raise NoDescriptorError
         return connection
 
     def release(self, incarnation: str, connection: HttpConnection) -> None:
--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -9,11 +9,16 @@
 
 from halldoor.core.settings import Address
 from halldoor.core.targets.route import CallerLimits
-from halldoor.gateway.accepting import Acceptor, find_descriptor_end
+from halldoor.gateway.accepting import Acceptor
 from halldoor.gateway.caller import CallerConnection, Handler
 from halldoor.gateway.callerrequest import ErrorReceiver
 from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.delivery import sum_undelivered
+from halldoor.gateway.descriptors import (
+    FRONT_RESERVED_SHARE,
+    RESERVED_SHARE,
+    find_descriptor_end,
+)
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.opening import PortOpener
 from halldoor.gateway.pipeline import Pipelining
@@ -25,9 +30,6 @@
 
 FRONT, RELAY, DATAGRAMS = "front", "relay", "relay (UDP)"
 """Names of the port for callers and of the two for other entries."""
-RESERVED_SHARE, FRONT_RESERVED_SHARE = 0.1, 0.25
-"""Shares of the process's descriptors that connections leave free: at any port, for the store and
-messages, and at that for callers also for connections to targets and for the other ports."""
 
 
 class ServicePort(NamedTuple):
--- a/halldoor/gateway/sender.py
+++ b/halldoor/gateway/sender.py
@@ -145,7 +145,9 @@
                 return await self._stream_answer(caller, state, outgoing, outcome, target)
             if isinstance(outcome, WholeAnswer) and not is_worth_retry(state, outcome):
                 return self._forward_answer(caller, state, outcome.answer, target)
-            if isinstance(outcome, TimedOut | NotSent):
+            if isinstance(outcome, NotSent):
+                return state.build_unanswered_result(outcome.cause, is_late=True)
+            if isinstance(outcome, TimedOut):
                 return state.build_unanswered_result("no answer in time", is_late=True)
             obstacle = await self._find_obstacle(state, outgoing)
             if obstacle is not None:
