Let a body in small pieces use the time that others leave

A caller alone at an entry got 504 after 25 s for 1 MB in pieces of one byte, which is within the limits.

Cause: the lane for small pieces gives a quarter of the loop's time also to a connection that is alone.

Evidence: one upload at a time at an entry of 200 MB: 100 KB in pieces of one byte 4.77 s, 1 MB in 16 bytes 3.32 s, 1 MB in one byte 504.

A connection that is alone in the lane now gives way after each turn without a rest, so others wait for some tenths of a millisecond; several together share a quarter as before.

--- a/halldoor/gateway/pieces.py
+++ b/halldoor/gateway/pieces.py
@@ -19,7 +19,9 @@
 SMALL_PIECE_BYTES = 256
 """Mean size of pieces below which the time of their connections is limited."""
 SMALL_PIECES_SHARE = 0.25
-"""Share of the event loop's time for all connections with small pieces together."""
+"""Share of the event loop's time for all connections with small pieces together, if several."""
+SHARED_S = 1.0
+"""Time after a change between such connections in which they count as several, in seconds."""
 PIECE_FRAMING_BYTES = 5
 """Least framing of a piece: the digit of its size and two line ends."""
 MAX_FRAMING_EXCESS_BYTES = 65_536
@@ -27,14 +29,25 @@
 
 
 class PieceLane:
-    """Share of an event loop's time for the connections whose bodies come in small pieces."""
+    """Share of an event loop's time for the connections whose bodies come in small pieces.
+
+    A connection that is alone gives way to others after each turn, and uses the time they leave.
+    """
 
     def __init__(self) -> None:
         self._free_at = -math.inf
+        self._last: PieceReader | None = None
+        self._shared_until = -math.inf
 
-    async def wait(self, took_s: float) -> None:
+    async def wait(self, reader: PieceReader, took_s: float) -> None:
         """Wait until a connection may work again that has used processor time, in seconds."""
         now = asyncio.get_running_loop().time()
+        if self._last is not None and reader is not self._last:
+            self._shared_until = now + SHARED_S
+        self._last = reader
+        if now >= self._shared_until:
+            await asyncio.sleep(0)
+            return
         rest_s = took_s / SMALL_PIECES_SHARE - took_s
         self._free_at = max(now, self._free_at) + rest_s
         await asyncio.sleep(self._free_at - now)
@@ -77,7 +90,7 @@
         if self._is_small:
             lane = _LANES.setdefault(loop, PieceLane())
             # By the clock, a thread that waits for a processor would rest for that as well.
-            await lane.wait(read_processor_seconds() - self._worked_s)
+            await lane.wait(self, read_processor_seconds() - self._worked_s)
         else:
             await asyncio.sleep(0)
 
--- a/halldoor/tests/test_small_pieces.py
+++ b/halldoor/tests/test_small_pieces.py
@@ -14,11 +14,13 @@
 
 from halldoor.core.settings import Address
 from halldoor.gateway.httpclient import HttpCallError, HttpClient
+from halldoor.gateway.pieces import PieceLane, PieceReader
 from halldoor.tests.gatewaykit import NAMES, GatewayKit
 
 TURN_S = 0.1
 """Longest turn of the event loop in which other requests are still answered in time, in seconds."""
 PEERS = [1, 3, 10]
+LONG_TURN_S = 5.0
 
 
 class EndlessPeer:
@@ -230,3 +232,26 @@
         sock.sendall(b"\r\n".join(lines) + b"\r\n\r\n")
         while not stop.is_set():
             sock.sendall(b"1\r\nx\r\n" * 20_000)
+
+
+class TestLane:
+    def test_connection_alone_rests(self):
+        """An upload of 1 MB in pieces of one byte, alone at an entry, was answered 504."""
+
+        async def run():
+            lane, reader = PieceLane(), PieceReader()
+            async with asyncio.timeout(LONG_TURN_S):
+                for _ in range(3):
+                    await lane.wait(reader, LONG_TURN_S)
+
+        asyncio.run(run())
+
+    def test_several_connections_use_all_time(self):
+        async def run():
+            lane, readers = PieceLane(), [PieceReader(), PieceReader()]
+            await lane.wait(readers[0], LONG_TURN_S)
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await lane.wait(readers[1], LONG_TURN_S)
+
+        asyncio.run(run())
