--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -25,7 +25,6 @@
 from halldoor.gateway.request import RequestHandler
 from halldoor.gateway.resources import SharedResources
 from halldoor.gateway.sizes import skip_confirmation
-from halldoor.gateway.windows import ReceiveWindow
 from halldoor.startup import open_listener
 
 FRONT, RELAY, DATAGRAMS = "front", "relay", "relay (UDP)"
@@ -278,8 +277,7 @@
     """
     resources = resources or SharedResources()
     listener = open_listener(Address(ip, port), backlog=backlog)
-    most = find_descriptor_end(reserved_share) + backlog
-    window = ReceiveWindow.from_memory(resources.unread_bytes, connections=most)
+    window = resources.build_window(find_descriptor_end(reserved_share) + backlog)
     window.prepare(listener)
     return Acceptor(
         listener,
--- a/halldoor/gateway/receiving.py
+++ b/halldoor/gateway/receiving.py
@@ -53,8 +53,9 @@
 
         Nothing is buffered of the input, and little of it arrives at a time.
         """
-        self._window.close(self._transport.get_extra_info("socket"))
         self._window_buffer.set(0)
+        if not self._has_ended():
+            self._window.close(self._transport.get_extra_info("socket"))
         await super().linger(limit_s=limit_s)
 
     def _close_buffers(self) -> None:
--- a/halldoor/gateway/resources.py
+++ b/halldoor/gateway/resources.py
@@ -8,6 +8,7 @@
 from halldoor.core.buffers import CONNECTION_BYTES, BufferBudget
 from halldoor.gateway.evictable import EvictableProtocol
 from halldoor.gateway.eviction import ConnectionEvictor
+from halldoor.gateway.windows import ReceiveWindow
 
 
 class SharedResources:
@@ -33,10 +34,14 @@
         evictor: ConnectionEvictor | None = None,
     ) -> None:
         self.buffers = buffers or BufferBudget()
-        self.unread_bytes = unread_bytes
+        self._unread_bytes = unread_bytes
         self._spare_descriptors = spare_descriptors
         self._evictor = evictor
 
+    def build_window(self, connections: float) -> ReceiveWindow:
+        """Return the receive windows of a port for a number of connections at most."""
+        return ReceiveWindow.from_memory(self._unread_bytes, connections=connections)
+
     def watch(self, connections: Collection[EvictableProtocol]) -> None:
         """Add a set of connections that may be evicted."""
         if self._evictor is not None:
--- a/halldoor/tests/test_eviction.py
+++ b/halldoor/tests/test_eviction.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from typing import NamedTuple
 
 import pytest
@@ -14,9 +13,8 @@
     ProgressClock,
     choose_evicted,
 )
-from halldoor.tests.gatewaykit import NAMES, GatewayKit
+from halldoor.tests.uploadkit import AMPLE_BYTES, begin_uploads, open_kit, read_statuses
 
-CHUNK = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
 LIMIT_BYTES = 2_000_000
 PAUSE_S = LEAST_LAG_S + 0.2
 
@@ -55,46 +53,12 @@
         assert choose_evicted([recent, busy], 2, 10.0) == []
 
 
-@contextlib.asynccontextmanager
-async def open_kit(**route):
-    """Start a gateway with little memory and four slots."""
-    route = {"kind": "upload", "timeout_s": 20.0} | route
-    async with GatewayKit.open(targets=0, route=route) as kit:
-        await kit.add_target("t0", slots=4)
-        await kit.wait(kit.gateway.catalog.list_targets)
-        kit.gateway.buffers.limit_bytes = LIMIT_BYTES
-        yield kit
-
-
-async def begin_uploads(kit, count, *, chunks=1):
-    """Begin uploads in chunks that don't end; return the readers and writers."""
-    opened = []
-    for n in range(count):
-        reader, writer = await asyncio.open_connection("127.0.0.1", kit.front_port)
-        lines = [
-            b"POST /1 HTTP/1.1",
-            b"Host: decks.example",
-            NAMES.attempt_id + b": s%d" % n,
-            NAMES.deadline_ms + b": 20000",
-            b"Transfer-Encoding: chunked",
-        ]
-        writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + chunks * CHUNK)
-        opened.append((reader, writer))
-    return opened
-
-
-async def read_statuses(opened):
-    """Return the statuses of all answers that have arrived."""
-    await asyncio.sleep(0.1)
-    return [int(bytes(reader._buffer[9:12])) for reader, _ in opened if reader._buffer]
-
-
 class TestMemory:
     def test_stalled_body_gives_way(self):
         """Bodies that stood still kept their room, and the next request was refused."""
 
         async def run():
-            async with open_kit() as kit:
+            async with open_kit(limit_bytes=LIMIT_BYTES) as kit:
                 opened = await begin_uploads(kit, 60)
                 await asyncio.sleep(PAUSE_S)
                 assert (await kit.call(method="POST", body=b"x", deadline_ms=4000)).status == 200
@@ -109,7 +73,7 @@
         """A request that has arrived is answered, however long its target takes."""
 
         async def run():
-            async with open_kit() as kit:
+            async with open_kit(limit_bytes=LIMIT_BYTES) as kit:
                 target = kit.targets["t0"]
 
                 async def work(request, writer):
@@ -132,7 +96,7 @@
         """While there is room, a client may stand still until its deadline."""
 
         async def run():
-            async with open_kit() as kit:
+            async with open_kit(limit_bytes=LIMIT_BYTES) as kit:
                 opened = await begin_uploads(kit, 5)
                 await asyncio.sleep(2 * PAUSE_S)
                 assert (await kit.call(method="POST", body=b"x", deadline_ms=4000)).status == 200
@@ -149,8 +113,7 @@
         """A body that stands still gives way to another one that would be refused."""
 
         async def run():
-            async with open_kit() as kit:
-                kit.gateway.buffers.limit_bytes = 100_000_000
+            async with open_kit(limit_bytes=AMPLE_BYTES) as kit:
                 await begin_uploads(kit, 2, chunks=40)
                 await asyncio.sleep(PAUSE_S)
                 ((reader, writer),) = await begin_uploads(kit, 1, chunks=40)
