Review blocks of sound requests at entries that reach the targets

Callers saw: five of six entries lose their links to all targets, and all requests of one service get 503 "6 targets ended under it" at all six, also at the one that reaches the targets, until the links are back.

Cause: connections that break in the first 45 to 280 ms of a loss count as crashes of six targets under the same request, which blocks it everywhere unless an answer at the sixth entry comes between the sixth break and the message about it. Once blocked nobody sends it, so no answer clears it. Targets were asked whether they run only by entries that had lost them, and after the loss.

Fix: an entry that reaches targets and blocks a request which was answered in the last minute asks the targets that seemed to crash for their health answer, within 0.4 s. Those that name their incarnation are cleared for all, as after a loss. It works since the entry that blocks can tell a cut of others from a crash: a crashed target doesn't answer, or under another incarnation. Requests not answered lately are not reviewed: a target may crash under one and keep its incarnation.

The new test fails before (503 after a second); with targets that restarted the request stays blocked.

--- a/halldoor/core/quarantine/quarantine.py
+++ b/halldoor/core/quarantine/quarantine.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterator, Sequence
 from typing import NamedTuple
@@ -173,6 +174,13 @@
         histories = [tracked.history for tracked in self._tracked.values()]
         return {target for history in histories for target in history.list_blamed_since(at)}
 
+    def list_blamed_for(self, digest: str) -> set[str]:
+        """List the targets whose crashes a request is blocked for; none if it is not blocked."""
+        tracked = self._tracked.get(digest)
+        if tracked is None or not tracked.is_blocked:
+            return set()
+        return set(tracked.history.list_blamed_since(-math.inf))
+
     def refute_crashes(self, targets: Collection[str], now: float) -> int:
         """Clear the crashes of targets that were found running; return the number of requests."""
         refuted = [tracked for tracked in self._tracked.values() if tracked.history.refute(targets)]
--- a/halldoor/gateway/parts.py
+++ b/halldoor/gateway/parts.py
@@ -25,6 +25,7 @@
         Part("stalls", stalls.run, stalls.reset),
         Part("weighing", weighing.run, weighing.reset),
         Part("reach", gateway.reach.probe.run),
+        Part("crash review", gateway.reach.review.run),
         Part("travel", gateway.travel.run),
         Part("quotas", quotas.run, quotas.reset),
         *gateway.exchanges.list_parts(),
--- a/halldoor/gateway/quarantine.py
+++ b/halldoor/gateway/quarantine.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import time
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from halldoor.core.quarantine.collectors import choose_collectors
 from halldoor.core.quarantine.evidence import Evidence
@@ -60,6 +60,12 @@
         Sends and receives messages between entries.
     store : MetadataStore
         Keeps the evidence when all entries restart.
+
+    Attributes
+    ----------
+    on_sound_blocked : callable
+        Called with the digest of each request that becomes blocked although a target has answered
+        it recently.
     """
 
     def __init__(
@@ -83,6 +89,7 @@
             own.name, settings, self._find_collectors, on_change=self._report_block_change
         )
         self._unanswered = UnansweredRequests()
+        self.on_sound_blocked: Callable[[str], None] = lambda digest: None
         self._lease = ""
         self._lease_until = 0.0
         self._lease_era = ""
@@ -193,6 +200,11 @@
         blamed = self._core.list_blamed_since(at)
         return [t for t in self._catalog.list_targets() if _build_start_id(t) in blamed]
 
+    def list_blamed_for(self, digest: str) -> list[Target]:
+        """List the known targets whose crashes block a request."""
+        blamed = self._core.list_blamed_for(digest)
+        return [t for t in self._catalog.list_targets() if _build_start_id(t) in blamed]
+
     def refute_crashes(self, running: Collection[Target]) -> None:
         """Clear all requests of the crashes of targets that were found running."""
         requests = self._core.refute_crashes({_build_start_id(t) for t in running}, _now())
@@ -335,6 +347,8 @@
             cleared=evidence.cleared,
             was_sound=evidence.was_sound,
         )
+        if change.is_blocked and evidence.was_sound:
+            self.on_sound_blocked(evidence.digest)
 
 
 def _build_start_id(target: Target) -> str:
--- a/halldoor/gateway/reach.py
+++ b/halldoor/gateway/reach.py
@@ -35,7 +35,7 @@
 """Longest time that a round allows for stalls, in seconds."""
 
 BLAMED_PROBED = 16
-"""Greatest number of targets that are probed after a loss since they seemed to crash in it."""
+"""Greatest number of targets that are probed at once since they seemed to crash."""
 LOSS_SLACK_S = 0.05
 """Time before a loss in which connections that broke belong to it, in seconds."""
 
@@ -137,11 +137,11 @@
         if self._monitor.add_round(results, now, began_at=began_at):
             self._report_change(before, now)
             if before is not None:
-                await self._refute_crashes(before)
+                await self.refute_crashes(self.list_blamed_since(before.since - LOSS_SLACK_S))
 
-    async def _refute_crashes(self, loss: Loss) -> None:
-        """Find out which targets that seemed to crash in a loss are running."""
-        blamed = list(self.list_blamed_since(loss.since - LOSS_SLACK_S))[:BLAMED_PROBED]
+    async def refute_crashes(self, suspects: Collection[Target]) -> None:
+        """Find out which targets that seemed to crash are running."""
+        blamed = list(suspects)[:BLAMED_PROBED]
         are_running = await asyncio.gather(*(self._is_running(target) for target in blamed))
         running = [t for t, is_running in zip(blamed, are_running, strict=True) if is_running]
         if running:
--- a/halldoor/gateway/targetreach.py
+++ b/halldoor/gateway/targetreach.py
@@ -8,6 +8,7 @@
 from halldoor.core.targets.outlier import OutlierTable
 from halldoor.core.targets.peers import ForwardingSettings
 from halldoor.core.targets.reach import PROBES, Loss, ReachMonitor
+from halldoor.gateway.crashreview import CrashReview
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.forwarding import PeerForwarder
 from halldoor.gateway.headers import HeaderNames
@@ -29,6 +30,8 @@
         Probes targets for it.
     forwarder : PeerForwarder
         Forwards requests to other entries while none can be reached.
+    review : CrashReview
+        Asks targets that seemed to crash whether they run; once connected.
     """
 
     def __init__(self, monitor: ReachMonitor, probe: ReachProbe, forwarder: PeerForwarder) -> None:
@@ -71,3 +74,4 @@
         self.probe.list_reliable = lambda targets: unproven.list_most_reliable(targets, PROBES)
         self.probe.list_blamed_since = quarantine.list_blamed_since
         self.probe.on_running = quarantine.refute_crashes
+        self.review = CrashReview(quarantine, self.monitor, self.probe)
--- a/halldoor/tests/test_unreached_targets.py
+++ b/halldoor/tests/test_unreached_targets.py
@@ -9,6 +9,7 @@
 import asyncio
 import math
 import time
+from unittest import mock
 
 import pytest
 
@@ -147,3 +148,24 @@
                 assert served < 0.1 if is_restarted else served >= LEAST_SERVED
 
         asyncio.run(check())
+
+    @pytest.mark.parametrize("is_restarted", [False, True])
+    def test_sound_request_is_unblocked_by_an_entry_that_reaches_its_targets(self, is_restarted):
+        """Entries without links blame targets that others reach."""
+
+        async def check():
+            async with ReachFleet.open(entries=2) as fleet:
+                quarantine = fleet.kits[0].gateway.quarantine
+                with mock.patch.object(quarantine, "admit", wraps=quarantine.admit) as admit:
+                    assert [await fleet.call(i, service="deck") for i in range(2)] == [200, 200]
+                [request] = admit.call_args.args
+                name_incarnations(fleet, suffix="-restarted" if is_restarted else "")
+                for target in fleet.kits[0].gateway.catalog.list_targets():
+                    if target.name.startswith("deck-"):
+                        quarantine.record_crash(request, target)
+                assert await fleet.call(0, service="deck") == 503
+                await asyncio.sleep(NOTICE_S)
+                expected = 503 if is_restarted else 200
+                assert [await fleet.call(i, service="deck") for i in range(2)] == [expected] * 2
+
+        asyncio.run(check())
