Read chunked bodies of halldoor-entry piece by piece

Callers saw: 12 clients that begin a chunk of 60 MB and stop one byte short make the process take 762 MB; it ends when the machine's memory is used up.

Cause: cheroot reads a whole chunk into memory before it passes on the first byte, so that each of 48 workers may hold max_body_bytes, 12 GB by reading.

It works since a worker then holds one piece whatever the chunk's size. Only content counts towards the limit, so a legal body in single bytes is served; one that is too long is told so.

--- a/halldoor/entry/reader.py
+++ b/halldoor/entry/reader.py
@@ -8,6 +8,7 @@
 from typing import Any
 from uuid import uuid4
 
+from halldoor.chunked import BodyTooLongError
 from halldoor.core.decoding import DecodingError, parse_int
 from halldoor.core.errors import Ran, Reason, Refusal, refuse
 from halldoor.core.steering.block import parse_address
@@ -210,6 +211,8 @@
     wanted = SMALL_BODY_BYTES if request.length < 0 else min(request.length, SMALL_BODY_BYTES)
     try:
         first = _read_exactly(source, wanted)
+    except BodyTooLongError:
+        return refuse(Reason.BAD_REQUEST, "The request's body is too long.", retry_after_s=0.0)
     except (OSError, ValueError) as exc:
         return _refuse_incomplete_body(type(exc).__name__)
     is_short = len(first) < wanted
--- a/halldoor/server.py
+++ b/halldoor/server.py
@@ -11,6 +11,7 @@
 from cheroot import wsgi
 from cheroot.server import HTTPConnection
 
+from halldoor.chunked import ChunkedBody
 from halldoor.core.settings import Address
 
 log = structlog.get_logger(part="http")
@@ -26,10 +27,16 @@
 
 
 class _Gateway(wsgi.Gateway_10):
-    """WSGI gateway that passes the caller's socket on, so that a disconnect can be detected."""
+    """WSGI gateway that passes the caller's socket on, so that a disconnect can be detected.
+
+    It reads chunked bodies piece by piece, where cheroot would hold whole chunks.
+    """
 
     def get_environ(self) -> Any:
         """Return the WSGI environment, with the caller's socket as ``halldoor.socket``."""
+        if self.req.chunked_read:
+            limit = self.req.server.max_request_body_size
+            self.req.rfile = ChunkedBody.open(self.req.conn.rfile, limit)
         environ: Any = super().get_environ()
         environ["halldoor.socket"] = self.req.conn.socket
         return environ
