--- a/halldoor/gateway/accepting.py
+++ b/halldoor/gateway/accepting.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from halldoor.gateway.delivery import DeliveryProtocol
-from halldoor.gateway.descriptors import find_descriptor_end
+from halldoor.machine import find_descriptor_end
 
 PAUSE_S = 0.1
 """Pause after the system could not accept a connection for another reason, in seconds."""
--- a/halldoor/gateway/caller.py
+++ b/halldoor/gateway/caller.py
@@ -30,7 +30,7 @@
 from halldoor.gateway.pieces import PieceReader
 from halldoor.gateway.pipeline import Pipeline, Pipelining
 from halldoor.gateway.sizes import READ_AHEAD, RequestSizes, skip_confirmation
-from halldoor.gateway.windows import ReceiveWindow
+from halldoor.windows import ReceiveWindow
 
 __all__ = ["Answer", "BodyTooLongError", "CallerConnection", "Handler", "Head"]
 
--- a/halldoor/gateway/pool.py
+++ b/halldoor/gateway/pool.py
@@ -10,7 +10,7 @@
 from halldoor.core.targets.route import RequestKind
 from halldoor.gateway.clock import RunMeter
 from halldoor.gateway.connection import HttpConnection, NoDescriptorError
-from halldoor.gateway.descriptors import RESERVED_SHARE, find_descriptor_end
+from halldoor.machine import RESERVED_SHARE, find_descriptor_end
 
 CONNECT_TIMEOUT_S = 0.3
 """Connect timeout, in seconds: four round trips between far regions."""
--- a/halldoor/gateway/ports.py
+++ b/halldoor/gateway/ports.py
@@ -14,17 +14,17 @@
 from halldoor.gateway.callerrequest import ErrorReceiver
 from halldoor.gateway.datagrams import DatagramPort
 from halldoor.gateway.delivery import sum_undelivered
-from halldoor.gateway.descriptors import (
-    FRONT_RESERVED_SHARE,
-    RESERVED_SHARE,
-    find_descriptor_end,
-)
 from halldoor.gateway.eventlog import EventLog
 from halldoor.gateway.opening import PortOpener
 from halldoor.gateway.pipeline import Pipelining
 from halldoor.gateway.request import RequestHandler
 from halldoor.gateway.resources import SharedResources
 from halldoor.gateway.sizes import skip_confirmation
+from halldoor.machine import (
+    FRONT_RESERVED_SHARE,
+    RESERVED_SHARE,
+    find_descriptor_end,
+)
 from halldoor.startup import open_listener
 
 FRONT, RELAY, DATAGRAMS = "front", "relay", "relay (UDP)"
--- a/halldoor/gateway/receiving.py
+++ b/halldoor/gateway/receiving.py
@@ -5,7 +5,7 @@
 from halldoor.core.buffers import BufferBudget, BufferKind
 from halldoor.gateway.delivery import DeliveryProtocol
 from halldoor.gateway.sizes import READ_AHEAD
-from halldoor.gateway.windows import ReceiveWindow
+from halldoor.windows import ReceiveWindow
 
 
 class ReceivingProtocol(DeliveryProtocol):
--- a/halldoor/gateway/resources.py
+++ b/halldoor/gateway/resources.py
@@ -8,7 +8,7 @@
 from halldoor.core.buffers import CONNECTION_BYTES, BufferBudget
 from halldoor.gateway.evictable import EvictableProtocol
 from halldoor.gateway.eviction import ConnectionEvictor
-from halldoor.gateway.windows import ReceiveWindow
+from halldoor.windows import ReceiveWindow
 
 
 class SharedResources:
--- a/halldoor/gateway/room.py
+++ b/halldoor/gateway/room.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 from typing import NamedTuple
 
 from halldoor.core.buffers import (
@@ -23,6 +22,7 @@
 from halldoor.gateway.headers import find
 from halldoor.gateway.metrics import GatewayMetrics
 from halldoor.gateway.sizes import READ_AHEAD
+from halldoor.machine import find_memory_bytes
 
 NO_ROOM = "no room in the buffers"
 """Reason of a refusal."""
@@ -52,17 +52,11 @@
 
     def find_limit_bytes(self) -> float:
         """Return the most bytes that may be buffered."""
-        return self.buffer_share * self._find_memory_bytes()
+        return self.buffer_share * find_memory_bytes(self.limit_mb)
 
     def find_unread_bytes(self) -> float:
         """Return the most bytes that may arrive before they are read."""
-        return self.unread_share * self._find_memory_bytes()
-
-    def _find_memory_bytes(self) -> float:
-        """Return the memory that the process may use, in bytes."""
-        if self.limit_mb > 0:
-            return self.limit_mb * 1024 * 1024
-        return float(os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES"))
+        return self.unread_share * find_memory_bytes(self.limit_mb)
 
 
 class RequestRoom:
