Bound what arrives at halldoor-entry before it is read

Callers saw: an entry that needs more memory than its machine has, while 400 clients send bodies of legal size that nobody reads yet.

Fix: the receive windows of both ports are limited as the gateway's are, to a fifth of the memory for as many connections as there may be. It works since the kernel accepts no more than the window. New setting memory_mb; with the usual 1,024 descriptors and 250 MB or more of memory nothing changes.

--- a/halldoor/core/settings.py
+++ b/halldoor/core/settings.py
@@ -58,6 +58,7 @@
     probe_period_s: PositiveSeconds = 0.8
     max_body_bytes: Bytes = 268_435_456
     caller_timeout_s: PositiveSeconds = 10.0
+    memory_mb: Annotated[float, msgspec.Meta(ge=0.0, le=1e9)] = 0.0
     queue_s: Annotated[float, msgspec.Meta(ge=0.0, le=86_400.0)] = 0.05
     policy: str = "two-choices"
     rotate_relays: bool = False
--- a/halldoor/entry/process.py
+++ b/halldoor/entry/process.py
@@ -190,7 +190,6 @@
             activity=self.activity,
             get_snapshot=lambda: self.snapshot,
         )
-        self.wire = WireServer(s.wire, lambda sock: Session(services, sock))
         app = WebApp(
             WebComponents(
                 dispatcher=self.dispatcher,
@@ -213,6 +212,10 @@
             threads=s.workers,
             body_limit=s.max_body_bytes,
             timeout_s=s.caller_timeout_s,
+            memory_mb=s.memory_mb,
+        )
+        self.wire = WireServer(
+            s.wire, lambda sock: Session(services, sock), window=self.http.window
         )
 
     def _adopt(self, snapshot: Snapshot) -> None:
--- a/halldoor/server.py
+++ b/halldoor/server.py
@@ -13,6 +13,8 @@
 
 from halldoor.chunked import ChunkedBody
 from halldoor.core.settings import Address
+from halldoor.machine import FRONT_RESERVED_SHARE, find_descriptor_end, find_memory_bytes
+from halldoor.windows import ReceiveWindow
 
 log = structlog.get_logger(part="http")
 
@@ -21,6 +23,8 @@
 """Longest request header, in bytes."""
 NEXT_REQUEST_WAIT_MS = 3
 """Longest wait of a worker for the next request on its connection, in milliseconds."""
+UNREAD_SHARE = 0.2
+"""Share of the memory for bytes that have arrived from clients and are not read yet."""
 SWITCH_INTERVAL_S = 0.0005
 """Longest run of one thread while others wait, in seconds; Python's default of 5 ms is much longer
 than a request."""
@@ -91,6 +95,8 @@
         Largest request body in bytes.
     timeout_s : float
         Longest time without data from a caller, in seconds.
+    memory_mb : float
+        Memory that the process may use, in MB; 0: all of the machine's.
     """
 
     def __init__(
@@ -101,6 +107,7 @@
         threads: int = 16,
         body_limit: int = 268_435_456,
         timeout_s: float = 10.0,
+        memory_mb: float = 0.0,
     ) -> None:
         super().__init__(
             (address.ip, address.port),
@@ -115,12 +122,21 @@
         self.threads = threads
         self.busy = 0
         self.ConnectionClass = _Connection
+        self._descriptor_end = find_descriptor_end(FRONT_RESERVED_SHARE)
+        self.window = ReceiveWindow.from_memory(
+            UNREAD_SHARE * find_memory_bytes(memory_mb), connections=self._descriptor_end
+        )
         self.max_request_header_size = MAX_HEADER_BYTES
         self.max_request_body_size = body_limit
         self.keep_alive_conn_limit = 4_000
         self.shutdown_timeout = 2
         sys.setswitchinterval(SWITCH_INTERVAL_S)
 
+    def prepare(self) -> None:
+        """Open the port."""
+        super().prepare()
+        self.window.prepare(self.socket)
+
     @property
     def port(self) -> int:
         """Port in use; valid once the server is prepared."""
--- a/halldoor/wire/server.py
+++ b/halldoor/wire/server.py
@@ -13,6 +13,7 @@
 from halldoor.core.errors import PeerError
 from halldoor.core.settings import Address
 from halldoor.threads import RestartingThread
+from halldoor.windows import ReceiveWindow
 from halldoor.wire.protocol import FrameSocket, answer_call
 
 log = structlog.get_logger(part="wire")
@@ -40,13 +41,21 @@
         Address to listen on.
     make_handler : callable
         Builds the handler of a new connection, given its socket.
+    window : ReceiveWindow, optional
+        Receive windows of the connections.
     """
 
     def __init__(
-        self, address: Address, make_handler: Callable[[socket.socket], ConnectionHandler]
+        self,
+        address: Address,
+        make_handler: Callable[[socket.socket], ConnectionHandler],
+        *,
+        window: ReceiveWindow | None = None,
     ) -> None:
         self._make_handler = make_handler
         self._listener = socket.create_server((address.ip, address.port), backlog=256)
+        if window is not None:
+            window.prepare(self._listener)
         self.port: int = self._listener.getsockname()[1]
         self._lock = threading.Lock()
         self._open: set[FrameSocket] = set()
