Keep a part of the descriptors of halldoor-entry from its clients

Callers saw: 600 clients that connect and stay take 599 of 600 descriptors, so that the entry can connect to no target, peer or platform.

Cause: 4,000 connections could be kept between requests, whatever the limit of the process, and any number waited for a worker; other entries could have 512.

Fix: a caller's connection in the upper quarter of the descriptors is rejected at once, half may be kept between requests, half may belong to other entries. It works since the kernel gives the lowest free number.

--- a/halldoor/server.py
+++ b/halldoor/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import select
 import sys
 from collections.abc import Callable, Iterable
@@ -23,8 +24,16 @@
 """Longest request header, in bytes."""
 NEXT_REQUEST_WAIT_MS = 3
 """Longest wait of a worker for the next request on its connection, in milliseconds."""
+KEPT_SHARE = 0.5
+"""Share of the descriptors that connections between two requests may take."""
+MAX_KEPT = 4_000
+"""Most such connections."""
 UNREAD_SHARE = 0.2
 """Share of the memory for bytes that have arrived from clients and are not read yet."""
+REJECTION = (
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n"
+    b"Retry-After: 1\r\nHalldoor-Ran: not run\r\n\r\n"
+)
 SWITCH_INTERVAL_S = 0.0005
 """Longest run of one thread while others wait, in seconds; Python's default of 5 ms is much longer
 than a request."""
@@ -128,7 +137,7 @@
         )
         self.max_request_header_size = MAX_HEADER_BYTES
         self.max_request_body_size = body_limit
-        self.keep_alive_conn_limit = 4_000
+        self.keep_alive_conn_limit = int(min(MAX_KEPT, find_descriptor_end(1 - KEPT_SHARE)))
         self.shutdown_timeout = 2
         sys.setswitchinterval(SWITCH_INTERVAL_S)
 
@@ -137,6 +146,16 @@
         super().prepare()
         self.window.prepare(self.socket)
 
+    def process_conn(self, conn: HTTPConnection) -> None:
+        """Let a worker serve a connection; reject one for which no descriptor can be spared."""
+        if conn.socket.fileno() < self._descriptor_end:
+            super().process_conn(conn)
+            return
+        with contextlib.suppress(OSError):
+            conn.socket.setblocking(False)
+            conn.socket.send(REJECTION)
+        conn.close()
+
     @property
     def port(self) -> int:
         """Port in use; valid once the server is prepared."""
--- /dev/null
+++ b/halldoor/tests/test_server.py
@@ -0,0 +1,70 @@
+"""The HTTP server for WSGI applications, and clients that don't send what they announced."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+
+from halldoor import server as server_module
+from halldoor.core.settings import Address
+from halldoor.server import HttpServer
+from halldoor.standins.sample import IP
+
+ANSWER = b"answer"
+SIZE = 1_000_000
+ANNOUNCED, CHUNKED = b"Content-Length: %d\r\n" % SIZE, b"Transfer-Encoding: chunked\r\n"
+
+
+def answer_unread(environ, start):
+    """Answer without reading the body."""
+    start("200 OK", [("Content-Length", str(len(ANSWER)))])
+    return [ANSWER]
+
+
+def answer_read(environ, start):
+    """Answer after reading the body."""
+    while environ["wsgi.input"].read(65_536):
+        pass
+    return answer_unread(environ, start)
+
+
+@contextlib.contextmanager
+def serve(app, **options):
+    server = HttpServer(Address(IP, 0), app, **options)
+    server.prepare()
+    thread = threading.Thread(target=server.serve)
+    thread.start()
+    try:
+        yield server
+    finally:
+        server.stop()
+        thread.join()
+
+
+@contextlib.contextmanager
+def connect(server):
+    with socket.create_connection((IP, server.port), 10.0) as sock:
+        yield sock
+
+
+def build_request(framing=b""):
+    return b"POST /x HTTP/1.1\r\nHost: entry.example\r\n" + framing + b"\r\n"
+
+
+def read_answer(sock):
+    """Read an answer of the app; return its status, 0 if the connection ended before."""
+    data = b""
+    while not data.endswith(ANSWER):
+        piece = sock.recv(65_536)
+        if not piece:
+            return 0
+        data += piece
+    return int(data[9:12])
+
+
+def test_connection_without_a_descriptor_is_rejected(monkeypatch):
+    monkeypatch.setattr(server_module, "find_descriptor_end", lambda share: 0)
+    with serve(answer_read) as server, connect(server) as sock:
+        sock.sendall(build_request())
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 503 ")
--- a/halldoor/wire/server.py
+++ b/halldoor/wire/server.py
@@ -12,6 +12,7 @@
 
 from halldoor.core.errors import PeerError
 from halldoor.core.settings import Address
+from halldoor.machine import find_descriptor_end
 from halldoor.threads import RestartingThread
 from halldoor.windows import ReceiveWindow
 from halldoor.wire.protocol import FrameSocket, answer_call
@@ -20,6 +21,8 @@
 
 MAX_CONNECTIONS = 512
 """Connections open at once; further ones are closed on arrival."""
+CONNECTIONS_SHARE = 0.5
+"""Share of the descriptors that they may take."""
 IDLE_TIMEOUT_S = 120.0
 """Longest time without a call after which a connection is closed, in seconds."""
 
@@ -53,6 +56,7 @@
         window: ReceiveWindow | None = None,
     ) -> None:
         self._make_handler = make_handler
+        self._limit = int(min(MAX_CONNECTIONS, find_descriptor_end(1 - CONNECTIONS_SHARE)))
         self._listener = socket.create_server((address.ip, address.port), backlog=256)
         if window is not None:
             window.prepare(self._listener)
@@ -82,11 +86,11 @@
         while not self._is_stopping:
             sock, _ = self._listener.accept()
             with self._lock:
-                is_full = len(self._open) >= MAX_CONNECTIONS
+                is_full = len(self._open) >= self._limit
             if is_full:
                 log.warning(
                     "Closed a new connection from an entry: too many are open.",
-                    limit=MAX_CONNECTIONS,
+                    limit=self._limit,
                 )
                 sock.close()
                 continue
