Close a connection of halldoor-entry whose body has not arrived after its answer

Callers saw: a refusal that arrives only when the body has, or after 10 s; and answers to parts of a chunked body that were taken for requests.

Cause: cheroot doesn't read "Connection: close" of the answer. It keeps the connection, reads the rest of an announced body into memory before it sends the answer, and takes the rest of a chunked one for the next requests.

Fix: if a part of the body has not arrived when the answer begins, the connection is closed after it, and lingers: what the client sends is discarded for 2 s, or what has arrived if others wait for the worker. It works since nothing waits for the body any more, and no byte of it is parsed.

--- a/halldoor/chunked.py
+++ b/halldoor/chunked.py
@@ -37,18 +37,18 @@
         Connection that the body is read from.
     limit : int
         Most bytes of content.
+
+    Attributes
+    ----------
+    has_ended : bool
+        Whether the body has been read to its end.
     """
 
     def __init__(self, source: Source, limit: int) -> None:
         self._source = source
         self._left = limit
         self._chunk_left = 0
-        self._has_ended = False
-
-    @classmethod
-    def open(cls, source: Source, limit: int) -> io.BufferedReader:
-        """Return a buffered reader of the content."""
-        return io.BufferedReader(cls(source, limit))
+        self.has_ended = False
 
     def readable(self) -> bool:
         """Return True."""
@@ -64,9 +64,9 @@
         ValueError
             If the framing is invalid.
         """
-        if not self._chunk_left and not self._has_ended:
+        if not self._chunk_left and not self.has_ended:
             self._begin_chunk()
-        if self._has_ended:
+        if self.has_ended:
             return 0
         piece = self._source.read(min(self._chunk_left, len(buffer)))
         if not piece:
@@ -88,7 +88,7 @@
             raise BodyTooLongError("The body is too long.")
         if not self._chunk_left:
             self._read_trailer()
-            self._has_ended = True
+            self.has_ended = True
 
     def _read_trailer(self) -> None:
         """Read the trailer fields up to the empty line, and drop them."""
--- a/halldoor/server.py
+++ b/halldoor/server.py
@@ -3,18 +3,16 @@
 from __future__ import annotations
 
 import contextlib
-import select
 import sys
 from collections.abc import Callable, Iterable
 from typing import Any
 
 import structlog
 from cheroot import wsgi
-from cheroot.server import HTTPConnection
 
-from halldoor.chunked import ChunkedBody
 from halldoor.core.settings import Address
 from halldoor.machine import FRONT_RESERVED_SHARE, find_descriptor_end, find_memory_bytes
+from halldoor.serverconnection import Connection
 from halldoor.windows import ReceiveWindow
 
 log = structlog.get_logger(part="http")
@@ -22,8 +20,6 @@
 WsgiApp = Callable[[dict[str, Any], Any], Iterable[bytes]]
 MAX_HEADER_BYTES = 32_768
 """Longest request header, in bytes."""
-NEXT_REQUEST_WAIT_MS = 3
-"""Longest wait of a worker for the next request on its connection, in milliseconds."""
 KEPT_SHARE = 0.5
 """Share of the descriptors that connections between two requests may take."""
 MAX_KEPT = 4_000
@@ -40,55 +36,16 @@
 
 
 class _Gateway(wsgi.Gateway_10):
-    """WSGI gateway that passes the caller's socket on, so that a disconnect can be detected.
-
-    It reads chunked bodies piece by piece, where cheroot would hold whole chunks.
-    """
+    """WSGI gateway that passes the caller's socket on, so that a disconnect can be detected."""
 
     def get_environ(self) -> Any:
         """Return the WSGI environment, with the caller's socket as ``halldoor.socket``."""
-        if self.req.chunked_read:
-            limit = self.req.server.max_request_body_size
-            self.req.rfile = ChunkedBody.open(self.req.conn.rfile, limit)
+        self.req.open_body()
         environ: Any = super().get_environ()
         environ["halldoor.socket"] = self.req.conn.socket
         return environ
 
 
-class _Connection(HTTPConnection):
-    """Connection whose worker waits up to `NEXT_REQUEST_WAIT_MS` for the caller's next request.
-
-    Otherwise each request would pass from the worker to the thread that polls all connections, and
-    through the queue to another worker: two thread switches, which under the interpreter's lock
-    cost more than a look-up.
-    """
-
-    def communicate(self) -> bool:
-        """Serve requests until the caller pauses; return whether the connection stays open."""
-        # Counted without a lock: an approximate number of busy workers is enough.
-        self.server.busy += 1
-        try:
-            is_open = bool(super().communicate())
-            while is_open and self._has_next_request():
-                is_open = bool(super().communicate())
-            return is_open
-        finally:
-            self.server.busy -= 1
-
-    def _has_next_request(self) -> bool:
-        """Check whether the next request has arrived.
-
-        Waits up to `NEXT_REQUEST_WAIT_MS` for it, unless over half of the workers are busy.
-        """
-        if self.rfile.has_data():
-            return True
-        if self.server.busy * 2 > self.server.threads or not self.server.ready:
-            return False
-        poller = select.poll()
-        poller.register(self.socket, select.POLLIN)
-        return bool(poller.poll(NEXT_REQUEST_WAIT_MS))
-
-
 class HttpServer(wsgi.Server):
     """Cheroot server with limits on headers, bodies, connections and idle time.
 
@@ -130,7 +87,7 @@
         self.gateway = _Gateway
         self.threads = threads
         self.busy = 0
-        self.ConnectionClass = _Connection
+        self.ConnectionClass = Connection
         self._descriptor_end = find_descriptor_end(FRONT_RESERVED_SHARE)
         self.window = ReceiveWindow.from_memory(
             UNREAD_SHARE * find_memory_bytes(memory_mb), connections=self._descriptor_end
@@ -146,7 +103,7 @@
         super().prepare()
         self.window.prepare(self.socket)
 
-    def process_conn(self, conn: HTTPConnection) -> None:
+    def process_conn(self, conn: Connection) -> None:
         """Let a worker serve a connection; reject one for which no descriptor can be spared."""
         if conn.socket.fileno() < self._descriptor_end:
             super().process_conn(conn)
--- a/halldoor/tests/test_chunked.py
+++ b/halldoor/tests/test_chunked.py
@@ -22,7 +22,7 @@
 
 
 def read(data, size=-1):
-    return ChunkedBody.open(Source(data), LIMIT).read(size)
+    return io.BufferedReader(ChunkedBody(Source(data), LIMIT)).read(size)
 
 
 @pytest.mark.parametrize(
@@ -35,7 +35,7 @@
 )
 def test_content_is_read_up_to_the_end_of_the_trailer(data):
     source = Source(data + b"GET /")
-    assert ChunkedBody.open(source, LIMIT).read() == b"abcde"
+    assert io.BufferedReader(ChunkedBody(source, LIMIT)).read() == b"abcde"
     assert source.read() == b"GET /"
 
 
--- a/halldoor/tests/test_server.py
+++ b/halldoor/tests/test_server.py
@@ -6,6 +6,8 @@
 import socket
 import threading
 
+import pytest
+
 from halldoor import server as server_module
 from halldoor.core.settings import Address
 from halldoor.server import HttpServer
@@ -63,6 +65,41 @@
     return int(data[9:12])
 
 
+@pytest.mark.parametrize("framing", [ANNOUNCED, CHUNKED])
+def test_early_answer_is_delivered_and_the_connection_closed(framing):
+    """The rest of a body was read first, or taken for requests."""
+    with serve(answer_unread) as server, connect(server) as sock:
+        sock.sendall(build_request(framing))
+        assert read_answer(sock) == 200
+        with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+            sock.sendall(build_request() * 3)
+            assert sock.recv(65_536) == b""
+
+
+def test_answer_is_delivered_while_the_client_sends():
+    with serve(answer_unread) as server, connect(server) as sock:
+        sock.sendall(build_request(ANNOUNCED))
+        sock.sendall(b"x" * (SIZE - 1))
+        assert read_answer(sock) == 200
+
+
+def test_unread_body_that_has_arrived_keeps_the_connection():
+    with serve(answer_unread) as server, connect(server) as sock:
+        for _ in range(3):
+            sock.sendall(build_request(b"Content-Length: 5\r\n") + b"abcde")
+            assert read_answer(sock) == 200
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_requests_follow_on_a_connection(is_chunked):
+    framing = CHUNKED if is_chunked else b"Content-Length: 5\r\n"
+    body = b"5\r\nabcde\r\n0\r\n\r\n" if is_chunked else b"abcde"
+    with serve(answer_read) as server, connect(server) as sock:
+        for _ in range(3):
+            sock.sendall(build_request(framing) + body)
+            assert read_answer(sock) == 200
+
+
 def test_connection_without_a_descriptor_is_rejected(monkeypatch):
     monkeypatch.setattr(server_module, "find_descriptor_end", lambda share: 0)
     with serve(answer_read) as server, connect(server) as sock:
