Let clients of halldoor-entry without progress give way to those that wait

Callers saw: no answer in 20 s while 400 clients stop short of the end of their bodies, or 600 only connect; as many clients as there are workers suffice.

Cause: a worker waits for the bytes of its connection, 10 s after each piece, while all others wait in the queue.

Fix: while connections wait for a worker, those whose clients are a second behind 16 KB/s give theirs up, the slowest first; bodies that are still arriving take three quarters of the workers, and further ones are refused before they are read. It works since a worker that waits checks ten times a second whether others do; alone, a client may pause as before.

--- a/halldoor/core/eviction.py
+++ b/halldoor/core/eviction.py
@@ -38,6 +38,10 @@
         """Add a number of bytes that the client has sent."""
         self._at = min(now, self._at + count / PROGRESS_BYTES_PER_S)
 
+    def skip(self, elapsed_s: float) -> None:
+        """Disregard a time in which the client had nothing to do, in seconds."""
+        self._at += elapsed_s
+
     def restart(self, now: float) -> None:
         """Start anew, since the client has been waiting for the process."""
         self._at = now
--- a/halldoor/entry/reader.py
+++ b/halldoor/entry/reader.py
@@ -22,6 +22,7 @@
     find_header,
     keep_end_to_end,
 )
+from halldoor.serverconnection import Connection
 
 PIECE_BYTES = 65_536
 MAX_DEADLINE_MS = 10**15
@@ -93,7 +94,7 @@
         operation_id="" if operation.repeatable else find_header(headers, "operation-id"),
         cancellation=Cancellation(),
     )
-    return _read_body(environ["wsgi.input"], request)
+    return _read_body(environ["wsgi.input"], request, environ.get("halldoor.connection"))
 
 
 def _find_sent_path(environ: dict[str, Any]) -> str | None:
@@ -204,10 +205,15 @@
     return f"block {match.start:08x}" if match else f"net {address >> 8:06x}"
 
 
-def _read_body(source: Any, request: Request) -> tuple[Request, Body] | Refusal:
+def _read_body(
+    source: Any, request: Request, connection: Connection | None
+) -> tuple[Request, Body] | Refusal:
     """Read a small body into memory; leave a larger one to be streamed."""
     if request.length == 0:
         return request, Body()
+    if connection is not None and not connection.begin_body(request.length):
+        return refuse(Reason.NO_ROOM, "Too many bodies are still arriving. Retry in a second.")
+    end_body = connection.end_body if connection is not None else lambda: None
     wanted = SMALL_BODY_BYTES if request.length < 0 else min(request.length, SMALL_BODY_BYTES)
     try:
         first = _read_exactly(source, wanted)
@@ -217,12 +223,15 @@
         return _refuse_incomplete_body(type(exc).__name__)
     is_short = len(first) < wanted
     if request.length < 0 and is_short:
+        end_body()
         return request._replace(length=len(first)), Body(first)
     if is_short:
         return _refuse_incomplete_body("it ended early")
     if request.length == len(first):
+        end_body()
         return request, Body(first)
-    return request, Body(first, _read_rest(source, request.length - len(first), request.length < 0))
+    missing = request.length - len(first)
+    return request, Body(first, _read_rest(source, missing, request.length < 0, end_body))
 
 
 def _refuse_incomplete_body(why: str) -> Refusal:
@@ -243,13 +252,18 @@
     return b"".join(parts)
 
 
-def _read_rest(source: Any, missing: int, is_chunked: bool) -> Iterator[bytes]:
+def _read_rest(
+    source: Any, missing: int, is_chunked: bool, end_body: Callable[[], None]
+) -> Iterator[bytes]:
     """Yield the rest of a streamed body; raise if the caller stops before its length."""
     while missing > 0 or is_chunked:
         piece = source.read(PIECE_BYTES if is_chunked else min(PIECE_BYTES, missing))
         if not piece:
             if is_chunked:
-                return
+                break
             raise ConnectionAbortedError("the caller's body ended early")
         missing -= len(piece)
+        if not missing:
+            end_body()
         yield piece
+    end_body()
--- a/halldoor/server.py
+++ b/halldoor/server.py
@@ -12,7 +12,7 @@
 
 from halldoor.core.settings import Address
 from halldoor.machine import FRONT_RESERVED_SHARE, find_descriptor_end, find_memory_bytes
-from halldoor.serverconnection import Connection
+from halldoor.serverconnection import Connection, WorkerShare
 from halldoor.windows import ReceiveWindow
 
 log = structlog.get_logger(part="http")
@@ -39,9 +39,13 @@
     """WSGI gateway that passes the caller's socket on, so that a disconnect can be detected."""
 
     def get_environ(self) -> Any:
-        """Return the WSGI environment, with the caller's socket as ``halldoor.socket``."""
+        """Return the WSGI environment.
+
+        The caller's socket is ``halldoor.socket``, and its connection ``halldoor.connection``.
+        """
         self.req.open_body()
         environ: Any = super().get_environ()
+        environ["halldoor.connection"] = self.req.conn
         environ["halldoor.socket"] = self.req.conn.socket
         return environ
 
@@ -63,6 +67,11 @@
         Longest time without data from a caller, in seconds.
     memory_mb : float
         Memory that the process may use, in MB; 0: all of the machine's.
+
+    Attributes
+    ----------
+    share : WorkerShare
+        Decides which connections the workers wait for.
     """
 
     def __init__(
@@ -85,8 +94,7 @@
             server_name="halldoor",
         )
         self.gateway = _Gateway
-        self.threads = threads
-        self.busy = 0
+        self.share = WorkerShare(threads)
         self.ConnectionClass = Connection
         self._descriptor_end = find_descriptor_end(FRONT_RESERVED_SHARE)
         self.window = ReceiveWindow.from_memory(
--- a/halldoor/serverconnection.py
+++ b/halldoor/serverconnection.py
@@ -1,4 +1,8 @@
-"""Connections of the HTTP server, also of clients that don't send what they announced."""
+"""Connections of the HTTP server, and which of them its workers may wait for.
+
+A worker serves one connection and waits for its bytes.  Clients that stop sending would occupy all
+workers, so while other connections wait for a worker, those without progress are closed.
+"""
 
 from __future__ import annotations
 
@@ -9,21 +13,123 @@
 import socket
 import sys
 import termios
+import threading
 import time
 from typing import Any
 
+from cheroot.makefile import MakeFile, StreamReader
 from cheroot.server import HTTPConnection, HTTPRequest
 
 from halldoor.chunked import ChunkedBody
+from halldoor.core.eviction import ProgressClock, choose_evicted
 
 NEXT_REQUEST_WAIT_MS = 3
 """Longest wait of a worker for the next request on its connection, in milliseconds."""
 CHECK_MS = 100
 """Period in which a worker that waits for bytes checks whether others need it, in milliseconds."""
+ARRIVING_SHARE = 0.75
+"""Share of the workers that may wait for bodies to arrive."""
 LINGER_S = 2.0
 """Longest time for which a closed connection's bytes are discarded, in seconds."""
 DISCARDED_BYTES = 65_536
 """Most bytes that are discarded at once."""
+REFUSED_S = 1.0
+"""Time for which a refused body counts as waiting for a worker, in seconds."""
+
+
+class ClientTooSlowError(TimeoutError):
+    """The client sent nothing for too long, or too little while others waited."""
+
+    def __init__(self) -> None:
+        super().__init__("timed out")  # As cheroot expects it of sockets.
+
+
+class WorkerShare:
+    """Decides which connections the workers wait for.
+
+    Parameters
+    ----------
+    workers : int
+        Number of workers.
+
+    Attributes
+    ----------
+    busy : int
+        Number of workers with a connection; approximate, since it is counted without a lock.
+    """
+
+    def __init__(self, workers: int) -> None:
+        self.workers = workers
+        self.busy = 0
+        self._lock = threading.Lock()
+        self._waiting: set[Connection] = set()
+        self._arriving: set[Connection] = set()
+        self._refused_until = 0.0
+
+    def begin_body(self, connection: Connection) -> bool:
+        """Count a body that is arriving; return False if too many are."""
+        with self._lock:
+            if len(self._arriving) >= max(1, int(ARRIVING_SHARE * self.workers)):
+                self._refused_until = time.monotonic() + REFUSED_S
+                return False
+            self._arriving.add(connection)
+            return True
+
+    def end_body(self, connection: Connection) -> None:
+        """Count a body no longer, since it has arrived or its request has ended."""
+        with self._lock:
+            self._arriving.discard(connection)
+
+    def begin_wait(self, connection: Connection) -> None:
+        """Add a connection whose worker waits for bytes."""
+        with self._lock:
+            self._waiting.add(connection)
+
+    def end_wait(self, connection: Connection) -> None:
+        """Remove a connection whose worker no longer waits."""
+        with self._lock:
+            self._waiting.discard(connection)
+
+    def must_yield(self, connection: Connection, queued: int) -> bool:
+        """Check whether a worker must give its connection up for others.
+
+        Parameters
+        ----------
+        queued : int
+            Number of connections that wait for a worker.
+        """
+        now = time.monotonic()
+        wanted = queued + (now < self._refused_until)
+        if not wanted:
+            return False
+        with self._lock:
+            return connection in choose_evicted(self._waiting, wanted, now)
+
+
+class _ClientIO(socket.SocketIO):
+    """Socket of a client; its worker waits for bytes as long as `WorkerShare` allows."""
+
+    def __init__(self, connection: Connection, sock: socket.socket) -> None:
+        super().__init__(sock, "rb")
+        self._connection = connection
+        self._poller = select.poll()
+        self._poller.register(sock, select.POLLIN)
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read some bytes; raises `ClientTooSlowError`."""
+        if not self._poller.poll(0):
+            self._connection.wait(self._poller)
+        count = super().readinto(buffer)
+        self._connection.progress.add(count or 0, time.monotonic())
+        return count
+
+
+class _ClientReader(StreamReader):
+    """Buffered reader of a client's socket."""
+
+    def __init__(self, source: _ClientIO, size: int) -> None:
+        super(StreamReader, self).__init__(source, size)
+        self.bytes_read = 0
 
 
 class _Request(HTTPRequest):
@@ -69,12 +175,35 @@
 
     Attributes
     ----------
+    progress : ProgressClock
+        Progress of the client while a worker, or the queue, waited for it.
     must_linger : bool
         Whether the client may be sending when the connection is closed.
     """
 
     RequestHandlerClass = _Request
-    must_linger = False
+    is_evictable = True
+
+    def __init__(self, server: Any, sock: socket.socket, makefile: Any = MakeFile) -> None:
+        super().__init__(server, sock, self._make_file)
+        self.progress = ProgressClock(time.monotonic())
+        self._share: WorkerShare = server.share
+        self._waited_at: float | None = None
+        self.must_linger = False
+
+    def _make_file(self, sock: socket.socket, mode: str, size: int) -> Any:
+        """Return a reader or a writer of the socket."""
+        if "r" in mode:
+            return _ClientReader(_ClientIO(self, sock), size)
+        return MakeFile(sock, mode, size)
+
+    def begin_body(self, length: int) -> bool:
+        """Begin to read a body of a length, -1 if unknown; return False if too many arrive."""
+        return 0 <= length <= self.count_arrived() or self._share.begin_body(self)
+
+    def end_body(self) -> None:
+        """Record that the body has arrived."""
+        self._share.end_body(self)
 
     def count_arrived(self) -> int:
         """Return the number of bytes that have arrived and are not read yet."""
@@ -82,17 +211,42 @@
         unread = fcntl.ioctl(self.socket, termios.FIONREAD, bytes(4))
         return buffered + int.from_bytes(unread, sys.byteorder)
 
+    def wait(self, poller: select.poll) -> None:
+        """Wait for bytes; raises `ClientTooSlowError`."""
+        began_at = time.monotonic()
+        if self._waited_at is not None:
+            self.progress.skip(began_at - self._waited_at)
+        self._share.begin_wait(self)
+        try:
+            while time.monotonic() - began_at < self.server.timeout:
+                if self._share.must_yield(self, self.server.requests.qsize):
+                    break
+                if poller.poll(CHECK_MS):
+                    return
+            raise ClientTooSlowError
+        finally:
+            self._share.end_wait(self)
+            self._waited_at = time.monotonic()
+
     def communicate(self) -> bool:
         """Serve requests until the caller pauses; return whether the connection stays open."""
-        # Counted without a lock: an approximate number of busy workers is enough.
-        self.server.busy += 1
+        self._share.busy += 1
         try:
-            is_open = bool(super().communicate())
+            is_open = self._serve_request()
             while is_open and self._has_next_request():
-                is_open = bool(super().communicate())
+                is_open = self._serve_request()
             return is_open
         finally:
-            self.server.busy -= 1
+            self._share.busy -= 1
+
+    def _serve_request(self) -> bool:
+        """Serve one request; return whether the connection stays open."""
+        try:
+            return bool(super().communicate())
+        finally:
+            self._share.end_body(self)
+            self._waited_at = time.monotonic()
+            self.progress.restart(self._waited_at)
 
     def close(self) -> None:
         """Close the connection; the client receives the answer although it may be sending."""
@@ -128,7 +282,7 @@
         """
         if self.rfile.has_data():
             return True
-        if self.server.busy * 2 > self.server.threads or not self.server.ready:
+        if self._share.busy * 2 > self._share.workers or not self.server.ready:
             return False
         poller = select.poll()
         poller.register(self.socket, select.POLLIN)
--- a/halldoor/tests/test_server.py
+++ b/halldoor/tests/test_server.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 import threading
+import time
 
 import pytest
 
@@ -100,6 +101,25 @@
             assert read_answer(sock) == 200
 
 
+@pytest.mark.parametrize("sent", [b"", b"POST /x HT", build_request(b"Content-Length: 9\r\n")])
+def test_clients_without_progress_yield_to_others(sent):
+    with serve(answer_read, threads=2) as server, contextlib.ExitStack() as stack:
+        for _ in range(6):
+            stack.enter_context(connect(server)).sendall(sent)
+        time.sleep(1.2)
+        with connect(server) as sock:
+            sock.sendall(build_request())
+            assert read_answer(sock) == 200
+
+
+def test_client_that_is_alone_may_pause():
+    with serve(answer_read, threads=2) as server, connect(server) as sock:
+        for piece in (build_request(b"Content-Length: 2\r\n"), b"a", b"b"):
+            sock.sendall(piece)
+            time.sleep(1.2)
+        assert read_answer(sock) == 200
+
+
 def test_connection_without_a_descriptor_is_rejected(monkeypatch):
     monkeypatch.setattr(server_module, "find_descriptor_end", lambda share: 0)
     with serve(answer_read) as server, connect(server) as sock:
